--- /dev/null
+++ b/packages/benchmarks/src/lib/benchmark.ts
@@ -0,0 +1,41 @@
+/** What a benchmark is. @packageDocumentation */
+
+/** A measured value. */
+export interface Metric {
+  /** Unique over all benchmarks, such as `path.first_token_added_p95`. */
+  name: string;
+  value: number;
+  /** Such as `ms`, `MiB` or `ratio`. */
+  unit: string;
+}
+
+/** Points of a curve, for plots and slopes. */
+export interface Series {
+  /** Such as `control.bytes_by_peers`. */
+  name: string;
+  xLabel: string;
+  yLabel: string;
+  points: Array<{x: number; y: number}>;
+}
+
+/** What a run of a benchmark gives. */
+export interface BenchmarkResult {
+  metrics: Metric[];
+  series: Series[];
+}
+
+/** An experiment that measures one part of the system. */
+export abstract class Benchmark {
+  /** Name on the command line. */
+  abstract readonly name: string;
+
+  /** What it measures, in one line. */
+  abstract readonly summary: string;
+
+  /**
+   * Runs the experiment once.
+   *
+   * @param seed - seed of all randomness.
+   */
+  abstract run(seed: number): Promise<BenchmarkResult>;
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -0,0 +1,6 @@
+/** The list of benchmarks. @packageDocumentation */
+
+import {Benchmark} from './benchmark.js';
+
+/** Every benchmark, in the order in which they run. */
+export const BENCHMARKS: readonly Benchmark[] = [];
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,7 @@
+/** The operators' tool as a library. @packageDocumentation */
+
+export * from './lib/delta.js';
+export * from './lib/exit_code.js';
+export * from './lib/operator_client.js';
+export * from './lib/program.js';
+export * from './lib/terminal.js';
--- /dev/null
+++ b/packages/cli/src/lib/commands/check_command.ts
@@ -0,0 +1,41 @@
+/** `fuchsiacleat check`. @packageDocumentation */
+
+import {
+  DeclarationSource,
+  Fault,
+  checkDeclarations,
+  formatFault,
+  readDeclarations,
+} from '@fuchsiacleat/core';
+import {EXIT_CODE, ExitCode} from '../exit_code.js';
+import {Terminal} from '../terminal.js';
+
+/**
+ * Reads and checks a folder of declarations.
+ *
+ * @param folder - path of the folder.
+ * @returns the declarations and every fault, with file and line.
+ */
+export async function readChecked(
+  folder: string,
+): Promise<{source: DeclarationSource; faults: Fault[]}> {
+  const source = await readDeclarations(folder);
+  const {faults} = checkDeclarations(source.objects);
+  const located = faults.map(fault => source.map.locate(fault));
+  return {source, faults: [...source.faults, ...located]};
+}
+
+/** Reports every fault of a folder. */
+export async function check(
+  terminal: Terminal,
+  folder: string,
+): Promise<ExitCode> {
+  const {source, faults} = await readChecked(folder);
+  for (const fault of faults) terminal.error(formatFault(fault));
+  if (faults.length > 0) {
+    terminal.error(`${faults.length} faults; nothing was published`);
+    return EXIT_CODE.faults;
+  }
+  terminal.out(`${source.objects.length} objects, no faults`);
+  return EXIT_CODE.ok;
+}
--- /dev/null
+++ b/packages/cli/src/lib/delta.ts
@@ -0,0 +1,35 @@
+/** The difference between two sets of declarations. @packageDocumentation */
+
+import {Change, RawObject, objectId} from '@fuchsiacleat/core';
+import {isDeepStrictEqual} from 'node:util';
+
+/**
+ * @param held - objects of the configuration in force.
+ * @param wanted - objects of the folder.
+ * @returns the changes that lead from one to the other, by identity.
+ */
+export function deltaOf(
+  held: readonly RawObject[],
+  wanted: readonly RawObject[],
+): Change[] {
+  const before = byId(held);
+  const after = byId(wanted);
+  const changes: Change[] = [];
+  for (const [id, object] of after) {
+    const known = before.get(id);
+    if (known && isDeepStrictEqual(known.fields, object.fields)) continue;
+    changes.push({...object});
+  }
+  for (const [id, {kind, name}] of before) {
+    if (!after.has(id)) changes.push({kind, name, fields: null});
+  }
+  return changes.sort((a, b) => (idOf(a) < idOf(b) ? -1 : 1));
+}
+
+function byId(objects: readonly RawObject[]): Map<string, RawObject> {
+  return new Map(objects.map(object => [idOf(object), object]));
+}
+
+function idOf({kind, name}: Pick<RawObject, 'kind' | 'name'>): string {
+  return objectId(kind, name);
+}
--- /dev/null
+++ b/packages/core/src/lib/limits/local_token_limiter.ts
@@ -0,0 +1,74 @@
+/** A limit that each host applies alone. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {ConfigState} from '../config/config_state.js';
+import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
+import {Clock} from '../time/clock.js';
+import {TokenBucket} from './token_bucket.js';
+import {TokenDemand, TokenLimiter, TokenReservation} from './token_limiter.js';
+
+/**
+ * A {@link TokenLimiter} that gives every host the whole rate. It is exact
+ * for a single host only and serves as a baseline for several.
+ */
+export class LocalTokenLimiter extends TokenLimiter {
+  private readonly buckets = new Map<string, TokenBucket>();
+
+  /**
+   * @param config - the configuration in force.
+   * @param clock - measures refills and waits.
+   */
+  constructor(
+    private readonly config: ConfigState,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override async reserve(
+    {team, tokens, deadlineMs}: TokenDemand,
+    signal: AbortSignal,
+  ): Promise<Result<TokenReservation, Refusal>> {
+    const bucket = this.bucketOf(team);
+    if (bucket === undefined) return ok({settle: () => {}});
+    while (!bucket.take(tokens)) {
+      const waitMs = bucket.timeUntil(tokens);
+      if (this.clock.now() + waitMs >= deadlineMs || signal.aborted) {
+        return err(overRate(waitMs));
+      }
+      await this.clock.sleep(waitMs, signal);
+    }
+    let settled = false;
+    const settle = (usedTokens: number) => {
+      if (!settled) bucket.settle(tokens, usedTokens);
+      settled = true;
+    };
+    return ok({settle});
+  }
+
+  private bucketOf(team: string): TokenBucket | undefined {
+    for (const rate of this.config.declared.all('rate').values()) {
+      if (rate.team !== team) continue;
+      const shape = {rate: rate.tokens_per_second, burst: rate.burst};
+      const known = this.buckets.get(team);
+      if (known !== undefined) {
+        known.reshape(shape);
+        return known;
+      }
+      const bucket = new TokenBucket(this.clock, shape, shape.burst);
+      this.buckets.set(team, bucket);
+      return bucket;
+    }
+    return undefined;
+  }
+}
+
+/** @returns the refusal of a request for whose tokens there is no time. */
+export function overRate(waitMs: number): Refusal {
+  if (waitMs === Infinity) {
+    const message = 'the request needs more tokens than the burst of its team';
+    return refuse(REFUSAL.overRate, message);
+  }
+  const message = 'the team is over its rate until after the deadline';
+  return refuse(REFUSAL.overRate, message, waitMs);
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/placement_client.ts
@@ -0,0 +1,62 @@
+/** Asks the zone controller for replicas. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {LeaseAuthority} from '../membership/lease_authority.js';
+import {PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {WANT, Want} from './placement_messages.js';
+import {ReplicaDirectory} from './replica_directory.js';
+import {ZoneController} from './zone_controller.js';
+
+const RETRY_DELAY_MS = 100;
+
+/** What a {@link PlacementClient} works with. */
+export interface PlacementClientOptions {
+  lease: LeaseAuthority;
+  controller: ZoneController;
+  directory: ReplicaDirectory;
+  network: PeerNetwork;
+  clock: Clock;
+}
+
+/** Finds the zone controller, here or at a peer, and asks it. */
+export class PlacementClient {
+  constructor(private readonly options: PlacementClientOptions) {}
+
+  /**
+   * @param want - what waits; its slack bounds the call.
+   * @param signal - gives up.
+   * @returns nothing once a replica is ready, or why there can be none.
+   */
+  async provide(
+    want: Want,
+    signal: AbortSignal,
+  ): Promise<Result<void, string>> {
+    const {clock, lease, directory} = this.options;
+    const deadlineMs = clock.now() + want.slackMs;
+    for (;;) {
+      const slackMs = deadlineMs - clock.now();
+      if (slackMs <= 0 || signal.aborted) {
+        return err('no replica could be provided in time');
+      }
+      const holder = lease.holder();
+      if (holder !== undefined) {
+        const answer = await this.ask(holder, {...want, slackMs}, signal);
+        if (answer?.type === 'impossible') return err(answer.message);
+        if (answer?.type === 'ready') {
+          directory.update(answer.view);
+          return ok(undefined);
+        }
+      }
+      await clock.sleep(RETRY_DELAY_MS, signal);
+    }
+  }
+
+  private async ask(holder: string, want: Want, signal: AbortSignal) {
+    const {network, controller} = this.options;
+    if (holder === network.self.host) return controller.want(want);
+    const timeoutMs = want.slackMs;
+    const answer = await network.call(holder, WANT, want, {timeoutMs, signal});
+    return answer.isOk() ? answer.value : undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/platform/http_platform_log.ts
@@ -0,0 +1,109 @@
+/** The platform's log over HTTP. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {Agent, Dispatcher, request} from 'undici';
+import {z} from 'zod';
+import {
+  LogError,
+  LogPage,
+  LogRecord,
+  PlatformLog,
+  ReadOptions,
+} from './platform_log.js';
+
+const ANSWER_TIMEOUT_MS = 3_000;
+
+const appendAnswerSchema = z.object({offsets: z.array(z.number().int())});
+
+const pageSchema = z.object({
+  records: z.array(
+    z.object({
+      offset: z.number().int(),
+      id: z.string(),
+      atMs: z.number(),
+      body: z.unknown(),
+    }),
+  ),
+  next: z.number().int(),
+  first: z.number().int(),
+});
+
+/** A {@link PlatformLog} client. */
+export class HttpPlatformLog extends PlatformLog {
+  private readonly dispatcher: Dispatcher;
+
+  /**
+   * @param url - base URL of the service.
+   * @param dispatcher - carries the requests; an own connection pool by
+   *     default.
+   */
+  constructor(
+    private readonly url: string,
+    dispatcher?: Dispatcher,
+  ) {
+    super();
+    this.dispatcher = dispatcher ?? new Agent({connect: {timeout: 1_000}});
+  }
+
+  override async append(
+    stream: string,
+    records: readonly LogRecord[],
+    signal: AbortSignal,
+  ): Promise<Result<number[], LogError>> {
+    const body = JSON.stringify({records});
+    const answer = await this.call('POST', this.path(stream), signal, 0, body);
+    return answer.andThen(value =>
+      parse(appendAnswerSchema, value).map(parsed => parsed.offsets),
+    );
+  }
+
+  override async read(
+    stream: string,
+    from: number,
+    {waitMs, signal}: ReadOptions,
+  ): Promise<Result<LogPage, LogError>> {
+    const path = `${this.path(stream)}?from=${from}&wait_ms=${waitMs}`;
+    const answer = await this.call('GET', path, signal, waitMs);
+    return answer.andThen(value => parse(pageSchema, value));
+  }
+
+  private path(stream: string): string {
+    return `/streams/${encodeURIComponent(stream)}/records`;
+  }
+
+  private async call(
+    method: 'GET' | 'POST',
+    path: string,
+    signal: AbortSignal,
+    waitMs: number,
+    body?: string,
+  ): Promise<Result<unknown, LogError>> {
+    const timeout = AbortSignal.timeout(waitMs + ANSWER_TIMEOUT_MS);
+    try {
+      const res = await request(this.url + path, {
+        method,
+        body,
+        headers: {'content-type': 'application/json'},
+        signal: AbortSignal.any([signal, timeout]),
+        dispatcher: this.dispatcher,
+      });
+      if (res.statusCode !== 200) {
+        await res.body.dump();
+        return unavailable(`status ${res.statusCode}`);
+      }
+      return ok(await res.body.json());
+    } catch (error) {
+      return unavailable((error as Error).message);
+    }
+  }
+}
+
+function parse<T>(schema: z.ZodType<T>, value: unknown): Result<T, LogError> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return unavailable('the log sent a malformed answer');
+}
+
+function unavailable(message: string): Result<never, LogError> {
+  return err({type: 'log-unavailable', message});
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/forward.ts
@@ -0,0 +1,51 @@
+/** Requests that are passed on to a host of another zone. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod} from '../peers/peer_network.js';
+import {generationEventSchema, generationRequestSchema} from './generation.js';
+import {FAILURE, FailureReason, REFUSAL, RefusalReason} from './outcome.js';
+
+const forwardSchema = z.object({
+  request: generationRequestSchema,
+  /** Time left until the deadline, in milliseconds. */
+  remainingMs: z.number(),
+  traceparent: z.string(),
+});
+
+/** A request on its way to another zone. */
+export type Forward = z.output<typeof forwardSchema>;
+
+const outcomeSchema = z.discriminatedUnion('type', [
+  z.object({type: z.literal('served')}),
+  z.object({
+    type: z.literal('refused'),
+    reason: z.enum(Object.values(REFUSAL) as [RefusalReason]),
+    message: z.string(),
+    retryAfterMs: z.number().optional(),
+  }),
+  z.object({
+    type: z.literal('failed'),
+    reason: z.enum(Object.values(FAILURE) as [FailureReason]),
+    message: z.string(),
+  }),
+  z.object({type: z.literal('cancelled')}),
+]);
+
+const forwardEventSchema = z.object({
+  /** Id of the request, checked at the receiver. */
+  id: z.string(),
+  event: z.union([
+    generationEventSchema,
+    z.object({type: z.literal('outcome'), outcome: outcomeSchema}),
+  ]),
+});
+
+/** An event of a forwarded request; the last one is its outcome. */
+export type ForwardEvent = z.output<typeof forwardEventSchema>;
+
+/** Runs a request at a host of another zone. */
+export const FORWARD: PeerMethod<Forward, ForwardEvent> = {
+  name: 'requests.forward',
+  body: forwardSchema,
+  event: forwardEventSchema,
+};
--- /dev/null
+++ b/packages/core/src/lib/requests/generation.ts
@@ -0,0 +1,64 @@
+/** A request for generated text and the events that answer it. @packageDocumentation */
+
+import {z} from 'zod';
+
+/** What the text shall follow: a chat or a plain prompt. */
+export const generationInputSchema = z.union([
+  z.object({
+    messages: z.array(z.object({role: z.string(), content: z.string()})).min(1),
+  }),
+  z.object({prompt: z.string()}),
+]);
+
+/** See {@link generationInputSchema}. */
+export type GenerationInput = z.output<typeof generationInputSchema>;
+
+/** A request as it travels between hosts and to engines. */
+export const generationRequestSchema = z.object({
+  id: z.string(),
+  team: z.string(),
+  route: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+  input: generationInputSchema,
+  maxTokens: z.number().int().min(1),
+  priority: z.number().int(),
+  repeatable: z.boolean(),
+});
+
+/** See {@link generationRequestSchema}. */
+export type GenerationRequest = z.output<typeof generationRequestSchema>;
+
+/** One event of an answer, from an engine or from a peer. */
+export const generationEventSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('token'),
+    /** Position in the answer, from 0. */
+    offset: z.number().int().min(0),
+    text: z.string(),
+  }),
+  z.object({
+    type: z.literal('end'),
+    finishReason: z.enum(['stop', 'length']),
+    promptTokens: z.number().int().min(0),
+    completionTokens: z.number().int().min(0),
+  }),
+]);
+
+/** See {@link generationEventSchema}. */
+export type GenerationEvent = z.output<typeof generationEventSchema>;
+
+/** Characters that count as one token where no tokenizer is known. */
+const CHARS_PER_TOKEN = 4;
+
+/**
+ * @param input - the caller's text.
+ * @returns an estimate of its tokens, never below one.
+ */
+export function estimatePromptTokens(input: GenerationInput): number {
+  const text =
+    'prompt' in input
+      ? input.prompt
+      : input.messages.map(message => message.content).join('\n');
+  return Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN));
+}
--- /dev/null
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -0,0 +1,251 @@
+/** An engine over HTTP. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {Agent, Dispatcher} from 'undici';
+import {EventSourceParserStream} from 'eventsource-parser/stream';
+import {Readable} from 'node:stream';
+import {z} from 'zod';
+import {
+  GenerationEvent,
+  GenerationRequest,
+  generationEventSchema,
+} from '../requests/generation.js';
+import {
+  CacheEvent,
+  ENGINE_ERROR,
+  EngineClient,
+  EngineError,
+  FencedOrder,
+  GenerateOptions,
+  Inventory,
+  LoadReport,
+  cacheEventSchema,
+  inventorySchema,
+  loadReportSchema,
+} from './engine_client.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const QUERY_TIMEOUT_MS = 2_000;
+const STATUS_FENCED = 412;
+
+const streamEventSchema = z.object({
+  request_id: z.string(),
+  event: generationEventSchema,
+});
+
+/** Codes of errors that come up before any byte of the request is sent. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** An {@link EngineClient} over HTTP and server-sent events. */
+export class HttpEngineClient extends EngineClient {
+  private readonly dispatcher: Dispatcher;
+
+  /** @param url - base URL of the engine. */
+  constructor(private readonly url: string) {
+    super();
+    // Without pipelining a request never shares a connection with another
+    // one in flight.
+    this.dispatcher = new Agent({
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      pipelining: 1,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+  }
+
+  override async *generate(
+    req: GenerationRequest,
+    options: GenerateOptions,
+  ): AsyncGenerator<Result<GenerationEvent, EngineError>, void> {
+    const opened = await this.open(req, options);
+    if (opened.isErr()) {
+      yield err(opened.error);
+      return;
+    }
+    const body = opened.value;
+    let ended = false;
+    try {
+      for await (const event of parseEvents(body)) {
+        const parsed = parseEvent(event.data, req.id);
+        yield parsed;
+        ended = parsed.isErr() || parsed.value.type === 'end';
+        if (ended) break;
+      }
+      if (!ended) yield broken('the engine closed the stream early');
+    } catch (error) {
+      yield broken((error as Error).message);
+    } finally {
+      body.destroy();
+    }
+  }
+
+  override async order(
+    order: FencedOrder,
+    signal: AbortSignal,
+  ): Promise<Result<void, EngineError>> {
+    const answer = await this.call('POST', '/orders', order, signal);
+    return answer.map(() => undefined);
+  }
+
+  override inventory(
+    signal: AbortSignal,
+  ): Promise<Result<Inventory, EngineError>> {
+    return this.query('/inventory', inventorySchema, signal);
+  }
+
+  override report(
+    signal: AbortSignal,
+  ): Promise<Result<LoadReport, EngineError>> {
+    return this.query('/report', loadReportSchema, signal);
+  }
+
+  override cacheEvents(
+    after: number,
+    signal: AbortSignal,
+  ): Promise<Result<CacheEvent[], EngineError>> {
+    const path = `/cache-events?after=${after}`;
+    return this.query(path, z.array(cacheEventSchema), signal);
+  }
+
+  override async exportKv(
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<string, EngineError>> {
+    const body = {request_id: requestId};
+    const answer = await this.call('POST', '/kv/export', body, signal);
+    const schema = z.object({kv: z.string()});
+    return answer.andThen(value => parse(schema, value).map(({kv}) => kv));
+  }
+
+  override async importKv(
+    requestId: string,
+    kv: string,
+    signal: AbortSignal,
+  ): Promise<Result<void, EngineError>> {
+    const body = {request_id: requestId, kv};
+    const answer = await this.call('POST', '/kv/import', body, signal);
+    return answer.map(() => undefined);
+  }
+
+  private async open(
+    req: GenerationRequest,
+    {resumeFrom, traceparent, signal}: GenerateOptions,
+  ): Promise<Result<Readable, EngineError>> {
+    try {
+      const res = await this.dispatcher.request({
+        origin: this.url,
+        method: 'POST',
+        path: '/generate',
+        headers: {'content-type': 'application/json', traceparent},
+        body: JSON.stringify({
+          request_id: req.id,
+          model: req.model,
+          adapter: req.adapter,
+          input: req.input,
+          max_tokens: req.maxTokens,
+          priority: req.priority,
+          resume_from: resumeFrom,
+        }),
+        signal,
+      });
+      if (res.statusCode === 200) return ok(res.body);
+      return err(await readError(res));
+    } catch (error) {
+      return err(toEngineError(error));
+    }
+  }
+
+  private async query<T>(
+    path: string,
+    schema: z.ZodType<T>,
+    signal: AbortSignal,
+  ): Promise<Result<T, EngineError>> {
+    const timeout = AbortSignal.timeout(QUERY_TIMEOUT_MS);
+    const either = AbortSignal.any([signal, timeout]);
+    const answer = await this.call('GET', path, undefined, either);
+    return answer.andThen(value => parse(schema, value));
+  }
+
+  private async call(
+    method: 'GET' | 'POST',
+    path: string,
+    body: object | undefined,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, EngineError>> {
+    try {
+      const res = await this.dispatcher.request({
+        origin: this.url,
+        method,
+        path,
+        headers: {'content-type': 'application/json'},
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal,
+      });
+      if (res.statusCode !== 200) return err(await readError(res));
+      return ok(await res.body.json());
+    } catch (error) {
+      return err(toEngineError(error));
+    }
+  }
+}
+
+function parseEvents(body: Readable) {
+  return Readable.toWeb(body)
+    .pipeThrough(new TextDecoderStream())
+    .pipeThrough(new EventSourceParserStream());
+}
+
+function parseEvent(
+  data: string,
+  requestId: string,
+): Result<GenerationEvent, EngineError> {
+  const parsed = parse(streamEventSchema, parseJson(data));
+  if (parsed.isErr()) return err(parsed.error);
+  if (parsed.value.request_id !== requestId) {
+    return broken('the engine answered another request');
+  }
+  return ok(parsed.value.event);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function parse<T>(
+  schema: z.ZodType<T>,
+  value: unknown,
+): Result<T, EngineError> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return broken('the engine sent a malformed answer');
+}
+
+async function readError(res: Dispatcher.ResponseData): Promise<EngineError> {
+  const text = await res.body.text();
+  const body = parseJson(text) as {not_run?: boolean; message?: string};
+  const message = body?.message ?? `the engine answered ${res.statusCode}`;
+  if (res.statusCode === STATUS_FENCED) {
+    return {type: ENGINE_ERROR.fenced, message};
+  }
+  const notRun = body?.not_run === true;
+  return {type: notRun ? ENGINE_ERROR.refused : ENGINE_ERROR.broken, message};
+}
+
+function toEngineError(error: unknown): EngineError {
+  const {code, message} = error as NodeJS.ErrnoException;
+  const notSent = NOT_SENT_CODES.has(code ?? '');
+  return {type: notSent ? ENGINE_ERROR.notSent : ENGINE_ERROR.broken, message};
+}
+
+function broken(message: string): Result<never, EngineError> {
+  return err({type: ENGINE_ERROR.broken, message});
+}
--- /dev/null
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -0,0 +1,136 @@
+/** The HTTP API for callers. @packageDocumentation */
+
+import {Logger, REFUSAL, refuse} from '@fuchsiacleat/core';
+import {Context, Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {z} from 'zod';
+import {CompletionHandler} from './completion_handler.js';
+import {errorResponse} from './http_outcome.js';
+import {
+  ChatFormat,
+  CompletionBody,
+  CompletionFormat,
+  chatBodySchema,
+  completionBodySchema,
+} from './openai_format.js';
+import {DEADLINE_HEADER, GateHeaders, RequestGate} from './request_gate.js';
+import {ServiceHandler} from './service_handler.js';
+import {ConfigStore} from '@fuchsiacleat/core';
+
+/** What the caller API works with. */
+export interface CallerApiOptions {
+  gate: RequestGate;
+  config: ConfigStore;
+  completions: CompletionHandler;
+  services: ServiceHandler;
+  logger: Logger;
+  maxBodyBytes: number;
+}
+
+/**
+ * @param options - see {@link CallerApiOptions}.
+ * @returns the routes of the API.
+ */
+export function createCallerApi(options: CallerApiOptions): Hono {
+  const {gate, logger, maxBodyBytes} = options;
+  const app = new Hono();
+  app.get('/readyz', c =>
+    c.text(gate.isStopping ? 'stopping' : 'ready', gate.isStopping ? 503 : 200),
+  );
+  app.use(
+    bodyLimit({
+      maxSize: maxBodyBytes,
+      onError: () => {
+        const message = `the body exceeds ${maxBodyBytes} bytes`;
+        return errorResponse(refuse(REFUSAL.tooLarge, message));
+      },
+    }),
+  );
+  app.get('/v1/models', c => listModels(c, options));
+  app.post('/v1/chat/completions', c =>
+    complete(c, options, chatBodySchema, (...args) => new ChatFormat(...args)),
+  );
+  app.post('/v1/completions', c =>
+    complete(
+      c,
+      options,
+      completionBodySchema,
+      (...args) => new CompletionFormat(...args),
+    ),
+  );
+  app.all('/services/:route', c => callService(c, options));
+  app.all('/services/:route/*', c => callService(c, options));
+  app.notFound(c => {
+    const message = `no such path: ${c.req.method} ${c.req.path}`;
+    return errorResponse(refuse(REFUSAL.unknownRoute, message));
+  });
+  app.onError(error => {
+    logger.error('caller_api_error', {message: error.message});
+    return errorResponse(refuse(REFUSAL.badRequest, 'malformed request'));
+  });
+  return app;
+}
+
+function listModels(c: Context, {gate, config}: CallerApiOptions): Response {
+  const team = gate.teamOf(gateHeaders(c));
+  if (team.isErr()) return errorResponse(team.error);
+  const data = [];
+  for (const [name, route] of config.state.declared.all('route')) {
+    if (route.targets !== undefined) continue;
+    if (!route.open && !route.teams?.includes(team.value)) continue;
+    data.push({id: name, object: 'model', created: 0, owned_by: team.value});
+  }
+  return c.json({object: 'list', data});
+}
+
+async function complete(
+  c: Context,
+  {gate, completions}: CallerApiOptions,
+  schema: z.ZodType<CompletionBody>,
+  makeFormat: Parameters<CompletionHandler['handle']>[2],
+): Promise<Response> {
+  const json = await readJson(c);
+  const parsed = schema.safeParse(json);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const message =
+      json === undefined
+        ? 'the body is not JSON'
+        : `${issue.path.join('.')}: ${issue.message}`;
+    return errorResponse(refuse(REFUSAL.badRequest, message));
+  }
+  const admitted = gate.admit(parsed.data.route, gateHeaders(c));
+  if (admitted.isErr()) return errorResponse(admitted.error);
+  const {signal} = c.req.raw;
+  return completions.handle(admitted.value, parsed.data, makeFormat, signal);
+}
+
+async function callService(
+  c: Context,
+  {gate, services}: CallerApiOptions,
+): Promise<Response> {
+  const routeName = c.req.param('route') ?? '';
+  const body = Buffer.from(await c.req.arrayBuffer());
+  const admitted = gate.admit(routeName, gateHeaders(c));
+  if (admitted.isErr()) return errorResponse(admitted.error);
+  const {pathname, search} = new URL(c.req.url);
+  const rest = pathname.slice(`/services/${routeName}`.length);
+  const path = (rest === '' ? '/' : rest) + search;
+  return services.handle(admitted.value, c.req.raw, path, body);
+}
+
+async function readJson(c: Context): Promise<unknown> {
+  try {
+    return await c.req.json();
+  } catch {
+    return undefined;
+  }
+}
+
+function gateHeaders(c: Context): GateHeaders {
+  return {
+    authorization: c.req.header('authorization'),
+    traceparent: c.req.header('traceparent'),
+    deadlineMs: c.req.header(DEADLINE_HEADER),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/daemon.ts
@@ -0,0 +1,346 @@
+/** The one module that wires a host's parts. @packageDocumentation */
+
+import {randomBytes} from 'node:crypto';
+import {
+  Clock,
+  ConfigStore,
+  HttpPlatformLog,
+  JOIN,
+  LEAVE,
+  LocalTokenLimiter,
+  Logger,
+  Member,
+  MemberTable,
+  Metrics,
+  PeerIdentity,
+  PlacementClient,
+  PlatformLog,
+  Random,
+  RecordIds,
+  ReplicaDirectory,
+  RequestQueue,
+  RequestRunner,
+  Router,
+  SystemClock,
+  TargetClients,
+  TcpPeerNetwork,
+  Tracing,
+  ZoneController,
+  ZoneLease,
+  ZoneStream,
+} from '@fuchsiacleat/core';
+import {Result, err, ok} from 'neverthrow';
+import {createCallerApi} from './caller_api.js';
+import {CompletionHandler} from './completion_handler.js';
+import {HttpListener} from './http_listener.js';
+import {HostStatus, createOperatorApi} from './operator_api.js';
+import {RequestGate} from './request_gate.js';
+import {ServiceHandler} from './service_handler.js';
+import {Settings} from './settings.js';
+
+const JOIN_BOUND_MS = 10_000;
+const STOP_APPEND_BOUND_MS = 2_000;
+const MAX_OPERATOR_CONNECTIONS = 64;
+const ZONE_SCAN_INTERVAL_MS = 500;
+
+/** What a {@link Daemon} takes from outside; tests replace parts. */
+export interface DaemonDeps {
+  logger: Logger;
+  tracing?: Tracing;
+  clock?: Clock;
+  log?: PlatformLog;
+  seed?: number;
+}
+
+/** One entry host. */
+export class Daemon {
+  private readonly lifetime = new AbortController();
+  private readonly clock: Clock;
+  private readonly ids: RecordIds;
+  private readonly log: PlatformLog;
+  private readonly self: PeerIdentity;
+  private readonly metrics = new Metrics();
+  private readonly tracing: Tracing;
+  private readonly config: ConfigStore;
+  private readonly zoneStream: ZoneStream;
+  private readonly members: MemberTable;
+  private readonly remoteZones = new Map<string, MemberTable>();
+  private readonly lease: ZoneLease;
+  private readonly network: TcpPeerNetwork;
+  private readonly controller: ZoneController;
+  private readonly queue: RequestQueue;
+  private readonly runner: RequestRunner;
+  private readonly targets: TargetClients;
+  private readonly gate: RequestGate;
+  private readonly keptLinks = new Set<string>();
+  private caller: HttpListener | undefined;
+  private operator: HttpListener | undefined;
+  private stopped: Promise<void> | undefined;
+
+  /**
+   * @param settings - checked settings.
+   * @param deps - see {@link DaemonDeps}.
+   */
+  constructor(
+    private readonly settings: Settings,
+    private readonly deps: DaemonDeps,
+  ) {
+    const {logger} = deps;
+    const {name, zone} = settings.host;
+    const clock = deps.clock ?? new SystemClock();
+    this.clock = clock;
+    const incarnation = `${name}.${randomBytes(8).toString('hex')}`;
+    this.self = {host: name, zone, incarnation};
+    this.ids = new RecordIds(incarnation);
+    this.log = deps.log ?? new HttpPlatformLog(settings.platform.log);
+    this.tracing = deps.tracing ?? new Tracing();
+    const {self, ids, log, metrics, tracing} = this;
+    this.config = new ConfigStore({log, clock, logger, metrics, ids});
+    const config = this.config.state;
+    this.zoneStream = new ZoneStream({zone, log, clock, logger, ids});
+    this.members = new MemberTable(this.zoneStream);
+    const stream = this.zoneStream;
+    this.lease = new ZoneLease({self, stream, clock, logger});
+    this.network = new TcpPeerNetwork({
+      self,
+      clock,
+      logger,
+      secret: settings.peers.secret,
+      resolve: host => this.findMember(host)?.peer,
+    });
+    this.targets = new TargetClients(config);
+    const engineOf = (target: string) => this.targets.engine(target);
+    const directory = new ReplicaDirectory();
+    const {lease, network, members} = this;
+    this.controller = new ZoneController({
+      zone,
+      config,
+      lease,
+      members,
+      network,
+      directory,
+      clock,
+      logger,
+      ids,
+      engineOf,
+    });
+    const {controller} = this;
+    const placement = new PlacementClient({
+      lease,
+      controller,
+      directory,
+      network,
+      clock,
+    });
+    this.queue = new RequestQueue({clock, directory, placement});
+    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
+    const remoteHosts = () => this.remoteHosts();
+    const router = new Router({zone, config, remoteHosts, random});
+    const {queue} = this;
+    const limiter = new LocalTokenLimiter(config, clock);
+    this.runner = new RequestRunner({
+      limiter,
+      queue,
+      router,
+      network,
+      tracing,
+      clock,
+      engineOf,
+    });
+    this.gate = new RequestGate({
+      config: this.config,
+      clock,
+      tracing,
+      metrics,
+      logger,
+    });
+  }
+
+  /** Port on which callers are served. */
+  get callerPort(): number {
+    return this.caller!.port;
+  }
+
+  /** Port on which operators are served. */
+  get operatorPort(): number {
+    return this.operator!.port;
+  }
+
+  /** Resolves once the daemon has stopped. */
+  get done(): Promise<void> {
+    return new Promise(resolve =>
+      this.lifetime.signal.addEventListener('abort', () => resolve()),
+    );
+  }
+
+  /**
+   * Starts the host: it listens for peers and operators, learns the
+   * configuration, joins its zone and then serves callers.
+   *
+   * @returns nothing, or why it could not start.
+   */
+  async start(): Promise<Result<void, string>> {
+    const {signal} = this.lifetime;
+    const {listen} = this.settings;
+    const peerPort = await this.network.listen(
+      listen.peer.address,
+      listen.peer.port,
+      signal,
+    );
+    if (peerPort.isErr()) return err(`listen.peer: ${peerPort.error}`);
+    const operator = await this.startOperatorApi();
+    if (operator.isErr()) return err(`listen.operator: ${operator.error}`);
+    this.operator = operator.value;
+    void this.config.run(signal);
+    void this.zoneStream.run(signal);
+    await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
+    await this.join(peerPort.value);
+    void this.lease.run(signal);
+    void this.controller.run(signal);
+    this.config.onChange(() => this.scan());
+    void this.clock.every(ZONE_SCAN_INTERVAL_MS, signal, () => this.scan());
+    const caller = await this.startCallerApi();
+    if (caller.isErr()) return err(`listen.caller: ${caller.error}`);
+    this.caller = caller.value;
+    this.deps.logger.info('started', {
+      caller_port: caller.value.port,
+      operator_port: operator.value.port,
+      peer_port: peerPort.value,
+      config_version: this.config.state.version,
+    });
+    return ok(undefined);
+  }
+
+  /**
+   * Stops gracefully: no new requests, running ones are finished, the lease
+   * is handed over, the host leaves its zone.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  /** Stops at once, as if the process had died. */
+  kill(): void {
+    this.caller?.cut();
+    this.operator?.cut();
+    this.lifetime.abort();
+  }
+
+  private async shutDown(): Promise<void> {
+    const {logger} = this.deps;
+    logger.info('stopping', {});
+    this.gate.close();
+    const bound = AbortSignal.timeout(STOP_APPEND_BOUND_MS);
+    await this.lease.release(bound);
+    await this.gate.idle();
+    this.caller?.close();
+    const {host, incarnation} = this.self;
+    await this.zoneStream.append(
+      LEAVE,
+      {host, incarnation},
+      STOP_APPEND_BOUND_MS,
+      AbortSignal.timeout(STOP_APPEND_BOUND_MS),
+    );
+    await this.tracing.flush();
+    logger.info('stopped', {});
+    this.kill();
+  }
+
+  private async join(peerPort: number): Promise<void> {
+    const {listen} = this.settings;
+    const member: Member = {
+      ...this.self,
+      peer: {address: listen.peer.address, port: peerPort},
+      operator: {address: listen.operator.address, port: this.operatorPort},
+    };
+    const {signal} = this.lifetime;
+    for (;;) {
+      const joined = await this.zoneStream.append(
+        JOIN,
+        member,
+        JOIN_BOUND_MS,
+        signal,
+      );
+      if (joined.isOk() || signal.aborted) return;
+    }
+  }
+
+  /** Keeps links within the zone and follows the streams of other zones. */
+  private scan(): void {
+    const {signal} = this.lifetime;
+    for (const {host} of this.members.all()) {
+      if (host === this.self.host || this.keptLinks.has(host)) continue;
+      this.keptLinks.add(host);
+      void this.network.keepLink(host, signal);
+    }
+    for (const zone of this.config.state.declared.all('zone').keys()) {
+      if (zone === this.self.zone || this.remoteZones.has(zone)) continue;
+      const {log, clock, ids} = this;
+      const {logger} = this.deps;
+      const stream = new ZoneStream({zone, log, clock, logger, ids});
+      this.remoteZones.set(zone, new MemberTable(stream));
+      void stream.run(signal);
+    }
+  }
+
+  private remoteHosts(): Member[] {
+    return [...this.remoteZones.values()].flatMap(table => table.all());
+  }
+
+  private findMember(host: string): Member | undefined {
+    const local = this.members.get(host);
+    if (local !== undefined) return local;
+    return this.remoteHosts().find(member => member.host === host);
+  }
+
+  private startCallerApi(): Promise<Result<HttpListener, string>> {
+    const {config, runner, clock, metrics, tracing, targets, gate} = this;
+    const {limits, listen, host} = this.settings;
+    const app = createCallerApi({
+      gate,
+      config,
+      completions: new CompletionHandler({config, runner, clock, metrics}),
+      services: new ServiceHandler({
+        zone: host.zone,
+        config,
+        targets,
+        tracing,
+        clock,
+      }),
+      logger: this.deps.logger,
+      maxBodyBytes: limits.body_bytes,
+    });
+    const maxConnections = limits.connections;
+    return HttpListener.start(app, {...listen.caller, maxConnections});
+  }
+
+  private startOperatorApi(): Promise<Result<HttpListener, string>> {
+    const {config, metrics} = this;
+    const {operators, listen} = this.settings;
+    const app = createOperatorApi({
+      tokenDigest: operators.token_digest,
+      config,
+      metrics,
+      status: () => this.status(),
+      drain: () => void this.stop(),
+    });
+    const maxConnections = MAX_OPERATOR_CONNECTIONS;
+    return HttpListener.start(app, {...listen.operator, maxConnections});
+  }
+
+  private status(): HostStatus {
+    const ageMs = this.config.ageMs();
+    return {
+      host: this.self.host,
+      zone: this.self.zone,
+      ready: this.caller !== undefined && !this.gate.isStopping,
+      configVersion: this.config.state.version,
+      configAgeS: Number.isFinite(ageMs) ? ageMs / 1_000 : null,
+      leaseHolder: this.lease.holder() ?? null,
+      peers: this.network.connected().map(peer => peer.host),
+      remoteHosts: this.remoteHosts().map(member => member.host),
+      queued: this.queue.length,
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http_outcome.ts
@@ -0,0 +1,91 @@
+/** Outcomes as HTTP status, headers and body. @packageDocumentation */
+
+import {
+  FAILURE,
+  Failure,
+  REFUSAL,
+  RefusalReason,
+  Unserved,
+} from '@fuchsiacleat/core';
+
+/** Header that tells whether a request that was not served may have run. */
+export const OUTCOME_HEADER = 'x-outcome';
+
+const STATUS_CLIENT_CLOSED = 499;
+
+const REFUSAL_STATUS: Record<RefusalReason, number> = {
+  [REFUSAL.badRequest]: 400,
+  [REFUSAL.unauthenticated]: 401,
+  [REFUSAL.forbidden]: 403,
+  [REFUSAL.unknownRoute]: 404,
+  [REFUSAL.tooLarge]: 413,
+  [REFUSAL.overRate]: 429,
+  [REFUSAL.deadline]: 503,
+  [REFUSAL.noCapacity]: 503,
+  [REFUSAL.configTooOld]: 503,
+  [REFUSAL.conflict]: 409,
+  [REFUSAL.logUnavailable]: 503,
+  [REFUSAL.keyWithdrawn]: 401,
+  [REFUSAL.stopping]: 503,
+};
+
+/** The body of an answer to a request that was not served. */
+export interface ErrorBody {
+  error: {
+    message: string;
+    type: string;
+    code: string;
+    /** `not_run` only where that is certain. */
+    outcome: 'not_run' | 'may_have_run';
+  };
+}
+
+/**
+ * @param outcome - how the request ended.
+ * @returns the JSON body, which OpenAI clients understand.
+ */
+export function errorBody(outcome: Unserved): ErrorBody {
+  if (outcome.type === 'cancelled') {
+    return body('the caller went away', 'cancelled', 'cancelled', false);
+  }
+  const {message, reason, type} = outcome;
+  return body(message, type, reason, type === 'refused');
+}
+
+/**
+ * @param outcome - how the request ended, before any byte of an answer.
+ * @returns the whole answer.
+ */
+export function errorResponse(outcome: Unserved): Response {
+  const content = errorBody(outcome);
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    [OUTCOME_HEADER]: content.error.outcome,
+  };
+  if (outcome.type === 'refused' && outcome.retryAfterMs !== undefined) {
+    const seconds = Math.ceil(outcome.retryAfterMs / 1_000);
+    headers['retry-after'] = String(Math.max(1, seconds));
+  }
+  const status = statusOf(outcome);
+  return new Response(JSON.stringify(content), {status, headers});
+}
+
+function statusOf(outcome: Unserved): number {
+  if (outcome.type === 'cancelled') return STATUS_CLIENT_CLOSED;
+  if (outcome.type === 'refused') return REFUSAL_STATUS[outcome.reason];
+  return failureStatus(outcome);
+}
+
+function failureStatus({reason}: Failure): number {
+  return reason === FAILURE.deadline ? 504 : 502;
+}
+
+function body(
+  message: string,
+  type: string,
+  code: string,
+  notRun: boolean,
+): ErrorBody {
+  const outcome = notRun ? 'not_run' : 'may_have_run';
+  return {error: {message, type, code, outcome}};
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operator_api.ts
@@ -0,0 +1,86 @@
+/** The HTTP API for operators. @packageDocumentation */
+
+import {
+  ConfigStore,
+  Metrics,
+  matchesDigest,
+  publicationSchema,
+} from '@fuchsiacleat/core';
+import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+
+const MAX_PUBLICATION_BYTES = 32 * 1024 * 1024;
+
+/** What this host tells operators of itself. */
+export interface HostStatus {
+  host: string;
+  zone: string;
+  ready: boolean;
+  configVersion: number;
+  /** Seconds since the log confirmed the version; null if it never did. */
+  configAgeS: number | null;
+  leaseHolder: string | null;
+  /** Hosts to which a link is up. */
+  peers: string[];
+  /** Known hosts of other zones. */
+  remoteHosts: string[];
+  queued: number;
+}
+
+/** What the operator API works with. */
+export interface OperatorApiOptions {
+  tokenDigest: string;
+  config: ConfigStore;
+  metrics: Metrics;
+  status: () => HostStatus;
+  /** Starts a graceful shutdown. */
+  drain: () => void;
+}
+
+/**
+ * @param options - see {@link OperatorApiOptions}.
+ * @returns the routes of the API.
+ */
+export function createOperatorApi(options: OperatorApiOptions): Hono {
+  const {config, metrics, status, drain, tokenDigest} = options;
+  const app = new Hono();
+  app.get('/healthz', c => c.text('ok'));
+  app.get('/metrics', async c => {
+    const age = config.ageMs() / 1_000;
+    metrics.configAge.set(Number.isFinite(age) ? age : -1);
+    const text = await metrics.registry.metrics();
+    return c.text(text, 200, {'content-type': metrics.registry.contentType});
+  });
+  app.use('/api/*', async (c, next) => {
+    const token = /^Bearer +(\S+)$/i.exec(c.req.header('authorization') ?? '');
+    if (token === null || !matchesDigest(token[1], tokenDigest)) {
+      return c.json({message: "send the operators' token as a bearer"}, 401);
+    }
+    return next();
+  });
+  app.use('/api/*', bodyLimit({maxSize: MAX_PUBLICATION_BYTES}));
+  app.get('/api/status', c => c.json(status()));
+  app.get('/api/config', c => {
+    const {version} = config.state;
+    return c.json({version, objects: config.state.rawObjects()});
+  });
+  app.get('/api/config/history', c => c.json({versions: config.state.history}));
+  app.post('/api/config/publications', async c => {
+    const parsed = publicationSchema.safeParse(await c.req.json());
+    if (!parsed.success) return c.json({message: 'malformed publication'}, 400);
+    const verdict = await config.publish(parsed.data, c.req.raw.signal);
+    if (verdict.isErr()) return c.json(verdict.error, 503);
+    return c.json(verdict.value, verdict.value.accepted ? 200 : 409);
+  });
+  app.get('/api/config/publications/:id', c => {
+    const verdict = config.verdictOf(c.req.param('id'));
+    if (verdict === undefined) return c.json({message: 'not seen'}, 404);
+    return c.json(verdict);
+  });
+  app.post('/api/drain', c => {
+    drain();
+    return c.json({message: 'stopping'});
+  });
+  app.onError((error, c) => c.json({message: error.message}, 400));
+  return app;
+}
--- /dev/null
+++ b/packages/daemon/src/lib/request_gate.ts
@@ -0,0 +1,198 @@
+/** What every request of a caller passes first and last. @packageDocumentation */
+
+import {
+  Clock,
+  ConfigStore,
+  HOP,
+  HopSpan,
+  Logger,
+  Metrics,
+  OPEN_TEAM,
+  Outcome,
+  REFUSAL,
+  Refusal,
+  RouteFields,
+  Tracing,
+  authenticate,
+  authorize,
+  newRequestId,
+  refuse,
+} from '@fuchsiacleat/core';
+import {Result, err, ok} from 'neverthrow';
+
+/** Header with the time a caller allows, in milliseconds. */
+export const DEADLINE_HEADER = 'x-deadline-ms';
+
+/** A request that was let in. */
+export interface Admitted {
+  id: string;
+  team: string;
+  routeName: string;
+  route: RouteFields;
+  /** Clock time by which the request must have ended, in milliseconds. */
+  deadlineMs: number;
+  span: HopSpan;
+  /** Ends the request: once, in exactly one outcome. */
+  finish(outcome: Outcome): void;
+}
+
+/** The headers that the gate reads. */
+export interface GateHeaders {
+  authorization: string | undefined;
+  traceparent: string | undefined;
+  deadlineMs: string | undefined;
+}
+
+/** What a {@link RequestGate} works with. */
+export interface RequestGateOptions {
+  config: ConfigStore;
+  clock: Clock;
+  tracing: Tracing;
+  metrics: Metrics;
+  logger: Logger;
+}
+
+/** Authenticates requests and accounts for their ends. */
+export class RequestGate {
+  private inFlight = 0;
+  private stopping = false;
+  private readonly idleListeners: Array<() => void> = [];
+
+  constructor(private readonly options: RequestGateOptions) {}
+
+  /** Whether new requests are refused because the host is stopping. */
+  get isStopping(): boolean {
+    return this.stopping;
+  }
+
+  /** Refuses new requests from now on. */
+  close(): void {
+    this.stopping = true;
+  }
+
+  /** @returns a promise that resolves once no request is in progress. */
+  idle(): Promise<void> {
+    if (this.inFlight === 0) return Promise.resolve();
+    return new Promise(resolve => this.idleListeners.push(resolve));
+  }
+
+  /**
+   * Finds the team of a caller without a request to run.
+   *
+   * @param headers - the caller's headers.
+   */
+  teamOf(headers: GateHeaders): Result<string, Refusal> {
+    const {declared} = this.options.config.state;
+    return authenticate(declared, headers.authorization);
+  }
+
+  /**
+   * Lets a request in.
+   *
+   * @param routeName - what the caller asked for.
+   * @param headers - the caller's headers.
+   * @returns the admitted request, which the caller of this method must
+   *     finish, or the refusal, which is already accounted for.
+   */
+  admit(routeName: string, headers: GateHeaders): Result<Admitted, Refusal> {
+    const {tracing} = this.options;
+    const span = tracing.startRemote(HOP.request, headers.traceparent);
+    const hop = tracing.start(HOP.authenticate, span.context);
+    const checked = this.check(routeName, headers);
+    hop.end(checked.isErr() ? checked.error.reason : undefined);
+    if (checked.isErr()) {
+      this.account(routeName, 'none', checked.error, span);
+      return err(checked.error);
+    }
+    return ok(this.begin(routeName, checked.value, headers, span));
+  }
+
+  private begin(
+    routeName: string,
+    {team, route}: {team: string; route: RouteFields},
+    headers: GateHeaders,
+    span: HopSpan,
+  ): Admitted {
+    const {clock} = this.options;
+    const wishedMs = Number(headers.deadlineMs ?? route.deadline);
+    const allowedMs = Math.min(wishedMs, route.max_deadline);
+    this.inFlight += 1;
+    this.options.metrics.inFlight.set(this.inFlight);
+    let ended = false;
+    return {
+      id: newRequestId(),
+      team,
+      routeName,
+      route,
+      deadlineMs: clock.now() + allowedMs,
+      span,
+      finish: outcome => {
+        if (ended) return;
+        ended = true;
+        this.leave();
+        this.account(routeName, team, outcome, span);
+      },
+    };
+  }
+
+  private check(
+    routeName: string,
+    headers: GateHeaders,
+  ): Result<{team: string; route: RouteFields}, Refusal> {
+    if (this.stopping) {
+      return err(refuse(REFUSAL.stopping, 'this host is stopping', 1_000));
+    }
+    const {config} = this.options;
+    const {declared} = config.state;
+    const route = declared.get('route', routeName);
+    if (route === undefined) {
+      // Callers without a key must not learn which routes exist.
+      const team = authenticate(declared, headers.authorization);
+      if (team.isErr()) return err(team.error);
+      return err(refuse(REFUSAL.unknownRoute, `no route "${routeName}"`));
+    }
+    const wished = headers.deadlineMs;
+    if (wished !== undefined && !/^[1-9]\d{0,8}$/.test(wished)) {
+      const message = `${DEADLINE_HEADER} must be a number of milliseconds`;
+      return err(refuse(REFUSAL.badRequest, message));
+    }
+    const maxAgeMs = route.max_config_age ?? Infinity;
+    if (config.ageMs() > maxAgeMs) {
+      const message = 'the configuration of this host is too old for the route';
+      return err(refuse(REFUSAL.configTooOld, message));
+    }
+    if (route.open && headers.authorization === undefined) {
+      return ok({team: OPEN_TEAM, route});
+    }
+    const team = authenticate(declared, headers.authorization);
+    return team.andThen(name =>
+      authorize(routeName, route, name).map(() => ({team: name, route})),
+    );
+  }
+
+  private leave(): void {
+    this.inFlight -= 1;
+    this.options.metrics.inFlight.set(this.inFlight);
+    if (this.inFlight > 0) return;
+    for (const listener of this.idleListeners.splice(0)) listener();
+  }
+
+  private account(
+    routeName: string,
+    team: string,
+    outcome: Outcome,
+    span: HopSpan,
+  ): void {
+    const {metrics, logger, config} = this.options;
+    const known = config.state.declared.has('route', routeName);
+    const route = known ? routeName : 'unknown';
+    const reason = 'reason' in outcome ? outcome.reason : 'none';
+    metrics.requests.inc({route, team, outcome: outcome.type, reason});
+    span.set('route', route);
+    span.set('outcome', outcome.type);
+    span.end(outcome.type === 'served' ? undefined : reason);
+    const level = outcome.type === 'failed' ? 'warn' : 'info';
+    const fields = {route, team, outcome: outcome.type, reason};
+    logger.log(level, 'request_ended', fields);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/settings.ts
@@ -0,0 +1,147 @@
+/** The daemon's settings: an INI file, checked as a whole at start. @packageDocumentation */
+
+import {readFile} from 'node:fs/promises';
+import {LOG_LEVELS} from '@fuchsiacleat/core';
+import {parse} from 'ini';
+import {Result, err, ok} from 'neverthrow';
+import {z} from 'zod';
+
+const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+const listenSchema = z.string().transform((text, ctx) => {
+  const match = /^\[?([0-9a-fA-F.:]+?)\]?:(\d{1,5})$/.exec(text);
+  const port = Number(match?.[2] ?? NaN);
+  if (match === null || port > 65_535) {
+    ctx.addIssue('expected an IP number and a port, such as 127.0.0.1:8080');
+    return z.NEVER;
+  }
+  return {address: match[1], port};
+});
+
+const yesNoSchema = z
+  .enum(['yes', 'no'], 'expected yes or no')
+  .transform(text => text === 'yes');
+
+const countSchema = z.coerce.number<string>().int().min(1);
+const urlSchema = z.url({protocol: /^https?$/, error: 'expected a URL'});
+
+/** The schema of the settings; each key carries its description. */
+export const settingsSchema = z.strictObject({
+  host: z.strictObject({
+    name: z
+      .string()
+      .regex(NAME, 'expected a host name')
+      .describe('Name of this host, unique over all zones.'),
+    zone: z
+      .string()
+      .regex(NAME, 'expected a zone name')
+      .describe('Availability zone in which this host stands.'),
+  }),
+  listen: z.strictObject({
+    caller: listenSchema.describe('Where callers connect.'),
+    operator: listenSchema.describe('Where operators connect.'),
+    peer: listenSchema.describe('Where other hosts connect.'),
+  }),
+  platform: z.strictObject({
+    log: urlSchema.describe('Base URL of the log service.'),
+    host_list: urlSchema
+      .optional()
+      .describe('Base URL of the list of live and leaving hosts.'),
+  }),
+  peers: z
+    .strictObject({
+      secret: z
+        .string()
+        .min(16, 'expected at least 16 characters')
+        .optional()
+        .describe('Pre-shared key of the TLS links between hosts.'),
+      plain: yesNoSchema
+        .default(false)
+        .describe('Whether links between hosts go without TLS.'),
+    })
+    .refine(peers => peers.plain !== (peers.secret !== undefined), {
+      path: ['secret'],
+      error: 'give either a secret or plain = yes',
+    }),
+  operators: z.strictObject({
+    token_digest: z
+      .string()
+      .regex(/^[0-9a-f]{64}$/, 'expected a SHA-256 digest')
+      .describe("SHA-256 digest of the operators' token."),
+  }),
+  limits: z
+    .strictObject({
+      body_bytes: countSchema
+        .default(1024 * 1024)
+        .describe('Largest body of a request, in bytes.'),
+      connections: countSchema
+        .default(4_096)
+        .describe('Most connections of callers at once.'),
+    })
+    .default({body_bytes: 1024 * 1024, connections: 4_096}),
+  log: z
+    .strictObject({
+      level: z
+        .enum(LOG_LEVELS)
+        .default('info')
+        .describe('Lowest severity that is logged.'),
+    })
+    .default({level: 'info'}),
+});
+
+/** Checked settings. */
+export type Settings = z.output<typeof settingsSchema>;
+
+/** A fault in the settings. */
+export interface SettingsFault {
+  /** Section and key, such as `listen.caller`. */
+  key: string;
+  message: string;
+}
+
+/**
+ * @param text - content of the settings file.
+ * @returns the settings, or every fault at once.
+ */
+export function parseSettings(text: string): Result<Settings, SettingsFault[]> {
+  const parsed = settingsSchema.safeParse(deepCopy(parse(text)));
+  if (parsed.success) return ok(parsed.data);
+  return err(parsed.error.issues.flatMap(toFaults));
+}
+
+/**
+ * @param path - path of the settings file.
+ * @returns the settings, or every fault at once.
+ */
+export async function readSettings(
+  path: string,
+): Promise<Result<Settings, SettingsFault[]>> {
+  try {
+    return parseSettings(await readFile(path, 'utf8'));
+  } catch (error) {
+    return err([{key: path, message: (error as Error).message}]);
+  }
+}
+
+function toFaults(issue: z.core.$ZodIssue): SettingsFault[] {
+  const path = issue.path.join('.');
+  if (issue.code !== 'unrecognized_keys') {
+    return [{key: path, message: issue.message}];
+  }
+  return issue.keys.map(key => ({
+    key: path === '' ? key : `${path}.${key}`,
+    message: 'is not a known setting',
+  }));
+}
+
+/** The INI library gives objects without a prototype, all values as texts. */
+function deepCopy(value: Record<string, unknown>): Record<string, unknown> {
+  const copy: Record<string, unknown> = {};
+  for (const [key, item] of Object.entries(value)) {
+    copy[key] =
+      typeof item === 'object' && item !== null
+        ? deepCopy(item as Record<string, unknown>)
+        : String(item);
+  }
+  return copy;
+}
--- /dev/null
+++ b/packages/local-cluster/src/demo_main.ts
@@ -0,0 +1,84 @@
+/** `npm start`: the whole system in one process, with a request shown. @packageDocumentation */
+
+import {Tracing} from '@fuchsiacleat/core';
+import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
+import {request} from 'undici';
+import {LocalCluster, OPERATOR_TOKEN} from './lib/local_cluster.js';
+import {SAMPLE_KEY, sampleDeclarations} from './lib/sample_declarations.js';
+import {formatTrace} from './lib/trace_view.js';
+
+const ZONES = ['hfj-a', 'kef-a'] as const;
+
+function print(line: string): void {
+  process.stdout.write(line + '\n');
+}
+
+async function showRequest(cluster: LocalCluster, host: string) {
+  const body = {
+    model: 'draft',
+    stream: true,
+    max_tokens: 8,
+    messages: [{role: 'user', content: 'Draft the inspection summary.'}],
+  };
+  print(`> POST /v1/chat/completions ${JSON.stringify(body)}`);
+  const res = await request(`${cluster.callerUrl(host)}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${SAMPLE_KEY}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify(body),
+  });
+  print(`< ${res.statusCode}`);
+  print((await res.body.text()).trimEnd());
+}
+
+function printHints(cluster: LocalCluster, host: string): void {
+  print('');
+  print('Try it (Ctrl-C stops):');
+  print(
+    `  curl -N ${cluster.callerUrl(host)}/v1/chat/completions ` +
+      `-H 'authorization: Bearer ${SAMPLE_KEY}' ` +
+      `-H 'content-type: application/json' ` +
+      `-d '{"model":"draft","stream":true,"max_tokens":8,` +
+      `"messages":[{"role":"user","content":"hello"}]}'`,
+  );
+  print(
+    `  FUCHSIACLEAT_TOKEN=${OPERATOR_TOKEN} npx fuchsiacleat ` +
+      `--host ${cluster.operatorUrl(host)} status`,
+  );
+}
+
+async function main(): Promise<void> {
+  const once = process.argv.includes('--once');
+  const exporter = new InMemorySpanExporter();
+  const cluster = await LocalCluster.start({
+    hosts: ZONES.map(zone => ({name: `${zone}-1`, zone})),
+    // The second zone has no engine of its own, so that the request shown
+    // passes through a peer.
+    engines: [{name: 'pool-1', zone: ZONES[0]}],
+    daemonDeps: {tracing: new Tracing([exporter])},
+  });
+  const version = await cluster.publish([
+    ...cluster.platformObjects(),
+    ...sampleDeclarations(),
+  ]);
+  print(`two zones are up; version ${version} of the declarations is in force`);
+  const host = `${ZONES[1]}-1`;
+  await showRequest(cluster, host);
+  print('');
+  print('Its trace:');
+  for (const line of formatTrace(exporter.getFinishedSpans())) print(line);
+  if (!once) {
+    printHints(cluster, host);
+    await new Promise<void>(resolve => {
+      process.once('SIGINT', () => resolve());
+      process.once('SIGTERM', () => resolve());
+    });
+    print('stopping');
+  }
+  await cluster.stop();
+}
+
+await main();
+process.exit(0);
--- /dev/null
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -0,0 +1,264 @@
+/** A whole system in one process: stand-ins and daemons on loopback. @packageDocumentation */
+
+import {Daemon, DaemonDeps, Settings} from '@fuchsiacleat/daemon';
+import {
+  ConsolaLogger,
+  Logger,
+  RawObject,
+  SilentLogger,
+  checkDeclarations,
+  digestOf,
+  formatFault,
+} from '@fuchsiacleat/core';
+import {
+  EngineOptions,
+  EngineStandin,
+  HostListStandin,
+  LogStandin,
+  ServiceStandin,
+  WeightStoreStandin,
+} from '@fuchsiacleat/standins';
+import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
+
+/** The operators' token of every local cluster. */
+export const OPERATOR_TOKEN = 'local-operator-token';
+
+const PEER_SECRET = 'local-cluster-peer-secret';
+const GIB = 1024 ** 3;
+const ADAPTER_BYTES = 64 * 1024 ** 2;
+const POLL_INTERVAL_MS = 10;
+const LOOPBACK = '127.0.0.1';
+
+/** A host of a cluster. */
+export interface HostSpec {
+  name: string;
+  zone: string;
+}
+
+/** An engine of a cluster. */
+export interface EngineSpec extends Partial<EngineOptions> {
+  name: string;
+  zone: string;
+}
+
+/** What a cluster consists of. */
+export interface ClusterSpec {
+  hosts: HostSpec[];
+  engines: EngineSpec[];
+  services?: Array<{name: string; zone: string}>;
+  /** Sizes of versions in bytes; others count one GiB. */
+  weights?: Record<string, number>;
+  /** Parts of the daemons that a test replaces. */
+  daemonDeps?: Partial<DaemonDeps>;
+  /** Whether daemons log to standard error. */
+  verbose?: boolean;
+}
+
+/** Stand-ins and daemons, started and stopped together. */
+export class LocalCluster {
+  readonly log = new LogStandin();
+  readonly hostList = new HostListStandin();
+  readonly weightStore = new WeightStoreStandin();
+  readonly engines = new Map<string, EngineStandin>();
+  readonly services = new Map<string, ServiceStandin>();
+  readonly daemons = new Map<string, Daemon>();
+
+  private constructor(private readonly spec: ClusterSpec) {}
+
+  /**
+   * Starts the stand-ins and then every daemon.
+   *
+   * @param spec - what the cluster consists of.
+   */
+  static async start(spec: ClusterSpec): Promise<LocalCluster> {
+    const cluster = new LocalCluster(spec);
+    await cluster.startStandins();
+    await Promise.all(spec.hosts.map(host => cluster.startDaemon(host.name)));
+    return cluster;
+  }
+
+  /** Starts a daemon, again after a stop or kill. */
+  async startDaemon(name: string): Promise<Daemon> {
+    const host = this.spec.hosts.find(known => known.name === name)!;
+    const daemon = new Daemon(this.settingsOf(host), {
+      logger: this.loggerOf(name),
+      ...this.spec.daemonDeps,
+    });
+    this.daemons.set(name, daemon);
+    const started = await daemon.start();
+    if (started.isErr()) throw new Error(started.error);
+    return daemon;
+  }
+
+  /** @returns the daemon of that name. */
+  daemon(name: string): Daemon {
+    return this.daemons.get(name)!;
+  }
+
+  /** @returns base URL for callers of a host. */
+  callerUrl(name: string): string {
+    return `http://${LOOPBACK}:${this.daemon(name).callerPort}`;
+  }
+
+  /** @returns base URL for operators of a host. */
+  operatorUrl(name: string): string {
+    return `http://${LOOPBACK}:${this.daemon(name).operatorPort}`;
+  }
+
+  /** @returns a client of a host's operator API. */
+  operator(name: string): OperatorClient {
+    return new OperatorClient(this.operatorUrl(name), OPERATOR_TOKEN);
+  }
+
+  /** @returns declarations of the zones and targets that are running. */
+  platformObjects(): RawObject[] {
+    const zones = new Set(
+      [...this.spec.hosts, ...this.spec.engines].map(({zone}) => zone),
+    );
+    const objects: RawObject[] = [];
+    for (const name of zones) objects.push({kind: 'zone', name, fields: {}});
+    for (const spec of this.spec.engines) objects.push(this.engineObject(spec));
+    for (const {name, zone} of this.spec.services ?? []) {
+      const {url} = this.services.get(name)!;
+      const fields = {zone, kind: 'service', url};
+      objects.push({kind: 'target', name, fields});
+    }
+    return objects;
+  }
+
+  /**
+   * Publishes objects over whatever is in force and waits until every daemon
+   * has them.
+   *
+   * @param objects - objects to add or replace.
+   * @returns the accepted version.
+   */
+  async publish(objects: RawObject[]): Promise<number> {
+    const {faults} = checkDeclarations(objects);
+    const [host] = this.daemons.keys();
+    const client = this.operator(host);
+    const held = (await client.config())._unsafeUnwrap();
+    const verdict = (
+      await client.publish({
+        type: 'publication',
+        base: held.version,
+        changes: objects,
+        message: 'local cluster',
+      })
+    )._unsafeUnwrap();
+    if (!verdict.accepted) {
+      const known = faults.map(formatFault);
+      throw new Error([...verdict.reasons, ...known].join('; '));
+    }
+    await this.awaitVersion(verdict.version);
+    await this.awaitRemoteHosts();
+    return verdict.version;
+  }
+
+  /** Waits until every daemon holds a version. */
+  awaitVersion(version: number): Promise<void> {
+    return this.awaitStatus(status => status.configVersion >= version);
+  }
+
+  /** Waits until every daemon knows the hosts of all other zones. */
+  awaitRemoteHosts(): Promise<void> {
+    return this.awaitStatus(({zone, remoteHosts}) =>
+      this.spec.hosts.every(
+        host => host.zone === zone || remoteHosts.includes(host.name),
+      ),
+    );
+  }
+
+  /** Waits until the status of every daemon fulfils a condition. */
+  async awaitStatus(
+    condition: (status: StatusAnswer) => boolean,
+  ): Promise<void> {
+    for (const name of this.daemons.keys()) {
+      for (;;) {
+        const status = await this.operator(name).status();
+        if (status.isOk() && condition(status.value)) break;
+        await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+      }
+    }
+  }
+
+  /** Stops the daemons gracefully, then the stand-ins. */
+  async stop(): Promise<void> {
+    await Promise.all([...this.daemons.values()].map(d => d.stop()));
+    await this.stopStandins();
+  }
+
+  /** Kills the daemons and stops the stand-ins. */
+  async kill(): Promise<void> {
+    for (const daemon of this.daemons.values()) daemon.kill();
+    await this.stopStandins();
+  }
+
+  private async startStandins(): Promise<void> {
+    await this.log.start();
+    await this.hostList.start();
+    const weightStore = await this.weightStore.start();
+    for (const spec of this.spec.engines) {
+      const engine = new EngineStandin({
+        memoryBytes: 80 * GIB,
+        weightStore,
+        weightsOf: version => this.spec.weights?.[version] ?? GIB,
+        adapterBytesOf: () => ADAPTER_BYTES,
+        ...spec,
+      });
+      await engine.start();
+      this.engines.set(spec.name, engine);
+    }
+    for (const {name} of this.spec.services ?? []) {
+      const service = new ServiceStandin();
+      await service.start();
+      this.services.set(name, service);
+    }
+    for (const {name, zone} of this.spec.hosts) {
+      this.hostList.set({name, zone, state: 'live'});
+    }
+  }
+
+  private async stopStandins(): Promise<void> {
+    const standins = [
+      this.log,
+      this.hostList,
+      this.weightStore,
+      ...this.engines.values(),
+      ...this.services.values(),
+    ];
+    await Promise.all(standins.map(standin => standin.stop()));
+  }
+
+  private engineObject(spec: EngineSpec): RawObject {
+    const {name, zone, slots = 8, fencing = true} = spec;
+    const {url, memory} = this.engines.get(name)!;
+    const fields = {
+      zone,
+      url,
+      kind: 'engine',
+      memory: `${memory.totalBytes / GIB}GiB`,
+      slots: String(slots),
+      fencing: fencing ? 'yes' : 'no',
+    };
+    return {kind: 'target', name, fields};
+  }
+
+  private settingsOf({name, zone}: HostSpec): Settings {
+    const anyPort = {address: LOOPBACK, port: 0};
+    return {
+      host: {name, zone},
+      listen: {caller: anyPort, operator: anyPort, peer: anyPort},
+      platform: {log: this.log.url, host_list: this.hostList.url},
+      peers: {secret: PEER_SECRET, plain: false},
+      operators: {token_digest: digestOf(OPERATOR_TOKEN)},
+      limits: {body_bytes: 1024 * 1024, connections: 4_096},
+      log: {level: 'info'},
+    };
+  }
+
+  private loggerOf(host: string): Logger {
+    if (this.spec.verbose) return new ConsolaLogger('info', {host});
+    return new SilentLogger();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,9 @@
+/** Small fakes of the systems around fuchsiacleat. @packageDocumentation */
+
+export * from './lib/engine_memory.js';
+export * from './lib/engine_standin.js';
+export * from './lib/host_list_standin.js';
+export * from './lib/log_standin.js';
+export * from './lib/service_standin.js';
+export * from './lib/standin_server.js';
+export * from './lib/weight_store_standin.js';
--- /dev/null
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -0,0 +1,432 @@
+/** A stand-in for a model engine. @packageDocumentation */
+
+import {createHash} from 'node:crypto';
+import {generationInputSchema} from '@fuchsiacleat/core';
+import {Context} from 'hono';
+import {streamSSE} from 'hono/streaming';
+import {request} from 'undici';
+import {z} from 'zod';
+import {EngineMemory, Resident} from './engine_memory.js';
+import {StandinOptions, StandinServer} from './standin_server.js';
+
+const CHARS_PER_TOKEN = 4;
+const DISK_BYTES_PER_SECOND = 40 * 1024 ** 3;
+const MAX_CACHE_EVENTS = 1_000;
+
+const generateSchema = z.object({
+  request_id: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+  input: generationInputSchema,
+  max_tokens: z.number().int().min(1),
+  priority: z.number().int(),
+  resume_from: z.number().int().min(0).default(0),
+});
+
+type GenerateBody = z.output<typeof generateSchema>;
+
+const orderSchema = z.object({
+  id: z.string(),
+  fencing: z.number().int(),
+  order: z.discriminatedUnion('kind', [
+    z.object({kind: z.literal('noop')}),
+    z.object({
+      kind: z.literal('load'),
+      model: z.string(),
+      version: z.string(),
+    }),
+    z.object({
+      kind: z.literal('evict'),
+      model: z.string(),
+      version: z.string(),
+    }),
+    z.object({
+      kind: z.literal('load-adapter'),
+      adapter: z.string(),
+      model: z.string(),
+    }),
+    z.object({
+      kind: z.literal('evict-adapter'),
+      adapter: z.string(),
+      model: z.string(),
+    }),
+    z.object({kind: z.literal('set-role'), role: z.string()}),
+  ]),
+});
+
+type EngineOrder = z.output<typeof orderSchema>['order'];
+
+/** A generation that the engine ran, for checks. */
+export interface EngineRun {
+  requestId: string;
+  model: string;
+  adapter: string | undefined;
+  headers: Record<string, string>;
+  resumeFrom: number;
+  /** Tokens that were generated. */
+  tokens: number;
+  state: 'running' | 'done' | 'cancelled';
+}
+
+/** Options of an {@link EngineStandin}. */
+export interface EngineOptions extends StandinOptions {
+  name: string;
+  memoryBytes: number;
+  slots?: number;
+  /** Whether orders with an old fencing number are refused. */
+  fencing?: boolean;
+  /** Base URL of the weight store. */
+  weightStore: string;
+  /** @returns the size of a version's weights. */
+  weightsOf: (version: string) => number;
+  /** @returns the size of an adapter. */
+  adapterBytesOf: (adapter: string) => number;
+  /** Time from a request to its first token, in milliseconds. */
+  firstTokenMs?: number;
+  /** Time between tokens, in milliseconds. */
+  tokenGapMs?: number;
+  /** How late load reports are, in milliseconds. */
+  reportLagMs?: number;
+}
+
+interface StaleReport {
+  atMs: number;
+  running: number;
+  queued: number;
+}
+
+/** An engine that batches continuously and generates predictable text. */
+export class EngineStandin extends StandinServer {
+  /** Every generation that was started. */
+  readonly runs: EngineRun[] = [];
+  /** Orders that were carried out, in order. */
+  readonly orders: Array<{fencing: number; order: EngineOrder}> = [];
+  /** Orders that were turned away because of their fencing number. */
+  fenced = 0;
+  /** Set to announce that the engine will go away. */
+  leaving = false;
+  readonly memory: EngineMemory;
+  private role = 'any';
+  private highestFencing = -1;
+  private running = 0;
+  private queued = 0;
+  private readonly freeSlot: Array<() => void> = [];
+  private readonly doneOrders = new Map<string, Promise<string | undefined>>();
+  private readonly cancelled = new Set<string>();
+  private readonly importedKv = new Map<string, string>();
+  private reports: StaleReport[] = [];
+  private cacheSequence = 0;
+  private readonly cacheLog: Array<{
+    sequence: number;
+    kind: 'stored';
+    prefix: string;
+  }> = [];
+
+  constructor(private readonly options: EngineOptions) {
+    super(options);
+    this.memory = new EngineMemory(options.memoryBytes);
+    this.app.post('/generate', c => this.generate(c));
+    this.app.post('/cancel', c => this.cancel(c));
+    this.app.post('/orders', c => this.takeOrder(c));
+    this.app.get('/inventory', c => c.json(this.inventory()));
+    this.app.get('/report', c => c.json(this.report()));
+    this.app.get('/cache-events', c => {
+      const after = Number(c.req.query('after') ?? 0);
+      return c.json(this.cacheLog.filter(({sequence}) => sequence > after));
+    });
+    this.app.post('/kv/export', c => this.exportKv(c));
+    this.app.post('/kv/import', c => this.importKv(c));
+  }
+
+  private get slots(): number {
+    return this.options.slots ?? 8;
+  }
+
+  private async generate(c: Context): Promise<Response> {
+    const parsed = generateSchema.safeParse(await c.req.json());
+    if (!parsed.success) return notRun(c, 400, 'malformed request');
+    const body = parsed.data;
+    const resident = this.memory.get(body.model);
+    if (resident?.state !== 'ready') {
+      return notRun(c, 409, `model "${body.model}" is not loaded`);
+    }
+    if (body.adapter !== undefined && !resident.adapters.has(body.adapter)) {
+      return notRun(c, 409, `adapter "${body.adapter}" is not loaded`);
+    }
+    return this.stream(c, body, resident);
+  }
+
+  private stream(c: Context, body: GenerateBody, resident: Resident): Response {
+    const run: EngineRun = {
+      requestId: body.request_id,
+      model: body.model,
+      adapter: body.adapter,
+      headers: c.req.header(),
+      resumeFrom: body.resume_from,
+      tokens: 0,
+      state: 'running',
+    };
+    this.runs.push(run);
+    return streamSSE(c, async sse => {
+      const gone = new AbortController();
+      sse.onAbort(() => gone.abort());
+      await this.takeSlot(gone.signal);
+      resident.running += 1;
+      try {
+        const write = async (event: object) => {
+          const requestId = this.faults.crossAnswers
+            ? `${body.request_id}-other`
+            : body.request_id;
+          await sse.writeSSE({
+            data: JSON.stringify({request_id: requestId, event}),
+          });
+        };
+        await this.generateTokens(body, run, gone.signal, write);
+      } finally {
+        resident.running -= 1;
+        this.releaseSlot();
+        if (run.state === 'running') run.state = 'cancelled';
+      }
+    });
+  }
+
+  private async generateTokens(
+    body: GenerateBody,
+    run: EngineRun,
+    gone: AbortSignal,
+    write: (event: object) => Promise<void>,
+  ): Promise<void> {
+    const {firstTokenMs = 5, tokenGapMs = 2} = this.options;
+    const text = inputText(body);
+    this.noteCached(text);
+    await this.clock.sleep(firstTokenMs, gone);
+    for (let offset = body.resume_from; offset < body.max_tokens; offset++) {
+      if (gone.aborted || this.cancelled.has(body.request_id)) return;
+      run.tokens += 1;
+      const token = expectedToken(text, offset);
+      await write({type: 'token', offset, text: token});
+      await this.clock.sleep(tokenGapMs, gone);
+    }
+    run.state = 'done';
+    await write({
+      type: 'end',
+      finishReason: 'length',
+      promptTokens: Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN)),
+      completionTokens: body.max_tokens,
+    });
+  }
+
+  private async takeSlot(gone: AbortSignal): Promise<void> {
+    if (this.running >= this.slots) {
+      this.queued += 1;
+      await new Promise<void>(resolve => {
+        this.freeSlot.push(resolve);
+        gone.addEventListener('abort', () => resolve());
+      });
+      this.queued -= 1;
+    }
+    this.running += 1;
+    this.noteLoad();
+  }
+
+  private releaseSlot(): void {
+    this.running -= 1;
+    this.freeSlot.shift()?.();
+    this.noteLoad();
+  }
+
+  private async cancel(c: Context): Promise<Response> {
+    const {request_id: id} = (await c.req.json()) as {request_id: string};
+    this.cancelled.add(id);
+    return c.json({});
+  }
+
+  private async takeOrder(c: Context): Promise<Response> {
+    const parsed = orderSchema.safeParse(await c.req.json());
+    if (!parsed.success) return c.json({message: 'malformed order'}, 400);
+    const {id, fencing, order} = parsed.data;
+    const checks = this.options.fencing ?? true;
+    if (checks && fencing < this.highestFencing) {
+      this.fenced += 1;
+      return c.json({message: `fencing number ${fencing} is old`}, 412);
+    }
+    this.highestFencing = Math.max(this.highestFencing, fencing);
+    const work = this.doneOrders.get(id) ?? this.carryOut(order, fencing);
+    this.doneOrders.set(id, work);
+    const problem = await work;
+    if (problem === undefined) return c.json({});
+    return c.json({message: problem, not_run: true}, 409);
+  }
+
+  private async carryOut(
+    order: EngineOrder,
+    fencing: number,
+  ): Promise<string | undefined> {
+    this.orders.push({fencing, order});
+    switch (order.kind) {
+      case 'load':
+        return this.load(order.model, order.version);
+      case 'evict':
+        return this.evict(order.model, order.version);
+      case 'load-adapter':
+        return this.loadAdapter(order.model, order.adapter);
+      case 'evict-adapter':
+        this.memory.get(order.model)?.adapters.delete(order.adapter);
+        return undefined;
+      case 'set-role':
+        this.role = order.role;
+        return undefined;
+      case 'noop':
+        return undefined;
+    }
+  }
+
+  private async load(
+    model: string,
+    version: string,
+  ): Promise<string | undefined> {
+    if (this.memory.get(model, version) !== undefined) return undefined;
+    const bytes = this.options.weightsOf(version);
+    if (!this.memory.reserve(bytes)) return 'not enough memory';
+    const resident: Resident = {
+      model,
+      version,
+      bytes,
+      state: 'loading',
+      adapters: new Map(),
+      running: 0,
+    };
+    this.memory.add(resident);
+    const problem = await this.fetchWeights(version, bytes);
+    if (problem !== undefined) {
+      this.memory.remove(resident);
+      return problem;
+    }
+    this.memory.keepCheckpoint(version);
+    resident.state = 'ready';
+    return undefined;
+  }
+
+  private async fetchWeights(
+    version: string,
+    bytes: number,
+  ): Promise<string | undefined> {
+    if (this.memory.hasCheckpoint(version)) {
+      await this.clock.sleep((bytes / DISK_BYTES_PER_SECOND) * 1_000);
+      return undefined;
+    }
+    const url = `${this.options.weightStore}/weights/${version}?bytes=${bytes}`;
+    try {
+      const res = await request(url, {method: 'POST', headersTimeout: 0});
+      await res.body.dump();
+      if (res.statusCode === 200) return undefined;
+      return `the weight store answered ${res.statusCode}`;
+    } catch (error) {
+      return `the weight store: ${(error as Error).message}`;
+    }
+  }
+
+  private evict(model: string, version: string): string | undefined {
+    const resident = this.memory.get(model, version);
+    if (resident === undefined) return undefined;
+    if (resident.running > 0) return 'requests are running';
+    this.memory.remove(resident);
+    return undefined;
+  }
+
+  private async loadAdapter(
+    model: string,
+    adapter: string,
+  ): Promise<string | undefined> {
+    const resident = this.memory.get(model);
+    if (resident?.state !== 'ready') return `model "${model}" is not loaded`;
+    if (resident.adapters.has(adapter)) return undefined;
+    const bytes = this.options.adapterBytesOf(adapter);
+    if (!this.memory.reserve(bytes)) return 'not enough memory';
+    await this.clock.sleep(5);
+    resident.adapters.set(adapter, bytes);
+    return undefined;
+  }
+
+  private inventory() {
+    return {
+      target: this.options.name,
+      memoryBytes: this.memory.totalBytes,
+      usedBytes: this.memory.usedBytes,
+      slots: this.slots,
+      running: this.running,
+      highestFencing: this.highestFencing,
+      leaving: this.leaving,
+      role: this.role,
+      ...this.memory.inventory(),
+    };
+  }
+
+  private report() {
+    const {reportLagMs = 500} = this.options;
+    const nowMs = this.clock.now();
+    const visible = this.reports.filter(r => r.atMs <= nowMs - reportLagMs);
+    const latest = visible.at(-1) ?? {atMs: nowMs, running: 0, queued: 0};
+    return {
+      running: latest.running,
+      queued: latest.queued,
+      kvBytes: 0,
+      leaving: this.leaving,
+      ageMs: nowMs - latest.atMs,
+    };
+  }
+
+  private noteLoad(): void {
+    const {running, queued} = this;
+    this.reports.push({atMs: this.clock.now(), running, queued});
+    if (this.reports.length > 1_000) this.reports = this.reports.slice(-500);
+  }
+
+  private noteCached(text: string): void {
+    this.cacheSequence += 1;
+    // Every seventh event is lost, as events come with gaps.
+    if (this.cacheSequence % 7 === 0) return;
+    const prefix = createHash('sha256')
+      .update(text.slice(0, 256))
+      .digest('hex');
+    const sequence = this.cacheSequence;
+    this.cacheLog.push({sequence, kind: 'stored', prefix});
+    if (this.cacheLog.length > MAX_CACHE_EVENTS) this.cacheLog.shift();
+  }
+
+  private async exportKv(c: Context): Promise<Response> {
+    const {request_id: id} = (await c.req.json()) as {request_id: string};
+    const run = this.runs.findLast(known => known.requestId === id);
+    if (run === undefined) return notRun(c, 404, 'no such request');
+    return c.json({kv: `${id}:${run.resumeFrom + run.tokens}`});
+  }
+
+  private async importKv(c: Context): Promise<Response> {
+    const {request_id: id, kv} = (await c.req.json()) as {
+      request_id: string;
+      kv: string;
+    };
+    this.importedKv.set(id, kv);
+    return c.json({});
+  }
+}
+
+/**
+ * @param text - the request's text, see {@link inputText}.
+ * @param offset - position in the answer, from 0.
+ * @returns the token that an engine stand-in generates there.
+ */
+export function expectedToken(text: string, offset: number): string {
+  const hash = createHash('sha256').update(`${offset}:${text}`).digest('hex');
+  return `${hash.slice(0, 5)} `;
+}
+
+/** @returns the text of a request, messages joined by line breaks. */
+export function inputText({input}: Pick<GenerateBody, 'input'>): string {
+  if ('prompt' in input) return input.prompt;
+  return input.messages.map(message => message.content).join('\n');
+}
+
+function notRun(c: Context, status: 400 | 404 | 409, message: string) {
+  return c.json({message, not_run: true}, status);
+}
--- /dev/null
+++ b/packages/standins/src/lib/log_standin.ts
@@ -0,0 +1,132 @@
+/** A stand-in for the platform's log. @packageDocumentation */
+
+import {z} from 'zod';
+import {StandinOptions, StandinServer} from './standin_server.js';
+
+const DEFAULT_RETENTION_MS = 24 * 3_600_000;
+const MAX_PAGE_RECORDS = 1_000;
+
+const appendSchema = z.object({
+  records: z.array(z.object({id: z.string(), body: z.unknown()})).min(1),
+});
+
+interface Stored {
+  offset: number;
+  id: string;
+  atMs: number;
+  body: unknown;
+}
+
+interface Stream {
+  records: Stored[];
+  next: number;
+  wake: Set<() => void>;
+}
+
+/** Options of a {@link LogStandin}. */
+export interface LogStandinOptions extends StandinOptions {
+  /** How long records are kept, in milliseconds. */
+  retentionMs?: number;
+}
+
+/** An append-only log with offsets, limited retention and long polls. */
+export class LogStandin extends StandinServer {
+  /** Append calls that took effect, a batch counting once. */
+  appendCalls = 0;
+  private retentionMs: number;
+  private readonly streams = new Map<string, Stream>();
+
+  constructor(options: LogStandinOptions = {}) {
+    super(options);
+    this.retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
+    this.app.post('/streams/:name/records', async c => {
+      const parsed = appendSchema.safeParse(await c.req.json());
+      if (!parsed.success) return c.json({message: 'malformed records'}, 400);
+      const stream = this.stream(c.req.param('name'));
+      return c.json({offsets: this.append(stream, parsed.data.records)});
+    });
+    this.app.get('/streams/:name/records', async c => {
+      const stream = this.stream(c.req.param('name'));
+      const from = Number(c.req.query('from') ?? 0);
+      const waitMs = Number(c.req.query('wait_ms') ?? 0);
+      if (stream.next <= from) {
+        await this.waitForRecord(stream, waitMs, c.req.raw.signal);
+      }
+      return c.json(this.page(stream, from));
+    });
+  }
+
+  /** @returns the records of a stream that are still kept. */
+  records(name: string): readonly Stored[] {
+    this.expire(this.stream(name));
+    return this.stream(name).records;
+  }
+
+  /** @returns names of the streams. */
+  streamNames(): string[] {
+    return [...this.streams.keys()];
+  }
+
+  /** @param retentionMs - how long records are kept from now on. */
+  setRetention(retentionMs: number): void {
+    this.retentionMs = retentionMs;
+  }
+
+  private stream(name: string): Stream {
+    let stream = this.streams.get(name);
+    if (stream === undefined) {
+      stream = {records: [], next: 0, wake: new Set()};
+      this.streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  private append(
+    stream: Stream,
+    records: ReadonlyArray<{id: string; body?: unknown}>,
+  ): number[] {
+    this.appendCalls += 1;
+    const atMs = this.clock.epochNow();
+    const offsets = records.map(({id, body}) => {
+      const offset = stream.next++;
+      stream.records.push({offset, id, atMs, body});
+      return offset;
+    });
+    for (const wake of stream.wake) wake();
+    stream.wake.clear();
+    return offsets;
+  }
+
+  private page(stream: Stream, from: number) {
+    this.expire(stream);
+    const first = stream.records[0]?.offset ?? stream.next;
+    const start = Math.max(0, from - first);
+    const records = stream.records.slice(start, start + MAX_PAGE_RECORDS);
+    const last = records.at(-1)?.offset;
+    const next = last === undefined ? Math.max(from, first) : last + 1;
+    return {records, next, first};
+  }
+
+  private expire(stream: Stream): void {
+    const oldestMs = this.clock.epochNow() - this.retentionMs;
+    const kept = stream.records.findIndex(record => record.atMs >= oldestMs);
+    stream.records.splice(0, kept === -1 ? stream.records.length : kept);
+  }
+
+  private waitForRecord(
+    stream: Stream,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        timer.cancel();
+        stream.wake.delete(finish);
+        resolve();
+      };
+      const timer = this.clock.after(waitMs, finish);
+      stream.wake.add(finish);
+      signal.addEventListener('abort', finish);
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/lib/service_standin.ts
@@ -0,0 +1,39 @@
+/** A stand-in for a plain service. @packageDocumentation */
+
+import {Context} from 'hono';
+import {StandinOptions, StandinServer} from './standin_server.js';
+
+/** A call that the service carried out. */
+export interface ServiceRun {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body: string;
+}
+
+/** Counts what it runs, so that doubled calls show. */
+export class ServiceStandin extends StandinServer {
+  /** Calls that were carried out, in order. */
+  readonly runs: ServiceRun[] = [];
+  /** How long a call takes, in milliseconds. */
+  workMs = 1;
+
+  constructor(options: StandinOptions = {}) {
+    super(options);
+    this.app.all('*', c => this.run(c));
+  }
+
+  private async run(c: Context): Promise<Response> {
+    const {pathname, search} = new URL(c.req.url);
+    const run: ServiceRun = {
+      method: c.req.method,
+      path: pathname + search,
+      headers: c.req.header(),
+      body: await c.req.text(),
+    };
+    this.runs.push(run);
+    const number = this.runs.length;
+    await this.clock.sleep(this.workMs);
+    return c.json({number, path: run.path, received: run.body});
+  }
+}
