--- a/packages/benchmarks/src/lib/bounds.ts
+++ b/packages/benchmarks/src/lib/bounds.ts
@@ -10,8 +10,29 @@
   source: string;
 }
 
+/** Bounds of `path`. */
+const PATH_BOUNDS: readonly Bound[] = [];
+
+/** Bounds of `configuration`. */
+const CONFIGURATION_BOUNDS: readonly Bound[] = [];
+
+/** Bounds of `control`. */
+const CONTROL_BOUNDS: readonly Bound[] = [];
+
+/** Bounds of `limits`. */
+const LIMITS_BOUNDS: readonly Bound[] = [];
+
+/** Bounds of `placement`. */
+const PLACEMENT_BOUNDS: readonly Bound[] = [];
+
 /** Every bound; metrics without one are printed only. */
-export const BOUNDS: readonly Bound[] = [];
+export const BOUNDS: readonly Bound[] = [
+  ...PATH_BOUNDS,
+  ...CONFIGURATION_BOUNDS,
+  ...CONTROL_BOUNDS,
+  ...LIMITS_BOUNDS,
+  ...PLACEMENT_BOUNDS,
+];
 
 /**
  * @param bound - the bound.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from './lib/limits/local_token_limiter.js';
 export * from './lib/limits/token_bucket.js';
 export * from './lib/limits/token_limiter.js';
+export * from './lib/membership/join_status.js';
 export * from './lib/membership/lease_authority.js';
 export * from './lib/membership/lease_state.js';
 export * from './lib/membership/member_table.js';
