--- /dev/null
+++ b/packages/core/src/lib/membership/consent_collector.ts
@@ -0,0 +1,92 @@
+/** The holder's side of consent. @packageDocumentation */
+
+import {PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {CONSENT, CONSENT_TTL_MS} from './consent.js';
+import {Member, MemberTable} from './member_table.js';
+
+const CONSENT_TIMEOUT_MS = 1_000;
+
+interface Consent {
+  incarnation: string;
+  fencing: number;
+  untilMs: number;
+}
+
+/** What a {@link ConsentCollector} works with. */
+export interface ConsentCollectorOptions {
+  members: MemberTable;
+  network: PeerNetwork;
+  clock: Clock;
+  /** Whether the platform has removed a host for good. */
+  isGone: (host: string) => boolean;
+  /** Called before consents change, so that a lapse is not overlooked. */
+  beforeChange: () => void;
+  /** Called after a consent was given. */
+  afterChange: () => void;
+}
+
+/** Collects the consent of every other known member of the zone. */
+export class ConsentCollector {
+  private readonly consents = new Map<string, Consent>();
+  private readonly asking = new Set<string>();
+
+  constructor(private readonly options: ConsentCollectorOptions) {}
+
+  /**
+   * Asks every other member that is not being asked already.
+   *
+   * @param fencing - lease that is to be upheld.
+   * @param signal - gives up.
+   */
+  ask(fencing: number, signal: AbortSignal): void {
+    for (const member of this.others()) {
+      if (this.asking.has(member.host)) continue;
+      this.asking.add(member.host);
+      void this.askOne(member, fencing, signal);
+    }
+  }
+
+  /**
+   * @param fencing - lease that is upheld.
+   * @returns clock time until which every other known member consents.
+   */
+  validUntilMs(fencing: number): number {
+    let untilMs = this.options.clock.now() + CONSENT_TTL_MS;
+    for (const {host, incarnation} of this.others()) {
+      const consent = this.consents.get(host);
+      if (consent?.incarnation !== incarnation) return -Infinity;
+      if (consent.fencing !== fencing) return -Infinity;
+      untilMs = Math.min(untilMs, consent.untilMs);
+    }
+    return untilMs;
+  }
+
+  private others(): Member[] {
+    const {members, network, isGone} = this.options;
+    return members
+      .known()
+      .filter(({host}) => host !== network.self.host && !isGone(host));
+  }
+
+  private async askOne(
+    {host, incarnation}: Member,
+    fencing: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {network, clock} = this.options;
+    // Counted from before the request leaves: the member counts from later.
+    const untilMs = clock.now() + CONSENT_TTL_MS;
+    const answer = await network.call(
+      host,
+      CONSENT,
+      {fencing, incarnation},
+      {timeoutMs: CONSENT_TIMEOUT_MS, signal},
+    );
+    this.asking.delete(host);
+    if (answer.isErr() || !answer.value.granted) return;
+    this.options.beforeChange();
+    this.consents.set(host, {incarnation, fencing, untilMs});
+    this.options.afterChange();
+  }
+}
--- a/packages/core/src/lib/membership/join_status.ts
+++ b/packages/core/src/lib/membership/join_status.ts
@@ -9,7 +9,8 @@
 export abstract class JoinStatus {
   /**
    * Whether every earlier member has acknowledged this host's join, by link
-   * or through the log, or is off the host list. Once true it stays true.
+   * or through the log, or is off the host list. Once true it stays true,
+   * unless the zone's controller removes this host by a LEAVE record.
    */
   abstract get established(): boolean;
 
--- /dev/null
+++ b/packages/core/src/lib/membership/join_tracker.ts
@@ -0,0 +1,180 @@
+/** Makes this host's join known to the members before it. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {JoinStatus} from './join_status.js';
+import {Joined, Member, MemberTable, memberSchema} from './member_table.js';
+import {ZoneRecordType, ZoneStream} from './zone_stream.js';
+
+const ANNOUNCE_INTERVAL_MS = 500;
+const ANNOUNCE_TIMEOUT_MS = 1_000;
+const ACK_INTERVAL_MS = 1_000;
+const ACK_BOUND_MS = 5_000;
+
+/** How long a joiner has to announce itself before it is acknowledged. */
+const ACK_DELAY_MS = 3_000;
+
+const joinedSchema = z.object({
+  member: memberSchema,
+  offset: z.number().int(),
+});
+const knownSchema = z.object({known: z.boolean()});
+
+/** A host that has joined names itself to a member before it. */
+export const ANNOUNCE: PeerMethod<Joined, z.output<typeof knownSchema>> = {
+  name: 'members.announce',
+  body: joinedSchema,
+  event: knownSchema,
+};
+
+const ackSchema = z.object({
+  host: z.string(),
+  incarnation: z.string(),
+  /** Joins up to this offset are known to the host. */
+  seen: z.number().int(),
+});
+
+/** A member acknowledges joins of hosts that it has no link to. */
+export const ACK: ZoneRecordType<z.output<typeof ackSchema>> = {
+  type: 'join-ack',
+  body: ackSchema,
+};
+
+/** What a {@link JoinTracker} works with. */
+export interface JoinTrackerOptions {
+  stream: ZoneStream;
+  members: MemberTable;
+  network: PeerNetwork;
+  clock: Clock;
+  /** Whether the platform has removed a host for good. */
+  isGone: (host: string) => boolean;
+}
+
+/** A {@link JoinStatus} over the zone's links, or the log where they fail. */
+export class JoinTracker extends JoinStatus {
+  private establishedAt: number | undefined;
+  /** Incarnations of members that know of this host's present join. */
+  private readonly knowing = new Set<string>();
+  private readonly ackedUpTo = new Map<string, number>();
+  private readonly announced = new Set<string>();
+  private readonly firstSeenMs = new Map<string, number>();
+  private ownAck = -1;
+  private readonly waiters: Array<() => void> = [];
+
+  constructor(private readonly options: JoinTrackerOptions) {
+    super();
+    const {stream, network} = options;
+    stream.on(ACK, ({incarnation, seen}) => {
+      this.ackedUpTo.set(incarnation, seen);
+    });
+    network.serveUnary(ANNOUNCE, (joined, {from}) => ({
+      known: this.takeAnnouncement(joined, from.incarnation),
+    }));
+  }
+
+  override get established(): boolean {
+    const own = this.own();
+    return own !== undefined && own.offset === this.establishedAt;
+  }
+
+  override whenEstablished(): Promise<void> {
+    if (this.established) return Promise.resolve();
+    return new Promise(resolve => this.waiters.push(resolve));
+  }
+
+  /** Announces this host and acknowledges others until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    const announcing = clock.every(ANNOUNCE_INTERVAL_MS, signal, () =>
+      this.announce(signal),
+    );
+    const acking = clock.every(ACK_INTERVAL_MS, signal, () =>
+      this.acknowledgeSilent(signal),
+    );
+    await Promise.all([announcing, acking]);
+  }
+
+  private own(): Joined | undefined {
+    const {members, network} = this.options;
+    const own = members.joined(network.self.host);
+    const {incarnation} = network.self;
+    return own?.member.incarnation === incarnation ? own : undefined;
+  }
+
+  private async announce(signal: AbortSignal): Promise<void> {
+    const own = this.own();
+    if (own === undefined || this.established) return;
+    const pending = this.pending(own);
+    await Promise.all(
+      pending.map(member => this.announceTo(member, own, signal)),
+    );
+    if (this.own()?.offset !== own.offset) return;
+    if (this.pending(own).length > 0) return;
+    this.establishedAt = own.offset;
+    for (const resolve of this.waiters.splice(0)) resolve();
+  }
+
+  private pending(own: Joined): Member[] {
+    const {members, network, isGone} = this.options;
+    return members.joinedBefore(own.offset).filter(({host, incarnation}) => {
+      if (host === network.self.host || isGone(host)) return false;
+      if (this.knowing.has(`${incarnation}@${own.offset}`)) return false;
+      return (this.ackedUpTo.get(incarnation) ?? -1) < own.offset;
+    });
+  }
+
+  private async announceTo(
+    {host, incarnation}: Member,
+    own: Joined,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const timeoutMs = ANNOUNCE_TIMEOUT_MS;
+    const {network} = this.options;
+    const options = {timeoutMs, signal};
+    const answer = await network.call(host, ANNOUNCE, own, options);
+    if (answer.isErr() || !answer.value.known) return;
+    this.knowing.add(`${incarnation}@${own.offset}`);
+  }
+
+  private takeAnnouncement(joined: Joined, from: string): boolean {
+    const {members, network} = this.options;
+    const {member} = joined;
+    if (member.zone !== network.self.zone || member.incarnation !== from) {
+      return false;
+    }
+    members.addAhead(joined);
+    this.announced.add(member.incarnation);
+    return true;
+  }
+
+  private async acknowledgeSilent(signal: AbortSignal): Promise<void> {
+    const own = this.own();
+    if (own === undefined) return;
+    const {stream, network} = this.options;
+    const seen = Math.max(-1, ...this.silentJoins(own));
+    if (seen <= this.ownAck) return;
+    const {host, incarnation} = network.self;
+    const body = {host, incarnation, seen};
+    const acked = await stream.append(ACK, body, ACK_BOUND_MS, signal);
+    if (acked.isOk()) this.ownAck = seen;
+  }
+
+  /** @returns offsets of later joins that were not announced in time. */
+  private silentJoins(own: Joined): number[] {
+    const {members, clock} = this.options;
+    const nowMs = clock.now();
+    return members
+      .all()
+      .map(({host}) => members.joined(host)!)
+      .filter(({member, offset}) => {
+        if (offset <= own.offset || this.announced.has(member.incarnation)) {
+          return false;
+        }
+        const seenMs = this.firstSeenMs.get(member.incarnation) ?? nowMs;
+        this.firstSeenMs.set(member.incarnation, seenMs);
+        return nowMs - seenMs >= ACK_DELAY_MS;
+      })
+      .map(({offset}) => offset);
+  }
+}
--- a/packages/core/src/lib/membership/lease_state.ts
+++ b/packages/core/src/lib/membership/lease_state.ts
@@ -1,6 +1,7 @@
 /** The zone lease as the zone's stream tells it. @packageDocumentation */
 
 import {z} from 'zod';
+import {MemberTable} from './member_table.js';
 import {ZoneRecordType, ZoneStream} from './zone_stream.js';
 
 const claimSchema = z.object({
@@ -17,18 +18,32 @@
   body: claimSchema,
 };
 
-const claimOffsetSchema = z.object({claim: z.number().int()});
+const renewSchema = z.object({claim: z.number().int()});
 
 /** The holder renews its lease. */
-export const RENEW: ZoneRecordType<z.output<typeof claimOffsetSchema>> = {
+export const RENEW: ZoneRecordType<z.output<typeof renewSchema>> = {
   type: 'lease-renew',
-  body: claimOffsetSchema,
+  body: renewSchema,
 };
 
+const releaseSchema = z.object({
+  claim: z.number().int(),
+  /** Whether every order of the holder had ended. */
+  settled: z.boolean(),
+});
+
 /** The holder gives its lease up, so that another may claim at once. */
-export const RELEASE: ZoneRecordType<z.output<typeof claimOffsetSchema>> = {
+export const RELEASE: ZoneRecordType<z.output<typeof releaseSchema>> = {
   type: 'lease-release',
-  body: claimOffsetSchema,
+  body: releaseSchema,
+};
+
+const probeSchema = z.object({host: z.string()});
+
+/** A consenting member tries whether it reaches the log; nothing follows. */
+export const PROBE: ZoneRecordType<z.output<typeof probeSchema>> = {
+  type: 'lease-probe',
+  body: probeSchema,
 };
 
 /** A lease that was claimed and not superseded. */
@@ -41,43 +56,35 @@
   /** Offset of the claim or of its latest renewal. */
   lastRecord: number;
   released: boolean;
+  /** Whether no order of this holder can be under way; see {@link RELEASE}. */
+  settled: boolean;
+  /** Whether no order of an earlier holder could be under way at the claim. */
+  afterSettled: boolean;
 }
 
 /**
  * Applies claims by one rule at every reader: a claim counts only if it names
  * the last record of the lease that it replaces, so a renewal in between
- * defeats it, and of two racing claims the first in the log wins.
+ * defeats it, and of two racing claims the first in the log wins. Claims and
+ * renewals of a host that is not a member at that offset do not count.
  */
 export class LeaseState {
   private lease: Lease | undefined;
   private readonly listeners: Array<() => void> = [];
 
-  /** @param stream - the zone's stream; the state follows it. */
-  constructor(stream: ZoneStream) {
-    stream.on(CLAIM, (claim, {offset}) => {
-      const {host, incarnation, ttlMs, supersedes} = claim;
-      if (supersedes !== (this.lease?.lastRecord ?? null)) return;
-      this.lease = {
-        host,
-        incarnation,
-        ttlMs,
-        fencing: offset,
-        lastRecord: offset,
-        released: false,
-      };
-      this.changed();
-    });
-    stream.on(RENEW, ({claim}, {offset}) => {
-      if (this.lease?.fencing !== claim || this.lease.released) return;
-      this.lease.lastRecord = offset;
-      this.changed();
-    });
-    stream.on(RELEASE, ({claim}, {offset}) => {
-      if (this.lease?.fencing !== claim) return;
-      this.lease.released = true;
-      this.lease.lastRecord = offset;
-      this.changed();
-    });
+  /**
+   * @param stream - the zone's stream; the state follows it.
+   * @param members - must follow the same stream.
+   */
+  constructor(
+    private readonly stream: ZoneStream,
+    private readonly members: MemberTable,
+  ) {
+    stream.on(CLAIM, (claim, {offset}) => this.claim(claim, offset));
+    stream.on(RENEW, ({claim}, {offset}) => this.renew(claim, offset));
+    stream.on(RELEASE, ({claim, settled}, {offset}) =>
+      this.release(claim, settled, offset),
+    );
   }
 
   /** The latest lease, which may have lapsed. */
@@ -90,6 +97,47 @@
     this.listeners.push(listener);
   }
 
+  private claim(body: z.output<typeof claimSchema>, offset: number): void {
+    const {host, incarnation, ttlMs, supersedes} = body;
+    const {lease} = this;
+    if (supersedes !== (lease?.lastRecord ?? null)) return;
+    if (!this.isMember(host, incarnation)) return;
+    const afterSettled =
+      lease === undefined ? !this.stream.truncated : lease.settled;
+    this.lease = {
+      host,
+      incarnation,
+      ttlMs,
+      fencing: offset,
+      lastRecord: offset,
+      released: false,
+      settled: false,
+      afterSettled,
+    };
+    this.changed();
+  }
+
+  private renew(claim: number, offset: number): void {
+    const {lease} = this;
+    if (lease?.fencing !== claim || lease.released) return;
+    if (!this.isMember(lease.host, lease.incarnation)) return;
+    lease.lastRecord = offset;
+    this.changed();
+  }
+
+  private release(claim: number, settled: boolean, offset: number): void {
+    const {lease} = this;
+    if (lease?.fencing !== claim || lease.released) return;
+    lease.released = true;
+    lease.settled = settled;
+    lease.lastRecord = offset;
+    this.changed();
+  }
+
+  private isMember(host: string, incarnation: string): boolean {
+    return this.members.get(host)?.incarnation === incarnation;
+  }
+
   private changed(): void {
     for (const listener of this.listeners) listener();
   }
--- a/packages/core/src/lib/membership/member_table.ts
+++ b/packages/core/src/lib/membership/member_table.ts
@@ -31,40 +31,98 @@
   body: leaveSchema,
 };
 
+/** A member and the offset of the record by which it joined. */
+export interface Joined {
+  member: Member;
+  offset: number;
+}
+
 /** The members of one zone as its stream tells. */
 export class MemberTable {
-  private readonly byHost = new Map<string, Member>();
+  private readonly byHost = new Map<string, Joined>();
+  /** Members that named themselves over a link before the log was read. */
+  private readonly ahead = new Map<string, Joined>();
   private readonly listeners: Array<() => void> = [];
 
   /** @param stream - the zone's stream; the table follows it. */
   constructor(stream: ZoneStream) {
-    stream.on(JOIN, member => {
-      this.byHost.set(member.host, member);
+    stream.on(JOIN, (member, {offset}) => {
+      this.byHost.set(member.host, {member, offset});
+      this.forgetAhead(member.host, offset);
       this.changed();
     });
-    stream.on(LEAVE, ({host, incarnation}) => {
-      if (this.byHost.get(host)?.incarnation !== incarnation) return;
+    stream.on(LEAVE, ({host, incarnation}, {offset}) => {
+      this.forgetAhead(host, offset);
+      if (this.byHost.get(host)?.member.incarnation !== incarnation) return;
       this.byHost.delete(host);
       this.changed();
     });
   }
 
-  /** @returns the members in the order of their names. */
+  /** @returns the members that the log tells, in the order of their names. */
   all(): Member[] {
-    return [...this.byHost.values()].sort((a, b) => (a.host < b.host ? -1 : 1));
+    return sorted([...this.byHost.values()]);
+  }
+
+  /**
+   * @returns the members that the log or they themselves tell, in the order
+   *     of their names; of one host the newest.
+   */
+  known(): Member[] {
+    return sorted([...new Map([...this.byHost, ...this.ahead]).values()]);
   }
 
-  /** @returns the member of that name. */
+  /** @returns the member of that name, as the log tells. */
   get(host: string): Member | undefined {
+    return this.byHost.get(host)?.member;
+  }
+
+  /** @returns the member of that name and where it joined. */
+  joined(host: string): Joined | undefined {
     return this.byHost.get(host);
   }
 
+  /** @returns the members that joined before an offset. */
+  joinedBefore(offset: number): Member[] {
+    const earlier = [...this.byHost.values()].filter(
+      joined => joined.offset < offset,
+    );
+    return sorted(earlier);
+  }
+
+  /**
+   * Takes a member that named itself over a link, perhaps before its join was
+   * read from the log here.
+   */
+  addAhead(joined: Joined): void {
+    const {host} = joined.member;
+    const offset = this.newestOffset(host);
+    if (offset !== undefined && offset >= joined.offset) return;
+    this.ahead.set(host, joined);
+    this.changed();
+  }
+
   /** @param listener - called after each join and leave. */
   onChange(listener: () => void): void {
     this.listeners.push(listener);
   }
 
+  private newestOffset(host: string): number | undefined {
+    return (this.ahead.get(host) ?? this.byHost.get(host))?.offset;
+  }
+
+  private forgetAhead(host: string, offset: number): void {
+    const ahead = this.ahead.get(host);
+    if (ahead !== undefined && ahead.offset <= offset) this.ahead.delete(host);
+  }
+
   private changed(): void {
     for (const listener of this.listeners) listener();
   }
 }
+
+function sorted(joined: readonly Joined[]): Member[] {
+  return joined
+    .map(({member}) => member)
+    .sort((a, b) => (a.host < b.host ? -1 : 1));
+}
--- /dev/null
+++ b/packages/core/src/lib/membership/membership.ts
@@ -0,0 +1,110 @@
+/** A host's membership in its zone. @packageDocumentation */
+
+import {PeerNetwork} from '../peers/peer_network.js';
+import {HostList} from '../platform/host_list.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {HostWatch} from './host_watch.js';
+import {JoinTracker} from './join_tracker.js';
+import {JOIN, LEAVE, Member, MemberTable} from './member_table.js';
+import {ZoneLease} from './zone_lease.js';
+import {ZoneStream} from './zone_stream.js';
+
+const JOIN_BOUND_MS = 10_000;
+const LEAVE_BOUND_MS = 2_000;
+const KEEP_INTERVAL_MS = 1_000;
+
+/** What a {@link Membership} works with. */
+export interface MembershipOptions {
+  stream: ZoneStream;
+  network: PeerNetwork;
+  clock: Clock;
+  logger: Logger;
+  /** Undefined if the settings name no list. */
+  hostList: HostList | undefined;
+}
+
+/** Joins the zone, keeps the list of its members and takes part in its lease. */
+export class Membership {
+  readonly members: MemberTable;
+  readonly hosts: HostWatch;
+  readonly joins: JoinTracker;
+  readonly lease: ZoneLease;
+  private self: Member | undefined;
+  private leaving = false;
+
+  constructor(private readonly options: MembershipOptions) {
+    const {stream, network, clock, hostList} = options;
+    const members = new MemberTable(stream);
+    this.members = members;
+    this.hosts = new HostWatch({
+      list: hostList,
+      members,
+      clock,
+      isController: () => this.lease.check().isOk(),
+      isLinked: host => network.connected().some(peer => peer.host === host),
+    });
+    const isGone = (host: string) => this.hosts.isGone(host);
+    this.joins = new JoinTracker({...options, members, isGone});
+    const {joins} = this;
+    this.lease = new ZoneLease({...options, members, joins, isGone});
+  }
+
+  /**
+   * Joins the zone; waits for the log as long as it takes.
+   *
+   * @param self - this host with its addresses.
+   * @param signal - gives up.
+   */
+  async join(self: Member, signal: AbortSignal): Promise<void> {
+    this.self = self;
+    const {stream} = this.options;
+    while (!signal.aborted) {
+      const joined = await stream.append(JOIN, self, JOIN_BOUND_MS, signal);
+      if (joined.isOk()) return;
+    }
+  }
+
+  /** Takes part in the zone until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    await Promise.all([
+      this.hosts.run(signal),
+      this.joins.run(signal),
+      this.lease.run(signal),
+      clock.every(KEEP_INTERVAL_MS, signal, () => this.keep(signal)),
+    ]);
+  }
+
+  /**
+   * Stops taking part; later calls of {@link Membership.join} are not made.
+   *
+   * @param signal - gives up waiting for the log.
+   */
+  async leave(signal: AbortSignal): Promise<void> {
+    this.leaving = true;
+    if (this.self === undefined) return;
+    const {host, incarnation} = this.self;
+    const body = {host, incarnation};
+    await this.options.stream.append(LEAVE, body, LEAVE_BOUND_MS, signal);
+  }
+
+  private async keep(signal: AbortSignal): Promise<void> {
+    if (this.self === undefined || this.leaving) return;
+    const {host, incarnation} = this.self;
+    if (this.members.get(host)?.incarnation !== incarnation) {
+      await this.join(this.self, signal);
+    } else if (this.lease.check().isOk()) await this.removeGone(signal);
+  }
+
+  /** Records the departure of members that the platform has removed. */
+  private async removeGone(signal: AbortSignal): Promise<void> {
+    const {stream, logger} = this.options;
+    for (const {host, incarnation} of this.members.all()) {
+      if (!this.hosts.isGone(host) || this.lease.check().isErr()) continue;
+      const body = {host, incarnation};
+      const left = await stream.append(LEAVE, body, LEAVE_BOUND_MS, signal);
+      if (left.isOk()) logger.info('member_removed', {member: host});
+    }
+  }
+}
--- a/packages/core/src/lib/membership/zone_lease.ts
+++ b/packages/core/src/lib/membership/zone_lease.ts
@@ -1,11 +1,27 @@
 /** Claims, renews and gives up the lease of this host's zone. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Clock} from '../time/clock.js';
+import {PeerNetwork} from '../peers/peer_network.js';
 import {Logger} from '../telemetry/logger.js';
-import {PeerIdentity} from '../peers/peer_network.js';
-import {Authority, LeaseAuthority, NoAuthority} from './lease_authority.js';
-import {CLAIM, LeaseState, RELEASE, RENEW} from './lease_state.js';
+import {Clock} from '../time/clock.js';
+import {CONSENT, ConsentGiver} from './consent.js';
+import {ConsentCollector} from './consent_collector.js';
+import {JoinStatus} from './join_status.js';
+import {
+  Authority,
+  LONGEST_ORDER_MS,
+  LeaseAuthority,
+  NoAuthority,
+} from './lease_authority.js';
+import {
+  CLAIM,
+  Lease,
+  LeaseState,
+  PROBE,
+  RELEASE,
+  RENEW,
+} from './lease_state.js';
+import {MemberTable} from './member_table.js';
 import {ZoneStream} from './zone_stream.js';
 
 /** How long a lease stands after its last renewal, in milliseconds. */
@@ -16,40 +32,79 @@
 
 const RENEW_INTERVAL_MS = 2_000;
 const CHECK_INTERVAL_MS = 250;
+const APPEND_BOUND_MS = 2_000;
+const CLAIM_RETRY_DELAY_MS = 4_000;
+
+/** Consent is asked for when the log upholds the lease for less than this. */
+const ASK_CONSENT_BELOW_MS = 3_000;
+const CONSENT_INTERVAL_MS = 1_000;
+
+/** How long a member consents before it tries whether it reaches the log. */
+const CONSENT_PATIENCE_MS = 10_000;
 
 /** What a {@link ZoneLease} works with. */
 export interface ZoneLeaseOptions {
-  self: PeerIdentity;
   stream: ZoneStream;
+  members: MemberTable;
+  network: PeerNetwork;
+  joins: JoinStatus;
   clock: Clock;
   logger: Logger;
+  /** Whether the platform has removed a host for good. */
+  isGone: (host: string) => boolean;
+}
+
+interface Held {
+  fencing: number;
+  /** Clock time until which the log upholds the lease. */
+  logUntilMs: number;
+  heldSinceMs: number;
+  orderableFromMs: number;
+  /** Whether authority was last seen to stand. */
+  standing: boolean;
 }
 
 /** This host's part in the lease of its zone. */
 export class ZoneLease extends LeaseAuthority {
   private readonly state: LeaseState;
+  private readonly giver: ConsentGiver;
+  private readonly collector: ConsentCollector;
   private lastChangeMs: number;
-  private authority: Authority | undefined;
+  private nextClaimMs = -Infinity;
+  private held: Held | undefined;
+  private claiming = false;
+  private stopping = false;
 
   constructor(private readonly options: ZoneLeaseOptions) {
     super();
-    this.lastChangeMs = options.clock.now();
-    this.state = new LeaseState(options.stream);
+    const {clock, stream, members, network, isGone} = options;
+    this.lastChangeMs = clock.now();
+    this.state = new LeaseState(stream, members);
     this.state.onChange(() => {
-      this.lastChangeMs = options.clock.now();
+      this.lastChangeMs = clock.now();
+      this.giver.reconcile();
+    });
+    this.giver = new ConsentGiver({
+      clock,
+      state: this.state,
+      incarnation: network.self.incarnation,
+      isClaiming: () => this.claiming,
+    });
+    network.serveUnary(CONSENT, req => ({granted: this.giver.answer(req)}));
+    this.collector = new ConsentCollector({
+      members,
+      network,
+      clock,
+      isGone,
+      beforeChange: () => this.check(),
+      afterChange: () => this.noteExtended('consent'),
     });
   }
 
   override check(): Result<Authority, NoAuthority> {
-    const {authority} = this;
-    if (authority === undefined) return noAuthority('the lease is not held');
-    if (this.options.clock.now() >= authority.validUntilMs) {
-      return noAuthority('the lease has lapsed');
-    }
-    if (this.state.current?.fencing !== authority.fencing) {
-      return noAuthority('another host has claimed the lease');
-    }
-    return ok(authority);
+    const authority = this.evaluate();
+    if (authority.isErr()) this.noteLost();
+    return authority;
   }
 
   override holder(): string | undefined {
@@ -58,64 +113,173 @@
   }
 
   /**
-   * Claims the lease when it is free and renews it while it is held.
+   * Claims the lease when it is free and upholds it while it is held.
    *
-   * @param signal - ends the work; the lease is then given up at once.
+   * @param signal - ends the work.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await this.options.stream.caughtUp();
-    await this.options.clock.every(CHECK_INTERVAL_MS, signal, async () => {
-      if (this.check().isOk()) await this.renewIfDue(signal);
-      else if (this.mayClaim()) await this.claim(signal);
-    });
+    const {stream, clock} = this.options;
+    await stream.caughtUp();
+    const overLog = clock.every(CHECK_INTERVAL_MS, signal, () =>
+      this.stepOverLog(signal),
+    );
+    const overLinks = clock.every(CONSENT_INTERVAL_MS, signal, () =>
+      this.askConsent(signal),
+    );
+    await Promise.all([overLog, overLinks]);
   }
 
-  /** Gives the lease up, if it is held, so that another may claim at once. */
-  async release(signal: AbortSignal): Promise<void> {
-    const authority = this.check();
-    this.authority = undefined;
-    if (authority.isErr()) return;
-    const body = {claim: authority.value.fencing};
+  /**
+   * Gives the lease up, if it is held, so that another may claim at once. No
+   * authority stands from the moment of the call.
+   *
+   * @param settled - whether every order of this host has ended; if not, the
+   *     next holder waits for them at targets that do not check fencing.
+   * @param signal - gives up waiting for the log.
+   */
+  async release(settled: boolean, signal: AbortSignal): Promise<void> {
+    this.stopping = true;
+    const {held} = this;
+    this.noteLost();
+    this.held = undefined;
+    if (held === undefined) return;
+    const body = {claim: held.fencing, settled};
     const {stream, logger} = this.options;
     await stream.append(RELEASE, body, LEASE_TTL_MS, signal);
     logger.info('lease_released', body);
   }
 
+  private evaluate(): Result<Authority, NoAuthority> {
+    const {held} = this;
+    if (held === undefined) return noAuthority('the lease is not held');
+    const {fencing, heldSinceMs, orderableFromMs} = held;
+    if (this.state.current?.fencing !== fencing) {
+      return noAuthority('another host has claimed the lease');
+    }
+    const consentUntilMs = this.collector.validUntilMs(fencing);
+    const validUntilMs = Math.max(held.logUntilMs, consentUntilMs);
+    if (this.options.clock.now() >= validUntilMs) {
+      return noAuthority('the lease has lapsed');
+    }
+    return ok({fencing, validUntilMs, heldSinceMs, orderableFromMs});
+  }
+
+  private async stepOverLog(signal: AbortSignal): Promise<void> {
+    this.check();
+    if (this.stopping || this.giver.promised) {
+      if (this.giver.promisedForMs > CONSENT_PATIENCE_MS) {
+        await this.tryLog(signal);
+      }
+      return;
+    }
+    const lease = this.state.current;
+    if (this.isOwn(lease)) await this.renewIfDue(lease, signal);
+    else if (this.mayClaim()) await this.claim(signal);
+  }
+
+  /** Also true of a claim whose fate was unknown when it was given up. */
+  private isOwn(lease: Lease | undefined): lease is Lease {
+    const {host, incarnation} = this.options.network.self;
+    if (lease === undefined || lease.released) return false;
+    return lease.host === host && lease.incarnation === incarnation;
+  }
+
   private mayClaim(): boolean {
+    const {clock, joins} = this.options;
+    const nowMs = clock.now();
+    if (!joins.established || nowMs < this.nextClaimMs) return false;
     const lease = this.state.current;
     if (lease === undefined || lease.released) return true;
-    const waitedMs = this.options.clock.now() - this.lastChangeMs;
-    return waitedMs >= lease.ttlMs + LEASE_MARGIN_MS;
+    return nowMs - this.lastChangeMs >= lease.ttlMs + LEASE_MARGIN_MS;
   }
 
   private async claim(signal: AbortSignal): Promise<void> {
-    const {self, stream, clock, logger} = this.options;
+    const {stream, clock, logger, network} = this.options;
+    const {host, incarnation} = network.self;
     const sentMs = clock.now();
-    const body = {
-      host: self.host,
-      incarnation: self.incarnation,
-      ttlMs: LEASE_TTL_MS,
-      supersedes: this.state.current?.lastRecord ?? null,
-    };
-    const record = await stream.append(CLAIM, body, LEASE_TTL_MS, signal);
-    if (record.isErr()) return;
-    const fencing = record.value.offset;
-    if (this.state.current?.fencing !== fencing) return;
-    this.authority = {fencing, validUntilMs: sentMs + LEASE_TTL_MS};
-    logger.info('lease_claimed', {fencing});
-  }
-
-  private async renewIfDue(signal: AbortSignal): Promise<void> {
+    const supersedes = this.state.current?.lastRecord ?? null;
+    const body = {host, incarnation, ttlMs: LEASE_TTL_MS, supersedes};
+    this.claiming = true;
+    const record = await stream.append(CLAIM, body, APPEND_BOUND_MS, signal);
+    this.claiming = false;
+    this.nextClaimMs = clock.now() + CLAIM_RETRY_DELAY_MS;
+    const lease = this.state.current;
+    if (record.isErr() || lease === undefined || this.stopping) return;
+    // The log's rule may have refused the claim at its offset.
+    if (lease.fencing !== record.value.offset) return;
+    logger.info('lease_claimed', {fencing: lease.fencing});
+    this.extend(lease, sentMs + lease.ttlMs);
+  }
+
+  private async renewIfDue(lease: Lease, signal: AbortSignal): Promise<void> {
     const {stream, clock} = this.options;
-    const {authority} = this;
-    if (authority === undefined) return;
     const sentMs = clock.now();
-    const remainingMs = authority.validUntilMs - sentMs;
-    if (remainingMs > LEASE_TTL_MS - RENEW_INTERVAL_MS) return;
-    const body = {claim: authority.fencing};
-    const record = await stream.append(RENEW, body, remainingMs, signal);
-    if (record.isErr()) return;
-    authority.validUntilMs = sentMs + LEASE_TTL_MS;
+    const isHeld = this.held?.fencing === lease.fencing;
+    const untilMs = isHeld ? this.held!.logUntilMs : -Infinity;
+    if (untilMs - sentMs > LEASE_TTL_MS - RENEW_INTERVAL_MS) return;
+    const body = {claim: lease.fencing};
+    const record = await stream.append(RENEW, body, APPEND_BOUND_MS, signal);
+    if (record.isErr() || this.state.current !== lease) return;
+    // The log's rule may have refused the renewal at its offset.
+    if (lease.lastRecord < record.value.offset) return;
+    if (this.giver.promised || this.stopping) return;
+    this.extend(lease, sentMs + lease.ttlMs);
+  }
+
+  private extend(lease: Lease, logUntilMs: number): void {
+    this.check();
+    const nowMs = this.options.clock.now();
+    if (this.held?.fencing !== lease.fencing) {
+      this.held = {
+        fencing: lease.fencing,
+        logUntilMs,
+        heldSinceMs: nowMs,
+        orderableFromMs: nowMs + (lease.afterSettled ? 0 : LONGEST_ORDER_MS),
+        standing: false,
+      };
+    }
+    this.held.logUntilMs = Math.max(this.held.logUntilMs, logUntilMs);
+    this.noteExtended('log');
+  }
+
+  private noteExtended(by: 'log' | 'consent'): void {
+    const {held} = this;
+    if (held === undefined || held.standing || this.evaluate().isErr()) return;
+    const nowMs = this.options.clock.now();
+    held.standing = true;
+    held.heldSinceMs = nowMs;
+    // Without the log it is not known who held the lease in the gap.
+    if (by === 'consent') held.orderableFromMs = nowMs + LONGEST_ORDER_MS;
+    const authority = this.evaluate();
+    if (authority.isOk()) this.notifyGained(authority.value);
+  }
+
+  private noteLost(): void {
+    if (!this.held?.standing) return;
+    this.held.standing = false;
+    this.options.logger.warn('lease_lost', {fencing: this.held.fencing});
+    this.notifyLost();
+  }
+
+  private askConsent(signal: AbortSignal): void {
+    const {held} = this;
+    if (held === undefined || this.stopping || this.giver.promised) return;
+    if (this.state.current?.fencing !== held.fencing) return;
+    const remainingMs = held.logUntilMs - this.options.clock.now();
+    if (remainingMs > ASK_CONSENT_BELOW_MS) return;
+    this.collector.ask(held.fencing, signal);
+  }
+
+  /**
+   * A holder that is cut off from the log alone must not keep the zone from
+   * the log: a member that reaches it stops consenting and claims later.
+   */
+  private async tryLog(signal: AbortSignal): Promise<void> {
+    const {stream, network} = this.options;
+    const {host} = network.self;
+    const seen = await stream.append(PROBE, {host}, APPEND_BOUND_MS, signal);
+    if (seen.isOk()) this.giver.withdraw();
+    else await this.options.clock.sleep(CLAIM_RETRY_DELAY_MS, signal);
   }
 }
 
--- a/packages/core/src/lib/membership/zone_stream.ts
+++ b/packages/core/src/lib/membership/zone_stream.ts
@@ -30,15 +30,24 @@
 export class ZoneStream {
   private readonly tail: StreamTail;
   private readonly listeners = new Map<string, Listener>();
+  private isTruncated = false;
 
   constructor(private readonly options: ZoneStreamOptions) {
     this.tail = new StreamTail({
       ...options,
       stream: `zone.${options.zone}`,
       onRecord: record => this.take(record),
+      onGap: () => {
+        this.isTruncated = true;
+      },
     });
   }
 
+  /** Whether records had expired before this host could read them. */
+  get truncated(): boolean {
+    return this.isTruncated;
+  }
+
   /** Name of the zone. */
   get zone(): string {
     return this.options.zone;
--- /dev/null
+++ b/packages/core/src/test/membership/zone_fakes.ts
@@ -0,0 +1,263 @@
+/** A zone whose log, links and clocks a test controls. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {
+  CallOptions,
+  JOIN,
+  LogError,
+  LogPage,
+  LogRecord,
+  ManualClock,
+  Member,
+  Membership,
+  NoteHandler,
+  PEER_ERROR,
+  PeerError,
+  PeerIdentity,
+  PeerMethod,
+  PeerNetwork,
+  PlatformLog,
+  RecordIds,
+  ReadOptions,
+  SilentLogger,
+  StoredRecord,
+  UnaryPeerHandler,
+  ZoneStream,
+} from '../../index.js';
+
+const STEP_MS = 100;
+const POLL_MS = 200;
+const FLIGHT_MS = 50;
+const ZONE = 'a';
+
+type Handler = UnaryPeerHandler<unknown, unknown>;
+
+/** Time, the log and the links of all hosts of one zone. */
+export class FakeZone {
+  readonly clock = new ManualClock();
+  readonly records: StoredRecord[] = [];
+  readonly hosts = new Map<string, FakeHost>();
+  readonly cutLinks = new Set<string>();
+  logDown = false;
+  private starts = 0;
+
+  /** Starts a host, again if it ran before. */
+  start(name: string): FakeHost {
+    const known = this.hosts.get(name);
+    known?.stop();
+    this.starts += 1;
+    const host = new FakeHost(this, name, `${name}.${this.starts}`);
+    host.cutFromLog = known?.cutFromLog ?? false;
+    this.hosts.set(name, host);
+    host.run();
+    return host;
+  }
+
+  /** Moves time; `onStep` is called after each step. */
+  async advance(durationMs: number, onStep: () => void): Promise<void> {
+    for (let movedMs = 0; movedMs < durationMs; movedMs += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+      for (const host of this.hosts.values()) {
+        if (host.paused) host.clock.pause(STEP_MS);
+        else await host.clock.advance(STEP_MS);
+      }
+      onStep();
+    }
+  }
+
+  /** @returns whether messages pass between two hosts. */
+  isLinked(a: string, b: string): boolean {
+    return !this.cutLinks.has([a, b].sort().join());
+  }
+
+  /** Cuts the link of two hosts, or mends it. */
+  toggleLink(a: string, b: string): void {
+    const link = [a, b].sort().join();
+    if (!this.cutLinks.delete(link)) this.cutLinks.add(link);
+  }
+}
+
+/** One host of a {@link FakeZone}. */
+export class FakeHost {
+  readonly clock = new ManualClock();
+  readonly network: FakeNetwork;
+  readonly membership: Membership;
+  paused = false;
+  cutFromLog = false;
+  /** So many of the next append answers are lost after the effect. */
+  loseAnswers = 0;
+  /** How long an append is under way, in milliseconds. */
+  appendMs = FLIGHT_MS;
+  private readonly stream: ZoneStream;
+  private readonly lifetime = new AbortController();
+
+  constructor(zone: FakeZone, name: string, incarnation: string) {
+    this.network = new FakeNetwork(zone, this, {
+      host: name,
+      zone: ZONE,
+      incarnation,
+    });
+    const logger = new SilentLogger();
+    const {clock, network} = this;
+    this.stream = new ZoneStream({
+      zone: ZONE,
+      log: new FakeLog(zone, this),
+      clock,
+      logger,
+      ids: new RecordIds(incarnation),
+    });
+    const {stream} = this;
+    const hostList = undefined;
+    const options = {stream, network, clock, logger, hostList};
+    this.membership = new Membership(options);
+  }
+
+  /** Whether the host may give orders now. */
+  get fencing(): number | undefined {
+    const authority = this.membership.lease.check();
+    return authority.isOk() ? authority.value.fencing : undefined;
+  }
+
+  run(): void {
+    const {signal} = this.lifetime;
+    const address = {address: '127.0.0.1', port: 1};
+    const self = {...this.network.self, peer: address, operator: address};
+    void this.stream.run(signal);
+    void this.stream.caughtUp().then(async () => {
+      await this.membership.join(self, signal);
+      await this.membership.run(signal);
+    });
+  }
+
+  /** The process dies. */
+  stop(): void {
+    this.lifetime.abort();
+    this.network.dead = true;
+  }
+}
+
+class FakeLog extends PlatformLog {
+  constructor(
+    private readonly zone: FakeZone,
+    private readonly host: FakeHost,
+  ) {
+    super();
+  }
+
+  override async append(
+    stream: string,
+    records: readonly LogRecord[],
+  ): Promise<Result<number[], LogError>> {
+    const {zone, host} = this;
+    const isCut = zone.logDown || host.cutFromLog;
+    await zone.clock.sleep(isCut ? FLIGHT_MS : host.appendMs);
+    const offsets = isCut ? [] : records.map(record => this.store(record));
+    await host.clock.sleep(0);
+    if (!isCut && host.loseAnswers === 0) return ok(offsets);
+    if (!isCut) host.loseAnswers -= 1;
+    return err({type: 'log-unavailable', message: 'cut'});
+  }
+
+  override async read(
+    stream: string,
+    from: number,
+    {waitMs, signal}: ReadOptions,
+  ): Promise<Result<LogPage, LogError>> {
+    const {zone, host} = this;
+    for (let waitedMs = 0; !signal.aborted; waitedMs += POLL_MS) {
+      await host.clock.sleep(POLL_MS / 2, signal);
+      if (zone.logDown || host.cutFromLog) break;
+      const records = zone.records.slice(from);
+      await host.clock.sleep(POLL_MS / 2, signal);
+      if (records.length > 0 || waitedMs >= waitMs) {
+        return ok({records, next: from + records.length, first: 0});
+      }
+    }
+    return err({type: 'log-unavailable', message: 'cut'});
+  }
+
+  private store(record: LogRecord): number {
+    const {records, clock} = this.zone;
+    const offset = records.length;
+    const body: unknown = structuredClone(record.body);
+    records.push({id: record.id, body, offset, atMs: clock.now()});
+    return offset;
+  }
+}
+
+class FakeNetwork extends PeerNetwork {
+  dead = false;
+  private readonly handlers = new Map<string, Handler>();
+
+  constructor(
+    private readonly zone: FakeZone,
+    private readonly host: FakeHost,
+    override readonly self: PeerIdentity,
+  ) {
+    super();
+  }
+
+  override connected(): PeerIdentity[] {
+    return [];
+  }
+
+  override async call<Body, Event>(
+    name: string,
+    method: PeerMethod<Body, Event>,
+    body: Body,
+    {timeoutMs}: CallOptions,
+  ): Promise<Result<Event, PeerError>> {
+    const lost = this.host.clock
+      .sleep(timeoutMs)
+      .then(() => err({type: PEER_ERROR.lost, message: 'timed out'}));
+    const answered = this.deliver(name, method.name, structuredClone(body));
+    return Promise.race([lost, answered as Promise<Result<Event, PeerError>>]);
+  }
+
+  override serveUnary<Body, Event>(
+    method: PeerMethod<Body, Event>,
+    handler: UnaryPeerHandler<Body, Event>,
+  ): void {
+    this.handlers.set(method.name, handler as Handler);
+  }
+
+  private async deliver(name: string, method: string, body: unknown) {
+    const {zone, self} = this;
+    await this.fly(name);
+    const target = zone.hosts.get(name);
+    if (target === undefined) return new Promise<never>(() => {});
+    // A paused process takes the message once it runs again.
+    await target.clock.sleep(0);
+    const context = {from: self, signal: new AbortController().signal};
+    const answer = await target.network.handlers.get(method)!(body, context);
+    await this.fly(name);
+    await this.host.clock.sleep(0);
+    return ok(answer);
+  }
+
+  private async fly(name: string): Promise<void> {
+    await this.zone.clock.sleep(FLIGHT_MS);
+    const isCut = !this.zone.isLinked(this.self.host, name);
+    if (isCut || this.dead || this.zone.hosts.get(name)?.network.dead) {
+      await new Promise<never>(() => {});
+    }
+  }
+
+  override async *open(): AsyncGenerator<never, void> {}
+  override serve(): void {}
+  override notify(): boolean {
+    return false;
+  }
+  override onNote<Body>(
+    unusedMethod: PeerMethod<Body, never>,
+    unusedHandler: NoteHandler<Body>,
+  ): void {}
+}
+
+/** @returns hosts whose joins the log holds, in order. */
+export function joinsOf(zone: FakeZone): string[] {
+  return zone.records
+    .map(({body}) => body as {type: string; body: Member})
+    .filter(({type}) => type === JOIN.type)
+    .map(({body}) => body.host);
+}
--- /dev/null
+++ b/packages/core/src/test/membership/zone_lease_test.ts
@@ -0,0 +1,223 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {FakeHost, FakeZone} from './zone_fakes.js';
+
+const RUNS = 300;
+const NAMES = ['h1', 'h2', 'h3'];
+const ALL_NAMES = [...NAMES, 'h4'];
+const START_MS = 3_000;
+const nothing = () => {};
+
+async function startZone(names = NAMES): Promise<FakeZone> {
+  const zone = new FakeZone();
+  for (const name of names) zone.start(name);
+  await zone.advance(START_MS, nothing);
+  return zone;
+}
+
+function holders(zone: FakeZone): FakeHost[] {
+  return [...zone.hosts.values()].filter(host => host.fencing !== undefined);
+}
+
+function theHolder(zone: FakeZone): FakeHost {
+  const [holder, ...others] = holders(zone);
+  expect(others).to.deep.equal([]);
+  expect(holder, 'holder').not.to.equal(undefined);
+  return holder;
+}
+
+/** A target that checks fencing numbers and one that does not. */
+class Watch {
+  private highest = -1;
+  private readonly givenBy = new Map<number, string>();
+
+  constructor(private readonly zone: FakeZone) {}
+
+  step(): void {
+    const standing = holders(this.zone);
+    const names = standing.map(({network}) => network.self.incarnation);
+    expect(names.length, `holders at once: ${names}`).to.be.at.most(1);
+    for (const {fencing, network} of standing) this.order(fencing!, network);
+  }
+
+  private order(fencing: number, {self}: FakeHost['network']): void {
+    expect(fencing, 'an authority with an old number').to.be.at.least(
+      this.highest,
+    );
+    this.highest = fencing;
+    const giver = this.givenBy.get(fencing) ?? self.incarnation;
+    expect(giver, `fencing ${fencing}`).to.equal(self.incarnation);
+    this.givenBy.set(fencing, giver);
+  }
+}
+
+describe('ZoneLease', () => {
+  it('is held on by consent while the log is down', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    zone.logDown = true;
+    await zone.advance(30_000, () => expect(theHolder(zone)).to.equal(holder));
+  });
+
+  it('ends without the log and without the consent of one member', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    const [other] = NAMES.filter(name => name !== holder.network.self.host);
+    zone.logDown = true;
+    zone.toggleLink(holder.network.self.host, other);
+    await zone.advance(12_000, nothing);
+    expect(holders(zone)).to.deep.equal([]);
+  });
+
+  it('passes from a holder that is cut off from the log alone', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    holder.cutFromLog = true;
+    await zone.advance(40_000, nothing);
+    expect(theHolder(zone)).not.to.equal(holder);
+  });
+
+  it('passes at once on release', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    const {signal} = new AbortController();
+    void holder.membership.lease.release(true, signal);
+    expect(holder.fencing).to.equal(undefined);
+    await zone.advance(2_000, nothing);
+    const authority = theHolder(zone).membership.lease.check();
+    const {heldSinceMs, orderableFromMs} = authority._unsafeUnwrap();
+    expect(orderableFromMs).to.equal(heldSinceMs);
+  });
+
+  it('makes its next holder wait for orders of one that died', async () => {
+    const zone = await startZone();
+    const dead = theHolder(zone);
+    dead.stop();
+    zone.hosts.delete(dead.network.self.host);
+    await zone.advance(9_000, nothing);
+    const authority = theHolder(zone).membership.lease.check();
+    const {heldSinceMs, orderableFromMs} = authority._unsafeUnwrap();
+    expect(orderableFromMs - heldSinceMs).to.equal(30_000);
+  });
+
+  it('is not claimed by a host that an earlier member ignores', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    holder.cutFromLog = true;
+    for (const name of NAMES) {
+      if (zone.hosts.get(name) !== holder) zone.toggleLink(name, 'h4');
+    }
+    zone.toggleLink(holder.network.self.host, 'h4');
+    const joiner = zone.start('h4');
+    await zone.advance(60_000, () => {
+      expect(joiner.fencing).to.equal(undefined);
+    });
+    holder.cutFromLog = false;
+    await zone.advance(10_000, nothing);
+    expect(joiner.membership.joins.established).to.equal(true);
+  });
+
+  it('is not upheld by a member whose claim is on its way', async () => {
+    for (let mendMs = 6_000; mendMs < 12_000; mendMs += 100) {
+      const zone = await startZone(['h1', 'h2']);
+      const holder = theHolder(zone);
+      holder.cutFromLog = true;
+      zone.toggleLink('h1', 'h2');
+      for (const host of zone.hosts.values()) host.appendMs = 1_800;
+      const watch = new Watch(zone);
+      await zone.advance(mendMs, () => watch.step());
+      zone.toggleLink('h1', 'h2');
+      await zone.advance(10_000, () => watch.step());
+    }
+  });
+
+  it('is counted from before a renewal that its holder saw late', async () => {
+    for (let pauseMs = 0; pauseMs < 4_000; pauseMs += 100) {
+      const zone = await startZone(['h1', 'h2']);
+      const holder = theHolder(zone);
+      zone.toggleLink('h1', 'h2');
+      holder.appendMs = 1_500;
+      const watch = new Watch(zone);
+      await zone.advance(pauseMs, () => watch.step());
+      holder.paused = true;
+      await zone.advance(6_500, () => watch.step());
+      holder.paused = false;
+      await zone.advance(6_000, () => watch.step());
+    }
+  });
+
+  it('comes back to use after a claim that landed late', async () => {
+    const zone = await startZone(['h1']);
+    const late = zone.hosts.get('h1')!;
+    late.clock.pause(60_000);
+    late.appendMs = 5_000;
+    await zone.advance(20_000, nothing);
+    late.appendMs = 50;
+    await zone.advance(20_000, nothing);
+    expect(theHolder(zone)).to.equal(late);
+  });
+});
+
+const event = fc.record({
+  afterMs: fc.integer({min: 0, max: 60}).map(n => n * 100),
+  host: fc.constantFrom(...ALL_NAMES),
+  other: fc.constantFrom(...ALL_NAMES),
+  kind: fc.constantFrom(
+    'pause',
+    'resume',
+    'cut-log',
+    'mend-log',
+    'toggle-link',
+    'log-down',
+    'log-up',
+    'lose-answers',
+    'slow-appends',
+    'lost-appends',
+    'fast-appends',
+    'restart',
+    'holder-cut',
+    'holder-pause',
+  ),
+});
+
+type ZoneEvent = typeof event extends fc.Arbitrary<infer T> ? T : never;
+
+function cause(zone: FakeZone, {kind, host: name, other}: ZoneEvent): void {
+  const host = zone.hosts.get(name);
+  const [holder] = holders(zone);
+  if (kind === 'log-down') zone.logDown = true;
+  if (kind === 'log-up') zone.logDown = false;
+  if (kind === 'toggle-link' && name !== other) zone.toggleLink(name, other);
+  if (kind === 'restart') zone.start(name);
+  if (kind === 'holder-cut' && holder) holder.cutFromLog = true;
+  if (kind === 'holder-pause' && holder) holder.paused = true;
+  if (host === undefined) return;
+  if (kind === 'pause') host.paused = true;
+  if (kind === 'resume') host.paused = false;
+  if (kind === 'cut-log') host.cutFromLog = true;
+  if (kind === 'mend-log') host.cutFromLog = false;
+  if (kind === 'lose-answers') host.loseAnswers = 3;
+  if (kind === 'slow-appends') host.appendMs = 1_800;
+  if (kind === 'lost-appends') host.appendMs = 9_000;
+  if (kind === 'fast-appends') host.appendMs = 50;
+}
+
+describe('ZoneLease under failures', () => {
+  it('never lets two holders give accepted orders', async function () {
+    this.timeout(240_000);
+    const property = fc.asyncProperty(
+      fc.array(event, {minLength: 4, maxLength: 16}),
+      async events => {
+        const zone = await startZone();
+        const watch = new Watch(zone);
+        for (const next of events) {
+          await zone.advance(next.afterMs, () => watch.step());
+          cause(zone, next);
+        }
+        await zone.advance(15_000, () => watch.step());
+        for (const host of zone.hosts.values()) host.stop();
+      },
+    );
+    await fc.assert(property, {numRuns: RUNS});
+  });
+});
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -4,13 +4,13 @@
 import {
   Clock,
   ConfigStore,
+  HttpHostList,
   HttpPlatformLog,
-  JOIN,
-  LEAVE,
   LocalTokenLimiter,
   Logger,
   Member,
   MemberTable,
+  Membership,
   Metrics,
   PeerIdentity,
   PlacementClient,
@@ -26,7 +26,6 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
-  ZoneLease,
   ZoneStream,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
@@ -38,7 +37,6 @@
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
 
-const JOIN_BOUND_MS = 10_000;
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
 const ZONE_SCAN_INTERVAL_MS = 500;
@@ -63,9 +61,8 @@
   private readonly tracing: Tracing;
   private readonly config: ConfigStore;
   private readonly zoneStream: ZoneStream;
-  private readonly members: MemberTable;
+  private readonly membership: Membership;
   private readonly remoteZones = new Map<string, MemberTable>();
-  private readonly lease: ZoneLease;
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
@@ -98,9 +95,6 @@
     this.config = new ConfigStore({log, clock, logger, metrics, ids});
     const config = this.config.state;
     this.zoneStream = new ZoneStream({zone, log, clock, logger, ids});
-    this.members = new MemberTable(this.zoneStream);
-    const stream = this.zoneStream;
-    this.lease = new ZoneLease({self, stream, clock, logger});
     this.network = new TcpPeerNetwork({
       self,
       clock,
@@ -108,10 +102,19 @@
       secret: settings.peers.secret,
       resolve: host => this.findMember(host)?.peer,
     });
+    const listUrl = settings.platform.host_list;
+    this.membership = new Membership({
+      stream: this.zoneStream,
+      network: this.network,
+      clock,
+      logger,
+      hostList: listUrl === undefined ? undefined : new HttpHostList(listUrl),
+    });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory();
-    const {lease, network, members} = this;
+    const {network} = this;
+    const {lease, members} = this.membership;
     this.controller = new ZoneController({
       zone,
       config,
@@ -195,7 +198,7 @@
     void this.zoneStream.run(signal);
     await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
     await this.join(peerPort.value);
-    void this.lease.run(signal);
+    void this.membership.run(signal);
     void this.controller.run(signal);
     this.config.onChange(() => this.scan());
     void this.clock.every(ZONE_SCAN_INTERVAL_MS, signal, () => this.scan());
@@ -232,16 +235,10 @@
     logger.info('stopping', {});
     this.gate.close();
     const bound = AbortSignal.timeout(STOP_APPEND_BOUND_MS);
-    await this.lease.release(bound);
+    await this.membership.lease.release(false, bound);
     await this.gate.idle();
     this.caller?.close();
-    const {host, incarnation} = this.self;
-    await this.zoneStream.append(
-      LEAVE,
-      {host, incarnation},
-      STOP_APPEND_BOUND_MS,
-      AbortSignal.timeout(STOP_APPEND_BOUND_MS),
-    );
+    await this.membership.leave(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
     await this.tracing.flush();
     logger.info('stopped', {});
     this.kill();
@@ -254,22 +251,13 @@
       peer: {address: listen.peer.address, port: peerPort},
       operator: {address: listen.operator.address, port: this.operatorPort},
     };
-    const {signal} = this.lifetime;
-    for (;;) {
-      const joined = await this.zoneStream.append(
-        JOIN,
-        member,
-        JOIN_BOUND_MS,
-        signal,
-      );
-      if (joined.isOk() || signal.aborted) return;
-    }
+    await this.membership.join(member, this.lifetime.signal);
   }
 
   /** Keeps links within the zone and follows the streams of other zones. */
   private scan(): void {
     const {signal} = this.lifetime;
-    for (const {host} of this.members.all()) {
+    for (const {host} of this.membership.members.all()) {
       if (host === this.self.host || this.keptLinks.has(host)) continue;
       this.keptLinks.add(host);
       void this.network.keepLink(host, signal);
@@ -289,9 +277,8 @@
   }
 
   private findMember(host: string): Member | undefined {
-    const local = this.members.get(host);
-    if (local !== undefined) return local;
-    return this.remoteHosts().find(member => member.host === host);
+    const all = [...this.membership.members.known(), ...this.remoteHosts()];
+    return all.find(member => member.host === host);
   }
 
   private startCallerApi(): Promise<Result<HttpListener, string>> {
@@ -337,7 +324,7 @@
       ready: this.caller !== undefined && !this.gate.isStopping,
       configVersion: this.config.state.version,
       configAgeS: Number.isFinite(ageMs) ? ageMs / 1_000 : null,
-      leaseHolder: this.lease.holder() ?? null,
+      leaseHolder: this.membership.lease.holder() ?? null,
       peers: this.network.connected().map(peer => peer.host),
       remoteHosts: this.remoteHosts().map(member => member.host),
       queued: this.queue.length,
