--- /dev/null
+++ b/packages/core/src/lib/idempotency/idempotency_records.ts
@@ -0,0 +1,42 @@
+/** Records of the `idempotency.<shard>` streams. @packageDocumentation */
+
+import {z} from 'zod';
+
+/** The answer to a request that ran, as it is kept for repeats. */
+export const storedAnswerSchema = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.string()),
+  /** The body in base64. */
+  body: z.string(),
+});
+
+/** See {@link storedAnswerSchema}. */
+export type StoredAnswer = z.output<typeof storedAnswerSchema>;
+
+/** What stands on the streams. */
+export const idempotencyRecordSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('claim'),
+    /** Digest of the team and its idempotency key. */
+    key: z.string(),
+    /** Digest of the request's content. */
+    content: z.string(),
+  }),
+  z.object({
+    type: z.literal('result'),
+    /** Record id of the claim. */
+    claim: z.string(),
+    key: z.string(),
+    /** Null if the answer is too large to be kept. */
+    answer: storedAnswerSchema.nullable(),
+  }),
+  z.object({
+    type: z.literal('abandon'),
+    /** Record id of a claim under which nothing ran or will run. */
+    claim: z.string(),
+    key: z.string(),
+  }),
+]);
+
+/** See {@link idempotencyRecordSchema}. */
+export type IdempotencyRecord = z.output<typeof idempotencyRecordSchema>;
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -6,6 +6,7 @@
 import {AsyncQueue} from './async_queue.js';
 import {Frame, FrameDecoder, encodeFrame} from './frame.js';
 import {
+  CALL_ABORT,
   CallContext,
   PEER_ERROR,
   PeerError,
@@ -180,7 +181,7 @@
     }
     this.outgoing.clear();
     for (const call of this.incoming.values()) {
-      call.abort.abort();
+      call.abort.abort(CALL_ABORT.linkLost);
       call.onCredit?.();
     }
     this.incoming.clear();
@@ -222,7 +223,7 @@
         this.endOutgoing(frame.id, frame.error);
         break;
       case 'cancel':
-        this.incoming.get(frame.id)?.abort.abort();
+        this.incoming.get(frame.id)?.abort.abort(CALL_ABORT.cancelled);
         this.incoming.get(frame.id)?.onCredit?.();
         break;
       case 'credit':
--- a/packages/core/src/lib/peers/peer_network.ts
+++ b/packages/core/src/lib/peers/peer_network.ts
@@ -34,10 +34,19 @@
   incarnation: string;
 }
 
+/** Why the signal of a call aborted; see {@link CallContext}. */
+export const CALL_ABORT = {
+  cancelled: 'cancelled',
+  linkLost: 'link-lost',
+} as const;
+
 /** What a handler knows of a call besides its body. */
 export interface CallContext {
   from: PeerIdentity;
-  /** Aborts when the caller cancels or its link is lost. */
+  /**
+   * Aborts when the caller cancels or its link is lost; the reason is one of
+   * {@link CALL_ABORT}.
+   */
   signal: AbortSignal;
 }
 
--- a/packages/core/src/lib/requests/forward.ts
+++ b/packages/core/src/lib/requests/forward.ts
@@ -10,12 +10,17 @@
   /** Time left until the deadline, in milliseconds. */
   remainingMs: z.number(),
   traceparent: z.string(),
+  /** Targets that were tried in vain. */
+  avoid: z.array(z.string()),
+  /** Where to attach to a run that was interrupted. */
+  resume: z.object({target: z.string(), offset: z.number().int()}).optional(),
 });
 
 /** A request on its way to another zone. */
 export type Forward = z.output<typeof forwardSchema>;
 
-const outcomeSchema = z.discriminatedUnion('type', [
+/** An outcome as it travels between hosts. */
+export const outcomeSchema = z.discriminatedUnion('type', [
   z.object({type: z.literal('served')}),
   z.object({
     type: z.literal('refused'),
@@ -36,7 +41,13 @@
   id: z.string(),
   event: z.union([
     generationEventSchema,
-    z.object({type: z.literal('outcome'), outcome: outcomeSchema}),
+    z.object({type: z.literal('target'), target: z.string()}),
+    z.object({
+      type: z.literal('outcome'),
+      outcome: outcomeSchema,
+      generated: z.number().int().optional(),
+      avoid: z.string().optional(),
+    }),
   ]),
 });
 
--- /dev/null
+++ b/packages/core/src/lib/requests/forward_server.ts
@@ -0,0 +1,102 @@
+/** Runs requests that hosts of other zones pass on. @packageDocumentation */
+
+import {
+  CALL_ABORT,
+  CallContext,
+  PeerNetwork,
+} from '../peers/peer_network.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
+import {Clock} from '../time/clock.js';
+import {FORWARD, Forward, ForwardEvent} from './forward.js';
+import {InFlight} from './in_flight.js';
+import {LocalRunner} from './local_runner.js';
+import {REFUSAL, refuse} from './outcome.js';
+
+/** What a {@link ForwardServer} works with. */
+export interface ForwardServerOptions {
+  network: PeerNetwork;
+  runner: LocalRunner;
+  tracing: Tracing;
+  clock: Clock;
+}
+
+/** Answers {@link FORWARD} calls. */
+export class ForwardServer {
+  /** Forwarded requests in progress. */
+  readonly inFlight = new InFlight();
+  private closed = false;
+
+  constructor(private readonly options: ForwardServerOptions) {
+    options.network.serve(FORWARD, (body, context) =>
+      this.serve(body, context),
+    );
+  }
+
+  /** Refuses new requests from now on; resumed ones are still taken. */
+  close(): void {
+    this.closed = true;
+  }
+
+  private async *serve(
+    forward: Forward,
+    context: CallContext,
+  ): AsyncGenerator<ForwardEvent, void> {
+    const {id} = forward.request;
+    if (this.closed && forward.resume === undefined) {
+      const outcome = refuse(REFUSAL.stopping, 'this host is stopping');
+      yield {id, event: {type: 'outcome', outcome, generated: 0}};
+      return;
+    }
+    const leave = this.inFlight.enter();
+    try {
+      yield* this.run(forward, context);
+    } finally {
+      leave();
+    }
+  }
+
+  private async *run(
+    {request: req, remainingMs, traceparent, avoid, resume}: Forward,
+    {signal}: CallContext,
+  ): AsyncGenerator<ForwardEvent, void> {
+    const {tracing, clock, runner} = this.options;
+    const {id} = req;
+    const span = tracing.startRemote(HOP.request, traceparent);
+    const cancelled = new AbortController();
+    const detach = new AbortController();
+    const onAbort = () => {
+      if (signal.reason === CALL_ABORT.linkLost) detach.abort();
+      else cancelled.abort();
+    };
+    signal.addEventListener('abort', onAbort);
+    if (signal.aborted) onAbort();
+    const deadlineMs = clock.now() + remainingMs;
+    const context = {deadlineMs, span, signal: cancelled.signal};
+    let target: string | undefined;
+    const attempt = runner.run(req, context, {
+      avoid: new Set(avoid),
+      detach: detach.signal,
+      resume,
+      onTarget: chosen => {
+        target = chosen;
+      },
+    });
+    try {
+      for (;;) {
+        const step = await attempt.next();
+        if (target !== undefined) {
+          yield {id, event: {type: 'target', target}};
+          target = undefined;
+        }
+        if (step.done) {
+          yield {id, event: {type: 'outcome', ...step.value}};
+          return;
+        }
+        yield {id, event: step.value};
+      }
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+      span.end();
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/peer_runner.ts
@@ -0,0 +1,140 @@
+/** Runs a generation through a host of another zone. @packageDocumentation */
+
+import {PEER_ERROR, PeerError, PeerNetwork} from '../peers/peer_network.js';
+import {Router} from '../routing/router.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
+import {Clock} from '../time/clock.js';
+import {Attempt, AttemptEnd, ResumePoint, RunContext} from './attempt.js';
+import {FORWARD, Forward} from './forward.js';
+import {GenerationEvent, GenerationRequest} from './generation.js';
+import {FAILURE, REFUSAL, fail, refuse} from './outcome.js';
+
+const RESUME_ATTEMPTS = 3;
+const RESUME_DELAY_MS = 100;
+
+/** What a {@link PeerRunner} works with. */
+export interface PeerRunnerOptions {
+  network: PeerNetwork;
+  router: Router;
+  tracing: Tracing;
+  clock: Clock;
+}
+
+/** How one call to a peer ended. */
+type CallEnd = AttemptEnd | PeerError;
+
+/** What is known of a forwarded run. */
+interface Progress {
+  /** Target that runs the request, once it is known. */
+  target: string | undefined;
+  /** Tokens that have come. */
+  next: number;
+}
+
+/**
+ * Forwards requests. When the link or the peer is lost in the middle of an
+ * answer, another call, to any host of that zone, attaches to the run.
+ */
+export class PeerRunner {
+  constructor(private readonly options: PeerRunnerOptions) {}
+
+  /**
+   * @param host - the peer.
+   * @param zone - the peer's zone.
+   * @param req - the request.
+   * @param context - see {@link RunContext}.
+   * @param avoid - targets that were tried in vain.
+   */
+  async *run(
+    host: string,
+    zone: string,
+    req: GenerationRequest,
+    context: RunContext,
+    avoid: ReadonlySet<string>,
+  ): Attempt {
+    const progress: Progress = {target: undefined, next: 0};
+    let peer = host;
+    let resume: ResumePoint | undefined;
+    for (let attempt = 0; ; attempt++) {
+      const end = yield* this.call(peer, req, context, avoid, progress, resume);
+      if ('outcome' in end) return end;
+      if (context.signal.aborted) {
+        return {outcome: {type: 'cancelled'}, generated: undefined};
+      }
+      const unsent = end.type === PEER_ERROR.notSent && resume === undefined;
+      if (unsent) return notSent(host, end);
+      const {target, next} = progress;
+      if (target === undefined || attempt >= RESUME_ATTEMPTS) {
+        return lost(host, end);
+      }
+      resume = {target, offset: next};
+      peer = this.hostAfter(peer, zone, attempt);
+      await this.options.clock.sleep(RESUME_DELAY_MS, context.signal);
+    }
+  }
+
+  /** Takes the zone's hosts in turn, the lost one last. */
+  private hostAfter(lostHost: string, zone: string, attempt: number): string {
+    const hosts = this.options.router.hostsIn(zone);
+    const others = hosts.filter(host => host !== lostHost);
+    return others.length === 0 ? lostHost : others[attempt % others.length];
+  }
+
+  private async *call(
+    host: string,
+    req: GenerationRequest,
+    context: RunContext,
+    avoid: ReadonlySet<string>,
+    progress: Progress,
+    resume: ResumePoint | undefined,
+  ): AsyncGenerator<GenerationEvent, CallEnd> {
+    const {tracing, network, clock} = this.options;
+    const span = tracing.start(HOP.peer, context.span.context, {host});
+    const forward: Forward = {
+      request: req,
+      remainingMs: context.deadlineMs - clock.now(),
+      traceparent: span.traceparent(),
+      avoid: [...avoid],
+      resume,
+    };
+    const answers = network.open(host, FORWARD, forward, context.signal);
+    try {
+      for await (const answer of answers) {
+        if (answer.isErr()) return answer.error;
+        const {id, event} = answer.value;
+        if (id !== req.id) return lostError('answered another request');
+        if (event.type === 'outcome') {
+          const {outcome, generated, avoid: failed} = event;
+          return {outcome, generated, avoid: failed};
+        }
+        if (event.type === 'target') {
+          progress.target = event.target;
+          continue;
+        }
+        if (event.type === 'token') {
+          if (event.offset < progress.next) continue;
+          if (event.offset > progress.next) return lostError('skipped a token');
+          progress.next += 1;
+        }
+        yield event;
+      }
+      return lostError('ended without an outcome');
+    } finally {
+      span.end();
+    }
+  }
+}
+
+function notSent(host: string, {message}: PeerError): AttemptEnd {
+  const outcome = refuse(REFUSAL.noCapacity, message);
+  return {outcome, generated: 0, avoid: host};
+}
+
+function lost(host: string, {message}: PeerError): AttemptEnd {
+  const outcome = fail(FAILURE.peerLost, message);
+  return {outcome, generated: undefined, avoid: host};
+}
+
+function lostError(message: string): PeerError {
+  return {type: PEER_ERROR.lost, message: `the peer ${message}`};
+}
--- a/packages/core/src/lib/requests/request_runner.ts
+++ b/packages/core/src/lib/requests/request_runner.ts
@@ -1,65 +1,63 @@
-/** The way of a generation request through a host. @packageDocumentation */
+/** The way of a generation request through the system. @packageDocumentation */
 
-import {TokenLimiter, TokenReservation} from '../limits/token_limiter.js';
-import {PEER_ERROR, PeerNetwork} from '../peers/peer_network.js';
+import {TokenLimiter} from '../limits/token_limiter.js';
 import {Router} from '../routing/router.js';
-import {RequestQueue, Slot} from '../scheduling/request_queue.js';
-import {
-  ENGINE_ERROR,
-  EngineClient,
-  EngineError,
-} from '../targets/engine_client.js';
-import {HOP, HopSpan, Tracing} from '../telemetry/tracing.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
-import {FORWARD} from './forward.js';
+import {Attempt, AttemptEnd, RunContext} from './attempt.js';
 import {
   GenerationEvent,
   GenerationRequest,
   estimatePromptTokens,
 } from './generation.js';
-import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
-
-/** What a request carries besides its content. */
-export interface RunContext {
-  /** Clock time by which the request must have ended, in milliseconds. */
-  deadlineMs: number;
-  /** The span that encloses the run. */
-  span: HopSpan;
-  /** Aborts when the caller goes away. */
-  signal: AbortSignal;
-}
+import {LocalRunner} from './local_runner.js';
+import {
+  FAILURE,
+  FailureReason,
+  Outcome,
+  REFUSAL,
+  RefusalReason,
+  refuse,
+} from './outcome.js';
+import {PeerRunner} from './peer_runner.js';
+import {runWithRetries} from './retry_loop.js';
+import {RetryPolicy} from './retry_policy.js';
 
 /** What a {@link RequestRunner} works with. */
 export interface RequestRunnerOptions {
   limiter: TokenLimiter;
-  queue: RequestQueue;
   router: Router;
-  network: PeerNetwork;
+  local: LocalRunner;
+  peers: PeerRunner;
+  retries: RetryPolicy;
   tracing: Tracing;
   clock: Clock;
-  /** @returns the client of a declared engine. */
-  engineOf: (target: string) => EngineClient;
 }
 
 /** The events of an answer; the generator returns the outcome. */
 export type Run = AsyncGenerator<GenerationEvent, Outcome>;
 
+/** Refusals after which another target or host may still serve. */
+const TRY_ELSEWHERE: ReadonlySet<RefusalReason> = new Set([
+  REFUSAL.noCapacity,
+  REFUSAL.stopping,
+]);
+
+/** Failures after which a repeatable request may be run again. */
+const RUN_AGAIN: ReadonlySet<FailureReason> = new Set([
+  FAILURE.targetLost,
+  FAILURE.peerLost,
+]);
+
 /**
- * Runs requests: limit, queue, route, target.
+ * Runs requests: limit, route, queue, target, with retries.
  *
- * Every run ends in exactly one outcome.
+ * Every run ends in exactly one outcome. It is a refusal only if no attempt
+ * can have run the request. The signal of the context cancels a run; iterate
+ * on to the end to learn the outcome.
  */
 export class RequestRunner {
-  constructor(private readonly options: RequestRunnerOptions) {
-    options.network.serve(FORWARD, (body, {signal}) =>
-      this.serveForward(
-        body.request,
-        body.remainingMs,
-        body.traceparent,
-        signal,
-      ),
-    );
-  }
+  constructor(private readonly options: RequestRunnerOptions) {}
 
   /**
    * Runs a request that a caller sent to this host.
@@ -67,171 +65,83 @@
    * @param req - the request, already authenticated.
    * @param context - see {@link RunContext}.
    */
-  async *run(req: GenerationRequest, context: RunContext): Run {
-    const tokens = estimatePromptTokens(req.input) + req.maxTokens;
-    const span = this.options.tracing.start(HOP.limit, context.span.context);
-    const demand = {team: req.team, tokens, deadlineMs: context.deadlineMs};
-    const reserved = await this.options.limiter.reserve(demand, context.signal);
-    span.end(reserved.isErr() ? reserved.error.reason : undefined);
-    if (reserved.isErr()) return reserved.error;
-    return yield* this.runReserved(req, reserved.value, context);
+  run(req: GenerationRequest, context: RunContext): Run {
+    const {clock, retries} = this.options;
+    return runWithRetries({
+      clock,
+      retries,
+      context,
+      attempt: avoid => this.attempt(req, context, avoid),
+      isRetryable: outcome => isRetryable(outcome, req.repeatable),
+    });
   }
 
-  private async *runReserved(
+  /** Reserves tokens for one attempt, since each attempt generates anew. */
+  private async *attempt(
     req: GenerationRequest,
-    reservation: TokenReservation,
     context: RunContext,
-  ): Run {
+    avoid: ReadonlySet<string>,
+  ): Attempt {
+    const {limiter, tracing} = this.options;
     const promptTokens = estimatePromptTokens(req.input);
-    let used = 0;
-    try {
-      const run = this.route(req, context);
-      for (;;) {
-        const step = await run.next();
-        if (step.done) return step.value;
-        if (step.value.type === 'token') {
-          used = promptTokens + step.value.offset + 1;
-        }
-        yield step.value;
-      }
-    } finally {
-      reservation.settle(used);
-    }
-  }
-
-  private async *route(req: GenerationRequest, context: RunContext): Run {
-    const span = this.options.tracing.start(HOP.route, context.span.context);
-    const choice = this.options.router.forGeneration();
-    span.set('choice', choice.type);
-    span.end();
-    if (choice.type === 'none') {
-      return refuse(REFUSAL.noCapacity, choice.message);
-    }
-    if (choice.type === 'local') return yield* this.runHere(req, context);
-    return yield* this.runAtPeer(choice.host, req, context);
-  }
-
-  private async *runHere(req: GenerationRequest, context: RunContext): Run {
-    const {queue, tracing} = this.options;
-    const tokens = estimatePromptTokens(req.input) + req.maxTokens;
-    const demand = {
-      requestId: req.id,
-      team: req.team,
-      model: req.model,
-      adapter: req.adapter,
-      tokens,
-      deadlineMs: context.deadlineMs,
-    };
-    const span = tracing.start(HOP.queue, context.span.context);
-    const slot = await queue.acquire(demand, context.signal);
-    span.end(slot.isErr() ? slot.error.reason : undefined);
-    if (slot.isErr()) return slot.error;
-    try {
-      return yield* this.runAtTarget(slot.value, req, context);
-    } finally {
-      slot.value.release();
+    const tokens = promptTokens + req.maxTokens;
+    const span = tracing.start(HOP.limit, context.span.context);
+    const demand = {team: req.team, tokens, deadlineMs: context.deadlineMs};
+    const reserved = await limiter.reserve(demand, context.signal);
+    span.end(reserved.isErr() ? reserved.error.reason : undefined);
+    if (reserved.isErr()) {
+      const outcome: Outcome = context.signal.aborted
+        ? {type: 'cancelled'}
+        : reserved.error;
+      return {outcome, generated: 0};
     }
-  }
-
-  private async *runAtTarget(
-    {target}: Slot,
-    req: GenerationRequest,
-    context: RunContext,
-  ): Run {
-    const {tracing, engineOf, clock} = this.options;
-    const span = tracing.start(HOP.target, context.span.context, {target});
-    const late = new AbortController();
-    const remainingMs = context.deadlineMs - clock.now();
-    const timer = clock.after(remainingMs, () => late.abort());
-    const signal = AbortSignal.any([context.signal, late.signal]);
-    let error: EngineError | undefined;
+    let used = tokens;
     try {
-      const traceparent = span.traceparent();
-      const options = {resumeFrom: 0, traceparent, signal};
-      for await (const event of engineOf(target).generate(req, options)) {
-        if (event.isOk()) yield event.value;
-        else error = event.error;
-      }
+      const end = yield* this.route(req, context, avoid);
+      used = usedTokens(end, promptTokens, tokens);
+      return end;
     } finally {
-      timer.cancel();
-      span.end(error?.message);
+      reserved.value.settle(used);
     }
-    if (context.signal.aborted) return {type: 'cancelled'};
-    if (late.signal.aborted)
-      return fail(FAILURE.deadline, 'the deadline passed');
-    return error === undefined ? {type: 'served'} : outcomeOf(error);
   }
 
-  private async *runAtPeer(
-    host: string,
+  private async *route(
     req: GenerationRequest,
     context: RunContext,
-  ): Run {
-    const {tracing, network, clock} = this.options;
-    const span = tracing.start(HOP.peer, context.span.context, {host});
-    const forward = {
-      request: req,
-      remainingMs: context.deadlineMs - clock.now(),
-      traceparent: span.traceparent(),
-    };
-    try {
-      for await (const answer of network.open(
-        host,
-        FORWARD,
-        forward,
-        context.signal,
-      )) {
-        if (answer.isErr()) {
-          const {type, message} = answer.error;
-          if (context.signal.aborted) return {type: 'cancelled'};
-          return type === PEER_ERROR.notSent
-            ? refuse(REFUSAL.noCapacity, message)
-            : fail(FAILURE.peerLost, message);
-        }
-        const {id, event} = answer.value;
-        if (id !== req.id) {
-          return fail(FAILURE.peerLost, 'the peer answered another request');
-        }
-        if (event.type === 'outcome') return event.outcome;
-        yield event;
+    avoid: ReadonlySet<string>,
+  ): Attempt {
+    const {router, tracing, local, peers} = this.options;
+    const span = tracing.start(HOP.route, context.span.context);
+    const choice = router.forGeneration(avoid);
+    span.set('choice', choice.type);
+    span.end();
+    switch (choice.type) {
+      case 'none':
+        return {
+          outcome: refuse(REFUSAL.noCapacity, choice.message),
+          generated: 0,
+        };
+      case 'local':
+        return yield* local.run(req, context, {avoid});
+      case 'peer': {
+        const {host, zone} = choice;
+        return yield* peers.run(host, zone, req, context, avoid);
       }
-      return fail(FAILURE.peerLost, 'the peer ended without an outcome');
-    } finally {
-      span.end();
     }
   }
+}
 
-  private async *serveForward(
-    req: GenerationRequest,
-    remainingMs: number,
-    traceparent: string,
-    signal: AbortSignal,
-  ) {
-    const {tracing, clock} = this.options;
-    const span = tracing.startRemote(HOP.request, traceparent);
-    const deadlineMs = clock.now() + remainingMs;
-    const run = this.runHere(req, {deadlineMs, span, signal});
-    try {
-      for (;;) {
-        const step = await run.next();
-        const {id} = req;
-        if (step.done) {
-          yield {id, event: {type: 'outcome' as const, outcome: step.value}};
-          return;
-        }
-        yield {id, event: step.value};
-      }
-    } finally {
-      await run.return({type: 'cancelled'});
-      span.end();
-    }
-  }
+function isRetryable(outcome: Outcome, repeatable: boolean): boolean {
+  if (outcome.type === 'refused') return TRY_ELSEWHERE.has(outcome.reason);
+  if (outcome.type !== 'failed') return false;
+  return repeatable && RUN_AGAIN.has(outcome.reason);
 }
 
-function outcomeOf(error: EngineError): Outcome {
-  const {type, message} = error;
-  if (type === ENGINE_ERROR.notSent || type === ENGINE_ERROR.refused) {
-    return refuse(REFUSAL.noCapacity, message);
-  }
-  return fail(FAILURE.targetLost, message);
+function usedTokens(
+  {outcome, generated}: AttemptEnd,
+  promptTokens: number,
+  reserved: number,
+): number {
+  if (outcome.type === 'refused') return 0;
+  return generated === undefined ? reserved : promptTokens + generated;
 }
--- /dev/null
+++ b/packages/core/src/lib/requests/service_attempt.ts
@@ -0,0 +1,139 @@
+/** One call of one service. @packageDocumentation */
+
+import {ConfigState} from '../config/config_state.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
+import {ServiceAnswer, ServiceClient} from '../targets/service_client.js';
+import {Clock} from '../time/clock.js';
+import {deadlineSignal} from '../time/deadline.js';
+import {RunContext} from './attempt.js';
+import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
+import {ServiceEvent, ServiceRequest} from './service_call.js';
+
+/** How an attempt ended. */
+export interface ServiceAttemptEnd {
+  outcome: Outcome;
+  /** A target or host that the next attempt had better avoid. */
+  avoid?: string;
+}
+
+/** The events of an attempt; the generator returns its end. */
+export type ServiceAttempt = AsyncGenerator<ServiceEvent, ServiceAttemptEnd>;
+
+/** What a {@link ServiceCaller} works with. */
+export interface ServiceCallerOptions {
+  zone: string;
+  config: ConfigState;
+  tracing: Tracing;
+  clock: Clock;
+  /** @returns the client of a declared service. */
+  serviceOf: (target: string) => ServiceClient;
+}
+
+/** Calls services of this host's zone, each time on a new connection. */
+export class ServiceCaller {
+  private readonly running = new Map<string, number>();
+
+  constructor(private readonly options: ServiceCallerOptions) {}
+
+  /**
+   * @param targets - names of services, of this zone and others.
+   * @param avoid - targets that were tried in vain.
+   * @returns the service of this zone with the fewest calls of this host.
+   */
+  leastLoaded(
+    targets: readonly string[],
+    avoid: ReadonlySet<string>,
+  ): string | undefined {
+    const {zone, config} = this.options;
+    return targets
+      .filter(name => config.declared.get('target', name)?.zone === zone)
+      .filter(name => !avoid.has(name))
+      .sort((a, b) => this.load(a) - this.load(b))[0];
+  }
+
+  /**
+   * @param target - the service.
+   * @param req - the call.
+   * @param context - see {@link RunContext}.
+   */
+  async *call(
+    target: string,
+    req: ServiceRequest,
+    context: RunContext,
+  ): ServiceAttempt {
+    const {tracing, clock} = this.options;
+    const span = tracing.start(HOP.target, context.span.context, {target});
+    const deadline = deadlineSignal(clock, this.attemptDeadline(req, context));
+    const signal = AbortSignal.any([context.signal, deadline.signal]);
+    this.running.set(target, this.load(target) + 1);
+    let outcome: Outcome = {type: 'cancelled'};
+    try {
+      const traceparent = span.traceparent();
+      outcome = yield* this.read(target, req, traceparent, signal);
+      if (context.signal.aborted) outcome = {type: 'cancelled'};
+      return {outcome, avoid: target};
+    } finally {
+      this.running.set(target, this.load(target) - 1);
+      deadline.dispose();
+      span.end(outcome.type === 'served' ? undefined : outcome.type);
+    }
+  }
+
+  private load(target: string): number {
+    return this.running.get(target) ?? 0;
+  }
+
+  /** Leaves a repeatable call time for another attempt. */
+  private attemptDeadline(
+    {repeatable}: ServiceRequest,
+    {deadlineMs}: RunContext,
+  ): number {
+    if (!repeatable) return deadlineMs;
+    const nowMs = this.options.clock.now();
+    return nowMs + (deadlineMs - nowMs) / 2;
+  }
+
+  private async *read(
+    target: string,
+    req: ServiceRequest,
+    traceparent: string,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServiceEvent, Outcome> {
+    const {method, path, body} = req;
+    const answer = await this.options.serviceOf(target).call(
+      {
+        method,
+        path,
+        headers: {...req.headers, traceparent},
+        body: Buffer.from(body),
+      },
+      signal,
+    );
+    if (answer.isErr()) {
+      const {maySent, message} = answer.error;
+      if (!maySent) return refuse(REFUSAL.noCapacity, message);
+      return lost(signal, message);
+    }
+    return yield* readAnswer(answer.value, signal);
+  }
+}
+
+async function* readAnswer(
+  {status, headers, body}: ServiceAnswer,
+  signal: AbortSignal,
+): AsyncGenerator<ServiceEvent, Outcome> {
+  try {
+    yield {type: 'head', status, headers};
+    for await (const data of body) yield {type: 'chunk', data};
+    return {type: 'served'};
+  } catch (error) {
+    return lost(signal, (error as Error).message);
+  } finally {
+    body.destroy();
+  }
+}
+
+function lost(signal: AbortSignal, message: string): Outcome {
+  if (!signal.aborted) return fail(FAILURE.targetLost, message);
+  return fail(FAILURE.deadline, 'the service did not answer in time');
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/service_call.ts
@@ -0,0 +1,75 @@
+/** A call of a plain service and the events that answer it. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod} from '../peers/peer_network.js';
+import {outcomeSchema} from './forward.js';
+
+const bytesSchema = z.instanceof(Uint8Array);
+const headersSchema = z.record(z.string(), z.string());
+
+/** A call as it travels between hosts; it never carries a caller's key. */
+export const serviceRequestSchema = z.object({
+  id: z.string(),
+  team: z.string(),
+  route: z.string(),
+  /** Targets that may answer it. */
+  targets: z.array(z.string()),
+  method: z.string(),
+  /** Path and query below the service's base URL. */
+  path: z.string(),
+  headers: headersSchema,
+  body: bytesSchema,
+  repeatable: z.boolean(),
+});
+
+/** See {@link serviceRequestSchema}. */
+export type ServiceRequest = z.output<typeof serviceRequestSchema>;
+
+/** One event of a service's answer. */
+export const serviceEventSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('head'),
+    status: z.number().int(),
+    headers: headersSchema,
+  }),
+  z.object({type: z.literal('chunk'), data: bytesSchema}),
+]);
+
+/** See {@link serviceEventSchema}. */
+export type ServiceEvent = z.output<typeof serviceEventSchema>;
+
+const forwardServiceSchema = z.object({
+  request: serviceRequestSchema,
+  /** Time left until the deadline, in milliseconds. */
+  remainingMs: z.number(),
+  traceparent: z.string(),
+  /** Targets that were tried in vain. */
+  avoid: z.array(z.string()),
+});
+
+/** A call on its way to another zone. */
+export type ForwardService = z.output<typeof forwardServiceSchema>;
+
+const forwardServiceEventSchema = z.object({
+  /** Id of the request, checked at the receiver. */
+  id: z.string(),
+  event: z.union([
+    serviceEventSchema,
+    z.object({
+      type: z.literal('outcome'),
+      outcome: outcomeSchema,
+      avoid: z.string().optional(),
+    }),
+  ]),
+});
+
+/** An event of a forwarded call; the last one is its outcome. */
+export type ForwardServiceEvent = z.output<typeof forwardServiceEventSchema>;
+
+/** Runs a call of a service at a host of the service's zone. */
+export const FORWARD_SERVICE: PeerMethod<ForwardService, ForwardServiceEvent> =
+  {
+    name: 'requests.forward-service',
+    body: forwardServiceSchema,
+    event: forwardServiceEventSchema,
+  };
--- /dev/null
+++ b/packages/core/src/lib/requests/service_forward_server.ts
@@ -0,0 +1,89 @@
+/** Runs service calls that hosts of other zones pass on. @packageDocumentation */
+
+import {CallContext, PeerNetwork} from '../peers/peer_network.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
+import {Clock} from '../time/clock.js';
+import {InFlight} from './in_flight.js';
+import {REFUSAL, RefusalReason, refuse} from './outcome.js';
+import {ServiceAttempt, ServiceCaller} from './service_attempt.js';
+import {
+  FORWARD_SERVICE,
+  ForwardService,
+  ForwardServiceEvent,
+} from './service_call.js';
+
+/** What a {@link ServiceForwardServer} works with. */
+export interface ServiceForwardServerOptions {
+  network: PeerNetwork;
+  caller: ServiceCaller;
+  tracing: Tracing;
+  clock: Clock;
+}
+
+/** Answers {@link FORWARD_SERVICE} calls. */
+export class ServiceForwardServer {
+  /** Forwarded calls in progress. */
+  readonly inFlight = new InFlight();
+  private closed = false;
+
+  constructor(private readonly options: ServiceForwardServerOptions) {
+    options.network.serve(FORWARD_SERVICE, (body, context) =>
+      this.serve(body, context),
+    );
+  }
+
+  /** Refuses new calls from now on. */
+  close(): void {
+    this.closed = true;
+  }
+
+  private async *serve(
+    forward: ForwardService,
+    {signal}: CallContext,
+  ): AsyncGenerator<ForwardServiceEvent, void> {
+    const {request: req, remainingMs, traceparent, avoid} = forward;
+    const {clock, tracing, caller} = this.options;
+    const target = caller.leastLoaded(req.targets, new Set(avoid));
+    if (this.closed) {
+      yield refusal(req.id, REFUSAL.stopping, 'this host is stopping');
+      return;
+    }
+    if (target === undefined) {
+      yield refusal(req.id, REFUSAL.noCapacity, 'no such service here');
+      return;
+    }
+    const leave = this.inFlight.enter();
+    const span = tracing.startRemote(HOP.request, traceparent);
+    const deadlineMs = clock.now() + remainingMs;
+    try {
+      const context = {deadlineMs, span, signal};
+      yield* toEvents(req.id, caller.call(target, req, context));
+    } finally {
+      span.end();
+      leave();
+    }
+  }
+}
+
+async function* toEvents(
+  id: string,
+  attempt: ServiceAttempt,
+): AsyncGenerator<ForwardServiceEvent, void> {
+  for (;;) {
+    const step = await attempt.next();
+    if (step.done) {
+      yield {id, event: {type: 'outcome', ...step.value}};
+      return;
+    }
+    yield {id, event: step.value};
+  }
+}
+
+function refusal(
+  id: string,
+  reason: RefusalReason,
+  message: string,
+): ForwardServiceEvent {
+  const outcome = refuse(reason, message);
+  return {id, event: {type: 'outcome', outcome}};
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/service_runner.ts
@@ -0,0 +1,139 @@
+/** The way of a service call through the system. @packageDocumentation */
+
+import {ConfigState} from '../config/config_state.js';
+import {PEER_ERROR, PeerNetwork} from '../peers/peer_network.js';
+import {Router} from '../routing/router.js';
+import {HOP, Tracing} from '../telemetry/tracing.js';
+import {Clock} from '../time/clock.js';
+import {RunContext} from './attempt.js';
+import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
+import {runWithRetries} from './retry_loop.js';
+import {RetryPolicy} from './retry_policy.js';
+import {ServiceAttempt, ServiceCaller} from './service_attempt.js';
+import {
+  FORWARD_SERVICE,
+  ForwardService,
+  ServiceEvent,
+  ServiceRequest,
+} from './service_call.js';
+
+/** What a {@link ServiceRunner} works with. */
+export interface ServiceRunnerOptions {
+  zone: string;
+  config: ConfigState;
+  router: Router;
+  network: PeerNetwork;
+  caller: ServiceCaller;
+  retries: RetryPolicy;
+  tracing: Tracing;
+  clock: Clock;
+}
+
+/** The events of an answer; the generator returns the outcome. */
+export type ServiceRun = AsyncGenerator<ServiceEvent, Outcome>;
+
+/**
+ * Runs calls of plain services.
+ *
+ * A call that may not be repeated is written to at most one connection: only
+ * an attempt of which no byte left a host is followed by another.
+ */
+export class ServiceRunner {
+  constructor(private readonly options: ServiceRunnerOptions) {}
+
+  /**
+   * @param req - the call, already authenticated.
+   * @param context - see {@link RunContext}.
+   */
+  run(req: ServiceRequest, context: RunContext): ServiceRun {
+    const {clock, retries} = this.options;
+    return runWithRetries({
+      clock,
+      retries,
+      context,
+      attempt: avoid => this.attempt(req, context, avoid),
+      isRetryable: ({type}) =>
+        type === 'refused' || (type === 'failed' && req.repeatable),
+    });
+  }
+
+  private async *attempt(
+    req: ServiceRequest,
+    context: RunContext,
+    avoid: ReadonlySet<string>,
+  ): ServiceAttempt {
+    const {caller} = this.options;
+    const target = caller.leastLoaded(req.targets, avoid);
+    if (target !== undefined) {
+      return yield* caller.call(target, req, context);
+    }
+    const host = this.remoteHost(req, avoid);
+    if (host !== undefined) {
+      return yield* this.forward(host, req, context, avoid);
+    }
+    const message = `no service of route "${req.route}" can be reached`;
+    return {outcome: refuse(REFUSAL.noCapacity, message)};
+  }
+
+  private remoteHost(
+    {targets}: ServiceRequest,
+    avoid: ReadonlySet<string>,
+  ): string | undefined {
+    for (const name of targets) {
+      const zone = this.zoneOf(name);
+      if (zone === undefined || avoid.has(name)) continue;
+      if (zone === this.options.zone) continue;
+      const hosts = this.options.router.hostsIn(zone);
+      const host = hosts.find(known => !avoid.has(known));
+      if (host !== undefined) return host;
+    }
+    return undefined;
+  }
+
+  private zoneOf(target: string): string | undefined {
+    return this.options.config.declared.get('target', target)?.zone;
+  }
+
+  private async *forward(
+    host: string,
+    req: ServiceRequest,
+    context: RunContext,
+    avoid: ReadonlySet<string>,
+  ): ServiceAttempt {
+    const {tracing, network, clock} = this.options;
+    const span = tracing.start(HOP.peer, context.span.context, {host});
+    const forward: ForwardService = {
+      request: req,
+      remainingMs: context.deadlineMs - clock.now(),
+      traceparent: span.traceparent(),
+      avoid: [...avoid],
+    };
+    const lost = (message: string) => ({
+      outcome: fail(FAILURE.peerLost, message),
+      avoid: host,
+    });
+    const {signal} = context;
+    const answers = network.open(host, FORWARD_SERVICE, forward, signal);
+    try {
+      for await (const answer of answers) {
+        if (signal.aborted) return {outcome: {type: 'cancelled'}};
+        if (answer.isErr()) {
+          const {type, message} = answer.error;
+          if (type !== PEER_ERROR.notSent) return lost(message);
+          const outcome = refuse(REFUSAL.noCapacity, message);
+          return {outcome, avoid: host};
+        }
+        const {id, event} = answer.value;
+        if (id !== req.id) return lost('the peer answered another request');
+        if (event.type !== 'outcome') {
+          yield event;
+          continue;
+        }
+        return {outcome: event.outcome, avoid: event.avoid ?? host};
+      }
+      return lost('the peer ended without an outcome');
+    } finally {
+      span.end();
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -0,0 +1,178 @@
+/** Reads a generation from one engine, whole and in order. @packageDocumentation */
+
+import {
+  ENGINE_ERROR,
+  EngineClient,
+  EngineError,
+} from '../targets/engine_client.js';
+import {Clock} from '../time/clock.js';
+import {deadlineSignal} from '../time/deadline.js';
+import {Attempt, AttemptEnd} from './attempt.js';
+import {GapTimer} from './gap_timer.js';
+import {GenerationEvent, GenerationRequest} from './generation.js';
+import {FAILURE, REFUSAL, fail, refuse} from './outcome.js';
+
+/** Longest wait for the first event of a connection, in milliseconds. */
+export const FIRST_EVENT_LIMIT_MS = 5_000;
+
+/** Longest gap between two events, in milliseconds. */
+export const EVENT_GAP_LIMIT_MS = 2_000;
+
+const RESUME_ATTEMPTS = 3;
+const RESUME_DELAY_MS = 100;
+const CANCEL_TIMEOUT_MS = 1_000;
+
+/** What a {@link TargetStream} works with. */
+export interface TargetStreamOptions {
+  engine: EngineClient;
+  target: string;
+  req: GenerationRequest;
+  clock: Clock;
+  deadlineMs: number;
+  /** Value of the `traceparent` header. */
+  traceparent: string;
+  /** Aborts when the caller goes away. */
+  callerGone: AbortSignal;
+  /** Aborts when the run shall stay at the engine, to be resumed there. */
+  detach?: AbortSignal;
+  /** Offset at which to attach to a run that the engine already has. */
+  resumeFrom?: number;
+}
+
+/**
+ * The stream of one request from one engine.
+ *
+ * A connection that goes silent, breaks or answers another request is dropped,
+ * and the stream is resumed on a new one at the token offset. The engine starts
+ * the request at most once: later connections only attach to the run.
+ */
+export class TargetStream {
+  private readonly signal: AbortSignal;
+  private readonly deadline;
+  private next: number;
+  private started: boolean;
+
+  constructor(private readonly options: TargetStreamOptions) {
+    const {clock, deadlineMs, callerGone, detach, resumeFrom} = options;
+    this.deadline = deadlineSignal(clock, deadlineMs);
+    const signals = [callerGone, this.deadline.signal];
+    if (detach !== undefined) signals.push(detach);
+    this.signal = AbortSignal.any(signals);
+    this.next = resumeFrom ?? 0;
+    this.started = resumeFrom !== undefined;
+  }
+
+  /** @returns the events of the answer, each token once and in order. */
+  async *run(): Attempt {
+    try {
+      let error: EngineError | undefined;
+      for (let attempt = 0; attempt <= RESUME_ATTEMPTS; attempt++) {
+        error = yield* this.readConnection();
+        if (error === undefined) return this.served();
+        if (this.signal.aborted) return await this.interrupted();
+        if (!this.started) return this.notRun(error);
+        if (error.type === ENGINE_ERROR.refused) break;
+        const {clock} = this.options;
+        await clock.sleep(RESUME_DELAY_MS * (attempt + 1), this.signal);
+        if (this.signal.aborted) return await this.interrupted();
+      }
+      return await this.lost(error!);
+    } finally {
+      this.deadline.dispose();
+    }
+  }
+
+  /** @returns the error that ended the connection, or nothing at the end. */
+  private async *readConnection(): AsyncGenerator<
+    GenerationEvent,
+    EngineError | undefined
+  > {
+    const {engine, req, clock, traceparent} = this.options;
+    const gap = new GapTimer(clock, FIRST_EVENT_LIMIT_MS);
+    const events = engine.generate(req, {
+      resume: this.started,
+      resumeFrom: this.next,
+      traceparent,
+      signal: AbortSignal.any([this.signal, gap.signal]),
+    });
+    try {
+      for (;;) {
+        gap.waitStarts();
+        const step = await events.next();
+        gap.waitEnds(EVENT_GAP_LIMIT_MS);
+        if (step.done) return broken('the engine closed the stream early');
+        if (step.value.isErr()) return this.noteError(step.value.error);
+        this.started = true;
+        const event = step.value.value;
+        const problem = this.orderProblem(event);
+        if (problem !== undefined) return broken(problem);
+        if (event.type === 'end') {
+          yield event;
+          return undefined;
+        }
+        if (event.offset < this.next) continue;
+        this.next += 1;
+        yield event;
+      }
+    } finally {
+      gap.dispose();
+      await events.return();
+    }
+  }
+
+  private noteError(error: EngineError): EngineError {
+    const {type} = error;
+    const notRun =
+      type === ENGINE_ERROR.notSent || type === ENGINE_ERROR.refused;
+    if (!notRun) this.started = true;
+    return error;
+  }
+
+  private orderProblem(event: GenerationEvent): string | undefined {
+    if (event.type === 'token') {
+      return event.offset > this.next ? 'the engine skipped a token' : undefined;
+    }
+    return event.completionTokens === this.next
+      ? undefined
+      : 'the engine ended the answer at another token';
+  }
+
+  private served(): AttemptEnd {
+    return {outcome: {type: 'served'}, generated: this.next};
+  }
+
+  private notRun({message}: EngineError): AttemptEnd {
+    const outcome = refuse(REFUSAL.noCapacity, message);
+    return {outcome, generated: 0, avoid: this.options.target};
+  }
+
+  private async lost({message}: EngineError): Promise<AttemptEnd> {
+    const generated = await this.cancel();
+    const outcome = fail(FAILURE.targetLost, message);
+    return {outcome, generated, avoid: this.options.target};
+  }
+
+  private async interrupted(): Promise<AttemptEnd> {
+    const {callerGone, detach} = this.options;
+    if (detach?.aborted && !callerGone.aborted) {
+      const outcome = fail(FAILURE.peerLost, 'the link to the peer was lost');
+      return {outcome, generated: undefined};
+    }
+    const generated = await this.cancel();
+    if (callerGone.aborted) return {outcome: {type: 'cancelled'}, generated};
+    const message = 'the deadline passed while the request ran';
+    return {outcome: fail(FAILURE.deadline, message), generated};
+  }
+
+  /** @returns how many tokens the engine generated, if it tells. */
+  private async cancel(): Promise<number | undefined> {
+    const {engine, req} = this.options;
+    const timeout = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
+    const generated = await engine.cancel(req.id, timeout);
+    return generated.isOk() ? generated.value : undefined;
+  }
+}
+
+function broken(message: string): EngineError {
+  return {type: ENGINE_ERROR.broken, message};
+}
--- a/packages/core/src/lib/routing/router.ts
+++ b/packages/core/src/lib/routing/router.ts
@@ -41,6 +41,17 @@
     return {type: 'peer', host, zone: remoteZone};
   }
 
+  /**
+   * @param zone - name of another zone.
+   * @returns the hosts of that zone.
+   */
+  hostsIn(zone: string): string[] {
+    return this.options
+      .remoteHosts()
+      .filter(member => member.zone === zone)
+      .map(member => member.host);
+  }
+
   private zonesWithEngines(): Set<string> {
     const zones = new Set<string>();
     for (const target of this.options.config.declared.all('target').values()) {
--- a/packages/core/src/lib/scheduling/request_queue.ts
+++ b/packages/core/src/lib/scheduling/request_queue.ts
@@ -16,6 +16,8 @@
   tokens: number;
   /** Clock time by which the request must have ended, in milliseconds. */
   deadlineMs: number;
+  /** Targets that were tried in vain; others are preferred. */
+  avoid?: ReadonlySet<string>;
 }
 
 /** A batch slot of a target, held for one request. */
@@ -92,7 +94,10 @@
       const {model, adapter} = waiting.demand;
       const ready = this.options.directory.ready(model, adapter);
       if (ready.length === 0) this.wantReplica(waiting.demand);
-      const target = ready.find(view => this.hasRoom(view))?.target;
+      const free = ready.filter(view => this.hasRoom(view));
+      const {avoid} = waiting.demand;
+      const fresh = free.find(({target}) => !avoid?.has(target));
+      const target = (fresh ?? free[0])?.target;
       if (target !== undefined) waiting.finish(ok(this.takeSlot(target)));
     }
   }
--- a/packages/core/src/lib/targets/engine_client.ts
+++ b/packages/core/src/lib/targets/engine_client.ts
@@ -24,7 +24,12 @@
 
 /** Options of {@link EngineClient.generate}. */
 export interface GenerateOptions {
-  /** Offset of the first token wanted; over 0 resumes an earlier stream. */
+  /**
+   * Whether to attach to a run that the engine already has. Such a call never
+   * starts a run; without the run the engine refuses it.
+   */
+  resume: boolean;
+  /** Offset of the first token wanted. */
   resumeFrom: number;
   /** Value of the `traceparent` header. */
   traceparent: string;
@@ -108,14 +113,26 @@
    * @param req - the request; never carries a caller's key.
    * @param options - see {@link GenerateOptions}.
    * @returns events in order; after an error no more follow. Without an error
-   *     the last event is the end. Ending the iteration early cancels the
-   *     work at the engine.
+   *     the last event is the end. Ending the iteration early closes the
+   *     connection and leaves the run at the engine, to be resumed or cancelled.
    */
   abstract generate(
     req: GenerationRequest,
     options: GenerateOptions,
   ): AsyncGenerator<Result<GenerationEvent, EngineError>, void>;
 
+  /**
+   * Ends a run for good.
+   *
+   * @param requestId - id of the request.
+   * @param signal - gives up waiting.
+   * @returns how many tokens the engine generated for the request.
+   */
+  abstract cancel(
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<number, EngineError>>;
+
   /**
    * Gives an order and waits until it is carried out.
    *
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -1,7 +1,7 @@
 /** An engine over HTTP. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Agent, Dispatcher} from 'undici';
+import {Agent, Client, Dispatcher} from 'undici';
 import {EventSourceParserStream} from 'eventsource-parser/stream';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
@@ -33,6 +33,8 @@
   event: generationEventSchema,
 });
 
+const cancelAnswerSchema = z.object({generated: z.number().int().min(0)});
+
 /** Codes of errors that come up before any byte of the request is sent. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
@@ -84,6 +86,17 @@
     }
   }
 
+  override async cancel(
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<number, EngineError>> {
+    const body = {request_id: requestId};
+    const answer = await this.call('POST', '/cancel', body, signal);
+    return answer.andThen(value =>
+      parse(cancelAnswerSchema, value).map(({generated}) => generated),
+    );
+  }
+
   override async order(
     order: FencedOrder,
     signal: AbortSignal,
@@ -134,10 +147,14 @@
 
   private async open(
     req: GenerationRequest,
-    {resumeFrom, traceparent, signal}: GenerateOptions,
+    {resume, resumeFrom, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
+    // A pooled connection may be half closed: a request written to it can be
+    // lost or have run, and nobody can tell which.
+    const fresh = !req.repeatable && !resume;
+    const dispatcher = fresh ? this.freshConnection() : this.dispatcher;
     try {
-      const res = await this.dispatcher.request({
+      const res = await dispatcher.request({
         origin: this.url,
         method: 'POST',
         path: '/generate',
@@ -149,17 +166,28 @@
           input: req.input,
           max_tokens: req.maxTokens,
           priority: req.priority,
+          resume,
           resume_from: resumeFrom,
         }),
         signal,
       });
+      if (fresh) res.body.once('close', () => void dispatcher.destroy());
       if (res.statusCode === 200) return ok(res.body);
       return err(await readError(res));
     } catch (error) {
+      if (fresh) void dispatcher.destroy();
       return err(toEngineError(error));
     }
   }
 
+  private freshConnection(): Dispatcher {
+    return new Client(this.url, {
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+  }
+
   private async query<T>(
     path: string,
     schema: z.ZodType<T>,
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -20,6 +20,7 @@
   input: generationInputSchema,
   max_tokens: z.number().int().min(1),
   priority: z.number().int(),
+  resume: z.boolean().default(false),
   resume_from: z.number().int().min(0).default(0),
 });
 
@@ -62,10 +63,12 @@
   model: string;
   adapter: string | undefined;
   headers: Record<string, string>;
-  resumeFrom: number;
-  /** Tokens that were generated. */
+  /** Tokens that were generated, those of resumed connections included. */
   tokens: number;
-  state: 'running' | 'done' | 'cancelled';
+  /** Connections that attached to the run after the first one. */
+  resumes: number;
+  /** A detached run has lost its connection and can be resumed. */
+  state: 'running' | 'detached' | 'done' | 'cancelled';
 }
 
 /** Options of an {@link EngineStandin}. */
@@ -112,8 +115,8 @@
   private queued = 0;
   private readonly freeSlot: Array<() => void> = [];
   private readonly doneOrders = new Map<string, Promise<string | undefined>>();
-  private readonly cancelled = new Set<string>();
-  private readonly importedKv = new Map<string, string>();
+  private readonly runsById = new Map<string, EngineRun>();
+  private readonly connections = new Map<string, AbortController>();
   private reports: StaleReport[] = [];
   private cacheSequence = 0;
   private readonly cacheLog: Array<{
@@ -153,24 +156,48 @@
     if (body.adapter !== undefined && !resident.adapters.has(body.adapter)) {
       return notRun(c, 409, `adapter "${body.adapter}" is not loaded`);
     }
-    return this.stream(c, body, resident);
+    const run = body.resume ? this.attach(body) : this.startRun(c, body);
+    if (run === undefined) return notRun(c, 404, 'no such run');
+    return this.stream(c, body, run, resident);
   }
 
-  private stream(c: Context, body: GenerateBody, resident: Resident): Response {
+  private startRun(c: Context, body: GenerateBody): EngineRun {
     const run: EngineRun = {
       requestId: body.request_id,
       model: body.model,
       adapter: body.adapter,
       headers: c.req.header(),
-      resumeFrom: body.resume_from,
       tokens: 0,
+      resumes: 0,
       state: 'running',
     };
     this.runs.push(run);
+    this.runsById.set(run.requestId, run);
+    return run;
+  }
+
+  private attach(body: GenerateBody): EngineRun | undefined {
+    const run = this.runsById.get(body.request_id);
+    if (run === undefined || run.state === 'cancelled') return undefined;
+    if (body.resume_from > run.tokens) return undefined;
+    run.resumes += 1;
+    return run;
+  }
+
+  private stream(
+    c: Context,
+    body: GenerateBody,
+    run: EngineRun,
+    resident: Resident,
+  ): Response {
+    // A new connection takes the run over from an earlier one.
+    this.connections.get(run.requestId)?.abort();
+    const gone = new AbortController();
+    this.connections.set(run.requestId, gone);
     return streamSSE(c, async sse => {
-      const gone = new AbortController();
       sse.onAbort(() => gone.abort());
       await this.takeSlot(gone.signal);
+      if (run.state === 'detached') run.state = 'running';
       resident.running += 1;
       try {
         const write = async (event: object) => {
@@ -185,7 +212,9 @@
       } finally {
         resident.running -= 1;
         this.releaseSlot();
-        if (run.state === 'running') run.state = 'cancelled';
+        const owned = this.connections.get(run.requestId) === gone;
+        if (owned) this.connections.delete(run.requestId);
+        if (owned && run.state === 'running') run.state = 'detached';
       }
     });
   }
@@ -201,8 +230,8 @@
     this.noteCached(text);
     await this.clock.sleep(firstTokenMs, gone);
     for (let offset = body.resume_from; offset < body.max_tokens; offset++) {
-      if (gone.aborted || this.cancelled.has(body.request_id)) return;
-      run.tokens += 1;
+      if (gone.aborted || run.state === 'cancelled') return;
+      run.tokens = Math.max(run.tokens, offset + 1);
       const token = expectedToken(text, offset);
       await write({type: 'token', offset, text: token});
       await this.clock.sleep(tokenGapMs, gone);
@@ -237,8 +266,10 @@
 
   private async cancel(c: Context): Promise<Response> {
     const {request_id: id} = (await c.req.json()) as {request_id: string};
-    this.cancelled.add(id);
-    return c.json({});
+    const run = this.runsById.get(id);
+    if (run !== undefined && run.state !== 'done') run.state = 'cancelled';
+    this.connections.get(id)?.abort();
+    return c.json({generated: run?.tokens ?? 0});
   }
 
   private async takeOrder(c: Context): Promise<Response> {
@@ -396,9 +427,9 @@
 
   private async exportKv(c: Context): Promise<Response> {
     const {request_id: id} = (await c.req.json()) as {request_id: string};
-    const run = this.runs.findLast(known => known.requestId === id);
+    const run = this.runsById.get(id);
     if (run === undefined) return notRun(c, 404, 'no such request');
-    return c.json({kv: `${id}:${run.resumeFrom + run.tokens}`});
+    return c.json({kv: `${id}:${run.tokens}`});
   }
 
   private async importKv(c: Context): Promise<Response> {
@@ -406,7 +437,15 @@
       request_id: string;
       kv: string;
     };
-    this.importedKv.set(id, kv);
+    this.runsById.set(id, {
+      requestId: id,
+      model: '',
+      adapter: undefined,
+      headers: {},
+      tokens: Number(kv.split(':')[1]),
+      resumes: 0,
+      state: 'detached',
+    });
     return c.json({});
   }
 }
