--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './lib/config/key_digest.js';
 export * from './lib/config/publication.js';
 export * from './lib/limits/local_token_limiter.js';
+export * from './lib/limits/retry_budget.js';
 export * from './lib/limits/token_bucket.js';
 export * from './lib/limits/token_limiter.js';
 export * from './lib/membership/join_status.js';
