Give the tool every command an operator needs

Cause: the tool could only check, publish and show one host. Change: diff, get, history, rollback, drain, and a status table over all hosts that the entry host knows (GET /api/hosts); help with examples and exit codes; errors say what to do. rollback undoes the `previous` fields of the history, newest first, and publishes the result as a new version, so a racing change of the same object is a conflict and never lost.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,5 +1,7 @@
 /** The operators' tool as a library. @packageDocumentation */
 
+export * from './lib/client_error_report.js';
+export * from './lib/commands/get_command.js';
 export * from './lib/delta.js';
 export * from './lib/exit_code.js';
 export * from './lib/operator_client.js';
--- a/packages/cli/src/lib/commands/check_command.ts
+++ b/packages/cli/src/lib/commands/check_command.ts
@@ -32,10 +32,14 @@
 ): Promise<ExitCode> {
   const {source, faults} = await readChecked(folder);
   for (const fault of faults) terminal.error(formatFault(fault));
-  if (faults.length > 0) {
-    terminal.error(`${faults.length} faults; nothing was published`);
-    return EXIT_CODE.faults;
-  }
+  if (faults.length > 0) return reportFaultCount(terminal, faults.length);
   terminal.out(`${source.objects.length} objects, no faults`);
   return EXIT_CODE.ok;
 }
+
+/** Writes how many faults there were and what follows. */
+export function reportFaultCount(terminal: Terminal, count: number): ExitCode {
+  const noun = count === 1 ? 'fault' : 'faults';
+  terminal.error(`${count} ${noun}; nothing can be published until mended`);
+  return EXIT_CODE.faults;
+}
--- a/packages/cli/src/lib/commands/publish_command.ts
+++ b/packages/cli/src/lib/commands/publish_command.ts
@@ -1,11 +1,13 @@
 /** `fuchsiacleat publish`. @packageDocumentation */
 
 import {formatFault} from '@fuchsiacleat/core';
+import {reportClientError} from '../client_error_report.js';
 import {deltaOf} from '../delta.js';
 import {EXIT_CODE, ExitCode} from '../exit_code.js';
-import {ClientError, OperatorClient} from '../operator_client.js';
+import {OperatorClient} from '../operator_client.js';
 import {Terminal} from '../terminal.js';
-import {readChecked} from './check_command.js';
+import {readChecked, reportFaultCount} from './check_command.js';
+import {submit} from './submit.js';
 
 /** Options of `publish`. */
 export interface PublishOptions {
@@ -23,7 +25,7 @@
 ): Promise<ExitCode> {
   const {source, faults} = await readChecked(folder);
   for (const fault of faults) terminal.error(formatFault(fault));
-  if (faults.length > 0) return EXIT_CODE.faults;
+  if (faults.length > 0) return reportFaultCount(terminal, faults.length);
   const held = await client.config();
   if (held.isErr()) return reportClientError(terminal, held.error);
   const changes = deltaOf(held.value.objects, source.objects);
@@ -31,43 +33,9 @@
     terminal.out(`nothing to publish; version ${held.value.version} is equal`);
     return EXIT_CODE.ok;
   }
-  const verdict = await client.publish({
-    type: 'publication',
+  return submit(terminal, client, {
     base: base ?? held.value.version,
     changes,
     message,
   });
-  if (verdict.isErr()) return reportClientError(terminal, verdict.error);
-  if (verdict.value.accepted) {
-    const {version} = verdict.value;
-    terminal.out(`accepted as version ${version} (${changes.length} changes)`);
-    return EXIT_CODE.ok;
-  }
-  terminal.error('rejected; nothing was changed:');
-  for (const reason of verdict.value.reasons) terminal.error(`  ${reason}`);
-  return EXIT_CODE.rejected;
-}
-
-/** Writes an error and what to do about it. */
-export function reportClientError(
-  terminal: Terminal,
-  {type, message}: ClientError,
-): ExitCode {
-  switch (type) {
-    case 'unreachable':
-      terminal.error(`cannot reach the host: ${message}`);
-      terminal.error('check --host, or try another entry host');
-      return EXIT_CODE.unreachable;
-    case 'unauthorized':
-      terminal.error(`not let in: ${message}`);
-      terminal.error("set FUCHSIACLEAT_TOKEN to the operators' token");
-      return EXIT_CODE.failed;
-    case 'unknown-outcome':
-      terminal.error(`outcome unknown: ${message}`);
-      terminal.error('look at "fuchsiacleat history" before trying again');
-      return EXIT_CODE.unknown;
-    case 'rejected':
-      terminal.error(message);
-      return EXIT_CODE.failed;
-  }
 }
--- /dev/null
+++ b/packages/cli/src/lib/commands/rollback_command.ts
@@ -0,0 +1,70 @@
+/** `fuchsiacleat rollback`. @packageDocumentation */
+
+import {Change, HistoryEntry, RawObject, objectId} from '@fuchsiacleat/core';
+import {Result, err, ok} from 'neverthrow';
+import {reportClientError} from '../client_error_report.js';
+import {deltaOf} from '../delta.js';
+import {EXIT_CODE, ExitCode} from '../exit_code.js';
+import {HeldConfig, OperatorClient} from '../operator_client.js';
+import {Terminal} from '../terminal.js';
+import {submit} from './submit.js';
+
+/** Publishes the content of an earlier version as a new version. */
+export async function rollback(
+  terminal: Terminal,
+  client: OperatorClient,
+  version: number,
+): Promise<ExitCode> {
+  const held = await client.config();
+  if (held.isErr()) return reportClientError(terminal, held.error);
+  const entries = await client.history();
+  if (entries.isErr()) return reportClientError(terminal, entries.error);
+  const changes = changesBackTo(version, held.value, entries.value);
+  if (changes.isErr()) {
+    terminal.error(changes.error);
+    terminal.error('"fuchsiacleat history" shows the versions to choose from');
+    return EXIT_CODE.failed;
+  }
+  const base = held.value.version;
+  if (changes.value.length === 0) {
+    terminal.out(`nothing to roll back; version ${base} is equal`);
+    return EXIT_CODE.ok;
+  }
+  const message = `roll back to version ${version}`;
+  return submit(terminal, client, {base, changes: changes.value, message});
+}
+
+/**
+ * @param version - the version to return to.
+ * @param held - the configuration in force.
+ * @param entries - accepted versions, oldest first.
+ * @returns the changes that lead back, or why they are not known.
+ */
+export function changesBackTo(
+  version: number,
+  held: HeldConfig,
+  entries: readonly HistoryEntry[],
+): Result<Change[], string> {
+  if (version > held.version) {
+    return err(`version ${version} does not exist; ${held.version} is newest`);
+  }
+  // Versions accepted after the configuration was read are left out; the
+  // base version makes them a conflict if they touch the same objects.
+  const undone = entries.filter(
+    entry => entry.version > version && entry.version <= held.version,
+  );
+  if (undone.length < held.version - version) {
+    return err(`the host no longer knows how to return to version ${version}`);
+  }
+  const objects = new Map<string, RawObject>(
+    held.objects.map(object => [objectId(object.kind, object.name), object]),
+  );
+  for (const {previous} of undone.reverse()) {
+    for (const {kind, name, fields} of previous) {
+      const id = objectId(kind, name);
+      if (fields === null) objects.delete(id);
+      else objects.set(id, {kind, name, fields});
+    }
+  }
+  return ok(deltaOf(held.objects, [...objects.values()]));
+}
--- a/packages/cli/src/lib/commands/status_command.ts
+++ b/packages/cli/src/lib/commands/status_command.ts
@@ -1,24 +1,83 @@
 /** `fuchsiacleat status`. @packageDocumentation */
 
+import {reportClientError} from '../client_error_report.js';
 import {EXIT_CODE, ExitCode} from '../exit_code.js';
-import {OperatorClient} from '../operator_client.js';
+import {KnownHost, OperatorClient, StatusAnswer} from '../operator_client.js';
+import {formatTable} from '../table.js';
 import {Terminal} from '../terminal.js';
-import {reportClientError} from './publish_command.js';
 
-/** Shows what a host tells of itself. */
+const HEADER = [
+  'HOST',
+  'ZONE',
+  'STATE',
+  'VERSION',
+  'AGE',
+  'CONTROLLER',
+  'LINKS',
+  'QUEUED',
+];
+const UNKNOWN = '-';
+
+/** A known host and what it tells of itself, if it answered. */
+export interface HostReport {
+  host: string;
+  zone: string;
+  status: StatusAnswer | null;
+  /** Why there is no status. */
+  problem?: string;
+}
+
+/**
+ * Shows every host that the entry host knows.
+ *
+ * @param terminal - where to write.
+ * @param client - any entry host.
+ * @param asJson - whether to print one JSON array.
+ */
 export async function showStatus(
   terminal: Terminal,
   client: OperatorClient,
   asJson: boolean,
 ): Promise<ExitCode> {
-  const status = await client.status();
-  if (status.isErr()) return reportClientError(terminal, status.error);
+  const hosts = await client.hosts();
+  if (hosts.isErr()) return reportClientError(terminal, hosts.error);
+  const reports = await Promise.all(hosts.value.map(h => ask(client, h)));
   if (asJson) {
-    terminal.out(JSON.stringify(status.value));
+    terminal.out(JSON.stringify(reports));
     return EXIT_CODE.ok;
   }
-  for (const [name, value] of Object.entries(status.value)) {
-    terminal.out(`${name.padEnd(14)} ${value}`);
+  for (const line of formatTable(HEADER, reports.map(toRow))) {
+    terminal.out(line);
+  }
+  for (const {host, problem} of reports) {
+    if (problem !== undefined) terminal.error(`${host}: ${problem}`);
   }
   return EXIT_CODE.ok;
 }
+
+async function ask(
+  client: OperatorClient,
+  {host, zone, url}: KnownHost,
+): Promise<HostReport> {
+  const status = await client.at(url).status();
+  if (status.isOk()) return {host, zone, status: status.value};
+  return {host, zone, status: null, problem: status.error.message};
+}
+
+function toRow({host, zone, status}: HostReport): string[] {
+  if (status === null) {
+    const rest = HEADER.slice(3).map(() => UNKNOWN);
+    return [host, zone, 'no answer', ...rest];
+  }
+  const {configAgeS, leaseHolder, peers, queued} = status;
+  return [
+    host,
+    zone,
+    status.ready ? 'ready' : 'not ready',
+    String(status.configVersion),
+    configAgeS === null ? UNKNOWN : `${configAgeS.toFixed(1)}s`,
+    leaseHolder ?? UNKNOWN,
+    String(peers.length),
+    String(queued),
+  ];
+}
--- a/packages/cli/src/lib/exit_code.ts
+++ b/packages/cli/src/lib/exit_code.ts
@@ -13,7 +13,27 @@
   unknown: 5,
   /** No host could be reached. */
   unreachable: 6,
+  /** A folder differs from the configuration in force. */
+  differs: 7,
 } as const;
 
 /** One of {@link EXIT_CODE}. */
 export type ExitCode = (typeof EXIT_CODE)[keyof typeof EXIT_CODE];
+
+const MEANINGS: Record<keyof typeof EXIT_CODE, string> = {
+  ok: 'done',
+  failed: 'the host refused the call, or it failed',
+  usage: 'the command line is wrong',
+  faults: 'the declarations have faults; all of them were printed',
+  rejected: 'the publication was rejected; nothing was changed',
+  unknown: 'it is not known whether the publication was accepted',
+  unreachable: 'the host could not be reached',
+  differs: 'diff: the folder differs from the configuration in force',
+};
+
+/** @returns a line for each exit code, for the help text. */
+export function describeExitCodes(): string {
+  const names = Object.keys(EXIT_CODE) as Array<keyof typeof EXIT_CODE>;
+  const lines = names.map(name => `  ${EXIT_CODE[name]}  ${MEANINGS[name]}`);
+  return ['Exit codes:', ...lines].join('\n');
+}
--- a/packages/cli/src/lib/operator_client.ts
+++ b/packages/cli/src/lib/operator_client.ts
@@ -1,6 +1,11 @@
 /** The client of a host's operator API. @packageDocumentation */
 
-import {RawObject, Verdict, Publication} from '@fuchsiacleat/core';
+import {
+  HistoryEntry,
+  Publication,
+  RawObject,
+  Verdict,
+} from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 import {request} from 'undici';
 
@@ -31,6 +36,14 @@
   queued: number;
 }
 
+/** A host that another one knows. */
+export interface KnownHost {
+  host: string;
+  zone: string;
+  /** Base URL of its operator API. */
+  url: string;
+}
+
 /** Calls the operator API of one host. */
 export class OperatorClient {
   /**
@@ -48,6 +61,34 @@
     return answer.map(({body}) => body as HeldConfig);
   }
 
+  /** @returns accepted versions that the host still knows, oldest first. */
+  async history(): Promise<Result<HistoryEntry[], ClientError>> {
+    const answer = await this.call('GET', '/api/config/history');
+    return answer.map(
+      ({body}) => (body as {versions: HistoryEntry[]}).versions,
+    );
+  }
+
+  /** @returns the hosts that this one knows, itself included. */
+  async hosts(): Promise<Result<KnownHost[], ClientError>> {
+    const answer = await this.call('GET', '/api/hosts');
+    return answer.map(({body}) => (body as {hosts: KnownHost[]}).hosts);
+  }
+
+  /** Asks the host to stop gracefully. */
+  async drain(): Promise<Result<void, ClientError>> {
+    const answer = await this.call('POST', '/api/drain');
+    return answer.map(() => undefined);
+  }
+
+  /**
+   * @param url - base URL of another host's operator API.
+   * @returns a client of that host with the same token.
+   */
+  at(url: string): OperatorClient {
+    return new OperatorClient(url, this.token);
+  }
+
   /** @returns what the host tells of itself. */
   async status(): Promise<Result<StatusAnswer, ClientError>> {
     const answer = await this.call('GET', '/api/status');
--- a/packages/cli/src/lib/program.ts
+++ b/packages/cli/src/lib/program.ts
@@ -1,15 +1,40 @@
 /** The commands of the tool. @packageDocumentation */
 
 import {createKey} from '@fuchsiacleat/core';
-import {Command} from 'commander';
+import {Command, CommanderError, InvalidArgumentError} from 'commander';
 import {check} from './commands/check_command.js';
+import {diff} from './commands/diff_command.js';
+import {drain} from './commands/drain_command.js';
+import {get} from './commands/get_command.js';
+import {history} from './commands/history_command.js';
 import {publish} from './commands/publish_command.js';
+import {rollback} from './commands/rollback_command.js';
 import {showStatus} from './commands/status_command.js';
-import {EXIT_CODE, ExitCode} from './exit_code.js';
+import {EXIT_CODE, ExitCode, describeExitCodes} from './exit_code.js';
 import {OperatorClient} from './operator_client.js';
 import {Terminal} from './terminal.js';
 
 const DEFAULT_HOST = 'http://127.0.0.1:8081';
+const DEFAULT_HISTORY_LIMIT = 20;
+
+const ENVIRONMENT_HELP = `
+Environment:
+  FUCHSIACLEAT_HOST   operator API of an entry host, in place of --host
+  FUCHSIACLEAT_TOKEN  the operators' token
+
+Examples:
+  fuchsiacleat check declarations/
+  fuchsiacleat --host http://10.0.1.5:8081 diff declarations/
+  fuchsiacleat publish declarations/ -m 'grant inspectors a second key'
+  fuchsiacleat status --json`;
+
+/** What every command works with. */
+interface CommandContext {
+  terminal: Terminal;
+  client: () => OperatorClient;
+  /** Takes the exit code of a command's work. */
+  finish: (work: Promise<ExitCode>) => Promise<void>;
+}
 
 /**
  * Runs the tool.
@@ -26,59 +51,160 @@
   env: NodeJS.ProcessEnv,
 ): Promise<ExitCode> {
   let exitCode: ExitCode = EXIT_CODE.ok;
-  const program = new Command('fuchsiacleat')
+  const program = createProgram(terminal, env);
+  const context: CommandContext = {
+    terminal,
+    client: () =>
+      new OperatorClient(program.opts().host, env.FUCHSIACLEAT_TOKEN ?? ''),
+    finish: async work => {
+      exitCode = await work;
+    },
+  };
+  addFolderCommands(program, context);
+  addConfigCommands(program, context);
+  addHostCommands(program, context);
+  addKeyCommands(program, context);
+  try {
+    await program.parseAsync(args, {from: 'user'});
+  } catch (error) {
+    const {exitCode: code, message} = error as CommanderError;
+    if (code === undefined) {
+      terminal.error(message);
+      return EXIT_CODE.failed;
+    }
+    return code === 0 ? EXIT_CODE.ok : EXIT_CODE.usage;
+  }
+  return exitCode;
+}
+
+function createProgram(terminal: Terminal, env: NodeJS.ProcessEnv): Command {
+  return new Command('fuchsiacleat')
     .description('Checks, publishes and watches declarations.')
     .option(
       '--host <url>',
-      'operator API of any entry host (or FUCHSIACLEAT_HOST)',
+      'operator API of any entry host',
       env.FUCHSIACLEAT_HOST ?? DEFAULT_HOST,
     )
+    .addHelpText('after', `${ENVIRONMENT_HELP}\n\n${describeExitCodes()}`)
+    .showHelpAfterError('run with --help for usage and examples')
     .configureOutput({
       writeOut: text => terminal.out(text.trimEnd()),
       writeErr: text => terminal.error(text.trimEnd()),
     })
     .exitOverride();
-  const client = () =>
-    new OperatorClient(program.opts().host, env.FUCHSIACLEAT_TOKEN ?? '');
-  const finish = async (work: Promise<ExitCode>) => {
-    exitCode = await work;
-  };
+}
+
+/** Commands that read a folder of declarations. */
+function addFolderCommands(
+  program: Command,
+  {terminal, client, finish}: CommandContext,
+): void {
   program
     .command('check <folder>')
     .description('check declarations offline; every fault is shown at once')
+    .addHelpText('after', examples('fuchsiacleat check declarations/'))
     .action((folder: string) => finish(check(terminal, folder)));
+  program
+    .command('diff <folder>')
+    .description('show what publishing a folder would change')
+    .addHelpText('after', examples('fuchsiacleat diff declarations/'))
+    .action((folder: string) => finish(diff(terminal, client(), folder)));
   program
     .command('publish <folder>')
     .description('publish the declarations of a folder')
     .option('-m, --message <text>', 'why', '')
-    .option('--base <version>', 'version that the folder was made from')
-    .action((folder: string, options: {message: string; base?: string}) => {
-      const base = options.base === undefined ? undefined : +options.base;
-      const {message} = options;
+    .option('--base <version>', 'version the folder was made from', toVersion)
+    .addHelpText(
+      'after',
+      examples(
+        "fuchsiacleat publish declarations/ -m 'withdraw key desk-2'",
+        'fuchsiacleat publish declarations/ --base 41',
+      ),
+    )
+    .action((folder: string, options: {message: string; base?: number}) => {
+      const {message, base} = options;
       return finish(publish(terminal, client(), {folder, message, base}));
     });
+}
+
+/** Commands about the configuration in force. */
+function addConfigCommands(
+  program: Command,
+  {terminal, client, finish}: CommandContext,
+): void {
+  program
+    .command('get [kind] [name]')
+    .description('show the configuration in force as declarations')
+    .option('--json', 'as one JSON object', false)
+    .addHelpText(
+      'after',
+      examples('fuchsiacleat get', 'fuchsiacleat get route draft'),
+    )
+    .action((kind: string | undefined, name: string | undefined, {json}) =>
+      finish(get(terminal, client(), {kind, name, json})),
+    );
+  program
+    .command('history')
+    .description('show accepted versions, newest first')
+    .option('--limit <n>', 'most to show', toVersion, DEFAULT_HISTORY_LIMIT)
+    .option('--json', 'as one JSON array', false)
+    .addHelpText('after', examples('fuchsiacleat history --limit 5'))
+    .action((options: {limit: number; json: boolean}) =>
+      finish(history(terminal, client(), options)),
+    );
+  program
+    .command('rollback')
+    .argument('<version>', 'the version to return to', toVersion)
+    .description('publish the content of an earlier version as a new one')
+    .addHelpText('after', examples('fuchsiacleat rollback 41'))
+    .action((version: number) => finish(rollback(terminal, client(), version)));
+}
+
+/** Commands about hosts. */
+function addHostCommands(
+  program: Command,
+  {terminal, client, finish}: CommandContext,
+): void {
   program
     .command('status')
-    .description('show what a host tells of itself')
-    .option('--json', 'as one JSON object')
-    .action(({json}: {json?: boolean}) =>
-      finish(showStatus(terminal, client(), json === true)),
+    .description('show every host that the entry host knows')
+    .option('--json', 'as one JSON array', false)
+    .addHelpText('after', examples('fuchsiacleat status'))
+    .action(({json}: {json: boolean}) =>
+      finish(showStatus(terminal, client(), json)),
     );
+  program
+    .command('drain')
+    .description('stop the host given by --host after its running requests')
+    .addHelpText(
+      'after',
+      examples('fuchsiacleat --host http://10.0.1.5:8081 drain'),
+    )
+    .action(() => finish(drain(terminal, client())));
+}
+
+/** Commands that work with keys; they call no host. */
+function addKeyCommands(program: Command, {terminal}: CommandContext): void {
   program
     .command('key')
     .description('work with keys')
     .command('create')
     .description('make a key; it is shown once and stored nowhere')
+    .addHelpText('after', examples('fuchsiacleat key create'))
     .action(() => {
       const {key, digest} = createKey();
       terminal.out(`key     ${key}`);
       terminal.out(`digest  ${digest}`);
+      terminal.error('give the key to its team; declare only the digest');
     });
-  try {
-    await program.parseAsync(args, {from: 'user'});
-  } catch (error) {
-    const {exitCode: code} = error as {exitCode?: number};
-    return code === 0 ? EXIT_CODE.ok : EXIT_CODE.usage;
-  }
-  return exitCode;
+}
+
+function examples(...commands: string[]): string {
+  const lines = commands.map(command => `  ${command}`);
+  return ['', 'Examples:', ...lines].join('\n');
+}
+
+function toVersion(text: string): number {
+  if (/^\d{1,15}$/.test(text)) return Number(text);
+  throw new InvalidArgumentError('expected a whole number.');
 }
--- /dev/null
+++ b/packages/cli/src/test/fake_terminal.ts
@@ -0,0 +1,17 @@
+/** A terminal for tests. @packageDocumentation */
+
+import {Terminal} from '../lib/terminal.js';
+
+/** Keeps every line that was written. */
+export class FakeTerminal implements Terminal {
+  readonly output: string[] = [];
+  readonly errors: string[] = [];
+
+  out(line: string): void {
+    this.output.push(line);
+  }
+
+  error(line: string): void {
+    this.errors.push(line);
+  }
+}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -33,7 +33,7 @@
 import {createCallerApi} from './caller_api.js';
 import {CompletionHandler} from './completion_handler.js';
 import {HttpListener} from './http_listener.js';
-import {HostStatus, createOperatorApi} from './operator_api.js';
+import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
@@ -316,13 +316,14 @@
   }
 
   private startOperatorApi(): Promise<Result<HttpListener, string>> {
-    const {config, metrics} = this;
+    const {config, metrics, members} = this;
     const {operators, listen} = this.settings;
     const app = createOperatorApi({
       tokenDigest: operators.token_digest,
       config,
       metrics,
       status: () => this.status(),
+      hosts: () => toKnownHosts([...members.all(), ...this.remoteHosts()]),
       drain: () => void this.stop(),
     });
     const maxConnections = MAX_OPERATOR_CONNECTIONS;
--- a/packages/daemon/src/lib/operator_api.ts
+++ b/packages/daemon/src/lib/operator_api.ts
@@ -2,10 +2,12 @@
 
 import {
   ConfigStore,
+  Member,
   Metrics,
   matchesDigest,
   publicationSchema,
 } from '@fuchsiacleat/core';
+import {isIPv6} from 'node:net';
 import {Hono} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 
@@ -27,12 +29,33 @@
   queued: number;
 }
 
+/** A host that this one knows, itself included. */
+export interface KnownHost {
+  host: string;
+  zone: string;
+  /** Base URL of its operator API. */
+  url: string;
+}
+
+/**
+ * @param members - hosts as they joined their zones.
+ * @returns where their operator APIs are.
+ */
+export function toKnownHosts(members: readonly Member[]): KnownHost[] {
+  return members.map(({host, zone, operator: {address, port}}) => {
+    const literal = isIPv6(address) ? `[${address}]` : address;
+    return {host, zone, url: `http://${literal}:${port}`};
+  });
+}
+
 /** What the operator API works with. */
 export interface OperatorApiOptions {
   tokenDigest: string;
   config: ConfigStore;
   metrics: Metrics;
   status: () => HostStatus;
+  /** Known hosts of all zones. */
+  hosts: () => KnownHost[];
   /** Starts a graceful shutdown. */
   drain: () => void;
 }
@@ -42,7 +65,7 @@
  * @returns the routes of the API.
  */
 export function createOperatorApi(options: OperatorApiOptions): Hono {
-  const {config, metrics, status, drain, tokenDigest} = options;
+  const {config, metrics, status, hosts, drain, tokenDigest} = options;
   const app = new Hono();
   app.get('/healthz', c => c.text('ok'));
   app.get('/metrics', async c => {
@@ -60,6 +83,7 @@
   });
   app.use('/api/*', bodyLimit({maxSize: MAX_PUBLICATION_BYTES}));
   app.get('/api/status', c => c.json(status()));
+  app.get('/api/hosts', c => c.json({hosts: hosts()}));
   app.get('/api/config', c => {
     const {version} = config.state;
     return c.json({version, objects: config.state.rawObjects()});
