Let tests cut hosts off from the log and from each other

Failure tests need zones that are cut while the rest runs. LocalCluster.cuts sets and heals cuts by host: towards the log by a wrapper of its client, which also fails calls in progress, and between hosts by a predicate that the peer network asks before it dials, accepts or keeps a link.

--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -20,6 +20,7 @@
 
 const DIAL_TIMEOUT_MS = 1_000;
 const REDIAL_DELAY_MS = 500;
+const ALLOWED_SCAN_INTERVAL_MS = 100;
 const PSK_IDENTITY = 'fuchsiacleat';
 const PSK_CIPHERS = 'DHE-PSK-AES256-GCM-SHA384';
 
@@ -38,6 +39,11 @@
   secret: string | undefined;
   /** Finds a peer's address by its name. */
   resolve: (host: string) => PeerAddress | undefined;
+  /**
+   * Whether links with a host may exist; all by default. Failure tests cut
+   * hosts off from each other with it.
+   */
+  allows?: (host: string) => boolean;
 }
 
 interface Registered {
@@ -86,6 +92,7 @@
     signal: AbortSignal,
   ): Promise<Result<number, string>> {
     this.signal = signal;
+    if (this.options.allows !== undefined) void this.closeDisallowed(signal);
     const server = this.createServer();
     return new Promise(resolve => {
       server.once('error', error => resolve(err(error.message)));
@@ -144,7 +151,7 @@
     body: Body,
   ): boolean {
     const link = this.links.get(host);
-    if (link === undefined || !link.alive) return false;
+    if (link === undefined || !link.alive || !this.allows(host)) return false;
     link.note(method.name, body);
     return true;
   }
@@ -176,7 +183,20 @@
     if (parsed?.success) registered?.handler(parsed.data, from);
   }
 
+  private allows(host: string): boolean {
+    return this.options.allows?.(host) ?? true;
+  }
+
+  private async closeDisallowed(signal: AbortSignal): Promise<void> {
+    await this.options.clock.every(ALLOWED_SCAN_INTERVAL_MS, signal, () => {
+      for (const [host, link] of this.links) {
+        if (!this.allows(host)) link.close('links to the peer are not allowed');
+      }
+    });
+  }
+
   private async linkTo(host: string): Promise<PeerLink | undefined> {
+    if (!this.allows(host)) return undefined;
     const link = this.links.get(host);
     if (link?.alive) return link;
     const pending = this.dialling.get(host) ?? this.dial(host);
@@ -207,6 +227,10 @@
     socket.setNoDelay(true);
     const link = new PeerLink({socket, self, clock, handler: this});
     const ended = link.run(peer => {
+      if (!this.allows(peer.host)) {
+        link.close('links to the peer are not allowed');
+        return;
+      }
       this.links.set(peer.host, link);
       logger.info('peer_link_up', {peer: peer.host, peer_zone: peer.zone});
       onHello(peer);
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -49,6 +49,8 @@
   tracing?: Tracing;
   clock?: Clock;
   log?: PlatformLog;
+  /** Whether links with a host may exist; all by default. */
+  allowsPeer?: (host: string) => boolean;
   seed?: number;
 }
 
@@ -107,6 +109,7 @@
       logger,
       secret: settings.peers.secret,
       resolve: host => this.findMember(host)?.peer,
+      allows: deps.allowsPeer,
     });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -19,6 +19,7 @@
   WeightStoreStandin,
 } from '@fuchsiacleat/standins';
 import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
+import {Cuts} from './cuts.js';
 
 /** The operators' token of every local cluster. */
 export const OPERATOR_TOKEN = 'local-operator-token';
@@ -62,8 +63,12 @@
   readonly engines = new Map<string, EngineStandin>();
   readonly services = new Map<string, ServiceStandin>();
   readonly daemons = new Map<string, Daemon>();
+  /** Which hosts are cut off from the log and from each other. */
+  readonly cuts: Cuts;
 
-  private constructor(private readonly spec: ClusterSpec) {}
+  private constructor(private readonly spec: ClusterSpec) {
+    this.cuts = new Cuts(spec.hosts);
+  }
 
   /**
    * Starts the stand-ins and then every daemon.
@@ -82,6 +87,8 @@
     const host = this.spec.hosts.find(known => known.name === name)!;
     const daemon = new Daemon(this.settingsOf(host), {
       logger: this.loggerOf(name),
+      log: this.cuts.logOf(name, this.log.url),
+      allowsPeer: peer => this.cuts.allowsPeer(name, peer),
       ...this.spec.daemonDeps,
     });
     this.daemons.set(name, daemon);
--- /dev/null
+++ b/packages/local-cluster/src/test/cuts_test.ts
@@ -0,0 +1,46 @@
+import {expect} from 'chai';
+import {LocalCluster} from '../index.js';
+
+describe('Cuts', () => {
+  let cluster: LocalCluster;
+
+  before(async () => {
+    cluster = await LocalCluster.start({
+      hosts: [
+        {name: 'a-1', zone: 'a'},
+        {name: 'a-2', zone: 'a'},
+        {name: 'b-1', zone: 'b'},
+      ],
+      engines: [],
+    });
+  });
+
+  after(() => cluster.kill());
+
+  it('cuts the link between two hosts and heals it', async () => {
+    await cluster.awaitStatus(
+      ({zone, peers}) => zone !== 'a' || peers.length === 1,
+    );
+    cluster.cuts.cutPeers('a-1', 'a-2');
+    await cluster.awaitStatus(({peers}) => peers.length === 0);
+    cluster.cuts.heal();
+    await cluster.awaitStatus(
+      ({zone, peers}) => zone !== 'a' || peers.length === 1,
+    );
+  });
+
+  it('keeps a host that is cut off from the log at its version', async () => {
+    cluster.cuts.cutZone('b');
+    const verdict = await cluster.operator('a-1').publish({
+      type: 'publication',
+      base: 0,
+      changes: [{kind: 'zone', name: 'a', fields: {}}],
+      message: '',
+    });
+    expect(verdict._unsafeUnwrap().accepted).to.equal(true);
+    const status = await cluster.operator('b-1').status();
+    expect(status._unsafeUnwrap().configVersion).to.equal(0);
+    cluster.cuts.heal();
+    await cluster.awaitVersion(verdict._unsafeUnwrap().version);
+  });
+});
