--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './lib/idempotency/idempotency_records.js';
 export * from './lib/idempotency/idempotency_registry.js';
 export * from './lib/limits/local_token_limiter.js';
+export * from './lib/limits/retry_budget.js';
 export * from './lib/limits/token_bucket.js';
 export * from './lib/limits/token_limiter.js';
 export * from './lib/membership/join_status.js';
