--- a/packages/core/src/lib/idempotency/idempotency_registry.ts
+++ b/packages/core/src/lib/idempotency/idempotency_registry.ts
@@ -45,7 +45,6 @@
   content: string;
   /** How long the claim may take, in milliseconds. */
   boundMs: number;
-  signal: AbortSignal;
 }
 
 /** What an {@link IdempotencyRegistry} works with. */
@@ -86,7 +85,8 @@
     const known = shard.table.get(key);
     if (known !== undefined) return resultFor(known, content);
     const body: IdempotencyRecord = {type: 'claim', key, content};
-    const seen = await shard.tail.appendAndSee(body, req.boundMs, req.signal);
+    const {signal} = this.options;
+    const seen = await shard.tail.appendAndSee(body, req.boundMs, signal);
     if (seen.isErr()) {
       const {id, message} = seen.error;
       void this.abandonIfItAppears(shard, id, key);
--- a/packages/core/src/lib/limits/retry_budget.ts
+++ b/packages/core/src/lib/limits/retry_budget.ts
@@ -9,16 +9,25 @@
 /**
  * Keeps the retries of a host under a tenth of its requests.
  *
- * It starts empty and every request adds a fixed fraction, so at any moment
- * the retries made are at most that fraction of the requests seen. Under
- * overload no retry is granted and nothing is saved up, since a retry there
- * only adds load.
+ * Every request adds a fixed fraction, so at any moment the retries made are at
+ * most that fraction of the requests seen, beside the reserve that it starts
+ * with. Under overload no retry is granted and nothing is saved up, since a
+ * retry there only adds load.
  */
 export class RetryBudget {
-  private saved = 0;
+  private saved: number;
 
-  /** @param overloaded - whether the host is refusing requests for load. */
-  constructor(private readonly overloaded: () => boolean = () => false) {}
+  /**
+   * @param overloaded - whether the host is refusing requests for load.
+   * @param reserve - retries that are granted before any request was counted,
+   *     so that a host with little traffic can retry at all.
+   */
+  constructor(
+    private readonly overloaded: () => boolean = () => false,
+    reserve = 0,
+  ) {
+    this.saved = Math.min(MAX_SAVED_RETRIES, reserve);
+  }
 
   /** Counts a request; call it once for each, not for its retries. */
   noteRequest(): void {
--- a/packages/core/src/lib/requests/forward_server.ts
+++ b/packages/core/src/lib/requests/forward_server.ts
@@ -1,10 +1,6 @@
 /** Runs requests that hosts of other zones pass on. @packageDocumentation */
 
-import {
-  CALL_ABORT,
-  CallContext,
-  PeerNetwork,
-} from '../peers/peer_network.js';
+import {CALL_ABORT, CallContext, PeerNetwork} from '../peers/peer_network.js';
 import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
 import {FORWARD, Forward, ForwardEvent} from './forward.js';
--- a/packages/core/src/lib/requests/request_runner.ts
+++ b/packages/core/src/lib/requests/request_runner.ts
@@ -21,7 +21,7 @@
 } from './outcome.js';
 import {PeerRunner} from './peer_runner.js';
 import {runWithRetries} from './retry_loop.js';
-import {RetryPolicy} from './retry_policy.js';
+import {RetryBudget} from '../limits/retry_budget.js';
 
 /** What a {@link RequestRunner} works with. */
 export interface RequestRunnerOptions {
@@ -29,7 +29,7 @@
   router: Router;
   local: LocalRunner;
   peers: PeerRunner;
-  retries: RetryPolicy;
+  retries: RetryBudget;
   tracing: Tracing;
   clock: Clock;
 }
--- a/packages/core/src/lib/requests/retry_loop.ts
+++ b/packages/core/src/lib/requests/retry_loop.ts
@@ -3,7 +3,7 @@
 import {Clock} from '../time/clock.js';
 import {RunContext} from './attempt.js';
 import {FAILURE, Outcome, fail} from './outcome.js';
-import {RetryPolicy} from './retry_policy.js';
+import {RetryBudget} from '../limits/retry_budget.js';
 
 /** What an attempt's end must tell. */
 export interface RetryableEnd {
@@ -18,7 +18,7 @@
 /** What {@link runWithRetries} works with. */
 export interface RetryLoopOptions<Event, End extends RetryableEnd> {
   clock: Clock;
-  retries: RetryPolicy;
+  retries: RetryBudget;
   context: RunContext;
   /** Starts an attempt; `avoid` holds what was tried in vain. */
   attempt: (avoid: ReadonlySet<string>) => AsyncGenerator<Event, End>;
@@ -59,7 +59,7 @@
     if (ended || failed === undefined || !isRetryable(outcome)) {
       return honest(outcome, mayHaveRun);
     }
-    if (!retries.mayRetry()) return honest(outcome, mayHaveRun);
+    if (!retries.tryRetry()) return honest(outcome, mayHaveRun);
     avoid.add(failed);
   }
 }
--- a/packages/core/src/lib/requests/service_runner.ts
+++ b/packages/core/src/lib/requests/service_runner.ts
@@ -8,7 +8,7 @@
 import {RunContext} from './attempt.js';
 import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
 import {runWithRetries} from './retry_loop.js';
-import {RetryPolicy} from './retry_policy.js';
+import {RetryBudget} from '../limits/retry_budget.js';
 import {ServiceAttempt, ServiceCaller} from './service_attempt.js';
 import {
   FORWARD_SERVICE,
@@ -24,7 +24,7 @@
   router: Router;
   network: PeerNetwork;
   caller: ServiceCaller;
-  retries: RetryPolicy;
+  retries: RetryBudget;
   tracing: Tracing;
   clock: Clock;
 }
--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -130,7 +130,9 @@
 
   private orderProblem(event: GenerationEvent): string | undefined {
     if (event.type === 'token') {
-      return event.offset > this.next ? 'the engine skipped a token' : undefined;
+      return event.offset > this.next
+        ? 'the engine skipped a token'
+        : undefined;
     }
     return event.completionTokens === this.next
       ? undefined
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -4,7 +4,7 @@
 import {Context, Hono} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
-import {CompletionHandler} from './completion_handler.js';
+import {CompletionHandler, MakeFormat} from './completion_handler.js';
 import {errorResponse} from './http_outcome.js';
 import {
   ChatFormat,
@@ -13,6 +13,7 @@
   chatBodySchema,
   completionBodySchema,
 } from './openai_format.js';
+import {IDEMPOTENCY_HEADER} from './once_guard.js';
 import {DEADLINE_HEADER, GateHeaders, RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {ConfigStore} from '@fuchsiacleat/core';
@@ -35,7 +36,7 @@
   const {gate, logger, maxBodyBytes} = options;
   const app = new Hono();
   app.get('/readyz', c =>
-    c.text(gate.isStopping ? 'stopping' : 'ready', gate.isStopping ? 503 : 200),
+    c.text(gate.isReady ? 'ready' : 'stopping', gate.isReady ? 200 : 503),
   );
   app.use(
     bodyLimit({
@@ -87,7 +88,7 @@
   c: Context,
   {gate, completions}: CallerApiOptions,
   schema: z.ZodType<CompletionBody>,
-  makeFormat: Parameters<CompletionHandler['handle']>[2],
+  makeFormat: MakeFormat,
 ): Promise<Response> {
   const json = await readJson(c);
   const parsed = schema.safeParse(json);
@@ -101,8 +102,10 @@
   }
   const admitted = gate.admit(parsed.data.route, gateHeaders(c));
   if (admitted.isErr()) return errorResponse(admitted.error);
-  const {signal} = c.req.raw;
-  return completions.handle(admitted.value, parsed.data, makeFormat, signal);
+  return completions.handle(admitted.value, parsed.data, makeFormat, {
+    signal: c.req.raw.signal,
+    idempotencyKey: c.req.header(IDEMPOTENCY_HEADER),
+  });
 }
 
 async function callService(
@@ -110,7 +113,7 @@
   {gate, services}: CallerApiOptions,
 ): Promise<Response> {
   const routeName = c.req.param('route') ?? '';
-  const body = Buffer.from(await c.req.arrayBuffer());
+  const body = new Uint8Array(await c.req.arrayBuffer());
   const admitted = gate.admit(routeName, gateHeaders(c));
   if (admitted.isErr()) return errorResponse(admitted.error);
   const {pathname, search} = new URL(c.req.url);
--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -3,6 +3,7 @@
 import {
   Clock,
   ConfigStore,
+  GenerationEvent,
   GenerationRequest,
   Metrics,
   Outcome,
@@ -10,15 +11,20 @@
   Refusal,
   RequestRunner,
   Run,
-  Unserved,
   refuse,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
+import {AnswerStream} from './answer_stream.js';
 import {errorBody, errorResponse} from './http_outcome.js';
+import {OnceGuard} from './once_guard.js';
 import {AnswerFormat, CompletionBody} from './openai_format.js';
 import {Admitted} from './request_gate.js';
 
 const MS_PER_SECOND = 1_000;
+const STREAM_HEADERS = {
+  'content-type': 'text/event-stream',
+  'cache-control': 'no-cache',
+};
 
 /** What a {@link CompletionHandler} works with. */
 export interface CompletionHandlerOptions {
@@ -26,6 +32,22 @@
   runner: RequestRunner;
   clock: Clock;
   metrics: Metrics;
+  once: OnceGuard;
+}
+
+/** Makes the format of an answer. */
+export type MakeFormat = (
+  id: string,
+  model: string,
+  createdS: number,
+) => AnswerFormat;
+
+/** What a request carries besides its content. */
+export interface CallerContext {
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal;
+  /** The caller's `Idempotency-Key`. */
+  idempotencyKey: string | undefined;
 }
 
 /** Runs admitted requests and writes their answers. */
@@ -36,29 +58,51 @@
    * @param admitted - the request as it was let in; it is finished here.
    * @param body - what the caller asked for.
    * @param makeFormat - makes the format of the answer.
-   * @param callerGone - aborts when the caller goes away.
+   * @param caller - see {@link CallerContext}.
    * @returns the answer, streamed if the caller asked for that.
    */
   async handle(
     admitted: Admitted,
     body: CompletionBody,
-    makeFormat: (id: string, model: string, createdS: number) => AnswerFormat,
-    callerGone: AbortSignal,
+    makeFormat: MakeFormat,
+    {signal: callerGone, idempotencyKey}: CallerContext,
   ): Promise<Response> {
     const req = this.toRequest(admitted, body);
     if (req.isErr()) {
       admitted.finish(req.error);
       return errorResponse(req.error);
     }
-    const {clock, runner} = this.options;
-    const createdS = Math.floor(clock.epochNow() / MS_PER_SECOND);
-    const format = makeFormat(admitted.id, body.route, createdS);
+    const {id, repeatable, ...content} = req.value;
+    // A request that runs under a key goes on without its caller, so that a
+    // repeat gets the answer.
+    const once = idempotencyKey !== undefined && !repeatable;
+    return this.options.once.run(
+      admitted,
+      idempotencyKey,
+      JSON.stringify({...content, stream: body.stream}),
+      () => {
+        const createdS = this.options.clock.epochNow() / MS_PER_SECOND;
+        const format = makeFormat(id, body.route, Math.floor(createdS));
+        const gone = once ? new AbortController().signal : callerGone;
+        return this.run(admitted, req.value, body.stream, format, gone);
+      },
+    );
+  }
+
+  private run(
+    admitted: Admitted,
+    req: GenerationRequest,
+    streamed: boolean,
+    format: AnswerFormat,
+    callerGone: AbortSignal,
+  ): Promise<Response> {
     const cancel = new AbortController();
     const signal = AbortSignal.any([callerGone, cancel.signal]);
     const {deadlineMs, span} = admitted;
-    const run = runner.run(req.value, {deadlineMs, span, signal});
-    if (!body.stream) return this.answerWhole(admitted, run, format);
-    return this.answerStream(admitted, run, format, cancel);
+    const run = this.options.runner.run(req, {deadlineMs, span, signal});
+    if (!streamed) return this.answerWhole(admitted, run, format);
+    const onCancel = () => cancel.abort();
+    return this.answerStream(admitted, run, format, onCancel);
   }
 
   private toRequest(
@@ -113,60 +157,43 @@
     admitted: Admitted,
     run: Run,
     format: AnswerFormat,
-    cancel: AbortController,
+    cancel: () => void,
   ): Promise<Response> {
-    const startMs = this.options.clock.now();
-    let step = await run.next();
-    if (step.done && step.value.type !== 'served') {
-      admitted.finish(step.value);
-      return errorResponse(step.value);
+    const {clock, metrics} = this.options;
+    const startMs = clock.now();
+    const first = await run.next();
+    if (first.done && first.value.type !== 'served') {
+      admitted.finish(first.value);
+      return errorResponse(first.value);
     }
-    const waitedMs = this.options.clock.now() - startMs;
-    const route = admitted.routeName;
-    this.options.metrics.firstToken.observe({route}, waitedMs / MS_PER_SECOND);
-    let first = true;
-    const stream = new ReadableStream<Uint8Array>(
-      {
-        pull: async controller => {
-          if (step.done) {
-            admitted.finish(step.value);
-            controller.enqueue(lastEvent(step.value));
-            controller.close();
-            return;
-          }
-          const event = step.value;
-          const chunk =
-            event.type === 'token'
-              ? format.tokenChunk(event.text, first)
-              : format.endChunk(event);
-          first = false;
-          controller.enqueue(sseEvent(JSON.stringify(chunk)));
-          step = await run.next();
-        },
-        cancel: async () => {
-          cancel.abort();
-          await run.return({type: 'cancelled'});
-          admitted.finish({type: 'cancelled'});
-        },
-      },
-      {highWaterMark: 1},
-    );
-    return new Response(stream, {
-      headers: {
-        'content-type': 'text/event-stream',
-        'cache-control': 'no-cache',
-      },
+    const waitedS = (clock.now() - startMs) / MS_PER_SECOND;
+    metrics.firstToken.observe({route: admitted.routeName}, waitedS);
+    const stream = new AnswerStream({
+      clock,
+      deadlineMs: admitted.deadlineMs,
+      run,
+      first,
+      encode: event => sseEvent(JSON.stringify(chunkOf(event, format))),
+      encodeEnd: lastEvent,
+      cancel,
+      finish: admitted.finish,
     });
+    return new Response(stream.body(), {headers: STREAM_HEADERS});
   }
 }
 
 const encoder = new TextEncoder();
 
+function chunkOf(event: GenerationEvent, format: AnswerFormat): object {
+  if (event.type === 'end') return format.endChunk(event);
+  return format.tokenChunk(event.text, event.offset === 0);
+}
+
 function sseEvent(data: string): Uint8Array {
   return encoder.encode(`data: ${data}\n\n`);
 }
 
 function lastEvent(outcome: Outcome): Uint8Array {
   if (outcome.type === 'served') return sseEvent('[DONE]');
-  return sseEvent(JSON.stringify(errorBody(outcome as Unserved)));
+  return sseEvent(JSON.stringify(errorBody(outcome)));
 }
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -19,7 +19,6 @@
   RecordIds,
   ReplicaDirectory,
   RequestQueue,
-  RequestRunner,
   Router,
   SystemClock,
   TargetClients,
@@ -34,6 +33,7 @@
 import {CompletionHandler} from './completion_handler.js';
 import {HttpListener} from './http_listener.js';
 import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
+import {RequestPath} from './request_path.js';
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
@@ -71,7 +71,7 @@
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
-  private readonly runner: RequestRunner;
+  private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
   private readonly keptLinks = new Set<string>();
@@ -141,14 +141,20 @@
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
     const limiter = new LocalTokenLimiter(config, clock);
-    this.runner = new RequestRunner({
+    this.path = new RequestPath({
+      zone,
+      config,
       limiter,
       queue,
       router,
       network,
+      targets: this.targets,
+      log,
+      ids,
       tracing,
       clock,
-      engineOf,
+      logger,
+      signal: this.lifetime.signal,
     });
     this.gate = new RequestGate({
       config: this.config,
@@ -232,12 +238,17 @@
 
   private async shutDown(): Promise<void> {
     const {logger} = this.deps;
-    logger.info('stopping', {});
+    const {grace_ms: graceMs} = this.settings.shutdown;
+    logger.info('stopping', {grace_ms: graceMs});
+    // The balancer needs time to see that this host is not ready; until then
+    // new requests are served as before.
+    this.gate.notReady();
+    await this.lease.release(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
+    await this.clock.sleep(graceMs);
     this.gate.close();
-    const bound = AbortSignal.timeout(STOP_APPEND_BOUND_MS);
-    await this.lease.release(bound);
-    await this.gate.idle();
+    this.path.close();
     this.caller?.close();
+    await Promise.all([this.gate.idle(), this.path.idle()]);
     const {host, incarnation} = this.self;
     await this.zoneStream.append(
       LEAVE,
@@ -298,19 +309,20 @@
   }
 
   private startCallerApi(): Promise<Result<HttpListener, string>> {
-    const {config, runner, clock, metrics, tracing, targets, gate} = this;
-    const {limits, listen, host} = this.settings;
+    const {config, clock, metrics, gate} = this;
+    const {limits, listen} = this.settings;
+    const {requests: runner, services, once} = this.path;
     const app = createCallerApi({
       gate,
       config,
-      completions: new CompletionHandler({config, runner, clock, metrics}),
-      services: new ServiceHandler({
-        zone: host.zone,
+      completions: new CompletionHandler({
         config,
-        targets,
-        tracing,
+        runner,
         clock,
+        metrics,
+        once,
       }),
+      services: new ServiceHandler({runner: services, once, clock}),
       logger: this.deps.logger,
       maxBodyBytes: limits.body_bytes,
     });
@@ -338,7 +350,7 @@
     return {
       host: this.self.host,
       zone: this.self.zone,
-      ready: this.caller !== undefined && !this.gate.isStopping,
+      ready: this.caller !== undefined && this.gate.isReady,
       configVersion: this.config.state.version,
       configAgeS: Number.isFinite(ageMs) ? ageMs / 1_000 : null,
       leaseHolder: this.lease.holder() ?? null,
--- /dev/null
+++ b/packages/daemon/src/lib/once_guard.ts
@@ -0,0 +1,186 @@
+/** Runs requests under an idempotency key at most once. @packageDocumentation */
+
+import {
+  Claim,
+  ClaimResult,
+  Clock,
+  ConflictReason,
+  IdempotencyRegistry,
+  MAX_STORED_BODY_BYTES,
+  Outcome,
+  REFUSAL,
+  Refusal,
+  StoredAnswer,
+  refuse,
+} from '@fuchsiacleat/core';
+import {Result, err, ok} from 'neverthrow';
+import {errorResponse} from './http_outcome.js';
+import {Admitted} from './request_gate.js';
+
+/** Header under which a request runs at most once. */
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
+
+/** Header of an answer that was stored when the request ran before. */
+export const REPLAYED_HEADER = 'idempotency-replayed';
+
+const MAX_KEY_LENGTH = 256;
+const MAX_CLAIM_MS = 5_000;
+const ABANDON_WAIT_MS = 1_000;
+const RETRY_CONFLICT_MS = 1_000;
+
+const CONFLICT_MESSAGES: Record<ConflictReason, string> = {
+  'in-progress': 'a request with this idempotency key is in progress',
+  'other-content': 'this idempotency key was used for another request',
+  'result-gone':
+    'the request ran before, or may have; its answer is no longer held',
+};
+
+/** Runs the request and answers it. */
+export type RunOnce = () => Promise<Response>;
+
+/** Guards requests that may not be repeated. */
+export class OnceGuard {
+  constructor(
+    private readonly registry: IdempotencyRegistry,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Runs a request unless it ran before. Requests that may be repeated, and
+   * those without an idempotency key, run unguarded.
+   *
+   * @param admitted - the request; it is finished here or by `run`.
+   * @param idempotencyKey - the caller's header.
+   * @param content - everything that makes up the request.
+   * @param run - runs the request.
+   */
+  async run(
+    admitted: Admitted,
+    idempotencyKey: string | undefined,
+    content: string,
+    run: RunOnce,
+  ): Promise<Response> {
+    if (idempotencyKey === undefined || admitted.route.repeatable) return run();
+    const claim = await this.claim(admitted, idempotencyKey, content);
+    if (claim.isErr()) {
+      admitted.finish(claim.error);
+      return errorResponse(claim.error);
+    }
+    if (claim.value.type === 'stored') {
+      admitted.finish({type: 'served'});
+      return replay(claim.value.answer);
+    }
+    return this.runClaimed(admitted, claim.value.claim, run);
+  }
+
+  private async claim(
+    {team, deadlineMs}: Admitted,
+    idempotencyKey: string,
+    content: string,
+  ): Promise<Result<Extract<ClaimResult, {type: 'won' | 'stored'}>, Refusal>> {
+    if (idempotencyKey.length > MAX_KEY_LENGTH) {
+      const message = `${IDEMPOTENCY_HEADER} exceeds ${MAX_KEY_LENGTH} characters`;
+      return err(refuse(REFUSAL.badRequest, message));
+    }
+    const remainingMs = deadlineMs - this.clock.now();
+    const result = await this.registry.claim({
+      team,
+      idempotencyKey,
+      content,
+      boundMs: Math.min(MAX_CLAIM_MS, remainingMs),
+    });
+    switch (result.type) {
+      case 'won':
+      case 'stored':
+        return ok(result);
+      case 'conflict': {
+        const inProgress = result.reason === 'in-progress';
+        const retryAfterMs = inProgress ? RETRY_CONFLICT_MS : undefined;
+        const message = CONFLICT_MESSAGES[result.reason];
+        return err(refuse(REFUSAL.conflict, message, retryAfterMs));
+      }
+      case 'unavailable': {
+        const message = `the request could not be claimed: ${result.message}`;
+        return err(refuse(REFUSAL.logUnavailable, message, RETRY_CONFLICT_MS));
+      }
+    }
+  }
+
+  private async runClaimed(
+    admitted: Admitted,
+    claim: Claim,
+    run: RunOnce,
+  ): Promise<Response> {
+    const res = await run();
+    const copy = new BodyCopy();
+    const settled = admitted.outcome.then(outcome =>
+      settle(claim, outcome, copy, res),
+    );
+    if (res.body === null || !res.ok) copy.end();
+    if (admitted.ended?.type === 'refused') {
+      // The key should be free again before the caller asks anew.
+      await Promise.race([settled, this.clock.sleep(ABANDON_WAIT_MS)]);
+    }
+    if (res.body === null || !res.ok) return res;
+    const {status, headers} = res;
+    return new Response(res.body.pipeThrough(copy.through), {status, headers});
+  }
+}
+
+/** Ends a claim according to how its request ended. */
+async function settle(
+  claim: Claim,
+  outcome: Outcome,
+  copy: BodyCopy,
+  {status, headers}: Response,
+): Promise<void> {
+  if (outcome.type === 'refused') return claim.abandon();
+  if (outcome.type !== 'served') return claim.complete(undefined);
+  const body = await copy.whole;
+  if (body === undefined) return claim.complete(undefined);
+  const kept = Object.fromEntries(headers);
+  const answer = {status, headers: kept, body: body.toString('base64')};
+  return claim.complete(answer);
+}
+
+function replay({status, headers, body}: StoredAnswer): Response {
+  return new Response(Buffer.from(body, 'base64'), {
+    status,
+    headers: {...headers, [REPLAYED_HEADER]: 'true'},
+  });
+}
+
+/** Copies a body on its way to the caller, if it is small enough. */
+class BodyCopy {
+  /** Passes the body on unchanged. */
+  readonly through: TransformStream<Uint8Array, Uint8Array>;
+  /** The whole body, or undefined if it is too large to be kept. */
+  readonly whole: Promise<Buffer | undefined>;
+  private chunks: Uint8Array[] | undefined = [];
+  private bytes = 0;
+  private resolve: (body: Buffer | undefined) => void = () => {};
+
+  constructor() {
+    this.whole = new Promise(resolve => {
+      this.resolve = resolve;
+    });
+    this.through = new TransformStream({
+      transform: (chunk, controller) => {
+        this.keep(chunk);
+        controller.enqueue(chunk);
+      },
+      flush: () => this.end(),
+    });
+  }
+
+  /** The body is complete. */
+  end(): void {
+    this.resolve(this.chunks && Buffer.concat(this.chunks));
+  }
+
+  private keep(chunk: Uint8Array): void {
+    this.bytes += chunk.length;
+    if (this.bytes > MAX_STORED_BODY_BYTES) this.chunks = undefined;
+    this.chunks?.push(chunk);
+  }
+}
--- a/packages/daemon/src/lib/request_gate.ts
+++ b/packages/daemon/src/lib/request_gate.ts
@@ -5,6 +5,7 @@
   ConfigStore,
   HOP,
   HopSpan,
+  InFlight,
   Logger,
   Metrics,
   OPEN_TEAM,
@@ -32,8 +33,12 @@
   /** Clock time by which the request must have ended, in milliseconds. */
   deadlineMs: number;
   span: HopSpan;
-  /** Ends the request: once, in exactly one outcome. */
-  finish(outcome: Outcome): void;
+  /** How the request ended, once it has. */
+  readonly ended: Outcome | undefined;
+  /** Resolves once the request has ended. */
+  outcome: Promise<Outcome>;
+  /** Ends the request: the first call counts. */
+  finish: (outcome: Outcome) => void;
 }
 
 /** The headers that the gate reads. */
@@ -54,26 +59,31 @@
 
 /** Authenticates requests and accounts for their ends. */
 export class RequestGate {
-  private inFlight = 0;
+  private readonly inFlight = new InFlight();
+  private ready = true;
   private stopping = false;
-  private readonly idleListeners: Array<() => void> = [];
 
   constructor(private readonly options: RequestGateOptions) {}
 
-  /** Whether new requests are refused because the host is stopping. */
-  get isStopping(): boolean {
-    return this.stopping;
+  /** Whether the balancer should send requests to this host. */
+  get isReady(): boolean {
+    return this.ready;
+  }
+
+  /** Tells the balancer to send no more requests; those that come run. */
+  notReady(): void {
+    this.ready = false;
   }
 
   /** Refuses new requests from now on. */
   close(): void {
+    this.ready = false;
     this.stopping = true;
   }
 
   /** @returns a promise that resolves once no request is in progress. */
   idle(): Promise<void> {
-    if (this.inFlight === 0) return Promise.resolve();
-    return new Promise(resolve => this.idleListeners.push(resolve));
+    return this.inFlight.idle();
   }
 
   /**
@@ -116,9 +126,13 @@
     const {clock} = this.options;
     const wishedMs = Number(headers.deadlineMs ?? route.deadline);
     const allowedMs = Math.min(wishedMs, route.max_deadline);
-    this.inFlight += 1;
-    this.options.metrics.inFlight.set(this.inFlight);
-    let ended = false;
+    const leave = this.inFlight.enter();
+    this.options.metrics.inFlight.set(this.inFlight.size);
+    let ended: Outcome | undefined;
+    let tell: (outcome: Outcome) => void = () => {};
+    const outcome = new Promise<Outcome>(resolve => {
+      tell = resolve;
+    });
     return {
       id: newRequestId(),
       team,
@@ -126,11 +140,17 @@
       route,
       deadlineMs: clock.now() + allowedMs,
       span,
-      finish: outcome => {
-        if (ended) return;
-        ended = true;
-        this.leave();
-        this.account(routeName, team, outcome, span);
+      get ended() {
+        return ended;
+      },
+      outcome,
+      finish: end => {
+        if (ended !== undefined) return;
+        ended = end;
+        leave();
+        this.options.metrics.inFlight.set(this.inFlight.size);
+        this.account(routeName, team, end, span);
+        tell(end);
       },
     };
   }
@@ -170,13 +190,6 @@
     );
   }
 
-  private leave(): void {
-    this.inFlight -= 1;
-    this.options.metrics.inFlight.set(this.inFlight);
-    if (this.inFlight > 0) return;
-    for (const listener of this.idleListeners.splice(0)) listener();
-  }
-
   private account(
     routeName: string,
     team: string,
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -1,20 +1,16 @@
-/** Passes calls on to plain services. @packageDocumentation */
+/** Answers calls of plain services. @packageDocumentation */
 
 import {
   Clock,
-  ConfigStore,
-  FAILURE,
-  HOP,
-  REFUSAL,
-  ServiceAnswer,
-  TargetClients,
-  Tracing,
-  Unserved,
-  fail,
-  refuse,
+  Outcome,
+  ServiceEvent,
+  ServiceRequest,
+  ServiceRun,
+  ServiceRunner,
 } from '@fuchsiacleat/core';
-import {Readable} from 'node:stream';
+import {AnswerStream} from './answer_stream.js';
 import {errorResponse} from './http_outcome.js';
+import {IDEMPOTENCY_HEADER, OnceGuard} from './once_guard.js';
 import {Admitted} from './request_gate.js';
 
 /** Headers that concern one connection or hold the caller's key. */
@@ -22,6 +18,7 @@
   'authorization',
   'connection',
   'content-length',
+  'cookie',
   'expect',
   'host',
   'keep-alive',
@@ -32,12 +29,13 @@
   'upgrade',
 ]);
 
+const STATUSES_WITHOUT_BODY = [204, 205, 304];
+const NO_BYTES = new Uint8Array(0);
+
 /** What a {@link ServiceHandler} works with. */
 export interface ServiceHandlerOptions {
-  zone: string;
-  config: ConfigStore;
-  targets: TargetClients;
-  tracing: Tracing;
+  runner: ServiceRunner;
+  once: OnceGuard;
   clock: Clock;
 }
 
@@ -52,63 +50,83 @@
    * @param body - the whole body.
    * @returns the service's answer, or an error answer.
    */
-  async handle(
+  handle(
     admitted: Admitted,
     req: Request,
     path: string,
-    body: Buffer,
+    body: Uint8Array<ArrayBuffer>,
   ): Promise<Response> {
-    const {targets, tracing, clock} = this.options;
-    const target = this.chooseTarget(admitted.route.targets ?? []);
-    if (target === undefined) {
-      const message = `route "${admitted.routeName}" has no service`;
-      return end(admitted, refuse(REFUSAL.noCapacity, message));
-    }
-    const span = tracing.start(HOP.target, admitted.span.context, {target});
-    const remainingMs = Math.max(0, admitted.deadlineMs - clock.now());
-    const late = AbortSignal.timeout(Math.ceil(remainingMs));
-    const headers = passedHeaders(req.headers);
-    headers['traceparent'] = span.traceparent();
-    const answer = await targets
-      .service(target)
-      .call(
-        {method: req.method, path, headers, body},
-        AbortSignal.any([req.signal, late]),
-      );
-    span.end(answer.isErr() ? answer.error.message : undefined);
-    if (answer.isOk()) return passAnswer(admitted, answer.value);
-    const {maySent, message} = answer.error;
-    if (req.signal.aborted) return end(admitted, {type: 'cancelled'});
-    if (!maySent) return end(admitted, refuse(REFUSAL.noCapacity, message));
-    const reason = late.aborted ? FAILURE.deadline : FAILURE.targetLost;
-    return end(admitted, fail(reason, message));
+    const {route, id, team, routeName} = admitted;
+    const call: ServiceRequest = {
+      id,
+      team,
+      route: routeName,
+      targets: route.targets ?? [],
+      method: req.method,
+      path,
+      headers: passedHeaders(req.headers),
+      body,
+      repeatable: route.repeatable,
+    };
+    const idempotencyKey = req.headers.get(IDEMPOTENCY_HEADER) ?? undefined;
+    const text = Buffer.from(body).toString('base64');
+    const content = JSON.stringify([routeName, req.method, path, text]);
+    // A call that runs under a key goes on without its caller, so that a
+    // repeat gets the answer.
+    const once = idempotencyKey !== undefined && !route.repeatable;
+    const gone = once ? new AbortController().signal : req.signal;
+    return this.options.once.run(admitted, idempotencyKey, content, () =>
+      this.run(admitted, call, gone),
+    );
   }
 
-  /** Prefers a service of this zone. */
-  private chooseTarget(names: readonly string[]): string | undefined {
-    const {declared} = this.options.config.state;
-    const isHere = (name: string) =>
-      declared.get('target', name)?.zone === this.options.zone;
-    return names.find(isHere) ?? names[0];
+  private async run(
+    admitted: Admitted,
+    call: ServiceRequest,
+    callerGone: AbortSignal,
+  ): Promise<Response> {
+    const cancel = new AbortController();
+    const signal = AbortSignal.any([callerGone, cancel.signal]);
+    const {deadlineMs, span} = admitted;
+    const run = this.options.runner.run(call, {deadlineMs, span, signal});
+    const step = await run.next();
+    if (step.done) {
+      const outcome = step.value;
+      admitted.finish(outcome);
+      if (outcome.type !== 'served') return errorResponse(outcome);
+      throw new Error('a service call was served without an answer');
+    }
+    const head = step.value;
+    if (head.type !== 'head') throw new Error('an answer began without head');
+    const onCancel = () => cancel.abort();
+    const body = await this.answerBody(admitted, run, onCancel);
+    const {status} = head;
+    const headers = passedHeaders(new Headers(head.headers));
+    if (!STATUSES_WITHOUT_BODY.includes(status)) {
+      return new Response(body, {status, headers});
+    }
+    await body.pipeTo(new WritableStream());
+    return new Response(null, {status, headers});
   }
-}
-
-function end(admitted: Admitted, outcome: Unserved): Response {
-  admitted.finish(outcome);
-  return errorResponse(outcome);
-}
 
-function passAnswer(admitted: Admitted, answer: ServiceAnswer): Response {
-  answer.body.once('error', error =>
-    admitted.finish(fail(FAILURE.targetLost, error.message)),
-  );
-  answer.body.once('end', () => admitted.finish({type: 'served'}));
-  answer.body.once('close', () => admitted.finish({type: 'cancelled'}));
-  const headers = passedHeaders(new Headers(answer.headers));
-  const hasBody = ![204, 304].includes(answer.status);
-  const body = Readable.toWeb(answer.body) as ReadableStream<Uint8Array>;
-  if (!hasBody) answer.body.resume();
-  return new Response(hasBody ? body : null, {status: answer.status, headers});
+  private async answerBody(
+    admitted: Admitted,
+    run: ServiceRun,
+    cancel: () => void,
+  ): Promise<ReadableStream<Uint8Array>> {
+    const stream = new AnswerStream<ServiceEvent>({
+      clock: this.options.clock,
+      deadlineMs: admitted.deadlineMs,
+      run,
+      first: await run.next(),
+      encode: event => (event.type === 'chunk' ? event.data : NO_BYTES),
+      encodeEnd: (outcome: Outcome) =>
+        outcome.type === 'served' ? NO_BYTES : undefined,
+      cancel,
+      finish: admitted.finish,
+    });
+    return stream.body();
+  }
 }
 
 function passedHeaders(headers: Headers): Record<string, string> {
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -79,6 +79,19 @@
         .describe('Most connections of callers at once.'),
     })
     .default({body_bytes: 1024 * 1024, connections: 4_096}),
+  shutdown: z
+    .strictObject({
+      grace_ms: z.coerce
+        .number<string>()
+        .int()
+        .min(0)
+        .default(2_000)
+        .describe(
+          'How long a stopping host still takes requests, so that the ' +
+            'balancer sees that it is not ready, in milliseconds.',
+        ),
+    })
+    .default({grace_ms: 2_000}),
   log: z
     .strictObject({
       level: z
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -260,6 +260,7 @@
       peers: {secret: PEER_SECRET, plain: false},
       operators: {token_digest: digestOf(OPERATOR_TOKEN)},
       limits: {body_bytes: 1024 * 1024, connections: 4_096},
+      shutdown: {grace_ms: 0},
       log: {level: 'info'},
     };
   }
