Replace silent and doubled peer links, bound what a slow peer holds

Cause: heartbeats ran on every link whether or not it carried data; links were noticed as silent after up to 2 s and redialled 0.5 s later; when both ends dialled at once both links stayed; notifications and answers to a peer that does not read grew without bound.

Change: one tick for all links, heartbeats only on links that sent nothing for 800 ms, silence noticed after 1.7 s and redialled within 200 ms. Of links dialled at once both ends keep the same one and retire the other. Answers wait for the socket to drain, notifications to a peer far behind are dropped, and a link with 16 MiB unsent is closed. Links to other zones close when idle. Peers that could not be reached lately can be avoided.

Tests: each fails with its mechanism off (link not retired, no silence limit, no wait for the socket).

--- a/packages/core/src/lib/peers/async_queue.ts
+++ b/packages/core/src/lib/peers/async_queue.ts
@@ -6,6 +6,11 @@
   private closed = false;
   private wake: (() => void) | undefined;
 
+  /** Number of items at hand. */
+  get length(): number {
+    return this.items.length;
+  }
+
   /** @param item - ignored after {@link AsyncQueue.close}. */
   push(item: T): void {
     if (this.closed) return;
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -1,53 +1,41 @@
 /** One connection between two hosts. @packageDocumentation */
 
+import {setMaxListeners} from 'node:events';
 import {Socket} from 'node:net';
-import {Result, err, ok} from 'neverthrow';
+import {Result, err} from 'neverthrow';
 import {Clock} from '../time/clock.js';
-import {AsyncQueue} from './async_queue.js';
 import {Frame, FrameDecoder, encodeFrame} from './frame.js';
-import {
-  CALL_ABORT,
-  CallContext,
-  PEER_ERROR,
-  PeerError,
-  PeerIdentity,
-} from './peer_network.js';
+import {AnswerWriter, IncomingCalls, LinkHandler} from './incoming_calls.js';
+import {OutgoingCalls} from './outgoing_calls.js';
+import {PEER_ERROR, PeerError, PeerIdentity} from './peer_network.js';
 
-/** Time between heartbeats, in milliseconds. */
-export const HEARTBEAT_INTERVAL_MS = 500;
+/** A link over which nothing was sent for this long carries a heartbeat. */
+export const HEARTBEAT_INTERVAL_MS = 800;
 
 /** A link that brought no byte for this long is closed, in milliseconds. */
-export const SILENCE_LIMIT_MS = 1_500;
+export const SILENCE_LIMIT_MS = 1_700;
 
-/** Events that a server may send ahead of the consumer. */
-const EVENT_WINDOW = 64;
+/** Time between calls of {@link PeerLink.tick}, in milliseconds. */
+export const TICK_INTERVAL_MS = 100;
 
-/** Serves the calls that come in over a link. */
-export interface LinkHandler {
-  /** Answers a call; throwing rejects it. */
-  dispatch(
-    method: string,
-    body: unknown,
-    context: CallContext,
-  ): AsyncIterable<unknown>;
-  /** Takes a notification. */
-  note(method: string, body: unknown, from: PeerIdentity): void;
-}
+/** How long a link that was replaced stays open for late calls. */
+const RETIRED_GRACE_MS = 2_000;
 
-interface OutgoingCall {
-  events: AsyncQueue<Result<unknown, PeerError>>;
-}
+/** Unsent bytes over which answers wait for the peer to read. */
+const DRAIN_BYTES = 256 * 1024;
 
-interface IncomingCall {
-  abort: AbortController;
-  credit: number;
-  onCredit: (() => void) | undefined;
-}
+/** Unsent bytes over which notifications are dropped. */
+const NOTE_LIMIT_BYTES = 1024 * 1024;
+
+/** Unsent bytes over which the link is closed. */
+const UNSENT_LIMIT_BYTES = 16 * 1024 * 1024;
 
 /** What a {@link PeerLink} works with. */
 export interface PeerLinkOptions {
   socket: Socket;
   self: PeerIdentity;
+  /** Whether this host dialled. */
+  dialled: boolean;
   clock: Clock;
   handler: LinkHandler;
 }
@@ -58,17 +46,26 @@
  * `run` is the task of the link; it ends when the socket closes, goes silent
  * or breaks the protocol.
  */
-export class PeerLink {
+export class PeerLink implements AnswerWriter {
+  /** Clock time at which the link was made. */
+  readonly sinceMs: number;
   private readonly closed = new AbortController();
-  private readonly outgoing = new Map<number, OutgoingCall>();
-  private readonly incoming = new Map<number, IncomingCall>();
-  private nextCallId = 0;
+  private readonly outgoing = new OutgoingCalls(frame => this.send(frame));
+  private readonly incoming: IncomingCalls;
   private lastHeardMs: number;
+  private lastSentMs = -Infinity;
+  private lastCallMs: number;
+  private retiredMs: number | undefined;
   private remote: PeerIdentity | undefined;
   private reason = 'the link was closed';
 
   constructor(private readonly options: PeerLinkOptions) {
-    this.lastHeardMs = options.clock.now();
+    this.sinceMs = options.clock.now();
+    this.lastHeardMs = this.sinceMs;
+    this.lastCallMs = this.sinceMs;
+    this.incoming = new IncomingCalls(options.handler, this);
+    // Each call that waits for the peer to read listens on both.
+    setMaxListeners(0, options.socket, this.closed.signal);
   }
 
   /** The host at the other end, once it has said hello. */
@@ -81,6 +78,11 @@
     return !this.closed.signal.aborted;
   }
 
+  /** Name of the host that dialled, once the peer has said hello. */
+  get dialler(): string | undefined {
+    return this.options.dialled ? this.options.self.host : this.remote?.host;
+  }
+
   /** Why the link ended. */
   get closeReason(): string {
     return this.reason;
@@ -101,9 +103,6 @@
     signal.addEventListener('abort', stop);
     if (signal.aborted) stop();
     this.send({t: 'hello', ...self});
-    void clock.every(HEARTBEAT_INTERVAL_MS, this.closed.signal, () =>
-      this.beat(),
-    );
     const decoder = new FrameDecoder();
     try {
       for await (const chunk of socket) {
@@ -133,39 +132,43 @@
     body: unknown,
     signal: AbortSignal,
   ): AsyncGenerator<Result<unknown, PeerError>, void> {
-    if (!this.alive) {
-      yield err({type: PEER_ERROR.notSent, message: this.reason});
-      return;
-    }
-    const id = this.nextCallId++;
-    const events = new AsyncQueue<Result<unknown, PeerError>>();
-    const cancel = () => {
-      events.push(err({type: PEER_ERROR.lost, message: 'timed out'}));
-      events.close();
-    };
-    this.outgoing.set(id, {events});
-    signal.addEventListener('abort', cancel);
-    if (signal.aborted) cancel();
-    else this.send({t: 'open', id, method, body});
-    let taken = 0;
-    try {
-      for await (const event of events.drain()) {
-        yield event;
-        if (event.isErr()) return;
-        taken += 1;
-        if (taken % (EVENT_WINDOW / 2) === 0) {
-          this.send({t: 'credit', id, events: EVENT_WINDOW / 2});
-        }
-      }
-    } finally {
-      signal.removeEventListener('abort', cancel);
-      if (this.outgoing.delete(id)) this.send({t: 'cancel', id});
-    }
+    if (this.alive) yield* this.outgoing.open(method, body, signal);
+    else yield err({type: PEER_ERROR.notSent, message: this.reason});
   }
 
-  /** Sends a notification. */
-  note(method: string, body: unknown): void {
+  /**
+   * Sends a notification, unless the peer is far behind in reading.
+   *
+   * @returns whether it was sent.
+   */
+  note(method: string, body: unknown): boolean {
+    const {socket} = this.options;
+    if (!this.alive || socket.writableLength > NOTE_LIMIT_BYTES) return false;
     this.send({t: 'note', method, body});
+    return true;
+  }
+
+  /** Sends a heartbeat if one is due and closes the link if it is silent. */
+  tick(): void {
+    const nowMs = this.options.clock.now();
+    if (this.outgoing.size + this.incoming.size > 0) this.lastCallMs = nowMs;
+    if (nowMs - this.lastHeardMs > SILENCE_LIMIT_MS) {
+      this.close('the link went silent');
+    } else if (this.isSpent(nowMs)) {
+      this.close('the link was replaced');
+    } else if (nowMs - this.lastSentMs >= HEARTBEAT_INTERVAL_MS) {
+      this.send({t: 'beat'});
+    }
+  }
+
+  /** How long the link has carried no call, in milliseconds. */
+  get idleMs(): number {
+    return this.options.clock.now() - this.lastCallMs;
+  }
+
+  /** Closes the link once its calls have ended; another has replaced it. */
+  retire(): void {
+    this.retiredMs ??= this.options.clock.now();
   }
 
   /** Ends the link and every call on it. */
@@ -174,27 +177,41 @@
     this.reason = reason;
     this.closed.abort();
     this.options.socket.destroy();
-    const error: PeerError = {type: PEER_ERROR.lost, message: reason};
-    for (const {events} of this.outgoing.values()) {
-      events.push(err(error));
-      events.close();
-    }
-    this.outgoing.clear();
-    for (const call of this.incoming.values()) {
-      call.abort.abort(CALL_ABORT.linkLost);
-      call.onCredit?.();
+    this.outgoing.loseAll(reason);
+    this.incoming.loseAll();
+  }
+
+  /** Part of {@link AnswerWriter}. */
+  send(frame: Frame): void {
+    if (!this.alive) return;
+    const {socket, clock} = this.options;
+    if (socket.writableLength > UNSENT_LIMIT_BYTES) {
+      this.close('the peer reads too slowly');
+      return;
     }
-    this.incoming.clear();
+    this.lastSentMs = clock.now();
+    socket.write(encodeFrame(frame));
   }
 
-  private beat(): void {
-    const silentMs = this.options.clock.now() - this.lastHeardMs;
-    if (silentMs > SILENCE_LIMIT_MS) this.close('the link went silent');
-    else this.send({t: 'beat'});
+  /** Part of {@link AnswerWriter}. */
+  async drained(): Promise<void> {
+    const {socket} = this.options;
+    if (socket.writableLength <= DRAIN_BYTES || !this.alive) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        socket.off('drain', finish);
+        this.closed.signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      socket.on('drain', finish);
+      this.closed.signal.addEventListener('abort', finish);
+    });
   }
 
-  private send(frame: Frame): void {
-    if (this.alive) this.options.socket.write(encodeFrame(frame));
+  private isSpent(nowMs: number): boolean {
+    const {retiredMs, lastCallMs} = this;
+    if (retiredMs === undefined) return false;
+    return nowMs - Math.max(retiredMs, lastCallMs) >= RETIRED_GRACE_MS;
   }
 
   private take(frame: Frame, onHello: (peer: PeerIdentity) => void): void {
@@ -214,20 +231,21 @@
   private takeFromPeer(frame: Frame, from: PeerIdentity): void {
     switch (frame.t) {
       case 'open':
-        void this.answer(frame.id, frame.method, frame.body, from);
+        void this.incoming.answer(frame, from);
         break;
       case 'event':
-        this.outgoing.get(frame.id)?.events.push(ok(frame.body));
+        if (!this.outgoing.event(frame.id, frame.body)) {
+          this.close('the peer sent more events than it may');
+        }
         break;
       case 'end':
-        this.endOutgoing(frame.id, frame.error);
+        this.outgoing.end(frame.id, frame.error);
         break;
       case 'cancel':
-        this.incoming.get(frame.id)?.abort.abort(CALL_ABORT.cancelled);
-        this.incoming.get(frame.id)?.onCredit?.();
+        this.incoming.cancel(frame.id);
         break;
       case 'credit':
-        this.addCredit(frame.id, frame.events);
+        this.incoming.addCredit(frame.id, frame.events);
         break;
       case 'note':
         this.options.handler.note(frame.method, frame.body, from);
@@ -236,60 +254,4 @@
         break;
     }
   }
-
-  private endOutgoing(id: number, error: string | undefined): void {
-    const call = this.outgoing.get(id);
-    if (call === undefined) return;
-    this.outgoing.delete(id);
-    if (error !== undefined) {
-      call.events.push(err({type: PEER_ERROR.rejected, message: error}));
-    }
-    call.events.close();
-  }
-
-  private addCredit(id: number, events: number): void {
-    const call = this.incoming.get(id);
-    if (call === undefined) return;
-    call.credit += events;
-    call.onCredit?.();
-  }
-
-  private async answer(
-    id: number,
-    method: string,
-    body: unknown,
-    from: PeerIdentity,
-  ): Promise<void> {
-    const abort = new AbortController();
-    const call: IncomingCall = {
-      abort,
-      credit: EVENT_WINDOW,
-      onCredit: undefined,
-    };
-    this.incoming.set(id, call);
-    let error: string | undefined;
-    try {
-      const {handler} = this.options;
-      const context = {from, signal: abort.signal};
-      for await (const event of handler.dispatch(method, body, context)) {
-        await waitForCredit(call);
-        if (abort.signal.aborted) break;
-        call.credit -= 1;
-        this.send({t: 'event', id, body: event});
-      }
-    } catch (thrown) {
-      error = (thrown as Error).message;
-    }
-    this.incoming.delete(id);
-    this.send({t: 'end', id, error});
-  }
-}
-
-async function waitForCredit(call: IncomingCall): Promise<void> {
-  while (call.credit === 0 && !call.abort.signal.aborted) {
-    await new Promise<void>(resolve => {
-      call.onCredit = resolve;
-    });
-    call.onCredit = undefined;
-  }
 }
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -1,12 +1,14 @@
 /** Peer links over TCP, with TLS by a pre-shared key. @packageDocumentation */
 
-import {createHash} from 'node:crypto';
-import {AddressInfo, Server, Socket, connect, createServer} from 'node:net';
-import * as tls from 'node:tls';
+import {setMaxListeners} from 'node:events';
+import {AddressInfo, Socket} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
 import {Logger} from '../telemetry/logger.js';
-import {LinkHandler, PeerLink} from './peer_link.js';
+import {LinkHandler} from './incoming_calls.js';
+import {LinkTable} from './link_table.js';
+import {PeerLink, TICK_INTERVAL_MS} from './peer_link.js';
+import {PeerAddress, PeerSockets} from './peer_sockets.js';
 import {
   CallContext,
   NoteHandler,
@@ -18,17 +20,14 @@
   PeerNetwork,
 } from './peer_network.js';
 
-const DIAL_TIMEOUT_MS = 1_000;
-const REDIAL_DELAY_MS = 500;
-const ALLOWED_SCAN_INTERVAL_MS = 100;
-const PSK_IDENTITY = 'fuchsiacleat';
-const PSK_CIPHERS = 'DHE-PSK-AES256-GCM-SHA384';
+const KEEP_INTERVAL_MS = 200;
+const REDIAL_DELAY_MS = 1_000;
 
-/** Where a peer listens. */
-export interface PeerAddress {
-  address: string;
-  port: number;
-}
+/** A link to another zone without calls is closed after this time. */
+const IDLE_LIMIT_MS = 60_000;
+
+/** How long a peer that could not be reached is avoided, in milliseconds. */
+const SUSPECT_MS = 5_000;
 
 /** What a {@link TcpPeerNetwork} works with. */
 export interface TcpPeerNetworkOptions {
@@ -58,20 +57,19 @@
 
 /** A {@link PeerNetwork} of {@link PeerLink}s that are dialled on demand. */
 export class TcpPeerNetwork extends PeerNetwork implements LinkHandler {
-  private readonly links = new Map<string, PeerLink>();
+  private readonly table = new LinkTable();
+  /** Links that are open, also those without a hello or retired. */
+  private readonly openLinks = new Set<PeerLink>();
+  private readonly failedMs = new Map<string, number>();
   private readonly dialling = new Map<string, Promise<PeerLink | undefined>>();
   private readonly handlers = new Map<string, Registered>();
   private readonly noteHandlers = new Map<string, RegisteredNote>();
-  private readonly psk: Buffer | undefined;
+  private readonly sockets: PeerSockets;
   private signal = new AbortController().signal;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     super();
-    const {secret} = options;
-    this.psk =
-      secret === undefined
-        ? undefined
-        : createHash('sha256').update(secret).digest();
+    this.sockets = new PeerSockets(options);
   }
 
   override get self(): PeerIdentity {
@@ -92,8 +90,13 @@
     signal: AbortSignal,
   ): Promise<Result<number, string>> {
     this.signal = signal;
-    if (this.options.allows !== undefined) void this.closeDisallowed(signal);
-    const server = this.createServer();
+    // Each link listens for the end of its host.
+    setMaxListeners(0, signal);
+    const {clock} = this.options;
+    void clock.every(TICK_INTERVAL_MS, signal, () => this.tick());
+    const server = this.sockets.createServer(socket => {
+      void this.runLink(this.makeLink(socket, false), () => {});
+    });
     return new Promise(resolve => {
       server.once('error', error => resolve(err(error.message)));
       server.listen(port, address, () => {
@@ -111,15 +114,26 @@
    */
   async keepLink(host: string, signal: AbortSignal): Promise<void> {
     const {clock} = this.options;
-    await clock.every(REDIAL_DELAY_MS, signal, async () => {
-      await this.linkTo(host);
+    await clock.every(KEEP_INTERVAL_MS, signal, async () => {
+      const link = await this.linkTo(host);
+      if (link === undefined) await clock.sleep(REDIAL_DELAY_MS, signal);
     });
   }
 
+  /** Number of open links, also those that are being set up or replaced. */
+  get linkCount(): number {
+    return this.openLinks.size;
+  }
+
+  /** @returns whether a peer could lately not be reached. */
+  isSuspect(host: string): boolean {
+    const failedMs = this.failedMs.get(host);
+    if (failedMs === undefined || this.table.get(host)) return false;
+    return this.options.clock.now() - failedMs < SUSPECT_MS;
+  }
+
   override connected(): PeerIdentity[] {
-    return [...this.links.values()]
-      .filter(link => link.alive)
-      .map(link => link.peer!);
+    return this.table.peers();
   }
 
   override async *open<Body, Event>(
@@ -150,10 +164,9 @@
     method: PeerMethod<Body, never>,
     body: Body,
   ): boolean {
-    const link = this.links.get(host);
-    if (link === undefined || !link.alive || !this.allows(host)) return false;
-    link.note(method.name, body);
-    return true;
+    const link = this.table.get(host);
+    if (link === undefined || !this.allows(host)) return false;
+    return link.note(method.name, body);
   }
 
   override onNote<Body>(
@@ -187,118 +200,77 @@
     return this.options.allows?.(host) ?? true;
   }
 
-  private async closeDisallowed(signal: AbortSignal): Promise<void> {
-    await this.options.clock.every(ALLOWED_SCAN_INTERVAL_MS, signal, () => {
-      for (const [host, link] of this.links) {
-        if (!this.allows(host)) link.close('links to the peer are not allowed');
+  private tick(): void {
+    for (const link of this.openLinks) {
+      link.tick();
+      const {peer} = link;
+      if (peer === undefined) continue;
+      if (!this.allows(peer.host)) {
+        link.close('links to the peer are not allowed');
+      } else if (peer.zone !== this.self.zone && link.idleMs > IDLE_LIMIT_MS) {
+        link.close('the link was idle');
       }
-    });
+    }
   }
 
   private async linkTo(host: string): Promise<PeerLink | undefined> {
     if (!this.allows(host)) return undefined;
-    const link = this.links.get(host);
-    if (link?.alive) return link;
+    const link = this.table.get(host);
+    if (link !== undefined) return link;
     const pending = this.dialling.get(host) ?? this.dial(host);
     this.dialling.set(host, pending);
     const dialled = await pending;
     this.dialling.delete(host);
+    if (dialled === undefined) this.noteFailure(host);
     return dialled;
   }
 
   private async dial(host: string): Promise<PeerLink | undefined> {
     const where = this.options.resolve(host);
     if (where === undefined || this.signal.aborted) return undefined;
-    const socket = await this.connect(where);
+    const socket = await this.sockets.connect(where);
     if (socket === undefined) return undefined;
     return new Promise(resolve => {
-      const link = this.runLink(socket, peer => {
-        resolve(peer.host === host ? link : undefined);
+      const link = this.makeLink(socket, true);
+      const ended = this.runLink(link, kept => {
+        resolve(kept.peer!.host === host ? kept : undefined);
       });
-      void link.ended.then(() => resolve(undefined));
+      void ended.then(() => resolve(this.table.get(host)));
     });
   }
 
-  private runLink(
-    socket: Socket,
-    onHello: (peer: PeerIdentity) => void,
-  ): PeerLink & {ended: Promise<void>} {
-    const {self, clock, logger} = this.options;
+  private makeLink(socket: Socket, dialled: boolean): PeerLink {
+    const {self, clock} = this.options;
     socket.setNoDelay(true);
-    const link = new PeerLink({socket, self, clock, handler: this});
-    const ended = link.run(peer => {
+    return new PeerLink({socket, self, dialled, clock, handler: this});
+  }
+
+  /** @param onReady - called with the link to use once the peer is known. */
+  private async runLink(
+    link: PeerLink,
+    onReady: (kept: PeerLink) => void,
+  ): Promise<void> {
+    const {logger} = this.options;
+    this.openLinks.add(link);
+    await link.run(peer => {
       if (!this.allows(peer.host)) {
         link.close('links to the peer are not allowed');
         return;
       }
-      this.links.set(peer.host, link);
+      const kept = this.table.add(link);
+      this.failedMs.delete(peer.host);
       logger.info('peer_link_up', {peer: peer.host, peer_zone: peer.zone});
-      onHello(peer);
+      onReady(kept);
     }, this.signal);
-    const logged = ended.then(() => {
-      const peer = link.peer?.host;
-      if (peer !== undefined && this.links.get(peer) === link) {
-        this.links.delete(peer);
-      }
-      logger.info('peer_link_down', {peer, reason: link.closeReason});
-    });
-    return Object.assign(link, {ended: logged});
-  }
-
-  private createServer(): Server {
-    const accept = (socket: Socket) => {
-      socket.on('error', () => socket.destroy());
-      this.runLink(socket, () => {});
-    };
-    if (this.psk === undefined) return createServer(accept);
-    const psk = this.psk;
-    const server = tls.createServer(
-      {
-        ciphers: PSK_CIPHERS,
-        maxVersion: 'TLSv1.2',
-        dhparam: 'auto',
-        pskCallback: (unusedSocket, identity) =>
-          identity === PSK_IDENTITY ? psk : null,
-      },
-      accept,
-    );
-    server.on('tlsClientError', error =>
-      this.options.logger.warn('peer_handshake_failed', {
-        reason: error.message,
-      }),
-    );
-    return server;
+    this.openLinks.delete(link);
+    this.table.remove(link);
+    const peer = link.peer?.host;
+    if (peer !== undefined && !this.table.get(peer)) this.noteFailure(peer);
+    logger.info('peer_link_down', {peer, reason: link.closeReason});
   }
 
-  private connect({address, port}: PeerAddress): Promise<Socket | undefined> {
-    const psk = this.psk;
-    return new Promise(resolve => {
-      const onConnect = () => {
-        timer.cancel();
-        resolve(socket);
-      };
-      const socket: Socket =
-        psk === undefined
-          ? connect({host: address, port}, onConnect)
-          : tls.connect(
-              {
-                host: address,
-                port,
-                ciphers: PSK_CIPHERS,
-                maxVersion: 'TLSv1.2',
-                checkServerIdentity: () => undefined,
-                pskCallback: () => ({psk, identity: PSK_IDENTITY}),
-              },
-              onConnect,
-            );
-      const giveUp = () => {
-        timer.cancel();
-        socket.destroy();
-        resolve(undefined);
-      };
-      const timer = this.options.clock.after(DIAL_TIMEOUT_MS, giveUp);
-      socket.on('error', giveUp);
-    });
+  private noteFailure(host: string): void {
+    this.failedMs.set(host, this.options.clock.now());
   }
 }
 
--- /dev/null
+++ b/packages/core/src/test/peers/tcp_peer_network_test.ts
@@ -0,0 +1,182 @@
+import {once} from 'node:events';
+import {AddressInfo, Server, Socket, connect, createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {z} from 'zod';
+import {
+  PEER_ERROR,
+  PeerAddress,
+  PeerMethod,
+  SilentLogger,
+  SystemClock,
+  TcpPeerNetwork,
+  encodeFrame,
+} from '../../index.js';
+
+const POLL_MS = 10;
+const EVENT_BYTES = 16 * 1024;
+
+/** Above what the sockets' own buffers take, below what calls may send. */
+const MAX_SENT_BYTES = 15 * 1024 ** 2;
+
+const ECHO: PeerMethod<string, string> = {
+  name: 'test.echo',
+  body: z.string(),
+  event: z.string(),
+};
+const FLOOD: PeerMethod<null, string> = {
+  name: 'test.flood',
+  body: z.null(),
+  event: z.string(),
+};
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(POLL_MS);
+}
+
+async function listenOn(server: Server): Promise<PeerAddress> {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  return {address: '127.0.0.1', port};
+}
+
+/** Passes bytes on until it is told to swallow those of open connections. */
+class Relay {
+  private readonly sockets = new Set<Socket>();
+  private readonly server = createServer(near => {
+    const far = connect(this.to.port, this.to.address);
+    for (const [socket, other] of [
+      [near, far],
+      [far, near],
+    ]) {
+      this.sockets.add(socket);
+      socket.on('error', () => {});
+      socket.on('data', bytes => other.write(bytes));
+      socket.on('close', () => other.destroy());
+    }
+  });
+
+  constructor(private readonly to: PeerAddress) {}
+
+  start(): Promise<PeerAddress> {
+    return listenOn(this.server);
+  }
+
+  silence(): void {
+    for (const socket of this.sockets) {
+      socket.removeAllListeners('data').removeAllListeners('close');
+      socket.resume();
+    }
+    this.sockets.clear();
+  }
+
+  stop(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+}
+
+describe('TcpPeerNetwork', () => {
+  let lifetime: AbortController;
+  let addresses: Map<string, PeerAddress>;
+
+  beforeEach(() => {
+    lifetime = new AbortController();
+    addresses = new Map();
+  });
+
+  afterEach(() => lifetime.abort());
+
+  async function start(name: string): Promise<TcpPeerNetwork> {
+    const network = new TcpPeerNetwork({
+      self: {host: name, zone: 'a', incarnation: `${name}.1`},
+      clock: new SystemClock(),
+      logger: new SilentLogger(),
+      secret: undefined,
+      resolve: host => addresses.get(host),
+    });
+    network.serveUnary(ECHO, text => `${name} ${text}`);
+    const port = await network.listen('127.0.0.1', 0, lifetime.signal);
+    addresses.set(name, {address: '127.0.0.1', port: port._unsafeUnwrap()});
+    return network;
+  }
+
+  function echo(network: TcpPeerNetwork, host: string) {
+    const {signal} = lifetime;
+    return network.call(host, ECHO, 'hi', {timeoutMs: 30_000, signal});
+  }
+
+  it('gives up a peer that accepts but never says hello', async () => {
+    const sockets = new Set<Socket>();
+    const mute = createServer(socket => sockets.add(socket));
+    addresses.set('mute', await listenOn(mute));
+    const network = await start('a');
+    const answer = await echo(network, 'mute');
+    expect(answer._unsafeUnwrapErr().type).to.equal(PEER_ERROR.notSent);
+    expect(network.isSuspect('mute')).to.equal(true);
+    for (const socket of sockets) socket.destroy();
+    mute.close();
+  });
+
+  it('replaces a link that has gone silent', async () => {
+    const a = await start('a');
+    const b = await start('b');
+    const relay = new Relay(addresses.get('b')!);
+    addresses.set('b', await relay.start());
+    void a.keepLink('b', lifetime.signal);
+    await until(() => a.connected().length === 1);
+    relay.silence();
+    await until(() => a.connected().length === 0);
+    await until(() => a.connected().length === 1);
+    expect((await echo(a, 'b'))._unsafeUnwrap()).to.equal('b hi');
+    expect((await echo(b, 'a'))._unsafeUnwrap()).to.equal('a hi');
+    relay.stop();
+  });
+
+  it('keeps one link when both ends dial at once', async () => {
+    const names = ['a', 'b', 'c', 'd'];
+    const networks = await Promise.all(names.map(start));
+    const calls = networks.flatMap(network =>
+      names
+        .filter(name => name !== network.self.host)
+        .map(name => echo(network, name)),
+    );
+    for (const answer of await Promise.all(calls)) {
+      expect(answer.isOk()).to.equal(true);
+    }
+    const others = names.length - 1;
+    await until(() => networks.every(({linkCount}) => linkCount === others));
+    for (const network of networks) {
+      expect(network.connected().length).to.equal(others);
+    }
+  });
+
+  it('bounds what it holds for a peer that does not read', async () => {
+    const network = await start('a');
+    let sentBytes = 0;
+    let ended = 0;
+    network.serve(FLOOD, async function* (unusedBody, {signal}) {
+      signal.addEventListener('abort', () => (ended += 1));
+      while (!signal.aborted) {
+        sentBytes += EVENT_BYTES;
+        yield 'x'.repeat(EVENT_BYTES);
+      }
+    });
+    const {port, address} = addresses.get('a')!;
+    const socket = connect(port, address);
+    socket.on('error', () => {});
+    socket.pause();
+    const hello = {host: 'slow', zone: 'a', incarnation: 'slow.1'};
+    socket.write(encodeFrame({t: 'hello', ...hello}));
+    const calls = 50;
+    for (let id = 0; id < calls; id++) {
+      socket.write(
+        encodeFrame({t: 'open', id, method: FLOOD.name, body: null}),
+      );
+    }
+    await until(() => ended === calls);
+    expect(sentBytes).to.be.below(MAX_SENT_BYTES);
+    socket.destroy();
+  });
+});
