Tell other zones of a zone's members by one stream of summaries

Cause: every host followed the stream of every other zone, with all its lease renewals and decisions.

Change: the controller of each zone writes a summary of its members to the stream zones when they change; every host follows that stream and its own zone's. Cut off from the log, controllers ask hosts of other zones, and members their controller. A host passes requests on to three hosts of each other zone, chosen by a hash, so that links do not grow into a full mesh.

--- a/packages/core/src/lib/membership/member_table.ts
+++ b/packages/core/src/lib/membership/member_table.ts
@@ -43,10 +43,12 @@
   /** Members that named themselves over a link before the log was read. */
   private readonly ahead = new Map<string, Joined>();
   private readonly listeners: Array<() => void> = [];
+  private lastOffset = -1;
 
   /** @param stream - the zone's stream; the table follows it. */
   constructor(stream: ZoneStream) {
     stream.on(JOIN, (member, {offset}) => {
+      this.lastOffset = offset;
       this.byHost.set(member.host, {member, offset});
       this.forgetAhead(member.host, offset);
       this.changed();
@@ -54,11 +56,17 @@
     stream.on(LEAVE, ({host, incarnation}, {offset}) => {
       this.forgetAhead(host, offset);
       if (this.byHost.get(host)?.member.incarnation !== incarnation) return;
+      this.lastOffset = offset;
       this.byHost.delete(host);
       this.changed();
     });
   }
 
+  /** Offset of the latest record that changed the members; -1 for none. */
+  get version(): number {
+    return this.lastOffset;
+  }
+
   /** @returns the members that the log tells, in the order of their names. */
   all(): Member[] {
     return sorted([...this.byHost.values()]);
--- /dev/null
+++ b/packages/core/src/lib/membership/zone_directory.ts
@@ -0,0 +1,208 @@
+/** The members of all other zones. @packageDocumentation */
+
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {PlatformLog, StoredRecord} from '../platform/platform_log.js';
+import {RecordIds, StreamTail} from '../platform/stream_tail.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
+import {LeaseAuthority} from './lease_authority.js';
+import {Member, MemberTable, memberSchema} from './member_table.js';
+
+/** The stream on which each zone's controller tells its members. */
+export const ZONES_STREAM = 'zones';
+
+const CHECK_INTERVAL_MS = 500;
+const APPEND_BOUND_MS = 5_000;
+
+/** Summaries are written again after this, ahead of the log's retention. */
+const REWRITE_INTERVAL_MS = 3_600_000;
+
+/** The log counts as unreachable when the stream was not read for so long. */
+const STALE_MS = 15_000;
+const ASK_INTERVAL_MS = 10_000;
+const ASK_TIMEOUT_MS = 2_000;
+
+const summarySchema = z.object({
+  zone: z.string(),
+  /** Offset of the zone's stream that the summary stands for. */
+  version: z.number().int(),
+  members: z.array(memberSchema),
+});
+
+/** The members of one zone at one version. */
+export type ZoneSummary = z.output<typeof summarySchema>;
+
+const versionsSchema = z.record(z.string(), z.number().int());
+
+/** Asks a peer for summaries that are newer than the versions given. */
+export const SUMMARIES: PeerMethod<
+  z.output<typeof versionsSchema>,
+  ZoneSummary[]
+> = {
+  name: 'zones.summaries',
+  body: versionsSchema,
+  event: z.array(summarySchema),
+};
+
+/** What a {@link ZoneDirectory} works with. */
+export interface ZoneDirectoryOptions {
+  log: PlatformLog;
+  clock: Clock;
+  logger: Logger;
+  ids: RecordIds;
+  network: PeerNetwork;
+  random: Random;
+  /** Members of this host's zone. */
+  members: MemberTable;
+  lease: LeaseAuthority;
+  /** Whether a peer could lately not be reached. */
+  isSuspect: (host: string) => boolean;
+}
+
+interface Known {
+  summary: ZoneSummary;
+  /** Clock time at which it was read from the log. */
+  readMs: number;
+}
+
+/**
+ * Each zone's controller writes a summary of its members to one stream, which
+ * every host follows; no host follows the streams of other zones. While the
+ * log is unreachable, controllers ask hosts of other zones for newer
+ * summaries, and members ask their controller.
+ */
+export class ZoneDirectory {
+  private readonly byZone = new Map<string, Known>();
+  private readonly tail: StreamTail;
+
+  constructor(private readonly options: ZoneDirectoryOptions) {
+    this.tail = new StreamTail({
+      ...options,
+      stream: ZONES_STREAM,
+      onRecord: record => this.takeRecord(record),
+    });
+    options.network.serveUnary(SUMMARIES, versions => this.newer(versions));
+  }
+
+  /** @returns every known host of all other zones. */
+  remoteHosts(): Member[] {
+    const {zone} = this.options.network.self;
+    return [...this.byZone.values()]
+      .filter(({summary}) => summary.zone !== zone)
+      .flatMap(({summary}) => summary.members);
+  }
+
+  /**
+   * @param perZone - how many hosts of each other zone.
+   * @returns the hosts to which this host passes work on. Each host has its
+   *     own few, so that links do not grow into a full mesh; hosts that could
+   *     lately not be reached come last.
+   */
+  preferredHosts(perZone: number): Member[] {
+    const {zone} = this.options.network.self;
+    return [...this.byZone.values()]
+      .filter(({summary}) => summary.zone !== zone)
+      .flatMap(({summary}) => this.prefer(summary.members).slice(0, perZone));
+  }
+
+  /** Follows the stream and writes this zone's summaries while in charge. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    await Promise.all([
+      this.tail.run(signal),
+      clock.every(CHECK_INTERVAL_MS, signal, () => this.writeIfDue(signal)),
+      clock.every(ASK_INTERVAL_MS, signal, () => this.askIfStale(signal)),
+    ]);
+  }
+
+  /**
+   * Tells other zones that the zone's last host has left; later hosts write
+   * their own summary.
+   *
+   * @param signal - gives up.
+   */
+  async writeIfEmpty(signal: AbortSignal): Promise<void> {
+    if (this.options.members.all().length === 0) await this.write(signal);
+  }
+
+  private prefer(members: readonly Member[]): Member[] {
+    const {network, isSuspect} = this.options;
+    const rankOf = ({host}: Member) =>
+      createHash('sha1').update(`${network.self.host} ${host}`).digest('hex');
+    return members
+      .map(member => ({member, rank: rankOf(member)}))
+      .map(({member, rank}) => ({
+        member,
+        rank: (isSuspect(member.host) ? 'z' : 'a') + rank,
+      }))
+      .sort((a, b) => (a.rank < b.rank ? -1 : 1))
+      .map(({member}) => member);
+  }
+
+  private takeRecord({body, offset}: StoredRecord): void {
+    const parsed = summarySchema.safeParse(body);
+    if (parsed.success) this.take(parsed.data);
+    else this.options.logger.warn('zone_summary_malformed', {offset});
+  }
+
+  private take(summary: ZoneSummary): void {
+    const known = this.byZone.get(summary.zone);
+    if (known !== undefined && known.summary.version > summary.version) return;
+    const readMs = this.options.clock.now();
+    this.byZone.set(summary.zone, {summary, readMs});
+  }
+
+  private newer(versions: Record<string, number>): ZoneSummary[] {
+    return [...this.byZone.values()]
+      .map(({summary}) => summary)
+      .filter(({zone, version}) => version > (versions[zone] ?? -1));
+  }
+
+  private async writeIfDue(signal: AbortSignal): Promise<void> {
+    const {members, lease, network, clock} = this.options;
+    if (lease.check().isErr() || this.tail.lastCaughtUp === undefined) return;
+    const {zone} = network.self;
+    const {version} = members;
+    const known = this.byZone.get(zone);
+    const ageMs = clock.now() - (known?.readMs ?? -Infinity);
+    if (known?.summary.version === version && ageMs < REWRITE_INTERVAL_MS) {
+      return;
+    }
+    await this.write(signal);
+  }
+
+  private async write(signal: AbortSignal): Promise<void> {
+    const {members, network} = this.options;
+    const {version} = members;
+    const {zone} = network.self;
+    const summary: ZoneSummary = {zone, version, members: members.all()};
+    await this.tail.appendAndSee(summary, APPEND_BOUND_MS, signal);
+  }
+
+  private async askIfStale(signal: AbortSignal): Promise<void> {
+    const {clock, network} = this.options;
+    const {lastCaughtUp} = this.tail;
+    if (lastCaughtUp === undefined) return;
+    if (clock.now() - lastCaughtUp < STALE_MS) return;
+    const host = this.informant();
+    if (host === undefined) return;
+    const versions = Object.fromEntries(
+      [...this.byZone].map(([zone, {summary}]) => [zone, summary.version]),
+    );
+    const options = {timeoutMs: ASK_TIMEOUT_MS, signal};
+    const answer = await network.call(host, SUMMARIES, versions, options);
+    if (answer.isOk()) answer.value.forEach(summary => this.take(summary));
+  }
+
+  /** @returns the host to ask for newer summaries. */
+  private informant(): string | undefined {
+    const {lease, network, random} = this.options;
+    const holder = lease.holder();
+    if (holder !== undefined && holder !== network.self.host) return holder;
+    const remote = this.preferredHosts(1);
+    return remote.length === 0 ? undefined : random.pick(remote).host;
+  }
+}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -10,7 +10,6 @@
   LocalTokenLimiter,
   Logger,
   Member,
-  MemberTable,
   Membership,
   Metrics,
   PeerIdentity,
@@ -26,6 +25,8 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
+  ZoneDirectory,
+  ZoneLinks,
   ZoneStream,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
@@ -40,7 +41,9 @@
 
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
-const ZONE_SCAN_INTERVAL_MS = 500;
+
+/** Hosts of each other zone to which a host passes requests on. */
+const FORWARD_HOSTS_PER_ZONE = 3;
 
 /** What a {@link Daemon} takes from outside; tests replace parts. */
 export interface DaemonDeps {
@@ -65,14 +68,13 @@
   private readonly config: ConfigStore;
   private readonly zoneStream: ZoneStream;
   private readonly membership: Membership;
-  private readonly remoteZones = new Map<string, MemberTable>();
+  private readonly zones: ZoneDirectory;
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
   private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
-  private readonly keptLinks = new Set<string>();
   private caller: HttpListener | undefined;
   private operator: HttpListener | undefined;
   private stopped: Promise<void> | undefined;
@@ -116,6 +118,18 @@
       logger,
       hostList: listUrl === undefined ? undefined : new HttpHostList(listUrl),
     });
+    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
+    this.zones = new ZoneDirectory({
+      log,
+      clock,
+      logger,
+      ids,
+      random,
+      network: this.network,
+      members: this.membership.members,
+      lease: this.membership.lease,
+      isSuspect: host => this.network.isSuspect(host),
+    });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory();
@@ -142,8 +156,7 @@
       clock,
     });
     this.queue = new RequestQueue({clock, directory, placement});
-    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
-    const remoteHosts = () => this.remoteHosts();
+    const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
     const limiter = new LocalTokenLimiter(config, clock);
@@ -212,8 +225,9 @@
     await this.join(peerPort.value);
     void this.membership.run(signal);
     void this.controller.run(signal);
-    this.config.onChange(() => this.scan());
-    void this.clock.every(ZONE_SCAN_INTERVAL_MS, signal, () => this.scan());
+    void this.zones.run(signal);
+    const {members} = this.membership;
+    new ZoneLinks(this.self.host, members, this.network).run(signal);
     const caller = await this.startCallerApi();
     if (caller.isErr()) return err(`listen.caller: ${caller.error}`);
     this.caller = caller.value;
@@ -257,6 +271,7 @@
     this.caller?.close();
     await Promise.all([this.gate.idle(), this.path.idle()]);
     await this.membership.leave(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
+    await this.zones.writeIfEmpty(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
     await this.tracing.flush();
     logger.info('stopped', {});
     this.kill();
@@ -272,30 +287,11 @@
     await this.membership.join(member, this.lifetime.signal);
   }
 
-  /** Keeps links within the zone and follows the streams of other zones. */
-  private scan(): void {
-    const {signal} = this.lifetime;
-    for (const {host} of this.membership.members.all()) {
-      if (host === this.self.host || this.keptLinks.has(host)) continue;
-      this.keptLinks.add(host);
-      void this.network.keepLink(host, signal);
-    }
-    for (const zone of this.config.state.declared.all('zone').keys()) {
-      if (zone === this.self.zone || this.remoteZones.has(zone)) continue;
-      const {log, clock, ids} = this;
-      const {logger} = this.deps;
-      const stream = new ZoneStream({zone, log, clock, logger, ids});
-      this.remoteZones.set(zone, new MemberTable(stream));
-      void stream.run(signal);
-    }
-  }
-
-  private remoteHosts(): Member[] {
-    return [...this.remoteZones.values()].flatMap(table => table.all());
-  }
-
   private findMember(host: string): Member | undefined {
-    const all = [...this.membership.members.known(), ...this.remoteHosts()];
+    const all = [
+      ...this.membership.members.known(),
+      ...this.zones.remoteHosts(),
+    ];
     return all.find(member => member.host === host);
   }
 
@@ -330,7 +326,8 @@
       config,
       metrics,
       status: () => this.status(),
-      hosts: () => toKnownHosts([...members.all(), ...this.remoteHosts()]),
+      hosts: () =>
+        toKnownHosts([...members.all(), ...this.zones.remoteHosts()]),
       drain: () => void this.stop(),
     });
     const maxConnections = MAX_OPERATOR_CONNECTIONS;
@@ -347,7 +344,7 @@
       configAgeS: Number.isFinite(ageMs) ? ageMs / 1_000 : null,
       leaseHolder: this.membership.lease.holder() ?? null,
       peers: this.network.connected().map(peer => peer.host),
-      remoteHosts: this.remoteHosts().map(member => member.host),
+      remoteHosts: this.zones.remoteHosts().map(member => member.host),
       queued: this.queue.length,
     };
   }
