Test the lease over real daemons

Planned stop, death, a pause at each step of an order against engines that check fencing numbers and one that does not, log down with every consent and without one, a holder cut off alone, lost answers.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -7,6 +7,7 @@
   ConfigStore,
   HttpHostList,
   HttpPlatformLog,
+  LeaseAuthority,
   LocalTokenLimiter,
   Logger,
   Member,
@@ -194,6 +195,11 @@
     return this.operator!.port;
   }
 
+  /** Whether this host may give orders in its zone. */
+  get authority(): LeaseAuthority {
+    return this.membership.lease;
+  }
+
   /** Resolves once the daemon has stopped. */
   get done(): Promise<void> {
     return new Promise(resolve =>
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -1,6 +1,7 @@
 /** A whole system in one process, for demonstrations, tests and experiments. @packageDocumentation */
 
 export * from './lib/local_cluster.js';
+export * from './lib/pausable_clock.js';
 export * from './lib/sample_declarations.js';
 export * from './lib/trace_view.js';
 export * from './lib/cuts.js';
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -20,6 +20,7 @@
 } from '@fuchsiacleat/standins';
 import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
 import {Cuts} from './cuts.js';
+import {PausableClock} from './pausable_clock.js';
 
 /** The operators' token of every local cluster. */
 export const OPERATOR_TOKEN = 'local-operator-token';
@@ -63,11 +64,14 @@
   readonly engines = new Map<string, EngineStandin>();
   readonly services = new Map<string, ServiceStandin>();
   readonly daemons = new Map<string, Daemon>();
+  /** The clock of each host, also after it was started again. */
+  readonly clocks = new Map<string, PausableClock>();
   /** Which hosts are cut off from the log and from each other. */
   readonly cuts: Cuts;
 
   private constructor(private readonly spec: ClusterSpec) {
     this.cuts = new Cuts(spec.hosts);
+    for (const {name} of spec.hosts) this.clocks.set(name, new PausableClock());
   }
 
   /**
@@ -87,6 +91,7 @@
     const host = this.spec.hosts.find(known => known.name === name)!;
     const daemon = new Daemon(this.settingsOf(host), {
       logger: this.loggerOf(name),
+      clock: this.clocks.get(name),
       log: this.cuts.logOf(name, this.log.url),
       allowsPeer: peer => this.cuts.allowsPeer(name, peer),
       ...this.spec.daemonDeps,
--- /dev/null
+++ b/packages/local-cluster/src/test/promises/lease_test.ts
@@ -0,0 +1,200 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  Authority,
+  CONSENT_TTL_MS,
+  ENGINE_ERROR,
+  FencedOrder,
+  HttpEngineClient,
+  LEASE_MARGIN_MS,
+  LEASE_TTL_MS,
+  LONGEST_ORDER_MS,
+  Order,
+} from '@fuchsiacleat/core';
+import {NO_FAULTS} from '@fuchsiacleat/standins';
+import {expect} from 'chai';
+import {LocalCluster} from '../../index.js';
+
+const POLL_MS = 10;
+const HOSTS = ['a-1', 'a-2', 'a-3'];
+const LOAD: Order = {kind: 'load', model: 'drafter', version: 'drafter-1'};
+
+/** Longer than a lease and every consent to it stand. */
+const OUTLAST_MS = LEASE_TTL_MS + CONSENT_TTL_MS + LEASE_MARGIN_MS;
+
+/** Watches who may give orders in a zone. */
+class Zone {
+  constructor(readonly cluster: LocalCluster) {}
+
+  /** @returns the one host with authority, if there is one now. */
+  holder(): string | undefined {
+    const names = HOSTS.filter(name => this.authority(name) !== undefined);
+    expect(names.length, `holders at once: ${names}`).to.be.at.most(1);
+    return names[0];
+  }
+
+  authority(host: string): Authority | undefined {
+    const daemon = this.cluster.daemons.get(host);
+    return daemon?.authority.check().unwrapOr(undefined);
+  }
+
+  /** Waits for a holder that the condition accepts. */
+  async await(condition: (holder: string) => boolean): Promise<string> {
+    for (;;) {
+      const holder = this.holder();
+      if (holder !== undefined && condition(holder)) return holder;
+      await sleep(POLL_MS);
+    }
+  }
+
+  async awaitNone(): Promise<void> {
+    while (this.holder() !== undefined) await sleep(POLL_MS);
+  }
+
+  /** Checks over a time that one host holds on. */
+  async expectHeld(holder: string, durationMs: number): Promise<void> {
+    const endMs = performance.now() + durationMs;
+    while (performance.now() < endMs) {
+      expect(this.holder()).to.equal(holder);
+      await sleep(POLL_MS);
+    }
+  }
+
+  /** Waits until every host knows of the others and is known to them. */
+  async awaitMesh(): Promise<void> {
+    const others = HOSTS.length - 1;
+    await this.cluster.awaitStatus(
+      ({zone, peers}) => zone !== 'a' || peers.length === others,
+    );
+  }
+
+  kill(host: string): void {
+    this.cluster.daemon(host).kill();
+    this.cluster.daemons.delete(host);
+  }
+}
+
+describe('promise: replicas-as-decided', () => {
+  let zone: Zone;
+
+  beforeEach(async () => {
+    const cluster = await LocalCluster.start({
+      hosts: [
+        ...HOSTS.map(name => ({name, zone: 'a'})),
+        {name: 'b-1', zone: 'b'},
+      ],
+      engines: [
+        {name: 'checks', zone: 'a'},
+        {name: 'ignores', zone: 'a', fencing: false},
+      ],
+    });
+    zone = new Zone(cluster);
+    await zone.awaitMesh();
+  });
+
+  afterEach(() => zone.cluster.kill());
+
+  function engine(name: string): HttpEngineClient {
+    return new HttpEngineClient(zone.cluster.engines.get(name)!.url);
+  }
+
+  function orderOf(id: string, fencing: number, order: Order): FencedOrder {
+    return {id, fencing, order};
+  }
+
+  it('passes the lease at once on a planned stop', async () => {
+    const first = await zone.await(() => true);
+    const {fencing, validUntilMs} = zone.authority(first)!;
+    const stopped = zone.cluster.daemon(first).stop();
+    expect(zone.authority(first)).to.equal(undefined);
+    const next = await zone.await(holder => holder !== first);
+    const taken = zone.authority(next)!;
+    expect(taken.fencing).to.be.above(fencing);
+    expect(taken.heldSinceMs).to.be.below(validUntilMs);
+    await stopped;
+    zone.cluster.daemons.delete(first);
+  });
+
+  it('waits out the lease of a holder that died', async () => {
+    const first = await zone.await(() => true);
+    const {validUntilMs, fencing} = zone.authority(first)!;
+    zone.kill(first);
+    const next = await zone.await(holder => holder !== first);
+    const taken = zone.authority(next)!;
+    expect(taken.fencing).to.be.above(fencing);
+    expect(taken.heldSinceMs).to.be.above(validUntilMs);
+    // Where fencing is not checked, its last order may still be under way.
+    expect(taken.orderableFromMs).to.be.at.least(
+      validUntilMs + LONGEST_ORDER_MS,
+    );
+  });
+
+  it('refuses what a paused holder orders at any step', async () => {
+    const {signal} = new AbortController();
+    const first = await zone.await(() => true);
+    const old = zone.authority(first)!;
+    // Sent before the pause: a slow load that outlasts the lease.
+    zone.cluster.weightStore.faults = {
+      ...zone.cluster.weightStore.faults,
+      delayMs: LEASE_TTL_MS + LEASE_MARGIN_MS,
+    };
+    const sent = engine('checks').order(
+      orderOf('sent', old.fencing, LOAD),
+      signal,
+    );
+    zone.cluster.clocks.get(first)!.pause();
+    const next = await zone.await(holder => holder !== first);
+    const taken = zone.authority(next)!;
+    const noop = orderOf('noop', taken.fencing, {kind: 'noop'});
+    expect((await engine('checks').order(noop, signal)).isOk()).to.equal(true);
+    zone.cluster.clocks.get(first)!.resume();
+    // Paused before the check.
+    expect(zone.authority(first)).to.equal(undefined);
+    // Paused between the check and the order.
+    zone.cluster.weightStore.faults = NO_FAULTS;
+    const late = orderOf('late', old.fencing, LOAD);
+    const refused = await engine('checks').order(late, signal);
+    expect(refused._unsafeUnwrapErr().type).to.equal(ENGINE_ERROR.fenced);
+    // Where fencing is not checked, the order is taken; the next holder gives
+    // none there before it must have ended and reads the inventory then.
+    expect((await engine('ignores').order(late, signal)).isOk()).to.equal(true);
+    expect(taken.orderableFromMs).to.be.at.least(
+      old.validUntilMs + LONGEST_ORDER_MS,
+    );
+    const inventory = await engine('ignores').inventory(signal);
+    expect(inventory._unsafeUnwrap().residents).to.have.length(1);
+    expect((await sent).isOk()).to.equal(true);
+    expect(zone.cluster.engines.get('checks')!.orders).to.have.length(2);
+  });
+
+  it('goes on without the log while every member consents', async () => {
+    const first = await zone.await(() => true);
+    zone.cluster.cuts.cutZone('a');
+    await zone.expectHeld(first, OUTLAST_MS);
+    // One member stops to consent: nobody may give orders.
+    const other = HOSTS.find(name => name !== first)!;
+    zone.cluster.cuts.cutPeers(first, other);
+    await zone.awaitNone();
+    // The log is back: exactly one host goes on.
+    zone.cluster.cuts.heal();
+    await zone.await(() => true);
+  });
+
+  it('passes from a holder that alone is cut off from all', async () => {
+    const first = await zone.await(() => true);
+    zone.cluster.cuts.cutLog(first);
+    for (const name of HOSTS) {
+      if (name !== first) zone.cluster.cuts.cutPeers(first, name);
+    }
+    const next = await zone.await(holder => holder !== first);
+    zone.cluster.cuts.heal();
+    await zone.awaitMesh();
+    expect(await zone.await(() => true)).to.equal(next);
+  });
+
+  it('upholds the lease when answers of the log are lost', async () => {
+    const first = await zone.await(() => true);
+    const {log} = zone.cluster;
+    log.faults = {...log.faults, loseAnswers: 10};
+    await zone.expectHeld(first, LEASE_TTL_MS + LEASE_MARGIN_MS);
+  });
+});
