--- a/packages/core/src/lib/requests/gap_timer.ts
+++ b/packages/core/src/lib/requests/gap_timer.ts
@@ -41,12 +41,14 @@
    */
   waitEnds(nextLimitMs: number): void {
     this.waitingSinceMs = undefined;
+    if (nextLimitMs < this.limitMs) this.dispose();
     this.limitMs = nextLimitMs;
   }
 
   /** Frees the timer. */
   dispose(): void {
     this.timer?.cancel();
+    this.timer = undefined;
   }
 
   private check(): void {
--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -65,18 +65,22 @@
   /** @returns the events of the answer, each token once and in order. */
   async *run(): Attempt {
     try {
-      let error: EngineError | undefined;
-      for (let attempt = 0; attempt <= RESUME_ATTEMPTS; attempt++) {
-        error = yield* this.readConnection();
+      let attempt = 0;
+      for (;;) {
+        const before = this.next;
+        const error = yield* this.readConnection();
         if (error === undefined) return this.served();
         if (this.signal.aborted) return await this.interrupted();
         if (!this.started) return this.notRun(error);
-        if (error.type === ENGINE_ERROR.refused) break;
-        const {clock} = this.options;
-        await clock.sleep(RESUME_DELAY_MS * (attempt + 1), this.signal);
+        // Only attempts without progress count, so that a long stream survives
+        // any number of lost connections.
+        attempt = this.next > before ? 1 : attempt + 1;
+        const useless = error.type === ENGINE_ERROR.refused;
+        if (useless || attempt > RESUME_ATTEMPTS) return await this.lost(error);
+        const delayMs = RESUME_DELAY_MS * attempt;
+        await this.options.clock.sleep(delayMs, this.signal);
         if (this.signal.aborted) return await this.interrupted();
       }
-      return await this.lost(error!);
     } finally {
       this.deadline.dispose();
     }
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -45,19 +45,11 @@
 
 /** An {@link EngineClient} over HTTP and server-sent events. */
 export class HttpEngineClient extends EngineClient {
-  private readonly dispatcher: Dispatcher;
+  private dispatcher = createPool();
 
   /** @param url - base URL of the engine. */
   constructor(private readonly url: string) {
     super();
-    // Without pipelining a request never shares a connection with another
-    // one in flight.
-    this.dispatcher = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      pipelining: 1,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
   }
 
   override async *generate(
@@ -149,9 +141,11 @@
     req: GenerationRequest,
     {resume, resumeFrom, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
+    // A connection has failed, so the idle ones are not to be trusted either.
+    if (resume) this.replacePool();
     // A pooled connection may be half closed: a request written to it can be
     // lost or have run, and nobody can tell which.
-    const fresh = !req.repeatable && !resume;
+    const fresh = !req.repeatable;
     const dispatcher = fresh ? this.freshConnection() : this.dispatcher;
     try {
       const res = await dispatcher.request({
@@ -180,6 +174,11 @@
     }
   }
 
+  private replacePool(): void {
+    void this.dispatcher.close();
+    this.dispatcher = createPool();
+  }
+
   private freshConnection(): Dispatcher {
     return new Client(this.url, {
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -222,6 +221,17 @@
   }
 }
 
+function createPool(): Dispatcher {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    // Without pipelining a request never shares a connection with another
+    // one in flight.
+    pipelining: 1,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
 function parseEvents(body: Readable) {
   return Readable.toWeb(body)
     .pipeThrough(new TextDecoderStream())
--- /dev/null
+++ b/packages/core/src/test/requests/gap_timer_test.ts
@@ -0,0 +1,37 @@
+import {expect} from 'chai';
+import {GapTimer, ManualClock} from '../../index.js';
+
+describe('GapTimer', () => {
+  it('aborts once the reader has waited for the limit', async () => {
+    const clock = new ManualClock();
+    const gap = new GapTimer(clock, 100);
+    gap.waitStarts();
+    await clock.advance(99);
+    expect(gap.signal.aborted).to.equal(false);
+    await clock.advance(1);
+    expect(gap.signal.aborted).to.equal(true);
+  });
+
+  it('counts only the time during which the reader waits', async () => {
+    const clock = new ManualClock();
+    const gap = new GapTimer(clock, 100);
+    for (let event = 0; event < 5; event++) {
+      gap.waitStarts();
+      await clock.advance(90);
+      gap.waitEnds(100);
+      await clock.advance(500);
+    }
+    expect(gap.signal.aborted).to.equal(false);
+  });
+
+  it('applies a shorter limit from the next event on', async () => {
+    const clock = new ManualClock();
+    const gap = new GapTimer(clock, 1_000);
+    gap.waitStarts();
+    await clock.advance(10);
+    gap.waitEnds(50);
+    gap.waitStarts();
+    await clock.advance(50);
+    expect(gap.signal.aborted).to.equal(true);
+  });
+});
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -175,6 +175,11 @@
     return this.operator!.port;
   }
 
+  /** Requests of other zones that run here now. */
+  get forwardedRequests(): number {
+    return this.path.forwardedRequests;
+  }
+
   /** Resolves once the daemon has stopped. */
   get done(): Promise<void> {
     return new Promise(resolve =>
--- a/packages/daemon/src/lib/request_path.ts
+++ b/packages/daemon/src/lib/request_path.ts
@@ -70,6 +70,11 @@
     this.once = new OnceGuard(new IdempotencyRegistry(options), clock);
   }
 
+  /** Requests of other zones that run here now. */
+  get forwardedRequests(): number {
+    return this.forwards.inFlight.size + this.serviceForwards.inFlight.size;
+  }
+
   /** Refuses new requests of other zones from now on. */
   close(): void {
     this.forwards.close();
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -1,5 +1,6 @@
 /** A whole system in one process, for demonstrations, tests and experiments. @packageDocumentation */
 
+export * from './lib/caller.js';
 export * from './lib/local_cluster.js';
 export * from './lib/sample_declarations.js';
 export * from './lib/trace_view.js';
--- /dev/null
+++ b/packages/local-cluster/src/lib/caller.ts
@@ -0,0 +1,183 @@
+/** A caller of a local cluster. @packageDocumentation */
+
+import {expectedToken} from '@fuchsiacleat/standins';
+import {Agent, Dispatcher, request} from 'undici';
+import {SAMPLE_KEY} from './sample_declarations.js';
+
+/** What a caller learnt of the end of its request. */
+export const CALLER_END = {
+  served: 'served',
+  notRun: 'not_run',
+  mayHaveRun: 'may_have_run',
+  /** The connection was cut before the end was told. */
+  cut: 'cut',
+} as const;
+
+/** One of {@link CALLER_END}. */
+export type CallerEnd = (typeof CALLER_END)[keyof typeof CALLER_END];
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  end: CallerEnd;
+  /** Undefined if the connection failed before the head. */
+  status: number | undefined;
+  headers: Record<string, string | string[] | undefined>;
+  /** The generated text, or the body of a service's answer. */
+  text: string;
+  /** Code of the error, if the request was not served. */
+  code: string | undefined;
+}
+
+/** Options of {@link Caller.chat}. */
+export interface ChatOptions {
+  route?: string;
+  maxTokens?: number;
+  key?: string | null;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+  /** Called after each token with the number of tokens so far. */
+  onToken?: (count: number) => void;
+}
+
+/** Options of {@link Caller.service}. */
+export interface ServiceOptions {
+  route?: string;
+  path?: string;
+  method?: Dispatcher.HttpMethod;
+  key?: string | null;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+}
+
+interface ErrorPart {
+  code: string;
+  outcome: CallerEnd;
+}
+
+interface Chunk {
+  error?: ErrorPart;
+  choices?: Array<{delta?: {content?: string}}>;
+}
+
+/** Sends requests to a host, each on a connection of its own. */
+export class Caller {
+  /** @param url - base URL of the host's caller API. */
+  constructor(private readonly url: string) {}
+
+  /**
+   * Streams a chat.
+   *
+   * @param prompt - the user's message.
+   * @param options - see {@link ChatOptions}.
+   */
+  async chat(prompt: string, options: ChatOptions = {}): Promise<CallerAnswer> {
+    const {route = 'draft', maxTokens = 8, onToken = () => {}} = options;
+    const body = JSON.stringify({
+      model: route,
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [{role: 'user', content: prompt}],
+    });
+    const path = '/v1/chat/completions';
+    return this.send('POST', path, body, options, async res => {
+      const chunks: Chunk[] = [];
+      let done = false;
+      await readEvents(res.body, data => {
+        if (data === '[DONE]') done = true;
+        else chunks.push(JSON.parse(data) as Chunk);
+        onToken(chunks.length);
+      });
+      const text = chunks.map(c => c.choices?.[0]?.delta?.content ?? '');
+      const error = chunks.find(chunk => chunk.error !== undefined)?.error;
+      const cut = done ? CALLER_END.served : CALLER_END.cut;
+      return {text: text.join(''), end: error?.outcome ?? cut, error};
+    });
+  }
+
+  /**
+   * Calls a plain service.
+   *
+   * @param body - the call's body.
+   * @param options - see {@link ServiceOptions}.
+   */
+  async service(
+    body: string,
+    options: ServiceOptions = {},
+  ): Promise<CallerAnswer> {
+    const {route = 'filing', path = '/cases', method = 'POST'} = options;
+    const url = `/services/${route}${path}`;
+    return this.send(method, url, body, options, async res => {
+      const text = await res.body.text();
+      return {text, end: CALLER_END.served, error: undefined};
+    });
+  }
+
+  private async send(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: string,
+    {key = SAMPLE_KEY, headers = {}, signal}: ChatOptions,
+    read: (res: Dispatcher.ResponseData) => Promise<{
+      text: string;
+      end: CallerEnd;
+      error: ErrorPart | undefined;
+    }>,
+  ): Promise<CallerAnswer> {
+    const dispatcher = new Agent({headersTimeout: 0, bodyTimeout: 0});
+    const authorization =
+      key === null ? undefined : {authorization: `Bearer ${key}`};
+    let res: Dispatcher.ResponseData | undefined;
+    try {
+      res = await request(this.url + path, {
+        method,
+        body,
+        headers: {...authorization, ...headers},
+        signal,
+        dispatcher,
+      });
+      if (res.headers['x-outcome'] !== undefined) return await readError(res);
+      const {text, end, error} = await read(res);
+      const {statusCode: status, headers: received} = res;
+      return {text, end, code: error?.code, status, headers: received};
+    } catch {
+      return {
+        end: CALLER_END.cut,
+        status: res?.statusCode,
+        headers: res?.headers ?? {},
+        text: '',
+        code: undefined,
+      };
+    } finally {
+      void dispatcher.destroy();
+    }
+  }
+}
+
+/**
+ * @param prompt - the user's message.
+ * @param tokens - how many tokens were asked for.
+ * @returns the text that engine stand-ins generate.
+ */
+export function expectedText(prompt: string, tokens: number): string {
+  const offsets = Array.from({length: tokens}, (unused, offset) => offset);
+  return offsets.map(offset => expectedToken(prompt, offset)).join('');
+}
+
+async function readError(res: Dispatcher.ResponseData): Promise<CallerAnswer> {
+  const {error} = (await res.body.json()) as {error: ErrorPart};
+  const {statusCode: status, headers} = res;
+  return {end: error.outcome, status, headers, text: '', code: error.code};
+}
+
+async function readEvents(
+  body: AsyncIterable<Buffer>,
+  onData: (data: string) => void,
+): Promise<void> {
+  let buffered = '';
+  for await (const chunk of body) {
+    buffered += chunk.toString();
+    const events = buffered.split('\n\n');
+    buffered = events.pop() ?? '';
+    for (const event of events) onData(event.slice('data: '.length));
+  }
+}
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -19,6 +19,7 @@
   WeightStoreStandin,
 } from '@fuchsiacleat/standins';
 import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
+import {Caller} from './caller.js';
 import {Cuts} from './cuts.js';
 
 /** The operators' token of every local cluster. */
@@ -51,6 +52,10 @@
   weights?: Record<string, number>;
   /** Parts of the daemons that a test replaces. */
   daemonDeps?: Partial<DaemonDeps>;
+  /** How long a stopping host still takes requests, in milliseconds. */
+  graceMs?: number;
+  /** Whether links between hosts go without TLS. */
+  plainPeers?: boolean;
   /** Whether daemons log to standard error. */
   verbose?: boolean;
 }
@@ -107,6 +112,11 @@
     return `http://${LOOPBACK}:${this.daemon(name).callerPort}`;
   }
 
+  /** @returns a caller of a host. */
+  caller(name: string): Caller {
+    return new Caller(this.callerUrl(name));
+  }
+
   /** @returns base URL for operators of a host. */
   operatorUrl(name: string): string {
     return `http://${LOOPBACK}:${this.daemon(name).operatorPort}`;
@@ -176,16 +186,22 @@
     );
   }
 
+  /** Waits until a condition holds; a test's time limit bounds the wait. */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    while (!(await condition())) {
+      await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+    }
+  }
+
   /** Waits until the status of every daemon fulfils a condition. */
   async awaitStatus(
     condition: (status: StatusAnswer) => boolean,
   ): Promise<void> {
     for (const name of this.daemons.keys()) {
-      for (;;) {
+      await this.until(async () => {
         const status = await this.operator(name).status();
-        if (status.isOk() && condition(status.value)) break;
-        await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
-      }
+        return status.isOk() && condition(status.value);
+      });
     }
   }
 
@@ -257,10 +273,12 @@
       host: {name, zone},
       listen: {caller: anyPort, operator: anyPort, peer: anyPort},
       platform: {log: this.log.url, host_list: this.hostList.url},
-      peers: {secret: PEER_SECRET, plain: false},
+      peers: this.spec.plainPeers
+        ? {plain: true}
+        : {secret: PEER_SECRET, plain: false},
       operators: {token_digest: digestOf(OPERATOR_TOKEN)},
       limits: {body_bytes: 1024 * 1024, connections: 4_096},
-      shutdown: {grace_ms: 0},
+      shutdown: {grace_ms: this.spec.graceMs ?? 0},
       log: {level: 'info'},
     };
   }
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -62,6 +62,8 @@
   requestId: string;
   model: string;
   adapter: string | undefined;
+  /** The text that the request carries. */
+  text: string;
   headers: Record<string, string>;
   /** Tokens that were generated, those of resumed connections included. */
   tokens: number;
@@ -166,6 +168,7 @@
       requestId: body.request_id,
       model: body.model,
       adapter: body.adapter,
+      text: inputText(body),
       headers: c.req.header(),
       tokens: 0,
       resumes: 0,
@@ -441,6 +444,7 @@
       requestId: id,
       model: '',
       adapter: undefined,
+      text: '',
       headers: {},
       tokens: Number(kv.split(':')[1]),
       resumes: 0,
