--- a/packages/core/src/lib/idempotency/idempotency_registry.ts
+++ b/packages/core/src/lib/idempotency/idempotency_registry.ts
@@ -14,6 +14,7 @@
 
 const SHARDS = 8;
 const RESULT_BOUND_MS = 5_000;
+const MAX_UNKNOWN_CLAIMS = 10_000;
 
 /** Largest body of an answer that is kept for repeats, in bytes. */
 export const MAX_STORED_BODY_BYTES = 64 * 1024;
@@ -60,6 +61,8 @@
 interface Shard {
   tail: StreamTail;
   table: ClaimTable;
+  /** Claims of this host whose requests were refused. */
+  unknown: Set<string>;
 }
 
 /**
@@ -89,7 +92,7 @@
     const seen = await shard.tail.appendAndSee(body, req.boundMs, signal);
     if (seen.isErr()) {
       const {id, message} = seen.error;
-      void this.abandonIfItAppears(shard, id, key);
+      this.abandonLater(shard, id, key);
       return {type: 'unavailable', message};
     }
     const claim = seen.value.id;
@@ -119,42 +122,53 @@
     logger.warn('idempotency_append_unknown', {type: body.type});
   }
 
-  private async abandonIfItAppears(
-    shard: Shard,
-    claim: string,
-    key: string,
-  ): Promise<void> {
-    const {signal, logger} = this.options;
-    const appeared = await shard.tail.awaitRecord(claim, signal);
-    if (!appeared || shard.table.get(key)?.claim !== claim) return;
-    logger.info('idempotency_claim_abandoned', {});
-    await this.append(shard, {type: 'abandon', claim, key});
-  }
-
   private shardOf(key: string): Shard {
     const number = parseInt(key.slice(0, 8), 16) % SHARDS;
     const known = this.shards.get(number);
     if (known !== undefined) return known;
-    const table = new ClaimTable();
     const tail = new StreamTail({
       ...this.options,
       stream: `idempotency.${number}`,
-      onRecord: record => this.take(table, record),
-      onGap: () => {},
+      onRecord: record => this.take(shard, record),
     });
-    const shard = {tail, table};
+    const shard: Shard = {tail, table: new ClaimTable(), unknown: new Set()};
     this.shards.set(number, shard);
     void tail.run(this.options.signal);
     return shard;
   }
 
-  private take(table: ClaimTable, {id, body, atMs, offset}: StoredRecord) {
+  private take(shard: Shard, {id, body, atMs, offset}: StoredRecord): void {
     const parsed = idempotencyRecordSchema.safeParse(body);
-    if (parsed.success) table.apply(id, parsed.data, atMs);
-    else this.options.logger.warn('idempotency_record_malformed', {offset});
+    if (!parsed.success) {
+      this.options.logger.warn('idempotency_record_malformed', {offset});
+      return;
+    }
+    shard.table.apply(id, parsed.data, atMs);
+    if (shard.unknown.has(id)) this.abandon(shard, id, parsed.data.key);
+  }
+
+  /** Abandons a claim of unknown fate, now or as soon as it shows up. */
+  private abandonLater(shard: Shard, claim: string, key: string): void {
+    rememberUnknown(shard, claim);
+    this.abandon(shard, claim, key);
+  }
+
+  private abandon(shard: Shard, claim: string, key: string): void {
+    if (shard.table.get(key)?.claim !== claim) return;
+    shard.unknown.delete(claim);
+    this.options.logger.info('idempotency_claim_abandoned');
+    void this.append(shard, {type: 'abandon', claim, key});
   }
 }
 
+/** A claim that is forgotten here blocks its key if it shows up after all. */
+function rememberUnknown({unknown}: Shard, claim: string): void {
+  unknown.add(claim);
+  if (unknown.size <= MAX_UNKNOWN_CLAIMS) return;
+  const [oldest] = unknown;
+  unknown.delete(oldest);
+}
+
 function resultFor(entry: ClaimEntry, content: string): ClaimResult {
   if (entry.content !== content) {
     return {type: 'conflict', reason: 'other-content'};
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -152,26 +152,6 @@
     return err({type: 'append-unknown', id, message});
   }
 
-  /**
-   * Waits until a record is read, however late it comes.
-   *
-   * @param id - id of the record.
-   * @param signal - gives up waiting.
-   * @returns whether the record was read.
-   */
-  awaitRecord(id: string, signal: AbortSignal): Promise<boolean> {
-    if (this.seen.has(id)) return Promise.resolve(true);
-    if (signal.aborted) return Promise.resolve(false);
-    return new Promise(resolve => {
-      const finish = (appeared: boolean) => {
-        this.waiters.delete(id);
-        resolve(appeared);
-      };
-      this.waiters.set(id, () => finish(true));
-      signal.addEventListener('abort', () => finish(false), {once: true});
-    });
-  }
-
   private take(record: StoredRecord): void {
     if (this.seen.has(record.id)) return;
     this.remember(record.id);
--- a/packages/daemon/src/lib/once_guard.ts
+++ b/packages/daemon/src/lib/once_guard.ts
@@ -112,75 +112,62 @@
     run: RunOnce,
   ): Promise<Response> {
     const res = await run();
-    const copy = new BodyCopy();
-    const settled = admitted.outcome.then(outcome =>
-      settle(claim, outcome, copy, res),
+    const [toCaller, toStore] = res.body?.tee() ?? [null, null];
+    const body = readSmall(toStore);
+    const settled = admitted.outcome.then(async outcome =>
+      settle(claim, outcome, res, await body),
     );
-    if (res.body === null || !res.ok) copy.end();
     if (admitted.ended?.type === 'refused') {
       // The key should be free again before the caller asks anew.
       await Promise.race([settled, this.clock.sleep(ABANDON_WAIT_MS)]);
     }
-    if (res.body === null || !res.ok) return res;
     const {status, headers} = res;
-    return new Response(res.body.pipeThrough(copy.through), {status, headers});
+    return new Response(toCaller, {status, headers});
   }
 }
 
 /** Ends a claim according to how its request ended. */
-async function settle(
+function settle(
   claim: Claim,
   outcome: Outcome,
-  copy: BodyCopy,
   {status, headers}: Response,
+  body: Buffer | undefined,
 ): Promise<void> {
   if (outcome.type === 'refused') return claim.abandon();
-  if (outcome.type !== 'served') return claim.complete(undefined);
-  const body = await copy.whole;
-  if (body === undefined) return claim.complete(undefined);
+  if (outcome.type !== 'served' || body === undefined) {
+    return claim.complete(undefined);
+  }
   const kept = Object.fromEntries(headers);
   const answer = {status, headers: kept, body: body.toString('base64')};
   return claim.complete(answer);
 }
 
+/**
+ * Reads a body, also when the caller has gone, so that a repeat gets it.
+ *
+ * @returns the body, or undefined if it is too large to be kept or not whole.
+ */
+async function readSmall(
+  body: ReadableStream<Uint8Array> | null,
+): Promise<Buffer | undefined> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of body ?? []) {
+      bytes += chunk.length;
+      // Leaving the loop cancels this branch; the caller's goes on.
+      if (bytes > MAX_STORED_BODY_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+  } catch {
+    return undefined;
+  }
+}
+
 function replay({status, headers, body}: StoredAnswer): Response {
   return new Response(Buffer.from(body, 'base64'), {
     status,
     headers: {...headers, [REPLAYED_HEADER]: 'true'},
   });
 }
-
-/** Copies a body on its way to the caller, if it is small enough. */
-class BodyCopy {
-  /** Passes the body on unchanged. */
-  readonly through: TransformStream<Uint8Array, Uint8Array>;
-  /** The whole body, or undefined if it is too large to be kept. */
-  readonly whole: Promise<Buffer | undefined>;
-  private chunks: Uint8Array[] | undefined = [];
-  private bytes = 0;
-  private resolve: (body: Buffer | undefined) => void = () => {};
-
-  constructor() {
-    this.whole = new Promise(resolve => {
-      this.resolve = resolve;
-    });
-    this.through = new TransformStream({
-      transform: (chunk, controller) => {
-        this.keep(chunk);
-        controller.enqueue(chunk);
-      },
-      flush: () => this.end(),
-    });
-  }
-
-  /** The body is complete. */
-  end(): void {
-    this.resolve(this.chunks && Buffer.concat(this.chunks));
-  }
-
-  private keep(chunk: Uint8Array): void {
-    this.bytes += chunk.length;
-    if (this.bytes > MAX_STORED_BODY_BYTES) this.chunks = undefined;
-    this.chunks?.push(chunk);
-  }
-}
