Measure the path of a warm request through one entry host

Cause: nothing told what an entry host adds to a request. Change: benchmark `path`: stand-ins, daemon and load generators are processes of their own; blocks of direct and passed-on requests take turns against one engine; 1,000 streams are held while the daemon's resident memory is sampled; saturation is a closed loop over four engines.

--- a/packages/benchmarks/src/lib/bounds.ts
+++ b/packages/benchmarks/src/lib/bounds.ts
@@ -11,7 +11,47 @@
 }
 
 /** Bounds of `path`. */
-const PATH_BOUNDS: readonly Bound[] = [];
+const PATH_BOUNDS: readonly Bound[] = [
+  {
+    metric: 'path.first_token_added_p95',
+    limit: 3,
+    kind: 'at-most',
+    source:
+      'Warm request through one entry host against a direct call: added p95 to first token at most 3 ms.',
+  },
+  {
+    metric: 'path.token_gap_added_p95',
+    limit: 2,
+    kind: 'at-most',
+    source:
+      'Warm request through one entry host against a direct call: added p95 between tokens at most 2 ms.',
+  },
+  {
+    metric: 'path.broken_streams',
+    limit: 0,
+    kind: 'at-most',
+    source: 'A caller receives the whole answer to its own request.',
+  },
+  {
+    metric: 'path.held_streams_whole',
+    limit: 1_000,
+    kind: 'at-least',
+    source: 'One daemon holds 1,000 streams at once.',
+  },
+  {
+    metric: 'path.held_streams_resident',
+    limit: 256,
+    kind: 'at-most',
+    source:
+      'One daemon holds 1,000 streams at once under 256 MB of resident memory.',
+  },
+  {
+    metric: 'path.saturation_broken_streams',
+    limit: 0,
+    kind: 'at-most',
+    source: 'A caller receives the whole answer to its own request.',
+  },
+];
 
 /** Bounds of `configuration`. */
 const CONFIGURATION_BOUNDS: readonly Bound[] = [];
--- /dev/null
+++ b/packages/benchmarks/src/lib/path/load_worker.ts
@@ -0,0 +1,6 @@
+/** A process that sends load, started by a benchmark. @packageDocumentation */
+
+import {Load, LoadJob, LoadResult} from './load.js';
+import {serveJobs} from './worker_process.js';
+
+serveJobs<LoadJob, LoadResult>(job => new Load(job).run());
--- /dev/null
+++ b/packages/benchmarks/src/lib/path/standin_job.ts
@@ -0,0 +1,31 @@
+/** What a process with stand-ins is asked to start. @packageDocumentation */
+
+/** Memory of an engine, in GiB. */
+export const ENGINE_MEMORY_GIB = 80;
+
+/** Weights of a version, in GiB: an engine has room for one only. */
+export const WEIGHTS_GIB = 50;
+
+/** Which stand-ins to start. */
+export type StandinJob =
+  | {kind: 'platform'}
+  | {
+      kind: 'engine';
+      name: string;
+      weightStore: string;
+      slots: number;
+      firstTokenMs: number;
+      tokenGapMs: number;
+    };
+
+/** Base URLs of the stand-ins of a platform. */
+export interface PlatformUrls {
+  log: string;
+  hostList: string;
+  weightStore: string;
+}
+
+/** Base URL of an engine. */
+export interface EngineUrl {
+  url: string;
+}
