--- /dev/null
+++ b/packages/core/src/lib/platform/batching_platform_log.ts
@@ -0,0 +1,94 @@
+/** Group commit for the appends of one host. @packageDocumentation */
+
+import {Result} from 'neverthrow';
+import {Clock} from '../time/clock.js';
+import {
+  LogError,
+  LogPage,
+  LogRecord,
+  PlatformLog,
+  ReadOptions,
+} from './platform_log.js';
+
+/** How long a record waits for others, in milliseconds. */
+const FLUSH_DELAY_MS = 5;
+
+const MAX_BATCH_RECORDS = 500;
+
+interface Waiting {
+  records: readonly LogRecord[];
+  signal: AbortSignal;
+  resolve: (answer: Result<number[], LogError>) => void;
+}
+
+/**
+ * Appends the records that come within a few milliseconds in one call for
+ * each stream, in the order in which they came.
+ */
+export class BatchingPlatformLog extends PlatformLog {
+  private readonly batches = new Map<string, Waiting[]>();
+
+  /**
+   * @param inner - the log.
+   * @param clock - times the batches.
+   */
+  constructor(
+    private readonly inner: PlatformLog,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override append(
+    stream: string,
+    records: readonly LogRecord[],
+    signal: AbortSignal,
+  ): Promise<Result<number[], LogError>> {
+    return new Promise(resolve => {
+      const batch = this.batches.get(stream);
+      if (batch !== undefined && batch.length < MAX_BATCH_RECORDS) {
+        batch.push({records, signal, resolve});
+        return;
+      }
+      const started = [{records, signal, resolve}];
+      this.batches.set(stream, started);
+      this.clock.after(FLUSH_DELAY_MS, () => void this.flush(stream, started));
+    });
+  }
+
+  override read(
+    stream: string,
+    from: number,
+    options: ReadOptions,
+  ): Promise<Result<LogPage, LogError>> {
+    return this.inner.read(stream, from, options);
+  }
+
+  private async flush(stream: string, batch: Waiting[]): Promise<void> {
+    if (this.batches.get(stream) === batch) this.batches.delete(stream);
+    const records = batch.flatMap(waiting => waiting.records);
+    const signal = allAborted(batch.map(waiting => waiting.signal));
+    const answer = await this.inner.append(stream, records, signal);
+    let from = 0;
+    for (const {records: own, resolve} of batch) {
+      const start = from;
+      from += own.length;
+      resolve(answer.map(offsets => offsets.slice(start, start + own.length)));
+    }
+  }
+}
+
+/** @returns a signal that aborts once nobody waits any more. */
+function allAborted(signals: readonly AbortSignal[]): AbortSignal {
+  const all = new AbortController();
+  let left = signals.length;
+  const count = () => {
+    left -= 1;
+    if (left === 0) all.abort();
+  };
+  for (const signal of signals) {
+    if (signal.aborted) count();
+    else signal.addEventListener('abort', count, {once: true});
+  }
+  return all.signal;
+}
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -3,12 +3,15 @@
 import {Result, err, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
 import {Logger} from '../telemetry/logger.js';
-import {PlatformLog, StoredRecord} from './platform_log.js';
+import {LogPage, PlatformLog, StoredRecord} from './platform_log.js';
+import {SnapshotKeeper, SnapshotOptions} from './snapshot_keeper.js';
+import {StreamReader} from './stream_reader.js';
 
 const POLL_WAIT_MS = 10_000;
 const RETRY_DELAY_MS = 200;
 const APPEND_RETRY_DELAY_MS = 250;
-const MAX_REMEMBERED_IDS = 100_000;
+const SNAPSHOT_CHECK_INTERVAL_MS = 250;
+const SNAPSHOT_BOUND_MS = 10_000;
 
 /** It is not known whether a record was appended. */
 export interface AppendUnknown {
@@ -38,12 +41,21 @@
   clock: Clock;
   logger: Logger;
   ids: RecordIds;
-  /** Takes each record once, in the order of offsets. */
-  onRecord: (record: StoredRecord) => void;
+  /**
+   * Takes each record once, in the order of offsets; see
+   * `StreamReaderOptions.onRecord`.
+   */
+  onRecord: (record: StoredRecord, settled: boolean) => void;
   /**
    * Called when records between the last one read and `first` have expired.
    */
   onGap?: (first: number) => void;
+  /** Called after each page, when the state may have changed. */
+  onApplied?: () => void;
+  /** Makes the stream outlive the log's retention; see `SnapshotState`. */
+  snapshots?: SnapshotOptions;
+  /** Longest wait of a read for a new record, in milliseconds. */
+  pollWaitMs?: number;
 }
 
 /**
@@ -53,17 +65,38 @@
  * once this tail has read it, since the answer to an append may be lost.
  */
 export class StreamTail {
-  private next = 0;
+  /** Applies the records; also of pages that came from peers. */
+  readonly reader: StreamReader;
+  private readonly keeper: SnapshotKeeper | undefined;
+  private first = 0;
+  private reachable = true;
   private caughtUpAtMs: number | undefined;
-  private readonly seen = new Set<string>();
   private readonly waiters = new Map<string, (r: StoredRecord) => void>();
   private readonly caughtUpListeners: Array<() => void> = [];
 
-  constructor(private readonly options: StreamTailOptions) {}
+  constructor(private readonly options: StreamTailOptions) {
+    const {snapshots, clock} = options;
+    this.reader = new StreamReader({
+      state: snapshots?.state,
+      retentionMs: snapshots?.retentionMs ?? Infinity,
+      onGap: options.onGap,
+      onRecord: (record, settled) => {
+        options.onRecord(record, settled);
+        this.waiters.get(record.id)?.(record);
+      },
+    });
+    if (snapshots === undefined) return;
+    this.keeper = new SnapshotKeeper(this.reader, clock, snapshots);
+  }
 
   /** Offset of the next record to read. */
   get position(): number {
-    return this.next;
+    return this.reader.position;
+  }
+
+  /** Whether the last read of the log succeeded. */
+  get isLogReachable(): boolean {
+    return this.reachable;
   }
 
   /**
@@ -81,32 +114,41 @@
    * @param signal - ends the tail.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {log, stream, clock, logger} = this.options;
-    let reachable = true;
+    const {log, stream, clock, pollWaitMs = POLL_WAIT_MS} = this.options;
+    if (this.keeper !== undefined) void this.keepSnapshots(signal);
     while (!signal.aborted) {
-      // The first reads must not wait, so that a new host learns at once that
-      // it holds the whole stream.
-      const waitMs = this.caughtUpAtMs === undefined ? 0 : POLL_WAIT_MS;
-      const page = await log.read(stream, this.next, {waitMs, signal});
+      // The first reads, also after an outage, must not wait, so that the
+      // host learns at once that it holds the whole stream.
+      const isFirst = this.caughtUpAtMs === undefined || !this.reachable;
+      const waitMs = isFirst ? 0 : pollWaitMs;
+      const sentMs = clock.now();
+      const page = await log.read(stream, this.position, {waitMs, signal});
       if (signal.aborted) return;
+      this.noteReachable(page.isOk(), page.isErr() ? page.error.message : '');
       if (page.isErr()) {
-        if (reachable) {
-          logger.warn('log_read_failed', {stream, reason: page.error.message});
-        }
-        reachable = false;
         await clock.sleep(RETRY_DELAY_MS, signal);
         continue;
       }
-      if (!reachable) logger.info('log_reachable', {stream});
-      reachable = true;
-      const {records, next, first} = page.value;
-      if (first > this.next) this.options.onGap?.(first);
-      for (const record of records) this.take(record);
-      this.next = Math.max(next, first);
-      if (records.length === 0 || waitMs > 0) this.noteCaughtUp();
+      this.first = page.value.first;
+      this.take(page.value);
+      const {records} = page.value;
+      // The log may have made the page right after it was asked.
+      if (records.length > 0 && waitMs === 0) continue;
+      this.noteCaughtUp(sentMs);
+      if (!this.reader.hasBase) await clock.sleep(RETRY_DELAY_MS, signal);
     }
   }
 
+  /**
+   * Takes records of the log or of a peer.
+   *
+   * @param page - records at or after the position of this tail.
+   */
+  take(page: LogPage): void {
+    this.reader.take(page);
+    this.options.onApplied?.();
+  }
+
   /** @returns a promise that resolves once the whole stream was read. */
   caughtUp(): Promise<void> {
     if (this.caughtUpAtMs !== undefined) return Promise.resolve();
@@ -119,23 +161,26 @@
    * @param body - content of the record.
    * @param boundMs - how long to try, in milliseconds.
    * @param signal - gives up early.
+   * @param id - id of the record, if it was given elsewhere; no record with
+   *     this id may have been read yet.
    * @returns the record at its offset, or that its fate is unknown.
    */
   async appendAndSee(
     body: unknown,
     boundMs: number,
     signal: AbortSignal,
+    id = this.options.ids.take(),
   ): Promise<Result<StoredRecord, AppendUnknown>> {
-    const {log, stream, clock, ids} = this.options;
-    const id = ids.take();
+    const {log, stream, clock} = this.options;
     const done = new AbortController();
     const giveUp = AbortSignal.any([signal, done.signal]);
     let seen: StoredRecord | undefined;
     let message = 'the record was not seen in time';
-    this.waiters.set(id, record => {
+    const waiter = (record: StoredRecord) => {
       seen = record;
       done.abort();
-    });
+    };
+    this.waiters.set(id, waiter);
     const bound = clock.after(boundMs, () => done.abort());
     while (!giveUp.aborted) {
       const answer = await log.append(stream, [{id, body}], giveUp);
@@ -147,27 +192,42 @@
       }
     }
     bound.cancel();
-    this.waiters.delete(id);
+    if (this.waiters.get(id) === waiter) this.waiters.delete(id);
     if (seen !== undefined) return ok(seen);
     return err({type: 'append-unknown', id, message});
   }
 
-  private take(record: StoredRecord): void {
-    if (this.seen.has(record.id)) return;
-    this.remember(record.id);
-    this.options.onRecord(record);
-    this.waiters.get(record.id)?.(record);
+  private async keepSnapshots(signal: AbortSignal): Promise<void> {
+    const {clock, log, stream, ids, logger} = this.options;
+    const keeper = this.keeper!;
+    await clock.every(SNAPSHOT_CHECK_INTERVAL_MS, signal, async () => {
+      const isWhole = this.caughtUpAtMs !== undefined || !this.reader.hasBase;
+      if (!this.reachable || !isWhole || !keeper.isDue()) return;
+      const body = this.reader.snapshot(keeper.resettles(), this.first);
+      const {through, version} = body;
+      const bound = AbortSignal.timeout(SNAPSHOT_BOUND_MS);
+      const either = AbortSignal.any([signal, bound]);
+      // A lost answer does no harm: a snapshot that is still missing will be
+      // due again, and one too many is no problem.
+      const record = {id: ids.take(), body};
+      const answer = await log.append(stream, [record], either);
+      const appended = answer.isOk();
+      logger.info('snapshot_appended', {stream, through, version, appended});
+    });
   }
 
-  private remember(id: string): void {
-    this.seen.add(id);
-    if (this.seen.size <= MAX_REMEMBERED_IDS) return;
-    const oldest = this.seen.values().next().value;
-    if (oldest !== undefined) this.seen.delete(oldest);
+  private noteReachable(reachable: boolean, reason: string): void {
+    const {logger, stream} = this.options;
+    if (reachable && !this.reachable) logger.info('log_reachable', {stream});
+    if (!reachable && this.reachable) {
+      logger.warn('log_read_failed', {stream, reason});
+    }
+    this.reachable = reachable;
   }
 
-  private noteCaughtUp(): void {
-    this.caughtUpAtMs = this.options.clock.now();
+  private noteCaughtUp(atMs: number): void {
+    if (!this.reader.hasBase && !this.reader.hasFoundBase) return;
+    this.caughtUpAtMs = Math.max(this.caughtUpAtMs ?? atMs, atMs);
     for (const listener of this.caughtUpListeners.splice(0)) listener();
   }
 }
--- /dev/null
+++ b/packages/core/src/test/platform/batching_platform_log_test.ts
@@ -0,0 +1,38 @@
+import {expect} from 'chai';
+import {BatchingPlatformLog, ManualClock} from '../../index.js';
+import {MemoryLog} from './memory_log.js';
+
+const signal = new AbortController().signal;
+
+describe('BatchingPlatformLog', () => {
+  it('appends records of a few milliseconds in one call', async () => {
+    const clock = new ManualClock();
+    const inner = new MemoryLog(clock);
+    const log = new BatchingPlatformLog(inner, clock);
+    const answers = ['a', 'b', 'c'].map(id =>
+      log.append('s', [{id, body: id}], signal),
+    );
+    await clock.advance(10);
+    const offsets = await Promise.all(answers);
+    expect(offsets.map(answer => answer._unsafeUnwrap())).to.deep.equal([
+      [0],
+      [1],
+      [2],
+    ]);
+    expect(inner.appendCalls).to.equal(1);
+  });
+
+  it('tells every caller that the outcome of a batch is unknown', async () => {
+    const clock = new ManualClock();
+    const inner = new MemoryLog(clock);
+    inner.down = true;
+    const log = new BatchingPlatformLog(inner, clock);
+    const answers = ['a', 'b'].map(id =>
+      log.append('s', [{id, body: id}], signal),
+    );
+    await clock.advance(10);
+    for (const answer of await Promise.all(answers)) {
+      expect(answer.isErr()).to.equal(true);
+    }
+  });
+});
--- /dev/null
+++ b/packages/core/src/test/platform/memory_log.ts
@@ -0,0 +1,82 @@
+/** A log in memory, for tests. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {
+  Clock,
+  LogError,
+  LogPage,
+  LogRecord,
+  PlatformLog,
+  ReadOptions,
+  StoredRecord,
+} from '../../index.js';
+
+/** One stream that forgets records after their retention. */
+export class MemoryLog extends PlatformLog {
+  /** Append calls that took effect. */
+  appendCalls = 0;
+  /** Fails every call while set. */
+  down = false;
+  private kept: StoredRecord[] = [];
+  private next = 0;
+  private wake: Array<() => void> = [];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly retentionMs = Infinity,
+  ) {
+    super();
+  }
+
+  /** The records that are still kept. */
+  get records(): readonly StoredRecord[] {
+    const oldestMs = this.clock.epochNow() - this.retentionMs;
+    this.kept = this.kept.filter(record => record.atMs >= oldestMs);
+    return this.kept;
+  }
+
+  /** Appends one record. */
+  add(id: string, body: unknown): void {
+    const atMs = this.clock.epochNow();
+    this.kept.push({offset: this.next++, id, body, atMs});
+    for (const wake of this.wake.splice(0)) wake();
+  }
+
+  /** @returns the records from an offset on that are still kept. */
+  page(from: number): LogPage {
+    const {records} = this;
+    const first = records[0]?.offset ?? this.next;
+    const wanted = records.filter(record => record.offset >= from);
+    return {records: wanted, next: Math.max(from, this.next), first};
+  }
+
+  override async append(
+    stream: string,
+    records: readonly LogRecord[],
+  ): Promise<Result<number[], LogError>> {
+    if (this.down) return unavailable();
+    this.appendCalls += 1;
+    const start = this.next;
+    for (const {id, body} of records) this.add(id, body);
+    return ok(records.map((unused, index) => start + index));
+  }
+
+  override async read(
+    stream: string,
+    from: number,
+    {waitMs, signal}: ReadOptions,
+  ): Promise<Result<LogPage, LogError>> {
+    if (this.down) return unavailable();
+    if (this.next <= from && waitMs > 0) {
+      const woken = new AbortController();
+      this.wake.push(() => woken.abort());
+      const either = AbortSignal.any([signal, woken.signal]);
+      await this.clock.sleep(waitMs, either);
+    }
+    return this.down ? unavailable() : ok(this.page(from));
+  }
+}
+
+function unavailable(): Result<never, LogError> {
+  return err({type: 'log-unavailable', message: 'down'});
+}
