--- a/packages/core/src/lib/platform/recent_ids.ts
+++ b/packages/core/src/lib/platform/recent_ids.ts
@@ -36,6 +36,11 @@
     return true;
   }
 
+  /** @returns whether the id is remembered. */
+  has(id: string): boolean {
+    return this.ids.has(id);
+  }
+
   /** Adds ids that are older than all that are remembered. */
   addOlder(ids: readonly string[]): void {
     const newer = [...this.ids];
--- a/packages/core/src/lib/platform/stream_reader.ts
+++ b/packages/core/src/lib/platform/stream_reader.ts
@@ -76,6 +76,14 @@
     return this.based || this.baseIndex() >= 0;
   }
 
+  /**
+   * @param id - id of a record.
+   * @returns whether the record was applied lately.
+   */
+  hasRead(id: string): boolean {
+    return this.ids.has(id);
+  }
+
   /** Log time of the latest record read, in epoch milliseconds. */
   get lastRecordAtMs(): number | undefined {
     return this.latestRecordAtMs;
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -4,6 +4,7 @@
 import {Clock} from '../time/clock.js';
 import {Logger} from '../telemetry/logger.js';
 import {LogPage, PlatformLog, StoredRecord} from './platform_log.js';
+import {RecordWaiters} from './record_waiters.js';
 import {SnapshotKeeper, SnapshotOptions} from './snapshot_keeper.js';
 import {StreamReader} from './stream_reader.js';
 
@@ -71,7 +72,7 @@
   private first = 0;
   private reachable = true;
   private caughtUpAtMs: number | undefined;
-  private readonly waiters = new Map<string, (r: StoredRecord) => void>();
+  private readonly waiters = new RecordWaiters();
   private readonly caughtUpListeners: Array<() => void> = [];
 
   constructor(private readonly options: StreamTailOptions) {
@@ -82,7 +83,7 @@
       onGap: options.onGap,
       onRecord: (record, settled) => {
         options.onRecord(record, settled);
-        this.waiters.get(record.id)?.(record);
+        this.waiters.notify(record);
       },
     });
     if (snapshots === undefined) return;
@@ -180,7 +181,7 @@
       seen = record;
       done.abort();
     };
-    this.waiters.set(id, waiter);
+    this.waiters.add(id, waiter);
     const bound = clock.after(boundMs, () => done.abort());
     while (!giveUp.aborted) {
       const answer = await log.append(stream, [{id, body}], giveUp);
@@ -192,11 +193,32 @@
       }
     }
     bound.cancel();
-    if (this.waiters.get(id) === waiter) this.waiters.delete(id);
+    this.waiters.remove(id, waiter);
     if (seen !== undefined) return ok(seen);
     return err({type: 'append-unknown', id, message});
   }
 
+  /**
+   * Waits until a record is read, however late it comes.
+   *
+   * @param id - id of the record.
+   * @param signal - gives up waiting.
+   * @returns whether the record was read.
+   */
+  awaitRecord(id: string, signal: AbortSignal): Promise<boolean> {
+    if (this.reader.hasRead(id)) return Promise.resolve(true);
+    if (signal.aborted) return Promise.resolve(false);
+    return new Promise(resolve => {
+      const waiter = () => resolve(true);
+      const giveUp = () => {
+        this.waiters.remove(id, waiter);
+        resolve(false);
+      };
+      this.waiters.add(id, waiter);
+      signal.addEventListener('abort', giveUp, {once: true});
+    });
+  }
+
   private async keepSnapshots(signal: AbortSignal): Promise<void> {
     const {clock, log, stream, ids, logger} = this.options;
     const keeper = this.keeper!;
