--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -1,16 +1,16 @@
 /** The one module that wires a host's parts. @packageDocumentation */
 
 import {randomBytes} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {
   Clock,
   ConfigStore,
+  HttpHostList,
   HttpPlatformLog,
-  JOIN,
-  LEAVE,
   LocalTokenLimiter,
   Logger,
   Member,
-  MemberTable,
+  Membership,
   Metrics,
   PeerIdentity,
   PlacementClient,
@@ -25,7 +25,8 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
-  ZoneLease,
+  ZoneDirectory,
+  ZoneLinks,
   ZoneStream,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
@@ -38,10 +39,11 @@
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
 
-const JOIN_BOUND_MS = 10_000;
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
-const ZONE_SCAN_INTERVAL_MS = 500;
+
+/** Hosts of each other zone to which a host passes requests on. */
+const FORWARD_HOSTS_PER_ZONE = 3;
 
 /** What a {@link Daemon} takes from outside; tests replace parts. */
 export interface DaemonDeps {
@@ -65,16 +67,14 @@
   private readonly tracing: Tracing;
   private readonly config: ConfigStore;
   private readonly zoneStream: ZoneStream;
-  private readonly members: MemberTable;
-  private readonly remoteZones = new Map<string, MemberTable>();
-  private readonly lease: ZoneLease;
+  private readonly membership: Membership;
+  private readonly zones: ZoneDirectory;
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
   private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
-  private readonly keptLinks = new Set<string>();
   private caller: HttpListener | undefined;
   private operator: HttpListener | undefined;
   private stopped: Promise<void> | undefined;
@@ -88,6 +88,8 @@
     private readonly deps: DaemonDeps,
   ) {
     const {logger} = deps;
+    // Each of the host's tasks listens for the end.
+    setMaxListeners(0, this.lifetime.signal);
     const {name, zone} = settings.host;
     const clock = deps.clock ?? new SystemClock();
     this.clock = clock;
@@ -100,9 +102,6 @@
     this.config = new ConfigStore({log, clock, logger, metrics, ids});
     const config = this.config.state;
     this.zoneStream = new ZoneStream({zone, log, clock, logger, ids});
-    this.members = new MemberTable(this.zoneStream);
-    const stream = this.zoneStream;
-    this.lease = new ZoneLease({self, stream, clock, logger});
     this.network = new TcpPeerNetwork({
       self,
       clock,
@@ -111,10 +110,31 @@
       resolve: host => this.findMember(host)?.peer,
       allows: deps.allowsPeer,
     });
+    const listUrl = settings.platform.host_list;
+    this.membership = new Membership({
+      stream: this.zoneStream,
+      network: this.network,
+      clock,
+      logger,
+      hostList: listUrl === undefined ? undefined : new HttpHostList(listUrl),
+    });
+    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
+    this.zones = new ZoneDirectory({
+      log,
+      clock,
+      logger,
+      ids,
+      random,
+      network: this.network,
+      members: this.membership.members,
+      lease: this.membership.lease,
+      isSuspect: host => this.network.isSuspect(host),
+    });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory();
-    const {lease, network, members} = this;
+    const {network} = this;
+    const {lease, members} = this.membership;
     this.controller = new ZoneController({
       zone,
       config,
@@ -136,8 +156,7 @@
       clock,
     });
     this.queue = new RequestQueue({clock, directory, placement});
-    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
-    const remoteHosts = () => this.remoteHosts();
+    const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
     const limiter = new LocalTokenLimiter(config, clock);
@@ -209,10 +228,11 @@
     void this.zoneStream.run(signal);
     await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
     await this.join(peerPort.value);
-    void this.lease.run(signal);
+    void this.membership.run(signal);
     void this.controller.run(signal);
-    this.config.onChange(() => this.scan());
-    void this.clock.every(ZONE_SCAN_INTERVAL_MS, signal, () => this.scan());
+    void this.zones.run(signal);
+    const {members} = this.membership;
+    new ZoneLinks(this.self.host, members, this.network).run(signal);
     const caller = await this.startCallerApi();
     if (caller.isErr()) return err(`listen.caller: ${caller.error}`);
     this.caller = caller.value;
@@ -248,19 +268,15 @@
     // The balancer needs time to see that this host is not ready; until then
     // new requests are served as before.
     this.gate.notReady();
-    await this.lease.release(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
+    const bound = AbortSignal.timeout(STOP_APPEND_BOUND_MS);
+    await this.membership.lease.release(false, bound);
     await this.clock.sleep(graceMs);
     this.gate.close();
     this.path.close();
     this.caller?.close();
     await Promise.all([this.gate.idle(), this.path.idle()]);
-    const {host, incarnation} = this.self;
-    await this.zoneStream.append(
-      LEAVE,
-      {host, incarnation},
-      STOP_APPEND_BOUND_MS,
-      AbortSignal.timeout(STOP_APPEND_BOUND_MS),
-    );
+    await this.membership.leave(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
+    await this.zones.writeIfEmpty(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
     await this.tracing.flush();
     logger.info('stopped', {});
     this.kill();
@@ -273,44 +289,15 @@
       peer: {address: listen.peer.address, port: peerPort},
       operator: {address: listen.operator.address, port: this.operatorPort},
     };
-    const {signal} = this.lifetime;
-    for (;;) {
-      const joined = await this.zoneStream.append(
-        JOIN,
-        member,
-        JOIN_BOUND_MS,
-        signal,
-      );
-      if (joined.isOk() || signal.aborted) return;
-    }
-  }
-
-  /** Keeps links within the zone and follows the streams of other zones. */
-  private scan(): void {
-    const {signal} = this.lifetime;
-    for (const {host} of this.members.all()) {
-      if (host === this.self.host || this.keptLinks.has(host)) continue;
-      this.keptLinks.add(host);
-      void this.network.keepLink(host, signal);
-    }
-    for (const zone of this.config.state.declared.all('zone').keys()) {
-      if (zone === this.self.zone || this.remoteZones.has(zone)) continue;
-      const {log, clock, ids} = this;
-      const {logger} = this.deps;
-      const stream = new ZoneStream({zone, log, clock, logger, ids});
-      this.remoteZones.set(zone, new MemberTable(stream));
-      void stream.run(signal);
-    }
-  }
-
-  private remoteHosts(): Member[] {
-    return [...this.remoteZones.values()].flatMap(table => table.all());
+    await this.membership.join(member, this.lifetime.signal);
   }
 
   private findMember(host: string): Member | undefined {
-    const local = this.members.get(host);
-    if (local !== undefined) return local;
-    return this.remoteHosts().find(member => member.host === host);
+    const all = [
+      ...this.membership.members.known(),
+      ...this.zones.remoteHosts(),
+    ];
+    return all.find(member => member.host === host);
   }
 
   private startCallerApi(): Promise<Result<HttpListener, string>> {
@@ -336,14 +323,16 @@
   }
 
   private startOperatorApi(): Promise<Result<HttpListener, string>> {
-    const {config, metrics, members} = this;
+    const {config, metrics} = this;
+    const {members} = this.membership;
     const {operators, listen} = this.settings;
     const app = createOperatorApi({
       tokenDigest: operators.token_digest,
       config,
       metrics,
       status: () => this.status(),
-      hosts: () => toKnownHosts([...members.all(), ...this.remoteHosts()]),
+      hosts: () =>
+        toKnownHosts([...members.all(), ...this.zones.remoteHosts()]),
       drain: () => void this.stop(),
     });
     const maxConnections = MAX_OPERATOR_CONNECTIONS;
@@ -358,9 +347,9 @@
       ready: this.caller !== undefined && this.gate.isReady,
       configVersion: this.config.state.version,
       configAgeS: Number.isFinite(ageMs) ? ageMs / 1_000 : null,
-      leaseHolder: this.lease.holder() ?? null,
+      leaseHolder: this.membership.lease.holder() ?? null,
       peers: this.network.connected().map(peer => peer.host),
-      remoteHosts: this.remoteHosts().map(member => member.host),
+      remoteHosts: this.zones.remoteHosts().map(member => member.host),
       queued: this.queue.length,
     };
   }
