Decide replicas from a memory ledger, recorded before their orders

Cause: the thin controller loaded on demand without accounting for loads in flight, gave orders without a record, and two wants could load twice.

Hosts learn of ready replicas and of expected ready times by the zone's view.

--- /dev/null
+++ b/packages/core/src/lib/placement/decision_executor.ts
@@ -0,0 +1,241 @@
+/** Carries out what was decided: record, evict, load, settle. @packageDocumentation */
+
+import {LeaseAuthority} from '../membership/lease_authority.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {
+  AdapterDecision,
+  Decision,
+  EvictDecision,
+  LoadDecision,
+  ReplicaDecision,
+} from './decision.js';
+import {DecisionJournal} from './decision_journal.js';
+import {LoadPermits} from './load_permits.js';
+import {LoadTimes, PLACE} from './load_times.js';
+import {MemoryLedger} from './memory_ledger.js';
+import {OrderSender} from './order_sender.js';
+import {PlacementPlanner} from './placement_planner.js';
+import {ModelVersion, TargetAccount} from './target_account.js';
+import {TargetWatch} from './target_watch.js';
+
+const ADAPTER_TIMEOUT_MS = 5_000;
+const EVICT_TIMEOUT_MS = 2_000;
+const MIN_LOAD_TIMEOUT_MS = 5_000;
+/** A load that takes so many times what was expected counts as hanging. */
+const HANGING_FACTOR = 3;
+const DRAIN_BOUND_MS = 2_000;
+const DRAIN_POLL_MS = 10;
+
+/** What a {@link DecisionExecutor} works with. */
+export interface ExecutorOptions {
+  ledger: MemoryLedger;
+  journal: DecisionJournal;
+  lease: LeaseAuthority;
+  sender: OrderSender;
+  watch: TargetWatch;
+  planner: PlacementPlanner;
+  permits: LoadPermits;
+  times: LoadTimes;
+  clock: Clock;
+  logger: Logger;
+  /** Called when hosts must learn of a change. */
+  onChange: () => void;
+}
+
+/** One task per decision, from its record to its settlement. */
+export class DecisionExecutor {
+  constructor(private readonly options: ExecutorOptions) {}
+
+  /**
+   * @param decision - what to do; its memory is reserved already.
+   * @param signal - ends the work when the host stops.
+   */
+  async carryOut(decision: Decision, signal: AbortSignal): Promise<void> {
+    switch (decision.kind) {
+      case 'load':
+        await this.load(decision, signal);
+        if (decision.place === PLACE.remote) this.options.permits.release();
+        break;
+      case 'evict':
+        await this.evictDecided(decision, signal);
+        break;
+      case 'load-adapter':
+        await this.loadAdapter(decision);
+        break;
+    }
+    this.options.onChange();
+  }
+
+  private async load(
+    decision: LoadDecision,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {ledger, planner, onChange} = this.options;
+    const {id, target, evict} = decision;
+    const account = ledger.account(target);
+    if (account === undefined) return;
+    onChange();
+    const ready =
+      (await this.record(decision, signal)) &&
+      (await this.makeRoom(account, decision, signal));
+    if (!ready) {
+      this.settle(account, id, 'refused');
+      for (const victim of evict) restore(account, victim);
+      planner.noteFailure(decision);
+      return;
+    }
+    await this.orderLoad(account, decision, signal);
+  }
+
+  private async orderLoad(
+    account: TargetAccount,
+    decision: LoadDecision,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {sender, clock, times, planner} = this.options;
+    const {id, target, model, version, place, bytes} = decision;
+    const expectedMs = times.estimateMs(place, bytes);
+    const order = {kind: 'load', model, version} as const;
+    const sentMs = clock.now();
+    const timeoutMs = Math.max(
+      MIN_LOAD_TIMEOUT_MS,
+      HANGING_FACTOR * expectedMs,
+    );
+    const done = await sender.send(target, id, order, timeoutMs);
+    const tookMs = clock.now() - sentMs;
+    if (done.isOk()) {
+      times.observe(place, bytes, tookMs);
+      this.settle(account, id, 'done');
+      return;
+    }
+    planner.noteFailure(decision);
+    this.settle(account, id, done.error.type);
+    if (done.error.type === 'refused') return;
+    if (tookMs >= timeoutMs) times.noteSlow(place, bytes, tookMs);
+    await this.resolveUnknown(account, decision, signal);
+  }
+
+  /** Looks what became of a load whose answer was lost or never came. */
+  private async resolveUnknown(
+    account: TargetAccount,
+    decision: LoadDecision,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.options.watch.refresh(account, signal);
+    if (account.replica(decision)?.state !== 'loading') return;
+    const {id, target, model, version} = decision;
+    const kind = 'evict';
+    const cancel = {kind, id: `${id}.cancel`, target, model, version} as const;
+    await this.evictDecided(cancel, signal);
+  }
+
+  private async evictDecided(
+    decision: EvictDecision,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const account = this.options.ledger.account(decision.target);
+    if (account === undefined) return;
+    const recorded = await this.record(decision, signal);
+    const id = decision.id;
+    const gone = recorded && (await this.evict(account, decision, id, signal));
+    if (!gone) return restore(account, decision);
+    account.evicted(decision, this.options.clock.now());
+  }
+
+  private async makeRoom(
+    account: TargetAccount,
+    {id, evict, bytes}: LoadDecision,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    for (const [index, victim] of evict.entries()) {
+      const orderId = `${id}.evict.${index}`;
+      if (!(await this.evict(account, victim, orderId, signal))) return false;
+      account.evictedFor(id, victim, bytes, this.options.clock.now());
+    }
+    return true;
+  }
+
+  /** Evicts a replica once nothing runs on it. */
+  private async evict(
+    account: TargetAccount,
+    replica: ModelVersion,
+    id: string,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {model, version} = replica;
+    if (!(await this.drained(account, replica, signal))) return false;
+    const order = {kind: 'evict', model, version} as const;
+    const target = account.facts.name;
+    const {sender} = this.options;
+    const done = await sender.send(target, id, order, EVICT_TIMEOUT_MS);
+    return done.isOk();
+  }
+
+  /** Waits until the target itself says that nothing runs on a replica. */
+  private async drained(
+    account: TargetAccount,
+    replica: ModelVersion,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {clock, watch, onChange} = this.options;
+    onChange();
+    const boundMs = clock.now() + DRAIN_BOUND_MS;
+    while (clock.now() < boundMs && !signal.aborted) {
+      await watch.refresh(account, signal);
+      const held = account.replica(replica);
+      if (held === undefined || held.running === 0) return true;
+      await clock.sleep(DRAIN_POLL_MS, signal);
+    }
+    return false;
+  }
+
+  private async loadAdapter(decision: AdapterDecision): Promise<void> {
+    const {ledger, sender, clock} = this.options;
+    const {id, target, model, adapter, evict, bytes} = decision;
+    const account = ledger.account(target);
+    if (account === undefined) return;
+    for (const victim of evict) {
+      const order = {kind: 'evict-adapter', adapter: victim, model} as const;
+      const orderId = `${id}.evict.${victim}`;
+      const gone = await sender.send(target, orderId, order, EVICT_TIMEOUT_MS);
+      if (gone.isErr()) return this.settle(account, id, 'refused');
+      account.evictedAdapter(decision, victim, clock.now());
+    }
+    const reservation = account.reservations.get(id);
+    if (reservation !== undefined) reservation.bytes = bytes;
+    const order = {kind: 'load-adapter', adapter, model} as const;
+    const done = await sender.send(target, id, order, ADAPTER_TIMEOUT_MS);
+    this.settle(account, id, done.isOk() ? 'done' : done.error.type);
+  }
+
+  private async record(
+    decision: ReplicaDecision,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {lease, journal, logger} = this.options;
+    const authority = lease.check();
+    if (authority.isErr()) return false;
+    const {fencing} = authority.value;
+    const recorded = await journal.record({fencing, decision}, signal);
+    if (recorded.isOk()) return true;
+    const {id} = decision;
+    const reason = recorded.error.message;
+    logger.warn('decision_not_recorded', {id, reason});
+    return false;
+  }
+
+  private settle(
+    account: TargetAccount,
+    id: string,
+    outcome: 'done' | 'refused' | 'unknown',
+  ): void {
+    account.settle(id, outcome, this.options.clock.now());
+  }
+}
+
+/** Offers a replica that was not evicted after all. */
+function restore(account: TargetAccount, replica: ModelVersion): void {
+  const held = account.replica(replica);
+  if (held?.state === 'draining') held.state = 'ready';
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/demand_book.ts
@@ -0,0 +1,114 @@
+/** The work of a zone that waits for replicas, and past use. @packageDocumentation */
+
+const USE_HALF_LIFE_MS = 6 * 3_600_000;
+const LN_2 = Math.log(2);
+
+/** Requests of one model and adapter that wait at one host. */
+export interface Demand {
+  host: string;
+  model: string;
+  adapter?: string;
+  waiting: number;
+  /** Clock time by which the most urgent one must start, in milliseconds. */
+  deadlineMs: number;
+}
+
+/** Requests of one model and adapter that wait at any host. */
+export interface WaitingWork {
+  model: string;
+  adapter?: string;
+  waiting: number;
+  deadlineMs: number;
+  /** When the first of them came, in clock time. */
+  sinceMs: number;
+}
+
+interface Use {
+  /** Wake-ups, each counted half after {@link USE_HALF_LIFE_MS}. */
+  score: number;
+  scoredMs: number;
+  lastMs: number;
+}
+
+/** What waits, by model and adapter, joined over all hosts. */
+export class DemandBook {
+  private readonly byKey = new Map<string, Map<string, Demand>>();
+  private readonly sinceMs = new Map<string, number>();
+  private readonly uses = new Map<string, Use>();
+
+  /** Notes what waits at a host, in place of what it said before. */
+  set(demand: Demand, nowMs: number): void {
+    const key = demandKey(demand.model, demand.adapter);
+    const hosts = this.byKey.get(key) ?? new Map<string, Demand>();
+    if (hosts.size === 0) {
+      this.byKey.set(key, hosts);
+      this.sinceMs.set(key, nowMs);
+      this.noteWake(demand.model, nowMs);
+    }
+    hosts.set(demand.host, demand);
+  }
+
+  /** Takes back what a host said. */
+  remove(host: string, model: string, adapter?: string): void {
+    const key = demandKey(model, adapter);
+    const hosts = this.byKey.get(key);
+    hosts?.delete(host);
+    if (hosts?.size !== 0) return;
+    this.byKey.delete(key);
+    this.sinceMs.delete(key);
+  }
+
+  /** @returns whether anything waits for a model. */
+  waitsFor(model: string): boolean {
+    return this.all().some(work => work.model === model);
+  }
+
+  /** @returns all that waits. */
+  all(): WaitingWork[] {
+    return [...this.byKey].map(([key, hosts]) => {
+      const demands = [...hosts.values()];
+      const [{model, adapter}] = demands;
+      return {
+        model,
+        adapter,
+        waiting: demands.reduce((sum, {waiting}) => sum + waiting, 0),
+        deadlineMs: Math.min(...demands.map(({deadlineMs}) => deadlineMs)),
+        sinceMs: this.sinceMs.get(key)!,
+      };
+    });
+  }
+
+  /** Notes that a model is in use. */
+  noteUse(model: string, nowMs: number): void {
+    const use = this.uses.get(model);
+    if (use === undefined) this.noteWake(model, nowMs);
+    else use.lastMs = nowMs;
+  }
+
+  /** @returns when the model was last in use, or undefined. */
+  lastUse(model: string): number | undefined {
+    return this.uses.get(model)?.lastMs;
+  }
+
+  /** @returns expected wake-ups of a model in an hour, from past use. */
+  wakesPerHour(model: string, nowMs: number): number {
+    const use = this.uses.get(model);
+    if (use === undefined) return 0;
+    const decayed = use.score * decay(nowMs - use.scoredMs);
+    return (decayed * LN_2 * 3_600_000) / USE_HALF_LIFE_MS;
+  }
+
+  private noteWake(model: string, nowMs: number): void {
+    const use = this.uses.get(model);
+    const score = (use?.score ?? 0) * decay(nowMs - (use?.scoredMs ?? nowMs));
+    this.uses.set(model, {score: score + 1, scoredMs: nowMs, lastMs: nowMs});
+  }
+}
+
+function decay(ageMs: number): number {
+  return 2 ** (-ageMs / USE_HALF_LIFE_MS);
+}
+
+function demandKey(model: string, adapter: string | undefined): string {
+  return `${model}\n${adapter ?? ''}`;
+}
--- a/packages/core/src/lib/placement/placement_client.ts
+++ b/packages/core/src/lib/placement/placement_client.ts
@@ -54,7 +54,7 @@
 
   private async ask(holder: string, want: Want, signal: AbortSignal) {
     const {network, controller} = this.options;
-    if (holder === network.self.host) return controller.want(want);
+    if (holder === network.self.host) return controller.want(want, signal);
     const timeoutMs = want.slackMs;
     const answer = await network.call(holder, WANT, want, {timeoutMs, signal});
     return answer.isOk() ? answer.value : undefined;
--- a/packages/core/src/lib/placement/placement_messages.ts
+++ b/packages/core/src/lib/placement/placement_messages.ts
@@ -19,6 +19,8 @@
 const wantAnswerSchema = z.discriminatedUnion('type', [
   z.object({type: z.literal('ready'), view: zoneViewSchema}),
   z.object({type: z.literal('impossible'), message: z.string()}),
+  /** The asked host does not hold the lease; the answer comes from another. */
+  z.object({type: z.literal('not-controller')}),
 ]);
 
 /** What became of a {@link Want}. */
--- /dev/null
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -0,0 +1,251 @@
+/** Turns what waits in a zone into decisions. @packageDocumentation */
+
+import {RecordIds} from '../platform/stream_tail.js';
+import {Clock} from '../time/clock.js';
+import {AdapterPlanner} from './adapter_planner.js';
+import {Decision, LoadDecision} from './decision.js';
+import {DemandBook, WaitingWork} from './demand_book.js';
+import {LoadPermits} from './load_permits.js';
+import {LoadTimes, PLACE, placeOf} from './load_times.js';
+import {MemoryLedger} from './memory_ledger.js';
+import {
+  EvictionCost,
+  LoadOption,
+  LoadOrder,
+  TargetChoice,
+} from './placement_policy.js';
+import {ReplicaCatalog, ReplicaNeed} from './replica_catalog.js';
+import {Replica, TargetAccount} from './target_account.js';
+
+/** How long a target gets no load of a model that failed there. */
+const FAILED_LOAD_BACKOFF_MS = 2_000;
+
+/** A load that takes so many times what was expected is not joined. */
+const OVERDUE_FACTOR = 3;
+
+/** What a {@link PlacementPlanner} works with. */
+export interface PlannerOptions {
+  ledger: MemoryLedger;
+  demand: DemandBook;
+  catalog: ReplicaCatalog;
+  permits: LoadPermits;
+  times: LoadTimes;
+  clock: Clock;
+  ids: RecordIds;
+  order: LoadOrder;
+  choice: TargetChoice;
+  eviction: EvictionCost;
+}
+
+/**
+ * Decides loads and evictions from the ledger, the demand and the clock alone,
+ * so that the controller and the experiments run the same code. What it
+ * decides is reserved in the ledger at once; the caller settles it.
+ */
+export class PlacementPlanner {
+  private readonly adapters: AdapterPlanner;
+  private readonly failures = new Map<string, number>();
+
+  constructor(private readonly options: PlannerOptions) {
+    this.adapters = new AdapterPlanner(options);
+  }
+
+  /** @returns what is decided now, in the order in which it shall start. */
+  plan(): Decision[] {
+    const decisions: Decision[] = [];
+    for (const work of this.ranked()) {
+      const decision = this.decide(work);
+      if (decision !== undefined) decisions.push(decision);
+    }
+    return decisions;
+  }
+
+  /** Notes that a load failed, so that it is next tried elsewhere. */
+  noteFailure({target, model}: LoadDecision): void {
+    const untilMs = this.options.clock.now() + FAILED_LOAD_BACKOFF_MS;
+    this.failures.set(failureKey(target, model), untilMs);
+  }
+
+  /**
+   * @returns why a model can never be served in this zone, or undefined if
+   *     waiting for it makes sense.
+   */
+  impossible(model: string, adapter?: string): string | undefined {
+    const {catalog, ledger} = this.options;
+    const need = catalog.need(model);
+    if (need === undefined) return `no model "${model}"`;
+    if (
+      adapter !== undefined &&
+      catalog.adapterBytes(model, adapter) === undefined
+    ) {
+      return `no adapter "${adapter}" of the model`;
+    }
+    if (ledger.replicasOf(model).length > 0) return undefined;
+    if (need.part === 0) return 'this zone has no part in the model';
+    const fits = catalog
+      .targets()
+      .some(({memoryBytes}) => memoryBytes >= need.bytes);
+    return fits ? undefined : 'no target has room for the model';
+  }
+
+  private ranked(): WaitingWork[] {
+    const {demand, order, clock} = this.options;
+    const nowMs = clock.now();
+    return demand
+      .all()
+      .map(work => {
+        const rank = order.rank(work, this.quickestMs(work.model), nowMs);
+        return {work, rank};
+      })
+      .sort((a, b) => a.rank - b.rank)
+      .map(({work}) => work);
+  }
+
+  private quickestMs(model: string): number {
+    const {catalog, ledger, times} = this.options;
+    const need = catalog.need(model);
+    if (need === undefined) return 0;
+    let quickest = Infinity;
+    for (const account of ledger.all()) {
+      const place = placeOf(account, need.version);
+      const loadMs = times.estimateMs(place, need.weightBytes);
+      quickest = Math.min(quickest, loadMs);
+    }
+    return quickest;
+  }
+
+  private decide(work: WaitingWork): Decision | undefined {
+    const {catalog, ledger} = this.options;
+    const {model, adapter} = work;
+    const need = catalog.need(model);
+    if (need === undefined) return undefined;
+    const usable = ledger.replicasOf(model).filter(({replica, account}) => {
+      return replica.state === 'ready' && isUsable(account);
+    });
+    if (usable.length > 0) {
+      if (adapter === undefined) return undefined;
+      return this.adapters.decide(model, adapter, usable);
+    }
+    if (this.isUnderWay(need)) return undefined;
+    if (ledger.count(model, need.version) >= need.part) return undefined;
+    return this.load(need);
+  }
+
+  /** Whether a load of the model can be joined. */
+  private isUnderWay({model, version}: ReplicaNeed): boolean {
+    const {ledger, clock} = this.options;
+    const nowMs = clock.now();
+    const ordered = ledger.pendingOf(model).some(order => {
+      const {sentMs, expectedMs, unknown} = order;
+      if (unknown || order.version !== version) return false;
+      return nowMs < sentMs + OVERDUE_FACTOR * (expectedMs - sentMs);
+    });
+    if (ordered) return true;
+    return ledger.replicasOf(model).some(({replica}) => {
+      return replica.version === version && replica.state === 'loading';
+    });
+  }
+
+  private load(need: ReplicaNeed): LoadDecision | undefined {
+    const {choice, permits, ledger, clock, ids} = this.options;
+    const options = this.loadOptions(need);
+    while (options.length > 0) {
+      const best = choice.choose(options);
+      options.splice(options.indexOf(best), 1);
+      if (best.place === PLACE.remote && !permits.tryTake()) continue;
+      const {model, version, bytes} = need;
+      const target = best.account.facts.name;
+      const evict = best.victims.map(victim => {
+        victim.state = 'draining';
+        return {model: victim.model, version: victim.version};
+      });
+      const id = ids.take();
+      const nowMs = clock.now();
+      const reserved = ledger.reserve(target, {
+        id,
+        model,
+        version,
+        bytes: Math.min(bytes, best.account.freeBytes),
+        sentMs: nowMs,
+        expectedMs: nowMs + best.loadMs,
+        unknown: false,
+      });
+      if (reserved.isErr()) throw new Error(reserved.error.message);
+      const {place} = best;
+      return {kind: 'load', id, target, model, version, bytes, place, evict};
+    }
+    return undefined;
+  }
+
+  private loadOptions(need: ReplicaNeed): LoadOption[] {
+    const {ledger, times} = this.options;
+    const options: LoadOption[] = [];
+    for (const account of ledger.all()) {
+      if (!isUsable(account) || account.mayHold(need)) continue;
+      if (this.hasFailed(account, need.model)) continue;
+      const victims = this.victims(account, need.bytes);
+      if (victims === undefined) continue;
+      const place = placeOf(account, need.version);
+      const loadMs = times.estimateMs(place, need.weightBytes);
+      options.push({account, place, loadMs, ...victims});
+    }
+    return options;
+  }
+
+  /** @returns what must go so that `bytes` fit; undefined if that fails. */
+  private victims(
+    account: TargetAccount,
+    bytes: number,
+  ): Pick<LoadOption, 'victims' | 'evictionCost'> | undefined {
+    let missing = bytes - account.freeBytes;
+    const victims: Replica[] = [];
+    let evictionCost = 0;
+    for (const {replica, cost} of this.evictable(account, missing)) {
+      if (missing <= 0) break;
+      missing -= heldBytes(replica);
+      victims.push(replica);
+      evictionCost += cost;
+    }
+    return missing > 0 ? undefined : {victims, evictionCost};
+  }
+
+  private evictable(account: TargetAccount, missing: number) {
+    if (missing <= 0) return [];
+    const {demand, eviction, clock} = this.options;
+    const nowMs = clock.now();
+    return [...account.replicas.values()]
+      .filter(({state, running, model}) => {
+        return state === 'ready' && running === 0 && !demand.waitsFor(model);
+      })
+      .map(replica => {
+        return {replica, cost: eviction.cost(replica, account, nowMs)};
+      })
+      .filter(({cost}) => Number.isFinite(cost))
+      .sort((a, b) => {
+        return a.cost / heldBytes(a.replica) - b.cost / heldBytes(b.replica);
+      });
+  }
+
+  private hasFailed(account: TargetAccount, model: string): boolean {
+    const key = failureKey(account.facts.name, model);
+    const untilMs = this.failures.get(key);
+    if (untilMs === undefined) return false;
+    if (this.options.clock.now() < untilMs) return true;
+    this.failures.delete(key);
+    return false;
+  }
+}
+
+function isUsable(account: TargetAccount): boolean {
+  return account.mayOrder && account.reachable && !account.leaving;
+}
+
+function heldBytes({bytes, adapters}: Replica): number {
+  let held = bytes;
+  for (const adapterBytes of adapters.values()) held += adapterBytes;
+  return held;
+}
+
+function failureKey(target: string, model: string): string {
+  return `${target}\n${model}`;
+}
--- a/packages/core/src/lib/placement/replica_directory.ts
+++ b/packages/core/src/lib/placement/replica_directory.ts
@@ -1,12 +1,18 @@
 /** What a host knows of the replicas in its zone. @packageDocumentation */
 
 import {z} from 'zod';
+import {Clock} from '../time/clock.js';
+
+/** Allowance for an adapter that is not loaded yet, in milliseconds. */
+const ADAPTER_LOAD_MS = 5;
 
 const residentSchema = z.object({
   model: z.string(),
   version: z.string(),
   state: z.enum(['loading', 'ready', 'draining']),
   adapters: z.array(z.string()),
+  /** When a load is expected to end, in milliseconds from the view. */
+  readyInMs: z.number().optional(),
 });
 
 /** A target as the zone controller last saw it. */
@@ -37,13 +43,18 @@
 /** The newest view of this host's zone. */
 export class ReplicaDirectory {
   private view: ZoneView | undefined;
+  private updatedMs = 0;
   private readonly listeners: Array<() => void> = [];
 
+  /** @param clock - source of time. */
+  constructor(private readonly clock: Clock) {}
+
   /** @param view - ignored if it is older than the one at hand. */
   update(view: ZoneView): void {
     const {view: known} = this;
     if (known !== undefined && !isNewer(view, known)) return;
     this.view = view;
+    this.updatedMs = this.clock.now();
     for (const listener of this.listeners) listener();
   }
 
@@ -57,6 +68,29 @@
     return this.view?.targets ?? [];
   }
 
+  /**
+   * @param model - name of the model.
+   * @param adapter - name of an adapter that must be loaded as well.
+   * @returns when a replica is expected to be ready, in milliseconds from
+   *     now; 0 if one is, undefined if no load is under way.
+   */
+  expectedReadyInMs(model: string, adapter?: string): number | undefined {
+    if (this.ready(model, adapter).length > 0) return 0;
+    if (this.ready(model).length > 0) return ADAPTER_LOAD_MS;
+    const sinceViewMs = this.clock.now() - this.updatedMs;
+    let soonest: number | undefined;
+    for (const {leaving, residents} of this.targets()) {
+      for (const {model: held, state, readyInMs} of residents) {
+        if (leaving || held !== model || state !== 'loading') continue;
+        if (readyInMs === undefined) continue;
+        const remainingMs = Math.max(0, readyInMs - sinceViewMs);
+        soonest = Math.min(soonest ?? Infinity, remainingMs);
+      }
+    }
+    if (soonest === undefined || adapter === undefined) return soonest;
+    return soonest + ADAPTER_LOAD_MS;
+  }
+
   /**
    * @param model - name of the model.
    * @param adapter - name of an adapter that must be loaded as well.
--- a/packages/core/src/lib/targets/engine_client.ts
+++ b/packages/core/src/lib/targets/engine_client.ts
@@ -20,6 +20,8 @@
 export interface EngineError {
   type: (typeof ENGINE_ERROR)[keyof typeof ENGINE_ERROR];
   message: string;
+  /** Whether no process listens, so that nothing is in its memory either. */
+  processEnded?: boolean;
 }
 
 /** Options of {@link EngineClient.generate}. */
@@ -55,6 +57,8 @@
   bytes: z.number(),
   state: z.enum(['loading', 'ready', 'draining']),
   adapters: z.array(z.object({adapter: z.string(), bytes: z.number()})),
+  /** Requests that run on this version. */
+  running: z.number().int().default(0),
 });
 
 /** What an engine holds. */
@@ -66,6 +70,7 @@
   running: z.number().int(),
   highestFencing: z.number().int(),
   leaving: z.boolean(),
+  role: z.string().default('any'),
   /** Versions whose checkpoint is on the engine's disk. */
   onDisk: z.array(z.string()),
   /** Versions whose checkpoint is in the memory of the engine's host. */
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -243,7 +243,8 @@
 function toEngineError(error: unknown): EngineError {
   const {code, message} = error as NodeJS.ErrnoException;
   const notSent = NOT_SENT_CODES.has(code ?? '');
-  return {type: notSent ? ENGINE_ERROR.notSent : ENGINE_ERROR.broken, message};
+  const type = notSent ? ENGINE_ERROR.notSent : ENGINE_ERROR.broken;
+  return {type, message, processEnded: code === 'ECONNREFUSED'};
 }
 
 function broken(message: string): Result<never, EngineError> {
--- /dev/null
+++ b/packages/core/src/test/placement/memory_ledger_test.ts
@@ -0,0 +1,179 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Inventory, LONGEST_ORDER_MS, MemoryLedger} from '../../index.js';
+
+const MEMORY = 100;
+const KV = 5;
+
+interface Held {
+  version: string;
+  bytes: number;
+  state: 'loading' | 'ready';
+}
+
+/** A target that carries out orders late, twice or with their answer lost. */
+class FakeTarget {
+  readonly held = new Map<string, Held>();
+  readonly done = new Set<string>();
+
+  load(id: string, version: string, bytes: number): void {
+    if (this.done.has(id) || this.held.has(version)) return;
+    this.done.add(id);
+    this.held.set(version, {version, bytes, state: 'ready'});
+  }
+
+  get usedBytes(): number {
+    return [...this.held.values()].reduce((sum, {bytes}) => sum + bytes, 0);
+  }
+
+  inventory(): Inventory {
+    return {
+      target: 't',
+      memoryBytes: MEMORY,
+      usedBytes: this.usedBytes,
+      slots: 8,
+      running: 0,
+      highestFencing: 1,
+      leaving: false,
+      role: 'any',
+      onDisk: [],
+      inMemory: [],
+      residents: [...this.held.values()].map(({version, bytes, state}) => {
+        return {
+          model: version,
+          version,
+          bytes,
+          state,
+          running: 0,
+          adapters: [],
+        };
+      }),
+    };
+  }
+}
+
+function newLedger(): MemoryLedger {
+  const ledger = new MemoryLedger(() => KV);
+  ledger.setTargets([{name: 't', memoryBytes: MEMORY, slots: 8}]);
+  return ledger;
+}
+
+const step = fc.oneof(
+  fc.record({
+    kind: fc.constant('load' as const),
+    model: fc.integer({min: 0, max: 9}),
+    bytes: fc.integer({min: 1, max: 50}),
+    fate: fc.constantFrom('done', 'lost', 'late', 'never'),
+  }),
+  fc.record({
+    kind: fc.constant('evict' as const),
+    model: fc.integer({min: 0, max: 9}),
+    lost: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constant('report' as const),
+    afterMs: fc.integer({min: 1, max: 2 * LONGEST_ORDER_MS}),
+  }),
+  fc.record({kind: fc.constant('take-over' as const)}),
+);
+
+describe('MemoryLedger', () => {
+  it('keeps ledger and target within memory and what was decided', () => {
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 60}), steps => {
+        const target = new FakeTarget();
+        let ledger = newLedger();
+        let nowMs = 1;
+        let nextId = 0;
+        const decided = new Set<string>();
+        let late: Array<{atMs: number; run: () => void}> = [];
+        const runLate = () => {
+          for (const {run} of late.filter(({atMs}) => atMs <= nowMs)) run();
+          late = late.filter(({atMs}) => atMs > nowMs);
+        };
+        for (const action of steps) {
+          nowMs += 1;
+          const account = ledger.account('t')!;
+          if (action.kind === 'load') {
+            const id = String(nextId++);
+            const version = `v${action.model}`;
+            const known = {model: version, version};
+            if (account.mayHold(known)) continue;
+            const bytes = action.bytes + KV;
+            const reserved = ledger.reserve('t', {
+              ...{id, ...known, bytes, sentMs: nowMs},
+              ...{expectedMs: nowMs, unknown: false},
+            });
+            if (reserved.isErr()) continue;
+            decided.add(version);
+            const run = () => target.load(id, version, action.bytes);
+            if (action.fate === 'late') {
+              late.push({atMs: nowMs + LONGEST_ORDER_MS, run});
+            } else if (action.fate !== 'never') {
+              run();
+            }
+            const outcome = action.fate === 'done' ? 'done' : 'unknown';
+            account.settle(id, outcome, nowMs);
+          } else if (action.kind === 'evict') {
+            const version = `v${action.model}`;
+            if (account.replica({model: version, version}) === undefined) {
+              continue;
+            }
+            target.held.delete(version);
+            if (!action.lost) {
+              account.evicted({model: version, version}, nowMs);
+            }
+          } else if (action.kind === 'report') {
+            nowMs += action.afterMs;
+            runLate();
+            account.report(target.inventory(), nowMs);
+          } else {
+            // A new controller waits out the old one's orders first.
+            nowMs += LONGEST_ORDER_MS;
+            runLate();
+            ledger = newLedger();
+            ledger.account('t')!.report(target.inventory(), nowMs);
+          }
+          runLate();
+          const {usedBytes} = ledger.account('t')!;
+          expect(usedBytes).to.be.at.most(MEMORY);
+          expect(target.usedBytes).to.be.at.most(MEMORY);
+          expect(target.usedBytes).to.be.at.most(usedBytes);
+          for (const version of target.held.keys()) {
+            expect(decided.has(version)).to.equal(true);
+          }
+        }
+      }),
+      {numRuns: 500},
+    );
+  });
+
+  it('keeps the memory of a lost answer until a later report', () => {
+    const ledger = newLedger();
+    const account = ledger.account('t')!;
+    const reservation = {
+      ...{id: '1', model: 'm', version: 'v', bytes: 60},
+      ...{sentMs: 10, expectedMs: 20, unknown: false},
+    };
+    expect(ledger.reserve('t', reservation).isOk()).to.equal(true);
+    account.settle('1', 'unknown', 100);
+    const empty = new FakeTarget().inventory();
+    account.report(empty, 10 + LONGEST_ORDER_MS);
+    expect(account.freeBytes).to.equal(40);
+    account.report(empty, 11 + LONGEST_ORDER_MS);
+    expect(account.freeBytes).to.equal(100);
+  });
+
+  it('ignores a report that was asked for before a change', () => {
+    const ledger = newLedger();
+    const account = ledger.account('t')!;
+    const before = new FakeTarget().inventory();
+    ledger.reserve('t', {
+      ...{id: '1', model: 'm', version: 'v', bytes: 60},
+      ...{sentMs: 10, expectedMs: 20, unknown: false},
+    });
+    account.settle('1', 'done', 100);
+    expect(account.report(before, 99)).to.equal(false);
+    expect(account.freeBytes).to.equal(40);
+  });
+});
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -26,6 +26,7 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
+  ZoneDecisionJournal,
   ZoneLease,
   ZoneStream,
 } from '@fuchsiacleat/core';
@@ -110,7 +111,7 @@
     });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
-    const directory = new ReplicaDirectory();
+    const directory = new ReplicaDirectory(clock);
     const {lease, network, members} = this;
     this.controller = new ZoneController({
       zone,
@@ -119,6 +120,7 @@
       members,
       network,
       directory,
+      journal: new ZoneDecisionJournal(stream),
       clock,
       logger,
       ids,
--- a/packages/standins/src/lib/engine_memory.ts
+++ b/packages/standins/src/lib/engine_memory.ts
@@ -83,6 +83,7 @@
       version: resident.version,
       bytes: resident.bytes,
       state: resident.state,
+      running: resident.running,
       adapters: [...resident.adapters].map(([adapter, bytes]) => ({
         adapter,
         bytes,
