--- a/packages/core/src/lib/placement/memory_ledger.ts
+++ b/packages/core/src/lib/placement/memory_ledger.ts
@@ -13,7 +13,7 @@
  * How long after the lease check an order may still arrive at its target, in
  * milliseconds.
  */
-export const LONGEST_ORDER_MS = 5_000;
+export const ORDER_ARRIVAL_MS = 5_000;
 
 /** A replica with the target that holds it. */
 export interface PlacedReplica {
@@ -123,6 +123,6 @@
   }
 
   private open(facts: TargetFacts): TargetAccount {
-    return new TargetAccount({...facts}, LONGEST_ORDER_MS, this.kvBytesOf);
+    return new TargetAccount({...facts}, ORDER_ARRIVAL_MS, this.kvBytesOf);
   }
 }
--- a/packages/core/src/lib/placement/target_account.ts
+++ b/packages/core/src/lib/placement/target_account.ts
@@ -65,7 +65,7 @@
 
   constructor(
     readonly facts: TargetFacts,
-    private readonly longestOrderMs: number,
+    private readonly orderArrivalMs: number,
     private readonly kvBytesOf: (replica: ModelVersion) => number,
   ) {}
 
@@ -222,7 +222,7 @@
   private dropResolved(askedMs: number): void {
     for (const [id, reservation] of this.reservations) {
       if (!reservation.unknown) continue;
-      const arrived = askedMs > reservation.sentMs + this.longestOrderMs;
+      const arrived = askedMs > reservation.sentMs + this.orderArrivalMs;
       if (arrived || this.holds(reservation)) this.reservations.delete(id);
     }
   }
--- a/packages/core/src/lib/placement/target_watch.ts
+++ b/packages/core/src/lib/placement/target_watch.ts
@@ -5,7 +5,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {DemandBook} from './demand_book.js';
-import {LONGEST_ORDER_MS, MemoryLedger} from './memory_ledger.js';
+import {ORDER_ARRIVAL_MS, MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
 import {TargetAccount} from './target_account.js';
 
@@ -99,7 +99,7 @@
     const {term} = this;
     if (term === undefined || this.isFenced(name)) return;
     if (!checksFencing(name)) {
-      if (clock.now() < term.sinceMs + LONGEST_ORDER_MS) return;
+      if (clock.now() < term.sinceMs + ORDER_ARRIVAL_MS) return;
     } else {
       const id = `${term.fencing}.fence.${name}`;
       const noop = {kind: 'noop'} as const;
--- a/packages/core/src/lib/requests/request_runner.ts
+++ b/packages/core/src/lib/requests/request_runner.ts
@@ -101,7 +101,7 @@
 
   private async *route(req: GenerationRequest, context: RunContext): Run {
     const span = this.options.tracing.start(HOP.route, context.span.context);
-    const choice = this.options.router.forGeneration();
+    const choice = this.options.router.forGeneration(new Set(), req.model);
     span.set('choice', choice.type);
     span.end();
     if (choice.type === 'none') {
--- a/packages/core/src/test/placement/memory_ledger_test.ts
+++ b/packages/core/src/test/placement/memory_ledger_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {Inventory, LONGEST_ORDER_MS, MemoryLedger} from '../../index.js';
+import {Inventory, ORDER_ARRIVAL_MS, MemoryLedger} from '../../index.js';
 
 const MEMORY = 100;
 const KV = 5;
@@ -72,7 +72,7 @@
   }),
   fc.record({
     kind: fc.constant('report' as const),
-    afterMs: fc.integer({min: 1, max: 2 * LONGEST_ORDER_MS}),
+    afterMs: fc.integer({min: 1, max: 2 * ORDER_ARRIVAL_MS}),
   }),
   fc.record({kind: fc.constant('take-over' as const)}),
 );
@@ -108,7 +108,7 @@
             decided.add(version);
             const run = () => target.load(id, version, action.bytes);
             if (action.fate === 'late') {
-              late.push({atMs: nowMs + LONGEST_ORDER_MS, run});
+              late.push({atMs: nowMs + ORDER_ARRIVAL_MS, run});
             } else if (action.fate !== 'never') {
               run();
             }
@@ -129,7 +129,7 @@
             account.report(target.inventory(), nowMs);
           } else {
             // A new controller waits out the old one's orders first.
-            nowMs += LONGEST_ORDER_MS;
+            nowMs += ORDER_ARRIVAL_MS;
             runLate();
             ledger = newLedger();
             ledger.account('t')!.report(target.inventory(), nowMs);
@@ -158,9 +158,9 @@
     expect(ledger.reserve('t', reservation).isOk()).to.equal(true);
     account.settle('1', 'unknown', 100);
     const empty = new FakeTarget().inventory();
-    account.report(empty, 10 + LONGEST_ORDER_MS);
+    account.report(empty, 10 + ORDER_ARRIVAL_MS);
     expect(account.freeBytes).to.equal(40);
-    account.report(empty, 11 + LONGEST_ORDER_MS);
+    account.report(empty, 11 + ORDER_ARRIVAL_MS);
     expect(account.freeBytes).to.equal(100);
   });
 
