--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -25,6 +25,7 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
+  ZoneDecisionJournal,
   ZoneDirectory,
   ZoneLinks,
   ZoneStream,
@@ -132,7 +133,7 @@
     });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
-    const directory = new ReplicaDirectory();
+    const directory = new ReplicaDirectory(clock);
     const {network} = this;
     const {lease, members} = this.membership;
     this.controller = new ZoneController({
@@ -142,6 +143,7 @@
       members,
       network,
       directory,
+      journal: new ZoneDecisionJournal(this.zoneStream),
       clock,
       logger,
       ids,
