--- a/packages/core/src/lib/requests/request_runner.ts
+++ b/packages/core/src/lib/requests/request_runner.ts
@@ -112,7 +112,7 @@
   ): Attempt {
     const {router, tracing, local, peers} = this.options;
     const span = tracing.start(HOP.route, context.span.context);
-    const choice = router.forGeneration(avoid);
+    const choice = router.forGeneration(avoid, req.model);
     span.set('choice', choice.type);
     span.end();
     switch (choice.type) {
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -26,6 +26,7 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
+  ZoneDecisionJournal,
   ZoneDirectory,
   ZoneLinks,
   ZoneStream,
@@ -133,7 +134,7 @@
     });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
-    const directory = new ReplicaDirectory();
+    const directory = new ReplicaDirectory(clock);
     const {network} = this;
     const {lease, members} = this.membership;
     this.controller = new ZoneController({
@@ -143,6 +144,7 @@
       members,
       network,
       directory,
+      journal: new ZoneDecisionJournal(this.zoneStream),
       clock,
       logger,
       ids,
@@ -200,6 +202,11 @@
     return this.membership.lease;
   }
 
+  /** Requests of other zones that run here now. */
+  get forwardedRequests(): number {
+    return this.path.forwardedRequests;
+  }
+
   /** Resolves once the daemon has stopped. */
   get done(): Promise<void> {
     return new Promise(resolve =>
