--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
     ignores: [
       '**/dist/**',
       '**/node_modules/**',
-      '**/*.cjs',
+      '**/*.cjs', '**/*.mjs',
       'eslint.config.js',
     ],
   },
