Add a seeded failure run that checks every promise

Found: a call to a peer with a time limit that is not a whole number of milliseconds ended the process; limits are rounded up now.

--- a/packages/core/src/lib/peers/peer_network.ts
+++ b/packages/core/src/lib/peers/peer_network.ts
@@ -135,7 +135,7 @@
     body: Body,
     {timeoutMs, signal}: CallOptions,
   ): Promise<Result<Event, PeerError>> {
-    const timeout = AbortSignal.timeout(timeoutMs);
+    const timeout = AbortSignal.timeout(Math.max(0, Math.ceil(timeoutMs)));
     const either = AbortSignal.any([signal, timeout]);
     for await (const event of this.open(host, method, body, either)) {
       return event;
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -196,6 +196,11 @@
     return this.operator!.port;
   }
 
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this.config.state.version;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
--- a/packages/local-cluster/src/lib/caller.ts
+++ b/packages/local-cluster/src/lib/caller.ts
@@ -11,6 +11,8 @@
   mayHaveRun: 'may_have_run',
   /** The connection was cut before the end was told. */
   cut: 'cut',
+  /** No connection to the host came about. */
+  unconnected: 'unconnected',
 } as const;
 
 /** One of {@link CALLER_END}. */
@@ -139,9 +141,11 @@
       const {text, end, error} = await read(res);
       const {statusCode: status, headers: received} = res;
       return {text, end, code: error?.code, status, headers: received};
-    } catch {
+    } catch (error) {
+      const {code} = error as NodeJS.ErrnoException;
+      const refused = code === 'ECONNREFUSED';
       return {
-        end: CALLER_END.cut,
+        end: refused ? CALLER_END.unconnected : CALLER_END.cut,
         status: res?.statusCode,
         headers: res?.headers ?? {},
         text: '',
--- /dev/null
+++ b/packages/local-cluster/src/lib/faults/fault_run.ts
@@ -0,0 +1,127 @@
+/** A seeded run of mixed failures that checks every promise. @packageDocumentation */
+
+import {Random} from '@fuchsiacleat/core';
+import {FaultScene} from './fault_scene.js';
+import {FaultSchedule} from './fault_schedule.js';
+import {LoopLag} from './loop_lag.js';
+import {PlacementWatch} from './placement_watch.js';
+import {PromiseVerdict, checkPromises} from './promise_checks.js';
+import {RequestJournal} from './request_journal.js';
+
+const MEAN_REQUEST_GAP_MS = 40;
+const MIN_FAULT_GAP_MS = 300;
+const MAX_FAULT_GAP_MS = 2_000;
+const HEAL_TIMEOUT_MS = 30_000;
+const HEAL_POLL_MS = 100;
+
+/** Options of {@link runFaults}. */
+export interface FaultRunOptions {
+  seed: number;
+  durationMs: number;
+}
+
+/** What a failure run found. */
+export interface FaultRunResult {
+  verdicts: PromiseVerdict[];
+  requests: number;
+  /** How many requests ended in which way. */
+  ends: Record<string, number>;
+  /** How many requests that were not served got which code. */
+  codes: Record<string, number>;
+  /** How often each failure was caused. */
+  faults: Record<string, number>;
+}
+
+/**
+ * Mixes all failures with both kinds of request over four zones and six
+ * hosts, heals them, and checks every promise.
+ *
+ * @param options - see {@link FaultRunOptions}.
+ */
+export async function runFaults({
+  seed,
+  durationMs,
+}: FaultRunOptions): Promise<FaultRunResult> {
+  const scene = new FaultScene();
+  await scene.start();
+  const schedule = new FaultSchedule(scene, new Random(seed));
+  const journal = new RequestJournal(scene, new Random(seed + 1));
+  const watch = new PlacementWatch(scene);
+  const lag = new LoopLag();
+  const endMs = performance.now() + durationMs;
+  await Promise.all([
+    causeFaults(schedule, new Random(seed + 2), endMs),
+    sendRequests(journal, new Random(seed + 3), endMs),
+  ]);
+  await journal.settle();
+  await converge(scene);
+  watch.stop();
+  lag.stop();
+  const verdicts = checkPromises({scene, schedule, journal, watch, lag});
+  await scene.cluster.kill();
+  return {
+    verdicts,
+    requests: journal.entries.length,
+    ends: countBy(journal.entries.map(({answer}) => answer.end)),
+    codes: countBy(journal.entries.flatMap(({answer}) => answer.code ?? [])),
+    faults: countBy(schedule.episodes.map(({fault}) => fault)),
+  };
+}
+
+/** Causes each kind in turn, shuffled, so that none is left out. */
+async function causeFaults(
+  schedule: FaultSchedule,
+  random: Random,
+  endMs: number,
+): Promise<void> {
+  const running: Array<Promise<void>> = [];
+  let round: string[] = [];
+  while (performance.now() < endMs) {
+    if (round.length === 0) round = shuffle(schedule.names, random);
+    running.push(schedule.cause(round.pop()!));
+    await sleep(random.int(MIN_FAULT_GAP_MS, MAX_FAULT_GAP_MS));
+  }
+  await Promise.all(running);
+}
+
+async function sendRequests(
+  journal: RequestJournal,
+  random: Random,
+  endMs: number,
+): Promise<void> {
+  while (performance.now() < endMs) {
+    journal.send();
+    await sleep(random.int(0, 2 * MEAN_REQUEST_GAP_MS));
+  }
+}
+
+/** Waits until all hosts hold one version, or for a bounded time. */
+async function converge(scene: FaultScene): Promise<void> {
+  const endMs = performance.now() + HEAL_TIMEOUT_MS;
+  for (;;) {
+    const daemons = [...scene.cluster.daemons.values()];
+    const versions = new Set(daemons.map(daemon => daemon.configVersion));
+    if (versions.size === 1 || performance.now() > endMs) return;
+    await sleep(HEAL_POLL_MS);
+  }
+}
+
+function shuffle<T>(items: readonly T[], random: Random): T[] {
+  const rest = [...items];
+  const shuffled: T[] = [];
+  while (rest.length > 0) {
+    const [item] = rest.splice(random.int(0, rest.length - 1), 1);
+    shuffled.push(item);
+  }
+  return shuffled;
+}
+
+function countBy(names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/local-cluster/src/lib/faults/fault_scene.ts
@@ -0,0 +1,130 @@
+/** The cluster and declarations of a failure run. @packageDocumentation */
+
+import {RawObject, digestOf} from '@fuchsiacleat/core';
+import {LocalCluster} from '../local_cluster.js';
+import {JumpingClock} from './jumping_clock.js';
+
+const HOSTS = ['a-1', 'a-2', 'b-1', 'b-2', 'c-1', 'd-1'] as const;
+const TEAM_NAMES = ['north', 'south', 'east'];
+const MODELS = ['drafter', 'reviewer', 'summariser'] as const;
+const GRACE_MS = 300;
+const GIB = 1024 ** 3;
+
+/** Tokens per second of each team of a failure run. */
+export const TEAM_RATE = 400;
+
+/** Burst of each team of a failure run, in tokens. */
+export const TEAM_BURST = 1_200;
+
+/** Most replicas of each model of a failure run. */
+export const MAX_REPLICAS = 2;
+
+/** A team and its keys. */
+export interface SceneTeam {
+  name: string;
+  /** A key that stays. */
+  key: string;
+  /** A key that is withdrawn and granted again. */
+  looseKey: string;
+  looseKeyObject: RawObject;
+}
+
+/** Four zones with six hosts, engines that check fencing and that don't. */
+export class FaultScene {
+  readonly clocks = new Map<string, JumpingClock>(
+    HOSTS.map(host => [host, new JumpingClock()]),
+  );
+  readonly teams: SceneTeam[] = TEAM_NAMES.map(createTeam);
+  readonly hosts: readonly string[] = HOSTS;
+  /** Hosts to which the balancer sends no requests. */
+  readonly outOfService = new Set<string>();
+  readonly models: readonly string[] = MODELS;
+  private started: LocalCluster | undefined;
+
+  /** The cluster, once started. */
+  get cluster(): LocalCluster {
+    return this.started!;
+  }
+
+  /** @returns the hosts to which the balancer sends requests. */
+  inService(): string[] {
+    return HOSTS.filter(host => !this.outOfService.has(host));
+  }
+
+  /** @returns whether a team has a right to a route. */
+  mayUse(team: string, route: string): boolean {
+    const index = MODELS.findIndex(model => model === route);
+    return index === -1 || TEAM_NAMES[index % TEAM_NAMES.length] !== team;
+  }
+
+  /** Starts the cluster and publishes the declarations. */
+  async start(): Promise<void> {
+    const weights = MODELS.map(model => [`${model}-1`, GIB] as const);
+    this.started = await LocalCluster.start({
+      hosts: HOSTS.map(name => ({name, zone: name[0]})),
+      engines: ['a', 'b', 'c', 'd'].map((zone, index) => ({
+        name: `pool-${zone}`,
+        zone,
+        memoryBytes: 4 * GIB,
+        fencing: index % 2 === 0,
+        slots: 16,
+      })),
+      services: ['a', 'c'].map(zone => ({name: `registry-${zone}`, zone})),
+      weights: Object.fromEntries(weights),
+      graceMs: GRACE_MS,
+      depsOf: host => ({clock: this.clocks.get(host)!}),
+    });
+    await this.cluster.publish([
+      ...this.cluster.platformObjects(),
+      ...this.teams.flatMap(teamObjects),
+      ...MODELS.flatMap(modelObjects),
+      {
+        kind: 'route',
+        name: 'filing',
+        fields: {
+          targets: 'registry-a, registry-c',
+          teams: this.teams.map(team => team.name).join(', '),
+          repeatable: 'no',
+        },
+      },
+    ]);
+  }
+}
+
+function createTeam(name: string): SceneTeam {
+  const key = `fc-kept-${name}`;
+  const looseKey = `fc-loose-${name}`;
+  const looseKeyObject = keyObject(name, `${name}-loose`, looseKey);
+  return {name, key, looseKey, looseKeyObject};
+}
+
+function keyObject(team: string, name: string, key: string): RawObject {
+  return {kind: 'key', name, fields: {team, digest: digestOf(key)}};
+}
+
+function teamObjects({name, key, looseKeyObject}: SceneTeam): RawObject[] {
+  const rate = {
+    team: name,
+    tokens_per_second: String(TEAM_RATE),
+    burst: String(TEAM_BURST),
+  };
+  return [
+    {kind: 'team', name, fields: {}},
+    {kind: 'rate', name, fields: rate},
+    keyObject(name, `${name}-kept`, key),
+    looseKeyObject,
+  ];
+}
+
+function modelObjects(model: string, index: number): RawObject[] {
+  const version = `${model}-1`;
+  const replicas = String(MAX_REPLICAS);
+  const team = TEAM_NAMES[index % TEAM_NAMES.length];
+  const others = TEAM_NAMES.filter(name => name !== team).join(', ');
+  return [
+    {kind: 'model', name: model, fields: {version, max_replicas: replicas}},
+    {kind: 'version', name: version, fields: {model, weights: '1GiB'}},
+    // One team has no right to each route.
+    {kind: 'route', name: model, fields: {model, teams: others}},
+  ];
+}
--- /dev/null
+++ b/packages/local-cluster/src/lib/faults/fault_schedule.ts
@@ -0,0 +1,245 @@
+/** Causes failures by a seeded schedule. @packageDocumentation */
+
+import {Change, Random} from '@fuchsiacleat/core';
+import {NO_FAULTS} from '@fuchsiacleat/standins';
+import {FaultScene} from './fault_scene.js';
+
+const MIN_DURATION_MS = 300;
+const MAX_DURATION_MS = 4_000;
+const MAX_PAUSE_MS = 9_000;
+
+/** A time during which something was wrong. */
+export interface Episode {
+  fault: string;
+  /** Host, zone or target concerned; empty for the platform. */
+  subject: string;
+  /** Times on the clock of this process, in milliseconds. */
+  fromMs: number;
+  toMs: number;
+}
+
+/** A time during which a team's loose key was certainly withdrawn. */
+export interface Withdrawal {
+  team: string;
+  /** Times on the clock of this process, in milliseconds. */
+  fromMs: number;
+  toMs: number;
+}
+
+type Fault = (durationMs: number) => Promise<string>;
+
+/** Every kind of failure of the brief, alone and together. */
+export class FaultSchedule {
+  /** What was caused, in the order in which it ended. */
+  readonly episodes: Episode[] = [];
+  /** Times during which a key was certainly withdrawn. */
+  readonly withdrawals: Withdrawal[] = [];
+  private readonly deadTargets = new Set<string>();
+  private readonly faults: Readonly<Record<string, Fault>> = {
+    'log-down': ms => this.logFault({down: true}, ms),
+    'log-slow': ms => this.logFault({delayMs: 400}, ms),
+    'log-answers-lost': ms => this.logFault({loseAnswers: 20}, ms),
+    'log-connections-silent': () => this.silenceLog(),
+    'store-slow': ms => this.slowStore(ms),
+    'host-killed': ms => this.killHost(ms),
+    'host-stopped': ms => this.stopHost(ms),
+    'host-paused': () => this.pauseHost(),
+    'hosts-cut': ms => this.cutHosts(ms),
+    'zone-cut': ms => this.cutZone(ms),
+    'target-connections-silent': () => this.silenceTarget(),
+    'target-answers-crossed': ms => this.targetFault({crossAnswers: true}, ms),
+    'target-died': ms => this.killTarget(ms),
+    'target-leaving': ms => this.leaveTarget(ms),
+    'service-answers-lost': () => this.loseServiceAnswers(),
+    'key-withdrawn': ms => this.withdrawKey(ms),
+    'operators-race': () => this.raceOperators(),
+  };
+
+  constructor(
+    private readonly scene: FaultScene,
+    private readonly random: Random,
+  ) {}
+
+  /** Names of all failures. */
+  get names(): string[] {
+    return Object.keys(this.faults);
+  }
+
+  /**
+   * Causes a failure and ends it after a while.
+   *
+   * @param name - one of {@link FaultSchedule.names}.
+   */
+  async cause(name: string): Promise<void> {
+    const durationMs = this.random.int(MIN_DURATION_MS, MAX_DURATION_MS);
+    const fromMs = performance.now();
+    const subject = await this.faults[name](durationMs);
+    const toMs = performance.now();
+    this.episodes.push({fault: name, subject, fromMs, toMs});
+  }
+
+  private get cluster() {
+    return this.scene.cluster;
+  }
+
+  private async logFault(
+    faults: Partial<typeof NO_FAULTS>,
+    durationMs: number,
+  ): Promise<string> {
+    const {log} = this.cluster;
+    log.faults = {...NO_FAULTS, ...faults};
+    await sleep(durationMs);
+    log.faults = NO_FAULTS;
+    return '';
+  }
+
+  private async silenceLog(): Promise<string> {
+    this.cluster.log.silenceOpenConnections();
+    return '';
+  }
+
+  private async slowStore(durationMs: number): Promise<string> {
+    this.cluster.weightStore.slowdown = 50;
+    await sleep(durationMs);
+    this.cluster.weightStore.slowdown = 1;
+    return '';
+  }
+
+  private async killHost(durationMs: number): Promise<string> {
+    const host = this.takeHost();
+    if (host === undefined) return '';
+    this.cluster.daemon(host).kill();
+    await sleep(durationMs);
+    await this.cluster.startDaemon(host);
+    this.scene.outOfService.delete(host);
+    return host;
+  }
+
+  private async stopHost(durationMs: number): Promise<string> {
+    const host = this.takeHost();
+    if (host === undefined) return '';
+    await this.cluster.daemon(host).stop();
+    await sleep(durationMs);
+    await this.cluster.startDaemon(host);
+    this.scene.outOfService.delete(host);
+    return host;
+  }
+
+  private async pauseHost(): Promise<string> {
+    const host = this.random.pick(this.scene.hosts);
+    this.scene.clocks.get(host)!.jump(this.random.int(100, MAX_PAUSE_MS));
+    return host;
+  }
+
+  private async cutHosts(durationMs: number): Promise<string> {
+    const [a, b] = [0, 1].map(() => this.random.pick(this.scene.hosts));
+    if (a === b) return '';
+    this.cluster.cuts.cutPeers(a, b);
+    await sleep(durationMs);
+    this.cluster.cuts.healPeers(a, b);
+    return `${a} ${b}`;
+  }
+
+  private async cutZone(durationMs: number): Promise<string> {
+    const zone = this.random.pick(this.scene.hosts)[0];
+    this.cluster.cuts.cutZone(zone);
+    await sleep(durationMs);
+    this.cluster.cuts.heal();
+    return zone;
+  }
+
+  private async silenceTarget(): Promise<string> {
+    const [name, engine] = this.pickEngine();
+    engine.silenceOpenConnections();
+    return name;
+  }
+
+  private async targetFault(
+    faults: Partial<typeof NO_FAULTS>,
+    durationMs: number,
+  ): Promise<string> {
+    const [name, engine] = this.pickEngine();
+    engine.faults = {...NO_FAULTS, ...faults};
+    await sleep(durationMs);
+    engine.faults = NO_FAULTS;
+    return name;
+  }
+
+  private async killTarget(durationMs: number): Promise<string> {
+    const [name, engine] = this.pickEngine();
+    if (this.deadTargets.has(name)) return '';
+    this.deadTargets.add(name);
+    await engine.stop();
+    await sleep(durationMs);
+    await engine.start();
+    this.deadTargets.delete(name);
+    return name;
+  }
+
+  private async leaveTarget(durationMs: number): Promise<string> {
+    const [name, engine] = this.pickEngine();
+    engine.leaving = true;
+    await sleep(durationMs + MAX_DURATION_MS);
+    engine.leaving = false;
+    return name;
+  }
+
+  private async loseServiceAnswers(): Promise<string> {
+    const [name, service] = this.random.pick([...this.cluster.services]);
+    service.faults = {...NO_FAULTS, loseAnswers: 3};
+    return name;
+  }
+
+  private async withdrawKey(durationMs: number): Promise<string> {
+    const team = this.random.pick(this.scene.teams);
+    const {kind, name} = team.looseKeyObject;
+    const withdrawn = await this.publish({kind, name, fields: null});
+    if (!withdrawn) return '';
+    const fromMs = performance.now();
+    await sleep(durationMs + 2 * MAX_DURATION_MS);
+    this.withdrawals.push({team: team.name, fromMs, toMs: performance.now()});
+    while (!(await this.publish(team.looseKeyObject))) await sleep(500);
+    return team.name;
+  }
+
+  private async raceOperators(): Promise<string> {
+    const team = this.random.pick(this.scene.teams).name;
+    const weights = ['1', '2', '3'].map(weight => ({weight}));
+    await Promise.all(
+      weights.map(fields => this.publish({kind: 'team', name: team, fields})),
+    );
+    return team;
+  }
+
+  /** @returns whether the change was certainly accepted. */
+  private async publish(change: Change): Promise<boolean> {
+    const host = this.random.pick(this.scene.inService());
+    const client = this.cluster.operator(host);
+    const held = await client.config();
+    if (held.isErr()) return false;
+    const verdict = await client.publish({
+      type: 'publication',
+      base: held.value.version,
+      changes: [change],
+      message: 'failure run',
+    });
+    return verdict.isOk() && verdict.value.accepted;
+  }
+
+  /** At most half of the hosts are away at once. */
+  private takeHost(): string | undefined {
+    const {hosts, outOfService} = this.scene;
+    if (outOfService.size >= hosts.length / 2) return undefined;
+    const host = this.random.pick(this.scene.inService());
+    outOfService.add(host);
+    return host;
+  }
+
+  private pickEngine() {
+    return this.random.pick([...this.cluster.engines]);
+  }
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/local-cluster/src/lib/faults/promise_checks.ts
@@ -0,0 +1,341 @@
+/** Checks every promise from the stand-ins' own records. @packageDocumentation */
+
+import {EngineRun} from '@fuchsiacleat/standins';
+import {CALLER_END} from '../caller.js';
+import {FaultSchedule} from './fault_schedule.js';
+import {FaultScene, TEAM_BURST, TEAM_RATE} from './fault_scene.js';
+import {LoopLag} from './loop_lag.js';
+import {PlacementWatch} from './placement_watch.js';
+import {JournalEntry, RequestJournal} from './request_journal.js';
+
+const LATE_LIMIT_MS = 100;
+const WITHDRAWN_LIMIT_MS = 5_000;
+const LEAVING_LIMIT_MS = 3_000;
+const MS_PER_SECOND = 1_000;
+const KEY_MARKS = ['fc-kept-', 'fc-loose-', 'fc-nobody'];
+const MAX_SHOWN_FAULTS = 5;
+
+/** What a failure run leaves behind. */
+export interface RunRecord {
+  scene: FaultScene;
+  schedule: FaultSchedule;
+  journal: RequestJournal;
+  watch: PlacementWatch;
+  lag: LoopLag;
+}
+
+/** The verdict on one promise. */
+export interface PromiseVerdict {
+  slug: string;
+  /** How many facts were checked. */
+  checked: number;
+  /** Each violation, as a text. */
+  violations: string[];
+}
+
+type Check = (record: RunRecord) => Omit<PromiseVerdict, 'slug'>;
+
+/** The checks, in the order of the promises. */
+const CHECKS: Readonly<Record<string, Check>> = {
+  'replicas-as-decided': checkReplicas,
+  memory: checkMemory,
+  'served-or-refused': checkServedOrRefused,
+  'team-only': checkTeamOnly,
+  'caller-key-hidden': checkKeyHidden,
+  'key-withdrawn': checkKeyWithdrawn,
+  'team-rate': checkTeamRate,
+  'whole-answer': checkWholeAnswer,
+  'not-run-true': checkNotRun,
+  'at-most-once': checkAtMostOnce,
+  'leaving-target': checkLeaving,
+  'graceful-stop': checkGracefulStop,
+  'configuration-in-force': checkConfiguration,
+};
+
+/** @returns a verdict on each promise. */
+export function checkPromises(record: RunRecord): PromiseVerdict[] {
+  return Object.entries(CHECKS).map(([slug, check]) => ({
+    slug,
+    ...check(record),
+  }));
+}
+
+/** @returns whether a promise was put to the test and kept. */
+export function isKept({checked, violations}: PromiseVerdict): boolean {
+  return checked > 0 && violations.length === 0;
+}
+
+/** @returns a verdict as one line, violations on further ones. */
+export function formatVerdict(verdict: PromiseVerdict): string {
+  const {slug, checked, violations} = verdict;
+  const broken = violations.length > 0 ? 'BROKEN' : 'not exercised';
+  const state = isKept(verdict) ? 'ok' : broken;
+  const count = `${checked} checked, ${violations.length} broken`;
+  const shown = violations.slice(0, MAX_SHOWN_FAULTS);
+  const line = `promise ${slug}: ${state} (${count})`;
+  return [line, ...shown.map(text => `  ${text}`)].join('\n');
+}
+
+function checkReplicas({scene, watch}: RunRecord) {
+  const {log, engines} = scene.cluster;
+  const decided = new Set<string>();
+  for (const stream of log.streamNames()) {
+    for (const {body} of log.records(stream)) {
+      const id = decisionId(body);
+      if (id !== undefined) decided.add(id);
+    }
+  }
+  const violations = [...watch.excess];
+  let checked = 0;
+  for (const [name, engine] of engines) {
+    for (const {id, order} of engine.orders) {
+      if (order.kind !== 'load') continue;
+      checked += 1;
+      if (decided.has(id)) continue;
+      violations.push(`${name} loaded ${order.model} without a decision`);
+    }
+  }
+  return {checked, violations};
+}
+
+function decisionId(body: unknown): string | undefined {
+  const record = body as {type?: string; body?: {decision?: {id: string}}};
+  return record.type === 'replica-decision'
+    ? record.body?.decision?.id
+    : undefined;
+}
+
+function checkMemory({scene}: RunRecord) {
+  const violations: string[] = [];
+  let checked = 0;
+  for (const [name, {memory, orders}] of scene.cluster.engines) {
+    checked += orders.length;
+    if (memory.overcommits === 0) continue;
+    violations.push(`${name}: ${memory.overcommits} loads did not fit`);
+  }
+  return {checked, violations};
+}
+
+function checkServedOrRefused({journal, lag, schedule}: RunRecord) {
+  const violations: string[] = [];
+  for (const entry of journal.entries) {
+    const {sentMs, endedMs, deadlineMs, answer, text, host} = entry;
+    if (answer.end === CALLER_END.cut && !wasAway(schedule, entry)) {
+      violations.push(`${text} at ${host}: cut without an outcome`);
+    }
+    const lateMs = endedMs - sentMs - deadlineMs - lag.within(sentMs, endedMs);
+    if (lateMs <= LATE_LIMIT_MS) continue;
+    violations.push(`${text} at ${host}: ${Math.round(lateMs)} ms late`);
+  }
+  return {checked: journal.entries.length, violations};
+}
+
+/** Whether the host was killed or restarted while the request was there. */
+function wasAway(schedule: FaultSchedule, entry: JournalEntry): boolean {
+  return overlaps(schedule, entry, ['host-killed']);
+}
+
+function overlaps(
+  {episodes}: FaultSchedule,
+  {host, sentMs, endedMs}: JournalEntry,
+  faults: readonly string[],
+): boolean {
+  return episodes.some(
+    episode =>
+      faults.includes(episode.fault) &&
+      episode.subject === host &&
+      episode.fromMs <= endedMs &&
+      episode.toMs >= sentMs,
+  );
+}
+
+function checkTeamOnly({scene, journal}: RunRecord) {
+  const runs = countRuns(scene);
+  const strangers = journal.entries.filter(entry => !entry.entitled);
+  const violations = strangers
+    // A repeat under an idempotency key shares its text with an entitled call.
+    .filter(entry => entry.idempotencyKey === undefined)
+    .filter(({text}) => (runs.get(text) ?? 0) > 0)
+    .map(({text, team, route}) => `${text}: ran for ${team} on ${route}`);
+  return {checked: strangers.length, violations};
+}
+
+function checkKeyHidden({scene}: RunRecord) {
+  const violations: string[] = [];
+  const {engines, services} = scene.cluster;
+  const records = [
+    ...[...engines.values()].flatMap(engine => engine.runs),
+    ...[...services.values()].flatMap(service => service.runs),
+  ];
+  for (const record of records) {
+    const text = JSON.stringify(record);
+    if (KEY_MARKS.some(mark => text.includes(mark))) violations.push(text);
+  }
+  return {checked: records.length, violations};
+}
+
+function checkKeyWithdrawn({scene, journal, schedule}: RunRecord) {
+  const runs = countRuns(scene);
+  const violations: string[] = [];
+  let checked = 0;
+  for (const entry of journal.entries) {
+    if (!entry.loose || entry.idempotencyKey !== undefined) continue;
+    const withdrawn = schedule.withdrawals.some(
+      ({team, fromMs, toMs}) =>
+        team === entry.team &&
+        entry.sentMs > fromMs + WITHDRAWN_LIMIT_MS &&
+        entry.endedMs < toMs,
+    );
+    if (!withdrawn || couldNotLearn(schedule, entry)) continue;
+    checked += 1;
+    if ((runs.get(entry.text) ?? 0) === 0) continue;
+    violations.push(`${entry.text} at ${entry.host}: ran with a withdrawn key`);
+  }
+  return {checked, violations};
+}
+
+/** Whether a host may have been cut off from both the log and its peers. */
+function couldNotLearn(
+  {episodes}: FaultSchedule,
+  {sentMs}: JournalEntry,
+): boolean {
+  const from = sentMs - 2 * WITHDRAWN_LIMIT_MS;
+  const cuts = ['log-down', 'log-slow', 'log-answers-lost', 'zone-cut'];
+  return episodes.some(
+    ({fault, fromMs, toMs}) =>
+      cuts.includes(fault) && fromMs <= sentMs && toMs >= from,
+  );
+}
+
+function checkTeamRate({scene, journal}: RunRecord) {
+  const teamOf = new Map(journal.entries.map(({text, team}) => [text, team]));
+  const times = new Map<string, number[]>();
+  for (const run of engineRuns(scene)) {
+    const team = teamOf.get(run.text) ?? '';
+    times.set(team, [...(times.get(team) ?? []), ...run.tokenTimesMs]);
+  }
+  const violations: string[] = [];
+  let checked = 0;
+  const clocks = [...scene.clocks.values()];
+  const jumpedMs = clocks.reduce((sum, clock) => sum + clock.totalJumpMs, 0);
+  for (const [team, unsorted] of times) {
+    const sorted = unsorted.sort((a, b) => a - b);
+    checked += sorted.length;
+    const excess = worstExcess(sorted, jumpedMs);
+    if (excess <= 0) continue;
+    violations.push(`${team}: ${Math.ceil(excess)} tokens over its limit`);
+  }
+  return {checked, violations};
+}
+
+/**
+ * The most by which any window exceeds rate * window + burst. A host whose
+ * clock jumped refills for that time, so that it counts as well.
+ */
+function worstExcess(timesMs: readonly number[], jumpedMs: number): number {
+  const perMs = TEAM_RATE / MS_PER_SECOND;
+  const bound = TEAM_BURST + perMs * jumpedMs;
+  let worst = -Infinity;
+  let lowest = Infinity;
+  timesMs.forEach((atMs, index) => {
+    const refilled = perMs * atMs;
+    lowest = Math.min(lowest, index - refilled);
+    worst = Math.max(worst, index + 1 - refilled - lowest - bound);
+  });
+  return worst;
+}
+
+function checkWholeAnswer({journal}: RunRecord) {
+  const violations: string[] = [];
+  let checked = 0;
+  for (const {expected, answer, text} of journal.entries) {
+    if (expected === undefined) continue;
+    checked += 1;
+    const whole = answer.end === CALLER_END.served;
+    const right = whole
+      ? answer.text === expected
+      : expected.startsWith(answer.text);
+    if (!right) violations.push(`${text}: got another text`);
+  }
+  return {checked, violations};
+}
+
+function checkNotRun({scene, journal}: RunRecord) {
+  const runs = countRuns(scene);
+  const refused = journal.entries.filter(
+    ({answer, idempotencyKey}) =>
+      answer.end === CALLER_END.notRun && idempotencyKey === undefined,
+  );
+  const violations = refused
+    .filter(({text}) => (runs.get(text) ?? 0) > 0)
+    .map(({text, answer}) => `${text}: ran, but was refused: ${answer.code}`);
+  return {checked: refused.length, violations};
+}
+
+function checkAtMostOnce({scene}: RunRecord) {
+  const runs = new Map<string, number>();
+  for (const service of scene.cluster.services.values()) {
+    for (const {body} of service.runs) {
+      runs.set(body, (runs.get(body) ?? 0) + 1);
+    }
+  }
+  const violations = [...runs]
+    .filter(([, count]) => count > 1)
+    .map(([body, count]) => `${body}: ran ${count} times`);
+  return {checked: runs.size, violations};
+}
+
+function checkLeaving({scene, watch, lag}: RunRecord) {
+  const violations: string[] = [];
+  let checked = 0;
+  for (const {target, fromMs, toMs = Infinity} of watch.leaves) {
+    const engine = scene.cluster.engines.get(target)!;
+    const missedMs = lag.within(fromMs, fromMs + LEAVING_LIMIT_MS);
+    const limitMs = fromMs + LEAVING_LIMIT_MS + missedMs;
+    checked += 1;
+    const late = engine.runs.filter(
+      ({startedMs}) => startedMs > limitMs && startedMs < toMs,
+    );
+    if (late.length === 0) continue;
+    violations.push(`${target}: ${late.length} new runs while leaving`);
+  }
+  return {checked, violations};
+}
+
+function checkGracefulStop({journal, schedule}: RunRecord) {
+  const stops = journal.entries.filter(entry =>
+    overlaps(schedule, entry, ['host-stopped']),
+  );
+  const violations = stops
+    .filter(({answer}) => answer.end === CALLER_END.cut)
+    .map(({text, host}) => `${text}: cut by the stop of ${host}`);
+  return {checked: stops.length, violations};
+}
+
+function checkConfiguration({scene, watch}: RunRecord) {
+  const violations = [...watch.reversions];
+  const versions = [...scene.cluster.daemons].map(
+    ([host, daemon]) => [host, daemon.configVersion] as const,
+  );
+  const newest = Math.max(...versions.map(([, version]) => version));
+  for (const [host, version] of versions) {
+    if (version === newest) continue;
+    violations.push(`${host}: version ${version} instead of ${newest}`);
+  }
+  return {checked: versions.length, violations};
+}
+
+function engineRuns(scene: FaultScene): EngineRun[] {
+  return [...scene.cluster.engines.values()].flatMap(engine => engine.runs);
+}
+
+/** How often stand-ins ran the request that carries each text. */
+function countRuns(scene: FaultScene): Map<string, number> {
+  const runs = new Map<string, number>();
+  const add = (text: string) => runs.set(text, (runs.get(text) ?? 0) + 1);
+  for (const {text} of engineRuns(scene)) add(text);
+  for (const service of scene.cluster.services.values()) {
+    for (const {body} of service.runs) add(body);
+  }
+  return runs;
+}
--- /dev/null
+++ b/packages/local-cluster/src/lib/faults/request_journal.ts
@@ -0,0 +1,110 @@
+/** What callers of a failure run sent and learnt. @packageDocumentation */
+
+import {Random} from '@fuchsiacleat/core';
+import {CallerAnswer, expectedText} from '../caller.js';
+import {FaultScene, SceneTeam} from './fault_scene.js';
+
+const MIN_DEADLINE_MS = 400;
+const MAX_DEADLINE_MS = 6_000;
+const MAX_TOKENS = 30;
+const UNKNOWN_KEY = 'fc-nobody';
+
+/** One request and what came of it. */
+export interface JournalEntry {
+  /** Unique text of the request, by which stand-ins know it. */
+  text: string;
+  kind: 'chat' | 'service';
+  host: string;
+  team: string;
+  route: string;
+  /** Whether the key that went along gives a right to the route. */
+  entitled: boolean;
+  /** Whether the key is one that is withdrawn at times. */
+  loose: boolean;
+  idempotencyKey: string | undefined;
+  tokens: number;
+  deadlineMs: number;
+  /** Times on the clock of this process, in milliseconds. */
+  sentMs: number;
+  endedMs: number;
+  answer: CallerAnswer;
+  /** The text that a whole answer has; undefined for services. */
+  expected: string | undefined;
+}
+
+/** Sends seeded requests and keeps what came of them. */
+export class RequestJournal {
+  /** Requests that have ended. */
+  readonly entries: JournalEntry[] = [];
+  private readonly pending = new Set<Promise<void>>();
+  private nextNumber = 0;
+
+  constructor(
+    private readonly scene: FaultScene,
+    private readonly random: Random,
+  ) {}
+
+  /** Sends one request; it goes on by itself. */
+  send(): void {
+    const run = this.run().then(() => {
+      this.pending.delete(run);
+    });
+    this.pending.add(run);
+  }
+
+  /** @returns a promise that resolves once every request has ended. */
+  async settle(): Promise<void> {
+    await Promise.all(this.pending);
+  }
+
+  private async run(): Promise<void> {
+    const {scene, random} = this;
+    const number = this.nextNumber++;
+    const team = random.pick(scene.teams);
+    const host = random.pick(scene.inService());
+    const isChat = random.int(0, 9) < 6;
+    const deadlineMs = random.int(MIN_DEADLINE_MS, MAX_DEADLINE_MS);
+    const tokens = random.int(1, MAX_TOKENS);
+    const route = isChat ? random.pick(scene.models) : 'filing';
+    const {key, loose} = this.chooseKey(team);
+    const keyed = !isChat && random.int(0, 1) === 0;
+    // Some calls repeat an earlier one under its key, at any host.
+    const call = keyed ? random.int(0, number) : number;
+    const text = isChat ? `chat ${number}` : `call ${keyed ? 'k' : ''}${call}`;
+    const idempotencyKey = keyed ? `${team.name} ${call}` : undefined;
+    const headers: Record<string, string> = {
+      'x-deadline-ms': String(deadlineMs),
+    };
+    if (idempotencyKey !== undefined) {
+      headers['idempotency-key'] = idempotencyKey;
+    }
+    const sentMs = performance.now();
+    const caller = scene.cluster.caller(host);
+    const answer = isChat
+      ? await caller.chat(text, {route, maxTokens: tokens, key, headers})
+      : await caller.service(`${team.name} ${text}`, {key, headers});
+    this.entries.push({
+      text: isChat ? text : `${team.name} ${text}`,
+      kind: isChat ? 'chat' : 'service',
+      host,
+      team: team.name,
+      route,
+      entitled: key !== UNKNOWN_KEY && scene.mayUse(team.name, route),
+      loose,
+      idempotencyKey,
+      tokens,
+      deadlineMs,
+      sentMs,
+      endedMs: performance.now(),
+      answer,
+      expected: isChat ? expectedText(text, tokens) : undefined,
+    });
+  }
+
+  private chooseKey(team: SceneTeam): {key: string; loose: boolean} {
+    const draw = this.random.int(0, 9);
+    if (draw === 0) return {key: UNKNOWN_KEY, loose: false};
+    if (draw <= 2) return {key: team.looseKey, loose: true};
+    return {key: team.key, loose: false};
+  }
+}
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -52,6 +52,8 @@
   weights?: Record<string, number>;
   /** Parts of the daemons that a test replaces. */
   daemonDeps?: Partial<DaemonDeps>;
+  /** Parts that a test replaces for each host. */
+  depsOf?: (host: string) => Partial<DaemonDeps>;
   /** How long a stopping host still takes requests, in milliseconds. */
   graceMs?: number;
   /** Whether links between hosts go without TLS. */
@@ -95,6 +97,7 @@
       log: this.cuts.logOf(name, this.log.url),
       allowsPeer: peer => this.cuts.allowsPeer(name, peer),
       ...this.spec.daemonDeps,
+      ...this.spec.depsOf?.(name),
     });
     this.daemons.set(name, daemon);
     const started = await daemon.start();
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -67,12 +67,23 @@
   headers: Record<string, string>;
   /** Tokens that were generated, those of resumed connections included. */
   tokens: number;
+  /** Clock time of the start, in milliseconds. */
+  startedMs: number;
+  /** Clock time of each token, in milliseconds. */
+  tokenTimesMs: number[];
   /** Connections that attached to the run after the first one. */
   resumes: number;
   /** A detached run has lost its connection and can be resumed. */
   state: 'running' | 'detached' | 'done' | 'cancelled';
 }
 
+/** An order that the engine carried out. */
+export interface CarriedOrder {
+  id: string;
+  fencing: number;
+  order: EngineOrder;
+}
+
 /** Options of an {@link EngineStandin}. */
 export interface EngineOptions extends StandinOptions {
   name: string;
@@ -105,7 +116,7 @@
   /** Every generation that was started. */
   readonly runs: EngineRun[] = [];
   /** Orders that were carried out, in order. */
-  readonly orders: Array<{fencing: number; order: EngineOrder}> = [];
+  readonly orders: CarriedOrder[] = [];
   /** Orders that were turned away because of their fencing number. */
   fenced = 0;
   /** Set to announce that the engine will go away. */
@@ -171,6 +182,8 @@
       text: inputText(body),
       headers: c.req.header(),
       tokens: 0,
+      startedMs: this.clock.now(),
+      tokenTimesMs: [],
       resumes: 0,
       state: 'running',
     };
@@ -234,6 +247,7 @@
     await this.clock.sleep(firstTokenMs, gone);
     for (let offset = body.resume_from; offset < body.max_tokens; offset++) {
       if (gone.aborted || run.state === 'cancelled') return;
+      if (offset >= run.tokens) run.tokenTimesMs.push(this.clock.now());
       run.tokens = Math.max(run.tokens, offset + 1);
       const token = expectedToken(text, offset);
       await write({type: 'token', offset, text: token});
@@ -285,7 +299,7 @@
       return c.json({message: `fencing number ${fencing} is old`}, 412);
     }
     this.highestFencing = Math.max(this.highestFencing, fencing);
-    const work = this.doneOrders.get(id) ?? this.carryOut(order, fencing);
+    const work = this.doneOrders.get(id) ?? this.carryOut(id, order, fencing);
     this.doneOrders.set(id, work);
     const problem = await work;
     if (problem === undefined) return c.json({});
@@ -293,10 +307,11 @@
   }
 
   private async carryOut(
+    id: string,
     order: EngineOrder,
     fencing: number,
   ): Promise<string | undefined> {
-    this.orders.push({fencing, order});
+    this.orders.push({id, fencing, order});
     switch (order.kind) {
       case 'load':
         return this.load(order.model, order.version);
@@ -447,6 +462,8 @@
       text: '',
       headers: {},
       tokens: Number(kv.split(':')[1]),
+      startedMs: this.clock.now(),
+      tokenTimesMs: [],
       resumes: 0,
       state: 'detached',
     });
--- a/packages/standins/src/lib/service_standin.ts
+++ b/packages/standins/src/lib/service_standin.ts
@@ -9,6 +9,8 @@
   path: string;
   headers: Record<string, string>;
   body: string;
+  /** Clock time of the start, in milliseconds. */
+  startedMs: number;
 }
 
 /** Counts what it runs, so that doubled calls show. */
@@ -30,6 +32,7 @@
       path: pathname + search,
       headers: c.req.header(),
       body: await c.req.text(),
+      startedMs: this.clock.now(),
     };
     this.runs.push(run);
     const number = this.runs.length;
