Share tokens and permits between hosts by loans

Cause: each host applied the whole rate alone, so a team could spend it once at every host. Change: each host owns a part of every pool and lends from it. A borrower reports its whole holding with each request for more, so the lender's count is never too low; unused loans lapse, parts grow only when nobody can still use them.

--- a/packages/core/src/lib/limits/local_token_limiter.ts
+++ b/packages/core/src/lib/limits/local_token_limiter.ts
@@ -2,8 +2,9 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {ConfigState} from '../config/config_state.js';
-import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
+import {Refusal} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
+import {overRate} from './shared_token_limiter.js';
 import {TokenBucket} from './token_bucket.js';
 import {TokenDemand, TokenLimiter, TokenReservation} from './token_limiter.js';
 
@@ -30,7 +31,7 @@
     signal: AbortSignal,
   ): Promise<Result<TokenReservation, Refusal>> {
     const bucket = this.bucketOf(team);
-    if (bucket === undefined) return ok({settle: () => {}});
+    if (bucket === undefined) return ok({use: () => {}, settle: () => {}});
     while (!bucket.take(tokens)) {
       const waitMs = bucket.timeUntil(tokens);
       if (this.clock.now() + waitMs >= deadlineMs || signal.aborted) {
@@ -43,7 +44,7 @@
       if (!settled) bucket.settle(tokens, usedTokens);
       settled = true;
     };
-    return ok({settle});
+    return ok({use: () => {}, settle});
   }
 
   private bucketOf(team: string): TokenBucket | undefined {
@@ -62,13 +63,3 @@
     return undefined;
   }
 }
-
-/** @returns the refusal of a request for whose tokens there is no time. */
-export function overRate(waitMs: number): Refusal {
-  if (waitMs === Infinity) {
-    const message = 'the request needs more tokens than the burst of its team';
-    return refuse(REFUSAL.overRate, message);
-  }
-  const message = 'the team is over its rate until after the deadline';
-  return refuse(REFUSAL.overRate, message, waitMs);
-}
--- /dev/null
+++ b/packages/core/src/lib/limits/share_exchange.ts
@@ -0,0 +1,323 @@
+/** Moves the tokens of shared pools between hosts. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {Clock, Timer} from '../time/clock.js';
+import {PoolEntry, poolEntrySchema} from './pool_lender.js';
+import {PeerClaim} from './share_part.js';
+import {PoolSpec, ShareHost, ShareView, homeZone} from './share_view.js';
+import {SharedPool} from './shared_pool.js';
+
+/** Time between reports while a peer's tokens are held or wanted. */
+const BUSY_INTERVAL_MS = 500;
+
+/** Time between reports to a peer of the zone otherwise. */
+const ZONE_INTERVAL_MS = 2_000;
+
+/** Time between reports to a peer of another zone otherwise. */
+const REMOTE_INTERVAL_MS = 10_000;
+
+/** Shortest time between reports to one peer. */
+const MIN_INTERVAL_MS = 25;
+
+/** Time between looks at the parts of all pools. */
+const REVIEW_INTERVAL_MS = 250;
+
+const CALL_TIMEOUT_MS = 1_000;
+
+const askSchema = z.object({
+  /** Incarnation of the lender that is meant. */
+  to: z.string(),
+  /** Incarnation of the borrower. */
+  from: z.string(),
+  /** Counts up over all reports of the borrower's incarnation. */
+  sequence: z.number().int(),
+  /** Version of the zones at the borrower. */
+  version: z.number().int(),
+  /** Pools that are not listed count as holding nothing. */
+  pools: z.array(poolEntrySchema),
+});
+
+/** A report to a lender, which is also a request for tokens. */
+export type ShareAsk = z.output<typeof askSchema>;
+
+const grantSchema = z.object({
+  pool: z.string(),
+  /** Tokens that have left the lender. */
+  granted: z.number().min(0),
+  /** Tokens that the lender could still do without. */
+  left: z.number().min(0),
+});
+
+const answerSchema = z.object({
+  /** False if the report was late or meant for another incarnation. */
+  taken: z.boolean(),
+  grants: z.array(grantSchema),
+});
+
+/** What a lender answers. */
+export type ShareAnswer = z.output<typeof answerSchema>;
+
+/**
+ * Reports what a host holds of a lender's part and asks for more.
+ *
+ * A host has one report open to a lender at a time. Once the next one is
+ * sent, an answer to an earlier one is never accepted; so the lender may
+ * take the newest report for the whole truth.
+ */
+export const SHARE_ASK: PeerMethod<ShareAsk, ShareAnswer> = {
+  name: 'limits.ask',
+  body: askSchema,
+  event: answerSchema,
+};
+
+/** What a {@link ShareExchange} works with. */
+export interface ShareExchangeOptions {
+  network: PeerNetwork;
+  clock: Clock;
+  view: ShareView;
+}
+
+interface Borrower {
+  incarnation: string;
+  sequence: number;
+  past: Set<string>;
+  /** The newest report, for pools that are declared here after it came. */
+  latest: ShareAsk;
+}
+
+interface LenderState {
+  /** Surplus of each pool as last told, in tokens. */
+  left: Map<string, number>;
+  askedAtMs: number;
+  wake: () => void;
+}
+
+/** All pools of one host and their exchange with its peers. */
+export class ShareExchange {
+  private readonly pools = new Map<string, SharedPool>();
+  private readonly specs = new Map<string, PoolSpec>();
+  private readonly borrowers = new Map<string, Borrower>();
+  private readonly lenders = new Map<string, LenderState>();
+  private sequence = 0;
+
+  constructor(private readonly options: ShareExchangeOptions) {
+    options.network.serveUnary(SHARE_ASK, (ask, {from}) =>
+      this.answer(from.host, ask),
+    );
+  }
+
+  /**
+   * Declares a pool, or changes its rate, burst or floor.
+   *
+   * @param spec - the same on every host.
+   * @param maxHoldMs - longest time for which a permit is held, in
+   *     milliseconds; what a lost host has borrowed is missing for so long.
+   * @returns the pool.
+   */
+  define(spec: PoolSpec, maxHoldMs: number): SharedPool {
+    const {clock, view} = this.options;
+    this.specs.set(spec.name, spec);
+    const known = this.pools.get(spec.name);
+    if (known !== undefined) {
+      known.reshape(spec);
+      return known;
+    }
+    const onShort = () => this.wakeLenders(spec.name);
+    const pool = new SharedPool({spec, clock, view, maxHoldMs, onShort});
+    this.pools.set(spec.name, pool);
+    for (const [host, {latest}] of this.borrowers) {
+      pool.answer(host, entryOf(latest, spec.name), claimOf(latest, spec.name));
+    }
+    for (const {wake} of this.lenders.values()) wake();
+    return pool;
+  }
+
+  /** @returns the pool of that name, if it is declared. */
+  pool(name: string): SharedPool | undefined {
+    return this.pools.get(name);
+  }
+
+  /**
+   * Ends a pool; requests that wait for it are refused. What is held of it
+   * is still reported, so that it may be declared again at any time.
+   */
+  remove(name: string): void {
+    const spec = this.specs.get(name);
+    if (spec === undefined) return;
+    this.define({...spec, rate: 0, burst: 0}, 0).close();
+  }
+
+  /** Exchanges tokens with peers until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => {
+      for (const {wake} of this.lenders.values()) wake();
+    });
+    await this.options.clock.every(REVIEW_INTERVAL_MS, signal, () => {
+      for (const pool of this.pools.values()) pool.review();
+      for (const {host} of this.options.view.peers()) {
+        if (!this.lenders.has(host)) void this.runLender(host, signal);
+      }
+    });
+  }
+
+  /** The task of one peer: reports to it for as long as it is a member. */
+  private async runLender(host: string, signal: AbortSignal): Promise<void> {
+    const lender: LenderState = {
+      left: new Map(),
+      askedAtMs: -Infinity,
+      wake: () => {},
+    };
+    this.lenders.set(host, lender);
+    while (!signal.aborted) {
+      const peer = this.findPeer(host);
+      if (peer === undefined) break;
+      const wasTaken = await this.ask(peer, lender, signal);
+      await this.pause(lender, wasTaken ? this.intervalOf(peer) : undefined);
+    }
+    this.lenders.delete(host);
+  }
+
+  private pause(
+    lender: LenderState,
+    intervalMs = BUSY_INTERVAL_MS,
+  ): Promise<void> {
+    return new Promise(resolve => {
+      const {clock} = this.options;
+      const timers: Timer[] = [clock.after(intervalMs, () => finish())];
+      const finish = () => {
+        for (const timer of timers) timer.cancel();
+        lender.wake = () => {};
+        resolve();
+      };
+      lender.wake = () => {
+        lender.wake = () => {};
+        const waitedMs = clock.now() - lender.askedAtMs;
+        timers.push(clock.after(MIN_INTERVAL_MS - waitedMs, finish));
+      };
+    });
+  }
+
+  private async ask(
+    peer: ShareHost,
+    lender: LenderState,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {network, clock, view} = this.options;
+    const pools = this.entriesFor(peer, lender);
+    this.sequence += 1;
+    lender.askedAtMs = clock.now();
+    const {askedAtMs} = lender;
+    const ask: ShareAsk = {
+      to: peer.incarnation,
+      from: view.self.incarnation,
+      sequence: this.sequence,
+      version: view.version,
+      pools,
+    };
+    const timeoutMs = CALL_TIMEOUT_MS;
+    const options = {timeoutMs, signal};
+    const answer = await network.call(peer.host, SHARE_ASK, ask, options);
+    if (answer.isErr() || !answer.value.taken) return false;
+    for (const {pool, granted, left} of answer.value.grants) {
+      lender.left.set(pool, left);
+      this.pools.get(pool)?.receive(peer.host, granted, askedAtMs);
+    }
+    return true;
+  }
+
+  private entriesFor(peer: ShareHost, lender: LenderState): PoolEntry[] {
+    const entries: PoolEntry[] = [];
+    for (const [name, pool] of this.pools) {
+      if (!this.reaches(name, peer)) continue;
+      const entry = pool.entryFor(peer.host, this.shareOf(name, lender));
+      const {need, held, returned, charge} = entry;
+      if (need + held + returned + charge > 0) entries.push(entry);
+    }
+    return entries;
+  }
+
+  /** Spreads a need over the lenders by what they were last known to have. */
+  private shareOf(pool: string, lender: LenderState): number {
+    const own = lender.left.get(pool);
+    if (own === undefined) return 1;
+    let total = 0;
+    for (const {left} of this.lenders.values()) total += left.get(pool) ?? 0;
+    const equal = 1 / Math.max(1, this.lenders.size);
+    return total === 0 ? equal : Math.max(equal, own / total);
+  }
+
+  private answer(host: string, ask: ShareAsk): ShareAnswer {
+    const {view} = this.options;
+    const isMeant = ask.to === view.self.incarnation;
+    if (!isMeant || !this.isNew(host, ask)) return {taken: false, grants: []};
+    const grants = [];
+    for (const [name, pool] of this.pools) {
+      const entry = entryOf(ask, name);
+      const {granted, left} = pool.answer(host, entry, claimOf(ask, name));
+      const {need} = entry;
+      if (need > 0 || granted > 0) grants.push({pool: name, granted, left});
+    }
+    return {taken: true, grants};
+  }
+
+  private isNew(host: string, ask: ShareAsk): boolean {
+    const {from, sequence} = ask;
+    const known = this.borrowers.get(host);
+    if (known === undefined) {
+      const borrower = {incarnation: from, sequence, past: new Set<string>()};
+      this.borrowers.set(host, {...borrower, latest: ask});
+      return true;
+    }
+    if (known.past.has(from)) return false;
+    if (known.incarnation !== from) {
+      known.past.add(known.incarnation);
+      known.incarnation = from;
+    } else if (sequence <= known.sequence) return false;
+    known.sequence = sequence;
+    known.latest = ask;
+    return true;
+  }
+
+  private wakeLenders(pool: string): void {
+    const wanted = this.pools.get(pool);
+    if (wanted === undefined || wanted.need === 0) return;
+    for (const lender of this.lenders.values()) {
+      if (lender.left.get(pool) !== 0) lender.wake();
+    }
+  }
+
+  private findPeer(host: string): ShareHost | undefined {
+    return this.options.view.peers().find(peer => peer.host === host);
+  }
+
+  private reaches(pool: string, {zone}: ShareHost): boolean {
+    const {zone: only} = this.specs.get(pool)!;
+    return only === undefined || only === zone;
+  }
+
+  private intervalOf({host, zone}: ShareHost): number {
+    const {view} = this.options;
+    for (const [name, pool] of this.pools) {
+      if (pool.holdsOf(host)) return BUSY_INTERVAL_MS;
+      const isNear = zone === view.self.zone || this.isHome(name, zone);
+      if (isNear && pool.need > 0) return BUSY_INTERVAL_MS;
+    }
+    return zone === view.self.zone ? ZONE_INTERVAL_MS : REMOTE_INTERVAL_MS;
+  }
+
+  private isHome(pool: string, zone: string): boolean {
+    return homeZone(pool, this.options.view.zones().keys()) === zone;
+  }
+}
+
+function entryOf({pools}: ShareAsk, pool: string): PoolEntry {
+  const listed = pools.find(entry => entry.pool === pool);
+  return listed ?? {pool, need: 0, held: 0, returned: 0, charge: 0};
+}
+
+function claimOf(ask: ShareAsk, pool: string): PeerClaim {
+  const {to, version} = ask;
+  const {charge} = entryOf(ask, pool);
+  return {countsIncarnation: to, version, charge};
+}
--- a/packages/core/src/lib/limits/token_limiter.ts
+++ b/packages/core/src/lib/limits/token_limiter.ts
@@ -14,6 +14,14 @@
 
 /** Tokens set aside for one request. */
 export interface TokenReservation {
+  /**
+   * Counts tokens as used while the request runs, so that the limit may
+   * refill their place already. Calling it is optional.
+   *
+   * @param usedTokens - all that was used so far.
+   */
+  use(usedTokens: number): void;
+
   /**
    * Settles the reservation. Tokens that were not used go back.
    *
--- /dev/null
+++ b/packages/core/src/lib/peers/memory_peer_network.ts
@@ -0,0 +1,192 @@
+/** Peers within one process, for tests and experiments. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
+import {
+  CallOptions,
+  NoteHandler,
+  PEER_ERROR,
+  PeerError,
+  PeerHandler,
+  PeerIdentity,
+  PeerMethod,
+  PeerNetwork,
+} from './peer_network.js';
+
+/** How messages between hosts fare. */
+export interface MessageFaults {
+  /** Shortest time on the way, in milliseconds. */
+  minDelayMs: number;
+  /** Longest time on the way, in milliseconds. */
+  maxDelayMs: number;
+  /** Part of the messages that are lost, 0 to 1. */
+  loss: number;
+  /** Part of the messages that come twice, 0 to 1. */
+  doubling: number;
+}
+
+type AnyMethod = PeerMethod<unknown, unknown>;
+type AnyHandler = PeerHandler<unknown, unknown>;
+
+/** Connects {@link MemoryPeerNetwork}s; its faults can be changed any time. */
+export class MemoryHub {
+  faults: MessageFaults = {minDelayMs: 1, maxDelayMs: 1, loss: 0, doubling: 0};
+
+  /** Tells whether no message passes between two hosts. */
+  isCut: (from: PeerIdentity, to: PeerIdentity) => boolean = () => false;
+
+  /** Called with each message that is sent. */
+  onMessage: (from: PeerIdentity, body: unknown) => void = () => {};
+
+  private readonly hosts = new Map<string, MemoryPeerNetwork>();
+
+  /**
+   * @param clock - delays messages.
+   * @param random - decides about delay and loss.
+   */
+  constructor(
+    readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  /** @returns the network of a host, in place of an earlier incarnation's. */
+  join(self: PeerIdentity): MemoryPeerNetwork {
+    const network = new MemoryPeerNetwork(self, this);
+    this.hosts.set(self.host, network);
+    return network;
+  }
+
+  /** Takes a host away, as if its process had died. */
+  remove(host: string): void {
+    this.hosts.delete(host);
+  }
+
+  /** @returns the network of a live host. */
+  find(host: string): MemoryPeerNetwork | undefined {
+    return this.hosts.get(host);
+  }
+
+  /** @returns all live hosts. */
+  all(): MemoryPeerNetwork[] {
+    return [...this.hosts.values()];
+  }
+
+  /** Delivers a message after its delay, never, or twice. */
+  send(
+    from: PeerIdentity,
+    host: string,
+    body: unknown,
+    deliver: (to: MemoryPeerNetwork) => void,
+  ): void {
+    const {random, clock, faults} = this;
+    this.onMessage(from, body);
+    const copies = random.float() < faults.doubling ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      if (random.float() < faults.loss) continue;
+      const spreadMs = faults.maxDelayMs - faults.minDelayMs;
+      const delayMs = faults.minDelayMs + random.float() * spreadMs;
+      clock.after(delayMs, () => {
+        const to = this.hosts.get(host);
+        if (to !== undefined && !this.isCut(from, to.self)) deliver(to);
+      });
+    }
+  }
+}
+
+/** A {@link PeerNetwork} whose messages go through a {@link MemoryHub}. */
+export class MemoryPeerNetwork extends PeerNetwork {
+  private readonly handlers = new Map<string, AnyHandler>();
+  private readonly noteHandlers = new Map<string, NoteHandler<unknown>>();
+
+  constructor(
+    override readonly self: PeerIdentity,
+    private readonly hub: MemoryHub,
+  ) {
+    super();
+  }
+
+  override connected(): PeerIdentity[] {
+    return this.hub
+      .all()
+      .map(({self}) => self)
+      .filter(({host}) => host !== this.self.host)
+      .filter(peer => !this.hub.isCut(this.self, peer));
+  }
+
+  override async *open<Body, Event>(
+    host: string,
+    method: PeerMethod<Body, Event>,
+    body: Body,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Event, PeerError>, void> {
+    const timeoutMs = Infinity;
+    yield await this.call(host, method, body, {timeoutMs, signal});
+  }
+
+  override serve<Body, Event>(
+    method: PeerMethod<Body, Event>,
+    handler: PeerHandler<Body, Event>,
+  ): void {
+    this.handlers.set(method.name, handler as AnyHandler);
+  }
+
+  override notify<Body>(
+    host: string,
+    method: PeerMethod<Body, never>,
+    body: Body,
+  ): boolean {
+    this.hub.send(this.self, host, body, to =>
+      to.noteHandlers.get(method.name)?.(body, this.self),
+    );
+    return true;
+  }
+
+  override onNote<Body>(
+    method: PeerMethod<Body, never>,
+    handler: NoteHandler<Body>,
+  ): void {
+    this.noteHandlers.set(method.name, handler as NoteHandler<unknown>);
+  }
+
+  /** The time-out follows the hub's clock; only the first answer counts. */
+  override call<Body, Event>(
+    host: string,
+    method: PeerMethod<Body, Event>,
+    body: Body,
+    {timeoutMs, signal}: CallOptions,
+  ): Promise<Result<Event, PeerError>> {
+    const {hub, self} = this;
+    return new Promise(resolve => {
+      const finish = (result: Result<Event, PeerError>) => {
+        timer?.cancel();
+        signal.removeEventListener('abort', giveUp);
+        resolve(result);
+      };
+      const giveUp = () =>
+        finish(err({type: PEER_ERROR.lost, message: `${host} is silent`}));
+      const timer =
+        timeoutMs === Infinity ? undefined : hub.clock.after(timeoutMs, giveUp);
+      signal.addEventListener('abort', giveUp);
+      const answerBy = async (to: MemoryPeerNetwork) => {
+        const answer = await to.handle(method as AnyMethod, body, self);
+        hub.send(to.self, self.host, answer, back => {
+          if (back === this) finish(ok(answer as Event));
+        });
+      };
+      hub.send(self, host, body, to => void answerBy(to));
+    });
+  }
+
+  private async handle(
+    {name}: AnyMethod,
+    body: unknown,
+    from: PeerIdentity,
+  ): Promise<unknown> {
+    const {signal} = new AbortController();
+    const handler = this.handlers.get(name);
+    if (handler === undefined) throw new Error(`no method ${name}`);
+    for await (const event of handler(body, {from, signal})) return event;
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/test/limits/share_world.ts
@@ -0,0 +1,227 @@
+/** Hosts that share one pool, with faults, for tests of the mechanism. @packageDocumentation */
+
+import {
+  ManualClock,
+  MemoryHub,
+  PoolPermit,
+  PoolSpec,
+  Random,
+  ShareExchange,
+  ShareHost,
+  ShareView,
+  SharedPool,
+} from '../../index.js';
+
+/** Longest time for which a request of the world holds tokens. */
+export const MAX_HOLD_MS = 2_000;
+
+const STEP_MS = 100;
+const GENERATION_STEPS = 4;
+
+/** A version of what operators declare. */
+export interface WorldConfig {
+  spec: PoolSpec;
+  zones: ReadonlyMap<string, number>;
+}
+
+/** Tokens counted at a moment. */
+export interface Count {
+  atMs: number;
+  tokens: number;
+}
+
+type MemberEvent = {type: 'join' | 'leave'} & ShareHost;
+
+/** What one host has read of the log. */
+class WorldView extends ShareView {
+  membersRead = 0;
+  version = 0;
+
+  constructor(
+    readonly self: ShareHost,
+    private readonly world: ShareWorld,
+  ) {
+    super();
+  }
+
+  override get established(): boolean {
+    return this.world.isKnownToZone(this.self);
+  }
+
+  override peers(): ShareHost[] {
+    return this.world
+      .membersAt(this.membersRead)
+      .filter(({host}) => host !== this.self.host);
+  }
+
+  override zones(): ReadonlyMap<string, number> {
+    return this.world.configs[this.version].zones;
+  }
+}
+
+interface WorldHost {
+  view: WorldView;
+  exchange: ShareExchange;
+  pool: SharedPool;
+  abort: AbortController;
+}
+
+/** The hosts, the log that they read, and an account of all tokens. */
+export class ShareWorld {
+  readonly clock = new ManualClock();
+  readonly hub: MemoryHub;
+  readonly configs: WorldConfig[];
+  readonly hosts = new Map<string, WorldHost>();
+  /** Zones that are cut off from the others and from the log. */
+  readonly cutZones = new Set<string>();
+  readonly admitted: Count[] = [];
+  readonly generated: Count[] = [];
+  private readonly events: MemberEvent[] = [];
+  private incarnations = 0;
+
+  constructor(seed: number, config: WorldConfig) {
+    this.hub = new MemoryHub(this.clock, new Random(seed));
+    this.hub.isCut = (a, b) =>
+      a.zone !== b.zone &&
+      (this.cutZones.has(a.zone) || this.cutZones.has(b.zone));
+    this.configs = [config];
+  }
+
+  /** Starts a host, again after a crash, unless its zone has no log. */
+  start(host: string, zone: string): void {
+    if (this.cutZones.has(zone) || this.hosts.has(host)) return;
+    const incarnation = `${host}.${++this.incarnations}`;
+    const self = {host, zone, incarnation};
+    this.events.push({type: 'join', ...self});
+    const view = new WorldView(self, this);
+    this.read(view);
+    const {clock} = this;
+    const network = this.hub.join(self);
+    const exchange = new ShareExchange({network, clock, view});
+    const {spec} = this.configs[view.version];
+    const pool = exchange.define(spec, MAX_HOLD_MS);
+    const abort = new AbortController();
+    void exchange.run(abort.signal);
+    this.hosts.set(host, {view, exchange, pool, abort});
+  }
+
+  /** Kills a host with the requests that run through it. */
+  crash(host: string): void {
+    this.hosts.get(host)?.abort.abort();
+    this.hub.remove(host);
+    this.hosts.delete(host);
+  }
+
+  /** The platform removes a host that has crashed. */
+  remove(host: string): void {
+    if (this.hosts.has(host)) return;
+    const known = this.membersAt(this.events.length);
+    const member = known.find(other => other.host === host);
+    if (member !== undefined) this.events.push({type: 'leave', ...member});
+  }
+
+  /** A host reads what is in the log, unless its zone is cut off. */
+  sync(host: string): void {
+    const known = this.hosts.get(host);
+    if (known === undefined || this.cutZones.has(known.view.self.zone)) return;
+    this.read(known.view);
+    known.exchange.define(this.configs[known.view.version].spec, MAX_HOLD_MS);
+  }
+
+  /**
+   * A request takes tokens and generates a part of them over time.
+   *
+   * @param host - where it comes in.
+   * @param tokens - what it takes; less if there is less at hand.
+   * @param usedPart - part that it generates, 0 to 1.
+   * @param holdMs - how long it takes, in milliseconds.
+   */
+  request(
+    host: string,
+    tokens: number,
+    usedPart: number,
+    holdMs: number,
+  ): void {
+    const known = this.hosts.get(host);
+    if (known === undefined) return;
+    const taken = Math.min(tokens, known.pool.available);
+    if (taken <= 0) return;
+    const permit = known.pool.tryTake(taken);
+    if (permit === undefined) return;
+    const admission: Count = {atMs: this.clock.now(), tokens: 0};
+    this.admitted.push(admission);
+    const {signal} = known.abort;
+    void this.generate(permit, taken * usedPart, holdMs, admission, signal);
+  }
+
+  /** Moves time forward in small steps. */
+  async advance(durationMs: number): Promise<void> {
+    for (let atMs = 0; atMs < durationMs; atMs += STEP_MS) {
+      await this.clock.advance(Math.min(STEP_MS, durationMs - atMs));
+    }
+  }
+
+  /** @returns the members after the first records of the log. */
+  membersAt(read: number): ShareHost[] {
+    const members = new Map<string, ShareHost>();
+    for (const {type, ...host} of this.events.slice(0, read)) {
+      if (type === 'join') members.set(host.host, host);
+      else members.delete(host.host);
+    }
+    return [...members.values()];
+  }
+
+  /** @returns whether all earlier members of its zone know of a host. */
+  isKnownToZone({host, zone, incarnation}: ShareHost): boolean {
+    const at = this.events.findIndex(
+      event => event.type === 'join' && event.incarnation === incarnation,
+    );
+    return this.membersAt(this.events.length).every(member => {
+      if (member.zone !== zone || member.host === host) return true;
+      const view = this.hosts.get(member.host)?.view;
+      return view !== undefined && view.membersRead > at;
+    });
+  }
+
+  private read(view: WorldView): void {
+    view.membersRead = this.events.length;
+    view.version = this.configs.length - 1;
+  }
+
+  private async generate(
+    permit: PoolPermit,
+    tokens: number,
+    holdMs: number,
+    admission: Count,
+    signal: AbortSignal,
+  ): Promise<void> {
+    for (let step = 1; step <= GENERATION_STEPS; step++) {
+      await this.clock.sleep(holdMs / GENERATION_STEPS, signal);
+      if (signal.aborted) return;
+      const part = tokens / GENERATION_STEPS;
+      permit.use(part * step);
+      admission.tokens += part;
+      this.generated.push({atMs: this.clock.now(), tokens: part});
+    }
+    permit.settle(tokens);
+  }
+}
+
+/**
+ * @param counts - tokens counted, in any order.
+ * @param rate - tokens per second.
+ * @returns the most tokens in any window beyond `rate * window`.
+ */
+export function largestBurst(counts: readonly Count[], rate: number): number {
+  let largest = 0;
+  let running = 0;
+  let lastMs = 0;
+  const ordered = [...counts].sort((a, b) => a.atMs - b.atMs);
+  for (const {atMs, tokens} of ordered) {
+    const refilled = (rate * (atMs - lastMs)) / 1_000;
+    running = Math.max(0, running - refilled) + tokens;
+    lastMs = atMs;
+    largest = Math.max(largest, running);
+  }
+  return largest;
+}
