--- a/packages/core/src/lib/limits/lending_bucket.ts
+++ b/packages/core/src/lib/limits/lending_bucket.ts
@@ -130,6 +130,14 @@
     this.put(returned);
   }
 
+  /** Ends the loans of hosts that have gone for good. */
+  keepLoansOf(hosts: ReadonlySet<string>): void {
+    this.refill();
+    for (const borrower of this.loans.keys()) {
+      if (!hosts.has(borrower)) this.loans.delete(borrower);
+    }
+  }
+
   private put(tokens: number): void {
     this.tokens += tokens;
     this.trim();
--- a/packages/core/src/lib/limits/share_exchange.ts
+++ b/packages/core/src/lib/limits/share_exchange.ts
@@ -250,7 +250,11 @@
   private answer(host: string, ask: ShareAsk): ShareAnswer {
     const {view} = this.options;
     const isMeant = ask.to === view.self.incarnation;
-    if (!isMeant || !this.isNew(host, ask)) return {taken: false, grants: []};
+    // A stranger's loan would be forgotten as that of a host that has gone.
+    const isKnown = this.findPeer(host)?.incarnation === ask.from;
+    if (!isMeant || !isKnown || !this.isNew(host, ask)) {
+      return {taken: false, grants: []};
+    }
     const grants = [];
     for (const [name, pool] of this.pools) {
       const entry = entryOf(ask, name);
--- a/packages/core/src/lib/limits/share_part.ts
+++ b/packages/core/src/lib/limits/share_part.ts
@@ -31,6 +31,7 @@
   private burstMembers: number;
   private fewerMembersSinceMs: number | undefined;
   private isOpen = false;
+  private wasEstablished = false;
   private readonly startedAtMs: number;
 
   constructor(
@@ -92,7 +93,10 @@
    * burst is withheld: some of it may be lent out from before a restart.
    */
   private withheld(claims: ReadonlyMap<string, PeerClaim>): number {
-    const {self, established} = this.view;
+    const {self, established, isComplete} = this.view;
+    this.wasEstablished ||= established;
+    const wasRemoved = this.wasEstablished && !established;
+    if (wasRemoved || !isComplete) return Infinity;
     const isSettled = this.clock.now() - this.startedAtMs >= this.settleMs;
     let sum = 0;
     for (const {host, zone} of this.view.peers()) {
--- a/packages/core/src/lib/limits/share_view.ts
+++ b/packages/core/src/lib/limits/share_view.ts
@@ -32,9 +32,15 @@
   /** Counts up with each change of the declared zones. */
   abstract readonly version: number;
 
-  /** Whether every earlier member of the zone knows of this host. */
+  /**
+   * Whether every earlier member of the zone knows of this host. Once true it
+   * stays true, unless this host is removed from the zone.
+   */
   abstract get established(): boolean;
 
+  /** Whether all hosts are known that were there before this one. */
+  abstract get isComplete(): boolean;
+
   /** @returns all other hosts of all zones. */
   abstract peers(): readonly ShareHost[];
 
--- a/packages/core/src/lib/limits/shared_pool.ts
+++ b/packages/core/src/lib/limits/shared_pool.ts
@@ -249,6 +249,8 @@
   }
 
   private followPart(): void {
+    const known = this.options.view.peers().map(({host}) => host);
+    this.bucket.keepLoansOf(new Set(known));
     const {shape, withheld} = this.part.now(this.spec, this.claims);
     this.bucket.reshape(shape, withheld);
   }
@@ -322,12 +324,14 @@
 
   private scheduleReview(): void {
     if (this.reviewTimer !== undefined) return;
-    this.reviewTimer = this.options.clock.after(REVIEW_INTERVAL_MS, () => {
+    const missing = Math.max(0, this.waiters[0].tokens - this.available);
+    const refillMs = (missing / this.bucket.rate) * MS_PER_SECOND;
+    const delayMs = Math.min(REVIEW_INTERVAL_MS, refillMs);
+    this.reviewTimer = this.options.clock.after(delayMs, () => {
       this.reviewTimer = undefined;
       if (this.waiters.length === 0) return;
       if (this.bucket.rate !== Infinity) {
-        const seconds = REVIEW_INTERVAL_MS / MS_PER_SECOND;
-        this.noteInflow(this.bucket.rate * seconds);
+        this.noteInflow((this.bucket.rate * delayMs) / MS_PER_SECOND);
       }
       this.review();
       if (this.waiters.length > 0) this.scheduleReview();
--- a/packages/core/src/test/limits/share_part_test.ts
+++ b/packages/core/src/test/limits/share_part_test.ts
@@ -15,6 +15,7 @@
   readonly self = {host: 'a-1', zone: 'a', incarnation: 'a-1.1'};
   version = 0;
   established = true;
+  isComplete = true;
   others: ShareHost[] = [];
   weights = new Map([['a', 1]]);
 
--- a/packages/core/src/test/limits/share_world.ts
+++ b/packages/core/src/test/limits/share_world.ts
@@ -36,6 +36,8 @@
 class WorldView extends ShareView {
   membersRead = 0;
   version = 0;
+  readonly isComplete = true;
+  private isEstablished = false;
 
   constructor(
     readonly self: ShareHost,
@@ -45,7 +47,8 @@
   }
 
   override get established(): boolean {
-    return this.world.isKnownToZone(this.self);
+    this.isEstablished ||= this.world.isKnownToZone(this.self);
+    return this.isEstablished;
   }
 
   override peers(): ShareHost[] {
