--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
       '**/dist/**',
       '**/node_modules/**',
       '**/*.cjs',
+      '**/*.mjs',
       'eslint.config.js',
     ],
   },
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -8,7 +8,6 @@
   HttpHostList,
   HttpPlatformLog,
   LeaseAuthority,
-  LocalTokenLimiter,
   Logger,
   Member,
   Membership,
@@ -40,6 +39,7 @@
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
+import {TokenShares} from './token_shares.js';
 
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
@@ -74,6 +74,7 @@
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
+  private readonly shares: TokenShares;
   private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
@@ -162,7 +163,14 @@
     const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
-    const limiter = new LocalTokenLimiter(config, clock);
+    this.shares = new TokenShares({
+      config: this.config,
+      membership: this.membership,
+      zones: this.zones,
+      network,
+      clock,
+    });
+    const {limiter} = this.shares;
     this.path = new RequestPath({
       zone,
       config,
@@ -202,6 +210,11 @@
     return this.membership.lease;
   }
 
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this.config.state.version;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
@@ -239,6 +252,7 @@
     void this.membership.run(signal);
     void this.controller.run(signal);
     void this.zones.run(signal);
+    void this.shares.run(signal);
     const {members} = this.membership;
     new ZoneLinks(this.self.host, members, this.network).run(signal);
     const caller = await this.startCallerApi();
