Record decisions with all members while the log is down; lighter calls

Cause: a holder upheld by consent could not record what it decides, so it could order nothing. A unary call took four frames; an idle link to another zone carried heartbeats.

Change: while consent alone upholds the lease, every other known member keeps a record first, and whoever reaches the log writes it under its one id, before any claim of its own. A returned event travels with the end of its call: two frames. Links to other zones carry heartbeats only while calls are on them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,7 @@
 export * from './lib/limits/token_limiter.js';
 export * from './lib/membership/consent.js';
 export * from './lib/membership/consent_collector.js';
+export * from './lib/membership/entrusted_records.js';
 export * from './lib/membership/host_watch.js';
 export * from './lib/membership/join_status.js';
 export * from './lib/membership/join_tracker.js';
--- a/packages/core/src/lib/membership/membership.ts
+++ b/packages/core/src/lib/membership/membership.ts
@@ -3,7 +3,9 @@
 import {PeerNetwork} from '../peers/peer_network.js';
 import {HostList} from '../platform/host_list.js';
 import {Logger} from '../telemetry/logger.js';
+import {RecordIds} from '../platform/stream_tail.js';
 import {Clock} from '../time/clock.js';
+import {EntrustedRecords} from './entrusted_records.js';
 import {HostWatch} from './host_watch.js';
 import {JoinTracker} from './join_tracker.js';
 import {JOIN, LEAVE, Member, MemberTable} from './member_table.js';
@@ -20,6 +22,7 @@
   network: PeerNetwork;
   clock: Clock;
   logger: Logger;
+  ids: RecordIds;
   /** Undefined if the settings name no list. */
   hostList: HostList | undefined;
 }
@@ -30,6 +33,8 @@
   readonly hosts: HostWatch;
   readonly joins: JoinTracker;
   readonly lease: ZoneLease;
+  /** Records what the controller decides. */
+  readonly records: EntrustedRecords;
   private self: Member | undefined;
   private leaving = false;
 
@@ -47,7 +52,14 @@
     const isGone = (host: string) => this.hosts.isGone(host);
     this.joins = new JoinTracker({...options, members, isGone});
     const {joins} = this;
-    this.lease = new ZoneLease({...options, members, joins, isGone});
+    this.records = new EntrustedRecords({
+      ...options,
+      members,
+      isGone,
+      isByConsent: () => this.lease.isByConsent,
+    });
+    const {records} = this;
+    this.lease = new ZoneLease({...options, members, joins, records, isGone});
   }
 
   /**
@@ -72,6 +84,7 @@
       this.hosts.run(signal),
       this.joins.run(signal),
       this.lease.run(signal),
+      this.records.run(signal),
       clock.every(KEEP_INTERVAL_MS, signal, () => this.keep(signal)),
     ]);
   }
--- a/packages/core/src/lib/membership/zone_lease.ts
+++ b/packages/core/src/lib/membership/zone_lease.ts
@@ -6,6 +6,7 @@
 import {Clock} from '../time/clock.js';
 import {CONSENT, ConsentGiver} from './consent.js';
 import {ConsentCollector} from './consent_collector.js';
+import {EntrustedRecords} from './entrusted_records.js';
 import {JoinStatus} from './join_status.js';
 import {
   Authority,
@@ -48,6 +49,7 @@
   members: MemberTable;
   network: PeerNetwork;
   joins: JoinStatus;
+  records: EntrustedRecords;
   clock: Clock;
   logger: Logger;
   /** Whether the platform has removed a host for good. */
@@ -112,6 +114,13 @@
     return lease === undefined || lease.released ? undefined : lease.host;
   }
 
+  /** Whether consent alone upholds the lease, for the log is out of reach. */
+  get isByConsent(): boolean {
+    if (this.held === undefined || this.check().isErr()) return false;
+    const remainingMs = this.held.logUntilMs - this.options.clock.now();
+    return remainingMs <= ASK_CONSENT_BELOW_MS;
+  }
+
   /**
    * Claims the lease when it is free and upholds it while it is held.
    *
@@ -194,8 +203,10 @@
   }
 
   private async claim(signal: AbortSignal): Promise<void> {
-    const {stream, clock, logger, network} = this.options;
+    const {stream, clock, logger, network, records} = this.options;
     const {host, incarnation} = network.self;
+    // What an earlier holder entrusted to this host must stand before a claim.
+    if (!(await records.flush(signal)) || !this.mayClaim()) return;
     const sentMs = clock.now();
     const supersedes = this.state.current?.lastRecord ?? null;
     const body = {host, incarnation, ttlMs: LEASE_TTL_MS, supersedes};
--- a/packages/core/src/lib/membership/zone_stream.ts
+++ b/packages/core/src/lib/membership/zone_stream.ts
@@ -24,10 +24,26 @@
   ids: RecordIds;
 }
 
+/** Appends records to the zone's stream. */
+export interface ZoneRecordWriter {
+  /**
+   * @param type - type of the record.
+   * @param body - its content.
+   * @param boundMs - how long to try, in milliseconds.
+   * @param signal - gives up early.
+   */
+  append<Body>(
+    type: ZoneRecordType<Body>,
+    body: Body,
+    boundMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, AppendUnknown>>;
+}
+
 type Listener = (body: unknown, record: StoredRecord) => void;
 
 /** Joins, leases and replica decisions of one zone, in their order. */
-export class ZoneStream {
+export class ZoneStream implements ZoneRecordWriter {
   private readonly tail: StreamTail;
   private readonly listeners = new Map<string, Listener>();
   private isTruncated = false;
@@ -88,6 +104,24 @@
     return this.tail.appendAndSee(envelope, boundMs, signal);
   }
 
+  /**
+   * Appends a record under an id that other hosts may append as well.
+   *
+   * @param id - id of the record.
+   * @param body - its envelope.
+   * @param signal - gives up.
+   * @returns whether the log said that it holds the record.
+   */
+  async appendAs(
+    id: string,
+    body: unknown,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {log, zone} = this.options;
+    const answer = await log.append(`zone.${zone}`, [{id, body}], signal);
+    return answer.isOk();
+  }
+
   /** Follows the stream until the signal aborts. */
   run(signal: AbortSignal): Promise<void> {
     return this.tail.run(signal);
--- a/packages/core/src/lib/peers/frame.ts
+++ b/packages/core/src/lib/peers/frame.ts
@@ -32,6 +32,8 @@
     t: z.literal('end'),
     id: callId,
     error: z.string().optional(),
+    /** The last event, if the handler returned it. */
+    body: z.unknown().optional(),
   }),
   z.object({t: z.literal('cancel'), id: callId}),
   z.object({
--- a/packages/core/src/lib/peers/incoming_calls.ts
+++ b/packages/core/src/lib/peers/incoming_calls.ts
@@ -10,12 +10,15 @@
 
 /** Serves the calls that come in over a link. */
 export interface LinkHandler {
-  /** Answers a call; throwing rejects it. */
+  /**
+   * Answers a call; throwing rejects it. What the generator returns, if not
+   * undefined, is the last event.
+   */
   dispatch(
     method: string,
     body: unknown,
     context: CallContext,
-  ): AsyncIterable<unknown>;
+  ): AsyncGenerator<unknown, unknown>;
   /** Takes a notification. */
   note(method: string, body: unknown, from: PeerIdentity): void;
 }
@@ -60,21 +63,40 @@
     const abort = new AbortController();
     const call: Call = {abort, credit: EVENT_WINDOW, onCredit: undefined};
     this.calls.set(id, call);
+    const context = {from, signal: abort.signal};
     let error: string | undefined;
+    let last: unknown;
     try {
-      const context = {from, signal: abort.signal};
-      for await (const event of this.handler.dispatch(method, body, context)) {
-        await waitForCredit(call);
-        await this.writer.drained();
-        if (abort.signal.aborted) break;
-        call.credit -= 1;
-        this.writer.send({t: 'event', id, body: event});
-      }
+      const events = this.handler.dispatch(method, body, context);
+      last = await this.sendEvents(id, call, events);
     } catch (thrown) {
       error = (thrown as Error).message;
     }
     this.calls.delete(id);
-    this.writer.send({t: 'end', id, error});
+    // Undefined members would be encoded.
+    const reason = error === undefined ? {} : {error};
+    const event = last === undefined ? {} : {body: last};
+    this.writer.send({t: 'end', id, ...reason, ...event});
+  }
+
+  /** @returns the event that the end of the call shall carry. */
+  private async sendEvents(
+    id: number,
+    call: Call,
+    events: AsyncGenerator<unknown, unknown>,
+  ): Promise<unknown> {
+    const {signal} = call.abort;
+    for (;;) {
+      const {value, done} = await events.next();
+      if (done) return value;
+      await waitForCredit(call);
+      await this.writer.drained();
+      if (signal.aborted) break;
+      call.credit -= 1;
+      this.writer.send({t: 'event', id, body: value});
+    }
+    await events.return(undefined);
+    return undefined;
   }
 
   /** The peer wants no more events. */
--- a/packages/core/src/lib/peers/outgoing_calls.ts
+++ b/packages/core/src/lib/peers/outgoing_calls.ts
@@ -66,11 +66,12 @@
     return events.length <= EVENT_WINDOW;
   }
 
-  /** Ends a call as the peer says. */
-  end(id: number, error: string | undefined): void {
+  /** Ends a call as the peer says, with a last event if there is one. */
+  end(id: number, error: string | undefined, body: unknown): void {
     const events = this.calls.get(id);
     if (events === undefined) return;
     this.calls.delete(id);
+    if (body !== undefined) events.push(ok(body));
     if (error === undefined) events.close();
     else fail(events, PEER_ERROR.rejected, error);
   }
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -152,6 +152,11 @@
   tick(): void {
     const nowMs = this.options.clock.now();
     if (this.outgoing.size + this.incoming.size > 0) this.lastCallMs = nowMs;
+    else if (this.remote && this.remote.zone !== this.options.self.zone) {
+      // Nothing waits on a link to another zone between its calls.
+      this.lastHeardMs = nowMs;
+      this.lastSentMs = nowMs;
+    }
     if (nowMs - this.lastHeardMs > SILENCE_LIMIT_MS) {
       this.close('the link went silent');
     } else if (this.isSpent(nowMs)) {
@@ -239,7 +244,7 @@
         }
         break;
       case 'end':
-        this.outgoing.end(frame.id, frame.error);
+        this.outgoing.end(frame.id, frame.error, frame.body);
         break;
       case 'cancel':
         this.incoming.cancel(frame.id);
--- a/packages/core/src/lib/peers/peer_network.ts
+++ b/packages/core/src/lib/peers/peer_network.ts
@@ -148,8 +148,9 @@
     method: PeerMethod<Body, Event>,
     handler: UnaryPeerHandler<Body, Event>,
   ): void {
+    // A returned event goes out in one frame with the end of the call.
     this.serve(method, async function* (body, context) {
-      yield await handler(body, context);
+      return await handler(body, context);
     });
   }
 }
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -181,12 +181,12 @@
     name: string,
     body: unknown,
     context: CallContext,
-  ): AsyncGenerator<unknown, void> {
+  ): AsyncGenerator<unknown, unknown> {
     const registered = this.handlers.get(name);
     if (registered === undefined) throw new Error(`no method ${name}`);
     const parsed = registered.method.body.safeParse(body);
     if (!parsed.success) throw new Error(`malformed body of ${name}`);
-    yield* registered.handler(parsed.data, context);
+    return yield* registered.handler(parsed.data, context);
   }
 
   /** Part of {@link LinkHandler}. */
--- a/packages/core/src/lib/placement/decision_journal.ts
+++ b/packages/core/src/lib/placement/decision_journal.ts
@@ -2,7 +2,7 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {z} from 'zod';
-import {ZoneRecordType, ZoneStream} from '../membership/zone_stream.js';
+import {ZoneRecordType, ZoneRecordWriter} from '../membership/zone_stream.js';
 import {decisionSchema} from './decision.js';
 
 /** How long a record may take, in milliseconds. */
@@ -45,11 +45,11 @@
 /** Records decisions on the zone's stream of the platform's log. */
 export class ZoneDecisionJournal extends DecisionJournal {
   /**
-   * @param stream - the zone's stream.
+   * @param stream - the zone's stream, or what stands in for it.
    * @param boundMs - how long to try, in milliseconds.
    */
   constructor(
-    private readonly stream: ZoneStream,
+    private readonly stream: ZoneRecordWriter,
     private readonly boundMs = RECORD_BOUND_MS,
   ) {
     super();
--- a/packages/core/src/test/membership/zone_fakes.ts
+++ b/packages/core/src/test/membership/zone_fakes.ts
@@ -3,12 +3,10 @@
 import {Result, err, ok} from 'neverthrow';
 import {
   CallOptions,
-  JOIN,
   LogError,
   LogPage,
   LogRecord,
   ManualClock,
-  Member,
   Membership,
   NoteHandler,
   PEER_ERROR,
@@ -99,16 +97,12 @@
     });
     const logger = new SilentLogger();
     const {clock, network} = this;
-    this.stream = new ZoneStream({
-      zone: ZONE,
-      log: new FakeLog(zone, this),
-      clock,
-      logger,
-      ids: new RecordIds(incarnation),
-    });
+    const ids = new RecordIds(incarnation);
+    const log = new FakeLog(zone, this);
+    this.stream = new ZoneStream({zone: ZONE, log, clock, logger, ids});
     const {stream} = this;
     const hostList = undefined;
-    const options = {stream, network, clock, logger, hostList};
+    const options = {stream, network, clock, logger, ids, hostList};
     this.membership = new Membership(options);
   }
 
@@ -254,10 +248,7 @@
   ): void {}
 }
 
-/** @returns hosts whose joins the log holds, in order. */
-export function joinsOf(zone: FakeZone): string[] {
-  return zone.records
-    .map(({body}) => body as {type: string; body: Member})
-    .filter(({type}) => type === JOIN.type)
-    .map(({body}) => body.host);
+/** @returns types of the records in the log, in order. */
+export function recordTypes(zone: FakeZone): string[] {
+  return zone.records.map(({body}) => (body as {type: string}).type);
 }
--- a/packages/core/src/test/membership/zone_lease_test.ts
+++ b/packages/core/src/test/membership/zone_lease_test.ts
@@ -1,12 +1,15 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {FakeHost, FakeZone} from './zone_fakes.js';
+import {z} from 'zod';
+import {ZoneRecordType} from '../../index.js';
+import {FakeHost, FakeZone, recordTypes} from './zone_fakes.js';
 
 const RUNS = 300;
 const NAMES = ['h1', 'h2', 'h3'];
 const ALL_NAMES = [...NAMES, 'h4'];
 const START_MS = 3_000;
 const nothing = () => {};
+const DECIDED: ZoneRecordType<string> = {type: 'decided', body: z.string()};
 
 async function startZone(names = NAMES): Promise<FakeZone> {
   const zone = new FakeZone();
@@ -146,6 +149,40 @@
     }
   });
 
+  it('lets members write what was decided while the log was down', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    zone.logDown = true;
+    await zone.advance(8_000, nothing);
+    const {signal} = new AbortController();
+    const {records} = holder.membership;
+    const recorded = records.append(DECIDED, 'load', 1_000, signal);
+    await zone.advance(1_000, nothing);
+    expect((await recorded).isOk()).to.equal(true);
+    holder.stop();
+    zone.hosts.delete(holder.network.self.host);
+    await zone.advance(1_000, nothing);
+    zone.logDown = false;
+    await zone.advance(15_000, nothing);
+    const next = theHolder(zone);
+    const written = recordTypes(zone).indexOf(DECIDED.type);
+    expect(written).to.be.within(0, next.fencing!);
+  });
+
+  it('does not record what one member cannot keep', async () => {
+    const zone = await startZone();
+    const holder = theHolder(zone);
+    const [other] = NAMES.filter(name => name !== holder.network.self.host);
+    zone.logDown = true;
+    await zone.advance(8_000, nothing);
+    zone.toggleLink(holder.network.self.host, other);
+    const {signal} = new AbortController();
+    const {records} = holder.membership;
+    const recorded = records.append(DECIDED, 'load', 1_000, signal);
+    await zone.advance(3_000, nothing);
+    expect((await recorded).isErr()).to.equal(true);
+  });
+
   it('comes back to use after a claim that landed late', async () => {
     const zone = await startZone(['h1']);
     const late = zone.hosts.get('h1')!;
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -119,6 +119,7 @@
       network: this.network,
       clock,
       logger,
+      ids,
       hostList: listUrl === undefined ? undefined : new HttpHostList(listUrl),
     });
     const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
@@ -145,7 +146,7 @@
       members,
       network,
       directory,
-      journal: new ZoneDecisionJournal(this.zoneStream),
+      journal: new ZoneDecisionJournal(this.membership.records),
       clock,
       logger,
       ids,
