End streams that nobody reads and calls that left their reader

Cause: a forwarded call whose reader left while it waited for credit kept its run at the engine for ever; the outcome of a request that met its deadline waited up to 1 s for the target's answer to the cancellation, so that the answer was cut; a cut printed a stack trace to standard error.

Change: a forwarded run is read to its end after its reader has left; tokens are settled when the target has answered, and the outcome does not wait for that; the connection of an answer that is not whole is closed directly.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -83,6 +83,7 @@
 export * from './lib/platform/stream_snapshot.js';
 export * from './lib/platform/stream_tail.js';
 export * from './lib/requests/attempt.js';
+export * from './lib/requests/drain.js';
 export * from './lib/requests/forward.js';
 export * from './lib/requests/forward_server.js';
 export * from './lib/requests/gap_timer.js';
--- a/packages/core/src/lib/requests/attempt.ts
+++ b/packages/core/src/lib/requests/attempt.ts
@@ -29,6 +29,11 @@
    * were reserved.
    */
   generated: number | undefined;
+  /**
+   * Tells the number later, so that the outcome need not wait for a target
+   * that may no longer answer.
+   */
+  generatedLater?: Promise<number | undefined>;
   /** A target or host that the next attempt had better avoid. */
   avoid?: string;
 }
--- a/packages/core/src/lib/requests/forward_server.ts
+++ b/packages/core/src/lib/requests/forward_server.ts
@@ -3,6 +3,7 @@
 import {CALL_ABORT, CallContext, PeerNetwork} from '../peers/peer_network.js';
 import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
+import {drain} from './drain.js';
 import {FORWARD, Forward, ForwardEvent} from './forward.js';
 import {InFlight} from './in_flight.js';
 import {LocalRunner} from './local_runner.js';
@@ -77,21 +78,27 @@
         target = chosen;
       },
     });
+    let ended = false;
     try {
       for (;;) {
         const step = await attempt.next();
+        ended = step.done === true;
         if (target !== undefined) {
           yield {id, event: {type: 'target', target}};
           target = undefined;
         }
         if (step.done) {
-          yield {id, event: {type: 'outcome', ...step.value}};
+          const {outcome, generated, avoid: failed} = step.value;
+          const end = {outcome, generated, avoid: failed};
+          yield {id, event: {type: 'outcome', ...end}};
           return;
         }
         yield {id, event: step.value};
       }
     } finally {
       signal.removeEventListener('abort', onAbort);
+      // The reader leaves only when the call was cancelled or its link lost.
+      if (!ended) await drain(attempt);
       span.end();
     }
   }
--- a/packages/core/src/lib/requests/request_runner.ts
+++ b/packages/core/src/lib/requests/request_runner.ts
@@ -95,14 +95,15 @@
         : reserved.error;
       return {outcome, generated: 0};
     }
-    let used = tokens;
-    try {
-      const end = yield* this.route(req, context, avoid);
-      used = usedTokens(end, promptTokens, tokens);
-      return end;
-    } finally {
+    const end = yield* this.route(req, context, avoid);
+    const settle = (generated: number | undefined) => {
+      const used = usedTokens(end, generated, promptTokens, tokens);
       reserved.value.settle(used);
-    }
+    };
+    const {generated, generatedLater} = end;
+    if (generatedLater === undefined) settle(generated);
+    else void generatedLater.then(settle);
+    return end;
   }
 
   private async *route(
@@ -138,7 +139,8 @@
 }
 
 function usedTokens(
-  {outcome, generated}: AttemptEnd,
+  {outcome}: AttemptEnd,
+  generated: number | undefined,
   promptTokens: number,
   reserved: number,
 ): number {
--- a/packages/core/src/lib/requests/service_forward_server.ts
+++ b/packages/core/src/lib/requests/service_forward_server.ts
@@ -3,6 +3,7 @@
 import {CallContext, PeerNetwork} from '../peers/peer_network.js';
 import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
+import {drain} from './drain.js';
 import {InFlight} from './in_flight.js';
 import {REFUSAL, RefusalReason, refuse} from './outcome.js';
 import {ServiceAttempt, ServiceCaller} from './service_attempt.js';
@@ -69,13 +70,20 @@
   id: string,
   attempt: ServiceAttempt,
 ): AsyncGenerator<ForwardServiceEvent, void> {
-  for (;;) {
-    const step = await attempt.next();
-    if (step.done) {
-      yield {id, event: {type: 'outcome', ...step.value}};
-      return;
+  let ended = false;
+  try {
+    for (;;) {
+      const step = await attempt.next();
+      ended = step.done === true;
+      if (step.done) {
+        yield {id, event: {type: 'outcome', ...step.value}};
+        return;
+      }
+      yield {id, event: step.value};
     }
-    yield {id, event: step.value};
+  } finally {
+    // The reader leaves only when the call was cancelled or its link lost.
+    if (!ended) await drain(attempt);
   }
 }
 
--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -11,7 +11,7 @@
 import {Attempt, AttemptEnd} from './attempt.js';
 import {GapTimer} from './gap_timer.js';
 import {GenerationEvent, GenerationRequest} from './generation.js';
-import {FAILURE, REFUSAL, fail, refuse} from './outcome.js';
+import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
 
 /** Longest wait for the first event of a connection, in milliseconds. */
 export const FIRST_EVENT_LIMIT_MS = 5_000;
@@ -71,16 +71,16 @@
         const before = this.next;
         const error = yield* this.readConnection();
         if (error === undefined) return this.served();
-        if (this.signal.aborted) return await this.interrupted();
+        if (this.signal.aborted) return this.interrupted();
         if (!this.started) return this.notRun(error);
         // Only attempts without progress count, so that a long stream survives
         // any number of lost connections.
         attempt = this.next > before ? 1 : attempt + 1;
         const useless = error.type === ENGINE_ERROR.refused;
-        if (useless || attempt > RESUME_ATTEMPTS) return await this.lost(error);
+        if (useless || attempt > RESUME_ATTEMPTS) return this.lost(error);
         const delayMs = RESUME_DELAY_MS * attempt;
         await this.options.clock.sleep(delayMs, this.signal);
-        if (this.signal.aborted) return await this.interrupted();
+        if (this.signal.aborted) return this.interrupted();
       }
     } finally {
       this.deadline.dispose();
@@ -153,22 +153,24 @@
     return {outcome, generated: 0, avoid: this.options.target};
   }
 
-  private async lost({message}: EngineError): Promise<AttemptEnd> {
-    const generated = await this.cancel();
+  private lost({message}: EngineError): AttemptEnd {
     const outcome = fail(FAILURE.targetLost, message);
-    return {outcome, generated, avoid: this.options.target};
+    return {...this.cancelled(outcome), avoid: this.options.target};
   }
 
-  private async interrupted(): Promise<AttemptEnd> {
+  private interrupted(): AttemptEnd {
     const {callerGone, detach} = this.options;
     if (detach?.aborted && !callerGone.aborted) {
       const outcome = fail(FAILURE.peerLost, 'the link to the peer was lost');
       return {outcome, generated: undefined};
     }
-    const generated = await this.cancel();
-    if (callerGone.aborted) return {outcome: {type: 'cancelled'}, generated};
+    if (callerGone.aborted) return this.cancelled({type: 'cancelled'});
     const message = 'the deadline passed while the request ran';
-    return {outcome: fail(FAILURE.deadline, message), generated};
+    return this.cancelled(fail(FAILURE.deadline, message));
+  }
+
+  private cancelled(outcome: Outcome): AttemptEnd {
+    return {outcome, generated: undefined, generatedLater: this.cancel()};
   }
 
   /** @returns how many tokens the engine generated, if it tells. */
--- a/packages/daemon/src/lib/answer_stream.ts
+++ b/packages/daemon/src/lib/answer_stream.ts
@@ -25,6 +25,8 @@
   encodeEnd: (outcome: Outcome) => Uint8Array | undefined;
   /** Cancels the run. */
   cancel: () => void;
+  /** Cuts the caller's connection, without a word on the standard streams. */
+  cut: () => void;
   /** Takes the outcome, once. */
   finish: (outcome: Outcome) => void;
 }
@@ -63,12 +65,14 @@
     const {clock, deadlineMs} = this.options;
     const lateMs = deadlineMs - clock.now() + CUT_DELAY_MS;
     this.watchdog = clock.after(lateMs, () => {
-      controller.error(new Error('the deadline passed'));
+      this.options.cut();
+      controller.close();
       void this.abandon();
     });
   }
 
   private async pull(controller: Controller): Promise<void> {
+    if (this.ended) return;
     if (this.step.done) {
       this.close(controller, this.step.value);
       return;
@@ -83,16 +87,12 @@
   }
 
   private close(controller: Controller, outcome: Outcome): void {
-    if (this.ended) return;
     this.ended = true;
     this.watchdog?.cancel();
     const end = this.options.encodeEnd(outcome);
-    if (end === undefined) {
-      controller.error(new Error('the answer is not whole'));
-    } else {
-      if (end.length > 0) controller.enqueue(end);
-      controller.close();
-    }
+    if (end === undefined) this.options.cut();
+    else if (end.length > 0) controller.enqueue(end);
+    controller.close();
     this.options.finish(outcome);
   }
 
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -1,6 +1,7 @@
 /** The HTTP API for callers. @packageDocumentation */
 
 import {Logger, REFUSAL, refuse} from '@fuchsiacleat/core';
+import {HttpBindings} from '@hono/node-server';
 import {Context, Hono} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
@@ -105,6 +106,7 @@
   return completions.handle(admitted.value, parsed.data, makeFormat, {
     signal: c.req.raw.signal,
     idempotencyKey: c.req.header(IDEMPOTENCY_HEADER),
+    cut: cutOf(c),
   });
 }
 
@@ -119,7 +121,13 @@
   const {pathname, search} = new URL(c.req.url);
   const rest = pathname.slice(`/services/${routeName}`.length);
   const path = (rest === '' ? '/' : rest) + search;
-  return services.handle(admitted.value, c.req.raw, path, body);
+  return services.handle(admitted.value, c.req.raw, path, body, cutOf(c));
+}
+
+/** @returns a function that cuts the connection of a request. */
+function cutOf(c: Context): () => void {
+  const {outgoing} = c.env as HttpBindings;
+  return () => void outgoing.destroy();
 }
 
 async function readJson(c: Context): Promise<unknown> {
--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -10,7 +10,6 @@
   REFUSAL,
   Refusal,
   RequestRunner,
-  Run,
   refuse,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
@@ -48,6 +47,8 @@
   signal: AbortSignal;
   /** The caller's `Idempotency-Key`. */
   idempotencyKey: string | undefined;
+  /** Cuts the caller's connection. */
+  cut: () => void;
 }
 
 /** Runs admitted requests and writes their answers. */
@@ -65,13 +66,14 @@
     admitted: Admitted,
     body: CompletionBody,
     makeFormat: MakeFormat,
-    {signal: callerGone, idempotencyKey}: CallerContext,
+    caller: CallerContext,
   ): Promise<Response> {
     const req = this.toRequest(admitted, body);
     if (req.isErr()) {
       admitted.finish(req.error);
       return errorResponse(req.error);
     }
+    const {signal: callerGone, idempotencyKey, cut} = caller;
     const {id, repeatable, ...content} = req.value;
     // A request that runs under a key goes on without its caller, so that a
     // repeat gets the answer.
@@ -84,27 +86,14 @@
         const createdS = this.options.clock.epochNow() / MS_PER_SECOND;
         const format = makeFormat(id, body.route, Math.floor(createdS));
         const gone = once ? new AbortController().signal : callerGone;
-        return this.run(admitted, req.value, body.stream, format, gone);
+        if (!body.stream) {
+          return this.answerWhole(admitted, req.value, format, gone);
+        }
+        return this.answerStream(admitted, req.value, format, gone, cut);
       },
     );
   }
 
-  private run(
-    admitted: Admitted,
-    req: GenerationRequest,
-    streamed: boolean,
-    format: AnswerFormat,
-    callerGone: AbortSignal,
-  ): Promise<Response> {
-    const cancel = new AbortController();
-    const signal = AbortSignal.any([callerGone, cancel.signal]);
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(req, {deadlineMs, span, signal});
-    if (!streamed) return this.answerWhole(admitted, run, format);
-    const onCancel = () => cancel.abort();
-    return this.answerStream(admitted, run, format, onCancel);
-  }
-
   private toRequest(
     {id, team, routeName, route}: Admitted,
     body: CompletionBody,
@@ -135,9 +124,12 @@
 
   private async answerWhole(
     admitted: Admitted,
-    run: Run,
+    req: GenerationRequest,
     format: AnswerFormat,
+    signal: AbortSignal,
   ): Promise<Response> {
+    const {deadlineMs, span} = admitted;
+    const run = this.options.runner.run(req, {deadlineMs, span, signal});
     let text = '';
     let answer: object | undefined;
     for (;;) {
@@ -155,11 +147,16 @@
   /** The status is sent only after the first event, so refusals are plain. */
   private async answerStream(
     admitted: Admitted,
-    run: Run,
+    req: GenerationRequest,
     format: AnswerFormat,
-    cancel: () => void,
+    callerGone: AbortSignal,
+    cut: () => void,
   ): Promise<Response> {
-    const {clock, metrics} = this.options;
+    const {clock, metrics, runner} = this.options;
+    const cancel = new AbortController();
+    const signal = AbortSignal.any([callerGone, cancel.signal]);
+    const {deadlineMs, span} = admitted;
+    const run = runner.run(req, {deadlineMs, span, signal});
     const startMs = clock.now();
     const first = await run.next();
     if (first.done && first.value.type !== 'served') {
@@ -170,12 +167,13 @@
     metrics.firstToken.observe({route: admitted.routeName}, waitedS);
     const stream = new AnswerStream({
       clock,
-      deadlineMs: admitted.deadlineMs,
+      deadlineMs,
       run,
       first,
       encode: event => sseEvent(JSON.stringify(chunkOf(event, format))),
       encodeEnd: lastEvent,
-      cancel,
+      cancel: () => cancel.abort(),
+      cut,
       finish: admitted.finish,
     });
     return new Response(stream.body(), {headers: STREAM_HEADERS});
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -48,6 +48,7 @@
    * @param req - the caller's request.
    * @param path - path and query below the service.
    * @param body - the whole body.
+   * @param cut - cuts the caller's connection.
    * @returns the service's answer, or an error answer.
    */
   handle(
@@ -55,6 +56,7 @@
     req: Request,
     path: string,
     body: Uint8Array<ArrayBuffer>,
+    cut: () => void,
   ): Promise<Response> {
     const {route, id, team, routeName} = admitted;
     const call: ServiceRequest = {
@@ -76,7 +78,7 @@
     const once = idempotencyKey !== undefined && !route.repeatable;
     const gone = once ? new AbortController().signal : req.signal;
     return this.options.once.run(admitted, idempotencyKey, content, () =>
-      this.run(admitted, call, gone),
+      this.run(admitted, call, gone, cut),
     );
   }
 
@@ -84,6 +86,7 @@
     admitted: Admitted,
     call: ServiceRequest,
     callerGone: AbortSignal,
+    cut: () => void,
   ): Promise<Response> {
     const cancel = new AbortController();
     const signal = AbortSignal.any([callerGone, cancel.signal]);
@@ -99,7 +102,7 @@
     const head = step.value;
     if (head.type !== 'head') throw new Error('an answer began without head');
     const onCancel = () => cancel.abort();
-    const body = await this.answerBody(admitted, run, onCancel);
+    const body = await this.answerBody(admitted, run, onCancel, cut);
     const {status} = head;
     const headers = passedHeaders(new Headers(head.headers));
     if (!STATUSES_WITHOUT_BODY.includes(status)) {
@@ -113,6 +116,7 @@
     admitted: Admitted,
     run: ServiceRun,
     cancel: () => void,
+    cut: () => void,
   ): Promise<ReadableStream<Uint8Array>> {
     const stream = new AnswerStream<ServiceEvent>({
       clock: this.options.clock,
@@ -123,6 +127,7 @@
       encodeEnd: (outcome: Outcome) =>
         outcome.type === 'served' ? NO_BYTES : undefined,
       cancel,
+      cut,
       finish: admitted.finish,
     });
     return stream.body();
--- a/packages/local-cluster/src/lib/faults/promise_checks.ts
+++ b/packages/local-cluster/src/lib/faults/promise_checks.ts
@@ -194,16 +194,21 @@
   return {checked, violations};
 }
 
-/** Whether a host may have been cut off from both the log and its peers. */
+/**
+ * Whether a host may have been cut off from both the log and its peers during
+ * the limit before a request came in.
+ */
 function couldNotLearn(
   {episodes}: FaultSchedule,
-  {sentMs}: JournalEntry,
+  {sentMs, host}: JournalEntry,
 ): boolean {
-  const from = sentMs - 2 * WITHDRAWN_LIMIT_MS;
-  const cuts = ['log-down', 'log-slow', 'log-answers-lost', 'zone-cut'];
+  const from = sentMs - WITHDRAWN_LIMIT_MS;
+  const cuts = ['log-down', 'log-answers-lost'];
   return episodes.some(
-    ({fault, fromMs, toMs}) =>
-      cuts.includes(fault) && fromMs <= sentMs && toMs >= from,
+    ({fault, subject, fromMs, toMs}) =>
+      (cuts.includes(fault) || (fault === 'zone-cut' && subject === host[0])) &&
+      fromMs <= sentMs &&
+      toMs >= from,
   );
 }
 
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -251,7 +251,7 @@
       run.tokens = Math.max(run.tokens, offset + 1);
       const token = expectedToken(text, offset);
       await write({type: 'token', offset, text: token});
-      await this.clock.sleep(tokenGapMs, gone);
+      if (tokenGapMs > 0) await this.clock.sleep(tokenGapMs, gone);
     }
     run.state = 'done';
     await write({
