Answer streams from the connection itself, not through web streams

Cause: a streamed answer went through a web stream and the adapter between it and the connection, which also holds the head back for a timer turn; the body was read through a web request object; the run's signal joined two others. Change: the body is read from, and a stream written to, the connection. A stream that runs under an idempotency key still becomes a response body, since that is copied. A write after the caller went away ends the run and no more.

--- a/packages/benchmarks/src/lib/path/load.ts
+++ b/packages/benchmarks/src/lib/path/load.ts
@@ -35,7 +35,7 @@
       streams: number;
       durationMs: number;
     }
-  | {kind: 'hold'; request: StreamRequest; streams: number};
+  | {kind: 'hold'; request: StreamRequest; streams: number; spreadMs: number};
 
 /** What a load measured. */
 export interface LoadResult {
@@ -93,9 +93,7 @@
       case 'concurrency':
         return this.keepStreams(job.streams, job.durationMs);
       case 'hold':
-        await Promise.all(
-          Array.from({length: job.streams}, () => this.stream()),
-        );
+        return this.startStreams(job.streams, job.spreadMs);
     }
   }
 
@@ -130,6 +128,19 @@
     await Promise.all(Array.from({length: streams}, keep));
   }
 
+  /** Starts streams at even distances. */
+  private async startStreams(streams: number, spreadMs: number) {
+    const startAfter = async (delayMs: number) => {
+      await sleep(delayMs);
+      await this.stream();
+    };
+    await Promise.all(
+      Array.from({length: streams}, (unused, index) =>
+        startAfter((index / streams) * spreadMs),
+      ),
+    );
+  }
+
   private async stream(): Promise<void> {
     try {
       const tokens = await this.readStream();
--- a/packages/daemon/src/lib/answer_stream.ts
+++ b/packages/daemon/src/lib/answer_stream.ts
@@ -1,5 +1,6 @@
 /** The body of a streamed answer. @packageDocumentation */
 
+import {ServerResponse} from 'node:http';
 import {Clock, Outcome, Timer} from '@fuchsiacleat/core';
 
 /** How long after its deadline a stream that nobody reads is cut. */
@@ -43,6 +44,28 @@
     this.step = options.first;
   }
 
+  /**
+   * Writes the answer straight to the connection, which costs far less than a
+   * web stream. The run's signal must abort when the connection closes.
+   *
+   * @param outgoing - takes the answer; its head must have been written.
+   */
+  async writeTo(outgoing: ServerResponse): Promise<void> {
+    const cut = () => outgoing.destroy();
+    // A write to a connection that has just closed is no fault of this host.
+    outgoing.on('error', cut);
+    this.cutAfterDeadline(cut);
+    while (!this.step.done) {
+      if (!outgoing.destroyed) {
+        const goesOn = outgoing.write(this.options.encode(this.step.value));
+        if (!goesOn) await drained(outgoing);
+      }
+      await this.read();
+    }
+    this.watchdog?.cancel();
+    this.endWriting(outgoing, this.step.value);
+  }
+
   /** @returns the body; call it once. */
   body(): ReadableStream<Uint8Array> {
     return new ReadableStream<Uint8Array>(
@@ -59,15 +82,32 @@
    * The run watches the deadline only while it is read; a caller that stops
    * reading must not hold it open for longer.
    */
-  private watch(controller: Controller): void {
+  private cutAfterDeadline(cut: () => void): void {
     const {clock, deadlineMs} = this.options;
     const lateMs = deadlineMs - clock.now() + CUT_DELAY_MS;
-    this.watchdog = clock.after(lateMs, () => {
+    this.watchdog = clock.after(lateMs, cut);
+  }
+
+  private watch(controller: Controller): void {
+    this.cutAfterDeadline(() => {
       controller.error(new Error('the deadline passed'));
       void this.abandon();
     });
   }
 
+  private endWriting(outgoing: ServerResponse, outcome: Outcome): void {
+    const {encodeEnd, finish} = this.options;
+    if (outgoing.destroyed) {
+      const unread = outcome.type === 'served';
+      finish(unread ? {type: 'cancelled'} : outcome);
+      return;
+    }
+    const end = encodeEnd(outcome);
+    if (end === undefined) outgoing.destroy();
+    else outgoing.end(end);
+    finish(outcome);
+  }
+
   private async pull(controller: Controller): Promise<void> {
     if (this.step.done) {
       this.close(controller, this.step.value);
@@ -109,3 +149,15 @@
     this.options.finish(unread ? {type: 'cancelled'} : outcome);
   }
 }
+
+/** Waits until more can be written, or never again. */
+function drained(outgoing: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const finish = () => {
+      outgoing.off('drain', finish).off('close', finish);
+      resolve();
+    };
+    outgoing.on('drain', finish).on('close', finish);
+    if (outgoing.destroyed) finish();
+  });
+}
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -2,7 +2,7 @@
 
 import {Logger, REFUSAL, refuse} from '@fuchsiacleat/core';
 import {Context, Hono} from 'hono';
-import {bodyLimit} from 'hono/body-limit';
+import {HttpBindings} from '@hono/node-server';
 import {z} from 'zod';
 import {CompletionHandler, MakeFormat} from './completion_handler.js';
 import {errorResponse} from './http_outcome.js';
@@ -14,6 +14,7 @@
   completionBodySchema,
 } from './openai_format.js';
 import {IDEMPOTENCY_HEADER} from './once_guard.js';
+import {callerGone, readBody} from './request_body.js';
 import {DEADLINE_HEADER, GateHeaders, RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {ConfigStore} from '@fuchsiacleat/core';
@@ -33,20 +34,11 @@
  * @returns the routes of the API.
  */
 export function createCallerApi(options: CallerApiOptions): Hono {
-  const {gate, logger, maxBodyBytes} = options;
+  const {gate, logger} = options;
   const app = new Hono();
   app.get('/readyz', c =>
     c.text(gate.isReady ? 'ready' : 'stopping', gate.isReady ? 200 : 503),
   );
-  app.use(
-    bodyLimit({
-      maxSize: maxBodyBytes,
-      onError: () => {
-        const message = `the body exceeds ${maxBodyBytes} bytes`;
-        return errorResponse(refuse(REFUSAL.tooLarge, message));
-      },
-    }),
-  );
   app.get('/v1/models', c => listModels(c, options));
   app.post('/v1/chat/completions', c =>
     complete(c, options, chatBodySchema, (...args) => new ChatFormat(...args)),
@@ -86,11 +78,14 @@
 
 async function complete(
   c: Context,
-  {gate, completions}: CallerApiOptions,
+  {gate, completions, maxBodyBytes}: CallerApiOptions,
   schema: z.ZodType<CompletionBody>,
   makeFormat: MakeFormat,
 ): Promise<Response> {
-  const json = await readJson(c);
+  const {incoming, outgoing} = c.env as HttpBindings;
+  const body = await readBody(incoming, maxBodyBytes);
+  if (body.isErr()) return errorResponse(body.error);
+  const json = parseJson(body.value);
   const parsed = schema.safeParse(json);
   if (!parsed.success) {
     const issue = parsed.error.issues[0];
@@ -103,28 +98,32 @@
   const admitted = gate.admit(parsed.data.route, gateHeaders(c));
   if (admitted.isErr()) return errorResponse(admitted.error);
   return completions.handle(admitted.value, parsed.data, makeFormat, {
-    signal: c.req.raw.signal,
+    signal: callerGone(outgoing),
+    outgoing,
     idempotencyKey: c.req.header(IDEMPOTENCY_HEADER),
   });
 }
 
 async function callService(
   c: Context,
-  {gate, services}: CallerApiOptions,
+  {gate, services, maxBodyBytes}: CallerApiOptions,
 ): Promise<Response> {
   const routeName = c.req.param('route') ?? '';
-  const body = new Uint8Array(await c.req.arrayBuffer());
+  const {incoming} = c.env as HttpBindings;
+  const body = await readBody(incoming, maxBodyBytes);
+  if (body.isErr()) return errorResponse(body.error);
+  const bytes = new Uint8Array(body.value);
   const admitted = gate.admit(routeName, gateHeaders(c));
   if (admitted.isErr()) return errorResponse(admitted.error);
   const {pathname, search} = new URL(c.req.url);
   const rest = pathname.slice(`/services/${routeName}`.length);
   const path = (rest === '' ? '/' : rest) + search;
-  return services.handle(admitted.value, c.req.raw, path, body);
+  return services.handle(admitted.value, c.req.raw, path, bytes);
 }
 
-async function readJson(c: Context): Promise<unknown> {
+function parseJson(body: Buffer): unknown {
   try {
-    return await c.req.json();
+    return JSON.parse(body.toString('utf8'));
   } catch {
     return undefined;
   }
--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -13,6 +13,8 @@
   Run,
   refuse,
 } from '@fuchsiacleat/core';
+import {ServerResponse} from 'node:http';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Result, err, ok} from 'neverthrow';
 import {AnswerStream} from './answer_stream.js';
 import {errorBody, errorResponse} from './http_outcome.js';
@@ -21,6 +23,7 @@
 import {Admitted} from './request_gate.js';
 
 const MS_PER_SECOND = 1_000;
+const STATUS_OK = 200;
 const STREAM_HEADERS = {
   'content-type': 'text/event-stream',
   'cache-control': 'no-cache',
@@ -48,6 +51,16 @@
   signal: AbortSignal;
   /** The caller's `Idempotency-Key`. */
   idempotencyKey: string | undefined;
+  /** Takes a streamed answer as it comes. */
+  outgoing: ServerResponse;
+}
+
+/** Who reads an answer. */
+interface Reader {
+  /** Aborts when nobody reads any more. */
+  signal: AbortSignal;
+  /** Takes a streamed answer as it comes; else it becomes a response body. */
+  outgoing?: ServerResponse;
 }
 
 /** Runs admitted requests and writes their answers. */
@@ -65,8 +78,9 @@
     admitted: Admitted,
     body: CompletionBody,
     makeFormat: MakeFormat,
-    {signal: callerGone, idempotencyKey}: CallerContext,
+    caller: CallerContext,
   ): Promise<Response> {
+    const {idempotencyKey} = caller;
     const req = this.toRequest(admitted, body);
     if (req.isErr()) {
       admitted.finish(req.error);
@@ -83,8 +97,11 @@
       () => {
         const createdS = this.options.clock.epochNow() / MS_PER_SECOND;
         const format = makeFormat(id, body.route, Math.floor(createdS));
-        const gone = once ? new AbortController().signal : callerGone;
-        return this.run(admitted, req.value, body.stream, format, gone);
+        const {signal, outgoing} = caller;
+        const reader = once
+          ? {signal: new AbortController().signal}
+          : {signal, outgoing};
+        return this.run(admitted, req.value, body.stream, format, reader);
       },
     );
   }
@@ -94,15 +111,17 @@
     req: GenerationRequest,
     streamed: boolean,
     format: AnswerFormat,
-    callerGone: AbortSignal,
+    {signal: readerGone, outgoing}: Reader,
   ): Promise<Response> {
     const cancel = new AbortController();
-    const signal = AbortSignal.any([callerGone, cancel.signal]);
+    const onCancel = () => cancel.abort();
+    readerGone.addEventListener('abort', onCancel);
+    if (readerGone.aborted) onCancel();
+    const {signal} = cancel;
     const {deadlineMs, span} = admitted;
     const run = this.options.runner.run(req, {deadlineMs, span, signal});
     if (!streamed) return this.answerWhole(admitted, run, format);
-    const onCancel = () => cancel.abort();
-    return this.answerStream(admitted, run, format, onCancel);
+    return this.answerStream(admitted, run, format, onCancel, outgoing);
   }
 
   private toRequest(
@@ -158,6 +177,7 @@
     run: Run,
     format: AnswerFormat,
     cancel: () => void,
+    outgoing: ServerResponse | undefined,
   ): Promise<Response> {
     const {clock, metrics} = this.options;
     const startMs = clock.now();
@@ -178,7 +198,12 @@
       cancel,
       finish: admitted.finish,
     });
-    return new Response(stream.body(), {headers: STREAM_HEADERS});
+    if (outgoing === undefined) {
+      return new Response(stream.body(), {headers: STREAM_HEADERS});
+    }
+    outgoing.writeHead(STATUS_OK, STREAM_HEADERS);
+    await stream.writeTo(outgoing);
+    return RESPONSE_ALREADY_SENT;
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/lib/request_body.ts
@@ -0,0 +1,57 @@
+/** Reads what a caller sends, and notices when it goes away. @packageDocumentation */
+
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {REFUSAL, Refusal, refuse} from '@fuchsiacleat/core';
+import {Result, err, ok} from 'neverthrow';
+
+/**
+ * Reads a whole body from the connection itself: a web stream would cost more
+ * than the rest of the admission.
+ *
+ * @param incoming - the caller's request.
+ * @param maxBytes - largest body that is read.
+ * @returns the body, or a refusal if it is too large or breaks off.
+ */
+export function readBody(
+  incoming: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Buffer, Refusal>> {
+  const tooLarge = refuse(
+    REFUSAL.tooLarge,
+    `the body exceeds ${maxBytes} bytes`,
+  );
+  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) {
+    return Promise.resolve(err(tooLarge));
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const finish = (result: Result<Buffer, Refusal>) => {
+      incoming.off('data', take).off('end', end).off('close', breakOff);
+      resolve(result);
+    };
+    const take = (chunk: Buffer) => {
+      bytes += chunk.length;
+      chunks.push(chunk);
+      if (bytes <= maxBytes) return;
+      incoming.pause();
+      finish(err(tooLarge));
+    };
+    const end = () => finish(ok(Buffer.concat(chunks)));
+    const breakOff = () =>
+      finish(err(refuse(REFUSAL.badRequest, 'the body is not whole')));
+    incoming.on('data', take).on('end', end).on('close', breakOff);
+  });
+}
+
+/**
+ * @param outgoing - the answer to the caller's request.
+ * @returns a signal that aborts if the caller goes away before its end.
+ */
+export function callerGone(outgoing: ServerResponse): AbortSignal {
+  const gone = new AbortController();
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) gone.abort();
+  });
+  return gone.signal;
+}
