--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -7,6 +7,7 @@
 } from '../targets/engine_client.js';
 import {Clock} from '../time/clock.js';
 import {deadlineSignal} from '../time/deadline.js';
+import {withTimeLimit} from '../time/time_limit.js';
 import {Attempt, AttemptEnd} from './attempt.js';
 import {GapTimer} from './gap_timer.js';
 import {GenerationEvent, GenerationRequest} from './generation.js';
@@ -65,18 +66,22 @@
   /** @returns the events of the answer, each token once and in order. */
   async *run(): Attempt {
     try {
-      let error: EngineError | undefined;
-      for (let attempt = 0; attempt <= RESUME_ATTEMPTS; attempt++) {
-        error = yield* this.readConnection();
+      let attempt = 0;
+      for (;;) {
+        const before = this.next;
+        const error = yield* this.readConnection();
         if (error === undefined) return this.served();
         if (this.signal.aborted) return await this.interrupted();
         if (!this.started) return this.notRun(error);
-        if (error.type === ENGINE_ERROR.refused) break;
-        const {clock} = this.options;
-        await clock.sleep(RESUME_DELAY_MS * (attempt + 1), this.signal);
+        // Only attempts without progress count, so that a long stream survives
+        // any number of lost connections.
+        attempt = this.next > before ? 1 : attempt + 1;
+        const useless = error.type === ENGINE_ERROR.refused;
+        if (useless || attempt > RESUME_ATTEMPTS) return await this.lost(error);
+        const delayMs = RESUME_DELAY_MS * attempt;
+        await this.options.clock.sleep(delayMs, this.signal);
         if (this.signal.aborted) return await this.interrupted();
       }
-      return await this.lost(error!);
     } finally {
       this.deadline.dispose();
     }
@@ -169,8 +174,11 @@
   /** @returns how many tokens the engine generated, if it tells. */
   private async cancel(): Promise<number | undefined> {
     const {engine, req} = this.options;
-    const timeout = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
-    const generated = await engine.cancel(req.id, timeout);
+    const generated = await withTimeLimit(
+      CANCEL_TIMEOUT_MS,
+      undefined,
+      limited => engine.cancel(req.id, limited),
+    );
     return generated.isOk() ? generated.value : undefined;
   }
 }
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -5,6 +5,7 @@
 import {createParser} from 'eventsource-parser';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
+import {withTimeLimit} from '../time/time_limit.js';
 import {
   GenerationEvent,
   GenerationRequest,
@@ -45,19 +46,11 @@
 
 /** An {@link EngineClient} over HTTP and server-sent events. */
 export class HttpEngineClient extends EngineClient {
-  private readonly dispatcher: Dispatcher;
+  private dispatcher = createPool();
 
   /** @param url - base URL of the engine. */
   constructor(private readonly url: string) {
     super();
-    // Without pipelining a request never shares a connection with another
-    // one in flight.
-    this.dispatcher = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      pipelining: 1,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
   }
 
   override async *generate(
@@ -156,9 +149,11 @@
     req: GenerationRequest,
     {resume, resumeFrom, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
+    // A connection has failed, so the idle ones are not to be trusted either.
+    if (resume) this.replacePool();
     // A pooled connection may be half closed: a request written to it can be
     // lost or have run, and nobody can tell which.
-    const fresh = !req.repeatable && !resume;
+    const fresh = !req.repeatable;
     const dispatcher = fresh ? this.freshConnection() : this.dispatcher;
     try {
       const res = await dispatcher.request({
@@ -187,6 +182,11 @@
     }
   }
 
+  private replacePool(): void {
+    void this.dispatcher.close();
+    this.dispatcher = createPool();
+  }
+
   private freshConnection(): Dispatcher {
     return new Client(this.url, {
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -200,9 +200,9 @@
     schema: z.ZodType<T>,
     signal: AbortSignal,
   ): Promise<Result<T, EngineError>> {
-    const timeout = AbortSignal.timeout(QUERY_TIMEOUT_MS);
-    const either = AbortSignal.any([signal, timeout]);
-    const answer = await this.call('GET', path, undefined, either);
+    const answer = await withTimeLimit(QUERY_TIMEOUT_MS, signal, limited =>
+      this.call('GET', path, undefined, limited),
+    );
     return answer.andThen(value => parse(schema, value));
   }
 
@@ -229,6 +229,17 @@
   }
 }
 
+function createPool(): Dispatcher {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    // Without pipelining a request never shares a connection with another
+    // one in flight.
+    pipelining: 1,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
 function parseEvent(
   data: string,
   requestId: string,
@@ -272,7 +283,8 @@
 function toEngineError(error: unknown): EngineError {
   const {code, message} = error as NodeJS.ErrnoException;
   const notSent = NOT_SENT_CODES.has(code ?? '');
-  return {type: notSent ? ENGINE_ERROR.notSent : ENGINE_ERROR.broken, message};
+  const type = notSent ? ENGINE_ERROR.notSent : ENGINE_ERROR.broken;
+  return {type, message, processEnded: code === 'ECONNREFUSED'};
 }
 
 function broken(message: string): Result<never, EngineError> {
