--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -10,8 +10,11 @@
   REFUSAL,
   Refusal,
   RequestRunner,
+  Run,
   refuse,
 } from '@fuchsiacleat/core';
+import {ServerResponse} from 'node:http';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Result, err, ok} from 'neverthrow';
 import {AnswerStream} from './answer_stream.js';
 import {errorBody, errorResponse} from './http_outcome.js';
@@ -20,6 +23,7 @@
 import {Admitted} from './request_gate.js';
 
 const MS_PER_SECOND = 1_000;
+const STATUS_OK = 200;
 const STREAM_HEADERS = {
   'content-type': 'text/event-stream',
   'cache-control': 'no-cache',
@@ -47,8 +51,17 @@
   signal: AbortSignal;
   /** The caller's `Idempotency-Key`. */
   idempotencyKey: string | undefined;
-  /** Cuts the caller's connection. */
-  cut: () => void;
+  /** Takes a streamed answer as it comes. */
+  outgoing: ServerResponse;
+}
+
+/** Who reads an answer. */
+interface Reader {
+  /** Aborts when nobody reads any more. */
+  signal: AbortSignal;
+  outgoing: ServerResponse;
+  /** Whether a streamed answer becomes a body, so that it can be copied. */
+  asBody: boolean;
 }
 
 /** Runs admitted requests and writes their answers. */
@@ -68,12 +81,12 @@
     makeFormat: MakeFormat,
     caller: CallerContext,
   ): Promise<Response> {
+    const {idempotencyKey} = caller;
     const req = this.toRequest(admitted, body);
     if (req.isErr()) {
       admitted.finish(req.error);
       return errorResponse(req.error);
     }
-    const {signal: callerGone, idempotencyKey, cut} = caller;
     const {id, repeatable, ...content} = req.value;
     // A request that runs under a key goes on without its caller, so that a
     // repeat gets the answer.
@@ -85,15 +98,33 @@
       () => {
         const createdS = this.options.clock.epochNow() / MS_PER_SECOND;
         const format = makeFormat(id, body.route, Math.floor(createdS));
-        const gone = once ? new AbortController().signal : callerGone;
-        if (!body.stream) {
-          return this.answerWhole(admitted, req.value, format, gone);
-        }
-        return this.answerStream(admitted, req.value, format, gone, cut);
+        const {signal, outgoing} = caller;
+        const reader = once
+          ? {signal: new AbortController().signal, outgoing, asBody: true}
+          : {signal, outgoing, asBody: false};
+        return this.run(admitted, req.value, body.stream, format, reader);
       },
     );
   }
 
+  private run(
+    admitted: Admitted,
+    req: GenerationRequest,
+    streamed: boolean,
+    format: AnswerFormat,
+    reader: Reader,
+  ): Promise<Response> {
+    const cancel = new AbortController();
+    const onCancel = () => cancel.abort();
+    reader.signal.addEventListener('abort', onCancel);
+    if (reader.signal.aborted) onCancel();
+    const {signal} = cancel;
+    const {deadlineMs, span} = admitted;
+    const run = this.options.runner.run(req, {deadlineMs, span, signal});
+    if (!streamed) return this.answerWhole(admitted, run, format);
+    return this.answerStream(admitted, run, format, onCancel, reader);
+  }
+
   private toRequest(
     {id, team, routeName, route}: Admitted,
     body: CompletionBody,
@@ -124,12 +155,9 @@
 
   private async answerWhole(
     admitted: Admitted,
-    req: GenerationRequest,
+    run: Run,
     format: AnswerFormat,
-    signal: AbortSignal,
   ): Promise<Response> {
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(req, {deadlineMs, span, signal});
     let text = '';
     let answer: object | undefined;
     for (;;) {
@@ -147,16 +175,12 @@
   /** The status is sent only after the first event, so refusals are plain. */
   private async answerStream(
     admitted: Admitted,
-    req: GenerationRequest,
+    run: Run,
     format: AnswerFormat,
-    callerGone: AbortSignal,
-    cut: () => void,
+    cancel: () => void,
+    {outgoing, asBody}: Reader,
   ): Promise<Response> {
-    const {clock, metrics, runner} = this.options;
-    const cancel = new AbortController();
-    const signal = AbortSignal.any([callerGone, cancel.signal]);
-    const {deadlineMs, span} = admitted;
-    const run = runner.run(req, {deadlineMs, span, signal});
+    const {clock, metrics} = this.options;
     const startMs = clock.now();
     const first = await run.next();
     if (first.done && first.value.type !== 'served') {
@@ -167,16 +191,21 @@
     metrics.firstToken.observe({route: admitted.routeName}, waitedS);
     const stream = new AnswerStream({
       clock,
-      deadlineMs,
+      deadlineMs: admitted.deadlineMs,
       run,
       first,
       encode: event => sseEvent(JSON.stringify(chunkOf(event, format))),
       encodeEnd: lastEvent,
-      cancel: () => cancel.abort(),
-      cut,
+      cancel,
+      cut: () => outgoing.destroy(),
       finish: admitted.finish,
     });
-    return new Response(stream.body(), {headers: STREAM_HEADERS});
+    if (asBody) {
+      return new Response(stream.body(), {headers: STREAM_HEADERS});
+    }
+    outgoing.writeHead(STATUS_OK, STREAM_HEADERS);
+    await stream.writeTo(outgoing);
+    return RESPONSE_ALREADY_SENT;
   }
 }
 
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -1,5 +1,6 @@
 /** Answers calls of plain services. @packageDocumentation */
 
+import {ServerResponse} from 'node:http';
 import {
   Clock,
   Outcome,
@@ -39,6 +40,14 @@
   clock: Clock;
 }
 
+/** The connection on which a caller waits. */
+export interface CallerConnection {
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal;
+  /** Takes the answer. */
+  outgoing: ServerResponse;
+}
+
 /** Runs admitted calls of plain services. */
 export class ServiceHandler {
   constructor(private readonly options: ServiceHandlerOptions) {}
@@ -48,7 +57,7 @@
    * @param req - the caller's request.
    * @param path - path and query below the service.
    * @param body - the whole body.
-   * @param cut - cuts the caller's connection.
+   * @param caller - the caller's connection.
    * @returns the service's answer, or an error answer.
    */
   handle(
@@ -56,7 +65,7 @@
     req: Request,
     path: string,
     body: Uint8Array<ArrayBuffer>,
-    cut: () => void,
+    {signal, outgoing}: CallerConnection,
   ): Promise<Response> {
     const {route, id, team, routeName} = admitted;
     const call: ServiceRequest = {
@@ -76,9 +85,9 @@
     // A call that runs under a key goes on without its caller, so that a
     // repeat gets the answer.
     const once = idempotencyKey !== undefined && !route.repeatable;
-    const gone = once ? new AbortController().signal : req.signal;
+    const gone = once ? new AbortController().signal : signal;
     return this.options.once.run(admitted, idempotencyKey, content, () =>
-      this.run(admitted, call, gone, cut),
+      this.run(admitted, call, gone, () => outgoing.destroy()),
     );
   }
 
