--- a/packages/cli/src/lib/client_error_report.ts
+++ b/packages/cli/src/lib/client_error_report.ts
@@ -26,7 +26,7 @@
       return EXIT_CODE.failed;
     case 'unknown-outcome':
       terminal.error(`outcome unknown: ${message}`);
-      terminal.error('look at "fuchsiacleat history" before trying again');
+      terminal.error('ask any host again with "fuchsiacleat resume <id>"');
       return EXIT_CODE.unknown;
     case 'rejected':
       terminal.error(message);
--- /dev/null
+++ b/packages/cli/src/lib/commands/await_in_force.ts
@@ -0,0 +1,60 @@
+/** Waits until a version is in force everywhere. @packageDocumentation */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {HostVersion} from '@fuchsiacleat/core';
+import {reportClientError} from '../client_error_report.js';
+import {EXIT_CODE, ExitCode} from '../exit_code.js';
+import {OperatorClient} from '../operator_client.js';
+import {Terminal} from '../terminal.js';
+
+const POLL_INTERVAL_MS = 250;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Asks one host for the versions of all until every one has the version.
+ *
+ * @param terminal - where to write.
+ * @param client - the host to ask.
+ * @param version - the version.
+ * @param waitS - how long to wait, in seconds.
+ * @returns `behind` if some hosts are still behind, which are then listed.
+ */
+export async function awaitInForce(
+  terminal: Terminal,
+  client: OperatorClient,
+  version: number,
+  waitS: number,
+): Promise<ExitCode> {
+  const endMs = performance.now() + waitS * MS_PER_SECOND;
+  for (;;) {
+    const hosts = await client.hostVersions();
+    const isLate = performance.now() >= endMs;
+    if (hosts.isErr()) {
+      if (isLate) return reportClientError(terminal, hosts.error);
+    } else {
+      const behind = hosts.value.filter(host => isBehind(host, version));
+      if (behind.length === 0) {
+        terminal.out(`in force on all ${hosts.value.length} hosts`);
+        return EXIT_CODE.ok;
+      }
+      if (isLate) return reportBehind(terminal, behind);
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+function isBehind(host: HostVersion, version: number): boolean {
+  return host.version === null || host.version < version;
+}
+
+function reportBehind(
+  terminal: Terminal,
+  behind: readonly HostVersion[],
+): ExitCode {
+  terminal.error('accepted, but not in force yet on:');
+  for (const {host, zone, version} of behind) {
+    const state = version === null ? 'no answer' : `version ${version}`;
+    terminal.error(`  ${host} (zone ${zone}): ${state}`);
+  }
+  return EXIT_CODE.behind;
+}
--- a/packages/cli/src/lib/commands/history_command.ts
+++ b/packages/cli/src/lib/commands/history_command.ts
@@ -32,10 +32,11 @@
   const rows = shown.map(entry => [
     String(entry.version),
     new Date(entry.atMs).toISOString(),
+    entry.author ?? '',
     summarize(entry),
     entry.message,
   ]);
-  const header = ['VERSION', 'ACCEPTED', 'CHANGES', 'MESSAGE'];
+  const header = ['VERSION', 'ACCEPTED', 'AUTHOR', 'CHANGES', 'MESSAGE'];
   for (const line of formatTable(header, rows)) terminal.out(line);
   return EXIT_CODE.ok;
 }
--- a/packages/cli/src/lib/commands/publish_command.ts
+++ b/packages/cli/src/lib/commands/publish_command.ts
@@ -7,7 +7,7 @@
 import {OperatorClient} from '../operator_client.js';
 import {Terminal} from '../terminal.js';
 import {readChecked, reportFaultCount} from './check_command.js';
-import {submit} from './submit.js';
+import {SubmitOptions, submit} from './submit.js';
 
 /** Options of `publish`. */
 export interface PublishOptions {
@@ -15,13 +15,14 @@
   message: string;
   /** Version that the folder was made from; the one in force by default. */
   base: number | undefined;
+  submit: SubmitOptions;
 }
 
 /** Publishes a folder of declarations as the difference to the base. */
 export async function publish(
   terminal: Terminal,
   client: OperatorClient,
-  {folder, message, base}: PublishOptions,
+  {folder, message, base, submit: options}: PublishOptions,
 ): Promise<ExitCode> {
   const {source, faults} = await readChecked(folder);
   for (const fault of faults) terminal.error(formatFault(fault));
@@ -33,9 +34,6 @@
     terminal.out(`nothing to publish; version ${held.value.version} is equal`);
     return EXIT_CODE.ok;
   }
-  return submit(terminal, client, {
-    base: base ?? held.value.version,
-    changes,
-    message,
-  });
+  const submission = {base: base ?? held.value.version, changes, message};
+  return submit(terminal, client, submission, options);
 }
--- a/packages/cli/src/lib/commands/rollback_command.ts
+++ b/packages/cli/src/lib/commands/rollback_command.ts
@@ -7,13 +7,14 @@
 import {EXIT_CODE, ExitCode} from '../exit_code.js';
 import {HeldConfig, OperatorClient} from '../operator_client.js';
 import {Terminal} from '../terminal.js';
-import {submit} from './submit.js';
+import {SubmitOptions, submit} from './submit.js';
 
 /** Publishes the content of an earlier version as a new version. */
 export async function rollback(
   terminal: Terminal,
   client: OperatorClient,
   version: number,
+  options: SubmitOptions,
 ): Promise<ExitCode> {
   const held = await client.config();
   if (held.isErr()) return reportClientError(terminal, held.error);
@@ -31,7 +32,8 @@
     return EXIT_CODE.ok;
   }
   const message = `roll back to version ${version}`;
-  return submit(terminal, client, {base, changes: changes.value, message});
+  const submission = {base, changes: changes.value, message};
+  return submit(terminal, client, submission, options);
 }
 
 /**
@@ -53,8 +55,12 @@
   const undone = entries.filter(
     entry => entry.version > version && entry.version <= held.version,
   );
-  if (undone.length < held.version - version) {
-    return err(`the host no longer knows how to return to version ${version}`);
+  const isKnown = version === held.version || undone[0]?.replaced === version;
+  if (!isKnown) {
+    return err(
+      `version ${version} does not exist, or the host no longer knows how to ` +
+        'return to it',
+    );
   }
   const objects = new Map<string, RawObject>(
     held.objects.map(object => [objectId(object.kind, object.name), object]),
--- a/packages/cli/src/lib/exit_code.ts
+++ b/packages/cli/src/lib/exit_code.ts
@@ -15,6 +15,8 @@
   unreachable: 6,
   /** A folder differs from the configuration in force. */
   differs: 7,
+  /** A version was accepted, but is not in force on every host in time. */
+  behind: 8,
 } as const;
 
 /** One of {@link EXIT_CODE}. */
@@ -28,6 +30,7 @@
   rejected: 'the publication was rejected; nothing was changed',
   unknown: 'it is not known whether the publication was accepted',
   unreachable: 'the host could not be reached',
+  behind: 'accepted, but some hosts do not have the version in force yet',
   differs: 'diff: the folder differs from the configuration in force',
 };
 
--- a/packages/cli/src/lib/operator_client.ts
+++ b/packages/cli/src/lib/operator_client.ts
@@ -2,6 +2,7 @@
 
 import {
   HistoryEntry,
+  HostVersion,
   Publication,
   RawObject,
   Verdict,
@@ -98,17 +99,39 @@
   /**
    * Publishes a delta.
    *
-   * @returns the verdict; an error of type `unknown-outcome` carries the id
-   *     under which to ask later.
+   * @param publication - the delta and its base.
+   * @param id - id under which to ask for the verdict later; publishing again
+   *     under the same id changes nothing.
+   * @returns the verdict; an error of type `unknown-outcome` says that the
+   *     publication may be accepted yet.
    */
   async publish(
     publication: Publication,
+    id?: string,
   ): Promise<Result<Verdict, ClientError>> {
     const path = '/api/config/publications';
-    const answer = await this.call('POST', path, publication);
+    const answer = await this.call('POST', path, {...publication, id});
     return answer.map(({body}) => body as Verdict);
   }
 
+  /**
+   * @param id - id of a publication.
+   * @returns its verdict, or undefined if the host has not seen it.
+   */
+  async verdictOf(
+    id: string,
+  ): Promise<Result<Verdict | undefined, ClientError>> {
+    const path = `/api/config/publications/${encodeURIComponent(id)}`;
+    const answer = await this.call('GET', path);
+    return answer.map(({body}) => (body as {verdict?: Verdict}).verdict);
+  }
+
+  /** @returns the version that each known host has in force. */
+  async hostVersions(): Promise<Result<HostVersion[], ClientError>> {
+    const answer = await this.call('GET', '/api/config/hosts');
+    return answer.map(({body}) => (body as {hosts: HostVersion[]}).hosts);
+  }
+
   private async call(
     method: 'GET' | 'POST',
     path: string,
@@ -133,7 +156,14 @@
       return err({type: 'rejected', message});
     } catch (error) {
       const message = `${this.url}: ${(error as Error).message}`;
-      return err({type: 'unreachable', message});
+      const mayHaveEffect = method === 'POST' && !isRefused(error);
+      const type = mayHaveEffect ? 'unknown-outcome' : 'unreachable';
+      return err({type, message});
     }
   }
 }
+
+/** @returns whether no connection was made, so that nothing was sent. */
+function isRefused(error: unknown): boolean {
+  return (error as {code?: string}).code === 'ECONNREFUSED';
+}
--- a/packages/cli/src/lib/program.ts
+++ b/packages/cli/src/lib/program.ts
@@ -1,5 +1,7 @@
 /** The commands of the tool. @packageDocumentation */
 
+import {randomBytes} from 'node:crypto';
+import {userInfo} from 'node:os';
 import {createKey} from '@fuchsiacleat/core';
 import {Command, CommanderError, InvalidArgumentError} from 'commander';
 import {check} from './commands/check_command.js';
@@ -8,14 +10,18 @@
 import {get} from './commands/get_command.js';
 import {history} from './commands/history_command.js';
 import {publish} from './commands/publish_command.js';
+import {resume} from './commands/resume_command.js';
 import {rollback} from './commands/rollback_command.js';
 import {showStatus} from './commands/status_command.js';
+import {SubmitOptions} from './commands/submit.js';
 import {EXIT_CODE, ExitCode, describeExitCodes} from './exit_code.js';
 import {OperatorClient} from './operator_client.js';
 import {Terminal} from './terminal.js';
 
 const DEFAULT_HOST = 'http://127.0.0.1:8081';
 const DEFAULT_HISTORY_LIMIT = 20;
+const DEFAULT_WAIT_S = 17;
+const PUBLICATION_ID_BYTES = 8;
 
 const ENVIRONMENT_HELP = `
 Environment:
@@ -28,6 +34,30 @@
   fuchsiacleat publish declarations/ -m 'grant inspectors a second key'
   fuchsiacleat status --json`;
 
+const AUTHOR_OPTION = [
+  '--author <name>',
+  'who publishes; the name of the user by default',
+] as const;
+
+const WAIT_OPTION = [
+  '--wait [seconds]',
+  `wait until every host has the version in force (${DEFAULT_WAIT_S} s)`,
+  toVersion,
+] as const;
+
+/** Flags of the commands that publish. */
+interface SubmitFlags {
+  author?: string;
+  id?: string;
+  wait?: true | number;
+}
+
+/** Flags of `publish`. */
+interface PublishFlags extends SubmitFlags {
+  message: string;
+  base?: number;
+}
+
 /** What every command works with. */
 interface CommandContext {
   terminal: Terminal;
@@ -114,16 +144,22 @@
     .description('publish the declarations of a folder')
     .option('-m, --message <text>', 'why', '')
     .option('--base <version>', 'version the folder was made from', toVersion)
+    .option(...AUTHOR_OPTION)
+    .option(...WAIT_OPTION)
+    .option('--id <id>', 'id of an earlier try, which is not applied twice')
     .addHelpText(
       'after',
       examples(
         "fuchsiacleat publish declarations/ -m 'withdraw key desk-2'",
         'fuchsiacleat publish declarations/ --base 41',
+        'fuchsiacleat publish declarations/ --wait 17',
       ),
     )
-    .action((folder: string, options: {message: string; base?: number}) => {
+    .action((folder: string, options: PublishFlags) => {
       const {message, base} = options;
-      return finish(publish(terminal, client(), {folder, message, base}));
+      const submit = toSubmitOptions(options);
+      const all = {folder, message, base, submit};
+      return finish(publish(terminal, client(), all));
     });
 }
 
@@ -156,8 +192,22 @@
     .command('rollback')
     .argument('<version>', 'the version to return to', toVersion)
     .description('publish the content of an earlier version as a new one')
+    .option(...AUTHOR_OPTION)
+    .option(...WAIT_OPTION)
     .addHelpText('after', examples('fuchsiacleat rollback 41'))
-    .action((version: number) => finish(rollback(terminal, client(), version)));
+    .action((version: number, options: SubmitFlags) => {
+      const submit = toSubmitOptions(options);
+      return finish(rollback(terminal, client(), version, submit));
+    });
+  program
+    .command('resume <id>')
+    .description('tell what became of a publication whose outcome was unknown')
+    .option(...WAIT_OPTION)
+    .addHelpText('after', examples('fuchsiacleat resume p-2f6c81d09a4be357'))
+    .action((id: string, options: SubmitFlags) => {
+      const {waitS} = toSubmitOptions(options);
+      return finish(resume(terminal, client(), {id, waitS}));
+    });
 }
 
 /** Commands about hosts. */
@@ -199,6 +249,16 @@
     });
 }
 
+function toSubmitOptions(flags: SubmitFlags): SubmitOptions {
+  const {author, id = newPublicationId(), wait} = flags;
+  const waitS = wait === true ? DEFAULT_WAIT_S : wait;
+  return {author: author ?? userInfo().username, id, waitS};
+}
+
+function newPublicationId(): string {
+  return `p-${randomBytes(PUBLICATION_ID_BYTES).toString('hex')}`;
+}
+
 function examples(...commands: string[]): string {
   const lines = commands.map(command => `  ${command}`);
   return ['', 'Examples:', ...lines].join('\n');
--- a/packages/core/src/lib/config/authenticate.ts
+++ b/packages/core/src/lib/config/authenticate.ts
@@ -11,6 +11,17 @@
 
 const BEARER = /^Bearer +(\S+)$/i;
 
+/**
+ * @param authorization - the caller's `Authorization` header.
+ * @returns the digest of the key that it carries, if there is one.
+ */
+export function bearerDigest(
+  authorization: string | undefined,
+): string | undefined {
+  const key = BEARER.exec(authorization ?? '')?.[1];
+  return key === undefined ? undefined : digestOf(key);
+}
+
 /**
  * @param declared - the configuration in force.
  * @param authorization - the caller's `Authorization` header.
@@ -20,13 +31,13 @@
   declared: Declarations,
   authorization: string | undefined,
 ): Result<string, Refusal> {
-  const key = BEARER.exec(authorization ?? '')?.[1];
-  if (key === undefined) {
+  const digest = bearerDigest(authorization);
+  if (digest === undefined) {
     return err(refuse(REFUSAL.unauthenticated, 'send a key as a bearer token'));
   }
   // Looking the digest up does not leak the key: a caller cannot choose keys
   // whose digests share a prefix with another key's.
-  const team = declared.teamOfDigest(digestOf(key));
+  const team = declared.teamOfDigest(digest);
   if (team !== undefined) return ok(team);
   return err(refuse(REFUSAL.unauthenticated, 'the key is not known'));
 }
--- a/packages/core/src/lib/config/check.ts
+++ b/packages/core/src/lib/config/check.ts
@@ -1,16 +1,24 @@
 /** The check of a whole set of declarations. @packageDocumentation */
 
+import {Result, err, ok} from 'neverthrow';
 import {
   Fields,
   KIND_SCHEMAS,
   Kind,
   RawObject,
-  REFERENCES,
   nameSchema,
   objectId,
 } from './declarations.js';
-import {Fault} from './fault.js';
 import {Declarations} from './declared.js';
+import {Fault} from './fault.js';
+import {
+  ObjectName,
+  Reference,
+  ReferenceIndex,
+  rawReferencesOf,
+  referencesOf,
+} from './reference_index.js';
+import {checkRules} from './rules.js';
 
 /** The outcome of a check: the parsed whole, and every fault found. */
 export interface CheckResult {
@@ -29,123 +37,139 @@
   const declared = new Declarations();
   const faults: Fault[] = [];
   const all = [...objects];
-  for (const object of all) parseObject(object, declared, faults);
-  for (const object of all) checkReferences(object, declared, faults);
-  checkCapacity(declared, faults);
-  checkRoutes(declared, faults);
-  checkTeams(declared, faults);
+  const invalid = new Set<RawObject>();
+  for (const object of all) {
+    const parsed = parseObject(object);
+    if (parsed.isOk()) {
+      declared.add(object.kind, object.name, parsed.value);
+    } else {
+      faults.push(...parsed.error);
+      invalid.add(object);
+    }
+  }
+  for (const object of all) {
+    const {kind, name} = object;
+    const found = invalid.has(object)
+      ? checkReferences(declared, objectId(kind, name), rawReferencesOf(object))
+      : checkObject(declared, kind, name);
+    faults.push(...found);
+  }
   return {declared, faults};
 }
 
-function parseObject(
-  object: RawObject,
-  declared: Declarations,
-  faults: Fault[],
-): void {
+/**
+ * Checks the fields of an object by themselves.
+ *
+ * @param object - the object as written.
+ * @returns its fields, or every fault in them.
+ */
+export function parseObject(object: RawObject): Result<Fields<Kind>, Fault[]> {
   const id = objectId(object.kind, object.name);
   if (!nameSchema.safeParse(object.name).success) {
-    faults.push({object: id, message: `"${object.name}" is not a valid name`});
-    return;
+    return err([{object: id, message: `"${object.name}" is not a valid name`}]);
   }
   const parsed = KIND_SCHEMAS[object.kind].safeParse(object.fields);
-  if (!parsed.success) {
-    for (const issue of parsed.error.issues) {
+  if (parsed.success) return ok(parsed.data);
+  return err(
+    parsed.error.issues.map(issue => {
       const unknown = issue.code === 'unrecognized_keys' ? issue.keys : [];
       const field = unknown[0] ?? issue.path[0]?.toString();
-      faults.push({object: id, field, message: issue.message});
-    }
-    return;
-  }
-  declared.add(object.kind, object.name, parsed.data as Fields<Kind>);
+      return {object: id, field, message: issue.message};
+    }),
+  );
 }
 
-function checkReferences(
-  object: RawObject,
+/**
+ * Checks an object against all others.
+ *
+ * @param declared - the whole set.
+ * @param kind - kind of the object.
+ * @param name - its name; it must be declared.
+ * @returns every fault of the object.
+ */
+export function checkObject(
   declared: Declarations,
-  faults: Fault[],
-): void {
-  const id = objectId(object.kind, object.name);
-  for (const {from, field, to} of REFERENCES) {
-    const text = object.fields[field];
-    if (from !== object.kind || text === undefined) continue;
-    for (const name of text.split(',').map(item => item.trim())) {
-      if (declared.has(to, name)) continue;
-      faults.push({object: id, field, message: `no valid ${to} "${name}"`});
-    }
-  }
+  kind: Kind,
+  name: string,
+): Fault[] {
+  const fields = declared.get(kind, name)!;
+  const object = objectId(kind, name);
+  const references = referencesOf(kind, fields);
+  const faults = checkReferences(declared, object, references);
+  checkRules(declared, kind, name, (field, message) =>
+    faults.push({object, field, message}),
+  );
+  return faults;
 }
 
-function checkCapacity(declared: Declarations, faults: Fault[]): void {
-  const engines = [...declared.all('target').values()].filter(
-    target => target.kind === 'engine',
-  );
-  const largest = Math.max(0, ...engines.map(target => target.memory));
-  for (const [name, version] of declared.all('version')) {
-    if (engines.length === 0 || version.weights <= largest) continue;
-    faults.push({
-      object: objectId('version', name),
-      field: 'weights',
-      message: 'is larger than the memory of every engine',
-    });
-  }
-  for (const [name, target] of declared.all('target')) {
-    if (target.kind !== 'engine' || target.memory > 0) continue;
-    faults.push({
-      object: objectId('target', name),
-      field: 'memory',
-      message: 'an engine needs its memory, such as 80GiB',
-    });
-  }
+function checkReferences(
+  declared: Declarations,
+  object: string,
+  references: readonly Reference[],
+): Fault[] {
+  return references
+    .filter(({kind, name}) => !declared.has(kind, name))
+    .map(({field, kind, name}) => ({
+      object,
+      field,
+      message: `no valid ${kind} "${name}"`,
+    }));
 }
 
-function checkRoutes(declared: Declarations, faults: Fault[]): void {
-  for (const [name, route] of declared.all('route')) {
-    const fault = (field: string, message: string) =>
-      faults.push({object: objectId('route', name), field, message});
-    const ways = [route.model, route.adapter, route.targets].filter(Boolean);
-    if (ways.length !== 1) {
-      fault('model', 'give exactly one of model, adapter and targets');
-    }
-    if (route.open === (route.teams !== undefined)) {
-      fault('teams', 'give either teams or open = yes');
-    }
-    if (route.deadline > route.max_deadline) {
-      fault('deadline', 'is longer than max_deadline');
-    }
-    for (const target of route.targets ?? []) {
-      if (declared.get('target', target)?.kind !== 'engine') continue;
-      fault('targets', `"${target}" is an engine; a route names services`);
+/** Kinds whose check depends on the memory of engines. */
+const SIZED_KINDS: readonly Kind[] = ['model', 'version', 'adapter'];
+
+/**
+ * Finds the objects whose check may turn out differently after a change.
+ *
+ * @param before - the set before the changes, which is valid.
+ * @param after - the set after the changes.
+ * @param referrers - references of the set before.
+ * @param changed - the objects that were set or removed.
+ * @returns objects of the set after the changes.
+ */
+export function affectedBy(
+  before: Declarations,
+  after: Declarations,
+  referrers: ReferenceIndex,
+  changed: readonly ObjectName[],
+): ObjectName[] {
+  const affected = new Map<string, ObjectName>();
+  const add = ({kind, name}: ObjectName) => {
+    if (!after.has(kind, name)) return;
+    affected.set(objectId(kind, name), {kind, name});
+  };
+  const addReferrers = (kind: Kind, name: string) => {
+    for (const referrer of referrers.to(kind, name)) add(referrer);
+  };
+  for (const object of changed) {
+    add(object);
+    addReferrers(object.kind, object.name);
+    for (const set of [before, after]) addRelated(set, object, addReferrers);
+    const key = object.kind === 'key' && after.get('key', object.name);
+    if (!key) continue;
+    for (const name of after.keysOfDigest(key.digest)) add({kind: 'key', name});
+  }
+  if (changed.some(({kind}) => kind === 'target')) {
+    for (const kind of SIZED_KINDS) {
+      for (const name of after.all(kind).keys()) add({kind, name});
     }
   }
+  return [...affected.values()];
 }
 
-function checkTeams(declared: Declarations, faults: Fault[]): void {
-  const rated = new Set<string>();
-  for (const [name, rate] of declared.all('rate')) {
-    if (rated.has(rate.team)) {
-      const message = `team "${rate.team}" has more than one rate`;
-      faults.push({object: objectId('rate', name), field: 'team', message});
-    }
-    rated.add(rate.team);
-  }
-  const owners = new Map<string, string>();
-  for (const [name, key] of declared.all('key')) {
-    const owner = owners.get(key.digest);
-    if (owner !== undefined) {
-      const message = `same digest as key "${owner}"`;
-      faults.push({object: objectId('key', name), field: 'digest', message});
-    }
-    owners.set(key.digest, name);
+/** Adds objects that depend on an object without referring to it. */
+function addRelated(
+  declared: Declarations,
+  {kind, name}: ObjectName,
+  addReferrers: (kind: Kind, name: string) => void,
+): void {
+  if (kind === 'version') {
+    const version = declared.get('version', name);
+    if (version !== undefined) addReferrers('model', version.model);
   }
-  for (const [name, version] of declared.all('version')) {
-    const model = declared.get('model', version.model);
-    if (model === undefined) continue;
-    const served = declared.get('version', model.version);
-    if (served !== undefined && served.model !== version.model) {
-      const message = `version "${model.version}" belongs to another model`;
-      const object = objectId('model', version.model);
-      faults.push({object, field: 'version', message});
-    }
-    void name;
+  if (kind === 'rate') {
+    const rate = declared.get('rate', name);
+    if (rate !== undefined) addReferrers('team', rate.team);
   }
 }
--- a/packages/core/src/lib/config/config_state.ts
+++ b/packages/core/src/lib/config/config_state.ts
@@ -1,42 +1,59 @@
 /** The configuration aggregate: one deterministic rule for all hosts. @packageDocumentation */
 
-import {checkDeclarations} from './check.js';
-import {Declarations} from './declared.js';
-import {RawObject, objectId} from './declarations.js';
-import {formatFault} from './fault.js';
-import {Publication, Verdict} from './publication.js';
-
-interface VersionedObject {
-  object: RawObject;
-  changedIn: number;
-}
+import {z} from 'zod';
+import {SnapshotState} from '../platform/stream_snapshot.js';
+import {affectedBy, checkObject, parseObject} from './check.js';
+import {ConfigHistory, HistoryEntry, historySchema} from './config_history.js';
+import {KINDS, Kind, RawObject, objectId} from './declarations.js';
+import {CheckedChange, Declarations} from './declared.js';
+import {Fault, formatFault} from './fault.js';
+import {Change, Publication, Verdict} from './publication.js';
+import {ReferenceIndex} from './reference_index.js';
+
+const versionedSchema = z.object({
+  kind: z.enum(KINDS as [Kind, ...Kind[]]),
+  name: z.string(),
+  /** Null if the object was removed. */
+  fields: z.record(z.string(), z.string()).nullable(),
+  changedIn: z.number().int(),
+  author: z.string().optional(),
+});
+
+/** An object as it was last changed; removed ones are remembered too. */
+type VersionedObject = z.output<typeof versionedSchema>;
 
-/** An entry of the history of versions. */
-export interface HistoryEntry {
-  version: number;
-  message: string;
-  changes: Publication['changes'];
-  /** What each changed object was before; null if it did not exist. */
-  previous: Publication['changes'];
-  /** Milliseconds since the Unix epoch at which the log took the record. */
-  atMs: number;
+const capturedSchema = z.object({
+  version: z.number().int().min(0),
+  objects: z.array(versionedSchema),
+  history: historySchema,
+});
+
+/** Where a publication stands in the log. */
+export interface PublicationPlace {
+  /** Id of the record. */
+  id?: string;
+  offset?: number;
+  /** False while hosts may still put a newer configuration back. */
+  settled?: boolean;
 }
 
 /**
  * The configuration at one version.
  *
  * Every host that applies the same records in the same order holds the same
- * state and gives the same verdicts.
+ * state and gives the same verdicts. Versions grow and are never used twice,
+ * also when the log has lost its records: a version is at least the offset of
+ * its record plus one.
  */
-export class ConfigState {
+export class ConfigState extends SnapshotState {
   private current = 0;
   private objects = new Map<string, VersionedObject>();
-  private removedIn = new Map<string, number>();
   private checked = new Declarations();
-  private readonly entries: HistoryEntry[] = [];
+  private referrers = new ReferenceIndex();
+  private readonly past = new ConfigHistory();
 
   /** The version in force; 0 before the first publication. */
-  get version(): number {
+  override get version(): number {
     return this.current;
   }
 
@@ -45,16 +62,23 @@
     return this.checked;
   }
 
-  /** Accepted versions, oldest first. */
+  /** The latest accepted versions, oldest first. */
   get history(): readonly HistoryEntry[] {
-    return this.entries;
+    return this.past.entries;
   }
 
   /** @returns every object as written, sorted by identity. */
   rawObjects(): RawObject[] {
-    return [...this.objects.entries()]
-      .sort(([a], [b]) => (a < b ? -1 : 1))
-      .map(([, versioned]) => versioned.object);
+    const raw: Array<[string, RawObject]> = [];
+    for (const [id, {kind, name, fields}] of this.objects) {
+      if (fields !== null) raw.push([id, {kind, name, fields}]);
+    }
+    return raw.sort(([a], [b]) => (a < b ? -1 : 1)).map(([, object]) => object);
+  }
+
+  /** @returns the verdict on the publication of a record, if still known. */
+  verdictOf(id: string): Verdict | undefined {
+    return this.past.verdictOf(id);
   }
 
   /**
@@ -65,16 +89,75 @@
    *
    * @param publication - the delta.
    * @param atMs - when the log took the record, in epoch milliseconds.
+   * @param place - see {@link PublicationPlace}.
    * @returns the verdict; a rejection changes nothing.
    */
-  apply(publication: Publication, atMs: number): Verdict {
-    const reasons = this.conflicts(publication);
-    if (reasons.length > 0) return this.reject(reasons);
-    const next = this.objectsAfter(publication);
-    const raw = [...next.values()].map(versioned => versioned.object);
-    const {declared, faults} = checkDeclarations(raw);
+  apply(
+    publication: Publication,
+    atMs: number,
+    place: PublicationPlace = {},
+  ): Verdict {
+    const {id, offset = this.current, settled = true} = place;
+    const verdict = settled
+      ? this.decide(publication, atMs, offset)
+      : this.reject([
+          'the log has lost its records and hosts are putting the ' +
+            'configuration back; publish again in some seconds',
+        ]);
+    if (id !== undefined) this.past.addVerdict(id, verdict);
+    return verdict;
+  }
+
+  override capture(): unknown {
+    return {
+      version: this.current,
+      objects: [...this.objects.values()],
+      history: this.past.capture(),
+    } satisfies z.output<typeof capturedSchema>;
+  }
+
+  override restore(state: unknown): boolean {
+    const captured = capturedSchema.safeParse(state);
+    if (!captured.success) return false;
+    const {version, objects, history} = captured.data;
+    const declared = new Declarations();
+    const referrers = new ReferenceIndex();
+    for (const {kind, name, fields} of objects) {
+      if (fields === null) continue;
+      const parsed = parseObject({kind, name, fields});
+      if (parsed.isErr()) return false;
+      declared.add(kind, name, parsed.value);
+      referrers.add(kind, name, parsed.value);
+    }
+    this.current = version;
+    this.objects = new Map(
+      objects.map(object => [objectId(object.kind, object.name), object]),
+    );
+    this.checked = declared;
+    this.referrers = referrers;
+    this.past.restore(history);
+    return true;
+  }
+
+  private decide(
+    publication: Publication,
+    atMs: number,
+    offset: number,
+  ): Verdict {
+    const conflicts = this.conflicts(publication);
+    if (conflicts.length > 0) return this.reject(conflicts);
+    const {changes, faults} = parseChanges(publication.changes);
     if (faults.length > 0) return this.reject(faults.map(formatFault));
-    this.accept(publication, next, declared, atMs);
+    const next = this.checked.with(changes);
+    const affected = affectedBy(this.checked, next, this.referrers, changes);
+    for (const {kind, name} of affected) {
+      faults.push(...checkObject(next, kind, name));
+    }
+    if (faults.length > 0) return this.reject(faults.map(formatFault).sort());
+    this.accept(publication, changes, next, {
+      version: Math.max(this.current, offset) + 1,
+      atMs,
+    });
     return {accepted: true, version: this.current};
   }
 
@@ -89,45 +172,59 @@
     const reasons: string[] = [];
     for (const {kind, name} of changes) {
       const id = objectId(kind, name);
-      const changedIn =
-        this.objects.get(id)?.changedIn ?? this.removedIn.get(id) ?? 0;
-      if (changedIn <= base) continue;
-      reasons.push(`${id} was changed in version ${changedIn}, after ${base}`);
+      const known = this.objects.get(id);
+      if (known === undefined || known.changedIn <= base) continue;
+      const {changedIn, author = 'an unnamed author', fields} = known;
+      const done = fields === null ? 'removed' : 'changed';
+      reasons.push(
+        `${id} was ${done} in version ${changedIn} by ${author}, ` +
+          `after base ${base}`,
+      );
     }
     return reasons;
   }
 
-  private objectsAfter({changes}: Publication): Map<string, VersionedObject> {
-    const next = new Map(this.objects);
-    const changedIn = this.current + 1;
-    for (const {kind, name, fields} of changes) {
-      const id = objectId(kind, name);
-      if (fields === null) next.delete(id);
-      else next.set(id, {object: {kind, name, fields}, changedIn});
-    }
-    return next;
-  }
-
   private accept(
-    publication: Publication,
-    next: Map<string, VersionedObject>,
-    declared: Declarations,
-    atMs: number,
+    {changes, message, author}: Publication,
+    checkedChanges: readonly CheckedChange[],
+    next: Declarations,
+    {version, atMs}: {version: number; atMs: number},
   ): void {
-    const {changes, message} = publication;
     const previous = changes.map(({kind, name}) => {
       const before = this.objects.get(objectId(kind, name));
-      return {kind, name, fields: before?.object.fields ?? null};
+      return {kind, name, fields: before?.fields ?? null};
     });
-    this.current += 1;
-    this.objects = next;
-    this.checked = declared;
+    for (const {kind, name, fields} of checkedChanges) {
+      const before = this.checked.get(kind, name);
+      if (before !== undefined) this.referrers.remove(kind, name, before);
+      if (fields !== undefined) this.referrers.add(kind, name, fields);
+    }
     for (const {kind, name, fields} of changes) {
-      const id = objectId(kind, name);
-      if (fields === null) this.removedIn.set(id, this.current);
-      else this.removedIn.delete(id);
+      const object = {kind, name, fields, changedIn: version, author};
+      this.objects.set(objectId(kind, name), object);
     }
-    const version = this.current;
-    this.entries.push({version, message, changes, previous, atMs});
+    const replaced = this.current;
+    this.current = version;
+    this.checked = next;
+    const entry = {version, replaced, message, author, atMs};
+    this.past.add({...entry, changes, previous});
+  }
+}
+
+function parseChanges(changes: readonly Change[]): {
+  changes: CheckedChange[];
+  faults: Fault[];
+} {
+  // Of several changes of one object the last one counts.
+  const byId = new Map<string, CheckedChange>();
+  const faults: Fault[] = [];
+  for (const {kind, name, fields} of changes) {
+    const change: CheckedChange = {kind, name, fields: undefined};
+    byId.set(objectId(kind, name), change);
+    if (fields === null) continue;
+    const parsed = parseObject({kind, name, fields});
+    if (parsed.isOk()) change.fields = parsed.value;
+    else faults.push(...parsed.error);
   }
+  return {changes: [...byId.values()], faults};
 }
--- a/packages/core/src/lib/config/config_store.ts
+++ b/packages/core/src/lib/config/config_store.ts
@@ -1,7 +1,8 @@
 /** A host's copy of the configuration, kept current from the log. @packageDocumentation */
 
-import {Result} from 'neverthrow';
+import {Result, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
 import {Logger} from '../telemetry/logger.js';
 import {Metrics} from '../telemetry/metrics.js';
 import {PlatformLog, StoredRecord} from '../platform/platform_log.js';
@@ -16,7 +17,12 @@
 
 /** How long a publication may take to be seen, in milliseconds. */
 const PUBLISH_BOUND_MS = 15_000;
-const MAX_REMEMBERED_VERDICTS = 10_000;
+
+/** Short, since an unanswered read is what tells that the log is silent. */
+const POLL_WAIT_MS = 2_000;
+
+/** How long the log keeps records unless the settings say so. */
+export const DEFAULT_RETENTION_MS = 24 * 3_600_000;
 
 /** What a {@link ConfigStore} works with. */
 export interface ConfigStoreOptions {
@@ -25,22 +31,38 @@
   logger: Logger;
   metrics: Metrics;
   ids: RecordIds;
+  /** Spreads snapshots over hosts. */
+  random?: Random;
+  /** How long the log keeps records, in milliseconds. */
+  retentionMs?: number;
 }
 
 /** The configuration in force on this host. */
 export class ConfigStore {
   /** The aggregate; it changes in place as versions are accepted. */
   readonly state = new ConfigState();
-  private readonly tail: StreamTail;
-  private readonly verdicts = new Map<string, Verdict>();
+  /** Follows the log; peers may hand it records and snapshots too. */
+  readonly tail: StreamTail;
   private readonly listeners: Array<() => void> = [];
+  private notifiedVersion = 0;
+  private confirmedByPeersMs = -Infinity;
+  private markReady = () => {};
+  private readonly readyPromise = new Promise<void>(resolve => {
+    this.markReady = resolve;
+  });
 
   constructor(private readonly options: ConfigStoreOptions) {
+    const {random = new Random(1), retentionMs = DEFAULT_RETENTION_MS} =
+      options;
     this.tail = new StreamTail({
       ...options,
       stream: CONFIG_STREAM,
-      onRecord: record => this.take(record),
+      onRecord: (record, settled) => this.take(record, settled),
+      onApplied: () => this.notifyChanged(),
+      snapshots: {state: this.state, random, retentionMs},
+      pollWaitMs: POLL_WAIT_MS,
     });
+    void this.tail.caughtUp().then(() => this.markReady());
   }
 
   /**
@@ -52,15 +74,38 @@
     return this.tail.run(signal);
   }
 
-  /** @returns a promise that resolves once the newest version is held. */
+  /**
+   * @returns a promise that resolves once the newest version is held that the
+   *     log, or failing that the peers, can give.
+   */
   ready(): Promise<void> {
-    return this.tail.caughtUp();
+    return this.readyPromise;
+  }
+
+  /** Says that, the log being out of reach, the peers' newest is held. */
+  readyFromPeers(): void {
+    this.markReady();
   }
 
-  /** @returns milliseconds since the log last confirmed this version. */
+  /**
+   * @returns milliseconds since the log is known to have held nothing newer,
+   *     be it by this host's own read or by that of a peer.
+   */
   ageMs(): number {
-    const last = this.tail.lastCaughtUp;
-    return last === undefined ? Infinity : this.options.clock.now() - last;
+    const own = this.tail.lastCaughtUp ?? -Infinity;
+    return this.options.clock.now() - Math.max(own, this.confirmedByPeersMs);
+  }
+
+  /**
+   * Takes a peer's word that the log held nothing newer.
+   *
+   * @param position - offset up to which the peer has read.
+   * @param atMs - clock time at which the log had no more, in milliseconds.
+   */
+  confirm(position: number, atMs: number): void {
+    const {reader} = this.tail;
+    if (!reader.hasBase || position > reader.position) return;
+    this.confirmedByPeersMs = Math.max(this.confirmedByPeersMs, atMs);
   }
 
   /** @param listener - called after each accepted version. */
@@ -73,18 +118,24 @@
    *
    * @param publication - the delta and its base.
    * @param signal - gives up waiting.
+   * @param id - id chosen by the publisher; publishing again under the same
+   *     id gives the same verdict and changes nothing.
    * @returns the verdict at the record's offset, or that it is unknown.
    */
   async publish(
     publication: Publication,
     signal: AbortSignal,
+    id = this.options.ids.take(),
   ): Promise<Result<Verdict, AppendUnknown>> {
+    const known = this.verdictOf(id);
+    if (known !== undefined) return ok(known);
     const seen = await this.tail.appendAndSee(
       publication,
       PUBLISH_BOUND_MS,
       signal,
+      id,
     );
-    return seen.map(record => this.verdictOf(record.id)!);
+    return seen.map(() => this.verdictOf(id)!);
   }
 
   /**
@@ -92,29 +143,27 @@
    * @returns its verdict, if this host has read the record lately.
    */
   verdictOf(id: string): Verdict | undefined {
-    return this.verdicts.get(id);
+    return this.state.verdictOf(id);
   }
 
-  private take(record: StoredRecord): void {
-    const parsed = publicationSchema.safeParse(record.body);
-    if (!parsed.success) {
-      const {offset} = record;
-      this.options.logger.warn('config_record_malformed', {offset});
-      return;
-    }
-    const verdict = this.state.apply(parsed.data, record.atMs);
-    this.rememberVerdict(record.id, verdict);
-    const {accepted, version} = verdict;
-    this.options.logger.info('publication_decided', {accepted, version});
-    if (!accepted) return;
+  /** Tells the listeners if the version has changed since the last call. */
+  notifyChanged(): void {
+    const {version} = this.state;
+    if (version === this.notifiedVersion) return;
+    this.notifiedVersion = version;
     this.options.metrics.configVersion.set(version);
     for (const listener of this.listeners) listener();
   }
 
-  private rememberVerdict(id: string, verdict: Verdict): void {
-    this.verdicts.set(id, verdict);
-    if (this.verdicts.size <= MAX_REMEMBERED_VERDICTS) return;
-    const oldest = this.verdicts.keys().next().value;
-    if (oldest !== undefined) this.verdicts.delete(oldest);
+  private take({id, offset, atMs, body}: StoredRecord, settled: boolean): void {
+    const {logger} = this.options;
+    const parsed = publicationSchema.safeParse(body);
+    if (!parsed.success) {
+      logger.warn('config_record_malformed', {offset});
+      return;
+    }
+    const place = {id, offset, settled};
+    const {accepted, version} = this.state.apply(parsed.data, atMs, place);
+    logger.info('publication_decided', {accepted, version});
   }
 }
--- /dev/null
+++ b/packages/core/src/lib/config/config_sync.ts
@@ -0,0 +1,308 @@
+/** Spreads the configuration over peer links, next to the log. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerIdentity, PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {StoredRecord} from '../platform/platform_log.js';
+import {
+  StreamSnapshot,
+  streamSnapshotSchema,
+} from '../platform/stream_snapshot.js';
+import {Clock} from '../time/clock.js';
+import {Logger} from '../telemetry/logger.js';
+import {Random} from '../time/random.js';
+import {ConfigStore} from './config_store.js';
+
+/** Time between exchanges of positions, in milliseconds. */
+const EXCHANGE_INTERVAL_MS = 1_000;
+
+/** A host asks peers when its configuration is older, in milliseconds. */
+const STALE_AGE_MS = 3_000;
+
+/** How long the log may take to bring what a peer has, in milliseconds. */
+const LOG_GRACE_MS = 150;
+
+/** How many hosts of a zone talk to other zones. */
+const SPEAKERS_PER_ZONE = 2;
+
+const CALL_TIMEOUT_MS = 2_000;
+const PULL_TIMEOUT_MS = 20_000;
+const SNAPSHOT_PART_CHARS = 256 * 1024;
+
+const positionSchema = z.object({
+  /** Offset up to which the stream was read; -1 without a base. */
+  position: z.number().int(),
+  version: z.number().int(),
+  /** Milliseconds since the log held nothing newer; null if unknown. */
+  ageMs: z.number().nullable(),
+});
+
+/** What a host has read of the `config` stream. */
+export type ConfigPosition = z.output<typeof positionSchema>;
+
+/** Tells a peer of the zone one's position. */
+const POSITION: PeerMethod<ConfigPosition, never> = {
+  name: 'config.position',
+  body: positionSchema,
+  event: z.never(),
+};
+
+/** Exchanges positions. */
+export const EXCHANGE: PeerMethod<ConfigPosition, ConfigPosition> = {
+  name: 'config.exchange',
+  body: positionSchema,
+  event: positionSchema,
+};
+
+const pullEventSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('records'),
+    next: z.number().int(),
+    records: z.array(
+      z.object({
+        offset: z.number().int(),
+        id: z.string(),
+        atMs: z.number(),
+        body: z.unknown(),
+      }),
+    ),
+  }),
+  /** A part of a snapshot as JSON; the last part is marked. */
+  z.object({type: z.literal('part'), text: z.string(), last: z.boolean()}),
+]);
+
+type PullEvent = z.output<typeof pullEventSchema>;
+
+/** Fetches what a host lacks, as records or as a snapshot in parts. */
+const PULL: PeerMethod<{position: number}, PullEvent> = {
+  name: 'config.pull',
+  body: z.object({position: z.number().int()}),
+  event: pullEventSchema,
+};
+
+/** What a {@link ConfigSync} works with. */
+export interface ConfigSyncOptions {
+  store: ConfigStore;
+  network: PeerNetwork;
+  clock: Clock;
+  logger: Logger;
+  random: Random;
+  /** @returns known hosts of other zones. */
+  remoteHosts: () => ReadonlyArray<{host: string; zone: string}>;
+  /** Addresses of hosts to start from while the log is out of reach. */
+  seeds?: readonly string[];
+}
+
+/**
+ * Brings versions from peers that the log does not bring.
+ *
+ * Each host tells its zone when it has read on. In each zone two hosts also
+ * tell one host of every other zone, and compare with a random one each
+ * second. Who is behind waits a little for the log and then pulls. A host
+ * whose configuration grows old asks peers how old theirs is.
+ */
+export class ConfigSync {
+  private pulling = false;
+  private told = -1;
+
+  constructor(private readonly options: ConfigSyncOptions) {
+    const {network} = options;
+    network.onNote(POSITION, (position, from) =>
+      this.learn(from.host, position),
+    );
+    network.serveUnary(EXCHANGE, (position, {from}) => {
+      this.learn(from.host, position);
+      return this.position();
+    });
+    network.serve(PULL, ({position}) => this.answerPull(position));
+  }
+
+  /** @returns what this host has read. */
+  position(): ConfigPosition {
+    const {store} = this.options;
+    const {reader} = store.tail;
+    const ageMs = store.ageMs();
+    return {
+      position: reader.hasBase ? reader.position : -1,
+      version: store.state.version,
+      ageMs: Number.isFinite(ageMs) ? ageMs : null,
+    };
+  }
+
+  /**
+   * Exchanges positions until the signal aborts.
+   *
+   * @param signal - ends the work.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {store, clock} = this.options;
+    store.onChange(() => this.tell(signal));
+    await clock.every(EXCHANGE_INTERVAL_MS, signal, () => {
+      this.tell(signal);
+      const peers = this.peersToAsk();
+      for (const host of peers) void this.exchange(host, signal);
+    });
+  }
+
+  /**
+   * Starts from the seeds if the log is out of reach; returns once the host
+   * has a configuration.
+   *
+   * @param signal - gives up.
+   */
+  async startFromSeeds(signal: AbortSignal): Promise<void> {
+    const {store, clock, seeds = []} = this.options;
+    await clock.sleep(STALE_AGE_MS, signal);
+    while (!signal.aborted && store.tail.lastCaughtUp === undefined) {
+      for (const seed of seeds) await this.pull(seed, signal);
+      if (store.state.version > 0) return store.readyFromPeers();
+      await clock.sleep(EXCHANGE_INTERVAL_MS, signal);
+    }
+  }
+
+  /** Tells others, if this host has read on since it last told them. */
+  private tell(signal: AbortSignal): void {
+    const position = this.position();
+    if (position.position === this.told) return;
+    this.told = position.position;
+    const {network} = this.options;
+    for (const {host} of this.zonePeers()) {
+      network.notify(host, POSITION, position);
+    }
+    if (!this.isSpeaker()) return;
+    for (const host of this.oneHostOfEachZone()) {
+      void this.exchange(host, signal);
+    }
+  }
+
+  private peersToAsk(): string[] {
+    const {random, store} = this.options;
+    const asked: string[] = [];
+    const near = this.zonePeers();
+    const isStale = store.ageMs() > STALE_AGE_MS;
+    if (isStale && near.length > 0) asked.push(random.pick(near).host);
+    const far = this.options.remoteHosts();
+    if (this.isSpeaker() && far.length > 0) asked.push(random.pick(far).host);
+    return asked;
+  }
+
+  private async exchange(host: string, signal: AbortSignal): Promise<void> {
+    const {network, clock, store} = this.options;
+    const sentMs = clock.now();
+    const options = {timeoutMs: CALL_TIMEOUT_MS, signal};
+    const answer = await network.call(host, EXCHANGE, this.position(), options);
+    if (answer.isErr()) return;
+    const {position, ageMs} = answer.value;
+    this.learn(host, answer.value);
+    if (ageMs !== null) store.confirm(position, sentMs - ageMs);
+  }
+
+  private learn(host: string, {position}: ConfigPosition): void {
+    if (this.lacks(position)) void this.pullUnlessLogBrings(host, position);
+  }
+
+  private lacks(position: number): boolean {
+    const {reader} = this.options.store.tail;
+    if (reader.hasBase) return position > reader.position;
+    return position >= reader.position;
+  }
+
+  private async pullUnlessLogBrings(
+    host: string,
+    position: number,
+  ): Promise<void> {
+    if (this.pulling) return;
+    this.pulling = true;
+    const {signal} = new AbortController();
+    await this.options.clock.sleep(LOG_GRACE_MS, signal);
+    if (this.lacks(position)) await this.pull(host, signal);
+    this.pulling = false;
+  }
+
+  private async pull(host: string, signal: AbortSignal): Promise<void> {
+    const {network, store, logger} = this.options;
+    const from = store.tail.position;
+    const timeout = AbortSignal.timeout(PULL_TIMEOUT_MS);
+    const either = AbortSignal.any([signal, timeout]);
+    const parts: string[] = [];
+    for await (const event of network.open(
+      host,
+      PULL,
+      {position: store.tail.reader.hasBase ? from : -1},
+      either,
+    )) {
+      if (event.isErr()) return;
+      if (event.value.type === 'records') {
+        const {records, next} = event.value;
+        const stored = records as StoredRecord[];
+        store.tail.take({records: stored, next, first: 0});
+      } else {
+        parts.push(event.value.text);
+        if (event.value.last) this.adopt(parts.join(''));
+      }
+    }
+    const {position} = store.tail;
+    logger.info('config_pulled', {from: host, position});
+  }
+
+  private adopt(json: string): void {
+    const {store, logger} = this.options;
+    const snapshot = streamSnapshotSchema.safeParse(parseJson(json));
+    if (!snapshot.success) {
+      logger.warn('config_snapshot_malformed', {});
+      return;
+    }
+    if (store.tail.reader.adopt(snapshot.data)) store.notifyChanged();
+  }
+
+  private async *answerPull(position: number): AsyncGenerator<PullEvent> {
+    const {reader} = this.options.store.tail;
+    if (!reader.hasBase || position >= reader.position) return;
+    const records = reader.recordsFrom(position);
+    if (records !== undefined) {
+      yield {type: 'records', records, next: reader.position};
+      return;
+    }
+    yield* partsOf(reader.snapshot(false, 0));
+  }
+
+  private zonePeers(): PeerIdentity[] {
+    const {network} = this.options;
+    const {zone, host} = network.self;
+    return network
+      .connected()
+      .filter(peer => peer.zone === zone && peer.host !== host);
+  }
+
+  /** Whether this is one of the zone's first hosts by name. */
+  private isSpeaker(): boolean {
+    const {host} = this.options.network.self;
+    const before = this.zonePeers().filter(peer => peer.host < host);
+    return before.length < SPEAKERS_PER_ZONE;
+  }
+
+  private oneHostOfEachZone(): string[] {
+    const {random, remoteHosts} = this.options;
+    const byZone = new Map<string, string[]>();
+    for (const {host, zone} of remoteHosts()) {
+      byZone.set(zone, [...(byZone.get(zone) ?? []), host]);
+    }
+    return [...byZone.values()].map(hosts => random.pick(hosts));
+  }
+}
+
+function* partsOf(snapshot: StreamSnapshot): Generator<PullEvent> {
+  const json = JSON.stringify(snapshot);
+  for (let start = 0; start < json.length; start += SNAPSHOT_PART_CHARS) {
+    const end = start + SNAPSHOT_PART_CHARS;
+    const text = json.slice(start, end);
+    yield {type: 'part', text, last: end >= json.length};
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/config/engine_capacity.ts
@@ -0,0 +1,30 @@
+/** What the declared engines can hold. @packageDocumentation */
+
+import {TargetFields} from './declarations.js';
+
+/** Memory of all engines. */
+export interface EngineCapacity {
+  /** Memory of each engine in bytes. */
+  memories: readonly number[];
+  /** Memory of the largest engine in bytes; 0 if there is none. */
+  largest: number;
+}
+
+/** @returns the memory of the engines among the targets. */
+export function engineCapacityOf(
+  targets: Iterable<TargetFields>,
+): EngineCapacity {
+  const memories: number[] = [];
+  for (const {kind, memory} of targets) {
+    if (kind === 'engine') memories.push(memory);
+  }
+  return {memories, largest: Math.max(0, ...memories)};
+}
+
+/** @returns how many replicas of a size in bytes fit into the engines. */
+export function fitsIntoEngines(
+  {memories}: EngineCapacity,
+  bytes: number,
+): number {
+  return memories.reduce((sum, memory) => sum + Math.floor(memory / bytes), 0);
+}
--- /dev/null
+++ b/packages/core/src/lib/config/host_versions.ts
@@ -0,0 +1,101 @@
+/** Which version each live host has in force. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {ConfigSync, EXCHANGE} from './config_sync.js';
+
+const CALL_TIMEOUT_MS = 1_500;
+const ZONE_CALL_TIMEOUT_MS = 2_500;
+
+/** Hosts of another zone that are asked in turn. */
+const MAX_SPOKESMEN = 3;
+
+const hostVersionSchema = z.object({
+  host: z.string(),
+  zone: z.string(),
+  /** Null if the host gave no answer. */
+  version: z.number().int().nullable(),
+});
+
+/** The version that a host has in force. */
+export type HostVersion = z.output<typeof hostVersionSchema>;
+
+/** Asks a host for the versions of its whole zone. */
+const ZONE_VERSIONS: PeerMethod<Record<string, never>, HostVersion[]> = {
+  name: 'config.zone-versions',
+  body: z.record(z.string(), z.never()),
+  event: z.array(hostVersionSchema),
+};
+
+/** What a {@link HostVersions} works with. */
+export interface HostVersionsOptions {
+  network: PeerNetwork;
+  sync: ConfigSync;
+  /** @returns members of this zone. */
+  members: () => ReadonlyArray<{host: string; zone: string}>;
+  /** @returns known hosts of other zones. */
+  remoteHosts: () => ReadonlyArray<{host: string; zone: string}>;
+}
+
+/**
+ * Collects versions: each member of this zone is asked, and one host of each
+ * other zone for the members of its own.
+ */
+export class HostVersions {
+  constructor(private readonly options: HostVersionsOptions) {
+    options.network.serveUnary(ZONE_VERSIONS, (unusedBody, {signal}) =>
+      this.ofZone(signal),
+    );
+  }
+
+  /**
+   * @param signal - gives up.
+   * @returns every known host in the order of zones and names.
+   */
+  async ofAll(signal: AbortSignal): Promise<HostVersion[]> {
+    const zones = new Map<string, string[]>();
+    for (const {host, zone} of this.options.remoteHosts()) {
+      zones.set(zone, [...(zones.get(zone) ?? []), host]);
+    }
+    const asked = [...zones].map(([zone, hosts]) =>
+      this.ofRemoteZone(zone, hosts, signal),
+    );
+    const parts = await Promise.all([this.ofZone(signal), ...asked]);
+    return parts.flat().sort(byZoneAndName);
+  }
+
+  private async ofZone(signal: AbortSignal): Promise<HostVersion[]> {
+    const {network, sync, members} = this.options;
+    return Promise.all(
+      members().map(async ({host, zone}) => {
+        const own = sync.position();
+        if (host === network.self.host) {
+          return {host, zone, version: own.version};
+        }
+        const options = {timeoutMs: CALL_TIMEOUT_MS, signal};
+        const answer = await network.call(host, EXCHANGE, own, options);
+        const version = answer.isOk() ? answer.value.version : null;
+        return {host, zone, version};
+      }),
+    );
+  }
+
+  private async ofRemoteZone(
+    zone: string,
+    hosts: readonly string[],
+    signal: AbortSignal,
+  ): Promise<HostVersion[]> {
+    const {network} = this.options;
+    const options = {timeoutMs: ZONE_CALL_TIMEOUT_MS, signal};
+    for (const host of hosts.slice(0, MAX_SPOKESMEN)) {
+      const answer = await network.call(host, ZONE_VERSIONS, {}, options);
+      if (answer.isOk()) return answer.value;
+    }
+    return hosts.map(host => ({host, zone, version: null}));
+  }
+}
+
+function byZoneAndName(a: HostVersion, b: HostVersion): number {
+  if (a.zone !== b.zone) return a.zone < b.zone ? -1 : 1;
+  return a.host < b.host ? -1 : 1;
+}
--- a/packages/core/src/lib/config/publication.ts
+++ b/packages/core/src/lib/config/publication.ts
@@ -6,14 +6,17 @@
 /** The stream that holds the configuration. */
 export const CONFIG_STREAM = 'config';
 
-const changeSchema = z.object({
+const MAX_AUTHOR_LENGTH = 128;
+
+/** The change of one object. */
+export const changeSchema = z.object({
   kind: z.enum(KINDS as [Kind, ...Kind[]]),
   name: z.string(),
   /** The object's new fields, or null to remove it. */
   fields: z.record(z.string(), z.string()).nullable(),
 });
 
-/** The change of one object. */
+/** See {@link changeSchema}. */
 export type Change = z.output<typeof changeSchema>;
 
 /** A publication: a delta against a base version. */
@@ -22,12 +25,25 @@
   base: z.number().int().min(0),
   changes: z.array(changeSchema),
   message: z.string().default(''),
+  /** Who publishes, as the tool was told; not authenticated. */
+  author: z.string().max(MAX_AUTHOR_LENGTH).optional(),
 });
 
 /** See {@link publicationSchema}. */
 export type Publication = z.output<typeof publicationSchema>;
 
+/** An id that a publisher may choose, to ask for the verdict later. */
+export const publicationIdSchema = z.string().regex(/^[\w.-]{1,100}$/);
+
 /** What became of a publication. */
-export type Verdict =
-  | {accepted: true; version: number}
-  | {accepted: false; version: number; reasons: string[]};
+export const verdictSchema = z.discriminatedUnion('accepted', [
+  z.object({accepted: z.literal(true), version: z.number().int()}),
+  z.object({
+    accepted: z.literal(false),
+    version: z.number().int(),
+    reasons: z.array(z.string()),
+  }),
+]);
+
+/** See {@link verdictSchema}. */
+export type Verdict = z.output<typeof verdictSchema>;
--- /dev/null
+++ b/packages/core/src/lib/config/reference_index.ts
@@ -0,0 +1,85 @@
+/** Which objects refer to an object. @packageDocumentation */
+
+import {Fields, Kind, REFERENCES, RawObject, objectId} from './declarations.js';
+
+/** A reference from one object to another. */
+export interface Reference {
+  field: string;
+  kind: Kind;
+  name: string;
+}
+
+/** An object's kind and name. */
+export interface ObjectName {
+  kind: Kind;
+  name: string;
+}
+
+const REFERENCES_BY_KIND = new Map<Kind, typeof REFERENCES>();
+for (const {from} of REFERENCES) {
+  const own = REFERENCES.filter(reference => reference.from === from);
+  REFERENCES_BY_KIND.set(from, own);
+}
+
+/**
+ * @param kind - kind of an object.
+ * @param fields - its checked fields.
+ * @returns what it refers to.
+ */
+export function referencesOf(kind: Kind, fields: Fields<Kind>): Reference[] {
+  const references: Reference[] = [];
+  const values = fields as unknown as Record<string, unknown>;
+  for (const {field, to} of REFERENCES_BY_KIND.get(kind) ?? []) {
+    const value = values[field];
+    if (value === undefined) continue;
+    const names = Array.isArray(value) ? value : [value];
+    for (const name of names) references.push({field, kind: to, name});
+  }
+  return references;
+}
+
+/**
+ * Reads references from an object whose fields may be faulty.
+ *
+ * @param object - the object as written.
+ * @returns what it refers to.
+ */
+export function rawReferencesOf({kind, fields}: RawObject): Reference[] {
+  const references: Reference[] = [];
+  for (const {field, to} of REFERENCES_BY_KIND.get(kind) ?? []) {
+    for (const name of fields[field]?.split(',') ?? []) {
+      references.push({field, kind: to, name: name.trim()});
+    }
+  }
+  return references;
+}
+
+/** The references among the objects of a configuration, backwards. */
+export class ReferenceIndex {
+  private readonly referrers = new Map<string, Map<string, ObjectName>>();
+
+  /** Adds the references of an object. */
+  add(kind: Kind, name: string, fields: Fields<Kind>): void {
+    const from = {kind, name};
+    for (const to of referencesOf(kind, fields)) {
+      const id = objectId(to.kind, to.name);
+      const known = this.referrers.get(id) ?? new Map<string, ObjectName>();
+      this.referrers.set(id, known.set(objectId(kind, name), from));
+    }
+  }
+
+  /** Removes the references of an object. */
+  remove(kind: Kind, name: string, fields: Fields<Kind>): void {
+    for (const to of referencesOf(kind, fields)) {
+      const id = objectId(to.kind, to.name);
+      const known = this.referrers.get(id);
+      known?.delete(objectId(kind, name));
+      if (known?.size === 0) this.referrers.delete(id);
+    }
+  }
+
+  /** @returns the objects that refer to an object. */
+  to(kind: Kind, name: string): Iterable<ObjectName> {
+    return this.referrers.get(objectId(kind, name))?.values() ?? [];
+  }
+}
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -213,7 +213,8 @@
     if (socket === undefined) return undefined;
     return new Promise(resolve => {
       const link = this.runLink(socket, peer => {
-        resolve(peer.host === host ? link : undefined);
+        const isWanted = peer.host === host || isAddress(host);
+        resolve(isWanted ? link : undefined);
       });
       void link.ended.then(() => resolve(undefined));
     });
@@ -311,3 +312,8 @@
   const message = `malformed answer of ${method.name}`;
   return err({type: PEER_ERROR.lost, message});
 }
+
+/** Hosts whose names are not known yet go by address and port. */
+function isAddress(host: string): boolean {
+  return host.includes(':');
+}
--- a/packages/core/src/lib/platform/snapshot_keeper.ts
+++ b/packages/core/src/lib/platform/snapshot_keeper.ts
@@ -62,6 +62,11 @@
     return true;
   }
 
+  /** Begins a new wait; call it while the log is out of reach. */
+  reset(): void {
+    this.dueMs = undefined;
+  }
+
   /** @returns whether hosts need time to put newer states back. */
   resettles(): boolean {
     if (!this.reader.hasBase) return true;
--- a/packages/core/src/lib/platform/stream_reader.ts
+++ b/packages/core/src/lib/platform/stream_reader.ts
@@ -123,7 +123,7 @@
       ids: this.ids.all(),
       resettles,
       settlesAtMs: this.settlesAtMs,
-      lastRecordAtMs: this.latestRecordAtMs ?? null,
+      lastRecordAtMs: this.based ? (this.latestRecordAtMs ?? null) : null,
       state: state.capture(),
     };
   }
@@ -204,9 +204,11 @@
     const own = {version: state!.version, state: state!.capture()};
     const ownIds = this.ids;
     if (!this.startFrom(snapshot)) return;
-    for (const record of this.heldBack) {
-      if (record.offset >= snapshot.through) this.apply(record);
-    }
+    const records = this.heldBack.filter(
+      record => record.offset >= snapshot.through,
+    );
+    if (this.followsLoss(snapshot, records[0])) this.settlesAtMs = Infinity;
+    for (const record of records) this.apply(record);
     if (state!.version >= own.version) {
       this.heldBack = [];
       // A state that was put back may stand for records that are about to
@@ -219,6 +221,18 @@
     this.based = false;
   }
 
+  /**
+   * Whether records were lost before a snapshot, so that other hosts may hold
+   * newer states and nothing may be accepted before they had time to tell.
+   */
+  private followsLoss(
+    {resettles, lastRecordAtMs}: StreamSnapshot,
+    next: StoredRecord,
+  ): boolean {
+    if (!resettles || lastRecordAtMs === null) return resettles;
+    return next.atMs - lastRecordAtMs > this.options.retentionMs;
+  }
+
   private startFrom(snapshot: StreamSnapshot): boolean {
     if (!this.options.state!.restore(snapshot.state)) return false;
     this.ids = new RecentIds(REMEMBERED_IDS, snapshot.ids);
--- a/packages/core/src/lib/platform/stream_snapshot.ts
+++ b/packages/core/src/lib/platform/stream_snapshot.ts
@@ -18,7 +18,10 @@
   resettles: z.boolean(),
   /** Log time until which hosts put states back, in epoch milliseconds. */
   settlesAtMs: z.number(),
-  /** Log time of the latest record that was read, in epoch milliseconds. */
+  /**
+   * Log time of the latest record covered, in epoch milliseconds; null if
+   * that is not known.
+   */
   lastRecordAtMs: z.number().nullable(),
   /** What {@link SnapshotState.capture} gave. */
   state: z.unknown(),
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -224,6 +224,7 @@
     const keeper = this.keeper!;
     await clock.every(SNAPSHOT_CHECK_INTERVAL_MS, signal, async () => {
       const isWhole = this.caughtUpAtMs !== undefined || !this.reader.hasBase;
+      if (!this.reachable) keeper.reset();
       if (!this.reachable || !isWhole || !keeper.isDue()) return;
       const body = this.reader.snapshot(keeper.resettles(), this.first);
       const {through, version} = body;
--- a/packages/core/src/lib/requests/attempt.ts
+++ b/packages/core/src/lib/requests/attempt.ts
@@ -12,6 +12,8 @@
   span: HopSpan;
   /** Aborts when the caller goes away. */
   signal: AbortSignal;
+  /** Called before the first byte of an attempt may leave the host. */
+  onStart?: () => void;
 }
 
 /** Where an interrupted stream goes on. */
--- a/packages/core/src/lib/requests/local_runner.ts
+++ b/packages/core/src/lib/requests/local_runner.ts
@@ -95,6 +95,7 @@
     {detach, resume}: LocalAttemptOptions,
   ): Attempt {
     const {tracing, engineOf, clock} = this.options;
+    context.onStart?.();
     const span = tracing.start(HOP.target, context.span.context, {target});
     const stream = new TargetStream({
       engine: engineOf(target),
--- a/packages/core/src/lib/requests/peer_runner.ts
+++ b/packages/core/src/lib/requests/peer_runner.ts
@@ -89,6 +89,7 @@
     resume: ResumePoint | undefined,
   ): AsyncGenerator<GenerationEvent, CallEnd> {
     const {tracing, network, clock} = this.options;
+    context.onStart?.();
     const span = tracing.start(HOP.peer, context.span.context, {host});
     const forward: Forward = {
       request: req,
--- a/packages/core/src/lib/requests/service_attempt.ts
+++ b/packages/core/src/lib/requests/service_attempt.ts
@@ -62,6 +62,7 @@
     context: RunContext,
   ): ServiceAttempt {
     const {tracing, clock} = this.options;
+    context.onStart?.();
     const span = tracing.start(HOP.target, context.span.context, {target});
     const deadline = deadlineSignal(clock, this.attemptDeadline(req, context));
     const signal = AbortSignal.any([context.signal, deadline.signal]);
--- a/packages/core/src/lib/requests/service_runner.ts
+++ b/packages/core/src/lib/requests/service_runner.ts
@@ -101,6 +101,7 @@
     avoid: ReadonlySet<string>,
   ): ServiceAttempt {
     const {tracing, network, clock} = this.options;
+    context.onStart?.();
     const span = tracing.start(HOP.peer, context.span.context, {host});
     const forward: ForwardService = {
       request: req,
--- /dev/null
+++ b/packages/core/src/test/config/config_store_test.ts
@@ -0,0 +1,234 @@
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {Result, err} from 'neverthrow';
+import {
+  ConfigStore,
+  LogError,
+  LogRecord,
+  ManualClock,
+  Metrics,
+  PlatformLog,
+  Random,
+  ReadOptions,
+  RecordIds,
+  SilentLogger,
+  Verdict,
+} from '../../index.js';
+import {MemoryLog} from '../platform/memory_log.js';
+
+const RETENTION_MS = 60_000;
+const HOSTS = 3;
+const MAX_REPEATED = 30;
+
+/** The log as one host sees it. */
+class FaultyLog extends PlatformLog {
+  cut = false;
+  loseAnswers = 0;
+
+  constructor(private readonly inner: MemoryLog) {
+    super();
+  }
+
+  override async append(
+    stream: string,
+    records: readonly LogRecord[],
+  ): Promise<Result<number[], LogError>> {
+    if (this.cut) return lost();
+    const answer = await this.inner.append(stream, records);
+    if (this.loseAnswers === 0) return answer;
+    this.loseAnswers -= 1;
+    return lost();
+  }
+
+  override async read(stream: string, from: number, options: ReadOptions) {
+    if (this.cut) return lost();
+    const page = await this.inner.read(stream, from, options);
+    return this.cut ? lost() : page;
+  }
+}
+
+function lost(): Result<never, LogError> {
+  return err({type: 'log-unavailable', message: 'lost'});
+}
+
+/** Several hosts on one log that forgets. */
+class World {
+  readonly clock = new ManualClock();
+  readonly log = new MemoryLog(this.clock, RETENTION_MS);
+  readonly logs = Array.from({length: HOSTS}, () => new FaultyLog(this.log));
+  readonly stores: ConfigStore[] = [];
+  readonly verdicts = new Map<string, Verdict>();
+  private readonly stops: AbortController[] = [];
+  private started = 0;
+  private published = 0;
+
+  constructor() {
+    for (let host = 0; host < HOSTS; host++) this.restart(host);
+  }
+
+  restart(host: number): void {
+    this.stops[host]?.abort();
+    this.stops[host] = new AbortController();
+    this.started += 1;
+    this.stores[host] = new ConfigStore({
+      log: this.logs[host],
+      clock: this.clock,
+      logger: new SilentLogger(),
+      metrics: new Metrics(),
+      ids: new RecordIds(`h${this.started}`),
+      random: new Random(this.started),
+      retentionMs: RETENTION_MS,
+    });
+    void this.stores[host].run(this.stops[host].signal);
+  }
+
+  isHeldElsewhere(host: number): boolean {
+    const {version} = this.stores[host].state;
+    return this.stores.some(
+      (other, index) => index !== host && other.state.version >= version,
+    );
+  }
+
+  publish(host: number, team: number): void {
+    const store = this.stores[host];
+    const id = `p${this.published++}`;
+    const fields = {weight: String(this.published)};
+    const body = {
+      type: 'publication' as const,
+      base: store.state.version,
+      changes: [{kind: 'team' as const, name: `t${team}`, fields}],
+      message: '',
+    };
+    void store.publish(body, this.stops[host].signal, id).then(verdict => {
+      if (verdict.isOk()) this.verdicts.set(id, verdict.value);
+    });
+  }
+
+  /** Appends a late record again, as a lost answer leads to. */
+  repeat(pick: number): void {
+    if (this.log.down) return;
+    const late = this.log.appended.slice(-MAX_REPEATED);
+    if (late.length === 0) return;
+    const {id, body} = late[pick % late.length];
+    this.log.add(id, body);
+  }
+
+  /** Publishes what one host does not see before the log forgets it. */
+  async loseRecords(unaware: number): Promise<void> {
+    this.logs[unaware].cut = true;
+    this.publish((unaware + 1) % HOSTS, 0);
+    await this.clock.advance(1_000);
+    this.log.down = true;
+    await this.clock.advance(RETENTION_MS + 1_000);
+    this.logs[unaware].cut = false;
+    this.log.down = false;
+  }
+
+  adopt(from: number, to: number): void {
+    const source = this.stores[from].tail.reader;
+    const {tail} = this.stores[to];
+    if (!source.hasBase) return;
+    const records = source.recordsFrom(tail.position);
+    if (records !== undefined && tail.reader.hasBase) {
+      tail.take({records, next: source.position, first: 0});
+    } else {
+      tail.reader.adopt(source.snapshot(false, 0));
+    }
+  }
+
+  stop(): void {
+    for (const stop of this.stops) stop.abort();
+  }
+}
+
+const host = fc.nat(HOSTS - 1);
+const step = fc.oneof(
+  {weight: 4, arbitrary: fc.tuple(fc.constant('publish'), host, fc.nat(2))},
+  {weight: 4, arbitrary: fc.tuple(fc.constant('wait'), fc.nat(20), fc.nat(0))},
+  {weight: 1, arbitrary: fc.tuple(fc.constant('wait'), fc.nat(150), fc.nat(0))},
+  {weight: 2, arbitrary: fc.tuple(fc.constant('cut'), host, fc.nat(1))},
+  {weight: 1, arbitrary: fc.tuple(fc.constant('down'), fc.nat(1), fc.nat(0))},
+  {weight: 1, arbitrary: fc.tuple(fc.constant('lose'), host, fc.nat(2))},
+  {
+    weight: 2,
+    arbitrary: fc.tuple(fc.constant('repeat'), fc.nat(99), fc.nat(0)),
+  },
+  {weight: 1, arbitrary: fc.tuple(fc.constant('forget'), host, fc.nat(0))},
+  {weight: 1, arbitrary: fc.tuple(fc.constant('adopt'), host, host)},
+  {
+    weight: 1,
+    arbitrary: fc.tuple(fc.constant('restart'), fc.nat(0), fc.nat(0)),
+  },
+);
+
+type Step = [string, number, number];
+
+async function perform(world: World, [kind, a, b]: Step): Promise<void> {
+  switch (kind) {
+    case 'publish':
+      return world.publish(a, b);
+    case 'wait':
+      return world.clock.advance(a * 1_000);
+    case 'cut':
+      world.logs[a].cut = b === 1;
+      return;
+    case 'down':
+      world.log.down = a === 1;
+      return;
+    case 'lose':
+      world.logs[a].loseAnswers = b;
+      return;
+    case 'repeat':
+      return world.repeat(a);
+    case 'forget':
+      return world.loseRecords(a);
+    case 'adopt':
+      return world.adopt(a, b);
+    default:
+      // What no host and no log holds any more is lost in any case.
+      if (world.isHeldElsewhere(HOSTS - 1)) world.restart(HOSTS - 1);
+  }
+}
+
+async function runWorld(steps: Step[]): Promise<void> {
+  const world = new World();
+  let before: ConfigStore[] = [];
+  let versions: number[] = [];
+  const checkNeverBack = () => {
+    world.stores.forEach((store, index) => {
+      if (store !== before[index]) return;
+      expect(store.state.version).to.be.at.least(versions[index]);
+    });
+    before = [...world.stores];
+    versions = before.map(store => store.state.version);
+  };
+  for (const one of steps) {
+    await perform(world, one);
+    await world.clock.advance(10);
+    checkNeverBack();
+  }
+  world.log.down = false;
+  for (const log of world.logs) log.cut = false;
+  for (let second = 0; second < 100; second++) {
+    await world.clock.advance(1_000);
+    checkNeverBack();
+  }
+  const [first, ...others] = world.stores.map(({state}) => state);
+  for (const other of others) {
+    expect(other.version).to.equal(first.version);
+    expect(other.rawObjects()).to.deep.equal(first.rawObjects());
+  }
+  for (const [id, verdict] of world.verdicts) {
+    for (const state of [first, ...others]) {
+      expect(state.verdictOf(id) ?? verdict).to.deep.equal(verdict);
+    }
+  }
+  world.stop();
+}
+
+describe('ConfigStore', () => {
+  it('comes to the same version on all hosts and never goes back', async () => {
+    const steps = fc.array(step as fc.Arbitrary<Step>, {maxLength: 40});
+    await fc.assert(fc.asyncProperty(steps, runWorld), {numRuns: 60});
+  }).timeout(120_000);
+});
--- a/packages/core/src/test/platform/memory_log.ts
+++ b/packages/core/src/test/platform/memory_log.ts
@@ -17,6 +17,8 @@
   appendCalls = 0;
   /** Fails every call while set. */
   down = false;
+  /** Every record ever appended. */
+  readonly appended: StoredRecord[] = [];
   private kept: StoredRecord[] = [];
   private next = 0;
   private wake: Array<() => void> = [];
@@ -38,7 +40,9 @@
   /** Appends one record. */
   add(id: string, body: unknown): void {
     const atMs = this.clock.epochNow();
-    this.kept.push({offset: this.next++, id, body, atMs});
+    const record = {offset: this.next++, id, body, atMs};
+    this.kept.push(record);
+    this.appended.push(record);
     for (const wake of this.wake.splice(0)) wake();
   }
 
--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -97,9 +97,12 @@
     callerGone: AbortSignal,
   ): Promise<Response> {
     const cancel = new AbortController();
-    const signal = AbortSignal.any([callerGone, cancel.signal]);
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(req, {deadlineMs, span, signal});
+    const {deadlineMs, span, withdrawal} = admitted;
+    const ends = [callerGone, cancel.signal, withdrawal.signal];
+    const signal = AbortSignal.any(ends);
+    const onStart = () => withdrawal.noteStart();
+    const context = {deadlineMs, span, signal, onStart};
+    const run = withdrawal.explain(this.options.runner.run(req, context));
     if (!streamed) return this.answerWhole(admitted, run, format);
     const onCancel = () => cancel.abort();
     return this.answerStream(admitted, run, format, onCancel);
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -2,6 +2,7 @@
 
 import {randomBytes} from 'node:crypto';
 import {
+  BatchingPlatformLog,
   Clock,
   ConfigStore,
   HttpPlatformLog,
@@ -31,6 +32,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {createCallerApi} from './caller_api.js';
 import {CompletionHandler} from './completion_handler.js';
+import {ConfigParts, parseAddress} from './config_parts.js';
 import {HttpListener} from './http_listener.js';
 import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestPath} from './request_path.js';
@@ -64,6 +66,7 @@
   private readonly metrics = new Metrics();
   private readonly tracing: Tracing;
   private readonly config: ConfigStore;
+  private readonly configParts: ConfigParts;
   private readonly zoneStream: ZoneStream;
   private readonly members: MemberTable;
   private readonly remoteZones = new Map<string, MemberTable>();
@@ -94,10 +97,20 @@
     const incarnation = `${name}.${randomBytes(8).toString('hex')}`;
     this.self = {host: name, zone, incarnation};
     this.ids = new RecordIds(incarnation);
-    this.log = deps.log ?? new HttpPlatformLog(settings.platform.log);
+    const direct = deps.log ?? new HttpPlatformLog(settings.platform.log);
+    this.log = new BatchingPlatformLog(direct, clock);
     this.tracing = deps.tracing ?? new Tracing();
     const {self, ids, log, metrics, tracing} = this;
-    this.config = new ConfigStore({log, clock, logger, metrics, ids});
+    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
+    this.config = new ConfigStore({
+      log,
+      clock,
+      logger,
+      metrics,
+      ids,
+      random,
+      retentionMs: settings.platform.log_retention,
+    });
     const config = this.config.state;
     this.zoneStream = new ZoneStream({zone, log, clock, logger, ids});
     this.members = new MemberTable(this.zoneStream);
@@ -108,9 +121,19 @@
       clock,
       logger,
       secret: settings.peers.secret,
-      resolve: host => this.findMember(host)?.peer,
+      resolve: host => this.findMember(host)?.peer ?? parseAddress(host),
       allows: deps.allowsPeer,
     });
+    this.configParts = new ConfigParts({
+      store: this.config,
+      network: this.network,
+      clock,
+      logger,
+      random,
+      seeds: settings.peers.seeds,
+      members: () => this.members.all(),
+      remoteHosts: () => this.remoteHosts(),
+    });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory();
@@ -136,7 +159,6 @@
       clock,
     });
     this.queue = new RequestQueue({clock, directory, placement});
-    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
     const remoteHosts = () => this.remoteHosts();
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
@@ -200,7 +222,7 @@
     const operator = await this.startOperatorApi();
     if (operator.isErr()) return err(`listen.operator: ${operator.error}`);
     this.operator = operator.value;
-    void this.config.run(signal);
+    this.configParts.run(signal);
     void this.zoneStream.run(signal);
     await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
     await this.join(peerPort.value);
@@ -336,6 +358,7 @@
     const app = createOperatorApi({
       tokenDigest: operators.token_digest,
       config,
+      versions: this.configParts.versions,
       metrics,
       status: () => this.status(),
       hosts: () => toKnownHosts([...members.all(), ...this.remoteHosts()]),
--- a/packages/daemon/src/lib/operator_api.ts
+++ b/packages/daemon/src/lib/operator_api.ts
@@ -2,9 +2,11 @@
 
 import {
   ConfigStore,
+  HostVersions,
   Member,
   Metrics,
   matchesDigest,
+  publicationIdSchema,
   publicationSchema,
 } from '@fuchsiacleat/core';
 import {isIPv6} from 'node:net';
@@ -13,6 +15,11 @@
 
 const MAX_PUBLICATION_BYTES = 32 * 1024 * 1024;
 
+/** A publication, with the id that the tool chose for it. */
+const submissionSchema = publicationSchema.extend({
+  id: publicationIdSchema.optional(),
+});
+
 /** What this host tells operators of itself. */
 export interface HostStatus {
   host: string;
@@ -52,6 +59,7 @@
 export interface OperatorApiOptions {
   tokenDigest: string;
   config: ConfigStore;
+  versions: HostVersions;
   metrics: Metrics;
   status: () => HostStatus;
   /** Known hosts of all zones. */
@@ -65,7 +73,8 @@
  * @returns the routes of the API.
  */
 export function createOperatorApi(options: OperatorApiOptions): Hono {
-  const {config, metrics, status, hosts, drain, tokenDigest} = options;
+  const {config, versions, metrics, status, hosts, drain} = options;
+  const {tokenDigest} = options;
   const app = new Hono();
   app.get('/healthz', c => c.text('ok'));
   app.get('/metrics', async c => {
@@ -88,18 +97,21 @@
     const {version} = config.state;
     return c.json({version, objects: config.state.rawObjects()});
   });
+  app.get('/api/config/hosts', async c =>
+    c.json({hosts: await versions.ofAll(c.req.raw.signal)}),
+  );
   app.get('/api/config/history', c => c.json({versions: config.state.history}));
   app.post('/api/config/publications', async c => {
-    const parsed = publicationSchema.safeParse(await c.req.json());
+    const parsed = submissionSchema.safeParse(await c.req.json());
     if (!parsed.success) return c.json({message: 'malformed publication'}, 400);
-    const verdict = await config.publish(parsed.data, c.req.raw.signal);
+    const {id, ...publication} = parsed.data;
+    const verdict = await config.publish(publication, c.req.raw.signal, id);
     if (verdict.isErr()) return c.json(verdict.error, 503);
     return c.json(verdict.value, verdict.value.accepted ? 200 : 409);
   });
   app.get('/api/config/publications/:id', c => {
     const verdict = config.verdictOf(c.req.param('id'));
-    if (verdict === undefined) return c.json({message: 'not seen'}, 404);
-    return c.json(verdict);
+    return c.json({verdict});
   });
   app.post('/api/drain', c => {
     drain();
--- a/packages/daemon/src/lib/request_gate.ts
+++ b/packages/daemon/src/lib/request_gate.ts
@@ -3,6 +3,7 @@
 import {
   Clock,
   ConfigStore,
+  Declarations,
   HOP,
   HopSpan,
   InFlight,
@@ -16,10 +17,12 @@
   Tracing,
   authenticate,
   authorize,
+  bearerDigest,
   newRequestId,
   refuse,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
+import {Withdrawal} from './withdrawal.js';
 
 /** Header with the time a caller allows, in milliseconds. */
 export const DEADLINE_HEADER = 'x-deadline-ms';
@@ -33,6 +36,8 @@
   /** Clock time by which the request must have ended, in milliseconds. */
   deadlineMs: number;
   span: HopSpan;
+  /** Ends the request if the caller loses the right to it. */
+  withdrawal: Withdrawal;
   /** How the request ended, once it has. */
   readonly ended: Outcome | undefined;
   /** Resolves once the request has ended. */
@@ -57,13 +62,25 @@
   logger: Logger;
 }
 
+/** A request in progress, as far as its right may be withdrawn. */
+interface RunningRequest {
+  /** Digest of the caller's key; undefined if none was given. */
+  digest: string | undefined;
+  team: string;
+  routeName: string;
+  withdrawal: Withdrawal;
+}
+
 /** Authenticates requests and accounts for their ends. */
 export class RequestGate {
   private readonly inFlight = new InFlight();
   private ready = true;
   private stopping = false;
+  private readonly running = new Set<RunningRequest>();
 
-  constructor(private readonly options: RequestGateOptions) {}
+  constructor(private readonly options: RequestGateOptions) {
+    options.config.onChange(() => this.withdrawRights());
+  }
 
   /** Whether the balancer should send requests to this host. */
   get isReady(): boolean {
@@ -127,6 +144,10 @@
     const wishedMs = Number(headers.deadlineMs ?? route.deadline);
     const allowedMs = Math.min(wishedMs, route.max_deadline);
     const leave = this.inFlight.enter();
+    const withdrawal = new Withdrawal(route.repeatable);
+    const digest = bearerDigest(headers.authorization);
+    const running = {digest, team, routeName, withdrawal};
+    this.running.add(running);
     this.options.metrics.inFlight.set(this.inFlight.size);
     let ended: Outcome | undefined;
     let tell: (outcome: Outcome) => void = () => {};
@@ -140,6 +161,7 @@
       route,
       deadlineMs: clock.now() + allowedMs,
       span,
+      withdrawal,
       get ended() {
         return ended;
       },
@@ -148,6 +170,7 @@
         if (ended !== undefined) return;
         ended = end;
         leave();
+        this.running.delete(running);
         this.options.metrics.inFlight.set(this.inFlight.size);
         this.account(routeName, team, end, span);
         tell(end);
@@ -155,6 +178,13 @@
     };
   }
 
+  private withdrawRights(): void {
+    const {declared} = this.options.config.state;
+    for (const running of this.running) {
+      if (!isAllowed(running, declared)) running.withdrawal.withdraw();
+    }
+  }
+
   private check(
     routeName: string,
     headers: GateHeaders,
@@ -209,3 +239,14 @@
     logger.log(level, 'request_ended', fields);
   }
 }
+
+function isAllowed(
+  {digest, team, routeName}: RunningRequest,
+  declared: Declarations,
+): boolean {
+  const route = declared.get('route', routeName);
+  if (route === undefined) return false;
+  if (digest === undefined) return route.open;
+  if (declared.teamOfDigest(digest) !== team) return false;
+  return authorize(routeName, route, team).isOk();
+}
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -86,9 +86,12 @@
     callerGone: AbortSignal,
   ): Promise<Response> {
     const cancel = new AbortController();
-    const signal = AbortSignal.any([callerGone, cancel.signal]);
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(call, {deadlineMs, span, signal});
+    const {deadlineMs, span, withdrawal} = admitted;
+    const ends = [callerGone, cancel.signal, withdrawal.signal];
+    const signal = AbortSignal.any(ends);
+    const onStart = () => withdrawal.noteStart();
+    const context = {deadlineMs, span, signal, onStart};
+    const run = withdrawal.explain(this.options.runner.run(call, context));
     const step = await run.next();
     if (step.done) {
       const outcome = step.value;
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,7 +1,7 @@
 /** The daemon's settings: an INI file, checked as a whole at start. @packageDocumentation */
 
 import {readFile} from 'node:fs/promises';
-import {LOG_LEVELS} from '@fuchsiacleat/core';
+import {LOG_LEVELS, durationSchema} from '@fuchsiacleat/core';
 import {parse} from 'ini';
 import {Result, err, ok} from 'neverthrow';
 import {z} from 'zod';
@@ -18,6 +18,11 @@
   return {address: match[1], port};
 });
 
+const addressListSchema = z
+  .string()
+  .transform(text => text.split(',').map(item => item.trim()))
+  .pipe(z.array(listenSchema));
+
 const yesNoSchema = z
   .enum(['yes', 'no'], 'expected yes or no')
   .transform(text => text === 'yes');
@@ -47,6 +52,9 @@
     host_list: urlSchema
       .optional()
       .describe('Base URL of the list of live and leaving hosts.'),
+    log_retention: durationSchema
+      .optional()
+      .describe('How long the log keeps records, at least; 24h by default.'),
   }),
   peers: z
     .strictObject({
@@ -58,6 +66,12 @@
       plain: yesNoSchema
         .default(false)
         .describe('Whether links between hosts go without TLS.'),
+      seeds: addressListSchema
+        .optional()
+        .describe(
+          'Hosts to start from while the log is out of reach, such as ' +
+            '10.0.1.5:9000, 10.0.2.5:9000.',
+        ),
     })
     .refine(peers => peers.plain !== (peers.secret !== undefined), {
       path: ['secret'],
