--- a/packages/core/src/lib/config/config_sync.ts
+++ b/packages/core/src/lib/config/config_sync.ts
@@ -86,7 +86,7 @@
   clock: Clock;
   logger: Logger;
   random: Random;
-  /** @returns known hosts of other zones. */
+  /** @returns one host of each other zone. */
   remoteHosts: () => ReadonlyArray<{host: string; zone: string}>;
   /** Addresses of hosts to start from while the log is out of reach. */
   seeds?: readonly string[];
@@ -169,7 +169,7 @@
       network.notify(host, POSITION, position);
     }
     if (!this.isSpeaker()) return;
-    for (const host of this.oneHostOfEachZone()) {
+    for (const {host} of this.options.remoteHosts()) {
       void this.exchange(host, signal);
     }
   }
@@ -279,15 +279,6 @@
     const before = this.zonePeers().filter(peer => peer.host < host);
     return before.length < SPEAKERS_PER_ZONE;
   }
-
-  private oneHostOfEachZone(): string[] {
-    const {random, remoteHosts} = this.options;
-    const byZone = new Map<string, string[]>();
-    for (const {host, zone} of remoteHosts()) {
-      byZone.set(zone, [...(byZone.get(zone) ?? []), host]);
-    }
-    return [...byZone.values()].map(hosts => random.pick(hosts));
-  }
 }
 
 function* partsOf(snapshot: StreamSnapshot): Generator<PullEvent> {
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -198,27 +198,6 @@
     return err({type: 'append-unknown', id, message});
   }
 
-  /**
-   * Waits until a record is read, however late it comes.
-   *
-   * @param id - id of the record.
-   * @param signal - gives up waiting.
-   * @returns whether the record was read.
-   */
-  awaitRecord(id: string, signal: AbortSignal): Promise<boolean> {
-    if (this.reader.hasRead(id)) return Promise.resolve(true);
-    if (signal.aborted) return Promise.resolve(false);
-    return new Promise(resolve => {
-      const waiter = () => resolve(true);
-      const giveUp = () => {
-        this.waiters.remove(id, waiter);
-        resolve(false);
-      };
-      this.waiters.add(id, waiter);
-      signal.addEventListener('abort', giveUp, {once: true});
-    });
-  }
-
   private async keepSnapshots(signal: AbortSignal): Promise<void> {
     const {clock, log, stream, ids, logger} = this.options;
     const keeper = this.keeper!;
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -2,7 +2,7 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {Agent, Client, Dispatcher} from 'undici';
-import {EventSourceParserStream} from 'eventsource-parser/stream';
+import {createParser} from 'eventsource-parser';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
 import {
@@ -45,19 +45,11 @@
 
 /** An {@link EngineClient} over HTTP and server-sent events. */
 export class HttpEngineClient extends EngineClient {
-  private readonly dispatcher: Dispatcher;
+  private dispatcher = createPool();
 
   /** @param url - base URL of the engine. */
   constructor(private readonly url: string) {
     super();
-    // Without pipelining a request never shares a connection with another
-    // one in flight.
-    this.dispatcher = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      pipelining: 1,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
   }
 
   override async *generate(
@@ -72,8 +64,8 @@
     const body = opened.value;
     let ended = false;
     try {
-      for await (const event of parseEvents(body)) {
-        const parsed = parseEvent(event.data, req.id);
+      for await (const data of readEvents(body)) {
+        const parsed = parseEvent(data, req.id);
         yield parsed;
         ended = parsed.isErr() || parsed.value.type === 'end';
         if (ended) break;
@@ -149,9 +141,11 @@
     req: GenerationRequest,
     {resume, resumeFrom, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
+    // A connection has failed, so the idle ones are not to be trusted either.
+    if (resume) this.replacePool();
     // A pooled connection may be half closed: a request written to it can be
     // lost or have run, and nobody can tell which.
-    const fresh = !req.repeatable && !resume;
+    const fresh = !req.repeatable;
     const dispatcher = fresh ? this.freshConnection() : this.dispatcher;
     try {
       const res = await dispatcher.request({
@@ -180,6 +174,11 @@
     }
   }
 
+  private replacePool(): void {
+    void this.dispatcher.close();
+    this.dispatcher = createPool();
+  }
+
   private freshConnection(): Dispatcher {
     return new Client(this.url, {
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -222,10 +221,33 @@
   }
 }
 
-function parseEvents(body: Readable) {
-  return Readable.toWeb(body)
-    .pipeThrough(new TextDecoderStream())
-    .pipeThrough(new EventSourceParserStream());
+function createPool(): Dispatcher {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    // Without pipelining a request never shares a connection with another
+    // one in flight.
+    pipelining: 1,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
+/**
+ * Reads the data of server-sent events.
+ *
+ * The body is read as it comes and not through web streams, whose cost per
+ * chunk exceeds that of everything else on the way of a token.
+ */
+async function* readEvents(body: Readable): AsyncGenerator<string, void> {
+  let pending: string[] = [];
+  const parser = createParser({onEvent: ({data}) => pending.push(data)});
+  const decoder = new TextDecoder();
+  for await (const chunk of body) {
+    parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+    const events = pending;
+    pending = [];
+    yield* events;
+  }
 }
 
 function parseEvent(
--- a/packages/daemon/src/lib/config_parts.ts
+++ b/packages/daemon/src/lib/config_parts.ts
@@ -6,9 +6,11 @@
   ConfigSync,
   HostVersions,
   Logger,
+  MemberTable,
   PeerAddress,
   PeerNetwork,
   Random,
+  ZoneDirectory,
 } from '@fuchsiacleat/core';
 
 /** What {@link ConfigParts} are made from. */
@@ -19,8 +21,8 @@
   logger: Logger;
   random: Random;
   seeds: readonly PeerAddress[] | undefined;
-  members: () => ReadonlyArray<{host: string; zone: string}>;
-  remoteHosts: () => ReadonlyArray<{host: string; zone: string}>;
+  members: MemberTable;
+  zones: ZoneDirectory;
 }
 
 /** Follows the log and the peers. */
@@ -30,9 +32,17 @@
   private readonly sync: ConfigSync;
 
   constructor(private readonly options: ConfigPartsOptions) {
+    const {members, zones} = options;
     const seeds = (options.seeds ?? []).map(formatAddress);
-    this.sync = new ConfigSync({...options, seeds});
-    this.versions = new HostVersions({...options, sync: this.sync});
+    // One host of each other zone, so that few links cross zones.
+    const remoteHosts = () => zones.preferredHosts(1);
+    this.sync = new ConfigSync({...options, remoteHosts, seeds});
+    this.versions = new HostVersions({
+      network: options.network,
+      sync: this.sync,
+      members: () => members.all(),
+      remoteHosts: () => zones.remoteHosts(),
+    });
   }
 
   /**
