--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -8,7 +8,6 @@
   ConfigStore,
   HttpHostList,
   HttpPlatformLog,
-  LocalTokenLimiter,
   Logger,
   Member,
   Membership,
@@ -26,6 +25,7 @@
   TcpPeerNetwork,
   Tracing,
   ZoneController,
+  ZoneDecisionJournal,
   ZoneDirectory,
   ZoneLinks,
   ZoneStream,
@@ -40,6 +40,7 @@
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
+import {TokenShares} from './token_shares.js';
 
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
@@ -75,6 +76,7 @@
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
+  private readonly shares: TokenShares;
   private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
@@ -154,7 +156,7 @@
     });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
-    const directory = new ReplicaDirectory();
+    const directory = new ReplicaDirectory(clock);
     const {network} = this;
     const {lease, members} = this.membership;
     this.controller = new ZoneController({
@@ -164,6 +166,7 @@
       members,
       network,
       directory,
+      journal: new ZoneDecisionJournal(this.zoneStream),
       clock,
       logger,
       ids,
@@ -181,7 +184,14 @@
     const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
-    const limiter = new LocalTokenLimiter(config, clock);
+    this.shares = new TokenShares({
+      config: this.config,
+      membership: this.membership,
+      zones: this.zones,
+      network,
+      clock,
+    });
+    const {limiter} = this.shares;
     this.path = new RequestPath({
       zone,
       config,
@@ -216,6 +226,11 @@
     return this.operator!.port;
   }
 
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this.config.state.version;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
@@ -253,6 +268,7 @@
     void this.membership.run(signal);
     void this.controller.run(signal);
     void this.zones.run(signal);
+    void this.shares.run(signal);
     const {members} = this.membership;
     new ZoneLinks(this.self.host, members, this.network).run(signal);
     const caller = await this.startCallerApi();
--- /dev/null
+++ b/packages/daemon/src/lib/token_shares.ts
@@ -0,0 +1,50 @@
+/** Wires the shared limits of a host. @packageDocumentation */
+
+import {
+  Clock,
+  ConfigStore,
+  MemberShareView,
+  Membership,
+  PeerNetwork,
+  ShareExchange,
+  SharedTokenLimiter,
+  ZoneDirectory,
+} from '@fuchsiacleat/core';
+
+/** What {@link TokenShares} work with. */
+export interface TokenSharesOptions {
+  config: ConfigStore;
+  membership: Membership;
+  zones: ZoneDirectory;
+  network: PeerNetwork;
+  clock: Clock;
+}
+
+/** The pools that this host shares with all others. */
+export class TokenShares {
+  readonly limiter: SharedTokenLimiter;
+  readonly exchange: ShareExchange;
+
+  constructor(private readonly options: TokenSharesOptions) {
+    const {config, membership, zones, network, clock} = options;
+    const view = new MemberShareView({
+      self: network.self,
+      config: config.state,
+      members: membership.members,
+      joins: membership.joins,
+      zones,
+    });
+    this.exchange = new ShareExchange({network, clock, view});
+    this.limiter = new SharedTokenLimiter({
+      config: config.state,
+      exchange: this.exchange,
+    });
+  }
+
+  /** Follows the configuration and exchanges tokens until the signal aborts. */
+  run(signal: AbortSignal): Promise<void> {
+    this.options.config.onChange(() => this.limiter.sync());
+    this.limiter.sync();
+    return this.exchange.run(signal);
+  }
+}
