--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -7,3 +7,4 @@
 export * from './lib/operator_client.js';
 export * from './lib/program.js';
 export * from './lib/terminal.js';
+export * from './lib/commands/await_in_force.js';
--- a/packages/core/src/lib/config/config_store.ts
+++ b/packages/core/src/lib/config/config_store.ts
@@ -82,6 +82,11 @@
     return this.readyPromise;
   }
 
+  /** Whether the log was read to its end since the start. */
+  get isFromLog(): boolean {
+    return this.tail.lastCaughtUp !== undefined;
+  }
+
   /** Says that, the log being out of reach, the peers' newest is held. */
   readyFromPeers(): void {
     this.markReady();
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -66,6 +66,7 @@
   private readonly noteHandlers = new Map<string, RegisteredNote>();
   private readonly sockets: PeerSockets;
   private signal = new AbortController().signal;
+  private boundPort = 0;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     super();
@@ -101,7 +102,8 @@
       server.once('error', error => resolve(err(error.message)));
       server.listen(port, address, () => {
         signal.addEventListener('abort', () => server.close());
-        resolve(ok((server.address() as AddressInfo).port));
+        this.boundPort = (server.address() as AddressInfo).port;
+        resolve(ok(this.boundPort));
       });
     });
   }
@@ -132,6 +134,11 @@
     return this.options.clock.now() - failedMs < SUSPECT_MS;
   }
 
+  /** The port on which links are accepted. */
+  get port(): number {
+    return this.boundPort;
+  }
+
   override connected(): PeerIdentity[] {
     return this.table.peers();
   }
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -226,6 +226,11 @@
     return this.operator!.port;
   }
 
+  /** Port on which other hosts connect. */
+  get peerPort(): number {
+    return this.network.port;
+  }
+
   /** Version of the configuration in force. */
   get configVersion(): number {
     return this.config.state.version;
@@ -263,14 +268,10 @@
     this.operator = operator.value;
     this.configParts.run(signal);
     void this.zoneStream.run(signal);
-    await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
-    await this.join(peerPort.value);
-    void this.membership.run(signal);
-    void this.controller.run(signal);
-    void this.zones.run(signal);
-    void this.shares.run(signal);
-    const {members} = this.membership;
-    new ZoneLinks(this.self.host, members, this.network).run(signal);
+    await this.config.ready();
+    const joined = this.takePart(peerPort.value);
+    // A host that started from its peers joins once it reaches the log.
+    if (this.config.isFromLog) await joined;
     const caller = await this.startCallerApi();
     if (caller.isErr()) return err(`listen.caller: ${caller.error}`);
     this.caller = caller.value;
@@ -320,6 +321,19 @@
     this.kill();
   }
 
+  /** Joins the zone and takes part in it. */
+  private async takePart(peerPort: number): Promise<void> {
+    const {signal} = this.lifetime;
+    await this.zoneStream.caughtUp();
+    await this.join(peerPort);
+    void this.membership.run(signal);
+    void this.controller.run(signal);
+    void this.zones.run(signal);
+    void this.shares.run(signal);
+    const {members} = this.membership;
+    new ZoneLinks(this.self.host, members, this.network).run(signal);
+  }
+
   private async join(peerPort: number): Promise<void> {
     const {listen} = this.settings;
     const member: Member = {
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -56,6 +56,8 @@
   depsOf?: (host: string) => Partial<DaemonDeps>;
   /** How long a stopping host still takes requests, in milliseconds. */
   graceMs?: number;
+  /** How long the log keeps records, in milliseconds. */
+  retentionMs?: number;
   /** Whether links between hosts go without TLS. */
   plainPeers?: boolean;
   /** Whether daemons log to standard error. */
@@ -75,6 +77,7 @@
 
   private constructor(private readonly spec: ClusterSpec) {
     this.cuts = new Cuts(spec.hosts);
+    if (spec.retentionMs !== undefined) this.log.setRetention(spec.retentionMs);
   }
 
   /**
@@ -89,10 +92,18 @@
     return cluster;
   }
 
-  /** Starts a daemon, again after a stop or kill. */
-  async startDaemon(name: string): Promise<Daemon> {
+  /**
+   * Starts a daemon, again after a stop or kill.
+   *
+   * @param name - name of the host.
+   * @param seeds - hosts from which it may learn the configuration.
+   */
+  async startDaemon(
+    name: string,
+    seeds: readonly string[] = [],
+  ): Promise<Daemon> {
     const host = this.spec.hosts.find(known => known.name === name)!;
-    const daemon = new Daemon(this.settingsOf(host), {
+    const daemon = new Daemon(this.settingsOf(host, seeds), {
       logger: this.loggerOf(name),
       log: this.cuts.logOf(name, this.log.url),
       allowsPeer: peer => this.cuts.allowsPeer(name, peer),
@@ -270,20 +281,31 @@
     return {kind: 'target', name, fields};
   }
 
-  private settingsOf({name, zone}: HostSpec): Settings {
+  private settingsOf({name, zone}: HostSpec, seeds: readonly string[]) {
     const anyPort = {address: LOOPBACK, port: 0};
+    const addresses = seeds.map(seed => ({
+      address: LOOPBACK,
+      port: this.daemon(seed).peerPort,
+    }));
     return {
       host: {name, zone},
       listen: {caller: anyPort, operator: anyPort, peer: anyPort},
-      platform: {log: this.log.url, host_list: this.hostList.url},
-      peers: this.spec.plainPeers
-        ? {plain: true}
-        : {secret: PEER_SECRET, plain: false},
+      platform: {
+        log: this.log.url,
+        host_list: this.hostList.url,
+        log_retention: this.spec.retentionMs,
+      },
+      peers: {
+        ...(this.spec.plainPeers
+          ? {plain: true}
+          : {secret: PEER_SECRET, plain: false}),
+        seeds: seeds.length === 0 ? undefined : addresses,
+      },
       operators: {token_digest: digestOf(OPERATOR_TOKEN)},
       limits: {body_bytes: 1024 * 1024, connections: 4_096},
       shutdown: {grace_ms: this.spec.graceMs ?? 0},
       log: {level: 'info'},
-    };
+    } satisfies Settings;
   }
 
   private loggerOf(host: string): Logger {
--- /dev/null
+++ b/packages/local-cluster/src/test/promises/key_withdrawn_test.ts
@@ -0,0 +1,180 @@
+import {expect} from 'chai';
+import {Change, Verdict} from '@fuchsiacleat/core';
+import {CALLER_END, LocalCluster, sampleDeclarations} from '../../index.js';
+
+const HOSTS = ['a-1', 'a-2', 'b-1', 'b-2'];
+
+/** Long enough that only a withdrawal ends the streams. */
+const TOKENS = 500;
+
+const NO_KEY: Change[] = [{kind: 'key', name: 'inspectors-1', fields: null}];
+const WITHDRAWN = 'key-withdrawn';
+
+describe('promise: key-withdrawn', () => {
+  let cluster: LocalCluster;
+
+  beforeEach(async () => {
+    cluster = await LocalCluster.start({
+      hosts: HOSTS.map(name => ({name, zone: name[0]})),
+      engines: [{name: 'pool-1', zone: 'a', tokenGapMs: 100, slots: 64}],
+      services: [{name: 'registry-1', zone: 'a'}],
+      weights: {'cold-1': 2 * 1024 ** 3},
+    });
+    await cluster.publish([
+      ...cluster.platformObjects(),
+      ...sampleDeclarations({services: ['registry-1']}),
+      {kind: 'model', name: 'cold', fields: {version: 'cold-1'}},
+      {
+        kind: 'version',
+        name: 'cold-1',
+        fields: {model: 'cold', weights: '2GiB'},
+      },
+      {
+        kind: 'route',
+        name: 'draft-cold',
+        fields: {model: 'cold', teams: 'inspectors'},
+      },
+    ]);
+    await cluster.caller('a-1').chat('warm the model up', {maxTokens: 1});
+  });
+
+  afterEach(() => cluster.kill());
+
+  async function change(host: string, changes: Change[]): Promise<Verdict> {
+    const client = cluster.operator(host);
+    const base = (await client.config())._unsafeUnwrap().version;
+    const publication = {base, changes, message: 'withdraw'};
+    const verdict = await client.publish({type: 'publication', ...publication});
+    expect(verdict._unsafeUnwrap().accepted).to.equal(true);
+    return verdict._unsafeUnwrap();
+  }
+
+  /** Starts a stream at every host and waits until all of them run. */
+  async function startStreams() {
+    let running = 0;
+    const ends = HOSTS.map(host =>
+      cluster.caller(host).chat('long', {
+        maxTokens: TOKENS,
+        onToken: count => (running += count === 1 ? 1 : 0),
+      }),
+    );
+    await cluster.until(() => running === HOSTS.length);
+    return ends;
+  }
+
+  async function expectAborted(
+    streams: Awaited<ReturnType<typeof startStreams>>,
+  ): Promise<void> {
+    for (const {end, code} of await Promise.all(streams)) {
+      expect({end, code}).to.deep.equal({
+        end: CALLER_END.mayHaveRun,
+        code: WITHDRAWN,
+      });
+    }
+  }
+
+  async function expectRefusedEverywhere(): Promise<void> {
+    for (const host of HOSTS) {
+      const {status, end} = await cluster.caller(host).chat('again');
+      expect({status, end}).to.deep.equal({
+        status: 401,
+        end: CALLER_END.notRun,
+      });
+    }
+  }
+
+  it('refuses what waits, ends streams, finishes started filings', async () => {
+    cluster.weightStore.faults = {...cluster.weightStore.faults, delayMs: 9e4};
+    const service = cluster.services.get('registry-1')!;
+    service.workMs = 1_500;
+    const streams = await startStreams();
+    const queued = HOSTS.map(host =>
+      cluster.caller(host).chat('wait', {route: 'draft-cold'}),
+    );
+    const filing = cluster.caller('b-1').service('a filing');
+    await cluster.until(() => service.runs.length === 1);
+    await change('b-2', NO_KEY);
+    await expectAborted(streams);
+    const ends = await Promise.all(queued);
+    expect(ends.map(({code}) => code)).to.deep.equal(
+      HOSTS.map(() => WITHDRAWN),
+    );
+    // At a host of the engine's zone nothing has left for the engine yet.
+    expect(ends[0].end).to.equal(CALLER_END.notRun);
+    expect((await filing).end).to.equal(CALLER_END.served);
+    expect(service.runs.length).to.equal(1);
+    await expectRefusedEverywhere();
+  });
+
+  it('holds while answers of the log are lost and the log is slow', async () => {
+    const streams = await startStreams();
+    cluster.log.faults = {...cluster.log.faults, loseAnswers: 3, delayMs: 300};
+    await change('a-1', NO_KEY);
+    await expectAborted(streams);
+    await expectRefusedEverywhere();
+  });
+
+  it('holds in a zone that only peers can tell', async () => {
+    const streams = await startStreams();
+    cluster.cuts.cutLog('b-1', 'b-2');
+    await change('a-2', NO_KEY);
+    await expectAborted(streams);
+    await expectRefusedEverywhere();
+  });
+
+  it('holds while only one host reaches the log, which then fails', async () => {
+    const streams = await startStreams();
+    cluster.cuts.cutLog('a-1', 'a-2', 'b-2');
+    await change('b-1', NO_KEY);
+    cluster.log.faults = {...cluster.log.faults, down: true};
+    await expectAborted(streams);
+    await expectRefusedEverywhere();
+  });
+
+  it('reaches a zone that was cut off once the cut heals', async () => {
+    cluster.cuts.cutZone('b');
+    const {version} = await change('a-1', NO_KEY);
+    expect((await cluster.caller('b-1').chat('still')).status).not.to.equal(
+      401,
+    );
+    cluster.cuts.heal();
+    await cluster.awaitVersion(version);
+    await expectRefusedEverywhere();
+  });
+
+  const rights: Array<{loss: string; changes: Change[]}> = [
+    {
+      loss: 'its team loses the route',
+      changes: [
+        {kind: 'team', name: 'others', fields: {}},
+        {
+          kind: 'route',
+          name: 'draft',
+          fields: {model: 'drafter', teams: 'others'},
+        },
+      ],
+    },
+    {
+      loss: 'the route goes',
+      changes: [{kind: 'route', name: 'draft', fields: null}],
+    },
+    {
+      loss: 'the key passes to another team',
+      changes: [
+        {kind: 'team', name: 'others', fields: {}},
+        {
+          kind: 'key',
+          name: 'inspectors-1',
+          fields: {team: 'others', digest: 'f'.repeat(64)},
+        },
+      ],
+    },
+  ];
+  for (const {loss, changes} of rights) {
+    it(`ends streams when ${loss}`, async () => {
+      const streams = await startStreams();
+      await change('a-1', changes);
+      await expectAborted(streams);
+    });
+  }
+});
