--- a/packages/core/src/lib/config/config_sync.ts
+++ b/packages/core/src/lib/config/config_sync.ts
@@ -9,6 +9,7 @@
 } from '../platform/stream_snapshot.js';
 import {Clock} from '../time/clock.js';
 import {Logger} from '../telemetry/logger.js';
+import {withTimeLimit} from '../time/time_limit.js';
 import {Random} from '../time/random.js';
 import {ConfigStore} from './config_store.js';
 
@@ -103,6 +104,7 @@
 export class ConfigSync {
   private pulling = false;
   private told = -1;
+  private lifetime = new AbortController().signal;
 
   constructor(private readonly options: ConfigSyncOptions) {
     const {network} = options;
@@ -135,6 +137,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const {store, clock} = this.options;
+    this.lifetime = signal;
     store.onChange(() => this.tell(signal));
     await clock.every(EXCHANGE_INTERVAL_MS, signal, () => {
       this.tell(signal);
@@ -212,24 +215,26 @@
   ): Promise<void> {
     if (this.pulling) return;
     this.pulling = true;
-    const {signal} = new AbortController();
+    const signal = this.lifetime;
     await this.options.clock.sleep(LOG_GRACE_MS, signal);
     if (this.lacks(position)) await this.pull(host, signal);
     this.pulling = false;
   }
 
   private async pull(host: string, signal: AbortSignal): Promise<void> {
-    const {network, store, logger} = this.options;
-    const from = store.tail.position;
-    const timeout = AbortSignal.timeout(PULL_TIMEOUT_MS);
-    const either = AbortSignal.any([signal, timeout]);
+    await withTimeLimit(PULL_TIMEOUT_MS, signal, limited =>
+      this.readPull(host, limited),
+    );
+    const {position} = this.options.store.tail;
+    this.options.logger.info('config_pulled', {from: host, position});
+  }
+
+  private async readPull(host: string, signal: AbortSignal): Promise<void> {
+    const {network, store} = this.options;
+    const {reader} = store.tail;
+    const position = reader.hasBase ? reader.position : -1;
     const parts: string[] = [];
-    for await (const event of network.open(
-      host,
-      PULL,
-      {position: store.tail.reader.hasBase ? from : -1},
-      either,
-    )) {
+    for await (const event of network.open(host, PULL, {position}, signal)) {
       if (event.isErr()) return;
       if (event.value.type === 'records') {
         const {records, next} = event.value;
@@ -240,8 +245,6 @@
         if (event.value.last) this.adopt(parts.join(''));
       }
     }
-    const {position} = store.tail;
-    logger.info('config_pulled', {from: host, position});
   }
 
   private adopt(json: string): void {
