--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -116,11 +116,15 @@
   ): Promise<Response> {
     const cancel = new AbortController();
     const onCancel = () => cancel.abort();
-    reader.signal.addEventListener('abort', onCancel);
-    if (reader.signal.aborted) onCancel();
+    const {deadlineMs, span, withdrawal} = admitted;
+    for (const end of [reader.signal, withdrawal.signal]) {
+      end.addEventListener('abort', onCancel);
+      if (end.aborted) onCancel();
+    }
     const {signal} = cancel;
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(req, {deadlineMs, span, signal});
+    const onStart = () => withdrawal.noteStart();
+    const context = {deadlineMs, span, signal, onStart};
+    const run = withdrawal.explain(this.options.runner.run(req, context));
     if (!streamed) return this.answerWhole(admitted, run, format);
     return this.answerStream(admitted, run, format, onCancel, reader);
   }
