Fetch the host list only when it changed; avoid leaving hosts

Cause: the controller polls the list every second; at 330 hosts and 2,000 workers each poll would be over 100 kB.

Change: the client names the entity tag of the list that it holds. A host that is about to be taken away claims no lease and gets requests of other zones last. The extrapolation of control counts what other zones add for each of their hosts, since that is what grows.

--- a/packages/benchmarks/src/lib/control_benchmark.ts
+++ b/packages/benchmarks/src/lib/control_benchmark.ts
@@ -10,7 +10,6 @@
 /** The size to design for. */
 const DESIGN = {
   hosts: 330,
-  zones: 22,
   hostsPerZone: 15,
   models: 590,
   adapters: 16_000,
@@ -155,9 +154,10 @@
 }
 
 /**
- * A host of a full zone as measured, plus what other zones, models and
- * adapters add by their slopes. Of memory, what a lone host without any
- * declarations occupies counts as the program's own.
+ * A host of a full zone as measured, plus what hosts of other zones, models
+ * and adapters add by their slopes. All that other zones add counts for each
+ * of their hosts, which is an upper bound. Of memory, what a lone host without
+ * any declarations occupies counts as the program's own.
  */
 function designMetrics(
   peers: Sweep,
@@ -167,11 +167,12 @@
 ): Metric[] {
   const full = peers.points.at(-1)!.rates;
   const alone = peers.points[0].rates.controller;
+  const remoteHosts = DESIGN.hosts - DESIGN.hostsPerZone;
   return QUANTITIES.flatMap(quantity => {
     const {key, unit, of} = quantity;
     const program = key === 'memory' ? of(alone) : 0;
     const added =
-      slopeOf(zones, quantity) * (DESIGN.zones - 1) +
+      (slopeOf(zones, quantity) / HOSTS_PER_SMALL_ZONE) * remoteHosts +
       slopeOf(models, quantity) * DESIGN.models +
       slopeOf(adapters, quantity) * DESIGN.adapters;
     const atDesign = (rate: Rate) => of(rate) - program + added;
--- a/packages/core/src/lib/membership/membership.ts
+++ b/packages/core/src/lib/membership/membership.ts
@@ -59,7 +59,15 @@
       isByConsent: () => this.lease.isByConsent,
     });
     const {records} = this;
-    this.lease = new ZoneLease({...options, members, joins, records, isGone});
+    const isLeaving = () => this.hosts.isLeaving(network.self.host);
+    this.lease = new ZoneLease({
+      ...options,
+      members,
+      joins,
+      records,
+      isGone,
+      isLeaving,
+    });
   }
 
   /**
--- a/packages/core/src/lib/membership/zone_directory.ts
+++ b/packages/core/src/lib/membership/zone_directory.ts
@@ -60,8 +60,8 @@
   lease: LeaseAuthority;
   /** How long the log keeps records, in milliseconds. */
   retentionMs: number;
-  /** Whether a peer could lately not be reached. */
-  isSuspect: (host: string) => boolean;
+  /** Whether a peer is leaving or could lately not be reached. */
+  isAvoided: (host: string) => boolean;
 }
 
 interface Known {
@@ -105,8 +105,8 @@
   /**
    * @param perZone - how many hosts of each other zone.
    * @returns the hosts to which this host passes work on. Each host has its
-   *     own few, so that links do not grow into a full mesh; hosts that could
-   *     lately not be reached come last.
+   *     own few, so that links do not grow into a full mesh; hosts that are
+   *     leaving or could lately not be reached come last.
    */
   preferredHosts(perZone: number): Member[] {
     const {zone} = this.options.network.self;
@@ -136,14 +136,14 @@
   }
 
   private prefer(members: readonly Member[]): Member[] {
-    const {network, isSuspect} = this.options;
+    const {network, isAvoided} = this.options;
     const rankOf = ({host}: Member) =>
       createHash('sha1').update(`${network.self.host} ${host}`).digest('hex');
     return members
       .map(member => ({member, rank: rankOf(member)}))
       .map(({member, rank}) => ({
         member,
-        rank: (isSuspect(member.host) ? 'z' : 'a') + rank,
+        rank: (isAvoided(member.host) ? 'z' : 'a') + rank,
       }))
       .sort((a, b) => (a.rank < b.rank ? -1 : 1))
       .map(({member}) => member);
--- a/packages/core/src/lib/membership/zone_lease.ts
+++ b/packages/core/src/lib/membership/zone_lease.ts
@@ -54,6 +54,8 @@
   logger: Logger;
   /** Whether the platform has removed a host for good. */
   isGone: (host: string) => boolean;
+  /** Whether the platform is about to take this host away. */
+  isLeaving: () => boolean;
 }
 
 interface Held {
@@ -194,9 +196,10 @@
   }
 
   private mayClaim(): boolean {
-    const {clock, joins} = this.options;
+    const {clock, joins, isLeaving} = this.options;
     const nowMs = clock.now();
-    if (!joins.established || nowMs < this.nextClaimMs) return false;
+    if (!joins.established || isLeaving()) return false;
+    if (nowMs < this.nextClaimMs) return false;
     const lease = this.state.current;
     if (lease === undefined || lease.released) return true;
     return nowMs - this.lastChangeMs >= lease.ttlMs + LEASE_MARGIN_MS;
--- a/packages/core/src/lib/platform/host_list.ts
+++ b/packages/core/src/lib/platform/host_list.ts
@@ -6,6 +6,7 @@
 import {withTimeLimit} from '../time/time_limit.js';
 
 const TIMEOUT_MS = 2_000;
+const STATUS_NOT_MODIFIED = 304;
 
 const hostListSchema = z.object({
   hosts: z.array(
@@ -29,8 +30,13 @@
   abstract fetch(signal: AbortSignal): Promise<Result<ListedHost[], string>>;
 }
 
-/** A {@link HostList} over HTTP. */
+/**
+ * A {@link HostList} over HTTP. It names the entity tag of the list that it
+ * holds, so that the service need not send an unchanged list again.
+ */
 export class HttpHostList extends HostList {
+  private held: {tag: string; hosts: ListedHost[]} | undefined;
+
   /** @param url - base URL of the service. */
   constructor(private readonly url: string) {
     super();
@@ -40,13 +46,27 @@
     signal: AbortSignal,
   ): Promise<Result<ListedHost[], string>> {
     try {
-      const body = await withTimeLimit(TIMEOUT_MS, signal, async limited => {
-        const res = await request(`${this.url}/hosts`, {signal: limited});
-        return res.body.json();
-      });
-      return ok(hostListSchema.parse(body).hosts);
+      return ok(
+        await withTimeLimit(TIMEOUT_MS, signal, limited =>
+          this.fetchChanged(limited),
+        ),
+      );
     } catch (error) {
       return err((error as Error).message);
     }
   }
+
+  private async fetchChanged(signal: AbortSignal): Promise<ListedHost[]> {
+    const {held} = this;
+    const headers = held === undefined ? {} : {'if-none-match': held.tag};
+    const res = await request(`${this.url}/hosts`, {headers, signal});
+    if (held !== undefined && res.statusCode === STATUS_NOT_MODIFIED) {
+      await res.body.dump();
+      return held.hosts;
+    }
+    const {hosts} = hostListSchema.parse(await res.body.json());
+    const tag = res.headers.etag;
+    this.held = typeof tag === 'string' ? {tag, hosts} : undefined;
+    return hosts;
+  }
 }
--- /dev/null
+++ b/packages/core/src/test/membership/host_watch_test.ts
@@ -0,0 +1,87 @@
+import {expect} from 'chai';
+import {Result, err, ok} from 'neverthrow';
+import {
+  HOST_LIST_LAG_MS,
+  HostList,
+  HostWatch,
+  ListedHost,
+  ManualClock,
+} from '../../index.js';
+import {FakeZone} from './zone_fakes.js';
+
+const POLLS_MS = 12_000;
+
+class FakeHostList extends HostList {
+  hosts: ListedHost[] = [];
+  down = false;
+
+  override fetch(): Promise<Result<ListedHost[], string>> {
+    return Promise.resolve(this.down ? err('down') : ok(this.hosts));
+  }
+}
+
+describe('HostWatch', () => {
+  let zone: FakeZone;
+  let list: FakeHostList;
+  let clock: ManualClock;
+  let watch: HostWatch;
+  let linked: boolean;
+  const lifetime = new AbortController();
+
+  beforeEach(async () => {
+    zone = new FakeZone();
+    zone.start('h1');
+    zone.start('h2');
+    await zone.advance(3_000, () => {});
+    list = new FakeHostList();
+    clock = new ManualClock();
+    linked = false;
+    watch = new HostWatch({
+      list,
+      clock,
+      members: zone.hosts.get('h1')!.membership.members,
+      isController: () => false,
+      isLinked: () => linked,
+    });
+    void watch.run(lifetime.signal);
+  });
+
+  after(() => lifetime.abort());
+
+  it('counts a host as gone once it was missing for the lag', async () => {
+    await clock.advance(HOST_LIST_LAG_MS - POLLS_MS);
+    expect(watch.isGone('h2')).to.equal(false);
+    await clock.advance(2 * POLLS_MS);
+    expect(watch.isGone('h2')).to.equal(true);
+  });
+
+  it('counts no host as gone to which a link is up', async () => {
+    linked = true;
+    await clock.advance(HOST_LIST_LAG_MS + POLLS_MS);
+    expect(watch.isGone('h2')).to.equal(false);
+  });
+
+  it('counts anew for each incarnation', async () => {
+    await clock.advance(HOST_LIST_LAG_MS + POLLS_MS);
+    zone.start('h2');
+    await zone.advance(3_000, () => {});
+    expect(watch.isGone('h2')).to.equal(false);
+  });
+
+  it('takes no outage of the list for an absence', async () => {
+    list.hosts = [{name: 'h2', zone: 'a', state: 'live'}];
+    await clock.advance(POLLS_MS);
+    list.down = true;
+    await clock.advance(HOST_LIST_LAG_MS + POLLS_MS);
+    expect(watch.isGone('h2')).to.equal(false);
+  });
+
+  it('tells of leaving hosts', async () => {
+    let changes = 0;
+    watch.onChange(() => (changes += 1));
+    list.hosts = [{name: 'pool-1', zone: 'a', state: 'leaving'}];
+    await clock.advance(POLLS_MS);
+    expect(watch.isLeaving('pool-1')).to.equal(true);
+    expect(changes).to.equal(1);
+  });
+});
--- a/packages/daemon/src/lib/zone_parts.ts
+++ b/packages/daemon/src/lib/zone_parts.ts
@@ -68,7 +68,8 @@
       members,
       lease,
       retentionMs,
-      isSuspect: host => this.network.isSuspect(host),
+      isAvoided: host =>
+        network.isSuspect(host) || this.membership.hosts.isLeaving(host),
     });
   }
 
--- a/packages/standins/src/lib/host_list_standin.ts
+++ b/packages/standins/src/lib/host_list_standin.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the platform's list of hosts. @packageDocumentation */
 
 import {ListedHost} from '@fuchsiacleat/core';
+import {etag} from 'hono/etag';
 import {StandinOptions, StandinServer} from './standin_server.js';
 
 const DEFAULT_LAG_MS = 2_000;
@@ -24,6 +25,7 @@
   constructor(options: HostListStandinOptions = {}) {
     super(options);
     this.lagMs = options.lagMs ?? DEFAULT_LAG_MS;
+    this.app.use('/hosts', etag());
     this.app.get('/hosts', c => c.json({hosts: this.visible()}));
   }
 
