--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -8,6 +8,7 @@
   ConfigStore,
   HttpHostList,
   HttpPlatformLog,
+  LeaseAuthority,
   Logger,
   Member,
   Membership,
@@ -237,6 +238,11 @@
     return this.config.state.version;
   }
 
+  /** Whether this host may give orders in its zone. */
+  get authority(): LeaseAuthority {
+    return this.membership.lease;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
