--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -158,7 +158,9 @@
       network,
       clock,
     });
-    this.queue = new RequestQueue({clock, directory, placement});
+    const weightOf = (team: string) =>
+      config.declared.get('team', team)?.weight ?? 1;
+    this.queue = new RequestQueue({clock, directory, placement, weightOf});
     const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
