--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,8 @@
     ignores: [
       '**/dist/**',
       '**/node_modules/**',
-      '**/*.cjs', '**/*.mjs',
+      '**/*.cjs',
+      '**/*.mjs',
       'eslint.config.js',
     ],
   },
--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -22,6 +22,9 @@
 const RESUME_DELAY_MS = 100;
 const CANCEL_TIMEOUT_MS = 1_000;
 
+/** How long an end waits for the engine to tell what it generated. */
+const CANCEL_ANSWER_WAIT_MS = 50;
+
 /** What a {@link TargetStream} works with. */
 export interface TargetStreamOptions {
   engine: EngineClient;
@@ -170,12 +173,21 @@
     return {outcome: fail(FAILURE.deadline, message), generated};
   }
 
-  /** @returns how many tokens the engine generated, if it tells. */
+  /**
+   * A silent engine must not hold the outcome back past the deadline.
+   *
+   * @returns how many tokens the engine generated, if it tells at once.
+   */
   private async cancel(): Promise<number | undefined> {
-    const {engine, req} = this.options;
+    const {engine, req, clock} = this.options;
     const timeout = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
-    const generated = await engine.cancel(req.id, timeout);
-    return generated.isOk() ? generated.value : undefined;
+    const waited = new AbortController();
+    const generated = await Promise.race([
+      engine.cancel(req.id, timeout),
+      clock.sleep(CANCEL_ANSWER_WAIT_MS, waited.signal),
+    ]);
+    waited.abort();
+    return generated?.isOk() ? generated.value : undefined;
   }
 }
 
