--- a/packages/core/src/lib/requests/target_stream.ts
+++ b/packages/core/src/lib/requests/target_stream.ts
@@ -7,6 +7,7 @@
 } from '../targets/engine_client.js';
 import {Clock} from '../time/clock.js';
 import {deadlineSignal} from '../time/deadline.js';
+import {withTimeLimit} from '../time/time_limit.js';
 import {Attempt, AttemptEnd} from './attempt.js';
 import {GapTimer} from './gap_timer.js';
 import {GenerationEvent, GenerationRequest} from './generation.js';
@@ -180,10 +181,11 @@
    */
   private async cancel(): Promise<number | undefined> {
     const {engine, req, clock} = this.options;
-    const timeout = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
     const waited = new AbortController();
     const generated = await Promise.race([
-      engine.cancel(req.id, timeout),
+      withTimeLimit(CANCEL_TIMEOUT_MS, undefined, limited =>
+        engine.cancel(req.id, limited),
+      ),
       clock.sleep(CANCEL_ANSWER_WAIT_MS, waited.signal),
     ]);
     waited.abort();
