--- a/packages/core/src/lib/placement/placement_planner.ts
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -128,7 +128,7 @@
     }
     if (this.isUnderWay(need)) return undefined;
     if (ledger.count(model, need.version) >= need.part) return undefined;
-    return this.load(need);
+    return this.load(need, this.loadOptions(need));
   }
 
   /** An adapter goes onto a loaded base before any base is loaded for it. */
@@ -177,9 +177,11 @@
     });
   }
 
-  private load(need: ReplicaNeed): LoadDecision | undefined {
+  private load(
+    need: ReplicaNeed,
+    options: LoadOption[],
+  ): LoadDecision | undefined {
     const {choice, permits, ledger, clock, ids} = this.options;
-    const options = this.loadOptions(need);
     while (options.length > 0) {
       const best = choice.choose(options);
       options.splice(options.indexOf(best), 1);
--- a/packages/core/src/lib/placement/placement_policies.ts
+++ b/packages/core/src/lib/placement/placement_policies.ts
@@ -1,12 +1,13 @@
 /** The policies in force. @packageDocumentation */
 
-import {DemandBook} from './demand_book.js';
-import {EvictionCost, LoadOrder, TargetChoice} from './placement_policy.js';
 import {
   FirstComeFirstServed,
   LeastRecentlyUsed,
   MostFreeMemory,
 } from './plain_policy.js';
+import {DemandBook} from './demand_book.js';
+import {LoadTimes} from './load_times.js';
+import {EvictionCost, LoadOrder, TargetChoice} from './placement_policy.js';
 
 /** The choices that a planner makes by policy. */
 export interface PlacementPolicies {
@@ -17,9 +18,13 @@
 
 /**
  * @param demand - what waits and past use.
+ * @param times - how long loads take.
  * @returns the policies that controllers run.
  */
-export function placementPolicies(demand: DemandBook): PlacementPolicies {
+export function placementPolicies(
+  demand: DemandBook,
+  times: LoadTimes,
+): PlacementPolicies {
   return {
     order: new FirstComeFirstServed(),
     choice: new MostFreeMemory(),
--- a/packages/core/src/lib/placement/zone_controller.ts
+++ b/packages/core/src/lib/placement/zone_controller.ts
@@ -86,7 +86,7 @@
     const {catalog, ledger, demand, permits} = this;
     this.planner = new PlacementPlanner({
       ...{ledger, demand, catalog, permits, times, clock, ids: options.ids},
-      ...placementPolicies(demand),
+      ...placementPolicies(demand, times),
     });
     const sender = new OrderSender(options);
     this.watch = new TargetWatch({
--- a/packages/core/src/lib/routing/router.ts
+++ b/packages/core/src/lib/routing/router.ts
@@ -49,6 +49,17 @@
     return {type: 'peer', host, zone: remoteZone};
   }
 
+  /**
+   * @param zone - name of another zone.
+   * @returns the hosts of that zone.
+   */
+  hostsIn(zone: string): string[] {
+    return this.options
+      .remoteHosts()
+      .filter(member => member.zone === zone)
+      .map(member => member.host);
+  }
+
   private zonesFor(model: string | undefined): Set<string> {
     if (model === undefined) return this.zonesWithEngines();
     const zones = new Set<string>();
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -1,8 +1,8 @@
 /** An engine over HTTP. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Agent, Dispatcher} from 'undici';
-import {EventSourceParserStream} from 'eventsource-parser/stream';
+import {Agent, Client, Dispatcher} from 'undici';
+import {createParser} from 'eventsource-parser';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
 import {
@@ -33,6 +33,8 @@
   event: generationEventSchema,
 });
 
+const cancelAnswerSchema = z.object({generated: z.number().int().min(0)});
+
 /** Codes of errors that come up before any byte of the request is sent. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
@@ -43,19 +45,11 @@
 
 /** An {@link EngineClient} over HTTP and server-sent events. */
 export class HttpEngineClient extends EngineClient {
-  private readonly dispatcher: Dispatcher;
+  private dispatcher = createPool();
 
   /** @param url - base URL of the engine. */
   constructor(private readonly url: string) {
     super();
-    // Without pipelining a request never shares a connection with another
-    // one in flight.
-    this.dispatcher = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      pipelining: 1,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
   }
 
   override async *generate(
@@ -70,8 +64,8 @@
     const body = opened.value;
     let ended = false;
     try {
-      for await (const event of parseEvents(body)) {
-        const parsed = parseEvent(event.data, req.id);
+      for await (const data of readEvents(body)) {
+        const parsed = parseEvent(data, req.id);
         yield parsed;
         ended = parsed.isErr() || parsed.value.type === 'end';
         if (ended) break;
@@ -84,6 +78,17 @@
     }
   }
 
+  override async cancel(
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<number, EngineError>> {
+    const body = {request_id: requestId};
+    const answer = await this.call('POST', '/cancel', body, signal);
+    return answer.andThen(value =>
+      parse(cancelAnswerSchema, value).map(({generated}) => generated),
+    );
+  }
+
   override async order(
     order: FencedOrder,
     signal: AbortSignal,
@@ -134,10 +139,16 @@
 
   private async open(
     req: GenerationRequest,
-    {resumeFrom, traceparent, signal}: GenerateOptions,
+    {resume, resumeFrom, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
+    // A connection has failed, so the idle ones are not to be trusted either.
+    if (resume) this.replacePool();
+    // A pooled connection may be half closed: a request written to it can be
+    // lost or have run, and nobody can tell which.
+    const fresh = !req.repeatable;
+    const dispatcher = fresh ? this.freshConnection() : this.dispatcher;
     try {
-      const res = await this.dispatcher.request({
+      const res = await dispatcher.request({
         origin: this.url,
         method: 'POST',
         path: '/generate',
@@ -149,17 +160,33 @@
           input: req.input,
           max_tokens: req.maxTokens,
           priority: req.priority,
+          resume,
           resume_from: resumeFrom,
         }),
         signal,
       });
+      if (fresh) res.body.once('close', () => void dispatcher.destroy());
       if (res.statusCode === 200) return ok(res.body);
       return err(await readError(res));
     } catch (error) {
+      if (fresh) void dispatcher.destroy();
       return err(toEngineError(error));
     }
   }
 
+  private replacePool(): void {
+    void this.dispatcher.close();
+    this.dispatcher = createPool();
+  }
+
+  private freshConnection(): Dispatcher {
+    return new Client(this.url, {
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
+  }
+
   private async query<T>(
     path: string,
     schema: z.ZodType<T>,
@@ -194,10 +221,33 @@
   }
 }
 
-function parseEvents(body: Readable) {
-  return Readable.toWeb(body)
-    .pipeThrough(new TextDecoderStream())
-    .pipeThrough(new EventSourceParserStream());
+function createPool(): Dispatcher {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    // Without pipelining a request never shares a connection with another
+    // one in flight.
+    pipelining: 1,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+}
+
+/**
+ * Reads the data of server-sent events.
+ *
+ * The body is read as it comes and not through web streams, whose cost per
+ * chunk exceeds that of everything else on the way of a token.
+ */
+async function* readEvents(body: Readable): AsyncGenerator<string, void> {
+  let pending: string[] = [];
+  const parser = createParser({onEvent: ({data}) => pending.push(data)});
+  const decoder = new TextDecoder();
+  for await (const chunk of body) {
+    parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+    const events = pending;
+    pending = [];
+    yield* events;
+  }
 }
 
 function parseEvent(
