Choose the target by the place of the checkpoint and what it evicts

Change: the target with the least expected time to load, plus the expected cost of loading again what must go, in place of the one with most free memory.

--- a/packages/core/src/lib/placement/placement_policies.ts
+++ b/packages/core/src/lib/placement/placement_policies.ts
@@ -1,13 +1,10 @@
 /** The policies in force. @packageDocumentation */
 
-import {
-  FirstComeFirstServed,
-  LeastRecentlyUsed,
-  MostFreeMemory,
-} from './plain_policy.js';
+import {FirstComeFirstServed, LeastRecentlyUsed} from './plain_policy.js';
 import {DemandBook} from './demand_book.js';
 import {LoadTimes} from './load_times.js';
 import {EvictionCost, LoadOrder, TargetChoice} from './placement_policy.js';
+import {CheapestTarget} from './cheapest_target.js';
 
 /** The choices that a planner makes by policy. */
 export interface PlacementPolicies {
@@ -27,7 +24,7 @@
 ): PlacementPolicies {
   return {
     order: new FirstComeFirstServed(),
-    choice: new MostFreeMemory(),
+    choice: new CheapestTarget(),
     eviction: new LeastRecentlyUsed(demand),
   };
 }
