Evict by the expected cost of loading again

Change: the time to load a replica again from where its checkpoint is, times the wake-ups expected from past use, per byte, in place of least recently used. A replica that was in use within a minute counts ten times (hysteresis).

--- a/packages/core/src/lib/placement/placement_policies.ts
+++ b/packages/core/src/lib/placement/placement_policies.ts
@@ -1,10 +1,11 @@
 /** The policies in force. @packageDocumentation */
 
-import {FirstComeFirstServed, LeastRecentlyUsed} from './plain_policy.js';
+import {FirstComeFirstServed} from './plain_policy.js';
 import {DemandBook} from './demand_book.js';
 import {LoadTimes} from './load_times.js';
 import {EvictionCost, LoadOrder, TargetChoice} from './placement_policy.js';
 import {CheapestTarget} from './cheapest_target.js';
+import {ExpectedReload} from './expected_reload.js';
 
 /** The choices that a planner makes by policy. */
 export interface PlacementPolicies {
@@ -25,6 +26,6 @@
   return {
     order: new FirstComeFirstServed(),
     choice: new CheapestTarget(),
-    eviction: new LeastRecentlyUsed(demand),
+    eviction: new ExpectedReload(demand, times),
   };
 }
