Order loads by deadline slack and waiting work

Change: work that is about to miss its deadline first, all other by load time per waiting request, in place of first come first served.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './lib/placement/cheapest_target.js';
 export * from './lib/placement/expected_reload.js';
 export * from './lib/placement/placement_client.js';
+export * from './lib/placement/slack_order.js';
 export * from './lib/placement/placement_messages.js';
 export * from './lib/placement/placement_planner.js';
 export * from './lib/placement/placement_policies.js';
--- a/packages/core/src/lib/placement/placement_policies.ts
+++ b/packages/core/src/lib/placement/placement_policies.ts
@@ -1,9 +1,9 @@
 /** The policies in force. @packageDocumentation */
 
-import {FirstComeFirstServed} from './plain_policy.js';
 import {DemandBook} from './demand_book.js';
 import {LoadTimes} from './load_times.js';
 import {EvictionCost, LoadOrder, TargetChoice} from './placement_policy.js';
+import {SlackOrder} from './slack_order.js';
 import {CheapestTarget} from './cheapest_target.js';
 import {ExpectedReload} from './expected_reload.js';
 
@@ -24,7 +24,7 @@
   times: LoadTimes,
 ): PlacementPolicies {
   return {
-    order: new FirstComeFirstServed(),
+    order: new SlackOrder(),
     choice: new CheapestTarget(),
     eviction: new ExpectedReload(demand, times),
   };
