--- a/packages/benchmarks/src/lib/benchmarks.ts
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -2,6 +2,10 @@
 
 import {Benchmark} from './benchmark.js';
 import {PathBenchmark} from './path_benchmark.js';
+import {PlacementBenchmark} from './placement_benchmark.js';
 
 /** Every benchmark, in the order in which they run. */
-export const BENCHMARKS: readonly Benchmark[] = [new PathBenchmark()];
+export const BENCHMARKS: readonly Benchmark[] = [
+  new PathBenchmark(),
+  new PlacementBenchmark(),
+];
