Keep the tested route within the burst that its team gets

Cause: the check of declarations now refuses a route whose max_tokens exceed the burst of its team; the test lowers the burst below the route's default. The route asks for what the test sends, the bound stays.

--- a/packages/local-cluster/src/test/promises/team_rate_test.ts
+++ b/packages/local-cluster/src/test/promises/team_rate_test.ts
@@ -56,7 +56,12 @@
       {
         kind: 'route',
         name: 'draft',
-        fields: {model: 'drafter', teams: 'greedy, modest', deadline: '3s'},
+        fields: {
+          model: 'drafter',
+          teams: 'greedy, modest',
+          deadline: '3s',
+          max_tokens: String(MAX_TOKENS),
+        },
       },
     ]);
     for (const host of HOSTS) await send(host, 'modest');
