--- a/packages/benchmarks/src/lib/benchmarks.ts
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -3,9 +3,13 @@
 import {Benchmark} from './benchmark.js';
 import {ControlBenchmark} from './control_benchmark.js';
 import {PathBenchmark} from './path_benchmark.js';
+import {PlacementBenchmark} from './placement_benchmark.js';
+import {ReconcileBenchmark} from './reconcile_benchmark.js';
 
 /** Every benchmark, in the order in which they run. */
 export const BENCHMARKS: readonly Benchmark[] = [
   new PathBenchmark(),
   new ControlBenchmark(),
+  new PlacementBenchmark(),
+  new ReconcileBenchmark(),
 ];
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -6,3 +6,4 @@
 export * from './lib/sample_declarations.js';
 export * from './lib/trace_view.js';
 export * from './lib/cuts.js';
+export * from './lib/faults/loop_lag.js';
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -80,8 +80,8 @@
 
   private constructor(private readonly spec: ClusterSpec) {
     this.cuts = new Cuts(spec.hosts);
-    for (const {name} of spec.hosts) this.clocks.set(name, new PausableClock());
     if (spec.retentionMs !== undefined) this.log.setRetention(spec.retentionMs);
+    for (const {name} of spec.hosts) this.clocks.set(name, new PausableClock());
   }
 
   /**
