--- a/packages/local-cluster/src/lib/cuts.ts
+++ b/packages/local-cluster/src/lib/cuts.ts
@@ -7,9 +7,12 @@
   LogRecord,
   PlatformLog,
   ReadOptions,
+  SystemClock,
 } from '@fuchsiacleat/core';
 import {Result, err} from 'neverthrow';
 
+const SILENT_MS = 5_000;
+
 /** Where a host stands. */
 export interface PlacedHost {
   name: string;
@@ -27,6 +30,7 @@
  */
 export class Cuts {
   private readonly withoutLog = new Set<string>();
+  private readonly withSilentLog = new Set<string>();
   private readonly withoutPeers = new Set<string>();
 
   /** @param hosts - every host of the cluster. */
@@ -42,6 +46,11 @@
     for (const host of hosts) this.withoutLog.delete(host);
   }
 
+  /** Leaves calls of the hosts to the log without any answer. */
+  silenceLog(...hosts: string[]): void {
+    for (const host of hosts) this.withSilentLog.add(host);
+  }
+
   /** Cuts the link between two hosts, in both directions. */
   cutPeers(a: string, b: string): void {
     this.withoutPeers.add(pairOf(a, b));
@@ -65,6 +74,7 @@
   /** Ends every cut. */
   heal(): void {
     this.withoutLog.clear();
+    this.withSilentLog.clear();
     this.withoutPeers.clear();
   }
 
@@ -84,7 +94,10 @@
    * @returns the log as the host sees it.
    */
   logOf(host: string, url: string): PlatformLog {
-    return new CutLog(new HttpPlatformLog(url), () => this.allowsLog(host));
+    return new CutLog(new HttpPlatformLog(url), {
+      isAllowed: () => this.allowsLog(host),
+      isSilent: () => this.withSilentLog.has(host),
+    });
   }
 }
 
@@ -92,7 +105,10 @@
 class CutLog extends PlatformLog {
   constructor(
     private readonly inner: PlatformLog,
-    private readonly allowed: () => boolean,
+    private readonly state: {
+      isAllowed: () => boolean;
+      isSilent: () => boolean;
+    },
   ) {
     super();
   }
@@ -102,9 +118,7 @@
     records: readonly LogRecord[],
     signal: AbortSignal,
   ): Promise<Result<number[], LogError>> {
-    if (!this.allowed()) return cutOff();
-    const answer = await this.inner.append(stream, records, signal);
-    return this.allowed() ? answer : cutOff();
+    return this.pass(signal, () => this.inner.append(stream, records, signal));
   }
 
   override async read(
@@ -112,12 +126,27 @@
     from: number,
     options: ReadOptions,
   ): Promise<Result<LogPage, LogError>> {
-    if (!this.allowed()) return cutOff();
-    const answer = await this.inner.read(stream, from, options);
-    return this.allowed() ? answer : cutOff();
+    const {signal} = options;
+    return this.pass(signal, () => this.inner.read(stream, from, options));
+  }
+
+  private async pass<T>(
+    signal: AbortSignal,
+    call: () => Promise<Result<T, LogError>>,
+  ): Promise<Result<T, LogError>> {
+    const {isAllowed, isSilent} = this.state;
+    if (!isAllowed()) return cutOff();
+    const answer = await call();
+    // Like the client, a silent call gives up after some seconds.
+    if (isSilent()) await sleep(SILENT_MS, signal);
+    return isAllowed() && !isSilent() ? answer : cutOff();
   }
 }
 
+function sleep(ms: number, signal: AbortSignal): Promise<void> {
+  return new SystemClock().sleep(ms, signal);
+}
+
 function cutOff(): Result<never, LogError> {
   return err({type: 'log-unavailable', message: 'the host is cut off'});
 }
--- a/packages/local-cluster/src/test/cuts_test.ts
+++ b/packages/local-cluster/src/test/cuts_test.ts
@@ -18,15 +18,17 @@
   after(() => cluster.kill());
 
   it('cuts the link between two hosts and heals it', async () => {
-    await cluster.awaitStatus(
-      ({zone, peers}) => zone !== 'a' || peers.length === 1,
-    );
+    const others: Record<string, string> = {'a-1': 'a-2', 'a-2': 'a-1'};
+    const awaitLink = (isUp: boolean) =>
+      cluster.awaitStatus(
+        ({host, peers}) =>
+          host === 'b-1' || peers.includes(others[host]) === isUp,
+      );
+    await awaitLink(true);
     cluster.cuts.cutPeers('a-1', 'a-2');
-    await cluster.awaitStatus(({peers}) => peers.length === 0);
+    await awaitLink(false);
     cluster.cuts.heal();
-    await cluster.awaitStatus(
-      ({zone, peers}) => zone !== 'a' || peers.length === 1,
-    );
+    await awaitLink(true);
   });
 
   it('keeps a host that is cut off from the log at its version', async () => {
--- a/packages/local-cluster/src/test/promises/key_withdrawn_test.ts
+++ b/packages/local-cluster/src/test/promises/key_withdrawn_test.ts
@@ -122,6 +122,14 @@
     await expectRefusedEverywhere();
   });
 
+  it('holds in a zone to which the log has gone silent', async () => {
+    const streams = await startStreams();
+    cluster.cuts.silenceLog('b-1', 'b-2');
+    await change('a-2', NO_KEY);
+    await expectAborted(streams);
+    await expectRefusedEverywhere();
+  });
+
   it('holds while only one host reaches the log, which then fails', async () => {
     const streams = await startStreams();
     cluster.cuts.cutLog('a-1', 'a-2', 'b-2');
--- a/packages/local-cluster/src/test/promises/lease_test.ts
+++ b/packages/local-cluster/src/test/promises/lease_test.ts
@@ -61,9 +61,10 @@
 
   /** Waits until every host knows of the others and is known to them. */
   async awaitMesh(): Promise<void> {
-    const others = HOSTS.length - 1;
-    await this.cluster.awaitStatus(
-      ({zone, peers}) => zone !== 'a' || peers.length === others,
+    await this.cluster.awaitStatus(({zone, host, peers}) =>
+      HOSTS.every(
+        name => zone !== 'a' || name === host || peers.includes(name),
+      ),
     );
   }
 
