--- a/packages/cli/src/test/program_test.ts
+++ b/packages/cli/src/test/program_test.ts
@@ -13,6 +13,7 @@
   ['get'],
   ['history'],
   ['rollback'],
+  ['resume'],
   ['status'],
   ['drain'],
   ['key', 'create'],
--- a/packages/core/src/lib/platform/batching_platform_log.ts
+++ b/packages/core/src/lib/platform/batching_platform_log.ts
@@ -67,8 +67,9 @@
   private async flush(stream: string, batch: Waiting[]): Promise<void> {
     if (this.batches.get(stream) === batch) this.batches.delete(stream);
     const records = batch.flatMap(waiting => waiting.records);
-    const signal = allAborted(batch.map(waiting => waiting.signal));
-    const answer = await this.inner.append(stream, records, signal);
+    const all = allAborted(batch.map(waiting => waiting.signal));
+    const answer = await this.inner.append(stream, records, all.signal);
+    all.dispose();
     let from = 0;
     for (const {records: own, resolve} of batch) {
       const start = from;
@@ -79,7 +80,10 @@
 }
 
 /** @returns a signal that aborts once nobody waits any more. */
-function allAborted(signals: readonly AbortSignal[]): AbortSignal {
+function allAborted(signals: readonly AbortSignal[]): {
+  signal: AbortSignal;
+  dispose: () => void;
+} {
   const all = new AbortController();
   let left = signals.length;
   const count = () => {
@@ -90,5 +94,8 @@
     if (signal.aborted) count();
     else signal.addEventListener('abort', count, {once: true});
   }
-  return all.signal;
+  const dispose = () => {
+    for (const signal of signals) signal.removeEventListener('abort', count);
+  };
+  return {signal: all.signal, dispose};
 }
--- a/packages/core/src/lib/platform/snapshot_keeper.ts
+++ b/packages/core/src/lib/platform/snapshot_keeper.ts
@@ -49,10 +49,11 @@
    * Call it now and then while the whole stream is held; a snapshot is due
    * only if one is still missing after a random wait.
    *
+   * @param first - lowest offset that the log still holds.
    * @returns whether to append a snapshot now.
    */
-  isDue(): boolean {
-    if (!this.isMissing()) {
+  isDue(first: number): boolean {
+    if (!this.isMissing(first)) {
       this.dueMs = undefined;
       return false;
     }
@@ -76,8 +77,10 @@
     return silentMs > this.options.retentionMs * SILENT_PART;
   }
 
-  private isMissing(): boolean {
+  private isMissing(first: number): boolean {
     if (!this.reader.hasBase) return true;
+    // The log may forget sooner than the settings say.
+    if (first > this.reader.lastSnapshotOffset) return true;
     const snapshotMs = this.reader.lastSnapshotAtMs;
     if (snapshotMs === undefined) return false;
     return this.clock.epochNow() - snapshotMs > this.renewAfterMs;
--- a/packages/core/src/lib/platform/stream_reader.ts
+++ b/packages/core/src/lib/platform/stream_reader.ts
@@ -57,6 +57,7 @@
   private settlesAtMs = 0;
   private latestRecordAtMs: number | undefined;
   private snapshotAtMs: number | undefined;
+  private snapshotOffset = 0;
   private recent: StoredRecord[] = [];
 
   constructor(private readonly options: StreamReaderOptions) {}
@@ -94,6 +95,14 @@
     return this.snapshotAtMs;
   }
 
+  /**
+   * Offset of the latest snapshot, or 0; without the record that stands there
+   * a new reader finds no base.
+   */
+  get lastSnapshotOffset(): number {
+    return this.snapshotOffset;
+  }
+
   /**
    * Takes a page of the log or of a peer that has read it.
    *
@@ -251,10 +260,19 @@
       return;
     }
     this.snapshotAtMs = record.atMs;
+    this.snapshotOffset = record.offset;
     if (snapshot.resettles) this.settlesAtMs = record.atMs + SETTLE_MS;
+    if (snapshot.resettles && snapshot.version < this.version) {
+      // Some host has lost a state that this one still holds.
+      this.snapshotAtMs = Number.NEGATIVE_INFINITY;
+    }
     this.replaceOlder(snapshot);
   }
 
+  private get version(): number {
+    return this.options.state?.version ?? 0;
+  }
+
   private replaceOlder(snapshot: StreamSnapshot): void {
     const {state} = this.options;
     if (state === undefined || snapshot.version <= state.version) return;
--- a/packages/core/src/lib/platform/stream_tail.ts
+++ b/packages/core/src/lib/platform/stream_tail.ts
@@ -205,7 +205,7 @@
     await clock.every(SNAPSHOT_CHECK_INTERVAL_MS, signal, async () => {
       const isWhole = this.caughtUpAtMs !== undefined || !this.reader.hasBase;
       if (!this.reachable) keeper.reset();
-      if (!this.reachable || !isWhole || !keeper.isDue()) return;
+      if (!this.reachable || !isWhole || !keeper.isDue(this.first)) return;
       const body = this.reader.snapshot(keeper.resettles(), this.first);
       const {through, version} = body;
       // A lost answer does no harm: a snapshot that is still missing will be
--- a/packages/core/src/test/platform/stream_tail_test.ts
+++ b/packages/core/src/test/platform/stream_tail_test.ts
@@ -71,6 +71,34 @@
     expect(late.state.letters).to.deep.equal(['a']);
   });
 
+  it('keeps a snapshot in a log that forgets sooner than it was told', async () => {
+    log = new MemoryLog(clock, RETENTION_MS / 10);
+    const holder = startHost('h-1', 1);
+    log.add('id-1', 'a');
+    await clock.advance(1);
+    await clock.advance(RETENTION_MS / 4);
+    const late = startHost('h-2', 2);
+    // Sooner than a renewal after a part of the retention told.
+    await clock.advance(RETENTION_MS / 15);
+    expect(holder.state.letters).to.deep.equal(['a']);
+    expect(late.state.letters).to.deep.equal(['a']);
+  });
+
+  it('gives its state to a host that has begun anew', async () => {
+    const holder = startHost('h-1', 1);
+    log.add('id-1', 'a');
+    await clock.advance(1_000);
+    const lost = new LettersState();
+    log.add('begun-anew', {
+      ...holder.tail.reader.snapshot(true, 0),
+      version: lost.version,
+      state: lost.capture(),
+    });
+    await clock.advance(5_000);
+    const newest = parseSnapshot(log.records.at(-1)!.body)!;
+    expect(newest.state).to.deep.equal(['a']);
+  });
+
   it('begins anew where nobody holds a state any more', async () => {
     log.add('id-1', 'a');
     await clock.advance(2 * RETENTION_MS);
--- a/packages/local-cluster/src/test/tool_test.ts
+++ b/packages/local-cluster/src/test/tool_test.ts
@@ -117,6 +117,38 @@
     expect(errors[1]).to.contain('team/inspectors was changed in version 2');
   });
 
+  it('waits until a version is in force and tells its author', async () => {
+    await cluster.awaitRemoteHosts();
+    await declare(withWeight('2'));
+    const id = 'p-1';
+    const flags = ['--author', 'birna', '--id', id, '--wait'];
+    const published = await run('publish', folder, ...flags);
+    expect(published.code).to.equal(EXIT_CODE.ok);
+    expect(published.output.at(-1)).to.equal('in force on all 2 hosts');
+    expect((await run('history')).out).to.contain('birna');
+    const again = await run('publish', folder, ...flags);
+    expect(again.out).to.contain('nothing to publish');
+  });
+
+  it('tells what became of a publication, or how to make sure', async () => {
+    await declare(withWeight('2'));
+    const unseen = await run('resume', 'p-2');
+    expect(unseen.code).to.equal(EXIT_CODE.unknown);
+    expect(unseen.errors.join('\n')).to.contain('--id p-2');
+    await run('publish', folder, '--id', 'p-2');
+    const {code, out} = await run('resume', 'p-2', '--wait');
+    expect(code).to.equal(EXIT_CODE.ok);
+    expect(out).to.contain('accepted as version 2');
+  });
+
+  it('says that an outcome is unknown, with the id to ask for', async () => {
+    await declare(withWeight('2'));
+    cluster.log.faults = {...cluster.log.faults, down: true};
+    const {code, errors} = await run('publish', folder, '--id', 'p-3');
+    expect(code).to.equal(EXIT_CODE.unknown);
+    expect(errors.at(-1)).to.equal('the id is p-3');
+  });
+
   it('shows every host, also one that does not answer', async () => {
     await cluster.awaitVersion(1);
     await cluster.awaitRemoteHosts();
