--- a/packages/local-cluster/src/test/promises/lease_test.ts
+++ b/packages/local-cluster/src/test/promises/lease_test.ts
@@ -61,11 +61,11 @@
 
   /** Waits until every host knows of the others and is known to them. */
   async awaitMesh(): Promise<void> {
-    const others = HOSTS.length - 1;
-    await this.cluster.awaitStatus(({zone, peers}) => {
-      const near = peers.filter(host => HOSTS.includes(host));
-      return zone !== 'a' || near.length === others;
-    });
+    await this.cluster.awaitStatus(({zone, host, peers}) =>
+      HOSTS.every(
+        name => zone !== 'a' || name === host || peers.includes(name),
+      ),
+    );
   }
 
   kill(host: string): void {
