Answer every bad input with a typed error; describe and export

Cause: a head that is too large and bytes that are no HTTP got an empty 400 or 431; an absent section of the settings hid which keys it lacked; spans could not leave the process; the settings had no reference.

--- a/packages/core/src/lib/telemetry/tracing.ts
+++ b/packages/core/src/lib/telemetry/tracing.ts
@@ -14,6 +14,7 @@
   BasicTracerProvider,
   SimpleSpanProcessor,
   SpanExporter,
+  SpanProcessor,
 } from '@opentelemetry/sdk-trace-base';
 
 /** Hops that have a span. */
@@ -37,10 +38,17 @@
   private readonly tracer: Tracer;
   private readonly provider: BasicTracerProvider;
 
-  /** @param exporters - receive every finished span. */
-  constructor(exporters: readonly SpanExporter[] = []) {
+  /**
+   * @param exporters - receive every finished span at once.
+   * @param processors - receive every span.
+   */
+  constructor(
+    exporters: readonly SpanExporter[] = [],
+    processors: readonly SpanProcessor[] = [],
+  ) {
+    const simple = exporters.map(e => new SimpleSpanProcessor(e));
     this.provider = new BasicTracerProvider({
-      spanProcessors: exporters.map(e => new SimpleSpanProcessor(e)),
+      spanProcessors: [...simple, ...processors],
     });
     this.tracer = this.provider.getTracer('fuchsiacleat');
   }
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -39,6 +39,7 @@
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
+import {createTracing} from './span_export.js';
 import {TokenShares} from './token_shares.js';
 
 const STOP_APPEND_BOUND_MS = 2_000;
@@ -100,7 +101,8 @@
     this.self = {host: name, zone, incarnation};
     this.ids = new RecordIds(incarnation);
     this.log = deps.log ?? new HttpPlatformLog(settings.platform.log);
-    this.tracing = deps.tracing ?? new Tracing();
+    const {otlp} = settings.tracing ?? {};
+    this.tracing = deps.tracing ?? createTracing(otlp, logger);
     const {self, ids, log, metrics, tracing} = this;
     this.config = new ConfigStore({log, clock, logger, metrics, ids});
     const config = this.config.state;
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -1,10 +1,13 @@
 /** Serves an API on an address. @packageDocumentation */
 
 import {AddressInfo} from 'node:net';
+import {Duplex} from 'node:stream';
 import {Server, createServer} from 'node:http';
 import {getRequestListener} from '@hono/node-server';
 import {Hono} from 'hono';
+import {REFUSAL, refuse} from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
+import {errorBody} from './http_outcome.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 
@@ -43,6 +46,7 @@
       (req, res) => void listen(req, res),
     );
     server.maxConnections = maxConnections;
+    server.on('clientError', answerBrokenRequest);
     return new Promise(resolve => {
       server.once('error', error => resolve(err(error.message)));
       server.listen(port, address, () => {
@@ -64,3 +68,28 @@
     this.server.closeAllConnections();
   }
 }
+
+/** Answers what is no HTTP request, or one whose head is too large. */
+function answerBrokenRequest(
+  {code}: NodeJS.ErrnoException,
+  socket: Duplex,
+): void {
+  if (code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const tooLarge = code === 'HPE_HEADER_OVERFLOW';
+  const status = tooLarge
+    ? '431 Request Header Fields Too Large'
+    : '400 Bad Request';
+  const refusal = tooLarge
+    ? refuse(REFUSAL.tooLarge, `the head exceeds ${MAX_HEADER_BYTES} bytes`)
+    : refuse(REFUSAL.badRequest, 'the request is not valid HTTP');
+  const body = JSON.stringify(errorBody(refusal));
+  socket.end(
+    `HTTP/1.1 ${status}\r\n` +
+      'content-type: application/json\r\n' +
+      `content-length: ${Buffer.byteLength(body)}\r\n` +
+      `connection: close\r\n\r\n${body}`,
+  );
+}
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -25,6 +25,9 @@
 const countSchema = z.coerce.number<string>().int().min(1);
 const urlSchema = z.url({protocol: /^https?$/, error: 'expected a URL'});
 
+/** How the schema library ends its message on a value that is absent. */
+const NOT_GIVEN = 'received undefined';
+
 /** The schema of the settings; each key carries its description. */
 export const settingsSchema = z.strictObject({
   host: z.strictObject({
@@ -92,6 +95,16 @@
         ),
     })
     .default({grace_ms: 2_000}),
+  tracing: z
+    .strictObject({
+      otlp: urlSchema
+        .optional()
+        .describe(
+          'URL to which finished spans are posted as OTLP over HTTP, such as ' +
+            'http://10.0.1.9:4318/v1/traces; none are exported without it.',
+        ),
+    })
+    .optional(),
   log: z
     .strictObject({
       level: z
@@ -117,7 +130,7 @@
  * @returns the settings, or every fault at once.
  */
 export function parseSettings(text: string): Result<Settings, SettingsFault[]> {
-  const parsed = settingsSchema.safeParse(deepCopy(parse(text)));
+  const parsed = settingsSchema.safeParse(withSections(parse(text)));
   if (parsed.success) return ok(parsed.data);
   return err(parsed.error.issues.flatMap(toFaults));
 }
@@ -138,6 +151,9 @@
 
 function toFaults(issue: z.core.$ZodIssue): SettingsFault[] {
   const path = issue.path.join('.');
+  if (issue.code === 'invalid_type' && issue.message.endsWith(NOT_GIVEN)) {
+    return [{key: path, message: 'is missing'}];
+  }
   if (issue.code !== 'unrecognized_keys') {
     return [{key: path, message: issue.message}];
   }
@@ -147,6 +163,12 @@
   }));
 }
 
+/** Adds missing sections, so that each key that they lack is a fault. */
+function withSections(parsed: Record<string, unknown>) {
+  const empty = Object.keys(settingsSchema.shape).map(name => [name, {}]);
+  return {...Object.fromEntries(empty), ...deepCopy(parsed)};
+}
+
 /** The INI library gives objects without a prototype, all values as texts. */
 function deepCopy(value: Record<string, unknown>): Record<string, unknown> {
   const copy: Record<string, unknown> = {};
