--- a/packages/core/src/lib/placement/load_permits.ts
+++ b/packages/core/src/lib/placement/load_permits.ts
@@ -71,7 +71,9 @@
 /**
  * @param capacity - what the store allows over all zones.
  * @param zones - zones that load from it.
- * @returns an equal part; a zone always gets one load at once.
+ * @returns an equal part of the starts. Every zone may have as many loads at
+ *     once as the store runs at full speed: more of them share its speed, so
+ *     nothing is lost, and a zone that loads alone gets all of it.
  */
 export function zoneCapacity(
   capacity: StoreCapacity,
@@ -80,6 +82,6 @@
   const parts = Math.max(1, zones);
   return {
     loadsPerSecond: capacity.loadsPerSecond / parts,
-    atOnce: Math.max(1, Math.floor(capacity.atOnce / parts)),
+    atOnce: capacity.atOnce,
   };
 }
--- a/packages/core/src/lib/requests/attempt.ts
+++ b/packages/core/src/lib/requests/attempt.ts
@@ -12,6 +12,8 @@
   span: HopSpan;
   /** Aborts when the caller goes away. */
   signal: AbortSignal;
+  /** Called before the first byte of an attempt may leave the host. */
+  onStart?: () => void;
 }
 
 /** Where an interrupted stream goes on. */
@@ -29,6 +31,11 @@
    * were reserved.
    */
   generated: number | undefined;
+  /**
+   * Tells the number later, so that the outcome need not wait for a target
+   * that may no longer answer.
+   */
+  generatedLater?: Promise<number | undefined>;
   /** A target or host that the next attempt had better avoid. */
   avoid?: string;
 }
--- a/packages/daemon/src/lib/answer_stream.ts
+++ b/packages/daemon/src/lib/answer_stream.ts
@@ -26,6 +26,8 @@
   encodeEnd: (outcome: Outcome) => Uint8Array | undefined;
   /** Cancels the run. */
   cancel: () => void;
+  /** Cuts the caller's connection. */
+  cut: () => void;
   /** Takes the outcome, once. */
   finish: (outcome: Outcome) => void;
 }
@@ -51,7 +53,7 @@
    * @param outgoing - takes the answer; its head must have been written.
    */
   async writeTo(outgoing: ServerResponse): Promise<void> {
-    const cut = () => outgoing.destroy();
+    const {cut} = this.options;
     // A write to a connection that has just closed is no fault of this host.
     outgoing.on('error', cut);
     this.cutAfterDeadline(cut);
@@ -90,7 +92,8 @@
 
   private watch(controller: Controller): void {
     this.cutAfterDeadline(() => {
-      controller.error(new Error('the deadline passed'));
+      this.options.cut();
+      controller.close();
       void this.abandon();
     });
   }
@@ -103,12 +106,13 @@
       return;
     }
     const end = encodeEnd(outcome);
-    if (end === undefined) outgoing.destroy();
+    if (end === undefined) this.options.cut();
     else outgoing.end(end);
     finish(outcome);
   }
 
   private async pull(controller: Controller): Promise<void> {
+    if (this.ended) return;
     if (this.step.done) {
       this.close(controller, this.step.value);
       return;
@@ -123,16 +127,12 @@
   }
 
   private close(controller: Controller, outcome: Outcome): void {
-    if (this.ended) return;
     this.ended = true;
     this.watchdog?.cancel();
     const end = this.options.encodeEnd(outcome);
-    if (end === undefined) {
-      controller.error(new Error('the answer is not whole'));
-    } else {
-      if (end.length > 0) controller.enqueue(end);
-      controller.close();
-    }
+    if (end === undefined) this.options.cut();
+    else if (end.length > 0) controller.enqueue(end);
+    controller.close();
     this.options.finish(outcome);
   }
 
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -109,7 +109,7 @@
   {gate, services, maxBodyBytes}: CallerApiOptions,
 ): Promise<Response> {
   const routeName = c.req.param('route') ?? '';
-  const {incoming} = c.env as HttpBindings;
+  const {incoming, outgoing} = c.env as HttpBindings;
   const body = await readBody(incoming, maxBodyBytes);
   if (body.isErr()) return errorResponse(body.error);
   const bytes = new Uint8Array(body.value);
@@ -118,7 +118,8 @@
   const {pathname, search} = new URL(c.req.url);
   const rest = pathname.slice(`/services/${routeName}`.length);
   const path = (rest === '' ? '/' : rest) + search;
-  return services.handle(admitted.value, c.req.raw, path, bytes);
+  const caller = {signal: callerGone(outgoing), outgoing};
+  return services.handle(admitted.value, c.req.raw, path, bytes, caller);
 }
 
 function parseJson(body: Buffer): unknown {
--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -59,8 +59,9 @@
 interface Reader {
   /** Aborts when nobody reads any more. */
   signal: AbortSignal;
-  /** Takes a streamed answer as it comes; else it becomes a response body. */
-  outgoing?: ServerResponse;
+  outgoing: ServerResponse;
+  /** Whether a streamed answer becomes a body, so that it can be copied. */
+  asBody: boolean;
 }
 
 /** Runs admitted requests and writes their answers. */
@@ -99,8 +100,8 @@
         const format = makeFormat(id, body.route, Math.floor(createdS));
         const {signal, outgoing} = caller;
         const reader = once
-          ? {signal: new AbortController().signal}
-          : {signal, outgoing};
+          ? {signal: new AbortController().signal, outgoing, asBody: true}
+          : {signal, outgoing, asBody: false};
         return this.run(admitted, req.value, body.stream, format, reader);
       },
     );
@@ -111,17 +112,21 @@
     req: GenerationRequest,
     streamed: boolean,
     format: AnswerFormat,
-    {signal: readerGone, outgoing}: Reader,
+    reader: Reader,
   ): Promise<Response> {
     const cancel = new AbortController();
     const onCancel = () => cancel.abort();
-    readerGone.addEventListener('abort', onCancel);
-    if (readerGone.aborted) onCancel();
+    const {deadlineMs, span, withdrawal} = admitted;
+    for (const end of [reader.signal, withdrawal.signal]) {
+      end.addEventListener('abort', onCancel);
+      if (end.aborted) onCancel();
+    }
     const {signal} = cancel;
-    const {deadlineMs, span} = admitted;
-    const run = this.options.runner.run(req, {deadlineMs, span, signal});
+    const onStart = () => withdrawal.noteStart();
+    const context = {deadlineMs, span, signal, onStart};
+    const run = withdrawal.explain(this.options.runner.run(req, context));
     if (!streamed) return this.answerWhole(admitted, run, format);
-    return this.answerStream(admitted, run, format, onCancel, outgoing);
+    return this.answerStream(admitted, run, format, onCancel, reader);
   }
 
   private toRequest(
@@ -177,7 +182,7 @@
     run: Run,
     format: AnswerFormat,
     cancel: () => void,
-    outgoing: ServerResponse | undefined,
+    {outgoing, asBody}: Reader,
   ): Promise<Response> {
     const {clock, metrics} = this.options;
     const startMs = clock.now();
@@ -196,9 +201,10 @@
       encode: event => sseEvent(JSON.stringify(chunkOf(event, format))),
       encodeEnd: lastEvent,
       cancel,
+      cut: () => outgoing.destroy(),
       finish: admitted.finish,
     });
-    if (outgoing === undefined) {
+    if (asBody) {
       return new Response(stream.body(), {headers: STREAM_HEADERS});
     }
     outgoing.writeHead(STATUS_OK, STREAM_HEADERS);
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -3,10 +3,12 @@
 import {randomBytes} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {
+  BatchingPlatformLog,
   Clock,
   ConfigStore,
   HttpHostList,
   HttpPlatformLog,
+  LeaseAuthority,
   Logger,
   Member,
   Membership,
@@ -33,6 +35,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {createCallerApi} from './caller_api.js';
 import {CompletionHandler} from './completion_handler.js';
+import {ConfigParts, parseAddress} from './config_parts.js';
 import {HttpListener} from './http_listener.js';
 import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestPath} from './request_path.js';
@@ -69,6 +72,7 @@
   private readonly metrics = new Metrics();
   private readonly tracing: Tracing;
   private readonly config: ConfigStore;
+  private readonly configParts: ConfigParts;
   private readonly zoneStream: ZoneStream;
   private readonly membership: Membership;
   private readonly zones: ZoneDirectory;
@@ -100,11 +104,21 @@
     const incarnation = `${name}.${randomBytes(8).toString('hex')}`;
     this.self = {host: name, zone, incarnation};
     this.ids = new RecordIds(incarnation);
-    this.log = deps.log ?? new HttpPlatformLog(settings.platform.log);
+    const direct = deps.log ?? new HttpPlatformLog(settings.platform.log);
+    this.log = new BatchingPlatformLog(direct, clock);
     const {otlp} = settings.tracing ?? {};
     this.tracing = deps.tracing ?? createTracing(otlp, logger);
     const {self, ids, log, metrics, tracing} = this;
-    this.config = new ConfigStore({log, clock, logger, metrics, ids});
+    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
+    this.config = new ConfigStore({
+      log,
+      clock,
+      logger,
+      metrics,
+      ids,
+      random,
+      retentionMs: settings.platform.log_retention,
+    });
     const config = this.config.state;
     this.zoneStream = new ZoneStream({zone, log, clock, logger, ids});
     this.network = new TcpPeerNetwork({
@@ -112,7 +126,7 @@
       clock,
       logger,
       secret: settings.peers.secret,
-      resolve: host => this.findMember(host)?.peer,
+      resolve: host => this.findMember(host)?.peer ?? parseAddress(host),
       allows: deps.allowsPeer,
     });
     const listUrl = settings.platform.host_list;
@@ -123,7 +137,6 @@
       logger,
       hostList: listUrl === undefined ? undefined : new HttpHostList(listUrl),
     });
-    const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
     this.zones = new ZoneDirectory({
       log,
       clock,
@@ -135,6 +148,16 @@
       lease: this.membership.lease,
       isSuspect: host => this.network.isSuspect(host),
     });
+    this.configParts = new ConfigParts({
+      store: this.config,
+      network: this.network,
+      clock,
+      logger,
+      random,
+      seeds: settings.peers.seeds,
+      members: this.membership.members,
+      zones: this.zones,
+    });
     this.targets = new TargetClients(config);
     const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory(clock);
@@ -161,7 +184,9 @@
       network,
       clock,
     });
-    this.queue = new RequestQueue({clock, directory, placement});
+    const weightOf = (team: string) =>
+      config.declared.get('team', team)?.weight ?? 1;
+    this.queue = new RequestQueue({clock, directory, placement, weightOf});
     const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
@@ -207,11 +232,21 @@
     return this.operator!.port;
   }
 
+  /** Port on which other hosts connect. */
+  get peerPort(): number {
+    return this.network.port;
+  }
+
   /** Version of the configuration in force. */
   get configVersion(): number {
     return this.config.state.version;
   }
 
+  /** Whether this host may give orders in its zone. */
+  get authority(): LeaseAuthority {
+    return this.membership.lease;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
@@ -242,16 +277,12 @@
     const operator = await this.startOperatorApi();
     if (operator.isErr()) return err(`listen.operator: ${operator.error}`);
     this.operator = operator.value;
-    void this.config.run(signal);
+    this.configParts.run(signal);
     void this.zoneStream.run(signal);
-    await Promise.all([this.config.ready(), this.zoneStream.caughtUp()]);
-    await this.join(peerPort.value);
-    void this.membership.run(signal);
-    void this.controller.run(signal);
-    void this.zones.run(signal);
-    void this.shares.run(signal);
-    const {members} = this.membership;
-    new ZoneLinks(this.self.host, members, this.network).run(signal);
+    await this.config.ready();
+    const joined = this.takePart(peerPort.value);
+    // A host that started from its peers joins once it reaches the log.
+    if (this.config.isFromLog) await joined;
     const caller = await this.startCallerApi();
     if (caller.isErr()) return err(`listen.caller: ${caller.error}`);
     this.caller = caller.value;
@@ -304,6 +335,19 @@
     this.kill();
   }
 
+  /** Joins the zone and takes part in it. */
+  private async takePart(peerPort: number): Promise<void> {
+    const {signal} = this.lifetime;
+    await this.zoneStream.caughtUp();
+    await this.join(peerPort);
+    void this.membership.run(signal);
+    void this.controller.run(signal);
+    void this.zones.run(signal);
+    void this.shares.run(signal);
+    const {members} = this.membership;
+    new ZoneLinks(this.self.host, members, this.network).run(signal);
+  }
+
   private async join(peerPort: number): Promise<void> {
     const {listen} = this.settings;
     const member: Member = {
@@ -351,6 +395,7 @@
     const app = createOperatorApi({
       tokenDigest: operators.token_digest,
       config,
+      versions: this.configParts.versions,
       metrics,
       status: () => this.status(),
       hosts: () =>
