--- a/packages/core/src/lib/membership/zone_directory.ts
+++ b/packages/core/src/lib/membership/zone_directory.ts
@@ -87,6 +87,11 @@
     options.network.serveUnary(SUMMARIES, versions => this.newer(versions));
   }
 
+  /** Whether everything was read that stood in the log at the start. */
+  get isCaughtUp(): boolean {
+    return this.tail.lastCaughtUp !== undefined;
+  }
+
   /** @returns every known host of all other zones. */
   remoteHosts(): Member[] {
     const {zone} = this.options.network.self;
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -5,6 +5,7 @@
 import {createParser} from 'eventsource-parser';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
+import {withTimeLimit} from '../time/time_limit.js';
 import {
   GenerationEvent,
   GenerationRequest,
@@ -62,15 +63,22 @@
       return;
     }
     const body = opened.value;
-    let ended = false;
+    const events: Array<Result<GenerationEvent, EngineError>> = [];
+    const parser = createParser({
+      onEvent: ({data}) => events.push(parseEvent(data, req.id)),
+    });
+    const decoder = new TextDecoder();
     try {
-      for await (const data of readEvents(body)) {
-        const parsed = parseEvent(data, req.id);
-        yield parsed;
-        ended = parsed.isErr() || parsed.value.type === 'end';
-        if (ended) break;
+      // The body is read as it comes: web streams would cost more than all
+      // else on the way of a token.
+      for await (const chunk of body) {
+        parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+        for (const event of events.splice(0)) {
+          yield event;
+          if (event.isErr() || event.value.type === 'end') return;
+        }
       }
-      if (!ended) yield broken('the engine closed the stream early');
+      yield broken('the engine closed the stream early');
     } catch (error) {
       yield broken((error as Error).message);
     } finally {
@@ -192,9 +200,9 @@
     schema: z.ZodType<T>,
     signal: AbortSignal,
   ): Promise<Result<T, EngineError>> {
-    const timeout = AbortSignal.timeout(QUERY_TIMEOUT_MS);
-    const either = AbortSignal.any([signal, timeout]);
-    const answer = await this.call('GET', path, undefined, either);
+    const answer = await withTimeLimit(QUERY_TIMEOUT_MS, signal, limited =>
+      this.call('GET', path, undefined, limited),
+    );
     return answer.andThen(value => parse(schema, value));
   }
 
@@ -232,24 +240,6 @@
   });
 }
 
-/**
- * Reads the data of server-sent events.
- *
- * The body is read as it comes and not through web streams, whose cost per
- * chunk exceeds that of everything else on the way of a token.
- */
-async function* readEvents(body: Readable): AsyncGenerator<string, void> {
-  let pending: string[] = [];
-  const parser = createParser({onEvent: ({data}) => pending.push(data)});
-  const decoder = new TextDecoder();
-  for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
-    const events = pending;
-    pending = [];
-    yield* events;
-  }
-}
-
 function parseEvent(
   data: string,
   requestId: string,
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -7,7 +7,6 @@
   ConfigStore,
   HttpHostList,
   HttpPlatformLog,
-  LocalTokenLimiter,
   Logger,
   Member,
   Membership,
@@ -29,6 +28,7 @@
   ZoneDirectory,
   ZoneLinks,
   ZoneStream,
+  withTimeLimit,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 import {createCallerApi} from './caller_api.js';
@@ -39,6 +39,7 @@
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
+import {TokenShares} from './token_shares.js';
 
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
@@ -73,6 +74,7 @@
   private readonly network: TcpPeerNetwork;
   private readonly controller: ZoneController;
   private readonly queue: RequestQueue;
+  private readonly shares: TokenShares;
   private readonly path: RequestPath;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
@@ -161,7 +163,14 @@
     const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
     const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
-    const limiter = new LocalTokenLimiter(config, clock);
+    this.shares = new TokenShares({
+      config: this.config,
+      membership: this.membership,
+      zones: this.zones,
+      network,
+      clock,
+    });
+    const {limiter} = this.shares;
     this.path = new RequestPath({
       zone,
       config,
@@ -196,6 +205,11 @@
     return this.operator!.port;
   }
 
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this.config.state.version;
+  }
+
   /** Requests of other zones that run here now. */
   get forwardedRequests(): number {
     return this.path.forwardedRequests;
@@ -233,6 +247,7 @@
     void this.membership.run(signal);
     void this.controller.run(signal);
     void this.zones.run(signal);
+    void this.shares.run(signal);
     const {members} = this.membership;
     new ZoneLinks(this.self.host, members, this.network).run(signal);
     const caller = await this.startCallerApi();
@@ -270,15 +285,18 @@
     // The balancer needs time to see that this host is not ready; until then
     // new requests are served as before.
     this.gate.notReady();
-    const bound = AbortSignal.timeout(STOP_APPEND_BOUND_MS);
-    await this.membership.lease.release(false, bound);
+    await withTimeLimit(STOP_APPEND_BOUND_MS, undefined, limited =>
+      this.membership.lease.release(false, limited),
+    );
     await this.clock.sleep(graceMs);
     this.gate.close();
     this.path.close();
     this.caller?.close();
     await Promise.all([this.gate.idle(), this.path.idle()]);
-    await this.membership.leave(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
-    await this.zones.writeIfEmpty(AbortSignal.timeout(STOP_APPEND_BOUND_MS));
+    await withTimeLimit(STOP_APPEND_BOUND_MS, undefined, async limited => {
+      await this.membership.leave(limited);
+      await this.zones.writeIfEmpty(limited);
+    });
     await this.tracing.flush();
     logger.info('stopped', {});
     this.kill();
