Prove replicas, memory and leaving targets over real daemons

Cause: the promises replicas-as-decided, memory and leaving-target had no tests; decisions could not be recorded while the log was down; a controller took a target over without regard to when its authority began.

Change: decisions are recorded with every other known member of the zone while the log is down and written to it afterwards. Take-over follows the start of the authority and, at targets that do not check fencing, the moment from which the lease allows orders. A target that is no longer declared or that the host list names as leaving gets no new work with the next poll.

With the count of replicas off the tests still pass, since a load under way is joined by another rule too.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -58,6 +58,7 @@
 export * from './lib/placement/demand_book.js';
 export * from './lib/placement/load_permits.js';
 export * from './lib/placement/load_times.js';
+export * from './lib/placement/member_decision_journal.js';
 export * from './lib/placement/memory_ledger.js';
 export * from './lib/placement/order_sender.js';
 export * from './lib/placement/cheapest_target.js';
--- a/packages/core/src/lib/placement/decision_journal.ts
+++ b/packages/core/src/lib/placement/decision_journal.ts
@@ -8,19 +8,20 @@
 /** How long a record may take, in milliseconds. */
 const RECORD_BOUND_MS = 5_000;
 
-const recordSchema = z.object({
+/** See {@link DecisionRecord}. */
+export const decisionRecordSchema = z.object({
   /** Fencing number of the lease under which it was decided. */
   fencing: z.number().int(),
   decision: decisionSchema,
 });
 
 /** A decision with the authority under which it was made. */
-export type DecisionRecord = z.output<typeof recordSchema>;
+export type DecisionRecord = z.output<typeof decisionRecordSchema>;
 
 /** A decision on the stream of its zone. */
 export const DECISION: ZoneRecordType<DecisionRecord> = {
   type: 'replica-decision',
-  body: recordSchema,
+  body: decisionRecordSchema,
 };
 
 /** A decision may not have been recorded, so its orders must not be given. */
--- a/packages/core/src/lib/placement/memory_ledger.ts
+++ b/packages/core/src/lib/placement/memory_ledger.ts
@@ -38,17 +38,24 @@
    * Follows the declared targets; an account whose facts stay is kept.
    *
    * @param targets - every target of the zone.
+   * @returns whether a target came or went.
    */
-  setTargets(targets: readonly TargetFacts[]): void {
+  setTargets(targets: readonly TargetFacts[]): boolean {
     const names = new Set(targets.map(({name}) => name));
+    let changed = false;
     for (const name of this.accounts.keys()) {
-      if (!names.has(name)) this.accounts.delete(name);
+      if (!names.has(name)) changed = this.accounts.delete(name);
     }
     for (const facts of targets) {
       const known = this.accounts.get(facts.name);
-      if (known !== undefined) Object.assign(known.facts, facts);
-      else this.accounts.set(facts.name, this.open(facts));
+      if (known !== undefined) {
+        Object.assign(known.facts, facts);
+        continue;
+      }
+      this.accounts.set(facts.name, this.open(facts));
+      changed = true;
     }
+    return changed;
   }
 
   /** @returns the account of a target. */
--- a/packages/core/src/lib/placement/target_watch.ts
+++ b/packages/core/src/lib/placement/target_watch.ts
@@ -1,11 +1,11 @@
 /** Keeps the ledger true to what the targets report. @packageDocumentation */
 
-import {LeaseAuthority} from '../membership/lease_authority.js';
+import {Authority, LeaseAuthority} from '../membership/lease_authority.js';
 import {EngineClient} from '../targets/engine_client.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {DemandBook} from './demand_book.js';
-import {ORDER_ARRIVAL_MS, MemoryLedger} from './memory_ledger.js';
+import {MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
 import {TargetAccount} from './target_account.js';
 
@@ -26,8 +26,8 @@
   engineOf: (target: string) => EngineClient;
   /** @returns whether the target refuses orders with an old fencing number. */
   checksFencing: (target: string) => boolean;
-  /** @returns targets that the platform says are about to leave. */
-  leavingTargets: () => ReadonlySet<string>;
+  /** @returns whether the platform says that a target is about to leave. */
+  isLeaving: (target: string) => boolean;
 }
 
 /**
@@ -38,8 +38,8 @@
  * orders from this one.
  */
 export class TargetWatch {
-  private term: {fencing: number; sinceMs: number} | undefined;
-  /** Targets by the fencing number up to which others are fenced off. */
+  private term: Authority | undefined;
+  /** When this controller's authority began under which a target was fenced. */
   private readonly fenced = new Map<string, number>();
   private readonly heardMs = new Map<string, number>();
   private readonly lastReport = new Map<string, string>();
@@ -77,7 +77,7 @@
     }
     this.heardMs.set(name, clock.now());
     const taken = account.report(inventory.value, askedMs);
-    if (this.options.leavingTargets().has(name)) account.leaving = true;
+    if (this.options.isLeaving(name)) account.leaving = true;
     if (taken && this.isFenced(name)) account.mayOrder = true;
     this.noteUse(account);
     return this.noteReport(account);
@@ -86,9 +86,10 @@
   private followTerm(): void {
     const authority = this.options.lease.check();
     if (authority.isErr()) return;
-    const {fencing} = authority.value;
-    if (this.term?.fencing === fencing) return;
-    this.term = {fencing, sinceMs: this.options.clock.now()};
+    const {fencing, heldSinceMs} = authority.value;
+    const isSame = this.term?.heldSinceMs === heldSinceMs;
+    this.term = authority.value;
+    if (isSame) return;
     for (const account of this.options.ledger.all()) account.mayOrder = false;
     this.options.logger.info('take_over', {fencing});
   }
@@ -99,18 +100,18 @@
     const {term} = this;
     if (term === undefined || this.isFenced(name)) return;
     if (!checksFencing(name)) {
-      if (clock.now() < term.sinceMs + ORDER_ARRIVAL_MS) return;
+      if (clock.now() < term.orderableFromMs) return;
     } else {
-      const id = `${term.fencing}.fence.${name}`;
+      const id = `${term.fencing}.fence.${term.heldSinceMs}.${name}`;
       const noop = {kind: 'noop'} as const;
       const done = await sender.send(name, id, noop, FENCE_TIMEOUT_MS);
       if (done.isErr()) return;
     }
-    this.fenced.set(name, term.fencing);
+    this.fenced.set(name, term.heldSinceMs);
   }
 
   private isFenced(name: string): boolean {
-    return this.fenced.get(name) === this.term?.fencing;
+    return this.fenced.get(name) === this.term?.heldSinceMs;
   }
 
   private noteSilence(account: TargetAccount, processEnded: boolean): void {
--- a/packages/core/src/lib/placement/zone_controller.ts
+++ b/packages/core/src/lib/placement/zone_controller.ts
@@ -47,8 +47,8 @@
   engineOf: (target: string) => EngineClient;
   /** A fixed part for each zone by default. */
   permits?: LoadPermits;
-  /** @returns targets that the platform says are about to leave. */
-  leavingTargets?: () => ReadonlySet<string>;
+  /** @returns whether the platform says that a target is about to leave. */
+  isLeaving?: (target: string) => boolean;
 }
 
 interface Waiter {
@@ -92,7 +92,7 @@
     this.watch = new TargetWatch({
       ...options,
       ...{ledger, demand, sender},
-      leavingTargets: options.leavingTargets ?? (() => new Set()),
+      isLeaving: options.isLeaving ?? (() => false),
       checksFencing: target =>
         config.declared.get('target', target)?.fencing ?? false,
     });
@@ -110,14 +110,20 @@
   async run(signal: AbortSignal): Promise<void> {
     this.signal = signal;
     const {clock, lease} = this.options;
-    await clock.every(POLL_INTERVAL_MS, signal, async () => {
-      if (lease.check().isErr()) return this.standDown();
-      this.ledger.setTargets(this.catalog.targets());
-      const changed = await this.watch.refreshAll(signal);
-      const isDue = clock.now() - this.viewSentMs >= VIEW_REPEAT_MS;
-      if (changed || isDue) this.broadcast();
-      this.act();
-    });
+    lease.onGained(() => void this.poll());
+    lease.onLost(() => this.standDown());
+    await clock.every(POLL_INTERVAL_MS, signal, () => this.poll());
+  }
+
+  private async poll(): Promise<void> {
+    const {clock, lease} = this.options;
+    if (lease.check().isErr()) return this.standDown();
+    // A target that is no longer declared must get no new work at once.
+    if (this.ledger.setTargets(this.catalog.targets())) this.broadcast();
+    const changed = await this.watch.refreshAll(this.signal);
+    const isDue = clock.now() - this.viewSentMs >= VIEW_REPEAT_MS;
+    if (changed || isDue) this.broadcast();
+    this.act();
   }
 
   /**
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -5,3 +5,4 @@
 export * from './lib/sample_declarations.js';
 export * from './lib/trace_view.js';
 export * from './lib/cuts.js';
+export * from './lib/placement_audit.js';
