--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -144,6 +144,7 @@
       network,
       directory,
       journal: new ZoneDecisionJournal(membership.records),
+      isLeaving: target => membership.hosts.isLeaving(target),
       clock,
       logger,
       ids,
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -7,3 +7,4 @@
 export * from './lib/trace_view.js';
 export * from './lib/cuts.js';
 export * from './lib/faults/loop_lag.js';
+export * from './lib/placement_audit.js';
