--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -18,6 +18,7 @@
   PeerIdentity,
   PeerMethod,
   PeerNetwork,
+  UnaryPeerHandler,
 } from './peer_network.js';
 
 const KEEP_INTERVAL_MS = 200;
@@ -63,9 +64,11 @@
   private readonly failedMs = new Map<string, number>();
   private readonly dialling = new Map<string, Promise<PeerLink | undefined>>();
   private readonly handlers = new Map<string, Registered>();
+  private readonly unaryMethods = new Set<string>();
   private readonly noteHandlers = new Map<string, RegisteredNote>();
   private readonly sockets: PeerSockets;
   private signal = new AbortController().signal;
+  private boundPort = 0;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     super();
@@ -101,7 +104,8 @@
       server.once('error', error => resolve(err(error.message)));
       server.listen(port, address, () => {
         signal.addEventListener('abort', () => server.close());
-        resolve(ok((server.address() as AddressInfo).port));
+        this.boundPort = (server.address() as AddressInfo).port;
+        resolve(ok(this.boundPort));
       });
     });
   }
@@ -132,6 +136,11 @@
     return this.options.clock.now() - failedMs < SUSPECT_MS;
   }
 
+  /** The port on which links are accepted. */
+  get port(): number {
+    return this.boundPort;
+  }
+
   override connected(): PeerIdentity[] {
     return this.table.peers();
   }
@@ -159,6 +168,14 @@
     this.handlers.set(method.name, {method, handler} as Registered);
   }
 
+  override serveUnary<Body, Event>(
+    method: PeerMethod<Body, Event>,
+    handler: UnaryPeerHandler<Body, Event>,
+  ): void {
+    super.serveUnary(method, handler);
+    this.unaryMethods.add(method.name);
+  }
+
   override notify<Body>(
     host: string,
     method: PeerMethod<Body, never>,
@@ -176,6 +193,11 @@
     this.noteHandlers.set(method.name, {method, handler} as RegisteredNote);
   }
 
+  /** Part of {@link LinkHandler}. */
+  isUnary(name: string): boolean {
+    return this.unaryMethods.has(name);
+  }
+
   /** Part of {@link LinkHandler}. */
   async *dispatch(
     name: string,
@@ -233,7 +255,8 @@
     return new Promise(resolve => {
       const link = this.makeLink(socket, true);
       const ended = this.runLink(link, kept => {
-        resolve(kept.peer!.host === host ? kept : undefined);
+        const isWanted = kept.peer!.host === host || isAddress(host);
+        resolve(isWanted ? kept : undefined);
       });
       void ended.then(() => resolve(this.table.get(host)));
     });
@@ -283,3 +306,8 @@
   const message = `malformed answer of ${method.name}`;
   return err({type: PEER_ERROR.lost, message});
 }
+
+/** Hosts whose names are not known yet go by address and port. */
+function isAddress(host: string): boolean {
+  return host.includes(':');
+}
--- a/packages/core/src/lib/placement/decision_journal.ts
+++ b/packages/core/src/lib/placement/decision_journal.ts
@@ -2,25 +2,26 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {z} from 'zod';
-import {ZoneRecordType, ZoneStream} from '../membership/zone_stream.js';
+import {ZoneRecordType, ZoneRecordWriter} from '../membership/zone_stream.js';
 import {decisionSchema} from './decision.js';
 
 /** How long a record may take, in milliseconds. */
 const RECORD_BOUND_MS = 5_000;
 
-const recordSchema = z.object({
+/** See {@link DecisionRecord}. */
+export const decisionRecordSchema = z.object({
   /** Fencing number of the lease under which it was decided. */
   fencing: z.number().int(),
   decision: decisionSchema,
 });
 
 /** A decision with the authority under which it was made. */
-export type DecisionRecord = z.output<typeof recordSchema>;
+export type DecisionRecord = z.output<typeof decisionRecordSchema>;
 
 /** A decision on the stream of its zone. */
 export const DECISION: ZoneRecordType<DecisionRecord> = {
   type: 'replica-decision',
-  body: recordSchema,
+  body: decisionRecordSchema,
 };
 
 /** A decision may not have been recorded, so its orders must not be given. */
@@ -45,11 +46,11 @@
 /** Records decisions on the zone's stream of the platform's log. */
 export class ZoneDecisionJournal extends DecisionJournal {
   /**
-   * @param stream - the zone's stream.
+   * @param stream - the zone's stream, or what stands in for it.
    * @param boundMs - how long to try, in milliseconds.
    */
   constructor(
-    private readonly stream: ZoneStream,
+    private readonly stream: ZoneRecordWriter,
     private readonly boundMs = RECORD_BOUND_MS,
   ) {
     super();
--- a/packages/core/src/lib/platform/stream_reader.ts
+++ b/packages/core/src/lib/platform/stream_reader.ts
@@ -57,6 +57,7 @@
   private settlesAtMs = 0;
   private latestRecordAtMs: number | undefined;
   private snapshotAtMs: number | undefined;
+  private snapshotOffset = 0;
   private recent: StoredRecord[] = [];
 
   constructor(private readonly options: StreamReaderOptions) {}
@@ -94,6 +95,14 @@
     return this.snapshotAtMs;
   }
 
+  /**
+   * Offset of the latest snapshot, or 0; without the record that stands there
+   * a new reader finds no base.
+   */
+  get lastSnapshotOffset(): number {
+    return this.snapshotOffset;
+  }
+
   /**
    * Takes a page of the log or of a peer that has read it.
    *
@@ -123,7 +132,7 @@
       ids: this.ids.all(),
       resettles,
       settlesAtMs: this.settlesAtMs,
-      lastRecordAtMs: this.latestRecordAtMs ?? null,
+      lastRecordAtMs: this.based ? (this.latestRecordAtMs ?? null) : null,
       state: state.capture(),
     };
   }
@@ -204,9 +213,11 @@
     const own = {version: state!.version, state: state!.capture()};
     const ownIds = this.ids;
     if (!this.startFrom(snapshot)) return;
-    for (const record of this.heldBack) {
-      if (record.offset >= snapshot.through) this.apply(record);
-    }
+    const records = this.heldBack.filter(
+      record => record.offset >= snapshot.through,
+    );
+    if (this.followsLoss(snapshot, records[0])) this.settlesAtMs = Infinity;
+    for (const record of records) this.apply(record);
     if (state!.version >= own.version) {
       this.heldBack = [];
       // A state that was put back may stand for records that are about to
@@ -219,6 +230,18 @@
     this.based = false;
   }
 
+  /**
+   * Whether records were lost before a snapshot, so that other hosts may hold
+   * newer states and nothing may be accepted before they had time to tell.
+   */
+  private followsLoss(
+    {resettles, lastRecordAtMs}: StreamSnapshot,
+    next: StoredRecord,
+  ): boolean {
+    if (!resettles || lastRecordAtMs === null) return resettles;
+    return next.atMs - lastRecordAtMs > this.options.retentionMs;
+  }
+
   private startFrom(snapshot: StreamSnapshot): boolean {
     if (!this.options.state!.restore(snapshot.state)) return false;
     this.ids = new RecentIds(REMEMBERED_IDS, snapshot.ids);
@@ -237,10 +260,19 @@
       return;
     }
     this.snapshotAtMs = record.atMs;
+    this.snapshotOffset = record.offset;
     if (snapshot.resettles) this.settlesAtMs = record.atMs + SETTLE_MS;
+    if (snapshot.resettles && snapshot.version < this.version) {
+      // Some host has lost a state that this one still holds.
+      this.snapshotAtMs = Number.NEGATIVE_INFINITY;
+    }
     this.replaceOlder(snapshot);
   }
 
+  private get version(): number {
+    return this.options.state?.version ?? 0;
+  }
+
   private replaceOlder(snapshot: StreamSnapshot): void {
     const {state} = this.options;
     if (state === undefined || snapshot.version <= state.version) return;
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,7 +1,7 @@
 /** The daemon's settings: an INI file, checked as a whole at start. @packageDocumentation */
 
 import {readFile} from 'node:fs/promises';
-import {LOG_LEVELS} from '@fuchsiacleat/core';
+import {LOG_LEVELS, durationSchema} from '@fuchsiacleat/core';
 import {parse} from 'ini';
 import {Result, err, ok} from 'neverthrow';
 import {z} from 'zod';
@@ -18,6 +18,11 @@
   return {address: match[1], port};
 });
 
+const addressListSchema = z
+  .string()
+  .transform(text => text.split(',').map(item => item.trim()))
+  .pipe(z.array(listenSchema));
+
 const yesNoSchema = z
   .enum(['yes', 'no'], 'expected yes or no')
   .transform(text => text === 'yes');
@@ -25,6 +30,9 @@
 const countSchema = z.coerce.number<string>().int().min(1);
 const urlSchema = z.url({protocol: /^https?$/, error: 'expected a URL'});
 
+/** How the schema library ends its message on a value that is absent. */
+const NOT_GIVEN = 'received undefined';
+
 /** The schema of the settings; each key carries its description. */
 export const settingsSchema = z.strictObject({
   host: z.strictObject({
@@ -47,6 +55,9 @@
     host_list: urlSchema
       .optional()
       .describe('Base URL of the list of live and leaving hosts.'),
+    log_retention: durationSchema
+      .optional()
+      .describe('How long the log keeps records, at least; 24h by default.'),
   }),
   peers: z
     .strictObject({
@@ -58,6 +69,12 @@
       plain: yesNoSchema
         .default(false)
         .describe('Whether links between hosts go without TLS.'),
+      seeds: addressListSchema
+        .optional()
+        .describe(
+          'Hosts to start from while the log is out of reach, such as ' +
+            '10.0.1.5:9000, 10.0.2.5:9000.',
+        ),
     })
     .refine(peers => peers.plain !== (peers.secret !== undefined), {
       path: ['secret'],
@@ -92,6 +109,16 @@
         ),
     })
     .default({grace_ms: 2_000}),
+  tracing: z
+    .strictObject({
+      otlp: urlSchema
+        .optional()
+        .describe(
+          'URL to which finished spans are posted as OTLP over HTTP, such as ' +
+            'http://10.0.1.9:4318/v1/traces; none are exported without it.',
+        ),
+    })
+    .optional(),
   log: z
     .strictObject({
       level: z
@@ -117,7 +144,7 @@
  * @returns the settings, or every fault at once.
  */
 export function parseSettings(text: string): Result<Settings, SettingsFault[]> {
-  const parsed = settingsSchema.safeParse(deepCopy(parse(text)));
+  const parsed = settingsSchema.safeParse(withSections(parse(text)));
   if (parsed.success) return ok(parsed.data);
   return err(parsed.error.issues.flatMap(toFaults));
 }
@@ -138,6 +165,9 @@
 
 function toFaults(issue: z.core.$ZodIssue): SettingsFault[] {
   const path = issue.path.join('.');
+  if (issue.code === 'invalid_type' && issue.message.endsWith(NOT_GIVEN)) {
+    return [{key: path, message: 'is missing'}];
+  }
   if (issue.code !== 'unrecognized_keys') {
     return [{key: path, message: issue.message}];
   }
@@ -147,6 +177,12 @@
   }));
 }
 
+/** Adds missing sections, so that each key that they lack is a fault. */
+function withSections(parsed: Record<string, unknown>) {
+  const empty = Object.keys(settingsSchema.shape).map(name => [name, {}]);
+  return {...Object.fromEntries(empty), ...deepCopy(parsed)};
+}
+
 /** The INI library gives objects without a prototype, all values as texts. */
 function deepCopy(value: Record<string, unknown>): Record<string, unknown> {
   const copy: Record<string, unknown> = {};
--- /dev/null
+++ b/packages/daemon/src/lib/zone_parts.ts
@@ -0,0 +1,127 @@
+/** A host's place among the others: its links, its zone, the other zones. @packageDocumentation */
+
+import {
+  Clock,
+  DEFAULT_RETENTION_MS,
+  HttpHostList,
+  LeaseAuthority,
+  Logger,
+  Member,
+  Membership,
+  PeerIdentity,
+  PlatformLog,
+  Random,
+  RecordIds,
+  TcpPeerNetwork,
+  ZoneDirectory,
+  ZoneLinks,
+  ZoneStream,
+  withTimeLimit,
+} from '@fuchsiacleat/core';
+import {parseAddress} from './config_parts.js';
+import {Settings} from './settings.js';
+
+const STOP_APPEND_BOUND_MS = 2_000;
+
+/** What {@link ZoneParts} work with. */
+export interface ZonePartsOptions {
+  settings: Settings;
+  self: PeerIdentity;
+  log: PlatformLog;
+  clock: Clock;
+  logger: Logger;
+  ids: RecordIds;
+  random: Random;
+  /** Whether links with a host may exist; all by default. */
+  allowsPeer?: (host: string) => boolean;
+}
+
+/** Wires the parts by which hosts know each other. */
+export class ZoneParts {
+  readonly network: TcpPeerNetwork;
+  readonly membership: Membership;
+  readonly zones: ZoneDirectory;
+  private readonly stream: ZoneStream;
+
+  constructor(options: ZonePartsOptions) {
+    const {settings, self, clock, logger, random} = options;
+    const {host_list: listUrl} = settings.platform;
+    const retentionMs = settings.platform.log_retention ?? DEFAULT_RETENTION_MS;
+    const snapshots = {random, retentionMs};
+    this.stream = new ZoneStream({...options, zone: self.zone, snapshots});
+    this.network = new TcpPeerNetwork({
+      self,
+      clock,
+      logger,
+      secret: settings.peers.secret,
+      resolve: host => this.findMember(host)?.peer ?? parseAddress(host),
+      allows: options.allowsPeer,
+    });
+    const {network, stream} = this;
+    const hostList =
+      listUrl === undefined ? undefined : new HttpHostList(listUrl);
+    this.membership = new Membership({...options, stream, network, hostList});
+    const {members, lease} = this.membership;
+    this.zones = new ZoneDirectory({
+      ...options,
+      network,
+      members,
+      lease,
+      retentionMs,
+      isAvoided: host =>
+        network.isSuspect(host) || this.membership.hosts.isLeaving(host),
+    });
+  }
+
+  /** Whether this host may give orders in its zone. */
+  get authority(): LeaseAuthority {
+    return this.membership.lease;
+  }
+
+  /** Follows the zone's stream until the signal aborts. */
+  follow(signal: AbortSignal): void {
+    void this.stream.run(signal);
+  }
+
+  /**
+   * Joins the zone once the log is reached.
+   *
+   * @param member - this host with its addresses.
+   * @param signal - gives up.
+   */
+  async join(member: Member, signal: AbortSignal): Promise<void> {
+    await this.stream.caughtUp();
+    await this.membership.join(member, signal);
+  }
+
+  /** Takes part in the zone until the signal aborts. */
+  run(signal: AbortSignal): void {
+    const {membership, network} = this;
+    void membership.run(signal);
+    void this.zones.run(signal);
+    const {host} = network.self;
+    new ZoneLinks(host, membership.members, network).run(signal);
+  }
+
+  /** Hands the lease over at once. */
+  async releaseLease(): Promise<void> {
+    const {lease} = this.membership;
+    await withTimeLimit(STOP_APPEND_BOUND_MS, undefined, limited =>
+      lease.release(false, limited),
+    );
+  }
+
+  /** Leaves the zone. */
+  async leave(): Promise<void> {
+    await withTimeLimit(STOP_APPEND_BOUND_MS, undefined, async limited => {
+      await this.membership.leave(limited);
+      await this.zones.writeIfEmpty(limited);
+    });
+  }
+
+  private findMember(host: string): Member | undefined {
+    const {membership, zones} = this;
+    const all = [...membership.members.known(), ...zones.remoteHosts()];
+    return all.find(member => member.host === host);
+  }
+}
