--- a/packages/benchmarks/src/lib/benchmarks.ts
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -3,6 +3,7 @@
 import {Benchmark} from './benchmark.js';
 import {ConfigurationBenchmark} from './configuration_benchmark.js';
 import {ControlBenchmark} from './control_benchmark.js';
+import {LimitsBenchmark} from './limits_benchmark.js';
 import {PathBenchmark} from './path_benchmark.js';
 import {PlacementBenchmark} from './placement_benchmark.js';
 import {ReconcileBenchmark} from './reconcile_benchmark.js';
@@ -12,6 +13,7 @@
   new PathBenchmark(),
   new ConfigurationBenchmark(),
   new ControlBenchmark(),
+  new LimitsBenchmark(),
   new PlacementBenchmark(),
   new ReconcileBenchmark(),
 ];
