--- /dev/null
+++ b/packages/benchmarks/src/lib/capacity/paths.ts
@@ -0,0 +1,13 @@
+/** Where the page and the results are. @packageDocumentation */
+
+import {fileURLToPath} from 'node:url';
+
+/** Folder of the stored results. */
+export const RESULTS_FOLDER = fileURLToPath(
+  new URL('../../../results', import.meta.url),
+);
+
+/** The capacity page. */
+export const CAPACITY_PAGE = fileURLToPath(
+  new URL('../../../../../docs/CAPACITY.md', import.meta.url),
+);
