Replace versions under traffic; name the version in each run

Cause: a version change left the old version serving for good, and a target that holds two versions of a model could not be told which one to run.

Change: the new version is loaded beside the old one where memory allows, the old one is drained and evicted once the new one is ready; without room the old one is drained first. Rollback is the same. Loads adopted from an earlier controller are given up after a minute, replicas beyond the zone's part go. Runs carry the version that the zone's view serves. The controller's steps have metrics.

--- a/packages/core/src/lib/placement/decision_executor.ts
+++ b/packages/core/src/lib/placement/decision_executor.ts
@@ -15,6 +15,7 @@
 import {LoadTimes, PLACE} from './load_times.js';
 import {MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
+import {LOAD_STEP, PlacementMetrics} from './placement_metrics.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {ModelVersion, TargetAccount} from './target_account.js';
 import {TargetWatch} from './target_watch.js';
@@ -26,6 +27,7 @@
 const HANGING_FACTOR = 3;
 const DRAIN_BOUND_MS = 2_000;
 const DRAIN_POLL_MS = 10;
+const MS_PER_S = 1_000;
 
 /** What a {@link DecisionExecutor} works with. */
 export interface ExecutorOptions {
@@ -39,6 +41,7 @@
   times: LoadTimes;
   clock: Clock;
   logger: Logger;
+  metrics: PlacementMetrics;
   /** Called when hosts must learn of a change. */
   onChange: () => void;
 }
@@ -76,10 +79,16 @@
     const account = ledger.account(target);
     if (account === undefined) return;
     onChange();
+    const {place} = decision;
     const ready =
-      (await this.record(decision, signal)) &&
-      (await this.makeRoom(account, decision, signal));
+      (await this.timed(LOAD_STEP.record, place, () =>
+        this.record(decision, signal),
+      )) &&
+      (await this.timed(LOAD_STEP.evict, place, () =>
+        this.makeRoom(account, decision, signal),
+      ));
     if (!ready) {
+      this.count(decision, 'not-ordered');
       this.settle(account, id, 'refused');
       for (const victim of evict) restore(account, victim);
       planner.noteFailure(decision);
@@ -104,6 +113,10 @@
     );
     const done = await sender.send(target, id, order, timeoutMs);
     const tookMs = clock.now() - sentMs;
+    this.count(decision, done.isOk() ? 'done' : done.error.type);
+    this.options.metrics.loadStep
+      .labels(LOAD_STEP.load, place)
+      .observe(tookMs / MS_PER_S);
     if (done.isOk()) {
       times.observe(place, bytes, tookMs);
       this.settle(account, id, 'done');
@@ -139,6 +152,8 @@
     const recorded = await this.record(decision, signal);
     const id = decision.id;
     const gone = recorded && (await this.evict(account, decision, id, signal));
+    account.evictionEnded(decision);
+    this.count(decision, gone ? 'done' : 'not-done');
     if (!gone) return restore(account, decision);
     account.evicted(decision, this.options.clock.now());
   }
@@ -230,6 +245,23 @@
     return false;
   }
 
+  private async timed(
+    step: string,
+    place: string,
+    work: () => Promise<boolean>,
+  ): Promise<boolean> {
+    const {clock, metrics} = this.options;
+    const startMs = clock.now();
+    const done = await work();
+    const tookS = (clock.now() - startMs) / MS_PER_S;
+    metrics.loadStep.labels(step, place).observe(tookS);
+    return done;
+  }
+
+  private count({kind}: Decision, outcome: string): void {
+    this.options.metrics.decisions.labels(kind, outcome).inc();
+  }
+
   private settle(
     account: TargetAccount,
     id: string,
--- a/packages/core/src/lib/placement/placement_planner.ts
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -88,6 +88,20 @@
     return fits ? undefined : 'no target has room for the model';
   }
 
+  /** @returns a load of the declared version, if it is due and possible. */
+  loadVersion(need: ReplicaNeed): LoadDecision | undefined {
+    if (need.part === 0 || this.isUnderWay(need)) return undefined;
+    if (this.options.ledger.count(need.model, need.version) > 0) {
+      return undefined;
+    }
+    return this.load(need, this.loadOptions(need));
+  }
+
+  /** @returns whether some target can make room now. */
+  hasRoomFor(need: ReplicaNeed): boolean {
+    return this.loadOptions(need).length > 0;
+  }
+
   private ranked(): WaitingWork[] {
     const {demand, order, clock} = this.options;
     const nowMs = clock.now();
--- a/packages/core/src/lib/placement/replica_directory.ts
+++ b/packages/core/src/lib/placement/replica_directory.ts
@@ -68,6 +68,15 @@
     return this.view?.targets ?? [];
   }
 
+  /** @returns the version of a model that a target serves now. */
+  versionOn(target: string, model: string): string | undefined {
+    const view = this.targets().find(known => known.target === target);
+    const served = view?.residents.find(
+      resident => resident.model === model && resident.state === 'ready',
+    );
+    return served?.version;
+  }
+
   /**
    * @param model - name of the model.
    * @param adapter - name of an adapter that must be loaded as well.
--- a/packages/core/src/lib/placement/target_account.ts
+++ b/packages/core/src/lib/placement/target_account.ts
@@ -60,6 +60,7 @@
   mayOrder = false;
   /** Whether the target answered when it was last asked. */
   reachable = true;
+  private readonly evicting = new Set<string>();
   private reportedBytes = 0;
   private changedMs = -Infinity;
 
@@ -92,11 +93,31 @@
   /** @returns whether a version is held, or may be after a pending order. */
   mayHold({model, version}: ModelVersion): boolean {
     if (this.replica({model, version}) !== undefined) return true;
+    return this.isOrdered({model, version});
+  }
+
+  /** @returns whether an order of this controller loads the version. */
+  isOrdered({model, version}: ModelVersion): boolean {
     return [...this.reservations.values()].some(
       order => order.model === model && order.version === version,
     );
   }
 
+  /** @returns whether an eviction of the version is under way. */
+  isEvicting({model, version}: ModelVersion): boolean {
+    return this.evicting.has(replicaKey(model, version));
+  }
+
+  /** Notes that an eviction was decided, until {@link evictionEnded}. */
+  noteEvicting({model, version}: ModelVersion): void {
+    this.evicting.add(replicaKey(model, version));
+  }
+
+  /** Notes that an eviction has ended, with or without success. */
+  evictionEnded({model, version}: ModelVersion): void {
+    this.evicting.delete(replicaKey(model, version));
+  }
+
   /** @param reservation - what an order takes, before it is sent. */
   reserve(reservation: Reservation): void {
     this.reservations.set(reservation.id, reservation);
@@ -191,6 +212,7 @@
   ended(nowMs: number): void {
     this.replicas.clear();
     this.reservations.clear();
+    this.evicting.clear();
     this.inMemory.clear();
     this.reportedBytes = 0;
     this.reachable = false;
--- /dev/null
+++ b/packages/core/src/lib/placement/upkeep_planner.ts
@@ -0,0 +1,133 @@
+/** Decides what must change without a request that waits for it. @packageDocumentation */
+
+import {RecordIds} from '../platform/stream_tail.js';
+import {Clock} from '../time/clock.js';
+import {Decision, EvictDecision} from './decision.js';
+import {MemoryLedger, PlacedReplica} from './memory_ledger.js';
+import {PlacementPlanner} from './placement_planner.js';
+import {ReplicaCatalog, ReplicaNeed} from './replica_catalog.js';
+import {replicaKey} from './target_account.js';
+
+/** A load that an earlier controller ordered is given up after this time. */
+const ADOPTED_LOAD_LIMIT_MS = 60_000;
+
+/** What an {@link UpkeepPlanner} works with. */
+export interface UpkeepOptions {
+  ledger: MemoryLedger;
+  catalog: ReplicaCatalog;
+  planner: PlacementPlanner;
+  clock: Clock;
+  ids: RecordIds;
+}
+
+/**
+ * Replaces versions that are no longer declared and removes replicas beyond
+ * this zone's part.
+ *
+ * A new version is loaded beside the old one where memory allows; once it is
+ * ready the old one gets no new requests and is evicted when its last request
+ * has ended. Without room for both, the old one is drained first.
+ */
+export class UpkeepPlanner {
+  private readonly loadingSinceMs = new Map<string, number>();
+
+  constructor(private readonly options: UpkeepOptions) {}
+
+  /** @returns what is decided now. */
+  plan(): Decision[] {
+    const decisions: Decision[] = [];
+    const models = new Set<string>();
+    for (const account of this.options.ledger.all()) {
+      if (!account.mayOrder || !account.reachable) continue;
+      for (const replica of account.replicas.values()) {
+        models.add(replica.model);
+        const decision = this.giveUpHanging({account, replica});
+        if (decision !== undefined) decisions.push(decision);
+      }
+    }
+    for (const model of models) decisions.push(...this.keepUp(model));
+    return decisions;
+  }
+
+  private keepUp(model: string): Decision[] {
+    const {ledger, catalog, planner} = this.options;
+    const need = catalog.need(model);
+    const replicas = ledger
+      .replicasOf(model)
+      .filter(({account}) => account.mayOrder && account.reachable);
+    const stale = replicas.filter(
+      ({replica}) => replica.version !== need?.version,
+    );
+    if (need === undefined) return this.retire(stale);
+    const current = replicas.filter(placed => !stale.includes(placed));
+    this.takeBack(current);
+    if (stale.length === 0) return this.retireSurplus(current, need);
+    const isReady = current.some(({replica}) => replica.state === 'ready');
+    if (isReady) return this.retire(stale);
+    const load = planner.loadVersion(need);
+    if (load !== undefined) return [load];
+    if (ledger.count(model, need.version) > 0) return [];
+    if (planner.hasRoomFor(need)) return [];
+    return this.retire(stale);
+  }
+
+  /** A rollback finds its version still there and draining. */
+  private takeBack(current: readonly PlacedReplica[]): void {
+    const isReady = current.some(({replica}) => replica.state === 'ready');
+    if (isReady) return;
+    for (const {replica} of current) {
+      if (replica.state === 'draining') replica.state = 'ready';
+    }
+  }
+
+  private retireSurplus(
+    current: readonly PlacedReplica[],
+    {part}: ReplicaNeed,
+  ): Decision[] {
+    const held = current.filter(({replica}) => replica.state !== 'loading');
+    const surplus = held.length - part;
+    if (surplus <= 0) return [];
+    const idleFirst = [...held].sort((a, b) => {
+      return a.replica.running - b.replica.running;
+    });
+    return this.retire(idleFirst.slice(0, surplus));
+  }
+
+  /** Drains replicas and evicts those on which nothing runs. */
+  private retire(replicas: readonly PlacedReplica[]): EvictDecision[] {
+    const decisions: EvictDecision[] = [];
+    for (const placed of replicas) {
+      const {replica} = placed;
+      if (replica.state === 'loading' || placed.account.isEvicting(replica)) {
+        continue;
+      }
+      replica.state = 'draining';
+      if (replica.running === 0) decisions.push(this.evict(placed));
+    }
+    return decisions;
+  }
+
+  private giveUpHanging(placed: PlacedReplica): EvictDecision | undefined {
+    const {account, replica} = placed;
+    const {model, version, state} = replica;
+    const key = `${account.facts.name}\n${replicaKey(model, version)}`;
+    const isAdopted = state === 'loading' && !account.isOrdered(replica);
+    if (!isAdopted) {
+      this.loadingSinceMs.delete(key);
+      return undefined;
+    }
+    const nowMs = this.options.clock.now();
+    const sinceMs = this.loadingSinceMs.get(key) ?? nowMs;
+    this.loadingSinceMs.set(key, sinceMs);
+    if (nowMs - sinceMs < ADOPTED_LOAD_LIMIT_MS) return undefined;
+    if (account.isEvicting(replica)) return undefined;
+    return this.evict(placed);
+  }
+
+  private evict({account, replica}: PlacedReplica): EvictDecision {
+    const {model, version} = replica;
+    account.noteEvicting(replica);
+    const id = this.options.ids.take();
+    return {kind: 'evict', id, target: account.facts.name, model, version};
+  }
+}
--- a/packages/core/src/lib/placement/zone_controller.ts
+++ b/packages/core/src/lib/placement/zone_controller.ts
@@ -16,11 +16,13 @@
 import {MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
 import {WANT, Want, WantAnswer, ZONE_VIEW} from './placement_messages.js';
+import {PlacementMetrics} from './placement_metrics.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {placementPolicies} from './placement_policies.js';
 import {ReplicaCatalog} from './replica_catalog.js';
 import {ReplicaDirectory, ZoneView} from './replica_directory.js';
 import {TargetWatch} from './target_watch.js';
+import {UpkeepPlanner} from './upkeep_planner.js';
 import {viewTarget} from './target_view.js';
 
 const POLL_INTERVAL_MS = 500;
@@ -43,6 +45,7 @@
   clock: Clock;
   logger: Logger;
   ids: RecordIds;
+  metrics: PlacementMetrics;
   /** @returns the client of a declared engine. */
   engineOf: (target: string) => EngineClient;
   /** A fixed part for each zone by default. */
@@ -63,6 +66,7 @@
   private readonly ledger: MemoryLedger;
   private readonly demand = new DemandBook();
   private readonly planner: PlacementPlanner;
+  private readonly upkeep: UpkeepPlanner;
   private readonly watch: TargetWatch;
   private readonly executor: DecisionExecutor;
   private readonly permits: LoadPermits;
@@ -88,6 +92,9 @@
       ...{ledger, demand, catalog, permits, times, clock, ids: options.ids},
       ...placementPolicies(demand, times),
     });
+    const {ids} = options;
+    const {planner} = this;
+    this.upkeep = new UpkeepPlanner({ledger, catalog, planner, clock, ids});
     const sender = new OrderSender(options);
     this.watch = new TargetWatch({
       ...options,
@@ -96,7 +103,7 @@
       checksFencing: target =>
         config.declared.get('target', target)?.fencing ?? false,
     });
-    const {planner, watch} = this;
+    const {watch} = this;
     this.executor = new DecisionExecutor({
       ...options,
       ...{ledger, sender, watch, planner, permits, times},
@@ -175,14 +182,21 @@
   /** Decides and starts to carry out what was decided. */
   private act(): void {
     if (this.options.lease.check().isErr()) return;
-    for (const decision of this.planner.plan()) {
+    for (const decision of [...this.planner.plan(), ...this.upkeep.plan()]) {
       void this.executor.carryOut(decision, this.signal).then(() => {
         this.act();
       });
     }
+    this.noteWaiting();
     this.retryLater();
   }
 
+  private noteWaiting(): void {
+    const works = this.demand.all();
+    const waiting = works.reduce((sum, work) => sum + work.waiting, 0);
+    this.options.metrics.waiting.set(waiting);
+  }
+
   /** Decides again soon while work waits, for a permit or for room. */
   private retryLater(): void {
     if (this.waiters.size === 0 || this.retry !== undefined) return;
--- a/packages/core/src/lib/targets/engine_client.ts
+++ b/packages/core/src/lib/targets/engine_client.ts
@@ -33,6 +33,8 @@
   resume: boolean;
   /** Offset of the first token wanted. */
   resumeFrom: number;
+  /** Version to run on; any that is loaded if undefined. */
+  version?: string;
   /** Value of the `traceparent` header. */
   traceparent: string;
   signal: AbortSignal;
--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -147,7 +147,7 @@
 
   private async open(
     req: GenerationRequest,
-    {resume, resumeFrom, traceparent, signal}: GenerateOptions,
+    {resume, resumeFrom, version, traceparent, signal}: GenerateOptions,
   ): Promise<Result<Readable, EngineError>> {
     // A connection has failed, so the idle ones are not to be trusted either.
     if (resume) this.replacePool();
@@ -164,6 +164,7 @@
         body: JSON.stringify({
           request_id: req.id,
           model: req.model,
+          version,
           adapter: req.adapter,
           input: req.input,
           max_tokens: req.maxTokens,
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -14,6 +14,7 @@
   Metrics,
   PeerIdentity,
   PlacementClient,
+  PlacementMetrics,
   PlatformLog,
   Random,
   RecordIds,
@@ -24,6 +25,7 @@
   TargetClients,
   TcpPeerNetwork,
   Tracing,
+  VersionedEngine,
   ZoneController,
   ZoneDecisionJournal,
   ZoneDirectory,
@@ -135,8 +137,11 @@
       isSuspect: host => this.network.isSuspect(host),
     });
     this.targets = new TargetClients(config);
-    const engineOf = (target: string) => this.targets.engine(target);
     const directory = new ReplicaDirectory(clock);
+    const engineOf = (target: string) =>
+      new VersionedEngine(this.targets.engine(target), model =>
+        directory.versionOn(target, model),
+      );
     const {network} = this;
     const {lease, members} = this.membership;
     this.controller = new ZoneController({
@@ -154,6 +159,7 @@
         logger,
         isGone: host => this.membership.hosts.isGone(host),
       }),
+      metrics: new PlacementMetrics(metrics.registry),
       isLeaving: target => this.membership.hosts.isLeaving(target),
       clock,
       logger,
--- a/packages/standins/src/lib/engine_memory.ts
+++ b/packages/standins/src/lib/engine_memory.ts
@@ -39,9 +39,9 @@
 
   /** @returns the resident version of a model. */
   get(model: string, version?: string): Resident | undefined {
-    const prefix = `${model}\n${version ?? ''}`;
-    for (const [key, resident] of this.byModel) {
-      if (key.startsWith(prefix)) return resident;
+    if (version) return this.byModel.get(`${model}\n${version}`);
+    for (const resident of this.byModel.values()) {
+      if (resident.model === model) return resident;
     }
     return undefined;
   }
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -16,6 +16,7 @@
 const generateSchema = z.object({
   request_id: z.string(),
   model: z.string(),
+  version: z.string().optional(),
   adapter: z.string().optional(),
   input: generationInputSchema,
   max_tokens: z.number().int().min(1),
@@ -61,6 +62,7 @@
 export interface EngineRun {
   requestId: string;
   model: string;
+  version: string;
   adapter: string | undefined;
   /** The text that the request carries. */
   text: string;
@@ -162,22 +164,31 @@
     const parsed = generateSchema.safeParse(await c.req.json());
     if (!parsed.success) return notRun(c, 400, 'malformed request');
     const body = parsed.data;
-    const resident = this.memory.get(body.model);
+    const begun = body.resume ? this.runsById.get(body.request_id) : undefined;
+    const version = begun?.version ?? body.version;
+    const resident = this.memory.get(body.model, version);
     if (resident?.state !== 'ready') {
       return notRun(c, 409, `model "${body.model}" is not loaded`);
     }
     if (body.adapter !== undefined && !resident.adapters.has(body.adapter)) {
       return notRun(c, 409, `adapter "${body.adapter}" is not loaded`);
     }
-    const run = body.resume ? this.attach(body) : this.startRun(c, body);
+    const run = body.resume
+      ? this.attach(body)
+      : this.startRun(c, body, resident);
     if (run === undefined) return notRun(c, 404, 'no such run');
     return this.stream(c, body, run, resident);
   }
 
-  private startRun(c: Context, body: GenerateBody): EngineRun {
+  private startRun(
+    c: Context,
+    body: GenerateBody,
+    {version}: Resident,
+  ): EngineRun {
     const run: EngineRun = {
       requestId: body.request_id,
       model: body.model,
+      version,
       adapter: body.adapter,
       text: inputText(body),
       headers: c.req.header(),
@@ -458,6 +469,7 @@
     this.runsById.set(id, {
       requestId: id,
       model: '',
+      version: '',
       adapter: undefined,
       text: '',
       headers: {},
