Send hosts only what changed in the zone's view

Cause: the whole view went to every host on each change and every 5 s; at 90 targets that alone is near the control budget of 5 KB/s.

Change: only changed targets are sent, with the sequence that they follow. A host that has missed one asks for the whole view.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -78,6 +78,7 @@
 export * from './lib/placement/target_view.js';
 export * from './lib/placement/target_watch.js';
 export * from './lib/placement/upkeep_planner.js';
+export * from './lib/placement/view_publisher.js';
 export * from './lib/placement/zone_controller.js';
 export * from './lib/platform/batching_platform_log.js';
 export * from './lib/platform/host_list.js';
--- a/packages/core/src/lib/placement/placement_messages.ts
+++ b/packages/core/src/lib/placement/placement_messages.ts
@@ -39,3 +39,13 @@
   body: zoneViewSchema,
   event: z.never(),
 };
+
+/** A host that has missed a view asks the controller for the whole of it. */
+export const GET_VIEW: PeerMethod<
+  Record<string, never>,
+  {view: ZoneView | null}
+> = {
+  name: 'placement.get-view',
+  body: z.record(z.string(), z.never()),
+  event: z.object({view: zoneViewSchema.nullable()}),
+};
--- a/packages/core/src/lib/placement/replica_directory.ts
+++ b/packages/core/src/lib/placement/replica_directory.ts
@@ -34,7 +34,12 @@
   fencing: z.number().int(),
   /** Counts up under one lease. */
   sequence: z.number().int(),
+  /** Set if only changes since the view of that sequence are told. */
+  base: z.number().int().optional(),
+  /** All targets, or those that changed. */
   targets: z.array(targetViewSchema),
+  /** Names of targets that went, if only changes are told. */
+  removed: z.array(z.string()).optional(),
 });
 
 /** See {@link zoneViewSchema}. */
@@ -49,13 +54,23 @@
   /** @param clock - source of time. */
   constructor(private readonly clock: Clock) {}
 
-  /** @param view - ignored if it is older than the one at hand. */
-  update(view: ZoneView): void {
+  /**
+   * @param view - ignored if it is older than the one at hand.
+   * @returns false if changes were told to a view that is not at hand.
+   */
+  update(view: ZoneView): boolean {
     const {view: known} = this;
-    if (known !== undefined && !isNewer(view, known)) return;
-    this.view = view;
+    if (known !== undefined && !isNewer(view, known)) return true;
+    if (view.base === undefined) {
+      this.view = view;
+    } else {
+      if (known?.fencing !== view.fencing) return false;
+      if (known.sequence !== view.base) return false;
+      this.view = merge(known, view);
+    }
     this.updatedMs = this.clock.now();
     for (const listener of this.listeners) listener();
+    return true;
   }
 
   /** @param listener - called after each update. */
@@ -122,3 +137,11 @@
   if (a.fencing !== b.fencing) return a.fencing > b.fencing;
   return a.sequence > b.sequence;
 }
+
+function merge(known: ZoneView, changes: ZoneView): ZoneView {
+  const {zone, fencing, sequence, removed = []} = changes;
+  const targets = new Map(known.targets.map(view => [view.target, view]));
+  for (const view of changes.targets) targets.set(view.target, view);
+  for (const name of removed) targets.delete(name);
+  return {zone, fencing, sequence, targets: [...targets.values()]};
+}
--- a/packages/core/src/lib/placement/target_watch.ts
+++ b/packages/core/src/lib/placement/target_watch.ts
@@ -42,30 +42,18 @@
   /** When this controller's authority began under which a target was fenced. */
   private readonly fenced = new Map<string, number>();
   private readonly heardMs = new Map<string, number>();
-  private readonly lastReport = new Map<string, string>();
 
   constructor(private readonly options: TargetWatchOptions) {}
 
-  /**
-   * Asks every target for its inventory, once each.
-   *
-   * @returns whether anything changed that hosts must know.
-   */
-  async refreshAll(signal: AbortSignal): Promise<boolean> {
+  /** Asks every target for its inventory, once each. */
+  async refreshAll(signal: AbortSignal): Promise<void> {
     this.followTerm();
     const accounts = [...this.options.ledger.all()];
-    const changes = await Promise.all(
-      accounts.map(account => this.refresh(account, signal)),
-    );
-    return changes.some(changed => changed);
+    await Promise.all(accounts.map(account => this.refresh(account, signal)));
   }
 
-  /**
-   * Asks one target for its inventory.
-   *
-   * @returns whether anything changed that hosts must know.
-   */
-  async refresh(account: TargetAccount, signal: AbortSignal): Promise<boolean> {
+  /** Asks one target for its inventory. */
+  async refresh(account: TargetAccount, signal: AbortSignal): Promise<void> {
     const {engineOf, clock} = this.options;
     const {name} = account.facts;
     await this.takeOver(name);
@@ -73,14 +61,13 @@
     const inventory = await engineOf(name).inventory(signal);
     if (inventory.isErr()) {
       this.noteSilence(account, inventory.error.processEnded === true);
-      return this.noteReport(account);
+      return;
     }
     this.heardMs.set(name, clock.now());
     const taken = account.report(inventory.value, askedMs);
     if (this.options.isLeaving(name)) account.leaving = true;
     if (taken && this.isFenced(name)) account.mayOrder = true;
     this.noteUse(account);
-    return this.noteReport(account);
   }
 
   private followTerm(): void {
@@ -135,16 +122,4 @@
       if (running > 0) demand.noteUse(model, clock.now());
     }
   }
-
-  /** @returns whether what hosts must know differs from the last report. */
-  private noteReport(account: TargetAccount): boolean {
-    const {leaving, reachable, replicas} = account;
-    const held = [...replicas].map(([key, {state, adapters}]) => {
-      return [key, state, [...adapters.keys()]];
-    });
-    const text = JSON.stringify([leaving, reachable, held]);
-    const changed = this.lastReport.get(account.facts.name) !== text;
-    this.lastReport.set(account.facts.name, text);
-    return changed;
-  }
 }
--- a/packages/core/src/lib/placement/zone_controller.ts
+++ b/packages/core/src/lib/placement/zone_controller.ts
@@ -15,18 +15,17 @@
 import {LoadTimes} from './load_times.js';
 import {MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
-import {WANT, Want, WantAnswer, ZONE_VIEW} from './placement_messages.js';
+import {WANT, Want, WantAnswer} from './placement_messages.js';
 import {PlacementMetrics} from './placement_metrics.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {placementPolicies} from './placement_policies.js';
 import {ReplicaCatalog} from './replica_catalog.js';
-import {ReplicaDirectory, ZoneView} from './replica_directory.js';
+import {ReplicaDirectory} from './replica_directory.js';
 import {TargetWatch} from './target_watch.js';
 import {UpkeepPlanner} from './upkeep_planner.js';
-import {viewTarget} from './target_view.js';
+import {ViewPublisher} from './view_publisher.js';
 
 const POLL_INTERVAL_MS = 500;
-const VIEW_REPEAT_MS = 5_000;
 const MIN_RETRY_MS = 20;
 const MAX_RETRY_MS = 250;
 
@@ -68,17 +67,16 @@
   private readonly planner: PlacementPlanner;
   private readonly upkeep: UpkeepPlanner;
   private readonly watch: TargetWatch;
+  private readonly views: ViewPublisher;
   private readonly executor: DecisionExecutor;
   private readonly permits: LoadPermits;
   private readonly waiters = new Set<Waiter>();
   private signal = new AbortController().signal;
   private retry: Timer | undefined;
   private nextWant = 0;
-  private sequence = 0;
-  private viewSentMs = -Infinity;
 
   constructor(private readonly options: ZoneControllerOptions) {
-    const {network, directory, config, clock} = options;
+    const {network, config, clock} = options;
     this.catalog = new ReplicaCatalog(options.zone, () => config.declared);
     this.ledger = new MemoryLedger(replica => this.catalog.kvBytes(replica));
     this.permits =
@@ -104,13 +102,13 @@
         config.declared.get('target', target)?.fencing ?? false,
     });
     const {watch} = this;
+    this.views = new ViewPublisher({...options, ledger});
     this.executor = new DecisionExecutor({
       ...options,
       ...{ledger, sender, watch, planner, permits, times},
-      onChange: () => this.broadcast(),
+      onChange: () => this.publish(),
     });
     network.serveUnary(WANT, (want, {signal}) => this.want(want, signal));
-    network.onNote(ZONE_VIEW, view => directory.update(view));
   }
 
   /** Watches the zone's targets until the signal aborts. */
@@ -123,13 +121,12 @@
   }
 
   private async poll(): Promise<void> {
-    const {clock, lease} = this.options;
-    if (lease.check().isErr()) return this.standDown();
+    if (this.options.lease.check().isErr()) return this.standDown();
     // A target that is no longer declared must get no new work at once.
-    if (this.ledger.setTargets(this.catalog.targets())) this.broadcast();
-    const changed = await this.watch.refreshAll(this.signal);
-    const isDue = clock.now() - this.viewSentMs >= VIEW_REPEAT_MS;
-    if (changed || isDue) this.broadcast();
+    this.ledger.setTargets(this.catalog.targets());
+    this.publish();
+    await this.watch.refreshAll(this.signal);
+    this.publish();
     this.act();
   }
 
@@ -218,33 +215,14 @@
   private settleWaiters(): void {
     for (const {model, adapter, finish} of [...this.waiters]) {
       const ready = this.options.directory.ready(model, adapter);
-      const view = this.currentView();
+      const view = this.views.current();
       if (ready.length > 0 && view !== undefined) finish({type: 'ready', view});
     }
   }
 
-  private broadcast(): void {
-    const {members, network, directory, clock} = this.options;
-    this.sequence += 1;
-    const view = this.currentView();
-    if (view === undefined) return;
-    this.viewSentMs = clock.now();
-    directory.update(view);
-    for (const {host} of members.all()) {
-      if (host !== network.self.host) network.notify(host, ZONE_VIEW, view);
-    }
+  /** Tells hosts what changed and answers those who waited for it. */
+  private publish(): void {
+    this.views.publish();
     this.settleWaiters();
   }
-
-  private currentView(): ZoneView | undefined {
-    const authority = this.options.lease.check();
-    if (authority.isErr()) return undefined;
-    const {fencing} = authority.value;
-    const nowMs = this.options.clock.now();
-    const targets = [...this.ledger.all()]
-      .filter(({reachable}) => reachable)
-      .map(account => viewTarget(account, nowMs));
-    const {zone} = this.options;
-    return {zone, fencing, sequence: this.sequence, targets};
-  }
 }
