--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -66,6 +66,7 @@
   private readonly noteHandlers = new Map<string, RegisteredNote>();
   private readonly sockets: PeerSockets;
   private signal = new AbortController().signal;
+  private boundPort = 0;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     super();
@@ -101,7 +102,8 @@
       server.once('error', error => resolve(err(error.message)));
       server.listen(port, address, () => {
         signal.addEventListener('abort', () => server.close());
-        resolve(ok((server.address() as AddressInfo).port));
+        this.boundPort = (server.address() as AddressInfo).port;
+        resolve(ok(this.boundPort));
       });
     });
   }
@@ -132,6 +134,11 @@
     return this.options.clock.now() - failedMs < SUSPECT_MS;
   }
 
+  /** The port on which links are accepted. */
+  get port(): number {
+    return this.boundPort;
+  }
+
   override connected(): PeerIdentity[] {
     return this.table.peers();
   }
@@ -233,7 +240,8 @@
     return new Promise(resolve => {
       const link = this.makeLink(socket, true);
       const ended = this.runLink(link, kept => {
-        resolve(kept.peer!.host === host ? kept : undefined);
+        const isWanted = kept.peer!.host === host || isAddress(host);
+        resolve(isWanted ? kept : undefined);
       });
       void ended.then(() => resolve(this.table.get(host)));
     });
@@ -283,3 +291,8 @@
   const message = `malformed answer of ${method.name}`;
   return err({type: PEER_ERROR.lost, message});
 }
+
+/** Hosts whose names are not known yet go by address and port. */
+function isAddress(host: string): boolean {
+  return host.includes(':');
+}
