Forward to a zone whose replica is ready; hold what an eviction frees

Cause: a zone loaded a model that was ready next door.

Change: controllers tell other zones which models have a ready replica with a free slot; a request whose own zone has none goes there. A load holds the memory of what it evicts from its decision on. A replica that is being evicted is marked as such and is not offered or chosen again until that has ended. Placement and routing are wired in a module of their own.

--- a/packages/benchmarks/src/lib/placement/placement_run.ts
+++ b/packages/benchmarks/src/lib/placement/placement_run.ts
@@ -23,11 +23,19 @@
   idleWhileWaiting: number;
 }
 
-/** @returns what the policies make of a workload. */
+/**
+ * @param size - the user.
+ * @param workload - its requests.
+ * @param policies - makes the policies of each zone.
+ * @param forwards - whether requests go to another zone's free replica while
+ *     their own zone has none ready.
+ * @returns what the policies make of the workload.
+ */
 export function runPolicies(
   size: UserSize,
   {declared, items, endMs}: Workload,
   policies: PolicyFactory,
+  forwards: boolean,
 ): RunSummary {
   const clock = new SteppedClock();
   const {loadsPerSecond, loadsAtOnce: atOnce} = size;
@@ -46,7 +54,12 @@
   poll();
   for (const item of items) {
     clock.runUntil(item.atMs);
-    zones.get(item.zone)!.arrive(item);
+    const own = zones.get(item.zone)!;
+    const sooner =
+      forwards && !own.canServe(item.model)
+        ? [...zones.values()].find(zone => zone.canServe(item.model))
+        : undefined;
+    (sooner ?? own).arrive(item);
   }
   clock.runUntil(endMs);
   const targets = size.zones.length * size.enginesPerZone;
--- a/packages/benchmarks/src/lib/placement/simulated_zone.ts
+++ b/packages/benchmarks/src/lib/placement/simulated_zone.ts
@@ -99,6 +99,14 @@
     this.act();
   }
 
+  /** Whether a replica of the model is ready and its target has a slot. */
+  canServe(model: string): boolean {
+    return this.ledger.replicasOf(model).some(({replica, account}) => {
+      if (replica.state !== 'ready') return false;
+      return runningOn(account) < account.facts.slots;
+    });
+  }
+
   /** A request comes in at one of the zone's hosts. */
   arrive(item: WorkItem): void {
     this.account();
@@ -171,7 +179,7 @@
     const account = this.ledger.account(decision.target)!;
     const {clock} = this.options;
     for (const victim of decision.evict) {
-      account.evictedFor(decision.id, victim, decision.bytes, clock.now());
+      account.evicted(victim, clock.now());
     }
     const delayMs = decision.evict.length > 0 ? EVICT_MS : 0;
     clock.after(delayMs, () => this.startLoad(decision, account));
--- a/packages/benchmarks/src/lib/placement_benchmark.ts
+++ b/packages/benchmarks/src/lib/placement_benchmark.ts
@@ -60,8 +60,8 @@
 function runUser(size: UserSize, seed: number): Metric[] {
   const workload = makeWorkload(size, SIMULATED_HOURS, seed);
   const run = (policies: Parameters<typeof runPolicies>[2]) =>
-    runPolicies(size, workload, policies);
-  const real = run(placementPolicies);
+    runPolicies(size, workload, policies, false);
+  const real = runPolicies(size, workload, placementPolicies, true);
   const lru = run(leastRecentlyUsed);
   const random = run((demand: DemandBook) => randomTarget(demand, seed));
   const limitMs = unavoidableColdStarts(size, workload);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -114,6 +114,8 @@
 export * from './lib/requests/service_forward_server.js';
 export * from './lib/requests/service_runner.js';
 export * from './lib/requests/target_stream.js';
+export * from './lib/routing/ready_announcer.js';
+export * from './lib/routing/ready_zones.js';
 export * from './lib/routing/router.js';
 export * from './lib/scheduling/deadline_line.js';
 export * from './lib/scheduling/fair_order.js';
--- a/packages/core/src/lib/placement/decision_executor.ts
+++ b/packages/core/src/lib/placement/decision_executor.ts
@@ -90,7 +90,7 @@
     if (!ready) {
       this.count(decision, 'not-ordered');
       this.settle(account, id, 'refused');
-      for (const victim of evict) restore(account, victim);
+      for (const victim of evict) account.evictionEnded(victim);
       planner.noteFailure(decision);
       return;
     }
@@ -152,21 +152,20 @@
     const recorded = await this.record(decision, signal);
     const id = decision.id;
     const gone = recorded && (await this.evict(account, decision, id, signal));
-    account.evictionEnded(decision);
     this.count(decision, gone ? 'done' : 'not-done');
-    if (!gone) return restore(account, decision);
-    account.evicted(decision, this.options.clock.now());
+    if (gone) account.evicted(decision, this.options.clock.now());
+    account.evictionEnded(decision);
   }
 
   private async makeRoom(
     account: TargetAccount,
-    {id, evict, bytes}: LoadDecision,
+    {id, evict}: LoadDecision,
     signal: AbortSignal,
   ): Promise<boolean> {
     for (const [index, victim] of evict.entries()) {
       const orderId = `${id}.evict.${index}`;
       if (!(await this.evict(account, victim, orderId, signal))) return false;
-      account.evictedFor(id, victim, bytes, this.options.clock.now());
+      account.evicted(victim, this.options.clock.now());
     }
     return true;
   }
@@ -207,7 +206,7 @@
 
   private async loadAdapter(decision: AdapterDecision): Promise<void> {
     const {ledger, sender, clock} = this.options;
-    const {id, target, model, adapter, evict, bytes} = decision;
+    const {id, target, model, adapter, evict} = decision;
     const account = ledger.account(target);
     if (account === undefined) return;
     for (const victim of evict) {
@@ -222,8 +221,6 @@
       if (gone.isErr()) return this.settle(account, id, 'refused');
       account.evictedAdapter(victim, victim.adapter, clock.now());
     }
-    const reservation = account.reservations.get(id);
-    if (reservation !== undefined) reservation.bytes = bytes;
     const order = {kind: 'load-adapter', adapter, model} as const;
     const done = await sender.send(target, id, order, ADAPTER_TIMEOUT_MS);
     this.settle(account, id, done.isOk() ? 'done' : done.error.type);
@@ -270,9 +267,3 @@
     account.settle(id, outcome, this.options.clock.now());
   }
 }
-
-/** Offers a replica that was not evicted after all. */
-function restore(account: TargetAccount, replica: ModelVersion): void {
-  const held = account.replica(replica);
-  if (held?.state === 'draining') held.state = 'ready';
-}
--- a/packages/core/src/lib/placement/memory_ledger.ts
+++ b/packages/core/src/lib/placement/memory_ledger.ts
@@ -77,7 +77,8 @@
    */
   reserve(target: string, reservation: Reservation): Result<void, NoRoom> {
     const account = this.accounts.get(target);
-    if (account === undefined || account.freeBytes < reservation.bytes) {
+    const bytes = account?.outstanding(reservation) ?? Infinity;
+    if (account === undefined || account.freeBytes < bytes) {
       const message = `${target} has no room for ${reservation.model}`;
       return err({type: 'no-room', message});
     }
--- a/packages/core/src/lib/placement/placement_planner.ts
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -15,7 +15,7 @@
   TargetChoice,
 } from './placement_policy.js';
 import {ReplicaCatalog, ReplicaNeed} from './replica_catalog.js';
-import {Replica, TargetAccount} from './target_account.js';
+import {Replica, TargetAccount, replicaBytes} from './target_account.js';
 
 /** How long a target gets no load of a model that failed there. */
 const FAILED_LOAD_BACKOFF_MS = 2_000;
@@ -170,7 +170,7 @@
     if (isDraining) return undefined;
     const victim = this.victims(account, bytes)?.victims[0];
     if (victim === undefined) return undefined;
-    victim.state = 'draining';
+    account.noteEvicting(victim);
     const {model, version} = victim;
     const id = this.options.ids.take();
     return {kind: 'evict', id, target: account.facts.name, model, version};
@@ -203,7 +203,7 @@
       const {model, version, bytes} = need;
       const target = best.account.facts.name;
       const evict = best.victims.map(victim => {
-        victim.state = 'draining';
+        best.account.noteEvicting(victim);
         return {model: victim.model, version: victim.version};
       });
       const id = ids.take();
@@ -212,7 +212,8 @@
         id,
         model,
         version,
-        bytes: Math.min(bytes, best.account.freeBytes),
+        bytes,
+        evict,
         sentMs: nowMs,
         expectedMs: nowMs + best.loadMs,
         unknown: false,
@@ -249,7 +250,7 @@
     let evictionCost = 0;
     for (const {replica, cost} of this.evictable(account, missing)) {
       if (missing <= 0) break;
-      missing -= heldBytes(replica);
+      missing -= replicaBytes(replica);
       victims.push(replica);
       evictionCost += cost;
     }
@@ -269,7 +270,9 @@
       })
       .filter(({cost}) => Number.isFinite(cost))
       .sort((a, b) => {
-        return a.cost / heldBytes(a.replica) - b.cost / heldBytes(b.replica);
+        return (
+          a.cost / replicaBytes(a.replica) - b.cost / replicaBytes(b.replica)
+        );
       });
   }
 
@@ -287,12 +290,6 @@
   return account.mayOrder && account.reachable && !account.leaving;
 }
 
-function heldBytes({bytes, adapters}: Replica): number {
-  let held = bytes;
-  for (const adapterBytes of adapters.values()) held += adapterBytes;
-  return held;
-}
-
 function failureKey(target: string, model: string): string {
   return `${target}\n${model}`;
 }
--- a/packages/core/src/lib/placement/target_account.ts
+++ b/packages/core/src/lib/placement/target_account.ts
@@ -21,6 +21,11 @@
   adapters: Map<string, number>;
 }
 
+/** A replica, or an adapter on it. */
+export interface HeldItem extends ModelVersion {
+  adapter?: string;
+}
+
 /** Memory that an order takes until its outcome is known. */
 export interface Reservation extends ModelVersion {
   /** Id of the order. */
@@ -28,6 +33,11 @@
   /** Set if the order loads an adapter. */
   adapter?: string;
   bytes: number;
+  /**
+   * What is evicted first. While it is held, its memory stands for that of the
+   * load, so that nothing else can take it the moment it is free.
+   */
+  evict: readonly HeldItem[];
   sentMs: number;
   /** When the load is expected to end, in clock time. */
   expectedMs: number;
@@ -73,10 +83,7 @@
   /** Bytes in use or spoken for. */
   get usedBytes(): number {
     let held = 0;
-    for (const {bytes, adapters} of this.replicas.values()) {
-      held += bytes;
-      for (const adapterBytes of adapters.values()) held += adapterBytes;
-    }
+    for (const replica of this.replicas.values()) held += replicaBytes(replica);
     return Math.max(held, this.reportedBytes) + this.reservedBytes();
   }
 
@@ -108,14 +115,18 @@
     return this.evicting.has(replicaKey(model, version));
   }
 
-  /** Notes that an eviction was decided, until {@link evictionEnded}. */
+  /** Drains a replica for an eviction, until {@link evictionEnded}. */
   noteEvicting({model, version}: ModelVersion): void {
     this.evicting.add(replicaKey(model, version));
+    const held = this.replica({model, version});
+    if (held?.state === 'ready') held.state = 'draining';
   }
 
-  /** Notes that an eviction has ended, with or without success. */
+  /** Notes that an eviction has ended; what is still held is offered again. */
   evictionEnded({model, version}: ModelVersion): void {
     this.evicting.delete(replicaKey(model, version));
+    const held = this.replica({model, version});
+    if (held?.state === 'draining') held.state = 'ready';
   }
 
   /** @param reservation - what an order takes, before it is sent. */
@@ -144,29 +155,6 @@
     if (outcome === 'done') this.materialise(reservation);
   }
 
-  /**
-   * Hands the memory of an evicted replica to a load that it made room for,
-   * in one step, so that no other load can take it.
-   *
-   * @param id - id of the load's order.
-   * @param replica - the replica, whose eviction the target has confirmed.
-   * @param fullBytes - what the load takes in all.
-   * @param nowMs - clock time.
-   */
-  evictedFor(
-    id: string,
-    replica: ModelVersion,
-    fullBytes: number,
-    nowMs: number,
-  ): void {
-    const before = this.usedBytes;
-    this.evicted(replica, nowMs);
-    const reservation = this.reservations.get(id);
-    if (reservation === undefined) return;
-    const freed = before - this.usedBytes;
-    reservation.bytes = Math.min(fullBytes, reservation.bytes + freed);
-  }
-
   /** Takes a replica out once the target has confirmed its eviction. */
   evicted({model, version}: ModelVersion, nowMs: number): void {
     const key = replicaKey(model, version);
@@ -174,8 +162,8 @@
     if (replica === undefined) return;
     this.changedMs = nowMs;
     this.replicas.delete(key);
-    let freed = replica.bytes;
-    for (const bytes of replica.adapters.values()) freed += bytes;
+    this.evicting.delete(key);
+    const freed = replicaBytes(replica);
     this.reportedBytes = Math.max(0, this.reportedBytes - freed);
   }
 
@@ -277,13 +265,36 @@
   private reservedBytes(): number {
     let reserved = 0;
     for (const reservation of this.reservations.values()) {
-      if (!this.holds(reservation)) reserved += reservation.bytes;
+      if (!this.holds(reservation)) reserved += this.outstanding(reservation);
     }
     return reserved;
   }
+
+  /** @returns what a load takes beyond what it evicts. */
+  outstanding({bytes, evict}: Pick<Reservation, 'bytes' | 'evict'>): number {
+    let missing = bytes;
+    for (const item of evict) missing -= this.heldBytes(item);
+    return Math.max(0, missing);
+  }
+
+  private heldBytes(item: HeldItem): number {
+    const replica = this.replica(item);
+    if (replica === undefined) return 0;
+    if (item.adapter !== undefined) {
+      return replica.adapters.get(item.adapter) ?? 0;
+    }
+    return replicaBytes(replica);
+  }
 }
 
 /** @returns what identifies a replica on its target. */
 export function replicaKey(model: string, version: string): string {
   return `${model}\n${version}`;
 }
+
+/** @returns what a replica takes with its adapters. */
+export function replicaBytes({bytes, adapters}: Replica): number {
+  let held = bytes;
+  for (const adapterBytes of adapters.values()) held += adapterBytes;
+  return held;
+}
--- a/packages/core/src/lib/placement/upkeep_planner.ts
+++ b/packages/core/src/lib/placement/upkeep_planner.ts
@@ -75,7 +75,8 @@
   private takeBack(current: readonly PlacedReplica[]): void {
     const isReady = current.some(({replica}) => replica.state === 'ready');
     if (isReady) return;
-    for (const {replica} of current) {
+    for (const {account, replica} of current) {
+      if (account.isEvicting(replica)) continue;
       if (replica.state === 'draining') replica.state = 'ready';
     }
   }
--- a/packages/core/src/lib/routing/router.ts
+++ b/packages/core/src/lib/routing/router.ts
@@ -4,7 +4,12 @@
 import {Declarations} from '../config/declared.js';
 import {Member} from '../membership/member_table.js';
 import {replicaParts} from '../placement/replica_parts.js';
+import {ReplicaDirectory} from '../placement/replica_directory.js';
 import {Random} from '../time/random.js';
+import {ReadyZones} from './ready_zones.js';
+
+/** A load that ends within this time is waited for, in milliseconds. */
+const FORWARD_COST_MS = 20;
 
 /** Where a request goes. */
 export type RouteChoice =
@@ -19,6 +24,10 @@
   /** @returns the hosts of all other zones. */
   remoteHosts: () => Member[];
   random: Random;
+  /** What is ready in this zone. */
+  directory: ReplicaDirectory;
+  /** What is ready in others. */
+  ready: ReadyZones;
 }
 
 /** Chooses between this host's zone and the others. */
@@ -26,7 +35,8 @@
   constructor(private readonly options: RouterOptions) {}
 
   /**
-   * A zone that has no part in the model's replicas forwards to one that has.
+   * A zone that has no part in the model's replicas forwards to one that has,
+   * and one whose own replica is not ready to one where it is.
    *
    * @param exclude - hosts that were tried in vain.
    * @param model - name of the model.
@@ -36,17 +46,39 @@
     exclude: ReadonlySet<string> = new Set(),
     model?: string,
   ): RouteChoice {
-    const {zone, random, remoteHosts} = this.options;
+    const {zone, remoteHosts} = this.options;
     const zones = this.zonesFor(model);
+    const others = remoteHosts().filter(({host}) => !exclude.has(host));
+    const sooner = this.readyElsewhere(others, model);
+    if (sooner.length > 0 && !this.isReadyHere(model)) {
+      return this.toOneOf(sooner);
+    }
     if (zones.has(zone)) return {type: 'local'};
-    const hosts = remoteHosts().filter(
-      member => zones.has(member.zone) && !exclude.has(member.host),
-    );
+    const hosts = others.filter(member => zones.has(member.zone));
     if (hosts.length === 0) {
       return {type: 'none', message: 'no zone with an engine is reachable'};
     }
-    const {host, zone: remoteZone} = random.pick(hosts);
-    return {type: 'peer', host, zone: remoteZone};
+    return this.toOneOf(hosts);
+  }
+
+  private toOneOf(hosts: readonly Member[]): RouteChoice {
+    const {host, zone} = this.options.random.pick(hosts);
+    return {type: 'peer', host, zone};
+  }
+
+  private isReadyHere(model: string | undefined): boolean {
+    if (model === undefined) return true;
+    const expectedMs = this.options.directory.expectedReadyInMs(model);
+    return expectedMs !== undefined && expectedMs <= FORWARD_COST_MS;
+  }
+
+  private readyElsewhere(
+    hosts: readonly Member[],
+    model: string | undefined,
+  ): Member[] {
+    if (model === undefined) return [];
+    const zones = this.options.ready.zonesFor(model);
+    return hosts.filter(({zone}) => zones.includes(zone));
   }
 
   /**
--- a/packages/core/src/test/placement/memory_ledger_test.ts
+++ b/packages/core/src/test/placement/memory_ledger_test.ts
@@ -102,7 +102,7 @@
             const bytes = action.bytes + KV;
             const reserved = ledger.reserve('t', {
               ...{id, ...known, bytes, sentMs: nowMs},
-              ...{expectedMs: nowMs, unknown: false},
+              ...{expectedMs: nowMs, unknown: false, evict: []},
             });
             if (reserved.isErr()) continue;
             decided.add(version);
@@ -153,7 +153,7 @@
     const account = ledger.account('t')!;
     const reservation = {
       ...{id: '1', model: 'm', version: 'v', bytes: 60},
-      ...{sentMs: 10, expectedMs: 20, unknown: false},
+      ...{sentMs: 10, expectedMs: 20, unknown: false, evict: []},
     };
     expect(ledger.reserve('t', reservation).isOk()).to.equal(true);
     account.settle('1', 'unknown', 100);
@@ -170,10 +170,30 @@
     const before = new FakeTarget().inventory();
     ledger.reserve('t', {
       ...{id: '1', model: 'm', version: 'v', bytes: 60},
-      ...{sentMs: 10, expectedMs: 20, unknown: false},
+      ...{sentMs: 10, expectedMs: 20, unknown: false, evict: []},
     });
     account.settle('1', 'done', 100);
     expect(account.report(before, 99)).to.equal(false);
     expect(account.freeBytes).to.equal(40);
   });
+
+  it('keeps the memory of an evicted replica for the load it made room for', () => {
+    const ledger = newLedger();
+    const account = ledger.account('t')!;
+    const target = new FakeTarget();
+    target.load('0', 'old', 60);
+    account.report(target.inventory(), 10);
+    const old = {model: 'old', version: 'old'};
+    const load = {
+      ...{id: '1', model: 'm', version: 'v', bytes: 70, evict: [old]},
+      ...{sentMs: 20, expectedMs: 30, unknown: false},
+    };
+    expect(ledger.reserve('t', load).isOk()).to.equal(true);
+    // The target reports the eviction before it answers the order.
+    target.held.delete('old');
+    account.report(target.inventory(), 25);
+    expect(account.freeBytes).to.equal(30);
+    account.evicted(old, 26);
+    expect(account.freeBytes).to.equal(30);
+  });
 });
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -11,25 +11,17 @@
   LeaseAuthority,
   Logger,
   Member,
-  MemberDecisionJournal,
   Membership,
   Metrics,
   PeerIdentity,
-  PlacementClient,
-  PlacementMetrics,
   PlatformLog,
   Random,
   RecordIds,
-  ReplicaDirectory,
   RequestQueue,
-  Router,
   SystemClock,
   TargetClients,
   TcpPeerNetwork,
   Tracing,
-  VersionedEngine,
-  ZoneController,
-  ZoneDecisionJournal,
   ZoneDirectory,
   ZoneLinks,
   ZoneStream,
@@ -42,6 +34,7 @@
 import {HttpListener} from './http_listener.js';
 import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestPath} from './request_path.js';
+import {PlacementParts} from './placement_parts.js';
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
@@ -50,9 +43,6 @@
 const STOP_APPEND_BOUND_MS = 2_000;
 const MAX_OPERATOR_CONNECTIONS = 64;
 
-/** Hosts of each other zone to which a host passes requests on. */
-const FORWARD_HOSTS_PER_ZONE = 3;
-
 /** What a {@link Daemon} takes from outside; tests replace parts. */
 export interface DaemonDeps {
   logger: Logger;
@@ -79,7 +69,7 @@
   private readonly membership: Membership;
   private readonly zones: ZoneDirectory;
   private readonly network: TcpPeerNetwork;
-  private readonly controller: ZoneController;
+  private readonly placement: PlacementParts;
   private readonly queue: RequestQueue;
   private readonly shares: TokenShares;
   private readonly path: RequestPath;
@@ -160,48 +150,16 @@
       zones: this.zones,
     });
     this.targets = new TargetClients(config);
-    const directory = new ReplicaDirectory(clock);
-    const engineOf = (target: string) =>
-      new VersionedEngine(this.targets.engine(target), model =>
-        directory.versionOn(target, model),
-      );
-    const {network} = this;
-    const {lease, members} = this.membership;
-    this.controller = new ZoneController({
-      zone,
-      config,
-      lease,
-      members,
-      network,
-      directory,
-      journal: new MemberDecisionJournal({
-        log: new ZoneDecisionJournal(this.zoneStream),
-        members,
-        network,
-        clock,
-        logger,
-        isGone: host => this.membership.hosts.isGone(host),
-      }),
-      metrics: new PlacementMetrics(metrics.registry),
-      isLeaving: target => this.membership.hosts.isLeaving(target),
-      clock,
-      logger,
-      ids,
-      engineOf,
-    });
-    const {controller} = this;
-    const placement = new PlacementClient({
-      lease,
-      controller,
-      directory,
-      network,
-      clock,
+    const {network, targets, membership} = this;
+    this.placement = new PlacementParts({
+      ...{config, membership, network, targets, metrics},
+      ...{clock, logger, ids, random, zones: this.zones},
+      stream: this.zoneStream,
     });
+    const {directory, client: placement, router, engineOf} = this.placement;
     const weightOf = (team: string) =>
       config.declared.get('team', team)?.weight ?? 1;
     this.queue = new RequestQueue({clock, directory, placement, weightOf});
-    const remoteHosts = () => this.zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
-    const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
     this.shares = new TokenShares({
       config: this.config,
@@ -219,6 +177,7 @@
       router,
       network,
       targets: this.targets,
+      engineOf,
       log,
       ids,
       tracing,
@@ -354,7 +313,7 @@
     await this.zoneStream.caughtUp();
     await this.join(peerPort);
     void this.membership.run(signal);
-    void this.controller.run(signal);
+    void this.placement.run(signal);
     void this.zones.run(signal);
     void this.shares.run(signal);
     const {members} = this.membership;
--- /dev/null
+++ b/packages/daemon/src/lib/placement_parts.ts
@@ -0,0 +1,91 @@
+/** Wires the placement and routing of a host. @packageDocumentation */
+
+import {
+  Clock,
+  ConfigState,
+  EngineClient,
+  Logger,
+  MemberDecisionJournal,
+  Membership,
+  Metrics,
+  PeerNetwork,
+  PlacementClient,
+  PlacementMetrics,
+  Random,
+  ReadyAnnouncer,
+  ReadyZones,
+  RecordIds,
+  ReplicaDirectory,
+  Router,
+  TargetClients,
+  VersionedEngine,
+  ZoneController,
+  ZoneDecisionJournal,
+  ZoneDirectory,
+  ZoneStream,
+} from '@fuchsiacleat/core';
+
+/** How many hosts of another zone a host sends requests to. */
+const FORWARD_HOSTS_PER_ZONE = 3;
+
+/** What {@link PlacementParts} work with. */
+export interface PlacementPartsOptions {
+  config: ConfigState;
+  stream: ZoneStream;
+  membership: Membership;
+  zones: ZoneDirectory;
+  network: PeerNetwork;
+  targets: TargetClients;
+  metrics: Metrics;
+  clock: Clock;
+  logger: Logger;
+  ids: RecordIds;
+  random: Random;
+}
+
+/** What the zone's targets hold, who decides it, and where requests go. */
+export class PlacementParts {
+  readonly directory: ReplicaDirectory;
+  readonly client: PlacementClient;
+  readonly router: Router;
+  /** @returns the client of a declared engine. */
+  readonly engineOf: (target: string) => EngineClient;
+  private readonly controller: ZoneController;
+  private readonly announcer: ReadyAnnouncer;
+
+  constructor(options: PlacementPartsOptions) {
+    const {membership, zones, clock, targets, network, metrics} = options;
+    const {members, lease, hosts} = membership;
+    const {zone} = network.self;
+    const directory = new ReplicaDirectory(clock);
+    this.directory = directory;
+    this.engineOf = target =>
+      new VersionedEngine(targets.engine(target), model =>
+        directory.versionOn(target, model),
+      );
+    const shared = {...options, members, lease, directory, zone};
+    const isGone = (host: string) => hosts.isGone(host);
+    const log = new ZoneDecisionJournal(options.stream);
+    this.controller = new ZoneController({
+      ...shared,
+      engineOf: this.engineOf,
+      journal: new MemberDecisionJournal({...shared, log, isGone}),
+      metrics: new PlacementMetrics(metrics.registry),
+      isLeaving: target => hosts.isLeaving(target),
+    });
+    const {controller} = this;
+    this.client = new PlacementClient({...shared, controller, network});
+    const ready = new ReadyZones(clock);
+    const remoteHosts = () => zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
+    this.announcer = new ReadyAnnouncer({...shared, ready, remoteHosts});
+    this.router = new Router({...shared, ready, remoteHosts});
+  }
+
+  /** Watches targets and decides until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.controller.run(signal),
+      this.announcer.run(signal),
+    ]);
+  }
+}
--- a/packages/daemon/src/lib/request_path.ts
+++ b/packages/daemon/src/lib/request_path.ts
@@ -3,6 +3,7 @@
 import {
   Clock,
   ConfigState,
+  EngineClient,
   ForwardServer,
   IdempotencyRegistry,
   LocalRunner,
@@ -35,6 +36,8 @@
   router: Router;
   network: PeerNetwork;
   targets: TargetClients;
+  /** @returns the client of a declared engine. */
+  engineOf: (target: string) => EngineClient;
   log: PlatformLog;
   ids: RecordIds;
   tracing: Tracing;
@@ -56,8 +59,7 @@
   private readonly serviceForwards: ServiceForwardServer;
 
   constructor(options: RequestPathOptions) {
-    const {targets, clock} = options;
-    const engineOf = (target: string) => targets.engine(target);
+    const {targets, clock, engineOf} = options;
     const serviceOf = (target: string) => targets.service(target);
     const retries = new RetryBudget(undefined, RETRY_RESERVE);
     const local = new LocalRunner({...options, engineOf});
