Count what an eviction frees for one load only

Two loads could count on the same adapter, and a claim on a replica that was evicted stood again when that model was loaded anew.

Change: what a load already counts on is not chosen again, and a claim ends with the eviction.

--- a/packages/core/src/lib/placement/adapter_planner.ts
+++ b/packages/core/src/lib/placement/adapter_planner.ts
@@ -68,7 +68,7 @@
       version,
       adapter,
       bytes,
-      evict,
+      evict: [...evict],
       sentMs: nowMs,
       expectedMs: nowMs + ADAPTER_LOAD_MS,
       unknown: false,
@@ -80,18 +80,20 @@
 
   /** @returns adapters of idle replicas that make room, oldest first. */
   private victims(
-    {replicas}: TargetAccount,
+    account: TargetAccount,
     missingBytes: number,
   ): PlacedAdapter[] | undefined {
     if (missingBytes <= 0) return [];
     const waiting = new Set(this.options.demand.all().map(w => w.adapter));
     const victims: PlacedAdapter[] = [];
     let missing = missingBytes;
-    for (const {model, version, running, adapters} of replicas.values()) {
-      if (running > 0) continue;
+    for (const replica of account.replicas.values()) {
+      const {model, version, running, state, adapters} = replica;
+      if (running > 0 || state !== 'ready') continue;
       for (const [adapter, bytes] of adapters) {
-        if (waiting.has(adapter)) continue;
-        victims.push({model, version, adapter});
+        const victim = {model, version, adapter};
+        if (waiting.has(adapter) || account.isClaimed(victim)) continue;
+        victims.push(victim);
         missing -= bytes;
         if (missing <= 0) return victims;
       }
--- a/packages/core/src/lib/placement/placement_planner.ts
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -213,7 +213,7 @@
         model,
         version,
         bytes,
-        evict,
+        evict: [...evict],
         sentMs: nowMs,
         expectedMs: nowMs + best.loadMs,
         unknown: false,
@@ -262,8 +262,10 @@
     const {demand, eviction, clock} = this.options;
     const nowMs = clock.now();
     return [...account.replicas.values()]
-      .filter(({state, running, model}) => {
-        return state === 'ready' && running === 0 && !demand.waitsFor(model);
+      .filter(replica => {
+        const {state, running, model} = replica;
+        if (state !== 'ready' || running > 0) return false;
+        return !demand.waitsFor(model) && !account.isClaimed(replica);
       })
       .map(replica => {
         return {replica, cost: eviction.cost(replica, account, nowMs)};
--- a/packages/core/src/lib/placement/target_account.ts
+++ b/packages/core/src/lib/placement/target_account.ts
@@ -37,7 +37,7 @@
    * What is evicted first. While it is held, its memory stands for that of the
    * load, so that nothing else can take it the moment it is free.
    */
-  evict: readonly HeldItem[];
+  evict: HeldItem[];
   sentMs: number;
   /** When the load is expected to end, in clock time. */
   expectedMs: number;
@@ -129,6 +129,18 @@
     if (held?.state === 'draining') held.state = 'ready';
   }
 
+  /** @returns whether a load already counts on what an eviction frees. */
+  isClaimed({model, version, adapter}: HeldItem): boolean {
+    for (const {evict} of this.reservations.values()) {
+      for (const item of evict) {
+        if (item.model !== model || item.version !== version) continue;
+        const isWhole = item.adapter === undefined || adapter === undefined;
+        if (isWhole || item.adapter === adapter) return true;
+      }
+    }
+    return false;
+  }
+
   /** @param reservation - what an order takes, before it is sent. */
   reserve(reservation: Reservation): void {
     this.reservations.set(reservation.id, reservation);
@@ -165,6 +177,16 @@
     this.evicting.delete(key);
     const freed = replicaBytes(replica);
     this.reportedBytes = Math.max(0, this.reportedBytes - freed);
+    this.dropSpentClaims();
+  }
+
+  /** Forgets claims on what is gone; the same may be loaded again later. */
+  private dropSpentClaims(): void {
+    for (const reservation of this.reservations.values()) {
+      reservation.evict = reservation.evict.filter(
+        item => this.heldBytes(item) > 0,
+      );
+    }
   }
 
   /** Takes an adapter out once the target has confirmed its eviction. */
@@ -174,6 +196,7 @@
     const bytes = adapters?.get(adapter) ?? 0;
     adapters?.delete(adapter);
     this.reportedBytes = Math.max(0, this.reportedBytes - bytes);
+    this.dropSpentClaims();
   }
 
   /**
@@ -193,6 +216,7 @@
     this.inMemory = new Set(inventory.inMemory);
     this.takeReplicas(inventory);
     this.dropResolved(askedMs);
+    this.dropSpentClaims();
     return true;
   }
 
--- a/packages/core/src/test/placement/memory_ledger_test.ts
+++ b/packages/core/src/test/placement/memory_ledger_test.ts
@@ -196,4 +196,21 @@
     account.evicted(old, 26);
     expect(account.freeBytes).to.equal(30);
   });
+
+  it('forgets what a load evicts once it is gone', () => {
+    const ledger = newLedger();
+    const account = ledger.account('t')!;
+    const target = new FakeTarget();
+    target.load('0', 'old', 40);
+    account.report(target.inventory(), 10);
+    const old = {model: 'old', version: 'old'};
+    const times = {sentMs: 20, expectedMs: 30, unknown: false};
+    const load = {id: '1', model: 'm', version: 'v', bytes: 45, evict: [old]};
+    expect(ledger.reserve('t', {...load, ...times}).isOk()).to.equal(true);
+    account.evicted(old, 25);
+    const again = {...old, id: '2', bytes: 45, evict: []};
+    expect(ledger.reserve('t', {...again, ...times}).isOk()).to.equal(true);
+    account.settle('2', 'done', 30);
+    expect(account.freeBytes).to.equal(10);
+  });
 });
