--- a/packages/core/src/lib/placement/decision_executor.ts
+++ b/packages/core/src/lib/placement/decision_executor.ts
@@ -15,6 +15,7 @@
 import {LoadTimes, PLACE} from './load_times.js';
 import {MemoryLedger} from './memory_ledger.js';
 import {OrderSender} from './order_sender.js';
+import {LOAD_STEP, PlacementMetrics} from './placement_metrics.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {ModelVersion, TargetAccount} from './target_account.js';
 import {TargetWatch} from './target_watch.js';
@@ -26,6 +27,7 @@
 const HANGING_FACTOR = 3;
 const DRAIN_BOUND_MS = 2_000;
 const DRAIN_POLL_MS = 10;
+const MS_PER_S = 1_000;
 
 /** What a {@link DecisionExecutor} works with. */
 export interface ExecutorOptions {
@@ -39,6 +41,7 @@
   times: LoadTimes;
   clock: Clock;
   logger: Logger;
+  metrics: PlacementMetrics;
   /** Called when hosts must learn of a change. */
   onChange: () => void;
 }
@@ -76,12 +79,18 @@
     const account = ledger.account(target);
     if (account === undefined) return;
     onChange();
+    const {place} = decision;
     const ready =
-      (await this.record(decision, signal)) &&
-      (await this.makeRoom(account, decision, signal));
+      (await this.timed(LOAD_STEP.record, place, () =>
+        this.record(decision, signal),
+      )) &&
+      (await this.timed(LOAD_STEP.evict, place, () =>
+        this.makeRoom(account, decision, signal),
+      ));
     if (!ready) {
+      this.count(decision, 'not-ordered');
       this.settle(account, id, 'refused');
-      for (const victim of evict) restore(account, victim);
+      for (const victim of evict) account.evictionEnded(victim);
       planner.noteFailure(decision);
       return;
     }
@@ -104,6 +113,10 @@
     );
     const done = await sender.send(target, id, order, timeoutMs);
     const tookMs = clock.now() - sentMs;
+    this.count(decision, done.isOk() ? 'done' : done.error.type);
+    this.options.metrics.loadStep
+      .labels(LOAD_STEP.load, place)
+      .observe(tookMs / MS_PER_S);
     if (done.isOk()) {
       times.observe(place, bytes, tookMs);
       this.settle(account, id, 'done');
@@ -139,19 +152,20 @@
     const recorded = await this.record(decision, signal);
     const id = decision.id;
     const gone = recorded && (await this.evict(account, decision, id, signal));
-    if (!gone) return restore(account, decision);
-    account.evicted(decision, this.options.clock.now());
+    this.count(decision, gone ? 'done' : 'not-done');
+    if (gone) account.evicted(decision, this.options.clock.now());
+    account.evictionEnded(decision);
   }
 
   private async makeRoom(
     account: TargetAccount,
-    {id, evict, bytes}: LoadDecision,
+    {id, evict}: LoadDecision,
     signal: AbortSignal,
   ): Promise<boolean> {
     for (const [index, victim] of evict.entries()) {
       const orderId = `${id}.evict.${index}`;
       if (!(await this.evict(account, victim, orderId, signal))) return false;
-      account.evictedFor(id, victim, bytes, this.options.clock.now());
+      account.evicted(victim, this.options.clock.now());
     }
     return true;
   }
@@ -192,7 +206,7 @@
 
   private async loadAdapter(decision: AdapterDecision): Promise<void> {
     const {ledger, sender, clock} = this.options;
-    const {id, target, model, adapter, evict, bytes} = decision;
+    const {id, target, model, adapter, evict} = decision;
     const account = ledger.account(target);
     if (account === undefined) return;
     for (const victim of evict) {
@@ -207,8 +221,6 @@
       if (gone.isErr()) return this.settle(account, id, 'refused');
       account.evictedAdapter(victim, victim.adapter, clock.now());
     }
-    const reservation = account.reservations.get(id);
-    if (reservation !== undefined) reservation.bytes = bytes;
     const order = {kind: 'load-adapter', adapter, model} as const;
     const done = await sender.send(target, id, order, ADAPTER_TIMEOUT_MS);
     this.settle(account, id, done.isOk() ? 'done' : done.error.type);
@@ -230,6 +242,23 @@
     return false;
   }
 
+  private async timed(
+    step: string,
+    place: string,
+    work: () => Promise<boolean>,
+  ): Promise<boolean> {
+    const {clock, metrics} = this.options;
+    const startMs = clock.now();
+    const done = await work();
+    const tookS = (clock.now() - startMs) / MS_PER_S;
+    metrics.loadStep.labels(step, place).observe(tookS);
+    return done;
+  }
+
+  private count({kind}: Decision, outcome: string): void {
+    this.options.metrics.decisions.labels(kind, outcome).inc();
+  }
+
   private settle(
     account: TargetAccount,
     id: string,
@@ -238,9 +267,3 @@
     account.settle(id, outcome, this.options.clock.now());
   }
 }
-
-/** Offers a replica that was not evicted after all. */
-function restore(account: TargetAccount, replica: ModelVersion): void {
-  const held = account.replica(replica);
-  if (held?.state === 'draining') held.state = 'ready';
-}
--- a/packages/core/src/lib/placement/placement_planner.ts
+++ b/packages/core/src/lib/placement/placement_planner.ts
@@ -15,7 +15,7 @@
   TargetChoice,
 } from './placement_policy.js';
 import {ReplicaCatalog, ReplicaNeed} from './replica_catalog.js';
-import {Replica, TargetAccount} from './target_account.js';
+import {Replica, TargetAccount, replicaBytes} from './target_account.js';
 
 /** How long a target gets no load of a model that failed there. */
 const FAILED_LOAD_BACKOFF_MS = 2_000;
@@ -88,6 +88,20 @@
     return fits ? undefined : 'no target has room for the model';
   }
 
+  /** @returns a load of the declared version, if it is due and possible. */
+  loadVersion(need: ReplicaNeed): LoadDecision | undefined {
+    if (need.part === 0 || this.isUnderWay(need)) return undefined;
+    if (this.options.ledger.count(need.model, need.version) > 0) {
+      return undefined;
+    }
+    return this.load(need, this.loadOptions(need));
+  }
+
+  /** @returns whether some target can make room now. */
+  hasRoomFor(need: ReplicaNeed): boolean {
+    return this.loadOptions(need).length > 0;
+  }
+
   private ranked(): WaitingWork[] {
     const {demand, order, clock} = this.options;
     const nowMs = clock.now();
@@ -156,7 +170,7 @@
     if (isDraining) return undefined;
     const victim = this.victims(account, bytes)?.victims[0];
     if (victim === undefined) return undefined;
-    victim.state = 'draining';
+    account.noteEvicting(victim);
     const {model, version} = victim;
     const id = this.options.ids.take();
     return {kind: 'evict', id, target: account.facts.name, model, version};
@@ -189,7 +203,7 @@
       const {model, version, bytes} = need;
       const target = best.account.facts.name;
       const evict = best.victims.map(victim => {
-        victim.state = 'draining';
+        best.account.noteEvicting(victim);
         return {model: victim.model, version: victim.version};
       });
       const id = ids.take();
@@ -198,7 +212,8 @@
         id,
         model,
         version,
-        bytes: Math.min(bytes, best.account.freeBytes),
+        bytes,
+        evict: [...evict],
         sentMs: nowMs,
         expectedMs: nowMs + best.loadMs,
         unknown: false,
@@ -235,7 +250,7 @@
     let evictionCost = 0;
     for (const {replica, cost} of this.evictable(account, missing)) {
       if (missing <= 0) break;
-      missing -= heldBytes(replica);
+      missing -= replicaBytes(replica);
       victims.push(replica);
       evictionCost += cost;
     }
@@ -247,15 +262,19 @@
     const {demand, eviction, clock} = this.options;
     const nowMs = clock.now();
     return [...account.replicas.values()]
-      .filter(({state, running, model}) => {
-        return state === 'ready' && running === 0 && !demand.waitsFor(model);
+      .filter(replica => {
+        const {state, running, model} = replica;
+        if (state !== 'ready' || running > 0) return false;
+        return !demand.waitsFor(model) && !account.isClaimed(replica);
       })
       .map(replica => {
         return {replica, cost: eviction.cost(replica, account, nowMs)};
       })
       .filter(({cost}) => Number.isFinite(cost))
       .sort((a, b) => {
-        return a.cost / heldBytes(a.replica) - b.cost / heldBytes(b.replica);
+        return (
+          a.cost / replicaBytes(a.replica) - b.cost / replicaBytes(b.replica)
+        );
       });
   }
 
@@ -273,12 +292,6 @@
   return account.mayOrder && account.reachable && !account.leaving;
 }
 
-function heldBytes({bytes, adapters}: Replica): number {
-  let held = bytes;
-  for (const adapterBytes of adapters.values()) held += adapterBytes;
-  return held;
-}
-
 function failureKey(target: string, model: string): string {
   return `${target}\n${model}`;
 }
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -12,18 +12,13 @@
   Member,
   Metrics,
   PeerIdentity,
-  PlacementClient,
   PlatformLog,
   Random,
   RecordIds,
-  ReplicaDirectory,
   RequestQueue,
-  Router,
   SystemClock,
   TargetClients,
   Tracing,
-  ZoneController,
-  ZoneDecisionJournal,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 import {createCallerApi} from './caller_api.js';
@@ -32,6 +27,7 @@
 import {HttpListener} from './http_listener.js';
 import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestPath} from './request_path.js';
+import {PlacementParts} from './placement_parts.js';
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
@@ -41,9 +37,6 @@
 
 const MAX_OPERATOR_CONNECTIONS = 64;
 
-/** Hosts of each other zone to which a host passes requests on. */
-const FORWARD_HOSTS_PER_ZONE = 3;
-
 /** What a {@link Daemon} takes from outside; tests replace parts. */
 export interface DaemonDeps {
   logger: Logger;
@@ -67,7 +60,7 @@
   private readonly config: ConfigStore;
   private readonly configParts: ConfigParts;
   private readonly place: ZoneParts;
-  private readonly controller: ZoneController;
+  private readonly placement: PlacementParts;
   private readonly queue: RequestQueue;
   private readonly shares: TokenShares;
   private readonly path: RequestPath;
@@ -133,36 +126,14 @@
       zones,
     });
     this.targets = new TargetClients(config);
-    const engineOf = (target: string) => this.targets.engine(target);
-    const directory = new ReplicaDirectory(clock);
-    const {lease, members} = membership;
-    this.controller = new ZoneController({
-      zone,
-      config,
-      lease,
-      members,
-      network,
-      directory,
-      journal: new ZoneDecisionJournal(membership.records),
-      isLeaving: target => membership.hosts.isLeaving(target),
-      clock,
-      logger,
-      ids,
-      engineOf,
-    });
-    const {controller} = this;
-    const placement = new PlacementClient({
-      lease,
-      controller,
-      directory,
-      network,
-      clock,
+    this.placement = new PlacementParts({
+      ...{config, membership, network, metrics, zones},
+      ...{clock, logger, ids, random, targets: this.targets},
     });
+    const {directory, client: placement, router, engineOf} = this.placement;
     const weightOf = (team: string) =>
       config.declared.get('team', team)?.weight ?? 1;
     this.queue = new RequestQueue({clock, directory, placement, weightOf});
-    const remoteHosts = () => zones.preferredHosts(FORWARD_HOSTS_PER_ZONE);
-    const router = new Router({zone, config, remoteHosts, random});
     const {queue} = this;
     this.shares = new TokenShares({
       config: this.config,
@@ -180,6 +151,7 @@
       router,
       network,
       targets: this.targets,
+      engineOf,
       log,
       ids,
       tracing,
@@ -309,7 +281,7 @@
     const {signal} = this.lifetime;
     await this.join(peerPort);
     this.place.run(signal);
-    void this.controller.run(signal);
+    void this.placement.run(signal);
     void this.shares.run(signal);
   }
 
