--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -4,6 +4,7 @@
 import {Command} from 'commander';
 import {Benchmark} from './lib/benchmark.js';
 import {BENCHMARKS} from './lib/benchmarks.js';
+import {plotResults} from './lib/plot.js';
 import {reportLine, storeResult} from './lib/report.js';
 
 const DEFAULT_SEED = 1;
@@ -41,11 +42,18 @@
   return allKept ? 0 : 1;
 }
 
+async function plot(): Promise<number> {
+  const written = await plotResults(RESULTS_FOLDER);
+  for (const path of written) process.stdout.write(path + '\n');
+  return 0;
+}
+
 await new Command('bench')
   .description('Runs benchmarks; exits with 1 if a bound is not kept.')
   .argument('[names...]', 'which; all by default')
   .option('--seed <number>', 'seed of all randomness', Number, DEFAULT_SEED)
-  .action(async (names: string[], options: {seed: number}) => {
-    process.exit(await main(names, options.seed));
+  .option('--plot', 'draw the stored results as SVG, and run nothing')
+  .action(async (names: string[], options: {seed: number; plot?: boolean}) => {
+    process.exit(await (options.plot ? plot() : main(names, options.seed)));
   })
   .parseAsync();
