--- a/packages/benchmarks/src/lib/benchmarks.ts
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -1,6 +1,8 @@
 /** The list of benchmarks. @packageDocumentation */
 
 import {Benchmark} from './benchmark.js';
+import {ConfigurationBenchmark} from './configuration_benchmark.js';
+import {ControlBenchmark} from './control_benchmark.js';
 import {PathBenchmark} from './path_benchmark.js';
 import {PlacementBenchmark} from './placement_benchmark.js';
 import {ReconcileBenchmark} from './reconcile_benchmark.js';
@@ -8,6 +10,8 @@
 /** Every benchmark, in the order in which they run. */
 export const BENCHMARKS: readonly Benchmark[] = [
   new PathBenchmark(),
+  new ConfigurationBenchmark(),
+  new ControlBenchmark(),
   new PlacementBenchmark(),
   new ReconcileBenchmark(),
 ];
--- a/packages/core/src/lib/membership/join_tracker.ts
+++ b/packages/core/src/lib/membership/join_tracker.ts
@@ -4,7 +4,7 @@
 import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {JoinStatus} from './join_status.js';
-import {Joined, Member, MemberTable, memberSchema} from './member_table.js';
+import {Joined, Member, MemberTable, joinedSchema} from './member_table.js';
 import {ZoneRecordType, ZoneStream} from './zone_stream.js';
 
 const ANNOUNCE_INTERVAL_MS = 500;
@@ -15,10 +15,6 @@
 /** How long a joiner has to announce itself before it is acknowledged. */
 const ACK_DELAY_MS = 3_000;
 
-const joinedSchema = z.object({
-  member: memberSchema,
-  offset: z.number().int(),
-});
 const knownSchema = z.object({known: z.boolean()});
 
 /** A host that has joined names itself to a member before it. */
--- a/packages/core/src/lib/membership/zone_directory.ts
+++ b/packages/core/src/lib/membership/zone_directory.ts
@@ -17,8 +17,8 @@
 const CHECK_INTERVAL_MS = 500;
 const APPEND_BOUND_MS = 5_000;
 
-/** Summaries are written again after this, ahead of the log's retention. */
-const REWRITE_INTERVAL_MS = 3_600_000;
+/** Part of the log's retention after which summaries are written again. */
+const REWRITE_PART = 1 / 3;
 
 /** The log counts as unreachable when the stream was not read for so long. */
 const STALE_MS = 15_000;
@@ -58,8 +58,10 @@
   /** Members of this host's zone. */
   members: MemberTable;
   lease: LeaseAuthority;
-  /** Whether a peer could lately not be reached. */
-  isSuspect: (host: string) => boolean;
+  /** How long the log keeps records, in milliseconds. */
+  retentionMs: number;
+  /** Whether a peer is leaving or could lately not be reached. */
+  isAvoided: (host: string) => boolean;
 }
 
 interface Known {
@@ -103,8 +105,8 @@
   /**
    * @param perZone - how many hosts of each other zone.
    * @returns the hosts to which this host passes work on. Each host has its
-   *     own few, so that links do not grow into a full mesh; hosts that could
-   *     lately not be reached come last.
+   *     own few, so that links do not grow into a full mesh; hosts that are
+   *     leaving or could lately not be reached come last.
    */
   preferredHosts(perZone: number): Member[] {
     const {zone} = this.options.network.self;
@@ -134,14 +136,14 @@
   }
 
   private prefer(members: readonly Member[]): Member[] {
-    const {network, isSuspect} = this.options;
+    const {network, isAvoided} = this.options;
     const rankOf = ({host}: Member) =>
       createHash('sha1').update(`${network.self.host} ${host}`).digest('hex');
     return members
       .map(member => ({member, rank: rankOf(member)}))
       .map(({member, rank}) => ({
         member,
-        rank: (isSuspect(member.host) ? 'z' : 'a') + rank,
+        rank: (isAvoided(member.host) ? 'z' : 'a') + rank,
       }))
       .sort((a, b) => (a.rank < b.rank ? -1 : 1))
       .map(({member}) => member);
@@ -167,13 +169,16 @@
   }
 
   private async writeIfDue(signal: AbortSignal): Promise<void> {
-    const {members, lease, network, clock} = this.options;
+    const {members, lease, network, clock, retentionMs} = this.options;
     if (lease.check().isErr() || this.tail.lastCaughtUp === undefined) return;
     const {zone} = network.self;
     const {version} = members;
     const known = this.byZone.get(zone);
     const ageMs = clock.now() - (known?.readMs ?? -Infinity);
-    if (known?.summary.version === version && ageMs < REWRITE_INTERVAL_MS) {
+    if (
+      known?.summary.version === version &&
+      ageMs < retentionMs * REWRITE_PART
+    ) {
       return;
     }
     await this.write(signal);
--- a/packages/core/src/lib/membership/zone_lease.ts
+++ b/packages/core/src/lib/membership/zone_lease.ts
@@ -6,6 +6,7 @@
 import {Clock} from '../time/clock.js';
 import {CONSENT, ConsentGiver} from './consent.js';
 import {ConsentCollector} from './consent_collector.js';
+import {EntrustedRecords} from './entrusted_records.js';
 import {JoinStatus} from './join_status.js';
 import {
   Authority,
@@ -48,10 +49,13 @@
   members: MemberTable;
   network: PeerNetwork;
   joins: JoinStatus;
+  records: EntrustedRecords;
   clock: Clock;
   logger: Logger;
   /** Whether the platform has removed a host for good. */
   isGone: (host: string) => boolean;
+  /** Whether the platform is about to take this host away. */
+  isLeaving: () => boolean;
 }
 
 interface Held {
@@ -112,6 +116,13 @@
     return lease === undefined || lease.released ? undefined : lease.host;
   }
 
+  /** Whether consent alone upholds the lease, for the log is out of reach. */
+  get isByConsent(): boolean {
+    if (this.held === undefined || this.check().isErr()) return false;
+    const remainingMs = this.held.logUntilMs - this.options.clock.now();
+    return remainingMs <= ASK_CONSENT_BELOW_MS;
+  }
+
   /**
    * Claims the lease when it is free and upholds it while it is held.
    *
@@ -185,17 +196,20 @@
   }
 
   private mayClaim(): boolean {
-    const {clock, joins} = this.options;
+    const {clock, joins, isLeaving} = this.options;
     const nowMs = clock.now();
-    if (!joins.established || nowMs < this.nextClaimMs) return false;
+    if (!joins.established || isLeaving()) return false;
+    if (nowMs < this.nextClaimMs) return false;
     const lease = this.state.current;
     if (lease === undefined || lease.released) return true;
     return nowMs - this.lastChangeMs >= lease.ttlMs + LEASE_MARGIN_MS;
   }
 
   private async claim(signal: AbortSignal): Promise<void> {
-    const {stream, clock, logger, network} = this.options;
+    const {stream, clock, logger, network, records} = this.options;
     const {host, incarnation} = network.self;
+    // What an earlier holder entrusted to this host must stand before a claim.
+    if (!(await records.flush(signal)) || !this.mayClaim()) return;
     const sentMs = clock.now();
     const supersedes = this.state.current?.lastRecord ?? null;
     const body = {host, incarnation, ttlMs: LEASE_TTL_MS, supersedes};
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -18,6 +18,7 @@
   PeerIdentity,
   PeerMethod,
   PeerNetwork,
+  UnaryPeerHandler,
 } from './peer_network.js';
 
 const KEEP_INTERVAL_MS = 200;
@@ -63,6 +64,7 @@
   private readonly failedMs = new Map<string, number>();
   private readonly dialling = new Map<string, Promise<PeerLink | undefined>>();
   private readonly handlers = new Map<string, Registered>();
+  private readonly unaryMethods = new Set<string>();
   private readonly noteHandlers = new Map<string, RegisteredNote>();
   private readonly sockets: PeerSockets;
   private signal = new AbortController().signal;
@@ -166,6 +168,14 @@
     this.handlers.set(method.name, {method, handler} as Registered);
   }
 
+  override serveUnary<Body, Event>(
+    method: PeerMethod<Body, Event>,
+    handler: UnaryPeerHandler<Body, Event>,
+  ): void {
+    super.serveUnary(method, handler);
+    this.unaryMethods.add(method.name);
+  }
+
   override notify<Body>(
     host: string,
     method: PeerMethod<Body, never>,
@@ -183,6 +193,11 @@
     this.noteHandlers.set(method.name, {method, handler} as RegisteredNote);
   }
 
+  /** Part of {@link LinkHandler}. */
+  isUnary(name: string): boolean {
+    return this.unaryMethods.has(name);
+  }
+
   /** Part of {@link LinkHandler}. */
   async *dispatch(
     name: string,
