List the benchmark's host as live

Cause: the host list of the benchmark was empty, so that the daemon rightly took itself for removed after a while and withheld its part of the tokens: first token through the host p95 1,238 ms, all of it in the span 'limit'. Change: the host is on the list.

--- a/packages/benchmarks/src/lib/path/bench_system.ts
+++ b/packages/benchmarks/src/lib/path/bench_system.ts
@@ -2,7 +2,7 @@
 
 import {OperatorClient} from '@fuchsiacleat/cli';
 import {RawObject, digestOf} from '@fuchsiacleat/core';
-import {DaemonProcess, OPERATOR_TOKEN, ZONE} from './daemon_process.js';
+import {DaemonProcess, HOST, OPERATOR_TOKEN, ZONE} from './daemon_process.js';
 import {StreamRequest} from './load.js';
 import {
   ENGINE_MEMORY_GIB,
@@ -105,7 +105,11 @@
   }
 
   private async startProcesses(): Promise<void> {
-    const platform = await this.startStandin<PlatformUrls>({kind: 'platform'});
+    const host = {name: HOST, zone: ZONE};
+    const platform = await this.startStandin<PlatformUrls>({
+      kind: 'platform',
+      host,
+    });
     const {weightStore} = platform;
     const {engines, ...options} = this.options;
     for (let index = 0; index < engines; index++) {
--- a/packages/benchmarks/src/lib/path/daemon_process.ts
+++ b/packages/benchmarks/src/lib/path/daemon_process.ts
@@ -12,6 +12,9 @@
 /** The operators' token of the daemon. */
 export const OPERATOR_TOKEN = 'bench-operator-token';
 
+/** Name of the daemon's host. */
+export const HOST = 'bench-1';
+
 /** Zone of the daemon. */
 export const ZONE = 'bench-a';
 
--- a/packages/benchmarks/src/lib/path/standin_job.ts
+++ b/packages/benchmarks/src/lib/path/standin_job.ts
@@ -6,9 +6,15 @@
 /** Weights of a version, in GiB: an engine has room for one only. */
 export const WEIGHTS_GIB = 50;
 
+/** A host on the platform's list. */
+export interface PlatformHost {
+  name: string;
+  zone: string;
+}
+
 /** Which stand-ins to start. */
 export type StandinJob =
-  | {kind: 'platform'}
+  | {kind: 'platform'; host: PlatformHost}
   | {
       kind: 'engine';
       name: string;
--- a/packages/benchmarks/src/lib/path/standin_worker.ts
+++ b/packages/benchmarks/src/lib/path/standin_worker.ts
@@ -9,6 +9,7 @@
 import {
   ENGINE_MEMORY_GIB,
   EngineUrl,
+  PlatformHost,
   PlatformUrls,
   StandinJob,
   WEIGHTS_GIB,
@@ -17,16 +18,19 @@
 
 const GIB = 1024 ** 3;
 
-async function startPlatform(): Promise<PlatformUrls> {
+async function startPlatform(host: PlatformHost): Promise<PlatformUrls> {
+  const hostList = new HostListStandin();
+  // A host that is not on the list counts as removed for good.
+  hostList.set({...host, state: 'live'});
   return {
     log: await new LogStandin().start(),
-    hostList: await new HostListStandin().start(),
+    hostList: await hostList.start(),
     weightStore: await new WeightStoreStandin().start(),
   };
 }
 
 async function start(job: StandinJob): Promise<PlatformUrls | EngineUrl> {
-  if (job.kind === 'platform') return startPlatform();
+  if (job.kind === 'platform') return startPlatform(job.host);
   const engine = new EngineStandin({
     ...job,
     memoryBytes: ENGINE_MEMORY_GIB * GIB,
