Answer a refused keyed request by its deadline

A refusal waits up to 1 s for its key to be free again, whatever is left of the deadline.

Change: the wait ends at the deadline. A test with a registry that never answers fails without it.

--- a/packages/daemon/src/lib/once_guard.ts
+++ b/packages/daemon/src/lib/once_guard.ts
@@ -119,7 +119,9 @@
     );
     if (admitted.ended?.type === 'refused') {
       // The key should be free again before the caller asks anew.
-      await Promise.race([settled, this.clock.sleep(ABANDON_WAIT_MS)]);
+      const remainingMs = admitted.deadlineMs - this.clock.now();
+      const waitMs = Math.min(ABANDON_WAIT_MS, remainingMs);
+      await Promise.race([settled, this.clock.sleep(waitMs)]);
     }
     const {status, headers} = res;
     return new Response(toCaller, {status, headers});
--- /dev/null
+++ b/packages/daemon/src/test/once_guard_test.ts
@@ -0,0 +1,44 @@
+import {
+  IdempotencyRegistry,
+  ManualClock,
+  REFUSAL,
+  refuse,
+} from '@fuchsiacleat/core';
+import {expect} from 'chai';
+import {errorResponse} from '../lib/http_outcome.js';
+import {OnceGuard} from '../lib/once_guard.js';
+import {Admitted} from '../lib/request_gate.js';
+
+const DEADLINE_MS = 200;
+
+/** A registry whose log takes the claim and nothing after it. */
+function stuckRegistry(): IdempotencyRegistry {
+  const never = () => new Promise<void>(() => {});
+  const claim = {complete: never, abandon: never};
+  const registry = {claim: async () => ({type: 'won', claim})};
+  return registry as unknown as IdempotencyRegistry;
+}
+
+describe('OnceGuard', () => {
+  it('does not hold a refusal back beyond the deadline', async () => {
+    const clock = new ManualClock();
+    const guard = new OnceGuard(stuckRegistry(), clock);
+    const outcome = refuse(REFUSAL.noCapacity, 'no service');
+    const admitted = {
+      team: 'inspectors',
+      route: {repeatable: false},
+      deadlineMs: DEADLINE_MS,
+      ended: outcome,
+      outcome: Promise.resolve(outcome),
+      finish: () => {},
+    } as unknown as Admitted;
+    let status: number | undefined;
+    const run = async () => errorResponse(outcome);
+    const answer = guard.run(admitted, 'key', 'content', run);
+    void answer.then(res => {
+      status = res.status;
+    });
+    await clock.advance(DEADLINE_MS);
+    expect(status).to.equal(503);
+  });
+});
