--- a/packages/benchmarks/src/lib/control_benchmark.ts
+++ b/packages/benchmarks/src/lib/control_benchmark.ts
@@ -156,8 +156,9 @@
 /**
  * A host of a full zone as measured, plus what hosts of other zones, models
  * and adapters add by their slopes. All that other zones add counts for each
- * of their hosts, which is an upper bound. Of memory, what a lone host without
- * any declarations occupies counts as the program's own.
+ * of their hosts, which is an upper bound; a negative slope is noise and counts
+ * as none. Of memory, the least that any host occupied counts as the program's
+ * own.
  */
 function designMetrics(
   peers: Sweep,
@@ -166,15 +167,19 @@
   adapters: Sweep,
 ): Metric[] {
   const full = peers.points.at(-1)!.rates;
-  const alone = peers.points[0].rates.controller;
+  const all = [peers, zones, models, adapters].flatMap(({points}) => points);
   const remoteHosts = DESIGN.hosts - DESIGN.hostsPerZone;
   return QUANTITIES.flatMap(quantity => {
     const {key, unit, of} = quantity;
-    const program = key === 'memory' ? of(alone) : 0;
+    const least = Math.min(
+      ...all.flatMap(({rates}) => [of(rates.member), of(rates.controller)]),
+    );
+    const program = key === 'memory' ? least : 0;
+    const growth = (swept: Sweep) => Math.max(0, slopeOf(swept, quantity));
     const added =
-      (slopeOf(zones, quantity) / HOSTS_PER_SMALL_ZONE) * remoteHosts +
-      slopeOf(models, quantity) * DESIGN.models +
-      slopeOf(adapters, quantity) * DESIGN.adapters;
+      (growth(zones) / HOSTS_PER_SMALL_ZONE) * remoteHosts +
+      growth(models) * DESIGN.models +
+      growth(adapters) * DESIGN.adapters;
     const atDesign = (rate: Rate) => of(rate) - program + added;
     return [
       {
