--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -35,6 +35,7 @@
 import {RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settings} from './settings.js';
+import {createTracing} from './span_export.js';
 import {ZoneParts} from './zone_parts.js';
 import {TokenShares} from './token_shares.js';
 
@@ -95,7 +96,8 @@
     this.ids = new RecordIds(incarnation);
     const direct = deps.log ?? new HttpPlatformLog(settings.platform.log);
     this.log = new BatchingPlatformLog(direct, clock);
-    this.tracing = deps.tracing ?? new Tracing();
+    const {otlp} = settings.tracing ?? {};
+    this.tracing = deps.tracing ?? createTracing(otlp, logger);
     const {self, ids, log, metrics, tracing} = this;
     const random = new Random(deps.seed ?? randomBytes(4).readInt32LE());
     this.config = new ConfigStore({
@@ -142,6 +144,7 @@
       network,
       directory,
       journal: new ZoneDecisionJournal(membership.records),
+      isLeaving: target => membership.hosts.isLeaving(target),
       clock,
       logger,
       ids,
