--- a/packages/daemon/src/test/once_guard_test.ts
+++ b/packages/daemon/src/test/once_guard_test.ts
@@ -38,6 +38,8 @@
     void answer.then(res => {
       status = res.status;
     });
+    // The wait begins only after the claim.
+    await clock.advance(0);
     await clock.advance(DEADLINE_MS);
     expect(status).to.equal(503);
   });
