--- a/packages/benchmarks/src/lib/control/control_system.ts
+++ b/packages/benchmarks/src/lib/control/control_system.ts
@@ -1,8 +1,8 @@
 /** Entry hosts without any requests, each in a process of its own. @packageDocumentation */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
-import {RawObject} from '@fuchsiacleat/core';
+import {OperatorClient} from '@fuchsiacleat/cli';
+import {HostStatus, RawObject} from '@fuchsiacleat/core';
 import {HostListStandin, LogStandin} from '@fuchsiacleat/standins';
 import {DaemonProcess, OPERATOR_TOKEN} from '../path/daemon_process.js';
 import {Rate, medianRate, readUsage} from './usage.js';
@@ -145,7 +145,7 @@
   }
 
   private async awaitStatus(
-    condition: (status: StatusAnswer) => boolean,
+    condition: (status: HostStatus) => boolean,
   ): Promise<void> {
     for (const host of this.hosts) {
       for (;;) {
--- a/packages/cli/src/lib/commands/status_command.ts
+++ b/packages/cli/src/lib/commands/status_command.ts
@@ -2,7 +2,8 @@
 
 import {reportClientError} from '../client_error_report.js';
 import {EXIT_CODE, ExitCode} from '../exit_code.js';
-import {KnownHost, OperatorClient, StatusAnswer} from '../operator_client.js';
+import {HostStatus, KnownHost} from '@fuchsiacleat/core';
+import {OperatorClient} from '../operator_client.js';
 import {formatTable} from '../table.js';
 import {Terminal} from '../terminal.js';
 
@@ -22,7 +23,7 @@
 export interface HostReport {
   host: string;
   zone: string;
-  status: StatusAnswer | null;
+  status: HostStatus | null;
   /** Why there is no status. */
   problem?: string;
 }
--- a/packages/cli/src/lib/operator_client.ts
+++ b/packages/cli/src/lib/operator_client.ts
@@ -2,7 +2,9 @@
 
 import {
   HistoryEntry,
+  HostStatus,
   HostVersion,
+  KnownHost,
   Publication,
   RawObject,
   Verdict,
@@ -25,27 +27,6 @@
   objects: RawObject[];
 }
 
-/** What a host tells of itself. */
-export interface StatusAnswer {
-  host: string;
-  zone: string;
-  ready: boolean;
-  configVersion: number;
-  configAgeS: number | null;
-  leaseHolder: string | null;
-  peers: string[];
-  remoteHosts: string[];
-  queued: number;
-}
-
-/** A host that another one knows. */
-export interface KnownHost {
-  host: string;
-  zone: string;
-  /** Base URL of its operator API. */
-  url: string;
-}
-
 /** Calls the operator API of one host. */
 export class OperatorClient {
   /**
@@ -92,9 +73,9 @@
   }
 
   /** @returns what the host tells of itself. */
-  async status(): Promise<Result<StatusAnswer, ClientError>> {
+  async status(): Promise<Result<HostStatus, ClientError>> {
     const answer = await this.call('GET', '/api/status');
-    return answer.map(({body}) => body as StatusAnswer);
+    return answer.map(({body}) => body as HostStatus);
   }
 
   /**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -130,6 +130,7 @@
 export * from './lib/targets/service_client.js';
 export * from './lib/targets/target_clients.js';
 export * from './lib/targets/versioned_engine.js';
+export * from './lib/telemetry/host_status.js';
 export * from './lib/telemetry/logger.js';
 export * from './lib/telemetry/metrics.js';
 export * from './lib/telemetry/tracing.js';
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -6,6 +6,7 @@
   BatchingPlatformLog,
   Clock,
   ConfigStore,
+  HostStatus,
   HttpPlatformLog,
   LeaseAuthority,
   Logger,
@@ -25,7 +26,7 @@
 import {CompletionHandler} from './completion_handler.js';
 import {ConfigParts} from './config_parts.js';
 import {HttpListener} from './http_listener.js';
-import {HostStatus, createOperatorApi, toKnownHosts} from './operator_api.js';
+import {createOperatorApi, toKnownHosts} from './operator_api.js';
 import {RequestPath} from './request_path.js';
 import {PlacementParts} from './placement_parts.js';
 import {RequestGate} from './request_gate.js';
--- a/packages/daemon/src/lib/operator_api.ts
+++ b/packages/daemon/src/lib/operator_api.ts
@@ -2,7 +2,9 @@
 
 import {
   ConfigStore,
+  HostStatus,
   HostVersions,
+  KnownHost,
   Member,
   Metrics,
   matchesDigest,
@@ -20,30 +22,6 @@
   id: publicationIdSchema.optional(),
 });
 
-/** What this host tells operators of itself. */
-export interface HostStatus {
-  host: string;
-  zone: string;
-  ready: boolean;
-  configVersion: number;
-  /** Seconds since the log confirmed the version; null if it never did. */
-  configAgeS: number | null;
-  leaseHolder: string | null;
-  /** Hosts to which a link is up. */
-  peers: string[];
-  /** Known hosts of other zones. */
-  remoteHosts: string[];
-  queued: number;
-}
-
-/** A host that this one knows, itself included. */
-export interface KnownHost {
-  host: string;
-  zone: string;
-  /** Base URL of its operator API. */
-  url: string;
-}
-
 /**
  * @param members - hosts as they joined their zones.
  * @returns where their operator APIs are.
--- a/packages/local-cluster/src/lib/local_cluster.ts
+++ b/packages/local-cluster/src/lib/local_cluster.ts
@@ -3,6 +3,7 @@
 import {Daemon, DaemonDeps, Settings} from '@fuchsiacleat/daemon';
 import {
   ConsolaLogger,
+  HostStatus,
   Logger,
   RawObject,
   SilentLogger,
@@ -18,7 +19,7 @@
   ServiceStandin,
   WeightStoreStandin,
 } from '@fuchsiacleat/standins';
-import {OperatorClient, StatusAnswer} from '@fuchsiacleat/cli';
+import {OperatorClient} from '@fuchsiacleat/cli';
 import {Caller} from './caller.js';
 import {Cuts} from './cuts.js';
 import {PausableClock} from './pausable_clock.js';
@@ -213,9 +214,7 @@
   }
 
   /** Waits until the status of every daemon fulfils a condition. */
-  async awaitStatus(
-    condition: (status: StatusAnswer) => boolean,
-  ): Promise<void> {
+  async awaitStatus(condition: (status: HostStatus) => boolean): Promise<void> {
     for (const name of this.daemons.keys()) {
       await this.until(async () => {
         const status = await this.operator(name).status();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,7 +1,10 @@
 /** Small fakes of the systems around fuchsiacleat. @packageDocumentation */
 
 export * from './lib/engine_memory.js';
+export * from './lib/engine_protocol.js';
+export * from './lib/engine_reports.js';
 export * from './lib/engine_standin.js';
+export * from './lib/engine_text.js';
 export * from './lib/host_list_standin.js';
 export * from './lib/log_standin.js';
 export * from './lib/service_standin.js';
--- /dev/null
+++ b/packages/standins/src/lib/engine_protocol.ts
@@ -0,0 +1,81 @@
+/** What an engine stand-in takes and remembers. @packageDocumentation */
+
+import {generationInputSchema} from '@fuchsiacleat/core';
+import {z} from 'zod';
+
+/** Body of a call that generates text. */
+export const generateSchema = z.object({
+  request_id: z.string(),
+  model: z.string(),
+  version: z.string().optional(),
+  adapter: z.string().optional(),
+  input: generationInputSchema,
+  max_tokens: z.number().int().min(1),
+  priority: z.number().int(),
+  resume: z.boolean().default(false),
+  resume_from: z.number().int().min(0).default(0),
+});
+
+/** See {@link generateSchema}. */
+export type GenerateBody = z.output<typeof generateSchema>;
+
+/** Body of an order. */
+export const orderSchema = z.object({
+  id: z.string(),
+  fencing: z.number().int(),
+  order: z.discriminatedUnion('kind', [
+    z.object({kind: z.literal('noop')}),
+    z.object({
+      kind: z.literal('load'),
+      model: z.string(),
+      version: z.string(),
+    }),
+    z.object({
+      kind: z.literal('evict'),
+      model: z.string(),
+      version: z.string(),
+    }),
+    z.object({
+      kind: z.literal('load-adapter'),
+      adapter: z.string(),
+      model: z.string(),
+    }),
+    z.object({
+      kind: z.literal('evict-adapter'),
+      adapter: z.string(),
+      model: z.string(),
+    }),
+    z.object({kind: z.literal('set-role'), role: z.string()}),
+  ]),
+});
+
+/** What an order asks for. */
+export type EngineOrder = z.output<typeof orderSchema>['order'];
+
+/** A generation that the engine ran, for checks. */
+export interface EngineRun {
+  requestId: string;
+  model: string;
+  version: string;
+  adapter: string | undefined;
+  /** The text that the request carries. */
+  text: string;
+  headers: Record<string, string>;
+  /** Tokens that were generated, those of resumed connections included. */
+  tokens: number;
+  /** Clock time of the start, in milliseconds. */
+  startedMs: number;
+  /** Clock time of each token, in milliseconds. */
+  tokenTimesMs: number[];
+  /** Connections that attached to the run after the first one. */
+  resumes: number;
+  /** A detached run has lost its connection and can be resumed. */
+  state: 'running' | 'detached' | 'done' | 'cancelled';
+}
+
+/** An order that the engine carried out. */
+export interface CarriedOrder {
+  id: string;
+  fencing: number;
+  order: EngineOrder;
+}
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -1,90 +1,23 @@
 /** A stand-in for a model engine. @packageDocumentation */
 
-import {createHash} from 'node:crypto';
-import {generationInputSchema} from '@fuchsiacleat/core';
 import {Context} from 'hono';
 import {streamSSE} from 'hono/streaming';
 import {request} from 'undici';
-import {z} from 'zod';
 import {EngineMemory, Resident} from './engine_memory.js';
+import {
+  CarriedOrder,
+  EngineOrder,
+  EngineRun,
+  GenerateBody,
+  generateSchema,
+  orderSchema,
+} from './engine_protocol.js';
+import {CacheEvents, LoadReports} from './engine_reports.js';
+import {expectedToken, inputText} from './engine_text.js';
 import {StandinOptions, StandinServer} from './standin_server.js';
 
 const CHARS_PER_TOKEN = 4;
 const DISK_BYTES_PER_SECOND = 40 * 1024 ** 3;
-const MAX_CACHE_EVENTS = 1_000;
-
-const generateSchema = z.object({
-  request_id: z.string(),
-  model: z.string(),
-  version: z.string().optional(),
-  adapter: z.string().optional(),
-  input: generationInputSchema,
-  max_tokens: z.number().int().min(1),
-  priority: z.number().int(),
-  resume: z.boolean().default(false),
-  resume_from: z.number().int().min(0).default(0),
-});
-
-type GenerateBody = z.output<typeof generateSchema>;
-
-const orderSchema = z.object({
-  id: z.string(),
-  fencing: z.number().int(),
-  order: z.discriminatedUnion('kind', [
-    z.object({kind: z.literal('noop')}),
-    z.object({
-      kind: z.literal('load'),
-      model: z.string(),
-      version: z.string(),
-    }),
-    z.object({
-      kind: z.literal('evict'),
-      model: z.string(),
-      version: z.string(),
-    }),
-    z.object({
-      kind: z.literal('load-adapter'),
-      adapter: z.string(),
-      model: z.string(),
-    }),
-    z.object({
-      kind: z.literal('evict-adapter'),
-      adapter: z.string(),
-      model: z.string(),
-    }),
-    z.object({kind: z.literal('set-role'), role: z.string()}),
-  ]),
-});
-
-type EngineOrder = z.output<typeof orderSchema>['order'];
-
-/** A generation that the engine ran, for checks. */
-export interface EngineRun {
-  requestId: string;
-  model: string;
-  version: string;
-  adapter: string | undefined;
-  /** The text that the request carries. */
-  text: string;
-  headers: Record<string, string>;
-  /** Tokens that were generated, those of resumed connections included. */
-  tokens: number;
-  /** Clock time of the start, in milliseconds. */
-  startedMs: number;
-  /** Clock time of each token, in milliseconds. */
-  tokenTimesMs: number[];
-  /** Connections that attached to the run after the first one. */
-  resumes: number;
-  /** A detached run has lost its connection and can be resumed. */
-  state: 'running' | 'detached' | 'done' | 'cancelled';
-}
-
-/** An order that the engine carried out. */
-export interface CarriedOrder {
-  id: string;
-  fencing: number;
-  order: EngineOrder;
-}
 
 /** Options of an {@link EngineStandin}. */
 export interface EngineOptions extends StandinOptions {
@@ -107,12 +40,6 @@
   reportLagMs?: number;
 }
 
-interface StaleReport {
-  atMs: number;
-  running: number;
-  queued: number;
-}
-
 /** An engine that batches continuously and generates predictable text. */
 export class EngineStandin extends StandinServer {
   /** Every generation that was started. */
@@ -132,25 +59,23 @@
   private readonly doneOrders = new Map<string, Promise<string | undefined>>();
   private readonly runsById = new Map<string, EngineRun>();
   private readonly connections = new Map<string, AbortController>();
-  private reports: StaleReport[] = [];
-  private cacheSequence = 0;
-  private readonly cacheLog: Array<{
-    sequence: number;
-    kind: 'stored';
-    prefix: string;
-  }> = [];
+  private readonly cache = new CacheEvents();
+  private readonly load: LoadReports;
 
   constructor(private readonly options: EngineOptions) {
     super(options);
     this.memory = new EngineMemory(options.memoryBytes);
+    this.load = new LoadReports(this.clock, options.reportLagMs);
     this.app.post('/generate', c => this.generate(c));
     this.app.post('/cancel', c => this.cancel(c));
     this.app.post('/orders', c => this.takeOrder(c));
     this.app.get('/inventory', c => c.json(this.inventory()));
-    this.app.get('/report', c => c.json(this.report()));
+    this.app.get('/report', c => {
+      return c.json({...this.load.latest(), leaving: this.leaving});
+    });
     this.app.get('/cache-events', c => {
       const after = Number(c.req.query('after') ?? 0);
-      return c.json(this.cacheLog.filter(({sequence}) => sequence > after));
+      return c.json(this.cache.after(after));
     });
     this.app.post('/kv/export', c => this.exportKv(c));
     this.app.post('/kv/import', c => this.importKv(c));
@@ -254,7 +179,7 @@
   ): Promise<void> {
     const {firstTokenMs = 5, tokenGapMs = 2} = this.options;
     const text = inputText(body);
-    this.noteCached(text);
+    this.cache.note(text);
     await this.clock.sleep(firstTokenMs, gone);
     for (let offset = body.resume_from; offset < body.max_tokens; offset++) {
       if (gone.aborted || run.state === 'cancelled') return;
@@ -283,13 +208,13 @@
       this.queued -= 1;
     }
     this.running += 1;
-    this.noteLoad();
+    this.load.note(this.running, this.queued);
   }
 
   private releaseSlot(): void {
     this.running -= 1;
     this.freeSlot.shift()?.();
-    this.noteLoad();
+    this.load.note(this.running, this.queued);
   }
 
   private async cancel(c: Context): Promise<Response> {
@@ -325,7 +250,7 @@
     this.orders.push({id, fencing, order});
     switch (order.kind) {
       case 'load':
-        return this.load(order.model, order.version);
+        return this.loadModel(order.model, order.version);
       case 'evict':
         return this.evict(order.model, order.version);
       case 'load-adapter':
@@ -341,7 +266,7 @@
     }
   }
 
-  private async load(
+  private async loadModel(
     model: string,
     version: string,
   ): Promise<string | undefined> {
@@ -422,38 +347,6 @@
     };
   }
 
-  private report() {
-    const {reportLagMs = 500} = this.options;
-    const nowMs = this.clock.now();
-    const visible = this.reports.filter(r => r.atMs <= nowMs - reportLagMs);
-    const latest = visible.at(-1) ?? {atMs: nowMs, running: 0, queued: 0};
-    return {
-      running: latest.running,
-      queued: latest.queued,
-      kvBytes: 0,
-      leaving: this.leaving,
-      ageMs: nowMs - latest.atMs,
-    };
-  }
-
-  private noteLoad(): void {
-    const {running, queued} = this;
-    this.reports.push({atMs: this.clock.now(), running, queued});
-    if (this.reports.length > 1_000) this.reports = this.reports.slice(-500);
-  }
-
-  private noteCached(text: string): void {
-    this.cacheSequence += 1;
-    // Every seventh event is lost, as events come with gaps.
-    if (this.cacheSequence % 7 === 0) return;
-    const prefix = createHash('sha256')
-      .update(text.slice(0, 256))
-      .digest('hex');
-    const sequence = this.cacheSequence;
-    this.cacheLog.push({sequence, kind: 'stored', prefix});
-    if (this.cacheLog.length > MAX_CACHE_EVENTS) this.cacheLog.shift();
-  }
-
   private async exportKv(c: Context): Promise<Response> {
     const {request_id: id} = (await c.req.json()) as {request_id: string};
     const run = this.runsById.get(id);
@@ -483,22 +376,6 @@
   }
 }
 
-/**
- * @param text - the request's text, see {@link inputText}.
- * @param offset - position in the answer, from 0.
- * @returns the token that an engine stand-in generates there.
- */
-export function expectedToken(text: string, offset: number): string {
-  const hash = createHash('sha256').update(`${offset}:${text}`).digest('hex');
-  return `${hash.slice(0, 5)} `;
-}
-
-/** @returns the text of a request, messages joined by line breaks. */
-export function inputText({input}: Pick<GenerateBody, 'input'>): string {
-  if ('prompt' in input) return input.prompt;
-  return input.messages.map(message => message.content).join('\n');
-}
-
 function notRun(c: Context, status: 400 | 404 | 409, message: string) {
   return c.json({message, not_run: true}, status);
 }
