Declare nothing that has no effect: min_replicas and role go

Cause: models took min_replicas and targets a role, and no part of the system read them, so an operator who set them was misled.

--- a/packages/core/src/lib/config/declarations.ts
+++ b/packages/core/src/lib/config/declarations.ts
@@ -40,7 +40,6 @@
 
 const numberSchema = z.coerce.number<string>().finite();
 const positiveSchema = numberSchema.positive();
-const countSchema = numberSchema.int().min(0);
 const positiveCountSchema = numberSchema.int().min(1);
 const yesNoSchema = z
   .enum(['yes', 'no'], 'expected yes or no')
@@ -59,12 +58,10 @@
   slots: positiveCountSchema.default(8),
   accelerators: positiveCountSchema.default(1),
   fencing: yesNoSchema.default(true),
-  role: z.enum(['any', 'prefill', 'decode']).default('any'),
 });
 
 const modelSchema = z.strictObject({
   version: nameSchema,
-  min_replicas: countSchema.default(0),
   max_replicas: positiveCountSchema.default(1),
 });
 
--- a/packages/core/src/lib/config/declared.ts
+++ b/packages/core/src/lib/config/declared.ts
@@ -1,10 +1,6 @@
 /** A checked set of declarations. @packageDocumentation */
 
-import {
-  EngineCapacity,
-  engineCapacityOf,
-  fitsIntoEngines,
-} from './engine_capacity.js';
+import {EngineCapacity, engineCapacityOf} from './engine_capacity.js';
 import {Fields, Kind, KINDS} from './declarations.js';
 
 type ObjectsByName = Map<string, Fields<Kind>>;
@@ -101,14 +97,6 @@
     this.capacity ??= engineCapacityOf(this.all('target').values());
     return this.capacity;
   }
-
-  /**
-   * @param bytes - size of one replica.
-   * @returns how many such replicas the engines can hold.
-   */
-  replicasThatFit(bytes: number): number {
-    return fitsIntoEngines(this.engines, bytes);
-  }
 }
 
 function groupNames<T>(
--- a/packages/core/src/lib/config/engine_capacity.ts
+++ b/packages/core/src/lib/config/engine_capacity.ts
@@ -20,11 +20,3 @@
   }
   return {memories, largest: Math.max(0, ...memories)};
 }
-
-/** @returns how many replicas of a size in bytes fit into the engines. */
-export function fitsIntoEngines(
-  {memories}: EngineCapacity,
-  bytes: number,
-): number {
-  return memories.reduce((sum, memory) => sum + Math.floor(memory / bytes), 0);
-}
--- a/packages/core/src/lib/config/rules.ts
+++ b/packages/core/src/lib/config/rules.ts
@@ -65,19 +65,10 @@
   model: ModelFields,
   fault: ReportFault,
 ): void {
-  if (model.min_replicas > model.max_replicas) {
-    fault('min_replicas', `is more than max_replicas ${model.max_replicas}`);
-  }
   const version = declared.get('version', model.version);
-  if (version === undefined) return;
-  if (version.model !== name) {
+  if (version !== undefined && version.model !== name) {
     fault('version', `"${model.version}" belongs to model "${version.model}"`);
   }
-  if (declared.engines.memories.length === 0) return;
-  const fitting = declared.replicasThatFit(version.weights);
-  if (model.min_replicas > fitting) {
-    fault('min_replicas', `only ${fitting} replicas fit into the engines`);
-  }
 }
 
 function checkVersion(
