Report tokens to peers only when there is something to learn

Cause: control was far over its budget at the design size; a trial of frames showed that reports about tokens to every host of all zones, also without any pool, cost about three times what heartbeats cost.

Change: a peer that would learn nothing new hears once a minute. It hears at once when a need arises, when the zones change, or when it has started anew. A first try woke lenders only for waiting requests; two tests of the shared pool failed, since demand that is measured ahead woke nobody.

--- a/packages/core/src/lib/limits/share_exchange.ts
+++ b/packages/core/src/lib/limits/share_exchange.ts
@@ -23,6 +23,9 @@
 /** Time between reports to a peer of another zone otherwise. */
 const REMOTE_INTERVAL_MS = 10_000;
 
+/** Time between reports to a peer that would learn nothing new. */
+const IDLE_INTERVAL_MS = 60_000;
+
 /** Shortest time between reports to one peer. */
 const MIN_INTERVAL_MS = 25;
 
@@ -91,6 +94,8 @@
   /** Surplus of each pool as last told, in tokens. */
   left: Map<string, number>;
   askedAtMs: number;
+  /** What the last report that was taken said, if it listed no pool. */
+  idle: {to: string; version: number} | undefined;
   /** Whether a request waits for what this lender could do without. */
   isUrgent: boolean;
   wake: () => void;
@@ -157,7 +162,10 @@
       for (const {wake} of this.lenders.values()) wake();
     });
     await this.options.clock.every(REVIEW_INTERVAL_MS, signal, () => {
-      for (const pool of this.pools.values()) pool.review();
+      for (const pool of this.pools.values()) {
+        pool.review();
+        if (pool.need > 0) this.wakeIdle();
+      }
       for (const {host} of this.options.view.peers()) {
         if (!this.lenders.has(host)) void this.runLender(host, signal);
       }
@@ -169,6 +177,7 @@
     const lender: LenderState = {
       left: new Map(),
       askedAtMs: -Infinity,
+      idle: undefined,
       isUrgent: false,
       wake: () => {},
     };
@@ -179,7 +188,7 @@
       const wasTaken = await this.ask(peer, lender, signal);
       const intervalMs = lender.isUrgent
         ? MIN_INTERVAL_MS
-        : this.intervalOf(peer);
+        : this.intervalOf(peer, lender);
       lender.isUrgent = false;
       await this.pause(lender, wasTaken ? intervalMs : undefined);
     }
@@ -226,7 +235,9 @@
     const timeoutMs = CALL_TIMEOUT_MS;
     const options = {timeoutMs, signal};
     const answer = await network.call(peer.host, SHARE_ASK, ask, options);
+    lender.idle = undefined;
     if (answer.isErr() || !answer.value.taken) return false;
+    if (pools.length === 0) lender.idle = {to: ask.to, version: ask.version};
     for (const [pool, granted, left] of answer.value.grants) {
       lender.left.set(pool, left);
       const known = this.pools.get(pool);
@@ -283,6 +294,8 @@
   private isNew(host: string, ask: ShareAsk): boolean {
     const {from, sequence} = ask;
     const known = this.borrowers.get(host);
+    // A host that has started waits to hear that its peers count it.
+    if (known?.incarnation !== from) this.lenders.get(host)?.wake();
     if (known === undefined) {
       const borrower = {incarnation: from, sequence, past: new Set<string>()};
       this.borrowers.set(host, {...borrower, latest: ask});
@@ -306,6 +319,13 @@
     }
   }
 
+  /** Lenders that were told of no need must hear of one at once. */
+  private wakeIdle(): void {
+    for (const lender of this.lenders.values()) {
+      if (lender.idle !== undefined) lender.wake();
+    }
+  }
+
   private findPeer(host: string): ShareHost | undefined {
     return this.options.view.peers().find(peer => peer.host === host);
   }
@@ -315,13 +335,20 @@
     return only === undefined || only === zone;
   }
 
-  private intervalOf({host, zone}: ShareHost): number {
+  private intervalOf(
+    {host, zone, incarnation}: ShareHost,
+    {idle}: LenderState,
+  ): number {
     const {view} = this.options;
     for (const [name, pool] of this.pools) {
       if (pool.holdsOf(host)) return BUSY_INTERVAL_MS;
       const isNear = zone === view.self.zone || this.isHome(name, zone);
       if (isNear && pool.need > 0) return BUSY_INTERVAL_MS;
     }
+    const {version} = view;
+    if (idle?.to === incarnation && idle.version === version) {
+      return IDLE_INTERVAL_MS;
+    }
     return zone === view.self.zone ? ZONE_INTERVAL_MS : REMOTE_INTERVAL_MS;
   }
 
