--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,7 +23,6 @@
 export * from './lib/limits/borrowed_tokens.js';
 export * from './lib/limits/decaying_rate.js';
 export * from './lib/limits/lending_bucket.js';
-export * from './lib/limits/local_token_limiter.js';
 export * from './lib/limits/member_share_view.js';
 export * from './lib/limits/pool_lender.js';
 export * from './lib/limits/pool_lender.js';
