--- a/packages/benchmarks/src/lib/capacity/capacity_tables.ts
+++ b/packages/benchmarks/src/lib/capacity/capacity_tables.ts
@@ -6,6 +6,7 @@
 const SECONDS_PER_HOUR = 3_600;
 const SECONDS_PER_DAY = 24 * SECONDS_PER_HOUR;
 const MS_PER_SECOND = 1_000;
+const HELD_STREAMS = 1_000;
 const RENEWALS_PER_S = 0.5;
 const KEYED_REQUESTS = 0.01;
 const RECORDS_PER_KEYED_REQUEST = 2;
@@ -13,7 +14,87 @@
 /** The tables by the names that the page gives them. */
 export const CAPACITY_TABLES: Readonly<
   Record<string, (results: StoredResults) => string>
-> = {control, path: requestPath, configuration, placement, limits, log: logUse};
+> = {
+  roles,
+  control,
+  slopes,
+  path: requestPath,
+  configuration,
+  placement,
+  limits,
+  log: logUse,
+};
+
+/** Streams that a host has open at the peak. */
+function streamsPerHost(): number {
+  const {tokensPerS, tokenGapMs, nodes} = DESIGN_SIZE;
+  return (tokensPerS * tokenGapMs) / MS_PER_SECOND / nodes;
+}
+
+function roles(results: StoredResults): string {
+  const {tokensPerS, requestsPerS, nodes, models, changingPerHour, zones} =
+    DESIGN_SIZE;
+  const streams = streamsPerHost();
+  const tokens = tokensPerS / nodes;
+  const streamMib = results.get('path.held_streams_resident') / HELD_STREAMS;
+  const heap = results.get('configuration.heap');
+  const saturation = results.get('path.saturation_tokens');
+  const loads = (models * changingPerHour) / zones;
+  const percent = (value: number) => withUnit(value, '% of a core');
+  const role = (name: string, state: string, messages: string) => [
+    `zone ${name}`,
+    state,
+    messages,
+    percent(results.get(`control.cpu_${name}_at_design`)),
+    withUnit(results.get(`control.memory_${name}_at_design`), 'MB'),
+  ];
+  const bytes = (name: string) =>
+    withUnit(results.get(`control.bytes_${name}_at_design`), 'B/s');
+  const sent = Math.max(
+    ...['saurashtra', 'upplysingavefur'].map(user =>
+      results.get(`limits.${user}.greedy_all.shared.sent_per_host`),
+    ),
+  );
+  const rows = [
+    [
+      'entry host on the request path',
+      withUnit(streams, 'streams'),
+      `${withUnit(requestsPerS / nodes, 'requests/s')}, ` +
+        withUnit(tokens, 'tokens/s'),
+      percent((100 * tokens) / saturation),
+      `at most ${withUnit(streams * streamMib, 'MiB')}`,
+    ],
+    role('member', 'configuration, members, zone view', bytes('member')),
+    role(
+      'controller',
+      `ledger of ${DESIGN_SIZE.targetsPerZone} targets`,
+      `${bytes('controller')}; ${withUnit(loads, 'loads/h')}`,
+    ),
+    [
+      'home of a float, lender and borrower',
+      'a bucket for each team, loans by host',
+      `${withUnit(sent, 'B/s')} at the sizes of today`,
+      'part of a member',
+      'part of a member',
+    ],
+    [
+      'log writer and reader',
+      'position and 2,000 record ids of each stream',
+      withUnit(appendsPerS() / nodes, 'appends/s'),
+      'part of a member',
+      'part of a member',
+    ],
+    [
+      'operator tool',
+      'the configuration twice',
+      'one call for each command',
+      `${withUnit(results.get('configuration.first_publication'), 'ms')} once`,
+      withUnit(2 * heap, 'MiB'),
+    ],
+  ];
+  const head = ['role', 'state', 'messages', 'processor time', 'memory'];
+  return table(head, rows);
+}
 
 function control(results: StoredResults): string {
   const {bytesPerS, corePercent, memoryMb} = CONTROL_BUDGET;
@@ -26,6 +107,27 @@
   return table(head, rows);
 }
 
+function slopes(results: StoredResults): string {
+  const {hostsPerZone, zones, models, adapters} = DESIGN_SIZE;
+  const sizes = {peers: hostsPerZone, zones, models, adapters};
+  const rows = Object.entries(sizes).map(([name, size]) => {
+    const slope = (resource: string) =>
+      results.get(`control.${resource}_slope_by_${name}`).toPrecision(3);
+    const points = results.measuredAt(`control.bytes_by_${name}_controller`);
+    const reach = size / Math.max(...points);
+    return [
+      name,
+      points.join(', '),
+      slope('bytes'),
+      slope('cpu'),
+      slope('memory'),
+      withUnit(reach, 'times'),
+    ];
+  });
+  const head = ['by', 'points', 'B/s', '% of a core', 'MB', 'extrapolated'];
+  return table(head, rows);
+}
+
 function budgetRow(
   role: string,
   resource: string,
@@ -45,9 +147,8 @@
 }
 
 function requestPath(results: StoredResults): string {
-  const {requestsPerS, tokensPerS, nodes, tokenGapMs} = DESIGN_SIZE;
-  const tokens = tokensPerS / requestsPerS;
-  const streams = (requestsPerS * tokens * tokenGapMs) / MS_PER_SECOND / nodes;
+  const {requestsPerS, tokensPerS, nodes} = DESIGN_SIZE;
+  const streams = streamsPerHost();
   const heldMib = results.get('path.held_streams_resident');
   const rows = [
     [
@@ -113,20 +214,31 @@
   return `${table(head, rows)}\n\nAdded p95 of an admission: ${admission}.`;
 }
 
-function logUse(): string {
+/** Kinds of record with their appends a second. */
+function recordKinds(): Array<[string, number]> {
   const size = DESIGN_SIZE;
   const wakes = (size.models * size.changingPerHour) / SECONDS_PER_HOUR;
   const comings = size.replacementsPerDay + size.failuresPerDay;
   const keyed = size.requestsPerS * KEYED_REQUESTS;
-  const kinds: Array<[string, number]> = [
+  return [
     ['lease renewals, one zone each 2 s', size.zones * RENEWALS_PER_S],
     ['joins and leaves', (2 * comings) / SECONDS_PER_DAY],
     ['replica decisions, a load and an eviction each', 2 * wakes],
     ['publications', size.changesPerDay / SECONDS_PER_DAY],
     ['keyed requests, 1 in 100', keyed * RECORDS_PER_KEYED_REQUEST],
   ];
-  const total = kinds.reduce((sum, [, appends]) => sum + appends, 0);
-  const rows = kinds.map(([kind, appends]) => [kind, withUnit(appends, '/s')]);
+}
+
+function appendsPerS(): number {
+  return recordKinds().reduce((sum, [, appends]) => sum + appends, 0);
+}
+
+function logUse(): string {
+  const total = appendsPerS();
+  const rows = recordKinds().map(([kind, appends]) => [
+    kind,
+    withUnit(appends, '/s'),
+  ]);
   rows.push(['all', withUnit(total, '/s')]);
   rows.push(['the log takes', withUnit(LOG_APPENDS_PER_S, '/s')]);
   return table(['kind of record', 'appends at the design size'], rows);
--- a/packages/benchmarks/src/lib/capacity/results.ts
+++ b/packages/benchmarks/src/lib/capacity/results.ts
@@ -8,7 +8,10 @@
 
 /** Looks stored metrics up by their names. */
 export class StoredResults {
-  private constructor(private readonly values: Map<string, number>) {}
+  private constructor(
+    private readonly values: Map<string, number>,
+    private readonly xValues: Map<string, number[]>,
+  ) {}
 
   /**
    * @param folder - folder of the results.
@@ -16,12 +19,19 @@
    */
   static async read(folder: string): Promise<StoredResults> {
     const values = new Map<string, number>();
+    const xValues = new Map<string, number[]>();
     for (const benchmark of BENCHMARKS) {
       const text = await readFile(join(folder, `${benchmark}.json`), 'utf8');
-      const {metrics} = JSON.parse(text) as BenchmarkResult;
+      const {metrics, series} = JSON.parse(text) as BenchmarkResult;
       for (const {name, value} of metrics) values.set(name, value);
+      for (const {name, points} of series) {
+        xValues.set(
+          name,
+          points.map(({x}) => x),
+        );
+      }
     }
-    return new StoredResults(values);
+    return new StoredResults(values, xValues);
   }
 
   /**
@@ -33,4 +43,14 @@
     if (value === undefined) throw new Error(`no stored metric ${name}`);
     return value;
   }
+
+  /**
+   * @param series - name of a series that was stored.
+   * @returns where it was measured.
+   */
+  measuredAt(series: string): readonly number[] {
+    const xValues = this.xValues.get(series);
+    if (xValues === undefined) throw new Error(`no stored series ${series}`);
+    return xValues;
+  }
 }
