Forget idempotency keys that the log has forgotten

Cause: the table of claims had a rule for expiry that nothing called, so a host's memory grew with every keyed request, and hosts of different age answered differently for a key whose records had expired.

Change: the table expires by the log's time at each record, at the same offset for every reader, after the log's retention.

--- a/packages/core/src/lib/idempotency/idempotency_registry.ts
+++ b/packages/core/src/lib/idempotency/idempotency_registry.ts
@@ -1,6 +1,7 @@
 /** Claims idempotency keys through the log. @packageDocumentation */
 
 import {createHash} from 'node:crypto';
+import {DEFAULT_RETENTION_MS} from '../config/config_store.js';
 import {PlatformLog, StoredRecord} from '../platform/platform_log.js';
 import {RecordIds, StreamTail} from '../platform/stream_tail.js';
 import {Logger} from '../telemetry/logger.js';
@@ -54,6 +55,8 @@
   clock: Clock;
   logger: Logger;
   ids: RecordIds;
+  /** How long the log keeps records, in milliseconds; 24 h by default. */
+  retentionMs?: number;
   /** Ends the tails of the streams. */
   signal: AbortSignal;
 }
@@ -126,8 +129,12 @@
     const number = parseInt(key.slice(0, 8), 16) % SHARDS;
     const known = this.shards.get(number);
     if (known !== undefined) return known;
+    const {log, clock, logger, ids} = this.options;
     const tail = new StreamTail({
-      ...this.options,
+      log,
+      clock,
+      logger,
+      ids,
       stream: `idempotency.${number}`,
       onRecord: record => this.take(shard, record),
     });
@@ -143,6 +150,9 @@
       this.options.logger.warn('idempotency_record_malformed', {offset});
       return;
     }
+    // By the log's time, so that every reader forgets a key at one offset.
+    const {retentionMs = DEFAULT_RETENTION_MS} = this.options;
+    shard.table.expire(atMs - retentionMs);
     shard.table.apply(id, parsed.data, atMs);
     if (shard.unknown.has(id)) this.abandon(shard, id, parsed.data.key);
   }
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -155,6 +155,7 @@
       engineOf,
       log,
       ids,
+      retentionMs: settings.platform.log_retention,
       tracing,
       clock,
       logger,
--- a/packages/daemon/src/lib/request_path.ts
+++ b/packages/daemon/src/lib/request_path.ts
@@ -40,6 +40,8 @@
   engineOf: (target: string) => EngineClient;
   log: PlatformLog;
   ids: RecordIds;
+  /** How long the log keeps records, in milliseconds. */
+  retentionMs: number | undefined;
   tracing: Tracing;
   clock: Clock;
   logger: Logger;
