--- /dev/null
+++ b/packages/core/src/lib/gateway/discovered_target.ts
@@ -0,0 +1,33 @@
+/** A target as it has announced itself. @packageDocumentation */
+
+/** A model that a target holds, with its adapters. */
+export interface HeldModel {
+  model: string;
+  adapters: readonly string[];
+}
+
+/** What a target says about itself. */
+export interface TargetNotice {
+  /** Differs for every target; may be kept over a restart. */
+  id: string;
+  /** Start of the target's process, Unix milliseconds. */
+  startedMs: number;
+  service: string;
+  /** IP number and port. */
+  address: string;
+  zone: string;
+  slots: number;
+  /** Whether it leaves and gets no new work. */
+  isLeaving: boolean;
+  /** Orders that it has accepted since its start. */
+  orderCount: number;
+  held: readonly HeldModel[];
+  /** Models whose weights lie in its main memory or on its disk. */
+  inMemory: readonly string[];
+  onDisk: readonly string[];
+}
+
+/** @returns whether two notices come from the same process. */
+export function isSameProcess(a: TargetNotice, b: TargetNotice): boolean {
+  return a.id === b.id && a.startedMs === b.startedMs;
+}
--- /dev/null
+++ b/packages/core/src/lib/gateway/event_splitter.ts
@@ -0,0 +1,70 @@
+/** Cuts an event stream into whole events. @packageDocumentation */
+
+const NEWLINE = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_FIELD = /^id:[ ]?(.*)$/m;
+
+/**
+ * Passes on only whole events, so that a stream that breaks off inside one can
+ * go on at another target without a caller seeing half of it.
+ */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+  private newestId: string | undefined;
+
+  /** Id of the last whole event that had one. */
+  get lastId(): string | undefined {
+    return this.newestId;
+  }
+
+  /** Whether a part of an event is held. */
+  get holdsPart(): boolean {
+    return this.rest.length > 0;
+  }
+
+  /**
+   * @param chunk - the next bytes of the stream.
+   * @returns the bytes of the events that are now whole; may be empty.
+   */
+  push(chunk: Buffer): Buffer {
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const end = endOfEvents(bytes);
+    const whole = bytes.subarray(0, end);
+    this.rest = bytes.subarray(end);
+    if (end > 0) this.noteId(whole);
+    return whole;
+  }
+
+  /** @returns the bytes held back, once the stream is known to be complete. */
+  flush(): Buffer {
+    const {rest} = this;
+    this.rest = Buffer.alloc(0);
+    return rest;
+  }
+
+  /** Drops a part of an event, as the stream goes on elsewhere after it. */
+  restart(): void {
+    this.rest = Buffer.alloc(0);
+  }
+
+  private noteId(events: Buffer): void {
+    const text = events.toString('latin1');
+    const start = text.lastIndexOf('\nid:');
+    const from = start >= 0 ? start + 1 : 0;
+    const match = ID_FIELD.exec(text.slice(from));
+    if (match !== null) this.newestId = match[1].replace(/\r$/, '');
+  }
+}
+
+/** @returns the index after the last blank line. */
+function endOfEvents(bytes: Buffer): number {
+  for (let i = bytes.length - 1; i > 0; i--) {
+    if (bytes[i] !== NEWLINE) continue;
+    const previous = bytes[i - 1];
+    if (previous === NEWLINE) return i + 1;
+    const isBlankCrLf = previous === CARRIAGE_RETURN && i > 1;
+    if (isBlankCrLf && bytes[i - 2] === NEWLINE) return i + 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/core/src/lib/gateway/logging_journal.ts
@@ -0,0 +1,110 @@
+/** The journal of requests as log lines and metrics. @packageDocumentation */
+
+import {Outcome} from '../requests/outcome.js';
+import {TokenBucket} from '../limits/token_bucket.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {GatewayMetrics} from './gateway_metrics.js';
+import {RelayJournal, RequestStory} from './relay_journal.js';
+
+/** Lines a second for requests that were not served, and for the others. */
+const UNSERVED_LINES = {rate: 100, burst: 300};
+const SERVED_LINES = {rate: 20, burst: 60};
+
+const OMITTED_INTERVAL_MS = 5_000;
+
+/**
+ * Writes one line for each request that ends. Unserved requests are kept up
+ * to a rate of their own; served ones are sampled once there are many. What
+ * was left out is told in a line.
+ */
+export class LoggingJournal extends RelayJournal {
+  private readonly unserved: TokenBucket;
+  private readonly served: TokenBucket;
+  private omitted = 0;
+
+  /**
+   * @param clock - measures the rate of lines.
+   * @param logger - takes the lines.
+   * @param metrics - counts every request.
+   */
+  constructor(
+    clock: Clock,
+    private readonly logger: Logger,
+    private readonly metrics: GatewayMetrics,
+  ) {
+    super();
+    this.unserved = new TokenBucket(clock, UNSERVED_LINES, UNSERVED_LINES.burst);
+    this.served = new TokenBucket(clock, SERVED_LINES, SERVED_LINES.burst);
+  }
+
+  /**
+   * Tells now and then what was left out.
+   *
+   * @param clock - when.
+   * @param signal - ends the task.
+   */
+  async run(clock: Clock, signal: AbortSignal): Promise<void> {
+    await clock.every(OMITTED_INTERVAL_MS, signal, () => {
+      if (this.omitted === 0) return;
+      this.logger.info('request_lines_omitted', {count: this.omitted});
+      this.omitted = 0;
+    });
+  }
+
+  override sendEnded(
+    id: string,
+    target: string,
+    end: string,
+    detail: string,
+  ): void {
+    this.metrics.sends.inc({end, detail});
+    if (!this.grant(this.unserved)) return;
+    this.logger.info('send_ended', {id, target, end, detail});
+  }
+
+  override ended(story: RequestStory): void {
+    const {outcome, kind = 'none'} = story;
+    const reason = reasonOf(outcome);
+    this.metrics.requests.inc({kind, outcome: outcome.type, reason});
+    this.metrics.duration.observe(
+      {kind, outcome: outcome.type},
+      story.totalMs / 1_000,
+    );
+    const bucket = outcome.type === 'served' ? this.served : this.unserved;
+    if (!this.grant(bucket)) return;
+    this.logger.info('request', {
+      id: story.id,
+      outcome: outcome.type,
+      reason: reason === '' ? undefined : reason,
+      detail: 'message' in outcome ? outcome.message : undefined,
+      retry_after_ms:
+        'retryAfterMs' in outcome ? outcome.retryAfterMs : undefined,
+      status: story.status,
+      route: story.route,
+      kind: story.kind,
+      team: story.team,
+      service: story.service,
+      model: story.model,
+      targets: story.targets.length > 0 ? story.targets.join(',') : undefined,
+      config: story.configVersion,
+      config_age_ms: story.configAgeMs,
+      waited_ms: story.waitedMs,
+      first_byte_ms: story.firstByteMs,
+      total_ms: story.totalMs,
+    });
+  }
+
+  private grant(bucket: TokenBucket): boolean {
+    if (bucket.take(1)) {
+      bucket.settle(1, 1);
+      return true;
+    }
+    this.omitted += 1;
+    return false;
+  }
+}
+
+function reasonOf(outcome: Outcome): string {
+  return 'reason' in outcome ? outcome.reason : '';
+}
--- /dev/null
+++ b/packages/core/src/lib/gateway/model_finder.ts
@@ -0,0 +1,55 @@
+/** Finds a target that holds a model. @packageDocumentation */
+
+import {Result} from 'neverthrow';
+import {Refusal} from '../requests/outcome.js';
+import {ModelDemand} from './caller_request.js';
+import {KnownTarget} from './target_table.js';
+
+/** What a request asks of a {@link ModelFinder}. */
+export interface ModelSearch {
+  /** Id of the request. */
+  id: string;
+  service: string;
+  demand: ModelDemand;
+  /** Clock time by which the first event is due to be on time. */
+  objectiveEndMs: number;
+  /** Clock time at which the caller stops waiting. */
+  deadlineMs: number;
+  /** Targets that were tried for the request. */
+  tried: ReadonlySet<string>;
+}
+
+/** Finds targets for models, and has models loaded where they are missing. */
+export abstract class ModelFinder {
+  /**
+   * @param search - see {@link ModelSearch}.
+   * @param signal - gives up waiting.
+   * @returns a target that holds the model, or a refusal as soon as it is
+   *     certain that none will in time.
+   */
+  abstract find(
+    search: ModelSearch,
+    signal: AbortSignal,
+  ): Promise<Result<KnownTarget, Refusal>>;
+
+  /**
+   * Notes a request for a model, once for each.
+   *
+   * @param service - the service that it goes to.
+   * @param model - name of the model.
+   * @param objectiveMs - its latency objective.
+   */
+  abstract noteArrival(
+    service: string,
+    model: string,
+    objectiveMs: number,
+  ): void;
+
+  /**
+   * Notes that a target did not hold a model that it was said to hold.
+   *
+   * @param target - where the request was refused.
+   * @param demand - what it asked for.
+   */
+  abstract noteAbsent(target: KnownTarget, demand: ModelDemand): void;
+}
--- /dev/null
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -0,0 +1,436 @@
+/** The way of a request through a gateway host. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {
+  FAILURE,
+  Outcome,
+  REFUSAL,
+  Refusal,
+  Unserved,
+  fail,
+  refuse,
+} from '../requests/outcome.js';
+import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
+import {AnswerHead, CallerRequest} from './caller_request.js';
+import {DeploymentState} from './deployment_state.js';
+import {REQUEST_KIND, RouteRule, TeamFacts} from './deployment.js';
+import {Freshness} from './freshness.js';
+import {ModelFinder} from './model_finder.js';
+import {RelayCall} from './relay_call.js';
+import {RelayJournal} from './relay_journal.js';
+import {AnswerRelay, RELAYED} from './answer_relay.js';
+import {RetryAllowance} from './retry_allowance.js';
+import {chooseService, chooseTarget} from './target_choice.js';
+import {
+  NOT_RUN,
+  NotRunReason,
+  SendResult,
+  TargetAnswer,
+  TargetPort,
+} from './target_port.js';
+import {KnownTarget, TargetTable} from './target_table.js';
+import {TeamQuotas} from './team_quotas.js';
+
+/** Time that is kept for the way of an answer to the caller. */
+const ANSWER_MARGIN_MS = 15;
+
+/** When a caller may come back to a host whose configuration is too old. */
+const STALE_RETRY_AFTER_MS = 400;
+
+/** When a caller may come back that found no target or only full ones. */
+const CAPACITY_RETRY_AFTER_MS = 1_000;
+
+/** Pause before a request goes to targets that have all refused it. */
+const REFUSED_PAUSE_MS = 60;
+
+/** Pause before the targets of a service without open ones are looked at. */
+const NO_TARGET_PAUSE_MS = 50;
+
+/** Most sends of one request, whatever became of them. */
+const MAX_SENDS = 6;
+
+/** Longest wait for the head of an answer that another target could give. */
+const HEAD_LIMIT_OBJECTIVES = 4;
+
+/** Shortest such wait, in milliseconds. */
+const MIN_HEAD_LIMIT_MS = 1_000;
+
+const OK = 200;
+const SERVER_ERROR = 500;
+const LEAST_URGENT = 9;
+
+/** Latency objective over which a request yields to others of its priority. */
+const PATIENT_OBJECTIVE_MS = 1_000;
+
+/** What a {@link Relay} works with. */
+export interface RelayParts<
+  Req extends CallerRequest<Head>,
+  Head extends AnswerHead,
+> {
+  clock: Clock;
+  random: Random;
+  state: DeploymentState;
+  freshness: Freshness;
+  targets: TargetTable;
+  port: TargetPort<Req, Head>;
+  quotas: TeamQuotas;
+  retries: RetryAllowance;
+  models: ModelFinder;
+  journal: RelayJournal;
+  /** Zone of this host. */
+  zone: string;
+  /** Requests at a target that other hosts have reported. */
+  othersInFlight: (target: KnownTarget) => number;
+}
+
+/** What admission decided about a request. */
+interface Admitted {
+  route: RouteRule;
+  team: TeamFacts | undefined;
+  tokens: number;
+}
+
+/**
+ * Takes each request from its admission to its one answer. Whether an answer
+ * may say "not run" is decided here alone: only while no target may have begun
+ * to work on the request.
+ */
+export class Relay<Req extends CallerRequest<Head>, Head extends AnswerHead> {
+  private readonly answers: AnswerRelay<Req, Head>;
+
+  /** @param parts - see {@link RelayParts}. */
+  constructor(private readonly parts: RelayParts<Req, Head>) {
+    this.answers = new AnswerRelay(parts.clock);
+  }
+
+  /**
+   * Answers a request.
+   *
+   * @param req - the request; it is answered once the promise resolves.
+   */
+  async handle(req: Req): Promise<void> {
+    const {clock, journal} = this.parts;
+    const admitted = this.admit(req);
+    if (admitted.isErr()) {
+      req.refuse(admitted.error);
+      journal.ended(this.story(req, undefined, admitted.error));
+      return;
+    }
+    const {route, team, tokens} = admitted.value;
+    const patienceMs = Math.min(req.patienceMs ?? Infinity, route.timeoutMs);
+    const deadlineMs = req.arrivedMs + patienceMs - ANSWER_MARGIN_MS;
+    const call = new RelayCall(clock, req, route, team, deadlineMs);
+    try {
+      const outcome = await this.run(req, call);
+      this.answer(req, call, outcome);
+      if (team !== undefined && outcome.type === 'refused') {
+        this.parts.quotas.giveBack(team, tokens);
+      }
+      journal.ended(this.story(req, call, outcome));
+    } finally {
+      call.dispose();
+    }
+  }
+
+  private admit(req: Req): Result<Admitted, Refusal> {
+    const {state, freshness, quotas} = this.parts;
+    const inForce = state.current;
+    if (inForce === undefined) return err(stale('no configuration is known'));
+    const route = inForce.routes.match(req.host, req.path);
+    const isStale = !freshness.isFresh;
+    if (isStale && route?.isPublic !== true) {
+      return err(stale('the configuration may have changed'));
+    }
+    if (route === undefined) {
+      return err(refuse(REFUSAL.unknownRoute, 'no route takes the request'));
+    }
+    if (route.isPublic || inForce.deployment.teams.size === 0) {
+      return ok({route, team: undefined, tokens: 0});
+    }
+    const team =
+      req.key === undefined ? undefined : inForce.teamOfKey.get(req.key);
+    if (team === undefined) {
+      return err(refuse(REFUSAL.unauthenticated, 'the key is not known'));
+    }
+    const tokens =
+      req.tokens === undefined
+        ? team.plainTokens
+        : req.tokens.prompt + req.tokens.output;
+    const retryAfterMs = quotas.take(team, tokens);
+    if (retryAfterMs === undefined) return ok({route, team, tokens});
+    const message = 'the team is over its rate';
+    return err(refuse(REFUSAL.overRate, message, retryAfterMs));
+  }
+
+  /** Sends the request until it has an answer or may not be sent again. */
+  private async run(req: Req, call: RelayCall<Req>): Promise<Outcome> {
+    const {random} = this.parts;
+    const service = chooseService(call.route.shares, random.float());
+    if (service === undefined) {
+      return refuse(REFUSAL.noCapacity, 'the route has no service');
+    }
+    call.service = service;
+    this.parts.retries.noteRequest(service);
+    if (req.demand !== undefined) {
+      const {model} = req.demand;
+      this.parts.models.noteArrival(service, model, call.route.objectiveMs);
+    }
+    for (;;) {
+      if (call.signal.aborted) return this.ended(req, call);
+      const target = await this.findTarget(req, call);
+      if (call.signal.aborted) return this.ended(req, call);
+      if (target.isErr()) return this.unserved(call, target.error);
+      const barred = this.barred(req, call);
+      if (barred !== undefined) return this.unserved(call, barred);
+      const outcome = await this.sendTo(target.value, req, call);
+      if (outcome !== undefined) return outcome;
+    }
+  }
+
+  /** @returns why the request must not be sent now, if so. */
+  private barred(req: Req, call: RelayCall<Req>): Refusal | undefined {
+    const {freshness, state, retries} = this.parts;
+    if (call.team !== undefined) {
+      if (!freshness.isFresh) return stale('the configuration may be old');
+      const holder = state.current?.teamOfKey.get(req.key ?? '');
+      if (holder?.name !== call.team.name) {
+        return refuse(REFUSAL.unauthenticated, 'the key was withdrawn');
+      }
+    }
+    if (call.sends >= MAX_SENDS) {
+      return noCapacity('every target that was tried refused');
+    }
+    if (call.arrivals > 0 && !retries.tryRetry(call.service)) {
+      return noCapacity('the retry budget is used up');
+    }
+    return undefined;
+  }
+
+  private async findTarget(
+    req: Req,
+    call: RelayCall<Req>,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    const {clock, models, targets} = this.parts;
+    const giveUpMs = req.arrivedMs + call.route.objectiveMs / 2;
+    const engine = this.engineOf(call);
+    for (;;) {
+      const options = {
+        zone: this.parts.zone,
+        tried: call.tried,
+        othersInFlight: this.parts.othersInFlight,
+      };
+      const all = targets.ofService(call.service);
+      const {demand} = req;
+      const isModel = engine && demand !== undefined;
+      const able = isModel
+        ? all.filter(target => target.holds(demand.model, demand.adapter))
+        : all;
+      const target = chooseTarget(able, options);
+      if (target !== undefined && !target.health.isAvoided) return ok(target);
+      if (isModel && call.tried.size === 0) {
+        const found = await models.find(this.search(req, call), call.signal);
+        if (found.isOk() || target === undefined) return found;
+      }
+      if (target !== undefined) return ok(target);
+      if (call.tried.size > 0) {
+        call.tried.clear();
+        await clock.sleep(REFUSED_PAUSE_MS, call.signal);
+      } else if (clock.now() < giveUpMs) {
+        await clock.sleep(NO_TARGET_PAUSE_MS, call.signal);
+      } else {
+        return err(noCapacity('no target of the service is open'));
+      }
+      if (call.signal.aborted) return err(noCapacity('the time is over'));
+    }
+  }
+
+  private search(req: Req, call: RelayCall<Req>) {
+    return {
+      id: req.id,
+      service: call.service,
+      demand: req.demand!,
+      objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
+      deadlineMs: call.deadlineMs,
+      tried: call.tried,
+    };
+  }
+
+  private engineOf(call: RelayCall<Req>): boolean {
+    const {deployment} = this.parts.state.current!;
+    return deployment.services.get(call.service)?.engine !== undefined;
+  }
+
+  /** @returns the end of the request, or nothing if it may be sent again. */
+  private async sendTo(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+  ): Promise<Outcome | undefined> {
+    const {clock, journal} = this.parts;
+    const {notice} = target;
+    const attempt = call.beginAttempt(this.headLimitMs(call));
+    call.noteSend(notice.id);
+    target.began(req.demand);
+    try {
+      const sent = await this.parts.port.send(target, req, {
+        remainingMs: Math.max(1, Math.floor(call.deadlineMs - clock.now())),
+        team: call.team?.name,
+        urgency: urgencyOf(call),
+        lastEventId: call.lastEventId,
+        needsSafeConnection: !call.isRepeatable,
+        signal: attempt.signal,
+      });
+      attempt.headCame();
+      if (sent.type === 'answered') {
+        call.runs += 1;
+        return await this.relay(target, req, call, sent.answer);
+      }
+      const detail = sent.reason;
+      journal.sendEnded(req.id, notice.id, sent.type, detail);
+      return this.afterSend(target, req, call, sent);
+    } finally {
+      attempt.dispose();
+      target.ended(req.demand);
+    }
+  }
+
+  private afterSend(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    sent: Exclude<SendResult<Head>, {type: 'answered'}>,
+  ): Outcome | undefined {
+    if (sent.type === 'not-run') {
+      this.noteNotRun(target, req, call, sent.reason);
+      return undefined;
+    }
+    if (call.signal.aborted) {
+      call.runs += 1;
+      return this.ended(req, call);
+    }
+    target.health.failed();
+    call.runs += 1;
+    call.arrivals += 1;
+    call.tried.add(target.notice.id);
+    if (call.mayRunAgain) return undefined;
+    return fail(FAILURE.targetLost, 'the target gave no answer');
+  }
+
+  private noteNotRun(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    reason: NotRunReason,
+  ): void {
+    const {id} = target.notice;
+    const hasArrived =
+      reason !== NOT_RUN.unreachable && reason !== NOT_RUN.noConnection;
+    if (hasArrived) call.arrivals += 1;
+    call.tried.add(id);
+    if (reason === NOT_RUN.unreachable) target.health.failed();
+    if (reason === NOT_RUN.otherProcess) target.isGone = true;
+    if (req.demand === undefined) return;
+    if (reason === NOT_RUN.modelAbsent) {
+      this.parts.models.noteAbsent(target, req.demand);
+      call.tried.delete(id);
+    }
+  }
+
+  /** Passes an answer on, or drops it if another target may do better. */
+  private async relay(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    answer: TargetAnswer<Head>,
+  ): Promise<Outcome | undefined> {
+    const {journal} = this.parts;
+    const {status} = answer.head;
+    call.arrivals += 1;
+    const isFailure = status >= SERVER_ERROR;
+    if (isFailure) target.health.answeredFailure();
+    else target.health.succeeded();
+    const isUnfit = call.hasBegun ? status !== OK : isFailure;
+    if (isUnfit && (call.hasBegun || call.mayRunAgain)) {
+      answer.discard();
+      call.tried.add(target.notice.id);
+      journal.sendEnded(req.id, target.notice.id, 'error', `status ${status}`);
+      return call.mayRunAgain ? undefined : this.ended(req, call);
+    }
+    const end = await this.answers.relay(req, call, answer);
+    if (end === RELAYED.whole) return {type: 'served'};
+    if (call.signal.aborted) return this.ended(req, call);
+    journal.sendEnded(req.id, target.notice.id, 'broken', `status ${status}`);
+    target.health.failed();
+    call.tried.add(target.notice.id);
+    if (call.mayRunAgain) return undefined;
+    return fail(FAILURE.targetLost, 'the target broke its answer off');
+  }
+
+  /** @returns the end of a request whose caller left or whose time is over. */
+  private ended(req: Req, call: RelayCall<Req>): Outcome {
+    if (req.signal.aborted) return {type: 'cancelled'};
+    if (call.runs > 0) return fail(FAILURE.deadline, 'the time is over');
+    return refuse(REFUSAL.deadline, 'the time is over');
+  }
+
+  /** @returns a refusal as it may be told, given what may have run. */
+  private unserved(call: RelayCall<Req>, refusal: Refusal): Unserved {
+    if (call.runs === 0) return refusal;
+    return fail(FAILURE.targetLost, refusal.message);
+  }
+
+  private answer(req: Req, call: RelayCall<Req>, outcome: Outcome): void {
+    if (outcome.type === 'served') return;
+    if (call.hasBegun) req.cut();
+    else if (outcome.type === 'refused') req.refuse(outcome);
+    else req.fail(outcome);
+  }
+
+  private headLimitMs(call: RelayCall<Req>): number | undefined {
+    if (!call.isRepeatable) return undefined;
+    const limitMs = call.route.objectiveMs * HEAD_LIMIT_OBJECTIVES;
+    return Math.max(MIN_HEAD_LIMIT_MS, limitMs);
+  }
+
+  private story(
+    req: Req,
+    call: RelayCall<Req> | undefined,
+    outcome: Outcome,
+  ) {
+    const {clock, freshness, state} = this.parts;
+    return {
+      id: req.id,
+      route: call?.route.name,
+      kind: call?.route.kind,
+      team: call?.team?.name,
+      service: call?.service,
+      model: req.demand?.model,
+      targets: call?.sentTo ?? [],
+      configVersion: state.current?.deployment.version,
+      configAgeMs: Math.round(freshness.ageMs),
+      waitedMs: call?.firstSendMs,
+      firstByteMs: call?.firstByteMs,
+      totalMs: Math.round(clock.now() - req.arrivedMs),
+      status: call?.status,
+      outcome,
+    };
+  }
+}
+
+function urgencyOf<Req extends CallerRequest>(call: RelayCall<Req>): number {
+  const {route, team} = call;
+  const priority = team?.priority ?? route.priority;
+  const isPatient = route.objectiveMs > PATIENT_OBJECTIVE_MS ? 1 : 0;
+  const isGeneration = route.kind === REQUEST_KIND.stream ? 1 : 0;
+  const rank = 2 * priority + isPatient * isGeneration;
+  return Math.min(LEAST_URGENT, rank);
+}
+
+function stale(message: string): Refusal {
+  return refuse(REFUSAL.configTooOld, message, STALE_RETRY_AFTER_MS);
+}
+
+function noCapacity(message: string): Refusal {
+  return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
+}
--- /dev/null
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -0,0 +1,148 @@
+/** The targets that this host knows. @packageDocumentation */
+
+import {Clock} from '../time/clock.js';
+import {ModelDemand} from './caller_request.js';
+import {TargetNotice, isSameProcess} from './discovered_target.js';
+import {TargetHealth} from './target_health.js';
+
+/** A model or an adapter of it, as a key. */
+export function residentKey(model: string, adapter?: string): string {
+  return adapter === undefined ? model : `${model}/${adapter}`;
+}
+
+/** A target with what this host knows of it. */
+export class KnownTarget {
+  /** Requests of this host that run or wait there. */
+  inFlight = 0;
+  /** The same by model, and once more by adapter; see {@link residentKey}. */
+  readonly inFlightByModel = new Map<string, number>();
+  readonly health: TargetHealth;
+  /** Models it holds, each with its adapters. */
+  readonly held = new Map<string, Set<string>>();
+  /** Whether it has left the platform's list. */
+  isGone = false;
+
+  /**
+   * @param notice - what it said last.
+   * @param clock - measures how long failures are remembered.
+   */
+  constructor(
+    public notice: TargetNotice,
+    clock: Clock,
+  ) {
+    this.health = new TargetHealth(clock);
+    this.adoptHeld(notice);
+  }
+
+  /** Whether it may get new work. */
+  get isOpen(): boolean {
+    return !this.isGone && !this.notice.isLeaving;
+  }
+
+  /** @returns whether it holds a model and, if given, one of its adapters. */
+  holds(model: string, adapter?: string): boolean {
+    const adapters = this.held.get(model);
+    if (adapters === undefined) return false;
+    return adapter === undefined || adapters.has(adapter);
+  }
+
+  /** @param notice - replaces what is known of its models. */
+  adoptHeld(notice: TargetNotice): void {
+    this.held.clear();
+    for (const {model, adapters} of notice.held) {
+      this.held.set(model, new Set(adapters));
+    }
+  }
+
+  /** Counts a request until {@link KnownTarget.ended}. */
+  began(demand: ModelDemand | undefined): void {
+    this.inFlight += 1;
+    if (demand !== undefined) this.countModel(demand, 1);
+  }
+
+  /** Ends what {@link KnownTarget.began} counted. */
+  ended(demand: ModelDemand | undefined): void {
+    this.inFlight -= 1;
+    if (demand !== undefined) this.countModel(demand, -1);
+  }
+
+  private countModel({model, adapter}: ModelDemand, change: number): void {
+    this.addModel(model, change);
+    if (adapter !== undefined) {
+      this.addModel(residentKey(model, adapter), change);
+    }
+  }
+
+  private addModel(model: string, change: number): void {
+    const count = (this.inFlightByModel.get(model) ?? 0) + change;
+    if (count > 0) this.inFlightByModel.set(model, count);
+    else this.inFlightByModel.delete(model);
+  }
+}
+
+/** Targets by id and by service. */
+export class TargetTable {
+  private readonly byId = new Map<string, KnownTarget>();
+  private readonly byService = new Map<string, KnownTarget[]>();
+
+  /** @param clock - passed on to what is known of each target. */
+  constructor(private readonly clock: Clock) {}
+
+  /** @returns a target that is on the platform's list. */
+  get(id: string): KnownTarget | undefined {
+    return this.byId.get(id);
+  }
+
+  /** @returns the targets of a service, leaving ones included. */
+  ofService(service: string): readonly KnownTarget[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** @returns every target. */
+  all(): IterableIterator<KnownTarget> {
+    return this.byId.values();
+  }
+
+  /**
+   * Takes in what a target announced.
+   *
+   * @param notice - what it says about itself.
+   * @param adoptHeld - whether its models are to be believed; false while a
+   *     newer view of them comes from elsewhere. A new process always is.
+   * @returns the target; a new object for a new process.
+   */
+  put(notice: TargetNotice, adoptHeld: boolean): KnownTarget {
+    const known = this.byId.get(notice.id);
+    if (known !== undefined && isSameProcess(known.notice, notice)) {
+      const moved = known.notice.service !== notice.service;
+      known.notice = notice;
+      if (adoptHeld) known.adoptHeld(notice);
+      if (moved) this.reindex();
+      return known;
+    }
+    if (known !== undefined) known.isGone = true;
+    const target = new KnownTarget(notice, this.clock);
+    this.byId.set(notice.id, target);
+    this.reindex();
+    return target;
+  }
+
+  /** Takes out a target that has left the list. */
+  remove(id: string): void {
+    const known = this.byId.get(id);
+    if (known === undefined) return;
+    known.isGone = true;
+    this.byId.delete(id);
+    this.reindex();
+  }
+
+  private reindex(): void {
+    this.byService.clear();
+    for (const target of this.byId.values()) {
+      const {service} = target.notice;
+      const others = this.byService.get(service);
+      if (others === undefined) this.byService.set(service, [target]);
+      else others.push(target);
+    }
+  }
+}
--- a/packages/core/src/lib/limits/retry_budget.ts
+++ b/packages/core/src/lib/limits/retry_budget.ts
@@ -6,8 +6,21 @@
 /** Most retries that the budget saves up. */
 const MAX_SAVED_RETRIES = 20;
 
+/** How fast a budget fills and how much it holds. */
+export interface RetryBudgetShape {
+  /** Retries that each request adds. */
+  perRequest: number;
+  /** Most retries that are saved up. */
+  maxSaved: number;
+}
+
+const DEFAULT_SHAPE: RetryBudgetShape = {
+  perRequest: RETRIES_PER_REQUEST,
+  maxSaved: MAX_SAVED_RETRIES,
+};
+
 /**
- * Keeps the retries of a host under a tenth of its requests.
+ * Keeps the retries of a host under a share of its requests.
  *
  * Every request adds a fixed fraction, so at any moment the retries made are at
  * most that fraction of the requests seen, beside the reserve that it starts
@@ -21,18 +34,21 @@
    * @param overloaded - whether the host is refusing requests for load.
    * @param reserve - retries that are granted before any request was counted,
    *     so that a host with little traffic can retry at all.
+   * @param shape - fraction that each request adds, and the most that is saved.
    */
   constructor(
     private readonly overloaded: () => boolean = () => false,
     reserve = 0,
+    private readonly shape: RetryBudgetShape = DEFAULT_SHAPE,
   ) {
-    this.saved = Math.min(MAX_SAVED_RETRIES, reserve);
+    this.saved = Math.min(shape.maxSaved, reserve);
   }
 
   /** Counts a request; call it once for each, not for its retries. */
   noteRequest(): void {
     if (this.overloaded()) return;
-    this.saved = Math.min(MAX_SAVED_RETRIES, this.saved + RETRIES_PER_REQUEST);
+    const {perRequest, maxSaved} = this.shape;
+    this.saved = Math.min(maxSaved, this.saved + perRequest);
   }
 
   /** @returns whether a retry may be made; it is then counted. */
--- /dev/null
+++ b/packages/core/src/lib/residency/adapter_choice.ts
@@ -0,0 +1,93 @@
+/** Chooses where to load an adapter and which one makes way. @packageDocumentation */
+
+import {residentKey} from '../gateway/target_table.js';
+import {ResidencyAccount} from './residency_account.js';
+import {UsageTable} from './usage_table.js';
+
+/** Adapters that may be on their way to one target at the same time. */
+const MAX_ADAPTERS_IN_TRANSIT = 4;
+
+/** An adapter of a model. */
+export interface AdapterName {
+  model: string;
+  adapter: string;
+}
+
+/** A load of an adapter and what it evicts. */
+export interface AdapterSwap extends AdapterName {
+  account: ResidencyAccount;
+  victim: AdapterName | undefined;
+}
+
+/**
+ * @param wanted - an adapter that is on no target whose model is ready.
+ * @param accounts - the targets of the service.
+ * @param usage - requests in flight.
+ * @param nowMs - clock time.
+ * @returns where to load it; a free place goes before an eviction.
+ */
+export function chooseAdapterSwap(
+  wanted: AdapterName,
+  accounts: readonly ResidencyAccount[],
+  usage: UsageTable,
+  nowMs: number,
+): AdapterSwap | undefined {
+  let best: AdapterSwap | undefined;
+  let bestCost = Infinity;
+  for (const account of accounts) {
+    if (!canTake(account, wanted, nowMs)) continue;
+    const isFull = account.adapterCount >= account.engine.adapterSlots;
+    const oldest = isFull ? oldestIdle(account, usage, nowMs) : undefined;
+    if (isFull && oldest === undefined) continue;
+    const load = usage.inFlight(account.id, wanted.model);
+    const cost = load + (isFull ? account.engine.slots : 0);
+    if (cost >= bestCost) continue;
+    best = {...wanted, account, victim: oldest};
+    bestCost = cost;
+  }
+  return best;
+}
+
+function canTake(
+  account: ResidencyAccount,
+  {model}: AdapterName,
+  nowMs: number,
+): boolean {
+  const resident = account.residents.get(model);
+  if (resident === undefined || resident.readyMs > nowMs) return false;
+  if (resident.isLeaving || !account.target.isOpen) return false;
+  if (account.needsReport || account.quietUntilMs > nowMs) return false;
+  if (adaptersInTransit(account, nowMs) >= MAX_ADAPTERS_IN_TRANSIT) {
+    return false;
+  }
+  const facts = account.engine.models.get(model);
+  if (facts === undefined) return false;
+  return account.usedMb + facts.adapterMb <= account.engine.weightsMb;
+}
+
+function adaptersInTransit(account: ResidencyAccount, nowMs: number): number {
+  let count = 0;
+  for (const {adapters} of account.residents.values()) {
+    for (const {readyMs} of adapters.values()) if (readyMs > nowMs) count += 1;
+  }
+  return count;
+}
+
+function oldestIdle(
+  account: ResidencyAccount,
+  usage: UsageTable,
+  nowMs: number,
+): AdapterName | undefined {
+  let oldest: AdapterName | undefined;
+  let oldestMs = Infinity;
+  for (const [model, {adapters}] of account.residents) {
+    for (const [adapter, held] of adapters) {
+      if (held.readyMs > nowMs || held.isLeaving) continue;
+      if (held.usedMs >= oldestMs) continue;
+      if (usage.inFlight(account.id, residentKey(model, adapter)) > 0) continue;
+      oldest = {model, adapter};
+      oldestMs = held.usedMs;
+    }
+  }
+  return oldest;
+}
--- /dev/null
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -0,0 +1,219 @@
+/** Decides which host may give orders to targets. @packageDocumentation */
+
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
+import {SuspensionWatch} from '../time/suspension_watch.js';
+import {withTimeLimit} from '../time/time_limit.js';
+import {LEASE_EVENT, LeaseLog, LeaseRecord} from './lease_log.js';
+
+/** How long a record of the lease holds: a few renewals may be lost. */
+export const LEASE_TTL_MS = 1_600;
+
+/** Time between renewals. */
+const RENEW_INTERVAL_MS = 500;
+
+/** Longest wait for an answer of the log. */
+const CALL_LIMIT_MS = 1_000;
+
+/** Time between reads of the log by a host that does not hear the holder. */
+const FOLLOW_INTERVAL_MS = 400;
+
+/** Most by which a claim is put off, so that hosts do not claim at once. */
+const CLAIM_SPREAD_MS = 150;
+
+/** How long a holder that its peers hear is believed without the log. */
+const HOLDER_HEARD_MS = 900;
+
+/** Who holds the lease, as this host knows. */
+export interface LeaseHolder {
+  host: string;
+  incarnation: string;
+  /** Offset of the claim; rises with every holder. */
+  fencing: number;
+}
+
+/** What an {@link OrderLease} works with. */
+export interface OrderLeaseParts {
+  clock: Clock;
+  random: Random;
+  log: LeaseLog;
+  logger: Logger;
+  /** Name of this host, and of this start of it. */
+  host: string;
+  incarnation: string;
+  /** Time that must lie between the orders of two holders, in milliseconds. */
+  holderGapMs: number;
+}
+
+/**
+ * One host at a time may order, by records on a log that each name the end
+ * they extend.
+ *
+ * The holder counts its lease from before it sent the record; every other host
+ * counts it from when it first saw the record, which is later. A record of
+ * unknown outcome extends nothing for its writer and still binds the others.
+ */
+export class OrderLease {
+  private end = 0;
+  private seenMs = -Infinity;
+  private newest: LeaseRecord | undefined;
+  private fencing = 0;
+  private heldUntilMs = -Infinity;
+  private heldSinceMs = -Infinity;
+  private holderHeardMs = -Infinity;
+  private isKnown = false;
+  private isStopping = false;
+  private readonly watch: SuspensionWatch;
+  private readonly listeners: Array<() => void> = [];
+
+  /** @param parts - see {@link OrderLeaseParts}. */
+  constructor(private readonly parts: OrderLeaseParts) {
+    this.watch = new SuspensionWatch(parts.clock);
+  }
+
+  /** Whether this host may order now; ask right before each order. */
+  get isHeld(): boolean {
+    if (this.parts.clock.now() >= this.heldUntilMs) return false;
+    return !this.watch.suspendedSince(this.heldSinceMs);
+  }
+
+  /** Fencing number of this host's orders. */
+  get fencingNumber(): number {
+    return this.fencing;
+  }
+
+  /** The holder that this host knows, itself included. */
+  get holder(): LeaseHolder | undefined {
+    if (this.newest === undefined) return undefined;
+    if (this.newest.event === LEASE_EVENT.release) return undefined;
+    const {host, incarnation} = this.newest;
+    return {host, incarnation, fencing: this.fencing};
+  }
+
+  /** @param listener - called when the holder may have changed. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Notes that the holder was heard of by other means than the log. */
+  noteHolderHeard(incarnation: string): void {
+    if (this.newest?.incarnation !== incarnation) return;
+    this.holderHeardMs = this.parts.clock.now();
+  }
+
+  /**
+   * Follows the log, and claims and renews the lease.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted && !this.isStopping) {
+      await this.step(signal);
+      const held = this.isHeld;
+      await clock.sleep(held ? RENEW_INTERVAL_MS : FOLLOW_INTERVAL_MS, signal);
+    }
+  }
+
+  /** Gives the lease up for good, so that another host can claim it sooner. */
+  async release(signal: AbortSignal): Promise<void> {
+    this.isStopping = true;
+    const wasHeld = this.isHeld;
+    this.heldUntilMs = -Infinity;
+    this.changed();
+    if (wasHeld) await this.append(LEASE_EVENT.release, signal);
+  }
+
+  private async step(signal: AbortSignal): Promise<void> {
+    if (this.isHeld) {
+      await this.append(LEASE_EVENT.renew, signal);
+      return;
+    }
+    if (this.heardHolder()) return;
+    await this.readTail(signal);
+    if (!this.isKnown || !this.mayClaim()) return;
+    const {clock, random} = this.parts;
+    await clock.sleep(random.int(0, CLAIM_SPREAD_MS), signal);
+    if (!this.isStopping) await this.append(LEASE_EVENT.claim, signal);
+  }
+
+  private heardHolder(): boolean {
+    const silentMs = this.parts.clock.now() - this.holderHeardMs;
+    return silentMs < HOLDER_HEARD_MS;
+  }
+
+  /** Whether the holder's last order must lie far enough back. */
+  private mayClaim(): boolean {
+    const {clock, holderGapMs, incarnation} = this.parts;
+    if (this.newest === undefined) {
+      // Records that the log has lost may have been a holder's.
+      const lostMs = clock.now() - this.seenMs;
+      return this.end === 0 || lostMs >= LEASE_TTL_MS + holderGapMs;
+    }
+    const isRelease = this.newest.event === LEASE_EVENT.release;
+    const ttlMs = isRelease ? 0 : this.newest.ttlMs;
+    const isOwn = this.newest.incarnation === incarnation;
+    const gapMs = isOwn ? 0 : holderGapMs;
+    const sinceMs = clock.now() - this.seenMs;
+    return sinceMs >= ttlMs + gapMs;
+  }
+
+  private async readTail(signal: AbortSignal): Promise<void> {
+    const tail = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
+      this.parts.log.read(this.end, limited),
+    );
+    if (tail.isErr()) return;
+    this.isKnown = true;
+    const {newest, end} = tail.value;
+    if (newest === undefined) {
+      if (end > this.end) this.seenMs = this.parts.clock.now();
+      this.end = Math.max(this.end, end);
+      return;
+    }
+    this.see(newest, end);
+  }
+
+  private see(record: LeaseRecord, end: number): void {
+    this.newest = record;
+    this.end = end;
+    this.seenMs = this.parts.clock.now();
+    this.fencing = record.claimOffset ?? end - 1;
+    if (record.incarnation !== this.parts.incarnation) {
+      this.heldUntilMs = -Infinity;
+    }
+    this.changed();
+  }
+
+  private async append(
+    event: LeaseRecord['event'],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, host, incarnation, log, logger} = this.parts;
+    const claimOffset =
+      event === LEASE_EVENT.claim ? undefined : this.fencing;
+    const record = {event, host, incarnation, ttlMs: LEASE_TTL_MS, claimOffset};
+    const sentMs = clock.now();
+    const offset = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
+      log.append(record, this.end, limited),
+    );
+    if (offset.isErr()) {
+      logger.info('order_lease_append_failed', {event, reason: offset.error});
+      await this.readTail(signal);
+      return;
+    }
+    this.see(record, offset.value + 1);
+    if (event === LEASE_EVENT.release) return;
+    if (this.watch.suspendedSince(sentMs)) return;
+    this.heldSinceMs = sentMs;
+    this.heldUntilMs = sentMs + LEASE_TTL_MS;
+    if (event === LEASE_EVENT.claim) {
+      logger.info('order_lease_claimed', {fencing: this.fencing});
+    }
+    this.changed();
+  }
+
+  private changed(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -0,0 +1,165 @@
+/** What a target holds and is being ordered to hold. @packageDocumentation */
+
+import {EngineFacts} from '../gateway/deployment.js';
+import {KnownTarget} from '../gateway/target_table.js';
+import {ResidencyReport} from './order_port.js';
+
+/** An adapter on a target. */
+export interface HeldAdapter {
+  /** Clock time from which it can be used. */
+  readyMs: number;
+  /** Clock time at which it was last handed to a request. */
+  usedMs: number;
+  /** Whether an order to unload it has not been granted yet. */
+  isLeaving: boolean;
+}
+
+/** A model on a target. */
+export interface HeldResident {
+  /** Clock time from which it can be used. */
+  readyMs: number;
+  usedMs: number;
+  /** Whether requests go elsewhere, as another target holds it too. */
+  isRetiring: boolean;
+  /** Whether it is being unloaded. */
+  isLeaving: boolean;
+  readonly adapters: Map<string, HeldAdapter>;
+}
+
+/**
+ * The account of one target. Memory counts as taken from before an order is
+ * sent until the target has said that it is free.
+ */
+export class ResidencyAccount {
+  readonly residents = new Map<string, HeldResident>();
+  /** Orders that the target has accepted, as far as is known. */
+  orderCount: number;
+  /** Whether an order for a whole model is being carried out. */
+  isBusy = false;
+  /** Whether the account must be compared with the target's own report. */
+  needsReport = false;
+  /** Clock time before which nothing is ordered. */
+  quietUntilMs = -Infinity;
+  /** Orders to this target go out one after the other. */
+  private queue: Promise<unknown> = Promise.resolve();
+
+  /**
+   * @param target - the target.
+   * @param engine - its size and its models.
+   * @param nowMs - clock time.
+   */
+  constructor(
+    readonly target: KnownTarget,
+    public engine: EngineFacts,
+    nowMs: number,
+  ) {
+    this.orderCount = target.notice.orderCount;
+    for (const {model, adapters} of target.notice.held) {
+      this.addResident(model, adapters, nowMs);
+    }
+  }
+
+  /** Id of the target. */
+  get id(): string {
+    return this.target.notice.id;
+  }
+
+  /** Weights and adapters held, in megabytes. */
+  get usedMb(): number {
+    let usedMb = 0;
+    for (const [model, {adapters}] of this.residents) {
+      const facts = this.engine.models.get(model);
+      // A model that the configuration no longer knows may be of any size.
+      if (facts === undefined) return Infinity;
+      usedMb += facts.weightsMb + adapters.size * facts.adapterMb;
+    }
+    return usedMb;
+  }
+
+  /** Adapter places taken, those on their way included. */
+  get adapterCount(): number {
+    let count = 0;
+    for (const {adapters} of this.residents.values()) count += adapters.size;
+    return count;
+  }
+
+  /** @returns whether a model can take requests, or could at once. */
+  isReady(model: string, nowMs: number): boolean {
+    const resident = this.residents.get(model);
+    if (resident === undefined || resident.isLeaving) return false;
+    return resident.readyMs <= nowMs;
+  }
+
+  /** @returns whether a model is held or being loaded, and stays. */
+  keeps(model: string): boolean {
+    return this.residents.get(model)?.isLeaving === false;
+  }
+
+  /** @returns the time a load of a model takes here, and whence it comes. */
+  loadOf(model: string): {loadMs: number; fromStore: boolean} {
+    const facts = this.engine.models.get(model)!;
+    const {inMemory, onDisk} = this.target.notice;
+    if (inMemory.includes(model)) {
+      return {loadMs: facts.memoryLoadMs, fromStore: false};
+    }
+    if (onDisk.includes(model)) {
+      return {loadMs: facts.diskLoadMs, fromStore: false};
+    }
+    return {loadMs: facts.storeLoadMs, fromStore: true};
+  }
+
+  /**
+   * Runs work on the target's orders after all earlier work.
+   *
+   * @param work - what to run; must not reject.
+   */
+  inTurn<T>(work: () => Promise<T>): Promise<T> {
+    const result = this.queue.then(work);
+    this.queue = result;
+    return result;
+  }
+
+  /** Takes in the target's own report. */
+  adopt(report: ResidencyReport, nowMs: number): void {
+    this.orderCount = report.orderCount;
+    this.isBusy = report.isBusy;
+    this.residents.clear();
+    for (const {model, adapters} of report.held) {
+      this.addResident(model, adapters, nowMs);
+    }
+    for (const {model, adapter} of report.coming) {
+      const resident = this.residents.get(model);
+      resident?.adapters.set(adapter, newAdapter(nowMs));
+    }
+    this.needsReport = false;
+  }
+
+  /** Adds a model, as held or as being loaded. */
+  addResident(
+    model: string,
+    adapters: readonly string[],
+    readyMs: number,
+  ): HeldResident {
+    const held = new Map<string, HeldAdapter>();
+    for (const adapter of adapters) held.set(adapter, newAdapter(readyMs));
+    const resident: HeldResident = {
+      readyMs,
+      usedMs: readyMs,
+      isRetiring: false,
+      isLeaving: false,
+      adapters: held,
+    };
+    this.residents.set(model, resident);
+    return resident;
+  }
+
+  /** Adds an adapter that is being loaded. */
+  addAdapter(model: string, adapter: string, readyMs: number): void {
+    const added = newAdapter(readyMs);
+    this.residents.get(model)?.adapters.set(adapter, added);
+  }
+}
+
+function newAdapter(readyMs: number): HeldAdapter {
+  return {readyMs, usedMs: readyMs, isLeaving: false};
+}
--- /dev/null
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -0,0 +1,485 @@
+/** Decides which models the targets hold, while this host has the lease. @packageDocumentation */
+
+import {Result, ok} from 'neverthrow';
+import {DeploymentState} from '../gateway/deployment_state.js';
+import {EngineFacts} from '../gateway/deployment.js';
+import {
+  KnownTarget,
+  TargetTable,
+  residentKey,
+} from '../gateway/target_table.js';
+import {TokenBucket} from '../limits/token_bucket.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {AdapterSwap, chooseAdapterSwap} from './adapter_choice.js';
+import {ResidencyOrders} from './order_sender.js';
+import {OrderLease} from './order_lease.js';
+import {ResidencyAccount} from './residency_account.js';
+import {Swap, SwapContext, chooseSwap} from './swap_choice.js';
+import {UsageTable} from './usage_table.js';
+import {Waiter, WaitingRoom} from './waiting_room.js';
+
+/** Time between looks at what waits. */
+const TICK_MS = 25;
+
+/** Time that a load may take longer than the configuration says. */
+const LOAD_MARGIN_MS = 20;
+
+/** Time until an adapter can be used after its load was accepted. */
+const ADAPTER_LOAD_MS = 9;
+
+/** How long after a load a refusal only means that it is not done yet. */
+const LATE_LOAD_MS = 4_000;
+const LATE_LOAD_PAUSE_MS = 60;
+
+/** Part of the weight store's rate that is used. */
+const STORE_RATE_SHARE = 0.8;
+
+/** Loads from the store that may begin at once. */
+const STORE_BURST = 2;
+
+/** In flight, as a share of the slots, that calls for another copy. */
+const COPY_LOAD = 0.5;
+
+/** When a caller may come back whose model cannot be loaded now. */
+const RETRY_AFTER_MS = 1_500;
+
+/** What a {@link ResidencyController} works with. */
+export interface ResidencyControllerParts {
+  clock: Clock;
+  logger: Logger;
+  state: DeploymentState;
+  targets: TargetTable;
+  lease: OrderLease;
+  orders: ResidencyOrders;
+  usage: UsageTable;
+  /** Tells the hosts what a target can be sent. */
+  publish: (account: ResidencyAccount) => void;
+}
+
+/** What a host asks for: a target that holds a model. */
+export interface ResidencyRequest {
+  service: string;
+  model: string;
+  adapter: string | undefined;
+  /** Clock time by which the first event is due to be on time. */
+  objectiveEndMs: number;
+  /** Clock time after which the caller has left. */
+  giveUpMs: number;
+  /** Targets that refused the request. */
+  tried: ReadonlySet<string>;
+}
+
+/** Nothing will hold the model in time. */
+export interface NotResident {
+  retryAfterMs: number;
+}
+
+/**
+ * Keeps the accounts of all engine targets, lets requests for missing models
+ * wait, and orders swaps for them. It is inactive without the lease.
+ */
+export class ResidencyController {
+  private readonly accounts = new Map<string, ResidencyAccount>();
+  private readonly room: WaitingRoom;
+  private readonly storeLoads = new Map<string, TokenBucket>();
+  private activeFencing: number | undefined;
+  private signal = new AbortController().signal;
+
+  /** @param parts - see {@link ResidencyControllerParts}. */
+  constructor(private readonly parts: ResidencyControllerParts) {
+    this.room = new WaitingRoom(parts.clock);
+  }
+
+  /** Whether this host decides. */
+  get isActive(): boolean {
+    return this.parts.lease.isHeld;
+  }
+
+  /** @returns the accounts of all targets. */
+  all(): IterableIterator<ResidencyAccount> {
+    return this.accounts.values();
+  }
+
+  /**
+   * Plans until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    this.signal = signal;
+    await this.parts.clock.every(TICK_MS, signal, () => this.tick());
+  }
+
+  /**
+   * Finds a target for a request, or has its model loaded.
+   *
+   * @param request - see {@link ResidencyRequest}.
+   * @param signal - the caller gave up.
+   * @returns the id of the target, or when to come back.
+   */
+  find(
+    request: ResidencyRequest,
+    signal: AbortSignal,
+  ): Promise<Result<string, NotResident>> {
+    return new Promise(resolve => {
+      const waiter = this.room.add(request, resolve);
+      signal.addEventListener('abort', () => this.room.remove(waiter));
+      if (this.isActive) this.plan(request.service);
+    });
+  }
+
+  /** Notes that a target refused a request as it lacks the model. */
+  noteAbsent(target: string, model: string, adapter?: string): void {
+    const account = this.accounts.get(target);
+    const resident = account?.residents.get(model);
+    if (account === undefined || resident === undefined) return;
+    const nowMs = this.parts.clock.now();
+    const item =
+      adapter === undefined ? resident : resident.adapters.get(adapter);
+    if (item === undefined) return;
+    if (nowMs - item.readyMs < LATE_LOAD_MS) {
+      item.readyMs = Math.max(item.readyMs, nowMs + LATE_LOAD_PAUSE_MS);
+    } else {
+      account.needsReport = true;
+    }
+    this.parts.publish(account);
+  }
+
+  private tick(): void {
+    if (!this.isActive) {
+      this.activeFencing = undefined;
+      this.room.refuseAll(RETRY_AFTER_MS);
+      return;
+    }
+    this.parts.usage.prune();
+    const {fencingNumber} = this.parts.lease;
+    if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
+    this.syncAccounts();
+    for (const service of this.engines().keys()) this.plan(service);
+  }
+
+  private takeOver(fencing: number): void {
+    this.parts.logger.info('residency_taken_over', {fencing});
+    this.activeFencing = fencing;
+    this.accounts.clear();
+    this.storeLoads.clear();
+  }
+
+  private engines(): Map<string, EngineFacts> {
+    const engines = new Map<string, EngineFacts>();
+    const services = this.parts.state.current?.deployment.services;
+    for (const {name, engine} of services?.values() ?? []) {
+      if (engine !== undefined) engines.set(name, engine);
+    }
+    return engines;
+  }
+
+  private syncAccounts(): void {
+    const {clock, orders, targets} = this.parts;
+    const engines = this.engines();
+    for (const [id, account] of this.accounts) {
+      if (targets.get(id) !== account.target) this.accounts.delete(id);
+    }
+    for (const target of targets.all()) {
+      const engine = engines.get(target.notice.service);
+      if (engine === undefined) continue;
+      const account = this.accounts.get(target.notice.id);
+      if (account !== undefined) account.engine = engine;
+      else this.open(target, engine);
+    }
+    const nowMs = clock.now();
+    for (const account of this.accounts.values()) {
+      if (!account.needsReport || account.quietUntilMs > nowMs) continue;
+      account.quietUntilMs = Infinity;
+      void account.inTurn(async () => {
+        account.quietUntilMs = -Infinity;
+        await orders.refresh(account, this.signal);
+        this.parts.publish(account);
+      });
+    }
+  }
+
+  private open(target: KnownTarget, engine: EngineFacts): void {
+    const account = new ResidencyAccount(
+      target,
+      engine,
+      this.parts.clock.now(),
+    );
+    // Orders of an earlier holder may be going on that no notice shows.
+    account.needsReport = target.notice.orderCount > 0;
+    this.accounts.set(target.notice.id, account);
+  }
+
+  private accountsOf(service: string): ResidencyAccount[] {
+    const found: ResidencyAccount[] = [];
+    for (const account of this.accounts.values()) {
+      if (account.target.notice.service === service) found.push(account);
+    }
+    return found;
+  }
+
+  /** Serves what can be served and starts the swaps that are worth most. */
+  private plan(service: string): void {
+    this.room.refuseExpired(RETRY_AFTER_MS);
+    const accounts = this.accountsOf(service);
+    this.retireSurplus(service, accounts);
+    for (const waiter of this.room.byUrgency(service)) {
+      this.planFor(waiter, service, accounts);
+    }
+  }
+
+  private planFor(
+    waiter: Waiter,
+    service: string,
+    accounts: readonly ResidencyAccount[],
+  ): void {
+    const {clock} = this.parts;
+    const nowMs = clock.now();
+    const {model, adapter} = waiter.request;
+    const holders = accounts.filter(
+      account => account.target.isOpen && account.keeps(model),
+    );
+    const ready = holders.filter(account => account.isReady(model, nowMs));
+    if (ready.length === 0) {
+      if (holders.length === 0) this.startSwap(model, service, accounts);
+      return;
+    }
+    for (const account of ready) this.keep(account, model);
+    if (adapter === undefined) {
+      this.resolve(waiter, ready);
+      return;
+    }
+    const withAdapter = ready.filter(account =>
+      account.residents.get(model)!.adapters.has(adapter),
+    );
+    if (withAdapter.length === 0) {
+      this.startAdapterSwap(model, adapter, ready);
+      return;
+    }
+    const usable = withAdapter.filter(account => {
+      const held = account.residents.get(model)!.adapters.get(adapter)!;
+      return held.readyMs <= nowMs && !held.isLeaving;
+    });
+    if (usable.length > 0) this.resolve(waiter, usable);
+  }
+
+  private keep(account: ResidencyAccount, model: string): void {
+    const resident = account.residents.get(model)!;
+    if (!resident.isRetiring) return;
+    resident.isRetiring = false;
+    this.parts.publish(account);
+  }
+
+  private resolve(waiter: Waiter, accounts: readonly ResidencyAccount[]): void {
+    const {clock, usage} = this.parts;
+    const {model, adapter, tried} = waiter.request;
+    let best: ResidencyAccount | undefined;
+    let bestLoad = Infinity;
+    for (const account of accounts) {
+      const wasTried = tried.has(account.id) ? account.engine.slots : 0;
+      const isAvoided = account.target.health.isAvoided ? 2 : 0;
+      const penalty = wasTried + isAvoided * account.engine.slots;
+      const load = usage.inFlight(account.id, model) + penalty;
+      if (load >= bestLoad) continue;
+      best = account;
+      bestLoad = load;
+    }
+    if (best === undefined) return;
+    const nowMs = clock.now();
+    const resident = best.residents.get(model)!;
+    resident.usedMs = nowMs;
+    usage.promise(best.id, model);
+    if (adapter !== undefined) {
+      resident.adapters.get(adapter)!.usedMs = nowMs;
+      usage.promise(best.id, residentKey(model, adapter));
+    }
+    this.room.remove(waiter);
+    waiter.resolve(ok(best.id));
+  }
+
+  private startSwap(
+    model: string,
+    service: string,
+    accounts: readonly ResidencyAccount[],
+  ): void {
+    const {clock, logger, usage} = this.parts;
+    const engine = this.engines().get(service);
+    if (engine === undefined || !engine.models.has(model)) return;
+    const storeLoads = this.storeBucket(service, engine);
+    const context: SwapContext = {
+      service,
+      nowMs: clock.now(),
+      usage,
+      accounts,
+      storeGrants: storeLoads.level >= 1,
+      waiting: other => this.room.waitingFor(service, other),
+    };
+    const swap = chooseSwap(model, context);
+    if (swap === undefined) return;
+    if (swap.fromStore) {
+      storeLoads.take(1);
+      storeLoads.settle(1, 1);
+    }
+    logger.info('swap_started', {
+      target: swap.account.id,
+      model,
+      victims: swap.victims.join(','),
+      ready_in_ms: swap.readyInMs,
+      from_store: swap.fromStore,
+      waiting: context.waiting(model),
+    });
+    void this.carryOut(swap);
+  }
+
+  private storeBucket(service: string, engine: EngineFacts): TokenBucket {
+    let bucket = this.storeLoads.get(service);
+    if (bucket === undefined) {
+      const rate = engine.storeLoadsPerSecond * STORE_RATE_SHARE;
+      // Empty at first: an earlier holder may just have used the rate up.
+      bucket = new TokenBucket(this.parts.clock, {rate, burst: STORE_BURST}, 0);
+      this.storeLoads.set(service, bucket);
+    }
+    return bucket;
+  }
+
+  private async carryOut(swap: Swap): Promise<void> {
+    const {account, model} = swap;
+    account.isBusy = true;
+    for (const victim of swap.victims) {
+      account.residents.get(victim)!.isLeaving = true;
+    }
+    if (swap.victims.length > 0) this.parts.publish(account);
+    const started = await account.inTurn(() => this.exchange(swap));
+    this.parts.publish(account);
+    if (started) {
+      const resident = account.residents.get(model);
+      const leftMs = (resident?.readyMs ?? 0) - this.parts.clock.now();
+      await this.parts.clock.sleep(leftMs, this.signal);
+      this.parts.publish(account);
+    }
+    account.isBusy = false;
+    this.plan(account.target.notice.service);
+  }
+
+  /** Unloads the victims and starts the load, while nothing else is ordered. */
+  private async exchange(swap: Swap): Promise<boolean> {
+    const {clock, orders} = this.parts;
+    const {account, model} = swap;
+    for (const victim of swap.victims) {
+      const order = {verb: 'unload', model: victim, adapter: undefined} as const;
+      const isGone = await orders.send(account, order, this.signal);
+      if (!isGone) return this.takeBack(swap);
+      account.residents.delete(victim);
+    }
+    const {loadMs} = account.loadOf(model);
+    const weightsMb = account.engine.models.get(model)!.weightsMb;
+    if (account.usedMb + weightsMb > account.engine.weightsMb) return false;
+    const resident = account.addResident(model, [], Infinity);
+    const order = {verb: 'load', model, adapter: undefined} as const;
+    const isAccepted = await orders.send(account, order, this.signal);
+    if (!isAccepted) {
+      if (!account.needsReport) account.residents.delete(model);
+      return false;
+    }
+    resident.readyMs = clock.now() + loadMs + LOAD_MARGIN_MS;
+    resident.usedMs = resident.readyMs;
+    return true;
+  }
+
+  private takeBack({account, victims}: Swap): false {
+    for (const victim of victims) {
+      const resident = account.residents.get(victim);
+      if (resident !== undefined) resident.isLeaving = false;
+    }
+    return false;
+  }
+
+  private startAdapterSwap(
+    model: string,
+    adapter: string,
+    ready: readonly ResidencyAccount[],
+  ): void {
+    const {clock, usage} = this.parts;
+    const wanted = {model, adapter};
+    const swap = chooseAdapterSwap(wanted, ready, usage, clock.now());
+    if (swap !== undefined) void this.loadAdapter(swap);
+  }
+
+  private async loadAdapter(swap: AdapterSwap): Promise<void> {
+    const {clock, orders, publish} = this.parts;
+    const {account, model, adapter, victim} = swap;
+    const resident = account.residents.get(model)!;
+    const leaving =
+      victim &&
+      account.residents.get(victim.model)?.adapters.get(victim.adapter);
+    if (leaving !== undefined) leaving.isLeaving = true;
+    account.addAdapter(model, adapter, Infinity);
+    if (victim !== undefined) publish(account);
+    await account.inTurn(async () => {
+      if (victim !== undefined) {
+        const order = {verb: 'unload', ...victim} as const;
+        const isGone = await orders.send(account, order, this.signal);
+        if (!isGone) {
+          resident.adapters.delete(adapter);
+          return;
+        }
+        account.residents.get(victim.model)?.adapters.delete(victim.adapter);
+      }
+      const order = {verb: 'load', model, adapter} as const;
+      const isAccepted = await orders.send(account, order, this.signal);
+      const added = resident.adapters.get(adapter);
+      if (!isAccepted && !account.needsReport) resident.adapters.delete(adapter);
+      else if (added !== undefined) {
+        added.readyMs = clock.now() + ADAPTER_LOAD_MS;
+      }
+    });
+    await clock.sleep(ADAPTER_LOAD_MS, this.signal);
+    publish(account);
+    this.plan(account.target.notice.service);
+  }
+
+  /** Lets copies run out that the demand does not need. */
+  private retireSurplus(
+    service: string,
+    accounts: readonly ResidencyAccount[],
+  ): void {
+    const {clock, usage} = this.parts;
+    const nowMs = clock.now();
+    const copies = new Map<string, ResidencyAccount[]>();
+    for (const account of accounts) {
+      if (!account.target.isOpen) continue;
+      for (const [model, resident] of account.residents) {
+        if (resident.readyMs > nowMs || resident.isLeaving) continue;
+        if (resident.isRetiring) continue;
+        const others = copies.get(model);
+        if (others === undefined) copies.set(model, [account]);
+        else others.push(account);
+      }
+    }
+    for (const [model, holders] of copies) {
+      if (holders.length < 2) continue;
+      let running = 0;
+      for (const {id} of holders) running += usage.inFlight(id, model);
+      const slots = holders[0].engine.slots * COPY_LOAD;
+      const needed = Math.max(1, Math.ceil(running / slots));
+      if (holders.length <= needed) continue;
+      this.retireOne(model, holders);
+    }
+  }
+
+  private retireOne(model: string, holders: ResidencyAccount[]): void {
+    const {usage} = this.parts;
+    let least: ResidencyAccount | undefined;
+    for (const account of holders) {
+      if (account.isBusy || account.needsReport) continue;
+      const load = usage.inFlight(account.id, model);
+      if (least === undefined || load < usage.inFlight(least.id, model)) {
+        least = account;
+      }
+    }
+    if (least === undefined) return;
+    least.residents.get(model)!.isRetiring = true;
+    this.parts.publish(least);
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -0,0 +1,410 @@
+/** A host's part in residency: it asks, reports and hears of views. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {DeploymentState} from '../gateway/deployment_state.js';
+import {ModelDemand} from '../gateway/caller_request.js';
+import {ModelFinder, ModelSearch} from '../gateway/model_finder.js';
+import {KnownTarget, TargetTable} from '../gateway/target_table.js';
+import {TeamQuotas} from '../gateway/team_quotas.js';
+import {PeerNetwork} from '../peers/peer_network.js';
+import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {EQUAL_PART, HostShares} from './host_shares.js';
+import {OrderLease} from './order_lease.js';
+import {ResidencyAccount} from './residency_account.js';
+import {ResidencyController} from './residency_controller.js';
+import {
+  FIND_TARGET,
+  FoundBody,
+  HOST_USAGE,
+  MODEL_ABSENT,
+  RESIDENCY_VIEW,
+  TargetView,
+  UsageBody,
+  ViewBody,
+} from './residency_messages.js';
+import {ModelArrivals, UsageTable} from './usage_table.js';
+
+/** Time between reports of a host and between views of the holder. */
+const REPORT_INTERVAL_MS = 100;
+
+/** A report or view without news is sent after this time. */
+const HEARTBEAT_MS = 300;
+
+/** Time between views that name every target. */
+const FULL_VIEW_MS = 2_000;
+
+/** Time between changes of the hosts' parts of the rates. */
+const SHARES_INTERVAL_MS = 500;
+
+/** How long a host believes the view and the part that it was told. */
+const VIEW_LIFE_MS = 1_500;
+
+/** Hosts that are assumed to share the rates before a holder was heard. */
+const ASSUMED_HOSTS = 12;
+
+/** Shortest time that callers of streams wait for a first event. */
+const MIN_CALLER_WAIT_MS = 1_800;
+
+/** How long callers wait for a first event, in latency objectives. */
+const CALLER_WAIT_OBJECTIVES = 3.5;
+
+/** Pause before the holder is asked again after a failed call. */
+const RETRY_PAUSE_MS = 60;
+
+/** When a caller may come back whose model has no holder in sight. */
+const RETRY_AFTER_MS = 1_500;
+
+/** What a {@link ResidencyHost} works with. */
+export interface ResidencyHostParts {
+  clock: Clock;
+  logger: Logger;
+  state: DeploymentState;
+  targets: TargetTable;
+  lease: OrderLease;
+  controller: ResidencyController;
+  usage: UsageTable;
+  shares: HostShares;
+  network: PeerNetwork;
+}
+
+/** The {@link ModelFinder} of a gateway host. */
+export class ResidencyHost extends ModelFinder {
+  /** Set once the quotas exist, whose shares come from here. */
+  quotas: TeamQuotas | undefined;
+  private readonly arrivals = new Map<string, ModelArrivals>();
+  private readonly ownShares = new Map<string, number>();
+  private followedView = false;
+  private knownHosts = ASSUMED_HOSTS;
+  private viewHeardMs = -Infinity;
+  private reportSentMs = -Infinity;
+  private lastReport = '';
+  private readonly changedViews = new Map<string, ResidencyAccount>();
+  private viewSentMs = -Infinity;
+  private fullViewSentMs = -Infinity;
+  private sharesSentMs = -Infinity;
+
+  /** @param parts - see {@link ResidencyHostParts}. */
+  constructor(private readonly parts: ResidencyHostParts) {
+    super();
+    this.serve();
+  }
+
+  /** Whether the holder's view goes before what targets announce. */
+  get followsView(): boolean {
+    if (this.parts.controller.isActive) return true;
+    return this.parts.clock.now() - this.viewHeardMs < VIEW_LIFE_MS;
+  }
+
+  /** Hosts that share the rates, as the holder last said. */
+  get hostCount(): number {
+    return this.knownHosts;
+  }
+
+  /** @returns this host's part of a team's rate. */
+  shareOf(team: string): number {
+    const told = this.ownShares.get(team);
+    if (told !== undefined && this.followsView) return told;
+    return EQUAL_PART / this.knownHosts;
+  }
+
+  override noteArrival(
+    service: string,
+    model: string,
+    objectiveMs: number,
+  ): void {
+    const key = `${service} ${model}`;
+    const known = this.arrivals.get(key);
+    if (known === undefined) {
+      this.arrivals.set(key, {service, model, count: 1, objectiveMs});
+      return;
+    }
+    known.count += 1;
+    known.objectiveMs = Math.min(known.objectiveMs, objectiveMs);
+  }
+
+  /** Notes that the hosts must hear what a target can be sent. */
+  publish(account: ResidencyAccount): void {
+    this.changedViews.set(account.id, account);
+    this.applyView(this.viewOf(account));
+    this.sendViews();
+  }
+
+  /**
+   * Reports and sends views until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.parts.clock.every(REPORT_INTERVAL_MS, signal, () => {
+      this.followShares();
+      this.sendReport();
+      this.sendViews();
+    });
+  }
+
+  override async find(
+    search: ModelSearch,
+    signal: AbortSignal,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    const {clock} = this.parts;
+    const giveUpMs = this.giveUpMs(search);
+    let retryAfterMs = RETRY_AFTER_MS;
+    while (!signal.aborted && clock.now() < giveUpMs) {
+      const found = await this.ask(search, giveUpMs, signal);
+      if (found?.target !== undefined) {
+        const target = this.adoptFound(found.target, search.demand);
+        if (target !== undefined) return ok(target);
+      } else if (found !== undefined) {
+        retryAfterMs = found.retryAfterMs;
+        if (clock.now() >= giveUpMs) break;
+      }
+      await clock.sleep(RETRY_PAUSE_MS, signal);
+      const held = this.heldSomewhere(search);
+      if (held !== undefined) return ok(held);
+    }
+    const {model} = search.demand;
+    const message = `no target holds ${model}`;
+    return err(refuse(REFUSAL.noCapacity, message, retryAfterMs));
+  }
+
+  override noteAbsent(target: KnownTarget, demand: ModelDemand): void {
+    const {model, adapter} = demand;
+    if (adapter === undefined) target.held.delete(model);
+    else target.held.get(model)?.delete(adapter);
+    const {id} = target.notice;
+    const {controller, lease, network} = this.parts;
+    if (controller.isActive) controller.noteAbsent(id, model, adapter);
+    else if (lease.holder !== undefined) {
+      const body = {target: id, model, adapter};
+      network.notify(lease.holder.host, MODEL_ABSENT, body);
+    }
+  }
+
+  /** Brings the quotas in line when the holder was lost or found. */
+  private followShares(): void {
+    const {followsView} = this;
+    if (followsView === this.followedView) return;
+    this.followedView = followsView;
+    this.reshapeQuotas();
+  }
+
+  private reshapeQuotas(): void {
+    const {deployment} = this.parts.state.current ?? {};
+    this.quotas?.reshape(deployment?.teams.values() ?? []);
+  }
+
+  private giveUpMs({objectiveEndMs, deadlineMs}: ModelSearch): number {
+    const nowMs = this.parts.clock.now();
+    const leftMs = Math.max(0, objectiveEndMs - nowMs);
+    const waitMs = Math.max(MIN_CALLER_WAIT_MS, leftMs * CALLER_WAIT_OBJECTIVES);
+    return Math.min(deadlineMs, nowMs + waitMs);
+  }
+
+  private async ask(
+    search: ModelSearch,
+    giveUpMs: number,
+    signal: AbortSignal,
+  ): Promise<FoundBody | undefined> {
+    const {clock, controller, lease, network} = this.parts;
+    const {service, demand, objectiveEndMs, tried} = search;
+    const {model, adapter} = demand;
+    if (controller.isActive) {
+      const found = await controller.find(
+        {service, model, adapter, objectiveEndMs, giveUpMs, tried},
+        signal,
+      );
+      if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
+      return {target: found.value, retryAfterMs: 0};
+    }
+    const {holder} = lease;
+    if (holder === undefined || holder.host === network.self.host) return;
+    const nowMs = clock.now();
+    const body = {
+      service,
+      model,
+      adapter,
+      objectiveInMs: objectiveEndMs - nowMs,
+      giveUpInMs: giveUpMs - nowMs,
+      tried: [...tried],
+    };
+    const timeoutMs = giveUpMs - nowMs;
+    const found = await network.call(holder.host, FIND_TARGET, body, {
+      timeoutMs,
+      signal,
+    });
+    return found.isOk() ? found.value : undefined;
+  }
+
+  private adoptFound(
+    id: string,
+    {model, adapter}: ModelDemand,
+  ): KnownTarget | undefined {
+    const target = this.parts.targets.get(id);
+    if (target === undefined || !target.isOpen) return undefined;
+    let adapters = target.held.get(model);
+    if (adapters === undefined) {
+      adapters = new Set();
+      target.held.set(model, adapters);
+    }
+    if (adapter !== undefined) adapters.add(adapter);
+    return target;
+  }
+
+  private heldSomewhere(search: ModelSearch): KnownTarget | undefined {
+    const {model, adapter} = search.demand;
+    for (const target of this.parts.targets.ofService(search.service)) {
+      if (!target.isOpen || search.tried.has(target.notice.id)) continue;
+      if (target.holds(model, adapter) && !target.health.isAvoided) {
+        return target;
+      }
+    }
+    return undefined;
+  }
+
+  private serve(): void {
+    const {clock, controller, network, shares, usage} = this.parts;
+    network.serveUnary(FIND_TARGET, async (body, {signal}) => {
+      const nowMs = clock.now();
+      const found = await controller.find(
+        {
+          service: body.service,
+          model: body.model,
+          adapter: body.adapter,
+          objectiveEndMs: nowMs + body.objectiveInMs,
+          giveUpMs: nowMs + body.giveUpInMs,
+          tried: new Set(body.tried),
+        },
+        signal,
+      );
+      if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
+      return {target: found.value, retryAfterMs: 0};
+    });
+    network.onNote(MODEL_ABSENT, ({target, model, adapter}) =>
+      controller.noteAbsent(target, model, adapter),
+    );
+    network.onNote(HOST_USAGE, (body, from) => {
+      usage.report(from.host, body);
+      shares.report(from.host, body.teams);
+    });
+    network.onNote(RESIDENCY_VIEW, (body, from) => {
+      this.hearView(body, from.incarnation);
+    });
+  }
+
+  private hearView(body: ViewBody, incarnation: string): void {
+    const {clock, controller, lease} = this.parts;
+    if (controller.isActive) return;
+    lease.noteHolderHeard(incarnation);
+    if (lease.holder?.incarnation !== incarnation) return;
+    this.viewHeardMs = clock.now();
+    this.knownHosts = Math.max(1, body.hosts);
+    for (const view of body.targets) this.applyView(view);
+    if (body.shares === undefined) return;
+    for (const [team, share] of body.shares) this.ownShares.set(team, share);
+    this.reshapeQuotas();
+  }
+
+  private applyView({id, held}: TargetView): void {
+    const target = this.parts.targets.get(id);
+    if (target === undefined) return;
+    target.held.clear();
+    for (const [model, adapters] of held) {
+      target.held.set(model, new Set(adapters));
+    }
+  }
+
+  private viewOf(account: ResidencyAccount): TargetView {
+    const nowMs = this.parts.clock.now();
+    const held: Array<[string, string[]]> = [];
+    for (const [model, resident] of account.residents) {
+      if (resident.readyMs > nowMs || resident.isLeaving) continue;
+      if (resident.isRetiring) continue;
+      const adapters = [...resident.adapters]
+        .filter(([, {readyMs, isLeaving}]) => readyMs <= nowMs && !isLeaving)
+        .map(([adapter]) => adapter);
+      held.push([model, adapters]);
+    }
+    return {id: account.id, held};
+  }
+
+  private sendReport(): void {
+    const {clock, controller, lease, network, shares, usage} = this.parts;
+    const nowMs = clock.now();
+    const inFlight = this.inFlight();
+    const {arrivals} = this;
+    const text = JSON.stringify(inFlight);
+    const isNews = text !== this.lastReport || arrivals.size > 0;
+    if (!isNews && nowMs - this.reportSentMs < HEARTBEAT_MS) return;
+    const body: UsageBody = {
+      inFlight,
+      arrivals: [...arrivals.values()],
+      teams: this.quotas?.drainDemand() ?? [],
+    };
+    this.lastReport = text;
+    this.reportSentMs = nowMs;
+    arrivals.clear();
+    const {host} = network.self;
+    if (controller.isActive) {
+      usage.report(host, body);
+      shares.report(host, body.teams);
+    } else if (lease.holder !== undefined) {
+      network.notify(lease.holder.host, HOST_USAGE, body);
+    }
+  }
+
+  private inFlight(): Array<[string, string, number]> {
+    const all: Array<[string, string, number]> = [];
+    for (const target of this.parts.targets.all()) {
+      for (const [key, count] of target.inFlightByModel) {
+        all.push([target.notice.id, key, count]);
+      }
+    }
+    return all;
+  }
+
+  private sendViews(): void {
+    const {clock, controller, network, shares, state} = this.parts;
+    if (!controller.isActive) {
+      this.changedViews.clear();
+      return;
+    }
+    const nowMs = clock.now();
+    const isFull = nowMs - this.fullViewSentMs >= FULL_VIEW_MS;
+    const isDue = nowMs - this.viewSentMs >= HEARTBEAT_MS;
+    if (!isFull && !isDue && this.changedViews.size === 0) return;
+    const accounts = isFull ? controller.all() : this.changedViews.values();
+    const targets: TargetView[] = [];
+    for (const account of accounts) {
+      if (!account.needsReport) targets.push(this.viewOf(account));
+    }
+    const withShares = nowMs - this.sharesSentMs >= SHARES_INTERVAL_MS;
+    if (withShares) shares.prune();
+    const teams = [...(state.current?.deployment.teams.keys() ?? [])];
+    const holder = network.self.incarnation;
+    const hosts = Math.max(1, shares.size);
+    for (const {host} of network.connected()) {
+      network.notify(host, RESIDENCY_VIEW, {
+        holder,
+        targets,
+        shares: withShares ? shares.sharesOf(host, teams) : undefined,
+        hosts,
+      });
+    }
+    if (withShares) this.adoptOwnShares(teams);
+    this.changedViews.clear();
+    this.viewSentMs = nowMs;
+    if (isFull) this.fullViewSentMs = nowMs;
+    if (withShares) this.sharesSentMs = nowMs;
+  }
+
+  private adoptOwnShares(teams: string[]): void {
+    const {network, shares} = this.parts;
+    this.knownHosts = Math.max(1, shares.size);
+    const own = shares.sharesOf(network.self.host, teams);
+    for (const [team, share] of own) this.ownShares.set(team, share);
+    this.reshapeQuotas();
+  }
+}
+
--- /dev/null
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -0,0 +1,100 @@
+/** What hosts tell each other about models and rates. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod} from '../peers/peer_network.js';
+
+const findSchema = z.object({
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+  /** Time left to the latency objective; negative once it has passed. */
+  objectiveInMs: z.number(),
+  /** Time left until the caller gives up. */
+  giveUpInMs: z.number(),
+  tried: z.array(z.string()),
+});
+
+/** Asks the lease holder for a target that holds a model. */
+export type FindBody = z.output<typeof findSchema>;
+
+const foundSchema = z.object({
+  /** Id of the target; unset if there will be none in time. */
+  target: z.string().optional(),
+  retryAfterMs: z.number(),
+});
+
+/** See {@link FIND_TARGET}. */
+export type FoundBody = z.output<typeof foundSchema>;
+
+/** A host asks the lease holder where a request can run. */
+export const FIND_TARGET: PeerMethod<FindBody, FoundBody> = {
+  name: 'residency-find',
+  body: findSchema,
+  event: foundSchema,
+};
+
+const absentSchema = z.object({
+  target: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+});
+
+/** A target refused a request, as it does not hold the model. */
+export const MODEL_ABSENT: PeerMethod<z.output<typeof absentSchema>, never> = {
+  name: 'residency-absent',
+  body: absentSchema,
+  event: z.never(),
+};
+
+const usageSchema = z.object({
+  inFlight: z.array(z.tuple([z.string(), z.string(), z.number()])),
+  arrivals: z.array(
+    z.object({
+      service: z.string(),
+      model: z.string(),
+      count: z.number(),
+      objectiveMs: z.number(),
+    }),
+  ),
+  /** Tokens that each team asked for since the last report. */
+  teams: z.array(z.tuple([z.string(), z.number()])),
+});
+
+/** See {@link HOST_USAGE}. */
+export type UsageBody = z.output<typeof usageSchema>;
+
+/** A host tells the lease holder what its requests use. */
+export const HOST_USAGE: PeerMethod<UsageBody, never> = {
+  name: 'residency-usage',
+  body: usageSchema,
+  event: z.never(),
+};
+
+const targetViewSchema = z.object({
+  id: z.string(),
+  /** Models that take requests, each with its adapters. */
+  held: z.array(z.tuple([z.string(), z.array(z.string())])),
+});
+
+/** What requests may be sent to a target. */
+export type TargetView = z.output<typeof targetViewSchema>;
+
+const viewSchema = z.object({
+  /** Incarnation of the lease holder. */
+  holder: z.string(),
+  targets: z.array(targetViewSchema),
+  /** The host's part of each team's rate; absent if unchanged. */
+  shares: z.array(z.tuple([z.string(), z.number()])).optional(),
+  /** Hosts that the holder hears, itself included. */
+  hosts: z.number(),
+});
+
+/** See {@link RESIDENCY_VIEW}. */
+export type ViewBody = z.output<typeof viewSchema>;
+
+/** The lease holder tells a host what the targets hold. */
+export const RESIDENCY_VIEW: PeerMethod<ViewBody, never> = {
+  name: 'residency-view',
+  body: viewSchema,
+  event: z.never(),
+};
--- /dev/null
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -0,0 +1,150 @@
+/** Chooses where to load a model and what makes way. @packageDocumentation */
+
+import {ResidencyAccount} from './residency_account.js';
+import {UsageTable} from './usage_table.js';
+
+/** How long the requests of a model run that must end before it is unloaded. */
+const DRAIN_MS = 1_500;
+
+/** Delay that one evicted request of a kind with a short objective counts as. */
+const MISS_FACTOR = 3;
+
+/** Share of an evicted rare model's reload that counts as delay. */
+const PATIENT_FACTOR = 0.25;
+
+const MS_PER_SECOND = 1_000;
+
+/** A load and what it evicts. */
+export interface Swap {
+  account: ResidencyAccount;
+  model: string;
+  victims: string[];
+  /** Expected time until the model can take requests. */
+  readyInMs: number;
+  fromStore: boolean;
+}
+
+/** What a choice depends on. */
+export interface SwapContext {
+  service: string;
+  nowMs: number;
+  usage: UsageTable;
+  accounts: readonly ResidencyAccount[];
+  /** Whether the weight store grants a load now. */
+  storeGrants: boolean;
+  /** @returns requests that wait for a model. */
+  waiting: (model: string) => number;
+}
+
+/**
+ * @param model - a model that no target holds.
+ * @param context - see {@link SwapContext}.
+ * @returns the swap that costs the waiting requests and those of the evicted
+ *     models the least time; undefined if none can start now.
+ */
+export function chooseSwap(
+  model: string,
+  context: SwapContext,
+): Swap | undefined {
+  const waiting = Math.max(1, context.waiting(model));
+  let best: Swap | undefined;
+  let bestCost = Infinity;
+  for (const account of context.accounts) {
+    if (!canOrder(account, context.nowMs)) continue;
+    const {loadMs, fromStore} = account.loadOf(model);
+    if (fromStore && !context.storeGrants) continue;
+    const made = makeRoom(account, model, context);
+    if (made === undefined) continue;
+    const readyInMs = made.drainMs + loadMs;
+    const cost = waiting * readyInMs + made.cost;
+    if (cost >= bestCost) continue;
+    const {victims} = made;
+    best = {account, model, victims, readyInMs, fromStore};
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** @returns whether an order for a model may go to a target now. */
+export function canOrder(account: ResidencyAccount, nowMs: number): boolean {
+  if (account.isBusy || account.needsReport) return false;
+  if (account.quietUntilMs > nowMs) return false;
+  return account.target.isOpen && !account.target.health.isAvoided;
+}
+
+interface Room {
+  victims: string[];
+  drainMs: number;
+  cost: number;
+}
+
+function makeRoom(
+  account: ResidencyAccount,
+  model: string,
+  context: SwapContext,
+): Room | undefined {
+  const facts = account.engine.models.get(model)!;
+  let freeMb = account.engine.weightsMb - account.usedMb;
+  const room: Room = {victims: [], drainMs: 0, cost: 0};
+  if (freeMb >= facts.weightsMb) return room;
+  const candidates = [...account.residents.keys()]
+    .map(held => ({held, ...evictionOf(account, held, context)}))
+    .sort((a, b) => a.cost + a.drainMs - b.cost - b.drainMs);
+  for (const {held, cost, drainMs, isBarred} of candidates) {
+    if (isBarred) continue;
+    const resident = account.residents.get(held)!;
+    const heldFacts = account.engine.models.get(held)!;
+    const adaptersMb = resident.adapters.size * heldFacts.adapterMb;
+    freeMb += heldFacts.weightsMb + adaptersMb;
+    room.victims.push(held);
+    room.cost += cost;
+    room.drainMs = Math.max(room.drainMs, drainMs);
+    if (freeMb >= facts.weightsMb) return room;
+  }
+  return undefined;
+}
+
+function evictionOf(
+  account: ResidencyAccount,
+  held: string,
+  context: SwapContext,
+): {cost: number; drainMs: number; isBarred: boolean} {
+  const {nowMs, service, usage} = context;
+  const resident = account.residents.get(held)!;
+  const isBarred =
+    resident.readyMs > nowMs ||
+    context.waiting(held) > 0 ||
+    !account.engine.models.has(held);
+  const running = usage.inFlight(account.id, held);
+  const drainMs = running > 0 ? DRAIN_MS : 0;
+  const {perSecond, objectiveMs} = usage.demand(service, held);
+  if (hasOtherCopy(account, held, context)) {
+    return {cost: perSecond, drainMs, isBarred};
+  }
+  const reloadMs = reloadTime(held, context);
+  const missed = (perSecond * reloadMs) / MS_PER_SECOND;
+  const isLate = objectiveMs < reloadMs;
+  const factor = isLate ? MISS_FACTOR : PATIENT_FACTOR;
+  const cost = factor * (missed + perSecond) * reloadMs;
+  return {cost, drainMs, isBarred};
+}
+
+function hasOtherCopy(
+  account: ResidencyAccount,
+  model: string,
+  {accounts, nowMs}: SwapContext,
+): boolean {
+  return accounts.some(
+    other =>
+      other !== account && other.target.isOpen && other.isReady(model, nowMs),
+  );
+}
+
+function reloadTime(model: string, {accounts}: SwapContext): number {
+  let reloadMs = Infinity;
+  for (const account of accounts) {
+    if (!account.target.isOpen) continue;
+    reloadMs = Math.min(reloadMs, account.loadOf(model).loadMs);
+  }
+  return reloadMs;
+}
--- /dev/null
+++ b/packages/core/src/lib/residency/waiting_room.ts
@@ -0,0 +1,78 @@
+/** Requests that wait for a model to be loaded. @packageDocumentation */
+
+import {Result, err} from 'neverthrow';
+import {Clock} from '../time/clock.js';
+import type {NotResident, ResidencyRequest} from './residency_controller.js';
+
+/** Rank behind every request that can still be on time. */
+const LATE_RANK = 1e12;
+
+/** A request that waits. */
+export interface Waiter {
+  request: ResidencyRequest;
+  /** Answers it; call it once, after it was removed. */
+  resolve: (result: Result<string, NotResident>) => void;
+}
+
+/** Waiting requests, those due first in front. */
+export class WaitingRoom {
+  private readonly waiters = new Set<Waiter>();
+
+  /** @param clock - tells which are on time. */
+  constructor(private readonly clock: Clock) {}
+
+  /** Adds a request. */
+  add(request: ResidencyRequest, resolve: Waiter['resolve']): Waiter {
+    const waiter = {request, resolve};
+    this.waiters.add(waiter);
+    return waiter;
+  }
+
+  /** Takes a request out. */
+  remove(waiter: Waiter): void {
+    this.waiters.delete(waiter);
+  }
+
+  /** @returns requests that wait for a model. */
+  waitingFor(service: string, model: string): number {
+    let count = 0;
+    for (const {request} of this.waiters) {
+      if (request.service === service && request.model === model) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * @returns the requests of a service: those that can still be on time, the
+   *     earliest due first, then the others.
+   */
+  byUrgency(service: string): Waiter[] {
+    const nowMs = this.clock.now();
+    const rank = ({request}: Waiter) => {
+      const lateMs = nowMs - request.objectiveEndMs;
+      return lateMs > 0 ? LATE_RANK + lateMs : -lateMs;
+    };
+    return [...this.waiters]
+      .filter(({request}) => request.service === service)
+      .sort((a, b) => rank(a) - rank(b));
+  }
+
+  /** Refuses requests whose callers have left or are about to. */
+  refuseExpired(retryAfterMs: number): void {
+    const nowMs = this.clock.now();
+    for (const waiter of this.waiters) {
+      if (waiter.request.giveUpMs > nowMs) continue;
+      this.refuse(waiter, retryAfterMs);
+    }
+  }
+
+  /** Refuses every request. */
+  refuseAll(retryAfterMs: number): void {
+    for (const waiter of this.waiters) this.refuse(waiter, retryAfterMs);
+  }
+
+  private refuse(waiter: Waiter, retryAfterMs: number): void {
+    this.waiters.delete(waiter);
+    waiter.resolve(err({retryAfterMs}));
+  }
+}
