Lend teams' tokens; let swaps wait for targets that hold the weights

Change: tokens are lent by the lease holder; a swap is chosen with the wait for busy targets and the delay of adapters counted.

--- a/packages/core/src/lib/gateway/model_finder.ts
+++ b/packages/core/src/lib/gateway/model_finder.ts
@@ -36,12 +36,12 @@
    * Notes a request for a model, once for each.
    *
    * @param service - the service that it goes to.
-   * @param model - name of the model.
+   * @param demand - what it asks for.
    * @param objectiveMs - its latency objective.
    */
   abstract noteArrival(
     service: string,
-    model: string,
+    demand: ModelDemand,
     objectiveMs: number,
   ): void;
 
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -111,7 +111,7 @@
    */
   async handle(req: Req): Promise<void> {
     const {clock, journal} = this.parts;
-    const admitted = this.admit(req);
+    const admitted = await this.admit(req);
     if (admitted.isErr()) {
       req.refuse(admitted.error);
       journal.ended(this.story(req, undefined, admitted.error));
@@ -133,7 +133,7 @@
     }
   }
 
-  private admit(req: Req): Result<Admitted, Refusal> {
+  private async admit(req: Req): Promise<Result<Admitted, Refusal>> {
     const {state, freshness, quotas} = this.parts;
     const inForce = state.current;
     if (inForce === undefined) return err(stale('no configuration is known'));
@@ -157,7 +157,7 @@
       req.tokens === undefined
         ? team.plainTokens
         : req.tokens.prompt + req.tokens.output;
-    const retryAfterMs = quotas.take(team, tokens);
+    const retryAfterMs = await quotas.take(team, tokens, req.signal);
     if (retryAfterMs === undefined) return ok({route, team, tokens});
     const message = 'the team is over its rate';
     return err(refuse(REFUSAL.overRate, message, retryAfterMs));
@@ -173,8 +173,8 @@
     call.service = service;
     this.parts.retries.noteRequest(service);
     if (req.demand !== undefined) {
-      const {model} = req.demand;
-      this.parts.models.noteArrival(service, model, call.route.objectiveMs);
+      const {objectiveMs} = call.route;
+      this.parts.models.noteArrival(service, req.demand, objectiveMs);
     }
     for (;;) {
       if (call.signal.aborted) return this.ended(req, call);
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -4,81 +4,192 @@
 import {Clock} from '../time/clock.js';
 import {TeamFacts} from './deployment.js';
 
-/** This host's part of a team's rate, from 0 to 1. */
-export type TeamShare = (team: string) => number;
-
 /** Longest time after which a refused caller is told to come back. */
 const MAX_RETRY_AFTER_MS = 3_000;
 
+/** Longest time that a request waits for tokens that are sure to come. */
+const TOKEN_WAIT_MS = 150;
+
+/** Time after which borrowed tokens that were not used are forgotten. */
+const WALLET_LIFE_MS = 3_000;
+
+/** Part of a team's burst that all hosts together may hold unused. */
+const HELD_PART = 0.3;
+
+/**
+ * Part of the burst that hosts without a lender divide: what the lender lent
+ * before it was lost counts in the same window.
+ */
+const OWN_BURST_PART = 0.5;
+
+/** Requests whose tokens are borrowed at once, if the team's rate allows. */
+const BORROWED_REQUESTS = 4;
+
+/** Tokens of a team that a host asks for. */
+export interface LoanRequest {
+  team: string;
+  /** Without these no request can run. */
+  neededTokens: number;
+  /** What the host would like to hold. */
+  wantedTokens: number;
+}
+
+/** Tokens that were lent, or none. */
+export interface Loan {
+  tokens: number;
+  /** Time until the tokens that are needed can be lent, if none were. */
+  waitMs: number;
+}
+
+/** Lends tokens out of the rates that hold over all hosts. */
+export abstract class TokenSource {
+  /**
+   * @param request - see {@link LoanRequest}.
+   * @param signal - gives up.
+   * @returns the loan, or nothing if no lender can be reached.
+   */
+  abstract borrow(
+    request: LoanRequest,
+    signal: AbortSignal,
+  ): Promise<Loan | undefined>;
+
+  /** Hosts among which the rates are divided while no lender is reached. */
+  abstract readonly hostCount: number;
+}
+
+/** Tokens that a team may use beyond its rate, over all hosts. */
+export interface QuotaSlack {
+  tokens: number;
+}
+
+interface Wallet {
+  tokens: number;
+  usedMs: number;
+  /** Used while no lender can be reached. */
+  own: TokenBucket;
+  ownShape: string;
+}
+
 /**
- * Holds each team to this host's part of its rate and burst. The parts of all
- * hosts add up to at most one, so that the team's rate holds over all of them.
+ * Tokens are moved between hosts, never copied: each is lent once, and counts
+ * where it is used. A host without a lender has an equal part of each rate.
  */
 export class TeamQuotas {
-  private readonly buckets = new Map<string, TokenBucket>();
-  private readonly wanted = new Map<string, number>();
+  private readonly wallets = new Map<string, Wallet>();
 
   /**
-   * @param clock - measures the refill.
-   * @param shareOf - this host's part; may change at any time.
+   * @param clock - measures refills and ages.
+   * @param source - lends the tokens.
+   * @param slack - what the rates may be exceeded by.
    */
   constructor(
     private readonly clock: Clock,
-    private readonly shareOf: TeamShare,
+    private readonly source: TokenSource,
+    private readonly slack: QuotaSlack,
   ) {}
 
   /**
+   * Takes the tokens of a request.
+   *
    * @param team - whose request it is.
    * @param tokens - what it counts as.
+   * @param signal - gives up.
    * @returns nothing if it may run, else when to come back, in milliseconds.
    */
-  take(team: TeamFacts, tokens: number): number | undefined {
+  async take(
+    team: TeamFacts,
+    tokens: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     if (team.tokensPerSecond <= 0) return undefined;
-    this.wanted.set(team.name, (this.wanted.get(team.name) ?? 0) + tokens);
-    const bucket = this.bucketOf(team);
-    if (bucket.take(tokens)) {
-      bucket.settle(tokens, tokens);
-      return undefined;
+    const wallet = this.walletOf(team);
+    if (this.spend(wallet, tokens)) return undefined;
+    let loan = await this.borrow(team, wallet, tokens, signal);
+    if (loan === undefined) return this.takeOwn(team, wallet, tokens);
+    if (loan.tokens === 0 && loan.waitMs <= TOKEN_WAIT_MS) {
+      await this.clock.sleep(loan.waitMs, signal);
+      loan = (await this.borrow(team, wallet, tokens, signal)) ?? loan;
     }
-    const waitMs = bucket.timeUntil(tokens);
-    return Math.min(MAX_RETRY_AFTER_MS, Math.ceil(waitMs));
+    if (this.spend(wallet, tokens)) return undefined;
+    return Math.min(MAX_RETRY_AFTER_MS, Math.max(1, Math.ceil(loan.waitMs)));
   }
 
   /** Gives back what a request took that did not run. */
   giveBack(team: TeamFacts, tokens: number): void {
-    this.buckets.get(team.name)?.settle(0, -tokens);
+    const wallet = this.wallets.get(team.name);
+    if (wallet === undefined || team.tokensPerSecond <= 0) return;
+    const room = Math.max(0, this.heldLimit(team) - wallet.tokens);
+    wallet.tokens += Math.min(room, tokens);
   }
 
-  /** @returns tokens that each team asked for since the last call. */
-  drainDemand(): Array<[team: string, tokens: number]> {
-    const demand = [...this.wanted];
-    this.wanted.clear();
-    return demand;
+  private spend(wallet: Wallet, tokens: number): boolean {
+    const nowMs = this.clock.now();
+    if (nowMs - wallet.usedMs > WALLET_LIFE_MS) wallet.tokens = 0;
+    wallet.usedMs = nowMs;
+    if (wallet.tokens < tokens) return false;
+    wallet.tokens -= tokens;
+    return true;
   }
 
-  /** Brings the buckets in line with the shares of now. */
-  reshape(teams: Iterable<TeamFacts>): void {
-    for (const team of teams) {
-      const bucket = this.buckets.get(team.name);
-      if (bucket !== undefined) bucket.reshape(this.shapeOf(team));
+  private async borrow(
+    team: TeamFacts,
+    wallet: Wallet,
+    tokens: number,
+    signal: AbortSignal,
+  ): Promise<Loan | undefined> {
+    const neededTokens = Math.max(0, tokens - wallet.tokens);
+    const ahead = Math.min(this.heldLimit(team), tokens * BORROWED_REQUESTS);
+    const request = {
+      team: team.name,
+      neededTokens,
+      wantedTokens: neededTokens + ahead,
+    };
+    const loan = await this.source.borrow(request, signal);
+    if (loan !== undefined) wallet.tokens += loan.tokens;
+    return loan;
+  }
+
+  /** Uses this host's equal part of the rate. */
+  private takeOwn(
+    team: TeamFacts,
+    wallet: Wallet,
+    tokens: number,
+  ): number | undefined {
+    this.shapeOwn(team, wallet);
+    if (wallet.own.take(tokens)) {
+      wallet.own.settle(tokens, tokens);
+      return undefined;
     }
+    return Math.min(MAX_RETRY_AFTER_MS, wallet.own.timeUntil(tokens));
   }
 
-  private bucketOf(team: TeamFacts): TokenBucket {
-    let bucket = this.buckets.get(team.name);
-    if (bucket === undefined) {
-      const shape = this.shapeOf(team);
-      bucket = new TokenBucket(this.clock, shape, shape.burst);
-      this.buckets.set(team.name, bucket);
+  private heldLimit(team: TeamFacts): number {
+    return (team.burstTokens * HELD_PART) / this.source.hostCount;
+  }
+
+  private walletOf(team: TeamFacts): Wallet {
+    let wallet = this.wallets.get(team.name);
+    if (wallet === undefined) {
+      const own = new TokenBucket(this.clock, this.ownShapeOf(team), 0);
+      wallet = {tokens: 0, usedMs: this.clock.now(), own, ownShape: ''};
+      this.wallets.set(team.name, wallet);
     }
-    return bucket;
+    return wallet;
+  }
+
+  private shapeOwn(team: TeamFacts, wallet: Wallet): void {
+    const shape = this.ownShapeOf(team);
+    const text = `${shape.rate} ${shape.burst}`;
+    if (text === wallet.ownShape) return;
+    wallet.ownShape = text;
+    wallet.own.reshape(shape);
   }
 
-  private shapeOf(team: TeamFacts): {rate: number; burst: number} {
-    const share = this.shareOf(team.name);
+  private ownShapeOf(team: TeamFacts): {rate: number; burst: number} {
+    const {hostCount} = this.source;
     return {
-      rate: team.tokensPerSecond * share,
-      burst: team.burstTokens * share,
+      rate: team.tokensPerSecond / hostCount,
+      burst: (team.burstTokens * OWN_BURST_PART + this.slack.tokens) / hostCount,
     };
   }
 }
--- a/packages/core/src/lib/residency/adapter_choice.ts
+++ b/packages/core/src/lib/residency/adapter_choice.ts
@@ -57,6 +57,8 @@
   if (resident === undefined || resident.readyMs > nowMs) return false;
   if (resident.isLeaving || !account.target.isOpen) return false;
   if (account.needsReport || account.quietUntilMs > nowMs) return false;
+  // A target refuses every other order while it exchanges models.
+  if (account.isBusy) return false;
   if (adaptersInTransit(account, nowMs) >= MAX_ADAPTERS_IN_TRANSIT) {
     return false;
   }
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -36,6 +36,10 @@
   orderCount: number;
   /** Whether an order for a whole model is being carried out. */
   isBusy = false;
+  /** Clock time at which that order is expected to end. */
+  busyUntilMs = -Infinity;
+  /** Whether the weight store is being read for it. */
+  readsStore = false;
   /** Whether the account must be compared with the target's own report. */
   needsReport = false;
   /** Clock time before which nothing is ordered. */
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -16,6 +16,7 @@
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 import {Swap, SwapContext, chooseSwap} from './swap_choice.js';
+import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 import {Waiter, WaitingRoom} from './waiting_room.js';
 
@@ -38,6 +39,15 @@
 /** Loads from the store that may begin at once. */
 const STORE_BURST = 2;
 
+/**
+ * Part of the targets that may load from the store at once: each of them takes
+ * no other order for seconds.
+ */
+const STORE_TARGETS_PART = 0.25;
+
+/** Pause after an unload, during which the target drops the weights. */
+const UNLOAD_PAUSE_MS = 52;
+
 /** In flight, as a share of the slots, that calls for another copy. */
 const COPY_LOAD = 0.5;
 
@@ -53,6 +63,7 @@
   lease: OrderLease;
   orders: ResidencyOrders;
   usage: UsageTable;
+  lender: TokenLender;
   /** Tells the hosts what a target can be sent. */
   publish: (account: ResidencyAccount) => void;
 }
@@ -164,6 +175,7 @@
     this.activeFencing = fencing;
     this.accounts.clear();
     this.storeLoads.clear();
+    this.parts.lender.restart();
   }
 
   private engines(): Map<string, EngineFacts> {
@@ -307,12 +319,14 @@
     const engine = this.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const storeLoads = this.storeBucket(service, engine);
+    const reading = accounts.filter(({readsStore}) => readsStore).length;
+    const mostReading = Math.max(1, accounts.length * STORE_TARGETS_PART);
     const context: SwapContext = {
       service,
       nowMs: clock.now(),
       usage,
       accounts,
-      storeGrants: storeLoads.level >= 1,
+      storeGrants: storeLoads.level >= 1 && reading < mostReading,
       waiting: other => this.room.waitingFor(service, other),
     };
     const swap = chooseSwap(model, context);
@@ -346,6 +360,8 @@
   private async carryOut(swap: Swap): Promise<void> {
     const {account, model} = swap;
     account.isBusy = true;
+    account.busyUntilMs = this.parts.clock.now() + swap.readyInMs;
+    account.readsStore = swap.fromStore;
     for (const victim of swap.victims) {
       account.residents.get(victim)!.isLeaving = true;
     }
@@ -359,6 +375,7 @@
       this.parts.publish(account);
     }
     account.isBusy = false;
+    account.readsStore = false;
     this.plan(account.target.notice.service);
   }
 
@@ -372,6 +389,9 @@
       if (!isGone) return this.takeBack(swap);
       account.residents.delete(victim);
     }
+    if (swap.victims.length > 0) {
+      await clock.sleep(UNLOAD_PAUSE_MS, this.signal);
+    }
     const {loadMs} = account.loadOf(model);
     const weightsMb = account.engine.models.get(model)!.weightsMb;
     if (account.usedMb + weightsMb > account.engine.weightsMb) return false;
@@ -384,6 +404,7 @@
     }
     resident.readyMs = clock.now() + loadMs + LOAD_MARGIN_MS;
     resident.usedMs = resident.readyMs;
+    account.busyUntilMs = resident.readyMs;
     return true;
   }
 
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -1,20 +1,19 @@
 /** A host's part in residency: it asks, reports and hears of views. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {DeploymentState} from '../gateway/deployment_state.js';
 import {ModelDemand} from '../gateway/caller_request.js';
 import {ModelFinder, ModelSearch} from '../gateway/model_finder.js';
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
-import {TeamQuotas} from '../gateway/team_quotas.js';
+import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerNetwork} from '../peers/peer_network.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
-import {EQUAL_PART, HostShares} from './host_shares.js';
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 import {ResidencyController} from './residency_controller.js';
 import {
+  BORROW_TOKENS,
   FIND_TARGET,
   FoundBody,
   HOST_USAGE,
@@ -24,6 +23,7 @@
   UsageBody,
   ViewBody,
 } from './residency_messages.js';
+import {TokenLender} from './token_lender.js';
 import {ModelArrivals, UsageTable} from './usage_table.js';
 
 /** Time between reports of a host and between views of the holder. */
@@ -35,10 +35,7 @@
 /** Time between views that name every target. */
 const FULL_VIEW_MS = 2_000;
 
-/** Time between changes of the hosts' parts of the rates. */
-const SHARES_INTERVAL_MS = 500;
-
-/** How long a host believes the view and the part that it was told. */
+/** How long a host believes the view that it was told. */
 const VIEW_LIFE_MS = 1_500;
 
 /** Hosts that are assumed to share the rates before a holder was heard. */
@@ -53,6 +50,9 @@
 /** Pause before the holder is asked again after a failed call. */
 const RETRY_PAUSE_MS = 60;
 
+/** Longest wait for a loan: a lender that is reached answers at once. */
+const LOAN_LIMIT_MS = 250;
+
 /** When a caller may come back whose model has no holder in sight. */
 const RETRY_AFTER_MS = 1_500;
 
@@ -60,22 +60,17 @@
 export interface ResidencyHostParts {
   clock: Clock;
   logger: Logger;
-  state: DeploymentState;
   targets: TargetTable;
   lease: OrderLease;
   controller: ResidencyController;
   usage: UsageTable;
-  shares: HostShares;
+  lender: TokenLender;
   network: PeerNetwork;
 }
 
 /** The {@link ModelFinder} of a gateway host. */
 export class ResidencyHost extends ModelFinder {
-  /** Set once the quotas exist, whose shares come from here. */
-  quotas: TeamQuotas | undefined;
   private readonly arrivals = new Map<string, ModelArrivals>();
-  private readonly ownShares = new Map<string, number>();
-  private followedView = false;
   private knownHosts = ASSUMED_HOSTS;
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
@@ -83,7 +78,6 @@
   private readonly changedViews = new Map<string, ResidencyAccount>();
   private viewSentMs = -Infinity;
   private fullViewSentMs = -Infinity;
-  private sharesSentMs = -Infinity;
 
   /** @param parts - see {@link ResidencyHostParts}. */
   constructor(private readonly parts: ResidencyHostParts) {
@@ -102,25 +96,39 @@
     return this.knownHosts;
   }
 
-  /** @returns this host's part of a team's rate. */
-  shareOf(team: string): number {
-    const told = this.ownShares.get(team);
-    if (told !== undefined && this.followsView) return told;
-    return EQUAL_PART / this.knownHosts;
+  /**
+   * Borrows tokens from the lease holder.
+   *
+   * @returns the loan, or nothing if the holder cannot be reached.
+   */
+  async borrow(
+    request: LoanRequest,
+    signal: AbortSignal,
+  ): Promise<Loan | undefined> {
+    const {controller, lease, lender, network} = this.parts;
+    if (controller.isActive) return lender.lend(request);
+    const {holder} = lease;
+    if (holder === undefined || !this.followsView) return undefined;
+    const loan = await network.call(holder.host, BORROW_TOKENS, request, {
+      timeoutMs: LOAN_LIMIT_MS,
+      signal,
+    });
+    return loan.isOk() ? loan.value : undefined;
   }
 
   override noteArrival(
     service: string,
-    model: string,
+    {model, adapter}: ModelDemand,
     objectiveMs: number,
   ): void {
     const key = `${service} ${model}`;
-    const known = this.arrivals.get(key);
+    let known = this.arrivals.get(key);
     if (known === undefined) {
-      this.arrivals.set(key, {service, model, count: 1, objectiveMs});
-      return;
+      known = {service, model, count: 0, adapterCount: 0, objectiveMs};
+      this.arrivals.set(key, known);
     }
     known.count += 1;
+    if (adapter !== undefined) known.adapterCount += 1;
     known.objectiveMs = Math.min(known.objectiveMs, objectiveMs);
   }
 
@@ -138,7 +146,6 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     await this.parts.clock.every(REPORT_INTERVAL_MS, signal, () => {
-      this.followShares();
       this.sendReport();
       this.sendViews();
     });
@@ -182,19 +189,6 @@
     }
   }
 
-  /** Brings the quotas in line when the holder was lost or found. */
-  private followShares(): void {
-    const {followsView} = this;
-    if (followsView === this.followedView) return;
-    this.followedView = followsView;
-    this.reshapeQuotas();
-  }
-
-  private reshapeQuotas(): void {
-    const {deployment} = this.parts.state.current ?? {};
-    this.quotas?.reshape(deployment?.teams.values() ?? []);
-  }
-
   private giveUpMs({objectiveEndMs, deadlineMs}: ModelSearch): number {
     const nowMs = this.parts.clock.now();
     const leftMs = Math.max(0, objectiveEndMs - nowMs);
@@ -264,7 +258,12 @@
   }
 
   private serve(): void {
-    const {clock, controller, network, shares, usage} = this.parts;
+    const {clock, controller, lender, network, usage} = this.parts;
+    network.serveUnary(BORROW_TOKENS, request => {
+      // A rejected call makes the host use its own part of the rate.
+      if (!controller.isActive) throw new Error('not the lease holder');
+      return lender.lend(request);
+    });
     network.serveUnary(FIND_TARGET, async (body, {signal}) => {
       const nowMs = clock.now();
       const found = await controller.find(
@@ -286,7 +285,6 @@
     );
     network.onNote(HOST_USAGE, (body, from) => {
       usage.report(from.host, body);
-      shares.report(from.host, body.teams);
     });
     network.onNote(RESIDENCY_VIEW, (body, from) => {
       this.hearView(body, from.incarnation);
@@ -301,9 +299,6 @@
     this.viewHeardMs = clock.now();
     this.knownHosts = Math.max(1, body.hosts);
     for (const view of body.targets) this.applyView(view);
-    if (body.shares === undefined) return;
-    for (const [team, share] of body.shares) this.ownShares.set(team, share);
-    this.reshapeQuotas();
   }
 
   private applyView({id, held}: TargetView): void {
@@ -330,7 +325,7 @@
   }
 
   private sendReport(): void {
-    const {clock, controller, lease, network, shares, usage} = this.parts;
+    const {clock, controller, lease, network, usage} = this.parts;
     const nowMs = clock.now();
     const inFlight = this.inFlight();
     const {arrivals} = this;
@@ -340,7 +335,6 @@
     const body: UsageBody = {
       inFlight,
       arrivals: [...arrivals.values()],
-      teams: this.quotas?.drainDemand() ?? [],
     };
     this.lastReport = text;
     this.reportSentMs = nowMs;
@@ -348,7 +342,6 @@
     const {host} = network.self;
     if (controller.isActive) {
       usage.report(host, body);
-      shares.report(host, body.teams);
     } else if (lease.holder !== undefined) {
       network.notify(lease.holder.host, HOST_USAGE, body);
     }
@@ -365,7 +358,7 @@
   }
 
   private sendViews(): void {
-    const {clock, controller, network, shares, state} = this.parts;
+    const {clock, controller, network, usage} = this.parts;
     if (!controller.isActive) {
       this.changedViews.clear();
       return;
@@ -379,32 +372,17 @@
     for (const account of accounts) {
       if (!account.needsReport) targets.push(this.viewOf(account));
     }
-    const withShares = nowMs - this.sharesSentMs >= SHARES_INTERVAL_MS;
-    if (withShares) shares.prune();
-    const teams = [...(state.current?.deployment.teams.keys() ?? [])];
-    const holder = network.self.incarnation;
-    const hosts = Math.max(1, shares.size);
+    this.knownHosts = Math.max(1, usage.hostCount);
+    const view = {
+      holder: network.self.incarnation,
+      targets,
+      hosts: this.knownHosts,
+    };
     for (const {host} of network.connected()) {
-      network.notify(host, RESIDENCY_VIEW, {
-        holder,
-        targets,
-        shares: withShares ? shares.sharesOf(host, teams) : undefined,
-        hosts,
-      });
+      network.notify(host, RESIDENCY_VIEW, view);
     }
-    if (withShares) this.adoptOwnShares(teams);
     this.changedViews.clear();
     this.viewSentMs = nowMs;
     if (isFull) this.fullViewSentMs = nowMs;
-    if (withShares) this.sharesSentMs = nowMs;
-  }
-
-  private adoptOwnShares(teams: string[]): void {
-    const {network, shares} = this.parts;
-    this.knownHosts = Math.max(1, shares.size);
-    const own = shares.sharesOf(network.self.host, teams);
-    for (const [team, share] of own) this.ownShares.set(team, share);
-    this.reshapeQuotas();
   }
 }
-
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -1,6 +1,7 @@
 /** What hosts tell each other about models and rates. @packageDocumentation */
 
 import {z} from 'zod';
+import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerMethod} from '../peers/peer_network.js';
 
 const findSchema = z.object({
@@ -53,11 +54,10 @@
       service: z.string(),
       model: z.string(),
       count: z.number(),
+      adapterCount: z.number(),
       objectiveMs: z.number(),
     }),
   ),
-  /** Tokens that each team asked for since the last report. */
-  teams: z.array(z.tuple([z.string(), z.number()])),
 });
 
 /** See {@link HOST_USAGE}. */
@@ -83,8 +83,6 @@
   /** Incarnation of the lease holder. */
   holder: z.string(),
   targets: z.array(targetViewSchema),
-  /** The host's part of each team's rate; absent if unchanged. */
-  shares: z.array(z.tuple([z.string(), z.number()])).optional(),
   /** Hosts that the holder hears, itself included. */
   hosts: z.number(),
 });
@@ -98,3 +96,18 @@
   body: viewSchema,
   event: z.never(),
 };
+
+const loanRequestSchema = z.object({
+  team: z.string(),
+  neededTokens: z.number(),
+  wantedTokens: z.number(),
+});
+
+const loanSchema = z.object({tokens: z.number(), waitMs: z.number()});
+
+/** A host borrows tokens of a team from the lease holder. */
+export const BORROW_TOKENS: PeerMethod<LoanRequest, Loan> = {
+  name: 'tokens-borrow',
+  body: loanRequestSchema,
+  event: loanSchema,
+};
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -9,6 +9,9 @@
 /** Delay that one evicted request of a kind with a short objective counts as. */
 const MISS_FACTOR = 3;
 
+/** Part of the requests with adapters whose adapter is not there. */
+const ADAPTER_MISS_PART = 0.3;
+
 /** Share of an evicted rare model's reload that counts as delay. */
 const PATIENT_FACTOR = 0.25;
 
@@ -40,7 +43,8 @@
  * @param model - a model that no target holds.
  * @param context - see {@link SwapContext}.
  * @returns the swap that costs the waiting requests and those of the evicted
- *     models the least time; undefined if none can start now.
+ *     models the least time; undefined if it is best to wait for a target that
+ *     is busy now, or if none can be used.
  */
 export function chooseSwap(
   model: string,
@@ -49,29 +53,50 @@
   const waiting = Math.max(1, context.waiting(model));
   let best: Swap | undefined;
   let bestCost = Infinity;
+  let bestWaitMs = 0;
   for (const account of context.accounts) {
-    if (!canOrder(account, context.nowMs)) continue;
+    if (!canUse(account, context.nowMs)) continue;
     const {loadMs, fromStore} = account.loadOf(model);
     if (fromStore && !context.storeGrants) continue;
     const made = makeRoom(account, model, context);
     if (made === undefined) continue;
+    const waitMs = account.isBusy
+      ? Math.max(0, account.busyUntilMs - context.nowMs)
+      : 0;
     const readyInMs = made.drainMs + loadMs;
-    const cost = waiting * readyInMs + made.cost;
+    const busyCost = adapterCost(account, readyInMs, context);
+    const cost = waiting * (waitMs + readyInMs) + made.cost + busyCost;
     if (cost >= bestCost) continue;
     const {victims} = made;
     best = {account, model, victims, readyInMs, fromStore};
     bestCost = cost;
+    bestWaitMs = waitMs;
   }
-  return best;
+  return bestWaitMs > 0 || best?.account.isBusy ? undefined : best;
 }
 
-/** @returns whether an order for a model may go to a target now. */
-export function canOrder(account: ResidencyAccount, nowMs: number): boolean {
-  if (account.isBusy || account.needsReport) return false;
-  if (account.quietUntilMs > nowMs) return false;
+/** @returns whether orders for models can go to a target, now or soon. */
+function canUse(account: ResidencyAccount, nowMs: number): boolean {
+  if (account.needsReport || account.quietUntilMs > nowMs) return false;
   return account.target.isOpen && !account.target.health.isAvoided;
 }
 
+/** Delay of requests whose adapters cannot be loaded during an exchange. */
+function adapterCost(
+  account: ResidencyAccount,
+  busyMs: number,
+  {service, usage, accounts}: SwapContext,
+): number {
+  let perSecond = 0;
+  for (const model of account.residents.keys()) {
+    const copies = accounts.filter(other => other.keeps(model)).length;
+    const demand = usage.demand(service, model);
+    perSecond += demand.adapterPerSecond / Math.max(1, copies);
+  }
+  const misses = (perSecond * busyMs * ADAPTER_MISS_PART) / MS_PER_SECOND;
+  return misses * MISS_FACTOR * busyMs;
+}
+
 interface Room {
   victims: string[];
   drainMs: number;
@@ -112,7 +137,8 @@
   const {nowMs, service, usage} = context;
   const resident = account.residents.get(held)!;
   const isBarred =
-    resident.readyMs > nowMs ||
+    resident.isLeaving ||
+    resident.readyMs > nowMs + Math.max(0, account.busyUntilMs - nowMs) ||
     context.waiting(held) > 0 ||
     !account.engine.models.has(held);
   const running = usage.inFlight(account.id, held);
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -25,6 +25,8 @@
   service: string;
   model: string;
   count: number;
+  /** Those among them that need an adapter. */
+  adapterCount: number;
   /** Shortest latency objective among them. */
   objectiveMs: number;
 }
@@ -32,6 +34,8 @@
 /** Demand for a model over all hosts. */
 export interface ModelDemandRate {
   perSecond: number;
+  /** Requests a second that need an adapter. */
+  adapterPerSecond: number;
   objectiveMs: number;
 }
 
@@ -50,6 +54,11 @@
   /** @param clock - measures rates and ages. */
   constructor(private readonly clock: Clock) {}
 
+  /** Number of hosts that have reported of late. */
+  get hostCount(): number {
+    return this.hosts.size;
+  }
+
   /** Takes in a host's report, which replaces its earlier one. */
   report(host: string, report: UsageReport): void {
     const inFlight = new Map<string, number>();
@@ -62,14 +71,10 @@
 
   /** Counts requests for a model. */
   addArrivals(arrivals: ModelArrivals): void {
-    const {service, model, count, objectiveMs} = arrivals;
+    const {service, model, count, adapterCount, objectiveMs} = arrivals;
     const key = `${service} ${model}`;
-    let rate = this.rates.get(key);
-    if (rate === undefined) {
-      rate = new DecayingRate(this.clock, RATE_WINDOW_MS);
-      this.rates.set(key, rate);
-    }
-    rate.add(count);
+    this.rateOf(key).add(count);
+    if (adapterCount > 0) this.rateOf(adapterKey(key)).add(adapterCount);
     const known = this.objectives.get(key) ?? Infinity;
     this.objectives.set(key, Math.min(known, objectiveMs));
   }
@@ -95,10 +100,20 @@
     const key = `${service} ${model}`;
     return {
       perSecond: this.rates.get(key)?.value ?? 0,
+      adapterPerSecond: this.rates.get(adapterKey(key))?.value ?? 0,
       objectiveMs: this.objectives.get(key) ?? Infinity,
     };
   }
 
+  private rateOf(key: string): DecayingRate {
+    let rate = this.rates.get(key);
+    if (rate === undefined) {
+      rate = new DecayingRate(this.clock, RATE_WINDOW_MS);
+      this.rates.set(key, rate);
+    }
+    return rate;
+  }
+
   /** Drops what is too old to count. */
   prune(): void {
     const nowMs = this.clock.now();
@@ -110,3 +125,7 @@
     }
   }
 }
+
+function adapterKey(key: string): string {
+  return `${key} adapters`;
+}
