Let victims drain before they are unloaded; count the lease from the holder's news

Cause: an unload waits for its runs for up to 5 s and blocks every other order of the target; a plan ran with the accounts of an earlier lease; followers counted the lapsed lease only from their first read of the log.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -23,7 +23,7 @@
 const CLAIM_SPREAD_MS = 150;
 
 /** How long a holder that its peers hear is believed without the log. */
-const HOLDER_HEARD_MS = 900;
+const HOLDER_HEARD_MS = 750;
 
 /** Who holds the lease, as this host knows. */
 export interface LeaseHolder {
@@ -64,6 +64,7 @@
   private holderHeardMs = -Infinity;
   private isKnown = false;
   private isStopping = false;
+  private isSilent = false;
   private readonly watch: SuspensionWatch;
   private readonly listeners: Array<() => void> = [];
 
@@ -96,10 +97,26 @@
     this.listeners.push(listener);
   }
 
-  /** Notes that the holder was heard of by other means than the log. */
-  noteHolderHeard(incarnation: string): void {
+  /** Offset after the newest record that this host knows. */
+  get knownEnd(): number {
+    return this.end;
+  }
+
+  /**
+   * Notes that the holder was heard of by other means than the log.
+   *
+   * @param incarnation - who was heard.
+   * @param end - offset after its newest record, which it had by then.
+   */
+  noteHolderHeard(incarnation: string, end: number): void {
     if (this.newest?.incarnation !== incarnation) return;
-    this.holderHeardMs = this.parts.clock.now();
+    const nowMs = this.parts.clock.now();
+    this.holderHeardMs = nowMs;
+    this.isSilent = false;
+    if (end <= this.end) return;
+    // What was appended by now binds this host from now on.
+    this.end = end;
+    this.seenMs = nowMs;
   }
 
   /**
@@ -131,6 +148,7 @@
       return;
     }
     if (this.heardHolder()) return;
+    this.noteSilence();
     await this.readTail(signal);
     if (!this.isKnown || !this.mayClaim()) return;
     const {clock, random} = this.parts;
@@ -138,6 +156,15 @@
     if (!this.isStopping) await this.append(LEASE_EVENT.claim, signal);
   }
 
+  /** Logs once that the holder has gone silent. */
+  private noteSilence(): void {
+    const {logger} = this.parts;
+    if (this.isSilent || this.newest === undefined) return;
+    this.isSilent = true;
+    const {host, incarnation} = this.newest;
+    logger.info('order_lease_holder_silent', {holder: host, incarnation});
+  }
+
   private heardHolder(): boolean {
     const silentMs = this.parts.clock.now() - this.holderHeardMs;
     return silentMs < HOLDER_HEARD_MS;
@@ -178,6 +205,7 @@
     this.newest = record;
     this.end = end;
     this.seenMs = this.parts.clock.now();
+    this.isSilent = false;
     this.fencing = record.claimOffset ?? end - 1;
     if (record.incarnation !== this.parts.incarnation) {
       this.heldUntilMs = -Infinity;
@@ -198,7 +226,11 @@
       log.append(record, this.end, limited),
     );
     if (offset.isErr()) {
-      logger.info('order_lease_append_failed', {event, reason: offset.error});
+      logger.info('order_lease_append_failed', {
+        record: event,
+        expected_end: this.end,
+        reason: offset.error,
+      });
       await this.readTail(signal);
       return;
     }
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -107,6 +107,12 @@
     return this.parts.lease.isHeld;
   }
 
+  /** Whether the accounts are those of the present lease. */
+  private get hasTakenOver(): boolean {
+    const {lease} = this.parts;
+    return lease.isHeld && this.activeFencing === lease.fencingNumber;
+  }
+
   /** @returns the accounts of all targets. */
   all(): IterableIterator<ResidencyAccount> {
     return this.accounts.values();
@@ -136,7 +142,7 @@
     return new Promise(resolve => {
       const waiter = this.room.add(request, resolve);
       signal.addEventListener('abort', () => this.room.remove(waiter));
-      if (this.isActive) this.plan(request.service);
+      if (this.hasTakenOver) this.plan(request.service);
     });
   }
 
@@ -331,6 +337,10 @@
     };
     const swap = chooseSwap(model, context);
     if (swap === undefined) return;
+    if (swap.mustDrain) {
+      this.drain(swap);
+      return;
+    }
     if (swap.fromStore) {
       storeLoads.take(1);
       storeLoads.settle(1, 1);
@@ -346,6 +356,16 @@
     void this.carryOut(swap);
   }
 
+  /** Lets the victims' requests end before anything is ordered. */
+  private drain({account, victims}: Swap): void {
+    for (const victim of victims) {
+      const resident = account.residents.get(victim)!;
+      if (resident.isRetiring) continue;
+      resident.isRetiring = true;
+      this.parts.publish(account);
+    }
+  }
+
   private storeBucket(service: string, engine: EngineFacts): TokenBucket {
     let bucket = this.storeLoads.get(service);
     if (bucket === undefined) {
@@ -376,7 +396,7 @@
     }
     account.isBusy = false;
     account.readsStore = false;
-    this.plan(account.target.notice.service);
+    if (this.hasTakenOver) this.plan(account.target.notice.service);
   }
 
   /** Unloads the victims and starts the load, while nothing else is ordered. */
@@ -457,7 +477,7 @@
     });
     await clock.sleep(ADAPTER_LOAD_MS, this.signal);
     publish(account);
-    this.plan(account.target.notice.service);
+    if (this.hasTakenOver) this.plan(account.target.notice.service);
   }
 
   /** Lets copies run out that the demand does not need. */
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -294,7 +294,7 @@
   private hearView(body: ViewBody, incarnation: string): void {
     const {clock, controller, lease} = this.parts;
     if (controller.isActive) return;
-    lease.noteHolderHeard(incarnation);
+    lease.noteHolderHeard(incarnation, body.leaseEnd);
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewHeardMs = clock.now();
     this.knownHosts = Math.max(1, body.hosts);
@@ -358,7 +358,7 @@
   }
 
   private sendViews(): void {
-    const {clock, controller, network, usage} = this.parts;
+    const {clock, controller, lease, network, usage} = this.parts;
     if (!controller.isActive) {
       this.changedViews.clear();
       return;
@@ -375,6 +375,7 @@
     this.knownHosts = Math.max(1, usage.hostCount);
     const view = {
       holder: network.self.incarnation,
+      leaseEnd: lease.knownEnd,
       targets,
       hosts: this.knownHosts,
     };
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -82,6 +82,8 @@
 const viewSchema = z.object({
   /** Incarnation of the lease holder. */
   holder: z.string(),
+  /** Offset after the newest record of its lease. */
+  leaseEnd: z.number(),
   targets: z.array(targetViewSchema),
   /** Hosts that the holder hears, itself included. */
   hosts: z.number(),
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -24,6 +24,8 @@
   victims: string[];
   /** Expected time until the model can take requests. */
   readyInMs: number;
+  /** Whether requests still run on a victim, which must end first. */
+  mustDrain: boolean;
   fromStore: boolean;
 }
 
@@ -67,8 +69,9 @@
     const busyCost = adapterCost(account, readyInMs, context);
     const cost = waiting * (waitMs + readyInMs) + made.cost + busyCost;
     if (cost >= bestCost) continue;
-    const {victims} = made;
-    best = {account, model, victims, readyInMs, fromStore};
+    const {victims, drainMs} = made;
+    const mustDrain = drainMs > 0;
+    best = {account, model, victims, readyInMs, fromStore, mustDrain};
     bestCost = cost;
     bestWaitMs = waitMs;
   }
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -3,8 +3,8 @@
 import {DecayingRate} from '../limits/decaying_rate.js';
 import {Clock} from '../time/clock.js';
 
-/** Window of the measured request rates: a few bursts of rare models. */
-const RATE_WINDOW_MS = 15_000;
+/** Window of the measured request rates: demand moves within seconds. */
+const RATE_WINDOW_MS = 6_000;
 
 /** How long the report of a host that went silent still counts. */
 const REPORT_LIFE_MS = 3_000;
