--- a/packages/core/src/lib/gateway/model_finder.ts
+++ b/packages/core/src/lib/gateway/model_finder.ts
@@ -50,6 +50,11 @@
    *
    * @param target - where the request was refused.
    * @param demand - what it asked for.
+   * @param isRefusal - whether the target only refused, for whatever reason.
    */
-  abstract noteAbsent(target: KnownTarget, demand: ModelDemand): void;
+  abstract noteAbsent(
+    target: KnownTarget,
+    demand: ModelDemand,
+    isRefusal: boolean,
+  ): void;
 }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -41,6 +41,9 @@
 /** When a caller may come back that found no target or only full ones. */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
+/** When a caller may come back, to another host than one that stops. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Pause before a request goes to targets that have all refused it. */
 const REFUSED_PAUSE_MS = 60;
 
@@ -98,6 +101,8 @@
  */
 export class Relay<Req extends CallerRequest<Head>, Head extends AnswerHead> {
   private readonly answers: AnswerRelay<Req, Head>;
+  private readonly calls = new Set<RelayCall<Req>>();
+  private isClosing = false;
 
   /** @param parts - see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
@@ -121,6 +126,8 @@
     const patienceMs = Math.min(req.patienceMs ?? Infinity, route.timeoutMs);
     const deadlineMs = req.arrivedMs + patienceMs - ANSWER_MARGIN_MS;
     const call = new RelayCall(clock, req, route, team, deadlineMs);
+    this.calls.add(call);
+    if (this.isClosing) call.stopWaiting();
     try {
       const outcome = await this.run(req, call);
       this.answer(req, call, outcome);
@@ -129,10 +136,22 @@
       }
       journal.ended(this.story(req, call, outcome));
     } finally {
+      this.calls.delete(call);
       call.dispose();
     }
   }
 
+  /** Refuses what waits to be sent; what targets work on goes on. */
+  refuseWaiting(): void {
+    this.isClosing = true;
+    for (const call of this.calls) call.stopWaiting();
+  }
+
+  /** Ends every request at once. */
+  endAll(): void {
+    for (const call of this.calls) call.stop();
+  }
+
   private async admit(req: Req): Promise<Result<Admitted, Refusal>> {
     const {state, freshness, quotas} = this.parts;
     const inForce = state.current;
@@ -180,7 +199,11 @@
       if (call.signal.aborted) return this.ended(req, call);
       const target = await this.findTarget(req, call);
       if (call.signal.aborted) return this.ended(req, call);
-      if (target.isErr()) return this.unserved(call, target.error);
+      if (target.isErr()) {
+        const isStopped = call.waitSignal.aborted;
+        const refusal = isStopped ? stopping() : target.error;
+        return this.unserved(call, refusal);
+      }
       const barred = this.barred(req, call);
       if (barred !== undefined) return this.unserved(call, barred);
       const outcome = await this.sendTo(target.value, req, call);
@@ -228,20 +251,20 @@
         : all;
       const target = chooseTarget(able, options);
       if (target !== undefined && !target.health.isAvoided) return ok(target);
-      if (isModel && call.tried.size === 0) {
-        const found = await models.find(this.search(req, call), call.signal);
+      if (isModel) {
+        const found = await models.find(this.search(req, call), call.waitSignal);
         if (found.isOk() || target === undefined) return found;
       }
       if (target !== undefined) return ok(target);
       if (call.tried.size > 0) {
         call.tried.clear();
-        await clock.sleep(REFUSED_PAUSE_MS, call.signal);
+        await clock.sleep(REFUSED_PAUSE_MS, call.waitSignal);
       } else if (clock.now() < giveUpMs) {
-        await clock.sleep(NO_TARGET_PAUSE_MS, call.signal);
+        await clock.sleep(NO_TARGET_PAUSE_MS, call.waitSignal);
       } else {
         return err(noCapacity('no target of the service is open'));
       }
-      if (call.signal.aborted) return err(noCapacity('the time is over'));
+      if (call.waitSignal.aborted) return err(noCapacity('the time is over'));
     }
   }
 
@@ -331,8 +354,9 @@
     if (reason === NOT_RUN.unreachable) target.health.failed();
     if (reason === NOT_RUN.otherProcess) target.isGone = true;
     if (req.demand === undefined) return;
-    if (reason === NOT_RUN.modelAbsent) {
-      this.parts.models.noteAbsent(target, req.demand);
+    const isRefusal = reason === NOT_RUN.refused;
+    if (isRefusal || reason === NOT_RUN.modelAbsent) {
+      this.parts.models.noteAbsent(target, req.demand, isRefusal);
       call.tried.delete(id);
     }
   }
@@ -431,6 +455,11 @@
   return refuse(REFUSAL.configTooOld, message, STALE_RETRY_AFTER_MS);
 }
 
+function stopping(): Refusal {
+  const message = 'this host is stopping';
+  return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
+}
+
 function noCapacity(message: string): Refusal {
   return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
 }
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -38,6 +38,7 @@
   /** Set on resumable streams. */
   readonly splitter: EventSplitter | undefined;
   private readonly limit = new AbortController();
+  private readonly waiting = new AbortController();
   private readonly timer: Timer;
   private attempt: Attempt | undefined;
 
@@ -67,6 +68,22 @@
     return this.limit.signal;
   }
 
+  /** Aborts when the request may not wait to be sent any longer. */
+  get waitSignal(): AbortSignal {
+    return this.waiting.signal;
+  }
+
+  /** Ends the wait of a request that was not sent yet. */
+  stopWaiting(): void {
+    this.waiting.abort();
+  }
+
+  /** Ends the request, wherever it is. */
+  readonly stop = (): void => {
+    this.limit.abort();
+    this.waiting.abort();
+  };
+
   /** Whether the request may run more than once. */
   get isRepeatable(): boolean {
     if (this.route.kind === REQUEST_KIND.repeatable) return true;
@@ -138,8 +155,6 @@
     this.req.signal.removeEventListener('abort', this.stop);
   }
 
-  private readonly stop = () => this.limit.abort();
-
   private elapsedMs(): number {
     return Math.round(this.clock.now() - this.req.arrivedMs);
   }
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -170,7 +170,9 @@
   private walletOf(team: TeamFacts): Wallet {
     let wallet = this.wallets.get(team.name);
     if (wallet === undefined) {
-      const own = new TokenBucket(this.clock, this.ownShapeOf(team), 0);
+      const slackTokens = this.slack.tokens / this.source.hostCount;
+      const shape = this.ownShapeOf(team);
+      const own = new TokenBucket(this.clock, shape, slackTokens);
       wallet = {tokens: 0, usedMs: this.clock.now(), own, ownShape: ''};
       this.wallets.set(team.name, wallet);
     }
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -22,6 +22,10 @@
 /** Most by which a claim is put off, so that hosts do not claim at once. */
 const CLAIM_SPREAD_MS = 150;
 
+/** Delay of a claim for each millisecond of the host's age, and its limit. */
+const AGE_DELAY_PART = 0.015;
+const MAX_AGE_DELAY_MS = 400;
+
 /** How long a holder that its peers hear is believed without the log. */
 const HOLDER_HEARD_MS = 750;
 
@@ -61,19 +65,27 @@
   private fencing = 0;
   private heldUntilMs = -Infinity;
   private heldSinceMs = -Infinity;
+  private ordersFromMs = -Infinity;
   private holderHeardMs = -Infinity;
   private isKnown = false;
   private isStopping = false;
   private isSilent = false;
   private readonly watch: SuspensionWatch;
+  private readonly startedMs: number;
   private readonly listeners: Array<() => void> = [];
 
   /** @param parts - see {@link OrderLeaseParts}. */
   constructor(private readonly parts: OrderLeaseParts) {
     this.watch = new SuspensionWatch(parts.clock);
+    this.startedMs = parts.clock.now();
   }
 
   /** Whether this host may order now; ask right before each order. */
+  get mayOrder(): boolean {
+    return this.isHeld && this.parts.clock.now() >= this.ordersFromMs;
+  }
+
+  /** Whether this host holds the lease; it may still have to wait to order. */
   get isHeld(): boolean {
     if (this.parts.clock.now() >= this.heldUntilMs) return false;
     return !this.watch.suspendedSince(this.heldSinceMs);
@@ -150,12 +162,19 @@
     if (this.heardHolder()) return;
     this.noteSilence();
     await this.readTail(signal);
-    if (!this.isKnown || !this.mayClaim()) return;
     const {clock, random} = this.parts;
-    await clock.sleep(random.int(0, CLAIM_SPREAD_MS), signal);
+    if (!this.isKnown || clock.now() < this.lapsedMs) return;
+    const spreadMs = random.int(0, CLAIM_SPREAD_MS) + this.ageDelayMs;
+    await clock.sleep(spreadMs, signal);
     if (!this.isStopping) await this.append(LEASE_EVENT.claim, signal);
   }
 
+  /** Young hosts claim first: in a rolling restart they are done with it. */
+  private get ageDelayMs(): number {
+    const ageMs = this.parts.clock.now() - this.startedMs;
+    return Math.min(MAX_AGE_DELAY_MS, ageMs * AGE_DELAY_PART);
+  }
+
   /** Logs once that the holder has gone silent. */
   private noteSilence(): void {
     const {logger} = this.parts;
@@ -170,20 +189,21 @@
     return silentMs < HOLDER_HEARD_MS;
   }
 
-  /** Whether the holder's last order must lie far enough back. */
-  private mayClaim(): boolean {
-    const {clock, holderGapMs, incarnation} = this.parts;
+  /** Clock time by which every earlier lease has certainly lapsed. */
+  private get lapsedMs(): number {
     if (this.newest === undefined) {
       // Records that the log has lost may have been a holder's.
-      const lostMs = clock.now() - this.seenMs;
-      return this.end === 0 || lostMs >= LEASE_TTL_MS + holderGapMs;
+      return this.end === 0 ? -Infinity : this.seenMs + LEASE_TTL_MS;
     }
     const isRelease = this.newest.event === LEASE_EVENT.release;
-    const ttlMs = isRelease ? 0 : this.newest.ttlMs;
-    const isOwn = this.newest.incarnation === incarnation;
-    const gapMs = isOwn ? 0 : holderGapMs;
-    const sinceMs = clock.now() - this.seenMs;
-    return sinceMs >= ttlMs + gapMs;
+    return this.seenMs + (isRelease ? 0 : this.newest.ttlMs);
+  }
+
+  /** Clock time from which orders do not follow another holder's too soon. */
+  private nextOrdersMs(): number {
+    const {holderGapMs, incarnation} = this.parts;
+    if (this.newest?.incarnation === incarnation) return this.ordersFromMs;
+    return this.lapsedMs + holderGapMs;
   }
 
   private async readTail(signal: AbortSignal): Promise<void> {
@@ -222,6 +242,7 @@
       event === LEASE_EVENT.claim ? undefined : this.fencing;
     const record = {event, host, incarnation, ttlMs: LEASE_TTL_MS, claimOffset};
     const sentMs = clock.now();
+    const ordersFromMs = this.nextOrdersMs();
     const offset = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
       log.append(record, this.end, limited),
     );
@@ -237,10 +258,15 @@
     this.see(record, offset.value + 1);
     if (event === LEASE_EVENT.release) return;
     if (this.watch.suspendedSince(sentMs)) return;
+    if (event === LEASE_EVENT.claim) this.ordersFromMs = ordersFromMs;
     this.heldSinceMs = sentMs;
     this.heldUntilMs = sentMs + LEASE_TTL_MS;
     if (event === LEASE_EVENT.claim) {
-      logger.info('order_lease_claimed', {fencing: this.fencing});
+      const ordersInMs = Math.max(0, Math.round(ordersFromMs - clock.now()));
+      logger.info('order_lease_claimed', {
+        fencing: this.fencing,
+        orders_in_ms: ordersInMs,
+      });
     }
     this.changed();
   }
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -97,7 +97,7 @@
     signal: AbortSignal,
   ): Promise<OrderReply> {
     const {lease, logger, port} = this.parts;
-    if (!lease.isHeld) return ORDER_REPLY.rejected;
+    if (!lease.mayOrder) return ORDER_REPLY.rejected;
     const whole = {
       ...order,
       expectedCount: account.orderCount,
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -81,6 +81,15 @@
   tried: ReadonlySet<string>;
 }
 
+/** A target that refused a request for a model. */
+export interface AbsentModel {
+  target: string;
+  model: string;
+  adapter?: string;
+  /** Whether it only refused, for whatever reason. */
+  isRefusal: boolean;
+}
+
 /** Nothing will hold the model in time. */
 export interface NotResident {
   retryAfterMs: number;
@@ -146,8 +155,8 @@
     });
   }
 
-  /** Notes that a target refused a request as it lacks the model. */
-  noteAbsent(target: string, model: string, adapter?: string): void {
+  /** Notes that a target refused a request that it should be able to run. */
+  noteAbsent({target, model, adapter, isRefusal}: AbsentModel): void {
     const account = this.accounts.get(target);
     const resident = account?.residents.get(model);
     if (account === undefined || resident === undefined) return;
@@ -155,7 +164,8 @@
     const item =
       adapter === undefined ? resident : resident.adapters.get(adapter);
     if (item === undefined) return;
-    if (nowMs - item.readyMs < LATE_LOAD_MS) {
+    const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
+    if (isLate || isRefusal) {
       item.readyMs = Math.max(item.readyMs, nowMs + LATE_LOAD_PAUSE_MS);
     } else {
       account.needsReport = true;
@@ -321,7 +331,8 @@
     service: string,
     accounts: readonly ResidencyAccount[],
   ): void {
-    const {clock, logger, usage} = this.parts;
+    const {clock, lease, logger, usage} = this.parts;
+    if (!lease.mayOrder) return;
     const engine = this.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const storeLoads = this.storeBucket(service, engine);
@@ -441,7 +452,8 @@
     adapter: string,
     ready: readonly ResidencyAccount[],
   ): void {
-    const {clock, usage} = this.parts;
+    const {clock, lease, usage} = this.parts;
+    if (!lease.mayOrder) return;
     const wanted = {model, adapter};
     const swap = chooseAdapterSwap(wanted, ready, usage, clock.now());
     if (swap !== undefined) void this.loadAdapter(swap);
@@ -485,7 +497,8 @@
     service: string,
     accounts: readonly ResidencyAccount[],
   ): void {
-    const {clock, usage} = this.parts;
+    const {clock, lease, usage} = this.parts;
+    if (!lease.mayOrder) return;
     const nowMs = clock.now();
     const copies = new Map<string, ResidencyAccount[]>();
     for (const account of accounts) {
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -9,6 +9,7 @@
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
+import {DemandBook} from './demand_book.js';
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 import {ResidencyController} from './residency_controller.js';
@@ -24,7 +25,7 @@
   ViewBody,
 } from './residency_messages.js';
 import {TokenLender} from './token_lender.js';
-import {ModelArrivals, UsageTable} from './usage_table.js';
+import {UsageTable} from './usage_table.js';
 
 /** Time between reports of a host and between views of the holder. */
 const REPORT_INTERVAL_MS = 100;
@@ -35,6 +36,15 @@
 /** Time between views that name every target. */
 const FULL_VIEW_MS = 2_000;
 
+/** Time between reports of the demand for models. */
+const DEMAND_INTERVAL_MS = 500;
+
+/**
+ * Time after the last view from which targets' own notices are believed: they
+ * are older than the view, and nothing is ordered without a holder.
+ */
+const NOTICE_TRUST_MS = 6_000;
+
 /** How long a host believes the view that it was told. */
 const VIEW_LIFE_MS = 1_500;
 
@@ -70,7 +80,9 @@
 
 /** The {@link ModelFinder} of a gateway host. */
 export class ResidencyHost extends ModelFinder {
-  private readonly arrivals = new Map<string, ModelArrivals>();
+  private readonly demand: DemandBook;
+  private demandSentMs = -Infinity;
+  private demandHolder = '';
   private knownHosts = ASSUMED_HOSTS;
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
@@ -82,6 +94,7 @@
   /** @param parts - see {@link ResidencyHostParts}. */
   constructor(private readonly parts: ResidencyHostParts) {
     super();
+    this.demand = new DemandBook(parts.clock);
     this.serve();
   }
 
@@ -91,6 +104,12 @@
     return this.parts.clock.now() - this.viewHeardMs < VIEW_LIFE_MS;
   }
 
+  /** Whether what targets announce to hold is newer than the last view. */
+  get trustsNotices(): boolean {
+    if (this.parts.controller.isActive) return false;
+    return this.parts.clock.now() - this.viewHeardMs > NOTICE_TRUST_MS;
+  }
+
   /** Hosts that share the rates, as the holder last said. */
   get hostCount(): number {
     return this.knownHosts;
@@ -118,18 +137,10 @@
 
   override noteArrival(
     service: string,
-    {model, adapter}: ModelDemand,
+    demand: ModelDemand,
     objectiveMs: number,
   ): void {
-    const key = `${service} ${model}`;
-    let known = this.arrivals.get(key);
-    if (known === undefined) {
-      known = {service, model, count: 0, adapterCount: 0, objectiveMs};
-      this.arrivals.set(key, known);
-    }
-    known.count += 1;
-    if (adapter !== undefined) known.adapterCount += 1;
-    known.objectiveMs = Math.min(known.objectiveMs, objectiveMs);
+    this.demand.note(service, demand, objectiveMs);
   }
 
   /** Notes that the hosts must hear what a target can be sent. */
@@ -176,15 +187,19 @@
     return err(refuse(REFUSAL.noCapacity, message, retryAfterMs));
   }
 
-  override noteAbsent(target: KnownTarget, demand: ModelDemand): void {
+  override noteAbsent(
+    target: KnownTarget,
+    demand: ModelDemand,
+    isRefusal: boolean,
+  ): void {
     const {model, adapter} = demand;
     if (adapter === undefined) target.held.delete(model);
     else target.held.get(model)?.delete(adapter);
     const {id} = target.notice;
     const {controller, lease, network} = this.parts;
-    if (controller.isActive) controller.noteAbsent(id, model, adapter);
+    const body = {target: id, model, adapter, isRefusal};
+    if (controller.isActive) controller.noteAbsent(body);
     else if (lease.holder !== undefined) {
-      const body = {target: id, model, adapter};
       network.notify(lease.holder.host, MODEL_ABSENT, body);
     }
   }
@@ -280,9 +295,7 @@
       if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
       return {target: found.value, retryAfterMs: 0};
     });
-    network.onNote(MODEL_ABSENT, ({target, model, adapter}) =>
-      controller.noteAbsent(target, model, adapter),
-    );
+    network.onNote(MODEL_ABSENT, body => controller.noteAbsent(body));
     network.onNote(HOST_USAGE, (body, from) => {
       usage.report(from.host, body);
     });
@@ -326,25 +339,28 @@
 
   private sendReport(): void {
     const {clock, controller, lease, network, usage} = this.parts;
+    const {holder} = lease;
+    if (holder === undefined) return;
     const nowMs = clock.now();
     const inFlight = this.inFlight();
-    const {arrivals} = this;
     const text = JSON.stringify(inFlight);
-    const isNews = text !== this.lastReport || arrivals.size > 0;
+    const isNews = text !== this.lastReport;
     if (!isNews && nowMs - this.reportSentMs < HEARTBEAT_MS) return;
+    const withDemand =
+      holder.incarnation !== this.demandHolder ||
+      nowMs - this.demandSentMs >= DEMAND_INTERVAL_MS;
     const body: UsageBody = {
       inFlight,
-      arrivals: [...arrivals.values()],
+      demand: withDemand ? this.demand.rates() : undefined,
     };
+    const {host} = network.self;
+    if (controller.isActive) usage.report(host, body);
+    else if (!network.notify(holder.host, HOST_USAGE, body)) return;
     this.lastReport = text;
     this.reportSentMs = nowMs;
-    arrivals.clear();
-    const {host} = network.self;
-    if (controller.isActive) {
-      usage.report(host, body);
-    } else if (lease.holder !== undefined) {
-      network.notify(lease.holder.host, HOST_USAGE, body);
-    }
+    if (!withDemand) return;
+    this.demandSentMs = nowMs;
+    this.demandHolder = holder.incarnation;
   }
 
   private inFlight(): Array<[string, string, number]> {
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -38,9 +38,11 @@
   target: z.string(),
   model: z.string(),
   adapter: z.string().optional(),
+  /** Whether the target only refused, for whatever reason. */
+  isRefusal: z.boolean(),
 });
 
-/** A target refused a request, as it does not hold the model. */
+/** A target refused a request that it should be able to run. */
 export const MODEL_ABSENT: PeerMethod<z.output<typeof absentSchema>, never> = {
   name: 'residency-absent',
   body: absentSchema,
@@ -49,15 +51,17 @@
 
 const usageSchema = z.object({
   inFlight: z.array(z.tuple([z.string(), z.string(), z.number()])),
-  arrivals: z.array(
-    z.object({
-      service: z.string(),
-      model: z.string(),
-      count: z.number(),
-      adapterCount: z.number(),
-      objectiveMs: z.number(),
-    }),
-  ),
+  demand: z
+    .array(
+      z.object({
+        service: z.string(),
+        model: z.string(),
+        perSecond: z.number(),
+        adapterPerSecond: z.number(),
+        objectiveMs: z.number(),
+      }),
+    )
+    .optional(),
 });
 
 /** See {@link HOST_USAGE}. */
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -1,10 +1,7 @@
 /** What the hosts have reported of their requests. @packageDocumentation */
 
-import {DecayingRate} from '../limits/decaying_rate.js';
 import {Clock} from '../time/clock.js';
-
-/** Window of the measured request rates: demand moves within seconds. */
-const RATE_WINDOW_MS = 6_000;
+import {DemandRate, ModelDemandRate} from './demand_book.js';
 
 /** How long the report of a host that went silent still counts. */
 const REPORT_LIFE_MS = 3_000;
@@ -16,42 +13,22 @@
 export interface UsageReport {
   /** Requests in flight: target, resident key, number. */
   inFlight: ReadonlyArray<readonly [string, string, number]>;
-  /** Requests that came since the last report. */
-  arrivals: readonly ModelArrivals[];
-}
-
-/** Requests for a model that came at a host. */
-export interface ModelArrivals {
-  service: string;
-  model: string;
-  count: number;
-  /** Those among them that need an adapter. */
-  adapterCount: number;
-  /** Shortest latency objective among them. */
-  objectiveMs: number;
-}
-
-/** Demand for a model over all hosts. */
-export interface ModelDemandRate {
-  perSecond: number;
-  /** Requests a second that need an adapter. */
-  adapterPerSecond: number;
-  objectiveMs: number;
+  /** Demand for models; absent if an earlier report still holds. */
+  demand?: readonly ModelDemandRate[];
 }
 
 interface HostUsage {
   heardMs: number;
   inFlight: Map<string, number>;
+  demand: Map<string, DemandRate>;
 }
 
-/** Requests in flight and request rates over all hosts. */
+/** Requests in flight and demand over all hosts. */
 export class UsageTable {
   private readonly hosts = new Map<string, HostUsage>();
-  private readonly rates = new Map<string, DecayingRate>();
-  private readonly objectives = new Map<string, number>();
   private readonly promises = new Map<string, number>();
 
-  /** @param clock - measures rates and ages. */
+  /** @param clock - measures ages. */
   constructor(private readonly clock: Clock) {}
 
   /** Number of hosts that have reported of late. */
@@ -65,18 +42,14 @@
     for (const [target, key, count] of report.inFlight) {
       inFlight.set(`${target} ${key}`, count);
     }
-    this.hosts.set(host, {heardMs: this.clock.now(), inFlight});
-    for (const arrivals of report.arrivals) this.addArrivals(arrivals);
-  }
-
-  /** Counts requests for a model. */
-  addArrivals(arrivals: ModelArrivals): void {
-    const {service, model, count, adapterCount, objectiveMs} = arrivals;
-    const key = `${service} ${model}`;
-    this.rateOf(key).add(count);
-    if (adapterCount > 0) this.rateOf(adapterKey(key)).add(adapterCount);
-    const known = this.objectives.get(key) ?? Infinity;
-    this.objectives.set(key, Math.min(known, objectiveMs));
+    let demand = this.hosts.get(host)?.demand ?? new Map();
+    if (report.demand !== undefined) {
+      demand = new Map();
+      for (const rate of report.demand) {
+        demand.set(`${rate.service} ${rate.model}`, rate);
+      }
+    }
+    this.hosts.set(host, {heardMs: this.clock.now(), inFlight, demand});
   }
 
   /** Notes that a request is about to be sent. */
@@ -96,22 +69,21 @@
   }
 
   /** @returns the demand for a model. */
-  demand(service: string, model: string): ModelDemandRate {
+  demand(service: string, model: string): DemandRate {
     const key = `${service} ${model}`;
-    return {
-      perSecond: this.rates.get(key)?.value ?? 0,
-      adapterPerSecond: this.rates.get(adapterKey(key))?.value ?? 0,
-      objectiveMs: this.objectives.get(key) ?? Infinity,
+    const total = {
+      perSecond: 0,
+      adapterPerSecond: 0,
+      objectiveMs: Infinity,
     };
-  }
-
-  private rateOf(key: string): DecayingRate {
-    let rate = this.rates.get(key);
-    if (rate === undefined) {
-      rate = new DecayingRate(this.clock, RATE_WINDOW_MS);
-      this.rates.set(key, rate);
+    for (const {demand} of this.hosts.values()) {
+      const rate = demand.get(key);
+      if (rate === undefined) continue;
+      total.perSecond += rate.perSecond;
+      total.adapterPerSecond += rate.adapterPerSecond;
+      total.objectiveMs = Math.min(total.objectiveMs, rate.objectiveMs);
     }
-    return rate;
+    return total;
   }
 
   /** Drops what is too old to count. */
@@ -125,7 +97,3 @@
     }
   }
 }
-
-function adapterKey(key: string): string {
-  return `${key} adapters`;
-}
