Follow the load with copies; let hosts without a lender use the slack once

Cause: the busiest model had one copy, whose slots were full (152 late first events in 10 s at one worker); after a restart of all hosts no request fitted a host's own part of a rate (208 answers 429 in 2 s).

--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -16,11 +16,10 @@
 /** Part of a team's burst that all hosts together may hold unused. */
 const HELD_PART = 0.3;
 
-/**
- * Part of the burst that hosts without a lender divide: what the lender lent
- * before it was lost counts in the same window.
- */
-const OWN_BURST_PART = 0.5;
+/** Part of the slack that hosts without a lender may use. */
+const USED_SLACK = 0.85;
+
+const MS_PER_SECOND = 1_000;
 
 /** Requests whose tokens are borrowed at once, if the team's rate allows. */
 const BORROWED_REQUESTS = 4;
@@ -57,17 +56,21 @@
   abstract readonly hostCount: number;
 }
 
-/** Tokens that a team may use beyond its rate, over all hosts. */
+/** What teams may use beyond rate and burst, over all hosts in a window. */
 export interface QuotaSlack {
+  /** Part of what rate and burst allow in the window. */
+  part: number;
   tokens: number;
+  windowMs: number;
 }
 
 interface Wallet {
   tokens: number;
   usedMs: number;
-  /** Used while no lender can be reached. */
-  own: TokenBucket;
-  ownShape: string;
+  /** Set while no lender can be reached. */
+  own: TokenBucket | undefined;
+  /** Clock time at which the slack was last given to `own`. */
+  slackMs: number;
 }
 
 /**
@@ -145,17 +148,19 @@
       wantedTokens: neededTokens + ahead,
     };
     const loan = await this.source.borrow(request, signal);
-    if (loan !== undefined) wallet.tokens += loan.tokens;
+    if (loan === undefined) return undefined;
+    wallet.tokens += loan.tokens;
+    wallet.own = undefined;
     return loan;
   }
 
-  /** Uses this host's equal part of the rate. */
+  /** Uses this host's equal part of the rate, and of the slack once. */
   private takeOwn(
     team: TeamFacts,
     wallet: Wallet,
     tokens: number,
   ): number | undefined {
-    this.shapeOwn(team, wallet);
+    wallet.own ??= this.openOwn(team, wallet);
     if (wallet.own.take(tokens)) {
       wallet.own.settle(tokens, tokens);
       return undefined;
@@ -163,6 +168,20 @@
     return Math.min(MAX_RETRY_AFTER_MS, wallet.own.timeUntil(tokens));
   }
 
+  private openOwn(team: TeamFacts, wallet: Wallet): TokenBucket {
+    const {hostCount} = this.source;
+    const {part, tokens, windowMs} = this.slack;
+    const rate = team.tokensPerSecond / hostCount;
+    const inWindow =
+      team.tokensPerSecond * (windowMs / MS_PER_SECOND) + team.burstTokens;
+    const slack = ((inWindow * part + tokens) * USED_SLACK) / hostCount;
+    const nowMs = this.clock.now();
+    const isDue = nowMs - wallet.slackMs > windowMs;
+    if (isDue) wallet.slackMs = nowMs;
+    const shape = {rate, burst: Math.max(rate, slack)};
+    return new TokenBucket(this.clock, shape, isDue ? slack : 0);
+  }
+
   private heldLimit(team: TeamFacts): number {
     return (team.burstTokens * HELD_PART) / this.source.hostCount;
   }
@@ -170,28 +189,10 @@
   private walletOf(team: TeamFacts): Wallet {
     let wallet = this.wallets.get(team.name);
     if (wallet === undefined) {
-      const slackTokens = this.slack.tokens / this.source.hostCount;
-      const shape = this.ownShapeOf(team);
-      const own = new TokenBucket(this.clock, shape, slackTokens);
-      wallet = {tokens: 0, usedMs: this.clock.now(), own, ownShape: ''};
+      const usedMs = this.clock.now();
+      wallet = {tokens: 0, usedMs, own: undefined, slackMs: -Infinity};
       this.wallets.set(team.name, wallet);
     }
     return wallet;
   }
-
-  private shapeOwn(team: TeamFacts, wallet: Wallet): void {
-    const shape = this.ownShapeOf(team);
-    const text = `${shape.rate} ${shape.burst}`;
-    if (text === wallet.ownShape) return;
-    wallet.ownShape = text;
-    wallet.own.reshape(shape);
-  }
-
-  private ownShapeOf(team: TeamFacts): {rate: number; burst: number} {
-    const {hostCount} = this.source;
-    return {
-      rate: team.tokensPerSecond / hostCount,
-      burst: (team.burstTokens * OWN_BURST_PART + this.slack.tokens) / hostCount,
-    };
-  }
 }
--- a/packages/core/src/lib/residency/lease_log.ts
+++ b/packages/core/src/lib/residency/lease_log.ts
@@ -18,6 +18,8 @@
   incarnation: string;
   /** How long the record holds, counted from before it was appended. */
   ttlMs: number;
+  /** Hosts that the holder hears, itself included. */
+  hosts: number;
   /** Offset of the claim that is renewed or released; unset in a claim. */
   claimOffset?: number;
 }
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -48,6 +48,8 @@
   incarnation: string;
   /** Time that must lie between the orders of two holders, in milliseconds. */
   holderGapMs: number;
+  /** Hosts that this host hears as the holder, itself included. */
+  hostCount: () => number;
 }
 
 /**
@@ -109,6 +111,11 @@
     this.listeners.push(listener);
   }
 
+  /** Hosts that the newest holder heard; undefined if none is known. */
+  get recordedHosts(): number | undefined {
+    return this.newest?.hosts;
+  }
+
   /** Offset after the newest record that this host knows. */
   get knownEnd(): number {
     return this.end;
@@ -240,7 +247,14 @@
     const {clock, host, incarnation, log, logger} = this.parts;
     const claimOffset =
       event === LEASE_EVENT.claim ? undefined : this.fencing;
-    const record = {event, host, incarnation, ttlMs: LEASE_TTL_MS, claimOffset};
+    const record = {
+      event,
+      host,
+      incarnation,
+      ttlMs: LEASE_TTL_MS,
+      hosts: this.parts.hostCount(),
+      claimOffset,
+    };
     const sentMs = clock.now();
     const ordersFromMs = this.nextOrdersMs();
     const offset = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -49,7 +49,10 @@
 const UNLOAD_PAUSE_MS = 52;
 
 /** In flight, as a share of the slots, that calls for another copy. */
-const COPY_LOAD = 0.5;
+const COPY_LOAD = 0.45;
+
+/** The same share, on the copies that are left, up to which one may go. */
+const SURPLUS_LOAD = 0.25;
 
 /** When a caller may come back whose model cannot be loaded now. */
 const RETRY_AFTER_MS = 1_500;
@@ -251,7 +254,7 @@
   private plan(service: string): void {
     this.room.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.accountsOf(service);
-    this.retireSurplus(service, accounts);
+    this.fitCopies(service, accounts);
     for (const waiter of this.room.byUrgency(service)) {
       this.planFor(waiter, service, accounts);
     }
@@ -492,33 +495,26 @@
     if (this.hasTakenOver) this.plan(account.target.notice.service);
   }
 
-  /** Lets copies run out that the demand does not need. */
-  private retireSurplus(
+  /** Adds copies of models that are short of slots; lets others run out. */
+  private fitCopies(
     service: string,
     accounts: readonly ResidencyAccount[],
   ): void {
     const {clock, lease, usage} = this.parts;
     if (!lease.mayOrder) return;
     const nowMs = clock.now();
-    const copies = new Map<string, ResidencyAccount[]>();
-    for (const account of accounts) {
-      if (!account.target.isOpen) continue;
-      for (const [model, resident] of account.residents) {
-        if (resident.readyMs > nowMs || resident.isLeaving) continue;
-        if (resident.isRetiring) continue;
-        const others = copies.get(model);
-        if (others === undefined) copies.set(model, [account]);
-        else others.push(account);
-      }
-    }
-    for (const [model, holders] of copies) {
-      if (holders.length < 2) continue;
+    for (const [model, holders] of copiesOf(accounts, nowMs)) {
       let running = 0;
       for (const {id} of holders) running += usage.inFlight(id, model);
-      const slots = holders[0].engine.slots * COPY_LOAD;
-      const needed = Math.max(1, Math.ceil(running / slots));
-      if (holders.length <= needed) continue;
-      this.retireOne(model, holders);
+      const load = running / holders[0].engine.slots;
+      if (load > holders.length * COPY_LOAD) {
+        const isComing = accounts.some(
+          account => (account.residents.get(model)?.readyMs ?? 0) > nowMs,
+        );
+        if (!isComing) this.startSwap(model, service, accounts);
+      } else if (load <= (holders.length - 1) * SURPLUS_LOAD) {
+        if (holders.length > 1) this.retireOne(model, holders);
+      }
     }
   }
 
@@ -537,3 +533,22 @@
     this.parts.publish(least);
   }
 }
+
+/** @returns the targets that serve each model and go on doing so. */
+function copiesOf(
+  accounts: readonly ResidencyAccount[],
+  nowMs: number,
+): Map<string, ResidencyAccount[]> {
+  const copies = new Map<string, ResidencyAccount[]>();
+  for (const account of accounts) {
+    if (!account.target.isOpen) continue;
+    for (const [model, resident] of account.residents) {
+      if (resident.readyMs > nowMs || resident.isLeaving) continue;
+      if (resident.isRetiring) continue;
+      const others = copies.get(model);
+      if (others === undefined) copies.set(model, [account]);
+      else others.push(account);
+    }
+  }
+  return copies;
+}
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -83,7 +83,7 @@
   private readonly demand: DemandBook;
   private demandSentMs = -Infinity;
   private demandHolder = '';
-  private knownHosts = ASSUMED_HOSTS;
+  private knownHosts: number | undefined;
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
   private lastReport = '';
@@ -112,7 +112,8 @@
 
   /** Hosts that share the rates, as the holder last said. */
   get hostCount(): number {
-    return this.knownHosts;
+    const recorded = this.parts.lease.recordedHosts ?? 0;
+    return this.knownHosts ?? (recorded > 1 ? recorded : ASSUMED_HOSTS);
   }
 
   /**
@@ -388,12 +389,13 @@
     for (const account of accounts) {
       if (!account.needsReport) targets.push(this.viewOf(account));
     }
-    this.knownHosts = Math.max(1, usage.hostCount);
+    const hosts = Math.max(1, usage.hostCount);
+    this.knownHosts = hosts;
     const view = {
       holder: network.self.incarnation,
       leaseEnd: lease.knownEnd,
       targets,
-      hosts: this.knownHosts,
+      hosts,
     };
     for (const {host} of network.connected()) {
       network.notify(host, RESIDENCY_VIEW, view);
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -42,7 +42,7 @@
 }
 
 /**
- * @param model - a model that no target holds.
+ * @param model - a model that no target holds, or that needs another copy.
  * @param context - see {@link SwapContext}.
  * @returns the swap that costs the waiting requests and those of the evicted
  *     models the least time; undefined if it is best to wait for a target that
@@ -58,6 +58,7 @@
   let bestWaitMs = 0;
   for (const account of context.accounts) {
     if (!canUse(account, context.nowMs)) continue;
+    if (account.residents.has(model)) continue;
     const {loadMs, fromStore} = account.loadOf(model);
     if (fromStore && !context.storeGrants) continue;
     const made = makeRoom(account, model, context);
