--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -127,9 +127,8 @@
     const deadlineMs = req.arrivedMs + patienceMs - ANSWER_MARGIN_MS;
     const call = new RelayCall(clock, req, route, team, deadlineMs);
     this.calls.add(call);
-    if (this.isClosing) call.stopWaiting();
     try {
-      const outcome = await this.run(req, call);
+      const outcome = this.isClosing ? stopping() : await this.run(req, call);
       this.answer(req, call, outcome);
       if (team !== undefined && outcome.type === 'refused') {
         this.parts.quotas.giveBack(team, tokens);
