--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,7 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
       '**/node_modules/**',
       '**/*.cjs',
       '**/*.mjs',
@@ -16,7 +17,7 @@
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     plugins: {tsdoc},
     languageOptions: {
       parserOptions: {
@@ -77,7 +78,7 @@
     },
   },
   {
-    files: ['packages/*/src/test/**/*.ts'],
+    files: ['packages/*/src/test/**/*.ts', 'platform/src/test/**/*.ts'],
     rules: {'@typescript-eslint/no-unused-expressions': 'off'},
   },
 );
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -2,9 +2,7 @@
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
-const SECONDS_BUCKETS = [
-  0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
-];
+const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
 /** Counters and histograms, in a registry of their own. */
 export class GatewayMetrics {
--- a/packages/core/src/lib/gateway/logging_journal.ts
+++ b/packages/core/src/lib/gateway/logging_journal.ts
@@ -34,7 +34,11 @@
     private readonly metrics: GatewayMetrics,
   ) {
     super();
-    this.unserved = new TokenBucket(clock, UNSERVED_LINES, UNSERVED_LINES.burst);
+    this.unserved = new TokenBucket(
+      clock,
+      UNSERVED_LINES,
+      UNSERVED_LINES.burst,
+    );
     this.served = new TokenBucket(clock, SERVED_LINES, SERVED_LINES.burst);
   }
 
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -251,7 +251,10 @@
       const target = chooseTarget(able, options);
       if (target !== undefined && !target.health.isAvoided) return ok(target);
       if (isModel) {
-        const found = await models.find(this.search(req, call), call.waitSignal);
+        const found = await models.find(
+          this.search(req, call),
+          call.waitSignal,
+        );
         if (found.isOk() || target === undefined) return found;
       }
       if (target !== undefined) return ok(target);
@@ -416,11 +419,7 @@
     return Math.max(MIN_HEAD_LIMIT_MS, limitMs);
   }
 
-  private story(
-    req: Req,
-    call: RelayCall<Req> | undefined,
-    outcome: Outcome,
-  ) {
+  private story(req: Req, call: RelayCall<Req> | undefined, outcome: Outcome) {
     const {clock, freshness, state} = this.parts;
     return {
       id: req.id,
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -245,8 +245,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {clock, host, incarnation, log, logger} = this.parts;
-    const claimOffset =
-      event === LEASE_EVENT.claim ? undefined : this.fencing;
+    const claimOffset = event === LEASE_EVENT.claim ? undefined : this.fencing;
     const record = {
       event,
       host,
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -418,7 +418,11 @@
     const {clock, orders} = this.parts;
     const {account, model} = swap;
     for (const victim of swap.victims) {
-      const order = {verb: 'unload', model: victim, adapter: undefined} as const;
+      const order = {
+        verb: 'unload',
+        model: victim,
+        adapter: undefined,
+      } as const;
       const isGone = await orders.send(account, order, this.signal);
       if (!isGone) return this.takeBack(swap);
       account.residents.delete(victim);
@@ -485,7 +489,8 @@
       const order = {verb: 'load', model, adapter} as const;
       const isAccepted = await orders.send(account, order, this.signal);
       const added = resident.adapters.get(adapter);
-      if (!isAccepted && !account.needsReport) resident.adapters.delete(adapter);
+      if (!isAccepted && !account.needsReport)
+        resident.adapters.delete(adapter);
       else if (added !== undefined) {
         added.readyMs = clock.now() + ADAPTER_LOAD_MS;
       }
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -208,7 +208,10 @@
   private giveUpMs({objectiveEndMs, deadlineMs}: ModelSearch): number {
     const nowMs = this.parts.clock.now();
     const leftMs = Math.max(0, objectiveEndMs - nowMs);
-    const waitMs = Math.max(MIN_CALLER_WAIT_MS, leftMs * CALLER_WAIT_OBJECTIVES);
+    const waitMs = Math.max(
+      MIN_CALLER_WAIT_MS,
+      leftMs * CALLER_WAIT_OBJECTIVES,
+    );
     return Math.min(deadlineMs, nowMs + waitMs);
   }
 
--- a/packages/core/src/lib/time/suspension_watch.ts
+++ b/packages/core/src/lib/time/suspension_watch.ts
@@ -28,6 +28,6 @@
     const offsetMs = this.clock.epochNow() - nowMs;
     if (offsetMs - this.offsetMs > SUSPENSION_MS) this.noticedMs = nowMs;
     this.offsetMs = offsetMs;
-    return this.noticedMs > sinceMs;
+    return this.noticedMs >= sinceMs;
   }
 }
--- /dev/null
+++ b/packages/core/src/test/gateway/gateway_fixtures.ts
@@ -0,0 +1,122 @@
+/** Configurations and targets for tests of the gateway. @packageDocumentation */
+
+import {
+  Deployment,
+  EngineFacts,
+  REQUEST_KIND,
+  RouteRule,
+  ServiceFacts,
+  TeamFacts,
+} from '../../lib/gateway/deployment.js';
+import {TargetNotice} from '../../lib/gateway/discovered_target.js';
+
+/** Service of model engines in {@link deploymentOf}. */
+export const ENGINE_SERVICE = 'engines';
+
+/** Plain service in {@link deploymentOf}. */
+export const PLAIN_SERVICE = 'registry';
+
+/** @returns a route of {@link PLAIN_SERVICE}, but for what is given. */
+export function routeRule(rule: Partial<RouteRule> = {}): RouteRule {
+  return {
+    name: 'route',
+    host: 'h.example',
+    pathPrefix: '/',
+    kind: REQUEST_KIND.repeatable,
+    isResumable: false,
+    timeoutMs: 3_000,
+    objectiveMs: 400,
+    priority: 0,
+    shares: [{service: PLAIN_SERVICE, weight: 1}],
+    maxTargets: 2,
+    isPublic: false,
+    ...rule,
+  };
+}
+
+/** @returns a team without a rate, but for what is given. */
+export function teamFacts(team: Partial<TeamFacts> = {}): TeamFacts {
+  return {
+    name: 'team',
+    keys: ['key'],
+    priority: undefined,
+    tokensPerSecond: 0,
+    burstTokens: 0,
+    plainTokens: 100,
+    ...team,
+  };
+}
+
+/** @returns engines of three models each, with models `m0` to `m9`. */
+export function engineFacts(engine: Partial<EngineFacts> = {}): EngineFacts {
+  const models = new Map(
+    Array.from({length: 10}, (unused, i) => {
+      const name = `m${i}`;
+      const facts = {
+        name,
+        weightsMb: 70,
+        storeLoadMs: 6_000,
+        diskLoadMs: 800,
+        memoryLoadMs: 400,
+        adapterMb: 1,
+        adapterCount: 10,
+      };
+      return [name, facts];
+    }),
+  );
+  return {
+    slots: 8,
+    weightsMb: 220,
+    adapterSlots: 2,
+    storeLoadsPerSecond: 3,
+    models,
+    ...engine,
+  };
+}
+
+/** @returns a configuration with both services. */
+export function deploymentOf(
+  routes: RouteRule[],
+  teams: TeamFacts[] = [teamFacts()],
+  version = 1,
+): Deployment {
+  const plain = {name: PLAIN_SERVICE, maxConnections: 100, engine: undefined};
+  const engines = {
+    name: ENGINE_SERVICE,
+    maxConnections: 100,
+    engine: engineFacts(),
+  };
+  return {
+    version,
+    routes,
+    services: new Map<string, ServiceFacts>([
+      [PLAIN_SERVICE, plain],
+      [ENGINE_SERVICE, engines],
+    ]),
+    teams: new Map(teams.map(team => [team.name, team])),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** @returns a target of {@link PLAIN_SERVICE}, but for what is given. */
+export function targetNotice(notice: Partial<TargetNotice> = {}): TargetNotice {
+  return {
+    id: 't1',
+    startedMs: 1,
+    service: PLAIN_SERVICE,
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 8,
+    isLeaving: false,
+    orderCount: 0,
+    held: [],
+    inMemory: [],
+    onDisk: [],
+    ...notice,
+  };
+}
--- /dev/null
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -0,0 +1,261 @@
+/** A relay whose caller and targets are played by tests. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {
+  AnswerHead,
+  CallerRequest,
+  ModelDemand,
+  TokenCount,
+} from '../../lib/gateway/caller_request.js';
+import {DeploymentState} from '../../lib/gateway/deployment_state.js';
+import {RouteRule} from '../../lib/gateway/deployment.js';
+import {Freshness} from '../../lib/gateway/freshness.js';
+import {ModelFinder, ModelSearch} from '../../lib/gateway/model_finder.js';
+import {RelayJournal, RequestStory} from '../../lib/gateway/relay_journal.js';
+import {Relay} from '../../lib/gateway/relay.js';
+import {RetryAllowance} from '../../lib/gateway/retry_allowance.js';
+import {
+  BODY_END,
+  BodyEnd,
+  SendOptions,
+  SendResult,
+  TargetPort,
+} from '../../lib/gateway/target_port.js';
+import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
+import {Loan, TeamQuotas, TokenSource} from '../../lib/gateway/team_quotas.js';
+import {
+  REFUSAL,
+  Refusal,
+  Unserved,
+  refuse,
+} from '../../lib/requests/outcome.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {Random} from '../../lib/time/random.js';
+import {deploymentOf, targetNotice} from './gateway_fixtures.js';
+
+/** A request whose answer is kept for the test. */
+export class FakeCaller extends CallerRequest {
+  override readonly id = 'req-1';
+  override readonly host = 'h.example';
+  override readonly path = '/x';
+  override key: string | undefined = 'key';
+  override demand: ModelDemand | undefined;
+  override tokens: TokenCount | undefined;
+  override patienceMs: number | undefined;
+  override lastEventId: string | undefined;
+  override readonly arrivedMs: number;
+  readonly left = new AbortController();
+  refusal: Refusal | undefined;
+  failure: Unserved | undefined;
+  head: AnswerHead | undefined;
+  body = '';
+  isEnded = false;
+  isCut = false;
+
+  constructor(clock: ManualClock) {
+    super();
+    this.arrivedMs = clock.now();
+  }
+
+  override get signal(): AbortSignal {
+    return this.left.signal;
+  }
+
+  override refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+  }
+
+  override fail(unserved: Unserved): void {
+    this.failure = unserved;
+  }
+
+  override begin(head: AnswerHead): void {
+    this.head = head;
+  }
+
+  override write(chunk: Buffer): undefined {
+    this.body += String(chunk);
+  }
+
+  override end(): void {
+    this.isEnded = true;
+  }
+
+  override cut(): void {
+    this.isCut = true;
+  }
+}
+
+/** How a target treats one request. */
+export type Play = (
+  options: SendOptions,
+  clock: ManualClock,
+) => Promise<SendResult> | SendResult;
+
+/** @returns an answer with a body in parts. */
+export function answer(
+  status: number,
+  parts: string[],
+  end: BodyEnd = BODY_END.complete,
+): SendResult {
+  return {
+    type: 'answered',
+    answer: {
+      head: {status},
+      read: async sink => {
+        for (const part of parts) await sink(Buffer.from(part));
+        return end;
+      },
+      discard: () => {},
+    },
+  };
+}
+
+/** Plays one answer after the other, and remembers what was sent. */
+export class FakePort extends TargetPort<FakeCaller> {
+  readonly sent: Array<{target: string; options: SendOptions}> = [];
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly plays: Play[],
+  ) {
+    super();
+  }
+
+  override async send(
+    target: KnownTarget,
+    unusedReq: FakeCaller,
+    options: SendOptions,
+  ): Promise<SendResult> {
+    const play = this.plays[this.sent.length];
+    this.sent.push({target: target.notice.id, options});
+    if (play === undefined) return {type: 'lost', reason: 'not played'};
+    return play(options, this.clock);
+  }
+}
+
+class UnlimitedSource extends TokenSource {
+  override readonly hostCount = 1;
+
+  override async borrow(): Promise<Loan> {
+    return {tokens: 1_000_000, waitMs: 0};
+  }
+}
+
+/** Finds nothing until the caller's time is over. */
+export class NoModels extends ModelFinder {
+  readonly absent: boolean[] = [];
+
+  constructor(private readonly clock: ManualClock) {
+    super();
+  }
+
+  override async find(
+    search: ModelSearch,
+    signal: AbortSignal,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    await this.clock.sleep(search.deadlineMs - this.clock.now(), signal);
+    return err(refuse(REFUSAL.noCapacity, 'no model', 700));
+  }
+
+  override noteArrival(): void {}
+
+  override noteAbsent(
+    unusedTarget: KnownTarget,
+    unusedDemand: ModelDemand,
+    isRefusal: boolean,
+  ): void {
+    this.absent.push(isRefusal);
+  }
+}
+
+/** Always finds one target. */
+export class OneTarget extends NoModels {
+  constructor(
+    clock: ManualClock,
+    private readonly target: () => KnownTarget,
+  ) {
+    super(clock);
+  }
+
+  override async find(): Promise<Result<KnownTarget, Refusal>> {
+    return ok(this.target());
+  }
+}
+
+class KeptJournal extends RelayJournal {
+  readonly stories: RequestStory[] = [];
+
+  override sendEnded(): void {}
+
+  override ended(story: RequestStory): void {
+    this.stories.push(story);
+  }
+}
+
+/** A relay with what surrounds it. */
+export interface RelayWorld {
+  clock: ManualClock;
+  state: DeploymentState;
+  freshness: Freshness;
+  targets: TargetTable;
+  port: FakePort;
+  journal: KeptJournal;
+  relay: Relay<FakeCaller, AnswerHead>;
+  /** Runs a request to its answer. */
+  run(caller: FakeCaller, limitMs?: number): Promise<void>;
+}
+
+/** What a {@link RelayWorld} is made of. */
+export interface RelayWorldOptions {
+  route: RouteRule;
+  plays: Play[];
+  /** Plain targets; two by default. */
+  targetCount?: number;
+  models?: (clock: ManualClock, targets: TargetTable) => ModelFinder;
+}
+
+const MAX_AGE_MS = 4_000;
+const STEP_MS = 10;
+
+/** @returns a relay that knows a fresh configuration and its targets. */
+export function relayWorld(options: RelayWorldOptions): RelayWorld {
+  const clock = new ManualClock();
+  const state = new DeploymentState();
+  state.offer(deploymentOf([options.route]));
+  const freshness = new Freshness(clock, MAX_AGE_MS);
+  freshness.confirm(clock.now());
+  const targets = new TargetTable(clock);
+  for (let i = 1; i <= (options.targetCount ?? 2); i++) {
+    targets.put(targetNotice({id: `t${i}`, zone: 'a'}), true);
+  }
+  const port = new FakePort(clock, options.plays);
+  const journal = new KeptJournal();
+  const quotas = new TeamQuotas(clock, new UnlimitedSource(), {
+    part: 0,
+    tokens: 0,
+    windowMs: 1_000,
+  });
+  const relay = new Relay<FakeCaller, AnswerHead>({
+    clock,
+    random: new Random(1),
+    state,
+    freshness,
+    targets,
+    port,
+    quotas,
+    retries: new RetryAllowance(() => ({perRequest: 1, maxSaved: 10})),
+    models: options.models?.(clock, targets) ?? new NoModels(clock),
+    journal,
+    zone: 'a',
+    othersInFlight: () => 0,
+  });
+  const run = async (caller: FakeCaller, limitMs = 60_000) => {
+    let isDone = false;
+    const handled = relay.handle(caller).finally(() => (isDone = true));
+    const endMs = clock.now() + limitMs;
+    while (!isDone && clock.now() < endMs) await clock.advance(STEP_MS);
+    if (isDone) await handled;
+  };
+  return {clock, state, freshness, targets, port, journal, relay, run};
+}
--- /dev/null
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -0,0 +1,250 @@
+import {expect} from 'chai';
+import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
+import {BODY_END, NOT_RUN, SendResult} from '../../lib/gateway/target_port.js';
+import {FAILURE, REFUSAL} from '../../lib/requests/outcome.js';
+import {
+  ENGINE_SERVICE,
+  deploymentOf,
+  routeRule,
+  targetNotice,
+  teamFacts,
+} from './gateway_fixtures.js';
+import {
+  FakeCaller,
+  OneTarget,
+  Play,
+  RelayWorld,
+  answer,
+  relayWorld,
+} from './relay_fixtures.js';
+
+const once = routeRule({kind: REQUEST_KIND.once, maxTargets: 1});
+const repeatable = routeRule({maxTargets: 2});
+const resumable = routeRule({kind: REQUEST_KIND.stream, isResumable: true});
+const stream = routeRule({kind: REQUEST_KIND.stream, maxTargets: 1});
+
+const lost: SendResult = {type: 'lost', reason: 'reset'};
+
+function notRun(reason: keyof typeof NOT_RUN): Play {
+  return () => ({type: 'not-run', reason: NOT_RUN[reason]});
+}
+
+/** Never answers until it is cancelled. */
+const mute: Play = options =>
+  new Promise(resolve => {
+    const end = () => resolve({type: 'lost', reason: 'cancelled'});
+    options.signal.addEventListener('abort', end);
+  });
+
+async function serve(world: RelayWorld): Promise<FakeCaller> {
+  const caller = new FakeCaller(world.clock);
+  await world.run(caller);
+  return caller;
+}
+
+function event(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+describe('Relay: who may come in', () => {
+  it('answers that the configuration is not known, never that a route is not', async () => {
+    const world = relayWorld({route: once, plays: []});
+    await world.clock.advance(5_000);
+    const caller = await serve(world);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.configTooOld);
+    expect(world.port.sent).to.have.lengthOf(0);
+  });
+
+  it('refuses a key that no team holds', async () => {
+    const world = relayWorld({route: once, plays: []});
+    const caller = new FakeCaller(world.clock);
+    caller.key = 'stranger';
+    await world.run(caller);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.unauthenticated);
+  });
+
+  it('does not send a waiting request whose key was withdrawn', async () => {
+    const world = relayWorld({route: once, plays: [], targetCount: 0});
+    const caller = new FakeCaller(world.clock);
+    const handled = world.relay.handle(caller);
+    await world.clock.advance(20);
+    const without = [teamFacts({keys: ['other']})];
+    world.state.offer(deploymentOf([once], without, 2));
+    world.targets.put(targetNotice(), true);
+    await world.clock.advance(200);
+    await handled;
+    expect(caller.refusal?.reason).to.equal(REFUSAL.unauthenticated);
+    expect(world.port.sent).to.have.lengthOf(0);
+  });
+});
+
+describe('Relay: whether it ran', () => {
+  it('sends a request that may run once only once, and promises nothing', async () => {
+    const world = relayWorld({route: once, plays: [() => lost]});
+    const caller = await serve(world);
+    expect(world.port.sent).to.have.lengthOf(1);
+    expect(caller.refusal).to.equal(undefined);
+    expect(caller.failure?.type).to.equal('failed');
+  });
+
+  it('sends it on after a target that said it did not run it', async () => {
+    const plays = [notRun('refused'), () => answer(200, ['ok'])];
+    const world = relayWorld({route: once, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal('ok');
+    expect(new Set(world.port.sent.map(({target}) => target)).size).to.equal(2);
+  });
+
+  it('refuses, as not run, what every target refused', async () => {
+    const plays = Array.from({length: 20}, () => notRun('refused'));
+    const world = relayWorld({route: once, plays});
+    const caller = await serve(world);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.noCapacity);
+    expect(caller.refusal?.retryAfterMs).to.be.above(0);
+  });
+
+  it('says "may have run" when the deadline passes at a target', async () => {
+    const world = relayWorld({route: once, plays: [mute]});
+    const caller = await serve(world);
+    expect(caller.refusal).to.equal(undefined);
+    const {failure} = caller;
+    expect(failure?.type === 'failed' && failure.reason).to.equal(
+      FAILURE.deadline,
+    );
+    expect(world.clock.now()).to.be.at.most(once.timeoutMs + 100);
+  });
+
+  it('repeats what may be repeated, at another target', async () => {
+    const plays = [() => lost, () => answer(200, ['ok'])];
+    const world = relayWorld({route: repeatable, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal('ok');
+    expect(world.port.sent.map(({target}) => target)).to.deep.equal([
+      world.port.sent[0].target,
+      world.port.sent[0].target === 't1' ? 't2' : 't1',
+    ]);
+  });
+
+  it('leaves a mute target for another in time', async () => {
+    const plays = [mute, () => answer(200, ['ok'])];
+    const world = relayWorld({route: repeatable, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal('ok');
+    expect(world.clock.now()).to.be.below(repeatable.timeoutMs);
+  });
+
+  it('runs on no more targets than the route allows', async () => {
+    const plays = Array.from({length: 9}, () => () => answer(500, ['no']));
+    const world = relayWorld({route: repeatable, plays, targetCount: 5});
+    const caller = await serve(world);
+    expect(world.port.sent).to.have.lengthOf(2);
+    expect(caller.head?.status).to.equal(500);
+  });
+
+  it('cancels the work of a caller that has left', async () => {
+    const world = relayWorld({route: once, plays: [mute]});
+    const caller = new FakeCaller(world.clock);
+    const handled = world.relay.handle(caller);
+    await world.clock.advance(100);
+    caller.left.abort();
+    await world.clock.advance(10);
+    await handled;
+    expect(world.port.sent[0].options.signal.aborted).to.equal(true);
+    expect(world.journal.stories[0].outcome.type).to.equal('cancelled');
+  });
+});
+
+describe('Relay: answers', () => {
+  it('gives none of a plain answer that broke off', async () => {
+    const plays = [() => answer(200, ['half'], BODY_END.broken)];
+    const world = relayWorld({route: once, plays});
+    const caller = await serve(world);
+    expect(caller.head).to.equal(undefined);
+    expect(caller.failure?.type).to.equal('failed');
+  });
+
+  it('cuts a stream that broke off and may not go on', async () => {
+    const plays = [() => answer(200, [event(1)], BODY_END.broken)];
+    const world = relayWorld({route: stream, plays});
+    const caller = await serve(world);
+    expect(caller.isCut).to.equal(true);
+    expect(caller.isEnded).to.equal(false);
+    expect(world.port.sent).to.have.lengthOf(1);
+  });
+
+  it('goes on after the last whole event at another target', async () => {
+    const half = event(3).slice(0, 7);
+    const plays: Play[] = [
+      () => answer(200, [event(1), event(2) + half], BODY_END.broken),
+      () => answer(200, [event(3), event(4)]),
+    ];
+    const world = relayWorld({route: resumable, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal([1, 2, 3, 4].map(event).join(''));
+    expect(caller.isEnded).to.equal(true);
+    expect(world.port.sent[1].options.lastEventId).to.equal('2');
+  });
+
+  it('cuts a stream whose continuation is refused with an error', async () => {
+    const plays: Play[] = [
+      () => answer(200, [event(1)], BODY_END.broken),
+      () => answer(400, ['no']),
+    ];
+    const world = relayWorld({route: resumable, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(event(1));
+    expect(caller.isCut).to.equal(true);
+  });
+});
+
+describe('Relay: models', () => {
+  const route = routeRule({
+    kind: REQUEST_KIND.stream,
+    shares: [{service: ENGINE_SERVICE, weight: 1}],
+  });
+
+  it('refuses a model that is not there in time, with a time to come back', async () => {
+    const world = relayWorld({route, plays: []});
+    const caller = new FakeCaller(world.clock);
+    caller.demand = {model: 'm1', adapter: undefined};
+    await world.run(caller);
+    expect(caller.refusal?.type).to.equal('refused');
+    expect(world.port.sent).to.have.lengthOf(0);
+  });
+
+  it('tells the finder of a target that lacks the model or refuses it', async () => {
+    let finder: OneTarget | undefined;
+    const world = relayWorld({
+      route,
+      plays: [
+        notRun('modelAbsent'),
+        notRun('refused'),
+        () => answer(200, [event(1)]),
+      ],
+      models: (clock, targets) =>
+        (finder = new OneTarget(clock, () => targets.get('t1')!)),
+    });
+    const caller = new FakeCaller(world.clock);
+    caller.demand = {model: 'm1', adapter: undefined};
+    await world.run(caller);
+    expect(finder?.absent).to.deep.equal([false, true]);
+    expect(caller.isEnded).to.equal(true);
+  });
+});
+
+describe('Relay: a planned stop', () => {
+  it('refuses what waits and what comes late, and lets answers go on', async () => {
+    const world = relayWorld({route: once, plays: [mute]});
+    const running = new FakeCaller(world.clock);
+    void world.relay.handle(running);
+    await world.clock.advance(20);
+    world.relay.refuseWaiting();
+    const late = await serve(world);
+    expect(late.refusal?.reason).to.equal(REFUSAL.stopping);
+    expect(world.port.sent).to.have.lengthOf(1);
+    expect(world.port.sent[0].options.signal.aborted).to.equal(false);
+    world.relay.endAll();
+    await world.clock.advance(20);
+    expect(running.failure?.type).to.equal('failed');
+  });
+});
--- /dev/null
+++ b/packages/core/src/test/gateway/team_quotas_test.ts
@@ -0,0 +1,148 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {DeploymentState} from '../../lib/gateway/deployment_state.js';
+import {
+  Loan,
+  LoanRequest,
+  TeamQuotas,
+  TokenSource,
+} from '../../lib/gateway/team_quotas.js';
+import {TokenLender} from '../../lib/residency/token_lender.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {TeamFacts} from '../../lib/gateway/deployment.js';
+import {deploymentOf, teamFacts} from './gateway_fixtures.js';
+
+const SLACK = {part: 0.1, tokens: 7_400, windowMs: 8_000};
+const HOSTS = 9;
+const STEP_MS = 50;
+
+/** Tokens of each request. */
+const TOKENS = 900;
+
+/** Lends from one lender that can be out of reach. */
+class SwitchedSource extends TokenSource {
+  override readonly hostCount = HOSTS;
+
+  constructor(
+    private readonly lender: TokenLender,
+    private readonly world: {isReached: boolean},
+  ) {
+    super();
+  }
+
+  override async borrow(request: LoanRequest): Promise<Loan | undefined> {
+    return this.world.isReached ? this.lender.lend(request) : undefined;
+  }
+}
+
+interface World {
+  clock: ManualClock;
+  lender: TokenLender;
+  isReached: boolean;
+  hosts: TeamQuotas[];
+}
+
+function makeWorld(rate: number): World {
+  const clock = new ManualClock();
+  const state = new DeploymentState();
+  const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
+  state.offer(deploymentOf([], [team]));
+  const lender = new TokenLender(clock, state);
+  const world: World = {clock, lender, isReached: true, hosts: []};
+  for (let i = 0; i < HOSTS; i++) {
+    const source = new SwitchedSource(lender, world);
+    world.hosts.push(new TeamQuotas(clock, source, SLACK));
+  }
+  return world;
+}
+
+/** @returns most tokens granted in any window of the slack's length. */
+function mostInWindow(grants: Array<[ms: number, tokens: number]>): number {
+  let most = 0;
+  for (const [fromMs] of grants) {
+    let sum = 0;
+    for (const [ms, tokens] of grants) {
+      if (ms >= fromMs && ms <= fromMs + SLACK.windowMs) sum += tokens;
+    }
+    most = Math.max(most, sum);
+  }
+  return most;
+}
+
+const {signal} = new AbortController();
+
+/** @returns whether a request was granted, after the time that it took. */
+async function ask(
+  world: World,
+  host: TeamQuotas,
+  team: TeamFacts,
+): Promise<boolean> {
+  let isDone = false;
+  const asked = host.take(team, TOKENS, signal).finally(() => (isDone = true));
+  await world.clock.advance(0);
+  while (!isDone) await world.clock.advance(STEP_MS);
+  return (await asked) === undefined;
+}
+
+describe('TeamQuotas', () => {
+  it('refuses no request of a small team within its rate', async () => {
+    const rate = 2_000;
+    const world = makeWorld(rate);
+    const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
+    world.lender.restart();
+    await world.clock.advance(1_000);
+    let refused = 0;
+    for (let i = 0; i < 100; i++) {
+      const host = world.hosts[(i * 7) % HOSTS];
+      const retryAfter = await host.take(team, 900, signal);
+      if (retryAfter !== undefined) refused += 1;
+      await world.clock.advance(500);
+    }
+    expect(refused).to.equal(0);
+  });
+
+  it('tells a refused caller when its tokens will be there', async () => {
+    const rate = 1_000;
+    const world = makeWorld(rate);
+    const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
+    world.lender.restart();
+    const [host] = world.hosts;
+    const retryAfterMs = await host.take(team, 800, signal);
+    expect(retryAfterMs).to.equal(800);
+    await world.clock.advance(retryAfterMs!);
+    expect(await host.take(team, 800, signal)).to.equal(undefined);
+  });
+
+  it('keeps every window within its bound while lenders come and go', async () => {
+    const rates = fc.constantFrom(2_000, 12_000, 49_000);
+    const changes = fc.array(fc.integer({min: 400, max: 6_000}), {
+      minLength: 1,
+      maxLength: 6,
+    });
+    await fc.assert(
+      fc.asyncProperty(rates, changes, async (rate, periods) => {
+        const world = makeWorld(rate);
+        const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
+        world.lender.restart();
+        await world.clock.advance(1_000);
+        const grants: Array<[number, number]> = [];
+        for (const periodMs of periods) {
+          const endMs = world.clock.now() + periodMs;
+          while (world.clock.now() < endMs) {
+            for (const host of world.hosts) {
+              const isGranted = await ask(world, host, team);
+              if (isGranted) grants.push([world.clock.now(), TOKENS]);
+            }
+            await world.clock.advance(STEP_MS);
+          }
+          world.isReached = !world.isReached;
+          // A new lender knows nothing of what the one before it lent.
+          if (world.isReached) world.lender.restart();
+        }
+        const allowed = rate * 9 * (1 + SLACK.part) + SLACK.tokens;
+        expect(mostInWindow(grants)).to.be.at.most(allowed);
+      }),
+      {numRuns: 12},
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -0,0 +1,305 @@
+/** Engine targets that a residency controller orders, on a stepped clock. @packageDocumentation */
+
+import {DeploymentState} from '../../lib/gateway/deployment_state.js';
+import {EngineFacts} from '../../lib/gateway/deployment.js';
+import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
+import {Result, ok} from 'neverthrow';
+import {
+  LeaseError,
+  LeaseLog,
+  LeaseTail,
+} from '../../lib/residency/lease_log.js';
+import {OrderLease} from '../../lib/residency/order_lease.js';
+import {
+  ORDER_REPLY,
+  Order,
+  OrderPort,
+  OrderReply,
+  ResidencyReport,
+} from '../../lib/residency/order_port.js';
+import {ResidencyOrders} from '../../lib/residency/order_sender.js';
+import {
+  ResidencyController,
+  ResidencyRequest,
+} from '../../lib/residency/residency_controller.js';
+import {TokenLender} from '../../lib/residency/token_lender.js';
+import {UsageTable} from '../../lib/residency/usage_table.js';
+import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {Random} from '../../lib/time/random.js';
+import {
+  ENGINE_SERVICE,
+  deploymentOf,
+  engineFacts,
+  targetNotice,
+} from '../gateway/gateway_fixtures.js';
+
+const ADAPTER_LOAD_MS = 5;
+const HOST = 'host-1';
+const STEP_MS = 10;
+
+/** What may go wrong with an order. */
+export interface OrderTrouble {
+  /** Share of orders without an answer. */
+  lost: number;
+  /** Delay after which an order without an answer is carried out. */
+  lateMs: number;
+}
+
+/** One engine: it crashes when it is ordered to hold more than it can. */
+export class FakeEngine {
+  readonly models = new Map<string, Set<string>>();
+  readonly running = new Map<string, number>();
+  orderCount = 0;
+  crashes = 0;
+  /** Order under way; it ends by itself or when its runs have ended. */
+  busy: {model: string; isUnload: boolean} | undefined;
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly engine: EngineFacts,
+    private readonly onDisk: ReadonlySet<string>,
+  ) {}
+
+  get usedMb(): number {
+    let usedMb = 0;
+    for (const [model, adapters] of this.models) {
+      const facts = this.engine.models.get(model)!;
+      usedMb += facts.weightsMb + adapters.size * facts.adapterMb;
+    }
+    return usedMb;
+  }
+
+  get adapterCount(): number {
+    let count = 0;
+    for (const adapters of this.models.values()) count += adapters.size;
+    return count;
+  }
+
+  obey(order: Order): OrderReply {
+    if (order.expectedCount !== this.orderCount) return ORDER_REPLY.conflict;
+    if (this.busy !== undefined) return ORDER_REPLY.conflict;
+    const reply =
+      order.adapter === undefined
+        ? this.obeyModel(order)
+        : this.obeyAdapter(order.verb, order.model, order.adapter);
+    const isOver =
+      this.usedMb > this.engine.weightsMb ||
+      this.adapterCount > this.engine.adapterSlots;
+    if (isOver) this.crashes += 1;
+    return reply;
+  }
+
+  /** Ends an unload whose runs have ended. */
+  endRuns(model: string): void {
+    this.running.delete(model);
+    if (this.busy?.isUnload && this.busy.model === model) {
+      this.models.delete(model);
+      this.busy = undefined;
+    }
+  }
+
+  private obeyModel({verb, model}: Order): OrderReply {
+    const isHeld = this.models.has(model);
+    if (isHeld === (verb === 'load')) return ORDER_REPLY.holds;
+    this.orderCount += 1;
+    if (verb === 'unload') {
+      if ((this.running.get(model) ?? 0) > 0) {
+        this.busy = {model, isUnload: true};
+      } else this.models.delete(model);
+      return ORDER_REPLY.accepted;
+    }
+    this.models.set(model, new Set());
+    const facts = this.engine.models.get(model)!;
+    const isNear = this.onDisk.has(model);
+    this.busy = {model, isUnload: false};
+    this.clock.after(isNear ? facts.diskLoadMs : facts.storeLoadMs, () => {
+      this.busy = undefined;
+    });
+    return ORDER_REPLY.accepted;
+  }
+
+  private obeyAdapter(
+    verb: Order['verb'],
+    model: string,
+    adapter: string,
+  ): OrderReply {
+    const adapters = this.models.get(model);
+    if (adapters === undefined) return ORDER_REPLY.rejected;
+    if (adapters.has(adapter) === (verb === 'load')) return ORDER_REPLY.holds;
+    this.orderCount += 1;
+    if (verb === 'unload') {
+      adapters.delete(adapter);
+      return ORDER_REPLY.holds;
+    }
+    adapters.add(adapter);
+    this.clock.after(ADAPTER_LOAD_MS, () => {});
+    return ORDER_REPLY.accepted;
+  }
+}
+
+class FakeOrderPort extends OrderPort {
+  readonly orders: Order[] = [];
+
+  constructor(
+    private readonly world: EngineWorld,
+    private readonly random: Random,
+  ) {
+    super();
+  }
+
+  override async send(target: KnownTarget, order: Order): Promise<OrderReply> {
+    const {clock, trouble} = this.world;
+    this.orders.push(order);
+    const engine = this.world.engines.get(target.notice.id)!;
+    if (this.random.float() < trouble.lost) {
+      clock.after(trouble.lateMs, () => engine.obey(order));
+      return ORDER_REPLY.unknown;
+    }
+    return engine.obey(order);
+  }
+
+  override async report(target: KnownTarget): Promise<ResidencyReport> {
+    const engine = this.world.engines.get(target.notice.id)!;
+    return {
+      orderCount: engine.orderCount,
+      isBusy: engine.busy !== undefined,
+      held: [...engine.models].map(([model, adapters]) => ({
+        model,
+        adapters: [...adapters],
+      })),
+      coming: [],
+    };
+  }
+}
+
+class EmptyLeaseLog extends LeaseLog {
+  private end = 0;
+
+  override async read(): Promise<Result<LeaseTail, 'unavailable'>> {
+    return ok({newest: undefined, end: this.end});
+  }
+
+  override async append(): Promise<Result<number, LeaseError>> {
+    return ok(this.end++);
+  }
+}
+
+/** A controller with the lease, and its engines. */
+export class EngineWorld {
+  readonly clock = new ManualClock();
+  readonly engines = new Map<string, FakeEngine>();
+  readonly usage = new UsageTable(this.clock);
+  readonly trouble: OrderTrouble = {lost: 0, lateMs: 0};
+  readonly port: FakeOrderPort;
+  readonly controller: ResidencyController;
+  private readonly targets = new TargetTable(this.clock);
+
+  /**
+   * @param held - models of each engine at the start; every model is on every
+   *     disk.
+   * @param engine - what the engines are.
+   */
+  constructor(held: string[][], engine: EngineFacts = engineFacts()) {
+    const state = new DeploymentState();
+    state.offer(deploymentOf([]));
+    const onDisk = [...engine.models.keys()];
+    held.forEach((models, i) => {
+      const id = `e${i + 1}`;
+      const fake = new FakeEngine(this.clock, engine, new Set(onDisk));
+      for (const model of models) fake.models.set(model, new Set());
+      this.engines.set(id, fake);
+      const list = models.map(model => ({model, adapters: []}));
+      const service = ENGINE_SERVICE;
+      const notice = targetNotice({id, service, held: list, onDisk});
+      this.targets.put(notice, true);
+    });
+    const logger = new SilentLogger();
+    const random = new Random(1);
+    const lease = new OrderLease({
+      clock: this.clock,
+      random,
+      log: new EmptyLeaseLog(),
+      logger,
+      host: HOST,
+      incarnation: HOST,
+      holderGapMs: 0,
+      hostCount: () => 1,
+    });
+    this.port = new FakeOrderPort(this, random);
+    const orders = new ResidencyOrders({
+      clock: this.clock,
+      logger,
+      lease,
+      port: this.port,
+    });
+    this.controller = new ResidencyController({
+      clock: this.clock,
+      logger,
+      state,
+      targets: this.targets,
+      lease,
+      orders,
+      usage: this.usage,
+      lender: new TokenLender(this.clock, state),
+      publish: () => {},
+    });
+    const {signal} = new AbortController();
+    void lease.run(signal);
+    void this.controller.run(signal);
+  }
+
+  /** Tells the controller what the hosts' requests use. */
+  report(
+    inFlight: Array<[string, string, number]>,
+    rates: Record<string, number>,
+    objectiveMs = 2_500,
+  ): void {
+    const demand = Object.entries(rates).map(([model, perSecond]) => ({
+      service: ENGINE_SERVICE,
+      model,
+      perSecond,
+      adapterPerSecond: 0,
+      objectiveMs,
+    }));
+    this.usage.report(HOST, {inFlight, demand});
+  }
+
+  /** Asks for a target; the clock has to be moved for an answer. */
+  async ask(
+    model: string,
+    adapter?: string,
+    waitMs = 5_000,
+  ): Promise<string | undefined> {
+    const nowMs = this.clock.now();
+    const request: ResidencyRequest = {
+      service: ENGINE_SERVICE,
+      model,
+      adapter,
+      objectiveEndMs: nowMs + 2_500,
+      giveUpMs: nowMs + waitMs,
+      tried: new Set(),
+    };
+    const {signal} = new AbortController();
+    const found = await this.controller.find(request, signal);
+    return found.isOk() ? found.value : undefined;
+  }
+
+  /** Moves the clock until a promise is settled. */
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let isDone = false;
+    void promise.finally(() => (isDone = true));
+    await this.clock.advance(0);
+    while (!isDone) await this.clock.advance(STEP_MS);
+    return promise;
+  }
+
+  /** @returns the target found, or nothing if there was none in time. */
+  find(
+    model: string,
+    adapter?: string,
+    waitMs?: number,
+  ): Promise<string | undefined> {
+    return this.settle(this.ask(model, adapter, waitMs));
+  }
+}
--- /dev/null
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -0,0 +1,243 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Result, err, ok} from 'neverthrow';
+import {
+  LEASE_ERROR,
+  LeaseError,
+  LeaseLog,
+  LeaseRecord,
+  LeaseTail,
+} from '../../lib/residency/lease_log.js';
+import {LEASE_TTL_MS, OrderLease} from '../../lib/residency/order_lease.js';
+import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {Random} from '../../lib/time/random.js';
+
+const HOLDER_GAP_MS = 3_000;
+const STEP_MS = 25;
+
+/** What goes wrong with the calls of one host. */
+interface Trouble {
+  /** Calls get no answer and have no effect. */
+  isCut: boolean;
+  /** Appends take effect, but their answers are lost. */
+  losesAnswers: boolean;
+  /** Appends take effect after this time, without an answer. */
+  lateMs: number;
+}
+
+/** A log that all hosts share. */
+class SharedLog {
+  readonly records: LeaseRecord[] = [];
+
+  append(record: LeaseRecord, expectedEnd: number): Result<number, LeaseError> {
+    if (this.records.length !== expectedEnd) return err(LEASE_ERROR.conflict);
+    this.records.push(record);
+    return ok(expectedEnd);
+  }
+}
+
+/** The shared log as one host reaches it. */
+class TroubledLog extends LeaseLog {
+  readonly trouble: Trouble = {isCut: false, losesAnswers: false, lateMs: 0};
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly log: SharedLog,
+  ) {
+    super();
+  }
+
+  override async read(from: number): Promise<Result<LeaseTail, 'unavailable'>> {
+    if (this.trouble.isCut) return err('unavailable');
+    const {records} = this.log;
+    const newest = from < records.length ? records.at(-1) : undefined;
+    return ok({newest, end: records.length});
+  }
+
+  override async append(
+    record: LeaseRecord,
+    expectedEnd: number,
+  ): Promise<Result<number, LeaseError>> {
+    const {isCut, losesAnswers, lateMs} = this.trouble;
+    if (isCut) return err(LEASE_ERROR.unknown);
+    if (lateMs > 0) {
+      this.clock.after(lateMs, () => this.log.append(record, expectedEnd));
+      return err(LEASE_ERROR.unknown);
+    }
+    const appended = this.log.append(record, expectedEnd);
+    return losesAnswers ? err(LEASE_ERROR.unknown) : appended;
+  }
+}
+
+interface LeaseHost {
+  lease: OrderLease;
+  log: TroubledLog;
+  stop: AbortController;
+}
+
+/** Hosts that all follow one log, on one clock. */
+class LeaseWorld {
+  readonly clock = new ManualClock();
+  readonly hosts: LeaseHost[] = [];
+  /** Host and time of each order that could have been given. */
+  readonly orders: Array<{host: number; ms: number}> = [];
+  private readonly shared = new SharedLog();
+  private starts = 0;
+
+  constructor(count: number) {
+    for (let i = 0; i < count; i++) this.hosts.push(this.start(i));
+  }
+
+  /** Ends a host without a word and starts it again. */
+  restart(i: number): void {
+    this.hosts[i].stop.abort();
+    this.hosts[i] = this.start(i);
+  }
+
+  /** Runs for a time; whoever may order does. */
+  async run(durationMs: number): Promise<void> {
+    for (let ms = 0; ms < durationMs; ms += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+      this.hosts.forEach(({lease}, host) => {
+        if (lease.mayOrder) this.orders.push({host, ms: this.clock.now()});
+      });
+    }
+  }
+
+  private start(i: number): LeaseHost {
+    const log = new TroubledLog(this.clock, this.shared);
+    const incarnation = `${i}-${this.starts++}`;
+    const lease = new OrderLease({
+      clock: this.clock,
+      random: new Random(this.starts),
+      log,
+      logger: new SilentLogger(),
+      host: `host-${i}`,
+      incarnation,
+      holderGapMs: HOLDER_GAP_MS,
+      hostCount: () => this.hosts.length,
+    });
+    const stop = new AbortController();
+    void lease.run(stop.signal);
+    return {lease, log, stop};
+  }
+}
+
+/** @returns the shortest time between orders of two hosts. */
+function shortestGap(orders: LeaseWorld['orders']): number {
+  let shortest = Infinity;
+  for (let i = 1; i < orders.length; i++) {
+    const [before, order] = [orders[i - 1], orders[i]];
+    if (before.host === order.host) continue;
+    shortest = Math.min(shortest, order.ms - before.ms);
+  }
+  return shortest;
+}
+
+const troubles = fc.constantFrom(
+  'cut',
+  'lost',
+  'late',
+  'heal',
+  'restart',
+  'release',
+  'pause',
+);
+
+describe('OrderLease', () => {
+  it('lets one host order soon after a start', async () => {
+    const world = new LeaseWorld(4);
+    await world.run(1_000);
+    const holders = world.hosts.filter(({lease}) => lease.mayOrder);
+    expect(holders).to.have.lengthOf(1);
+  });
+
+  it('passes on when the holder is gone, after the gap', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    world.hosts[first].stop.abort();
+    world.hosts[first].log.trouble.isCut = true;
+    await world.run(9_000);
+    const next = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    expect(next).to.not.equal(first);
+    expect(next).to.be.at.least(0);
+  });
+
+  it('is held again for lending before orders may follow', async () => {
+    const world = new LeaseWorld(2);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    world.hosts[first].stop.abort();
+    const other = world.hosts[1 - first];
+    await world.run(LEASE_TTL_MS + 2_000);
+    expect(other.lease.isHeld).to.equal(true);
+    expect(other.lease.mayOrder).to.equal(false);
+    await world.run(HOLDER_GAP_MS);
+    expect(other.lease.mayOrder).to.equal(true);
+  });
+
+  it('never lets two hosts order within the gap', async () => {
+    const steps = fc.array(
+      fc.record({
+        host: fc.integer({min: 0, max: 2}),
+        trouble: troubles,
+        ms: fc.integer({min: 50, max: 4_000}),
+      }),
+      {minLength: 1, maxLength: 14},
+    );
+    await fc.assert(
+      fc.asyncProperty(steps, async plan => {
+        const world = new LeaseWorld(3);
+        await world.run(500);
+        for (const {host, trouble, ms} of plan) {
+          await apply(world, host, trouble, ms);
+          await world.run(ms);
+        }
+        for (const {log} of world.hosts) heal(log);
+        await world.run(9_000);
+        expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+      }),
+      {numRuns: 60},
+    );
+  });
+});
+
+async function apply(
+  world: LeaseWorld,
+  host: number,
+  trouble: string,
+  ms: number,
+): Promise<void> {
+  const {lease, log} = world.hosts[host];
+  switch (trouble) {
+    case 'cut':
+      log.trouble.isCut = true;
+      break;
+    case 'lost':
+      log.trouble.losesAnswers = true;
+      break;
+    case 'late':
+      log.trouble.lateMs = ms;
+      break;
+    case 'restart':
+      world.restart(host);
+      break;
+    case 'release':
+      await lease.release(new AbortController().signal);
+      world.restart(host);
+      break;
+    case 'pause':
+      world.clock.pause(ms);
+      break;
+    default:
+      heal(log);
+  }
+}
+
+function heal({trouble}: TroubledLog): void {
+  trouble.isCut = false;
+  trouble.losesAnswers = false;
+  trouble.lateMs = 0;
+}
--- /dev/null
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -0,0 +1,140 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {engineFacts} from '../gateway/gateway_fixtures.js';
+import {EngineWorld} from './engine_world.js';
+
+const TICK_MS = 25;
+
+async function startedWorld(held: string[][]): Promise<EngineWorld> {
+  const world = new EngineWorld(held);
+  while ([...world.controller.all()].length === 0) {
+    await world.clock.advance(TICK_MS);
+  }
+  return world;
+}
+
+describe('ResidencyController', () => {
+  it('answers at once for a model that is held', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    const beganMs = world.clock.now();
+    expect(await world.find('m1')).to.equal('e1');
+    expect(world.clock.now() - beganMs).to.be.at.most(20);
+    expect(world.port.orders).to.have.lengthOf(0);
+  });
+
+  it('swaps an idle model that nobody asks for, from disk', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    world.report([], {m0: 5, m1: 3}, 400);
+    const beganMs = world.clock.now();
+    expect(await world.find('m7')).to.equal('e1');
+    expect(world.clock.now() - beganMs).to.be.below(1_200);
+    expect([...world.engines.get('e1')!.models.keys()]).to.deep.equal([
+      'm0',
+      'm1',
+      'm7',
+    ]);
+  });
+
+  it('does not evict a busy model for a rare one', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    world.report([], {m0: 5, m1: 5, m2: 5, m3: 0.3, m4: 0.3, m5: 0.3}, 400);
+    expect(await world.find('m7')).to.equal('e2');
+    expect(world.engines.get('e1')!.models.size).to.equal(3);
+  });
+
+  it('lets requests end before it unloads their model', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    const engine = world.engines.get('e1')!;
+    for (const model of ['m0', 'm1', 'm2']) engine.running.set(model, 1);
+    const inFlight = ['m0', 'm1', 'm2'].map(
+      model => ['e1', model, 1] as [string, string, number],
+    );
+    world.report(inFlight, {m0: 5, m1: 5, m2: 0.1}, 400);
+    const found = world.ask('m7');
+    await world.clock.advance(600);
+    expect(world.port.orders).to.have.lengthOf(0);
+    engine.endRuns('m2');
+    world.report(inFlight.slice(0, 2), {m0: 5, m1: 5, m2: 0.1}, 400);
+    expect(await world.settle(found)).to.equal('e1');
+    expect(engine.models.has('m2')).to.equal(false);
+  });
+
+  it('adds a copy of a model whose slots fill up', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    for (let i = 0; i < 30; i++) {
+      world.report([['e1', 'm0', 7]], {m0: 9, m1: 1, m2: 1}, 400);
+      await world.clock.advance(100);
+    }
+    expect(world.engines.get('e2')!.models.has('m0')).to.equal(true);
+  });
+
+  it('serves many requests for one missing model by one load', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    const asked = [world.ask('m7'), world.ask('m7'), world.ask('m7')];
+    const found = await world.settle(Promise.all(asked));
+    expect(found).to.deep.equal(['e1', 'e1', 'e1']);
+    const loads = world.port.orders.filter(({verb}) => verb === 'load');
+    expect(loads.filter(({model}) => model === 'm7')).to.have.lengthOf(1);
+  });
+
+  it('keeps adapters within their places, and loads what is asked for', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    for (const adapter of ['a1', 'a2', 'a3', 'a4']) {
+      expect(await world.find('m0', adapter)).to.equal('e1');
+      await world.clock.advance(500);
+    }
+    const engine = world.engines.get('e1')!;
+    expect(engine.crashes).to.equal(0);
+    expect(engine.adapterCount).to.equal(engineFacts().adapterSlots);
+  });
+
+  it('gives up in time when every order is lost', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    world.trouble.lost = 1;
+    world.trouble.lateMs = 60_000;
+    const beganMs = world.clock.now();
+    expect(await world.find('m7', undefined, 2_000)).to.equal(undefined);
+    expect(world.clock.now() - beganMs).to.be.at.most(2_100);
+  });
+
+  it('never orders more than a target holds, though answers are lost or late', async () => {
+    const model = fc.integer({min: 0, max: 9}).map(i => `m${i}`);
+    const adapter = fc.option(
+      fc.integer({min: 1, max: 5}).map(i => `a${i}`),
+      {nil: undefined},
+    );
+    const step = fc.record({
+      model,
+      adapter,
+      lost: fc.constantFrom(0, 0, 0.3, 1),
+      lateMs: fc.constantFrom(10, 900, 4_000),
+      pauseMs: fc.integer({min: 0, max: 1_500}),
+    });
+    const plans = fc.array(step, {minLength: 3, maxLength: 15});
+    await fc.assert(
+      fc.asyncProperty(plans, async steps => {
+        const world = await startedWorld([
+          ['m0', 'm1', 'm2'],
+          ['m0', 'm3'],
+        ]);
+        for (const {model, adapter, lost, lateMs, pauseMs} of steps) {
+          world.trouble.lost = lost;
+          world.trouble.lateMs = lateMs;
+          void world.ask(model, adapter, 2_000);
+          await world.clock.advance(pauseMs);
+        }
+        await world.clock.advance(6_000);
+        for (const {crashes} of world.engines.values()) {
+          expect(crashes).to.equal(0);
+        }
+      }),
+      {numRuns: 40},
+    );
+  });
+});
