--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,5 @@
 export * from './lib/service_standin.js';
 export * from './lib/standin_server.js';
 export * from './lib/weight_store_standin.js';
+export * from './lib/platform/platform_store_standin.js';
+export * from './lib/platform/platform_worker_standin.js';
--- /dev/null
+++ b/packages/standins/src/lib/platform/platform_store_standin.ts
@@ -0,0 +1,153 @@
+/** Stand-in of the users' platform store: a log with topics. @packageDocumentation */
+
+import {Context} from 'hono';
+import {StandinOptions, StandinServer} from '../standin_server.js';
+
+const LENGTH_BYTES = 4;
+const OFFSET_BYTES = 8;
+const POLL_MS = 5;
+
+/** Records of a topic's only partition. */
+interface Topic {
+  /** Offset of the first record that is kept. */
+  first: number;
+  records: Buffer[];
+}
+
+/**
+ * Keeps topics in memory. What is special to this stand-in beside the common
+ * faults: appends that are carried out late, and records that are forgotten.
+ */
+export class PlatformStoreStandin extends StandinServer {
+  /** Appends get no answer and are carried out after this time, if set. */
+  lateAppendsMs = 0;
+  /** Calls that were made, by path. */
+  readonly calls = new Map<string, number>();
+  private readonly topics = new Map<string, Topic>();
+
+  constructor(options: StandinOptions = {}) {
+    super(options);
+    this.app.use('*', async (c, next) => {
+      this.calls.set(c.req.path, (this.calls.get(c.req.path) ?? 0) + 1);
+      await next();
+    });
+    this.app.get('/log-read', c => this.read(c));
+    this.app.get('/log-newest', c => this.newest(c));
+    this.app.post('/log-append', c => this.append(c));
+  }
+
+  /**
+   * Writes a record with a key, as an operator or a worker does.
+   *
+   * @param topic - name of the topic.
+   * @param key - its key.
+   * @param value - encoded as JSON; undefined drops the key.
+   */
+  put(topic: string, key: string, value: unknown): void {
+    const name = Buffer.from(key);
+    const body =
+      value === undefined
+        ? Buffer.alloc(0)
+        : Buffer.from(JSON.stringify(value));
+    const record = Buffer.concat([Buffer.from([name.length]), name, body]);
+    this.topic(topic).records.push(record);
+  }
+
+  /** Forgets every record of a topic but the newest of each key. */
+  forget(topic: string): void {
+    const known = this.topic(topic);
+    const end = known.first + known.records.length;
+    this.snapshots.set(topic, this.newestOf(topic));
+    known.first = end;
+    known.records = [];
+  }
+
+  /** Newest records of keys whose records were forgotten. */
+  private readonly snapshots = new Map<string, Map<string, Buffer>>();
+
+  private topic(name: string): Topic {
+    let topic = this.topics.get(name);
+    if (topic === undefined) {
+      topic = {first: 0, records: []};
+      this.topics.set(name, topic);
+    }
+    return topic;
+  }
+
+  private async read(c: Context): Promise<Response> {
+    const topic = this.topic(c.req.query('Topic') ?? '');
+    const from = Number(c.req.query('From') ?? 0);
+    const endMs = this.clock.now() + Number(c.req.query('WaitMs') ?? 0);
+    if (from < topic.first) return c.json({First: topic.first}, 410);
+    while (topic.first + topic.records.length <= from) {
+      if (this.clock.now() >= endMs) break;
+      await this.clock.sleep(POLL_MS);
+    }
+    if (from < topic.first) return c.json({First: topic.first}, 410);
+    const head = Buffer.alloc(2 * OFFSET_BYTES);
+    head.writeBigUInt64BE(BigInt(topic.first + topic.records.length), 0);
+    head.writeBigUInt64BE(BigInt(topic.first), OFFSET_BYTES);
+    const framed = topic.records.slice(from - topic.first).flatMap(frame);
+    return c.body(new Uint8Array(Buffer.concat([head, ...framed])));
+  }
+
+  private newest(c: Context): Response {
+    const name = c.req.query('Topic') ?? '';
+    const topic = this.topic(name);
+    const items = [...this.newestOf(name)].map(([key, value]) => ({
+      Key: key,
+      Value: value.toString('base64'),
+      Offset: topic.first,
+    }));
+    const end = topic.first + topic.records.length;
+    return c.json({items, HasMore: false, End: end});
+  }
+
+  private newestOf(name: string): Map<string, Buffer> {
+    const newest = new Map(this.snapshots.get(name));
+    for (const record of this.topic(name).records) {
+      const valueAt = 1 + record[0];
+      const key = record.toString('utf8', 1, valueAt);
+      const value = record.subarray(valueAt);
+      if (value.length === 0) newest.delete(key);
+      else newest.set(key, value);
+    }
+    return newest;
+  }
+
+  private async append(c: Context): Promise<Response> {
+    const topic = this.topic(c.req.query('Topic') ?? '');
+    const at = c.req.query('At');
+    const body = Buffer.from(await c.req.arrayBuffer());
+    if (this.lateAppendsMs > 0) {
+      this.clock.after(this.lateAppendsMs, () => appendAt(topic, at, body));
+      return new Promise(() => {});
+    }
+    const offset = appendAt(topic, at, body);
+    const end = topic.first + topic.records.length;
+    if (offset === undefined) return c.json({End: end}, 412);
+    return c.json({Offset: offset, End: end});
+  }
+}
+
+function appendAt(
+  topic: Topic,
+  at: string | undefined,
+  body: Buffer,
+): number | undefined {
+  const end = topic.first + topic.records.length;
+  if (at !== undefined && Number(at) !== end) return undefined;
+  for (let i = 0; i < body.length;) {
+    const length = body.readUInt32BE(i);
+    i += LENGTH_BYTES;
+    topic.records.push(body.subarray(i, i + length));
+    i += length;
+  }
+  return end;
+}
+
+function frame(record: Buffer): Buffer[] {
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(record.length, 0);
+  return [length, record];
+}
--- /dev/null
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -0,0 +1,209 @@
+/** Stand-in of a worker on the users' platform. @packageDocumentation */
+
+import {AddressInfo, Socket} from 'node:net';
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+
+const PREFIX = 'x-fuchsiacleat-';
+const EVENT_COUNT = 4;
+
+/** What a worker does to one request instead of answering it. */
+export const ODD_ANSWER = {
+  /** Refuses it as not run. */
+  refuse: 'refuse',
+  /** Runs it and closes the connection without an answer. */
+  lose: 'lose',
+  /** Never answers. */
+  mute: 'mute',
+  /** Breaks the answer off midway. */
+  cut: 'cut',
+  /** Sends no length: the answer ends with the connection. */
+  unframed: 'unframed',
+  /** Ends an answer without length early, as if it were whole. */
+  unframedShort: 'unframed-short',
+  /** Answers with the id of another request. */
+  otherId: 'other-id',
+  /** Answers as an unrelated process would, without a signature. */
+  unsigned: 'unsigned',
+} as const;
+
+/** One of {@link ODD_ANSWER}. */
+export type OddAnswer = (typeof ODD_ANSWER)[keyof typeof ODD_ANSWER];
+
+/** A request that a worker began to work on. */
+export interface WorkerRun {
+  id: string;
+  method: string;
+  path: string;
+  body: string;
+  headers: IncomingMessage['headers'];
+}
+
+/** Options of a {@link PlatformWorkerStandin}. */
+export interface WorkerOptions {
+  id: string;
+  service: string;
+  zone: string;
+  /** Models that it holds; undefined for a plain service. */
+  models?: string[];
+}
+
+/** A worker: a plain service, or a model engine that takes orders. */
+export class PlatformWorkerStandin {
+  /** Requests that it worked on, in order. */
+  readonly runs: WorkerRun[] = [];
+  /** Orders that it accepted. */
+  readonly orders: string[] = [];
+  /** What happens to the next requests, in order. */
+  readonly odd: OddAnswer[] = [];
+  /** Work of each request, in milliseconds. */
+  workMs = 0;
+  private orderCount = 0;
+  private readonly models: Set<string>;
+  private readonly startedMs = Date.now();
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private address = '';
+
+  /** @param options - see {@link WorkerOptions}. */
+  constructor(private readonly options: WorkerOptions) {
+    this.models = new Set(options.models ?? []);
+    this.server = createServer((req, res) => void this.take(req, res));
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** What the worker says about itself in the store. */
+  entry(state = 'ready'): object {
+    return {
+      Service: this.options.service,
+      Addr: this.address,
+      Zone: this.options.zone,
+      Version: 'v1',
+      Slots: 8,
+      State: state,
+      ColdLeftMs: 0,
+      Seq: this.orderCount,
+      Models: [...this.models].map(toModelEntry),
+      born: this.startedMs,
+    };
+  }
+
+  /** Starts to listen on a free port. */
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const {port} = this.server.address() as AddressInfo;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  /** Ends at once, cutting every connection. */
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private async take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+    const body = Buffer.concat(chunks).toString();
+    const expected = req.headers[`${PREFIX}expect-instance`];
+    if (expected !== undefined && expected !== this.options.id) {
+      res.setHeader(`${PREFIX}instance-id`, this.options.id);
+      res.writeHead(421).end();
+    } else if (req.url === '/report') this.report(res);
+    else if (req.url === '/order') this.obey(JSON.parse(body), res);
+    else this.work(req, res, body);
+  }
+
+  private report(res: ServerResponse): void {
+    const {Models, Seq} = this.entry() as {Models: object; Seq: number};
+    res.setHeader('content-type', 'application/json');
+    res.end(JSON.stringify({Stage: 'both', Models, Busy: false, Seq}));
+  }
+
+  private obey(
+    order: {Op: string; Model: string; Precondition?: number},
+    res: ServerResponse,
+  ): void {
+    const isStale =
+      order.Precondition !== undefined &&
+      order.Precondition !== this.orderCount;
+    if (isStale) {
+      res.writeHead(409).end();
+      return;
+    }
+    this.orderCount += 1;
+    this.orders.push(`${order.Op} ${order.Model}`);
+    if (order.Op === 'load') this.models.add(order.Model);
+    else this.models.delete(order.Model);
+    res.writeHead(202).end();
+  }
+
+  private work(req: IncomingMessage, res: ServerResponse, body: string): void {
+    const id = String(req.headers[`${PREFIX}attempt-id`] ?? '');
+    const odd = this.odd.shift();
+    const model = req.headers[`${PREFIX}model`];
+    const isAbsent = typeof model === 'string' && !this.models.has(model);
+    if (isAbsent) {
+      res.writeHead(421).end();
+      return;
+    }
+    if (odd === ODD_ANSWER.refuse) {
+      res.setHeader(`${PREFIX}not-executed`, '1');
+      res.writeHead(503).end();
+      return;
+    }
+    const {method = '', url: path = '', headers} = req;
+    this.runs.push({id, method, path, body, headers});
+    setTimeout(
+      () => this.answer(res, id, odd, model !== undefined),
+      this.workMs,
+    );
+  }
+
+  private answer(
+    res: ServerResponse,
+    id: string,
+    odd: OddAnswer | undefined,
+    isStream: boolean,
+  ): void {
+    if (odd === ODD_ANSWER.mute || res.destroyed) return;
+    if (odd === ODD_ANSWER.lose) {
+      res.socket?.destroy();
+      return;
+    }
+    const echoed = odd === ODD_ANSWER.otherId ? 'another' : id;
+    res.setHeader(`${PREFIX}attempt-id`, echoed);
+    if (odd !== ODD_ANSWER.unsigned) {
+      res.setHeader(`${PREFIX}server-stamp`, `${this.options.id}.stamp`);
+    }
+    const text = isStream ? events(EVENT_COUNT) : `done ${id}`;
+    const half = text.slice(0, text.length / 2);
+    if (odd === ODD_ANSWER.unframed || odd === ODD_ANSWER.unframedShort) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+      res.writeHead(200).end(odd === ODD_ANSWER.unframed ? text : half);
+      return;
+    }
+    res.writeHead(200, {'content-length': Buffer.byteLength(text)});
+    if (odd === ODD_ANSWER.cut) {
+      res.write(half, () => res.socket?.destroy());
+      return;
+    }
+    res.end(text);
+  }
+}
+
+/** @returns a stream of events, with ids from 1. */
+function events(count: number): string {
+  let text = '';
+  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: piece\n\n`;
+  return text;
+}
+
+function toModelEntry(name: string): object {
+  return {Name: name, Version: 1, Adapters: []};
+}
