--- /dev/null
+++ b/packages/cli/src/lib/commands/explain_command.ts
@@ -0,0 +1,48 @@
+/** `explain`: what became of a request, from log lines. @packageDocumentation */
+
+import {createReadStream} from 'node:fs';
+import {Readable} from 'node:stream';
+import {createInterface} from 'node:readline';
+import {ParsedLine, explainRequest, parseLogLine} from '@fuchsiacleat/core';
+import {EXIT_CODE, ExitCode} from '../exit_code.js';
+import {Terminal} from '../terminal.js';
+
+/**
+ * @param id - the request's id.
+ * @param files - log files; the standard input if there are none.
+ * @param terminal - where to write.
+ * @param input - the standard input.
+ * @returns `failed` if no line names the request or a file cannot be read.
+ */
+export async function explain(
+  id: string,
+  files: readonly string[],
+  terminal: Terminal,
+  input: Readable,
+): Promise<ExitCode> {
+  const parsed: ParsedLine[] = [];
+  const streams =
+    files.length === 0 ? [input] : files.map(file => createReadStream(file));
+  try {
+    for (const stream of streams) await collect(stream, parsed);
+  } catch (error) {
+    terminal.error((error as Error).message);
+    return EXIT_CODE.failed;
+  }
+  const explained = explainRequest(id, parsed);
+  if (explained === undefined) {
+    terminal.error(`no line names the request ${id}`);
+    return EXIT_CODE.failed;
+  }
+  for (const line of explained.lines) terminal.out(line);
+  const cause = explained.cause ?? 'no line tells how the request ended';
+  terminal.out(`cause: ${cause}`);
+  return EXIT_CODE.ok;
+}
+
+async function collect(stream: Readable, into: ParsedLine[]): Promise<void> {
+  for await (const line of createInterface({input: stream})) {
+    const parsed = parseLogLine(line);
+    if (parsed !== undefined) into.push(parsed);
+  }
+}
--- a/packages/cli/src/lib/program.ts
+++ b/packages/cli/src/lib/program.ts
@@ -7,6 +7,7 @@
 import {check} from './commands/check_command.js';
 import {diff} from './commands/diff_command.js';
 import {drain} from './commands/drain_command.js';
+import {explain} from './commands/explain_command.js';
 import {get} from './commands/get_command.js';
 import {history} from './commands/history_command.js';
 import {publish} from './commands/publish_command.js';
@@ -94,6 +95,7 @@
   addConfigCommands(program, context);
   addHostCommands(program, context);
   addKeyCommands(program, context);
+  addLogCommands(program, context);
   try {
     await program.parseAsync(args, {from: 'user'});
   } catch (error) {
@@ -268,3 +270,14 @@
   if (/^\d{1,15}$/.test(text)) return Number(text);
   throw new InvalidArgumentError('expected a whole number.');
 }
+
+function addLogCommands(program: Command, context: CommandContext): void {
+  program
+    .command('explain')
+    .description('tell from log lines what became of a request')
+    .argument('<id>', "the request's id")
+    .argument('[files...]', 'log files of hosts; standard input by default')
+    .action((id: string, files: string[]) =>
+      context.finish(explain(id, files, context.terminal, process.stdin)),
+    );
+}
--- a/packages/cli/src/test/program_test.ts
+++ b/packages/cli/src/test/program_test.ts
@@ -16,6 +16,7 @@
   ['resume'],
   ['status'],
   ['drain'],
+  ['explain'],
   ['key', 'create'],
 ];
 
--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -7,6 +7,7 @@
 export * from './lib/gateway/freshness.js';
 export * from './lib/gateway/gateway_metrics.js';
 export * from './lib/gateway/logging_journal.js';
+export * from './lib/gateway/peer_news.js';
 export * from './lib/gateway/relay.js';
 export * from './lib/gateway/retry_allowance.js';
 export * from './lib/gateway/target_port.js';
--- /dev/null
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -0,0 +1,211 @@
+/** News of the platform that hosts take from one of them. @packageDocumentation */
+
+import {z} from 'zod';
+import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {DeploymentState} from './deployment_state.js';
+import {Freshness} from './freshness.js';
+import {TargetTable} from './target_table.js';
+
+/** Time between questions. */
+const ASK_INTERVAL_MS = 700;
+
+/** Longest wait for an answer. */
+const ASK_LIMIT_MS = 500;
+
+/** Age of the last answer up to which the store need not be read. */
+const NEWS_LIFE_MS = 1_300;
+
+/** Age up to which the reader's own knowledge is good enough to pass on. */
+const PASSED_AGE_MS = 2_500;
+
+/** Pause between looks at whether there is a reader to ask. */
+const IDLE_MS = 100;
+
+const names = z.array(z.string()).readonly();
+
+const noticeSchema = z.object({
+  id: z.string(),
+  startedMs: z.number(),
+  service: z.string(),
+  address: z.string(),
+  zone: z.string(),
+  slots: z.number(),
+  isLeaving: z.boolean(),
+  orderCount: z.number(),
+  held: z.array(z.object({model: z.string(), adapters: names})).readonly(),
+  inMemory: names,
+  onDisk: names,
+});
+
+const askSchema = z.object({
+  /** Incarnation of the reader at the last answer. */
+  reader: z.string(),
+  /** Revision of the reader's targets at the last answer. */
+  revision: z.number(),
+});
+
+const newsSchema = z.object({
+  /** Version of the configuration in force at the reader. */
+  version: z.number(),
+  /** Time since the store confirmed that version; unset if too old. */
+  ageMs: z.number().optional(),
+  revision: z.number(),
+  targets: z.array(z.object({id: z.string(), notice: noticeSchema.optional()})),
+});
+
+/** What a host asks the reader. */
+export type NewsQuestion = z.output<typeof askSchema>;
+
+/** What the reader answers. */
+export type News = z.output<typeof newsSchema>;
+
+const ASK_NEWS: PeerMethod<NewsQuestion, News> = {
+  name: 'news-ask',
+  body: askSchema,
+  event: newsSchema,
+};
+
+const NEWS_HINT: PeerMethod<{revision: number}, never> = {
+  name: 'news-hint',
+  body: z.object({revision: z.number()}),
+  event: z.never(),
+};
+
+/** Who reads the store for the others. */
+export interface NewsReader {
+  host: string;
+  incarnation: string;
+}
+
+/** What a {@link PeerNews} works with. */
+export interface PeerNewsParts {
+  clock: Clock;
+  network: PeerNetwork;
+  state: DeploymentState;
+  freshness: Freshness;
+  targets: TargetTable;
+  /** The reader, while it is heard; this host itself if it is the reader. */
+  reader: () => NewsReader | undefined;
+  /** Whether targets' own lists of models are to be believed. */
+  trustsNotices: () => boolean;
+}
+
+/**
+ * Saves calls to the store: one host reads it, and the others ask that host.
+ * An answer counts from before it was asked for, less the age that the reader
+ * gives, so that a slow link makes nothing look younger than it is.
+ */
+export class PeerNews {
+  private heardMs = -Infinity;
+  private question: NewsQuestion = {reader: '', revision: 0};
+  private readerVersion = -Infinity;
+  private sentRevision = 0;
+  private sentVersion = -Infinity;
+  private wake = new AbortController();
+
+  /** @param parts - see {@link PeerNewsParts}. */
+  constructor(private readonly parts: PeerNewsParts) {
+    const {network} = parts;
+    network.serveUnary(ASK_NEWS, question => this.answer(question));
+    network.onNote(NEWS_HINT, () => this.wake.abort());
+  }
+
+  /** Whether this host is the reader. */
+  private get isReader(): boolean {
+    const {network, reader} = this.parts;
+    return reader()?.incarnation === network.self.incarnation;
+  }
+
+  /** Whether the store need not be read for the targets. */
+  get coversTargets(): boolean {
+    if (this.isReader) return false;
+    return this.parts.clock.now() - this.heardMs < NEWS_LIFE_MS;
+  }
+
+  /** Whether the store need not be read for the configuration. */
+  get coversConfig(): boolean {
+    const version = this.parts.state.current?.deployment.version;
+    return this.coversTargets && this.readerVersion === version;
+  }
+
+  /** As the reader, tells the others that there is something to ask for. */
+  hint(): void {
+    const {network, state, targets} = this.parts;
+    const version = state.current?.deployment.version ?? 0;
+    const {revision} = targets;
+    const isNew =
+      revision !== this.sentRevision || version !== this.sentVersion;
+    if (!isNew || !this.isReader) return;
+    this.sentRevision = revision;
+    this.sentVersion = version;
+    for (const {host} of network.connected()) {
+      network.notify(host, NEWS_HINT, {revision});
+    }
+  }
+
+  /**
+   * Asks the reader until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, reader} = this.parts;
+    while (!signal.aborted) {
+      const from = reader();
+      if (from === undefined || this.isReader) {
+        await clock.sleep(IDLE_MS, signal);
+        continue;
+      }
+      await this.ask(from, signal);
+      if (this.wake.signal.aborted) this.wake = new AbortController();
+      await clock.sleep(ASK_INTERVAL_MS, this.wake.signal);
+    }
+  }
+
+  private async ask(from: NewsReader, signal: AbortSignal): Promise<void> {
+    const {clock, freshness, network, targets} = this.parts;
+    if (this.question.reader !== from.incarnation) {
+      this.question = {reader: from.incarnation, revision: 0};
+    }
+    const askedMs = clock.now();
+    const news = await network.call(from.host, ASK_NEWS, this.question, {
+      timeoutMs: ASK_LIMIT_MS,
+      signal,
+    });
+    if (news.isErr() || news.value.ageMs === undefined) return;
+    const {ageMs, revision, version} = news.value;
+    const adopts = this.parts.trustsNotices();
+    for (const {id, notice} of news.value.targets) {
+      if (notice === undefined) targets.remove(id);
+      else targets.put(notice, adopts);
+    }
+    if (this.question.revision === 0) this.removeUnknown(news.value);
+    this.question = {reader: from.incarnation, revision};
+    this.readerVersion = version;
+    this.heardMs = askedMs;
+    if (this.coversConfig) freshness.confirm(askedMs - ageMs);
+  }
+
+  /** A first answer names every target that there is. */
+  private removeUnknown(news: News): void {
+    const {targets} = this.parts;
+    const known = new Set(news.targets.map(({id}) => id));
+    for (const {notice} of [...targets.all()]) {
+      if (!known.has(notice.id)) targets.remove(notice.id);
+    }
+  }
+
+  private answer(question: NewsQuestion): News {
+    const {freshness, network, state, targets} = this.parts;
+    const isSame = question.reader === network.self.incarnation;
+    const {ageMs} = freshness;
+    const isGood = this.isReader && ageMs < PASSED_AGE_MS;
+    return {
+      version: state.current?.deployment.version ?? -1,
+      ageMs: isGood ? ageMs : undefined,
+      revision: targets.revision,
+      targets: targets.changedSince(isSame ? question.revision : 0),
+    };
+  }
+}
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -334,7 +334,7 @@
       call.runs += 1;
       return this.ended(req, call);
     }
-    target.health.failed();
+    this.noteFailure(target);
     call.runs += 1;
     call.arrivals += 1;
     call.tried.add(target.notice.id);
@@ -342,6 +342,10 @@
     return fail(FAILURE.targetLost, 'the target gave no answer');
   }
 
+  private noteFailure({health, notice}: KnownTarget): void {
+    this.parts.journal.targetAvoided(notice.id, health.failed());
+  }
+
   private noteNotRun(
     target: KnownTarget,
     req: Req,
@@ -353,7 +357,7 @@
       reason !== NOT_RUN.unreachable && reason !== NOT_RUN.noConnection;
     if (hasArrived) call.arrivals += 1;
     call.tried.add(id);
-    if (reason === NOT_RUN.unreachable) target.health.failed();
+    if (reason === NOT_RUN.unreachable) this.noteFailure(target);
     if (reason === NOT_RUN.otherProcess) target.isGone = true;
     if (req.demand === undefined) return;
     const isRefusal = reason === NOT_RUN.refused;
@@ -387,7 +391,7 @@
     if (end === RELAYED.whole) return {type: 'served'};
     if (call.signal.aborted) return this.ended(req, call);
     journal.sendEnded(req.id, target.notice.id, 'broken', `status ${status}`);
-    target.health.failed();
+    this.noteFailure(target);
     call.tried.add(target.notice.id);
     if (call.mayRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
--- a/packages/core/src/lib/gateway/relay_journal.ts
+++ b/packages/core/src/lib/gateway/relay_journal.ts
@@ -35,6 +35,9 @@
     detail: string,
   ): void;
 
+  /** Notes that a target's failures make other targets go first. */
+  abstract targetAvoided(target: string, forMs: number): void;
+
   /** Notes the end of a request. */
   abstract ended(story: RequestStory): void;
 }
--- a/packages/core/src/lib/gateway/target_health.ts
+++ b/packages/core/src/lib/gateway/target_health.ts
@@ -45,11 +45,17 @@
     this.failureRate += FAILURE_WEIGHT * (1 - this.failureRate);
   }
 
-  /** Notes that the target was not reached, or broke off. */
-  failed(): void {
+  /**
+   * Notes that the target was not reached, or broke off.
+   *
+   * @returns for how long it is avoided, in milliseconds.
+   */
+  failed(): number {
     this.answeredFailure();
-    const avoidMs = FIRST_AVOID_MS * 2 ** Math.min(this.failuresInRow, 3);
+    const doubled = FIRST_AVOID_MS * 2 ** this.failuresInRow;
+    const avoidMs = Math.min(MAX_AVOID_MS, doubled);
     this.failuresInRow += 1;
-    this.avoidUntilMs = this.clock.now() + Math.min(MAX_AVOID_MS, avoidMs);
+    this.avoidUntilMs = this.clock.now() + avoidMs;
+    return avoidMs;
   }
 }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -80,9 +80,18 @@
   }
 }
 
+/** A target that came, changed or went. */
+export interface TargetChange {
+  id: string;
+  /** Undefined if it is gone. */
+  notice: TargetNotice | undefined;
+}
+
 /** Targets by id and by service. */
 export class TargetTable {
   private readonly byId = new Map<string, KnownTarget>();
+  private readonly changes = new Map<string, number>();
+  private changeCount = 0;
   private readonly byService = new Map<string, KnownTarget[]>();
 
   /** @param clock - passed on to what is known of each target. */
@@ -98,6 +107,25 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Rises with each change that other hosts have to know. */
+  get revision(): number {
+    return this.changeCount;
+  }
+
+  /**
+   * @param revision - of an earlier look at this table.
+   * @returns what has changed since: a notice, or nothing for a target that
+   *     is gone.
+   */
+  changedSince(revision: number): TargetChange[] {
+    const changed: TargetChange[] = [];
+    for (const [id, changedAt] of this.changes) {
+      if (changedAt <= revision) continue;
+      changed.push({id, notice: this.byId.get(id)?.notice});
+    }
+    return changed;
+  }
+
   /** @returns every target. */
   all(): IterableIterator<KnownTarget> {
     return this.byId.values();
@@ -115,6 +143,7 @@
     const known = this.byId.get(notice.id);
     if (known !== undefined && isSameProcess(known.notice, notice)) {
       const moved = known.notice.service !== notice.service;
+      if (isNews(known.notice, notice)) this.noteChange(notice.id);
       known.notice = notice;
       if (adoptHeld) known.adoptHeld(notice);
       if (moved) this.reindex();
@@ -123,6 +152,7 @@
     if (known !== undefined) known.isGone = true;
     const target = new KnownTarget(notice, this.clock);
     this.byId.set(notice.id, target);
+    this.noteChange(notice.id);
     this.reindex();
     return target;
   }
@@ -133,9 +163,15 @@
     if (known === undefined) return;
     known.isGone = true;
     this.byId.delete(id);
+    this.noteChange(id);
     this.reindex();
   }
 
+  private noteChange(id: string): void {
+    this.changeCount += 1;
+    this.changes.set(id, this.changeCount);
+  }
+
   private reindex(): void {
     this.byService.clear();
     for (const target of this.byId.values()) {
@@ -146,3 +182,13 @@
     }
   }
 }
+
+/** @returns whether other hosts have to know of a newer notice. */
+function isNews(known: TargetNotice, notice: TargetNotice): boolean {
+  return (
+    known.isLeaving !== notice.isLeaving ||
+    known.address !== notice.address ||
+    known.service !== notice.service ||
+    known.onDisk.join() !== notice.onDisk.join()
+  );
+}
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -408,6 +408,12 @@
       await this.parts.clock.sleep(leftMs, this.signal);
       this.parts.publish(account);
     }
+    this.parts.logger.info('swap_ended', {
+      target: account.id,
+      model,
+      victims: swap.victims.join(','),
+      loaded: started,
+    });
     account.isBusy = false;
     account.readsStore = false;
     if (this.hasTakenOver) this.plan(account.target.notice.service);
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,7 +10,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {DemandBook} from './demand_book.js';
-import {OrderLease} from './order_lease.js';
+import {LeaseHolder, OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 import {ResidencyController} from './residency_controller.js';
 import {
@@ -30,6 +30,12 @@
 /** Time between reports of a host and between views of the holder. */
 const REPORT_INTERVAL_MS = 100;
 
+/**
+ * What each host adds to that time, so that the holder's work does not grow
+ * with the square of the hosts.
+ */
+const REPORT_MS_PER_HOST = 5;
+
 /** A report or view without news is sent after this time. */
 const HEARTBEAT_MS = 300;
 
@@ -104,6 +110,11 @@
     return this.parts.clock.now() - this.viewHeardMs < VIEW_LIFE_MS;
   }
 
+  /** The lease holder, while it is heard or is this host. */
+  get heardHolder(): LeaseHolder | undefined {
+    return this.followsView ? this.parts.lease.holder : undefined;
+  }
+
   /** Whether what targets announce to hold is newer than the last view. */
   get trustsNotices(): boolean {
     if (this.parts.controller.isActive) return false;
@@ -148,7 +159,9 @@
   publish(account: ResidencyAccount): void {
     this.changedViews.set(account.id, account);
     this.applyView(this.viewOf(account));
-    this.sendViews();
+    if (this.hostCount * REPORT_MS_PER_HOST <= REPORT_INTERVAL_MS) {
+      this.sendViews();
+    }
   }
 
   /**
@@ -157,10 +170,16 @@
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await this.parts.clock.every(REPORT_INTERVAL_MS, signal, () => {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
       this.sendReport();
       this.sendViews();
-    });
+      await clock.sleep(this.intervalMs, signal);
+    }
+  }
+
+  private get intervalMs(): number {
+    return Math.max(REPORT_INTERVAL_MS, this.hostCount * REPORT_MS_PER_HOST);
   }
 
   override async find(
--- /dev/null
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -0,0 +1,128 @@
+/** Tells from log lines what became of a request. @packageDocumentation */
+
+import {ParsedLine} from './log_line.js';
+
+/** Time before a request's end in which changes may have to do with it. */
+const CONTEXT_MS = 12_000;
+
+/** Events that change what a host believes or can do. */
+const BELIEF_EVENTS: ReadonlySet<string> = new Set([
+  'started',
+  'stopping',
+  'stopped',
+  'settings_reloaded',
+  'dependency_lost',
+  'dependency_regained',
+  'configuration_read',
+  'configuration_unreadable',
+  'configuration_stale',
+  'configuration_fresh',
+  'order_lease_holder',
+  'order_lease_holder_silent',
+  'order_lease_claimed',
+  'residency_taken_over',
+  'target_came',
+  'target_gone',
+  'target_leaving',
+  'target_avoided',
+  'target_trusted',
+  'log_lines_dropped',
+  'request_lines_omitted',
+]);
+
+/** Events about models, which matter if they name the request's model. */
+const MODEL_EVENTS: ReadonlySet<string> = new Set([
+  'swap_started',
+  'swap_ended',
+  'order',
+]);
+
+/** What a refusal or failure comes from, by its reason. */
+const CAUSES: Readonly<Record<string, string>> = {
+  unauthenticated: 'the key is in no configuration that this host has',
+  'unknown-route': 'no route of the configuration takes host and path',
+  'over-rate': "the team's tokens were used up over all hosts",
+  'no-capacity': 'no target could take it: see the waits and sends above',
+  'config-too-old': 'the host had no recent word from the store',
+  stopping: 'the host was stopping',
+  deadline: 'its time ran out: see where it waited or was sent',
+  'target-lost': 'a target took it and gave no whole answer',
+  'bad-request': 'the request was malformed',
+  'too-large': 'the request was larger than the configuration allows',
+};
+
+/** What is known of a request. */
+export interface RequestExplanation {
+  /** Lines about the request and what surrounds it, in order of time. */
+  lines: string[];
+  /** The outcome in words; undefined if no line tells how it ended. */
+  cause: string | undefined;
+}
+
+/**
+ * @param id - the request's id.
+ * @param parsed - lines of one or more hosts, in any order.
+ * @returns its way, or nothing if no line names it.
+ */
+export function explainRequest(
+  id: string,
+  parsed: readonly ParsedLine[],
+): RequestExplanation | undefined {
+  const own = parsed.filter(line => line.get('id') === id).sort(byTime);
+  if (own.length === 0) return undefined;
+  const end = own.find(line => line.get('event') === 'request');
+  const around = end === undefined ? [] : contextOf(end, parsed);
+  const lines = [...own, ...around].sort(byTime).map(describe);
+  return {lines, cause: end && causeOf(end)};
+}
+
+/** @returns what the request's host, or anyone for its model, did before. */
+function contextOf(
+  end: ParsedLine,
+  parsed: readonly ParsedLine[],
+): ParsedLine[] {
+  const endMs = timeOf(end);
+  const model = end.get('model');
+  return parsed.filter(line => {
+    const agoMs = endMs - timeOf(line);
+    if (agoMs < 0 || agoMs > CONTEXT_MS) return false;
+    const event = line.get('event') ?? '';
+    if (MODEL_EVENTS.has(event)) {
+      if (model === undefined) return false;
+      const victims = line.get('victims')?.split(',') ?? [];
+      return line.get('model') === model || victims.includes(model);
+    }
+    const isOwnHost = line.get('host') === end.get('host');
+    return isOwnHost && BELIEF_EVENTS.has(event);
+  });
+}
+
+function causeOf(end: ParsedLine): string {
+  const outcome = end.get('outcome') ?? 'unknown';
+  const reason = end.get('reason');
+  if (reason === undefined)
+    return `${outcome} with status ${end.get('status')}`;
+  const cause = CAUSES[reason] ?? reason;
+  const detail = end.get('detail');
+  const told = detail === undefined ? '' : ` (${detail})`;
+  return `${outcome}, ${reason}: ${cause}${told}`;
+}
+
+function describe(line: ParsedLine): string {
+  const shown: string[] = [];
+  for (const [key, value] of line) {
+    if (key === 'time' || key === 'level' || key === 'event') continue;
+    if (key === 'host') continue;
+    shown.push(`${key}=${value}`);
+  }
+  const head = [line.get('time'), line.get('host'), line.get('event')];
+  return `${head.join('  ')}  ${shown.join(' ')}`;
+}
+
+function timeOf(line: ParsedLine): number {
+  return Date.parse(line.get('time') ?? '');
+}
+
+function byTime(a: ParsedLine, b: ParsedLine): number {
+  return timeOf(a) - timeOf(b);
+}
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -188,6 +188,8 @@
 
   override sendEnded(): void {}
 
+  override targetAvoided(): void {}
+
   override ended(story: RequestStory): void {
     this.stories.push(story);
   }
