--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -18,7 +18,7 @@
 import {Freshness} from './freshness.js';
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
-import {RelayJournal} from './relay_journal.js';
+import {RelayJournal, RequestStory} from './relay_journal.js';
 import {AnswerRelay, RELAYED} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
 import {chooseService, chooseTarget} from './target_choice.js';
@@ -94,6 +94,13 @@
   tokens: number;
 }
 
+/** What was known of a request when it was refused. */
+interface Rejected {
+  refusal: Refusal;
+  route?: RouteRule;
+  team?: TeamFacts;
+}
+
 /**
  * Takes each request from its admission to its one answer. Whether an answer
  * may say "not run" is decided here alone: only while no target may have begun
@@ -118,8 +125,10 @@
     const {clock, journal} = this.parts;
     const admitted = await this.admit(req);
     if (admitted.isErr()) {
-      req.refuse(admitted.error);
-      journal.ended(this.story(req, undefined, admitted.error));
+      const {refusal, route, team} = admitted.error;
+      req.refuse(refusal);
+      const story = this.story(req, undefined, refusal);
+      journal.ended({...story, ...namesOf(route, team)});
       return;
     }
     const {route, team, tokens} = admitted.value;
@@ -151,17 +160,20 @@
     for (const call of this.calls) call.stop();
   }
 
-  private async admit(req: Req): Promise<Result<Admitted, Refusal>> {
+  private async admit(req: Req): Promise<Result<Admitted, Rejected>> {
     const {state, freshness, quotas} = this.parts;
     const inForce = state.current;
-    if (inForce === undefined) return err(stale('no configuration is known'));
+    if (inForce === undefined) {
+      return err({refusal: stale('no configuration is known')});
+    }
     const route = inForce.routes.match(req.host, req.path);
     const isStale = !freshness.isFresh;
     if (isStale && route?.isPublic !== true) {
-      return err(stale('the configuration may have changed'));
+      return err({refusal: stale('the configuration may have changed'), route});
     }
     if (route === undefined) {
-      return err(refuse(REFUSAL.unknownRoute, 'no route takes the request'));
+      const message = 'no route takes the request';
+      return err({refusal: refuse(REFUSAL.unknownRoute, message)});
     }
     if (route.isPublic || inForce.deployment.teams.size === 0) {
       return ok({route, team: undefined, tokens: 0});
@@ -169,7 +181,8 @@
     const team =
       req.key === undefined ? undefined : inForce.teamOfKey.get(req.key);
     if (team === undefined) {
-      return err(refuse(REFUSAL.unauthenticated, 'the key is not known'));
+      const message = 'the key is not known';
+      return err({refusal: refuse(REFUSAL.unauthenticated, message), route});
     }
     const tokens =
       req.tokens === undefined
@@ -177,8 +190,9 @@
         : req.tokens.prompt + req.tokens.output;
     const retryAfterMs = await quotas.take(team, tokens, req.signal);
     if (retryAfterMs === undefined) return ok({route, team, tokens});
-    const message = 'the team is over its rate';
-    return err(refuse(REFUSAL.overRate, message, retryAfterMs));
+    const message = `${tokens} tokens are over the rate of the team`;
+    const refusal = refuse(REFUSAL.overRate, message, retryAfterMs);
+    return err({refusal, route, team});
   }
 
   /** Sends the request until it has an answer or may not be sent again. */
@@ -444,6 +458,13 @@
   }
 }
 
+function namesOf(
+  route: RouteRule | undefined,
+  team: TeamFacts | undefined,
+): Partial<RequestStory> {
+  return {route: route?.name, kind: route?.kind, team: team?.name};
+}
+
 function urgencyOf<Req extends CallerRequest>(call: RelayCall<Req>): number {
   const {route, team} = call;
   const priority = team?.priority ?? route.priority;
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -14,7 +14,7 @@
 const WALLET_LIFE_MS = 3_000;
 
 /** Part of a team's burst that all hosts together may hold unused. */
-const HELD_PART = 0.3;
+const HELD_PART = 0.1;
 
 /** Part of the slack that hosts without a lender may use. */
 const USED_SLACK = 0.85;
--- a/packages/core/src/lib/residency/token_lender.ts
+++ b/packages/core/src/lib/residency/token_lender.ts
@@ -3,15 +3,23 @@
 import {DeploymentState} from '../gateway/deployment_state.js';
 import {TeamFacts} from '../gateway/deployment.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
-import {TokenBucket} from '../limits/token_bucket.js';
+import {BucketShape, TokenBucket} from '../limits/token_bucket.js';
 import {Clock} from '../time/clock.js';
 
 /** Part of the tokens in a bucket that one host may take ahead of its need. */
 const AHEAD_PART = 0.25;
 
+/** Part of a team's burst that can be used at once, and its least size. */
+const BURST_PART = 0.25;
+const LEAST_BURST_TOKENS = 6_000;
+
+const MS_PER_SECOND = 1_000;
+
 /**
- * One bucket for each team, which holds its whole rate. A new lender begins
- * with empty buckets, as the one before it may have lent all that there was.
+ * One bucket for each team, over all hosts. In any window a team gets at most
+ * what its rate and burst add up to there; the part of the burst that cannot be
+ * used at once is granted evenly over the window. A new lender begins with empty
+ * buckets, as the one before it may have lent all that there was.
  */
 export class TokenLender {
   private readonly buckets = new Map<string, TokenBucket>();
@@ -19,10 +27,12 @@
   /**
    * @param clock - measures the refill.
    * @param state - the teams and their rates.
+   * @param windowMs - window in which rate and burst are held.
    */
   constructor(
     private readonly clock: Clock,
     private readonly state: DeploymentState,
+    private readonly windowMs: number,
   ) {}
 
   /** Empties every bucket. */
@@ -50,7 +60,7 @@
   }
 
   private bucketOf(team: TeamFacts): TokenBucket {
-    const shape = {rate: team.tokensPerSecond, burst: team.burstTokens};
+    const shape = this.shapeOf(team);
     let bucket = this.buckets.get(team.name);
     if (bucket === undefined) {
       bucket = new TokenBucket(this.clock, shape, 0);
@@ -59,4 +69,12 @@
     bucket.reshape(shape);
     return bucket;
   }
+
+  private shapeOf(team: TeamFacts): BucketShape {
+    const {burstTokens, tokensPerSecond} = team;
+    const atOnce = Math.max(burstTokens * BURST_PART, LEAST_BURST_TOKENS);
+    const burst = Math.min(burstTokens, atOnce);
+    const spread = (burstTokens - burst) / (this.windowMs / MS_PER_SECOND);
+    return {rate: tokensPerSecond + spread, burst};
+  }
 }
--- a/packages/core/src/test/gateway/team_quotas_test.ts
+++ b/packages/core/src/test/gateway/team_quotas_test.ts
@@ -47,7 +47,7 @@
   const state = new DeploymentState();
   const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
   state.offer(deploymentOf([], [team]));
-  const lender = new TokenLender(clock, state);
+  const lender = new TokenLender(clock, state, SLACK.windowMs);
   const world: World = {clock, lender, isReached: true, hosts: []};
   for (let i = 0; i < HOSTS; i++) {
     const source = new SwitchedSource(lender, world);
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -241,7 +241,7 @@
       lease,
       orders,
       usage: this.usage,
-      lender: new TokenLender(this.clock, state),
+      lender: new TokenLender(this.clock, state, 8_000),
       publish: () => {},
     });
     const {signal} = new AbortController();
