--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -13,12 +13,6 @@
 /** Longest wait for an answer. */
 const ASK_LIMIT_MS = 500;
 
-/** Age of the last answer up to which the store need not be read. */
-const NEWS_LIFE_MS = 1_300;
-
-/** Age up to which the reader's own knowledge is good enough to pass on. */
-const PASSED_AGE_MS = 2_500;
-
 /** Pause between looks at whether there is a reader to ask. */
 const IDLE_MS = 100;
 
@@ -38,6 +32,9 @@
   onDisk: names,
 });
 
+/** Milliseconds; infinite if nothing was read. */
+const age = z.union([z.number(), z.literal(Infinity)]);
+
 const askSchema = z.object({
   /** Incarnation of the reader at the last answer. */
   reader: z.string(),
@@ -48,8 +45,10 @@
 const newsSchema = z.object({
   /** Version of the configuration in force at the reader. */
   version: z.number(),
-  /** Time since the store confirmed that version; unset if too old. */
-  ageMs: z.number().optional(),
+  /** Time since the store confirmed that version. */
+  configAgeMs: age,
+  /** Time since the targets were read. */
+  targetsAgeMs: age,
   revision: z.number(),
   targets: z.array(z.object({id: z.string(), notice: noticeSchema.optional()})),
 });
@@ -85,6 +84,13 @@
   state: DeploymentState;
   freshness: Freshness;
   targets: TargetTable;
+  /**
+   * Age up to which what the store said need not be read again; the age counts
+   * from the reader's own read.
+   */
+  lifeMs: number;
+  /** Clock time of this host's last read of the targets. */
+  targetsReadMs: () => number;
   /** The reader, while it is heard; this host itself if it is the reader. */
   reader: () => NewsReader | undefined;
   /** Whether targets' own lists of models are to be believed. */
@@ -97,7 +103,9 @@
  * gives, so that a slow link makes nothing look younger than it is.
  */
 export class PeerNews {
-  private heardMs = -Infinity;
+  /** Clock times by which the store had said what this host was told. */
+  private configMs = -Infinity;
+  private targetsMs = -Infinity;
   private question: NewsQuestion = {reader: '', revision: 0};
   private readerVersion = -Infinity;
   private sentRevision = 0;
@@ -119,14 +127,18 @@
 
   /** Whether the store need not be read for the targets. */
   get coversTargets(): boolean {
-    if (this.isReader) return false;
-    return this.parts.clock.now() - this.heardMs < NEWS_LIFE_MS;
+    return !this.isReader && this.isYoung(this.targetsMs);
   }
 
   /** Whether the store need not be read for the configuration. */
   get coversConfig(): boolean {
     const version = this.parts.state.current?.deployment.version;
-    return this.coversTargets && this.readerVersion === version;
+    if (this.isReader || this.readerVersion !== version) return false;
+    return this.isYoung(this.configMs);
+  }
+
+  private isYoung(sinceMs: number): boolean {
+    return this.parts.clock.now() - sinceMs < this.parts.lifeMs;
   }
 
   /** As the reader, tells the others that there is something to ask for. */
@@ -173,8 +185,8 @@
       timeoutMs: ASK_LIMIT_MS,
       signal,
     });
-    if (news.isErr() || news.value.ageMs === undefined) return;
-    const {ageMs, revision, version} = news.value;
+    if (news.isErr()) return;
+    const {configAgeMs, targetsAgeMs, revision, version} = news.value;
     const adopts = this.parts.trustsNotices();
     for (const {id, notice} of news.value.targets) {
       if (notice === undefined) targets.remove(id);
@@ -183,8 +195,9 @@
     if (this.question.revision === 0) this.removeUnknown(news.value);
     this.question = {reader: from.incarnation, revision};
     this.readerVersion = version;
-    this.heardMs = askedMs;
-    if (this.coversConfig) freshness.confirm(askedMs - ageMs);
+    this.configMs = askedMs - configAgeMs;
+    this.targetsMs = askedMs - targetsAgeMs;
+    if (this.coversConfig) freshness.confirm(this.configMs);
   }
 
   /** A first answer names every target that there is. */
@@ -197,13 +210,16 @@
   }
 
   private answer(question: NewsQuestion): News {
-    const {freshness, network, state, targets} = this.parts;
+    const {clock, freshness, network, state, targets} = this.parts;
     const isSame = question.reader === network.self.incarnation;
-    const {ageMs} = freshness;
-    const isGood = this.isReader && ageMs < PASSED_AGE_MS;
+    // A host that is no reader may itself have been told by others.
+    const unknownMs = Infinity;
     return {
       version: state.current?.deployment.version ?? -1,
-      ageMs: isGood ? ageMs : undefined,
+      configAgeMs: this.isReader ? freshness.ageMs : unknownMs,
+      targetsAgeMs: this.isReader
+        ? clock.now() - this.parts.targetsReadMs()
+        : unknownMs,
       revision: targets.revision,
       targets: targets.changedSince(isSame ? question.revision : 0),
     };
