Report lost targets to the lease holder; place copies by the load of targets

Cause: the only holder of a busy model had crashed, and hosts were sent to it again until it left the list (241 sends in 2 s); three busy models shared one worker (27 requests/s, 75 to 90 late first events in 2 s); a copy made for load was evicted at once, as it was idle and not the last.

--- a/packages/core/src/lib/gateway/model_finder.ts
+++ b/packages/core/src/lib/gateway/model_finder.ts
@@ -3,6 +3,7 @@
 import {Result} from 'neverthrow';
 import {Refusal} from '../requests/outcome.js';
 import {ModelDemand} from './caller_request.js';
+import {NotRunReason} from './target_port.js';
 import {KnownTarget} from './target_table.js';
 
 /** What a request asks of a {@link ModelFinder}. */
@@ -46,15 +47,15 @@
   ): void;
 
   /**
-   * Notes that a target did not hold a model that it was said to hold.
+   * Notes that a target did not run a request that it should be able to run.
    *
-   * @param target - where the request was refused.
+   * @param target - where the request was sent.
    * @param demand - what it asked for.
-   * @param isRefusal - whether the target only refused, for whatever reason.
+   * @param reason - why it did not run.
    */
-  abstract noteAbsent(
+  abstract noteNotRun(
     target: KnownTarget,
     demand: ModelDemand,
-    isRefusal: boolean,
+    reason: NotRunReason,
   ): void;
 }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -255,6 +255,7 @@
         zone: this.parts.zone,
         tried: call.tried,
         othersInFlight: this.parts.othersInFlight,
+        draw: this.parts.random.float(),
       };
       const all = targets.ofService(call.service);
       const {demand} = req;
@@ -374,11 +375,11 @@
     if (reason === NOT_RUN.unreachable) this.noteFailure(target);
     if (reason === NOT_RUN.otherProcess) target.isGone = true;
     if (req.demand === undefined) return;
-    const isRefusal = reason === NOT_RUN.refused;
-    if (isRefusal || reason === NOT_RUN.modelAbsent) {
-      this.parts.models.noteAbsent(target, req.demand, isRefusal);
-      call.tried.delete(id);
-    }
+    this.parts.models.noteNotRun(target, req.demand, reason);
+    const isThere =
+      reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent;
+    // Its models are looked up anew, so it may be tried again.
+    if (isThere) call.tried.delete(id);
   }
 
   /** Passes an answer on, or drops it if another target may do better. */
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -4,7 +4,7 @@
 import {KnownTarget} from './target_table.js';
 
 /** Load, as a share of the slots, that a target in another zone must save. */
-const OTHER_ZONE_PENALTY = 0.15;
+const OTHER_ZONE_PENALTY = 0.03;
 
 /** Load that a target's recent failures count as. */
 const FAILURE_PENALTY = 2;
@@ -20,6 +20,8 @@
   tried: ReadonlySet<string>;
   /** Requests at a target that other hosts have reported. */
   othersInFlight: (target: KnownTarget) => number;
+  /** Random number in [0, 1) that decides between equals. */
+  draw: number;
 }
 
 /**
@@ -29,12 +31,14 @@
  *     none is open and not tried yet.
  */
 export function chooseTarget(
-  targets: Iterable<KnownTarget>,
+  targets: readonly KnownTarget[],
   options: ChoiceOptions,
 ): KnownTarget | undefined {
   let best: KnownTarget | undefined;
   let bestCost = Infinity;
-  for (const target of targets) {
+  const first = Math.floor(options.draw * targets.length);
+  for (let i = 0; i < targets.length; i++) {
+    const target = targets[(first + i) % targets.length];
     if (!target.isOpen || options.tried.has(target.notice.id)) continue;
     const cost = costOf(target, options);
     if (cost >= bestCost) continue;
--- a/packages/core/src/lib/gateway/target_health.ts
+++ b/packages/core/src/lib/gateway/target_health.ts
@@ -45,6 +45,11 @@
     this.failureRate += FAILURE_WEIGHT * (1 - this.failureRate);
   }
 
+  /** Lets other targets go first for a time. */
+  avoid(forMs: number): void {
+    this.avoidUntilMs = this.clock.now() + forMs;
+  }
+
   /**
    * Notes that the target was not reached, or broke off.
    *
@@ -55,7 +60,7 @@
     const doubled = FIRST_AVOID_MS * 2 ** this.failuresInRow;
     const avoidMs = Math.min(MAX_AVOID_MS, doubled);
     this.failuresInRow += 1;
-    this.avoidUntilMs = this.clock.now() + avoidMs;
+    this.avoid(avoidMs);
     return avoidMs;
   }
 }
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -8,17 +8,20 @@
 import {ResidencyAccount} from './residency_account.js';
 
 /** Longest wait for the answer to an order or a report. */
-const ORDER_LIMIT_MS = 1_000;
+const ORDER_LIMIT_MS = 400;
 
 /** Pauses between tries of an order while the one before it goes on. */
 const FIRST_RETRY_MS = 15;
 const MAX_RETRY_MS = 250;
 
-/** Time after which an order that conflicts calls for a report. */
-const CONFLICT_LIMIT_MS = 3_000;
+/**
+ * Time after which an order that conflicts calls for a report: an unload waits
+ * for runs, and what follows it waits for the unload.
+ */
+const CONFLICT_LIMIT_MS = {unload: 600, load: 2_500} as const;
 
 /** Pause after an order without an answer, or a target out of reach. */
-const QUIET_MS = 500;
+const QUIET_MS = 250;
 
 /** What a {@link ResidencyOrders} works with. */
 export interface ResidencyOrdersParts {
@@ -58,7 +61,8 @@
       if (reply !== ORDER_REPLY.conflict) {
         return this.settle(account, order, reply);
       }
-      if (clock.now() - sinceMs > CONFLICT_LIMIT_MS || signal.aborted) {
+      const limitMs = CONFLICT_LIMIT_MS[order.verb];
+      if (clock.now() - sinceMs > limitMs || signal.aborted) {
         account.needsReport = true;
         return false;
       }
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -44,6 +44,8 @@
   needsReport = false;
   /** Clock time before which nothing is ordered. */
   quietUntilMs = -Infinity;
+  /** Hosts that lately could not reach the target, and when. */
+  readonly unreachableFrom = new Map<string, number>();
   /** Orders to this target go out one after the other. */
   private queue: Promise<unknown> = Promise.resolve();
 
@@ -68,6 +70,11 @@
     return this.target.notice.id;
   }
 
+  /** Whether requests can be sent to the target. */
+  get isReachable(): boolean {
+    return this.target.isOpen && !this.target.health.isAvoided;
+  }
+
   /** Weights and adapters held, in megabytes. */
   get usedMb(): number {
     let usedMb = 0;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -8,6 +8,7 @@
   TargetTable,
   residentKey,
 } from '../gateway/target_table.js';
+import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
 import {TokenBucket} from '../limits/token_bucket.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
@@ -15,7 +16,13 @@
 import {ResidencyOrders} from './order_sender.js';
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
-import {Swap, SwapContext, chooseSwap} from './swap_choice.js';
+import {
+  COPY_LOAD,
+  Swap,
+  SwapContext,
+  chooseSwap,
+  loadOf,
+} from './swap_choice.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 import {Waiter, WaitingRoom} from './waiting_room.js';
@@ -33,6 +40,16 @@
 const LATE_LOAD_MS = 4_000;
 const LATE_LOAD_PAUSE_MS = 60;
 
+/** Hosts that must have failed to reach a target, and within which time. */
+const UNREACHABLE_HOSTS = 2;
+const UNREACHABLE_MS = 2_000;
+
+/** How long such a target gets no requests: its process has to start again. */
+const UNREACHABLE_AVOID_MS = 2_000;
+
+/** Wait after which a request goes to a target that it has tried already. */
+const TRIED_WAIT_MS = 1_200;
+
 /** Part of the weight store's rate that is used. */
 const STORE_RATE_SHARE = 0.8;
 
@@ -48,10 +65,10 @@
 /** Pause after an unload, during which the target drops the weights. */
 const UNLOAD_PAUSE_MS = 52;
 
-/** In flight, as a share of the slots, that calls for another copy. */
-const COPY_LOAD = 0.45;
+/** Part of that load up to which a copy still relieves another. */
+const RELIEF_PART = 0.7;
 
-/** The same share, on the copies that are left, up to which one may go. */
+/** In flight on the copies that are left, likewise, up to which one may go. */
 const SURPLUS_LOAD = 0.25;
 
 /** When a caller may come back whose model cannot be loaded now. */
@@ -84,13 +101,12 @@
   tried: ReadonlySet<string>;
 }
 
-/** A target that refused a request for a model. */
-export interface AbsentModel {
+/** A target that did not run a request for a model. */
+export interface RefusedRun {
   target: string;
   model: string;
   adapter?: string;
-  /** Whether it only refused, for whatever reason. */
-  isRefusal: boolean;
+  reason: NotRunReason;
 }
 
 /** Nothing will hold the model in time. */
@@ -158,24 +174,55 @@
     });
   }
 
-  /** Notes that a target refused a request that it should be able to run. */
-  noteAbsent({target, model, adapter, isRefusal}: AbsentModel): void {
+  /**
+   * Notes that a target did not run a request that it should be able to run.
+   *
+   * @param host - whose request it was.
+   * @param refused - which target, and why.
+   */
+  noteRefused(
+    host: string,
+    {target, model, adapter, reason}: RefusedRun,
+  ): void {
     const account = this.accounts.get(target);
-    const resident = account?.residents.get(model);
-    if (account === undefined || resident === undefined) return;
-    const nowMs = this.parts.clock.now();
+    if (account === undefined) return;
+    if (reason === NOT_RUN.unreachable) {
+      this.noteUnreachable(account, host);
+      return;
+    }
+    const resident = account.residents.get(model);
     const item =
-      adapter === undefined ? resident : resident.adapters.get(adapter);
+      adapter === undefined ? resident : resident?.adapters.get(adapter);
     if (item === undefined) return;
+    const nowMs = this.parts.clock.now();
     const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
-    if (isLate || isRefusal) {
+    if (isLate || reason === NOT_RUN.refused) {
       item.readyMs = Math.max(item.readyMs, nowMs + LATE_LOAD_PAUSE_MS);
-    } else {
+    } else if (reason === NOT_RUN.modelAbsent) {
       account.needsReport = true;
     }
     this.parts.publish(account);
   }
 
+  /** Takes a target for lost once several hosts cannot reach it. */
+  private noteUnreachable(account: ResidencyAccount, host: string): void {
+    const nowMs = this.parts.clock.now();
+    const {unreachableFrom} = account;
+    unreachableFrom.set(host, nowMs);
+    for (const [other, ms] of unreachableFrom) {
+      if (nowMs - ms > UNREACHABLE_MS) unreachableFrom.delete(other);
+    }
+    const enough = Math.min(UNREACHABLE_HOSTS, this.parts.usage.hostCount);
+    if (unreachableFrom.size < enough || account.target.health.isAvoided)
+      return;
+    account.target.health.avoid(UNREACHABLE_AVOID_MS);
+    this.parts.logger.info('target_unreachable', {
+      target: account.id,
+      hosts: unreachableFrom.size,
+      for_ms: UNREACHABLE_AVOID_MS,
+    });
+  }
+
   private tick(): void {
     if (!this.isActive) {
       this.activeFencing = undefined;
@@ -268,8 +315,12 @@
     const {clock} = this.parts;
     const nowMs = clock.now();
     const {model, adapter} = waiter.request;
+    const isPatient = nowMs - waiter.sinceMs < TRIED_WAIT_MS;
     const holders = accounts.filter(
-      account => account.target.isOpen && account.keeps(model),
+      account =>
+        account.isReachable &&
+        account.keeps(model) &&
+        !(isPatient && waiter.request.tried.has(account.id)),
     );
     const ready = holders.filter(account => account.isReady(model, nowMs));
     if (ready.length === 0) {
@@ -514,19 +565,42 @@
     const {clock, lease, usage} = this.parts;
     if (!lease.mayOrder) return;
     const nowMs = clock.now();
-    for (const [model, holders] of copiesOf(accounts, nowMs)) {
+    const copies = copiesOf(accounts, nowMs);
+    for (const account of accounts) {
+      if (loadOf(account, usage) <= COPY_LOAD) continue;
+      const model = this.hottest(account);
+      const holders = model === undefined ? undefined : copies.get(model);
+      if (model === undefined || holders === undefined) continue;
+      const isRelieved = holders.some(
+        other => loadOf(other, usage) <= COPY_LOAD * RELIEF_PART,
+      );
+      const isComing = accounts.some(
+        other => (other.residents.get(model)?.readyMs ?? 0) > nowMs,
+      );
+      if (!isRelieved && !isComing) this.startSwap(model, service, accounts);
+    }
+    for (const [model, holders] of copies) {
+      if (holders.length < 2) continue;
       let running = 0;
       for (const {id} of holders) running += usage.inFlight(id, model);
       const load = running / holders[0].engine.slots;
-      if (load > holders.length * COPY_LOAD) {
-        const isComing = accounts.some(
-          account => (account.residents.get(model)?.readyMs ?? 0) > nowMs,
-        );
-        if (!isComing) this.startSwap(model, service, accounts);
-      } else if (load <= (holders.length - 1) * SURPLUS_LOAD) {
-        if (holders.length > 1) this.retireOne(model, holders);
-      }
+      if (load > (holders.length - 1) * SURPLUS_LOAD) continue;
+      this.retireOne(model, holders);
+    }
+  }
+
+  /** @returns the model of a target with the most requests in flight. */
+  private hottest(account: ResidencyAccount): string | undefined {
+    const {usage} = this.parts;
+    let hottest: string | undefined;
+    let most = 0;
+    for (const model of account.residents.keys()) {
+      const running = usage.inFlight(account.id, model);
+      if (running <= most) continue;
+      hottest = model;
+      most = running;
     }
+    return hottest;
   }
 
   private retireOne(model: string, holders: ResidencyAccount[]): void {
@@ -552,7 +626,7 @@
 ): Map<string, ResidencyAccount[]> {
   const copies = new Map<string, ResidencyAccount[]>();
   for (const account of accounts) {
-    if (!account.target.isOpen) continue;
+    if (!account.isReachable) continue;
     for (const [model, resident] of account.residents) {
       if (resident.readyMs > nowMs || resident.isLeaving) continue;
       if (resident.isRetiring) continue;
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -3,6 +3,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {ModelDemand} from '../gateway/caller_request.js';
 import {ModelFinder, ModelSearch} from '../gateway/model_finder.js';
+import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerNetwork} from '../peers/peer_network.js';
@@ -18,8 +19,8 @@
   FIND_TARGET,
   FoundBody,
   HOST_USAGE,
-  MODEL_ABSENT,
   RESIDENCY_VIEW,
+  TARGET_REFUSED,
   TargetView,
   UsageBody,
   ViewBody,
@@ -207,20 +208,20 @@
     return err(refuse(REFUSAL.noCapacity, message, retryAfterMs));
   }
 
-  override noteAbsent(
+  override noteNotRun(
     target: KnownTarget,
-    demand: ModelDemand,
-    isRefusal: boolean,
+    {model, adapter}: ModelDemand,
+    reason: NotRunReason,
   ): void {
-    const {model, adapter} = demand;
-    if (adapter === undefined) target.held.delete(model);
-    else target.held.get(model)?.delete(adapter);
-    const {id} = target.notice;
+    if (reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent) {
+      if (adapter === undefined) target.held.delete(model);
+      else target.held.get(model)?.delete(adapter);
+    }
     const {controller, lease, network} = this.parts;
-    const body = {target: id, model, adapter, isRefusal};
-    if (controller.isActive) controller.noteAbsent(body);
+    const body = {target: target.notice.id, model, adapter, reason};
+    if (controller.isActive) controller.noteRefused(network.self.host, body);
     else if (lease.holder !== undefined) {
-      network.notify(lease.holder.host, MODEL_ABSENT, body);
+      network.notify(lease.holder.host, TARGET_REFUSED, body);
     }
   }
 
@@ -318,7 +319,9 @@
       if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
       return {target: found.value, retryAfterMs: 0};
     });
-    network.onNote(MODEL_ABSENT, body => controller.noteAbsent(body));
+    network.onNote(TARGET_REFUSED, (body, from) =>
+      controller.noteRefused(from.host, body),
+    );
     network.onNote(HOST_USAGE, (body, from) => {
       usage.report(from.host, body);
     });
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -1,6 +1,7 @@
 /** What hosts tell each other about models and rates. @packageDocumentation */
 
 import {z} from 'zod';
+import {NOT_RUN} from '../gateway/target_port.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerMethod} from '../peers/peer_network.js';
 
@@ -34,18 +35,20 @@
   event: foundSchema,
 };
 
-const absentSchema = z.object({
+const refusedSchema = z.object({
   target: z.string(),
   model: z.string(),
   adapter: z.string().optional(),
-  /** Whether the target only refused, for whatever reason. */
-  isRefusal: z.boolean(),
+  reason: z.enum(NOT_RUN),
 });
 
-/** A target refused a request that it should be able to run. */
-export const MODEL_ABSENT: PeerMethod<z.output<typeof absentSchema>, never> = {
-  name: 'residency-absent',
-  body: absentSchema,
+/** A target did not run a request that it should be able to run. */
+export const TARGET_REFUSED: PeerMethod<
+  z.output<typeof refusedSchema>,
+  never
+> = {
+  name: 'residency-refused',
+  body: refusedSchema,
   event: z.never(),
 };
 
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -3,6 +3,12 @@
 import {ResidencyAccount} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 
+/** In flight, as a share of the slots, that calls for another copy. */
+export const COPY_LOAD = 0.45;
+
+/** Delay of a request that a target full of other requests counts as. */
+const LOAD_COST_MS = 1_500;
+
 /** How long the requests of a model run that must end before it is unloaded. */
 const DRAIN_MS = 1_500;
 
@@ -68,7 +74,9 @@
       : 0;
     const readyInMs = made.drainMs + loadMs;
     const busyCost = adapterCost(account, readyInMs, context);
-    const cost = waiting * (waitMs + readyInMs) + made.cost + busyCost;
+    const loadCost = LOAD_COST_MS * loadOf(account, context.usage);
+    const delayMs = waitMs + readyInMs + loadCost;
+    const cost = waiting * delayMs + made.cost + busyCost;
     if (cost >= bestCost) continue;
     const {victims, drainMs} = made;
     const mustDrain = drainMs > 0;
@@ -79,10 +87,19 @@
   return bestWaitMs > 0 || best?.account.isBusy ? undefined : best;
 }
 
+/** @returns requests in flight at a target, as a share of its slots. */
+export function loadOf(account: ResidencyAccount, usage: UsageTable): number {
+  let running = 0;
+  for (const model of account.residents.keys()) {
+    running += usage.inFlight(account.id, model);
+  }
+  return running / account.engine.slots;
+}
+
 /** @returns whether orders for models can go to a target, now or soon. */
 function canUse(account: ResidencyAccount, nowMs: number): boolean {
   if (account.needsReport || account.quietUntilMs > nowMs) return false;
-  return account.target.isOpen && !account.target.health.isAvoided;
+  return account.isReachable;
 }
 
 /** Delay of requests whose adapters cannot be loaded during an exchange. */
@@ -148,8 +165,10 @@
   const running = usage.inFlight(account.id, held);
   const drainMs = running > 0 ? DRAIN_MS : 0;
   const {perSecond, objectiveMs} = usage.demand(service, held);
-  if (hasOtherCopy(account, held, context)) {
-    return {cost: perSecond, drainMs, isBarred};
+  const others = otherCopies(account, held, context);
+  if (others.length > 0) {
+    const isNeeded = loadWithout(account, held, others, usage) > COPY_LOAD;
+    return {cost: perSecond, drainMs, isBarred: isBarred || isNeeded};
   }
   const reloadMs = reloadTime(held, context);
   const missed = (perSecond * reloadMs) / MS_PER_SECOND;
@@ -159,17 +178,29 @@
   return {cost, drainMs, isBarred};
 }
 
-function hasOtherCopy(
+function otherCopies(
   account: ResidencyAccount,
   model: string,
   {accounts, nowMs}: SwapContext,
-): boolean {
-  return accounts.some(
+): ResidencyAccount[] {
+  return accounts.filter(
     other =>
-      other !== account && other.target.isOpen && other.isReady(model, nowMs),
+      other !== account && other.isReachable && other.isReady(model, nowMs),
   );
 }
 
+/** @returns what the other copies would bear, as a share of their slots. */
+function loadWithout(
+  account: ResidencyAccount,
+  model: string,
+  others: readonly ResidencyAccount[],
+  usage: UsageTable,
+): number {
+  let running = usage.inFlight(account.id, model);
+  for (const {id} of others) running += usage.inFlight(id, model);
+  return running / (others.length * account.engine.slots);
+}
+
 function reloadTime(model: string, {accounts}: SwapContext): number {
   let reloadMs = Infinity;
   for (const account of accounts) {
--- a/packages/core/src/lib/residency/waiting_room.ts
+++ b/packages/core/src/lib/residency/waiting_room.ts
@@ -10,6 +10,8 @@
 /** A request that waits. */
 export interface Waiter {
   request: ResidencyRequest;
+  /** Clock time at which it began to wait. */
+  sinceMs: number;
   /** Answers it; call it once, after it was removed. */
   resolve: (result: Result<string, NotResident>) => void;
 }
@@ -23,7 +25,7 @@
 
   /** Adds a request. */
   add(request: ResidencyRequest, resolve: Waiter['resolve']): Waiter {
-    const waiter = {request, resolve};
+    const waiter = {request, resolve, sinceMs: this.clock.now()};
     this.waiters.add(waiter);
     return waiter;
   }
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -17,6 +17,7 @@
 import {
   BODY_END,
   BodyEnd,
+  NotRunReason,
   SendOptions,
   SendResult,
   TargetPort,
@@ -144,7 +145,7 @@
 
 /** Finds nothing until the caller's time is over. */
 export class NoModels extends ModelFinder {
-  readonly absent: boolean[] = [];
+  readonly notRun: NotRunReason[] = [];
 
   constructor(private readonly clock: ManualClock) {
     super();
@@ -160,12 +161,12 @@
 
   override noteArrival(): void {}
 
-  override noteAbsent(
+  override noteNotRun(
     unusedTarget: KnownTarget,
     unusedDemand: ModelDemand,
-    isRefusal: boolean,
+    reason: NotRunReason,
   ): void {
-    this.absent.push(isRefusal);
+    this.notRun.push(reason);
   }
 }
 
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -227,7 +227,10 @@
     const caller = new FakeCaller(world.clock);
     caller.demand = {model: 'm1', adapter: undefined};
     await world.run(caller);
-    expect(finder?.absent).to.deep.equal([false, true]);
+    expect(finder?.notRun).to.deep.equal([
+      NOT_RUN.modelAbsent,
+      NOT_RUN.refused,
+    ]);
     expect(caller.isEnded).to.equal(true);
   });
 });
--- /dev/null
+++ b/packages/core/src/test/gateway/target_choice_test.ts
@@ -0,0 +1,74 @@
+import {expect} from 'chai';
+import {chooseService, chooseTarget} from '../../lib/gateway/target_choice.js';
+import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {Random} from '../../lib/time/random.js';
+import {PLAIN_SERVICE, targetNotice} from './gateway_fixtures.js';
+
+const HOSTS = 6;
+
+function targetsIn(zones: string[], slots: number): readonly KnownTarget[] {
+  const table = new TargetTable(new ManualClock());
+  zones.forEach((zone, i) =>
+    table.put(targetNotice({id: `t${i}`, zone, slots}), true),
+  );
+  return table.ofService(PLAIN_SERVICE);
+}
+
+function options(draw: number, tried: string[] = []) {
+  return {zone: 'a', tried: new Set(tried), othersInFlight: () => 0, draw};
+}
+
+describe('chooseTarget', () => {
+  it('takes the nearer of two idle targets', () => {
+    const targets = targetsIn(['b', 'a'], 64);
+    for (const draw of [0, 0.5, 0.99]) {
+      const target = chooseTarget(targets, options(draw));
+      expect(target?.notice.zone).to.equal('a');
+    }
+  });
+
+  it('spreads the load of hosts that do not see each other', () => {
+    const random = new Random(1);
+    const total = new Map<string, number>();
+    for (let host = 0; host < HOSTS; host++) {
+      const targets = targetsIn(['x', 'y', 'z'], 64);
+      for (let i = 0; i < 10; i++) {
+        const target = chooseTarget(targets, options(random.float()))!;
+        target.began(undefined);
+        const {id} = target.notice;
+        total.set(id, (total.get(id) ?? 0) + 1);
+      }
+    }
+    const counts = [...total.values()];
+    expect(Math.max(...counts) / Math.min(...counts)).to.be.below(1.6);
+  });
+
+  it('leaves out what leaves, is gone or was tried', () => {
+    const targets = targetsIn(['a', 'a', 'a'], 8);
+    targets[0].notice = {...targets[0].notice, isLeaving: true};
+    targets[1].isGone = true;
+    expect(chooseTarget(targets, options(0))?.notice.id).to.equal('t2');
+    expect(chooseTarget(targets, options(0, ['t2']))).to.equal(undefined);
+  });
+
+  it('avoids a target that failed while another is there', () => {
+    const targets = targetsIn(['a', 'b'], 8);
+    targets[0].health.failed();
+    expect(chooseTarget(targets, options(0))?.notice.id).to.equal('t1');
+    const only = chooseTarget(targets, options(0, ['t1']));
+    expect(only?.notice.id).to.equal('t0');
+  });
+});
+
+describe('chooseService', () => {
+  it('follows the weights', () => {
+    const shares = [
+      {service: 'x', weight: 90},
+      {service: 'y', weight: 10},
+    ];
+    expect(chooseService(shares, 0.89)).to.equal('x');
+    expect(chooseService(shares, 0.91)).to.equal('y');
+    expect(chooseService([], 0.5)).to.equal(undefined);
+  });
+});
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {NOT_RUN} from '../../lib/gateway/target_port.js';
 import {engineFacts} from '../gateway/gateway_fixtures.js';
 import {EngineWorld} from './engine_world.js';
 
@@ -74,6 +75,45 @@
     expect(world.engines.get('e2')!.models.has('m0')).to.equal(true);
   });
 
+  it('loads a model elsewhere when hosts cannot reach its only target', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    world.report([], {m0: 5, m3: 0.2, m4: 0.2, m5: 0.2}, 400);
+    const refused = {target: 'e1', model: 'm0', reason: NOT_RUN.unreachable};
+    world.controller.noteRefused('host-1', refused);
+    expect(await world.find('m0')).to.equal('e2');
+  });
+
+  it('does not take one host for proof that a target is lost', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    world.report([], {m0: 5});
+    world.usage.report('host-2', {inFlight: []});
+    const refused = {target: 'e1', model: 'm0', reason: NOT_RUN.unreachable};
+    world.controller.noteRefused('host-2', refused);
+    expect(await world.find('m0')).to.equal('e1');
+  });
+
+  it('keeps a copy that the load needs, though others are rarer', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m0', 'm4', 'm5'],
+    ]);
+    const inFlight: Array<[string, string, number]> = [
+      ['e1', 'm0', 7],
+      ['e2', 'm4', 1],
+      ['e2', 'm5', 1],
+      ['e1', 'm1', 1],
+      ['e1', 'm2', 1],
+    ];
+    world.report(inFlight, {m0: 9, m1: 1, m2: 1, m4: 1, m5: 1}, 400);
+    const found = world.ask('m7', undefined, 1_500);
+    await world.clock.advance(1_600);
+    expect(world.engines.get('e2')!.models.has('m0')).to.equal(true);
+    expect(await found).to.equal(undefined);
+  });
+
   it('serves many requests for one missing model by one load', async () => {
     const world = await startedWorld([['m0', 'm1', 'm2']]);
     const asked = [world.ask('m7'), world.ask('m7'), world.ask('m7')];
