Do not wait for a busy model to drain

Cause: a missing model waited 6 s for the targets of models that always run, since the drain was reckoned with a fixed time (91 requests refused).

--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -12,6 +12,9 @@
 /** How long the requests of a model run that must end before it is unloaded. */
 const DRAIN_MS = 1_500;
 
+/** Requests a second up to which a model's only copy may be drained. */
+const MAX_DRAINED_RATE = 1;
+
 /** Delay that one evicted request of a kind with a short objective counts as. */
 const MISS_FACTOR = 3;
 
@@ -170,12 +173,14 @@
     const isNeeded = loadWithout(account, held, others, usage) > COPY_LOAD;
     return {cost: perSecond, drainMs, isBarred: isBarred || isNeeded};
   }
+  // New requests would keep it running for ever.
+  const neverDrains = running > 0 && perSecond > MAX_DRAINED_RATE;
   const reloadMs = reloadTime(held, context);
   const missed = (perSecond * reloadMs) / MS_PER_SECOND;
   const isLate = objectiveMs < reloadMs;
   const factor = isLate ? MISS_FACTOR : PATIENT_FACTOR;
   const cost = factor * (missed + perSecond) * reloadMs;
-  return {cost, drainMs, isBarred};
+  return {cost, drainMs, isBarred: isBarred || neverDrains};
 }
 
 function otherCopies(
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -63,6 +63,25 @@
     expect(engine.models.has('m2')).to.equal(false);
   });
 
+  it('does not wait for a busy model to drain, which it never would', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    const busy = ['m0', 'm1', 'm2'].map(
+      model => ['e1', model, 2] as [string, string, number],
+    );
+    const rare = ['m3', 'm4', 'm5'].map(
+      model => ['e2', model, 1] as [string, string, number],
+    );
+    const rates = {m0: 5, m1: 5, m2: 5, m3: 0.3, m4: 0.3, m5: 0.3};
+    world.report([...busy, ...rare], rates, 400);
+    const found = world.ask('m7');
+    await world.clock.advance(200);
+    world.report([...busy, ...rare.slice(1)], rates, 400);
+    expect(await world.settle(found)).to.equal('e2');
+  });
+
   it('adds a copy of a model whose slots fill up', async () => {
     const world = await startedWorld([
       ['m0', 'm1', 'm2'],
