--- a/packages/core/src/lib/gateway/discovered_target.ts
+++ b/packages/core/src/lib/gateway/discovered_target.ts
@@ -6,8 +6,8 @@
   adapters: readonly string[];
 }
 
-/** What a target says about itself. */
-export interface TargetNotice {
+/** What every host has to know of a target. */
+export interface BriefNotice {
   /** Differs for every target; may be kept over a restart. */
   id: string;
   /** Start of the target's process, Unix milliseconds. */
@@ -19,6 +19,10 @@
   slots: number;
   /** Whether it leaves and gets no new work. */
   isLeaving: boolean;
+}
+
+/** What a target says about itself. */
+export interface TargetNotice extends BriefNotice {
   /** Orders that it has accepted since its start. */
   orderCount: number;
   held: readonly HeldModel[];
@@ -28,6 +32,6 @@
 }
 
 /** @returns whether two notices come from the same process. */
-export function isSameProcess(a: TargetNotice, b: TargetNotice): boolean {
+export function isSameProcess(a: BriefNotice, b: BriefNotice): boolean {
   return a.id === b.id && a.startedMs === b.startedMs;
 }
--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -4,11 +4,12 @@
 import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {DeploymentState} from './deployment_state.js';
+import {BriefNotice} from './discovered_target.js';
 import {Freshness} from './freshness.js';
 import {TargetTable} from './target_table.js';
 
-/** Time between questions. */
-const ASK_INTERVAL_MS = 700;
+/** Time between questions, as a part of the life of an answer. */
+const ASK_INTERVAL_PART = 0.45;
 
 /** Longest wait for an answer. */
 const ASK_LIMIT_MS = 500;
@@ -16,8 +17,7 @@
 /** Pause between looks at whether there is a reader to ask. */
 const IDLE_MS = 100;
 
-const names = z.array(z.string()).readonly();
-
+/** What hosts have to know of a target; only the reader knows its models. */
 const noticeSchema = z.object({
   id: z.string(),
   startedMs: z.number(),
@@ -26,10 +26,6 @@
   zone: z.string(),
   slots: z.number(),
   isLeaving: z.boolean(),
-  orderCount: z.number(),
-  held: z.array(z.object({model: z.string(), adapters: names})).readonly(),
-  inMemory: names,
-  onDisk: names,
 });
 
 /** Milliseconds; infinite if nothing was read. */
@@ -93,8 +89,6 @@
   targetsReadMs: () => number;
   /** The reader, while it is heard; this host itself if it is the reader. */
   reader: () => NewsReader | undefined;
-  /** Whether targets' own lists of models are to be believed. */
-  trustsNotices: () => boolean;
 }
 
 /**
@@ -171,7 +165,8 @@
       }
       await this.ask(from, signal);
       if (this.wake.signal.aborted) this.wake = new AbortController();
-      await clock.sleep(ASK_INTERVAL_MS, this.wake.signal);
+      const intervalMs = this.parts.lifeMs * ASK_INTERVAL_PART;
+      await clock.sleep(intervalMs, this.wake.signal);
     }
   }
 
@@ -187,10 +182,9 @@
     });
     if (news.isErr()) return;
     const {configAgeMs, targetsAgeMs, revision, version} = news.value;
-    const adopts = this.parts.trustsNotices();
     for (const {id, notice} of news.value.targets) {
       if (notice === undefined) targets.remove(id);
-      else targets.put(notice, adopts);
+      else targets.putBrief(notice);
     }
     if (this.question.revision === 0) this.removeUnknown(news.value);
     this.question = {reader: from.incarnation, revision};
@@ -221,7 +215,14 @@
         ? clock.now() - this.parts.targetsReadMs()
         : unknownMs,
       revision: targets.revision,
-      targets: targets.changedSince(isSame ? question.revision : 0),
+      targets: targets
+        .changedSince(isSame ? question.revision : 0)
+        .map(({id, notice}) => ({id, notice: notice && toBrief(notice)})),
     };
   }
 }
+
+function toBrief(notice: BriefNotice): BriefNotice {
+  const {id, startedMs, service, address, zone, slots, isLeaving} = notice;
+  return {id, startedMs, service, address, zone, slots, isLeaving};
+}
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -2,7 +2,7 @@
 
 import {Clock} from '../time/clock.js';
 import {ModelDemand} from './caller_request.js';
-import {TargetNotice, isSameProcess} from './discovered_target.js';
+import {BriefNotice, TargetNotice, isSameProcess} from './discovered_target.js';
 import {TargetHealth} from './target_health.js';
 
 /** A model or an adapter of it, as a key. */
@@ -80,6 +80,9 @@
   }
 }
 
+/** What is assumed of a process that others have told of. */
+const NOTHING_HELD = {orderCount: 0, held: [], inMemory: [], onDisk: []};
+
 /** A target that came, changed or went. */
 export interface TargetChange {
   id: string;
@@ -157,6 +160,18 @@
     return target;
   }
 
+  /**
+   * Takes in what another host knows of a target.
+   *
+   * @param brief - what it knows; the models stay as they are known here.
+   */
+  putBrief(brief: BriefNotice): void {
+    const known = this.byId.get(brief.id);
+    const isKnown = known !== undefined && isSameProcess(known.notice, brief);
+    const rest = isKnown ? known.notice : NOTHING_HELD;
+    this.put({...rest, ...brief}, false);
+  }
+
   /** Takes out a target that has left the list. */
   remove(id: string): void {
     const known = this.byId.get(id);
@@ -188,7 +203,6 @@
   return (
     known.isLeaving !== notice.isLeaving ||
     known.address !== notice.address ||
-    known.service !== notice.service ||
-    known.onDisk.join() !== notice.onDisk.join()
+    known.service !== notice.service
   );
 }
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -50,6 +50,8 @@
   holderGapMs: number;
   /** Hosts that this host hears as the holder, itself included. */
   hostCount: () => number;
+  /** Puts claims off, so that others come first, in milliseconds. */
+  claimDelayMs: number;
 }
 
 /**
@@ -171,8 +173,9 @@
     await this.readTail(signal);
     const {clock, random} = this.parts;
     if (!this.isKnown || clock.now() < this.lapsedMs) return;
-    const spreadMs = random.int(0, CLAIM_SPREAD_MS) + this.ageDelayMs;
-    await clock.sleep(spreadMs, signal);
+    const spreadMs = random.int(0, CLAIM_SPREAD_MS);
+    const delayMs = spreadMs + this.ageDelayMs + this.parts.claimDelayMs;
+    await clock.sleep(delayMs, signal);
     if (!this.isStopping) await this.append(LEASE_EVENT.claim, signal);
   }
 
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -78,15 +78,22 @@
   /** Weights and adapters held, in megabytes. */
   get usedMb(): number {
     let usedMb = 0;
-    for (const [model, {adapters}] of this.residents) {
-      const facts = this.engine.models.get(model);
-      // A model that the configuration no longer knows may be of any size.
-      if (facts === undefined) return Infinity;
-      usedMb += facts.weightsMb + adapters.size * facts.adapterMb;
-    }
+    for (const model of this.residents.keys()) usedMb += this.sizeOf(model);
     return usedMb;
   }
 
+  /**
+   * @param model - a model that is held.
+   * @returns its size with its adapters, in megabytes; infinite for a model
+   *     that the configuration no longer knows.
+   */
+  sizeOf(model: string): number {
+    const facts = this.engine.models.get(model);
+    const adapters = this.residents.get(model)?.adapters.size ?? 0;
+    if (facts === undefined) return Infinity;
+    return facts.weightsMb + adapters * facts.adapterMb;
+  }
+
   /** Adapter places taken, those on their way included. */
   get adapterCount(): number {
     let count = 0;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -16,13 +16,8 @@
 import {ResidencyOrders} from './order_sender.js';
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
-import {
-  COPY_LOAD,
-  Swap,
-  SwapContext,
-  chooseSwap,
-  loadOf,
-} from './swap_choice.js';
+import {COPY_LOAD, PlanRound} from './plan_round.js';
+import {Swap, chooseSwap} from './swap_choice.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 import {Waiter, WaitingRoom} from './waiting_room.js';
@@ -30,6 +25,12 @@
 /** Time between looks at what waits. */
 const TICK_MS = 25;
 
+/** How long a round of planning holds if nothing is ordered. */
+const ROUND_LIFE_MS = 20;
+
+/** Time between looks at whether the copies fit the load. */
+const FIT_INTERVAL_MS = 150;
+
 /** Time that a load may take longer than the configuration says. */
 const LOAD_MARGIN_MS = 20;
 
@@ -122,7 +123,9 @@
   private readonly accounts = new Map<string, ResidencyAccount>();
   private readonly room: WaitingRoom;
   private readonly storeLoads = new Map<string, TokenBucket>();
+  private readonly rounds = new Map<string, PlanRound>();
   private activeFencing: number | undefined;
+  private fittedMs = -Infinity;
   private signal = new AbortController().signal;
 
   /** @param parts - see {@link ResidencyControllerParts}. */
@@ -170,7 +173,7 @@
     return new Promise(resolve => {
       const waiter = this.room.add(request, resolve);
       signal.addEventListener('abort', () => this.room.remove(waiter));
-      if (this.hasTakenOver) this.plan(request.service);
+      if (this.hasTakenOver) this.planOne(waiter);
     });
   }
 
@@ -233,7 +236,13 @@
     const {fencingNumber} = this.parts.lease;
     if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
     this.syncAccounts();
-    for (const service of this.engines().keys()) this.plan(service);
+    const nowMs = this.parts.clock.now();
+    const isFitting = nowMs - this.fittedMs >= FIT_INTERVAL_MS;
+    if (isFitting) this.fittedMs = nowMs;
+    for (const service of this.engines().keys()) {
+      if (isFitting) this.fitCopies(service);
+      this.plan(service);
+    }
   }
 
   private takeOver(fencing: number): void {
@@ -241,6 +250,7 @@
     this.activeFencing = fencing;
     this.accounts.clear();
     this.storeLoads.clear();
+    this.rounds.clear();
     this.parts.lender.restart();
   }
 
@@ -301,16 +311,31 @@
   private plan(service: string): void {
     this.room.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.accountsOf(service);
-    this.fitCopies(service, accounts);
+    const planned = new Set<string>();
     for (const waiter of this.room.byUrgency(service)) {
-      this.planFor(waiter, service, accounts);
+      const {model, adapter, tried} = waiter.request;
+      const key = residentKey(model, adapter);
+      const isFirst = !planned.has(key);
+      if (tried.size === 0) planned.add(key);
+      this.planFor(waiter, service, accounts, isFirst);
     }
   }
 
+  /** Serves a request that has just come, if that is possible at once. */
+  private planOne(waiter: Waiter): void {
+    const {service} = waiter.request;
+    this.planFor(waiter, service, this.accountsOf(service), true);
+  }
+
+  /**
+   * @param mayStart - whether a swap may be started for the request; false if
+   *     one was considered for the same model in this round.
+   */
   private planFor(
     waiter: Waiter,
     service: string,
     accounts: readonly ResidencyAccount[],
+    mayStart: boolean,
   ): void {
     const {clock} = this.parts;
     const nowMs = clock.now();
@@ -324,7 +349,7 @@
     );
     const ready = holders.filter(account => account.isReady(model, nowMs));
     if (ready.length === 0) {
-      if (holders.length === 0) this.startSwap(model, service, accounts);
+      if (holders.length === 0 && mayStart) this.startSwap(model, service);
       return;
     }
     for (const account of ready) this.keep(account, model);
@@ -336,7 +361,7 @@
       account.residents.get(model)!.adapters.has(adapter),
     );
     if (withAdapter.length === 0) {
-      this.startAdapterSwap(model, adapter, ready);
+      if (mayStart) this.startAdapterSwap(model, adapter, ready);
       return;
     }
     const usable = withAdapter.filter(account => {
@@ -346,6 +371,25 @@
     if (usable.length > 0) this.resolve(waiter, usable);
   }
 
+  /** @returns what is known now; it is kept until something is ordered. */
+  private roundOf(service: string): PlanRound {
+    const {clock, usage} = this.parts;
+    const nowMs = clock.now();
+    const known = this.rounds.get(service);
+    if (known !== undefined && nowMs - known.nowMs < ROUND_LIFE_MS) {
+      return known;
+    }
+    const round = new PlanRound({
+      service,
+      nowMs,
+      usage,
+      accounts: this.accountsOf(service),
+      waiting: this.room.countByModel(service),
+    });
+    this.rounds.set(service, round);
+    return round;
+  }
+
   private keep(account: ResidencyAccount, model: string): void {
     const resident = account.residents.get(model)!;
     if (!resident.isRetiring) return;
@@ -380,28 +424,20 @@
     waiter.resolve(ok(best.id));
   }
 
-  private startSwap(
-    model: string,
-    service: string,
-    accounts: readonly ResidencyAccount[],
-  ): void {
-    const {clock, lease, logger, usage} = this.parts;
+  private startSwap(model: string, service: string): void {
+    const {lease, logger} = this.parts;
     if (!lease.mayOrder) return;
     const engine = this.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
+    const round = this.roundOf(service);
     const storeLoads = this.storeBucket(service, engine);
+    const {accounts} = round;
     const reading = accounts.filter(({readsStore}) => readsStore).length;
     const mostReading = Math.max(1, accounts.length * STORE_TARGETS_PART);
-    const context: SwapContext = {
-      service,
-      nowMs: clock.now(),
-      usage,
-      accounts,
-      storeGrants: storeLoads.level >= 1 && reading < mostReading,
-      waiting: other => this.room.waitingFor(service, other),
-    };
-    const swap = chooseSwap(model, context);
+    const storeGrants = storeLoads.level >= 1 && reading < mostReading;
+    const swap = chooseSwap(model, round, storeGrants);
     if (swap === undefined) return;
+    this.rounds.delete(service);
     if (swap.mustDrain) {
       this.drain(swap);
       return;
@@ -416,7 +452,7 @@
       victims: swap.victims.join(','),
       ready_in_ms: swap.readyInMs,
       from_store: swap.fromStore,
-      waiting: context.waiting(model),
+      waiting: round.waiting(model),
     });
     void this.carryOut(swap);
   }
@@ -558,28 +594,26 @@
   }
 
   /** Adds copies of models that are short of slots; lets others run out. */
-  private fitCopies(
-    service: string,
-    accounts: readonly ResidencyAccount[],
-  ): void {
-    const {clock, lease, usage} = this.parts;
+  private fitCopies(service: string): void {
+    const {lease, usage} = this.parts;
     if (!lease.mayOrder) return;
-    const nowMs = clock.now();
-    const copies = copiesOf(accounts, nowMs);
-    for (const account of accounts) {
-      if (loadOf(account, usage) <= COPY_LOAD) continue;
+    const round = this.roundOf(service);
+    for (const account of round.accounts) {
+      if (round.load(account) <= COPY_LOAD) continue;
       const model = this.hottest(account);
-      const holders = model === undefined ? undefined : copies.get(model);
-      if (model === undefined || holders === undefined) continue;
-      const isRelieved = holders.some(
-        other => loadOf(other, usage) <= COPY_LOAD * RELIEF_PART,
-      );
-      const isComing = accounts.some(
-        other => (other.residents.get(model)?.readyMs ?? 0) > nowMs,
+      if (model === undefined) continue;
+      const isRelieved = round
+        .copies(model)
+        .some(other => round.load(other) <= COPY_LOAD * RELIEF_PART);
+      const isComing = round.accounts.some(
+        other => (other.residents.get(model)?.readyMs ?? 0) > round.nowMs,
       );
-      if (!isRelieved && !isComing) this.startSwap(model, service, accounts);
+      if (!isRelieved && !isComing) this.startSwap(model, service);
     }
-    for (const [model, holders] of copies) {
+    for (const [model, copies] of round.allCopies()) {
+      const holders = copies.filter(
+        account => account.residents.get(model)?.isRetiring === false,
+      );
       if (holders.length < 2) continue;
       let running = 0;
       for (const {id} of holders) running += usage.inFlight(id, model);
@@ -618,22 +652,3 @@
     this.parts.publish(least);
   }
 }
-
-/** @returns the targets that serve each model and go on doing so. */
-function copiesOf(
-  accounts: readonly ResidencyAccount[],
-  nowMs: number,
-): Map<string, ResidencyAccount[]> {
-  const copies = new Map<string, ResidencyAccount[]>();
-  for (const account of accounts) {
-    if (!account.isReachable) continue;
-    for (const [model, resident] of account.residents) {
-      if (resident.readyMs > nowMs || resident.isLeaving) continue;
-      if (resident.isRetiring) continue;
-      const others = copies.get(model);
-      if (others === undefined) copies.set(model, [account]);
-      else others.push(account);
-    }
-  }
-  return copies;
-}
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -43,8 +43,8 @@
 /** Time between views that name every target. */
 const FULL_VIEW_MS = 2_000;
 
-/** Time between reports of the demand for models. */
-const DEMAND_INTERVAL_MS = 500;
+/** Reports from one that tells the demand for models to the next. */
+const DEMAND_INTERVALS = 5;
 
 /**
  * Time after the last view from which targets' own notices are believed: they
@@ -374,7 +374,7 @@
     if (!isNews && nowMs - this.reportSentMs < HEARTBEAT_MS) return;
     const withDemand =
       holder.incarnation !== this.demandHolder ||
-      nowMs - this.demandSentMs >= DEMAND_INTERVAL_MS;
+      nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
     const body: UsageBody = {
       inFlight,
       demand: withDemand ? this.demand.rates() : undefined,
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -9,6 +9,15 @@
 /** How long a request that was sent to a target counts without a report. */
 const PROMISE_MS = 350;
 
+/** Sum of rates under which only rounding is left. */
+const LEAST_SUM = 1e-6;
+
+const NO_DEMAND: DemandRate = {
+  perSecond: 0,
+  adapterPerSecond: 0,
+  objectiveMs: Infinity,
+};
+
 /** What one host reports. */
 export interface UsageReport {
   /** Requests in flight: target, resident key, number. */
@@ -23,10 +32,12 @@
   demand: Map<string, DemandRate>;
 }
 
-/** Requests in flight and demand over all hosts. */
+/** Requests in flight and demand over all hosts, summed as reports come. */
 export class UsageTable {
   private readonly hosts = new Map<string, HostUsage>();
   private readonly promises = new Map<string, number>();
+  private readonly inFlightSums = new Map<string, number>();
+  private readonly demandSums = new Map<string, DemandRate>();
 
   /** @param clock - measures ages. */
   constructor(private readonly clock: Clock) {}
@@ -38,18 +49,22 @@
 
   /** Takes in a host's report, which replaces its earlier one. */
   report(host: string, report: UsageReport): void {
+    const known = this.hosts.get(host);
     const inFlight = new Map<string, number>();
     for (const [target, key, count] of report.inFlight) {
       inFlight.set(`${target} ${key}`, count);
     }
-    let demand = this.hosts.get(host)?.demand ?? new Map();
+    let demand = known?.demand ?? new Map<string, DemandRate>();
     if (report.demand !== undefined) {
       demand = new Map();
       for (const rate of report.demand) {
         demand.set(`${rate.service} ${rate.model}`, rate);
       }
     }
-    this.hosts.set(host, {heardMs: this.clock.now(), inFlight, demand});
+    if (known !== undefined) this.subtract(known);
+    const usage = {heardMs: this.clock.now(), inFlight, demand};
+    this.hosts.set(host, usage);
+    this.add(usage);
   }
 
   /** Notes that a request is about to be sent. */
@@ -60,40 +75,58 @@
   /** @returns requests in flight at a target for a model or adapter. */
   inFlight(target: string, key: string): number {
     const id = `${target} ${key}`;
-    const nowMs = this.clock.now();
-    let count = (this.promises.get(id) ?? 0) > nowMs ? 1 : 0;
-    for (const {heardMs, inFlight} of this.hosts.values()) {
-      if (nowMs - heardMs <= REPORT_LIFE_MS) count += inFlight.get(id) ?? 0;
-    }
-    return count;
+    const untilMs = this.promises.get(id) ?? 0;
+    const promised = untilMs > this.clock.now() ? 1 : 0;
+    return promised + (this.inFlightSums.get(id) ?? 0);
   }
 
   /** @returns the demand for a model. */
   demand(service: string, model: string): DemandRate {
-    const key = `${service} ${model}`;
-    const total = {
-      perSecond: 0,
-      adapterPerSecond: 0,
-      objectiveMs: Infinity,
-    };
-    for (const {demand} of this.hosts.values()) {
-      const rate = demand.get(key);
-      if (rate === undefined) continue;
-      total.perSecond += rate.perSecond;
-      total.adapterPerSecond += rate.adapterPerSecond;
-      total.objectiveMs = Math.min(total.objectiveMs, rate.objectiveMs);
-    }
-    return total;
+    return this.demandSums.get(`${service} ${model}`) ?? NO_DEMAND;
   }
 
   /** Drops what is too old to count. */
   prune(): void {
     const nowMs = this.clock.now();
-    for (const [host, {heardMs}] of this.hosts) {
-      if (nowMs - heardMs > REPORT_LIFE_MS) this.hosts.delete(host);
+    for (const [host, usage] of this.hosts) {
+      if (nowMs - usage.heardMs <= REPORT_LIFE_MS) continue;
+      this.hosts.delete(host);
+      this.subtract(usage);
     }
     for (const [id, untilMs] of this.promises) {
       if (untilMs <= nowMs) this.promises.delete(id);
     }
   }
+
+  private add({inFlight, demand}: HostUsage): void {
+    for (const [id, count] of inFlight) {
+      this.inFlightSums.set(id, (this.inFlightSums.get(id) ?? 0) + count);
+    }
+    for (const [key, rate] of demand) {
+      const sum = this.demandSums.get(key) ?? NO_DEMAND;
+      this.demandSums.set(key, {
+        perSecond: sum.perSecond + rate.perSecond,
+        adapterPerSecond: sum.adapterPerSecond + rate.adapterPerSecond,
+        objectiveMs: Math.min(sum.objectiveMs, rate.objectiveMs),
+      });
+    }
+  }
+
+  private subtract({inFlight, demand}: HostUsage): void {
+    for (const [id, count] of inFlight) {
+      const left = (this.inFlightSums.get(id) ?? 0) - count;
+      if (left > 0) this.inFlightSums.set(id, left);
+      else this.inFlightSums.delete(id);
+    }
+    for (const [key, rate] of demand) {
+      const sum = this.demandSums.get(key) ?? NO_DEMAND;
+      const perSecond = sum.perSecond - rate.perSecond;
+      const adapterPerSecond = sum.adapterPerSecond - rate.adapterPerSecond;
+      if (perSecond <= LEAST_SUM) this.demandSums.delete(key);
+      else {
+        const {objectiveMs} = sum;
+        this.demandSums.set(key, {perSecond, adapterPerSecond, objectiveMs});
+      }
+    }
+  }
 }
--- a/packages/core/src/lib/residency/waiting_room.ts
+++ b/packages/core/src/lib/residency/waiting_room.ts
@@ -35,13 +35,15 @@
     this.waiters.delete(waiter);
   }
 
-  /** @returns requests that wait for a model. */
-  waitingFor(service: string, model: string): number {
-    let count = 0;
+  /** @returns requests that wait for each model of a service. */
+  countByModel(service: string): Map<string, number> {
+    const counts = new Map<string, number>();
     for (const {request} of this.waiters) {
-      if (request.service === service && request.model === model) count += 1;
+      if (request.service !== service) continue;
+      const {model} = request;
+      counts.set(model, (counts.get(model) ?? 0) + 1);
     }
-    return count;
+    return counts;
   }
 
   /**
--- a/packages/core/src/test/gateway/peer_news_test.ts
+++ b/packages/core/src/test/gateway/peer_news_test.ts
@@ -37,7 +37,6 @@
       lifeMs: LIFE_MS,
       targetsReadMs: () => this.targetsReadMs,
       reader,
-      trustsNotices: () => true,
     });
     void this.news.run(new AbortController().signal);
   }
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -225,6 +225,7 @@
       incarnation: HOST,
       holderGapMs: 0,
       hostCount: () => 1,
+      claimDelayMs: 0,
     });
     this.port = new FakeOrderPort(this, random);
     const orders = new ResidencyOrders({
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -117,6 +117,7 @@
       incarnation,
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => this.hosts.length,
+      claimDelayMs: 0,
     });
     const stop = new AbortController();
     void lease.run(stop.signal);
