--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -50,8 +50,12 @@
 /** Pause before the targets of a service without open ones are looked at. */
 const NO_TARGET_PAUSE_MS = 50;
 
+/** Pause before a request asks the retry budget again, and for how long. */
+const BUDGET_PAUSE_MS = 150;
+const BUDGET_WAIT_OBJECTIVES = 3;
+
 /** Most sends of one request, whatever became of them. */
-const MAX_SENDS = 6;
+const MAX_SENDS = 8;
 
 /** Longest wait for the head of an answer that another target could give. */
 const HEAD_LIMIT_OBJECTIVES = 4;
@@ -219,6 +223,14 @@
       }
       const barred = this.barred(req, call);
       if (barred !== undefined) return this.unserved(call, barred);
+      if (!this.maySend(call)) {
+        if (call.runs > 0 || !this.mayWait(req, call)) {
+          const refusal = noCapacity('the retry budget is used up');
+          return this.unserved(call, refusal);
+        }
+        await this.parts.clock.sleep(BUDGET_PAUSE_MS, call.waitSignal);
+        continue;
+      }
       const outcome = await this.sendTo(target.value, req, call);
       if (outcome !== undefined) return outcome;
     }
@@ -226,7 +238,7 @@
 
   /** @returns why the request must not be sent now, if so. */
   private barred(req: Req, call: RelayCall<Req>): Refusal | undefined {
-    const {freshness, state, retries} = this.parts;
+    const {freshness, state} = this.parts;
     if (call.team !== undefined) {
       if (!freshness.isFresh) return stale('the configuration may be old');
       const holder = state.current?.teamOfKey.get(req.key ?? '');
@@ -237,12 +249,22 @@
     if (call.sends >= MAX_SENDS) {
       return noCapacity('every target that was tried refused');
     }
-    if (call.arrivals > 0 && !retries.tryRetry(call.service)) {
-      return noCapacity('the retry budget is used up');
-    }
     return undefined;
   }
 
+  /** @returns whether the retry budget allows one more send, now counted. */
+  private maySend(call: RelayCall<Req>): boolean {
+    if (call.arrivals === 0) return true;
+    return this.parts.retries.tryRetry(call.service);
+  }
+
+  /** @returns whether a request that did not run may wait for the budget. */
+  private mayWait(req: Req, call: RelayCall<Req>): boolean {
+    if (call.waitSignal.aborted) return false;
+    const waitMs = call.route.objectiveMs * BUDGET_WAIT_OBJECTIVES;
+    return this.parts.clock.now() < req.arrivedMs + waitMs;
+  }
+
   private async findTarget(
     req: Req,
     call: RelayCall<Req>,
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -4,10 +4,16 @@
 import {KnownTarget} from '../gateway/target_table.js';
 import {ResidencyReport} from './order_port.js';
 
-/** An adapter on a target. */
-export interface HeldAdapter {
+/** What is common to models and adapters on a target. */
+export interface HeldItem {
   /** Clock time from which it can be used. */
   readyMs: number;
+  /** Refusals since it should have been ready. */
+  lateCount: number;
+}
+
+/** An adapter on a target. */
+export interface HeldAdapter extends HeldItem {
   /** Clock time at which it was last handed to a request. */
   usedMs: number;
   /** Whether an order to unload it has not been granted yet. */
@@ -15,9 +21,7 @@
 }
 
 /** A model on a target. */
-export interface HeldResident {
-  /** Clock time from which it can be used. */
-  readyMs: number;
+export interface HeldResident extends HeldItem {
   usedMs: number;
   /** Whether requests go elsewhere, as another target holds it too. */
   isRetiring: boolean;
@@ -162,6 +166,7 @@
     for (const adapter of adapters) held.set(adapter, newAdapter(readyMs));
     const resident: HeldResident = {
       readyMs,
+      lateCount: 0,
       usedMs: readyMs,
       isRetiring: false,
       isLeaving: false,
@@ -179,5 +184,5 @@
 }
 
 function newAdapter(readyMs: number): HeldAdapter {
-  return {readyMs, usedMs: readyMs, isLeaving: false};
+  return {readyMs, lateCount: 0, usedMs: readyMs, isLeaving: false};
 }
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -40,6 +40,7 @@
 /** How long after a load a refusal only means that it is not done yet. */
 const LATE_LOAD_MS = 4_000;
 const LATE_LOAD_PAUSE_MS = 60;
+const MAX_LATE_DOUBLINGS = 3;
 
 /** Hosts that must have failed to reach a target, and within which time. */
 const UNREACHABLE_HOSTS = 2;
@@ -200,7 +201,11 @@
     const nowMs = this.parts.clock.now();
     const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
     if (isLate || reason === NOT_RUN.refused) {
-      item.readyMs = Math.max(item.readyMs, nowMs + LATE_LOAD_PAUSE_MS);
+      if (item.readyMs <= nowMs) {
+        const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
+        item.readyMs = nowMs + LATE_LOAD_PAUSE_MS * 2 ** doublings;
+        item.lateCount += 1;
+      }
     } else if (reason === NOT_RUN.modelAbsent) {
       account.needsReport = true;
     }
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -203,6 +203,7 @@
   freshness: Freshness;
   targets: TargetTable;
   port: FakePort;
+  retries: RetryAllowance;
   journal: KeptJournal;
   relay: Relay<FakeCaller, AnswerHead>;
   /** Runs a request to its answer. */
@@ -213,6 +214,8 @@
 export interface RelayWorldOptions {
   route: RouteRule;
   plays: Play[];
+  /** Retries that are saved up at first. */
+  retries?: number;
   /** Plain targets; two by default. */
   targetCount?: number;
   models?: (clock: ManualClock, targets: TargetTable) => ModelFinder;
@@ -239,6 +242,8 @@
     tokens: 0,
     windowMs: 1_000,
   });
+  const maxSaved = options.retries ?? 10;
+  const retries = new RetryAllowance(() => ({perRequest: 1, maxSaved}));
   const relay = new Relay<FakeCaller, AnswerHead>({
     clock,
     random: new Random(1),
@@ -247,7 +252,7 @@
     targets,
     port,
     quotas,
-    retries: new RetryAllowance(() => ({perRequest: 1, maxSaved: 10})),
+    retries,
     models: options.models?.(clock, targets) ?? new NoModels(clock),
     journal,
     zone: 'a',
@@ -260,5 +265,5 @@
     while (!isDone && clock.now() < endMs) await clock.advance(STEP_MS);
     if (isDone) await handled;
   };
-  return {clock, state, freshness, targets, port, journal, relay, run};
+  return {clock, state, freshness, targets, port, retries, journal, relay, run};
 }
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -4,6 +4,7 @@
 import {FAILURE, REFUSAL} from '../../lib/requests/outcome.js';
 import {
   ENGINE_SERVICE,
+  PLAIN_SERVICE,
   deploymentOf,
   routeRule,
   targetNotice,
@@ -103,6 +104,21 @@
     expect(caller.refusal?.retryAfterMs).to.be.above(0);
   });
 
+  it('lets a request that did not run wait for the retry budget', async () => {
+    const plays = [
+      ...Array.from({length: 3}, () => notRun('refused')),
+      () => answer(200, ['ok']),
+    ];
+    const world = relayWorld({route: once, plays, retries: 1});
+    const caller = new FakeCaller(world.clock);
+    // Other requests fill the budget again.
+    const refill = () => world.retries.noteRequest(PLAIN_SERVICE);
+    for (const ms of [250, 500, 750]) world.clock.after(ms, refill);
+    await world.run(caller);
+    expect(caller.body).to.equal('ok');
+    expect(world.clock.now()).to.be.below(once.objectiveMs * 4);
+  });
+
   it('says "may have run" when the deadline passes at a target', async () => {
     const world = relayWorld({route: once, plays: [mute]});
     const caller = await serve(world);
