--- a/packages/local-cluster/src/demo_main.ts
+++ b/packages/local-cluster/src/demo_main.ts
@@ -4,9 +4,13 @@
 import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
 import {request} from 'undici';
 import {LocalCluster, OPERATOR_TOKEN} from './lib/local_cluster.js';
+import {KEY, PATH, PlatformWorld} from './lib/platform_world.js';
 import {SAMPLE_KEY, sampleDeclarations} from './lib/sample_declarations.js';
 import {formatTrace} from './lib/trace_view.js';
 
+/** Hosts on the platform's stand-ins. */
+const PLATFORM_HOSTS = 2;
+
 const ZONES = ['hfj-a', 'kef-a'] as const;
 
 function print(line: string): void {
@@ -49,8 +53,32 @@
   );
 }
 
+async function showPlatform(isOnce: boolean): Promise<void> {
+  const world = await PlatformWorld.start(PLATFORM_HOSTS);
+  const headers = {'x-fuchsiacleat-model': 'm2'};
+  print('> POST /stream/ for model m2, which no worker holds yet');
+  const res = await world.call(PATH.stream, {headers});
+  print(`< ${res.status}`);
+  print(res.body.trimEnd());
+  print(`orders to the worker: ${world.engine.orders.join(', ')}`);
+  if (isOnce) {
+    await world.stop();
+    process.exit(0);
+  }
+  print('');
+  print('Try it (Ctrl-C stops):');
+  print(
+    `  curl -i ${world.callerUrl()}${PATH.repeatable}x -H 'host: desk.example' ` +
+      `-H 'x-fuchsiacleat-key: ${KEY}' -H 'x-fuchsiacleat-attempt-id: a1' -d x`,
+  );
+}
+
 async function main(): Promise<void> {
   const once = process.argv.includes('--once');
+  if (process.argv.includes('--platform')) {
+    await showPlatform(once);
+    return;
+  }
   const exporter = new InMemorySpanExporter();
   const cluster = await LocalCluster.start({
     hosts: ZONES.map(zone => ({name: `${zone}-1`, zone})),
--- a/platform/src/test/platform_fixtures.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -6,8 +6,7 @@
   PlatformWorkerStandin,
 } from '@fuchsiacleat/standins';
 import {Client} from 'undici';
-import {GatewayHost} from '../lib/gateway_host.js';
-import {PlatformSettings} from '../lib/platform_settings.js';
+import {GatewayHost, PlatformSettings} from '@fuchsiacleat/platform';
 
 /** Key of the only team. */
 export const KEY = 'key-1';
@@ -117,6 +116,12 @@
     await this.store.stop();
   }
 
+  /** Address of a host, for callers. */
+  callerUrl(host = 0): string {
+    const {address, port} = this.settings[host].callers;
+    return `http://${address}:${port}`;
+  }
+
   /** Writes a configuration in which these keys work. */
   publish(keys: string[]): void {
     this.store.put('keyed.op', 'config', config(this.version++, keys));
@@ -134,8 +139,7 @@
     path: string,
     {host = 0, headers = {}, body = 'x', id = ''} = {},
   ): Promise<Reply> {
-    const {address, port} = this.settings[host].callers;
-    const client = new Client(`http://${address}:${port}`);
+    const client = new Client(this.callerUrl(host));
     this.clients.push(client);
     const res = await client.request({
       method: 'POST',
--- a/platform/src/test/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -1,6 +1,6 @@
 import {ODD_ANSWER, OddAnswer} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
-import {PATH, PlatformWorld} from './platform_fixtures.js';
+import {PATH, PlatformWorld} from '../../lib/platform_world.js';
 
 describe('GatewayHost on stand-ins of the platform', () => {
   let world: PlatformWorld;
