--- a/packages/cli/src/lib/program.ts
+++ b/packages/cli/src/lib/program.ts
@@ -277,6 +277,10 @@
     .description('tell from log lines what became of a request')
     .argument('<id>', "the request's id")
     .argument('[files...]', 'log files of hosts; standard input by default')
+    .addHelpText(
+      'after',
+      examples('fuchsiacleat explain 701cce13af62a05a host-1.log'),
+    )
     .action((id: string, files: string[]) =>
       context.finish(explain(id, files, context.terminal, process.stdin)),
     );
