--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -28,9 +28,15 @@
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 
-/** Time between reports of a host and between views of the holder. */
+/** Time between reports of a host. */
 const REPORT_INTERVAL_MS = 100;
 
+/** Time between views of the holder, where changes are not told at once. */
+const VIEW_INTERVAL_MS = 100;
+
+/** Hosts up to which each change is told at once. */
+const MAX_HOSTS_AT_ONCE = 20;
+
 /**
  * What each host adds to that time, so that the holder's work does not grow
  * with the square of the hosts.
@@ -160,9 +166,7 @@
   publish(account: ResidencyAccount): void {
     this.changedViews.set(account.id, account);
     this.applyView(this.viewOf(account));
-    if (this.hostCount * REPORT_MS_PER_HOST <= REPORT_INTERVAL_MS) {
-      this.sendViews();
-    }
+    if (this.hostCount <= MAX_HOSTS_AT_ONCE) this.sendViews();
   }
 
   /**
@@ -172,9 +176,9 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
+    void clock.every(VIEW_INTERVAL_MS, signal, () => this.sendViews());
     while (!signal.aborted) {
       this.sendReport();
-      this.sendViews();
       await clock.sleep(this.intervalMs, signal);
     }
   }
