--- /dev/null
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -0,0 +1,174 @@
+/** The accounts of all engine targets. @packageDocumentation */
+
+import {DeploymentState} from '../gateway/deployment_state.js';
+import {EngineFacts} from '../gateway/deployment.js';
+import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
+import {KnownTarget, TargetTable} from '../gateway/target_table.js';
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {ResidencyOrders} from './order_sender.js';
+import {ResidencyAccount} from './residency_account.js';
+import {UsageTable} from './usage_table.js';
+
+/** How long after a load a refusal only means that it is not done yet. */
+const LATE_LOAD_MS = 4_000;
+const LATE_LOAD_PAUSE_MS = 60;
+const MAX_LATE_DOUBLINGS = 3;
+
+/** Hosts that must have failed to reach a target, and within which time. */
+const UNREACHABLE_HOSTS = 2;
+const UNREACHABLE_MS = 2_000;
+
+/** How long such a target gets no requests: its process has to start again. */
+const UNREACHABLE_AVOID_MS = 2_000;
+
+/** What an {@link AccountBook} works with. */
+export interface AccountBookParts {
+  clock: Clock;
+  logger: Logger;
+  state: DeploymentState;
+  targets: TargetTable;
+  orders: ResidencyOrders;
+  usage: UsageTable;
+  /** Tells the hosts what a target can be sent. */
+  publish: (account: ResidencyAccount) => void;
+}
+
+/** A target that did not run a request for a model. */
+export interface RefusedRun {
+  target: string;
+  model: string;
+  adapter?: string;
+  reason: NotRunReason;
+}
+
+/** Opens and closes accounts as targets come and go, and corrects them. */
+export class AccountBook {
+  private readonly accounts = new Map<string, ResidencyAccount>();
+
+  /** @param parts - see {@link AccountBookParts}. */
+  constructor(private readonly parts: AccountBookParts) {}
+
+  /** @returns the accounts of all targets. */
+  all(): IterableIterator<ResidencyAccount> {
+    return this.accounts.values();
+  }
+
+  /** Forgets every account. */
+  clear(): void {
+    this.accounts.clear();
+  }
+
+  /** @returns the engines of the configuration, by service. */
+  engines(): Map<string, EngineFacts> {
+    const engines = new Map<string, EngineFacts>();
+    const services = this.parts.state.current?.deployment.services;
+    for (const {name, engine} of services?.values() ?? []) {
+      if (engine !== undefined) engines.set(name, engine);
+    }
+    return engines;
+  }
+
+  /** @returns the accounts of a service's targets. */
+  of(service: string): ResidencyAccount[] {
+    const found: ResidencyAccount[] = [];
+    for (const account of this.accounts.values()) {
+      if (account.target.notice.service === service) found.push(account);
+    }
+    return found;
+  }
+
+  /**
+   * Follows the targets, and asks those for a report whose state is unsure.
+   *
+   * @param signal - gives up.
+   */
+  sync(signal: AbortSignal): void {
+    const {clock, orders, targets} = this.parts;
+    const engines = this.engines();
+    for (const [id, account] of this.accounts) {
+      if (targets.get(id) !== account.target) this.accounts.delete(id);
+    }
+    for (const target of targets.all()) {
+      const engine = engines.get(target.notice.service);
+      if (engine === undefined) continue;
+      const account = this.accounts.get(target.notice.id);
+      if (account !== undefined) account.engine = engine;
+      else this.open(target, engine);
+    }
+    const nowMs = clock.now();
+    for (const account of this.accounts.values()) {
+      if (!account.needsReport || account.quietUntilMs > nowMs) continue;
+      account.quietUntilMs = Infinity;
+      void account.inTurn(async () => {
+        account.quietUntilMs = -Infinity;
+        await orders.refresh(account, signal);
+        this.parts.publish(account);
+      });
+    }
+  }
+
+  private open(target: KnownTarget, engine: EngineFacts): void {
+    const account = new ResidencyAccount(
+      target,
+      engine,
+      this.parts.clock.now(),
+    );
+    // Orders of an earlier holder may be going on that no notice shows.
+    account.needsReport = target.notice.orderCount > 0;
+    this.accounts.set(target.notice.id, account);
+  }
+
+  /**
+   * Notes that a target did not run a request that it should be able to run.
+   *
+   * @param host - whose request it was.
+   * @param refused - which target, and why.
+   */
+  noteRefused(
+    host: string,
+    {target, model, adapter, reason}: RefusedRun,
+  ): void {
+    const account = this.accounts.get(target);
+    if (account === undefined) return;
+    if (reason === NOT_RUN.unreachable) {
+      this.noteUnreachable(account, host);
+      return;
+    }
+    const resident = account.residents.get(model);
+    const item =
+      adapter === undefined ? resident : resident?.adapters.get(adapter);
+    if (item === undefined) return;
+    const nowMs = this.parts.clock.now();
+    const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
+    if (isLate || reason === NOT_RUN.refused) {
+      if (item.readyMs <= nowMs) {
+        const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
+        item.readyMs = nowMs + LATE_LOAD_PAUSE_MS * 2 ** doublings;
+        item.lateCount += 1;
+      }
+    } else if (reason === NOT_RUN.modelAbsent) {
+      account.needsReport = true;
+    }
+    this.parts.publish(account);
+  }
+
+  /** Takes a target for lost once several hosts cannot reach it. */
+  private noteUnreachable(account: ResidencyAccount, host: string): void {
+    const nowMs = this.parts.clock.now();
+    const {unreachableFrom} = account;
+    unreachableFrom.set(host, nowMs);
+    for (const [other, ms] of unreachableFrom) {
+      if (nowMs - ms > UNREACHABLE_MS) unreachableFrom.delete(other);
+    }
+    const enough = Math.min(UNREACHABLE_HOSTS, this.parts.usage.hostCount);
+    if (unreachableFrom.size < enough) return;
+    if (account.target.health.isAvoided) return;
+    account.target.health.avoid(UNREACHABLE_AVOID_MS);
+    this.parts.logger.info('target_unreachable', {
+      target: account.id,
+      hosts: unreachableFrom.size,
+      for_ms: UNREACHABLE_AVOID_MS,
+    });
+  }
+}
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -1,23 +1,18 @@
 /** Decides which models the targets hold, while this host has the lease. @packageDocumentation */
 
 import {Result, ok} from 'neverthrow';
-import {DeploymentState} from '../gateway/deployment_state.js';
 import {EngineFacts} from '../gateway/deployment.js';
-import {
-  KnownTarget,
-  TargetTable,
-  residentKey,
-} from '../gateway/target_table.js';
-import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
+import {residentKey} from '../gateway/target_table.js';
 import {TokenBucket} from '../limits/token_bucket.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
-import {AdapterSwap, chooseAdapterSwap} from './adapter_choice.js';
-import {ResidencyOrders} from './order_sender.js';
+import {AccountBook} from './account_book.js';
+import {chooseAdapterSwap} from './adapter_choice.js';
 import {OrderLease} from './order_lease.js';
-import {ResidencyAccount} from './residency_account.js';
 import {COPY_LOAD, PlanRound} from './plan_round.js';
+import {ResidencyAccount} from './residency_account.js';
 import {Swap, chooseSwap} from './swap_choice.js';
+import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 import {Waiter, WaitingRoom} from './waiting_room.js';
@@ -31,24 +26,6 @@
 /** Time between looks at whether the copies fit the load. */
 const FIT_INTERVAL_MS = 150;
 
-/** Time that a load may take longer than the configuration says. */
-const LOAD_MARGIN_MS = 20;
-
-/** Time until an adapter can be used after its load was accepted. */
-const ADAPTER_LOAD_MS = 9;
-
-/** How long after a load a refusal only means that it is not done yet. */
-const LATE_LOAD_MS = 4_000;
-const LATE_LOAD_PAUSE_MS = 60;
-const MAX_LATE_DOUBLINGS = 3;
-
-/** Hosts that must have failed to reach a target, and within which time. */
-const UNREACHABLE_HOSTS = 2;
-const UNREACHABLE_MS = 2_000;
-
-/** How long such a target gets no requests: its process has to start again. */
-const UNREACHABLE_AVOID_MS = 2_000;
-
 /** Wait after which a request goes to a target that it has tried already. */
 const TRIED_WAIT_MS = 1_200;
 
@@ -64,9 +41,6 @@
  */
 const STORE_TARGETS_PART = 0.25;
 
-/** Pause after an unload, during which the target drops the weights. */
-const UNLOAD_PAUSE_MS = 52;
-
 /** Part of that load up to which a copy still relieves another. */
 const RELIEF_PART = 0.7;
 
@@ -80,10 +54,9 @@
 export interface ResidencyControllerParts {
   clock: Clock;
   logger: Logger;
-  state: DeploymentState;
-  targets: TargetTable;
   lease: OrderLease;
-  orders: ResidencyOrders;
+  book: AccountBook;
+  executor: SwapExecutor;
   usage: UsageTable;
   lender: TokenLender;
   /** Tells the hosts what a target can be sent. */
@@ -103,14 +76,6 @@
   tried: ReadonlySet<string>;
 }
 
-/** A target that did not run a request for a model. */
-export interface RefusedRun {
-  target: string;
-  model: string;
-  adapter?: string;
-  reason: NotRunReason;
-}
-
 /** Nothing will hold the model in time. */
 export interface NotResident {
   retryAfterMs: number;
@@ -121,7 +86,6 @@
  * wait, and orders swaps for them. It is inactive without the lease.
  */
 export class ResidencyController {
-  private readonly accounts = new Map<string, ResidencyAccount>();
   private readonly room: WaitingRoom;
   private readonly storeLoads = new Map<string, TokenBucket>();
   private readonly rounds = new Map<string, PlanRound>();
@@ -145,11 +109,6 @@
     return lease.isHeld && this.activeFencing === lease.fencingNumber;
   }
 
-  /** @returns the accounts of all targets. */
-  all(): IterableIterator<ResidencyAccount> {
-    return this.accounts.values();
-  }
-
   /**
    * Plans until the signal aborts.
    *
@@ -178,59 +137,6 @@
     });
   }
 
-  /**
-   * Notes that a target did not run a request that it should be able to run.
-   *
-   * @param host - whose request it was.
-   * @param refused - which target, and why.
-   */
-  noteRefused(
-    host: string,
-    {target, model, adapter, reason}: RefusedRun,
-  ): void {
-    const account = this.accounts.get(target);
-    if (account === undefined) return;
-    if (reason === NOT_RUN.unreachable) {
-      this.noteUnreachable(account, host);
-      return;
-    }
-    const resident = account.residents.get(model);
-    const item =
-      adapter === undefined ? resident : resident?.adapters.get(adapter);
-    if (item === undefined) return;
-    const nowMs = this.parts.clock.now();
-    const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
-    if (isLate || reason === NOT_RUN.refused) {
-      if (item.readyMs <= nowMs) {
-        const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
-        item.readyMs = nowMs + LATE_LOAD_PAUSE_MS * 2 ** doublings;
-        item.lateCount += 1;
-      }
-    } else if (reason === NOT_RUN.modelAbsent) {
-      account.needsReport = true;
-    }
-    this.parts.publish(account);
-  }
-
-  /** Takes a target for lost once several hosts cannot reach it. */
-  private noteUnreachable(account: ResidencyAccount, host: string): void {
-    const nowMs = this.parts.clock.now();
-    const {unreachableFrom} = account;
-    unreachableFrom.set(host, nowMs);
-    for (const [other, ms] of unreachableFrom) {
-      if (nowMs - ms > UNREACHABLE_MS) unreachableFrom.delete(other);
-    }
-    const enough = Math.min(UNREACHABLE_HOSTS, this.parts.usage.hostCount);
-    if (unreachableFrom.size < enough || account.target.health.isAvoided)
-      return;
-    account.target.health.avoid(UNREACHABLE_AVOID_MS);
-    this.parts.logger.info('target_unreachable', {
-      target: account.id,
-      hosts: unreachableFrom.size,
-      for_ms: UNREACHABLE_AVOID_MS,
-    });
-  }
-
   private tick(): void {
     if (!this.isActive) {
       this.activeFencing = undefined;
@@ -240,11 +146,11 @@
     this.parts.usage.prune();
     const {fencingNumber} = this.parts.lease;
     if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
-    this.syncAccounts();
+    this.parts.book.sync(this.signal);
     const nowMs = this.parts.clock.now();
     const isFitting = nowMs - this.fittedMs >= FIT_INTERVAL_MS;
     if (isFitting) this.fittedMs = nowMs;
-    for (const service of this.engines().keys()) {
+    for (const service of this.parts.book.engines().keys()) {
       if (isFitting) this.fitCopies(service);
       this.plan(service);
     }
@@ -253,69 +159,16 @@
   private takeOver(fencing: number): void {
     this.parts.logger.info('residency_taken_over', {fencing});
     this.activeFencing = fencing;
-    this.accounts.clear();
+    this.parts.book.clear();
     this.storeLoads.clear();
     this.rounds.clear();
     this.parts.lender.restart();
   }
 
-  private engines(): Map<string, EngineFacts> {
-    const engines = new Map<string, EngineFacts>();
-    const services = this.parts.state.current?.deployment.services;
-    for (const {name, engine} of services?.values() ?? []) {
-      if (engine !== undefined) engines.set(name, engine);
-    }
-    return engines;
-  }
-
-  private syncAccounts(): void {
-    const {clock, orders, targets} = this.parts;
-    const engines = this.engines();
-    for (const [id, account] of this.accounts) {
-      if (targets.get(id) !== account.target) this.accounts.delete(id);
-    }
-    for (const target of targets.all()) {
-      const engine = engines.get(target.notice.service);
-      if (engine === undefined) continue;
-      const account = this.accounts.get(target.notice.id);
-      if (account !== undefined) account.engine = engine;
-      else this.open(target, engine);
-    }
-    const nowMs = clock.now();
-    for (const account of this.accounts.values()) {
-      if (!account.needsReport || account.quietUntilMs > nowMs) continue;
-      account.quietUntilMs = Infinity;
-      void account.inTurn(async () => {
-        account.quietUntilMs = -Infinity;
-        await orders.refresh(account, this.signal);
-        this.parts.publish(account);
-      });
-    }
-  }
-
-  private open(target: KnownTarget, engine: EngineFacts): void {
-    const account = new ResidencyAccount(
-      target,
-      engine,
-      this.parts.clock.now(),
-    );
-    // Orders of an earlier holder may be going on that no notice shows.
-    account.needsReport = target.notice.orderCount > 0;
-    this.accounts.set(target.notice.id, account);
-  }
-
-  private accountsOf(service: string): ResidencyAccount[] {
-    const found: ResidencyAccount[] = [];
-    for (const account of this.accounts.values()) {
-      if (account.target.notice.service === service) found.push(account);
-    }
-    return found;
-  }
-
   /** Serves what can be served and starts the swaps that are worth most. */
   private plan(service: string): void {
     this.room.refuseExpired(RETRY_AFTER_MS);
-    const accounts = this.accountsOf(service);
+    const accounts = this.parts.book.of(service);
     const planned = new Set<string>();
     for (const waiter of this.room.byUrgency(service)) {
       const {model, adapter, tried} = waiter.request;
@@ -329,7 +182,7 @@
   /** Serves a request that has just come, if that is possible at once. */
   private planOne(waiter: Waiter): void {
     const {service} = waiter.request;
-    this.planFor(waiter, service, this.accountsOf(service), true);
+    this.planFor(waiter, service, this.parts.book.of(service), true);
   }
 
   /**
@@ -388,7 +241,7 @@
       service,
       nowMs,
       usage,
-      accounts: this.accountsOf(service),
+      accounts: this.parts.book.of(service),
       waiting: this.room.countByModel(service),
     });
     this.rounds.set(service, round);
@@ -432,7 +285,7 @@
   private startSwap(model: string, service: string): void {
     const {lease, logger} = this.parts;
     if (!lease.mayOrder) return;
-    const engine = this.engines().get(service);
+    const engine = this.parts.book.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const round = this.roundOf(service);
     const storeLoads = this.storeBucket(service, engine);
@@ -459,7 +312,19 @@
       from_store: swap.fromStore,
       waiting: round.waiting(model),
     });
-    void this.carryOut(swap);
+    void this.afterwards(
+      service,
+      this.parts.executor.carryOut(swap, this.signal),
+    );
+  }
+
+  /** Plans again once an order has been carried out. */
+  private async afterwards(
+    service: string,
+    work: Promise<void>,
+  ): Promise<void> {
+    await work;
+    if (this.hasTakenOver) this.plan(service);
   }
 
   /** Lets the victims' requests end before anything is ordered. */
@@ -483,75 +348,6 @@
     return bucket;
   }
 
-  private async carryOut(swap: Swap): Promise<void> {
-    const {account, model} = swap;
-    account.isBusy = true;
-    account.busyUntilMs = this.parts.clock.now() + swap.readyInMs;
-    account.readsStore = swap.fromStore;
-    for (const victim of swap.victims) {
-      account.residents.get(victim)!.isLeaving = true;
-    }
-    if (swap.victims.length > 0) this.parts.publish(account);
-    const started = await account.inTurn(() => this.exchange(swap));
-    this.parts.publish(account);
-    if (started) {
-      const resident = account.residents.get(model);
-      const leftMs = (resident?.readyMs ?? 0) - this.parts.clock.now();
-      await this.parts.clock.sleep(leftMs, this.signal);
-      this.parts.publish(account);
-    }
-    this.parts.logger.info('swap_ended', {
-      target: account.id,
-      model,
-      victims: swap.victims.join(','),
-      loaded: started,
-    });
-    account.isBusy = false;
-    account.readsStore = false;
-    if (this.hasTakenOver) this.plan(account.target.notice.service);
-  }
-
-  /** Unloads the victims and starts the load, while nothing else is ordered. */
-  private async exchange(swap: Swap): Promise<boolean> {
-    const {clock, orders} = this.parts;
-    const {account, model} = swap;
-    for (const victim of swap.victims) {
-      const order = {
-        verb: 'unload',
-        model: victim,
-        adapter: undefined,
-      } as const;
-      const isGone = await orders.send(account, order, this.signal);
-      if (!isGone) return this.takeBack(swap);
-      account.residents.delete(victim);
-    }
-    if (swap.victims.length > 0) {
-      await clock.sleep(UNLOAD_PAUSE_MS, this.signal);
-    }
-    const {loadMs} = account.loadOf(model);
-    const weightsMb = account.engine.models.get(model)!.weightsMb;
-    if (account.usedMb + weightsMb > account.engine.weightsMb) return false;
-    const resident = account.addResident(model, [], Infinity);
-    const order = {verb: 'load', model, adapter: undefined} as const;
-    const isAccepted = await orders.send(account, order, this.signal);
-    if (!isAccepted) {
-      if (!account.needsReport) account.residents.delete(model);
-      return false;
-    }
-    resident.readyMs = clock.now() + loadMs + LOAD_MARGIN_MS;
-    resident.usedMs = resident.readyMs;
-    account.busyUntilMs = resident.readyMs;
-    return true;
-  }
-
-  private takeBack({account, victims}: Swap): false {
-    for (const victim of victims) {
-      const resident = account.residents.get(victim);
-      if (resident !== undefined) resident.isLeaving = false;
-    }
-    return false;
-  }
-
   private startAdapterSwap(
     model: string,
     adapter: string,
@@ -561,41 +357,9 @@
     if (!lease.mayOrder) return;
     const wanted = {model, adapter};
     const swap = chooseAdapterSwap(wanted, ready, usage, clock.now());
-    if (swap !== undefined) void this.loadAdapter(swap);
-  }
-
-  private async loadAdapter(swap: AdapterSwap): Promise<void> {
-    const {clock, orders, publish} = this.parts;
-    const {account, model, adapter, victim} = swap;
-    const resident = account.residents.get(model)!;
-    const leaving =
-      victim &&
-      account.residents.get(victim.model)?.adapters.get(victim.adapter);
-    if (leaving !== undefined) leaving.isLeaving = true;
-    account.addAdapter(model, adapter, Infinity);
-    if (victim !== undefined) publish(account);
-    await account.inTurn(async () => {
-      if (victim !== undefined) {
-        const order = {verb: 'unload', ...victim} as const;
-        const isGone = await orders.send(account, order, this.signal);
-        if (!isGone) {
-          resident.adapters.delete(adapter);
-          return;
-        }
-        account.residents.get(victim.model)?.adapters.delete(victim.adapter);
-      }
-      const order = {verb: 'load', model, adapter} as const;
-      const isAccepted = await orders.send(account, order, this.signal);
-      const added = resident.adapters.get(adapter);
-      if (!isAccepted && !account.needsReport)
-        resident.adapters.delete(adapter);
-      else if (added !== undefined) {
-        added.readyMs = clock.now() + ADAPTER_LOAD_MS;
-      }
-    });
-    await clock.sleep(ADAPTER_LOAD_MS, this.signal);
-    publish(account);
-    if (this.hasTakenOver) this.plan(account.target.notice.service);
+    if (swap === undefined) return;
+    const loaded = this.parts.executor.loadAdapter(swap, this.signal);
+    void this.afterwards(swap.account.target.notice.service, loaded);
   }
 
   /** Adds copies of models that are short of slots; lets others run out. */
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,6 +10,7 @@
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
+import {AccountBook} from './account_book.js';
 import {DemandBook} from './demand_book.js';
 import {LeaseHolder, OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
@@ -86,6 +87,7 @@
   targets: TargetTable;
   lease: OrderLease;
   controller: ResidencyController;
+  book: AccountBook;
   usage: UsageTable;
   lender: TokenLender;
   network: PeerNetwork;
@@ -221,9 +223,9 @@
       if (adapter === undefined) target.held.delete(model);
       else target.held.get(model)?.delete(adapter);
     }
-    const {controller, lease, network} = this.parts;
+    const {book, controller, lease, network} = this.parts;
     const body = {target: target.notice.id, model, adapter, reason};
-    if (controller.isActive) controller.noteRefused(network.self.host, body);
+    if (controller.isActive) book.noteRefused(network.self.host, body);
     else if (lease.holder !== undefined) {
       network.notify(lease.holder.host, TARGET_REFUSED, body);
     }
@@ -301,7 +303,7 @@
   }
 
   private serve(): void {
-    const {clock, controller, lender, network, usage} = this.parts;
+    const {book, clock, controller, lender, network, usage} = this.parts;
     network.serveUnary(BORROW_TOKENS, request => {
       // A rejected call makes the host use its own part of the rate.
       if (!controller.isActive) throw new Error('not the lease holder');
@@ -324,7 +326,7 @@
       return {target: found.value, retryAfterMs: 0};
     });
     network.onNote(TARGET_REFUSED, (body, from) =>
-      controller.noteRefused(from.host, body),
+      book.noteRefused(from.host, body),
     );
     network.onNote(HOST_USAGE, (body, from) => {
       usage.report(from.host, body);
@@ -404,7 +406,7 @@
   }
 
   private sendViews(): void {
-    const {clock, controller, lease, network, usage} = this.parts;
+    const {book, clock, controller, lease, network, usage} = this.parts;
     if (!controller.isActive) {
       this.changedViews.clear();
       return;
@@ -413,7 +415,7 @@
     const isFull = nowMs - this.fullViewSentMs >= FULL_VIEW_MS;
     const isDue = nowMs - this.viewSentMs >= HEARTBEAT_MS;
     if (!isFull && !isDue && this.changedViews.size === 0) return;
-    const accounts = isFull ? controller.all() : this.changedViews.values();
+    const accounts = isFull ? book.all() : this.changedViews.values();
     const targets: TargetView[] = [];
     for (const account of accounts) {
       if (!account.needsReport) targets.push(this.viewOf(account));
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -17,6 +17,8 @@
   OrderReply,
   ResidencyReport,
 } from '../../lib/residency/order_port.js';
+import {AccountBook} from '../../lib/residency/account_book.js';
+import {SwapExecutor} from '../../lib/residency/swap_executor.js';
 import {ResidencyOrders} from '../../lib/residency/order_sender.js';
 import {
   ResidencyController,
@@ -192,6 +194,7 @@
   readonly usage = new UsageTable(this.clock);
   readonly trouble: OrderTrouble = {lost: 0, lateMs: 0};
   readonly port: FakeOrderPort;
+  readonly book: AccountBook;
   readonly controller: ResidencyController;
   private readonly targets = new TargetTable(this.clock);
 
@@ -234,16 +237,26 @@
       lease,
       port: this.port,
     });
-    this.controller = new ResidencyController({
-      clock: this.clock,
+    const {clock, usage, targets} = this;
+    const publish = () => {};
+    this.book = new AccountBook({
+      clock,
       logger,
       state,
-      targets: this.targets,
-      lease,
+      targets,
       orders,
-      usage: this.usage,
-      lender: new TokenLender(this.clock, state, 8_000),
-      publish: () => {},
+      usage,
+      publish,
+    });
+    this.controller = new ResidencyController({
+      clock,
+      logger,
+      lease,
+      book: this.book,
+      executor: new SwapExecutor({clock, logger, orders, publish}),
+      usage,
+      lender: new TokenLender(clock, state, 8_000),
+      publish,
     });
     const {signal} = new AbortController();
     void lease.run(signal);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -8,7 +8,7 @@
 
 async function startedWorld(held: string[][]): Promise<EngineWorld> {
   const world = new EngineWorld(held);
-  while ([...world.controller.all()].length === 0) {
+  while ([...world.book.all()].length === 0) {
     await world.clock.advance(TICK_MS);
   }
   return world;
@@ -101,7 +101,7 @@
     ]);
     world.report([], {m0: 5, m3: 0.2, m4: 0.2, m5: 0.2}, 400);
     const refused = {target: 'e1', model: 'm0', reason: NOT_RUN.unreachable};
-    world.controller.noteRefused('host-1', refused);
+    world.book.noteRefused('host-1', refused);
     expect(await world.find('m0')).to.equal('e2');
   });
 
@@ -110,7 +110,7 @@
     world.report([], {m0: 5});
     world.usage.report('host-2', {inFlight: []});
     const refused = {target: 'e1', model: 'm0', reason: NOT_RUN.unreachable};
-    world.controller.noteRefused('host-2', refused);
+    world.book.noteRefused('host-2', refused);
     expect(await world.find('m0')).to.equal('e1');
   });
 
