--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,6 +12,7 @@
 } from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
+import {Admission} from './admission.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {DeploymentState} from './deployment_state.js';
 import {REQUEST_KIND, RouteRule, TeamFacts} from './deployment.js';
@@ -35,9 +36,6 @@
 /** Time that is kept for the way of an answer to the caller. */
 const ANSWER_MARGIN_MS = 15;
 
-/** When a caller may come back to a host whose configuration is too old. */
-const STALE_RETRY_AFTER_MS = 400;
-
 /** When a caller may come back that found no target or only full ones. */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
@@ -91,32 +89,20 @@
   othersInFlight: (target: KnownTarget) => number;
 }
 
-/** What admission decided about a request. */
-interface Admitted {
-  route: RouteRule;
-  team: TeamFacts | undefined;
-  tokens: number;
-}
-
-/** What was known of a request when it was refused. */
-interface Rejected {
-  refusal: Refusal;
-  route?: RouteRule;
-  team?: TeamFacts;
-}
-
 /**
  * Takes each request from its admission to its one answer. Whether an answer
  * may say "not run" is decided here alone: only while no target may have begun
  * to work on the request.
  */
 export class Relay<Req extends CallerRequest<Head>, Head extends AnswerHead> {
+  private readonly admission: Admission;
   private readonly answers: AnswerRelay<Req, Head>;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
 
   /** @param parts - see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
+    this.admission = new Admission(parts);
     this.answers = new AnswerRelay(parts.clock);
   }
 
@@ -127,7 +113,7 @@
    */
   async handle(req: Req): Promise<void> {
     const {clock, journal} = this.parts;
-    const admitted = await this.admit(req);
+    const admitted = await this.admission.admit(req);
     if (admitted.isErr()) {
       const {refusal, route, team} = admitted.error;
       req.refuse(refusal);
@@ -164,41 +150,6 @@
     for (const call of this.calls) call.stop();
   }
 
-  private async admit(req: Req): Promise<Result<Admitted, Rejected>> {
-    const {state, freshness, quotas} = this.parts;
-    const inForce = state.current;
-    if (inForce === undefined) {
-      return err({refusal: stale('no configuration is known')});
-    }
-    const route = inForce.routes.match(req.host, req.path);
-    const isStale = !freshness.isFresh;
-    if (isStale && route?.isPublic !== true) {
-      return err({refusal: stale('the configuration may have changed'), route});
-    }
-    if (route === undefined) {
-      const message = 'no route takes the request';
-      return err({refusal: refuse(REFUSAL.unknownRoute, message)});
-    }
-    if (route.isPublic || inForce.deployment.teams.size === 0) {
-      return ok({route, team: undefined, tokens: 0});
-    }
-    const team =
-      req.key === undefined ? undefined : inForce.teamOfKey.get(req.key);
-    if (team === undefined) {
-      const message = 'the key is not known';
-      return err({refusal: refuse(REFUSAL.unauthenticated, message), route});
-    }
-    const tokens =
-      req.tokens === undefined
-        ? team.plainTokens
-        : req.tokens.prompt + req.tokens.output;
-    const retryAfterMs = await quotas.take(team, tokens, req.signal);
-    if (retryAfterMs === undefined) return ok({route, team, tokens});
-    const message = `${tokens} tokens are over the rate of the team`;
-    const refusal = refuse(REFUSAL.overRate, message, retryAfterMs);
-    return err({refusal, route, team});
-  }
-
   /** Sends the request until it has an answer or may not be sent again. */
   private async run(req: Req, call: RelayCall<Req>): Promise<Outcome> {
     const {random} = this.parts;
@@ -238,18 +189,10 @@
 
   /** @returns why the request must not be sent now, if so. */
   private barred(req: Req, call: RelayCall<Req>): Refusal | undefined {
-    const {freshness, state} = this.parts;
-    if (call.team !== undefined) {
-      if (!freshness.isFresh) return stale('the configuration may be old');
-      const holder = state.current?.teamOfKey.get(req.key ?? '');
-      if (holder?.name !== call.team.name) {
-        return refuse(REFUSAL.unauthenticated, 'the key was withdrawn');
-      }
-    }
     if (call.sends >= MAX_SENDS) {
       return noCapacity('every target that was tried refused');
     }
-    return undefined;
+    return this.admission.recheck(req, call.team);
   }
 
   /** @returns whether the retry budget allows one more send, now counted. */
@@ -497,10 +440,6 @@
   return Math.min(LEAST_URGENT, rank);
 }
 
-function stale(message: string): Refusal {
-  return refuse(REFUSAL.configTooOld, message, STALE_RETRY_AFTER_MS);
-}
-
 function stopping(): Refusal {
   const message = 'this host is stopping';
   return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
