Refuse at once what cannot be loaded in time, and say when it will be there

Change: two loads from the store at once; a refusal names the time at which the model is expected, and the load goes on for those who come back.

--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -183,7 +183,7 @@
   }
 
   /** @returns the shortest time in which any target could load a model. */
-  private reloadMs(model: string): number {
+  reloadMs(model: string): number {
     let reloadMs = this.reloads.get(model);
     if (reloadMs !== undefined) return reloadMs;
     reloadMs = Infinity;
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -117,6 +117,15 @@
     return this.residents.get(model)?.isLeaving === false;
   }
 
+  /**
+   * @param model - a model that is held or being loaded.
+   * @returns clock time from which it should take requests.
+   */
+  expectedMs(model: string): number {
+    const readyMs = this.residents.get(model)?.readyMs ?? Infinity;
+    return readyMs === Infinity ? this.busyUntilMs : readyMs;
+  }
+
   /** @returns the time a load of a model takes here, and whence it comes. */
   loadOf(model: string): {loadMs: number; fromStore: boolean} {
     const facts = this.engine.models.get(model)!;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -36,10 +36,10 @@
 const STORE_BURST = 2;
 
 /**
- * Part of the targets that may load from the store at once: each of them takes
- * no other order for seconds.
+ * Targets that load from the store at once: beyond the two to four that the
+ * users' sheets name, each takes longer in proportion, so that none gains.
  */
-const STORE_TARGETS_PART = 0.25;
+const MOST_STORE_READS = 2;
 
 /** Part of that load up to which a copy still relieves another. */
 const RELIEF_PART = 0.7;
@@ -47,6 +47,12 @@
 /** In flight on the copies that are left, likewise, up to which one may go. */
 const SURPLUS_LOAD = 0.25;
 
+/** Time after a model is there at which refused callers come back. */
+const READY_MARGIN_MS = 100;
+
+/** How long after the time that callers were told a load may still start. */
+const WANTED_MS = 3_000;
+
 /** When a caller may come back whose model cannot be loaded now. */
 const RETRY_AFTER_MS = 1_500;
 
@@ -79,6 +85,15 @@
 /** Nothing will hold the model in time. */
 export interface NotResident {
   retryAfterMs: number;
+  /** Whether asking again before then is in vain. */
+  isFinal: boolean;
+}
+
+/** A model that is loaded though nobody waits, as callers will come back. */
+interface WantedModel {
+  service: string;
+  model: string;
+  untilMs: number;
 }
 
 /**
@@ -89,6 +104,7 @@
   private readonly room: WaitingRoom;
   private readonly storeLoads = new Map<string, TokenBucket>();
   private readonly rounds = new Map<string, PlanRound>();
+  private readonly wanted = new Map<string, WantedModel>();
   private activeFencing: number | undefined;
   private fittedMs = -Infinity;
   private signal = new AbortController().signal;
@@ -154,6 +170,7 @@
       if (isFitting) this.fitCopies(service);
       this.plan(service);
     }
+    this.planWanted();
   }
 
   private takeOver(fencing: number): void {
@@ -162,6 +179,7 @@
     this.parts.book.clear();
     this.storeLoads.clear();
     this.rounds.clear();
+    this.wanted.clear();
     this.parts.lender.restart();
   }
 
@@ -179,6 +197,19 @@
     }
   }
 
+  /** Starts loads for callers who were told to come back. */
+  private planWanted(): void {
+    const nowMs = this.parts.clock.now();
+    for (const [key, {service, model, untilMs}] of this.wanted) {
+      const accounts = this.parts.book.of(service);
+      const isKept = accounts.some(
+        account => account.isReachable && account.keeps(model),
+      );
+      if (isKept || untilMs <= nowMs) this.wanted.delete(key);
+      else this.startSwap(model, service);
+    }
+  }
+
   /** Serves a request that has just come, if that is possible at once. */
   private planOne(waiter: Waiter): void {
     const {service} = waiter.request;
@@ -208,6 +239,7 @@
     const ready = holders.filter(account => account.isReady(model, nowMs));
     if (ready.length === 0) {
       if (holders.length === 0 && mayStart) this.startSwap(model, service);
+      this.refuseHopeless(waiter, accounts);
       return;
     }
     for (const account of ready) this.keep(account, model);
@@ -229,6 +261,32 @@
     if (usable.length > 0) this.resolve(waiter, usable);
   }
 
+  /** Refuses a request at once whose model will come after its caller left. */
+  private refuseHopeless(
+    waiter: Waiter,
+    accounts: readonly ResidencyAccount[],
+  ): void {
+    const {clock, lease} = this.parts;
+    const {giveUpMs, model, service} = waiter.request;
+    if (!lease.mayOrder) return;
+    const nowMs = clock.now();
+    let readyMs = Infinity;
+    for (const account of accounts) {
+      if (!account.isReachable || !account.keeps(model)) continue;
+      readyMs = Math.min(readyMs, account.expectedMs(model));
+    }
+    if (readyMs === Infinity) {
+      readyMs = nowMs + this.roundOf(service).reloadMs(model);
+    }
+    if (readyMs <= giveUpMs || readyMs === Infinity) return;
+    const untilMs = readyMs + WANTED_MS;
+    this.wanted.set(residentKey(service, model), {service, model, untilMs});
+    this.room.refuse(waiter, {
+      retryAfterMs: readyMs - nowMs + READY_MARGIN_MS,
+      isFinal: true,
+    });
+  }
+
   /** @returns what is known now; it is kept until something is ordered. */
   private roundOf(service: string): PlanRound {
     const {clock, usage} = this.parts;
@@ -291,8 +349,7 @@
     const storeLoads = this.storeBucket(service, engine);
     const {accounts} = round;
     const reading = accounts.filter(({readsStore}) => readsStore).length;
-    const mostReading = Math.max(1, accounts.length * STORE_TARGETS_PART);
-    const storeGrants = storeLoads.level >= 1 && reading < mostReading;
+    const storeGrants = storeLoads.level >= 1 && reading < MOST_STORE_READS;
     const swap = chooseSwap(model, round, storeGrants);
     if (swap === undefined) return;
     this.rounds.delete(service);
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -203,7 +203,7 @@
         if (target !== undefined) return ok(target);
       } else if (found !== undefined) {
         retryAfterMs = found.retryAfterMs;
-        if (clock.now() >= giveUpMs) break;
+        if (found.isFinal) break;
       }
       await clock.sleep(RETRY_PAUSE_MS, signal);
       const held = this.heldSomewhere(search);
@@ -254,8 +254,8 @@
         {service, model, adapter, objectiveEndMs, giveUpMs, tried},
         signal,
       );
-      if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
-      return {target: found.value, retryAfterMs: 0};
+      if (found.isErr()) return found.error;
+      return {target: found.value, retryAfterMs: 0, isFinal: true};
     }
     const {holder} = lease;
     if (holder === undefined || holder.host === network.self.host) return;
@@ -322,8 +322,8 @@
         },
         signal,
       );
-      if (found.isErr()) return {retryAfterMs: found.error.retryAfterMs};
-      return {target: found.value, retryAfterMs: 0};
+      if (found.isErr()) return found.error;
+      return {target: found.value, retryAfterMs: 0, isFinal: true};
     });
     network.onNote(TARGET_REFUSED, (body, from) =>
       book.noteRefused(from.host, body),
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -23,6 +23,8 @@
   /** Id of the target; unset if there will be none in time. */
   target: z.string().optional(),
   retryAfterMs: z.number(),
+  /** Whether asking again before then is in vain. */
+  isFinal: z.boolean(),
 });
 
 /** See {@link FIND_TARGET}. */
--- a/packages/core/src/lib/residency/waiting_room.ts
+++ b/packages/core/src/lib/residency/waiting_room.ts
@@ -66,17 +66,20 @@
     const nowMs = this.clock.now();
     for (const waiter of this.waiters) {
       if (waiter.request.giveUpMs > nowMs) continue;
-      this.refuse(waiter, retryAfterMs);
+      this.refuse(waiter, {retryAfterMs, isFinal: true});
     }
   }
 
-  /** Refuses every request. */
+  /** Refuses every request; another host may have an answer. */
   refuseAll(retryAfterMs: number): void {
-    for (const waiter of this.waiters) this.refuse(waiter, retryAfterMs);
+    for (const waiter of this.waiters) {
+      this.refuse(waiter, {retryAfterMs, isFinal: false});
+    }
   }
 
-  private refuse(waiter: Waiter, retryAfterMs: number): void {
+  /** Refuses a request. */
+  refuse(waiter: Waiter, refusal: NotResident): void {
     this.waiters.delete(waiter);
-    waiter.resolve(err({retryAfterMs}));
+    waiter.resolve(err(refusal));
   }
 }
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -21,6 +21,7 @@
 import {SwapExecutor} from '../../lib/residency/swap_executor.js';
 import {ResidencyOrders} from '../../lib/residency/order_sender.js';
 import {
+  NotResident,
   ResidencyController,
   ResidencyRequest,
 } from '../../lib/residency/residency_controller.js';
@@ -199,14 +200,17 @@
   private readonly targets = new TargetTable(this.clock);
 
   /**
-   * @param held - models of each engine at the start; every model is on every
-   *     disk.
+   * @param held - models of each engine at the start.
    * @param engine - what the engines are.
+   * @param onDisk - models on every engine's disk; all by default.
    */
-  constructor(held: string[][], engine: EngineFacts = engineFacts()) {
+  constructor(
+    held: string[][],
+    engine: EngineFacts = engineFacts(),
+    onDisk: string[] = [...engine.models.keys()],
+  ) {
     const state = new DeploymentState();
     state.offer(deploymentOf([]));
-    const onDisk = [...engine.models.keys()];
     held.forEach((models, i) => {
       const id = `e${i + 1}`;
       const fake = new FakeEngine(this.clock, engine, new Set(onDisk));
@@ -285,6 +289,24 @@
     adapter?: string,
     waitMs = 5_000,
   ): Promise<string | undefined> {
+    const found = await this.request(model, adapter, waitMs);
+    return found.isOk() ? found.value : undefined;
+  }
+
+  /** Asks for a target, and gives the refusal if there is one. */
+  async refusal(
+    model: string,
+    waitMs: number,
+  ): Promise<NotResident | undefined> {
+    const found = await this.request(model, undefined, waitMs);
+    return found.isErr() ? found.error : undefined;
+  }
+
+  private request(
+    model: string,
+    adapter: string | undefined,
+    waitMs: number,
+  ): Promise<Result<string, NotResident>> {
     const nowMs = this.clock.now();
     const request: ResidencyRequest = {
       service: ENGINE_SERVICE,
@@ -294,9 +316,7 @@
       giveUpMs: nowMs + waitMs,
       tried: new Set(),
     };
-    const {signal} = new AbortController();
-    const found = await this.controller.find(request, signal);
-    return found.isOk() ? found.value : undefined;
+    return this.controller.find(request, new AbortController().signal);
   }
 
   /** Moves the clock until a promise is settled. */
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -8,10 +8,14 @@
 
 async function startedWorld(held: string[][]): Promise<EngineWorld> {
   const world = new EngineWorld(held);
+  await started(world);
+  return world;
+}
+
+async function started(world: EngineWorld): Promise<void> {
   while ([...world.book.all()].length === 0) {
     await world.clock.advance(TICK_MS);
   }
-  return world;
 }
 
 describe('ResidencyController', () => {
@@ -162,6 +166,21 @@
     expect(world.clock.now() - beganMs).to.be.at.most(2_100);
   });
 
+  it('refuses at once what the store brings too late, and says when', async () => {
+    const held = [['m0', 'm1', 'm2']];
+    const world = new EngineWorld(held, engineFacts(), ['m0', 'm1', 'm2']);
+    await started(world);
+    // The weight store grants no load in the first second.
+    await world.clock.advance(1_000);
+    const beganMs = world.clock.now();
+    const refusal = await world.settle(world.refusal('m7', 1_800));
+    expect(world.clock.now() - beganMs).to.be.at.most(50);
+    expect(refusal?.isFinal).to.equal(true);
+    expect(refusal?.retryAfterMs).to.be.within(5_800, 6_400);
+    await world.clock.advance(refusal!.retryAfterMs);
+    expect(await world.find('m7')).to.equal('e1');
+  });
+
   it('never orders more than a target holds, though answers are lost or late', async () => {
     const model = fc.integer({min: 0, max: 9}).map(i => `m${i}`);
     const adapter = fc.option(
