--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -85,8 +85,6 @@
   journal: RelayJournal;
   /** Zone of this host. */
   zone: string;
-  /** Requests at a target that other hosts have reported. */
-  othersInFlight: (target: KnownTarget) => number;
 }
 
 /**
@@ -219,7 +217,6 @@
       const options = {
         zone: this.parts.zone,
         tried: call.tried,
-        othersInFlight: this.parts.othersInFlight,
         draw: this.parts.random.float(),
       };
       const all = targets.ofService(call.service);
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -11,8 +11,6 @@
   signal: AbortSignal;
   /** Ends the wait for the head. */
   headCame(): void;
-  /** Cancels what is still going on at the target because of this send. */
-  abort(): void;
   /** Frees its timer. */
   dispose(): void;
 }
@@ -40,7 +38,6 @@
   private readonly limit = new AbortController();
   private readonly waiting = new AbortController();
   private readonly timer: Timer;
-  private attempt: Attempt | undefined;
 
   /**
    * @param clock - measures the time that is left.
@@ -132,21 +129,14 @@
       headLimitMs === undefined
         ? undefined
         : this.clock.after(headLimitMs, abort);
-    this.attempt = {
+    return {
       signal: own.signal,
-      abort,
       headCame: () => timer?.cancel(),
       dispose: () => {
         timer?.cancel();
         whole.removeEventListener('abort', abort);
       },
     };
-    return this.attempt;
-  }
-
-  /** Cancels the send that is going on. */
-  abortAttempt(): void {
-    this.attempt?.abort();
   }
 
   /** Frees the timer. */
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -18,8 +18,6 @@
   zone: string;
   /** Targets that were tried for the request. */
   tried: ReadonlySet<string>;
-  /** Requests at a target that other hosts have reported. */
-  othersInFlight: (target: KnownTarget) => number;
   /** Random number in [0, 1) that decides between equals. */
   draw: number;
 }
@@ -69,9 +67,8 @@
 
 function costOf(target: KnownTarget, options: ChoiceOptions): number {
   const slots = Math.max(1, target.notice.slots);
-  const inFlight = target.inFlight + options.othersInFlight(target);
   const away = target.notice.zone === options.zone ? 0 : OTHER_ZONE_PENALTY;
   const failing = target.health.recentFailures * FAILURE_PENALTY;
   const avoided = target.health.isAvoided ? AVOIDED_PENALTY : 0;
-  return inFlight / slots + away + failing + avoided;
+  return target.inFlight / slots + away + failing + avoided;
 }
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -256,7 +256,6 @@
     models: options.models?.(clock, targets) ?? new NoModels(clock),
     journal,
     zone: 'a',
-    othersInFlight: () => 0,
   });
   const run = async (caller: FakeCaller, limitMs = 60_000) => {
     let isDone = false;
--- a/packages/core/src/test/gateway/target_choice_test.ts
+++ b/packages/core/src/test/gateway/target_choice_test.ts
@@ -16,7 +16,7 @@
 }
 
 function options(draw: number, tried: string[] = []) {
-  return {zone: 'a', tried: new Set(tried), othersInFlight: () => 0, draw};
+  return {zone: 'a', tried: new Set(tried), draw};
 }
 
 describe('chooseTarget', () => {
