--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -53,6 +53,8 @@
 export class FakeEngine {
   readonly models = new Map<string, Set<string>>();
   readonly running = new Map<string, number>();
+  /** Clock times at which loads from the weight store began. */
+  readonly storeLoads: number[] = [];
   orderCount = 0;
   crashes = 0;
   /** Order under way; it ends by itself or when its runs have ended. */
@@ -115,6 +117,7 @@
     this.models.set(model, new Set());
     const facts = this.engine.models.get(model)!;
     const isNear = this.onDisk.has(model);
+    if (!isNear) this.storeLoads.push(this.clock.now());
     this.busy = {model, isUnload: false};
     this.clock.after(isNear ? facts.diskLoadMs : facts.storeLoadMs, () => {
       this.busy = undefined;
@@ -210,7 +213,9 @@
     onDisk: string[] = [...engine.models.keys()],
   ) {
     const state = new DeploymentState();
-    state.offer(deploymentOf([]));
+    const deployment = deploymentOf([]);
+    deployment.services.get(ENGINE_SERVICE)!.engine = engine;
+    state.offer(deployment);
     held.forEach((models, i) => {
       const id = `e${i + 1}`;
       const fake = new FakeEngine(this.clock, engine, new Set(onDisk));
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -6,6 +6,11 @@
 
 const TICK_MS = 25;
 
+/** Window, factor and slack of the platform's bound on loads that begin. */
+const CEILING_WINDOW_S = 5;
+const CEILING_OVERAGE = 1.1;
+const CEILING_SLACK = 3;
+
 async function startedWorld(held: string[][]): Promise<EngineWorld> {
   const world = new EngineWorld(held);
   await started(world);
@@ -181,6 +186,36 @@
     expect(await world.find('m7')).to.equal('e1');
   });
 
+  it('begins no more loads from the weight store than it grants', async () => {
+    const storeLoadsPerSecond = 1;
+    const models = new Map(engineFacts().models);
+    const quick = {...models.get('m0')!, storeLoadMs: 50};
+    for (let i = 0; i < 60; i++) models.set(`m${i}`, {...quick, name: `m${i}`});
+    const facts = engineFacts({storeLoadsPerSecond, models});
+    const held = Array.from({length: 4}, () => ['m0']);
+    const world = new EngineWorld(held, facts, ['m0']);
+    await started(world);
+    const endMs = world.clock.now() + 30_000;
+    for (let i = 1; world.clock.now() < endMs; i++) {
+      void world.ask(`m${i % 60}`, undefined, 3_000);
+      world.report([], {});
+      await world.clock.advance(100);
+    }
+    const begun = [...world.engines.values()].flatMap(
+      ({storeLoads}) => storeLoads,
+    );
+    begun.sort((a, b) => a - b);
+    const mostInWindow =
+      storeLoadsPerSecond * CEILING_WINDOW_S * CEILING_OVERAGE + CEILING_SLACK;
+    for (const fromMs of begun) {
+      const toMs = fromMs + CEILING_WINDOW_S * 1_000;
+      const inWindow = begun.filter(ms => ms >= fromMs && ms < toMs);
+      expect(inWindow.length).to.be.at.most(mostInWindow);
+    }
+    // A rate that is not used is not a ceiling that is kept.
+    expect(begun.length).to.be.at.least(15);
+  });
+
   it('never orders more than a target holds, though answers are lost or late', async () => {
     const model = fc.integer({min: 0, max: 9}).map(i => `m${i}`);
     const adapter = fc.option(
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -169,6 +169,13 @@
       .filter(run => run.id === id).length;
   }
 
+  /** Kills every host, and starts as many anew at the same addresses. */
+  async restartHosts(): Promise<void> {
+    const settings = this.settings.splice(0);
+    for (const host of this.hosts.splice(0)) host.end();
+    for (const each of settings) await this.startHostAt(each);
+  }
+
   private async startHost(): Promise<void> {
     const at = async () => ({address: '127.0.0.1', port: await freePort()});
     const url = new URL(this.store.url);
@@ -192,6 +199,10 @@
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
     };
+    await this.startHostAt(settings);
+  }
+
+  private async startHostAt(settings: PlatformSettings): Promise<void> {
     this.settings.push(settings);
     const host = new GatewayHost(settings, {write: () => {}});
     this.hosts.push(host);
--- a/packages/local-cluster/src/test/platform/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -174,4 +174,26 @@
       await world.stop();
     }
   });
+
+  it('serve again after all were killed, from what the store holds', async () => {
+    const world = await PlatformWorld.start(3);
+    try {
+      await world.until(() => world.hosts.some(host => host.givesOrders));
+      await world.restartHosts();
+      await world.until(() => world.hosts.every(host => host.isReady));
+      for (const model of ['m1', 'm2']) {
+        const headers = {'x-fuchsiacleat-model': model};
+        for (let host = 0; host < 3; host++) {
+          let {status} = await world.call(PATH.stream, {host, headers});
+          while (status === 503) {
+            ({status} = await world.call(PATH.stream, {host, headers}));
+          }
+          expect(status).to.equal(200);
+        }
+      }
+      expect(world.hosts.filter(host => host.givesOrders).length).to.equal(1);
+    } finally {
+      await world.stop();
+    }
+  });
 });
