--- a/packages/core/src/lib/gateway/logging_journal.ts
+++ b/packages/core/src/lib/gateway/logging_journal.ts
@@ -56,6 +56,10 @@
     });
   }
 
+  override sendAnswered(target: string): void {
+    this.metrics.noteSend(target, 'answered');
+  }
+
   override sendEnded(
     id: string,
     target: string,
@@ -63,6 +67,7 @@
     detail: string,
   ): void {
     this.metrics.sends.inc({end, detail});
+    this.metrics.noteSend(target, end);
     if (!this.grant(this.unserved)) return;
     this.logger.info('send_ended', {id, target, end, detail});
   }
@@ -80,6 +85,9 @@
       {kind, outcome: outcome.type},
       story.totalMs / 1_000,
     );
+    if (story.firstByteMs !== undefined) {
+      this.metrics.firstByte.observe({kind}, story.firstByteMs / 1_000);
+    }
     const bucket = outcome.type === 'served' ? this.served : this.unserved;
     if (!this.grant(bucket)) return;
     this.logger.info('request', {
@@ -110,6 +118,7 @@
       return true;
     }
     this.omitted += 1;
+    this.metrics.omittedLines.inc();
     return false;
   }
 }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -286,6 +286,7 @@
       attempt.headCame();
       if (sent.type === 'answered') {
         call.runs += 1;
+        journal.sendAnswered(notice.id);
         return await this.relay(target, req, call, sent.answer);
       }
       const detail = sent.reason;
--- a/packages/core/src/lib/gateway/relay_journal.ts
+++ b/packages/core/src/lib/gateway/relay_journal.ts
@@ -27,6 +27,9 @@
 
 /** What happens to requests, as it is decided. */
 export abstract class RelayJournal {
+  /** Notes a send that a target answered with a head to pass on or to judge. */
+  abstract sendAnswered(target: string): void;
+
   /** Notes a send that did not lead to an answer. */
   abstract sendEnded(
     id: string,
--- /dev/null
+++ b/packages/core/src/test/gateway/logging_journal_test.ts
@@ -0,0 +1,119 @@
+import {expect} from 'chai';
+import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
+import {LoggingJournal} from '../../lib/gateway/logging_journal.js';
+import {RequestStory} from '../../lib/gateway/relay_journal.js';
+import {Logger, SilentLogger} from '../../lib/telemetry/logger.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+
+/** Lines a second that the journal may write in the long run, of all kinds. */
+const MOST_LINES_PER_SECOND = 120;
+
+/** What it may write at once on top of that. */
+const MOST_LINES_AT_ONCE = 360;
+
+class CountingLogger extends SilentLogger {
+  readonly events: string[] = [];
+
+  override info(...[event]: Parameters<Logger['info']>): void {
+    this.events.push(event);
+  }
+}
+
+function story(type: 'served' | 'cancelled'): RequestStory {
+  return {
+    id: 'r',
+    route: 'route',
+    kind: 'stream',
+    team: 'team',
+    service: 'engines',
+    model: 'm1',
+    targets: ['t1'],
+    configVersion: 1,
+    configAgeMs: 20,
+    waitedMs: 0,
+    firstByteMs: 120,
+    totalMs: 900,
+    status: 200,
+    outcome: {type},
+  };
+}
+
+async function valueOf(
+  metrics: GatewayMetrics,
+  name: string,
+  labels: Record<string, string>,
+): Promise<number | undefined> {
+  const {values} = await metrics.registry.getSingleMetric(name)!.get();
+  const wanted = Object.entries(labels);
+  const found = values.find(value =>
+    wanted.every(([label, text]) => String(value.labels[label]) === text),
+  );
+  return found?.value;
+}
+
+describe('LoggingJournal', () => {
+  it('bounds its lines, keeps failures apart, and says what it left out', async () => {
+    const clock = new ManualClock();
+    const logger = new CountingLogger();
+    const metrics = new GatewayMetrics();
+    const journal = new LoggingJournal(clock, logger, metrics);
+    const stop = new AbortController();
+    void journal.run(clock, stop.signal);
+    const seconds = 10;
+    let unserved = 0;
+    for (let i = 0; i < seconds * 10; i++) {
+      for (let j = 0; j < 100; j++) journal.ended(story('served'));
+      journal.ended(story('cancelled'));
+      unserved += 1;
+      await clock.advance(100);
+    }
+    stop.abort();
+    const lines = logger.events.filter(event => event === 'request').length;
+    const bound = MOST_LINES_AT_ONCE + seconds * MOST_LINES_PER_SECOND;
+    expect(lines).to.be.within(unserved, bound);
+    expect(logger.events).to.include('request_lines_omitted');
+    const omitted = await valueOf(
+      metrics,
+      'fuchsiacleat_gateway_log_lines_omitted_total',
+      {},
+    );
+    expect(omitted).to.equal(seconds * 1_010 - lines);
+  });
+
+  it('counts each request, also those without a line', async () => {
+    const metrics = new GatewayMetrics();
+    const journal = new LoggingJournal(
+      new ManualClock(),
+      new SilentLogger(),
+      metrics,
+    );
+    for (let i = 0; i < 1_000; i++) journal.ended(story('served'));
+    const requests = 'fuchsiacleat_gateway_requests_total';
+    const labels = {kind: 'stream', outcome: 'served'};
+    expect(await valueOf(metrics, requests, labels)).to.equal(1_000);
+    const first = 'fuchsiacleat_gateway_first_byte_seconds';
+    const under = {kind: 'stream', le: '0.1'};
+    expect(await valueOf(metrics, first, under)).to.not.equal(1_000);
+    const upTo = {kind: 'stream', le: '0.25'};
+    expect(await valueOf(metrics, first, upTo)).to.equal(1_000);
+  });
+
+  it('counts sends by target, and gathers the targets beyond a number', async () => {
+    const metrics = new GatewayMetrics();
+    const journal = new LoggingJournal(
+      new ManualClock(),
+      new SilentLogger(),
+      metrics,
+    );
+    journal.sendAnswered('t0');
+    journal.sendEnded('r', 't0', 'lost', 'reset');
+    for (let i = 0; i < 1_000; i++) journal.sendAnswered(`t${i}`);
+    const sends = 'fuchsiacleat_gateway_target_sends_total';
+    const answered = {target: 't0', end: 'answered'};
+    expect(await valueOf(metrics, sends, answered)).to.equal(2);
+    const lost = {target: 't0', end: 'lost'};
+    expect(await valueOf(metrics, sends, lost)).to.equal(1);
+    const other = {target: 'other', end: 'answered'};
+    expect(await valueOf(metrics, sends, other)).to.equal(1_000 - 256);
+  });
+});
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -187,6 +187,8 @@
 class KeptJournal extends RelayJournal {
   readonly stories: RequestStory[] = [];
 
+  override sendAnswered(): void {}
+
   override sendEnded(): void {}
 
   override targetAvoided(): void {}
--- a/packages/daemon/src/docs_main.ts
+++ b/packages/daemon/src/docs_main.ts
@@ -2,8 +2,9 @@
 
 import {mkdir, writeFile} from 'node:fs/promises';
 import {dirname} from 'node:path';
+import {metricsPage, metricsPagePath} from './lib/metrics_page.js';
 import {settingsPage, settingsPagePath} from './lib/settings_page.js';
 
-const path = settingsPagePath();
-await mkdir(dirname(path), {recursive: true});
-await writeFile(path, settingsPage());
+await mkdir(dirname(settingsPagePath()), {recursive: true});
+await writeFile(settingsPagePath(), settingsPage());
+await writeFile(metricsPagePath(), metricsPage());
--- /dev/null
+++ b/packages/daemon/src/lib/metrics_page.ts
@@ -0,0 +1,61 @@
+/** The reference page of the metrics. @packageDocumentation */
+
+import {fileURLToPath} from 'node:url';
+import {Metrics, PlacementMetrics} from '@fuchsiacleat/core';
+import {GatewayMetrics} from '@fuchsiacleat/core/gateway';
+
+const INTRODUCTION = `# Metrics
+
+This page is written by \`npm run docs\` from the objects that hold the metrics.
+`;
+
+const ON_PLATFORM = 'Served at `/metrics` on port 9464 of each host.';
+const ON_OPERATOR_PORT = 'Served at `/metrics` on the operator port.';
+
+const TABLE_HEAD =
+  '| metric | type | labels | what it tells |\n| --- | --- | --- | --- |';
+
+/** What the page needs of a registry. */
+interface MetricSource {
+  getMetricsAsArray(): object[];
+}
+
+/** What a metric object knows of itself. */
+interface NamedMetric {
+  name: string;
+  help: string;
+  labelNames?: readonly string[];
+}
+
+/** @returns where the page stands in the repository. */
+export function metricsPagePath(): string {
+  const path = '../../../../docs/operators/metrics.md';
+  return fileURLToPath(new URL(path, import.meta.url));
+}
+
+/** @returns the page in Markdown. */
+export function metricsPage(): string {
+  const gateway = new GatewayMetrics().registry;
+  const daemon = new Metrics().registry;
+  new PlacementMetrics(daemon);
+  return [
+    INTRODUCTION,
+    sectionText("On the users' platform", ON_PLATFORM, gateway),
+    sectionText("With the product's own interface", ON_OPERATOR_PORT, daemon),
+  ].join('\n');
+}
+
+function sectionText(
+  title: string,
+  where: string,
+  source: MetricSource,
+): string {
+  const rows = source.getMetricsAsArray().map(rowOf).join('\n');
+  return `## ${title}\n\n${where}\n\n${TABLE_HEAD}\n${rows}\n`;
+}
+
+function rowOf(metric: object): string {
+  const {name, help, labelNames = []} = metric as NamedMetric;
+  const type = metric.constructor.name.toLowerCase();
+  return `| \`${name}\` | ${type} | ${labelNames.join(', ')} | ${help} |`;
+}
