--- a/packages/core/src/lib/gateway/admission.ts
+++ b/packages/core/src/lib/gateway/admission.ts
@@ -11,6 +11,12 @@
 /** When a caller may come back to a host whose configuration is too old. */
 const STALE_RETRY_AFTER_MS = 400;
 
+/**
+ * Part of its latency objective that a request waits for a lender of tokens; it
+ * can still be on time then.
+ */
+const LENDER_WAIT_PART = 0.4;
+
 /** What admission decided about a request. */
 export interface Admitted {
   route: RouteRule;
@@ -69,7 +75,13 @@
       req.tokens === undefined
         ? team.plainTokens
         : req.tokens.prompt + req.tokens.output;
-    const retryAfterMs = await quotas.take(team, tokens, req.signal);
+    const patienceMs = route.objectiveMs * LENDER_WAIT_PART;
+    const retryAfterMs = await quotas.take(
+      team,
+      tokens,
+      patienceMs,
+      req.signal,
+    );
     if (retryAfterMs === undefined) return ok({route, team, tokens});
     const message = `${tokens} tokens are over the rate of the team`;
     const refusal = refuse(REFUSAL.overRate, message, retryAfterMs);
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -10,6 +10,12 @@
 /** Longest time that a request waits for tokens that are sure to come. */
 const TOKEN_WAIT_MS = 150;
 
+/** Pause before a lender is looked for again. */
+const LENDER_PAUSE_MS = 50;
+
+/** When a caller may come back while no lender is reached: one takes over. */
+const NO_LENDER_RETRY_MS = 1_500;
+
 /** Time after which borrowed tokens that were not used are forgotten. */
 const WALLET_LIFE_MS = 3_000;
 
@@ -96,25 +102,30 @@
    *
    * @param team - whose request it is.
    * @param tokens - what it counts as.
+   * @param patienceMs - how long it may wait for a lender.
    * @param signal - gives up.
    * @returns nothing if it may run, else when to come back, in milliseconds.
    */
   async take(
     team: TeamFacts,
     tokens: number,
+    patienceMs: number,
     signal: AbortSignal,
   ): Promise<number | undefined> {
     if (team.tokensPerSecond <= 0) return undefined;
     const wallet = this.walletOf(team);
-    if (this.spend(wallet, tokens)) return undefined;
-    let loan = await this.borrow(team, wallet, tokens, signal);
-    if (loan === undefined) return this.takeOwn(team, wallet, tokens);
-    if (loan.tokens === 0 && loan.waitMs <= TOKEN_WAIT_MS) {
-      await this.clock.sleep(loan.waitMs, signal);
-      loan = (await this.borrow(team, wallet, tokens, signal)) ?? loan;
+    const untilMs = this.clock.now() + patienceMs;
+    for (;;) {
+      if (this.spend(wallet, tokens)) return undefined;
+      const loan = await this.borrow(team, wallet, tokens, signal);
+      if (loan !== undefined) {
+        return this.takeLent(team, wallet, tokens, loan, signal);
+      }
+      const waitMs = this.takeOwn(team, wallet, tokens);
+      const isOver = signal.aborted || this.clock.now() >= untilMs;
+      if (waitMs === undefined || isOver) return waitMs;
+      await this.clock.sleep(LENDER_PAUSE_MS, signal);
     }
-    if (this.spend(wallet, tokens)) return undefined;
-    return Math.min(MAX_RETRY_AFTER_MS, Math.max(1, Math.ceil(loan.waitMs)));
   }
 
   /** Gives back what a request took that did not run. */
@@ -125,6 +136,24 @@
     wallet.tokens += Math.min(room, tokens);
   }
 
+  /** Takes the tokens out of a loan, or tells when they can be lent. */
+  private async takeLent(
+    team: TeamFacts,
+    wallet: Wallet,
+    tokens: number,
+    loan: Loan,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    let {waitMs} = loan;
+    if (loan.tokens === 0 && waitMs <= TOKEN_WAIT_MS) {
+      await this.clock.sleep(waitMs, signal);
+      const second = await this.borrow(team, wallet, tokens, signal);
+      waitMs = second?.waitMs ?? waitMs;
+    }
+    if (this.spend(wallet, tokens)) return undefined;
+    return Math.min(MAX_RETRY_AFTER_MS, Math.max(1, Math.ceil(waitMs)));
+  }
+
   private spend(wallet: Wallet, tokens: number): boolean {
     const nowMs = this.clock.now();
     if (nowMs - wallet.usedMs > WALLET_LIFE_MS) wallet.tokens = 0;
@@ -165,7 +194,7 @@
       wallet.own.settle(tokens, tokens);
       return undefined;
     }
-    return Math.min(MAX_RETRY_AFTER_MS, wallet.own.timeUntil(tokens));
+    return Math.min(NO_LENDER_RETRY_MS, wallet.own.timeUntil(tokens));
   }
 
   private openOwn(team: TeamFacts, wallet: Wallet): TokenBucket {
--- a/packages/core/src/test/gateway/team_quotas_test.ts
+++ b/packages/core/src/test/gateway/team_quotas_test.ts
@@ -78,7 +78,9 @@
   team: TeamFacts,
 ): Promise<boolean> {
   let isDone = false;
-  const asked = host.take(team, TOKENS, signal).finally(() => (isDone = true));
+  const asked = host
+    .take(team, TOKENS, 0, signal)
+    .finally(() => (isDone = true));
   await world.clock.advance(0);
   while (!isDone) await world.clock.advance(STEP_MS);
   return (await asked) === undefined;
@@ -94,7 +96,7 @@
     let refused = 0;
     for (let i = 0; i < 100; i++) {
       const host = world.hosts[(i * 7) % HOSTS];
-      const retryAfter = await host.take(team, 900, signal);
+      const retryAfter = await host.take(team, 900, 0, signal);
       if (retryAfter !== undefined) refused += 1;
       await world.clock.advance(500);
     }
@@ -107,10 +109,28 @@
     const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
     world.lender.restart();
     const [host] = world.hosts;
-    const retryAfterMs = await host.take(team, 800, signal);
+    const retryAfterMs = await host.take(team, 800, 0, signal);
     expect(retryAfterMs).to.equal(800);
     await world.clock.advance(retryAfterMs!);
-    expect(await host.take(team, 800, signal)).to.equal(undefined);
+    expect(await host.take(team, 800, 0, signal)).to.equal(undefined);
+  });
+
+  it('lets patient requests wait for the next lender, and tells others', async () => {
+    const rate = 2_000;
+    const world = makeWorld(rate);
+    const team = teamFacts({tokensPerSecond: rate, burstTokens: rate});
+    world.isReached = false;
+    const [host] = world.hosts;
+    world.lender.restart();
+    const beganMs = world.clock.now();
+    const hurried = await host.take(team, TOKENS, 0, signal);
+    expect(hurried).to.be.within(1, 1_500);
+    expect(world.clock.now()).to.equal(beganMs);
+    const patient = host.take(team, TOKENS, 1_000, signal);
+    await world.clock.advance(700);
+    world.isReached = true;
+    await world.clock.advance(STEP_MS);
+    expect(await patient).to.equal(undefined);
   });
 
   it('keeps every window within its bound while lenders come and go', async () => {
