Pass the order lease on at once when its holder gives up, and to the machine that held it

After all hosts had been started anew the lease of the ended process was waited for, 2 s, and then the gap between two holders, 2.6 s, though the machine was the same. A fault was found on the way: a claim whose answer was lost was taken for the host's own at its next claim, which then ordered without the gap. Ruled out: shorter leases, as each lost renewal would cost a change of holder. Change: a holder with less than 0.8 s left after failed renewals gives up and names the strongest host that it hears, which claims at once. A machine that finds its own earlier process as the holder claims at once and keeps what was left of the gap. Hosts wait for the claim in a read of the log instead of a sleep. A claim of unknown outcome keeps its gap.

--- a/packages/core/src/lib/residency/lease_log.ts
+++ b/packages/core/src/lib/residency/lease_log.ts
@@ -14,10 +14,14 @@
   event: (typeof LEASE_EVENT)[keyof typeof LEASE_EVENT];
   /** Name under which the host's peers reach it. */
   host: string;
+  /** Name of the machine, under which it gives orders. */
+  owner: string;
   /** Differs for every start of the host. */
   incarnation: string;
   /** How long the record holds, counted from before it was appended. */
   ttlMs: number;
+  /** Time from before the append until the holder may order. */
+  ordersInMs: number;
   /** Hosts that the holder hears, itself included. */
   hosts: number;
   /** Offset of the claim that is renewed or released; unset in a claim. */
@@ -47,11 +51,13 @@
 export abstract class LeaseLog {
   /**
    * @param from - offset to read from.
+   * @param waitMs - how long the log may wait for a record.
    * @param signal - ends the read.
    * @returns what was appended, or that the log did not answer.
    */
   abstract read(
     from: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<LeaseTail, 'unavailable'>>;
 
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -10,8 +10,18 @@
 /** How long a record of the lease holds: a few renewals may be lost. */
 export const LEASE_TTL_MS = 1_600;
 
-/** Time between renewals. */
+/** Time between renewals, and after one that failed. */
 const RENEW_INTERVAL_MS = 500;
+const RENEW_AGAIN_MS = 150;
+
+/**
+ * Time left of a lease that cannot be renewed at which the holder gives it up:
+ * two more tries have failed by then, and its peers need not wait for the end.
+ */
+const RESIGN_LEFT_MS = 800;
+
+/** Claims that a host makes at once if others' late records are in its way. */
+const MAX_CLAIMS_AT_ONCE = 3;
 
 /** Longest wait for an answer of the log. */
 const CALL_LIMIT_MS = 1_000;
@@ -22,7 +32,7 @@
 /** Most by which a claim is put off, so that hosts do not claim at once. */
 const CLAIM_SPREAD_MS = 150;
 
-/** Delay of a claim for each millisecond of the host's age, and its limit. */
+/** What a host's age adds to its rank as a successor, and its limit. */
 const AGE_DELAY_PART = 0.015;
 const MAX_AGE_DELAY_MS = 400;
 
@@ -43,8 +53,11 @@
   random: Random;
   log: LeaseLog;
   logger: Logger;
-  /** Name of this host, and of this start of it. */
+  /** Name under which peers reach this host. */
   host: string;
+  /** Name of the machine, under which it gives orders. */
+  owner: string;
+  /** Differs for every start of this host. */
   incarnation: string;
   /** Time that must lie between the orders of two holders, in milliseconds. */
   holderGapMs: number;
@@ -52,6 +65,8 @@
   hostCount: () => number;
   /** Puts claims off, so that others come first, in milliseconds. */
   claimDelayMs: number;
+  /** Tells the peers that this host gave the lease up before its end. */
+  onResign: () => void;
 }
 
 /**
@@ -61,6 +76,11 @@
  * The holder counts its lease from before it sent the record; every other host
  * counts it from when it first saw the record, which is later. A record of
  * unknown outcome extends nothing for its writer and still binds the others.
+ *
+ * Two ways are shorter. A holder that cannot renew tells its peers that it has
+ * given up, and names one that claims at once. A machine that finds its own
+ * earlier process as the holder claims at once too: that process has ended, and
+ * both are one holder for the targets.
  */
 export class OrderLease {
   private end = 0;
@@ -70,10 +90,14 @@
   private heldUntilMs = -Infinity;
   private heldSinceMs = -Infinity;
   private ordersFromMs = -Infinity;
+  /** Fencing number of the claim that {@link ordersFromMs} belongs to. */
+  private claimedFencing: number | undefined;
   private holderHeardMs = -Infinity;
   private isKnown = false;
   private isStopping = false;
   private isSilent = false;
+  private resigned = {fencing: -1, ms: -Infinity, isSuccessor: false};
+  private wake = new AbortController();
   private readonly watch: SuspensionWatch;
   private readonly startedMs: number;
   private readonly listeners: Array<() => void> = [];
@@ -104,6 +128,7 @@
   get holder(): LeaseHolder | undefined {
     if (this.newest === undefined) return undefined;
     if (this.newest.event === LEASE_EVENT.release) return undefined;
+    if (this.isResigned) return undefined;
     const {host, incarnation} = this.newest;
     return {host, incarnation, fencing: this.fencing};
   }
@@ -140,17 +165,39 @@
     this.seenMs = nowMs;
   }
 
+  /**
+   * Notes that the holder said that it gave the lease up.
+   *
+   * @param fencing - fencing number of the lease.
+   * @param isSuccessor - whether this host was named to claim it.
+   */
+  noteResigned(fencing: number, isSuccessor: boolean): void {
+    if (this.newest === undefined || fencing !== this.fencing) return;
+    if (this.isResigned) return;
+    this.resign(isSuccessor);
+    this.wake.abort();
+  }
+
+  /** How late this host comes as a successor, in milliseconds. */
+  get successorRankMs(): number {
+    const ageMs = this.parts.clock.now() - this.startedMs;
+    // Young hosts first: in a rolling restart they are done with it.
+    const ageDelayMs = Math.min(MAX_AGE_DELAY_MS, ageMs * AGE_DELAY_PART);
+    return this.parts.claimDelayMs + ageDelayMs;
+  }
+
   /**
    * Follows the log, and claims and renews the lease.
    *
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
+    signal.addEventListener('abort', () => this.wake.abort());
     while (!signal.aborted && !this.isStopping) {
-      await this.step(signal);
-      const held = this.isHeld;
-      await clock.sleep(held ? RENEW_INTERVAL_MS : FOLLOW_INTERVAL_MS, signal);
+      if (this.wake.signal.aborted) this.wake = new AbortController();
+      if (this.isHeld) await this.renew(signal);
+      else if (!this.hearsHolder) await this.claimIfLapsed(signal);
+      await this.pause(signal);
     }
   }
 
@@ -158,31 +205,100 @@
   async release(signal: AbortSignal): Promise<void> {
     this.isStopping = true;
     const wasHeld = this.isHeld;
+    if (wasHeld) this.giveUp();
     this.heldUntilMs = -Infinity;
     this.changed();
     if (wasHeld) await this.append(LEASE_EVENT.release, signal);
   }
 
-  private async step(signal: AbortSignal): Promise<void> {
+  private async pause(signal: AbortSignal): Promise<void> {
+    if (signal.aborted || this.wake.signal.aborted) return;
+    const {clock} = this.parts;
     if (this.isHeld) {
-      await this.append(LEASE_EVENT.renew, signal);
-      return;
+      const isLate = this.heldUntilMs - clock.now() < LEASE_TTL_MS / 2;
+      const pauseMs = isLate ? RENEW_AGAIN_MS : RENEW_INTERVAL_MS;
+      await clock.sleep(pauseMs, this.wake.signal);
+    } else if (this.hearsHolder) {
+      await clock.sleep(FOLLOW_INTERVAL_MS, this.wake.signal);
+    } else {
+      await this.follow(FOLLOW_INTERVAL_MS, signal);
     }
-    if (this.heardHolder()) return;
+  }
+
+  /** Waits for a time, or until the log has a new record. */
+  private async follow(waitMs: number, signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    const untilMs = clock.now() + waitMs;
+    const {end} = this;
+    await this.readTail(signal, waitMs);
+    if (this.end !== end) return;
+    await clock.sleep(Math.max(0, untilMs - clock.now()), this.wake.signal);
+  }
+
+  private async renew(signal: AbortSignal): Promise<void> {
+    const isRenewed = await this.append(LEASE_EVENT.renew, signal);
+    if (isRenewed || !this.isHeld) return;
+    const leftMs = this.heldUntilMs - this.parts.clock.now();
+    if (leftMs >= RESIGN_LEFT_MS) return;
+    this.parts.logger.info('order_lease_resigned', {
+      fencing: this.fencing,
+      left_ms: Math.round(leftMs),
+    });
+    this.giveUp();
+  }
+
+  /** Ends the lease here before anybody is told so. */
+  private giveUp(): void {
+    this.heldUntilMs = -Infinity;
+    this.resign(false);
+    this.parts.onResign();
+  }
+
+  private async claimIfLapsed(signal: AbortSignal): Promise<void> {
     this.noteSilence();
     await this.readTail(signal);
     const {clock, random} = this.parts;
-    if (!this.isKnown || clock.now() < this.lapsedMs) return;
+    if (!this.isKnown || clock.now() < this.claimableMs) return;
+    if (this.comesFirst) {
+      await this.claim(MAX_CLAIMS_AT_ONCE, signal);
+      return;
+    }
+    const {end} = this;
     const spreadMs = random.int(0, CLAIM_SPREAD_MS);
-    const delayMs = spreadMs + this.ageDelayMs + this.parts.claimDelayMs;
-    await clock.sleep(delayMs, signal);
-    if (!this.isStopping) await this.append(LEASE_EVENT.claim, signal);
+    await this.follow(spreadMs + this.parts.claimDelayMs, signal);
+    if (this.end !== end || this.wake.signal.aborted) return;
+    await this.claim(1, signal);
   }
 
-  /** Young hosts claim first: in a rolling restart they are done with it. */
-  private get ageDelayMs(): number {
-    const ageMs = this.parts.clock.now() - this.startedMs;
-    return Math.min(MAX_AGE_DELAY_MS, ageMs * AGE_DELAY_PART);
+  private async claim(tries: number, signal: AbortSignal): Promise<void> {
+    for (let i = 0; i < tries; i++) {
+      const {clock} = this.parts;
+      if (this.isStopping || clock.now() < this.claimableMs) return;
+      if (await this.append(LEASE_EVENT.claim, signal)) return;
+    }
+  }
+
+  private get isResigned(): boolean {
+    return this.resigned.fencing === this.fencing;
+  }
+
+  private resign(isSuccessor: boolean): void {
+    const ms = this.parts.clock.now();
+    this.resigned = {fencing: this.fencing, ms, isSuccessor};
+    this.changed();
+  }
+
+  /** Whether the newest record is from an earlier process of this machine. */
+  private get followsItself(): boolean {
+    const {incarnation, owner} = this.parts;
+    const {newest} = this;
+    return newest?.owner === owner && newest.incarnation !== incarnation;
+  }
+
+  /** Whether this host need not leave the claim to others. */
+  private get comesFirst(): boolean {
+    if (this.followsItself) return true;
+    return this.isResigned && this.resigned.isSuccessor;
   }
 
   /** Logs once that the holder has gone silent. */
@@ -194,7 +310,8 @@
     logger.info('order_lease_holder_silent', {holder: host, incarnation});
   }
 
-  private heardHolder(): boolean {
+  private get hearsHolder(): boolean {
+    if (this.isResigned) return false;
     const silentMs = this.parts.clock.now() - this.holderHeardMs;
     return silentMs < HOLDER_HEARD_MS;
   }
@@ -205,20 +322,31 @@
       // Records that the log has lost may have been a holder's.
       return this.end === 0 ? -Infinity : this.seenMs + LEASE_TTL_MS;
     }
+    if (this.isResigned) return this.resigned.ms;
     const isRelease = this.newest.event === LEASE_EVENT.release;
     return this.seenMs + (isRelease ? 0 : this.newest.ttlMs);
   }
 
+  /** Clock time from which this host may claim the lease. */
+  private get claimableMs(): number {
+    return this.followsItself ? this.seenMs : this.lapsedMs;
+  }
+
   /** Clock time from which orders do not follow another holder's too soon. */
   private nextOrdersMs(): number {
-    const {holderGapMs, incarnation} = this.parts;
-    if (this.newest?.incarnation === incarnation) return this.ordersFromMs;
+    const {holderGapMs, owner} = this.parts;
+    if (this.fencing === this.claimedFencing) return this.ordersFromMs;
+    if (this.newest?.owner === owner) {
+      // An earlier process, or a claim whose answer was lost.
+      return this.seenMs + this.newest.ordersInMs;
+    }
     return this.lapsedMs + holderGapMs;
   }
 
-  private async readTail(signal: AbortSignal): Promise<void> {
-    const tail = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
-      this.parts.log.read(this.end, limited),
+  private async readTail(signal: AbortSignal, waitMs = 0): Promise<void> {
+    const limitMs = waitMs + CALL_LIMIT_MS;
+    const tail = await withTimeLimit(limitMs, signal, limited =>
+      this.parts.log.read(this.end, waitMs, limited),
     );
     if (tail.isErr()) return;
     this.isKnown = true;
@@ -243,22 +371,25 @@
     this.changed();
   }
 
+  /** @returns whether the record was appended. */
   private async append(
     event: LeaseRecord['event'],
     signal: AbortSignal,
-  ): Promise<void> {
-    const {clock, host, incarnation, log, logger} = this.parts;
+  ): Promise<boolean> {
+    const {clock, host, incarnation, log, logger, owner} = this.parts;
     const claimOffset = event === LEASE_EVENT.claim ? undefined : this.fencing;
+    const sentMs = clock.now();
+    const ordersFromMs = this.nextOrdersMs();
     const record = {
       event,
       host,
+      owner,
       incarnation,
       ttlMs: LEASE_TTL_MS,
+      ordersInMs: Math.max(0, ordersFromMs - sentMs),
       hosts: this.parts.hostCount(),
       claimOffset,
     };
-    const sentMs = clock.now();
-    const ordersFromMs = this.nextOrdersMs();
     const offset = await withTimeLimit(CALL_LIMIT_MS, signal, limited =>
       log.append(record, this.end, limited),
     );
@@ -269,12 +400,15 @@
         reason: offset.error,
       });
       await this.readTail(signal);
-      return;
+      return false;
     }
     this.see(record, offset.value + 1);
-    if (event === LEASE_EVENT.release) return;
-    if (this.watch.suspendedSince(sentMs)) return;
-    if (event === LEASE_EVENT.claim) this.ordersFromMs = ordersFromMs;
+    if (event === LEASE_EVENT.release) return true;
+    if (this.watch.suspendedSince(sentMs)) return true;
+    if (event === LEASE_EVENT.claim) {
+      this.ordersFromMs = ordersFromMs;
+      this.claimedFencing = this.fencing;
+    }
     this.heldSinceMs = sentMs;
     this.heldUntilMs = sentMs + LEASE_TTL_MS;
     if (event === LEASE_EVENT.claim) {
@@ -285,6 +419,7 @@
       });
     }
     this.changed();
+    return true;
   }
 
   private changed(): void {
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -20,12 +20,14 @@
   FIND_TARGET,
   FoundBody,
   HOST_USAGE,
+  LEASE_RESIGNED,
   RESIDENCY_VIEW,
   TARGET_REFUSED,
   TargetView,
   UsageBody,
   ViewBody,
 } from './residency_messages.js';
+import {SuccessorBook} from './successor_book.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
 
@@ -102,6 +104,7 @@
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
   private lastReport = '';
+  private readonly successors: SuccessorBook;
   private readonly changedViews = new Map<string, ResidencyAccount>();
   private viewSentMs = -Infinity;
   private fullViewSentMs = -Infinity;
@@ -110,6 +113,7 @@
   constructor(private readonly parts: ResidencyHostParts) {
     super();
     this.demand = new DemandBook(parts.clock);
+    this.successors = new SuccessorBook(parts.clock);
     this.serve();
   }
 
@@ -171,6 +175,20 @@
     if (this.hostCount <= MAX_HOSTS_AT_ONCE) this.sendViews();
   }
 
+  /** Tells the hosts that this one gave the order lease up. */
+  tellResigned(): void {
+    const {lease, network} = this.parts;
+    const connected = network.connected();
+    const body = {
+      fencing: lease.fencingNumber,
+      leaseEnd: lease.knownEnd,
+      successor: this.successors.best(connected.map(({host}) => host)),
+    };
+    for (const {host} of connected) {
+      network.notify(host, LEASE_RESIGNED, body);
+    }
+  }
+
   /**
    * Reports and sends views until the signal aborts.
    *
@@ -303,7 +321,7 @@
   }
 
   private serve(): void {
-    const {book, clock, controller, lender, network, usage} = this.parts;
+    const {book, clock, controller, lease, lender, network, usage} = this.parts;
     network.serveUnary(BORROW_TOKENS, request => {
       // A rejected call makes the host use its own part of the rate.
       if (!controller.isActive) throw new Error('not the lease holder');
@@ -329,8 +347,13 @@
       book.noteRefused(from.host, body),
     );
     network.onNote(HOST_USAGE, (body, from) => {
+      this.successors.note(from.host, body.successorRankMs);
       usage.report(from.host, body);
     });
+    network.onNote(LEASE_RESIGNED, ({fencing, leaseEnd, successor}, from) => {
+      lease.noteHolderHeard(from.incarnation, leaseEnd);
+      lease.noteResigned(fencing, successor === network.self.host);
+    });
     network.onNote(RESIDENCY_VIEW, (body, from) => {
       this.hearView(body, from.incarnation);
     });
@@ -382,6 +405,7 @@
       holder.incarnation !== this.demandHolder ||
       nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
     const body: UsageBody = {
+      successorRankMs: lease.successorRankMs,
       inFlight,
       demand: withDemand ? this.demand.rates() : undefined,
     };
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -55,6 +55,8 @@
 };
 
 const usageSchema = z.object({
+  /** How late the host comes as a successor of the lease holder. */
+  successorRankMs: z.number(),
   inFlight: z.array(z.tuple([z.string(), z.string(), z.number()])),
   demand: z
     .array(
@@ -108,6 +110,25 @@
   event: z.never(),
 };
 
+const resignedSchema = z.object({
+  /** Fencing number of the lease that was given up. */
+  fencing: z.number(),
+  /** Offset after its newest record, as far as the holder knows. */
+  leaseEnd: z.number(),
+  /** Host that should claim it; unset if none was heard. */
+  successor: z.string().optional(),
+});
+
+/** See {@link LEASE_RESIGNED}. */
+export type ResignedBody = z.output<typeof resignedSchema>;
+
+/** The lease holder tells a host that it gave the lease up. */
+export const LEASE_RESIGNED: PeerMethod<ResignedBody, never> = {
+  name: 'lease-resigned',
+  body: resignedSchema,
+  event: z.never(),
+};
+
 const loanRequestSchema = z.object({
   team: z.string(),
   neededTokens: z.number(),
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -234,10 +234,12 @@
       log: new EmptyLeaseLog(),
       logger,
       host: HOST,
+      owner: HOST,
       incarnation: HOST,
       holderGapMs: 0,
       hostCount: () => 1,
       claimDelayMs: 0,
+      onResign: () => {},
     });
     this.port = new FakeOrderPort(this, random);
     const orders = new ResidencyOrders({
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -48,9 +48,16 @@
     super();
   }
 
-  override async read(from: number): Promise<Result<LeaseTail, 'unavailable'>> {
-    if (this.trouble.isCut) return err('unavailable');
+  override async read(
+    from: number,
+    waitMs: number,
+  ): Promise<Result<LeaseTail, 'unavailable'>> {
     const {records} = this.log;
+    const untilMs = this.clock.now() + waitMs;
+    while (records.length <= from && this.clock.now() < untilMs) {
+      await this.clock.sleep(STEP_MS);
+    }
+    if (this.trouble.isCut) return err('unavailable');
     const newest = from < records.length ? records.at(-1) : undefined;
     return ok({newest, end: records.length});
   }
@@ -85,7 +92,10 @@
   private readonly shared = new SharedLog();
   private starts = 0;
 
-  constructor(count: number) {
+  constructor(
+    count: number,
+    private readonly claimDelayMs = 0,
+  ) {
     for (let i = 0; i < count; i++) this.hosts.push(this.start(i));
   }
 
@@ -105,6 +115,15 @@
     }
   }
 
+  /** Tells every other host, of which the next one is named. */
+  private tellResigned(holder: number): void {
+    const {fencingNumber} = this.hosts[holder].lease;
+    const successor = (holder + 1) % this.hosts.length;
+    this.hosts.forEach(({lease}, i) => {
+      if (i !== holder) lease.noteResigned(fencingNumber, i === successor);
+    });
+  }
+
   private start(i: number): LeaseHost {
     const log = new TroubledLog(this.clock, this.shared);
     const incarnation = `${i}-${this.starts++}`;
@@ -114,10 +133,12 @@
       log,
       logger: new SilentLogger(),
       host: `host-${i}`,
+      owner: `host-${i}`,
       incarnation,
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => this.hosts.length,
-      claimDelayMs: 0,
+      claimDelayMs: this.claimDelayMs,
+      onResign: () => this.tellResigned(i),
     });
     const stop = new AbortController();
     void lease.run(stop.signal);
@@ -166,6 +187,70 @@
     expect(next).to.be.at.least(0);
   });
 
+  it('passes on at once when the holder loses the log, but not the orders', async () => {
+    const world = new LeaseWorld(4, 500);
+    await world.run(3_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    world.hosts[first].log.trouble.isCut = true;
+    await world.run(LEASE_TTL_MS);
+    const next = (first + 1) % 4;
+    expect(world.hosts[next].lease.isHeld).to.equal(true);
+    expect(world.hosts[first].lease.holder).to.equal(undefined);
+    expect(world.hosts[next].lease.mayOrder).to.equal(false);
+    await world.run(HOLDER_GAP_MS);
+    expect(world.hosts[next].lease.mayOrder).to.equal(true);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
+  it('passes on though the last renewal takes effect late', async () => {
+    const world = new LeaseWorld(3, 500);
+    await world.run(3_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    world.hosts[first].log.trouble.lateMs = 1_000;
+    await world.run(3_000);
+    const next = (first + 1) % 3;
+    expect(world.hosts[next].lease.isHeld).to.equal(true);
+    await world.run(3_000);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
+  it('is claimed at once by the machine that held it when all were killed', async () => {
+    const world = new LeaseWorld(3, 500);
+    await world.run(3_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    for (let i = 0; i < 3; i++) world.restart(i);
+    await world.run(200);
+    expect(world.hosts[first].lease.mayOrder).to.equal(true);
+  });
+
+  it('does not let a machine that claims anew skip the gap it had to keep', async () => {
+    const world = new LeaseWorld(2);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    const next = 1 - first;
+    world.hosts[first].log.trouble.isCut = true;
+    await world.run(LEASE_TTL_MS);
+    expect(world.hosts[next].lease.isHeld).to.equal(true);
+    world.restart(next);
+    await world.run(6_000);
+    expect(world.hosts[next].lease.mayOrder).to.equal(true);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
+  it('keeps the gap after a claim whose answer was lost', async () => {
+    const world = new LeaseWorld(2);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.mayOrder);
+    const next = world.hosts[1 - first];
+    next.log.trouble.losesAnswers = true;
+    world.hosts[first].log.trouble.isCut = true;
+    await world.run(LEASE_TTL_MS);
+    next.log.trouble.losesAnswers = false;
+    await world.run(6_000);
+    expect(next.lease.mayOrder).to.equal(true);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
   it('is held again for lending before orders may follow', async () => {
     const world = new LeaseWorld(2);
     await world.run(2_000);
