Ask targets what they hold on taking over, and free no adapter place that is in use

Cause: since the lease passes on at once, the next holder opened its accounts from notices that others had passed on and that were up to 35 s old: count 0, so no report was asked for. Its orders conflicted for 2.5 s each; after the report it unloaded adapters that requests of hosts it had not heard still used. The second fault is older than the first. Ruled out: orders of two holders (the count named in each order was the target's). Change: every account asks for a report when it is opened, and again once orders may follow those of the earlier holder. An unload of an adapter that is accepted but not done frees nothing; the account asks for a report after a pause. Two tests, seen to fail with each mechanism off.

--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -54,6 +54,11 @@
     return this.accounts.values();
   }
 
+  /** Asks every target for a report: an earlier holder's orders are done. */
+  askAll(): void {
+    for (const account of this.accounts.values()) account.needsReport = true;
+  }
+
   /** Forgets every account. */
   clear(): void {
     this.accounts.clear();
@@ -114,8 +119,9 @@
       engine,
       this.parts.clock.now(),
     );
-    // Orders of an earlier holder may be going on that no notice shows.
-    account.needsReport = target.notice.orderCount > 0;
+    // Orders of an earlier holder may be going on that no notice shows, and
+    // notices that others passed on may be old.
+    account.needsReport = true;
     this.accounts.set(target.notice.id, account);
   }
 
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -45,8 +45,9 @@
    * @param account - whose target gets it; its count is kept up.
    * @param order - what to do.
    * @param signal - gives up.
-   * @returns whether the target carries it out or has done so. Otherwise the
-   *     account asks for a report if the target's state is unsure.
+   * @returns whether the target carries it out or has done so; of an adapter's
+   *     unload, whether its place is free. Otherwise the account asks for a
+   *     report if the target's state is unsure.
    */
   async send(
     account: ResidencyAccount,
@@ -131,7 +132,11 @@
     switch (reply) {
       case ORDER_REPLY.accepted:
         account.orderCount += 1;
-        return true;
+        if (order.verb === 'load' || order.adapter === undefined) return true;
+        // Requests that nobody reported still use the adapter's place.
+        account.needsReport = true;
+        account.quietUntilMs = clock.now() + QUIET_MS;
+        return false;
       case ORDER_REPLY.holds:
         // An unused adapter is dropped at once, which counts as an order.
         if (order.verb === 'unload' && order.adapter !== undefined) {
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -106,6 +106,8 @@
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
   private activeFencing: number | undefined;
+  /** Whether orders were allowed at some time since this host took over. */
+  private hasOrdered = false;
   private fittedMs = -Infinity;
   private signal = new AbortController().signal;
 
@@ -162,6 +164,7 @@
     this.parts.usage.prune();
     const {fencingNumber} = this.parts.lease;
     if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
+    this.noteOrdersMayFollow();
     this.parts.book.sync(this.signal);
     const nowMs = this.parts.clock.now();
     const isFitting = nowMs - this.fittedMs >= FIT_INTERVAL_MS;
@@ -176,6 +179,7 @@
   private takeOver(fencing: number): void {
     this.parts.logger.info('residency_taken_over', {fencing});
     this.activeFencing = fencing;
+    this.hasOrdered = this.parts.lease.mayOrder;
     this.parts.book.clear();
     this.storeLoads.clear();
     this.rounds.clear();
@@ -183,6 +187,14 @@
     this.parts.lender.restart();
   }
 
+  /** Looks at the targets anew once orders need no longer wait. */
+  private noteOrdersMayFollow(): void {
+    const {book, lease} = this.parts;
+    if (this.hasOrdered || !lease.mayOrder) return;
+    this.hasOrdered = true;
+    book.askAll();
+  }
+
   /** Serves what can be served and starts the swaps that are worth most. */
   private plan(service: string): void {
     this.room.refuseExpired(RETRY_AFTER_MS);
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -52,6 +52,7 @@
 /** One engine: it crashes when it is ordered to hold more than it can. */
 export class FakeEngine {
   readonly models = new Map<string, Set<string>>();
+  /** Runs by model, and by "model:adapter". */
   readonly running = new Map<string, number>();
   /** Clock times at which loads from the weight store began. */
   readonly storeLoads: number[] = [];
@@ -135,6 +136,8 @@
     if (adapters.has(adapter) === (verb === 'load')) return ORDER_REPLY.holds;
     this.orderCount += 1;
     if (verb === 'unload') {
+      const isUsed = (this.running.get(`${model}:${adapter}`) ?? 0) > 0;
+      if (isUsed) return ORDER_REPLY.accepted;
       adapters.delete(adapter);
       return ORDER_REPLY.holds;
     }
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -162,6 +162,39 @@
     expect(engine.adapterCount).to.equal(engineFacts().adapterSlots);
   });
 
+  it('takes no place of an adapter that requests still use', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    const engine = world.engines.get('e1')!;
+    for (const adapter of ['a1', 'a2']) await world.find('m0', adapter);
+    // Hosts that the holder has not heard yet use both.
+    engine.running.set('m0:a1', 1);
+    engine.running.set('m0:a2', 1);
+    await world.clock.advance(1_000);
+    expect(await world.find('m0', 'a3', 1_500)).to.equal(undefined);
+    expect(engine.crashes).to.equal(0);
+    engine.running.clear();
+    engine.models.get('m0')!.delete('a1');
+    expect(await world.find('m0', 'a3')).to.equal('e1');
+    expect(engine.crashes).to.equal(0);
+  });
+
+  it('asks targets what they hold when it takes over', async () => {
+    const world = new EngineWorld([['m0', 'm1', 'm2']]);
+    const engine = world.engines.get('e1')!;
+    // The holder before it has ordered what no notice told of.
+    engine.models.delete('m2');
+    engine.models.set('m5', new Set());
+    engine.orderCount = 7;
+    await started(world);
+    expect(await world.find('m5')).to.equal('e1');
+    expect(await world.find('m7')).to.equal('e1');
+    expect(engine.crashes).to.equal(0);
+    const conflicts = world.port.orders.filter(
+      ({expectedCount}) => expectedCount < 7,
+    );
+    expect(conflicts).to.deep.equal([]);
+  });
+
   it('gives up in time when every order is lost', async () => {
     const world = await startedWorld([['m0', 'm1', 'm2']]);
     world.trouble.lost = 1;
