Copy every crowded model as often as it needs, and its adapters to idle copies

Only the busiest model of a full target was looked at; an idle second copy of it counted as relief, though its requests need adapters that the copy lacked, and so neither it nor the other model was ever copied. And one copy came at a time, though a model that becomes busy needs three to six. Ruled out: the hosts' choice of a target, which follows what the targets hold. Change: of each full target the busiest model without an idle copy is copied, as often as the requests in flight call for, four exchanges a look at most; adapters that two requests or more use there are loaded on idle copies of their model. The choices stand in copy_choice.ts, out of the controller.

--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -9,7 +9,12 @@
 import {AccountBook} from './account_book.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
 import {OrderLease} from './order_lease.js';
-import {COPY_LOAD, PlanRound} from './plan_round.js';
+import {
+  chooseAdapterCopies,
+  chooseCopies,
+  chooseSurplus,
+} from './copy_choice.js';
+import {PlanRound} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
 import {Swap, chooseSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
@@ -41,12 +46,6 @@
  */
 const MOST_STORE_READS = 2;
 
-/** Part of that load up to which a copy still relieves another. */
-const RELIEF_PART = 0.7;
-
-/** In flight on the copies that are left, likewise, up to which one may go. */
-const SURPLUS_LOAD = 0.25;
-
 /** Time after a model is there at which refused callers come back. */
 const READY_MARGIN_MS = 100;
 
@@ -436,57 +435,16 @@
     const {lease, usage} = this.parts;
     if (!lease.mayOrder) return;
     const round = this.roundOf(service);
-    for (const account of round.accounts) {
-      if (round.load(account) <= COPY_LOAD) continue;
-      const model = this.hottest(account);
-      if (model === undefined) continue;
-      const isRelieved = round
-        .copies(model)
-        .some(other => round.load(other) <= COPY_LOAD * RELIEF_PART);
-      const isComing = round.accounts.some(
-        other => (other.residents.get(model)?.readyMs ?? 0) > round.nowMs,
-      );
-      if (!isRelieved && !isComing) this.startSwap(model, service);
-    }
-    for (const [model, copies] of round.allCopies()) {
-      const holders = copies.filter(
-        account => account.residents.get(model)?.isRetiring === false,
-      );
-      if (holders.length < 2) continue;
-      let running = 0;
-      for (const {id} of holders) running += usage.inFlight(id, model);
-      const load = running / holders[0].engine.slots;
-      if (load > (holders.length - 1) * SURPLUS_LOAD) continue;
-      this.retireOne(model, holders);
+    const adapterCopies = chooseAdapterCopies(round, usage);
+    for (const model of chooseCopies(round, usage)) {
+      this.startSwap(model, service);
     }
-  }
-
-  /** @returns the model of a target with the most requests in flight. */
-  private hottest(account: ResidencyAccount): string | undefined {
-    const {usage} = this.parts;
-    let hottest: string | undefined;
-    let most = 0;
-    for (const model of account.residents.keys()) {
-      const running = usage.inFlight(account.id, model);
-      if (running <= most) continue;
-      hottest = model;
-      most = running;
+    for (const {model, adapter, accounts} of adapterCopies) {
+      this.startAdapterSwap(model, adapter, accounts);
     }
-    return hottest;
-  }
-
-  private retireOne(model: string, holders: ResidencyAccount[]): void {
-    const {usage} = this.parts;
-    let least: ResidencyAccount | undefined;
-    for (const account of holders) {
-      if (account.isBusy || account.needsReport) continue;
-      const load = usage.inFlight(account.id, model);
-      if (least === undefined || load < usage.inFlight(least.id, model)) {
-        least = account;
-      }
+    for (const {model, account} of chooseSurplus(round, usage)) {
+      account.residents.get(model)!.isRetiring = true;
+      this.parts.publish(account);
     }
-    if (least === undefined) return;
-    least.residents.get(model)!.isRetiring = true;
-    this.parts.publish(least);
   }
 }
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {NOT_RUN} from '../../lib/gateway/target_port.js';
+import {residentKey} from '../../lib/gateway/target_table.js';
 import {engineFacts} from '../gateway/gateway_fixtures.js';
 import {EngineWorld} from './engine_world.js';
 
@@ -103,6 +104,61 @@
     expect(world.engines.get('e2')!.models.has('m0')).to.equal(true);
   });
 
+  it('adds copies of the second model of a full target too', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m0', 'm4', 'm5'],
+    ]);
+    // An idle copy of m0 is there, but its requests need an adapter.
+    const inFlight: Array<[string, string, number]> = [
+      ['e1', 'm0', 9],
+      ['e1', 'm1', 7],
+    ];
+    for (let i = 0; i < 20; i++) {
+      world.report(inFlight, {m0: 9, m1: 9, m2: 1, m4: 0.1, m5: 0.1}, 400);
+      await world.clock.advance(100);
+    }
+    expect(world.engines.get('e2')!.models.has('m1')).to.equal(true);
+  });
+
+  it('copies the adapters of a full target to an idle copy of their model', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m0', 'm4', 'm5'],
+    ]);
+    const key = residentKey('m0', 'a1');
+    const first = await world.find('m0', 'a1');
+    const other = first === 'e1' ? 'e2' : 'e1';
+    for (let i = 0; i < 5; i++) {
+      world.report(
+        [
+          [first!, 'm0', 9],
+          [first!, key, 9],
+        ],
+        {m0: 9},
+        400,
+      );
+      await world.clock.advance(100);
+    }
+    const adapters = world.engines.get(other)!.models.get('m0')!;
+    expect([...adapters]).to.deep.equal(['a1']);
+  });
+
+  it('adds as many copies at once as a model that became busy needs', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+      ['m6', 'm7', 'm8'],
+    ]);
+    for (let i = 0; i < 13; i++) {
+      world.report([['e1', 'm0', 16]], {m0: 12}, 400);
+      await world.clock.advance(100);
+    }
+    for (const id of ['e2', 'e3']) {
+      expect(world.engines.get(id)!.models.has('m0')).to.equal(true);
+    }
+  });
+
   it('loads a model elsewhere when hosts cannot reach its only target', async () => {
     const world = await startedWorld([
       ['m0', 'm1', 'm2'],
