Order one exchange for a model at a time; use the weight store for what callers miss most

Ruled out: more loads at once, which the store slows down in proportion. Change: an account names the model that is coming from the start of an exchange. While nobody asks for anything, an eighth of the targets bring models that no target has.

--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -137,7 +137,9 @@
 ): number {
   const copies = round.copies(model);
   const coming = round.accounts.filter(
-    account => (account.residents.get(model)?.readyMs ?? 0) > round.nowMs,
+    account =>
+      account.coming === model ||
+      (account.residents.get(model)?.readyMs ?? 0) > round.nowMs,
   ).length;
   const slots = copies[0]?.engine.slots ?? 1;
   const needed = inFlight(model, copies, usage) / (slots * COPY_LOAD);
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -48,6 +48,7 @@
   private readonly copiesByModel = new Map<string, ResidencyAccount[]>();
   private readonly reloads = new Map<string, number>();
   private readonly loads = new Map<string, number>();
+  private readonly nearCounts = new Map<string, number>();
   private readonly adapterRates = new Map<string, number>();
   private readonly evictionsById = new Map<string, Eviction[]>();
 
@@ -59,6 +60,9 @@
       for (const model of account.residents.keys()) {
         if (account.isReady(model, nowMs)) this.addCopy(model, account);
       }
+      for (const model of account.nearModels()) {
+        this.nearCounts.set(model, (this.nearCounts.get(model) ?? 0) + 1);
+      }
     }
   }
 
@@ -87,6 +91,20 @@
     return this.copiesByModel;
   }
 
+  /** @returns whether no reachable target has the weights of a model. */
+  isOnlyInStore(model: string): boolean {
+    return !this.nearCounts.has(model);
+  }
+
+  /** @returns how many models only this target has the weights of. */
+  soleCopies(account: ResidencyAccount): number {
+    let count = 0;
+    for (const model of account.nearModels()) {
+      if (this.nearCounts.get(model) === 1) count += 1;
+    }
+    return count;
+  }
+
   /** @returns requests in flight at a target, as a share of its slots. */
   load(account: ResidencyAccount): number {
     let load = this.loads.get(account.id);
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -42,6 +42,8 @@
   isBusy = false;
   /** Clock time at which that order is expected to end. */
   busyUntilMs = -Infinity;
+  /** Model for which that order makes way, or which it loads. */
+  coming: string | undefined;
   /** Whether the weight store is being read for it. */
   readsStore = false;
   /** Whether the account must be compared with the target's own report. */
@@ -112,13 +114,14 @@
     return resident.readyMs <= nowMs;
   }
 
-  /** @returns whether a model is held or being loaded, and stays. */
+  /** @returns whether a model is held or on its way, and stays. */
   keeps(model: string): boolean {
+    if (this.coming === model) return true;
     return this.residents.get(model)?.isLeaving === false;
   }
 
   /**
-   * @param model - a model that is held or being loaded.
+   * @param model - a model that is held or on its way.
    * @returns clock time from which it should take requests.
    */
   expectedMs(model: string): number {
@@ -139,6 +142,14 @@
     return {loadMs: facts.storeLoadMs, fromStore: true};
   }
 
+  /** @returns models whose weights are in its memory, on its disk or coming. */
+  nearModels(): Set<string> {
+    const {inMemory, onDisk} = this.target.notice;
+    const near = new Set([...inMemory, ...onDisk, ...this.residents.keys()]);
+    if (this.coming !== undefined) near.add(this.coming);
+    return near;
+  }
+
   /**
    * Runs work on the target's orders after all earlier work.
    *
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -1,9 +1,7 @@
 /** Decides which models the targets hold, while this host has the lease. @packageDocumentation */
 
 import {Result, ok} from 'neverthrow';
-import {EngineFacts} from '../gateway/deployment.js';
 import {residentKey} from '../gateway/target_table.js';
-import {TokenBucket} from '../limits/token_bucket.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {AccountBook} from './account_book.js';
@@ -16,6 +14,7 @@
 } from './copy_choice.js';
 import {PlanRound} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
+import {StoreLoads} from './store_loads.js';
 import {Swap, chooseSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
@@ -34,18 +33,6 @@
 /** Wait after which a request goes to a target that it has tried already. */
 const TRIED_WAIT_MS = 1_200;
 
-/** Part of the weight store's rate that is used. */
-const STORE_RATE_SHARE = 0.8;
-
-/** Loads from the store that may begin at once. */
-const STORE_BURST = 2;
-
-/**
- * Targets that load from the store at once: beyond the two to four that the
- * users' sheets name, each takes longer in proportion, so that none gains.
- */
-const MOST_STORE_READS = 2;
-
 /** Time after a model is there at which refused callers come back. */
 const READY_MARGIN_MS = 100;
 
@@ -55,6 +42,9 @@
 /** When a caller may come back whose model cannot be loaded now. */
 const RETRY_AFTER_MS = 1_500;
 
+/** Part of the targets that bring models which nobody asked for yet. */
+const PRELOAD_PART = 0.125;
+
 /** What a {@link ResidencyController} works with. */
 export interface ResidencyControllerParts {
   clock: Clock;
@@ -101,7 +91,7 @@
  */
 export class ResidencyController {
   private readonly room: WaitingRoom;
-  private readonly storeLoads = new Map<string, TokenBucket>();
+  private readonly storeLoads: StoreLoads;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
   private activeFencing: number | undefined;
@@ -113,6 +103,7 @@
   /** @param parts - see {@link ResidencyControllerParts}. */
   constructor(private readonly parts: ResidencyControllerParts) {
     this.room = new WaitingRoom(parts.clock);
+    this.storeLoads = new StoreLoads(parts.clock);
   }
 
   /** Whether this host decides. */
@@ -173,6 +164,7 @@
       this.plan(service);
     }
     this.planWanted();
+    this.preload();
   }
 
   private takeOver(fencing: number): void {
@@ -221,6 +213,22 @@
     }
   }
 
+  /** Brings models that no target has, while nobody asks for any. */
+  private preload(): void {
+    const {book, lease, usage} = this.parts;
+    if (!lease.mayOrder || usage.hasDemand) return;
+    for (const [service, {models}] of book.engines()) {
+      const round = this.roundOf(service);
+      if (round.accounts.some(({needsReport}) => needsReport)) continue;
+      const busy = round.accounts.filter(({isBusy}) => isBusy).length;
+      if (busy + 1 > round.accounts.length * PRELOAD_PART) continue;
+      const missing = [...models.keys()].find(model =>
+        round.isOnlyInStore(model),
+      );
+      if (missing !== undefined) this.startSwap(missing, service);
+    }
+  }
+
   /** Serves a request that has just come, if that is possible at once. */
   private planOne(waiter: Waiter): void {
     const {service} = waiter.request;
@@ -290,6 +298,9 @@
       readyMs = nowMs + this.roundOf(service).reloadMs(model);
     }
     if (readyMs <= giveUpMs || readyMs === Infinity) return;
+    if (this.roundOf(service).isOnlyInStore(model)) {
+      this.storeLoads.noteMiss(service, model);
+    }
     const untilMs = readyMs + WANTED_MS;
     this.wanted.set(residentKey(service, model), {service, model, untilMs});
     this.room.refuse(waiter, {
@@ -357,10 +368,8 @@
     const engine = this.parts.book.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const round = this.roundOf(service);
-    const storeLoads = this.storeBucket(service, engine);
-    const {accounts} = round;
-    const reading = accounts.filter(({readsStore}) => readsStore).length;
-    const storeGrants = storeLoads.level >= 1 && reading < MOST_STORE_READS;
+    const {storeLoads} = this;
+    const storeGrants = storeLoads.grants(service, model, engine, round);
     const swap = chooseSwap(model, round, storeGrants);
     if (swap === undefined) return;
     this.rounds.delete(service);
@@ -368,10 +377,7 @@
       this.drain(swap);
       return;
     }
-    if (swap.fromStore) {
-      storeLoads.take(1);
-      storeLoads.settle(1, 1);
-    }
+    if (swap.fromStore) storeLoads.began(service, model, engine);
     logger.info('swap_started', {
       target: swap.account.id,
       model,
@@ -405,17 +411,6 @@
     }
   }
 
-  private storeBucket(service: string, engine: EngineFacts): TokenBucket {
-    let bucket = this.storeLoads.get(service);
-    if (bucket === undefined) {
-      const rate = engine.storeLoadsPerSecond * STORE_RATE_SHARE;
-      // Empty at first: an earlier holder may just have used the rate up.
-      bucket = new TokenBucket(this.parts.clock, {rate, burst: STORE_BURST}, 0);
-      this.storeLoads.set(service, bucket);
-    }
-    return bucket;
-  }
-
   private startAdapterSwap(
     model: string,
     adapter: string,
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -12,6 +12,12 @@
 /** Part of the requests with adapters whose adapter is not there. */
 const ADAPTER_MISS_PART = 0.3;
 
+/**
+ * Delay that each model counts as which lies on the disk of one target alone: a
+ * load from the store may push it out there.
+ */
+const SOLE_COPY_COST_MS = 300;
+
 const MS_PER_SECOND = 1_000;
 
 /** A load and what it evicts. */
@@ -44,7 +50,7 @@
   let bestCost = Infinity;
   for (const account of round.accounts) {
     if (!canUse(account, round.nowMs)) continue;
-    if (account.residents.has(model)) continue;
+    if (account.residents.has(model) || account.coming === model) continue;
     const {loadMs, fromStore} = account.loadOf(model);
     if (fromStore && !storeGrants) continue;
     const made = makeRoom(account, model, round);
@@ -56,7 +62,10 @@
     const loadCost = LOAD_COST_MS * round.load(account);
     const delayMs = waitMs + readyInMs + loadCost;
     const busyCost = adapterCost(account, readyInMs, round);
-    const cost = waiting * delayMs + made.cost + busyCost;
+    const diskCost = fromStore
+      ? SOLE_COPY_COST_MS * round.soleCopies(account)
+      : 0;
+    const cost = waiting * delayMs + made.cost + busyCost + diskCost;
     if (cost >= bestCost) continue;
     const {victims, drainMs} = made;
     const mustDrain = drainMs > 0;
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -44,6 +44,7 @@
   async carryOut(swap: Swap, signal: AbortSignal): Promise<void> {
     const {account, model} = swap;
     account.isBusy = true;
+    account.coming = model;
     account.busyUntilMs = this.parts.clock.now() + swap.readyInMs;
     account.readsStore = swap.fromStore;
     for (const victim of swap.victims) {
@@ -51,6 +52,7 @@
     }
     if (swap.victims.length > 0) this.parts.publish(account);
     const started = await account.inTurn(() => this.exchange(swap, signal));
+    account.coming = undefined;
     this.parts.publish(account);
     if (started) {
       const resident = account.residents.get(model);
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -47,6 +47,11 @@
     return this.hosts.size;
   }
 
+  /** Whether any model was asked for of late, as far as hosts have told. */
+  get hasDemand(): boolean {
+    return this.demandSums.size > 0 || this.inFlightSums.size > 0;
+  }
+
   /** Takes in a host's report, which replaces its earlier one. */
   report(host: string, report: UsageReport): void {
     const known = this.hosts.get(host);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -275,6 +275,56 @@
     expect(await world.find('m7')).to.equal('e1');
   });
 
+  it('starts one exchange for a model, while its room is being made', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+      ['m6', 'm8', 'm9'],
+    ]);
+    const found = [];
+    for (let i = 0; i < 4; i++) {
+      found.push(world.ask('m7'));
+      await world.clock.advance(30);
+    }
+    await world.settle(Promise.all(found));
+    const loads = world.port.orders.filter(({verb}) => verb === 'load');
+    expect(loads).to.have.lengthOf(1);
+  });
+
+  it('brings from the store first what most callers missed', async () => {
+    const models = ['m0', 'm1', 'm2'];
+    const held = Array.from({length: 3}, () => models);
+    const world = new EngineWorld(held, engineFacts(), models);
+    await started(world);
+    await world.clock.advance(1_000);
+    // Two loads at once fill the store; the others have to wait.
+    for (const model of ['m3', 'm4', 'm5', 'm6', 'm6', 'm6']) {
+      world.report([], {m0: 0.1});
+      await world.settle(world.refusal(model, 1_800));
+    }
+    const targets = [...world.engines.values()];
+    const isHeld = (model: string) =>
+      targets.some(engine => engine.models.has(model));
+    for (let i = 0; i < 70; i++) {
+      world.report([], {m0: 0.1});
+      await world.clock.advance(100);
+    }
+    expect(['m3', 'm4'].map(isHeld)).to.deep.equal([true, true]);
+    expect(isHeld('m6')).to.equal(true);
+  });
+
+  it('brings what no target has before anybody asks, on few targets', async () => {
+    const models = ['m0', 'm1', 'm2'];
+    const held = Array.from({length: 9}, () => models);
+    const world = new EngineWorld(held, engineFacts(), models);
+    await started(world);
+    await world.clock.advance(16_000);
+    const brought = [...world.engines.values()].flatMap(engine =>
+      [...engine.models.keys()].filter(model => !models.includes(model)),
+    );
+    expect(brought.sort()).to.deep.equal(['m3', 'm4', 'm5']);
+  });
+
   it('begins no more loads from the weight store than it grants', async () => {
     const storeLoadsPerSecond = 1;
     const models = new Map(engineFacts().models);
