Make the test of the store's order of loads fail without that order

Cause: two loads at once left room for both models that waited, so that the test passed with the ranking off. A third model that was missed once stands before the one that was missed three times now; seen to fail with the ranking off.

--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -298,7 +298,7 @@
     await started(world);
     await world.clock.advance(1_000);
     // Two loads at once fill the store; the others have to wait.
-    for (const model of ['m3', 'm4', 'm5', 'm6', 'm6', 'm6']) {
+    for (const model of ['m3', 'm4', 'm5', 'm7', 'm6', 'm6', 'm6']) {
       world.report([], {m0: 0.1});
       await world.settle(world.refusal(model, 1_800));
     }
