Soak real hosts among faults, and check the promises from outside

Ten promises are checked from what callers and workers saw; a host with a planted fault shows for each check that it can fail.

--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -8,3 +8,4 @@
 export * from './lib/cuts.js';
 export * from './lib/faults/loop_lag.js';
 export * from './lib/placement_audit.js';
+export * from './lib/platform_world.js';
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -18,11 +18,21 @@
   stream: '/stream/',
 } as const;
 
-const ENGINES = 'engines';
-const PLAIN = 'registry';
-const HOST_NAME = 'desk.example';
+/** Names of the services. */
+export const SERVICE = {engines: 'engines', plain: 'registry'} as const;
+
+const ENGINES = SERVICE.engines;
+const PLAIN = SERVICE.plain;
+/** Host name under which callers reach the deployment. */
+export const HOST_NAME = 'desk.example';
 const POLL_MS = 20;
 
+/** Topics of the store that the operator and the workers write. */
+export const STORE_TOPIC = {
+  operator: 'keyed.op',
+  targets: 'keyed.servers',
+} as const;
+
 /** What a caller got. */
 export interface Reply {
   status: number;
@@ -30,7 +40,22 @@
   body: string;
 }
 
-function config(version: number, keys: string[]): object {
+/** A team as the operator's configuration names it. */
+export interface PlatformTeam {
+  Name: string;
+  ApiKeys: string[];
+  Unit?: 'tokens';
+  PlainTokens?: number;
+  PerS?: number;
+  Burst?: number;
+}
+
+/**
+ * @param version - its version.
+ * @param teams - whose keys work.
+ * @returns an operator's configuration with three routes and two services.
+ */
+export function platformConfig(version: number, teams: PlatformTeam[]): object {
   const route = (name: string, prefix: string, kind: string, to: string) => ({
     Name: name,
     Host: HOST_NAME,
@@ -73,7 +98,7 @@
         },
       },
     ],
-    Tenants: [{Name: 'team', ApiKeys: keys}],
+    Tenants: teams,
   };
 }
 
@@ -124,14 +149,16 @@
 
   /** Writes a configuration in which these keys work. */
   publish(keys: string[]): void {
-    this.store.put('keyed.op', 'config', config(this.version++, keys));
+    const teams = [{Name: 'team', ApiKeys: keys}];
+    const config = platformConfig(this.version++, teams);
+    this.store.put(STORE_TOPIC.operator, 'config', config);
   }
 
   /** Writes what the workers say about themselves. */
   announce(state = 'ready'): void {
-    this.store.put('keyed.servers', 'p1', this.plain[0].entry(state));
-    this.store.put('keyed.servers', 'p2', this.plain[1].entry(state));
-    this.store.put('keyed.servers', 'e1', this.engine.entry());
+    this.store.put(STORE_TOPIC.targets, 'p1', this.plain[0].entry(state));
+    this.store.put(STORE_TOPIC.targets, 'p2', this.plain[1].entry(state));
+    this.store.put(STORE_TOPIC.targets, 'e1', this.engine.entry());
   }
 
   /** Sends a request to a host on a connection of its own. */
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,4 @@
+/** Real hosts among faults, and the promises that they keep. @packageDocumentation */
+
+export * from './lib/soak_checks.js';
+export * from './lib/soak_run.js';
--- /dev/null
+++ b/packages/soak/src/lib/fault_series.ts
@@ -0,0 +1,224 @@
+/** Faults that come in series and overlap. @packageDocumentation */
+
+import {Random} from '@fuchsiacleat/core';
+import {NO_FAULTS, ODD_ANSWER} from '@fuchsiacleat/standins';
+import {LINK_MODE, LinkMode} from './faulty_link.js';
+import {HostProcess} from './host_process.js';
+import {SoakWorld} from './soak_world.js';
+
+/** Pauses between two faults, in milliseconds. */
+const MIN_GAP_MS = 100;
+const MAX_GAP_MS = 1_500;
+
+/** How long a fault lasts. */
+const MIN_FAULT_MS = 200;
+const MAX_FAULT_MS = 5_000;
+
+/** A withdrawn key and a leaving worker have to outlast the time for it. */
+const MIN_BARRED_MS = 4_000;
+const MAX_BARRED_MS = 9_000;
+
+const MAX_DOWN_MS = 2_000;
+const MAX_ODD_ANSWERS = 6;
+
+/** Delay after which appends without an answer are carried out. */
+const LATE_APPEND_MS = 1_500;
+
+const BROKEN_MODES: readonly LinkMode[] = [
+  LINK_MODE.reset,
+  LINK_MODE.silent,
+  LINK_MODE.oneWay,
+  LINK_MODE.slow,
+];
+
+const ODD_ANSWERS = [
+  ODD_ANSWER.refuse,
+  ODD_ANSWER.lose,
+  ODD_ANSWER.cut,
+  ODD_ANSWER.otherId,
+  ODD_ANSWER.unsigned,
+  ODD_ANSWER.unframed,
+];
+
+/** One kind of fault: it starts, lasts and is mended. */
+type Fault = (forMs: number) => Promise<void>;
+
+/** Plays faults on a world, the same ones for the same seed. */
+export class FaultSeries {
+  /** How often each kind was played. */
+  readonly counts: Record<string, number> = {};
+  private readonly kinds: Record<string, Fault>;
+  private readonly running = new Set<Promise<void>>();
+  private isWithdrawn = false;
+
+  /**
+   * @param world - what is disturbed.
+   * @param random - decides kinds, places and times.
+   * @param signal - no fault begins after it, and all are mended soon.
+   */
+  constructor(
+    private readonly world: SoakWorld,
+    private readonly random: Random,
+    private readonly signal: AbortSignal,
+  ) {
+    this.kinds = {
+      pause: forMs => this.pause(forMs),
+      kill: () => this.kill(this.host()),
+      killAll: () => this.killAll(),
+      term: () => this.term(),
+      hup: async () => this.host().signal('SIGHUP'),
+      storeLink: forMs => this.breakStoreLink(forMs),
+      storeDown: forMs => this.storeDown(forMs),
+      storeLate: forMs => this.storeLate(forMs),
+      storeLoses: async () => this.storeLoses(),
+      workerLink: forMs => this.breakWorkerLink(forMs),
+      oddAnswers: async () => this.oddAnswers(),
+      withdraw: () => this.withdraw(),
+      drain: () => this.drain(),
+    };
+  }
+
+  /** Plays until the signal aborts, and waits until all is mended. */
+  async run(): Promise<void> {
+    const names = Object.keys(this.kinds);
+    while (!this.signal.aborted) {
+      const name = this.random.pick(names);
+      const forMs = this.random.int(MIN_FAULT_MS, MAX_FAULT_MS);
+      this.counts[name] = (this.counts[name] ?? 0) + 1;
+      const fault = this.kinds[name](forMs);
+      this.running.add(fault);
+      void fault.finally(() => this.running.delete(fault));
+      await this.wait(this.random.int(MIN_GAP_MS, MAX_GAP_MS));
+    }
+    await Promise.all(this.running);
+  }
+
+  private host(): HostProcess {
+    return this.random.pick(this.world.hosts);
+  }
+
+  /** Waits, or less once the run is over. */
+  private wait(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const end = () => {
+        clearTimeout(timer);
+        this.signal.removeEventListener('abort', end);
+        resolve();
+      };
+      const timer = setTimeout(end, ms);
+      this.signal.addEventListener('abort', end);
+      if (this.signal.aborted) end();
+    });
+  }
+
+  private async pause(forMs: number): Promise<void> {
+    const host = this.host();
+    this.world.disturb(host, forMs);
+    host.signal('SIGSTOP');
+    await this.wait(forMs);
+    host.signal('SIGCONT');
+    this.noteThaw();
+    this.world.disturb(host, 0);
+  }
+
+  private async kill(host: HostProcess): Promise<void> {
+    const downMs = this.random.int(0, MAX_DOWN_MS);
+    this.world.disturb(host, downMs);
+    await host.kill();
+    await this.wait(downMs);
+    await host.start();
+    this.world.disturb(host, 0);
+  }
+
+  private async killAll(): Promise<void> {
+    await Promise.all(this.world.hosts.map(host => this.kill(host)));
+  }
+
+  private async term(): Promise<void> {
+    const host = this.host();
+    this.world.disturb(host, MAX_FAULT_MS);
+    host.signal('SIGTERM', true);
+    const isGone = async () => !host.isRunning;
+    const hasEnded = await this.world.until(isGone, MAX_FAULT_MS);
+    if (!hasEnded) await host.kill();
+    await host.start();
+    this.world.disturb(host, 0);
+  }
+
+  private async breakStoreLink(forMs: number): Promise<void> {
+    const i = this.random.int(0, this.world.hosts.length - 1);
+    this.world.disturb(this.world.hosts[i], forMs);
+    this.world.storeLinks[i].set(this.random.pick(BROKEN_MODES));
+    await this.wait(forMs);
+    this.world.storeLinks[i].set(LINK_MODE.open);
+    this.world.disturb(this.world.hosts[i], 0);
+  }
+
+  private async storeDown(forMs: number): Promise<void> {
+    const {store} = this.world;
+    this.disturbAll(forMs);
+    store.faults = {...store.faults, down: true};
+    await this.wait(forMs);
+    store.faults = {...NO_FAULTS};
+    this.disturbAll(0);
+  }
+
+  private async storeLate(forMs: number): Promise<void> {
+    const {store} = this.world;
+    this.disturbAll(forMs);
+    store.lateAppendsMs = LATE_APPEND_MS;
+    await this.wait(forMs);
+    store.lateAppendsMs = 0;
+    this.disturbAll(0);
+  }
+
+  private storeLoses(): void {
+    const {store} = this.world;
+    this.disturbAll(0);
+    const loseAnswers = this.random.int(1, MAX_ODD_ANSWERS);
+    store.faults = {...store.faults, loseAnswers};
+  }
+
+  private async breakWorkerLink(forMs: number): Promise<void> {
+    const {link} = this.random.pick(this.world.workers);
+    this.disturbAll(forMs);
+    link.set(this.random.pick(BROKEN_MODES));
+    await this.wait(forMs);
+    link.set(LINK_MODE.open);
+    this.noteThaw();
+    this.disturbAll(0);
+  }
+
+  private oddAnswers(): void {
+    const {standin} = this.random.pick(this.world.workers);
+    const count = this.random.int(1, MAX_ODD_ANSWERS);
+    for (let i = 0; i < count; i++) {
+      standin.odd.push(this.random.pick(ODD_ANSWERS));
+    }
+  }
+
+  private async withdraw(): Promise<void> {
+    if (this.isWithdrawn) return;
+    this.isWithdrawn = true;
+    this.world.setWithdrawn(true);
+    await this.wait(this.random.int(MIN_BARRED_MS, MAX_BARRED_MS));
+    this.world.setWithdrawn(false);
+    this.isWithdrawn = false;
+  }
+
+  private async drain(): Promise<void> {
+    const plain = this.world.workers.filter(({isEngine}) => !isEngine);
+    const worker = this.random.pick(plain);
+    this.world.setDraining(worker, true);
+    await this.wait(this.random.int(MIN_BARRED_MS, MAX_BARRED_MS));
+    this.world.setDraining(worker, false);
+  }
+
+  private disturbAll(forMs: number): void {
+    for (const host of this.world.hosts) this.world.disturb(host, forMs);
+  }
+
+  private noteThaw(): void {
+    this.world.thawsMs.push(performance.now());
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/planted_host.ts
@@ -0,0 +1,119 @@
+/** A host with faults, to show that each check can fail. @packageDocumentation */
+
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {request} from 'undici';
+import {PROMISE, PromiseName} from './soak_checks.js';
+import {SoakWorld} from './soak_world.js';
+
+/** Name under which it gives orders. */
+const PLANTED = 'planted';
+
+const ORDER_INTERVAL_MS = 100;
+const ID = 'x-fuchsiacleat-attempt-id';
+const STAMP = 'x-fuchsiacleat-server-stamp';
+
+/** Faults that are planted here; the others are planted in the run. */
+export type PlantedFault = PromiseName;
+
+/** Passes requests on to workers, without regard to what it should. */
+export class PlantedHost {
+  private readonly server: Server;
+  private timer: NodeJS.Timeout | undefined;
+  private loads = 0;
+
+  /**
+   * @param world - whose workers it uses.
+   * @param fault - what it does wrong.
+   */
+  constructor(
+    private readonly world: SoakWorld,
+    private readonly fault: PlantedFault,
+  ) {
+    this.server = createServer((req, res) => {
+      // What fails is no answer, which is not what is planted.
+      this.handle(req, res).catch(() => res.destroy());
+    });
+  }
+
+  /** URL for callers, once it is started. */
+  get url(): string {
+    const {port} = this.server.address() as AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  /** Starts to listen, and to give orders if that is its fault. */
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const givesOrders =
+      this.fault === PROMISE.oneGiver || this.fault === PROMISE.memory;
+    if (!givesOrders) return;
+    this.timer = setInterval(() => void this.order(), ORDER_INTERVAL_MS);
+  }
+
+  /** Ends at once. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    for await (const unused of req) void unused;
+    const id = String(req.headers[ID]);
+    const isStream = req.headers['x-fuchsiacleat-model'] !== undefined;
+    const answer = await this.forward(id, isStream);
+    if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream);
+    if (this.fault === PROMISE.notRunIsTrue) {
+      res.writeHead(503).end();
+      return;
+    }
+    const body =
+      this.fault === PROMISE.wholeAnswer
+        ? answer.body.slice(0, answer.body.length / 2)
+        : answer.body;
+    if (answer.stamp !== undefined) res.setHeader(STAMP, answer.stamp);
+    res.writeHead(answer.status, {'content-length': Buffer.byteLength(body)});
+    res.end(body);
+  }
+
+  private async forward(
+    id: string,
+    isStream: boolean,
+  ): Promise<{status: number; body: string; stamp?: string}> {
+    const {workers} = this.world;
+    const worker = workers.find(({isEngine}) => isEngine === isStream)!;
+    const headers: Record<string, string> = {[ID]: id};
+    if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
+    const url = `http://127.0.0.1:${worker.standin.port}/`;
+    const res = await request(url, {method: 'POST', body: 'x', headers});
+    const stamp = res.headers[STAMP];
+    return {
+      status: res.statusCode,
+      body: await res.body.text(),
+      stamp: typeof stamp === 'string' ? stamp : undefined,
+    };
+  }
+
+  private async order(): Promise<void> {
+    const engine = this.world.workers.find(({isEngine}) => isEngine)!;
+    // Two givers take turns; one that counts wrong only ever loads.
+    const isTurn = this.fault === PROMISE.oneGiver && this.loads % 2 === 0;
+    const Holder = isTurn ? `${PLANTED}-other` : PLANTED;
+    const Op = this.fault === PROMISE.memory ? 'load' : 'unload';
+    this.loads += 1;
+    const body = JSON.stringify({Op, Model: `m${this.loads}`, Holder});
+    const url = `http://127.0.0.1:${engine.standin.port}/order`;
+    try {
+      const res = await request(url, {method: 'POST', body});
+      await res.body.dump();
+    } catch {
+      // The worker is being stopped; the run is over.
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -0,0 +1,127 @@
+/** Callers that keep their connections and note every answer. @packageDocumentation */
+
+import {Random} from '@fuchsiacleat/core';
+import {HOST_NAME, PATH} from '@fuchsiacleat/local-cluster';
+import {Client} from 'undici';
+import {RouteName, SentRequest} from './request_ledger.js';
+import {SOAK_KEY, SoakWorld} from './soak_world.js';
+
+const ROUTES: readonly RouteName[] = ['once', 'repeatable', 'stream'];
+const MODELS = ['m1', 'm1', 'm1', 'm2'] as const;
+
+/** Part of the requests that come from the team with a limit. */
+const LIMITED_PART = 0.3;
+
+/** Time that callers give a request; the routes' own limit is shorter. */
+const PATIENCE_MS = 3_000;
+const SOCKET_LIMIT_MS = 8_000;
+
+/** Pause of a caller between two requests, in milliseconds. */
+const MIN_PAUSE_MS = 10;
+const MAX_PAUSE_MS = 90;
+
+/** Somewhere to send requests to: a host, or a stand-in of one. */
+export interface CallerTarget {
+  name: string;
+  url: string;
+  isCalm: () => boolean;
+  isThere: () => boolean;
+}
+
+/** One caller, with a connection to each host. */
+export class SoakCaller {
+  private readonly clients = new Map<string, Client>();
+  private count = 0;
+
+  /**
+   * @param name - part of the ids of its requests.
+   * @param world - whose ledger it fills.
+   * @param targets - where it sends to.
+   * @param random - decides what it asks for.
+   */
+  constructor(
+    private readonly name: string,
+    private readonly world: SoakWorld,
+    private readonly targets: readonly CallerTarget[],
+    private readonly random: Random,
+  ) {}
+
+  /** @param signal - ends it after its present request. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const target = this.random.pick(this.targets);
+      if (target.isThere()) await this.ask(target);
+      const pauseMs = this.random.int(MIN_PAUSE_MS, MAX_PAUSE_MS);
+      await new Promise(resolve => setTimeout(resolve, pauseMs));
+    }
+    for (const client of this.clients.values()) await client.destroy();
+  }
+
+  private async ask(target: CallerTarget): Promise<void> {
+    const route = this.random.pick(ROUTES);
+    const isLimited = this.random.float() < LIMITED_PART;
+    const request: SentRequest = {
+      id: `${this.name}-${this.count++}`,
+      route,
+      key: isLimited ? SOAK_KEY.limited : SOAK_KEY.free,
+      host: target.name,
+      sentMs: performance.now(),
+      isHostCalm: target.isCalm(),
+      isWhole: false,
+    };
+    this.world.ledger.add(request);
+    try {
+      await this.send(target, request);
+    } catch {
+      // No answer, or a broken one: the ledger shows it by what is missing.
+      await this.drop(target);
+    }
+    request.endedMs = performance.now();
+    request.isHostCalm &&= target.isCalm();
+  }
+
+  private async send(
+    target: CallerTarget,
+    request: SentRequest,
+  ): Promise<void> {
+    const headers: Record<string, string> = {
+      host: HOST_NAME,
+      'x-fuchsiacleat-attempt-id': request.id,
+      'x-fuchsiacleat-deadline-ms': String(PATIENCE_MS),
+      'x-fuchsiacleat-key': request.key,
+    };
+    if (request.route === 'stream') {
+      headers['x-fuchsiacleat-model'] = this.random.pick(MODELS);
+    }
+    const res = await this.clientOf(target).request({
+      method: 'POST',
+      path: PATH[request.route],
+      body: 'x',
+      headers,
+    });
+    request.status = res.statusCode;
+    const stamp = res.headers['x-fuchsiacleat-server-stamp'];
+    request.stamp = typeof stamp === 'string' ? stamp : undefined;
+    request.body = await res.body.text();
+    request.isWhole = true;
+  }
+
+  private clientOf({name, url}: CallerTarget): Client {
+    let client = this.clients.get(name);
+    if (client === undefined) {
+      client = new Client(url, {
+        headersTimeout: SOCKET_LIMIT_MS,
+        bodyTimeout: SOCKET_LIMIT_MS,
+        connect: {timeout: PATIENCE_MS},
+      });
+      this.clients.set(name, client);
+    }
+    return client;
+  }
+
+  private async drop({name}: CallerTarget): Promise<void> {
+    const client = this.clients.get(name);
+    this.clients.delete(name);
+    await client?.destroy();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -0,0 +1,198 @@
+/** The promises, checked from what callers and workers saw. @packageDocumentation */
+
+import {AcceptedOrder, WorkerRun} from '@fuchsiacleat/standins';
+import {RequestLedger, SentRequest} from './request_ledger.js';
+
+/** What can be broken. */
+export const PROMISE = {
+  runsOnce: 'runs-once',
+  notRunIsTrue: 'not-run-is-true',
+  wholeAnswer: 'whole-answer',
+  withdrawnKey: 'withdrawn-key',
+  drain: 'drain',
+  limit: 'limit',
+  oneGiver: 'one-giver',
+  memory: 'memory',
+  recovery: 'recovery',
+  staysUp: 'stays-up',
+} as const;
+
+/** One of {@link PROMISE}. */
+export type PromiseName = (typeof PROMISE)[keyof typeof PROMISE];
+
+/** A broken promise. */
+export interface Violation {
+  promise: PromiseName;
+  detail: string;
+}
+
+/** A time in which something must not be used. */
+export interface BarredSpan {
+  /** Key or worker. */
+  name: string;
+  /** From when on, the time that hosts have for it included. */
+  fromMs: number;
+  toMs: number;
+}
+
+/** What the workers saw. */
+export interface WorkerRecord {
+  name: string;
+  runs: readonly WorkerRun[];
+  orders: readonly AcceptedOrder[];
+  /** Models that it can hold; undefined for a plain service. */
+  places: number | undefined;
+  /** Models that it held at the start. */
+  heldAtFirst: number;
+}
+
+/** What is checked. */
+export interface SoakRecord {
+  ledger: RequestLedger;
+  workers: readonly WorkerRecord[];
+  withdrawn: readonly BarredSpan[];
+  drained: readonly BarredSpan[];
+  /** The only limited team, by its key. */
+  limit: {key: string; windowMs: number; requests: number};
+  /** Shortest time between orders of two hosts to one worker. */
+  orderGapMs: number;
+  /** Times at which hosts were woken or links healed, when late orders come. */
+  thawsMs: readonly number[];
+}
+
+/** Statuses that promise that a request did not run and never will. */
+const NOT_RUN = new Set([408, 421, 429, 503]);
+const OK = 200;
+
+/** Time after a thaw in which orders of before may still arrive. */
+const THAW_SLACK_MS = 300;
+
+/** What a whole stream of the stand-in looks like. */
+const WHOLE_STREAM = /^(id: \d+\ndata: piece\n\n){4}$/;
+
+/** @returns every broken promise that the records show. */
+export function checkRecords(record: SoakRecord): Violation[] {
+  return [
+    ...checkRuns(record),
+    ...checkAnswers(record),
+    ...checkBarred(record),
+    ...checkLimit(record),
+    ...record.workers.flatMap(worker => checkOrders(worker, record)),
+  ];
+}
+
+function checkRuns({ledger, workers}: SoakRecord): Violation[] {
+  const counts = runCounts(workers);
+  const found: Violation[] = [];
+  for (const request of ledger.all()) {
+    const {id, route, status} = request;
+    const count = counts.get(id) ?? 0;
+    if (route !== 'repeatable' && count > 1) {
+      found.push(violation(PROMISE.runsOnce, `${id} ran ${count} times`));
+    }
+    if (count > 0 && status !== undefined && NOT_RUN.has(status)) {
+      const detail = `${id} got ${status} and ran`;
+      found.push(violation(PROMISE.notRunIsTrue, detail));
+    }
+  }
+  return found;
+}
+
+function checkAnswers({ledger}: SoakRecord): Violation[] {
+  const found: Violation[] = [];
+  for (const request of ledger.all()) {
+    if (request.status !== OK || !request.isWhole) continue;
+    if (request.stamp !== undefined && isRight(request)) continue;
+    const detail = `${request.id} got ${JSON.stringify(request.body)}`;
+    found.push(violation(PROMISE.wholeAnswer, detail));
+  }
+  return found;
+}
+
+function isRight({body = '', id, route}: SentRequest): boolean {
+  return route === 'stream' ? WHOLE_STREAM.test(body) : body === `done ${id}`;
+}
+
+function checkBarred(record: SoakRecord): Violation[] {
+  const {drained, ledger, withdrawn, workers} = record;
+  const found: Violation[] = [];
+  for (const {name, runs} of workers) {
+    for (const {atMs, id} of runs) {
+      const request = ledger.get(id);
+      if (request === undefined) continue;
+      const {key, isHostCalm, sentMs} = request;
+      if (isBarred(withdrawn, key, sentMs, atMs)) {
+        found.push(violation(PROMISE.withdrawnKey, `${id} ran with ${key}`));
+      }
+      if (isHostCalm && isBarred(drained, name, sentMs, atMs)) {
+        found.push(violation(PROMISE.drain, `${id} ran at ${name}`));
+      }
+    }
+  }
+  return found;
+}
+
+function isBarred(
+  spans: readonly BarredSpan[],
+  name: string,
+  sentMs: number,
+  atMs: number,
+): boolean {
+  return spans.some(
+    span => span.name === name && sentMs > span.fromMs && atMs < span.toMs,
+  );
+}
+
+function checkLimit({ledger, limit, workers}: SoakRecord): Violation[] {
+  const times = workers
+    .flatMap(({runs}) => runs)
+    .filter(({id}) => ledger.get(id)?.key === limit.key)
+    .map(({atMs}) => atMs)
+    .sort((a, b) => a - b);
+  for (let first = 0, last = 0; last < times.length; last++) {
+    while (times[last] - times[first] > limit.windowMs) first += 1;
+    const count = last - first + 1;
+    if (count <= limit.requests) continue;
+    const detail = `${count} requests in a window for ${limit.requests}`;
+    return [violation(PROMISE.limit, detail)];
+  }
+  return [];
+}
+
+function checkOrders(
+  {heldAtFirst, name, orders, places}: WorkerRecord,
+  {orderGapMs, thawsMs}: SoakRecord,
+): Violation[] {
+  const found: Violation[] = [];
+  let held = heldAtFirst;
+  let before: AcceptedOrder | undefined;
+  for (const order of orders) {
+    held += order.text.startsWith('load') ? 1 : -1;
+    if (places !== undefined && held > places) {
+      found.push(violation(PROMISE.memory, `${name} was to hold ${held}`));
+    }
+    const isLate = thawsMs.some(
+      ms => order.atMs >= ms && order.atMs < ms + THAW_SLACK_MS,
+    );
+    if (isLate) continue;
+    const gapMs = order.atMs - (before?.atMs ?? -Infinity);
+    if (before?.holder !== order.holder && gapMs < orderGapMs) {
+      const detail = `${name}: ${before?.holder}, then ${order.holder}`;
+      found.push(violation(PROMISE.oneGiver, `${detail} ${gapMs} ms later`));
+    }
+    before = order;
+  }
+  return found;
+}
+
+function runCounts(workers: readonly WorkerRecord[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {id} of workers.flatMap(({runs}) => runs)) {
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function violation(promise: PromiseName, detail: string): Violation {
+  return {promise, detail};
+}
--- /dev/null
+++ b/packages/soak/src/lib/soak_run.ts
@@ -0,0 +1,165 @@
+/** One soak: hosts, callers and faults for a time, then the verdict. @packageDocumentation */
+
+import {Random} from '@fuchsiacleat/core';
+import {FaultSeries} from './fault_series.js';
+import {PlantedHost} from './planted_host.js';
+import {CallerTarget, SoakCaller} from './soak_callers.js';
+import {PROMISE, PromiseName, Violation, checkRecords} from './soak_checks.js';
+import {SoakWorld} from './soak_world.js';
+
+/** Callers for each host. */
+const CALLERS_PER_HOST = 4;
+
+/** Time in which all hosts must be ready and serve again after the faults. */
+const RECOVERY_MS = 20_000;
+
+/** Time that requests under way have to end. */
+const DRAIN_MS = 4_000;
+
+/** Time after the start before the first fault. */
+const CALM_MS = 1_500;
+
+/** What to play. */
+export interface SoakOptions {
+  seed: number;
+  /** Time during which faults come, in milliseconds. */
+  durationMs: number;
+  /** Number of host processes. */
+  processes: number;
+  /** A fault that is planted, so that its check must find it. */
+  plant?: PromiseName;
+  /** Whether the usual faults come; true by default. */
+  hasFaults?: boolean;
+}
+
+/** What was seen. */
+export interface SoakResult {
+  violations: Violation[];
+  requests: number;
+  /** Requests by status. */
+  ends: Record<string, number>;
+  /** Faults by kind. */
+  faults: Record<string, number>;
+  /** Folder with the hosts' logs. */
+  folder: string;
+}
+
+/**
+ * @param options - see {@link SoakOptions}.
+ * @returns what was seen, once everything has ended.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const world = await SoakWorld.start(options.processes);
+  const run = new SoakRun(world, options);
+  try {
+    return await run.play();
+  } finally {
+    await run.stop();
+  }
+}
+
+class SoakRun {
+  private readonly random: Random;
+  private readonly violations: Violation[] = [];
+  private planted: PlantedHost | undefined;
+
+  constructor(
+    private readonly world: SoakWorld,
+    private readonly options: SoakOptions,
+  ) {
+    this.random = new Random(options.seed);
+  }
+
+  async play(): Promise<SoakResult> {
+    const {durationMs, hasFaults = true} = this.options;
+    await this.expectRecovery('after the start');
+    const callersEnd = new AbortController();
+    const callers = await this.startCallers(callersEnd.signal);
+    const faultsEnd = new AbortController();
+    const series = new FaultSeries(this.world, this.random, faultsEnd.signal);
+    await wait(CALM_MS);
+    const planted = this.plantInRun();
+    const faults = hasFaults ? series.run() : Promise.resolve();
+    await wait(durationMs);
+    faultsEnd.abort();
+    await faults;
+    await planted;
+    await this.expectRecovery('after the faults');
+    callersEnd.abort();
+    await Promise.race([Promise.all(callers), wait(DRAIN_MS)]);
+    this.noteOwnEnds();
+    this.violations.push(...checkRecords(this.world.record()));
+    return {
+      violations: this.violations,
+      requests: this.world.ledger.all().length,
+      ends: this.world.ledger.counts(),
+      faults: series.counts,
+      folder: this.world.folder,
+    };
+  }
+
+  async stop(): Promise<void> {
+    await this.planted?.stop();
+    await this.world.stop();
+  }
+
+  private async startCallers(
+    signal: AbortSignal,
+  ): Promise<Array<Promise<void>>> {
+    const targets: CallerTarget[] = this.world.hosts.map(host => ({
+      name: host.options.name,
+      url: host.url,
+      isCalm: () => performance.now() > host.disturbedUntilMs,
+      isThere: () => host.isRunning,
+    }));
+    const {plant} = this.options;
+    if (plant !== undefined) {
+      this.planted = new PlantedHost(this.world, plant);
+      await this.planted.start();
+      const {url} = this.planted;
+      const always = () => true;
+      targets.push({name: 'planted', url, isCalm: always, isThere: always});
+    }
+    const callers: Array<Promise<void>> = [];
+    for (let i = 0; i < this.world.hosts.length * CALLERS_PER_HOST; i++) {
+      const random = new Random(this.random.int(1, 1_000_000_000));
+      const caller = new SoakCaller(`c${i}`, this.world, targets, random);
+      callers.push(caller.run(signal));
+    }
+    return callers;
+  }
+
+  /** Plants what a host alone cannot do wrong. */
+  private async plantInRun(): Promise<void> {
+    const {plant, durationMs} = this.options;
+    const {hosts, workers} = this.world;
+    if (plant === PROMISE.staysUp) hosts[0].signal('SIGKILL');
+    if (plant === PROMISE.recovery) hosts[0].signal('SIGSTOP');
+    if (plant === PROMISE.withdrawnKey) this.world.setWithdrawn(true);
+    if (plant === PROMISE.drain) this.world.setDraining(workers[0], true);
+    await wait(durationMs);
+  }
+
+  private async expectRecovery(when: string): Promise<void> {
+    const {hosts} = this.world;
+    const areReady = async () => {
+      const ready = await Promise.all(hosts.map(host => host.isReady()));
+      return ready.every(Boolean);
+    };
+    if (await this.world.until(areReady, RECOVERY_MS)) return;
+    const detail = `not every host was ready in time ${when}`;
+    this.violations.push({promise: PROMISE.recovery, detail});
+  }
+
+  private noteOwnEnds(): void {
+    for (const {ownEnds} of this.world.hosts) {
+      for (const end of ownEnds) {
+        this.violations.push({promise: PROMISE.staysUp, detail: end});
+      }
+    }
+  }
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/soak/src/lib/soak_world.ts
@@ -0,0 +1,244 @@
+/** Real hosts, and stand-ins of all that surrounds them. @packageDocumentation */
+
+import {mkdtemp} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+  PlatformTeam,
+  SERVICE,
+  STORE_TOPIC,
+  platformConfig,
+} from '@fuchsiacleat/local-cluster';
+import {
+  PlatformStoreStandin,
+  PlatformWorkerStandin,
+} from '@fuchsiacleat/standins';
+import {FaultyLink} from './faulty_link.js';
+import {HostProcess} from './host_process.js';
+import {BarredSpan, SoakRecord, WorkerRecord} from './soak_checks.js';
+import {RequestLedger} from './request_ledger.js';
+
+/** Keys of the team without and of the team with a limit. */
+export const SOAK_KEY = {free: 'key-free', limited: 'key-limited'} as const;
+
+/** Bounds of the platform's pages, shorter where a short run needs it. */
+const BOUNDS = {
+  ConfigApplyMs: 3_000,
+  DrainTimeoutMs: 3_000,
+  RevokeMs: 5_000,
+  GraceS: 4,
+  LeaseMs: 3_000,
+  RetryBudgetRatio: 0.2,
+  BudgetSlack: 50,
+  QuotaWindowS: 8,
+  QuotaOverage: 0.1,
+  QuotaSlack: 400,
+} as const;
+
+/** Tokens a second and at once of the limited team, and of each request. */
+const LIMIT = {perSecond: 1_000, burst: 1_000, request: 100} as const;
+
+/** Undisturbed time before which a host is not bound by all promises. */
+const TOUCH_MS = 4_000;
+
+const MS_PER_SECOND = 1_000;
+const PLAIN_COUNT = 4;
+const ENGINE_COUNT = 2;
+const PLACES = 1;
+const ZONES = ['a', 'b'];
+const POLL_MS = 50;
+const FIRST_ADDRESS = 10;
+
+/** A worker with the link that leads to it. */
+export interface LinkedWorker {
+  name: string;
+  standin: PlatformWorkerStandin;
+  link: FaultyLink;
+  isEngine: boolean;
+}
+
+/** A deployment whose parts can be disturbed. */
+export class SoakWorld {
+  readonly ledger = new RequestLedger();
+  readonly store = new PlatformStoreStandin();
+  readonly workers: LinkedWorker[] = [];
+  readonly hosts: HostProcess[] = [];
+  /** The link of each host to the store. */
+  readonly storeLinks: FaultyLink[] = [];
+  readonly withdrawn: BarredSpan[] = [];
+  readonly drained: BarredSpan[] = [];
+  readonly thawsMs: number[] = [];
+  private version = 1;
+  private folderPath = '';
+
+  private constructor(private readonly number: number) {}
+
+  /**
+   * @param hostCount - number of host processes.
+   * @returns a world whose hosts are ready.
+   */
+  static async start(hostCount: number): Promise<SoakWorld> {
+    const world = new SoakWorld(worldCount++);
+    world.folderPath = await mkdtemp(join(tmpdir(), 'fuchsiacleat-soak-'));
+    await world.store.start();
+    for (let i = 0; i < PLAIN_COUNT + ENGINE_COUNT; i++) {
+      await world.addWorker(i);
+    }
+    world.publish(true);
+    for (let i = 0; i < hostCount; i++) await world.addHost(i);
+    await Promise.all(world.hosts.map(host => host.start()));
+    return world;
+  }
+
+  /** Folder of the hosts' settings and logs. */
+  get folder(): string {
+    return this.folderPath;
+  }
+
+  /** @param isLimitedKnown - whether the key of the limited team works. */
+  publish(isLimitedKnown: boolean): void {
+    const limited: PlatformTeam = {
+      Name: 'limited',
+      ApiKeys: isLimitedKnown ? [SOAK_KEY.limited] : [],
+      Unit: 'tokens',
+      PlainTokens: LIMIT.request,
+      PerS: LIMIT.perSecond,
+      Burst: LIMIT.burst,
+    };
+    const free = {Name: 'team', ApiKeys: [SOAK_KEY.free]};
+    const config = platformConfig(this.version++, [free, limited]);
+    this.store.put(STORE_TOPIC.operator, 'config', config);
+  }
+
+  /** Withdraws the key of the limited team, or gives it back. */
+  setWithdrawn(isWithdrawn: boolean): void {
+    const nowMs = performance.now();
+    this.publish(!isWithdrawn);
+    if (isWithdrawn) {
+      const fromMs = nowMs + BOUNDS.RevokeMs;
+      const name = SOAK_KEY.limited;
+      this.withdrawn.push({name, fromMs, toMs: Infinity});
+    } else closeLast(this.withdrawn, SOAK_KEY.limited, nowMs);
+  }
+
+  /** Makes a worker leave, or come back. */
+  setDraining(worker: LinkedWorker, isDraining: boolean): void {
+    const nowMs = performance.now();
+    this.announce(worker, isDraining ? 'draining' : 'ready');
+    if (isDraining) {
+      const fromMs = nowMs + BOUNDS.DrainTimeoutMs;
+      this.drained.push({name: worker.name, fromMs, toMs: Infinity});
+    } else closeLast(this.drained, worker.name, nowMs);
+  }
+
+  /** Notes that a host is disturbed for a time, and not bound for some more. */
+  disturb(host: HostProcess, forMs: number): void {
+    const untilMs = performance.now() + forMs + TOUCH_MS;
+    host.disturbedUntilMs = Math.max(host.disturbedUntilMs, untilMs);
+  }
+
+  /** Waits until a condition holds. */
+  async until(
+    condition: () => Promise<boolean>,
+    limitMs: number,
+  ): Promise<boolean> {
+    const endMs = performance.now() + limitMs;
+    while (!(await condition())) {
+      if (performance.now() > endMs) return false;
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    return true;
+  }
+
+  /** What the callers and the workers have seen. */
+  record(): SoakRecord {
+    const windowMs = BOUNDS.QuotaWindowS * MS_PER_SECOND;
+    const {perSecond, burst, request} = LIMIT;
+    const inWindow = perSecond * BOUNDS.QuotaWindowS + burst;
+    const tokens = inWindow * (1 + BOUNDS.QuotaOverage) + BOUNDS.QuotaSlack;
+    return {
+      ledger: this.ledger,
+      workers: this.workers.map(toRecord),
+      withdrawn: this.withdrawn,
+      drained: this.drained,
+      limit: {
+        key: SOAK_KEY.limited,
+        windowMs,
+        requests: Math.floor(tokens / request),
+      },
+      orderGapMs: BOUNDS.LeaseMs,
+      thawsMs: this.thawsMs,
+    };
+  }
+
+  /** Ends everything that was started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.hosts.map(host => host.dispose()));
+    for (const link of this.storeLinks) await link.close();
+    for (const {link, standin} of this.workers) {
+      await link.close();
+      await standin.stop();
+    }
+    await this.store.stop();
+  }
+
+  private announce({link, name, standin}: LinkedWorker, state: string): void {
+    const Addr = `127.0.0.1:${link.port}`;
+    const entry = {...standin.entry(state), Addr};
+    this.store.put(STORE_TOPIC.targets, name, entry);
+  }
+
+  private async addWorker(i: number): Promise<void> {
+    const isEngine = i >= PLAIN_COUNT;
+    const name = `${isEngine ? 'e' : 'p'}${i}`;
+    const standin = new PlatformWorkerStandin({
+      id: name,
+      service: isEngine ? SERVICE.engines : SERVICE.plain,
+      zone: ZONES[i % ZONES.length],
+      models: isEngine ? ['m1'] : undefined,
+    });
+    await standin.start();
+    const link = new FaultyLink(standin.port);
+    await link.open();
+    const worker = {name, standin, link, isEngine};
+    this.workers.push(worker);
+    this.announce(worker, 'ready');
+  }
+
+  private async addHost(i: number): Promise<void> {
+    const link = new FaultyLink(Number(new URL(this.store.url).port));
+    await link.open();
+    this.storeLinks.push(link);
+    this.hosts.push(
+      new HostProcess({
+        name: `host-${i}`,
+        zone: ZONES[i % ZONES.length],
+        address: addressOf(this.number, i),
+        storePort: link.port,
+        folder: this.folderPath,
+        bounds: BOUNDS,
+      }),
+    );
+  }
+}
+
+/** Worlds that this process has started: each has addresses of its own. */
+let worldCount = 0;
+
+/** @returns an address on loopback that no other run is likely to use. */
+function addressOf(world: number, host: number): string {
+  const second = 16 + (process.pid % 200);
+  const third = ((process.pid >> 8) + world) % 250;
+  return `127.${second}.${third}.${FIRST_ADDRESS + host}`;
+}
+
+function closeLast(spans: BarredSpan[], name: string, toMs: number): void {
+  const last = spans.findLast(span => span.name === name);
+  if (last !== undefined) last.toMs = toMs;
+}
+
+function toRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
+  const {orderLog: orders, runs} = standin;
+  const places = isEngine ? PLACES : undefined;
+  return {name, runs, orders, places, heldAtFirst: isEngine ? PLACES : 0};
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,46 @@
+/** `npm run soak`: real hosts among faults, then every promise checked. @packageDocumentation */
+
+import {formatFields} from '@fuchsiacleat/core';
+import {Command} from 'commander';
+import {PROMISE, PromiseName} from './lib/soak_checks.js';
+import {runSoak} from './lib/soak_run.js';
+
+const DEFAULT_SEED = 1;
+const DEFAULT_MINUTES = 1;
+const DEFAULT_PROCESSES = 4;
+const MAX_PROCESSES = 60;
+const MS_PER_MINUTE = 60_000;
+const MAX_SHOWN = 20;
+
+interface Options {
+  seed: number;
+  minutes: number;
+  processes: number;
+  plant?: PromiseName;
+}
+
+async function main(options: Options): Promise<number> {
+  const {minutes, plant, seed} = options;
+  const processes = Math.min(MAX_PROCESSES, options.processes);
+  const durationMs = minutes * MS_PER_MINUTE;
+  const result = await runSoak({seed, durationMs, processes, plant});
+  const {ends, faults, folder, requests, violations} = result;
+  const out = (line: string) => process.stdout.write(`${line}\n`);
+  out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
+  out(`ends: ${formatFields(ends)}`);
+  out(`faults: ${formatFields(faults)}`);
+  for (const {promise, detail} of violations.slice(0, MAX_SHOWN)) {
+    out(`broken: ${promise}: ${detail}`);
+  }
+  out(`${violations.length} broken; logs in ${folder}`);
+  return violations.length === 0 ? 0 : 1;
+}
+
+await new Command('soak')
+  .description('Plays faults on real host processes and checks every promise.')
+  .option('--seed <number>', 'seed of all randomness', Number, DEFAULT_SEED)
+  .option('--minutes <number>', 'how long', Number, DEFAULT_MINUTES)
+  .option('--processes <number>', 'hosts', Number, DEFAULT_PROCESSES)
+  .option('--plant <promise>', `one of ${Object.values(PROMISE).join(', ')}`)
+  .action(async (options: Options) => process.exit(await main(options)))
+  .parseAsync();
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -36,6 +36,16 @@
   path: string;
   body: string;
   headers: IncomingMessage['headers'];
+  /** When it began, on the monotonic clock of this process. */
+  atMs: number;
+}
+
+/** An order that a worker accepted. */
+export interface AcceptedOrder {
+  text: string;
+  /** Who gave it, by its own name. */
+  holder: string;
+  atMs: number;
 }
 
 /** Options of a {@link PlatformWorkerStandin}. */
@@ -51,8 +61,10 @@
 export class PlatformWorkerStandin {
   /** Requests that it worked on, in order. */
   readonly runs: WorkerRun[] = [];
-  /** Orders that it accepted. */
+  /** Orders that it accepted, as "verb model". */
   readonly orders: string[] = [];
+  /** The same with their givers. */
+  readonly orderLog: AcceptedOrder[] = [];
   /** What happens to the next requests, in order. */
   readonly odd: OddAnswer[] = [];
   /** Work of each request, in milliseconds. */
@@ -90,6 +102,16 @@
     };
   }
 
+  /** Number of models that it holds. */
+  get modelCount(): number {
+    return this.models.size;
+  }
+
+  /** Port on loopback, once started. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   /** Starts to listen on a free port. */
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
@@ -125,7 +147,7 @@
   }
 
   private obey(
-    order: {Op: string; Model: string; Precondition?: number},
+    order: {Op: string; Model: string; Holder?: string; Precondition?: number},
     res: ServerResponse,
   ): void {
     const isStale =
@@ -136,7 +158,10 @@
       return;
     }
     this.orderCount += 1;
-    this.orders.push(`${order.Op} ${order.Model}`);
+    const text = `${order.Op} ${order.Model}`;
+    this.orders.push(text);
+    const holder = order.Holder ?? '';
+    this.orderLog.push({text, holder, atMs: performance.now()});
     if (order.Op === 'load') this.models.add(order.Model);
     else this.models.delete(order.Model);
     res.writeHead(202).end();
@@ -157,7 +182,8 @@
       return;
     }
     const {method = '', url: path = '', headers} = req;
-    this.runs.push({id, method, path, body, headers});
+    const atMs = performance.now();
+    this.runs.push({id, method, path, body, headers, atMs});
     setTimeout(
       () => this.answer(res, id, odd, model !== undefined),
       this.workMs,
