--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -1,16 +1,20 @@
 /** Decides which models the targets hold, while this host has the lease. @packageDocumentation */
 
 import {Result, ok} from 'neverthrow';
-import {EngineFacts} from '../gateway/deployment.js';
 import {residentKey} from '../gateway/target_table.js';
-import {TokenBucket} from '../limits/token_bucket.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {AccountBook} from './account_book.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
 import {OrderLease} from './order_lease.js';
-import {COPY_LOAD, PlanRound} from './plan_round.js';
+import {
+  chooseAdapterCopies,
+  chooseCopies,
+  chooseSurplus,
+} from './copy_choice.js';
+import {PlanRound} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
+import {StoreLoads} from './store_loads.js';
 import {Swap, chooseSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
@@ -29,24 +33,6 @@
 /** Wait after which a request goes to a target that it has tried already. */
 const TRIED_WAIT_MS = 1_200;
 
-/** Part of the weight store's rate that is used. */
-const STORE_RATE_SHARE = 0.8;
-
-/** Loads from the store that may begin at once. */
-const STORE_BURST = 2;
-
-/**
- * Targets that load from the store at once: beyond the two to four that the
- * users' sheets name, each takes longer in proportion, so that none gains.
- */
-const MOST_STORE_READS = 2;
-
-/** Part of that load up to which a copy still relieves another. */
-const RELIEF_PART = 0.7;
-
-/** In flight on the copies that are left, likewise, up to which one may go. */
-const SURPLUS_LOAD = 0.25;
-
 /** Time after a model is there at which refused callers come back. */
 const READY_MARGIN_MS = 100;
 
@@ -56,6 +42,9 @@
 /** When a caller may come back whose model cannot be loaded now. */
 const RETRY_AFTER_MS = 1_500;
 
+/** Part of the targets that bring models which nobody asked for yet. */
+const PRELOAD_PART = 0.125;
+
 /** What a {@link ResidencyController} works with. */
 export interface ResidencyControllerParts {
   clock: Clock;
@@ -102,7 +91,7 @@
  */
 export class ResidencyController {
   private readonly room: WaitingRoom;
-  private readonly storeLoads = new Map<string, TokenBucket>();
+  private readonly storeLoads: StoreLoads;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
   private activeFencing: number | undefined;
@@ -114,6 +103,7 @@
   /** @param parts - see {@link ResidencyControllerParts}. */
   constructor(private readonly parts: ResidencyControllerParts) {
     this.room = new WaitingRoom(parts.clock);
+    this.storeLoads = new StoreLoads(parts.clock);
   }
 
   /** Whether this host decides. */
@@ -174,6 +164,7 @@
       this.plan(service);
     }
     this.planWanted();
+    this.preload();
   }
 
   private takeOver(fencing: number): void {
@@ -222,6 +213,22 @@
     }
   }
 
+  /** Brings models that no target has, while nobody asks for any. */
+  private preload(): void {
+    const {book, lease, usage} = this.parts;
+    if (!lease.mayOrder || usage.hasDemand) return;
+    for (const [service, {models}] of book.engines()) {
+      const round = this.roundOf(service);
+      if (round.accounts.some(({needsReport}) => needsReport)) continue;
+      const busy = round.accounts.filter(({isBusy}) => isBusy).length;
+      if (busy + 1 > round.accounts.length * PRELOAD_PART) continue;
+      const missing = [...models.keys()].find(model =>
+        round.isOnlyInStore(model),
+      );
+      if (missing !== undefined) this.startSwap(missing, service);
+    }
+  }
+
   /** Serves a request that has just come, if that is possible at once. */
   private planOne(waiter: Waiter): void {
     const {service} = waiter.request;
@@ -291,6 +298,9 @@
       readyMs = nowMs + this.roundOf(service).reloadMs(model);
     }
     if (readyMs <= giveUpMs || readyMs === Infinity) return;
+    if (this.roundOf(service).isOnlyInStore(model)) {
+      this.storeLoads.noteMiss(service, model);
+    }
     const untilMs = readyMs + WANTED_MS;
     this.wanted.set(residentKey(service, model), {service, model, untilMs});
     this.room.refuse(waiter, {
@@ -358,10 +368,8 @@
     const engine = this.parts.book.engines().get(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const round = this.roundOf(service);
-    const storeLoads = this.storeBucket(service, engine);
-    const {accounts} = round;
-    const reading = accounts.filter(({readsStore}) => readsStore).length;
-    const storeGrants = storeLoads.level >= 1 && reading < MOST_STORE_READS;
+    const {storeLoads} = this;
+    const storeGrants = storeLoads.grants(service, model, engine, round);
     const swap = chooseSwap(model, round, storeGrants);
     if (swap === undefined) return;
     this.rounds.delete(service);
@@ -369,10 +377,7 @@
       this.drain(swap);
       return;
     }
-    if (swap.fromStore) {
-      storeLoads.take(1);
-      storeLoads.settle(1, 1);
-    }
+    if (swap.fromStore) storeLoads.began(service, model, engine);
     logger.info('swap_started', {
       target: swap.account.id,
       model,
@@ -406,17 +411,6 @@
     }
   }
 
-  private storeBucket(service: string, engine: EngineFacts): TokenBucket {
-    let bucket = this.storeLoads.get(service);
-    if (bucket === undefined) {
-      const rate = engine.storeLoadsPerSecond * STORE_RATE_SHARE;
-      // Empty at first: an earlier holder may just have used the rate up.
-      bucket = new TokenBucket(this.parts.clock, {rate, burst: STORE_BURST}, 0);
-      this.storeLoads.set(service, bucket);
-    }
-    return bucket;
-  }
-
   private startAdapterSwap(
     model: string,
     adapter: string,
@@ -436,57 +430,16 @@
     const {lease, usage} = this.parts;
     if (!lease.mayOrder) return;
     const round = this.roundOf(service);
-    for (const account of round.accounts) {
-      if (round.load(account) <= COPY_LOAD) continue;
-      const model = this.hottest(account);
-      if (model === undefined) continue;
-      const isRelieved = round
-        .copies(model)
-        .some(other => round.load(other) <= COPY_LOAD * RELIEF_PART);
-      const isComing = round.accounts.some(
-        other => (other.residents.get(model)?.readyMs ?? 0) > round.nowMs,
-      );
-      if (!isRelieved && !isComing) this.startSwap(model, service);
-    }
-    for (const [model, copies] of round.allCopies()) {
-      const holders = copies.filter(
-        account => account.residents.get(model)?.isRetiring === false,
-      );
-      if (holders.length < 2) continue;
-      let running = 0;
-      for (const {id} of holders) running += usage.inFlight(id, model);
-      const load = running / holders[0].engine.slots;
-      if (load > (holders.length - 1) * SURPLUS_LOAD) continue;
-      this.retireOne(model, holders);
+    const adapterCopies = chooseAdapterCopies(round, usage);
+    for (const model of chooseCopies(round, usage)) {
+      this.startSwap(model, service);
     }
-  }
-
-  /** @returns the model of a target with the most requests in flight. */
-  private hottest(account: ResidencyAccount): string | undefined {
-    const {usage} = this.parts;
-    let hottest: string | undefined;
-    let most = 0;
-    for (const model of account.residents.keys()) {
-      const running = usage.inFlight(account.id, model);
-      if (running <= most) continue;
-      hottest = model;
-      most = running;
+    for (const {model, adapter, accounts} of adapterCopies) {
+      this.startAdapterSwap(model, adapter, accounts);
     }
-    return hottest;
-  }
-
-  private retireOne(model: string, holders: ResidencyAccount[]): void {
-    const {usage} = this.parts;
-    let least: ResidencyAccount | undefined;
-    for (const account of holders) {
-      if (account.isBusy || account.needsReport) continue;
-      const load = usage.inFlight(account.id, model);
-      if (least === undefined || load < usage.inFlight(least.id, model)) {
-        least = account;
-      }
+    for (const {model, account} of chooseSurplus(round, usage)) {
+      account.residents.get(model)!.isRetiring = true;
+      this.parts.publish(account);
     }
-    if (least === undefined) return;
-    least.residents.get(model)!.isRetiring = true;
-    this.parts.publish(least);
   }
 }
