--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -96,6 +96,7 @@
   private isKnown = false;
   private isStopping = false;
   private isSilent = false;
+  private isReadable = true;
   private resigned = {fencing: -1, ms: -Infinity, isSuccessor: false};
   private wake = new AbortController();
   private readonly watch: SuspensionWatch;
@@ -303,8 +304,10 @@
 
   /** Logs once that the holder has gone silent. */
   private noteSilence(): void {
-    const {logger} = this.parts;
+    const {clock, logger} = this.parts;
     if (this.isSilent || this.newest === undefined) return;
+    // Nobody can have been heard that the log has just named.
+    if (clock.now() - this.seenMs < HOLDER_HEARD_MS) return;
     this.isSilent = true;
     const {host, incarnation} = this.newest;
     logger.info('order_lease_holder_silent', {holder: host, incarnation});
@@ -348,6 +351,7 @@
     const tail = await withTimeLimit(limitMs, signal, limited =>
       this.parts.log.read(this.end, waitMs, limited),
     );
+    this.noteRead(tail.isOk());
     if (tail.isErr()) return;
     this.isKnown = true;
     const {newest, end} = tail.value;
@@ -359,6 +363,14 @@
     this.see(newest, end);
   }
 
+  /** Logs once that the log cannot be read, and once that it can again. */
+  private noteRead(isRead: boolean): void {
+    if (isRead === this.isReadable) return;
+    this.isReadable = isRead;
+    const event = isRead ? 'order_lease_log_read' : 'order_lease_log_unread';
+    this.parts.logger.info(event, {end: this.end});
+  }
+
   private see(record: LeaseRecord, end: number): void {
     this.newest = record;
     this.end = end;
