--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -214,7 +214,7 @@
       peers: await at(),
       metrics: await at(),
       store: {address: url.hostname, port: Number(url.port)},
-      cpuShare: 1,
+      cpuShare: 0.9,
       linkMbps: 1_000,
       newsLifeMs: 2_000,
       keyWithdrawalMs: 5_000,
--- a/packages/local-cluster/src/test/platform/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -170,6 +170,7 @@
       world.hosts[holder].end();
       const left = world.hosts.filter((unused, i) => i !== holder);
       await world.until(() => left.some(host => host.givesOrders));
+      expect(world.store.malformed).to.deep.equal([]);
     } finally {
       await world.stop();
     }
--- a/packages/standins/src/lib/platform/platform_store_standin.ts
+++ b/packages/standins/src/lib/platform/platform_store_standin.ts
@@ -21,6 +21,8 @@
 export class PlatformStoreStandin extends StandinServer {
   /** Appends get no answer and are carried out after this time, if set. */
   lateAppendsMs = 0;
+  /** Calls that the platform would reject, by their URL. */
+  readonly malformed: string[] = [];
   /** Calls that were made, by path. */
   readonly calls = new Map<string, number>();
   private readonly topics = new Map<string, Topic>();
@@ -75,6 +77,12 @@
   }
 
   private async read(c: Context): Promise<Response> {
+    const numbers = ['part', 'From', 'MaxKb', 'WaitMs'];
+    const isWhole = (name: string) => /^\d+$/.test(c.req.query(name) ?? '0');
+    if (!numbers.every(isWhole)) {
+      this.malformed.push(c.req.url);
+      return c.json({}, 400);
+    }
     const topic = this.topic(c.req.query('Topic') ?? '');
     const from = Number(c.req.query('From') ?? 0);
     const endMs = this.clock.now() + Number(c.req.query('WaitMs') ?? 0);
