--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -49,6 +49,10 @@
 const POLL_MS = 50;
 const FIRST_ADDRESS = 10;
 
+/** Second part of the addresses, and worlds of one process with others. */
+const FIRST_NET = 16;
+const WORLDS = 16;
+
 /** A worker with the link that leads to it. */
 export interface LinkedWorker {
   name: string;
@@ -227,9 +231,9 @@
 
 /** @returns an address on loopback that no other run is likely to use. */
 function addressOf(world: number, host: number): string {
-  const second = 16 + (process.pid % 200);
-  const third = ((process.pid >> 8) + world) % 250;
-  return `127.${second}.${third}.${FIRST_ADDRESS + host}`;
+  const run = process.pid * WORLDS + (world % WORLDS);
+  const second = FIRST_NET + ((run >> 8) & 0x7f);
+  return `127.${second}.${run & 0xff}.${FIRST_ADDRESS + host}`;
 }
 
 function closeLast(spans: BarredSpan[], name: string, toMs: number): void {
