--- a/packages/soak/src/lib/regression_seeds.ts
+++ b/packages/soak/src/lib/regression_seeds.ts
@@ -12,4 +12,5 @@
   {seed: 6, cause: 'the same, twice'},
   {seed: 17, cause: 'the same'},
   {seed: 19, cause: 'the same, after all hosts were killed'},
+  {seed: 25, cause: 'the same'},
 ];
