Leave out of an explanation the targets that came elsewhere

Change: a target that came is shown only if the request was sent there; giving up the lease and a lease log that is not read are shown. Test extended, failed before.

--- a/packages/cli/src/test/explain_test.ts
+++ b/packages/cli/src/test/explain_test.ts
@@ -62,12 +62,14 @@
     const lines = [
       `${time(1)} event=target_gone host=a target=t1`,
       `${time(1)} event=target_gone host=b target=t2`,
+      `${time(1)} event=target_came host=a target=t9`,
       `${time(2)} event=swap_started host=b model=m1 victims=m2 target=t3`,
       `${time(2)} event=swap_started host=b model=m5 victims=m6 target=t4`,
       `${time(3)} event=request host=a id=x outcome=refused reason=no-capacity model=m2`,
       'not a line of ours',
     ];
     const {output} = await run('x', lines);
+    expect(output.join('\n')).to.not.include('t9');
     expect(output.join('\n')).to.include('target=t1').and.include('target=t3');
     expect(output.join('\n')).to.not.include('t2');
     expect(output.join('\n')).to.not.include('t4');
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -5,6 +5,9 @@
 /** Time before a request's end in which changes may have to do with it. */
 const CONTEXT_MS = 12_000;
 
+/** A target that came explains nothing of a request that was not sent there. */
+const TARGET_CAME = 'target_came';
+
 /** Events that change what a host believes or can do. */
 const BELIEF_EVENTS: ReadonlySet<string> = new Set([
   'started',
@@ -20,12 +23,16 @@
   'order_lease_holder',
   'order_lease_holder_silent',
   'order_lease_claimed',
+  'order_lease_resigned',
+  'order_lease_log_unread',
+  'order_lease_log_read',
   'residency_taken_over',
-  'target_came',
+  TARGET_CAME,
   'target_gone',
   'target_leaving',
   'target_avoided',
   'target_trusted',
+  'target_unreachable',
   'log_lines_dropped',
   'request_lines_omitted',
 ]);
@@ -71,7 +78,8 @@
   const own = parsed.filter(line => line.get('id') === id).sort(byTime);
   if (own.length === 0) return undefined;
   const end = own.find(line => line.get('event') === 'request');
-  const around = end === undefined ? [] : contextOf(end, parsed);
+  const targets = new Set(own.flatMap(targetsOf));
+  const around = end === undefined ? [] : contextOf(end, targets, parsed);
   const lines = [...own, ...around].sort(byTime).map(describe);
   return {lines, cause: end && causeOf(end)};
 }
@@ -79,6 +87,7 @@
 /** @returns what the request's host, or anyone for its model, did before. */
 function contextOf(
   end: ParsedLine,
+  targets: ReadonlySet<string>,
   parsed: readonly ParsedLine[],
 ): ParsedLine[] {
   const endMs = timeOf(end);
@@ -92,11 +101,19 @@
       const victims = line.get('victims')?.split(',') ?? [];
       return line.get('model') === model || victims.includes(model);
     }
-    const isOwnHost = line.get('host') === end.get('host');
-    return isOwnHost && BELIEF_EVENTS.has(event);
+    if (line.get('host') !== end.get('host')) return false;
+    if (event === TARGET_CAME) return targets.has(line.get('target') ?? '');
+    return BELIEF_EVENTS.has(event);
   });
 }
 
+/** @returns the targets that a line about a request names. */
+function targetsOf(line: ParsedLine): string[] {
+  const listed = line.get('targets')?.split(',') ?? [];
+  const target = line.get('target');
+  return target === undefined ? listed : [...listed, target];
+}
+
 function causeOf(end: ParsedLine): string {
   const outcome = end.get('outcome') ?? 'unknown';
   const reason = end.get('reason');
