Keep places that are taken while a report is on its way

While a report was under way the next look, 25 ms later, asked for a second one; what was decided after the first was wiped by the second: adapter a8 was loaded and not in the account, and a5 took a ninth place. It healed by itself as long as a caller waited for the adapter; copies of adapters have none. Ruled out: the adapter's unload (reply=holds), a doubled order (counts 22, 23, 24). Change: one report at a time; an exchange or adapter load that was decided before a report is dropped. Before and after: a test with a caller that leaves, 1 crash before, 0 after; each of the two guards alone is enough for it.

--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -104,10 +104,11 @@
     const nowMs = clock.now();
     for (const account of this.accounts.values()) {
       if (!account.needsReport || account.quietUntilMs > nowMs) continue;
-      account.quietUntilMs = Infinity;
+      if (account.isAsked) continue;
+      account.isAsked = true;
       void account.inTurn(async () => {
-        account.quietUntilMs = -Infinity;
         await orders.refresh(account, signal);
+        account.isAsked = false;
         this.parts.publish(account);
       });
     }
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -48,6 +48,10 @@
   readsStore = false;
   /** Whether the account must be compared with the target's own report. */
   needsReport = false;
+  /** Whether a report is being asked for. */
+  isAsked = false;
+  /** Reports taken in: what was decided before the last one may not hold. */
+  reportCount = 0;
   /** Clock time before which nothing is ordered. */
   quietUntilMs = -Infinity;
   /** Hosts that lately could not reach the target, and when. */
@@ -174,6 +178,7 @@
       resident?.adapters.set(adapter, newAdapter(nowMs));
     }
     this.needsReport = false;
+    this.reportCount += 1;
   }
 
   /** Adds a model, as held or as being loaded. */
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -51,7 +51,11 @@
       account.residents.get(victim)!.isLeaving = true;
     }
     if (swap.victims.length > 0) this.parts.publish(account);
-    const started = await account.inTurn(() => this.exchange(swap, signal));
+    const {reportCount} = account;
+    const started = await account.inTurn(async () => {
+      const isOutdated = account.reportCount !== reportCount;
+      return isOutdated ? false : this.exchange(swap, signal);
+    });
     account.coming = undefined;
     this.parts.publish(account);
     if (started) {
@@ -128,7 +132,10 @@
     if (leaving !== undefined) leaving.isLeaving = true;
     account.addAdapter(model, adapter, Infinity);
     if (victim !== undefined) publish(account);
+    const {reportCount} = account;
     await account.inTurn(async () => {
+      // The report has replaced the account in which the place was taken.
+      if (account.reportCount !== reportCount) return;
       if (victim !== undefined) {
         const order = {verb: 'unload', ...victim} as const;
         const isGone = await orders.send(account, order, signal);
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -47,6 +47,8 @@
   lost: number;
   /** Delay after which an order without an answer is carried out. */
   lateMs: number;
+  /** Time that a report takes. */
+  reportMs: number;
 }
 
 /** One engine: it crashes when it is ordered to hold more than it can. */
@@ -170,6 +172,7 @@
 
   override async report(target: KnownTarget): Promise<ResidencyReport> {
     const engine = this.world.engines.get(target.notice.id)!;
+    await this.world.clock.sleep(this.world.trouble.reportMs);
     return {
       orderCount: engine.orderCount,
       isBusy: engine.busy !== undefined,
@@ -199,7 +202,7 @@
   readonly clock = new ManualClock();
   readonly engines = new Map<string, FakeEngine>();
   readonly usage = new UsageTable(this.clock);
-  readonly trouble: OrderTrouble = {lost: 0, lateMs: 0};
+  readonly trouble: OrderTrouble = {lost: 0, lateMs: 0, reportMs: 0};
   readonly port: FakeOrderPort;
   readonly book: AccountBook;
   readonly controller: ResidencyController;
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -234,6 +234,20 @@
     expect(engine.crashes).to.equal(0);
   });
 
+  it('loses no place that is taken while a report is on its way', async () => {
+    const world = await startedWorld([['m0', 'm1', 'm2']]);
+    expect(await world.find('m0', 'a1')).to.equal('e1');
+    await world.clock.advance(1_000);
+    const [account] = world.book.all();
+    world.trouble.reportMs = 60;
+    account.needsReport = true;
+    // Its caller leaves before the adapter is there.
+    void world.ask('m0', 'a2', 100);
+    await world.clock.advance(1_000);
+    expect(await world.find('m0', 'a3')).to.equal('e1');
+    expect(world.engines.get('e1')!.crashes).to.equal(0);
+  });
+
   it('asks targets what they hold when it takes over', async () => {
     const world = new EngineWorld([['m0', 'm1', 'm2']]);
     const engine = world.engines.get('e1')!;
