--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -30,12 +30,20 @@
   accounts: readonly ResidencyAccount[];
 }
 
-/** A copy of a model that is not needed any more. */
-export interface SurplusCopy {
+/** A model on a target. */
+export interface ModelCopy {
   model: string;
   account: ResidencyAccount;
 }
 
+/** What crowded models need. */
+export interface CopyNeeds {
+  /** Copies that were to go and are wanted again. */
+  revived: ModelCopy[];
+  /** A model for each further copy that has to be loaded. */
+  missing: string[];
+}
+
 /**
  * A model gets as many copies as the requests in flight call for, all at once: a
  * model that has just become busy has queues as long as its time to the first
@@ -43,9 +51,9 @@
  *
  * @param round - what is known of targets and demand.
  * @param usage - requests in flight.
- * @returns a model for each copy that is missing on targets whose slots fill up.
+ * @returns what the models on targets whose slots fill up need.
  */
-export function chooseCopies(round: PlanRound, usage: UsageTable): string[] {
+export function chooseCopies(round: PlanRound, usage: UsageTable): CopyNeeds {
   const crowded = new Set<string>();
   for (const account of round.accounts) {
     if (round.load(account) <= COPY_LOAD) continue;
@@ -54,12 +62,15 @@
     );
     if (model !== undefined) crowded.add(model);
   }
+  const revived: ModelCopy[] = [];
   const missing: string[] = [];
   for (const model of crowded) {
     const count = missingCopies(model, round, usage);
-    for (let i = 0; i < count; i++) missing.push(model);
+    const back = round.retiring(model).slice(0, count);
+    for (const account of back) revived.push({model, account});
+    for (let i = back.length; i < count; i++) missing.push(model);
   }
-  return missing.slice(0, MAX_COPIES_AT_ONCE);
+  return {revived, missing: missing.slice(0, MAX_COPIES_AT_ONCE)};
 }
 
 /**
@@ -99,8 +110,8 @@
 export function chooseSurplus(
   round: PlanRound,
   usage: UsageTable,
-): SurplusCopy[] {
-  const surplus: SurplusCopy[] = [];
+): ModelCopy[] {
+  const surplus: ModelCopy[] = [];
   for (const [model, copies] of round.allCopies()) {
     const holders = copies.filter(
       account => account.residents.get(model)?.isRetiring === false,
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -46,6 +46,7 @@
  */
 export class PlanRound {
   private readonly copiesByModel = new Map<string, ResidencyAccount[]>();
+  private readonly retiringByModel = new Map<string, ResidencyAccount[]>();
   private readonly reloads = new Map<string, number>();
   private readonly loads = new Map<string, number>();
   private readonly nearCounts = new Map<string, number>();
@@ -57,8 +58,10 @@
     const {nowMs} = parts;
     for (const account of parts.accounts) {
       if (!account.isReachable) continue;
-      for (const model of account.residents.keys()) {
-        if (account.isReady(model, nowMs)) this.addCopy(model, account);
+      for (const [model, {isRetiring}] of account.residents) {
+        if (!account.isReady(model, nowMs)) continue;
+        const copies = isRetiring ? this.retiringByModel : this.copiesByModel;
+        addCopy(copies, model, account);
       }
       for (const model of account.nearModels()) {
         this.nearCounts.set(model, (this.nearCounts.get(model) ?? 0) + 1);
@@ -81,12 +84,17 @@
     return this.parts.waiting.get(model) ?? 0;
   }
 
-  /** @returns the reachable targets that can serve a model. */
+  /** @returns reachable targets that hold a model and get no requests for it. */
+  retiring(model: string): readonly ResidencyAccount[] {
+    return this.retiringByModel.get(model) ?? [];
+  }
+
+  /** @returns the reachable targets that serve a model. */
   copies(model: string): readonly ResidencyAccount[] {
     return this.copiesByModel.get(model) ?? [];
   }
 
-  /** @returns the models that can be served, with their targets. */
+  /** @returns the models that are served, with their targets. */
   allCopies(): Iterable<[string, readonly ResidencyAccount[]]> {
     return this.copiesByModel;
   }
@@ -144,12 +152,6 @@
     return evictions;
   }
 
-  private addCopy(model: string, account: ResidencyAccount): void {
-    const others = this.copiesByModel.get(model);
-    if (others === undefined) this.copiesByModel.set(model, [account]);
-    else others.push(account);
-  }
-
   private running(account: ResidencyAccount): number {
     let running = 0;
     for (const model of account.residents.keys()) {
@@ -213,3 +215,13 @@
     return reloadMs;
   }
 }
+
+function addCopy(
+  copies: Map<string, ResidencyAccount[]>,
+  model: string,
+  account: ResidencyAccount,
+): void {
+  const others = copies.get(model);
+  if (others === undefined) copies.set(model, [account]);
+  else others.push(account);
+}
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -431,9 +431,9 @@
     if (!lease.mayOrder) return;
     const round = this.roundOf(service);
     const adapterCopies = chooseAdapterCopies(round, usage);
-    for (const model of chooseCopies(round, usage)) {
-      this.startSwap(model, service);
-    }
+    const {missing, revived} = chooseCopies(round, usage);
+    for (const {model, account} of revived) this.keep(account, model);
+    for (const model of missing) this.startSwap(model, service);
     for (const {model, adapter, accounts} of adapterCopies) {
       this.startAdapterSwap(model, adapter, accounts);
     }
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -121,6 +121,23 @@
     expect(world.engines.get('e2')!.models.has('m1')).to.equal(true);
   });
 
+  it('uses a copy again that was to go, once its model fills up', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m0', 'm4', 'm5'],
+    ]);
+    const copies = () =>
+      [...world.book.all()].map(({residents}) => residents.get('m0')!);
+    const isRetiring = () => copies().some(copy => copy.isRetiring);
+    // Two idle copies are one too many.
+    await world.clock.advance(500);
+    expect(isRetiring()).to.equal(true);
+    const used = copies()[0].isRetiring ? 'e2' : 'e1';
+    world.report([[used, 'm0', 7]], {m0: 9}, 400);
+    await world.clock.advance(300);
+    expect(isRetiring()).to.equal(false);
+  });
+
   it('copies the adapters of a full target to an idle copy of their model', async () => {
     const world = await startedWorld([
       ['m0', 'm1', 'm2'],
