--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -139,8 +139,12 @@
     signal: AbortSignal,
   ): Promise<Result<string, NotResident>> {
     return new Promise(resolve => {
-      const waiter = this.room.add(request, resolve);
-      signal.addEventListener('abort', () => this.room.remove(waiter));
+      const leave = () => this.room.remove(waiter);
+      const waiter = this.room.add(request, result => {
+        signal.removeEventListener('abort', leave);
+        resolve(result);
+      });
+      signal.addEventListener('abort', leave);
       if (this.hasTakenOver) this.planOne(waiter);
     });
   }
