--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -139,8 +139,12 @@
     signal: AbortSignal,
   ): Promise<Result<string, NotResident>> {
     return new Promise(resolve => {
-      const waiter = this.room.add(request, resolve);
-      signal.addEventListener('abort', () => this.room.remove(waiter));
+      const leave = () => this.room.remove(waiter);
+      const waiter = this.room.add(request, result => {
+        signal.removeEventListener('abort', leave);
+        resolve(result);
+      });
+      signal.addEventListener('abort', leave);
       if (this.hasTakenOver) this.planOne(waiter);
     });
   }
@@ -431,9 +435,9 @@
     if (!lease.mayOrder) return;
     const round = this.roundOf(service);
     const adapterCopies = chooseAdapterCopies(round, usage);
-    for (const model of chooseCopies(round, usage)) {
-      this.startSwap(model, service);
-    }
+    const {missing, revived} = chooseCopies(round, usage);
+    for (const {model, account} of revived) this.keep(account, model);
+    for (const model of missing) this.startSwap(model, service);
     for (const {model, adapter, accounts} of adapterCopies) {
       this.startAdapterSwap(model, adapter, accounts);
     }
