Tell hosts which targets fill up, so that many hosts do not all prefer the near one

Cause: a host sees its own requests only. Ruled out: missing copies (mended before), adapters. Change: the view of the lease holder names targets from a quarter of their slots on, with their load over all hosts; it counts for a second. Bytes: two numbers for each such target and view.

--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -66,9 +66,8 @@
 }
 
 function costOf(target: KnownTarget, options: ChoiceOptions): number {
-  const slots = Math.max(1, target.notice.slots);
   const away = target.notice.zone === options.zone ? 0 : OTHER_ZONE_PENALTY;
   const failing = target.health.recentFailures * FAILURE_PENALTY;
   const avoided = target.health.isAvoided ? AVOIDED_PENALTY : 0;
-  return target.inFlight / slots + away + failing + avoided;
+  return target.load + away + failing + avoided;
 }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -10,6 +10,9 @@
   return adapter === undefined ? model : `${model}/${adapter}`;
 }
 
+/** How long a load that was told counts: tellers repeat it before that. */
+const LOAD_LIFE_MS = 1_000;
+
 /** A target with what this host knows of it. */
 export class KnownTarget {
   /** Requests of this host that run or wait there. */
@@ -21,6 +24,8 @@
   readonly held = new Map<string, Set<string>>();
   /** Whether it has left the platform's list. */
   isGone = false;
+  private toldLoad = 0;
+  private toldMs = -Infinity;
 
   /**
    * @param notice - what it said last.
@@ -28,7 +33,7 @@
    */
   constructor(
     public notice: TargetNotice,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     this.health = new TargetHealth(clock);
     this.adoptHeld(notice);
@@ -39,6 +44,22 @@
     return !this.isGone && !this.notice.isLeaving;
   }
 
+  /**
+   * Requests of all hosts there, as a share of its slots: at least this host's
+   * own, and what was told of all.
+   */
+  get load(): number {
+    const own = this.inFlight / Math.max(1, this.notice.slots);
+    const isTold = this.clock.now() - this.toldMs < LOAD_LIFE_MS;
+    return isTold ? Math.max(own, this.toldLoad) : own;
+  }
+
+  /** @param load - what all hosts together have in flight, likewise. */
+  noteLoad(load: number): void {
+    this.toldLoad = load;
+    this.toldMs = this.clock.now();
+  }
+
   /** @returns whether it holds a model and, if given, one of its adapters. */
   holds(model: string, adapter?: string): boolean {
     const adapters = this.held.get(model);
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -52,6 +52,12 @@
 /** Time between views that name every target. */
 const FULL_VIEW_MS = 2_000;
 
+/**
+ * In flight, as a share of the slots, from which hosts are told of a target's
+ * load; below it they may all prefer the near one.
+ */
+const CROWDED_LOAD = 0.25;
+
 /** Reports from one that tells the demand for models to the next. */
 const DEMAND_INTERVALS = 5;
 
@@ -367,6 +373,26 @@
     this.viewHeardMs = clock.now();
     this.knownHosts = Math.max(1, body.hosts);
     for (const view of body.targets) this.applyView(view);
+    this.applyLoads(body.crowded);
+  }
+
+  private applyLoads(crowded: ViewBody['crowded']): void {
+    const {targets} = this.parts;
+    for (const [id, load] of crowded) targets.get(id)?.noteLoad(load);
+  }
+
+  /** @returns the targets that fill up, and how full they are. */
+  private crowded(): ViewBody['crowded'] {
+    const {book, usage} = this.parts;
+    const crowded: ViewBody['crowded'] = [];
+    for (const {engine, id, residents} of book.all()) {
+      let running = 0;
+      for (const model of residents.keys())
+        running += usage.inFlight(id, model);
+      const load = running / engine.slots;
+      if (load >= CROWDED_LOAD) crowded.push([id, Number(load.toFixed(2))]);
+    }
+    return crowded;
   }
 
   private applyView({id, held}: TargetView): void {
@@ -446,10 +472,13 @@
     }
     const hosts = Math.max(1, usage.hostCount);
     this.knownHosts = hosts;
+    const crowded = this.crowded();
+    this.applyLoads(crowded);
     const view = {
       holder: network.self.incarnation,
       leaseEnd: lease.knownEnd,
       targets,
+      crowded,
       hosts,
     };
     for (const {host} of network.connected()) {
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -96,6 +96,8 @@
   /** Offset after the newest record of its lease. */
   leaseEnd: z.number(),
   targets: z.array(targetViewSchema),
+  /** Targets that fill up, with their requests as a share of their slots. */
+  crowded: z.array(z.tuple([z.string(), z.number()])),
   /** Hosts that the holder hears, itself included. */
   hosts: z.number(),
 });
--- a/packages/core/src/test/gateway/target_choice_test.ts
+++ b/packages/core/src/test/gateway/target_choice_test.ts
@@ -44,6 +44,50 @@
     expect(Math.max(...counts) / Math.min(...counts)).to.be.below(1.6);
   });
 
+  it('does not fill a near target from many hosts while a far one is idle', () => {
+    const slots = 12;
+    const hostCount = 60;
+    const random = new Random(1);
+    const clock = new ManualClock();
+    const hosts = Array.from({length: hostCount}, () => {
+      const table = new TargetTable(clock);
+      table.put(targetNotice({id: 'near', zone: 'a', slots}), true);
+      table.put(targetNotice({id: 'far', zone: 'b', slots}), true);
+      return table.ofService(PLAIN_SERVICE);
+    });
+    const running: KnownTarget[] = [];
+    const count = (id: string) =>
+      running.filter(({notice}) => notice.id === id).length;
+    let most = 0;
+    for (let i = 0; i < 200; i++) {
+      const targets = random.pick(hosts);
+      const target = chooseTarget(targets, options(random.float()))!;
+      target.began(undefined);
+      running.push(target);
+      // Each request lasts as long as twelve others take to come.
+      if (running.length > slots) running.shift()!.ended(undefined);
+      most = Math.max(most, count('near'));
+      if (i % 3 !== 0) continue;
+      // What the hosts are told is some requests old.
+      for (const known of hosts.flat()) {
+        known.noteLoad(count(known.notice.id) / slots);
+      }
+    }
+    expect(most).to.be.at.most(slots * 0.75);
+    expect(count('near')).to.be.above(0);
+  });
+
+  it('forgets a load that is not told again', async () => {
+    const clock = new ManualClock();
+    const table = new TargetTable(clock);
+    const notice = targetNotice({id: 't', slots: 10});
+    const target = table.put(notice, true);
+    target.noteLoad(0.5);
+    expect(target.load).to.equal(0.5);
+    await clock.advance(1_000);
+    expect(target.load).to.equal(0);
+  });
+
   it('leaves out what leaves, is gone or was tried', () => {
     const targets = targetsIn(['a', 'a', 'a'], 8);
     targets[0].notice = {...targets[0].notice, isLeaving: true};
