--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -104,6 +104,23 @@
     expect(caller.refusal?.retryAfterMs).to.be.above(0);
   });
 
+  it('lets short objectives go before long ones of the same priority', async () => {
+    const urgencies: number[] = [];
+    for (const objectiveMs of [400, 2_500]) {
+      for (const priority of [0, 1]) {
+        const kind = REQUEST_KIND.stream;
+        const route = routeRule({kind, maxTargets: 1, objectiveMs, priority});
+        const world = relayWorld({route, plays: [() => lost]});
+        await serve(world);
+        urgencies.push(world.port.sent[0].options.urgency);
+      }
+    }
+    const [draft, lesserDraft, appeal, lesserAppeal] = urgencies;
+    expect(draft).to.be.below(appeal);
+    expect(appeal).to.be.below(lesserDraft);
+    expect(lesserDraft).to.be.below(lesserAppeal);
+  });
+
   it('lets a request that did not run wait for the retry budget', async () => {
     const plays = [
       ...Array.from({length: 3}, () => notRun('refused')),
