--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -13,9 +13,6 @@
 const ID = 'x-fuchsiacleat-attempt-id';
 const STAMP = 'x-fuchsiacleat-server-stamp';
 
-/** Faults that are planted here; the others are planted in the run. */
-export type PlantedFault = PromiseName;
-
 /** Passes requests on to workers, without regard to what it should. */
 export class PlantedHost {
   private readonly server: Server;
@@ -24,11 +21,11 @@
 
   /**
    * @param world - whose workers it uses.
-   * @param fault - what it does wrong.
+   * @param fault - the promise that it breaks; some are broken by the run.
    */
   constructor(
     private readonly world: SoakWorld,
-    private readonly fault: PlantedFault,
+    private readonly fault: PromiseName,
   ) {
     this.server = createServer((req, res) => {
       // What fails is no answer, which is not what is planted.
