--- a/packages/core/src/lib/gateway/retry_allowance.ts
+++ b/packages/core/src/lib/gateway/retry_allowance.ts
@@ -6,7 +6,7 @@
 export class RetryAllowance {
   private readonly budgets = new Map<string, RetryBudget>();
 
-  /** @param shapeOf - the budget's present shape; it follows the host count. */
+  /** @param shapeOf - a budget's shape; asked at a service's first request. */
   constructor(private readonly shapeOf: () => RetryBudgetShape) {}
 
   /** Counts a request for a service. */
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -49,7 +49,7 @@
   private readonly retiringByModel = new Map<string, ResidencyAccount[]>();
   private readonly reloads = new Map<string, number>();
   private readonly loads = new Map<string, number>();
-  private readonly nearCounts = new Map<string, number>();
+  private nearCountsByModel: ReadonlyMap<string, number> | undefined;
   private readonly adapterRates = new Map<string, number>();
   private readonly evictionsById = new Map<string, Eviction[]>();
 
@@ -63,9 +63,6 @@
         const copies = isRetiring ? this.retiringByModel : this.copiesByModel;
         addCopy(copies, model, account);
       }
-      for (const model of account.nearModels()) {
-        this.nearCounts.set(model, (this.nearCounts.get(model) ?? 0) + 1);
-      }
     }
   }
 
@@ -99,6 +96,20 @@
     return this.copiesByModel;
   }
 
+  /** Reachable targets that have the weights of each model; few rounds ask. */
+  private get nearCounts(): ReadonlyMap<string, number> {
+    if (this.nearCountsByModel !== undefined) return this.nearCountsByModel;
+    const counts = new Map<string, number>();
+    for (const account of this.parts.accounts) {
+      if (!account.isReachable) continue;
+      for (const model of account.nearModels()) {
+        counts.set(model, (counts.get(model) ?? 0) + 1);
+      }
+    }
+    this.nearCountsByModel = counts;
+    return counts;
+  }
+
   /** @returns whether no reachable target has the weights of a model. */
   isOnlyInStore(model: string): boolean {
     return !this.nearCounts.has(model);
@@ -117,7 +128,7 @@
   load(account: ResidencyAccount): number {
     let load = this.loads.get(account.id);
     if (load === undefined) {
-      load = this.running(account) / account.engine.slots;
+      load = account.load(this.parts.usage);
       this.loads.set(account.id, load);
     }
     return load;
@@ -152,14 +163,6 @@
     return evictions;
   }
 
-  private running(account: ResidencyAccount): number {
-    let running = 0;
-    for (const model of account.residents.keys()) {
-      running += this.parts.usage.inFlight(account.id, model);
-    }
-    return running;
-  }
-
   private evictionOf(
     account: ResidencyAccount,
     held: string,
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -3,6 +3,7 @@
 import {EngineFacts} from '../gateway/deployment.js';
 import {KnownTarget} from '../gateway/target_table.js';
 import {ResidencyReport} from './order_port.js';
+import type {UsageTable} from './usage_table.js';
 
 /** What is common to models and adapters on a target. */
 export interface HeldItem {
@@ -92,6 +93,18 @@
     return usedMb;
   }
 
+  /**
+   * @param usage - requests in flight over all hosts.
+   * @returns requests in flight here, as a share of the slots.
+   */
+  load(usage: UsageTable): number {
+    let running = 0;
+    for (const model of this.residents.keys()) {
+      running += usage.inFlight(this.id, model);
+    }
+    return running / this.engine.slots;
+  }
+
   /**
    * @param model - a model that is held.
    * @returns its size with its adapters, in megabytes; infinite for a model
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -14,7 +14,7 @@
 import {DemandBook} from './demand_book.js';
 import {LeaseHolder, OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
-import {ResidencyController} from './residency_controller.js';
+import {ResidencyController, ResidencyRequest} from './residency_controller.js';
 import {
   BORROW_TOKENS,
   FIND_TARGET,
@@ -274,12 +274,10 @@
     const {service, demand, objectiveEndMs, tried} = search;
     const {model, adapter} = demand;
     if (controller.isActive) {
-      const found = await controller.find(
+      return this.findHere(
         {service, model, adapter, objectiveEndMs, giveUpMs, tried},
         signal,
       );
-      if (found.isErr()) return found.error;
-      return {target: found.value, retryAfterMs: 0, isFinal: true};
     }
     const {holder} = lease;
     if (holder === undefined || holder.host === network.self.host) return;
@@ -300,6 +298,16 @@
     return found.isOk() ? found.value : undefined;
   }
 
+  /** Decides for a request of any host, as the lease holder. */
+  private async findHere(
+    request: ResidencyRequest,
+    signal: AbortSignal,
+  ): Promise<FoundBody> {
+    const found = await this.parts.controller.find(request, signal);
+    if (found.isErr()) return found.error;
+    return {target: found.value, retryAfterMs: 0, isFinal: true};
+  }
+
   private adoptFound(
     id: string,
     {model, adapter}: ModelDemand,
@@ -333,9 +341,9 @@
       if (!controller.isActive) throw new Error('not the lease holder');
       return lender.lend(request);
     });
-    network.serveUnary(FIND_TARGET, async (body, {signal}) => {
+    network.serveUnary(FIND_TARGET, (body, {signal}) => {
       const nowMs = clock.now();
-      const found = await controller.find(
+      return this.findHere(
         {
           service: body.service,
           model: body.model,
@@ -346,8 +354,6 @@
         },
         signal,
       );
-      if (found.isErr()) return found.error;
-      return {target: found.value, retryAfterMs: 0, isFinal: true};
     });
     network.onNote(TARGET_REFUSED, (body, from) =>
       book.noteRefused(from.host, body),
@@ -385,12 +391,10 @@
   private crowded(): ViewBody['crowded'] {
     const {book, usage} = this.parts;
     const crowded: ViewBody['crowded'] = [];
-    for (const {engine, id, residents} of book.all()) {
-      let running = 0;
-      for (const model of residents.keys())
-        running += usage.inFlight(id, model);
-      const load = running / engine.slots;
-      if (load >= CROWDED_LOAD) crowded.push([id, Number(load.toFixed(2))]);
+    for (const account of book.all()) {
+      const load = account.load(usage);
+      if (load < CROWDED_LOAD) continue;
+      crowded.push([account.id, Number(load.toFixed(2))]);
     }
     return crowded;
   }
--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -1,6 +1,6 @@
 /** Faults that come in series and overlap. @packageDocumentation */
 
-import {Random} from '@fuchsiacleat/core';
+import {Random, SystemClock} from '@fuchsiacleat/core';
 import {NO_FAULTS, ODD_ANSWER} from '@fuchsiacleat/standins';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
 import {HostProcess} from './host_process.js';
@@ -50,6 +50,7 @@
   private readonly kinds: Record<string, Fault>;
   private readonly running = new Set<Promise<void>>();
   private isWithdrawn = false;
+  private readonly clock = new SystemClock();
 
   /**
    * @param world - what is disturbed.
@@ -99,16 +100,7 @@
 
   /** Waits, or less once the run is over. */
   private wait(ms: number): Promise<void> {
-    return new Promise(resolve => {
-      const end = () => {
-        clearTimeout(timer);
-        this.signal.removeEventListener('abort', end);
-        resolve();
-      };
-      const timer = setTimeout(end, ms);
-      this.signal.addEventListener('abort', end);
-      if (this.signal.aborted) end();
-    });
+    return this.clock.sleep(ms, this.signal);
   }
 
   private async pause(forMs: number): Promise<void> {
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -4,6 +4,7 @@
 import {createWriteStream, WriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
 import {fileURLToPath} from 'node:url';
+import {withTimeLimit} from '@fuchsiacleat/core';
 import {request} from 'undici';
 
 const PROGRAM = fileURLToPath(
@@ -113,12 +114,11 @@
   async isReady(): Promise<boolean> {
     try {
       const url = `http://${this.options.address}:${PORT.ready}/readyz`;
-      const signal = new AbortController();
-      const timer = setTimeout(() => signal.abort(), READY_LIMIT_MS);
-      const res = await request(url, {signal: signal.signal});
-      clearTimeout(timer);
-      await res.body.dump();
-      return res.statusCode === OK;
+      return await withTimeLimit(READY_LIMIT_MS, undefined, async signal => {
+        const res = await request(url, {signal});
+        await res.body.dump();
+        return res.statusCode === OK;
+      });
     } catch {
       // No answer in time means not ready, whatever the reason.
       return false;
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -1,6 +1,6 @@
 /** Callers that keep their connections and note every answer. @packageDocumentation */
 
-import {Random} from '@fuchsiacleat/core';
+import {Random, SystemClock} from '@fuchsiacleat/core';
 import {HOST_NAME, PATH} from '@fuchsiacleat/local-cluster';
 import {Client} from 'undici';
 import {RouteName, SentRequest} from './request_ledger.js';
@@ -31,6 +31,7 @@
 /** One caller, with a connection to each host. */
 export class SoakCaller {
   private readonly clients = new Map<string, Client>();
+  private readonly clock = new SystemClock();
   private count = 0;
 
   /**
@@ -52,7 +53,7 @@
       const target = this.random.pick(this.targets);
       if (target.isThere()) await this.ask(target);
       const pauseMs = this.random.int(MIN_PAUSE_MS, MAX_PAUSE_MS);
-      await new Promise(resolve => setTimeout(resolve, pauseMs));
+      await this.clock.sleep(pauseMs);
     }
     for (const client of this.clients.values()) await client.destroy();
   }
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -1,6 +1,6 @@
 /** One soak: hosts, callers and faults for a time, then the verdict. @packageDocumentation */
 
-import {Random} from '@fuchsiacleat/core';
+import {Random, SystemClock} from '@fuchsiacleat/core';
 import {FaultSeries} from './fault_series.js';
 import {PlantedHost} from './planted_host.js';
 import {CallerTarget, SoakCaller} from './soak_callers.js';
@@ -60,6 +60,7 @@
 
 class SoakRun {
   private readonly random: Random;
+  private readonly clock = new SystemClock();
   private readonly violations: Violation[] = [];
   private planted: PlantedHost | undefined;
 
@@ -77,16 +78,16 @@
     const callers = await this.startCallers(callersEnd.signal);
     const faultsEnd = new AbortController();
     const series = new FaultSeries(this.world, this.random, faultsEnd.signal);
-    await wait(CALM_MS);
+    await this.clock.sleep(CALM_MS);
     const planted = this.plantInRun();
     const faults = hasFaults ? series.run() : Promise.resolve();
-    await wait(durationMs);
+    await this.clock.sleep(durationMs);
     faultsEnd.abort();
     await faults;
     await planted;
     await this.expectRecovery('after the faults');
     callersEnd.abort();
-    await Promise.race([Promise.all(callers), wait(DRAIN_MS)]);
+    await Promise.race([Promise.all(callers), this.clock.sleep(DRAIN_MS)]);
     this.noteOwnEnds();
     this.violations.push(...checkRecords(this.world.record()));
     return {
@@ -137,7 +138,7 @@
     if (plant === PROMISE.recovery) hosts[0].signal('SIGSTOP');
     if (plant === PROMISE.withdrawnKey) this.world.setWithdrawn(true);
     if (plant === PROMISE.drain) this.world.setDraining(workers[0], true);
-    await wait(durationMs);
+    await this.clock.sleep(durationMs);
   }
 
   private async expectRecovery(when: string): Promise<void> {
@@ -159,7 +160,3 @@
     }
   }
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -3,6 +3,7 @@
 import {mkdtemp} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {SystemClock} from '@fuchsiacleat/core';
 import {
   PlatformTeam,
   SERVICE,
@@ -72,6 +73,7 @@
   readonly withdrawn: BarredSpan[] = [];
   readonly drained: BarredSpan[] = [];
   readonly thawsMs: number[] = [];
+  private readonly clock = new SystemClock();
   private version = 1;
   private folderPath = '';
 
@@ -149,7 +151,7 @@
     const endMs = performance.now() + limitMs;
     while (!(await condition())) {
       if (performance.now() > endMs) return false;
-      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+      await this.clock.sleep(POLL_MS);
     }
     return true;
   }
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -102,11 +102,6 @@
     };
   }
 
-  /** Number of models that it holds. */
-  get modelCount(): number {
-    return this.models.size;
-  }
-
   /** Port on loopback, once started. */
   get port(): number {
     return (this.server.address() as AddressInfo).port;
