Believe what targets say of themselves in their answers, and bound answers without end

Cause: a target that leaves says so in each answer (Server-Leaving), and one that is full may name a time (Retry-After). Neither was read; a host went on sending for as long as the store had not told. A refusal's body was read to its end however long it is, and an order shared its connections with requests, so that a late copy of its answer could reach the next caller.

Ruled out: keeping the signs with the list entry (it lapses and comes back with the same process) and believing a peer's later word (its read may be older).

Change: TargetTable keeps the signs of the newest process of each target; nothing takes a leaving back, and an older process changes nothing. They are looked at right before each send, once more when its connection is there, and before orders and reports. Hosts tell the reader, which tells all. If all targets named a time, the caller is refused at once with the nearest. A resumable stream is left when no event comes for one objective (1 s at least): single bytes and comments are no progress.

What a host assumes before it knows: the number of hosts was 12 until a holder was heard, and a new holder told the few that it had heard by then. HostCensus holds the largest count of the last 10 s, begins with the one on the log, and assumes 330 before anybody has told. The retry budget follows it, and its reserve opens over one window after a start.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -10,10 +10,12 @@
 const HELD_BYTES = 256 * 1024;
 
 /**
- * Silence after which a resumable stream goes on at another target. Callers
- * leave a stream after two seconds of silence at the earliest.
+ * Time without an event after which a resumable stream goes on at another
+ * target: one latency objective, as a stream that paused for that long is late
+ * already, and at least a second. Callers leave a stream after a gap of two
+ * seconds or four objectives, whichever is longer.
  */
-const STREAM_SILENCE_MS = 1_000;
+const MIN_STREAM_SILENCE_MS = 1_000;
 
 /** What became of an answer. */
 export const RELAYED = {
@@ -61,12 +63,17 @@
   ): Promise<BodyEnd> {
     const {splitter} = call;
     splitter?.restart();
-    const watch = splitter && new SilenceWatch(this.clock, answer);
+    const silenceMs = Math.max(MIN_STREAM_SILENCE_MS, call.route.objectiveMs);
+    const watch = splitter && new SilenceWatch(this.clock, answer, silenceMs);
     this.begin(req, call, answer.head);
     const end = await answer.read(chunk => {
-      watch?.heard();
       call.noteBytes();
-      const bytes = splitter === undefined ? chunk : splitter.push(chunk);
+      if (splitter === undefined) return req.write(chunk);
+      const {lastId} = splitter;
+      const bytes = splitter.push(chunk);
+      // Comments and parts of an event are no progress.
+      if (splitter.lastId !== lastId) watch!.heard();
+      if (splitter.isOverlong) answer.discard();
       return bytes.length === 0 ? undefined : req.write(bytes);
     });
     watch?.stop();
@@ -116,7 +123,7 @@
   }
 }
 
-/** Drops an answer that has gone silent. */
+/** Drops an answer that makes no progress for too long. */
 class SilenceWatch {
   private heardMs: number;
   private timer: Timer;
@@ -124,9 +131,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly answer: TargetAnswer,
+    private readonly limitMs: number,
   ) {
     this.heardMs = clock.now();
-    this.timer = this.arm(STREAM_SILENCE_MS);
+    this.timer = this.arm(limitMs);
   }
 
   heard(): void {
@@ -140,7 +148,7 @@
   private arm(delayMs: number): Timer {
     return this.clock.after(delayMs, () => {
       const silentMs = this.clock.now() - this.heardMs;
-      const leftMs = STREAM_SILENCE_MS - silentMs;
+      const leftMs = this.limitMs - silentMs;
       if (leftMs <= 0) this.answer.discard();
       else this.timer = this.arm(leftMs);
     });
--- a/packages/core/src/lib/gateway/event_splitter.ts
+++ b/packages/core/src/lib/gateway/event_splitter.ts
@@ -1,5 +1,8 @@
 /** Cuts an event stream into whole events. @packageDocumentation */
 
+/** Longest event: a faulty target may send one that never ends. */
+const MAX_EVENT_BYTES = 256 * 1_024;
+
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id:[ ]?(.*)$/m;
@@ -22,6 +25,11 @@
     return this.rest.length > 0;
   }
 
+  /** Whether that part is longer than any event may be. */
+  get isOverlong(): boolean {
+    return this.rest.length > MAX_EVENT_BYTES;
+  }
+
   /**
    * @param chunk - the next bytes of the stream.
    * @returns the bytes of the events that are now whole; may be empty.
--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -6,7 +6,7 @@
 import {DeploymentState} from './deployment_state.js';
 import {BriefNotice} from './discovered_target.js';
 import {Freshness} from './freshness.js';
-import {TargetTable} from './target_table.js';
+import {KnownTarget, TargetTable} from './target_table.js';
 
 /** Time between questions, as a part of the life of an answer. */
 const ASK_INTERVAL_PART = 0.45;
@@ -61,6 +61,13 @@
   event: newsSchema,
 };
 
+/** A target has told a host that it leaves, which the reader may not know. */
+const TARGET_LEAVES: PeerMethod<{target: string; startedMs: number}, never> = {
+  name: 'target-leaves',
+  body: z.object({target: z.string(), startedMs: z.number()}),
+  event: z.never(),
+};
+
 const NEWS_HINT: PeerMethod<{revision: number}, never> = {
   name: 'news-hint',
   body: z.object({revision: z.number()}),
@@ -108,9 +115,25 @@
 
   /** @param parts - see {@link PeerNewsParts}. */
   constructor(private readonly parts: PeerNewsParts) {
-    const {network} = parts;
+    const {network, targets} = parts;
     network.serveUnary(ASK_NEWS, question => this.answer(question));
     network.onNote(NEWS_HINT, () => this.wake.abort());
+    network.onNote(TARGET_LEAVES, ({target, startedMs}) =>
+      targets.noteLeaving(target, startedMs),
+    );
+    targets.onLeaving(target => this.tellLeaving(target));
+  }
+
+  /** Passes on that a target leaves, so that all hosts hear of it. */
+  private tellLeaving({notice}: KnownTarget): void {
+    const {network, reader} = this.parts;
+    const to = reader();
+    if (to === undefined || this.isReader) {
+      this.hint();
+      return;
+    }
+    const body = {target: notice.id, startedMs: notice.startedMs};
+    network.notify(to.host, TARGET_LEAVES, body);
   }
 
   /** Whether this host is the reader. */
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -22,7 +22,7 @@
 import {RelayJournal, RequestStory} from './relay_journal.js';
 import {AnswerRelay, RELAYED} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
-import {chooseService, chooseTarget} from './target_choice.js';
+import {chooseService, chooseTarget, quietTimeOf} from './target_choice.js';
 import {
   NOT_RUN,
   NotRunReason,
@@ -61,6 +61,13 @@
 /** Shortest such wait, in milliseconds. */
 const MIN_HEAD_LIMIT_MS = 1_000;
 
+/** Ends of sends of which no byte reached a target. */
+const STAYED_HERE: ReadonlySet<NotRunReason> = new Set([
+  NOT_RUN.unreachable,
+  NOT_RUN.noConnection,
+  NOT_RUN.withdrawn,
+]);
+
 const OK = 200;
 const SERVER_ERROR = 500;
 const LEAST_URGENT = 9;
@@ -227,6 +234,8 @@
         : all;
       const target = chooseTarget(able, options);
       if (target !== undefined && !target.health.isAvoided) return ok(target);
+      const quietMs = quietTimeOf(able);
+      if (quietMs !== undefined) return err(quiet(quietMs));
       if (isModel) {
         const found = await models.find(
           this.search(req, call),
@@ -254,10 +263,19 @@
       demand: req.demand!,
       objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
       deadlineMs: call.deadlineMs,
-      tried: call.tried,
+      tried: this.triedOrQuiet(call),
     };
   }
 
+  /** Targets that a search must leave out. */
+  private triedOrQuiet(call: RelayCall<Req>): ReadonlySet<string> {
+    const left = new Set(call.tried);
+    for (const target of this.parts.targets.ofService(call.service)) {
+      if (target.quietLeftMs > 0) left.add(target.notice.id);
+    }
+    return left;
+  }
+
   private engineOf(call: RelayCall<Req>): boolean {
     const {deployment} = this.parts.state.current!;
     return deployment.services.get(call.service)?.engine !== undefined;
@@ -281,9 +299,11 @@
         urgency: urgencyOf(call),
         lastEventId: call.lastEventId,
         needsSafeConnection: !call.isRepeatable,
+        mayLeave: () => this.mayLeave(target, req, call),
         signal: attempt.signal,
       });
       attempt.headCame();
+      this.noteSigns(target, sent);
       if (sent.type === 'answered') {
         call.runs += 1;
         journal.sendAnswered(notice.id);
@@ -298,6 +318,23 @@
     }
   }
 
+  /** @returns whether nothing has come up while a connection was made. */
+  private mayLeave(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+  ): boolean {
+    if (!target.takesRequests) return false;
+    return this.admission.recheck(req, call.team) === undefined;
+  }
+
+  /** Takes in what a target said of itself, whatever its answer is. */
+  private noteSigns(target: KnownTarget, sent: SendResult<Head>): void {
+    const signs = sent.type === 'answered' ? sent.answer.signs : undefined;
+    const said = sent.type === 'not-run' ? sent.signs : signs;
+    if (said !== undefined) this.parts.targets.noteSigns(target, said);
+  }
+
   private afterSend(
     target: KnownTarget,
     req: Req,
@@ -331,9 +368,7 @@
     reason: NotRunReason,
   ): void {
     const {id} = target.notice;
-    const hasArrived =
-      reason !== NOT_RUN.unreachable && reason !== NOT_RUN.noConnection;
-    if (hasArrived) call.arrivals += 1;
+    if (!STAYED_HERE.has(reason)) call.arrivals += 1;
     call.tried.add(id);
     if (reason === NOT_RUN.unreachable) this.noteFailure(target);
     if (reason === NOT_RUN.otherProcess) target.isGone = true;
@@ -443,6 +478,11 @@
   return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
 }
 
+function quiet(forMs: number): Refusal {
+  const message = 'every target has named a time to come back';
+  return refuse(REFUSAL.noCapacity, message, Math.ceil(forMs));
+}
+
 function noCapacity(message: string): Refusal {
   return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
 }
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -37,7 +37,7 @@
   const first = Math.floor(options.draw * targets.length);
   for (let i = 0; i < targets.length; i++) {
     const target = targets[(first + i) % targets.length];
-    if (!target.isOpen || options.tried.has(target.notice.id)) continue;
+    if (!target.takesRequests || options.tried.has(target.notice.id)) continue;
     const cost = costOf(target, options);
     if (cost >= bestCost) continue;
     best = target;
@@ -46,6 +46,23 @@
   return best;
 }
 
+/**
+ * @param targets - candidates.
+ * @returns the time until the first of them wants requests again, if all that
+ *     are open have named one; undefined if one takes requests, or none is open.
+ */
+export function quietTimeOf(
+  targets: readonly KnownTarget[],
+): number | undefined {
+  let nearestMs = Infinity;
+  for (const target of targets) {
+    if (!target.isOpen) continue;
+    if (target.quietLeftMs <= 0) return undefined;
+    nearestMs = Math.min(nearestMs, target.quietLeftMs);
+  }
+  return nearestMs === Infinity ? undefined : nearestMs;
+}
+
 /**
  * @param shares - weights of a route's services.
  * @param draw - a random number in [0, 1).
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -2,6 +2,7 @@
 
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {KnownTarget} from './target_table.js';
+import {AnswerSigns} from './target_signs.js';
 
 /** Why a target did not run a request. */
 export const NOT_RUN = {
@@ -9,6 +10,8 @@
   unreachable: 'unreachable',
   /** This host has as many connections to the target as it may. */
   noConnection: 'no-connection',
+  /** This host took the send back before any byte of it left. */
+  withdrawn: 'withdrawn',
   /** The target said so: it is full, or the model is being exchanged. */
   refused: 'refused',
   /** The target does not hold the model. */
@@ -32,6 +35,7 @@
 /** An answer whose head has come. */
 export interface TargetAnswer<Head extends AnswerHead = AnswerHead> {
   head: Head;
+  signs: AnswerSigns;
   /**
    * Reads the body to its end.
    *
@@ -44,7 +48,7 @@
 
 /** What became of a request that was sent. */
 export type SendResult<Head extends AnswerHead = AnswerHead> =
-  | {type: 'not-run'; reason: NotRunReason}
+  | {type: 'not-run'; reason: NotRunReason; signs?: AnswerSigns}
   /** It may have run, and no answer came that can be used. */
   | {type: 'lost'; reason: string}
   | {type: 'answered'; answer: TargetAnswer<Head>};
@@ -59,6 +63,11 @@
   urgency: number;
   /** Overrides the caller's id of the last event that it has. */
   lastEventId: string | undefined;
+  /**
+   * Asked once more when the request is about to leave this host, which may be
+   * some time later; if not, it is not sent and ends as withdrawn.
+   */
+  mayLeave: () => boolean;
   /** Whether a connection that the target may have dropped must not be used. */
   needsSafeConnection: boolean;
   /** Cancels the request at the target. */
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -4,6 +4,7 @@
 import {ModelDemand} from './caller_request.js';
 import {BriefNotice, TargetNotice, isSameProcess} from './discovered_target.js';
 import {TargetHealth} from './target_health.js';
+import {AnswerSigns, ProcessSigns, SignBook} from './target_signs.js';
 
 /** A model or an adapter of it, as a key. */
 export function residentKey(model: string, adapter?: string): string {
@@ -30,18 +31,35 @@
   /**
    * @param notice - what it said last.
    * @param clock - measures how long failures are remembered.
+   * @param signs - what its process has said in its answers.
    */
   constructor(
     public notice: TargetNotice,
     private readonly clock: Clock,
+    private readonly signs: ProcessSigns = new ProcessSigns(notice.startedMs),
   ) {
     this.health = new TargetHealth(clock);
     this.adoptHeld(notice);
   }
 
-  /** Whether it may get new work. */
+  /** Whether it may get new work, from this host or from others. */
   get isOpen(): boolean {
-    return !this.isGone && !this.notice.isLeaving;
+    return !this.isGone && !this.isLeaving;
+  }
+
+  /** Whether it leaves, by its notice or by its own answers. */
+  get isLeaving(): boolean {
+    return this.notice.isLeaving || this.signs.isLeaving;
+  }
+
+  /** Whether this host may send it something now; ask right before. */
+  get takesRequests(): boolean {
+    return this.isOpen && this.quietLeftMs <= 0;
+  }
+
+  /** Time for which it wants nothing from this host; 0 if it named none. */
+  get quietLeftMs(): number {
+    return Math.max(0, this.signs.quietUntilMs - this.clock.now());
   }
 
   /**
@@ -117,9 +135,50 @@
   private readonly changes = new Map<string, number>();
   private changeCount = 0;
   private readonly byService = new Map<string, KnownTarget[]>();
+  private readonly signs: SignBook;
+  private readonly leavingListeners: Array<(target: KnownTarget) => void> = [];
 
   /** @param clock - passed on to what is known of each target. */
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.signs = new SignBook(clock);
+  }
+
+  /** @param listener - called once for each process that says it leaves. */
+  onLeaving(listener: (target: KnownTarget) => void): void {
+    this.leavingListeners.push(listener);
+  }
+
+  /**
+   * Takes in what a target's own answer said of it. It binds this host until
+   * another process has the target's id.
+   *
+   * @param target - who answered.
+   * @param signs - what it said.
+   */
+  noteSigns({notice}: KnownTarget, signs: AnswerSigns): void {
+    const known = this.signs.of(notice.id, notice.startedMs);
+    if (signs.quietMs !== undefined) {
+      this.signs.noteQuiet(known, signs.quietMs);
+    }
+    if (signs.isLeaving) this.noteLeaving(notice.id, notice.startedMs);
+  }
+
+  /**
+   * Notes that a process of a target leaves; nothing takes that back.
+   *
+   * @param id - of the target.
+   * @param startedMs - of the process, Unix milliseconds.
+   */
+  noteLeaving(id: string, startedMs: number): void {
+    if (this.signs.isOlder(id, startedMs)) return;
+    const signs = this.signs.of(id, startedMs);
+    if (signs.isLeaving) return;
+    signs.isLeaving = true;
+    const target = this.byId.get(id);
+    if (target?.notice.startedMs !== startedMs) return;
+    this.noteChange(id);
+    for (const listener of this.leavingListeners) listener(target);
+  }
 
   /** @returns a target that is on the platform's list. */
   get(id: string): KnownTarget | undefined {
@@ -145,7 +204,12 @@
     const changed: TargetChange[] = [];
     for (const [id, changedAt] of this.changes) {
       if (changedAt <= revision) continue;
-      changed.push({id, notice: this.byId.get(id)?.notice});
+      const target = this.byId.get(id);
+      const notice = target && {
+        ...target.notice,
+        isLeaving: target.isLeaving,
+      };
+      changed.push({id, notice});
     }
     return changed;
   }
@@ -161,10 +225,18 @@
    * @param notice - what it says about itself.
    * @param adoptHeld - whether its models are to be believed; false while a
    *     newer view of them comes from elsewhere. A new process always is.
-   * @returns the target; a new object for a new process.
+   * @returns the target; a new object for a new process. A process that is
+   *     older than one that was known changes nothing, and comes back as gone.
    */
   put(notice: TargetNotice, adoptHeld: boolean): KnownTarget {
     const known = this.byId.get(notice.id);
+    if (this.signs.isOlder(notice.id, notice.startedMs)) {
+      const outdated = new KnownTarget(notice, this.clock);
+      outdated.isGone = true;
+      return outdated;
+    }
+    const signs = this.signs.of(notice.id, notice.startedMs);
+    if (notice.isLeaving) signs.isLeaving = true;
     if (known !== undefined && isSameProcess(known.notice, notice)) {
       const moved = known.notice.service !== notice.service;
       if (isNews(known.notice, notice)) this.noteChange(notice.id);
@@ -174,7 +246,7 @@
       return known;
     }
     if (known !== undefined) known.isGone = true;
-    const target = new KnownTarget(notice, this.clock);
+    const target = new KnownTarget(notice, this.clock, signs);
     this.byId.set(notice.id, target);
     this.noteChange(notice.id);
     this.reindex();
--- a/packages/core/src/lib/limits/retry_budget.ts
+++ b/packages/core/src/lib/limits/retry_budget.ts
@@ -39,7 +39,7 @@
   constructor(
     private readonly overloaded: () => boolean = () => false,
     reserve = 0,
-    private readonly shape: RetryBudgetShape = DEFAULT_SHAPE,
+    private shape: RetryBudgetShape = DEFAULT_SHAPE,
   ) {
     this.saved = Math.min(shape.maxSaved, reserve);
   }
@@ -51,6 +51,17 @@
     this.saved = Math.min(maxSaved, this.saved + perRequest);
   }
 
+  /** @param shape - holds from now on; what is saved beyond it is lost. */
+  reshape(shape: RetryBudgetShape): void {
+    this.shape = shape;
+    this.saved = Math.min(shape.maxSaved, this.saved);
+  }
+
+  /** @param retries - are added to what is saved. */
+  save(retries: number): void {
+    this.saved = Math.min(this.shape.maxSaved, this.saved + retries);
+  }
+
   /** @returns whether a retry may be made; it is then counted. */
   tryRetry(): boolean {
     if (this.overloaded() || this.saved < 1) return false;
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -80,6 +80,11 @@
    */
   async refresh(account: ResidencyAccount, signal: AbortSignal): Promise<void> {
     const {clock, logger, port} = this.parts;
+    const quietMs = account.target.quietLeftMs;
+    if (quietMs > 0) {
+      account.quietUntilMs = clock.now() + quietMs;
+      return;
+    }
     const report = await withTimeLimit(ORDER_LIMIT_MS, signal, limited =>
       port.report(account.target, limited),
     );
@@ -103,6 +108,7 @@
   ): Promise<OrderReply> {
     const {lease, logger, port} = this.parts;
     if (!lease.mayOrder) return ORDER_REPLY.rejected;
+    if (account.target.quietLeftMs > 0) return ORDER_REPLY.rejected;
     const whole = {
       ...order,
       expectedCount: account.orderCount,
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -12,6 +12,7 @@
 import {Clock} from '../time/clock.js';
 import {AccountBook} from './account_book.js';
 import {DemandBook} from './demand_book.js';
+import {HostCensus} from './host_census.js';
 import {LeaseHolder, OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 import {ResidencyController, ResidencyRequest} from './residency_controller.js';
@@ -70,8 +71,12 @@
 /** How long a host believes the view that it was told. */
 const VIEW_LIFE_MS = 1_500;
 
-/** Hosts that are assumed to share the rates before a holder was heard. */
-const ASSUMED_HOSTS = 12;
+/**
+ * Hosts among which rates, budgets and connections are divided before anybody
+ * has told how many there are: the most that the design is made for, since a
+ * guess that is too low would let all of them together take too much.
+ */
+const MOST_HOSTS = 330;
 
 /** Shortest time that callers of streams wait for a first event. */
 const MIN_CALLER_WAIT_MS = 1_800;
@@ -106,7 +111,7 @@
   private readonly demand: DemandBook;
   private demandSentMs = -Infinity;
   private demandHolder = '';
-  private knownHosts: number | undefined;
+  private readonly census: HostCensus;
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
   private lastReport = '';
@@ -120,6 +125,8 @@
     super();
     this.demand = new DemandBook(parts.clock);
     this.successors = new SuccessorBook(parts.clock);
+    this.census = new HostCensus(parts.clock);
+    parts.lease.onChange(() => this.noteRecordedHosts());
     this.serve();
   }
 
@@ -140,10 +147,21 @@
     return this.parts.clock.now() - this.viewHeardMs > NOTICE_TRUST_MS;
   }
 
-  /** Hosts that share the rates, as the holder last said. */
+  /** Hosts that share rates, budgets and connections: rather too many. */
   get hostCount(): number {
-    const recorded = this.parts.lease.recordedHosts ?? 0;
-    return this.knownHosts ?? (recorded > 1 ? recorded : ASSUMED_HOSTS);
+    return this.toldHosts ?? MOST_HOSTS;
+  }
+
+  /** The same, as the holders have told of late; undefined if none has. */
+  get toldHosts(): number | undefined {
+    return this.census.count;
+  }
+
+  /** A new holder hears the hosts one after the other: the log knows better. */
+  private noteRecordedHosts(): void {
+    const {controller, lease} = this.parts;
+    const recorded = lease.recordedHosts ?? 0;
+    if (recorded > 1 && !controller.isActive) this.census.note(recorded);
   }
 
   /**
@@ -210,7 +228,8 @@
   }
 
   private get intervalMs(): number {
-    return Math.max(REPORT_INTERVAL_MS, this.hostCount * REPORT_MS_PER_HOST);
+    const hosts = this.toldHosts ?? 1;
+    return Math.max(REPORT_INTERVAL_MS, hosts * REPORT_MS_PER_HOST);
   }
 
   override async find(
@@ -247,6 +266,10 @@
       if (adapter === undefined) target.held.delete(model);
       else target.held.get(model)?.delete(adapter);
     }
+    const saysLittle =
+      reason === NOT_RUN.noConnection || reason === NOT_RUN.withdrawn;
+    // Both are the doing of this host.
+    if (saysLittle) return;
     const {book, controller, lease, network} = this.parts;
     const body = {target: target.notice.id, model, adapter, reason};
     if (controller.isActive) book.noteRefused(network.self.host, body);
@@ -313,7 +336,7 @@
     {model, adapter}: ModelDemand,
   ): KnownTarget | undefined {
     const target = this.parts.targets.get(id);
-    if (target === undefined || !target.isOpen) return undefined;
+    if (target === undefined || !target.takesRequests) return undefined;
     let adapters = target.held.get(model);
     if (adapters === undefined) {
       adapters = new Set();
@@ -326,7 +349,8 @@
   private heldSomewhere(search: ModelSearch): KnownTarget | undefined {
     const {model, adapter} = search.demand;
     for (const target of this.parts.targets.ofService(search.service)) {
-      if (!target.isOpen || search.tried.has(target.notice.id)) continue;
+      if (!target.takesRequests) continue;
+      if (search.tried.has(target.notice.id)) continue;
       if (target.holds(model, adapter) && !target.health.isAvoided) {
         return target;
       }
@@ -377,7 +401,7 @@
     lease.noteHolderHeard(incarnation, body.leaseEnd);
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewHeardMs = clock.now();
-    this.knownHosts = Math.max(1, body.hosts);
+    this.census.note(Math.max(1, body.hosts));
     for (const view of body.targets) this.applyView(view);
     this.applyLoads(body.crowded);
   }
@@ -474,8 +498,7 @@
     for (const account of accounts) {
       if (!account.needsReport) targets.push(this.viewOf(account));
     }
-    const hosts = Math.max(1, usage.hostCount);
-    this.knownHosts = hosts;
+    this.census.note(Math.max(1, usage.hostCount));
     const crowded = this.crowded();
     this.applyLoads(crowded);
     const view = {
@@ -483,7 +506,7 @@
       leaseEnd: lease.knownEnd,
       targets,
       crowded,
-      hosts,
+      hosts: this.hostCount,
     };
     for (const {host} of network.connected()) {
       network.notify(host, RESIDENCY_VIEW, view);
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -22,6 +22,7 @@
   SendResult,
   TargetPort,
 } from '../../lib/gateway/target_port.js';
+import {AnswerSigns, NO_SIGNS} from '../../lib/gateway/target_signs.js';
 import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
 import {Loan, TeamQuotas, TokenSource} from '../../lib/gateway/team_quotas.js';
 import {
@@ -98,11 +99,13 @@
   status: number,
   parts: string[],
   end: BodyEnd = BODY_END.complete,
+  signs: AnswerSigns = NO_SIGNS,
 ): SendResult {
   return {
     type: 'answered',
     answer: {
       head: {status},
+      signs,
       read: async sink => {
         for (const part of parts) await sink(Buffer.from(part));
         return end;
@@ -245,7 +248,11 @@
     windowMs: 1_000,
   });
   const maxSaved = options.retries ?? 10;
-  const retries = new RetryAllowance(() => ({perRequest: 1, maxSaved}));
+  const retries = new RetryAllowance({
+    clock,
+    windowMs: 0,
+    shapeOf: () => ({perRequest: 1, maxSaved}),
+  });
   const relay = new Relay<FakeCaller, AnswerHead>({
     clock,
     random: new Random(1),
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
 import {BODY_END, NOT_RUN, SendResult} from '../../lib/gateway/target_port.js';
+import {NO_SIGNS} from '../../lib/gateway/target_signs.js';
 import {FAILURE, REFUSAL} from '../../lib/requests/outcome.js';
 import {
   ENGINE_SERVICE,
@@ -187,6 +188,143 @@
   });
 });
 
+describe('Relay: what targets say of themselves', () => {
+  const refusedFor =
+    (quietMs: number): Play =>
+    () => ({
+      type: 'not-run',
+      reason: NOT_RUN.refused,
+      signs: {isLeaving: false, quietMs},
+    });
+
+  it('goes elsewhere at once, and leaves the target alone', async () => {
+    const plays = [
+      refusedFor(2_000),
+      ...Array.from({length: 9}, () => () => answer(200, ['ok'])),
+    ];
+    const world = relayWorld({route: once, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal('ok');
+    expect(world.clock.now()).to.be.below(20);
+    for (let i = 0; i < 8; i++) await serve(world);
+    const [full, ...later] = world.port.sent.map(({target}) => target);
+    expect(later).to.have.lengthOf(9);
+    expect(later).to.not.include(full);
+  });
+
+  it('refuses at once, with the nearest time, when all have named one', async () => {
+    const plays = [refusedFor(2_000), refusedFor(700)];
+    const world = relayWorld({route: once, plays});
+    const caller = await serve(world);
+    expect(world.clock.now()).to.be.below(20);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.noCapacity);
+    expect(caller.refusal?.retryAfterMs).to.equal(700);
+    await serve(world);
+    expect(world.port.sent).to.have.lengthOf(2);
+  });
+
+  it('sends nothing more to a target whose answer says that it leaves', async () => {
+    const signs = {isLeaving: true, quietMs: undefined};
+    const plays = [
+      () => answer(200, ['last'], BODY_END.complete, signs),
+      ...Array.from({length: 9}, () => () => answer(200, ['ok'])),
+    ];
+    const world = relayWorld({route: once, plays});
+    for (let i = 0; i < 9; i++) await serve(world);
+    const [left, ...later] = world.port.sent.map(({target}) => target);
+    expect(later).to.have.lengthOf(8);
+    expect(later).to.not.include(left);
+  });
+
+  it('takes a send back while its connection is made', async () => {
+    const world = relayWorld({
+      route: once,
+      plays: [
+        ({mayLeave}) => {
+          const [target] = world.targets.ofService(PLAIN_SERVICE);
+          expect(mayLeave()).to.equal(true);
+          for (const each of world.targets.all()) {
+            world.targets.noteSigns(each, {isLeaving: true, quietMs: 1});
+          }
+          expect(target.isOpen).to.equal(false);
+          expect(mayLeave()).to.equal(false);
+          return {type: 'not-run', reason: NOT_RUN.withdrawn};
+        },
+      ],
+    });
+    const caller = await serve(world);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.noCapacity);
+    const [first] = world.targets.all();
+    expect(first.health.isAvoided).to.equal(false);
+  });
+});
+
+describe('Relay: the pace of streams', () => {
+  /** Sends a part every so often until it is dropped. */
+  const paced =
+    (parts: string[], everyMs: number): Play =>
+    (options, clock) => {
+      const dropped = new AbortController();
+      return {
+        type: 'answered',
+        answer: {
+          head: {status: 200},
+          signs: NO_SIGNS,
+          read: async sink => {
+            for (const part of parts) {
+              await clock.sleep(everyMs, dropped.signal);
+              if (dropped.signal.aborted) return BODY_END.broken;
+              await sink(Buffer.from(part));
+            }
+            return BODY_END.complete;
+          },
+          discard: () => dropped.abort(),
+        },
+      };
+    };
+
+  it('leaves a stream that only sends a byte now and then', async () => {
+    for (const crumb of ['x', ': alive\n\n']) {
+      const crumbs = Array.from({length: 100}, () => crumb);
+      const plays = [
+        paced([event(1), ...crumbs], 200),
+        () => answer(200, [event(2)]),
+      ];
+      const world = relayWorld({route: resumable, plays});
+      const caller = await serve(world);
+      expect(world.clock.now()).to.be.below(1_600);
+      expect(world.port.sent[1].options.lastEventId).to.equal('1');
+      expect(caller.body).to.contain(event(2));
+    }
+  });
+
+  it('leaves a stream whose event never ends', async () => {
+    const flood = Array.from({length: 100}, () => 'x'.repeat(64 * 1_024));
+    const plays = [
+      paced([event(1), ...flood], 1),
+      () => answer(200, [event(2)]),
+    ];
+    const world = relayWorld({route: resumable, plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(event(1) + event(2));
+    expect(world.clock.now()).to.be.below(100);
+  });
+
+  it('lets a slow stream go on that its caller still waits for', async () => {
+    const slow = routeRule({
+      kind: REQUEST_KIND.stream,
+      isResumable: true,
+      objectiveMs: 2_500,
+      timeoutMs: 25_000,
+    });
+    const plays = [paced([1, 2, 3].map(event), 1_800)];
+    const world = relayWorld({route: slow, plays});
+    const caller = await serve(world);
+    expect(caller.isEnded).to.equal(true);
+    expect(world.port.sent).to.have.lengthOf(1);
+  });
+});
+
 describe('Relay: answers', () => {
   it('gives none of a plain answer that broke off', async () => {
     const plays = [() => answer(200, ['half'], BODY_END.broken)];
--- /dev/null
+++ b/packages/core/src/test/gateway/retry_allowance_test.ts
@@ -0,0 +1,78 @@
+import {expect} from 'chai';
+import {RetryAllowance} from '../../lib/gateway/retry_allowance.js';
+import {HostCensus} from '../../lib/residency/host_census.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+
+const WINDOW_MS = 10_000;
+/** Slack of deployments of each size, as their sheets name it. */
+const SLACK: Record<number, number> = {9: 58, 81: 202, 195: 430};
+const RATIO = 0.2;
+const STEP_MS = 100;
+/** Requests of each host in a step; most of them want to be repeated. */
+const REQUESTS = 1;
+/** Part of the allowed retries that budgets grant, as the wiring sets it. */
+const SHARE = 0.75;
+
+interface Host {
+  census: HostCensus;
+  allowance: RetryAllowance;
+}
+
+function startHost(clock: ManualClock, recorded: number): Host {
+  const slack = SLACK[recorded];
+  const census = new HostCensus(clock);
+  census.note(recorded);
+  const allowance = new RetryAllowance({
+    clock,
+    windowMs: WINDOW_MS,
+    shapeOf: () => ({
+      perRequest: RATIO * SHARE,
+      maxSaved: Math.max(1, (slack * SHARE) / census.count!),
+    }),
+  });
+  return {census, allowance};
+}
+
+describe('RetryAllowance: all hosts lose power', () => {
+  for (const count of [9, 81, 195]) {
+    it(`keeps ${count} hosts within the budget in every window`, async () => {
+      const clock = new ManualClock();
+      const retries: number[] = [];
+      const start = () =>
+        Array.from({length: count}, () => startHost(clock, count));
+      let hosts = start();
+      const steps = (3 * WINDOW_MS) / STEP_MS;
+      for (let step = 0; step < steps; step++) {
+        if (step === steps / 2) hosts = start();
+        let granted = 0;
+        hosts.forEach(({allowance, census}, i) => {
+          // The new holder hears them one after the other.
+          census.note(Math.min(count, 1 + (step % (steps / 2))));
+          if ((step + i) % 10 > 0) return;
+          for (let n = 0; n < REQUESTS; n++) allowance.noteRequest('s');
+          for (let n = 0; n < 20; n++) {
+            if (allowance.tryRetry('s')) granted += 1;
+          }
+        });
+        retries.push(granted);
+        await clock.advance(STEP_MS);
+      }
+      const requests = (count * REQUESTS * WINDOW_MS) / STEP_MS / 10;
+      const allowed = requests * RATIO + SLACK[count];
+      const inWindow = WINDOW_MS / STEP_MS;
+      for (let end = inWindow; end <= retries.length; end++) {
+        const sum = retries.slice(end - inWindow, end).reduce((a, b) => a + b);
+        expect(sum).to.be.at.most(allowed);
+      }
+    });
+  }
+
+  it('follows the number of hosts that share the budget', () => {
+    const clock = new ManualClock();
+    const {allowance, census} = startHost(clock, 81);
+    census.note(202);
+    for (let i = 0; i < 1_000; i++) allowance.noteRequest('s');
+    expect(allowance.tryRetry('s')).to.equal(true);
+    expect(allowance.tryRetry('s')).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/core/src/test/residency/host_census_test.ts
@@ -0,0 +1,33 @@
+import {expect} from 'chai';
+import {HostCensus} from '../../lib/residency/host_census.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+
+describe('HostCensus', () => {
+  it('knows nothing until it is told', () => {
+    expect(new HostCensus(new ManualClock()).count).to.equal(undefined);
+  });
+
+  it('holds what was recorded while a new holder hears host after host', async () => {
+    const clock = new ManualClock();
+    const census = new HostCensus(clock);
+    census.note(195);
+    for (let heard = 1; heard <= 90; heard++) {
+      await clock.advance(100);
+      census.note(heard);
+      expect(census.count).to.equal(195);
+    }
+    await clock.advance(2_000);
+    census.note(90);
+    expect(census.count).to.equal(90);
+  });
+
+  it('rises at once, and holds the newest count in silence', async () => {
+    const clock = new ManualClock();
+    const census = new HostCensus(clock);
+    census.note(9);
+    census.note(12);
+    expect(census.count).to.equal(12);
+    await clock.advance(60_000);
+    expect(census.count).to.equal(12);
+  });
+});
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -222,6 +222,7 @@
       orderGapMs: 50,
       retriesPerRequest: 0.2,
       retrySlack: 50,
+      retryWindowMs: 10_000,
       quotaWindowMs: 8_000,
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
--- /dev/null
+++ b/packages/local-cluster/src/test/platform/target_answers_test.ts
@@ -0,0 +1,146 @@
+import {NAMED_SECONDS, ODD_ANSWER} from '@fuchsiacleat/standins';
+import {expect} from 'chai';
+import {PATH, PlatformWorld} from '../../lib/platform_world.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Bytes of an answer without end that may leave a target. */
+const MAX_FLOOD_BYTES = 24 * 1_024 * 1_024;
+
+describe('GatewayHost: what workers say of themselves', () => {
+  let world: PlatformWorld;
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  it('sends nothing to a worker whose answer says that it leaves', async () => {
+    world = await PlatformWorld.start();
+    const [leaving, other] = world.plain;
+    leaving.saysLeaving = true;
+    while (leaving.runs.length === 0) await world.call(PATH.once);
+    const before = leaving.runs.length;
+    // What the store says later of the same process does not take it back.
+    world.announce();
+    world.store.faults = {...world.store.faults, down: true};
+    for (let i = 0; i < 30; i++) {
+      const res = await world.call(PATH.once);
+      expect(res.status).to.equal(200);
+    }
+    expect(leaving.runs).to.have.lengthOf(before);
+    expect(other.runs.length).to.be.at.least(30);
+  });
+
+  it('tells the other hosts of it', async () => {
+    world = await PlatformWorld.start(2);
+    await world.until(() => world.hosts.some(host => host.givesOrders));
+    const [leaving] = world.plain;
+    leaving.saysLeaving = true;
+    while (leaving.runs.length === 0) await world.call(PATH.once);
+    for (const host of [0, 1]) {
+      let last = -1;
+      // Until three calls in a row have left it alone.
+      for (let calm = 0; calm < 3; calm += 1) {
+        await world.call(PATH.once, {host});
+        if (leaving.runs.length !== last) calm = 0;
+        last = leaving.runs.length;
+      }
+    }
+    const before = leaving.runs.length;
+    for (let i = 0; i < 20; i++) await world.call(PATH.once, {host: i % 2});
+    expect(leaving.runs).to.have.lengthOf(before);
+  });
+
+  it('leaves a worker alone for as long as it has named', async () => {
+    world = await PlatformWorld.start();
+    const [full, other] = world.plain;
+    full.odd.push(ODD_ANSWER.refuseFor);
+    while (full.namedTimeMs.length === 0) {
+      expect((await world.call(PATH.once)).status).to.equal(200);
+    }
+    const [namedMs] = full.namedTimeMs;
+    const untilMs = namedMs + NAMED_SECONDS * MS_PER_SECOND;
+    while (performance.now() < untilMs - 100) {
+      expect((await world.call(PATH.once)).status).to.equal(200);
+    }
+    const early = full.arrivalsMs.filter(
+      ms => ms > namedMs + 1 && ms < untilMs - 1,
+    );
+    expect(early).to.have.lengthOf(0);
+    expect(other.runs.length).to.be.above(0);
+    await world.until(() => performance.now() > untilMs);
+    while (full.runs.length === 0) await world.call(PATH.once);
+  });
+
+  it('refuses at once, with the time, when all have named one', async () => {
+    world = await PlatformWorld.start();
+    for (const worker of world.plain) worker.odd.push(ODD_ANSWER.refuseFor);
+    const res = await world.call(PATH.once);
+    expect(res.status).to.equal(503);
+    expect(Number(res.headers['retry-after'])).to.be.within(
+      NAMED_SECONDS / 2,
+      NAMED_SECONDS,
+    );
+    expect(world.plain[0].runs).to.have.lengthOf(0);
+  });
+});
+
+describe('GatewayHost: answers that are not wanted', () => {
+  let world: PlatformWorld;
+
+  beforeEach(async () => {
+    world = await PlatformWorld.start();
+  });
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  const endless = [
+    ODD_ANSWER.endlessRefusal,
+    ODD_ANSWER.endlessHead,
+    ODD_ANSWER.endlessInterim,
+    ODD_ANSWER.endlessExtension,
+    ODD_ANSWER.endlessTrailer,
+  ];
+  for (const odd of endless) {
+    it(`bounds ${odd}, and serves the next caller`, async () => {
+      const [flooding, other] = world.plain;
+      flooding.odd.push(odd);
+      const id = `flood-${odd}`;
+      while (flooding.floodBytes === 0) {
+        await world.call(PATH.once, {id});
+      }
+      const runs = world.runsOf(id);
+      const last = await world.call(PATH.once, {id: 'next'});
+      expect(last.status).to.equal(200);
+      expect(last.body).to.equal('done next');
+      expect(runs).to.be.at.least(1);
+      let sent = -1;
+      // The worker goes on as long as it has a connection.
+      while (sent !== flooding.floodBytes) {
+        sent = flooding.floodBytes;
+        await world.call(PATH.once);
+      }
+      expect(flooding.floodBytes).to.be.below(MAX_FLOOD_BYTES);
+      expect(other.runs.length + flooding.runs.length).to.be.above(1);
+    });
+  }
+
+  it('gives the second copy of an answer to nobody', async () => {
+    for (let i = 0; i < 12; i++) {
+      for (const worker of world.plain) worker.odd.push(ODD_ANSWER.twice);
+      const id = `twice-${i}`;
+      const first = await world.call(PATH.once, {id});
+      expect(first.body).to.equal(`done ${id}`);
+      // The next request is under way when the copy comes.
+      for (const worker of world.plain) worker.workMs = 60;
+      const next = await world.call(PATH.once, {id: `next-${i}`});
+      for (const worker of world.plain) worker.workMs = 0;
+      expect(world.runsOf(`next-${i}`)).to.be.at.most(1);
+      if (next.status === 200) expect(next.body).to.equal(`done next-${i}`);
+      else expect(next.status).to.equal(502);
+      for (const worker of world.plain) worker.odd.length = 0;
+    }
+  });
+});
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -41,6 +41,7 @@
   /** Time until which it counts as disturbed, on the monotonic clock. */
   disturbedUntilMs = 0;
   private child: ChildProcess | undefined;
+  private starting: Promise<void> | undefined;
   private isEndExpected = false;
   private hasSpoken = false;
   private log: WriteStream | undefined;
@@ -63,9 +64,15 @@
     return this.child !== undefined;
   }
 
-  /** Writes the settings and starts the process. */
+  /** Writes the settings and starts the process, unless it is there. */
   async start(): Promise<void> {
     if (this.child !== undefined) return;
+    // Two faults may bring the host back at once.
+    this.starting ??= this.spawn().finally(() => (this.starting = undefined));
+    await this.starting;
+  }
+
+  private async spawn(): Promise<void> {
     const {folder, name} = this.options;
     const path = `${folder}/${name}.settings`;
     await writeFile(path, this.settingsText());
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -31,6 +31,7 @@
   LeaseMs: 3_000,
   RetryBudgetRatio: 0.2,
   BudgetSlack: 50,
+  BudgetWindowS: 10,
   QuotaWindowS: 8,
   QuotaOverage: 0.1,
   QuotaSlack: 400,
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -24,11 +24,59 @@
   otherId: 'other-id',
   /** Answers as an unrelated process would, without a signature. */
   unsigned: 'unsigned',
+  /** Refuses it as not run, and names a time to come back. */
+  refuseFor: 'refuse-for',
+  /** Answers, and once more a little later on the same connection. */
+  twice: 'twice',
+  /** Refuses it as not run, with a body that never ends. */
+  endlessRefusal: 'endless-refusal',
+  /** Sends a head that never ends. */
+  endlessHead: 'endless-head',
+  /** Sends interim answers without end. */
+  endlessInterim: 'endless-interim',
+  /** Sends a chunk whose extension never ends. */
+  endlessExtension: 'endless-extension',
+  /** Sends trailers without end. */
+  endlessTrailer: 'endless-trailer',
 } as const;
 
 /** One of {@link ODD_ANSWER}. */
 export type OddAnswer = (typeof ODD_ANSWER)[keyof typeof ODD_ANSWER];
 
+/** Seconds of {@link ODD_ANSWER.refuseFor}. */
+export const NAMED_SECONDS = 1.5;
+
+/** Delay of the second answer of {@link ODD_ANSWER.twice}. */
+const SECOND_COPY_MS = 30;
+
+/** How an answer that never ends begins, and what is sent again and again. */
+const FLOODS: Partial<Record<OddAnswer, {start: string; unit: string}>> = {
+  [ODD_ANSWER.endlessRefusal]: {
+    start:
+      `HTTP/1.1 503 Busy\r\n${PREFIX}not-executed: 1\r\n` +
+      'transfer-encoding: chunked\r\n\r\n',
+    unit: `400\r\n${'x'.repeat(1_024)}\r\n`,
+  },
+  [ODD_ANSWER.endlessHead]: {
+    start: 'HTTP/1.1 200 OK\r\n',
+    unit: `x-more: ${'x'.repeat(1_000)}\r\n`,
+  },
+  [ODD_ANSWER.endlessInterim]: {
+    start: '',
+    unit: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(32),
+  },
+  [ODD_ANSWER.endlessExtension]: {
+    start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;x=',
+    unit: 'x'.repeat(1_024),
+  },
+  [ODD_ANSWER.endlessTrailer]: {
+    start:
+      'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' +
+      '2\r\nok\r\n0\r\n',
+    unit: `x-more: ${'x'.repeat(1_000)}\r\n`,
+  },
+};
+
 /** A request that a worker began to work on. */
 export interface WorkerRun {
   id: string;
@@ -69,6 +117,14 @@
   readonly odd: OddAnswer[] = [];
   /** Work of each request, in milliseconds. */
   workMs = 0;
+  /** Whether each answer says that the worker leaves. */
+  saysLeaving = false;
+  /** Requests for which the worker named a time to come back, and when. */
+  readonly namedTimeMs: number[] = [];
+  /** Clock times at which any request, order or report came. */
+  readonly arrivalsMs: number[] = [];
+  /** Bytes sent of answers without end. */
+  floodBytes = 0;
   private orderCount = 0;
   private readonly models: Set<string>;
   private readonly startedMs = Date.now();
@@ -126,6 +182,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString();
+    this.arrivalsMs.push(performance.now());
+    if (this.saysLeaving) res.setHeader('server-leaving', '1');
     const expected = req.headers[`${PREFIX}expect-instance`];
     if (expected !== undefined && expected !== this.options.id) {
       res.setHeader(`${PREFIX}instance-id`, this.options.id);
@@ -176,15 +234,49 @@
       res.writeHead(503).end();
       return;
     }
-    const {method = '', url: path = '', headers} = req;
-    const atMs = performance.now();
-    this.runs.push({id, method, path, body, headers, atMs});
+    if (odd === ODD_ANSWER.refuseFor) {
+      this.namedTimeMs.push(performance.now());
+      res.setHeader(`${PREFIX}not-executed`, '1');
+      res.setHeader('retry-after', String(NAMED_SECONDS));
+      res.writeHead(503).end();
+      return;
+    }
+    const flood = odd && FLOODS[odd];
+    if (flood !== undefined) {
+      const isRun = odd !== ODD_ANSWER.endlessRefusal;
+      if (isRun) this.noteRun(req, id, body);
+      this.flood(res.socket!, flood, id);
+      return;
+    }
+    this.noteRun(req, id, body);
     setTimeout(
       () => this.answer(res, id, odd, model !== undefined),
       this.workMs,
     );
   }
 
+  private noteRun(req: IncomingMessage, id: string, body: string): void {
+    const {method = '', url: path = '', headers} = req;
+    const atMs = performance.now();
+    this.runs.push({id, method, path, body, headers, atMs});
+  }
+
+  /** Sends bytes until the other end closes the connection. */
+  private flood(
+    socket: Socket,
+    {start, unit}: {start: string; unit: string},
+    id: string,
+  ): void {
+    const stamp = `${PREFIX}server-stamp: s\r\n${PREFIX}attempt-id: ${id}\r\n`;
+    socket.write(start.replace('\r\n', `\r\n${stamp}`));
+    const more = () => {
+      if (socket.destroyed) return;
+      this.floodBytes += unit.length;
+      socket.write(unit, () => setImmediate(more));
+    };
+    more();
+  }
+
   private answer(
     res: ServerResponse,
     id: string,
@@ -214,7 +306,14 @@
       res.write(half, () => res.socket?.destroy());
       return;
     }
+    const {socket} = res;
     res.end(text);
+    if (odd !== ODD_ANSWER.twice || socket === null) return;
+    const copy =
+      `HTTP/1.1 200 OK\r\n${PREFIX}attempt-id: ${id}\r\n` +
+      `${PREFIX}server-stamp: s\r\ncontent-length: ${text.length}\r\n\r\n` +
+      text;
+    setTimeout(() => socket.write(copy), SECOND_COPY_MS);
   }
 }
 
