Let a host at rest wake up half as often, and encode a view once for all hosts

A host at rest among six used 0.044 of a core and woke 100 times a second: 40 times to plan without the lease, 33 to look whether peers bring the news, 10 each for views, links and reports.

Change: tasks that belong to the lease holder sleep until the lease changes; the other looks are spread. A notification to all hosts is encoded once; views of 195 hosts go out each 195 ms instead of 100.

--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -168,9 +168,7 @@
     if (!isNew || !this.isReader) return;
     this.sentRevision = revision;
     this.sentVersion = version;
-    for (const {host} of network.connected()) {
-      network.notify(host, NEWS_HINT, {revision});
-    }
+    network.broadcast(NEWS_HINT, {revision});
   }
 
   /**
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -16,7 +16,7 @@
 export const SILENCE_LIMIT_MS = 1_700;
 
 /** Time between calls of {@link PeerLink.tick}, in milliseconds. */
-export const TICK_INTERVAL_MS = 100;
+export const TICK_INTERVAL_MS = 200;
 
 /** How long a link that was replaced stays open for late calls. */
 const RETIRED_GRACE_MS = 2_000;
@@ -148,6 +148,17 @@
     return true;
   }
 
+  /**
+   * Sends a notification that was encoded before, likewise.
+   *
+   * @param frame - see {@link encodeFrame}.
+   */
+  noteEncoded(frame: Buffer): void {
+    const {socket} = this.options;
+    if (!this.alive || socket.writableLength > NOTE_LIMIT_BYTES) return;
+    this.write(frame);
+  }
+
   /** Sends a heartbeat if one is due and closes the link if it is silent. */
   tick(): void {
     const nowMs = this.options.clock.now();
@@ -188,14 +199,17 @@
 
   /** Part of {@link AnswerWriter}. */
   send(frame: Frame): void {
-    if (!this.alive) return;
+    if (this.alive) this.write(encodeFrame(frame));
+  }
+
+  private write(bytes: Buffer): void {
     const {socket, clock} = this.options;
     if (socket.writableLength > UNSENT_LIMIT_BYTES) {
       this.close('the peer reads too slowly');
       return;
     }
     this.lastSentMs = clock.now();
-    socket.write(encodeFrame(frame));
+    socket.write(bytes);
   }
 
   /** Part of {@link AnswerWriter}. */
--- a/packages/core/src/lib/peers/peer_network.ts
+++ b/packages/core/src/lib/peers/peer_network.ts
@@ -119,6 +119,16 @@
     body: Body,
   ): boolean;
 
+  /**
+   * Notifies every connected peer; see {@link PeerNetwork.notify}.
+   *
+   * @param method - names the notification.
+   * @param body - what to tell.
+   */
+  broadcast<Body>(method: PeerMethod<Body, never>, body: Body): void {
+    for (const {host} of this.connected()) this.notify(host, method, body);
+  }
+
   /** Sets the handler of a notification. */
   abstract onNote<Body>(
     method: PeerMethod<Body, never>,
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -5,6 +5,7 @@
 import {Result, err, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
 import {Logger} from '../telemetry/logger.js';
+import {encodeFrame} from './frame.js';
 import {LinkHandler} from './incoming_calls.js';
 import {LinkTable} from './link_table.js';
 import {PeerLink, TICK_INTERVAL_MS} from './peer_link.js';
@@ -186,6 +187,13 @@
     return link.note(method.name, body);
   }
 
+  override broadcast<Body>(method: PeerMethod<Body, never>, body: Body): void {
+    const frame = encodeFrame({t: 'note', method: method.name, body});
+    for (const [host, link] of this.table.entries()) {
+      if (this.allows(host)) link.noteEncoded(frame);
+    }
+  }
+
   override onNote<Body>(
     method: PeerMethod<Body, never>,
     handler: NoteHandler<Body>,
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -4,6 +4,7 @@
 import {residentKey} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
+import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountBook} from './account_book.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
 import {OrderLease} from './order_lease.js';
@@ -24,6 +25,9 @@
 /** Time between looks at what waits. */
 const TICK_MS = 25;
 
+/** The same without the lease, as nothing waits here; a claim ends it. */
+const IDLE_TICK_MS = 500;
+
 /** How long a round of planning holds if nothing is ordered. */
 const ROUND_LIFE_MS = 20;
 
@@ -124,7 +128,12 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     this.signal = signal;
-    await this.parts.clock.every(TICK_MS, signal, () => this.tick());
+    const pause = new WakeableSleep(this.parts.clock);
+    this.parts.lease.onChange(() => pause.wake());
+    while (!signal.aborted) {
+      this.tick();
+      await pause.sleep(this.isActive ? TICK_MS : IDLE_TICK_MS, signal);
+    }
   }
 
   /**
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,6 +10,7 @@
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
+import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountBook} from './account_book.js';
 import {DemandBook} from './demand_book.js';
 import {HostCensus} from './host_census.js';
@@ -38,6 +39,12 @@
 /** Time between views of the holder, where changes are not told at once. */
 const VIEW_INTERVAL_MS = 100;
 
+/** What each host adds to it: each view is written to each host. */
+const VIEW_MS_PER_HOST = 1;
+
+/** Time between looks at whether this host has become the holder. */
+const IDLE_MS = 500;
+
 /** Hosts up to which each change is told at once. */
 const MAX_HOSTS_AT_ONCE = 20;
 
@@ -208,9 +215,7 @@
       leaseEnd: lease.knownEnd,
       successor: this.successors.best(connected.map(({host}) => host)),
     };
-    for (const {host} of connected) {
-      network.notify(host, LEASE_RESIGNED, body);
-    }
+    network.broadcast(LEASE_RESIGNED, body);
   }
 
   /**
@@ -220,13 +225,29 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
-    void clock.every(VIEW_INTERVAL_MS, signal, () => this.sendViews());
+    void this.runViews(signal);
     while (!signal.aborted) {
       this.sendReport();
       await clock.sleep(this.intervalMs, signal);
     }
   }
 
+  private async runViews(signal: AbortSignal): Promise<void> {
+    const {clock, controller, lease} = this.parts;
+    const pause = new WakeableSleep(clock);
+    lease.onChange(() => pause.wake());
+    while (!signal.aborted) {
+      this.sendViews();
+      const isActive = controller.isActive;
+      await pause.sleep(isActive ? this.viewIntervalMs : IDLE_MS, signal);
+    }
+  }
+
+  private get viewIntervalMs(): number {
+    const hosts = this.toldHosts ?? 1;
+    return Math.max(VIEW_INTERVAL_MS, hosts * VIEW_MS_PER_HOST);
+  }
+
   private get intervalMs(): number {
     const hosts = this.toldHosts ?? 1;
     return Math.max(REPORT_INTERVAL_MS, hosts * REPORT_MS_PER_HOST);
@@ -508,9 +529,7 @@
       crowded,
       hosts: this.hostCount,
     };
-    for (const {host} of network.connected()) {
-      network.notify(host, RESIDENCY_VIEW, view);
-    }
+    network.broadcast(RESIDENCY_VIEW, view);
     this.changedViews.clear();
     this.viewSentMs = nowMs;
     if (isFull) this.fullViewSentMs = nowMs;
