Ask the store and send views less at size; learn the width of the weight store

Each host that missed the holder asked the lease's log about five times a second. Each host got a view of all targets every 2 s and the load of each crowded target with every view. The weight store brought two models at once everywhere, though the sheets allow 2, 3 or 4; a load that took longer got orders that were refused.

Ruled out: making followers wait for the end of the lease without reading, as the next holder is known from the log alone.

Hosts that have just come get the whole view at once, all others changes, and the whole each 40 ms for each host. Loads are told when they change. The width of the weight store is learnt: one load more is tried when as many as are allowed were at full speed; a target is asked whether it has ended.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -29,6 +29,15 @@
 /** Time between reads of the log by a host that does not hear the holder. */
 const FOLLOW_INTERVAL_MS = 400;
 
+/** Longest read that waits for a record: the log answers as one comes. */
+const MAX_FOLLOW_MS = 1_500;
+
+/** What each host adds to the pause after a read that failed. */
+const UNREAD_MS_PER_HOST = 5;
+
+/** Age up to which what was read of the log need not be read again. */
+const TAIL_LIFE_MS = 150;
+
 /** Most by which a claim is put off, so that hosts do not claim at once. */
 const CLAIM_SPREAD_MS = 150;
 
@@ -94,6 +103,8 @@
   private claimedFencing: number | undefined;
   private holderHeardMs = -Infinity;
   private isKnown = false;
+  /** Clock time of the last answer of the log. */
+  private tailReadMs = -Infinity;
   private isStopping = false;
   private isSilent = false;
   private isReadable = true;
@@ -221,8 +232,15 @@
       await clock.sleep(pauseMs, this.wake.signal);
     } else if (this.hearsHolder) {
       await clock.sleep(FOLLOW_INTERVAL_MS, this.wake.signal);
+    } else if (this.isReadable) {
+      // One read that waits for the whole time, in place of several.
+      const untilClaimMs = this.claimableMs - clock.now();
+      const waitMs = Math.min(MAX_FOLLOW_MS, untilClaimMs);
+      await this.follow(Math.max(FOLLOW_INTERVAL_MS, waitMs), signal);
     } else {
-      await this.follow(FOLLOW_INTERVAL_MS, signal);
+      const hostsMs = this.parts.hostCount() * UNREAD_MS_PER_HOST;
+      const pauseMs = Math.max(FOLLOW_INTERVAL_MS, hostsMs);
+      await clock.sleep(pauseMs, this.wake.signal);
     }
   }
 
@@ -231,8 +249,9 @@
     const {clock} = this.parts;
     const untilMs = clock.now() + waitMs;
     const {end} = this;
-    await this.readTail(signal, waitMs);
-    if (this.end !== end) return;
+    // A host that is told to claim does not wait for the log.
+    await this.readTail(this.wake.signal, waitMs);
+    if (this.end !== end || signal.aborted) return;
     await clock.sleep(Math.max(0, untilMs - clock.now()), this.wake.signal);
   }
 
@@ -257,8 +276,9 @@
 
   private async claimIfLapsed(signal: AbortSignal): Promise<void> {
     this.noteSilence();
-    await this.readTail(signal);
     const {clock, random} = this.parts;
+    const isTailKnown = clock.now() - this.tailReadMs < TAIL_LIFE_MS;
+    if (!isTailKnown) await this.readTail(signal);
     if (!this.isKnown || clock.now() < this.claimableMs) return;
     if (this.comesFirst) {
       await this.claim(MAX_CLAIMS_AT_ONCE, signal);
@@ -351,9 +371,11 @@
     const tail = await withTimeLimit(limitMs, signal, limited =>
       this.parts.log.read(this.end, waitMs, limited),
     );
+    if (signal.aborted) return;
     this.noteRead(tail.isOk());
     if (tail.isErr()) return;
     this.isKnown = true;
+    this.tailReadMs = this.parts.clock.now();
     const {newest, end} = tail.value;
     if (newest === undefined) {
       if (end > this.end) this.seenMs = this.parts.clock.now();
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -101,6 +101,22 @@
     });
   }
 
+  /**
+   * @param account - whose target is asked.
+   * @param signal - gives up.
+   * @returns whether an order is under way there; undefined if it is not known.
+   */
+  async isBusy(
+    account: ResidencyAccount,
+    signal: AbortSignal,
+  ): Promise<boolean | undefined> {
+    if (account.target.quietLeftMs > 0) return undefined;
+    const report = await withTimeLimit(ORDER_LIMIT_MS, signal, limited =>
+      this.parts.port.report(account.target, limited),
+    );
+    return report?.isBusy;
+  }
+
   private async sendOnce(
     account: ResidencyAccount,
     order: PlainOrder,
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -399,10 +399,26 @@
       from_store: swap.fromStore,
       waiting: round.waiting(model),
     });
-    void this.afterwards(
-      service,
-      this.parts.executor.carryOut(swap, this.signal),
-    );
+    void this.afterwards(service, this.carryOut(service, swap));
+  }
+
+  private async carryOut(service: string, swap: Swap): Promise<void> {
+    const {book, executor} = this.parts;
+    const {account, fromStore, model} = swap;
+    const nominalMs = account.loadOf(model).loadMs;
+    const reading = book.of(service).filter(({readsStore}) => readsStore);
+    const atOnce = reading.length + 1;
+    const tookMs = await executor.carryOut(swap, this.signal);
+    if (!fromStore || tookMs === undefined) return;
+    this.storeLoads.ended(service, {nominalMs, tookMs, atOnce});
+    this.parts.logger.info('store_load_ended', {
+      target: account.id,
+      model,
+      took_ms: Math.round(tookMs),
+      nominal_ms: nominalMs,
+      at_once: atOnce,
+      allowed: this.storeLoads.widthOf(service).allowed,
+    });
   }
 
   /** Plans again once an order has been carried out. */
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -6,7 +6,7 @@
 import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
-import {PeerNetwork} from '../peers/peer_network.js';
+import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
@@ -57,8 +57,19 @@
 /** A report or view without news is sent after this time. */
 const HEARTBEAT_MS = 300;
 
-/** Time between views that name every target. */
+/**
+ * Time between views that name every target, and what each host adds to it. A
+ * host that has just come gets one at once, and changes go to all; this mends
+ * what was lost with a link that fell behind.
+ */
 const FULL_VIEW_MS = 2_000;
+const FULL_VIEW_MS_PER_HOST = 40;
+
+/** Change of a target's load that hosts are told of at once. */
+const TOLD_LOAD_CHANGE = 0.08;
+
+/** Time after which a load that changed less is told again. */
+const LOAD_REPEAT_MS = 500;
 
 /**
  * In flight, as a share of the slots, from which hosts are told of a target's
@@ -122,10 +133,14 @@
   private viewHeardMs = -Infinity;
   private reportSentMs = -Infinity;
   private lastReport = '';
+  private reportHolder = '';
   private readonly successors: SuccessorBook;
   private readonly changedViews = new Map<string, ResidencyAccount>();
   private viewSentMs = -Infinity;
   private fullViewSentMs = -Infinity;
+  /** Incarnations of the hosts that have this holder's full view. */
+  private readonly briefed = new Set<string>();
+  private readonly toldLoads = new Map<string, {load: number; ms: number}>();
 
   /** @param parts - see {@link ResidencyHostParts}. */
   constructor(private readonly parts: ResidencyHostParts) {
@@ -227,8 +242,9 @@
     const {clock} = this.parts;
     void this.runViews(signal);
     while (!signal.aborted) {
-      this.sendReport();
-      await clock.sleep(this.intervalMs, signal);
+      const isTold = this.sendReport();
+      // Nothing is heard of the holder before it has heard of this host.
+      await clock.sleep(isTold ? this.intervalMs : REPORT_INTERVAL_MS, signal);
     }
   }
 
@@ -406,6 +422,7 @@
     network.onNote(HOST_USAGE, (body, from) => {
       this.successors.note(from.host, body.successorRankMs);
       usage.report(from.host, body);
+      this.brief(from);
     });
     network.onNote(LEASE_RESIGNED, ({fencing, leaseEnd, successor}, from) => {
       lease.noteHolderHeard(from.incarnation, leaseEnd);
@@ -432,14 +449,21 @@
     for (const [id, load] of crowded) targets.get(id)?.noteLoad(load);
   }
 
-  /** @returns the targets that fill up, and how full they are. */
+  /** @returns the targets that fill up and of which there is news. */
   private crowded(): ViewBody['crowded'] {
-    const {book, usage} = this.parts;
+    const {book, clock, usage} = this.parts;
+    const nowMs = clock.now();
     const crowded: ViewBody['crowded'] = [];
     for (const account of book.all()) {
-      const load = account.load(usage);
-      if (load < CROWDED_LOAD) continue;
-      crowded.push([account.id, Number(load.toFixed(2))]);
+      const load = Number(account.load(usage).toFixed(2));
+      const told = this.toldLoads.get(account.id);
+      if (told === undefined && load < CROWDED_LOAD) continue;
+      const change = Math.abs(load - (told?.load ?? 0));
+      const isDue = nowMs - (told?.ms ?? -Infinity) >= LOAD_REPEAT_MS;
+      if (change < TOLD_LOAD_CHANGE && !isDue) continue;
+      crowded.push([account.id, load]);
+      if (load < CROWDED_LOAD) this.toldLoads.delete(account.id);
+      else this.toldLoads.set(account.id, {load, ms: nowMs});
     }
     return crowded;
   }
@@ -467,15 +491,18 @@
     return {id: account.id, held};
   }
 
-  private sendReport(): void {
+  /** @returns whether the holder knows what there is to know. */
+  private sendReport(): boolean {
     const {clock, controller, lease, network, usage} = this.parts;
     const {holder} = lease;
-    if (holder === undefined) return;
+    if (holder === undefined) return false;
     const nowMs = clock.now();
     const inFlight = this.inFlight();
     const text = JSON.stringify(inFlight);
     const isNews = text !== this.lastReport;
-    if (!isNews && nowMs - this.reportSentMs < HEARTBEAT_MS) return;
+    const isNewHolder = holder.incarnation !== this.reportHolder;
+    const isDue = isNews || nowMs - this.reportSentMs >= HEARTBEAT_MS;
+    if (!isDue && !isNewHolder) return true;
     const withDemand =
       holder.incarnation !== this.demandHolder ||
       nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
@@ -486,12 +513,14 @@
     };
     const {host} = network.self;
     if (controller.isActive) usage.report(host, body);
-    else if (!network.notify(holder.host, HOST_USAGE, body)) return;
+    else if (!network.notify(holder.host, HOST_USAGE, body)) return false;
     this.lastReport = text;
     this.reportSentMs = nowMs;
-    if (!withDemand) return;
+    this.reportHolder = holder.incarnation;
+    if (!withDemand) return true;
     this.demandSentMs = nowMs;
     this.demandHolder = holder.incarnation;
+    return true;
   }
 
   private inFlight(): Array<[string, string, number]> {
@@ -504,32 +533,53 @@
     return all;
   }
 
+  /** Gives a host that has just come all that the others have been told. */
+  private brief({host, incarnation}: PeerIdentity): void {
+    const {book, controller, network} = this.parts;
+    if (!controller.isActive || this.briefed.has(incarnation)) return;
+    this.briefed.add(incarnation);
+    const crowded: ViewBody['crowded'] = [];
+    for (const [id, {load}] of this.toldLoads) crowded.push([id, load]);
+    network.notify(host, RESIDENCY_VIEW, this.view(book.all(), crowded));
+  }
+
+  private view(
+    accounts: Iterable<ResidencyAccount>,
+    crowded: ViewBody['crowded'],
+  ): ViewBody {
+    const {lease, network} = this.parts;
+    const targets: TargetView[] = [];
+    for (const account of accounts) {
+      if (!account.needsReport) targets.push(this.viewOf(account));
+    }
+    return {
+      holder: network.self.incarnation,
+      leaseEnd: lease.knownEnd,
+      targets,
+      crowded,
+      hosts: this.hostCount,
+    };
+  }
+
   private sendViews(): void {
-    const {book, clock, controller, lease, network, usage} = this.parts;
+    const {book, clock, controller, network, usage} = this.parts;
     if (!controller.isActive) {
       this.changedViews.clear();
+      this.briefed.clear();
+      this.toldLoads.clear();
       return;
     }
     const nowMs = clock.now();
-    const isFull = nowMs - this.fullViewSentMs >= FULL_VIEW_MS;
+    const fullMs = FULL_VIEW_MS_PER_HOST * (this.toldHosts ?? 1);
+    const fullAgeMs = nowMs - this.fullViewSentMs;
+    const isFull = fullAgeMs >= Math.max(FULL_VIEW_MS, fullMs);
     const isDue = nowMs - this.viewSentMs >= HEARTBEAT_MS;
     if (!isFull && !isDue && this.changedViews.size === 0) return;
     const accounts = isFull ? book.all() : this.changedViews.values();
-    const targets: TargetView[] = [];
-    for (const account of accounts) {
-      if (!account.needsReport) targets.push(this.viewOf(account));
-    }
     this.census.note(Math.max(1, usage.hostCount));
     const crowded = this.crowded();
     this.applyLoads(crowded);
-    const view = {
-      holder: network.self.incarnation,
-      leaseEnd: lease.knownEnd,
-      targets,
-      crowded,
-      hosts: this.hostCount,
-    };
-    network.broadcast(RESIDENCY_VIEW, view);
+    network.broadcast(RESIDENCY_VIEW, this.view(accounts, crowded));
     this.changedViews.clear();
     this.viewSentMs = nowMs;
     if (isFull) this.fullViewSentMs = nowMs;
--- a/packages/core/src/lib/residency/store_loads.ts
+++ b/packages/core/src/lib/residency/store_loads.ts
@@ -4,6 +4,7 @@
 import {TokenBucket} from '../limits/token_bucket.js';
 import {Clock} from '../time/clock.js';
 import {PlanRound} from './plan_round.js';
+import {StoreLoad, StoreWidth} from './store_width.js';
 
 /** Part of the weight store's rate that is used. */
 const STORE_RATE_SHARE = 0.8;
@@ -11,12 +12,6 @@
 /** Loads from the store that may begin at once. */
 const STORE_BURST = 2;
 
-/**
- * Targets that load from the store at once: beyond the two to four that the
- * users' sheets name, each takes longer in proportion, so that none gains.
- */
-const MOST_STORE_READS = 2;
-
 /** How long a caller that was refused counts for its model. */
 const MISS_LIFE_MS = 15_000;
 
@@ -31,6 +26,7 @@
  */
 export class StoreLoads {
   private readonly buckets = new Map<string, TokenBucket>();
+  private readonly widths = new Map<string, StoreWidth>();
   private readonly missesOf = new Map<string, Map<string, Misses>>();
 
   /** @param clock - measures rates and ages. */
@@ -67,11 +63,26 @@
     round: PlanRound,
   ): boolean {
     const reading = round.accounts.filter(({readsStore}) => readsStore).length;
-    if (reading >= MOST_STORE_READS) return false;
+    if (reading >= this.widthOf(service).allowed) return false;
     if (this.bucketOf(service, engine).level < 1) return false;
     return this.comesFirst(service, model, round);
   }
 
+  /** Takes in how long a load took. */
+  ended(service: string, load: StoreLoad): void {
+    this.widthOf(service).note(load);
+  }
+
+  /** Loads from the store that may be under way at once. */
+  widthOf(service: string): StoreWidth {
+    let width = this.widths.get(service);
+    if (width === undefined) {
+      width = new StoreWidth(this.clock);
+      this.widths.set(service, width);
+    }
+    return width;
+  }
+
   /** Notes that a load has begun. */
   began(service: string, model: string, engine: EngineFacts): void {
     const bucket = this.bucketOf(service, engine);
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -13,6 +13,10 @@
 /** Time that a load may take longer than the configuration says. */
 const LOAD_MARGIN_MS = 20;
 
+/** Time between looks at a load that should have ended, and their number. */
+const LOAD_LOOK_MS = 300;
+const MAX_LOAD_LOOKS = 40;
+
 /** Time until an adapter can be used after its load was accepted. */
 const ADAPTER_LOAD_MS = 9;
 
@@ -39,10 +43,17 @@
    *
    * @param swap - what to exchange.
    * @param signal - gives up.
-   * @returns once the target takes orders for models again.
+   * @returns once the target takes orders for models again, the time that a
+   *     load from the weight store took, if it is known.
    */
-  async carryOut(swap: Swap, signal: AbortSignal): Promise<void> {
+  async carryOut(
+    swap: Swap,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     const {account, model} = swap;
+    // The target will have the weights on its disk once it has loaded them.
+    const {loadMs} = account.loadOf(model);
+    let loadedMs: number | undefined;
     account.isBusy = true;
     account.coming = model;
     account.busyUntilMs = this.parts.clock.now() + swap.readyInMs;
@@ -63,6 +74,10 @@
       const leftMs = (resident?.readyMs ?? 0) - this.parts.clock.now();
       await this.parts.clock.sleep(leftMs, signal);
       this.parts.publish(account);
+      if (swap.fromStore) {
+        const beganMs = (resident?.readyMs ?? 0) - loadMs - LOAD_MARGIN_MS;
+        loadedMs = await this.watchLoad(account, beganMs, signal);
+      }
     }
     this.parts.logger.info('swap_ended', {
       target: account.id,
@@ -72,6 +87,28 @@
     });
     account.isBusy = false;
     account.readsStore = false;
+    return loadedMs;
+  }
+
+  /**
+   * Waits until a target has ended a load from the weight store, which takes
+   * longer than expected while many are under way.
+   *
+   * @returns how long the load took; undefined if the target does not say.
+   */
+  private async watchLoad(
+    account: ResidencyAccount,
+    beganMs: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    const {clock, orders} = this.parts;
+    for (let i = 0; i < MAX_LOAD_LOOKS && !signal.aborted; i++) {
+      const isBusy = await orders.isBusy(account, signal);
+      if (isBusy === undefined) return undefined;
+      if (!isBusy) return clock.now() - beganMs;
+      await clock.sleep(LOAD_LOOK_MS, signal);
+    }
+    return undefined;
   }
 
   /** Unloads the victims and starts the load, while nothing else is ordered. */
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -29,6 +29,8 @@
 /** A log that all hosts share. */
 class SharedLog {
   readonly records: LeaseRecord[] = [];
+  /** Calls of all hosts. */
+  calls = 0;
 
   append(record: LeaseRecord, expectedEnd: number): Result<number, LeaseError> {
     if (this.records.length !== expectedEnd) return err(LEASE_ERROR.conflict);
@@ -52,6 +54,7 @@
     from: number,
     waitMs: number,
   ): Promise<Result<LeaseTail, 'unavailable'>> {
+    this.log.calls += 1;
     const {records} = this.log;
     const untilMs = this.clock.now() + waitMs;
     while (records.length <= from && this.clock.now() < untilMs) {
@@ -66,6 +69,7 @@
     record: LeaseRecord,
     expectedEnd: number,
   ): Promise<Result<number, LeaseError>> {
+    this.log.calls += 1;
     const {isCut, losesAnswers, lateMs} = this.trouble;
     if (isCut) return err(LEASE_ERROR.unknown);
     if (lateMs > 0) {
@@ -89,7 +93,7 @@
   readonly hosts: LeaseHost[] = [];
   /** Host and time of each order that could have been given. */
   readonly orders: Array<{host: number; ms: number}> = [];
-  private readonly shared = new SharedLog();
+  readonly shared = new SharedLog();
   private starts = 0;
 
   constructor(
@@ -202,6 +206,37 @@
     expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
   });
 
+  for (const count of [9, 81, 195]) {
+    it(`asks the log few times while ${count} hosts miss the holder`, async () => {
+      const world = new LeaseWorld(count, 300);
+      await world.run(3_000);
+      const first = world.hosts.findIndex(({lease}) => lease.isHeld);
+      const heard = world.hosts[first].lease;
+      // Followers hear the holder, as they do over their links.
+      const {incarnation} = heard.holder!;
+      const hear = async (ms: number) => {
+        for (let at = 0; at < ms; at += 250) {
+          for (const {lease} of world.hosts) {
+            lease.noteHolderHeard(incarnation, heard.knownEnd);
+          }
+          await world.run(250);
+        }
+      };
+      await hear(3_000);
+      const before = world.shared.calls;
+      world.hosts[first].stop.abort();
+      world.hosts[first].log.trouble.isCut = true;
+      await world.run(4_000);
+      const holders = world.hosts.filter(
+        ({lease}, i) => i !== first && lease.isHeld,
+      );
+      expect(holders).to.have.lengthOf(1);
+      const perHost = (world.shared.calls - before) / count;
+      // Each new record is read once; until it comes, one read waits for it.
+      expect(perHost).to.be.below(9);
+    });
+  }
+
   it('passes on though the last renewal takes effect late', async () => {
     const world = new LeaseWorld(3, 500);
     await world.run(3_000);
--- /dev/null
+++ b/packages/core/src/test/residency/store_width_test.ts
@@ -0,0 +1,51 @@
+import {expect} from 'chai';
+import {StoreWidth} from '../../lib/residency/store_width.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+
+const NOMINAL_MS = 7_800;
+
+/**
+ * Plays loads back to back against a store of some width, as many at once as
+ * are allowed.
+ */
+async function play(
+  storeWidth: number,
+  loads: number,
+): Promise<{width: StoreWidth; lastMs: number}> {
+  const clock = new ManualClock();
+  const width = new StoreWidth(clock);
+  let lastMs = 0;
+  for (let i = 0; i < loads; i++) {
+    const atOnce = width.allowed;
+    const tookMs = NOMINAL_MS * Math.max(1, atOnce / storeWidth);
+    await clock.advance(tookMs / atOnce);
+    width.note({atOnce, nominalMs: NOMINAL_MS, tookMs: tookMs + 300});
+    lastMs = tookMs;
+  }
+  return {width, lastMs};
+}
+
+describe('StoreWidth', () => {
+  for (const storeWidth of [2, 3, 4, 5]) {
+    it(`learns that a store serves ${storeWidth} loads at once`, async () => {
+      const {width, lastMs} = await play(storeWidth, 10);
+      expect(width.allowed).to.equal(storeWidth);
+      expect(lastMs).to.equal(NOMINAL_MS);
+    });
+  }
+
+  it('does not learn from loads that left the store idle', () => {
+    const width = new StoreWidth(new ManualClock());
+    for (let i = 0; i < 10; i++) {
+      width.note({atOnce: 1, nominalMs: NOMINAL_MS, tookMs: NOMINAL_MS});
+    }
+    expect(width.allowed).to.equal(2);
+  });
+
+  it('does not take a slow target for a narrow store', () => {
+    const width = new StoreWidth(new ManualClock());
+    width.note({atOnce: 1, nominalMs: NOMINAL_MS, tookMs: 3 * NOMINAL_MS});
+    width.note({atOnce: 2, nominalMs: NOMINAL_MS, tookMs: 3 * NOMINAL_MS});
+    expect(width.allowed).to.equal(2);
+  });
+});
