--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -46,10 +46,7 @@
    * @returns once the target takes orders for models again, the time that a
    *     load from the weight store took, if it is known.
    */
-  async carryOut(
-    swap: Swap,
-    signal: AbortSignal,
-  ): Promise<number | undefined> {
+  async carryOut(swap: Swap, signal: AbortSignal): Promise<number | undefined> {
     const {account, model} = swap;
     // The target will have the weights on its disk once it has loaded them.
     const {loadMs} = account.loadOf(model);
