Send one request first to a model that was just loaded

Ruled out: asking the target whether it is done, as its reports lag by some hundred milliseconds.

Change: a model that was just loaded is not in the holder's views, and one request is sent there; the others follow after 80 ms without a refusal, and the hosts are told. If it is refused, the next try goes alone as well.

Test: residency_controller_test, 30 waiting requests, one answered before the refusal (30 before the change).

--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -153,6 +153,8 @@
         const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
         item.readyMs = nowMs + LATE_LOAD_PAUSE_MS * 2 ** doublings;
         item.lateCount += 1;
+        // A target that is only full has proven that it holds the model.
+        if (resident?.isProven === false) account.noteLate(model);
       }
     } else if (reason === NOT_RUN.modelAbsent) {
       account.needsReport = true;
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -28,9 +28,19 @@
   isRetiring: boolean;
   /** Whether it is being unloaded. */
   isLeaving: boolean;
+  /** Whether it is known to take requests, not only expected to. */
+  isProven: boolean;
+  /** Clock time at which a first request was sent after its load. */
+  triedMs: number | undefined;
   readonly adapters: Map<string, HeldAdapter>;
 }
 
+/** Time in which a refusal of the first request after a load is heard of. */
+const TRIAL_MS = 80;
+
+/** Time after which a model that nobody asked for is believed to be there. */
+export const UNTRIED_MS = 200;
+
 /**
  * The account of one target. Memory counts as taken from before an order is
  * sent until the target has said that it is free.
@@ -131,6 +141,30 @@
     return resident.readyMs <= nowMs;
   }
 
+  /**
+   * A load may take longer than expected, and everybody who waits for its model
+   * would be turned away at once: one request goes first.
+   *
+   * @returns whether requests may go to a model that is ready.
+   */
+  isProven(model: string, nowMs: number): boolean {
+    const resident = this.residents.get(model);
+    if (resident === undefined) return false;
+    const {readyMs, triedMs} = resident;
+    const provenMs =
+      triedMs === undefined ? readyMs + UNTRIED_MS : triedMs + TRIAL_MS;
+    if (nowMs >= provenMs) resident.isProven = true;
+    return resident.isProven;
+  }
+
+  /** Notes that a model that should be there is not. */
+  noteLate(model: string): void {
+    const resident = this.residents.get(model);
+    if (resident === undefined) return;
+    resident.isProven = false;
+    resident.triedMs = undefined;
+  }
+
   /** @returns whether a model is held or on its way, and stays. */
   keeps(model: string): boolean {
     if (this.coming === model) return true;
@@ -208,6 +242,8 @@
       usedMs: readyMs,
       isRetiring: false,
       isLeaving: false,
+      isProven: true,
+      triedMs: undefined,
       adapters: held,
     };
     this.residents.set(model, resident);
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -274,16 +274,18 @@
       this.refuseHopeless(waiter, accounts);
       return;
     }
-    for (const account of ready) this.keep(account, model);
+    const open = ready.filter(account => this.admits(account, model, nowMs));
+    if (open.length === 0) return;
+    for (const account of open) this.keep(account, model);
     if (adapter === undefined) {
-      this.resolve(waiter, ready);
+      this.resolve(waiter, open);
       return;
     }
-    const withAdapter = ready.filter(account =>
+    const withAdapter = open.filter(account =>
       account.residents.get(model)!.adapters.has(adapter),
     );
     if (withAdapter.length === 0) {
-      if (mayStart) this.startAdapterSwap(model, adapter, ready);
+      if (mayStart) this.startAdapterSwap(model, adapter, open);
       return;
     }
     const usable = withAdapter.filter(account => {
@@ -341,6 +343,19 @@
     return round;
   }
 
+  /** @returns whether a request may go to a model that should be ready. */
+  private admits(
+    account: ResidencyAccount,
+    model: string,
+    nowMs: number,
+  ): boolean {
+    const resident = account.residents.get(model)!;
+    const wasProven = resident.isProven;
+    if (!account.isProven(model, nowMs)) return resident.triedMs === undefined;
+    if (!wasProven) this.parts.publish(account);
+    return true;
+  }
+
   private keep(account: ResidencyAccount, model: string): void {
     const resident = account.residents.get(model)!;
     if (!resident.isRetiring) return;
@@ -366,6 +381,7 @@
     const nowMs = clock.now();
     const resident = best.residents.get(model)!;
     resident.usedMs = nowMs;
+    if (!resident.isProven) resident.triedMs ??= nowMs;
     usage.promise(best.id, model);
     if (adapter !== undefined) {
       resident.adapters.get(adapter)!.usedMs = nowMs;
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -483,6 +483,7 @@
     for (const [model, resident] of account.residents) {
       if (resident.readyMs > nowMs || resident.isLeaving) continue;
       if (resident.isRetiring) continue;
+      if (!account.isProven(model, nowMs)) continue;
       const adapters = [...resident.adapters]
         .filter(([, {readyMs, isLeaving}]) => readyMs <= nowMs && !isLeaving)
         .map(([adapter]) => adapter);
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -4,7 +4,7 @@
 import {Clock} from '../time/clock.js';
 import {AdapterSwap} from './adapter_choice.js';
 import {ResidencyOrders} from './order_sender.js';
-import {ResidencyAccount} from './residency_account.js';
+import {ResidencyAccount, UNTRIED_MS} from './residency_account.js';
 import {Swap} from './swap_choice.js';
 
 /** Pause after an unload, during which the target drops the weights. */
@@ -71,6 +71,7 @@
       const leftMs = (resident?.readyMs ?? 0) - this.parts.clock.now();
       await this.parts.clock.sleep(leftMs, signal);
       this.parts.publish(account);
+      void this.publishProven(account, signal);
       if (swap.fromStore) {
         const beganMs = (resident?.readyMs ?? 0) - loadMs - LOAD_MARGIN_MS;
         loadedMs = await this.watchLoad(account, beganMs, signal);
@@ -87,6 +88,15 @@
     return loadedMs;
   }
 
+  /** Tells the hosts of a model that nobody has asked for since its load. */
+  private async publishProven(
+    account: ResidencyAccount,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.parts.clock.sleep(UNTRIED_MS, signal);
+    this.parts.publish(account);
+  }
+
   /**
    * Waits until a target has ended a load from the weight store, which takes
    * longer than expected while many are under way.
@@ -135,6 +145,7 @@
       if (!account.needsReport) account.residents.delete(model);
       return false;
     }
+    account.noteLate(model);
     resident.readyMs = clock.now() + loadMs + LOAD_MARGIN_MS;
     resident.usedMs = resident.readyMs;
     account.busyUntilMs = resident.readyMs;
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -92,6 +92,24 @@
     expect(await world.settle(found)).to.equal('e2');
   });
 
+  it('sends one request first to a model that was just loaded', async () => {
+    const world = new EngineWorld([['m0', 'm1', 'm2']]);
+    const asked = Array.from({length: 30}, () => world.ask('m5'));
+    let answered = 0;
+    for (const each of asked) void each.then(() => (answered += 1));
+    while (answered === 0) await world.clock.advance(5);
+    expect(answered).to.equal(1);
+    // The load is late: the target turns the request away.
+    const absent = {target: 'e1', model: 'm5', reason: NOT_RUN.refused};
+    world.book.noteRefused('host-1', absent);
+    await world.clock.advance(50);
+    expect(answered).to.equal(1);
+    while (answered === 1) await world.clock.advance(5);
+    expect(answered).to.equal(2);
+    await world.clock.advance(150);
+    expect(answered).to.equal(30);
+  });
+
   it('adds a copy of a model whose slots fill up', async () => {
     const world = await startedWorld([
       ['m0', 'm1', 'm2'],
