--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -14,6 +14,12 @@
 /** Longest wait for an answer. */
 const ASK_LIMIT_MS = 500;
 
+/**
+ * By how much an answer may seem older than what is known, as the way of one
+ * question took longer than that of another.
+ */
+const AS_OF_TOLERANCE_MS = 100;
+
 /** Pause between looks at whether there is a reader to ask. */
 const IDLE_MS = 100;
 
@@ -192,7 +198,7 @@
   }
 
   private async ask(from: NewsReader, signal: AbortSignal): Promise<void> {
-    const {clock, freshness, network, targets} = this.parts;
+    const {clock, freshness, network} = this.parts;
     if (this.question.reader !== from.incarnation) {
       this.question = {reader: from.incarnation, revision: 0};
     }
@@ -203,18 +209,28 @@
     });
     if (news.isErr()) return;
     const {configAgeMs, targetsAgeMs, revision, version} = news.value;
-    for (const {id, notice} of news.value.targets) {
-      if (notice === undefined) targets.remove(id);
-      else targets.putBrief(notice);
-    }
-    if (this.question.revision === 0) this.removeUnknown(news.value);
-    this.question = {reader: from.incarnation, revision};
     this.readerVersion = version;
     this.configMs = askedMs - configAgeMs;
-    this.targetsMs = askedMs - targetsAgeMs;
+    const targetsMs = askedMs - targetsAgeMs;
+    const knownMs = Math.max(this.targetsMs, this.parts.targetsReadMs());
+    // A target that is gone must not come back by an older word.
+    if (targetsMs >= knownMs - AS_OF_TOLERANCE_MS) {
+      this.takeTargets(news.value);
+      this.question = {reader: from.incarnation, revision};
+      this.targetsMs = targetsMs;
+    }
     if (this.coversConfig) freshness.confirm(this.configMs);
   }
 
+  private takeTargets(news: News): void {
+    const {targets} = this.parts;
+    for (const {id, notice} of news.targets) {
+      if (notice === undefined) targets.remove(id);
+      else targets.putBrief(notice);
+    }
+    if (this.question.revision === 0) this.removeUnknown(news);
+  }
+
   /** A first answer names every target that there is. */
   private removeUnknown(news: News): void {
     const {targets} = this.parts;
--- a/packages/core/src/test/gateway/peer_news_test.ts
+++ b/packages/core/src/test/gateway/peer_news_test.ts
@@ -115,6 +115,39 @@
     expect(other.freshness.ageMs).to.be.at.least(clock.now() - lostMs);
   });
 
+  it('does not bring a target back that the host itself has read to be gone', async () => {
+    const {clock, reader, other, run} = newsWorld();
+    other.targets.put(targetNotice({id: 't1'}), true);
+    reader.targets.put(targetNotice({id: 't1'}), true);
+    reader.read(7);
+    await clock.advance(500);
+    other.targets.remove('t1');
+    other.targetsReadMs = clock.now();
+    await run(1_400);
+    expect(other.targets.get('t1')).to.equal(undefined);
+    reader.targets.remove('t1');
+    reader.targets.put(targetNotice({id: 't2'}), true);
+    await run(1_000, 7);
+    expect(other.targets.get('t1')).to.equal(undefined);
+    expect(other.targets.get('t2')).to.not.equal(undefined);
+  });
+
+  it('passes on that a target has told a host that it leaves', async () => {
+    const {reader, other, run} = newsWorld();
+    for (const {targets} of [reader, other]) {
+      targets.put(targetNotice({id: 't1'}), true);
+    }
+    await run(1_000, 7);
+    const target = other.targets.get('t1')!;
+    other.targets.noteSigns(target, {isLeaving: true, quietMs: undefined});
+    await run(100, 7);
+    expect(reader.targets.get('t1')?.isOpen).to.equal(false);
+    // The store has not heard of it yet.
+    reader.targets.put(targetNotice({id: 't1'}), true);
+    await run(1_000, 7);
+    expect(other.targets.get('t1')?.isOpen).to.equal(false);
+  });
+
   it('passes on targets that leave or are gone', async () => {
     const {reader, other, run} = newsWorld();
     reader.targets.put(targetNotice({id: 't1'}), true);
--- /dev/null
+++ b/packages/local-cluster/src/test/platform/planned_stop_test.ts
@@ -0,0 +1,86 @@
+import {connect, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {HOST_NAME, KEY, PATH, PlatformWorld} from '../../lib/platform_world.js';
+
+const BODY = 'x'.repeat(400);
+
+/** Time after the stop signal at which connections are no longer taken. */
+const LISTENING_MS = 2_600;
+
+function head(id: string): string {
+  return (
+    `POST ${PATH.once} HTTP/1.1\r\nhost: ${HOST_NAME}\r\n` +
+    `x-fuchsiacleat-attempt-id: ${id}\r\n` +
+    `x-fuchsiacleat-deadline-ms: 4000\r\nx-fuchsiacleat-key: ${KEY}\r\n` +
+    `content-length: ${BODY.length}\r\n\r\n`
+  );
+}
+
+/** A caller's connection, and what has come over it. */
+class RawCaller {
+  text = '';
+  isClosed = false;
+
+  private constructor(readonly socket: Socket) {
+    socket.on('data', chunk => (this.text += String(chunk)));
+    socket.on('close', () => (this.isClosed = true));
+    socket.on('error', () => (this.isClosed = true));
+  }
+
+  static async open(url: string): Promise<RawCaller> {
+    const {hostname, port} = new URL(url);
+    const socket = connect(Number(port), hostname);
+    await new Promise(resolve => socket.once('connect', resolve));
+    return new RawCaller(socket);
+  }
+
+  async ended(): Promise<void> {
+    while (!this.isClosed && !this.text.includes('done ')) await sleep(10);
+  }
+}
+
+describe('GatewayHost: a planned stop', () => {
+  let world: PlatformWorld;
+
+  beforeEach(async () => {
+    world = await PlatformWorld.start();
+  });
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  for (const restMs of [100, LISTENING_MS + 300]) {
+    it(`answers a request whose body ends ${restMs} ms after it`, async () => {
+      const caller = await RawCaller.open(world.callerUrl());
+      caller.socket.write(head('slow') + BODY.slice(0, 200));
+      await sleep(50);
+      const stopped = world.hosts[0].stop();
+      await sleep(restMs);
+      caller.socket.write(BODY.slice(200));
+      await caller.ended();
+      // Later it is refused as not run, which is an answer too.
+      expect(caller.text).to.match(/^HTTP\/1\.1 (200|503) /);
+      if (restMs < LISTENING_MS) expect(caller.text).to.contain('done slow');
+      expect(caller.text).to.match(/connection: close/i);
+      await stopped;
+    });
+  }
+
+  it('answers what comes on kept and new connections after it', async () => {
+    const kept = await RawCaller.open(world.callerUrl());
+    kept.socket.write(head('first') + BODY);
+    await kept.ended();
+    kept.text = '';
+    const stopped = world.hosts[0].stop();
+    await sleep(300);
+    const fresh = await RawCaller.open(world.callerUrl());
+    fresh.socket.write(head('fresh') + BODY);
+    kept.socket.write(head('kept') + BODY);
+    await Promise.all([fresh.ended(), kept.ended()]);
+    expect(fresh.text).to.contain('done fresh');
+    expect(kept.text).to.contain('done kept');
+    await stopped;
+  });
+});
