Let a new lender lend what the hosts have left of the window

Ruled out: passing the old lender's levels on, as it may be cut off or dead.

Change: hosts tell a new holder what each team used with them in the last window. Once nine in ten have told, the lender adds what the window allows less what was used, scaled for those that could not tell, and less what hosts may hold unused.

--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -1,6 +1,7 @@
 /** The rates of teams on this host. @packageDocumentation */
 
 import {TokenBucket} from '../limits/token_bucket.js';
+import {WindowSum} from '../limits/window_sum.js';
 import {Clock} from '../time/clock.js';
 import {TeamFacts} from './deployment.js';
 
@@ -77,6 +78,8 @@
   own: TokenBucket | undefined;
   /** Clock time at which the slack was last given to `own`. */
   slackMs: number;
+  /** Tokens of requests that could run. */
+  readonly used: WindowSum;
 }
 
 /**
@@ -113,6 +116,27 @@
     signal: AbortSignal,
   ): Promise<number | undefined> {
     if (team.tokensPerSecond <= 0) return undefined;
+    const waitMs = await this.tryTake(team, tokens, patienceMs, signal);
+    if (waitMs === undefined) this.walletOf(team).used.add(tokens);
+    return waitMs;
+  }
+
+  /** Tokens that each team has used here in the last window. */
+  usedTokens(): Array<[string, number]> {
+    const used: Array<[string, number]> = [];
+    for (const [team, wallet] of this.wallets) {
+      const {sum} = wallet.used;
+      if (sum > 0) used.push([team, sum + wallet.tokens]);
+    }
+    return used;
+  }
+
+  private async tryTake(
+    team: TeamFacts,
+    tokens: number,
+    patienceMs: number,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     const wallet = this.walletOf(team);
     const untilMs = this.clock.now() + patienceMs;
     for (;;) {
@@ -132,6 +156,7 @@
   giveBack(team: TeamFacts, tokens: number): void {
     const wallet = this.wallets.get(team.name);
     if (wallet === undefined || team.tokensPerSecond <= 0) return;
+    wallet.used.add(-tokens);
     const room = Math.max(0, this.heldLimit(team) - wallet.tokens);
     wallet.tokens += Math.min(room, tokens);
   }
@@ -219,7 +244,8 @@
     let wallet = this.wallets.get(team.name);
     if (wallet === undefined) {
       const usedMs = this.clock.now();
-      wallet = {tokens: 0, usedMs, own: undefined, slackMs: -Infinity};
+      const used = new WindowSum(this.clock, this.slack.windowMs);
+      wallet = {tokens: 0, usedMs, own: undefined, slackMs: -Infinity, used};
       this.wallets.set(team.name, wallet);
     }
     return wallet;
--- a/packages/core/src/lib/limits/token_bucket.ts
+++ b/packages/core/src/lib/limits/token_bucket.ts
@@ -49,6 +49,12 @@
     return this.shape.burst;
   }
 
+  /** @param tokens - are added, as far as there is room. */
+  add(tokens: number): void {
+    this.refill();
+    this.tokens = Math.min(this.room(), this.tokens + tokens);
+  }
+
   /**
    * @param tokens - how many to reserve.
    * @returns whether there were enough.
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -121,6 +121,8 @@
   book: AccountBook;
   usage: UsageTable;
   lender: TokenLender;
+  /** Tokens that each team has used here in the last window. */
+  usedTokens: () => Array<[string, number]>;
   network: PeerNetwork;
 }
 
@@ -396,7 +398,7 @@
   }
 
   private serve(): void {
-    const {book, clock, controller, lease, lender, network, usage} = this.parts;
+    const {book, clock, controller, lease, lender, network} = this.parts;
     network.serveUnary(BORROW_TOKENS, request => {
       // A rejected call makes the host use its own part of the rate.
       if (!controller.isActive) throw new Error('not the lease holder');
@@ -421,7 +423,7 @@
     );
     network.onNote(HOST_USAGE, (body, from) => {
       this.successors.note(from.host, body.successorRankMs);
-      usage.report(from.host, body);
+      this.takeReport(from, body);
       this.brief(from);
     });
     network.onNote(LEASE_RESIGNED, ({fencing, leaseEnd, successor}, from) => {
@@ -494,7 +496,7 @@
 
   /** @returns whether the holder knows what there is to know. */
   private sendReport(): boolean {
-    const {clock, controller, lease, network, usage} = this.parts;
+    const {clock, controller, lease, network} = this.parts;
     const {holder} = lease;
     if (holder === undefined) return false;
     const nowMs = clock.now();
@@ -508,12 +510,12 @@
       holder.incarnation !== this.demandHolder ||
       nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
     const body: UsageBody = {
+      usedTokens: isNewHolder ? this.parts.usedTokens() : undefined,
       successorRankMs: lease.successorRankMs,
       inFlight,
       demand: withDemand ? this.demand.rates() : undefined,
     };
-    const {host} = network.self;
-    if (controller.isActive) usage.report(host, body);
+    if (controller.isActive) this.takeReport(network.self, body);
     else if (!network.notify(holder.host, HOST_USAGE, body)) return false;
     this.lastReport = text;
     this.reportSentMs = nowMs;
@@ -534,6 +536,14 @@
     return all;
   }
 
+  private takeReport({host}: PeerIdentity, body: UsageBody): void {
+    const {lender, usage} = this.parts;
+    usage.report(host, body);
+    const {usedTokens} = body;
+    if (usedTokens === undefined) return;
+    lender.noteUsed(host, usedTokens, this.hostCount);
+  }
+
   /** Gives a host that has just come all that the others have been told. */
   private brief({host, incarnation}: PeerIdentity): void {
     const {book, controller, network} = this.parts;
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -55,6 +55,8 @@
 };
 
 const usageSchema = z.object({
+  /** Tokens that each team used in the last window; told to a new holder. */
+  usedTokens: z.array(z.tuple([z.string(), z.number()])).optional(),
   /** How late the host comes as a successor of the lease holder. */
   successorRankMs: z.number(),
   inFlight: z.array(z.tuple([z.string(), z.string(), z.number()])),
--- a/packages/core/src/lib/residency/token_lender.ts
+++ b/packages/core/src/lib/residency/token_lender.ts
@@ -13,16 +13,26 @@
 const BURST_PART = 0.25;
 const LEAST_BURST_TOKENS = 6_000;
 
+/** Part of the hosts that must have told what they used. */
+const TOLD_PART = 0.9;
+
+/** Part of a burst that hosts may hold unused; see {@link TeamQuotas}. */
+const HELD_PART = 0.1;
+
 const MS_PER_SECOND = 1_000;
 
 /**
  * One bucket for each team, over all hosts. In any window a team gets at most
  * what its rate and burst add up to there; the part of the burst that cannot be
  * used at once is granted evenly over the window. A new lender begins with empty
- * buckets, as the one before it may have lent all that there was.
+ * buckets, as the one before it may have lent all that there was; once nearly all
+ * hosts have told what they used in the last window, it adds what was left.
  */
 export class TokenLender {
   private readonly buckets = new Map<string, TokenBucket>();
+  /** Hosts that have told since the restart; undefined once all is settled. */
+  private toldBy: Set<string> | undefined;
+  private readonly usedBefore = new Map<string, number>();
 
   /**
    * @param clock - measures the refill.
@@ -38,10 +48,50 @@
   /** Empties every bucket. */
   restart(): void {
     this.buckets.clear();
+    this.toldBy = new Set();
+    this.usedBefore.clear();
     const teams = this.state.current?.deployment.teams.values() ?? [];
     for (const team of teams) this.bucketOf(team);
   }
 
+  /**
+   * Takes in what a host used before this lender began.
+   *
+   * @param host - who tells; only its first word counts.
+   * @param used - tokens of each team in the last window.
+   * @param hostCount - hosts that there may be.
+   */
+  noteUsed(
+    host: string,
+    used: ReadonlyArray<readonly [string, number]>,
+    hostCount: number,
+  ): void {
+    if (this.toldBy === undefined || this.toldBy.has(host)) return;
+    this.toldBy.add(host);
+    for (const [team, tokens] of used) {
+      this.usedBefore.set(team, (this.usedBefore.get(team) ?? 0) + tokens);
+    }
+    if (this.toldBy.size < hostCount * TOLD_PART) return;
+    const missing = Math.max(1, hostCount / this.toldBy.size);
+    this.toldBy = undefined;
+    this.addWhatIsLeft(missing);
+  }
+
+  /** @param missing - factor for hosts that could not tell. */
+  private addWhatIsLeft(missing: number): void {
+    const teams = this.state.current?.deployment.teams.values() ?? [];
+    const windowS = this.windowMs / MS_PER_SECOND;
+    for (const team of teams) {
+      if (team.tokensPerSecond <= 0) continue;
+      const {rate} = this.shapeOf(team);
+      const used = (this.usedBefore.get(team.name) ?? 0) * missing;
+      const held = team.burstTokens * HELD_PART;
+      const left = rate * windowS - used - held;
+      if (left > 0) this.bucketOf(team).add(left);
+    }
+    this.usedBefore.clear();
+  }
+
   /** @returns what is lent. */
   lend({team, neededTokens, wantedTokens}: LoanRequest): Loan {
     const facts = this.state.current?.deployment.teams.get(team);
