--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -59,6 +59,8 @@
   readsStore = false;
   /** Whether the account must be compared with the target's own report. */
   needsReport = false;
+  /** Whether its models were looked at since it said that it leaves. */
+  isHandedOn = false;
   /** Whether a report is being asked for. */
   isAsked = false;
   /** Reports taken in: what was decided before the last one may not hold. */
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -169,6 +169,7 @@
     if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
     this.noteOrdersMayFollow();
     this.parts.book.sync(this.signal);
+    this.handOn();
     const nowMs = this.parts.clock.now();
     const isFitting = nowMs - this.fittedMs >= FIT_INTERVAL_MS;
     if (isFitting) this.fittedMs = nowMs;
@@ -191,6 +192,25 @@
     this.parts.lender.restart();
   }
 
+  /** Has models brought elsewhere whose only copy leaves, if they are used. */
+  private handOn(): void {
+    const {book, clock, usage} = this.parts;
+    for (const account of book.all()) {
+      if (account.isHandedOn || !account.target.isLeaving) continue;
+      account.isHandedOn = true;
+      const {service} = account.target.notice;
+      const others = book.of(service).filter(({isReachable}) => isReachable);
+      const untilMs = clock.now() + WANTED_MS;
+      for (const model of account.residents.keys()) {
+        const {perSecond} = usage.demand(service, model);
+        const isUsed = perSecond > 0 || usage.inFlight(account.id, model) > 0;
+        if (!isUsed || others.some(other => other.keeps(model))) continue;
+        const key = residentKey(service, model);
+        this.wanted.set(key, {service, model, untilMs});
+      }
+    }
+  }
+
   /** Looks at the targets anew once orders need no longer wait. */
   private noteOrdersMayFollow(): void {
     const {book, lease} = this.parts;
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -280,6 +280,11 @@
     void this.controller.run(signal);
   }
 
+  /** Makes an engine say that it leaves. */
+  leave(id: string): void {
+    this.targets.noteLeaving(id, targetNotice().startedMs);
+  }
+
   /** Tells the controller what the hosts' requests use. */
   report(
     inFlight: Array<[string, string, number]>,
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -92,6 +92,19 @@
     expect(await world.settle(found)).to.equal('e2');
   });
 
+  it('brings a used model elsewhere as soon as its only target leaves', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    world.report([], {m0: 1, m5: 1});
+    world.leave('e1');
+    await world.clock.advance(2_000);
+    const loads = world.port.orders.filter(({verb}) => verb === 'load');
+    expect(loads.map(({model}) => model)).to.deep.equal(['m0']);
+    expect(world.engines.get('e2')!.models.has('m5')).to.equal(true);
+  });
+
   it('sends one request first to a model that was just loaded', async () => {
     const world = new EngineWorld([['m0', 'm1', 'm2']]);
     const asked = Array.from({length: 30}, () => world.ask('m5'));
