--- a/packages/core/src/lib/gateway/logging_journal.ts
+++ b/packages/core/src/lib/gateway/logging_journal.ts
@@ -77,6 +77,11 @@
     this.logger.info('target_avoided', {target, for_ms: forMs});
   }
 
+  override targetQuiet(target: string, forMs: number): void {
+    if (!this.grant(this.unserved)) return;
+    this.logger.info('target_quiet', {target, for_ms: forMs});
+  }
+
   override ended(story: RequestStory): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -332,7 +332,10 @@
   private noteSigns(target: KnownTarget, sent: SendResult<Head>): void {
     const signs = sent.type === 'answered' ? sent.answer.signs : undefined;
     const said = sent.type === 'not-run' ? sent.signs : signs;
-    if (said !== undefined) this.parts.targets.noteSigns(target, said);
+    if (said === undefined) return;
+    this.parts.targets.noteSigns(target, said);
+    if (said.quietMs === undefined) return;
+    this.parts.journal.targetQuiet(target.notice.id, said.quietMs);
   }
 
   private afterSend(
--- a/packages/core/src/lib/gateway/relay_journal.ts
+++ b/packages/core/src/lib/gateway/relay_journal.ts
@@ -38,6 +38,14 @@
     detail: string,
   ): void;
 
+  /**
+   * Notes that a target named a time for which it wants nothing from this host.
+   *
+   * @param target - id of the target.
+   * @param forMs - that time, in milliseconds.
+   */
+  abstract targetQuiet(target: string, forMs: number): void;
+
   /** Notes that a target's failures make other targets go first. */
   abstract targetAvoided(target: string, forMs: number): void;
 
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -196,6 +196,8 @@
 
   override targetAvoided(): void {}
 
+  override targetQuiet(): void {}
+
   override ended(story: RequestStory): void {
     this.stories.push(story);
   }
