Play 9, 81 and 195 hosts in one process: counts, hand-overs and restarts

Before HostCensus a new holder told the few hosts that it had heard by then, and a host that was started again waited up to two seconds for the next whole view.

--- /dev/null
+++ b/packages/core/src/test/residency/fleet_world.ts
@@ -0,0 +1,177 @@
+/** Many hosts in one process, on a stepped clock. @packageDocumentation */
+
+import {DeploymentState} from '../../lib/gateway/deployment_state.js';
+import {TargetTable} from '../../lib/gateway/target_table.js';
+import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
+import {AccountBook} from '../../lib/residency/account_book.js';
+import {OrderLease} from '../../lib/residency/order_lease.js';
+import {
+  ORDER_REPLY,
+  OrderPort,
+  OrderReply,
+  ResidencyReport,
+} from '../../lib/residency/order_port.js';
+import {ResidencyOrders} from '../../lib/residency/order_sender.js';
+import {ResidencyController} from '../../lib/residency/residency_controller.js';
+import {ResidencyHost} from '../../lib/residency/residency_host.js';
+import {ResidencyAccount} from '../../lib/residency/residency_account.js';
+import {SwapExecutor} from '../../lib/residency/swap_executor.js';
+import {TokenLender} from '../../lib/residency/token_lender.js';
+import {UsageTable} from '../../lib/residency/usage_table.js';
+import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {ManualClock} from '../../lib/time/manual_clock.js';
+import {Random} from '../../lib/time/random.js';
+import {
+  ENGINE_SERVICE,
+  deploymentOf,
+  targetNotice,
+} from '../gateway/gateway_fixtures.js';
+import {SharedLog, TroubledLog} from './lease_log_fixtures.js';
+
+const WINDOW_MS = 8_000;
+const HOLDER_GAP_MS = 3_000;
+const STEP_MS = 25;
+const MODELS = ['m0', 'm1', 'm2'];
+
+/** Targets that hold the same models, and take every order. */
+class StillOrderPort extends OrderPort {
+  override async send(): Promise<OrderReply> {
+    return ORDER_REPLY.holds;
+  }
+
+  override async report(): Promise<ResidencyReport> {
+    const held = MODELS.map(model => ({model, adapters: []}));
+    return {orderCount: 0, isBusy: false, held, coming: []};
+  }
+}
+
+/** One host of a {@link FleetWorld}. */
+export interface FleetHost {
+  lease: OrderLease;
+  log: TroubledLog;
+  targets: TargetTable;
+  residency: ResidencyHost;
+  stop: AbortController;
+}
+
+/** Hosts that share a log, a network and the targets. */
+export class FleetWorld {
+  readonly clock = new ManualClock();
+  readonly hosts: FleetHost[] = [];
+  private readonly hub = new MemoryHub(this.clock, new Random(1));
+  private readonly shared = new SharedLog();
+  private readonly state = new DeploymentState();
+  private starts = 0;
+
+  /**
+   * @param hostCount - hosts that are started.
+   * @param targetCount - engine targets that all hosts know.
+   */
+  constructor(
+    hostCount: number,
+    private readonly targetCount: number,
+  ) {
+    this.state.offer(deploymentOf([]));
+    for (let i = 0; i < hostCount; i++) this.hosts.push(this.start(i));
+  }
+
+  /** Index of the host that holds the lease; -1 if none does. */
+  get holder(): number {
+    return this.hosts.findIndex(({lease}) => lease.isHeld);
+  }
+
+  /** Hosts that hear a holder or are it. */
+  get hearing(): number {
+    return this.hosts.filter(
+      ({residency}) => residency.heardHolder !== undefined,
+    ).length;
+  }
+
+  /** Ends a host without a word. */
+  kill(i: number): void {
+    const {log, stop} = this.hosts[i];
+    log.trouble.isCut = true;
+    stop.abort();
+    this.hub.remove(`host-${i}`);
+  }
+
+  /** Starts a host again that was killed; it knows nothing. */
+  restart(i: number): void {
+    this.hosts[i] = this.start(i);
+  }
+
+  /** Lets time pass. */
+  async run(durationMs: number): Promise<void> {
+    for (let ms = 0; ms < durationMs; ms += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+    }
+  }
+
+  private start(i: number): FleetHost {
+    const {clock, state} = this;
+    const host = `host-${i}`;
+    const incarnation = `${i}-${this.starts++}`;
+    const network = this.hub.join({host, zone: 'z', incarnation});
+    const log = new TroubledLog(clock, this.shared);
+    const logger = new SilentLogger();
+    const targets = new TargetTable(clock);
+    for (let t = 0; t < this.targetCount; t++) {
+      const notice = {id: `e${t}`, service: ENGINE_SERVICE};
+      targets.put(targetNotice(notice), true);
+    }
+    const lease = new OrderLease({
+      clock,
+      random: new Random(this.starts),
+      log,
+      logger,
+      host,
+      owner: host,
+      incarnation,
+      holderGapMs: HOLDER_GAP_MS,
+      hostCount: () => residency.toldHosts ?? 1,
+      claimDelayMs: 300,
+      onResign: () => residency.tellResigned(),
+    });
+    const usage = new UsageTable(clock);
+    const lender = new TokenLender(clock, state, WINDOW_MS);
+    const port = new StillOrderPort();
+    const orders = new ResidencyOrders({clock, logger, lease, port});
+    const publish = (account: ResidencyAccount) => residency.publish(account);
+    const book = new AccountBook({
+      clock,
+      logger,
+      state,
+      targets,
+      orders,
+      usage,
+      publish,
+    });
+    const controller = new ResidencyController({
+      clock,
+      logger,
+      lease,
+      book,
+      executor: new SwapExecutor({clock, logger, orders, publish}),
+      usage,
+      lender,
+      publish,
+    });
+    const residency: ResidencyHost = new ResidencyHost({
+      clock,
+      logger,
+      targets,
+      lease,
+      controller,
+      book,
+      usage,
+      lender,
+      usedTokens: () => [],
+      network,
+    });
+    const stop = new AbortController();
+    void lease.run(stop.signal);
+    void controller.run(stop.signal);
+    void residency.run(stop.signal);
+    return {lease, log, targets, residency, stop};
+  }
+}
--- /dev/null
+++ b/packages/core/src/test/residency/residency_fleet_test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {FleetWorld} from './fleet_world.js';
+
+const TARGETS = 30;
+const STEP_MS = 100;
+
+async function settled(count: number): Promise<FleetWorld> {
+  const world = new FleetWorld(count, TARGETS);
+  await world.run(4_000);
+  expect(world.hearing).to.equal(count);
+  return world;
+}
+
+for (const count of [9, 81, 195]) {
+  describe(`${count} hosts in one process`, () => {
+    it('divide what they share by their real number', async () => {
+      const world = await settled(count);
+      for (const {residency} of world.hosts) {
+        expect(residency.hostCount).to.equal(count);
+      }
+    });
+
+    it('never believe in fewer hosts while a new holder hears them', async () => {
+      const world = await settled(count);
+      world.kill(world.holder);
+      for (let ms = 0; ms < 6_000; ms += STEP_MS) {
+        await world.run(STEP_MS);
+        for (const {residency, stop} of world.hosts) {
+          if (stop.signal.aborted) continue;
+          expect(residency.hostCount).to.be.at.least(count - 1);
+        }
+      }
+      expect(world.hearing).to.be.at.least(count - 1);
+    });
+
+    it('tell a host that was started again all targets within a second', async () => {
+      const world = await settled(count);
+      const i = (world.holder + 1) % count;
+      world.kill(i);
+      await world.run(500);
+      world.restart(i);
+      await world.run(1_000);
+      const {residency, targets} = world.hosts[i];
+      expect(residency.followsView).to.equal(true);
+      expect(residency.hostCount).to.be.at.least(count);
+      const known = world.hosts[world.holder].targets;
+      let holding = 0;
+      for (const {notice, held} of targets.all()) {
+        const models = [...held.keys()];
+        expect(models).to.deep.equal([...known.get(notice.id)!.held.keys()]);
+        if (models.includes('m1')) holding += 1;
+      }
+      expect(holding).to.be.above(0);
+    });
+  });
+}
