--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,7 +10,6 @@
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
-import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountBook} from './account_book.js';
 import {DemandBook} from './demand_book.js';
 import {HostCensus} from './host_census.js';
@@ -25,61 +24,18 @@
   LEASE_RESIGNED,
   RESIDENCY_VIEW,
   TARGET_REFUSED,
-  TargetView,
   UsageBody,
   ViewBody,
 } from './residency_messages.js';
 import {SuccessorBook} from './successor_book.js';
 import {TokenLender} from './token_lender.js';
+import {UsageReporter} from './usage_reporter.js';
 import {UsageTable} from './usage_table.js';
-
-/** Time between reports of a host. */
-const REPORT_INTERVAL_MS = 100;
-
-/** Time between views of the holder, where changes are not told at once. */
-const VIEW_INTERVAL_MS = 100;
-
-/** What each host adds to it: each view is written to each host. */
-const VIEW_MS_PER_HOST = 1;
-
-/** Time between looks at whether this host has become the holder. */
-const IDLE_MS = 500;
+import {ViewTeller} from './view_teller.js';
 
 /** Hosts up to which each change is told at once. */
 const MAX_HOSTS_AT_ONCE = 20;
 
-/**
- * What each host adds to that time, so that the holder's work does not grow
- * with the square of the hosts.
- */
-const REPORT_MS_PER_HOST = 5;
-
-/** A report or view without news is sent after this time. */
-const HEARTBEAT_MS = 300;
-
-/**
- * Time between views that name every target, and what each host adds to it. A
- * host that has just come gets one at once, and changes go to all; this mends
- * what was lost with a link that fell behind.
- */
-const FULL_VIEW_MS = 2_000;
-const FULL_VIEW_MS_PER_HOST = 40;
-
-/** Change of a target's load that hosts are told of at once. */
-const TOLD_LOAD_CHANGE = 0.08;
-
-/** Time after which a load that changed less is told again. */
-const LOAD_REPEAT_MS = 500;
-
-/**
- * In flight, as a share of the slots, from which hosts are told of a target's
- * load; below it they may all prefer the near one.
- */
-const CROWDED_LOAD = 0.25;
-
-/** Reports from one that tells the demand for models to the next. */
-const DEMAND_INTERVALS = 5;
-
 /**
  * Time after the last view from which targets' own notices are believed: they
  * are older than the view, and nothing is ordered without a holder.
@@ -129,20 +85,11 @@
 /** The {@link ModelFinder} of a gateway host. */
 export class ResidencyHost extends ModelFinder {
   private readonly demand: DemandBook;
-  private demandSentMs = -Infinity;
-  private demandHolder = '';
   private readonly census: HostCensus;
-  private viewHeardMs = -Infinity;
-  private reportSentMs = -Infinity;
-  private lastReport = '';
-  private reportHolder = '';
   private readonly successors: SuccessorBook;
-  private readonly changedViews = new Map<string, ResidencyAccount>();
-  private viewSentMs = -Infinity;
-  private fullViewSentMs = -Infinity;
-  /** Incarnations of the hosts that have this holder's full view. */
-  private readonly briefed = new Set<string>();
-  private readonly toldLoads = new Map<string, {load: number; ms: number}>();
+  private readonly views: ViewTeller;
+  private readonly reporter: UsageReporter;
+  private viewHeardMs = -Infinity;
 
   /** @param parts - see {@link ResidencyHostParts}. */
   constructor(private readonly parts: ResidencyHostParts) {
@@ -150,6 +97,18 @@
     this.demand = new DemandBook(parts.clock);
     this.successors = new SuccessorBook(parts.clock);
     this.census = new HostCensus(parts.clock);
+    const {census, demand} = this;
+    this.views = new ViewTeller({
+      ...parts,
+      census,
+      apply: view => this.apply(view),
+    });
+    this.reporter = new UsageReporter({
+      ...parts,
+      census,
+      demand,
+      take: (from, report) => this.takeReport(from, report),
+    });
     parts.lease.onChange(() => this.noteRecordedHosts());
     this.serve();
   }
@@ -218,9 +177,8 @@
 
   /** Notes that the hosts must hear what a target can be sent. */
   publish(account: ResidencyAccount): void {
-    this.changedViews.set(account.id, account);
-    this.applyView(this.viewOf(account));
-    if (this.hostCount <= MAX_HOSTS_AT_ONCE) this.sendViews();
+    this.views.publish(account);
+    if (this.hostCount <= MAX_HOSTS_AT_ONCE) this.views.send();
   }
 
   /** Tells the hosts that this one gave the order lease up. */
@@ -241,34 +199,7 @@
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
-    void this.runViews(signal);
-    while (!signal.aborted) {
-      const isTold = this.sendReport();
-      // Nothing is heard of the holder before it has heard of this host.
-      await clock.sleep(isTold ? this.intervalMs : REPORT_INTERVAL_MS, signal);
-    }
-  }
-
-  private async runViews(signal: AbortSignal): Promise<void> {
-    const {clock, controller, lease} = this.parts;
-    const pause = new WakeableSleep(clock);
-    lease.onChange(() => pause.wake());
-    while (!signal.aborted) {
-      this.sendViews();
-      const isActive = controller.isActive;
-      await pause.sleep(isActive ? this.viewIntervalMs : IDLE_MS, signal);
-    }
-  }
-
-  private get viewIntervalMs(): number {
-    const hosts = this.toldHosts ?? 1;
-    return Math.max(VIEW_INTERVAL_MS, hosts * VIEW_MS_PER_HOST);
-  }
-
-  private get intervalMs(): number {
-    const hosts = this.toldHosts ?? 1;
-    return Math.max(REPORT_INTERVAL_MS, hosts * REPORT_MS_PER_HOST);
+    await Promise.all([this.views.run(signal), this.reporter.run(signal)]);
   }
 
   override async find(
@@ -424,7 +355,7 @@
     network.onNote(HOST_USAGE, (body, from) => {
       this.successors.note(from.host, body.successorRankMs);
       this.takeReport(from, body);
-      this.brief(from);
+      this.views.brief(from);
     });
     network.onNote(LEASE_RESIGNED, ({fencing, leaseEnd, successor}, from) => {
       lease.noteHolderHeard(from.incarnation, leaseEnd);
@@ -442,98 +373,20 @@
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewHeardMs = clock.now();
     this.census.note(Math.max(1, body.hosts));
-    for (const view of body.targets) this.applyView(view);
-    this.applyLoads(body.crowded);
+    this.apply(body);
   }
 
-  private applyLoads(crowded: ViewBody['crowded']): void {
-    const {targets} = this.parts;
-    for (const [id, load] of crowded) targets.get(id)?.noteLoad(load);
-  }
-
-  /** @returns the targets that fill up and of which there is news. */
-  private crowded(): ViewBody['crowded'] {
-    const {book, clock, usage} = this.parts;
-    const nowMs = clock.now();
-    const crowded: ViewBody['crowded'] = [];
-    for (const account of book.all()) {
-      const load = Number(account.load(usage).toFixed(2));
-      const told = this.toldLoads.get(account.id);
-      if (told === undefined && load < CROWDED_LOAD) continue;
-      const change = Math.abs(load - (told?.load ?? 0));
-      const isDue = nowMs - (told?.ms ?? -Infinity) >= LOAD_REPEAT_MS;
-      if (change < TOLD_LOAD_CHANGE && !isDue) continue;
-      crowded.push([account.id, load]);
-      if (load < CROWDED_LOAD) this.toldLoads.delete(account.id);
-      else this.toldLoads.set(account.id, {load, ms: nowMs});
-    }
-    return crowded;
-  }
-
-  private applyView({id, held}: TargetView): void {
-    const target = this.parts.targets.get(id);
-    if (target === undefined) return;
-    target.held.clear();
-    for (const [model, adapters] of held) {
-      target.held.set(model, new Set(adapters));
-    }
-  }
-
-  private viewOf(account: ResidencyAccount): TargetView {
-    const nowMs = this.parts.clock.now();
-    const held: Array<[string, string[]]> = [];
-    for (const [model, resident] of account.residents) {
-      if (resident.readyMs > nowMs || resident.isLeaving) continue;
-      if (resident.isRetiring) continue;
-      if (!account.isProven(model, nowMs)) continue;
-      const adapters = [...resident.adapters]
-        .filter(([, {readyMs, isLeaving}]) => readyMs <= nowMs && !isLeaving)
-        .map(([adapter]) => adapter);
-      held.push([model, adapters]);
-    }
-    return {id: account.id, held};
-  }
-
-  /** @returns whether the holder knows what there is to know. */
-  private sendReport(): boolean {
-    const {clock, controller, lease, network} = this.parts;
-    const {holder} = lease;
-    if (holder === undefined) return false;
-    const nowMs = clock.now();
-    const inFlight = this.inFlight();
-    const text = JSON.stringify(inFlight);
-    const isNews = text !== this.lastReport;
-    const isNewHolder = holder.incarnation !== this.reportHolder;
-    const isDue = isNews || nowMs - this.reportSentMs >= HEARTBEAT_MS;
-    if (!isDue && !isNewHolder) return true;
-    const withDemand =
-      holder.incarnation !== this.demandHolder ||
-      nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
-    const body: UsageBody = {
-      usedTokens: isNewHolder ? this.parts.usedTokens() : undefined,
-      successorRankMs: lease.successorRankMs,
-      inFlight,
-      demand: withDemand ? this.demand.rates() : undefined,
-    };
-    if (controller.isActive) this.takeReport(network.self, body);
-    else if (!network.notify(holder.host, HOST_USAGE, body)) return false;
-    this.lastReport = text;
-    this.reportSentMs = nowMs;
-    this.reportHolder = holder.incarnation;
-    if (!withDemand) return true;
-    this.demandSentMs = nowMs;
-    this.demandHolder = holder.incarnation;
-    return true;
-  }
-
-  private inFlight(): Array<[string, string, number]> {
-    const all: Array<[string, string, number]> = [];
-    for (const target of this.parts.targets.all()) {
-      for (const [key, count] of target.inFlightByModel) {
-        all.push([target.notice.id, key, count]);
+  private apply({crowded, targets}: Pick<ViewBody, 'crowded' | 'targets'>) {
+    const table = this.parts.targets;
+    for (const {id, held} of targets) {
+      const target = table.get(id);
+      if (target === undefined) continue;
+      target.held.clear();
+      for (const [model, adapters] of held) {
+        target.held.set(model, new Set(adapters));
       }
     }
-    return all;
+    for (const [id, load] of crowded) table.get(id)?.noteLoad(load);
   }
 
   private takeReport({host}: PeerIdentity, body: UsageBody): void {
@@ -543,56 +396,4 @@
     if (usedTokens === undefined) return;
     lender.noteUsed(host, usedTokens, this.hostCount);
   }
-
-  /** Gives a host that has just come all that the others have been told. */
-  private brief({host, incarnation}: PeerIdentity): void {
-    const {book, controller, network} = this.parts;
-    if (!controller.isActive || this.briefed.has(incarnation)) return;
-    this.briefed.add(incarnation);
-    const crowded: ViewBody['crowded'] = [];
-    for (const [id, {load}] of this.toldLoads) crowded.push([id, load]);
-    network.notify(host, RESIDENCY_VIEW, this.view(book.all(), crowded));
-  }
-
-  private view(
-    accounts: Iterable<ResidencyAccount>,
-    crowded: ViewBody['crowded'],
-  ): ViewBody {
-    const {lease, network} = this.parts;
-    const targets: TargetView[] = [];
-    for (const account of accounts) {
-      if (!account.needsReport) targets.push(this.viewOf(account));
-    }
-    return {
-      holder: network.self.incarnation,
-      leaseEnd: lease.knownEnd,
-      targets,
-      crowded,
-      hosts: this.hostCount,
-    };
-  }
-
-  private sendViews(): void {
-    const {book, clock, controller, network, usage} = this.parts;
-    if (!controller.isActive) {
-      this.changedViews.clear();
-      this.briefed.clear();
-      this.toldLoads.clear();
-      return;
-    }
-    const nowMs = clock.now();
-    const fullMs = FULL_VIEW_MS_PER_HOST * (this.toldHosts ?? 1);
-    const fullAgeMs = nowMs - this.fullViewSentMs;
-    const isFull = fullAgeMs >= Math.max(FULL_VIEW_MS, fullMs);
-    const isDue = nowMs - this.viewSentMs >= HEARTBEAT_MS;
-    if (!isFull && !isDue && this.changedViews.size === 0) return;
-    const accounts = isFull ? book.all() : this.changedViews.values();
-    this.census.note(Math.max(1, usage.hostCount));
-    const crowded = this.crowded();
-    this.applyLoads(crowded);
-    network.broadcast(RESIDENCY_VIEW, this.view(accounts, crowded));
-    this.changedViews.clear();
-    this.viewSentMs = nowMs;
-    if (isFull) this.fullViewSentMs = nowMs;
-  }
 }
--- /dev/null
+++ b/packages/core/src/lib/residency/usage_reporter.ts
@@ -0,0 +1,111 @@
+/** Tells the lease holder what this host's requests use. @packageDocumentation */
+
+import {TargetTable} from '../gateway/target_table.js';
+import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {DemandBook} from './demand_book.js';
+import {HostCensus} from './host_census.js';
+import {OrderLease} from './order_lease.js';
+import {HOST_USAGE, UsageBody} from './residency_messages.js';
+
+/** Time between reports of a host. */
+const REPORT_INTERVAL_MS = 100;
+
+/**
+ * What each host adds to that time, so that the holder's work does not grow
+ * with the square of the hosts.
+ */
+const REPORT_MS_PER_HOST = 5;
+
+/** A report without news is sent after this time. */
+const HEARTBEAT_MS = 300;
+
+/** Reports from one that tells the demand for models to the next. */
+const DEMAND_INTERVALS = 5;
+
+/** What a {@link UsageReporter} works with. */
+export interface UsageReporterParts {
+  clock: Clock;
+  lease: OrderLease;
+  targets: TargetTable;
+  demand: DemandBook;
+  census: HostCensus;
+  /** Tokens that each team has used here in the last window. */
+  usedTokens: () => Array<[string, number]>;
+  network: PeerNetwork;
+  /** Takes a report in, as the holder. */
+  take: (from: PeerIdentity, report: UsageBody) => void;
+}
+
+/** Reports as things change, and to a new holder at once. */
+export class UsageReporter {
+  private sentMs = -Infinity;
+  private lastText = '';
+  private holder = '';
+  private demandSentMs = -Infinity;
+  private demandHolder = '';
+
+  /** @param parts - see {@link UsageReporterParts}. */
+  constructor(private readonly parts: UsageReporterParts) {}
+
+  /**
+   * Reports until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      const isTold = this.send();
+      // Nothing is heard of the holder before it has heard of this host.
+      await clock.sleep(isTold ? this.intervalMs : REPORT_INTERVAL_MS, signal);
+    }
+  }
+
+  private get intervalMs(): number {
+    const hosts = this.parts.census.count ?? 1;
+    return Math.max(REPORT_INTERVAL_MS, hosts * REPORT_MS_PER_HOST);
+  }
+
+  /** @returns whether the holder knows what there is to know. */
+  private send(): boolean {
+    const {clock, demand, lease, network, take, usedTokens} = this.parts;
+    const {holder} = lease;
+    if (holder === undefined) return false;
+    const nowMs = clock.now();
+    const inFlight = this.inFlight();
+    const text = JSON.stringify(inFlight);
+    const isNews = text !== this.lastText;
+    const isNewHolder = holder.incarnation !== this.holder;
+    const isDue = isNews || nowMs - this.sentMs >= HEARTBEAT_MS;
+    if (!isDue && !isNewHolder) return true;
+    const withDemand =
+      holder.incarnation !== this.demandHolder ||
+      nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
+    const body: UsageBody = {
+      usedTokens: isNewHolder ? usedTokens() : undefined,
+      successorRankMs: lease.successorRankMs,
+      inFlight,
+      demand: withDemand ? demand.rates() : undefined,
+    };
+    if (lease.isHeld) take(network.self, body);
+    else if (!network.notify(holder.host, HOST_USAGE, body)) return false;
+    this.lastText = text;
+    this.sentMs = nowMs;
+    this.holder = holder.incarnation;
+    if (!withDemand) return true;
+    this.demandSentMs = nowMs;
+    this.demandHolder = holder.incarnation;
+    return true;
+  }
+
+  private inFlight(): Array<[string, string, number]> {
+    const all: Array<[string, string, number]> = [];
+    for (const target of this.parts.targets.all()) {
+      for (const [key, count] of target.inFlightByModel) {
+        all.push([target.notice.id, key, count]);
+      }
+    }
+    return all;
+  }
+}
--- a/packages/local-cluster/src/test/platform/target_answers_test.ts
+++ b/packages/local-cluster/src/test/platform/target_answers_test.ts
@@ -5,7 +5,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Bytes of an answer without end that may leave a target. */
-const MAX_FLOOD_BYTES = 24 * 1_024 * 1_024;
+const MAX_FLOOD_BYTES = 4 * 1_024 * 1_024;
 
 describe('GatewayHost: what workers say of themselves', () => {
   let world: PlatformWorld;
