Count a host that was started again as one that cannot tell what it used

Cause: a new lender adds what the hosts have left of the window.

Test: team_quotas_test, red before (it told at any age).

--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -88,6 +88,7 @@
  */
 export class TeamQuotas {
   private readonly wallets = new Map<string, Wallet>();
+  private readonly startedMs: number;
 
   /**
    * @param clock - measures refills and ages.
@@ -98,7 +99,9 @@
     private readonly clock: Clock,
     private readonly source: TokenSource,
     private readonly slack: QuotaSlack,
-  ) {}
+  ) {
+    this.startedMs = clock.now();
+  }
 
   /**
    * Takes the tokens of a request.
@@ -121,8 +124,13 @@
     return waitMs;
   }
 
-  /** Tokens that each team has used here in the last window. */
-  usedTokens(): Array<[string, number]> {
+  /**
+   * @returns tokens that each team has used here in the last window; undefined
+   *     while an earlier process of this host may have used some in it.
+   */
+  usedTokens(): Array<[string, number]> | undefined {
+    const ageMs = this.clock.now() - this.startedMs;
+    if (ageMs < this.slack.windowMs) return undefined;
     const used: Array<[string, number]> = [];
     for (const [team, wallet] of this.wallets) {
       const {sum} = wallet.used;
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -77,8 +77,8 @@
   book: AccountBook;
   usage: UsageTable;
   lender: TokenLender;
-  /** Tokens that each team has used here in the last window. */
-  usedTokens: () => Array<[string, number]>;
+  /** Tokens that each team has used here in the last window, if it is known. */
+  usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
 }
 
--- a/packages/core/src/lib/residency/usage_reporter.ts
+++ b/packages/core/src/lib/residency/usage_reporter.ts
@@ -30,8 +30,8 @@
   targets: TargetTable;
   demand: DemandBook;
   census: HostCensus;
-  /** Tokens that each team has used here in the last window. */
-  usedTokens: () => Array<[string, number]>;
+  /** Tokens that each team has used here in the last window, if it is known. */
+  usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
   /** Takes a report in, as the holder. */
   take: (from: PeerIdentity, report: UsageBody) => void;
--- a/packages/core/src/test/gateway/team_quotas_test.ts
+++ b/packages/core/src/test/gateway/team_quotas_test.ts
@@ -87,6 +87,20 @@
 }
 
 describe('TeamQuotas', () => {
+  it('does not tell what was used before it has seen a whole window', async () => {
+    const world = makeWorld(4_000);
+    const [host] = world.hosts;
+    const team = teamFacts({tokensPerSecond: 4_000, burstTokens: 4_000});
+    await world.clock.advance(4_000);
+    expect(await ask(world, host, team)).to.equal(true);
+    // An earlier process of this host may have used its part as well.
+    expect(host.usedTokens()).to.equal(undefined);
+    await world.clock.advance(4_000);
+    const [[name, tokens]] = host.usedTokens()!;
+    expect(name).to.equal(team.name);
+    expect(tokens).to.be.at.least(TOKENS);
+  });
+
   it('refuses no request of a small team within its rate', async () => {
     const rate = 2_000;
     const world = makeWorld(rate);
