--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -21,7 +21,7 @@
 const WALLET_LIFE_MS = 3_000;
 
 /** Part of a team's burst that all hosts together may hold unused. */
-const HELD_PART = 0.1;
+export const HELD_PART = 0.1;
 
 /** Part of the slack that hosts without a lender may use. */
 const USED_SLACK = 0.85;
--- a/packages/core/src/lib/residency/order_sender.ts
+++ b/packages/core/src/lib/residency/order_sender.ts
@@ -3,7 +3,13 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {withTimeLimit} from '../time/time_limit.js';
-import {ORDER_REPLY, Order, OrderPort, OrderReply} from './order_port.js';
+import {
+  ORDER_REPLY,
+  Order,
+  OrderPort,
+  OrderReply,
+  ResidencyReport,
+} from './order_port.js';
 import {OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
 
@@ -79,15 +85,13 @@
    * @param signal - gives up.
    */
   async refresh(account: ResidencyAccount, signal: AbortSignal): Promise<void> {
-    const {clock, logger, port} = this.parts;
+    const {clock, logger} = this.parts;
     const quietMs = account.target.quietLeftMs;
     if (quietMs > 0) {
       account.quietUntilMs = clock.now() + quietMs;
       return;
     }
-    const report = await withTimeLimit(ORDER_LIMIT_MS, signal, limited =>
-      port.report(account.target, limited),
-    );
+    const report = await this.report(account, signal);
     const nowMs = clock.now();
     if (report === undefined || report.isBusy) {
       account.quietUntilMs = nowMs + QUIET_MS;
@@ -111,10 +115,16 @@
     signal: AbortSignal,
   ): Promise<boolean | undefined> {
     if (account.target.quietLeftMs > 0) return undefined;
-    const report = await withTimeLimit(ORDER_LIMIT_MS, signal, limited =>
-      this.parts.port.report(account.target, limited),
+    return (await this.report(account, signal))?.isBusy;
+  }
+
+  private report(
+    {target}: ResidencyAccount,
+    signal: AbortSignal,
+  ): Promise<ResidencyReport | undefined> {
+    return withTimeLimit(ORDER_LIMIT_MS, signal, limited =>
+      this.parts.port.report(target, limited),
     );
-    return report?.isBusy;
   }
 
   private async sendOnce(
--- a/packages/core/src/lib/residency/token_lender.ts
+++ b/packages/core/src/lib/residency/token_lender.ts
@@ -2,7 +2,7 @@
 
 import {DeploymentState} from '../gateway/deployment_state.js';
 import {TeamFacts} from '../gateway/deployment.js';
-import {Loan, LoanRequest} from '../gateway/team_quotas.js';
+import {HELD_PART, Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {BucketShape, TokenBucket} from '../limits/token_bucket.js';
 import {Clock} from '../time/clock.js';
 
@@ -16,9 +16,6 @@
 /** Part of the hosts that must have told what they used. */
 const TOLD_PART = 0.9;
 
-/** Part of a burst that hosts may hold unused; see {@link TeamQuotas}. */
-const HELD_PART = 0.1;
-
 const MS_PER_SECOND = 1_000;
 
 /**
