Keep what a host alone in its zone decides on another host

Zone d has one host. While its lease rests on consent alone (log out of reach, or the clock jumped past the lease) it has nobody to ask, so that a decision was kept by the host itself only; when it was killed before it reached the log, the order stood and the decision was gone. Ruled out: an order before its record (the record is always asked for first); records lost by the log. Change: with no other member, a host of another zone keeps the record and writes it to this zone's stream; if none does, the log itself has to hold it, and without that nothing is ordered. A planned stop writes what is kept.

--- a/packages/core/src/lib/membership/entrusted_records.ts
+++ b/packages/core/src/lib/membership/entrusted_records.ts
@@ -12,8 +12,13 @@
 const ENTRUST_TIMEOUT_MS = 2_000;
 const MAX_RECORDS = 10_000;
 
+/** So many hosts of other zones keep what a host alone in its zone decides. */
+const KEEPERS_ELSEWHERE = 2;
+
 const entrustedSchema = z.object({
   id: z.string(),
+  /** Zone to whose stream it belongs. */
+  zone: z.string(),
   /** Body of the record on the zone's stream. */
   body: z.unknown(),
 });
@@ -41,18 +46,26 @@
   isByConsent: () => boolean;
 }
 
+interface Kept {
+  zone: string;
+  body: unknown;
+}
+
 /**
  * Records what a holder decides. While consent alone upholds its lease, every
  * other known member keeps the record first; all of them write it to the log
  * once they reach it, under one id, so that it stands there once. A member
  * claims the lease only after it has written what it keeps.
+ *
+ * A host that is alone in its zone has nobody there who would outlive it: a
+ * host of another zone keeps the record then, or the log itself has to.
  */
 export class EntrustedRecords implements ZoneRecordWriter {
-  private readonly kept = new Map<string, unknown>();
+  private readonly kept = new Map<string, Kept>();
 
   constructor(private readonly options: EntrustedRecordsOptions) {
-    options.network.serveUnary(ENTRUST, ({id, body}) => ({
-      kept: this.keep(id, body),
+    options.network.serveUnary(ENTRUST, ({id, zone, body}) => ({
+      kept: this.keep(id, {zone, body}),
     }));
   }
 
@@ -66,7 +79,8 @@
    * @param body - its content.
    * @param boundMs - how long to try the log, in milliseconds.
    * @param signal - gives up.
-   * @returns nothing once the log or every member holds the record.
+   * @returns nothing once the log, every other member or, if there is none, a
+   *     host of another zone holds the record.
    */
   async append<Body>(
     type: ZoneRecordType<Body>,
@@ -75,12 +89,18 @@
     signal: AbortSignal,
   ): Promise<Result<void, AppendUnknown>> {
     const {stream, ids, isByConsent} = this.options;
-    if (!isByConsent()) {
-      const stored = await stream.append(type, body, boundMs, signal);
-      return stored.map(() => undefined);
+    if (isByConsent()) {
+      const kept = {zone: stream.zone, body: {type: type.type, body}};
+      const others = this.otherMembers();
+      if (others.length > 0) {
+        return this.entrustAll(others, ids.take(), kept, signal);
+      }
+      if (await this.entrustElsewhere(ids.take(), kept, signal)) {
+        return ok(undefined);
+      }
     }
-    const id = ids.take();
-    return this.entrust(id, {type: type.type, body}, signal);
+    const stored = await stream.append(type, body, boundMs, signal);
+    return stored.map(() => undefined);
   }
 
   /** Writes kept records until the signal aborts. */
@@ -98,42 +118,75 @@
    */
   async flush(signal: AbortSignal): Promise<boolean> {
     const {stream} = this.options;
-    for (const [id, body] of this.kept) {
-      if (!(await stream.appendAs(id, body, signal))) break;
+    for (const [id, {zone, body}] of this.kept) {
+      if (!(await stream.appendAs(zone, id, body, signal))) break;
       this.kept.delete(id);
     }
     return this.kept.size === 0;
   }
 
-  private keep(id: string, body: unknown): boolean {
+  private keep(id: string, kept: Kept): boolean {
     if (this.kept.size >= MAX_RECORDS) return false;
-    this.kept.set(id, body);
+    this.kept.set(id, kept);
     return true;
   }
 
-  private async entrust(
+  private otherMembers(): string[] {
+    const {members, network, isGone} = this.options;
+    return members
+      .known()
+      .map(({host}) => host)
+      .filter(host => host !== network.self.host && !isGone(host));
+  }
+
+  private async entrustAll(
+    others: readonly string[],
     id: string,
-    body: unknown,
+    kept: Kept,
     signal: AbortSignal,
   ): Promise<Result<void, AppendUnknown>> {
-    const {members, network, isGone} = this.options;
-    this.keep(id, body);
-    const others = members
-      .known()
-      .filter(({host}) => host !== network.self.host && !isGone(host));
-    const answers = await Promise.all(
-      others.map(({host}) =>
-        network.call(
+    this.keep(id, kept);
+    const answers = await this.askToKeep(others, id, kept, signal);
+    if (answers.every(isKept => isKept)) return ok(undefined);
+    const message = 'not every member keeps the record';
+    return err({type: 'append-unknown', id, message});
+  }
+
+  /** @returns whether a host of another zone keeps the record. */
+  private async entrustElsewhere(
+    id: string,
+    kept: Kept,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const others = this.options.network
+      .connected()
+      .filter(({zone}) => zone !== kept.zone)
+      .slice(0, KEEPERS_ELSEWHERE)
+      .map(({host}) => host);
+    const answers = await this.askToKeep(others, id, kept, signal);
+    if (!answers.some(isKept => isKept)) return false;
+    this.keep(id, kept);
+    return true;
+  }
+
+  private askToKeep(
+    hosts: readonly string[],
+    id: string,
+    {zone, body}: Kept,
+    signal: AbortSignal,
+  ): Promise<boolean[]> {
+    const {network} = this.options;
+    const options = {timeoutMs: ENTRUST_TIMEOUT_MS, signal};
+    return Promise.all(
+      hosts.map(async host => {
+        const answer = await network.call(
           host,
           ENTRUST,
-          {id, body},
-          {timeoutMs: ENTRUST_TIMEOUT_MS, signal},
-        ),
-      ),
+          {id, zone, body},
+          options,
+        );
+        return answer.isOk() && answer.value.kept;
+      }),
     );
-    const isKept = answers.every(answer => answer.isOk() && answer.value.kept);
-    if (isKept) return ok(undefined);
-    const message = 'not every member keeps the record';
-    return err({type: 'append-unknown', id, message});
   }
 }
--- a/packages/core/src/lib/membership/membership.ts
+++ b/packages/core/src/lib/membership/membership.ts
@@ -105,6 +105,7 @@
   async leave(signal: AbortSignal): Promise<void> {
     this.leaving = true;
     if (this.self === undefined) return;
+    await this.records.flush(signal);
     const {host, incarnation} = this.self;
     const body = {host, incarnation};
     await this.options.stream.append(LEAVE, body, LEAVE_BOUND_MS, signal);
--- a/packages/core/src/lib/membership/zone_stream.ts
+++ b/packages/core/src/lib/membership/zone_stream.ts
@@ -56,7 +56,7 @@
   constructor(private readonly options: ZoneStreamOptions) {
     this.tail = new StreamTail({
       ...options,
-      stream: `zone.${options.zone}`,
+      stream: streamOf(options.zone),
       onRecord: (record, settled) => this.take(record, settled),
       onApplied: () => this.state.notifyRestored(),
       snapshots: options.snapshots && {
@@ -123,18 +123,20 @@
   /**
    * Appends a record under an id that other hosts may append as well.
    *
+   * @param zone - zone to whose stream it belongs, this host's or another.
    * @param id - id of the record.
    * @param body - its envelope.
    * @param signal - gives up.
    * @returns whether the log said that it holds the record.
    */
   async appendAs(
+    zone: string,
     id: string,
     body: unknown,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const {log, zone} = this.options;
-    const answer = await log.append(`zone.${zone}`, [{id, body}], signal);
+    const {log} = this.options;
+    const answer = await log.append(streamOf(zone), [{id, body}], signal);
     return answer.isOk();
   }
 
@@ -162,3 +164,7 @@
     this.options.logger.warn('zone_record_malformed', {zone, offset});
   }
 }
+
+function streamOf(zone: string): string {
+  return `zone.${zone}`;
+}
--- /dev/null
+++ b/packages/core/src/test/membership/entrusted_records_test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {z} from 'zod';
+import {ZoneRecordType} from '../../index.js';
+import {FakeHost, FakeZone, recordTypes} from './zone_fakes.js';
+
+const START_MS = 3_000;
+const OUTAGE_MS = 10_000;
+const BOUND_MS = 2_000;
+const FLUSHED_MS = 2_000;
+const DECIDED: ZoneRecordType<string> = {type: 'decided', body: z.string()};
+const nothing = () => {};
+
+/** A zone with one host, whose lease has come to rest on consent alone. */
+async function loneHolder(zone: FakeZone): Promise<FakeHost> {
+  const host = zone.start('h1');
+  await zone.advance(START_MS, nothing);
+  zone.logDown = true;
+  await zone.advance(OUTAGE_MS, nothing);
+  expect(host.membership.lease.isByConsent).to.equal(true);
+  return host;
+}
+
+async function decide(zone: FakeZone, {membership}: FakeHost) {
+  const {signal} = new AbortController();
+  const decided = membership.records.append(DECIDED, 'x', BOUND_MS, signal);
+  await zone.advance(BOUND_MS + START_MS, nothing);
+  return decided;
+}
+
+describe('EntrustedRecords', () => {
+  it('decide nothing when only the host itself would know', async () => {
+    const zone = new FakeZone();
+    const host = await loneHolder(zone);
+    expect((await decide(zone, host)).isErr()).to.equal(true);
+    expect(host.membership.records.size).to.equal(0);
+  });
+
+  it('outlive a host that is alone in its zone', async () => {
+    const zone = new FakeZone();
+    zone.start('elsewhere', 'b');
+    const host = await loneHolder(zone);
+    expect((await decide(zone, host)).isOk()).to.equal(true);
+    host.stop();
+    zone.logDown = false;
+    await zone.advance(FLUSHED_MS, nothing);
+    expect(recordTypes(zone)).to.include('decided');
+  });
+
+  it('go to the log of a host that is alone and reaches it', async () => {
+    const zone = new FakeZone();
+    const host = await loneHolder(zone);
+    zone.logDown = false;
+    expect((await decide(zone, host)).isOk()).to.equal(true);
+    expect(recordTypes(zone)).to.include('decided');
+  });
+});
--- a/packages/core/src/test/membership/zone_fakes.ts
+++ b/packages/core/src/test/membership/zone_fakes.ts
@@ -43,14 +43,27 @@
   readonly hosts = new Map<string, FakeHost>();
   readonly cutLinks = new Set<string>();
   logDown = false;
+  private readonly elsewhere = new Map<string, StoredRecord[]>();
   private starts = 0;
 
+  /** @returns the records of a stream, of this zone or of another. */
+  recordsOf(stream: string): StoredRecord[] {
+    if (stream === `zone.${ZONE}`) return this.records;
+    const held = this.elsewhere.get(stream) ?? [];
+    this.elsewhere.set(stream, held);
+    return held;
+  }
+
   /** Starts a host, again if it ran before. */
-  start(name: string): FakeHost {
+  start(name: string, zone = ZONE): FakeHost {
     const known = this.hosts.get(name);
     known?.stop();
     this.starts += 1;
-    const host = new FakeHost(this, name, `${name}.${this.starts}`);
+    const host = new FakeHost(this, {
+      host: name,
+      zone,
+      incarnation: `${name}.${this.starts}`,
+    });
     host.cutFromLog = known?.cutFromLog ?? false;
     this.hosts.set(name, host);
     host.run();
@@ -95,19 +108,16 @@
   private readonly stream: ZoneStream;
   private readonly lifetime = new AbortController();
 
-  constructor(zone: FakeZone, name: string, incarnation: string) {
-    this.network = new FakeNetwork(zone, this, {
-      host: name,
-      zone: ZONE,
-      incarnation,
-    });
+  constructor(zone: FakeZone, self: PeerIdentity) {
+    this.network = new FakeNetwork(zone, this, self);
+    const {incarnation} = self;
     const logger = new SilentLogger();
     const {clock, network} = this;
     const ids = new RecordIds(incarnation);
     const log = new FakeLog(zone, this);
     const snapshots = {random: new Random(1), retentionMs: RETENTION_MS};
     this.stream = new ZoneStream({
-      zone: ZONE,
+      zone: self.zone,
       log,
       clock,
       logger,
@@ -159,7 +169,8 @@
     const {zone, host} = this;
     const isCut = zone.logDown || host.cutFromLog;
     await zone.clock.sleep(isCut ? FLIGHT_MS : host.appendMs);
-    const offsets = isCut ? [] : records.map(record => this.store(record));
+    const held = zone.recordsOf(stream);
+    const offsets = isCut ? [] : records.map(item => this.store(held, item));
     await host.clock.sleep(0);
     if (!isCut && host.loseAnswers === 0) return ok(offsets);
     if (!isCut) host.loseAnswers -= 1;
@@ -177,7 +188,7 @@
       if (zone.logDown || host.cutFromLog) break;
       const {first} = zone;
       const start = Math.max(from, first);
-      const records = zone.records.slice(start);
+      const records = zone.recordsOf(stream).slice(start);
       await host.clock.sleep(POLL_MS / 2, signal);
       if (records.length > 0 || waitedMs >= waitMs) {
         return ok({records, next: start + records.length, first});
@@ -186,8 +197,8 @@
     return err({type: 'log-unavailable', message: 'cut'});
   }
 
-  private store(record: LogRecord): number {
-    const {records, clock} = this.zone;
+  private store(records: StoredRecord[], record: LogRecord): number {
+    const {clock} = this.zone;
     const offset = records.length;
     const body: unknown = structuredClone(record.body);
     records.push({id: record.id, body, offset, atMs: clock.now()});
@@ -207,8 +218,12 @@
     super();
   }
 
+  /** Hosts of other zones; the tests' zone knows its members by the log. */
   override connected(): PeerIdentity[] {
-    return [];
+    const others = [...this.zone.hosts.values()].map(({network}) => network);
+    return others
+      .filter(({dead, self}) => !dead && self.zone !== this.self.zone)
+      .map(({self}) => self);
   }
 
   override async call<Body, Event>(
--- a/packages/local-cluster/src/lib/faults/fault_run.ts
+++ b/packages/local-cluster/src/lib/faults/fault_run.ts
@@ -5,7 +5,11 @@
 import {FaultSchedule} from './fault_schedule.js';
 import {LoopLag} from './loop_lag.js';
 import {PlacementWatch} from './placement_watch.js';
-import {PromiseVerdict, checkPromises} from './promise_checks.js';
+import {
+  PromiseVerdict,
+  checkPromises,
+  undecidedLoads,
+} from './promise_checks.js';
 import {RequestJournal} from './request_journal.js';
 
 const MEAN_REQUEST_GAP_MS = 40;
@@ -95,13 +99,17 @@
   }
 }
 
-/** Waits until all hosts hold one version, or for a bounded time. */
+/**
+ * Waits until all hosts hold one version and what they kept for the log
+ * stands there, or for a bounded time.
+ */
 async function converge(scene: FaultScene): Promise<void> {
   const endMs = performance.now() + HEAL_TIMEOUT_MS;
   for (;;) {
     const daemons = [...scene.cluster.daemons.values()];
     const versions = new Set(daemons.map(daemon => daemon.configVersion));
-    if (versions.size === 1 || performance.now() > endMs) return;
+    const isHealed = versions.size === 1 && undecidedLoads(scene).length === 0;
+    if (isHealed || performance.now() > endMs) return;
     await sleep(HEAL_POLL_MS);
   }
 }
--- a/packages/local-cluster/src/lib/faults/promise_checks.ts
+++ b/packages/local-cluster/src/lib/faults/promise_checks.ts
@@ -77,7 +77,17 @@
 }
 
 function checkReplicas({scene, watch}: RunRecord) {
-  const {log, engines} = scene.cluster;
+  const {engines} = scene.cluster;
+  const loads = [...engines.values()].flatMap(({orders}) =>
+    orders.filter(({order}) => order.kind === 'load'),
+  );
+  const violations = [...watch.excess, ...undecidedLoads(scene)];
+  return {checked: loads.length, violations};
+}
+
+/** @returns the loads that targets carried out and no record decided. */
+export function undecidedLoads({cluster}: FaultScene): string[] {
+  const {log, engines} = cluster;
   const decided = new Set<string>();
   for (const stream of log.streamNames()) {
     for (const {body} of log.records(stream)) {
@@ -85,17 +95,14 @@
       if (id !== undefined) decided.add(id);
     }
   }
-  const violations = [...watch.excess];
-  let checked = 0;
+  const undecided: string[] = [];
   for (const [name, engine] of engines) {
     for (const {id, order} of engine.orders) {
-      if (order.kind !== 'load') continue;
-      checked += 1;
-      if (decided.has(id)) continue;
-      violations.push(`${name} loaded ${order.model} without a decision`);
+      if (order.kind !== 'load' || decided.has(id)) continue;
+      undecided.push(`${name} loaded ${order.model} without a decision`);
     }
   }
-  return {checked, violations};
+  return undecided;
 }
 
 function decisionId(body: unknown): string | undefined {
