Send nobody to a target that said it does not hold the model

Cause: a 421 of a target only asked for its report. Change: the holder takes the model for leaving at once; its memory counts as taken until the report is there, which puts right what is wrong. Before and after: residency_controller_test, the holder without a report: e1, which has not got the model, before; e2 by a load after. Left: peers that hear from no holder keep their own view of other targets.

--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -157,6 +157,8 @@
         if (resident?.isProven === false) account.noteLate(model);
       }
     } else if (reason === NOT_RUN.modelAbsent) {
+      // Its memory counts as taken until the target's own report is there.
+      item.isLeaving = true;
       account.needsReport = true;
     }
     this.parts.publish(account);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -24,6 +24,9 @@
   }
 }
 
+/** Longer than a refusal may mean that a load is late. */
+const LONG_HELD_MS = 5_000;
+
 describe('ResidencyController', () => {
   it('answers at once for a model that is held', async () => {
     const world = await startedWorld([['m0', 'm1', 'm2']]);
@@ -123,6 +126,21 @@
     expect(answered).to.equal(30);
   });
 
+  it('sends nobody to a target that said it does not hold the model', async () => {
+    const world = await startedWorld([
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+    ]);
+    world.report([], {m0: 1, m1: 1, m2: 1, m3: 0.2, m4: 0.2, m5: 0.2});
+    await world.clock.advance(LONG_HELD_MS);
+    // The holder cannot look for itself.
+    world.trouble.reportMs = 60_000;
+    world.engines.get('e1')!.models.delete('m0');
+    const absent = {target: 'e1', model: 'm0', reason: NOT_RUN.modelAbsent};
+    world.book.noteRefused('host-1', absent);
+    expect(await world.find('m0')).to.equal('e2');
+  });
+
   it('adds a copy of a model whose slots fill up', async () => {
     const world = await startedWorld([
       ['m0', 'm1', 'm2'],
