Keep the HTTP parser from being compiled twice, and measure what a host costs

Change: the host is run with --no-wasm-tier-up --no-wasm-dynamic-tiering. New: npm run bench -- host builds the program as it is deployed and prints the processor time of a start, of rest, of a request, the busiest host's, wake-ups and memory for 9, 40 and 81 hosts.

--- a/packages/benchmarks/src/lib/benchmarks.ts
+++ b/packages/benchmarks/src/lib/benchmarks.ts
@@ -3,6 +3,7 @@
 import {Benchmark} from './benchmark.js';
 import {ConfigurationBenchmark} from './configuration_benchmark.js';
 import {ControlBenchmark} from './control_benchmark.js';
+import {HostBenchmark} from './host_benchmark.js';
 import {LimitsBenchmark} from './limits_benchmark.js';
 import {PathBenchmark} from './path_benchmark.js';
 import {PlacementBenchmark} from './placement_benchmark.js';
@@ -16,4 +17,5 @@
   new LimitsBenchmark(),
   new PlacementBenchmark(),
   new ReconcileBenchmark(),
+  new HostBenchmark(),
 ];
--- /dev/null
+++ b/packages/benchmarks/src/lib/host_benchmark.ts
@@ -0,0 +1,141 @@
+/** What one host costs among more and more of them. @packageDocumentation */
+
+import {HOST_NAME, PATH} from '@fuchsiacleat/local-cluster';
+import {SOAK_KEY, SoakWorld} from '@fuchsiacleat/soak';
+import {Client} from 'undici';
+import {Benchmark, BenchmarkResult, Metric} from './benchmark.js';
+import {buildDeployed} from './host/deployed_program.js';
+import {ProcessCost, costOf} from './host/process_cost.js';
+
+/** Sizes of the users' deployments; 195 processes do not fit one machine. */
+const HOST_COUNTS = [9, 40, 81];
+
+/** Time in which hosts of that number have to be ready, in milliseconds. */
+const READY_LIMIT_MS = 60_000;
+
+/** After it a host has found the holder and the first view. */
+const SETTLE_MS = 5_000;
+const REST_MS = 15_000;
+const LOADED_MS = 15_000;
+
+/** Requests a second and host, as soaf-inspect-large sends them. */
+const REQUESTS_PER_S = 1.7;
+
+const MS_PER_S = 1_000;
+const PER_MILLE = 1_000;
+
+/** Measures processes, as the platform starts them, on stand-ins. */
+export class HostBenchmark extends Benchmark {
+  override readonly name = 'host';
+  override readonly summary =
+    'processor time of a start, of rest and of a request, by number of hosts';
+
+  override async run(): Promise<BenchmarkResult> {
+    const args = await buildDeployed();
+    const metrics: Metric[] = [];
+    for (const count of HOST_COUNTS) {
+      metrics.push(...(await this.measure(count, args)));
+    }
+    const points = HOST_COUNTS.map((x, i) => {
+      const rest = metrics.filter(({name}) => name.endsWith('.rest'));
+      return {x, y: rest[i].value};
+    });
+    const name = 'host.rest_by_hosts';
+    const [xLabel, yLabel] = ['hosts', 'thousandths of a core'];
+    return {metrics, series: [{name, xLabel, yLabel, points}]};
+  }
+
+  private async measure(
+    count: number,
+    args: readonly string[],
+  ): Promise<Metric[]> {
+    const world = await SoakWorld.start(count, args);
+    try {
+      const areReady = async () => {
+        const ready = await Promise.all(world.hosts.map(h => h.isReady()));
+        return ready.every(isReady => isReady);
+      };
+      if (!(await world.until(areReady, READY_LIMIT_MS))) {
+        throw new Error(`${count} hosts did not get ready`);
+      }
+      const started = await costs(world);
+      await sleep(SETTLE_MS);
+      const rested = await costs(world);
+      await sleep(REST_MS);
+      const atRest = await costs(world);
+      const sent = await this.load(world);
+      const loaded = await costs(world);
+      const restS = spent(rested, atRest);
+      const loadS = spent(atRest, loaded);
+      const restOf = (part: number[]) =>
+        (sum(part) / count / REST_MS) * MS_PER_S;
+      const extraS = sum(loadS) - (sum(restS) * LOADED_MS) / REST_MS;
+      const wakeUps = rested.map(({wakeUps}, i) => atRest[i].wakeUps - wakeUps);
+      const values: Array<[string, number, string]> = [
+        ['start', sum(started.map(c => c.processorS)) / count, 's'],
+        ['rest', restOf(restS) * PER_MILLE, 'thousandths of a core'],
+        [
+          'busiest',
+          (Math.max(...restS) / REST_MS) * MS_PER_S * PER_MILLE,
+          'thousandths of a core',
+        ],
+        ['wake_ups', restOf(wakeUps), '/s'],
+        ['request', (extraS / sent) * MS_PER_S, 'ms'],
+        ['memory', sum(loaded.map(c => c.residentMib)) / count, 'MiB'],
+      ];
+      return values.map(([name, value, unit]) => ({
+        name: `host.of_${count}.${name}`,
+        value,
+        unit,
+      }));
+    } finally {
+      await world.stop();
+    }
+  }
+
+  /** @returns how many requests were sent, each over a new connection. */
+  private async load({hosts}: SoakWorld): Promise<number> {
+    const gapMs = MS_PER_S / REQUESTS_PER_S / hosts.length;
+    const endMs = performance.now() + LOADED_MS;
+    const pending: Array<Promise<void>> = [];
+    const beganMs = performance.now();
+    for (let i = 0; performance.now() < endMs; i++) {
+      pending.push(ask(hosts[i % hosts.length].url, i));
+      const dueMs = beganMs + (i + 1) * gapMs;
+      await sleep(Math.max(0, dueMs - performance.now()));
+    }
+    await Promise.all(pending);
+    return pending.length;
+  }
+}
+
+async function ask(url: string, i: number): Promise<void> {
+  const isStream = i % 2 === 0;
+  const headers: Record<string, string> = {
+    host: HOST_NAME,
+    'x-fuchsiacleat-attempt-id': `cost-${i}`,
+    'x-fuchsiacleat-key': SOAK_KEY.free,
+  };
+  if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
+  const client = new Client(url);
+  const path = isStream ? PATH.stream : PATH.once;
+  const res = await client.request({method: 'POST', path, body: 'x', headers});
+  await res.body.dump();
+  await client.close();
+}
+
+function costs({hosts}: SoakWorld): Promise<ProcessCost[]> {
+  return Promise.all(hosts.map(({pid}) => costOf(pid!)));
+}
+
+function spent(from: ProcessCost[], to: ProcessCost[]): number[] {
+  return from.map(({processorS}, i) => to[i].processorS - processorS);
+}
+
+function sum(values: number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -2,3 +2,4 @@
 
 export * from './lib/soak_checks.js';
 export * from './lib/soak_run.js';
+export * from './lib/soak_world.js';
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -14,6 +14,15 @@
 /** Heap of a host, in megabytes; as `deploy/system.toml` sets it. */
 const HEAP_MB = 200;
 
+/** Keep its parser of HTTP from being compiled twice; as there. */
+const WASM_FLAGS = ['--no-wasm-tier-up', '--no-wasm-dynamic-tiering'];
+
+const DEFAULT_ARGS = [
+  `--max-old-space-size=${HEAP_MB}`,
+  ...WASM_FLAGS,
+  PROGRAM,
+];
+
 const READY_LIMIT_MS = 1_000;
 const OK = 200;
 
@@ -32,6 +41,8 @@
   folder: string;
   /** Settings beside those, by the platform's names. */
   bounds: Record<string, number>;
+  /** Arguments of Node; the built program with its flags by default. */
+  args?: readonly string[];
 }
 
 /** Starts, signals and watches a host; ends no process but its own. */
@@ -59,6 +70,11 @@
     return this.child !== undefined && this.hasSpoken;
   }
 
+  /** Id of the process, while it is there. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Whether the process is there. */
   get isRunning(): boolean {
     return this.child !== undefined;
@@ -78,8 +94,8 @@
     await writeFile(path, this.settingsText());
     this.log ??= createWriteStream(`${folder}/${name}.log`, {flags: 'a'});
     this.isEndExpected = false;
-    const args = [`--max-old-space-size=${HEAP_MB}`, PROGRAM, path];
-    const child = spawn(process.execPath, args, {
+    const args = this.options.args ?? DEFAULT_ARGS;
+    const child = spawn(process.execPath, [...args, path], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.hasSpoken = false;
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -78,14 +78,21 @@
   private version = 1;
   private folderPath = '';
 
-  private constructor(private readonly number: number) {}
+  private constructor(
+    private readonly number: number,
+    private readonly args: readonly string[] | undefined,
+  ) {}
 
   /**
    * @param hostCount - number of host processes.
+   * @param args - arguments of Node for them; see {@link HostOptions}.
    * @returns a world whose hosts are ready.
    */
-  static async start(hostCount: number): Promise<SoakWorld> {
-    const world = new SoakWorld(worldCount++);
+  static async start(
+    hostCount: number,
+    args?: readonly string[],
+  ): Promise<SoakWorld> {
+    const world = new SoakWorld(worldCount++, args);
     world.folderPath = await mkdtemp(join(tmpdir(), 'fuchsiacleat-soak-'));
     await world.store.start();
     for (let i = 0; i < PLAIN_COUNT + ENGINE_COUNT; i++) {
@@ -224,6 +231,7 @@
         storePort: link.port,
         folder: this.folderPath,
         bounds: BOUNDS,
+        args: this.args,
       }),
     );
   }
