Pass a new configuration on within a zone, instead of reading it at each host

Ruled out: passing it on by the reader alone (bytes between zones are dearer than the calls); longer answers (a configuration of over 128 KiB is still read). Change: the reader names for each host that lacks its version a host of the same zone that has it or will have it next, three takers each (ConfigSources); one host in each zone reads the store. Who is not served in 400 ms reads it too.

--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -1,9 +1,10 @@
 /** News of the platform that hosts take from one of them. @packageDocumentation */
 
 import {z} from 'zod';
-import {PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {PeerIdentity, PeerMethod, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {DeploymentState} from './deployment_state.js';
+import {ConfigSources} from './config_sources.js';
 import {BriefNotice} from './discovered_target.js';
 import {Freshness} from './freshness.js';
 import {KnownTarget, TargetTable} from './target_table.js';
@@ -20,6 +21,18 @@
  */
 const AS_OF_TOLERANCE_MS = 100;
 
+/**
+ * Longest wait for a configuration that another host has or is about to have;
+ * the store is read after it, well within the time for a withdrawn key.
+ */
+const TEXT_LIMIT_MS = 400;
+
+/** Pause between looks at whether it has come. */
+const TEXT_POLL_MS = 20;
+
+/** Longest configuration that hosts pass on; the store has the wider link. */
+const MAX_TEXT_BYTES = 128 * 1_024;
+
 /** Pause between looks at whether there is a reader to ask. */
 const IDLE_MS = 100;
 
@@ -37,11 +50,18 @@
 /** Milliseconds; infinite if nothing was read. */
 const age = z.union([z.number(), z.literal(Infinity)]);
 
+/** Version of a configuration; nothing is in force before the first. */
+const versionSchema = z.union([z.number(), z.literal(-Infinity)]);
+
 const askSchema = z.object({
   /** Incarnation of the reader at the last answer. */
   reader: z.string(),
   /** Revision of the reader's targets at the last answer. */
   revision: z.number(),
+  /** Version of the configuration in force at the host that asks. */
+  version: versionSchema,
+  /** Availability zone of that host. */
+  zone: z.string(),
 });
 
 const newsSchema = z.object({
@@ -53,6 +73,8 @@
   targetsAgeMs: age,
   revision: z.number(),
   targets: z.array(z.object({id: z.string(), notice: noticeSchema.optional()})),
+  /** Who passes on that version, if the host that asks lacks it. */
+  source: z.string().optional(),
 });
 
 /** What a host asks the reader. */
@@ -67,6 +89,13 @@
   event: newsSchema,
 };
 
+/** A host asks for a configuration, as it stands in the store. */
+const ASK_CONFIG: PeerMethod<{version: number}, {text?: Uint8Array}> = {
+  name: 'config-ask',
+  body: z.object({version: z.number()}),
+  event: z.object({text: z.instanceof(Uint8Array).optional()}),
+};
+
 /** A target has told a host that it leaves, which the reader may not know. */
 const TARGET_LEAVES: PeerMethod<{target: string; startedMs: number}, never> = {
   name: 'target-leaves',
@@ -86,10 +115,18 @@
   incarnation: string;
 }
 
+/** A configuration as it stands in the store. */
+export interface ConfigText {
+  version: number;
+  bytes: Uint8Array;
+}
+
 /** What a {@link PeerNews} works with. */
 export interface PeerNewsParts {
   clock: Clock;
   network: PeerNetwork;
+  /** Availability zone of this host. */
+  zone: string;
   state: DeploymentState;
   freshness: Freshness;
   targets: TargetTable;
@@ -102,6 +139,10 @@
   targetsReadMs: () => number;
   /** The reader, while it is heard; this host itself if it is the reader. */
   reader: () => NewsReader | undefined;
+  /** The configuration in force; undefined before one is. */
+  ownText: () => ConfigText | undefined;
+  /** Takes in a configuration that another host has read. */
+  takeText: (bytes: Uint8Array) => void;
 }
 
 /**
@@ -113,16 +154,25 @@
   /** Clock times by which the store had said what this host was told. */
   private configMs = -Infinity;
   private targetsMs = -Infinity;
-  private question: NewsQuestion = {reader: '', revision: 0};
+  private asked = {reader: '', revision: 0};
   private readerVersion = -Infinity;
   private sentRevision = 0;
   private sentVersion = -Infinity;
   private wake = new AbortController();
+  private readonly sources: ConfigSources;
+  /** Clock time until which another host is expected to pass one on. */
+  private comingUntilMs = -Infinity;
 
   /** @param parts - see {@link PeerNewsParts}. */
   constructor(private readonly parts: PeerNewsParts) {
     const {network, targets} = parts;
-    network.serveUnary(ASK_NEWS, question => this.answer(question));
+    this.sources = new ConfigSources(network.self, parts.zone);
+    network.serveUnary(ASK_NEWS, (question, {from}) =>
+      this.answer(question, from),
+    );
+    network.serveUnary(ASK_CONFIG, ({version}, {signal}) =>
+      this.passOn(version, signal),
+    );
     network.onNote(NEWS_HINT, () => this.wake.abort());
     network.onNote(TARGET_LEAVES, ({target, startedMs}) =>
       targets.noteLeaving(target, startedMs),
@@ -155,11 +205,19 @@
 
   /** Whether the store need not be read for the configuration. */
   get coversConfig(): boolean {
-    const version = this.parts.state.current?.deployment.version;
-    if (this.isReader || this.readerVersion !== version) return false;
+    const isComing = this.parts.clock.now() < this.comingUntilMs;
+    if (this.isReader || !(isComing || this.hasReaderVersion)) return false;
     return this.isYoung(this.configMs);
   }
 
+  private get ownVersion(): number {
+    return this.parts.state.current?.deployment.version ?? -Infinity;
+  }
+
+  private get hasReaderVersion(): boolean {
+    return this.readerVersion === this.ownVersion;
+  }
+
   private isYoung(sinceMs: number): boolean {
     return this.parts.clock.now() - sinceMs < this.parts.lifeMs;
   }
@@ -198,17 +256,18 @@
   }
 
   private async ask(from: NewsReader, signal: AbortSignal): Promise<void> {
-    const {clock, freshness, network} = this.parts;
-    if (this.question.reader !== from.incarnation) {
-      this.question = {reader: from.incarnation, revision: 0};
+    const {clock, network, zone} = this.parts;
+    if (this.asked.reader !== from.incarnation) {
+      this.asked = {reader: from.incarnation, revision: 0};
     }
     const askedMs = clock.now();
-    const news = await network.call(from.host, ASK_NEWS, this.question, {
+    const question = {...this.asked, version: this.ownVersion, zone};
+    const news = await network.call(from.host, ASK_NEWS, question, {
       timeoutMs: ASK_LIMIT_MS,
       signal,
     });
     if (news.isErr()) return;
-    const {configAgeMs, targetsAgeMs, revision, version} = news.value;
+    const {configAgeMs, source, targetsAgeMs, revision, version} = news.value;
     this.readerVersion = version;
     this.configMs = askedMs - configAgeMs;
     const targetsMs = askedMs - targetsAgeMs;
@@ -216,10 +275,52 @@
     // A target that is gone must not come back by an older word.
     if (targetsMs >= knownMs - AS_OF_TOLERANCE_MS) {
       this.takeTargets(news.value);
-      this.question = {reader: from.incarnation, revision};
+      this.asked = {reader: from.incarnation, revision};
       this.targetsMs = targetsMs;
     }
-    if (this.coversConfig) freshness.confirm(this.configMs);
+    if (source !== undefined) await this.takeConfig(source, version, signal);
+    this.confirm();
+  }
+
+  /** What is in force here is as fresh as the reader says of its own. */
+  private confirm(): void {
+    const {freshness} = this.parts;
+    if (this.isReader || !this.hasReaderVersion) return;
+    if (this.isYoung(this.configMs)) freshness.confirm(this.configMs);
+  }
+
+  private async takeConfig(
+    source: string,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, network, takeText} = this.parts;
+    this.comingUntilMs = clock.now() + TEXT_LIMIT_MS;
+    const answer = await network.call(
+      source,
+      ASK_CONFIG,
+      {version},
+      {timeoutMs: TEXT_LIMIT_MS, signal},
+    );
+    const text = answer.isOk() ? answer.value.text : undefined;
+    if (text !== undefined) takeText(text);
+    this.comingUntilMs = -Infinity;
+  }
+
+  /** Gives the configuration once it is in force here. */
+  private async passOn(
+    version: number,
+    signal: AbortSignal,
+  ): Promise<{text?: Uint8Array}> {
+    const {clock, ownText} = this.parts;
+    const endMs = clock.now() + TEXT_LIMIT_MS;
+    while (this.ownVersion < version && clock.now() < endMs) {
+      if (signal.aborted) return {};
+      await clock.sleep(TEXT_POLL_MS, signal);
+    }
+    const own = ownText();
+    if (own === undefined || own.version < version) return {};
+    return own.bytes.length > MAX_TEXT_BYTES ? {} : {text: own.bytes};
   }
 
   private takeTargets(news: News): void {
@@ -228,7 +329,7 @@
       if (notice === undefined) targets.remove(id);
       else targets.putBrief(notice);
     }
-    if (this.question.revision === 0) this.removeUnknown(news);
+    if (this.asked.revision === 0) this.removeUnknown(news);
   }
 
   /** A first answer names every target that there is. */
@@ -240,13 +341,18 @@
     }
   }
 
-  private answer(question: NewsQuestion): News {
+  private answer(question: NewsQuestion, from: PeerIdentity): News {
     const {clock, freshness, network, state, targets} = this.parts;
+    const version = state.current?.deployment.version ?? -1;
+    const lacksIt = this.isReader && question.version < version;
     const isSame = question.reader === network.self.incarnation;
     // A host that is no reader may itself have been told by others.
     const unknownMs = Infinity;
     return {
-      version: state.current?.deployment.version ?? -1,
+      version,
+      source: lacksIt
+        ? this.sources.sourceFor(from, question.zone, version)
+        : undefined,
       configAgeMs: this.isReader ? freshness.ageMs : unknownMs,
       targetsAgeMs: this.isReader
         ? clock.now() - this.parts.targetsReadMs()
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -38,6 +38,8 @@
   dialled: boolean;
   clock: Clock;
   handler: LinkHandler;
+  /** Whether the link is to be heard of between its calls as well. */
+  isWatched: (peer: PeerIdentity) => boolean;
 }
 
 /**
@@ -163,8 +165,8 @@
   tick(): void {
     const nowMs = this.options.clock.now();
     if (this.outgoing.size + this.incoming.size > 0) this.lastCallMs = nowMs;
-    else if (this.remote && this.remote.zone !== this.options.self.zone) {
-      // Nothing waits on a link to another zone between its calls.
+    else if (this.remote && !this.options.isWatched(this.remote)) {
+      // Nothing waits on such a link between its calls.
       this.lastHeardMs = nowMs;
       this.lastSentMs = nowMs;
     }
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -25,7 +25,7 @@
 const KEEP_INTERVAL_MS = 200;
 const REDIAL_DELAY_MS = 1_000;
 
-/** A link to another zone without calls is closed after this time. */
+/** A link that is not watched is closed after this time without calls. */
 const IDLE_LIMIT_MS = 60_000;
 
 /** How long a peer that could not be reached is avoided, in milliseconds. */
@@ -45,6 +45,11 @@
    * hosts off from each other with it.
    */
   allows?: (host: string) => boolean;
+  /**
+   * Whether a link with a peer is kept alive between its calls; those within
+   * the zone by default.
+   */
+  isWatched?: (peer: PeerIdentity) => boolean;
 }
 
 interface Registered {
@@ -230,6 +235,11 @@
     return this.options.allows?.(host) ?? true;
   }
 
+  private isWatched(peer: PeerIdentity): boolean {
+    const {isWatched} = this.options;
+    return isWatched?.(peer) ?? peer.zone === this.self.zone;
+  }
+
   private tick(): void {
     for (const link of this.openLinks) {
       link.tick();
@@ -237,7 +247,7 @@
       if (peer === undefined) continue;
       if (!this.allows(peer.host)) {
         link.close('links to the peer are not allowed');
-      } else if (peer.zone !== this.self.zone && link.idleMs > IDLE_LIMIT_MS) {
+      } else if (!this.isWatched(peer) && link.idleMs > IDLE_LIMIT_MS) {
         link.close('the link was idle');
       }
     }
@@ -273,7 +283,15 @@
   private makeLink(socket: Socket, dialled: boolean): PeerLink {
     const {self, clock} = this.options;
     socket.setNoDelay(true);
-    return new PeerLink({socket, self, dialled, clock, handler: this});
+    const isWatched = (peer: PeerIdentity) => this.isWatched(peer);
+    return new PeerLink({
+      socket,
+      self,
+      dialled,
+      clock,
+      handler: this,
+      isWatched,
+    });
   }
 
   /** @param onReady - called with the link to use once the peer is known. */
