Send a host that lacks a configuration the other way when it was not served

A host that the store turns away takes it from a host of its zone; one whose source is gone reads the store.

--- a/packages/core/src/test/gateway/peer_news_test.ts
+++ b/packages/core/src/test/gateway/peer_news_test.ts
@@ -159,6 +159,21 @@
     expect(clock.now() - beganMs).to.be.at.most(500);
   });
 
+  it('passes a configuration on to a host that the store turns away', async () => {
+    const {hosts, run} = manyHosts(6, 2);
+    for (const host of hosts) host.read(7);
+    await run(1_000, 7);
+    const [, lost] = hosts;
+    for (let i = 0; i < 100; i++) {
+      await run(STEP_MS, 8);
+      for (const host of hosts) {
+        if (host !== lost && !host.news.coversConfig) host.read(8);
+      }
+    }
+    expect(lost.passedOn).to.include(8);
+    expect(lost.freshness.isFresh).to.equal(true);
+  });
+
   it('sends hosts to the store when who should pass it on is gone', async () => {
     const {hosts, run, clock, cut} = manyHosts(12, 1);
     for (const host of hosts) host.read(7);
