Copy a full model from the store, though rare ones are missed too

Two reasons, both seen in the test: (1) a refusal set the time at which the model is ready, so that a full target counted as a copy that is being loaded; (2) the store brings first what most callers missed, and callers whom a full target turned away did not count. Ruled out: the hosts' choice (there was one target to choose); width (2 to 4 loads were under way all the time). Change: being full is kept apart from being loaded; those whom full targets turned away count as missed, and a model that needs its next copy from the store takes its turn with those that no target has.

--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -7,7 +7,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ResidencyOrders} from './order_sender.js';
-import {ResidencyAccount} from './residency_account.js';
+import {ResidencyAccount, isUsable} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 
 /** How long after a load a refusal only means that it is not done yet. */
@@ -46,9 +46,19 @@
 export class AccountBook {
   private readonly accounts = new Map<string, ResidencyAccount>();
 
+  private onFull: (service: string, model: string) => void = () => {};
+
   /** @param parts - see {@link AccountBookParts}. */
   constructor(private readonly parts: AccountBookParts) {}
 
+  /**
+   * @param listener - called for each request that a target turned away, as it
+   *     was too full for more of a model that it holds.
+   */
+  listenForFull(listener: (service: string, model: string) => void): void {
+    this.onFull = listener;
+  }
+
   /** @returns the accounts of all targets. */
   all(): IterableIterator<ResidencyAccount> {
     return this.accounts.values();
@@ -149,9 +159,12 @@
     const nowMs = this.parts.clock.now();
     const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
     if (isLate || reason === NOT_RUN.refused) {
-      if (item.readyMs <= nowMs) {
+      if (!isLate) this.onFull(account.target.notice.service, model);
+      if (isUsable(item, nowMs)) {
         const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
-        item.readyMs = nowMs + LATE_LOAD_PAUSE_MS * 2 ** doublings;
+        const pauseMs = LATE_LOAD_PAUSE_MS * 2 ** doublings;
+        if (isLate) item.readyMs = nowMs + pauseMs;
+        else item.fullUntilMs = nowMs + pauseMs;
         item.lateCount += 1;
         // A target that is only full has proven that it holds the model.
         if (resident?.isProven === false) account.noteLate(model);
--- a/packages/core/src/lib/residency/adapter_choice.ts
+++ b/packages/core/src/lib/residency/adapter_choice.ts
@@ -1,7 +1,7 @@
 /** Chooses where to load an adapter and which one makes way. @packageDocumentation */
 
 import {residentKey} from '../gateway/target_table.js';
-import {ResidencyAccount} from './residency_account.js';
+import {ResidencyAccount, isUsable} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 
 /** Adapters that may be on their way to one target at the same time. */
@@ -84,7 +84,7 @@
   let oldestMs = Infinity;
   for (const [model, {adapters}] of account.residents) {
     for (const [adapter, held] of adapters) {
-      if (held.readyMs > nowMs || held.isLeaving) continue;
+      if (!isUsable(held, nowMs) || held.isLeaving) continue;
       if (held.usedMs >= oldestMs) continue;
       if (usage.inFlight(account.id, residentKey(model, adapter)) > 0) continue;
       oldest = {model, adapter};
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -59,7 +59,7 @@
     for (const account of parts.accounts) {
       if (!account.isReachable) continue;
       for (const [model, {isRetiring}] of account.residents) {
-        if (!account.isReady(model, nowMs)) continue;
+        if (!account.isThere(model, nowMs)) continue;
         const copies = isRetiring ? this.retiringByModel : this.copiesByModel;
         addCopy(copies, model, account);
       }
@@ -115,6 +115,16 @@
     return !this.nearCounts.has(model);
   }
 
+  /** @returns whether a further copy of a model has to come from the store. */
+  isNextInStore(model: string): boolean {
+    return this.parts.accounts.every(
+      account =>
+        !account.isReachable ||
+        account.keeps(model) ||
+        account.loadOf(model).fromStore,
+    );
+  }
+
   /** @returns how many models only this target has the weights of. */
   soleCopies(account: ResidencyAccount): number {
     let count = 0;
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -9,10 +9,20 @@
 export interface HeldItem {
   /** Clock time from which it can be used. */
   readyMs: number;
+  /** Clock time until which its target was too full to take more for it. */
+  fullUntilMs: number;
   /** Refusals since it should have been ready. */
   lateCount: number;
 }
 
+/** @returns whether requests can be sent for something that is held. */
+export function isUsable(
+  {fullUntilMs, readyMs}: HeldItem,
+  nowMs: number,
+): boolean {
+  return readyMs <= nowMs && fullUntilMs <= nowMs;
+}
+
 /** An adapter on a target. */
 export interface HeldAdapter extends HeldItem {
   /** Clock time at which it was last handed to a request. */
@@ -138,6 +148,12 @@
 
   /** @returns whether a model can take requests, or could at once. */
   isReady(model: string, nowMs: number): boolean {
+    const resident = this.residents.get(model);
+    return this.isThere(model, nowMs) && isUsable(resident!, nowMs);
+  }
+
+  /** @returns whether a model is loaded and stays, be its target full or not. */
+  isThere(model: string, nowMs: number): boolean {
     const resident = this.residents.get(model);
     if (resident === undefined || resident.isLeaving) return false;
     return resident.readyMs <= nowMs;
@@ -178,8 +194,10 @@
    * @returns clock time from which it should take requests.
    */
   expectedMs(model: string): number {
-    const readyMs = this.residents.get(model)?.readyMs ?? Infinity;
-    return readyMs === Infinity ? this.busyUntilMs : readyMs;
+    const resident = this.residents.get(model);
+    const readyMs = resident?.readyMs ?? Infinity;
+    if (readyMs === Infinity) return this.busyUntilMs;
+    return Math.max(readyMs, resident!.fullUntilMs);
   }
 
   /** @returns the time a load of a model takes here, and whence it comes. */
@@ -240,6 +258,7 @@
     for (const adapter of adapters) held.set(adapter, newAdapter(readyMs));
     const resident: HeldResident = {
       readyMs,
+      fullUntilMs: -Infinity,
       lateCount: 0,
       usedMs: readyMs,
       isRetiring: false,
@@ -260,5 +279,7 @@
 }
 
 function newAdapter(readyMs: number): HeldAdapter {
-  return {readyMs, lateCount: 0, usedMs: readyMs, isLeaving: false};
+  const fullUntilMs = -Infinity;
+  const usedMs = readyMs;
+  return {readyMs, fullUntilMs, lateCount: 0, usedMs, isLeaving: false};
 }
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -14,7 +14,7 @@
   chooseSurplus,
 } from './copy_choice.js';
 import {PlanRound} from './plan_round.js';
-import {ResidencyAccount} from './residency_account.js';
+import {ResidencyAccount, isUsable} from './residency_account.js';
 import {StoreLoads} from './store_loads.js';
 import {Swap, chooseSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
@@ -108,6 +108,9 @@
   constructor(private readonly parts: ResidencyControllerParts) {
     this.room = new WaitingRoom(parts.clock);
     this.storeLoads = new StoreLoads(parts.clock);
+    parts.book.listenForFull((service, model) =>
+      this.storeLoads.noteMiss(service, model),
+    );
   }
 
   /** Whether this host decides. */
@@ -310,7 +313,7 @@
     }
     const usable = withAdapter.filter(account => {
       const held = account.residents.get(model)!.adapters.get(adapter)!;
-      return held.readyMs <= nowMs && !held.isLeaving;
+      return isUsable(held, nowMs) && !held.isLeaving;
     });
     if (usable.length > 0) this.resolve(waiter, usable);
   }
@@ -498,6 +501,7 @@
     const adapterCopies = chooseAdapterCopies(round, usage);
     const {missing, revived} = chooseCopies(round, usage);
     for (const {model, account} of revived) this.keep(account, model);
+    this.storeLoads.noteWanted(service, missing);
     for (const model of missing) this.startSwap(model, service);
     for (const {model, adapter, accounts} of adapterCopies) {
       this.startAdapterSwap(model, adapter, accounts);
--- a/packages/core/src/lib/residency/store_loads.ts
+++ b/packages/core/src/lib/residency/store_loads.ts
@@ -28,6 +28,8 @@
   private readonly buckets = new Map<string, TokenBucket>();
   private readonly widths = new Map<string, StoreWidth>();
   private readonly missesOf = new Map<string, Map<string, Misses>>();
+  /** Models of each service whose targets are full. */
+  private readonly wantedOf = new Map<string, ReadonlySet<string>>();
 
   /** @param clock - measures rates and ages. */
   constructor(private readonly clock: Clock) {}
@@ -36,9 +38,18 @@
   clear(): void {
     this.buckets.clear();
     this.missesOf.clear();
+    this.wantedOf.clear();
   }
 
-  /** Notes a caller that was refused, as its model is in the store alone. */
+  /** Notes the models that need further copies now. */
+  noteWanted(service: string, models: readonly string[]): void {
+    this.wantedOf.set(service, new Set(models));
+  }
+
+  /**
+   * Notes a caller that was refused, as its model is in the store alone, or that
+   * was turned away, as the targets with its model are full.
+   */
   noteMiss(service: string, model: string): void {
     let misses = this.missesOf.get(service);
     if (misses === undefined) {
@@ -98,12 +109,14 @@
   ): boolean {
     const misses = this.missesOf.get(service);
     if (misses === undefined) return true;
+    const wanted = this.wantedOf.get(service);
     const sinceMs = this.clock.now() - MISS_LIFE_MS;
     const own = (misses.get(model)?.count ?? 0) + round.waiting(model);
     for (const [other, {count, lastMs}] of misses) {
       if (lastMs < sinceMs) misses.delete(other);
       else if (other === model || count <= own) continue;
       else if (round.isOnlyInStore(other)) return false;
+      else if (wanted?.has(other) && round.isNextInStore(other)) return false;
     }
     return true;
   }
--- a/packages/core/src/lib/residency/view_teller.ts
+++ b/packages/core/src/lib/residency/view_teller.ts
@@ -6,7 +6,7 @@
 import {AccountBook} from './account_book.js';
 import {HostCensus} from './host_census.js';
 import {OrderLease} from './order_lease.js';
-import {ResidencyAccount} from './residency_account.js';
+import {ResidencyAccount, isUsable} from './residency_account.js';
 import {RESIDENCY_VIEW, TargetView, ViewBody} from './residency_messages.js';
 import {UsageTable} from './usage_table.js';
 
@@ -168,11 +168,11 @@
     const nowMs = this.parts.clock.now();
     const held: Array<[string, string[]]> = [];
     for (const [model, resident] of account.residents) {
-      if (resident.readyMs > nowMs || resident.isLeaving) continue;
+      if (!account.isReady(model, nowMs)) continue;
       if (resident.isRetiring) continue;
       if (!account.isProven(model, nowMs)) continue;
       const adapters = [...resident.adapters]
-        .filter(([, {readyMs, isLeaving}]) => readyMs <= nowMs && !isLeaving)
+        .filter(([, item]) => isUsable(item, nowMs) && !item.isLeaving)
         .map(([adapter]) => adapter);
       held.push([model, adapters]);
     }
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -24,6 +24,9 @@
   }
 }
 
+/** Time of a load from the store; the engines of the tests take so long. */
+const STORE_LOAD_MS = 6_000;
+
 /** Longer than a refusal may mean that a load is late. */
 const LONG_HELD_MS = 5_000;
 
@@ -393,6 +396,36 @@
     expect(isHeld('m6')).to.equal(true);
   });
 
+  // Load: a model of one target takes 60 requests a second, four times what the
+  // target has slots for, and each of many rare models a caller now and then.
+  it('copies a full model from the store, though rare ones are missed', async () => {
+    const held = [
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+      ['m3', 'm4', 'm5'],
+    ];
+    const onDisk = ['m1', 'm2', 'm3', 'm4', 'm5'];
+    const world = new EngineWorld(held, engineFacts(), onDisk);
+    await started(world);
+    world.report([], {m0: 1});
+    await world.clock.advance(LONG_HELD_MS);
+    const full = {target: 'e1', model: 'm0', reason: NOT_RUN.refused};
+    const beganMs = world.clock.now();
+    const copied = () =>
+      [...world.engines].some(
+        ([id, {models}]) => id !== 'e1' && models.has('m0'),
+      );
+    for (let i = 0; !copied() && i < 200; i++) {
+      world.report([['e1', 'm0', 8]], {m0: 60, m6: 0.3, m7: 0.3}, 400);
+      for (let k = 0; k < 4; k++) world.book.noteRefused('host-1', full);
+      if (i % 5 === 0) void world.refusal(`m${6 + (i % 4)}`, 300);
+      await world.clock.advance(100);
+    }
+    expect(copied()).to.equal(true);
+    // Loads of rare models that had begun may end first.
+    expect(world.clock.now() - beganMs).to.be.at.most(2 * STORE_LOAD_MS);
+  });
+
   it('brings what no target has before anybody asks, on few targets', async () => {
     const models = ['m0', 'm1', 'm2'];
     const held = Array.from({length: 9}, () => models);
