--- a/packages/core/src/lib/telemetry/logger.ts
+++ b/packages/core/src/lib/telemetry/logger.ts
@@ -1,6 +1,6 @@
 /** Structured logs: one line of key=value pairs for each event. @packageDocumentation */
 
-import {createConsola} from 'consola';
+import {createConsola} from 'consola/core';
 
 /** Values that a log field may hold. */
 export type LogValue = string | number | boolean | undefined;
