--- a/packages/benchmarks/src/lib/host_benchmark.ts
+++ b/packages/benchmarks/src/lib/host_benchmark.ts
@@ -1,10 +1,10 @@
 /** What one host costs among more and more of them. @packageDocumentation */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {HOST_NAME, PATH} from '@fuchsiacleat/local-cluster';
-import {SOAK_KEY, SoakWorld} from '@fuchsiacleat/soak';
+import {SOAK_KEY, SoakWorld, buildDeployed} from '@fuchsiacleat/soak';
 import {Client} from 'undici';
 import {Benchmark, BenchmarkResult, Metric} from './benchmark.js';
-import {buildDeployed} from './host/deployed_program.js';
 import {ProcessCost, costOf} from './host/process_cost.js';
 
 /** Sizes of the users' deployments; 195 processes do not fit one machine. */
@@ -36,10 +36,8 @@
     for (const count of HOST_COUNTS) {
       metrics.push(...(await this.measure(count, args)));
     }
-    const points = HOST_COUNTS.map((x, i) => {
-      const rest = metrics.filter(({name}) => name.endsWith('.rest'));
-      return {x, y: rest[i].value};
-    });
+    const rest = metrics.filter(({name}) => name.endsWith('.rest'));
+    const points = HOST_COUNTS.map((x, i) => ({x, y: rest[i].value}));
     const name = 'host.rest_by_hosts';
     const [xLabel, yLabel] = ['hosts', 'thousandths of a core'];
     return {metrics, series: [{name, xLabel, yLabel, points}]};
@@ -135,7 +133,3 @@
 function sum(values: number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -17,6 +17,7 @@
 export * from './lib/limits/retry_budget.js';
 export * from './lib/peers/tcp_peer_network.js';
 export * from './lib/residency/account_book.js';
+export * from './lib/residency/controller_parts.js';
 export * from './lib/residency/lease_log.js';
 export * from './lib/residency/order_lease.js';
 export * from './lib/residency/order_port.js';
--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -160,8 +160,8 @@
   private sentVersion = -Infinity;
   private wake = new AbortController();
   private readonly sources: ConfigSources;
-  /** Clock time until which another host is expected to pass one on. */
-  private comingUntilMs = -Infinity;
+  /** Whether another host is asked for a configuration. */
+  private isTaking = false;
 
   /** @param parts - see {@link PeerNewsParts}. */
   constructor(private readonly parts: PeerNewsParts) {
@@ -205,19 +205,14 @@
 
   /** Whether the store need not be read for the configuration. */
   get coversConfig(): boolean {
-    const isComing = this.parts.clock.now() < this.comingUntilMs;
-    if (this.isReader || !(isComing || this.hasReaderVersion)) return false;
-    return this.isYoung(this.configMs);
+    if (this.isReader || !this.isYoung(this.configMs)) return false;
+    return this.isTaking || this.readerVersion === this.ownVersion;
   }
 
   private get ownVersion(): number {
     return this.parts.state.current?.deployment.version ?? -Infinity;
   }
 
-  private get hasReaderVersion(): boolean {
-    return this.readerVersion === this.ownVersion;
-  }
-
   private isYoung(sinceMs: number): boolean {
     return this.parts.clock.now() - sinceMs < this.parts.lifeMs;
   }
@@ -256,7 +251,7 @@
   }
 
   private async ask(from: NewsReader, signal: AbortSignal): Promise<void> {
-    const {clock, network, zone} = this.parts;
+    const {clock, freshness, network, zone} = this.parts;
     if (this.asked.reader !== from.incarnation) {
       this.asked = {reader: from.incarnation, revision: 0};
     }
@@ -279,14 +274,8 @@
       this.targetsMs = targetsMs;
     }
     if (source !== undefined) await this.takeConfig(source, version, signal);
-    this.confirm();
-  }
-
-  /** What is in force here is as fresh as the reader says of its own. */
-  private confirm(): void {
-    const {freshness} = this.parts;
-    if (this.isReader || !this.hasReaderVersion) return;
-    if (this.isYoung(this.configMs)) freshness.confirm(this.configMs);
+    // What is in force here is as fresh as the reader says of its own.
+    if (this.coversConfig) freshness.confirm(this.configMs);
   }
 
   private async takeConfig(
@@ -294,8 +283,8 @@
     version: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock, network, takeText} = this.parts;
-    this.comingUntilMs = clock.now() + TEXT_LIMIT_MS;
+    const {network, takeText} = this.parts;
+    this.isTaking = true;
     const answer = await network.call(
       source,
       ASK_CONFIG,
@@ -304,7 +293,7 @@
     );
     const text = answer.isOk() ? answer.value.text : undefined;
     if (text !== undefined) takeText(text);
-    this.comingUntilMs = -Infinity;
+    this.isTaking = false;
   }
 
   /** Gives the configuration once it is in force here. */
--- a/packages/core/src/lib/membership/consent_collector.ts
+++ b/packages/core/src/lib/membership/consent_collector.ts
@@ -64,9 +64,7 @@
 
   private others(): Member[] {
     const {members, network, isGone} = this.options;
-    return members
-      .known()
-      .filter(({host}) => host !== network.self.host && !isGone(host));
+    return members.others(network.self.host, isGone);
   }
 
   private async askOne(
--- a/packages/core/src/lib/membership/entrusted_records.ts
+++ b/packages/core/src/lib/membership/entrusted_records.ts
@@ -88,10 +88,10 @@
     boundMs: number,
     signal: AbortSignal,
   ): Promise<Result<void, AppendUnknown>> {
-    const {stream, ids, isByConsent} = this.options;
+    const {stream, ids, isByConsent, isGone, members, network} = this.options;
     if (isByConsent()) {
       const kept = {zone: stream.zone, body: {type: type.type, body}};
-      const others = this.otherMembers();
+      const others = members.others(network.self.host, isGone);
       if (others.length > 0) {
         return this.entrustAll(others, ids.take(), kept, signal);
       }
@@ -131,16 +131,8 @@
     return true;
   }
 
-  private otherMembers(): string[] {
-    const {members, network, isGone} = this.options;
-    return members
-      .known()
-      .map(({host}) => host)
-      .filter(host => host !== network.self.host && !isGone(host));
-  }
-
   private async entrustAll(
-    others: readonly string[],
+    others: ReadonlyArray<{host: string}>,
     id: string,
     kept: Kept,
     signal: AbortSignal,
@@ -161,8 +153,7 @@
     const others = this.options.network
       .connected()
       .filter(({zone}) => zone !== kept.zone)
-      .slice(0, KEEPERS_ELSEWHERE)
-      .map(({host}) => host);
+      .slice(0, KEEPERS_ELSEWHERE);
     const answers = await this.askToKeep(others, id, kept, signal);
     if (!answers.some(isKept => isKept)) return false;
     this.keep(id, kept);
@@ -170,7 +161,7 @@
   }
 
   private askToKeep(
-    hosts: readonly string[],
+    hosts: ReadonlyArray<{host: string}>,
     id: string,
     {zone, body}: Kept,
     signal: AbortSignal,
@@ -178,7 +169,7 @@
     const {network} = this.options;
     const options = {timeoutMs: ENTRUST_TIMEOUT_MS, signal};
     return Promise.all(
-      hosts.map(async host => {
+      hosts.map(async ({host}) => {
         const answer = await network.call(
           host,
           ENTRUST,
--- a/packages/core/src/lib/membership/member_table.ts
+++ b/packages/core/src/lib/membership/member_table.ts
@@ -90,6 +90,15 @@
     return sorted([...new Map([...this.byHost, ...this.ahead]).values()]);
   }
 
+  /**
+   * @param self - name of this host.
+   * @param isGone - whether the platform has removed a host for good.
+   * @returns every other known member that is not gone.
+   */
+  others(self: string, isGone: (host: string) => boolean): Member[] {
+    return this.known().filter(({host}) => host !== self && !isGone(host));
+  }
+
   /** @returns the member of that name, as the log tells. */
   get(host: string): Member | undefined {
     return this.byHost.get(host)?.member;
--- a/packages/core/src/lib/residency/account_book.ts
+++ b/packages/core/src/lib/residency/account_book.ts
@@ -7,7 +7,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ResidencyOrders} from './order_sender.js';
-import {ResidencyAccount, isUsable} from './residency_account.js';
+import {ResidencyAccount, isPutOff} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 
 /** How long after a load a refusal only means that it is not done yet. */
@@ -45,8 +45,7 @@
 /** Opens and closes accounts as targets come and go, and corrects them. */
 export class AccountBook {
   private readonly accounts = new Map<string, ResidencyAccount>();
-
-  private onFull: (service: string, model: string) => void = () => {};
+  private fullListener: (service: string, model: string) => void = () => {};
 
   /** @param parts - see {@link AccountBookParts}. */
   constructor(private readonly parts: AccountBookParts) {}
@@ -55,8 +54,8 @@
    * @param listener - called for each request that a target turned away, as it
    *     was too full for more of a model that it holds.
    */
-  listenForFull(listener: (service: string, model: string) => void): void {
-    this.onFull = listener;
+  onFull(listener: (service: string, model: string) => void): void {
+    this.fullListener = listener;
   }
 
   /** @returns the accounts of all targets. */
@@ -159,8 +158,8 @@
     const nowMs = this.parts.clock.now();
     const isLate = nowMs - item.readyMs < LATE_LOAD_MS;
     if (isLate || reason === NOT_RUN.refused) {
-      if (!isLate) this.onFull(account.target.notice.service, model);
-      if (isUsable(item, nowMs)) {
+      if (!isLate) this.fullListener(account.target.notice.service, model);
+      if (!isPutOff(item, nowMs)) {
         const doublings = Math.min(item.lateCount, MAX_LATE_DOUBLINGS);
         const pauseMs = LATE_LOAD_PAUSE_MS * 2 ** doublings;
         if (isLate) item.readyMs = nowMs + pauseMs;
--- a/packages/core/src/lib/residency/adapter_choice.ts
+++ b/packages/core/src/lib/residency/adapter_choice.ts
@@ -84,7 +84,7 @@
   let oldestMs = Infinity;
   for (const [model, {adapters}] of account.residents) {
     for (const [adapter, held] of adapters) {
-      if (!isUsable(held, nowMs) || held.isLeaving) continue;
+      if (!isUsable(held, nowMs)) continue;
       if (held.usedMs >= oldestMs) continue;
       if (usage.inFlight(account.id, residentKey(model, adapter)) > 0) continue;
       oldest = {model, adapter};
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -13,22 +13,27 @@
   fullUntilMs: number;
   /** Refusals since it should have been ready. */
   lateCount: number;
+  /** Whether it is being unloaded, or is believed to be gone. */
+  isLeaving: boolean;
 }
 
-/** @returns whether requests can be sent for something that is held. */
-export function isUsable(
+/** @returns whether requests are put off, as it is not there yet or full. */
+export function isPutOff(
   {fullUntilMs, readyMs}: HeldItem,
   nowMs: number,
 ): boolean {
-  return readyMs <= nowMs && fullUntilMs <= nowMs;
+  return readyMs > nowMs || fullUntilMs > nowMs;
+}
+
+/** @returns whether requests can be sent for something that is held. */
+export function isUsable(item: HeldItem, nowMs: number): boolean {
+  return !item.isLeaving && !isPutOff(item, nowMs);
 }
 
 /** An adapter on a target. */
 export interface HeldAdapter extends HeldItem {
   /** Clock time at which it was last handed to a request. */
   usedMs: number;
-  /** Whether an order to unload it has not been granted yet. */
-  isLeaving: boolean;
 }
 
 /** A model on a target. */
@@ -36,8 +41,6 @@
   usedMs: number;
   /** Whether requests go elsewhere, as another target holds it too. */
   isRetiring: boolean;
-  /** Whether it is being unloaded. */
-  isLeaving: boolean;
   /** Whether it is known to take requests, not only expected to. */
   isProven: boolean;
   /** Clock time at which a first request was sent after its load. */
@@ -149,7 +152,7 @@
   /** @returns whether a model can take requests, or could at once. */
   isReady(model: string, nowMs: number): boolean {
     const resident = this.residents.get(model);
-    return this.isThere(model, nowMs) && isUsable(resident!, nowMs);
+    return resident !== undefined && isUsable(resident, nowMs);
   }
 
   /** @returns whether a model is loaded and stays, be its target full or not. */
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -108,7 +108,7 @@
   constructor(private readonly parts: ResidencyControllerParts) {
     this.room = new WaitingRoom(parts.clock);
     this.storeLoads = new StoreLoads(parts.clock);
-    parts.book.listenForFull((service, model) =>
+    parts.book.onFull((service, model) =>
       this.storeLoads.noteMiss(service, model),
     );
   }
@@ -311,10 +311,9 @@
       if (mayStart) this.startAdapterSwap(model, adapter, open);
       return;
     }
-    const usable = withAdapter.filter(account => {
-      const held = account.residents.get(model)!.adapters.get(adapter)!;
-      return isUsable(held, nowMs) && !held.isLeaving;
-    });
+    const usable = withAdapter.filter(account =>
+      isUsable(account.residents.get(model)!.adapters.get(adapter)!, nowMs),
+    );
     if (usable.length > 0) this.resolve(waiter, usable);
   }
 
--- a/packages/core/src/lib/residency/view_teller.ts
+++ b/packages/core/src/lib/residency/view_teller.ts
@@ -172,7 +172,7 @@
       if (resident.isRetiring) continue;
       if (!account.isProven(model, nowMs)) continue;
       const adapters = [...resident.adapters]
-        .filter(([, item]) => isUsable(item, nowMs) && !item.isLeaving)
+        .filter(([, item]) => isUsable(item, nowMs))
         .map(([adapter]) => adapter);
       held.push([model, adapters]);
     }
--- a/packages/core/src/test/gateway/peer_news_test.ts
+++ b/packages/core/src/test/gateway/peer_news_test.ts
@@ -63,52 +63,36 @@
   }
 }
 
-interface NewsWorld {
-  clock: ManualClock;
-  reader: NewsHost;
-  other: NewsHost;
-  run(ms: number, readVersion?: number): Promise<void>;
-}
-
-function newsWorld(zone = 'z'): NewsWorld {
-  const clock = new ManualClock();
-  const hub = new MemoryHub(clock, new Random(1));
-  const networks = ['r', 'o'].map(host =>
-    hub.join({host, zone: 'z', incarnation: `${host}-1`}),
-  );
-  const who = () => ({host: 'r', incarnation: 'r-1'});
-  const [reader, other] = networks.map(
-    (network, i) => new NewsHost(clock, network, who, i === 0 ? 'z' : zone),
-  );
-  const run = async (ms: number, readVersion?: number) => {
-    for (let at = 0; at < ms; at += STEP_MS) {
-      if (readVersion !== undefined) reader.read(readVersion);
-      await clock.advance(STEP_MS);
-    }
-  };
-  return {clock, reader, other, run};
-}
-
-/** Hosts of several zones, of which the first one reads for all. */
-function manyHosts(count: number, zones: number) {
+/** Hosts of the zones given, of which the first one reads for all. */
+function newsHosts(zones: string[]) {
   const clock = new ManualClock();
   const hub = new MemoryHub(clock, new Random(1));
   const who = () => ({host: 'h0', incarnation: 'h0-1'});
   const gone = new Set<string>();
   hub.isCut = (from, to) => gone.has(from.host) || gone.has(to.host);
-  const hosts = Array.from({length: count}, (unused, i) => {
+  const hosts = zones.map((zone, i) => {
     const self = {host: `h${i}`, zone: 'z', incarnation: `h${i}-1`};
-    return new NewsHost(clock, hub.join(self), who, `zone-${i % zones}`);
+    return new NewsHost(clock, hub.join(self), who, zone);
   });
-  const run = async (ms: number, readVersion: number) => {
+  const run = async (ms: number, readVersion?: number) => {
     for (let at = 0; at < ms; at += STEP_MS) {
-      hosts[0].read(readVersion);
+      if (readVersion !== undefined) hosts[0].read(readVersion);
       await clock.advance(STEP_MS);
     }
   };
   return {clock, hosts, run, cut: (i: number) => gone.add(`h${i}`)};
 }
 
+function newsWorld(zone = 'z') {
+  const {clock, hosts, run} = newsHosts(['z', zone]);
+  const [reader, other] = hosts;
+  return {clock, reader, other, run};
+}
+
+function manyHosts(count: number, zones: number) {
+  return newsHosts(Array.from({length: count}, (unused, i) => `${i % zones}`));
+}
+
 describe('PeerNews', () => {
   it('spares a host the store while the reader reads it', async () => {
     const {reader, other, run} = newsWorld();
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -18,8 +18,7 @@
   ResidencyReport,
 } from '../../lib/residency/order_port.js';
 import {AccountBook} from '../../lib/residency/account_book.js';
-import {SwapExecutor} from '../../lib/residency/swap_executor.js';
-import {ResidencyOrders} from '../../lib/residency/order_sender.js';
+import {makeController} from '../../lib/residency/controller_parts.js';
 import {
   NotResident,
   ResidencyController,
@@ -248,33 +247,20 @@
       onResign: () => {},
     });
     this.port = new FakeOrderPort(this, random);
-    const orders = new ResidencyOrders({
-      clock: this.clock,
-      logger,
-      lease,
-      port: this.port,
-    });
-    const {clock, usage, targets} = this;
-    const publish = () => {};
-    this.book = new AccountBook({
+    const {clock, port, usage, targets} = this;
+    const {book, controller} = makeController({
       clock,
       logger,
       state,
       targets,
-      orders,
-      usage,
-      publish,
-    });
-    this.controller = new ResidencyController({
-      clock,
-      logger,
       lease,
-      book: this.book,
-      executor: new SwapExecutor({clock, logger, orders, publish}),
+      port,
       usage,
       lender: new TokenLender(clock, state, 8_000),
-      publish,
+      publish: () => {},
     });
+    this.book = book;
+    this.controller = controller;
     const {signal} = new AbortController();
     void lease.run(signal);
     void this.controller.run(signal);
--- a/packages/core/src/test/residency/fleet_world.ts
+++ b/packages/core/src/test/residency/fleet_world.ts
@@ -3,7 +3,7 @@
 import {DeploymentState} from '../../lib/gateway/deployment_state.js';
 import {TargetTable} from '../../lib/gateway/target_table.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
-import {AccountBook} from '../../lib/residency/account_book.js';
+import {makeController} from '../../lib/residency/controller_parts.js';
 import {OrderLease} from '../../lib/residency/order_lease.js';
 import {
   ORDER_REPLY,
@@ -11,11 +11,7 @@
   OrderReply,
   ResidencyReport,
 } from '../../lib/residency/order_port.js';
-import {ResidencyOrders} from '../../lib/residency/order_sender.js';
-import {ResidencyController} from '../../lib/residency/residency_controller.js';
 import {ResidencyHost} from '../../lib/residency/residency_host.js';
-import {ResidencyAccount} from '../../lib/residency/residency_account.js';
-import {SwapExecutor} from '../../lib/residency/swap_executor.js';
 import {TokenLender} from '../../lib/residency/token_lender.js';
 import {UsageTable} from '../../lib/residency/usage_table.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
@@ -135,26 +131,16 @@
     const usage = new UsageTable(clock);
     const lender = new TokenLender(clock, state, WINDOW_MS);
     const port = new StillOrderPort();
-    const orders = new ResidencyOrders({clock, logger, lease, port});
-    const publish = (account: ResidencyAccount) => residency.publish(account);
-    const book = new AccountBook({
+    const {book, controller} = makeController({
       clock,
       logger,
       state,
       targets,
-      orders,
-      usage,
-      publish,
-    });
-    const controller = new ResidencyController({
-      clock,
-      logger,
       lease,
-      book,
-      executor: new SwapExecutor({clock, logger, orders, publish}),
+      port,
       usage,
       lender,
-      publish,
+      publish: account => residency.publish(account),
     });
     const residency: ResidencyHost = new ResidencyHost({
       clock,
--- a/packages/benchmarks/src/lib/host/deployed_program.ts
+++ b/packages/soak/src/lib/deployed_program.ts
@@ -6,21 +6,30 @@
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
 
-const ROOT = fileURLToPath(new URL('../../../../../', import.meta.url));
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const FILE = 'deploy/system.toml';
 
+/** @returns the flags of Node with which the platform runs the program. */
+export async function deployedFlags(): Promise<string[]> {
+  const [, ...args] = valueOf(await readDeployment(), 'run').split(' ');
+  return args.slice(0, -1);
+}
+
 /**
- * Builds the program as `deploy/system.toml` says.
+ * Builds the program as the platform does.
  *
  * @returns the arguments of Node with which it is run there.
  */
 export async function buildDeployed(): Promise<string[]> {
-  const text = await readFile(join(ROOT, FILE), 'utf8');
+  const text = await readDeployment();
   const cwd = ROOT;
   await promisify(execFile)('sh', ['-c', valueOf(text, 'build')], {cwd});
-  const [, ...args] = valueOf(text, 'run').split(' ');
-  const program = args.pop()!;
-  return [...args, join(ROOT, program)];
+  const program = valueOf(text, 'run').split(' ').at(-1)!;
+  return [...(await deployedFlags()), join(ROOT, program)];
+}
+
+function readDeployment(): Promise<string> {
+  return readFile(join(ROOT, FILE), 'utf8');
 }
 
 /** @returns a string of the file, whose escapes are those of JSON. */
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -6,23 +6,12 @@
 import {fileURLToPath} from 'node:url';
 import {withTimeLimit} from '@fuchsiacleat/core';
 import {request} from 'undici';
+import {deployedFlags} from './deployed_program.js';
 
 const PROGRAM = fileURLToPath(
   import.meta.resolve('@fuchsiacleat/platform/main'),
 );
 
-/** Heap of a host, in megabytes; as `deploy/system.toml` sets it. */
-const HEAP_MB = 200;
-
-/** Keep its parser of HTTP from being compiled twice; as there. */
-const WASM_FLAGS = ['--no-wasm-tier-up', '--no-wasm-dynamic-tiering'];
-
-const DEFAULT_ARGS = [
-  `--max-old-space-size=${HEAP_MB}`,
-  ...WASM_FLAGS,
-  PROGRAM,
-];
-
 const READY_LIMIT_MS = 1_000;
 const OK = 200;
 
@@ -41,7 +30,7 @@
   folder: string;
   /** Settings beside those, by the platform's names. */
   bounds: Record<string, number>;
-  /** Arguments of Node; the built program with its flags by default. */
+  /** Arguments of Node; the built program with the flags of its deployment by default. */
   args?: readonly string[];
 }
 
@@ -94,7 +83,7 @@
     await writeFile(path, this.settingsText());
     this.log ??= createWriteStream(`${folder}/${name}.log`, {flags: 'a'});
     this.isEndExpected = false;
-    const args = this.options.args ?? DEFAULT_ARGS;
+    const args = this.options.args ?? [...(await deployedFlags()), PROGRAM];
     const child = spawn(process.execPath, [...args, path], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
