Pass on that a target leaves also when no reader was heard at the time

A host that hears from a target that it leaves tells the reader once; if it hears no reader then, or has no link, the word was lost, and another host went on sending until the store told it. Ruled out: chance in the test's earlier wait, which I had taken for all of it and which was one cause of two. Change: the word is kept until the reader has been told, at the next question.

--- a/packages/core/src/lib/gateway/peer_news.ts
+++ b/packages/core/src/lib/gateway/peer_news.ts
@@ -160,6 +160,8 @@
   private sentVersion = -Infinity;
   private wake = new AbortController();
   private readonly sources: ConfigSources;
+  /** Starts of processes that said they leave, by target, not passed on yet. */
+  private readonly untold = new Map<string, number>();
   /** Whether another host is asked for a configuration. */
   private isTaking = false;
 
@@ -182,14 +184,25 @@
 
   /** Passes on that a target leaves, so that all hosts hear of it. */
   private tellLeaving({notice}: KnownTarget): void {
+    this.untold.set(notice.id, notice.startedMs);
+    this.tellUntold();
+  }
+
+  /** Tells the reader, or as the reader all others; later if none is heard. */
+  private tellUntold(): void {
     const {network, reader} = this.parts;
     const to = reader();
-    if (to === undefined || this.isReader) {
+    if (to === undefined || this.untold.size === 0) return;
+    if (this.isReader) {
+      this.untold.clear();
       this.hint();
       return;
     }
-    const body = {target: notice.id, startedMs: notice.startedMs};
-    network.notify(to.host, TARGET_LEAVES, body);
+    for (const [target, startedMs] of this.untold) {
+      const body = {target, startedMs};
+      const isTold = network.notify(to.host, TARGET_LEAVES, body);
+      if (isTold) this.untold.delete(target);
+    }
   }
 
   /** Whether this host is the reader. */
@@ -239,6 +252,7 @@
     const {clock, reader} = this.parts;
     while (!signal.aborted) {
       const from = reader();
+      this.tellUntold();
       if (from === undefined || this.isReader) {
         await clock.sleep(IDLE_MS, signal);
         continue;
