--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -37,6 +37,11 @@
   abstract readonly key: string | undefined;
   abstract readonly demand: ModelDemand | undefined;
   abstract readonly tokens: TokenCount | undefined;
+  /**
+   * Ids of the leading parts of the prompt, in order, which other requests may
+   * share. The last part, which belongs to this request, is left out.
+   */
+  abstract readonly sharedParts: readonly string[];
   /**
    * How long the caller waits, in milliseconds from the arrival of the request.
    */
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -5,7 +5,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {GatewayMetrics} from './gateway_metrics.js';
-import {RelayObserver, RequestTrace} from './relay_observer.js';
+import {EndedSend, RelayObserver, RequestTrace} from './relay_observer.js';
 
 /**
  * Rate limits of log lines for unserved and served requests, lines per second.
@@ -66,16 +66,20 @@
     this.metrics.countSend(target, 'answered');
   }
 
-  override sendEnded(
-    id: string,
-    target: string,
-    end: string,
-    detail: string,
-  ): void {
+  override sendEnded(send: EndedSend): void {
+    const {id, target, end, detail, receivedBytes} = send;
     this.metrics.unansweredSends.inc({end, detail});
     this.metrics.countSend(target, end);
     if (!this.tryTakeLine(this.unservedBucket)) return;
-    this.logger.info('send_ended', {id, target, end, detail});
+    this.logger.info('send_ended', {
+      id,
+      target,
+      end,
+      detail,
+      send_age_ms: send.ageMs,
+      received_bytes: receivedBytes,
+      parts: send.parts.length > 0 ? send.parts.join(',') : undefined,
+    });
   }
 
   override targetAvoided(target: string, forMs: number): void {
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -14,6 +14,7 @@
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
+import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
@@ -344,7 +345,7 @@
         return await this.relay(target, req, call, sent.answer);
       }
       const detail = sent.reason;
-      observer.sendEnded(req.id, registration.id, sent.type, detail);
+      this.reportSendEnd(target, req, call, sent.type, detail);
       return this.handleUnanswered(target, req, call, sent);
     } finally {
       attempt.dispose();
@@ -432,7 +433,6 @@
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
   ): Promise<Outcome | undefined> {
-    const {observer} = this.parts;
     const {status} = answer.head;
     call.deliveredSends += 1;
     const isFailure = status >= SERVER_ERROR;
@@ -442,29 +442,37 @@
     if (isUnusable && (call.isHeadSent || call.canRunAgain)) {
       answer.discard();
       call.tried.add(target.registration.id);
-      observer.sendEnded(
-        req.id,
-        target.registration.id,
-        'error',
-        `status ${status}`,
-      );
+      this.reportSendEnd(target, req, call, 'error', `status ${status}`);
       return call.canRunAgain ? undefined : this.abortedOutcome(req, call);
     }
     const end = await this.answers.relay(req, call, answer);
     if (end === RELAY_RESULT.whole) return {type: 'served'};
     if (call.signal.aborted) return this.abortedOutcome(req, call);
-    observer.sendEnded(
-      req.id,
-      target.registration.id,
-      'broken',
-      `status ${status}`,
-    );
+    this.reportSendEnd(target, req, call, 'broken', `status ${status}`);
     this.recordFailure(target);
     call.tried.add(target.registration.id);
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
 
+  private reportSendEnd(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    end: string,
+    detail: string,
+  ): void {
+    this.parts.observer.sendEnded({
+      id: req.id,
+      target: target.registration.id,
+      end,
+      detail,
+      ageMs: call.sendAgeMs,
+      receivedBytes: call.receivedBytes,
+      parts: digestParts(call.service, req.sharedParts),
+    });
+  }
+
   /**
    * Returns the outcome of a request whose caller disconnected or whose
    * deadline has passed.
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -31,6 +31,8 @@
   deliveredSends = 0;
   /** Number of sends whose target may have started to work on the request. */
   possibleRuns = 0;
+  /** Bytes of the body that the target of the current send has returned. */
+  receivedBytes = 0;
   /** Whether the head of an answer was sent to the caller. */
   isHeadSent = false;
   status: number | undefined;
@@ -44,6 +46,7 @@
   private readonly requestController = new AbortController();
   private readonly waitController = new AbortController();
   private readonly timer: Timer;
+  private sendStartMs = 0;
 
   /**
    * @param clock - measures the remaining time.
@@ -113,6 +116,13 @@
   recordSend(target: string): void {
     this.firstSendMs ??= this.elapsedMs();
     this.sentTo.push(target);
+    this.sendStartMs = this.clock.now();
+    this.receivedBytes = 0;
+  }
+
+  /** Time since the start of the current send. */
+  get sendAgeMs(): number {
+    return Math.round(this.clock.now() - this.sendStartMs);
   }
 
   /** Records that bytes of the answer were relayed. */
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -25,25 +25,31 @@
   outcome: Outcome;
 }
 
+/** A send that has led to no complete answer. */
+export interface EndedSend {
+  /** Id of the request. */
+  id: string;
+  /** Id of the target. */
+  target: string;
+  /** How the send ended. */
+  end: string;
+  /** The reason or the status. */
+  detail: string;
+  /** Time from the start of the send to its end. */
+  ageMs: number;
+  /** Bytes of the body that the target returned. */
+  receivedBytes: number;
+  /** Digests of the shared parts of the prompt. */
+  parts: readonly string[];
+}
+
 /** Receives the events of relayed requests as they occur. */
 export abstract class RelayObserver {
   /** Called when the head of an answer has arrived from a target. */
   abstract sendAnswered(target: string): void;
 
-  /**
-   * Called when a send has led to no complete answer.
-   *
-   * @param id - id of the request.
-   * @param target - id of the target.
-   * @param end - how the send ended.
-   * @param detail - the reason or the status.
-   */
-  abstract sendEnded(
-    id: string,
-    target: string,
-    end: string,
-    detail: string,
-  ): void;
+  /** Called when a send has led to no complete answer. */
+  abstract sendEnded(send: EndedSend): void;
 
   /**
    * Called when a target has asked this host to back off.
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -106,7 +106,15 @@
       metrics,
     );
     journal.sendAnswered('t0');
-    journal.sendEnded('r', 't0', 'lost', 'reset');
+    journal.sendEnded({
+      id: 'r',
+      target: 't0',
+      end: 'lost',
+      detail: 'reset',
+      ageMs: 5,
+      receivedBytes: 0,
+      parts: [],
+    });
     for (let i = 0; i < 1_000; i++) journal.sendAnswered(`t${i}`);
     const sends = 'fuchsiacleat_gateway_target_sends_total';
     const answered = {target: 't0', end: 'answered'};
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -11,7 +11,11 @@
 import {RouteRule} from '../../lib/gateway/deployment.js';
 import {Freshness} from '../../lib/gateway/freshness.js';
 import {ModelFinder, ModelSearch} from '../../lib/gateway/model_finder.js';
-import {RelayObserver, RequestTrace} from '../../lib/gateway/relay_observer.js';
+import {
+  EndedSend,
+  RelayObserver,
+  RequestTrace,
+} from '../../lib/gateway/relay_observer.js';
 import {Relay} from '../../lib/gateway/relay.js';
 import {RetryAllowance} from '../../lib/gateway/retry_allowance.js';
 import {
@@ -47,6 +51,7 @@
   override key: string | undefined = 'key';
   override demand: ModelDemand | undefined;
   override tokens: TokenCount | undefined;
+  override sharedParts: readonly string[] = [];
   override timeoutMs: number | undefined;
   override lastEventId: string | undefined;
   override readonly arrivedMs: number;
@@ -193,10 +198,13 @@
 
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
+  readonly ends: EndedSend[] = [];
 
   override sendAnswered(): void {}
 
-  override sendEnded(): void {}
+  override sendEnded(send: EndedSend): void {
+    this.ends.push(send);
+  }
 
   override targetAvoided(): void {}
 
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -428,3 +428,17 @@
     expect(running.failure?.type).to.equal('failed');
   });
 });
+
+describe('Relay: reports', () => {
+  it('reports how far a broken answer had come and its prompt parts', async () => {
+    const plays = [() => answer(200, [event(1)], BODY_END.broken)];
+    const world = relayWorld({route: stream, behaviors: plays});
+    const caller = new FakeCaller(world.clock);
+    caller.sharedParts = ['5c1e07a2'];
+    await world.run(caller);
+    const [end] = world.observer.ends;
+    expect(end.receivedBytes).to.equal(event(1).length);
+    expect(end.parts).to.have.lengthOf(1);
+    expect(end.parts[0]).to.match(/^[0-9a-f]{16}$/);
+  });
+});
