Reproduce the prompt part that crashes one target after the other

The stand-in worker can crash and be back as another process; a deployment on the stand-ins may have several engines.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -104,30 +104,42 @@
   };
 }
 
-/** Store, two plain workers, an engine worker, and gateway hosts. */
+/** Store, two plain workers, engine workers, and gateway hosts. */
 export class PlatformWorld {
   readonly store = new PlatformStoreStandin();
   readonly plain = [1, 2].map(
     i => new PlatformWorkerStandin({id: `p${i}`, service: PLAIN, zone: 'a'}),
   );
-  readonly engine = new PlatformWorkerStandin({
-    id: 'e1',
-    service: ENGINES,
-    zone: 'a',
-    models: ['m1'],
-  });
+  readonly engines: readonly PlatformWorkerStandin[];
   readonly hosts: GatewayHost[] = [];
   private readonly settings: PlatformSettings[] = [];
   private clients: Client[] = [];
   private version = 1;
   private requestCount = 0;
 
+  private constructor(engineCount: number) {
+    this.engines = Array.from(
+      {length: engineCount},
+      (unusedItem, i) =>
+        new PlatformWorkerStandin({
+          id: `e${i + 1}`,
+          service: ENGINES,
+          zone: 'a',
+          models: ['m1'],
+        }),
+    );
+  }
+
+  /** The first engine worker. */
+  get engine(): PlatformWorkerStandin {
+    return this.engines[0];
+  }
+
   /** @returns a deployment whose hosts are all ready. */
-  static async start(hostCount = 1): Promise<PlatformWorld> {
-    const world = new PlatformWorld();
+  static async start(hostCount = 1, engineCount = 1): Promise<PlatformWorld> {
+    const world = new PlatformWorld(engineCount);
     await world.store.start();
-    const workers = [...world.plain, world.engine];
-    for (const worker of workers) await worker.start();
+    for (const worker of world.workers) await worker.start();
     world.registerTargets();
     world.publish([TEAM_KEY]);
     for (let i = 0; i < hostCount; i++) await world.startHost();
@@ -135,11 +147,16 @@
     return world;
   }
 
+  /** All workers. */
+  get workers(): PlatformWorkerStandin[] {
+    return [...this.plain, ...this.engines];
+  }
+
   /** Stops the hosts, the workers and the store. */
   async stop(): Promise<void> {
     for (const client of this.clients) await client.destroy();
     for (const host of this.hosts) host.terminate();
-    for (const worker of [...this.plain, this.engine]) await worker.stop();
+    for (const worker of this.workers) await worker.stop();
     await this.store.stop();
   }
 
@@ -168,7 +185,10 @@
       'p2',
       this.plain[1].registration(state),
     );
-    this.store.put(STORE_TOPIC.targets, 'e1', this.engine.registration());
+    for (const [i, engine] of this.engines.entries()) {
+      const id = `e${i + 1}`;
+      this.store.put(STORE_TOPIC.targets, id, engine.registration());
+    }
   }
 
   /** Sends a request to a host on a new connection. */
@@ -201,9 +221,8 @@
 
   /** Returns how often the workers ran the request with an id. */
   countRuns(id: string): number {
-    return [...this.plain, this.engine]
-      .flatMap(({runs}) => runs)
-      .filter(run => run.id === id).length;
+    return this.workers.flatMap(({runs}) => runs).filter(run => run.id === id)
+      .length;
   }
 
   /** Kills every host and restarts it at the same address. */
--- /dev/null
+++ b/packages/local-cluster/src/test/platform/crashing_part_test.ts
@@ -0,0 +1,106 @@
+import {expect} from 'chai';
+import {PlatformWorld, ROUTE_PATH} from '../../lib/platform_world.js';
+
+const HOSTS = 3;
+const ENGINES = 6;
+const CRASHING = 'bad0';
+
+/** Time between requests, and how long they go on. */
+const REQUEST_INTERVAL_MS = 15;
+const PLAY_MS = 9_000;
+
+/** One request in so many holds the crashing part. */
+const CRASHING_EVERY = 12;
+
+/** Crashes after which the part should be known, and in what time. */
+const KNOWN_AFTER_CRASHES = 5;
+const KNOWN_AFTER_MS = 1_500;
+
+/** Requests with the part that may reach a worker after that. */
+const MAX_LATE_RUNS = 3;
+
+/** Least fraction of sound requests that are served after that. */
+const MIN_SOUND_SERVED = 0.9;
+
+const pause = (ms: number) => new Promise(done => setTimeout(done, ms));
+
+/** Sends sound and crashing requests to all hosts in turn. */
+class CrashingPartPlay {
+  readonly crashingIds = new Set<string>();
+  readonly sound: Array<{sentMs: number; status: number}> = [];
+  private readonly calls: Array<Promise<void>> = [];
+
+  constructor(private readonly world: PlatformWorld) {}
+
+  async run(): Promise<void> {
+    const endMs = performance.now() + PLAY_MS;
+    for (let i = 0; performance.now() < endMs; i++) {
+      this.send(i);
+      await pause(REQUEST_INTERVAL_MS);
+    }
+    await Promise.all(this.calls);
+  }
+
+  /** Times at which crashing requests began to run. */
+  get crashingRunsMs(): number[] {
+    return this.world.engines
+      .flatMap(({runs}) => runs)
+      .filter(({id}) => this.crashingIds.has(id))
+      .map(({startedMs}) => startedMs)
+      .sort((a, b) => a - b);
+  }
+
+  private send(i: number): void {
+    const isCrashing = i % CRASHING_EVERY === CRASHING_EVERY - 1;
+    const id = `part-${i}`;
+    if (isCrashing) this.crashingIds.add(id);
+    const subject = isCrashing ? CRASHING : `5b${i % 7}`;
+    const headers = {
+      'x-fuchsiacleat-model': 'm1',
+      'x-fuchsiacleat-token-count': '100,20',
+      'x-fuchsiacleat-prompt-prefix': `ba5e:50,${subject}:40,${i}0:10`,
+    };
+    const sentMs = performance.now();
+    const call = this.world
+      .call(ROUTE_PATH.stream, {host: i % HOSTS, headers, id})
+      .then(
+        ({status}) => status,
+        () => 0,
+      )
+      .then(status => {
+        if (!isCrashing) this.sound.push({sentMs, status});
+      });
+    this.calls.push(call);
+  }
+}
+
+describe('GatewayHost and a prompt part that crashes its targets', () => {
+  let world: PlatformWorld;
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  it('does not crash one target after the other', async () => {
+    world = await PlatformWorld.start(HOSTS, ENGINES);
+    for (const engine of world.engines) {
+      engine.crashingPart = CRASHING;
+      engine.workMs = 40;
+      engine.onRestart = () => world.registerTargets();
+    }
+    const play = new CrashingPartPlay(world);
+    await play.run();
+    const crashesMs = world.engines
+      .flatMap(engine => engine.crashesMs)
+      .sort((a, b) => a - b);
+    const lastMs = crashesMs[KNOWN_AFTER_CRASHES - 1] ?? crashesMs.at(-1)!;
+    const knownMs = lastMs + KNOWN_AFTER_MS;
+    const lateRuns = play.crashingRunsMs.filter(ms => ms > knownMs);
+    expect(play.crashingIds.size, 'requests with the part').to.be.above(30);
+    expect(lateRuns.length, 'late runs').to.be.at.most(MAX_LATE_RUNS);
+    const late = play.sound.filter(({sentMs}) => sentMs > knownMs);
+    const served = late.filter(({status}) => status === 200);
+    expect(late.length, 'late sound requests').to.be.above(100);
+    expect(served.length / late.length).to.be.at.least(MIN_SOUND_SERVED);
+  });
+});
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -6,6 +6,12 @@
 const HEADER_PREFIX = 'x-fuchsiacleat-';
 const EVENT_COUNT = 4;
 
+/** Time from the head of an answer to the crash, in milliseconds. */
+const CRASH_DELAY_MS = 5;
+
+/** Time after a crash until the worker listens again, in milliseconds. */
+const CRASH_DOWN_MS = 400;
+
 /** Faults that a worker can inject into the response to one request. */
 export const FAULTY_ANSWER = {
   /** Refuses the request as not run. */
@@ -127,9 +133,19 @@
   readonly arrivalsMs: number[] = [];
   /** Number of bytes sent in endless responses. */
   floodBytes = 0;
+  /**
+   * Id of a prompt part on which the worker crashes as soon as it begins to
+   * write an answer.
+   */
+  crashingPart: string | undefined;
+  /** Times of the crashes, in milliseconds. */
+  readonly crashesMs: number[] = [];
+  /** Called when the worker is back after a crash, with a new process. */
+  onRestart: () => void = () => {};
   private orderCount = 0;
-  private readonly models: Set<string>;
-  private readonly startedMs = Date.now();
+  private models: Set<string>;
+  private startedMs = Date.now();
+  private isStopped = false;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private address = '';
@@ -176,7 +192,27 @@
 
   /** Stops immediately and closes every connection. */
   async stop(): Promise<void> {
-    for (const socket of this.sockets) socket.destroy();
+    this.isStopped = true;
+    await this.close();
+  }
+
+  /** Resets every connection; another process is back some time later. */
+  async crash(): Promise<void> {
+    if (!this.server.listening) return;
+    const {port} = this;
+    this.crashesMs.push(performance.now());
+    await this.close();
+    setTimeout(() => {
+      if (this.isStopped) return;
+      this.startedMs = Date.now();
+      this.orderCount = 0;
+      this.models = new Set(this.options.models ?? []);
+      this.server.listen(port, '127.0.0.1', () => this.onRestart());
+    }, CRASH_DOWN_MS);
+  }
+
+  private async close(): Promise<void> {
+    for (const socket of this.sockets) socket.resetAndDestroy();
     await new Promise(resolve => this.server.close(resolve));
   }
 
@@ -258,10 +294,10 @@
       return;
     }
     this.recordRun(req, id, body);
-    setTimeout(
-      () => this.sendAnswer(res, id, fault, model !== undefined),
-      this.workMs,
-    );
+    setTimeout(() => {
+      if (this.holdsCrashingPart(req)) this.beginAnswerAndCrash(res, id);
+      else this.sendAnswer(res, id, fault, model !== undefined);
+    }, this.workMs);
   }
 
   private recordRun(req: IncomingMessage, id: string, body: string): void {
@@ -286,6 +322,22 @@
     sendUnit();
   }
 
+  private beginAnswerAndCrash(res: ServerResponse, id: string): void {
+    res.setHeader(`${HEADER_PREFIX}attempt-id`, id);
+    res.setHeader(`${HEADER_PREFIX}server-stamp`, `${this.options.id}.stamp`);
+    res.writeHead(200).flushHeaders();
+    setTimeout(() => void this.crash(), CRASH_DELAY_MS);
+  }
+
+  private holdsCrashingPart(req: IncomingMessage): boolean {
+    const parts = req.headers[`${HEADER_PREFIX}prompt-prefix`];
+    if (this.crashingPart === undefined || typeof parts !== 'string')
+      return false;
+    return parts
+      .split(',')
+      .some(part => part.split(':')[0] === this.crashingPart);
+  }
+
   private sendAnswer(
     res: ServerResponse,
     id: string,
