Quarantine prompt parts that crash targets

Cause: a run that ends with its target was a lost answer like any other, sent again to the next target, and no host told another what it had run.

A run that breaks off before its target has shown that it can answer makes the host check whether the target still listens; if not, its parts are accused. The holder of the order lease collects the ends and answers of all hosts and publishes how each part is treated; any host can take over, and one that hears no holder decides for itself. A part that was answered since is clear, one that was answered shortly before is watched, any other is suspect: one request with it at a time is sent, no two such at one target. If that ends its target too, the part is quarantined, refused at once as not run, for 30 s and longer each time; an answer frees it. A request under which two targets ended is not sent to a third, whatever its route or parts.

Why it works: an answer to a part is proof, an end under it alone nearly so, and ends in company accuse nobody for longer than the next answer takes.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -74,7 +74,7 @@
       splitter && new StallWatchdog(this.clock, answer, maxStallMs);
     this.sendHead(req, call, answer.head);
     const end = await answer.read(chunk => {
-      call.receivedBytes += chunk.length;
+      call.recordReceived(chunk.length);
       call.recordBytes();
       if (splitter === undefined) return req.write(chunk);
       const {lastId} = splitter;
@@ -101,7 +101,7 @@
     const bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
     const end = await answer.read(chunk => {
-      call.receivedBytes += chunk.length;
+      call.recordReceived(chunk.length);
       if (call.isHeadSent) return req.write(chunk);
       bufferedChunks.push(chunk);
       bufferedBytes += chunk.length;
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -103,8 +103,9 @@
     if (story.firstByteMs !== undefined) {
       this.metrics.firstByte.observe({kind}, story.firstByteMs / 1_000);
     }
-    const bucket =
-      outcome.type === 'served' ? this.servedBucket : this.unservedBucket;
+    const isServed = outcome.type === 'served';
+    const hasParts = story.parts.length > 0;
+    const bucket = isServed ? this.servedBucket : this.unservedBucket;
     if (!this.tryTakeLine(bucket)) return;
     this.logger.info('request', {
       id: story.id,
@@ -119,6 +120,7 @@
       team: story.team,
       service: story.service,
       model: story.model,
+      parts: isServed || !hasParts ? undefined : story.parts.join(','),
       targets: story.targets.length > 0 ? story.targets.join(',') : undefined,
       config: story.configVersion,
       config_age_ms: story.configAgeMs,
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -19,7 +19,8 @@
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
 import {ModelFinder} from './model_finder.js';
-import {RelayCall} from './relay_call.js';
+import {PromptGuard} from '../quarantine/prompt_guard.js';
+import {RelayCall, SendAttempt} from './relay_call.js';
 import {RelayObserver, RequestTrace} from './relay_observer.js';
 import {AnswerRelay, RELAY_RESULT} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
@@ -62,6 +63,9 @@
 /** Maximum number of sends of one request, whatever their results. */
 const MAX_SENDS = 8;
 
+/** Number of targets that may end while they run the same request. */
+const MAX_ENDED_TARGETS = 2;
+
 /**
  * Time limit for the head of an answer, in latency objectives, if the request
  * can be sent to another target.
@@ -102,6 +106,7 @@
   quotas: TeamQuotas;
   retries: RetryAllowance;
   models: ModelFinder;
+  prompts: PromptGuard;
   observer: RelayObserver;
   /** Zone of this host. */
   zone: string;
@@ -122,6 +127,7 @@
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
     this.answers = new AnswerRelay(parts.clock);
+    parts.prompts.onQuarantined(part => this.withdrawSends(part));
   }
 
   /**
@@ -173,6 +179,13 @@
     for (const call of this.calls) call.abort();
   }
 
+  /** Cancels the sends of requests with a part that no target has answered. */
+  private withdrawSends(part: string): void {
+    for (const call of this.calls) {
+      if (call.parts.includes(part)) call.withdrawSend();
+    }
+  }
+
   /** Sends a request until it is answered or must not be sent again. */
   private async run(req: Req, call: RelayCall<Req>): Promise<Outcome> {
     const {random} = this.parts;
@@ -181,6 +194,9 @@
       return refuse(REFUSAL.noCapacity, 'the route has no service');
     }
     call.service = service;
+    call.parts = digestParts(service, req.sharedParts);
+    const refusal = this.parts.prompts.check(call.parts);
+    if (refusal !== undefined) return refusal;
     this.parts.retries.countRequest(service);
     if (req.demand !== undefined) {
       const {objectiveMs} = call.route;
@@ -205,7 +221,9 @@
         await this.parts.clock.sleep(BUDGET_POLL_MS, call.waitSignal);
         continue;
       }
-      const outcome = await this.sendTo(target.value, req, call);
+      const outcome =
+        (await this.checkPrompt(target.value, req, call)) ??
+        (await this.sendTo(target.value, req, call));
       if (outcome !== undefined) return outcome;
     }
   }
@@ -219,9 +237,37 @@
     if (call.sends >= MAX_SENDS) {
       return noCapacityRefusal('every target that was tried refused');
     }
+    if (call.endedTargets >= MAX_ENDED_TARGETS) {
+      return noCapacityRefusal('every target that ran it ended');
+    }
     return this.admission.recheck(req, call.team);
   }
 
+  /**
+   * Waits until the parts of the prompt may be sent to a target.
+   *
+   * @returns the outcome, or undefined if they may.
+   */
+  private async checkPrompt(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+  ): Promise<Outcome | undefined> {
+    const {prompts} = this.parts;
+    const {id} = target.registration;
+    const admitted = await prompts.admit(call, id, call.waitSignal);
+    if (admitted.isErr()) {
+      if (call.signal.aborted) return this.abortedOutcome(req, call);
+      const isStopped = call.waitSignal.aborted;
+      const refusal = isStopped ? stoppingRefusal() : admitted.error;
+      return this.unservedOutcome(call, refusal);
+    }
+    call.trial = admitted.value;
+    if (!call.signal.aborted) return undefined;
+    this.endTrial(call);
+    return this.abortedOutcome(req, call);
+  }
+
   /**
    * Takes a retry from the budget unless no send has reached a target yet.
    *
@@ -326,6 +372,7 @@
     const {registration} = target;
     const attempt = call.startAttempt(this.headTimeoutMs(call));
     call.recordSend(registration.id);
+    call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
     try {
       const sent = await this.parts.port.send(target, req, {
@@ -341,18 +388,41 @@
       this.recordSignals(target, sent);
       if (sent.type === 'answered') {
         call.possibleRuns += 1;
+        call.run.hasBegun = true;
         observer.sendAnswered(registration.id);
-        return await this.relay(target, req, call, sent.answer);
+        return await this.relay(target, req, call, sent.answer, attempt);
       }
       const detail = sent.reason;
       this.reportSendEnd(target, req, call, sent.type, detail);
-      return this.handleUnanswered(target, req, call, sent);
+      return await this.handleUnanswered(target, req, call, sent, attempt);
     } finally {
       attempt.dispose();
       target.endRequest(req.demand);
+      this.endTrial(call);
     }
   }
 
+  private endTrial(call: RelayCall<Req>): void {
+    if (call.trial !== undefined) this.parts.prompts.endTrial(call.trial);
+    call.trial = undefined;
+  }
+
+  /**
+   * Records a run that broke off. Before the request is sent again, the
+   * evidence of other hosts is awaited if it may have ended the target.
+   */
+  private async recordBrokenRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<void> {
+    const {prompts} = this.parts;
+    const tried = call.trial?.tried ?? [];
+    const checked = prompts.recordBrokenRun(target, call, call.run!, tried);
+    if (!call.canRunAgain || !(await checked)) return;
+    call.endedTargets += 1;
+    await prompts.awaitEvidence(call.signal);
+  }
+
   /**
    * Checks again, once a connection is established, that a request may be sent.
    *
@@ -364,6 +434,8 @@
     call: RelayCall<Req>,
   ): boolean {
     if (!target.takesRequests) return false;
+    const isTrial = call.trial !== undefined;
+    if (!this.parts.prompts.canStillSend(call.parts, isTrial)) return false;
     return this.admission.recheck(req, call.team) === undefined;
   }
 
@@ -381,12 +453,13 @@
     );
   }
 
-  private handleUnanswered(
+  private async handleUnanswered(
     target: KnownTarget,
     req: Req,
     call: RelayCall<Req>,
     sent: Exclude<SendResult<Head>, {type: 'answered'}>,
-  ): Outcome | undefined {
+    attempt: SendAttempt,
+  ): Promise<Outcome | undefined> {
     if (sent.type === 'not-run') {
       this.recordNotRun(target, req, call, sent.reason);
       return undefined;
@@ -395,10 +468,13 @@
       call.possibleRuns += 1;
       return this.abortedOutcome(req, call);
     }
-    this.recordFailure(target);
     call.possibleRuns += 1;
     call.deliveredSends += 1;
     call.tried.add(target.registration.id);
+    if (!attempt.isWithdrawn) {
+      this.recordFailure(target);
+      await this.recordBrokenRun(target, call);
+    }
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target gave no answer');
   }
@@ -432,6 +508,7 @@
     req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
+    attempt: SendAttempt,
   ): Promise<Outcome | undefined> {
     const {status} = answer.head;
     call.deliveredSends += 1;
@@ -446,11 +523,17 @@
       return call.canRunAgain ? undefined : this.abortedOutcome(req, call);
     }
     const end = await this.answers.relay(req, call, answer);
-    if (end === RELAY_RESULT.whole) return {type: 'served'};
+    if (end === RELAY_RESULT.whole) {
+      if (status === OK) call.run?.recordComplete();
+      return {type: 'served'};
+    }
     if (call.signal.aborted) return this.abortedOutcome(req, call);
     this.reportSendEnd(target, req, call, 'broken', `status ${status}`);
-    this.recordFailure(target);
     call.tried.add(target.registration.id);
+    if (!attempt.isWithdrawn) {
+      this.recordFailure(target);
+      await this.recordBrokenRun(target, call);
+    }
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
@@ -469,7 +552,7 @@
       detail,
       ageMs: call.sendAgeMs,
       receivedBytes: call.receivedBytes,
-      parts: digestParts(call.service, req.sharedParts),
+      parts: call.parts,
     });
   }
 
@@ -518,6 +601,7 @@
       team: call?.team?.name,
       service: call?.service,
       model: req.demand?.model,
+      parts: call?.parts ?? [],
       targets: call?.sentTo ?? [],
       configVersion: state.current?.deployment.version,
       configAgeMs: Math.round(freshness.ageMs),
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -1,6 +1,8 @@
 /** State of a request while it is relayed. @packageDocumentation */
 
 import {Clock, Timer} from '../time/clock.js';
+import {GuardedRun} from '../quarantine/guarded_run.js';
+import {GrantedTrial} from '../quarantine/trial.js';
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
@@ -13,8 +15,12 @@
    * Aborts with the request, or when the time limit for the head is reached.
    */
   signal: AbortSignal;
+  /** Whether this host has withdrawn the request. */
+  readonly isWithdrawn: boolean;
   /** Cancels the time limit for the head. */
   cancelHeadTimeout(): void;
+  /** Cancels the send. */
+  withdraw(): void;
   /** Cancels the timer and removes the listener. */
   dispose(): void;
 }
@@ -31,6 +37,14 @@
   deliveredSends = 0;
   /** Number of sends whose target may have started to work on the request. */
   possibleRuns = 0;
+  /** Digests of the shared parts of the prompt. */
+  parts: readonly string[] = [];
+  /** Number of processes that ended while they may have run the request. */
+  endedTargets = 0;
+  /** The trial of suspect parts of the prompt that the next send is. */
+  trial: GrantedTrial | undefined;
+  /** Progress of the current send. */
+  run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
   receivedBytes = 0;
   /** Whether the head of an answer was sent to the caller. */
@@ -47,6 +61,7 @@
   private readonly waitController = new AbortController();
   private readonly timer: Timer;
   private sendStartMs = 0;
+  private currentAttempt: SendAttempt | undefined;
 
   /**
    * @param clock - measures the remaining time.
@@ -69,6 +84,11 @@
     if (req.signal.aborted) this.abort();
   }
 
+  /** Id of the request. */
+  get id(): string {
+    return this.req.id;
+  }
+
   /** Aborts at the deadline, or when the caller disconnects. */
   get signal(): AbortSignal {
     return this.requestController.signal;
@@ -125,11 +145,22 @@
     return Math.round(this.clock.now() - this.sendStartMs);
   }
 
+  /** Records bytes that the target of the current send has returned. */
+  recordReceived(bytes: number): void {
+    this.receivedBytes += bytes;
+    this.run?.recordBytes();
+  }
+
   /** Records that bytes of the answer were relayed. */
   recordBytes(): void {
     this.firstByteMs ??= this.elapsedMs();
   }
 
+  /** Cancels the current send unless its target has begun the answer's body. */
+  withdrawSend(): void {
+    if (this.receivedBytes === 0) this.currentAttempt?.withdraw();
+  }
+
   /**
    * Starts a send.
    *
@@ -147,14 +178,22 @@
       headTimeoutMs === undefined
         ? undefined
         : this.clock.after(headTimeoutMs, abort);
-    return {
+    const attempt = {
       signal: controller.signal,
+      isWithdrawn: false,
       cancelHeadTimeout: () => timer?.cancel(),
+      withdraw: () => {
+        attempt.isWithdrawn = true;
+        abort();
+      },
       dispose: () => {
         timer?.cancel();
         requestSignal.removeEventListener('abort', abort);
+        this.currentAttempt = undefined;
       },
     };
+    this.currentAttempt = attempt;
+    return attempt;
   }
 
   /** Cancels the timer and removes the listener. */
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -10,6 +10,8 @@
   team: string | undefined;
   service: string | undefined;
   model: string | undefined;
+  /** Digests of the shared parts of the prompt. */
+  parts: readonly string[];
   /** Targets that the request was sent to, in order. */
   targets: string[];
   /** Version of the configuration in force when the request ended. */
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -98,4 +98,12 @@
     req: Req,
     options: SendOptions,
   ): Promise<SendResult<Head>>;
+
+  /**
+   * Checks whether a target accepts connections.
+   *
+   * @param target - the target.
+   * @returns whether it does; undefined if it did not reply in time.
+   */
+  abstract isListening(target: KnownTarget): Promise<boolean | undefined>;
 }
--- /dev/null
+++ b/packages/core/src/lib/quarantine/part_ledger.ts
@@ -0,0 +1,463 @@
+/** Decides which prompt parts may be sent to targets. @packageDocumentation */
+
+import {Logger} from '../telemetry/logger.js';
+import {Clock, Timer} from '../time/clock.js';
+import {PartRecord, PartState, STANDING, Standing} from './part_record.js';
+import {RunAtEnd, TargetEnd} from './target_end.js';
+import {Trial} from './trial.js';
+
+/** Most parts with a record. */
+const MAX_PARTS = 1_000;
+
+/**
+ * Time after the first report of an end in which other hosts may report runs
+ * that had begun. Until then, runs that only waited accuse no part.
+ */
+const GATHER_MS = 150;
+
+/** How long reports of the same process are taken together. */
+const END_LIFETIME_MS = 10_000;
+
+/**
+ * Ends closer together than this count once: a rack that fails ends many
+ * targets, and a sound part cannot be answered in between.
+ */
+const ENDS_APART_MS = 600;
+
+/** Ends without an answer in between that quarantine a part without a trial. */
+const QUARANTINE_ENDS = 4;
+
+/** Duration of the first quarantine of a part; it doubles with each further. */
+const FIRST_QUARANTINE_MS = 30_000;
+const MAX_QUARANTINE_MS = 3_600_000;
+
+/** Time after which a trial without a result no longer blocks the next one. */
+const TRIAL_TIMEOUT_MS = 5_000;
+
+/** How long a part without a new end stays suspect. */
+const SUSPICION_LIFETIME_MS = 600_000;
+
+/**
+ * A message of another host may be this much older than it seems. An answer
+ * that seems to have begun within this time after an end proves nothing.
+ */
+const MESSAGE_DELAY_MS = 100;
+
+/** Evidence of one end against a part. */
+interface Accusation {
+  /** Whether it counted as a further end. */
+  wasCounted: boolean;
+  atMs: number;
+  /** Time of the last end before it. */
+  previousEndMs: number;
+}
+
+/** The end of a process, with the parts that it accuses. */
+interface EndCase {
+  readonly firstMs: number;
+  readonly end: TargetEnd;
+  readonly accused: Map<string, Accusation>;
+  /** Whether a part is known that caused the end. */
+  isExplained: boolean;
+  readonly timer: Timer;
+}
+
+/**
+ * Records under which prompt parts targets ended, and derives how each part is
+ * treated.
+ *
+ * A target that crashes on a part does so when it begins to answer, so that an
+ * end accuses the parts of the runs that had just begun, or of those that
+ * waited if none had. An answer to a request proves all of its parts sound. A
+ * part is quarantined after an end in a trial, that is, in the only run with
+ * the part at that time. An end under a quarantined part accuses no other.
+ */
+export class PartLedger {
+  private readonly records = new Map<string, PartRecord>();
+  private readonly cases = new Map<string, EndCase>();
+  private readonly changeListeners: Array<(part: string) => void> = [];
+  private readonly quarantineListeners: Array<(part: string) => void> = [];
+
+  /**
+   * @param clock - measures ages.
+   * @param logger - receives a line for each change of a part's standing.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Number of parts with a record. */
+  get size(): number {
+    return this.records.size;
+  }
+
+  /** @param listener - called with each part whose record changed. */
+  onChange(listener: (part: string) => void): void {
+    this.changeListeners.push(listener);
+  }
+
+  /** @param listener - called with each part that is quarantined. */
+  onQuarantined(listener: (part: string) => void): void {
+    this.quarantineListeners.push(listener);
+  }
+
+  /**
+   * Returns how a part is treated.
+   *
+   * @param part - digest of the part.
+   */
+  standingOf(part: string): Standing {
+    const record = this.records.get(part);
+    return record?.standingAt(this.clock.now()) ?? STANDING.clear;
+  }
+
+  /**
+   * Returns the remaining time of a part's quarantine, in milliseconds.
+   *
+   * @param part - digest of the part.
+   */
+  quarantineLeftMs(part: string): number {
+    const untilMs = this.records.get(part)?.quarantinedUntilMs ?? -Infinity;
+    return Math.max(0, untilMs - this.clock.now());
+  }
+
+  /**
+   * Records the end of a process, or further runs that ended with it.
+   *
+   * @param end - the report of one host.
+   */
+  recordEnd(end: TargetEnd): void {
+    const key = `${end.target} ${end.startedMs}`;
+    let known = this.cases.get(key);
+    if (known === undefined) {
+      known = {
+        firstMs: this.clock.now(),
+        end: {...end, runs: []},
+        accused: new Map(),
+        isExplained: false,
+        timer: this.clock.after(GATHER_MS, () => this.judge(known!)),
+      };
+      this.cases.set(key, known);
+    }
+    known.end.runs.push(...end.runs);
+    this.judge(known);
+  }
+
+  /**
+   * Records that a target answered a request with a part.
+   *
+   * @param part - digest of the part.
+   * @param begunAgoMs - time since the target began the answer.
+   * @param isOwn - whether this host received the answer.
+   */
+  recordAnswer(part: string, begunAgoMs: number, isOwn: boolean): void {
+    const record = this.records.get(part);
+    if (record === undefined) return;
+    const begunMs = this.clock.now() - begunAgoMs;
+    const marginMs = isOwn ? 0 : MESSAGE_DELAY_MS;
+    if (begunMs > record.lastEndMs + marginMs) {
+      this.remove(record, 'answered');
+    } else if (begunMs - marginMs > record.answeredMs) {
+      const before = this.standingOf(part);
+      record.answeredMs = begunMs - marginMs;
+      this.reportChange(record, before);
+    }
+  }
+
+  /**
+   * Reserves the trial of all suspect parts of a request, if none of them and
+   * no other part is tried at the same target.
+   *
+   * @param trial - the request and its target.
+   * @returns the suspect parts; undefined if the request may not be sent now.
+   */
+  tryStartTrial({parts, requestId, target}: Trial): string[] | undefined {
+    if (parts.some(part => this.isQuarantined(part))) return undefined;
+    const nowMs = this.clock.now();
+    const suspects = new Set(this.suspectsOf(parts));
+    for (const record of this.records.values()) {
+      const {trial} = record;
+      if (trial === undefined || trial.untilMs <= nowMs) continue;
+      if (trial.requestId === requestId) continue;
+      if (suspects.has(record) || trial.target === target) return undefined;
+    }
+    const untilMs = nowMs + TRIAL_TIMEOUT_MS;
+    for (const record of suspects) record.trial = {requestId, target, untilMs};
+    return [...suspects].map(({part}) => part);
+  }
+
+  /**
+   * Ends a trial, whatever its result.
+   *
+   * @param trial - the request and its target.
+   */
+  endTrial({parts, requestId}: Trial): void {
+    for (const part of parts) {
+      const record = this.records.get(part);
+      if (record?.trial?.requestId === requestId) record.trial = undefined;
+    }
+  }
+
+  /** Returns the time since the last end under a part, in milliseconds. */
+  lastEndAgoMs(part: string): number {
+    const lastEndMs = this.records.get(part)?.lastEndMs ?? -Infinity;
+    return this.clock.now() - lastEndMs;
+  }
+
+  /**
+   * Returns the state of a part; its number of ends is 0 if nothing is known.
+   *
+   * @param part - digest of the part.
+   */
+  stateOf(part: string): PartState {
+    const record = this.records.get(part) ?? new PartRecord(part);
+    return record.toState(this.clock.now());
+  }
+
+  /** Returns the states of all parts with a record. */
+  states(): PartState[] {
+    const nowMs = this.clock.now();
+    return [...this.records.values()].map(record => record.toState(nowMs));
+  }
+
+  /**
+   * Applies the decisions of the host that decides for all.
+   *
+   * @param states - states of parts; one without ends and quarantine clears a
+   *     part.
+   * @param isComplete - whether parts that are missing are clear.
+   */
+  applyDecisions(states: readonly PartState[], isComplete: boolean): void {
+    const listed = new Set<string>();
+    for (const state of states) {
+      listed.add(state.part);
+      this.applyState(state);
+    }
+    if (!isComplete) return;
+    for (const record of [...this.records.values()]) {
+      if (!listed.has(record.part)) this.remove(record, 'not listed');
+    }
+  }
+
+  /**
+   * Adds evidence of another host. Nothing that is known here is lost.
+   *
+   * @param states - states of parts.
+   */
+  mergeEvidence(states: readonly PartState[]): void {
+    const nowMs = this.clock.now();
+    for (const state of states) {
+      const known = this.records.get(state.part);
+      const leftMs = (known?.quarantinedUntilMs ?? -Infinity) - nowMs;
+      const isStronger =
+        known === undefined ||
+        state.quarantineLeftMs > Math.max(0, leftMs) ||
+        (leftMs <= 0 && state.ends > known.ends);
+      if (isStronger) this.applyState(state);
+    }
+  }
+
+  /**
+   * Quarantines a part, as an operator asks for.
+   *
+   * @param part - digest of the part.
+   * @param forMs - duration in milliseconds.
+   */
+  setQuarantine(part: string, forMs: number): void {
+    const record = this.recordOf(part);
+    const before = this.standingOf(part);
+    record.ends = Math.max(1, record.ends);
+    record.lastEndMs = this.clock.now();
+    this.quarantine(record, before, forMs);
+  }
+
+  /**
+   * Forgets all evidence against a part.
+   *
+   * @param part - digest of the part.
+   * @param reason - why, for the log.
+   */
+  clear(part: string, reason: string): void {
+    const record = this.records.get(part);
+    if (record !== undefined) this.remove(record, reason);
+  }
+
+  /** Forgets evidence that is too old. */
+  prune(): void {
+    const nowMs = this.clock.now();
+    for (const [key, {firstMs, timer}] of this.cases) {
+      if (nowMs - firstMs <= END_LIFETIME_MS) continue;
+      timer.cancel();
+      this.cases.delete(key);
+    }
+    for (const record of [...this.records.values()]) {
+      const newestMs = Math.max(record.lastEndMs, record.quarantinedUntilMs);
+      if (nowMs - newestMs > SUSPICION_LIFETIME_MS)
+        this.remove(record, 'expired');
+    }
+  }
+
+  /** Accuses the parts that the known runs of an ended process point to. */
+  private judge(endCase: EndCase): void {
+    const {end, accused} = endCase;
+    if (endCase.isExplained) return;
+    const begun = end.runs.filter(run => run.hasBegun);
+    endCase.isExplained = begun.some(run => this.explains(end, run));
+    const isGathered = this.clock.now() - endCase.firstMs >= GATHER_MS;
+    const waiting = isGathered ? end.runs : [];
+    const candidates = begun.length > 0 ? begun : waiting;
+    const parts = new Set(
+      endCase.isExplained ? [] : candidates.flatMap(run => run.parts),
+    );
+    for (const [part, accusation] of accused) {
+      if (!parts.has(part)) this.withdraw(endCase, part, accusation);
+    }
+    for (const part of parts) {
+      if (!accused.has(part)) this.accuse(endCase, part);
+    }
+  }
+
+  /** Checks whether a run caused the end, and quarantines the part if so. */
+  private explains(end: TargetEnd, run: RunAtEnd): boolean {
+    if (run.parts.some(part => this.isQuarantined(part))) return true;
+    let worst: PartRecord | undefined;
+    // Of equally suspect parts the last is the one that fewest requests share.
+    for (const record of this.suspectsOf(run.tried)) {
+      if (record.ends >= (worst?.ends ?? 0)) worst = record;
+    }
+    if (worst === undefined) return false;
+    worst.lastEndMs = this.clock.now();
+    worst.ends += 1;
+    worst.recordTarget(end.target);
+    this.quarantine(worst, STANDING.suspect);
+    return true;
+  }
+
+  private accuse({accused, end}: EndCase, part: string): void {
+    const record = this.recordOf(part);
+    const before = this.standingOf(part);
+    const nowMs = this.clock.now();
+    const previousEndMs = record.lastEndMs;
+    const wasCounted = nowMs - previousEndMs >= ENDS_APART_MS;
+    if (wasCounted) record.ends += 1;
+    record.lastEndMs = nowMs;
+    record.recordTarget(end.target);
+    accused.set(part, {wasCounted, atMs: nowMs, previousEndMs});
+    if (record.ends >= QUARANTINE_ENDS) this.quarantine(record, before);
+    else this.reportChange(record, before);
+  }
+
+  private withdraw(
+    {accused}: EndCase,
+    part: string,
+    {atMs, previousEndMs, wasCounted}: Accusation,
+  ): void {
+    accused.delete(part);
+    const record = this.records.get(part);
+    // The part was answered in between, or accused again.
+    if (record?.lastEndMs !== atMs) return;
+    const before = this.standingOf(part);
+    record.lastEndMs = previousEndMs;
+    if (wasCounted) record.ends -= 1;
+    if (record.ends === 0 && record.quarantineCount === 0)
+      this.remove(record, 'another part explains the end');
+    else this.reportChange(record, before);
+  }
+
+  private quarantine(
+    record: PartRecord,
+    before: Standing,
+    forMs = quarantineMs(record.quarantineCount),
+  ): void {
+    if (before === STANDING.quarantined) return;
+    record.quarantineCount += 1;
+    record.quarantinedUntilMs = this.clock.now() + forMs;
+    record.trial = undefined;
+    this.reportChange(record, before);
+  }
+
+  private applyState(state: PartState): void {
+    if (state.ends === 0 && state.quarantineLeftMs === 0) {
+      this.clear(state.part, 'cleared by the deciding host');
+      return;
+    }
+    const before = this.standingOf(state.part);
+    const record = this.recordOf(state.part);
+    record.applyState(state, this.clock.now());
+    this.reportChange(record, before);
+  }
+
+  private isQuarantined(part: string): boolean {
+    return this.standingOf(part) === STANDING.quarantined;
+  }
+
+  private suspectsOf(parts: readonly string[]): PartRecord[] {
+    const nowMs = this.clock.now();
+    const suspects: PartRecord[] = [];
+    for (const part of parts) {
+      const record = this.records.get(part);
+      if (record?.standingAt(nowMs) === STANDING.suspect) suspects.push(record);
+    }
+    return suspects;
+  }
+
+  private recordOf(part: string): PartRecord {
+    let record = this.records.get(part);
+    if (record === undefined) {
+      if (this.records.size >= MAX_PARTS) this.dropWeakest();
+      record = new PartRecord(part);
+      this.records.set(part, record);
+    }
+    return record;
+  }
+
+  /** Drops a part that is not quarantined if there is one, else the oldest. */
+  private dropWeakest(): void {
+    let weakest: PartRecord | undefined;
+    for (const record of this.records.values()) {
+      const isWeaker =
+        weakest === undefined ||
+        record.quarantinedUntilMs < weakest.quarantinedUntilMs ||
+        (record.quarantinedUntilMs === weakest.quarantinedUntilMs &&
+          record.lastEndMs < weakest.lastEndMs);
+      if (isWeaker) weakest = record;
+    }
+    if (weakest !== undefined) this.remove(weakest, 'too many parts');
+  }
+
+  private remove(record: PartRecord, reason: string): void {
+    const before = this.standingOf(record.part);
+    this.records.delete(record.part);
+    const {part, ends} = record;
+    if (before === STANDING.suspect || before === STANDING.quarantined)
+      this.logger.info('part_released', {part, was: before, ends, reason});
+    for (const listener of this.changeListeners) listener(part);
+  }
+
+  private reportChange(record: PartRecord, before: Standing): void {
+    const {part, ends, targets} = record;
+    const standing = this.standingOf(part);
+    const isRestricted =
+      standing === STANDING.suspect || standing === STANDING.quarantined;
+    if (standing !== before && isRestricted) {
+      this.logger.info('part_standing', {
+        part,
+        standing,
+        was: before,
+        ends,
+        targets: targets.join(','),
+        for_ms: Math.round(this.quarantineLeftMs(part)) || undefined,
+      });
+    }
+    for (const listener of this.changeListeners) listener(part);
+    const isNew = standing === STANDING.quarantined && before !== standing;
+    if (!isNew) return;
+    for (const listener of this.quarantineListeners) listener(part);
+  }
+}
+
+function quarantineMs(earlierCount: number): number {
+  const doubled = FIRST_QUARANTINE_MS * 2 ** earlierCount;
+  return Math.min(MAX_QUARANTINE_MS, doubled);
+}
--- a/packages/core/src/lib/requests/outcome.ts
+++ b/packages/core/src/lib/requests/outcome.ts
@@ -15,6 +15,8 @@
   logUnavailable: 'log-unavailable',
   keyWithdrawn: 'key-withdrawn',
   stopping: 'stopping',
+  /** Targets crashed on requests of the same kind. */
+  quarantined: 'quarantined',
 } as const;
 
 /** One of {@link REFUSAL}. */
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -27,6 +27,7 @@
     team: 'team',
     service: 'engines',
     model: 'm1',
+    parts: [],
     targets: ['t1'],
     configVersion: 1,
     configAgeMs: 20,
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -39,6 +39,13 @@
   UnservedOutcome,
   refuse,
 } from '../../lib/requests/outcome.js';
+import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
+import {AnsweredParts} from '../../lib/quarantine/answered_parts.js';
+import {PartLedger} from '../../lib/quarantine/part_ledger.js';
+import {PromptGuard} from '../../lib/quarantine/prompt_guard.js';
+import {QuarantineExchange} from '../../lib/quarantine/quarantine_exchange.js';
+import {TargetEndDetector} from '../../lib/quarantine/target_end_detector.js';
+import {SilentLogger} from '../../lib/telemetry/logger.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
@@ -127,6 +134,8 @@
 /** Returns the given results one after the other and records the sends. */
 export class FakePort extends TargetPort<FakeCaller> {
   readonly sent: Array<{target: string; options: SendOptions}> = [];
+  /** Ids of the targets whose process has ended. */
+  readonly ended = new Set<string>();
 
   constructor(
     private readonly clock: ManualClock,
@@ -145,6 +154,39 @@
     if (behavior === undefined) return {type: 'lost', reason: 'not played'};
     return behavior(options, this.clock);
   }
+
+  override async isListening({
+    registration,
+  }: KnownTarget): Promise<boolean | undefined> {
+    return !this.ended.has(registration.id);
+  }
+}
+
+/** Returns a guard of a host that is alone. */
+function lonePromptGuard(
+  clock: ManualClock,
+  port: FakePort,
+  ledger: PartLedger,
+): PromptGuard {
+  const logger = new SilentLogger();
+  const self = {host: 'h', zone: 'z', incarnation: 'h-1'};
+  const random = new Random(1);
+  const exchange = new QuarantineExchange({
+    clock,
+    random,
+    network: new MemoryHub(clock, random).join(self),
+    ledger,
+    answered: new AnsweredParts(clock),
+    decidingHost: () => self,
+    hostCount: () => 1,
+  });
+  const detector = new TargetEndDetector({
+    clock,
+    logger,
+    isListening: target => port.isListening(target),
+    report: end => exchange.reportEnd(end),
+  });
+  return new PromptGuard({clock, ledger, exchange, detector});
 }
 
 class UnlimitedSource extends TokenLoanClient {
@@ -223,6 +265,7 @@
   targets: TargetTable;
   port: FakePort;
   retries: RetryAllowance;
+  ledger: PartLedger;
   observer: RecordingObserver;
   relay: Relay<FakeCaller, AnswerHead>;
   /** Runs a request until it is answered or the time limit is reached. */
@@ -261,6 +304,7 @@
     tokens: 0,
     windowMs: 1_000,
   });
+  const ledger = new PartLedger(clock, new SilentLogger());
   const maxSaved = options.retries ?? 10;
   const retries = new RetryAllowance({
     clock,
@@ -277,6 +321,7 @@
     quotas,
     retries,
     models: options.models?.(clock, targets) ?? new NoModels(clock),
+    prompts: lonePromptGuard(clock, port, ledger),
     observer,
     zone: 'a',
   });
@@ -294,6 +339,7 @@
     targets,
     port,
     retries,
+    ledger,
     observer,
     relay,
     run,
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -2,6 +2,7 @@
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
 import {BODY_END, NOT_RUN, SendResult} from '../../lib/gateway/target_port.js';
 import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
+import {digestParts} from '../../lib/quarantine/part_digest.js';
 import {FAILURE, REFUSAL} from '../../lib/requests/outcome.js';
 import {
   ENGINE_SERVICE,
@@ -442,3 +443,114 @@
     expect(end.parts[0]).to.match(/^[0-9a-f]{16}$/);
   });
 });
+
+describe('Relay: requests that crash targets', () => {
+  const route = routeRule({
+    kind: REQUEST_KIND.stream,
+    isResumable: true,
+    maxTargets: 5,
+  });
+
+  /** Ends the process of the target after the head of an answer. */
+  function crash(world: () => RelayWorld): TargetBehavior {
+    return () => {
+      const {port} = world();
+      port.ended.add(port.sent.at(-1)!.target);
+      return answer(200, [], BODY_END.broken);
+    };
+  }
+
+  function callerWith(world: RelayWorld, ...parts: string[]): FakeCaller {
+    const caller = new FakeCaller(world.clock);
+    caller.sharedParts = parts;
+    return caller;
+  }
+
+  it('does not send a request to a third target after two ended under it', async () => {
+    const plays = Array.from({length: 5}, () => crash(() => world));
+    const world: RelayWorld = relayWorld({
+      route,
+      behaviors: plays,
+      targetCount: 6,
+    });
+    const caller = callerWith(world);
+    await world.run(caller);
+    expect(world.port.sent).to.have.lengthOf(2);
+    expect(caller.refusal).to.equal(undefined);
+    expect(caller.isAborted).to.equal(true);
+  });
+
+  it('continues a stream that had begun when its target ended, without a trial', async () => {
+    const world: RelayWorld = relayWorld({
+      route,
+      behaviors: [
+        async ({signal}, clock) => ({
+          type: 'answered',
+          answer: {
+            head: {status: 200},
+            signals: NO_SIGNALS,
+            read: async sink => {
+              await sink(Buffer.from(event(1)));
+              await clock.sleep(400, signal);
+              await sink(Buffer.from(event(2)));
+              world.port.ended.add(world.port.sent[0].target);
+              return BODY_END.broken;
+            },
+            discard: () => {},
+          },
+        }),
+        () => answer(200, [event(3)]),
+      ],
+    });
+    const caller = callerWith(world, 'p');
+    await world.run(caller);
+    expect(caller.body).to.equal(event(1) + event(2) + event(3));
+    expect(world.ledger.size).to.equal(0);
+  });
+
+  it('quarantines the part of a request that ends its trial as well', async () => {
+    const plays = Array.from({length: 5}, () => crash(() => world));
+    const world: RelayWorld = relayWorld({
+      route,
+      behaviors: plays,
+      targetCount: 6,
+    });
+    await world.run(callerWith(world, 'bad'));
+    expect(world.port.sent).to.have.lengthOf(2);
+    const next = callerWith(world, 'other', 'bad');
+    const startMs = world.clock.now();
+    await world.run(next);
+    expect(next.refusal?.reason).to.equal(REFUSAL.quarantined);
+    expect(next.refusal?.retryAfterMs).to.be.above(1_000);
+    expect(world.clock.now() - startMs).to.be.below(50);
+    expect(world.port.sent).to.have.lengthOf(2);
+  });
+
+  it('sends a sound request again after another one has ended its target', async () => {
+    const world: RelayWorld = relayWorld({
+      route,
+      behaviors: [crash(() => world), () => answer(200, [event(1)])],
+    });
+    const caller = callerWith(world, 'sound');
+    await world.run(caller);
+    expect(caller.body).to.equal(event(1));
+    expect(world.ledger.size).to.equal(0);
+  });
+
+  it('withdraws a waiting request once its part is quarantined', async () => {
+    const world = relayWorld({route, behaviors: [silent]});
+    const caller = callerWith(world, 'bad');
+    const handled = world.relay.handle(caller);
+    await world.clock.advance(100);
+    expect(world.port.sent).to.have.lengthOf(1);
+    world.ledger.setQuarantine('irrelevant', 60_000);
+    await world.clock.advance(100);
+    expect(caller.failure).to.equal(undefined);
+    const [digest] = digestParts(route.shares[0].service, ['bad']);
+    world.ledger.setQuarantine(digest, 60_000);
+    await world.clock.advance(100);
+    await handled;
+    expect(caller.failure?.type).to.equal('failed');
+    expect(world.port.sent).to.have.lengthOf(1);
+  });
+});
--- a/packages/daemon/src/lib/http_outcome.ts
+++ b/packages/daemon/src/lib/http_outcome.ts
@@ -27,6 +27,7 @@
   [REFUSAL.logUnavailable]: 503,
   [REFUSAL.keyWithdrawn]: 401,
   [REFUSAL.stopping]: 503,
+  [REFUSAL.quarantined]: 503,
 };
 
 /** Body of the response to an unserved request. */
