Keep the quarantine in the platform's store

A host that starts while no other is up, or after all were killed, knew nothing of parts that crash targets, and the crashes began anew. The deciding host now writes what is quarantined to a keyed topic, and each host reads it, or learns it from the deciding host, before it is ready. Hosts that hear no deciding host write and read it too, so that those of a zone that is cut off but reaches the store share what they know.

Calls: one read a start, one a takeover, one write a change, one read a second of a host that has evidence and hears no holder. When Store-Era rises, the store has come back from an older copy: the topic is read and what it lacks is written again.

--- /dev/null
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -0,0 +1,133 @@
+/** Keeps the quarantine in an archive. @packageDocumentation */
+
+import {Logger} from '../telemetry/logger.js';
+import {Clock} from '../time/clock.js';
+import {PartLedger} from './part_ledger.js';
+import {PartState} from './part_record.js';
+import {QuarantineArchive} from './quarantine_archive.js';
+
+/** Interval of checks for states to store. */
+const CHECK_INTERVAL_MS = 500;
+
+/** Delay after a failed call; each call to the archive is priced. */
+const RETRY_DELAY_MS = 1_000;
+
+/** Interval of reads of a host that hears no deciding host. */
+const LONE_READ_INTERVAL_MS = 1_000;
+
+/** Dependencies of a {@link QuarantineKeeper}. */
+export interface QuarantineKeeperParts {
+  clock: Clock;
+  logger: Logger;
+  ledger: PartLedger;
+  archive: QuarantineArchive;
+  /** Whether this host has learned the states from a deciding host. */
+  hasExchanged: () => boolean;
+  /** Whether this host decides for all. */
+  isDeciding: () => boolean;
+  /** Whether another host decides and is heard. */
+  isGuided: () => boolean;
+}
+
+/**
+ * Reads the archive when the host starts, and writes what is quarantined while
+ * the host decides for all or for itself. A host without a deciding host also
+ * learns from the archive what others in its place have written.
+ */
+export class QuarantineKeeper {
+  /** Quarantines in the archive by part; undefined if not known. */
+  private stored: Map<string, number> | undefined;
+  private storedEra: number | undefined;
+  private lastReadMs = -Infinity;
+  private hasRead = false;
+
+  /** @param parts - see {@link QuarantineKeeperParts}. */
+  constructor(private readonly parts: QuarantineKeeperParts) {}
+
+  /** Whether the host knows what was quarantined before it started. */
+  get isInformed(): boolean {
+    return this.hasRead || this.parts.hasExchanged();
+  }
+
+  /**
+   * Reads and writes the archive until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      const isDone = await this.update(signal);
+      await clock.sleep(isDone ? CHECK_INTERVAL_MS : RETRY_DELAY_MS, signal);
+    }
+  }
+
+  /** Makes the calls that are due; returns whether none failed. */
+  private async update(signal: AbortSignal): Promise<boolean> {
+    const {archive, isDeciding, isGuided, ledger} = this.parts;
+    if (!this.isInformed) return this.read(signal);
+    if (isGuided()) {
+      this.stored = undefined;
+      return true;
+    }
+    const hasForgotten = archive.era !== this.storedEra;
+    if (hasForgotten) this.stored = undefined;
+    if (ledger.size === 0 && this.stored === undefined && !isDeciding())
+      return true;
+    const isReadDue = !isDeciding() && this.isLoneReadDue;
+    if (this.stored === undefined || isReadDue) {
+      if (!(await this.read(signal))) return false;
+    }
+    return this.write(signal);
+  }
+
+  private get isLoneReadDue(): boolean {
+    const ageMs = this.parts.clock.now() - this.lastReadMs;
+    return ageMs >= LONE_READ_INTERVAL_MS;
+  }
+
+  private async read(signal: AbortSignal): Promise<boolean> {
+    const {archive, clock, ledger, logger} = this.parts;
+    this.lastReadMs = clock.now();
+    const states = await archive.read(signal);
+    if (states.isErr()) return false;
+    this.stored = new Map(
+      states.value.map(({part, quarantineCount}) => [part, quarantineCount]),
+    );
+    this.storedEra = archive.era;
+    if (!this.hasRead)
+      logger.info('quarantine_read', {parts: states.value.length});
+    this.hasRead = true;
+    ledger.mergeEvidence(states.value);
+    return true;
+  }
+
+  private async write(signal: AbortSignal): Promise<boolean> {
+    const {archive, ledger, logger} = this.parts;
+    const {stored} = this;
+    if (stored === undefined) return true;
+    const changed: PartState[] = [];
+    const kept = new Set<string>();
+    for (const state of ledger.states()) {
+      if (state.quarantineCount === 0) continue;
+      kept.add(state.part);
+      if (stored.get(state.part) !== state.quarantineCount) changed.push(state);
+    }
+    for (const part of stored.keys()) {
+      if (!kept.has(part)) changed.push(ledger.stateOf(part));
+    }
+    if (changed.length === 0) return true;
+    const written = await archive.write(changed, signal);
+    if (written.isErr()) {
+      // The states may have been stored all the same.
+      this.stored = undefined;
+      return false;
+    }
+    for (const {part, quarantineCount} of changed) {
+      if (quarantineCount === 0) stored.delete(part);
+      else stored.set(part, quarantineCount);
+    }
+    logger.info('quarantine_stored', {parts: changed.length});
+    return true;
+  }
+}
--- a/packages/local-cluster/src/test/platform/crashing_part_test.ts
+++ b/packages/local-cluster/src/test/platform/crashing_part_test.ts
@@ -104,3 +104,54 @@
     expect(served.length / late.length).to.be.at.least(MIN_SOUND_SERVED);
   });
 });
+
+describe('GatewayHosts after their quarantine was stored', () => {
+  let world: PlatformWorld;
+  const headers = {
+    'x-fuchsiacleat-model': 'm1',
+    'x-fuchsiacleat-token-count': '100,20',
+    'x-fuchsiacleat-prompt-prefix': `${CRASHING}:40,00:10`,
+  };
+
+  beforeEach(async () => {
+    world = await PlatformWorld.start(2, ENGINES);
+    for (const engine of world.engines) {
+      engine.crashingPart = CRASHING;
+      engine.onRestart = () => world.registerTargets();
+    }
+    await world.until(() => world.hosts.some(host => host.canOrder));
+    while (!isQuarantined(await call())) await pause(50);
+    await world.until(() => storedParts().length === 1);
+  });
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  const call = () =>
+    world
+      .call(ROUTE_PATH.stream, {headers})
+      .catch(() => ({status: 0, headers: {}, body: ''}));
+
+  const isQuarantined = ({status, body}: {status: number; body: string}) =>
+    status === 503 && body.includes('quarantined');
+
+  const storedParts = () => world.store.keysOf('keyed.quarantine');
+
+  const countCrashes = () =>
+    world.engines.reduce((sum, engine) => sum + engine.crashesMs.length, 0);
+
+  it('refuse the part after all of them were killed', async () => {
+    const crashes = countCrashes();
+    await world.restartHosts();
+    await world.until(() => world.hosts.every(host => host.isReady));
+    expect(isQuarantined(await call())).to.equal(true);
+    expect(countCrashes()).to.equal(crashes);
+  });
+
+  it('store it again after the store came back from an older copy', async () => {
+    world.store.forget(['keyed.quarantine'], 1);
+    expect(storedParts()).to.have.lengthOf(0);
+    await world.until(() => storedParts().length === 1);
+  });
+});
--- a/packages/standins/src/lib/platform/platform_store_standin.ts
+++ b/packages/standins/src/lib/platform/platform_store_standin.ts
@@ -29,6 +29,7 @@
   /** Number of calls by path. */
   readonly callCounts = new Map<string, number>();
   private readonly topics = new Map<string, Topic>();
+  private era = 1;
 
   constructor(options: StandinOptions = {}) {
     super(options);
@@ -38,6 +39,7 @@
         (this.callCounts.get(c.req.path) ?? 0) + 1,
       );
       await next();
+      c.header('store-era', String(this.era));
     });
     this.app.get('/log-read', c => this.read(c));
     this.app.get('/log-newest', c => this.newest(c));
@@ -61,6 +63,11 @@
     this.topic(topic).records.push(record);
   }
 
+  /** Returns the keys of a keyed topic that have a value. */
+  keysOf(topic: string): string[] {
+    return [...this.newestValues(topic).keys()];
+  }
+
   /** Drops all records of a topic, but keeps the newest value of each key. */
   compact(topic: string): void {
     const state = this.topic(topic);
@@ -70,6 +77,18 @@
     state.records = [];
   }
 
+  /**
+   * Loses the newest records of topics, as a store does that comes back from an
+   * older copy.
+   *
+   * @param names - the topics.
+   * @param count - number of records that each of them loses.
+   */
+  forget(names: readonly string[], count: number): void {
+    for (const name of names) this.topic(name).records.splice(-count);
+    this.era += 1;
+  }
+
   /** Newest values of the keys in compacted topics, by topic and key. */
   private readonly snapshots = new Map<string, Map<string, Buffer>>();
 
