Refuse models that the configuration does not have instead of crashing the lease holder

What callers saw: a stream request with a valid key and an unknown model reset its connection; the host that holds the order lease ended with a TypeError in ResidencyAccount.loadEstimate, whichever host the request had come to.

Cause: the planner took for granted that the configuration has each model it is asked for. Other hosts ask with their own version of the configuration, and a model may be removed while requests wait for its load or its swap is queued, so the same happened without a wrong request. Class: a request that ends a host, one step nearer to the caller than one that ends its target.

Change: the planner refuses such requests at once, weights and load times of unknown models are infinite as their size was, and a host refuses them itself as not run without asking the holder.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -16,7 +16,12 @@
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
-import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
+import {
+  EngineConfig,
+  REQUEST_KIND,
+  RouteRule,
+  TeamConfig,
+} from './deployment.js';
 import {Freshness} from './freshness.js';
 import {ModelFinder} from './model_finder.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
@@ -295,7 +300,7 @@
   ): Promise<Result<KnownTarget, Refusal>> {
     const {clock, models, targets} = this.parts;
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
-    const isEngine = this.isEngineService(call);
+    const engine = this.engineOf(call);
     for (;;) {
       const options = {
         zone: this.parts.zone,
@@ -304,7 +309,9 @@
       };
       const all = targets.ofService(call.service);
       const {demand} = req;
-      const needsModel = isEngine && demand !== undefined;
+      const needsModel = engine !== undefined && demand !== undefined;
+      if (needsModel && !engine.models.has(demand.model))
+        return err(noCapacityRefusal('the configuration has no such model'));
       const candidates = needsModel
         ? all.filter(target => target.holds(demand.model, demand.adapter))
         : all;
@@ -353,9 +360,9 @@
     return avoided;
   }
 
-  private isEngineService(call: RelayCall<Req>): boolean {
+  private engineOf(call: RelayCall<Req>): EngineConfig | undefined {
     const {deployment} = this.parts.state.current!;
-    return deployment.services.get(call.service)?.engine !== undefined;
+    return deployment.services.get(call.service)?.engine;
   }
 
   /**
--- a/packages/core/src/lib/residency/account_registry.ts
+++ b/packages/core/src/lib/residency/account_registry.ts
@@ -84,6 +84,16 @@
     this.accounts.clear();
   }
 
+  /**
+   * Returns the engine of a service; undefined if the configuration has none.
+   *
+   * @param service - name of the service.
+   */
+  engineOf(service: string): EngineConfig | undefined {
+    const services = this.parts.state.current?.deployment.services;
+    return services?.get(service)?.engine;
+  }
+
   /** Returns the engines of the configuration, by service. */
   engines(): Map<string, EngineConfig> {
     const engines = new Map<string, EngineConfig>();
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -149,6 +149,17 @@
     return facts.weightsMb + adapters * facts.adapterMb;
   }
 
+  /**
+   * Returns the size of a model's weights.
+   *
+   * @param model - name of the model.
+   * @returns megabytes; infinite for a model that the configuration no longer
+   *     has.
+   */
+  weightsMbOf(model: string): number {
+    return this.engine.models.get(model)?.weightsMb ?? Infinity;
+  }
+
   /** Adapter slots used, including those of adapters being loaded. */
   get adapterCount(): number {
     let count = 0;
@@ -216,10 +227,12 @@
 
   /**
    * Returns the expected time of a load of a model on this target, and whether
-   * the weights come from the weight store.
+   * the weights come from the weight store. A model that the configuration does
+   * not have, or no longer has, is never loaded.
    */
   loadEstimate(model: string): {loadMs: number; fromStore: boolean} {
-    const facts = this.engine.models.get(model)!;
+    const facts = this.engine.models.get(model);
+    if (facts === undefined) return {loadMs: Infinity, fromStore: true};
     const {inMemory, onDisk} = this.target.registration;
     if (inMemory.includes(model)) {
       return {loadMs: facts.memoryLoadMs, fromStore: false};
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -286,9 +286,14 @@
     accounts: readonly ResidencyAccount[],
     canStart: boolean,
   ): void {
-    const {clock} = this.parts;
+    const {clock, registry} = this.parts;
     const nowMs = clock.now();
     const {model, adapter} = waiter.request;
+    if (!registry.engineOf(service)?.models.has(model)) {
+      const refusal = {retryAfterMs: RETRY_AFTER_MS, isFinal: true};
+      this.waitQueue.refuse(waiter, refusal);
+      return;
+    }
     const shouldSkipTried = nowMs - waiter.sinceMs < RETRY_TRIED_TARGET_MS;
     const holders = accounts.filter(
       account =>
@@ -424,7 +429,7 @@
   private startSwap(model: string, service: string): void {
     const {lease, logger} = this.parts;
     if (!lease.canOrder) return;
-    const engine = this.parts.registry.engines().get(service);
+    const engine = this.parts.registry.engineOf(service);
     if (engine === undefined || !engine.models.has(model)) return;
     const round = this.roundOf(service);
     const {storeLoads} = this;
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -110,7 +110,7 @@
   round: PlanRound,
 ): EvictionPlan | undefined {
   const {engine} = account;
-  const neededMb = engine.models.get(model)!.weightsMb;
+  const neededMb = account.weightsMbOf(model);
   let freeMb = engine.weightsMb - account.usedMb;
   const plan: EvictionPlan = {victims: [], drainMs: 0, cost: 0};
   if (freeMb >= neededMb) return plan;
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -135,7 +135,7 @@
       await clock.sleep(UNLOAD_PAUSE_MS, signal);
     }
     const {loadMs} = account.loadEstimate(model);
-    const weightsMb = account.engine.models.get(model)!.weightsMb;
+    const weightsMb = account.weightsMbOf(model);
     if (account.usedMb + weightsMb > account.engine.weightsMb) return false;
     const resident = account.addResident(model, [], Infinity);
     const order = {verb: 'load', model, adapter: undefined} as const;
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -390,6 +390,16 @@
     expect(world.port.sent).to.have.lengthOf(0);
   });
 
+  it('refuses a model that the configuration does not have at once', async () => {
+    const world = relayWorld({route, behaviors: []});
+    const caller = new FakeCaller(world.clock);
+    caller.demand = {model: 'unknown', adapter: undefined};
+    const startMs = world.clock.now();
+    await world.run(caller);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.noCapacity);
+    expect(world.clock.now() - startMs).to.be.below(50);
+  });
+
   it('reports targets that lack the model or refuse the request to the finder', async () => {
     let finder: OneTarget | undefined;
     const world = relayWorld({
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -209,6 +209,7 @@
   readonly registry: AccountRegistry;
   readonly controller: ResidencyController;
   private readonly targets = new TargetTable(this.clock);
+  private readonly state = new DeploymentState();
 
   /**
    * @param held - models of each engine at the start.
@@ -220,10 +221,8 @@
     engine: EngineConfig = engineConfig(),
     onDisk: string[] = [...engine.models.keys()],
   ) {
-    const state = new DeploymentState();
-    const deployment = deploymentOf([]);
-    deployment.services.get(ENGINE_SERVICE)!.engine = engine;
-    state.applyIfNewer(deployment);
+    const {state} = this;
+    this.configure(1, engine);
     held.forEach((models, i) => {
       const id = `e${i + 1}`;
       const fake = new FakeEngine(this.clock, engine, new Set(onDisk));
@@ -274,6 +273,13 @@
     void this.controller.run(signal);
   }
 
+  /** Puts a configuration with the given facts of engines in force. */
+  configure(version: number, engine: EngineConfig): void {
+    const deployment = deploymentOf([], undefined, version);
+    deployment.services.get(ENGINE_SERVICE)!.engine = engine;
+    this.state.applyIfNewer(deployment);
+  }
+
   /** Marks the target of an engine as leaving. */
   announceLeaving(id: string): void {
     this.targets.markLeaving(id, targetRegistration().startedMs);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -39,6 +39,29 @@
     expect(world.port.orders).to.have.lengthOf(0);
   });
 
+  it('refuses a model that the configuration does not have', async () => {
+    const world = await startWorld([['m0', 'm1', 'm2']]);
+    const beganMs = world.clock.now();
+    const refusal = await world.settle(world.refusal('unknown', 5_000));
+    expect(refusal?.isFinal).to.equal(true);
+    expect(world.clock.now() - beganMs).to.be.at.most(20);
+    expect(await world.find('m1')).to.equal('e1');
+  });
+
+  it('survives that a model is removed while requests wait for its load', async () => {
+    const world = await startWorld([['m0', 'm1', 'm2']]);
+    world.report([], {m0: 5, m1: 3, m2: 1}, 400);
+    const waiting = world.refusal('m7', 20_000);
+    const {models, ...engine} = engineConfig();
+    const left = [...models].filter(([name]) => name !== 'm7' && name !== 'm2');
+    world.configure(2, {...engine, models: new Map(left)});
+    const refusal = await world.settle(waiting);
+    expect(refusal?.isFinal).to.equal(true);
+    await world.clock.advance(2_000);
+    expect(await world.find('m1')).to.equal('e1');
+    expect(await world.find('m5')).to.equal('e1');
+  });
+
   it('evicts an idle model without demand for a load from disk', async () => {
     const world = await startWorld([['m0', 'm1', 'm2']]);
     world.report([], {m0: 5, m1: 3}, 400);
--- a/packages/local-cluster/src/test/platform/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -104,6 +104,17 @@
     expect(world.engine.orders).to.deep.equal(['unload m1', 'load m2']);
   });
 
+  it('refuses an unknown model and keeps serving', async () => {
+    for (let i = 0; i < 3; i++) {
+      const headers = {'x-fuchsiacleat-model': 'none'};
+      const refused = await world.call(ROUTE_PATH.stream, {headers});
+      expect(refused.status).to.equal(503);
+    }
+    const headers = {'x-fuchsiacleat-model': 'm1'};
+    const served = await world.call(ROUTE_PATH.stream, {headers});
+    expect(served.status).to.equal(200);
+  });
+
   it('refuses a key after its withdrawal', async () => {
     expect((await world.call(ROUTE_PATH.once)).status).to.equal(200);
     world.publish(['another']);
