--- a/packages/cli/src/test/explain_test.ts
+++ b/packages/cli/src/test/explain_test.ts
@@ -48,7 +48,7 @@
 describe('explain', () => {
   it("prints the examples of the operators' page from their log lines", async () => {
     const all = await readExamples();
-    expect(all).to.have.lengthOf(3);
+    expect(all).to.have.lengthOf(4);
     for (const {lines, cause} of all) {
       const end = lines.find(line => line.includes('event=request '))!;
       const id = / id=(\w+)/.exec(end)![1];
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -68,6 +68,36 @@
     registers: [this.registry],
   });
 
+  /** Number of processes of targets that ended under requests of this host. */
+  readonly targetEnds = new Counter({
+    name: 'fuchsiacleat_gateway_target_ends_total',
+    help: 'Processes of targets that ended under requests of this host.',
+    registers: [this.registry],
+  });
+
+  /** Counts the restricted prompt parts by standing, when metrics are read. */
+  countRestrictedParts: () => Record<string, number> = () => ({});
+
+  /** Number of prompt parts that are restricted, by standing. */
+  readonly restrictedParts = new Gauge({
+    name: 'fuchsiacleat_gateway_restricted_parts',
+    help: 'Prompt parts under which targets ended, by standing.',
+    labelNames: ['standing'],
+    registers: [this.registry],
+    collect: () => {
+      const counts = Object.entries(this.countRestrictedParts());
+      for (const [standing, count] of counts)
+        this.restrictedParts.set({standing}, count);
+    },
+  });
+
+  /** Number of times that a prompt part was quarantined. */
+  readonly quarantines = new Counter({
+    name: 'fuchsiacleat_gateway_quarantines_total',
+    help: 'Prompt parts that this host has learned to be quarantined.',
+    registers: [this.registry],
+  });
+
   /** Number of calls to the platform's store. */
   readonly storeCalls = new Counter({
     name: 'fuchsiacleat_gateway_store_calls_total',
--- a/packages/core/src/lib/quarantine/part_ledger.ts
+++ b/packages/core/src/lib/quarantine/part_ledger.ts
@@ -215,6 +215,16 @@
     return record.toState(this.clock.now());
   }
 
+  /** Returns the number of parts by standing. */
+  countByStanding(): Record<Standing, number> {
+    const nowMs = this.clock.now();
+    const counts = {clear: 0, watched: 0, suspect: 0, quarantined: 0};
+    for (const record of this.records.values()) {
+      counts[record.standingAt(nowMs)] += 1;
+    }
+    return counts;
+  }
+
   /** Returns the states of all parts with a record. */
   states(): PartState[] {
     const nowMs = this.clock.now();
--- a/packages/core/src/lib/quarantine/prompt_guard.ts
+++ b/packages/core/src/lib/quarantine/prompt_guard.ts
@@ -70,7 +70,7 @@
     }
     if (leftMs === 0) return undefined;
     const message = 'targets crashed on a part of the prompt';
-    return refuse(REFUSAL.quarantined, message, leftMs);
+    return refuse(REFUSAL.quarantined, message, Math.ceil(leftMs));
   }
 
   /**
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -52,6 +52,15 @@
   'order',
 ]);
 
+/** Events about prompt parts, which are related if the request has the part. */
+const PART_EVENTS: ReadonlySet<string> = new Set([
+  'part_standing',
+  'part_released',
+]);
+
+/** Event of a check whether the process of a target has ended. */
+const END_CHECKED_EVENT = 'target_end_checked';
+
 /** Descriptions of the causes of refusals and failures, by reason. */
 const CAUSES_BY_REASON: Readonly<Record<string, string>> = {
   unauthenticated: 'the key is in no configuration that this host has',
@@ -60,6 +69,7 @@
   'no-capacity': 'no target could take it: see the waits and sends above',
   'config-too-old': 'the host had no recent word from the store',
   stopping: 'the host was stopping',
+  quarantined: 'targets crashed on a part of its prompt: see their ends above',
   deadline: 'its time ran out: see where it waited or was sent',
   'target-lost': 'a target took it and gave no whole answer',
   'bad-request': 'the request was malformed',
@@ -90,7 +100,12 @@
   const end = own.find(line => line.get('event') === 'request');
   const targets = new Set(own.flatMap(targetsOf));
   const related =
-    end === undefined ? [] : findRelatedLines(end, targets, parsed);
+    end === undefined
+      ? []
+      : [
+          ...findRelatedLines(end, targets, parsed),
+          ...findPartLines(end, parsed),
+        ];
   const lines = [...own, ...related].sort(byTime).map(formatLine);
   return {lines, cause: end && causeOf(end)};
 }
@@ -122,7 +137,34 @@
   });
 }
 
-/** Returns the targets that a line of a request names. */
+/**
+ * Returns what the host of a request knew about the parts of its prompt,
+ * however long ago, and the ends of targets that it refers to.
+ */
+function findPartLines(
+  end: ParsedLine,
+  parsed: readonly ParsedLine[],
+): ParsedLine[] {
+  const parts = new Set(end.get('parts')?.split(',') ?? []);
+  const untilMs = timeOf(end);
+  const earlier = parsed.filter(line => timeOf(line) <= untilMs);
+  const partLines = earlier.filter(
+    line =>
+      PART_EVENTS.has(line.get('event') ?? '') &&
+      line.get('host') === end.get('host') &&
+      parts.has(line.get('part') ?? ''),
+  );
+  const ended = new Set(partLines.flatMap(targetsOf));
+  const endLines = earlier.filter(
+    line =>
+      line.get('event') === END_CHECKED_EVENT &&
+      line.get('ended') === 'true' &&
+      ended.has(line.get('target') ?? ''),
+  );
+  return [...partLines, ...endLines];
+}
+
+/** Returns the targets that a line names. */
 function targetsOf(line: ParsedLine): string[] {
   const listed = line.get('targets')?.split(',') ?? [];
   const target = line.get('target');
