Treat a stream that ends inside an event as broken off

What callers saw: a stream whose target ended it with its connection, without a length or chunks, ended as if it were complete, though its last event was cut.

Cause: the client library takes the end of the connection for the end of such a body, and the relay passed on what was left in its buffer as the last event. Class: an end that only the framing tells apart, where there is no framing.

Change: the relay follows where events end; a stream of events that ends inside one is resumed at another target if its route allows, else the caller is reset. Error answers on stream routes, which are no events, pass as before.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -3,6 +3,7 @@
 import {Clock, Timer} from '../time/clock.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
+import {EventBoundary} from './event_boundary.js';
 import {RelayCall} from './relay_call.js';
 import {BODY_END, BodyEnd, TargetAnswer} from './target_port.js';
 
@@ -72,10 +73,12 @@
     const maxStallMs = Math.max(MIN_STREAM_STALL_MS, call.route.objectiveMs);
     const watchdog =
       splitter && new StallWatchdog(this.clock, answer, maxStallMs);
+    const boundary = new EventBoundary();
     this.sendHead(req, call, answer.head);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
       call.recordBytes();
+      boundary.push(chunk);
       if (splitter === undefined) return req.write(chunk);
       const {lastId} = splitter;
       const bytes = splitter.push(chunk);
@@ -86,6 +89,9 @@
     });
     watchdog?.stop();
     if (end !== BODY_END.complete) return end;
+    // The end of its connection may be all that ends a stream.
+    if (answer.head.isEventStream && boundary.isInsideEvent)
+      return BODY_END.broken;
     const remainingBytes = splitter?.flush();
     if (remainingBytes !== undefined && remainingBytes.length > 0)
       void req.write(remainingBytes);
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -15,11 +15,11 @@
   output: number;
 }
 
-/**
- * Head of a target's answer; everything but the status is up to the transport.
- */
+/** Head of a target's answer; everything else is up to the transport. */
 export interface AnswerHead {
   readonly status: number;
+  /** Whether the body is a stream of events. */
+  readonly isEventStream: boolean;
 }
 
 /**
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -120,7 +120,7 @@
   return {
     type: 'answered',
     answer: {
-      head: {status},
+      head: {status, isEventStream: chunks.some(text => text.includes('id:'))},
       signals,
       read: async sink => {
         for (const part of chunks) await sink(Buffer.from(part));
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -273,7 +273,7 @@
       return {
         type: 'answered',
         answer: {
-          head: {status: 200},
+          head: {status: 200, isEventStream: true},
           signals: NO_SIGNALS,
           read: async sink => {
             for (const part of chunks) {
@@ -363,6 +363,35 @@
     expect(world.port.sent[1].options.lastEventId).to.equal('2');
   });
 
+  it('resumes a stream whose connection ended inside an event', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(200, [event(1), event(2).slice(0, 9)]),
+      () => answer(200, [event(2)]),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(event(1) + event(2));
+    expect(caller.isEnded).to.equal(true);
+    expect(world.port.sent[1].options.lastEventId).to.equal('1');
+  });
+
+  it('does not end a stream that broke off inside an event as complete', async () => {
+    const cut = event(2).slice(0, -1);
+    const plays = [() => answer(200, [event(1), cut])];
+    const world = relayWorld({route: stream, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.isAborted).to.equal(true);
+    expect(caller.isEnded).to.equal(false);
+  });
+
+  it('relays an error of a stream route that is no event stream', async () => {
+    const plays = [() => answer(400, ['{"error":"no"}'])];
+    const world = relayWorld({route: stream, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal('{"error":"no"}');
+    expect(caller.isEnded).to.equal(true);
+  });
+
   it('aborts a stream whose continuation is answered with an error', async () => {
     const plays: TargetBehavior[] = [
       () => answer(200, [event(1)], BODY_END.broken),
@@ -497,7 +526,7 @@
         async ({signal}, clock) => ({
           type: 'answered',
           answer: {
-            head: {status: 200},
+            head: {status: 200, isEventStream: true},
             signals: NO_SIGNALS,
             read: async sink => {
               await sink(Buffer.from(event(1)));
--- a/packages/local-cluster/src/test/platform/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -1,6 +1,31 @@
+import {connect} from 'node:net';
 import {FAULTY_ANSWER, FaultyAnswer} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
-import {ROUTE_PATH, PlatformWorld} from '../../lib/platform_world.js';
+import {
+  HOST_NAME,
+  PlatformWorld,
+  ROUTE_PATH,
+  TEAM_KEY,
+} from '../../lib/platform_world.js';
+
+/**
+ * Streams over a socket of its own, as HTTP clients take a reset for the end of
+ * an unframed body; returns how the connection ended.
+ */
+function endOfRawStream(world: PlatformWorld): Promise<string> {
+  const {hostname, port} = new URL(world.callerUrl());
+  const socket = connect(Number(port), hostname);
+  socket.write(
+    `POST ${ROUTE_PATH.stream} HTTP/1.1\r\nhost: ${HOST_NAME}\r\n` +
+      `x-fuchsiacleat-key: ${TEAM_KEY}\r\nx-fuchsiacleat-model: m1\r\n` +
+      'x-fuchsiacleat-attempt-id: raw\r\ncontent-length: 0\r\n\r\n',
+  );
+  socket.resume();
+  return new Promise(resolve => {
+    socket.on('end', () => resolve('end'));
+    socket.on('error', ({code}: NodeJS.ErrnoException) => resolve(code ?? ''));
+  });
+}
 
 describe('GatewayHost on platform stand-ins', () => {
   let world: PlatformWorld;
@@ -94,6 +119,13 @@
     expect(res.headers.connection).to.equal('close');
   });
 
+  it('resets a caller whose unframed stream ended inside an event', async () => {
+    world.engine.faultyAnswers.push(FAULTY_ANSWER.unframedShort);
+    expect(await endOfRawStream(world)).to.equal('ECONNRESET');
+    world.engine.faultyAnswers.push(FAULTY_ANSWER.unframed);
+    expect(await endOfRawStream(world)).to.equal('end');
+  });
+
   it('streams events and loads a missing model', async () => {
     const headers = {'x-fuchsiacleat-model': 'm1'};
     const res = await world.call(ROUTE_PATH.stream, {headers});
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -6,6 +6,9 @@
 const HEADER_PREFIX = 'x-fuchsiacleat-';
 const EVENT_COUNT = 4;
 
+/** Fraction of a body before a cut; within an event of a stream. */
+const CUT_FRACTION = 0.55;
+
 /** Time from the head of an answer to the crash, in milliseconds. */
 const CRASH_DELAY_MS = 5;
 
@@ -355,7 +358,8 @@
       res.setHeader(`${HEADER_PREFIX}server-stamp`, `${this.options.id}.stamp`);
     }
     const text = isStream ? formatEvents(EVENT_COUNT) : `done ${id}`;
-    const half = text.slice(0, text.length / 2);
+    if (isStream) res.setHeader('content-type', 'text/event-stream');
+    const half = text.slice(0, text.length * CUT_FRACTION);
     if (
       injectedFault === FAULTY_ANSWER.unframed ||
       injectedFault === FAULTY_ANSWER.unframedShort
