Send a request to no third target after two were lost under it

What callers saw: on the product's own interface a chat that crashes its engine was run at one replica after the other, until the budget or its deadline was used up; each end cost all other chats of that replica.

The loop had no bound of its own.

Change: two targets lost under a request end it as failed, may have run. Refusals, which say that it did not run, and lost peers do not count.

--- a/packages/core/src/lib/requests/retry_loop.ts
+++ b/packages/core/src/lib/requests/retry_loop.ts
@@ -5,6 +5,9 @@
 import {FAILURE, Outcome, fail} from './outcome.js';
 import {RetryBudget} from '../limits/retry_budget.js';
 
+/** Number of targets that may be lost while they run the same request. */
+const MAX_LOST_TARGETS = 2;
+
 /** The fields of an attempt's result that {@link runWithRetries} needs. */
 export interface RetryableEnd {
   outcome: Outcome;
@@ -28,7 +31,7 @@
 
 /**
  * Runs a request and retries it while no event was delivered, the deadline has
- * not passed and the retry budget allows it.
+ * not passed, the retry budget allows it and not too many targets were lost.
  *
  * @returns the events of the attempt that delivers any. The generator's return
  *     value is the outcome, which is a refusal only if no attempt can have run
@@ -43,6 +46,7 @@
 }: RetryLoopOptions<Event, End>): AsyncGenerator<Event, Outcome> {
   const avoid = new Set<string>();
   let mayHaveRun = false;
+  let lostTargets = 0;
   retries.recordRequest();
   for (;;) {
     let hasDelivered = false;
@@ -55,8 +59,11 @@
     }
     const {outcome, avoid: failed} = step.value;
     mayHaveRun ||= outcome.type === 'failed';
+    if (isLostTarget(outcome)) lostTargets += 1;
+    // The request itself may crash the targets that run it.
     const isFinal =
       hasDelivered ||
+      lostTargets >= MAX_LOST_TARGETS ||
       context.signal.aborted ||
       clock.now() >= context.deadlineMs;
     if (isFinal || failed === undefined || !isRetryable(outcome)) {
@@ -67,6 +74,10 @@
   }
 }
 
+function isLostTarget(outcome: Outcome): boolean {
+  return outcome.type === 'failed' && outcome.reason === FAILURE.targetLost;
+}
+
 /**
  * Turns a refusal into a failure if an earlier attempt may have run: a refusal
  * promises the caller that the request did not run.
