Log the limits that targets name and the sends to limited targets

target_limit tells each change of a target's Server-Limit, with the kind of the answer; target_limit_sends counts first and repeated sends of a host to each limited target in four seconds, so that one can tell a header that is not obeyed from hosts that exceed it together and from repeats. No decision changes.

--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -13,7 +13,8 @@
 const UNSERVED_LINE_LIMIT = {rate: 100, burst: 300};
 const SERVED_LINE_LIMIT = {rate: 20, burst: 60};
 
-const OMITTED_REPORT_INTERVAL_MS = 5_000;
+/** Time between reports of omitted lines and of sends to limited targets. */
+const REPORT_INTERVAL_MS = 4_000;
 
 /**
  * Writes one log line for each request that ends. Unserved and served requests
@@ -24,6 +25,11 @@
   private readonly unservedBucket: TokenBucket;
   private readonly servedBucket: TokenBucket;
   private omittedCount = 0;
+  /** Sends to targets with a limit since the last report. */
+  private readonly limitedSends = new Map<
+    string,
+    {sends: number; repeats: number}
+  >();
 
   /**
    * @param clock - measures the rate of lines.
@@ -49,13 +55,15 @@
   }
 
   /**
-   * Logs the number of omitted lines periodically.
+   * Logs the numbers of omitted lines and of sends to limited targets
+   * periodically.
    *
    * @param clock - schedules the reports.
    * @param signal - ends the task.
    */
   async run(clock: Clock, signal: AbortSignal): Promise<void> {
-    await clock.every(OMITTED_REPORT_INTERVAL_MS, signal, () => {
+    await clock.every(REPORT_INTERVAL_MS, signal, () => {
+      this.logLimitedSends();
       if (this.omittedCount === 0) return;
       this.logger.info('request_lines_omitted', {count: this.omittedCount});
       this.omittedCount = 0;
@@ -92,6 +100,39 @@
     this.logger.info('target_quiet', {target, for_ms: forMs});
   }
 
+  override targetLimited(
+    target: string,
+    perSecond: number | undefined,
+    answer: string,
+  ): void {
+    if (!this.tryTakeLine(this.unservedBucket)) return;
+    const limit = perSecond ?? 'none';
+    this.logger.info('target_limit', {target, per_second: limit, answer});
+  }
+
+  override limitedSend(target: string, isRepeat: boolean): void {
+    let counts = this.limitedSends.get(target);
+    if (counts === undefined) {
+      counts = {sends: 0, repeats: 0};
+      this.limitedSends.set(target, counts);
+    }
+    counts.sends += 1;
+    if (isRepeat) counts.repeats += 1;
+  }
+
+  private logLimitedSends(): void {
+    for (const [target, {sends, repeats}] of this.limitedSends) {
+      if (!this.tryTakeLine(this.servedBucket)) continue;
+      this.logger.info('target_limit_sends', {
+        target,
+        sends,
+        repeats,
+        over_ms: REPORT_INTERVAL_MS,
+      });
+    }
+    this.limitedSends.clear();
+  }
+
   override requestEnded(story: RequestTrace): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -378,6 +378,8 @@
     const {clock, observer} = this.parts;
     const {registration} = target;
     const attempt = call.startAttempt(this.headTimeoutMs(call));
+    if (target.requestsPerSecond !== undefined)
+      observer.limitedSend(registration.id, call.sends > 0);
     call.recordSend(registration.id);
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
@@ -452,7 +454,14 @@
       sent.type === 'answered' ? sent.answer.signals : undefined;
     const signals = sent.type === 'not-run' ? sent.signals : answerSignals;
     if (signals === undefined) return;
+    const {requestsPerSecond} = target;
     this.parts.targets.recordSignals(target, signals);
+    if (target.requestsPerSecond !== requestsPerSecond) {
+      const answer = sent.type === 'answered' ? sent.type : sent.reason;
+      const {id} = target.registration;
+      const limit = target.requestsPerSecond;
+      this.parts.observer.targetLimited(id, limit, answer);
+    }
     if (signals.backOffMs === undefined) return;
     this.parts.observer.targetBackingOff(
       target.registration.id,
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -69,6 +69,27 @@
    */
   abstract targetAvoided(target: string, forMs: number): void;
 
+  /**
+   * Called when a target has named another limit, or none any more.
+   *
+   * @param target - id of the target.
+   * @param perSecond - requests per second; undefined if there is no limit.
+   * @param answer - kind of the answer that named it.
+   */
+  abstract targetLimited(
+    target: string,
+    perSecond: number | undefined,
+    answer: string,
+  ): void;
+
+  /**
+   * Called for each send to a target that has named a limit.
+   *
+   * @param target - id of the target.
+   * @param isRepeat - whether the request was sent before.
+   */
+  abstract limitedSend(target: string, isRepeat: boolean): void;
+
   /** Called when a request has ended. */
   abstract requestEnded(trace: RequestTrace): void;
 }
--- a/packages/core/src/lib/gateway/target_signals.ts
+++ b/packages/core/src/lib/gateway/target_signals.ts
@@ -11,12 +11,18 @@
    * milliseconds; undefined if the target named none.
    */
   backOffMs: number | undefined;
+  /**
+   * Requests per second that the target takes from all hosts together;
+   * undefined if it named no limit.
+   */
+  requestsPerSecond: number | undefined;
 }
 
 /** Signals of an answer without any. */
 export const NO_SIGNALS: AnswerSignals = {
   isLeaving: false,
   backOffMs: undefined,
+  requestsPerSecond: undefined,
 };
 
 /**
@@ -30,6 +36,8 @@
   isLeaving = false;
   /** Clock time until which this host must not send requests to the process. */
   backOffUntilMs = -Infinity;
+  /** The limit that the process named in its latest answer, if any. */
+  requestsPerSecond: number | undefined;
 
   /** @param startedMs - start time of the process, Unix milliseconds. */
   constructor(readonly startedMs: number) {}
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -68,6 +68,14 @@
     return this.isOpen && this.backOffLeftMs <= 0;
   }
 
+  /**
+   * Requests per second that the target takes from all hosts together, by its
+   * latest answer to this host; undefined if it named no limit.
+   */
+  get requestsPerSecond(): number | undefined {
+    return this.signals.requestsPerSecond;
+  }
+
   /**
    * Remaining back-off time of the target for this host; 0 if there is none.
    */
@@ -191,6 +199,7 @@
     if (signals.backOffMs !== undefined) {
       this.signals.recordBackOff(known, signals.backOffMs);
     }
+    known.requestsPerSecond = signals.requestsPerSecond;
     if (signals.isLeaving)
       this.markLeaving(registration.id, registration.startedMs);
   }
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -2,6 +2,7 @@
 import {DeploymentState} from '../../lib/gateway/deployment_state.js';
 import {Freshness} from '../../lib/gateway/freshness.js';
 import {StoreReader, PeerUpdates} from '../../lib/gateway/peer_updates.js';
+import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {TargetTable} from '../../lib/gateway/target_table.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
 import {PeerNetwork} from '../../lib/peers/peer_network.js';
@@ -224,8 +225,8 @@
     await run(1_000, 7);
     const target = other.targets.get('t1')!;
     other.targets.recordSignals(target, {
+      ...NO_SIGNALS,
       isLeaving: true,
-      backOffMs: undefined,
     });
     await run(100, 7);
     expect(reader.targets.get('t1')?.isOpen).to.equal(false);
@@ -245,8 +246,8 @@
     world.isReaderHeard = false;
     const target = other.targets.get('t1')!;
     other.targets.recordSignals(target, {
+      ...NO_SIGNALS,
       isLeaving: true,
-      backOffMs: undefined,
     });
     await run(500, 7);
     world.isReaderHeard = true;
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -241,6 +241,7 @@
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
   readonly ends: EndedSend[] = [];
+  readonly limits: Array<[string, number | undefined]> = [];
 
   override sendAnswered(): void {}
 
@@ -252,6 +253,12 @@
 
   override targetBackingOff(): void {}
 
+  override targetLimited(target: string, perSecond: number | undefined): void {
+    this.limits.push([target, perSecond]);
+  }
+
+  override limitedSend(): void {}
+
   override requestEnded(story: RequestTrace): void {
     this.traces.push(story);
   }
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -199,7 +199,7 @@
     () => ({
       type: 'not-run',
       reason: NOT_RUN.refused,
-      signals: {isLeaving: false, backOffMs},
+      signals: {...NO_SIGNALS, backOffMs},
     });
 
   it('retries elsewhere at once and does not use a target that is backing off', async () => {
@@ -229,7 +229,7 @@
   });
 
   it('sends no more requests to a target whose answer signals that it is leaving', async () => {
-    const signals = {isLeaving: true, backOffMs: undefined};
+    const signals = {...NO_SIGNALS, isLeaving: true};
     const plays = [
       () => answer(200, ['last'], BODY_END.complete, signals),
       ...Array.from({length: 9}, () => () => answer(200, ['ok'])),
@@ -241,6 +241,25 @@
     expect(later).to.not.include(left);
   });
 
+  it('reports a limit that a target names and that it names none any more', async () => {
+    const named = {...NO_SIGNALS, requestsPerSecond: 2};
+    const plays: TargetBehavior[] = [
+      () => answer(200, ['ok'], BODY_END.complete, named),
+      () => answer(200, ['ok'], BODY_END.complete, named),
+      () => answer(200, ['ok']),
+    ];
+    const world = relayWorld({
+      route: repeatable,
+      behaviors: plays,
+      targetCount: 1,
+    });
+    for (let i = 0; i < plays.length; i++) await serve(world);
+    expect(world.observer.limits).to.deep.equal([
+      ['t1', 2],
+      ['t1', undefined],
+    ]);
+  });
+
   it('cancels a send while its connection is being established', async () => {
     const world = relayWorld({
       route: once,
@@ -249,7 +268,11 @@
           const [target] = world.targets.ofService(PLAIN_SERVICE);
           expect(mayLeave()).to.equal(true);
           for (const each of world.targets.all()) {
-            world.targets.recordSignals(each, {isLeaving: true, backOffMs: 1});
+            world.targets.recordSignals(each, {
+              ...NO_SIGNALS,
+              isLeaving: true,
+              backOffMs: 1,
+            });
           }
           expect(target.isOpen).to.equal(false);
           expect(mayLeave()).to.equal(false);
--- a/packages/core/src/test/gateway/target_table_test.ts
+++ b/packages/core/src/test/gateway/target_table_test.ts
@@ -70,8 +70,8 @@
 
   it('backs off from a target for the longest time that it has named', async () => {
     const target = table.put(targetRegistration(), true);
-    table.recordSignals(target, {isLeaving: false, backOffMs: 2_000});
-    table.recordSignals(target, {isLeaving: false, backOffMs: 500});
+    table.recordSignals(target, {...NO_SIGNALS, backOffMs: 2_000});
+    table.recordSignals(target, {...NO_SIGNALS, backOffMs: 500});
     await clock.advance(1_900);
     expect(target.takesRequests).to.equal(false);
     table.remove('t1');
