--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -130,6 +130,13 @@
   workMs = 0;
   /** Whether each response announces that the worker is leaving. */
   isLeaving = false;
+  /**
+   * Requests per second that the worker names as its limit in its answers to
+   * requests; undefined for none.
+   */
+  requestsPerSecond: number | undefined;
+  /** Arrival times of requests only, in milliseconds. */
+  readonly requestArrivalsMs: number[] = [];
   /** Times at which a `retry-after` header was sent, in milliseconds. */
   readonly retryAfterSentMs: number[] = [];
   /** Arrival times of requests, orders and report calls, in milliseconds. */
@@ -269,6 +276,9 @@
     res: ServerResponse,
     body: string,
   ): void {
+    this.requestArrivalsMs.push(performance.now());
+    if (this.requestsPerSecond !== undefined)
+      res.setHeader('server-limit', String(this.requestsPerSecond));
     const id = String(req.headers[`${HEADER_PREFIX}attempt-id`] ?? '');
     const fault = this.faultyAnswers.shift();
     const model = req.headers[`${HEADER_PREFIX}model`];
