--- /dev/null
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -0,0 +1,25 @@
+/** Refusals because no target can take a request. @packageDocumentation */
+
+import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
+
+/** Retry-after time of a refusal because there is no target or all are full. */
+const CAPACITY_RETRY_AFTER_MS = 1_000;
+
+/**
+ * Creates a refusal.
+ *
+ * @param message - why no target can take the request.
+ */
+export function noCapacityRefusal(message: string): Refusal {
+  return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
+}
+
+/**
+ * Creates a refusal because all targets ask this host to back off.
+ *
+ * @param backOffMs - the shortest time, in milliseconds.
+ */
+export function backingOffRefusal(backOffMs: number): Refusal {
+  const message = 'every target has named a time to come back';
+  return refuse(REFUSAL.noCapacity, message, Math.ceil(backOffMs));
+}
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -1,6 +1,5 @@
 /** Relays requests of callers to targets. @packageDocumentation */
 
-import {Result, err, ok} from 'neverthrow';
 import {
   FAILURE,
   Outcome,
@@ -16,12 +15,7 @@
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
-import {
-  EngineConfig,
-  REQUEST_KIND,
-  RouteRule,
-  TeamConfig,
-} from './deployment.js';
+import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
 import {ModelFinder} from './model_finder.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
@@ -29,7 +23,9 @@
 import {RelayObserver, RequestTrace} from './relay_observer.js';
 import {AnswerRelay, RELAY_RESULT} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
-import {chooseService, chooseTarget, minBackOffMs} from './target_choice.js';
+import {noCapacityRefusal} from './capacity_refusal.js';
+import {chooseService} from './target_choice.js';
+import {TargetSearch} from './target_search.js';
 import {
   NOT_RUN,
   NotRunReason,
@@ -43,21 +39,12 @@
 /** Time reserved for sending the answer to the caller. */
 const ANSWER_MARGIN_MS = 15;
 
-/** Retry-after time of a refusal because there is no target or all are full. */
-const CAPACITY_RETRY_AFTER_MS = 1_000;
-
 /**
  * Retry-after time of a refusal because this host is stopping; the caller
  * retries at another host.
  */
 const STOPPING_RETRY_AFTER_MS = 50;
 
-/** Pause before a request is sent again to targets that have all refused it. */
-const ALL_REFUSED_PAUSE_MS = 60;
-
-/** Time between checks for an open target of a service that has none. */
-const NO_TARGET_POLL_MS = 50;
-
 /**
  * Time between checks of an exhausted retry budget, and the time limit for them
  * in latency objectives.
@@ -125,6 +112,7 @@
 export class Relay<Req extends CallerRequest<Head>, Head extends AnswerHead> {
   private readonly admission: Admission;
   private readonly answers: AnswerRelay<Req, Head>;
+  private readonly search: TargetSearch;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
 
@@ -132,6 +120,7 @@
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
     this.answers = new AnswerRelay(parts.clock);
+    this.search = new TargetSearch(parts);
     parts.prompts.onQuarantined(part => this.withdrawSends(part));
   }
 
@@ -209,7 +198,7 @@
     }
     for (;;) {
       if (call.signal.aborted) return this.abortedOutcome(req, call);
-      const target = await this.findTarget(req, call);
+      const target = await this.search.find(req, call);
       if (call.signal.aborted) return this.abortedOutcome(req, call);
       if (target.isErr()) {
         const isStopped = call.waitSignal.aborted;
@@ -294,77 +283,6 @@
     return this.parts.clock.now() < req.arrivedMs + waitMs;
   }
 
-  private async findTarget(
-    req: Req,
-    call: RelayCall<Req>,
-  ): Promise<Result<KnownTarget, Refusal>> {
-    const {clock, models, targets} = this.parts;
-    const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
-    const engine = this.engineOf(call);
-    for (;;) {
-      const options = {
-        zone: this.parts.zone,
-        tried: call.tried,
-        draw: this.parts.random.float(),
-      };
-      const all = targets.ofService(call.service);
-      const {demand} = req;
-      const needsModel = engine !== undefined && demand !== undefined;
-      if (needsModel && !engine.models.has(demand.model))
-        return err(noCapacityRefusal('the configuration has no such model'));
-      const candidates = needsModel
-        ? all.filter(target => target.holds(demand.model, demand.adapter))
-        : all;
-      const target = chooseTarget(candidates, options);
-      if (target !== undefined && !target.health.isAvoided) return ok(target);
-      const backOffMs = minBackOffMs(candidates);
-      if (backOffMs !== undefined) return err(backingOffRefusal(backOffMs));
-      if (needsModel) {
-        const found = await models.find(
-          this.modelSearch(req, call),
-          call.waitSignal,
-        );
-        if (found.isOk() || target === undefined) return found;
-      }
-      if (target !== undefined) return ok(target);
-      if (call.tried.size > 0) {
-        call.tried.clear();
-        await clock.sleep(ALL_REFUSED_PAUSE_MS, call.waitSignal);
-      } else if (clock.now() < searchEndMs) {
-        await clock.sleep(NO_TARGET_POLL_MS, call.waitSignal);
-      } else {
-        return err(noCapacityRefusal('no target of the service is open'));
-      }
-      if (call.waitSignal.aborted)
-        return err(noCapacityRefusal('the time is over'));
-    }
-  }
-
-  private modelSearch(req: Req, call: RelayCall<Req>) {
-    return {
-      id: req.id,
-      service: call.service,
-      demand: req.demand!,
-      objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
-      deadlineMs: call.deadlineMs,
-      tried: this.targetsToAvoid(call),
-    };
-  }
-
-  /** Returns the ids of the targets that were tried or are backing off. */
-  private targetsToAvoid(call: RelayCall<Req>): ReadonlySet<string> {
-    const avoided = new Set(call.tried);
-    for (const target of this.parts.targets.ofService(call.service)) {
-      if (target.backOffLeftMs > 0) avoided.add(target.registration.id);
-    }
-    return avoided;
-  }
-
-  private engineOf(call: RelayCall<Req>): EngineConfig | undefined {
-    const {deployment} = this.parts.state.current!;
-    return deployment.services.get(call.service)?.engine;
-  }
-
   /**
    * Sends a request to a target and relays the answer.
    *
@@ -650,12 +568,3 @@
   const message = 'this host is stopping';
   return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
 }
-
-function backingOffRefusal(backOffMs: number): Refusal {
-  const message = 'every target has named a time to come back';
-  return refuse(REFUSAL.noCapacity, message, Math.ceil(backOffMs));
-}
-
-function noCapacityRefusal(message: string): Refusal {
-  return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
-}
--- /dev/null
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -0,0 +1,116 @@
+/** Finds a target for a request. @packageDocumentation */
+
+import {Result, err, ok} from 'neverthrow';
+import {Refusal} from '../requests/outcome.js';
+import {Clock} from '../time/clock.js';
+import {Random} from '../time/random.js';
+import {CallerRequest} from './caller_request.js';
+import {backingOffRefusal, noCapacityRefusal} from './capacity_refusal.js';
+import {DeploymentState} from './deployment_state.js';
+import {EngineConfig} from './deployment.js';
+import {ModelFinder} from './model_finder.js';
+import {RelayCall} from './relay_call.js';
+import {chooseTarget, minBackOffMs} from './target_choice.js';
+import {KnownTarget, TargetTable} from './target_table.js';
+
+/** Pause before a request is sent again to targets that have all refused it. */
+const ALL_REFUSED_PAUSE_MS = 60;
+
+/** Time between checks for an open target of a service that has none. */
+const NO_TARGET_POLL_MS = 50;
+
+/** Dependencies of {@link TargetSearch}. */
+export interface TargetSearchParts {
+  clock: Clock;
+  random: Random;
+  state: DeploymentState;
+  targets: TargetTable;
+  models: ModelFinder;
+  /** Zone of this host. */
+  zone: string;
+}
+
+/** Chooses targets for requests, and waits until there is one. */
+export class TargetSearch {
+  /** @param parts - see {@link TargetSearchParts}. */
+  constructor(private readonly parts: TargetSearchParts) {}
+
+  /**
+   * Finds a target for the next send of a request.
+   *
+   * @param req - the request.
+   * @param call - its progress.
+   * @returns the target, or a refusal as soon as it is certain that none can
+   *     take the request in time.
+   */
+  async find(
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    const {clock, models, targets} = this.parts;
+    const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
+    const engine = this.engineOf(call);
+    for (;;) {
+      const options = {
+        zone: this.parts.zone,
+        tried: call.tried,
+        draw: this.parts.random.float(),
+      };
+      const all = targets.ofService(call.service);
+      const {demand} = req;
+      const needsModel = engine !== undefined && demand !== undefined;
+      if (needsModel && !engine.models.has(demand.model))
+        return err(noCapacityRefusal('the configuration has no such model'));
+      const candidates = needsModel
+        ? all.filter(target => target.holds(demand.model, demand.adapter))
+        : all;
+      const target = chooseTarget(candidates, options);
+      if (target !== undefined && !target.health.isAvoided) return ok(target);
+      const backOffMs = minBackOffMs(candidates);
+      if (backOffMs !== undefined) return err(backingOffRefusal(backOffMs));
+      if (needsModel) {
+        const found = await models.find(
+          this.modelSearch(req, call),
+          call.waitSignal,
+        );
+        if (found.isOk() || target === undefined) return found;
+      }
+      if (target !== undefined) return ok(target);
+      if (call.tried.size > 0) {
+        call.tried.clear();
+        await clock.sleep(ALL_REFUSED_PAUSE_MS, call.waitSignal);
+      } else if (clock.now() < searchEndMs) {
+        await clock.sleep(NO_TARGET_POLL_MS, call.waitSignal);
+      } else {
+        return err(noCapacityRefusal('no target of the service is open'));
+      }
+      if (call.waitSignal.aborted)
+        return err(noCapacityRefusal('the time is over'));
+    }
+  }
+
+  private modelSearch(req: CallerRequest, call: RelayCall<CallerRequest>) {
+    return {
+      id: req.id,
+      service: call.service,
+      demand: req.demand!,
+      objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
+      deadlineMs: call.deadlineMs,
+      tried: this.targetsToAvoid(call),
+    };
+  }
+
+  /** Returns the ids of the targets that were tried or are backing off. */
+  private targetsToAvoid(call: RelayCall<CallerRequest>): ReadonlySet<string> {
+    const avoided = new Set(call.tried);
+    for (const target of this.parts.targets.ofService(call.service)) {
+      if (target.backOffLeftMs > 0) avoided.add(target.registration.id);
+    }
+    return avoided;
+  }
+
+  private engineOf(call: RelayCall<CallerRequest>): EngineConfig | undefined {
+    const {deployment} = this.parts.state.current!;
+    return deployment.services.get(call.service)?.engine;
+  }
+}
