Keep the soak's books of overlapping drains

Spans are counted by name now; the last end announces and closes.

The warning of Node.js about 11 listeners on one signal was the soak's own: each fault under way waits on the signal of the series. They are removed at the end of each wait, so that nothing leaks; the signal may have any number.

--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -1,5 +1,6 @@
 /** Injects a random series of overlapping faults. @packageDocumentation */
 
+import {setMaxListeners} from 'node:events';
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
@@ -86,6 +87,8 @@
   /** Injects faults until the signal aborts, then waits until all are reverted. */
   async run(): Promise<void> {
     const names = Object.keys(this.kinds);
+    // Each fault under way waits on the signal, and any number may overlap.
+    setMaxListeners(0, this.signal);
     while (!this.signal.aborted) {
       const name = this.random.pick(names);
       const forMs = this.random.int(MIN_FAULT_MS, MAX_FAULT_MS);
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -15,8 +15,9 @@
   PlatformWorkerStandin,
 } from '@fuchsiacleat/standins';
 import {FaultyLink} from './faulty_link.js';
+import {ForbiddenSpans} from './forbidden_spans.js';
 import {HostProcess} from './host_process.js';
-import {ForbiddenSpan, SoakRecord, WorkerRecord} from './soak_checks.js';
+import {SoakRecord, WorkerRecord} from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
 
 /** Keys of the team without a limit and of the limited team. */
@@ -71,8 +72,8 @@
   readonly hosts: HostProcess[] = [];
   /** Links to the store, one per host. */
   readonly storeLinks: FaultyLink[] = [];
-  readonly withdrawn: ForbiddenSpan[] = [];
-  readonly drained: ForbiddenSpan[] = [];
+  readonly withdrawn = new ForbiddenSpans();
+  readonly drained = new ForbiddenSpans();
   readonly resumptionsMs: number[] = [];
   private readonly clock = new SystemClock();
   private version = 1;
@@ -133,22 +134,24 @@
   /** Withdraws the key of the limited team, or restores it. */
   setWithdrawn(isWithdrawn: boolean): void {
     const nowMs = performance.now();
-    this.publish(!isWithdrawn);
-    if (isWithdrawn) {
-      const fromMs = nowMs + BOUNDS.RevokeMs;
-      const name = SOAK_KEY.limited;
-      this.withdrawn.push({name, fromMs, toMs: Infinity});
-    } else closeLastSpan(this.withdrawn, SOAK_KEY.limited, nowMs);
+    const name = SOAK_KEY.limited;
+    const isChanged = isWithdrawn
+      ? this.withdrawn.begin(name, nowMs + BOUNDS.RevokeMs)
+      : this.withdrawn.end(name, nowMs);
+    if (isChanged) this.publish(!isWithdrawn);
   }
 
-  /** Announces that a worker drains, or that it is ready again. */
+  /**
+   * Announces that a worker drains, or that it is ready again once the last of
+   * overlapping drains has ended.
+   */
   setDraining(worker: LinkedWorker, isDraining: boolean): void {
     const nowMs = performance.now();
-    this.announce(worker, isDraining ? 'draining' : 'ready');
-    if (isDraining) {
-      const fromMs = nowMs + BOUNDS.DrainTimeoutMs;
-      this.drained.push({name: worker.name, fromMs, toMs: Infinity});
-    } else closeLastSpan(this.drained, worker.name, nowMs);
+    const {name} = worker;
+    const isChanged = isDraining
+      ? this.drained.begin(name, nowMs + BOUNDS.DrainTimeoutMs)
+      : this.drained.end(name, nowMs);
+    if (isChanged) this.announce(worker, isDraining ? 'draining' : 'ready');
   }
 
   /** Marks a host as disturbed for a time plus {@link DISTURBANCE_GRACE_MS}. */
@@ -179,8 +182,8 @@
     return {
       ledger: this.ledger,
       workers: this.workers.map(toWorkerRecord),
-      withdrawn: this.withdrawn,
-      drained: this.drained,
+      withdrawn: this.withdrawn.all,
+      drained: this.drained.all,
       limit: {
         key: SOAK_KEY.limited,
         windowMs,
@@ -253,15 +256,6 @@
   return `127.${second}.${run & 0xff}.${MIN_LAST_BYTE + host}`;
 }
 
-function closeLastSpan(
-  spans: ForbiddenSpan[],
-  name: string,
-  toMs: number,
-): void {
-  const last = spans.findLast(span => span.name === name);
-  if (last !== undefined) last.toMs = toMs;
-}
-
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
   const {orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
