Share the limit that a target names among all hosts

Cause: the header was not read. Reading it on each host would not have been enough: of 50 requests in 4 s for 1/s no host had sent more than 14, and nine hosts that keep 1/s each send 36 where 11 are allowed.

The limit is kept with the process of the target, by when it was named: answers to requests set and end it, refusals too; answers to orders and reports, which never name it, do not. Each host tells the holder of the order lease, which tells all. Before each send to such a target, new, repeated, resumed or queued, a host asks the holder, which keeps an even pace for all and reserves up to a second ahead. What it turns down goes to another target or, for engines, to the search for one; if none is found in the time that callers wait for a first event, the request is refused as not run with the time to come back. Without a holder hosts use equal parts, if these fit into the excess that the rule allows should all use them at once; else they send nothing to that target. A send that waits keeps the retry that it took from the budget.

Why it works: what is counted is granted once, by one host, and a new lender starts with nothing granted. A property test holds the pace against the rule for any rate and demand; a world of 2 to 195 hosts holds the exchange, with a lender that changes or is away.

--- a/packages/core/src/lib/gateway/capacity_refusal.ts
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -23,3 +23,14 @@
   const message = 'every target has named a time to come back';
   return refuse(REFUSAL.noCapacity, message, Math.ceil(backOffMs));
 }
+
+/**
+ * Creates a refusal because the limits that targets named are used up.
+ *
+ * @param waitMs - time until the next request may be sent.
+ */
+export function limitRefusal(waitMs: number): Refusal {
+  const message = 'the limits of its targets are used up';
+  const retryAfterMs = Math.max(CAPACITY_RETRY_AFTER_MS, Math.ceil(waitMs));
+  return refuse(REFUSAL.noCapacity, message, retryAfterMs);
+}
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -100,16 +100,6 @@
     this.logger.info('target_quiet', {target, for_ms: forMs});
   }
 
-  override targetLimited(
-    target: string,
-    perSecond: number | undefined,
-    answer: string,
-  ): void {
-    if (!this.tryTakeLine(this.unservedBucket)) return;
-    const limit = perSecond ?? 'none';
-    this.logger.info('target_limit', {target, per_second: limit, answer});
-  }
-
   override limitedSend(target: string, isRepeat: boolean): void {
     let counts = this.limitedSends.get(target);
     if (counts === undefined) {
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -33,6 +33,7 @@
   TargetAnswer,
   TargetPort,
 } from './target_port.js';
+import {TargetSends} from '../target_limits/target_sends.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 import {TeamQuotas} from './team_quotas.js';
 
@@ -99,6 +100,7 @@
   retries: RetryAllowance;
   models: ModelFinder;
   prompts: PromptGuard;
+  sends: TargetSends;
   observer: RelayObserver;
   /** Zone of this host. */
   zone: string;
@@ -215,6 +217,10 @@
         await this.parts.clock.sleep(BUDGET_POLL_MS, call.waitSignal);
         continue;
       }
+      const {objectiveMs} = call.route;
+      const {sends} = this.parts;
+      if (!(await sends.acquire(target.value, objectiveMs, call.waitSignal)))
+        continue;
       const outcome =
         (await this.checkPrompt(target.value, req, call)) ??
         (await this.sendTo(target.value, req, call));
@@ -268,8 +274,9 @@
    * @returns whether the request may be sent.
    */
   private tryTakeSend(call: RelayCall<Req>): boolean {
-    if (call.deliveredSends === 0) return true;
-    return this.parts.retries.tryRetry(call.service);
+    if (call.deliveredSends === 0 || call.holdsRetry) return true;
+    call.holdsRetry = this.parts.retries.tryRetry(call.service);
+    return call.holdsRetry;
   }
 
   /**
@@ -299,6 +306,7 @@
     if (target.requestsPerSecond !== undefined)
       observer.limitedSend(registration.id, call.sends > 0);
     call.recordSend(registration.id);
+    call.holdsRetry = false;
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
     try {
@@ -372,14 +380,8 @@
       sent.type === 'answered' ? sent.answer.signals : undefined;
     const signals = sent.type === 'not-run' ? sent.signals : answerSignals;
     if (signals === undefined) return;
-    const {requestsPerSecond} = target;
     this.parts.targets.recordSignals(target, signals);
-    if (target.requestsPerSecond !== requestsPerSecond) {
-      const answer = sent.type === 'answered' ? sent.type : sent.reason;
-      const {id} = target.registration;
-      const limit = target.requestsPerSecond;
-      this.parts.observer.targetLimited(id, limit, answer);
-    }
+    this.parts.targets.recordLimit(target, signals.requestsPerSecond);
     if (signals.backOffMs === undefined) return;
     this.parts.observer.targetBackingOff(
       target.registration.id,
@@ -459,6 +461,7 @@
     const end = await this.answers.relay(req, call, answer);
     if (end === RELAY_RESULT.whole) {
       if (status === OK) call.run?.recordComplete();
+      target.recordRun(call.sendAgeMs);
       return {type: 'served'};
     }
     if (call.signal.aborted) return this.abortedOutcome(req, call);
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -35,6 +35,8 @@
   readonly sentTo: string[] = [];
   /** Number of sends that reached a target. */
   deliveredSends = 0;
+  /** Whether a retry was taken from the budget for the next send. */
+  holdsRetry = false;
   /** Number of sends whose target may have started to work on the request. */
   possibleRuns = 0;
   /** Digests of the shared parts of the prompt. */
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -69,19 +69,6 @@
    */
   abstract targetAvoided(target: string, forMs: number): void;
 
-  /**
-   * Called when a target has named another limit, or none any more.
-   *
-   * @param target - id of the target.
-   * @param perSecond - requests per second; undefined if there is no limit.
-   * @param answer - kind of the answer that named it.
-   */
-  abstract targetLimited(
-    target: string,
-    perSecond: number | undefined,
-    answer: string,
-  ): void;
-
   /**
    * Called for each send to a target that has named a limit.
    *
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -15,6 +15,9 @@
 /** Penalty of an avoided target, as load. */
 const AVOIDED_PENALTY = 1_000;
 
+/** Penalty of a target whose limit is used up for now, as load. */
+const THROTTLED_PENALTY = 500;
+
 /** Options of {@link chooseTarget}. */
 export interface ChoiceOptions {
   /** Availability zone of this host. */
@@ -97,5 +100,7 @@
     target.registration.zone === options.zone ? 0 : OTHER_ZONE_PENALTY;
   const failurePenalty = target.health.recentFailures * FAILURE_PENALTY;
   const avoidedPenalty = target.health.isAvoided ? AVOIDED_PENALTY : 0;
-  return target.load + distancePenalty + failurePenalty + avoidedPenalty;
+  const limitPenalty = target.throttledLeftMs > 0 ? THROTTLED_PENALTY : 0;
+  const penalty = failurePenalty + avoidedPenalty + limitPenalty;
+  return target.load + distancePenalty + penalty;
 }
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -5,7 +5,11 @@
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {CallerRequest} from './caller_request.js';
-import {backingOffRefusal, noCapacityRefusal} from './capacity_refusal.js';
+import {
+  backingOffRefusal,
+  limitRefusal,
+  noCapacityRefusal,
+} from './capacity_refusal.js';
 import {DeploymentState} from './deployment_state.js';
 import {EngineConfig} from './deployment.js';
 import {ModelFinder} from './model_finder.js';
@@ -19,6 +23,13 @@
 /** Time between checks for an open target of a service that has none. */
 const NO_TARGET_POLL_MS = 50;
 
+/**
+ * How long a request waits for the limits of its targets, in latency
+ * objectives, and at least.
+ */
+const MAX_LIMIT_WAIT_OBJECTIVES = 3.5;
+const MIN_LIMIT_WAIT_MS = 1_800;
+
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchParts {
   clock: Clock;
@@ -65,7 +76,12 @@
         ? all.filter(target => target.holds(demand.model, demand.adapter))
         : all;
       const target = chooseTarget(candidates, options);
-      if (target !== undefined && !target.health.isAvoided) return ok(target);
+      if (target !== undefined && !target.health.isAvoided) {
+        if (target.throttledLeftMs === 0) return ok(target);
+        const found = await this.findUnthrottled(target, req, call);
+        if (found !== undefined) return found;
+        continue;
+      }
       const backOffMs = minBackOffMs(candidates);
       if (backOffMs !== undefined) return err(backingOffRefusal(backOffMs));
       if (needsModel) {
@@ -89,6 +105,41 @@
     }
   }
 
+  /**
+   * Looks for a target with the model of a request while the limits of the
+   * known ones are used up, and waits for these.
+   *
+   * @param target - the target that may be used first.
+   * @returns the target found or a refusal; undefined if the target may be
+   *     used now.
+   */
+  private async findUnthrottled(
+    target: KnownTarget,
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+  ): Promise<Result<KnownTarget, Refusal> | undefined> {
+    const {clock, models} = this.parts;
+    if (req.demand !== undefined && this.engineOf(call) !== undefined) {
+      const limited = new AbortController();
+      const abort = () => limited.abort();
+      const timer = clock.after(target.throttledLeftMs, abort);
+      call.waitSignal.addEventListener('abort', abort);
+      const search = this.modelSearch(req, call);
+      const found = await models.find(search, limited.signal);
+      timer.cancel();
+      call.waitSignal.removeEventListener('abort', abort);
+      if (found.isOk()) return found;
+    }
+    const waitMs = target.throttledLeftMs;
+    const objectivesMs = call.route.objectiveMs * MAX_LIMIT_WAIT_OBJECTIVES;
+    const patienceMs = Math.max(MIN_LIMIT_WAIT_MS, objectivesMs);
+    const endMs = Math.min(call.deadlineMs, req.arrivedMs + patienceMs);
+    if (clock.now() + waitMs >= endMs || call.waitSignal.aborted)
+      return err(limitRefusal(waitMs));
+    await clock.sleep(waitMs, call.waitSignal);
+    return undefined;
+  }
+
   private modelSearch(req: CallerRequest, call: RelayCall<CallerRequest>) {
     return {
       id: req.id,
@@ -100,11 +151,12 @@
     };
   }
 
-  /** Returns the ids of the targets that were tried or are backing off. */
+  /** Returns the ids of the targets that cannot take the request now. */
   private targetsToAvoid(call: RelayCall<CallerRequest>): ReadonlySet<string> {
     const avoided = new Set(call.tried);
     for (const target of this.parts.targets.ofService(call.service)) {
-      if (target.backOffLeftMs > 0) avoided.add(target.registration.id);
+      const isUnusable = target.backOffLeftMs > 0 || target.throttledLeftMs > 0;
+      if (isUnusable) avoided.add(target.registration.id);
     }
     return avoided;
   }
--- a/packages/core/src/lib/gateway/target_signals.ts
+++ b/packages/core/src/lib/gateway/target_signals.ts
@@ -25,6 +25,14 @@
   requestsPerSecond: undefined,
 };
 
+/** What a target said about its limit. */
+export interface NamedLimit {
+  /** Requests per second from all hosts; undefined if there is no limit. */
+  perSecond: number | undefined;
+  /** Clock time at which the target said so. */
+  namedMs: number;
+}
+
 /**
  * Maximum number of processes kept: several times the targets of a platform.
  */
@@ -36,8 +44,10 @@
   isLeaving = false;
   /** Clock time until which this host must not send requests to the process. */
   backOffUntilMs = -Infinity;
-  /** The limit that the process named in its latest answer, if any. */
-  requestsPerSecond: number | undefined;
+  /** What the process last said about its limit. */
+  limit: NamedLimit = {perSecond: undefined, namedMs: -Infinity};
+  /** Whether the process has ever named a limit. */
+  hasNamedLimit = false;
 
   /** @param startedMs - start time of the process, Unix milliseconds. */
   constructor(readonly startedMs: number) {}
@@ -95,6 +105,22 @@
     signals.backOffUntilMs = Math.max(signals.backOffUntilMs, untilMs);
   }
 
+  /**
+   * Records what a process said about its limit, unless it said something else
+   * later.
+   *
+   * @param signals - signals of the process.
+   * @param limit - the limit.
+   * @returns whether the limit has changed.
+   */
+  recordLimit(signals: ProcessSignals, limit: NamedLimit): boolean {
+    const known = signals.limit;
+    if (limit.namedMs < known.namedMs) return false;
+    signals.limit = limit;
+    if (limit.perSecond !== undefined) signals.hasNamedLimit = true;
+    return limit.perSecond !== known.perSecond;
+  }
+
   private dropOldest(): void {
     for (const id of this.byId.keys()) {
       this.byId.delete(id);
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -8,7 +8,12 @@
   isSameProcess,
 } from './target_registration.js';
 import {TargetHealth} from './target_health.js';
-import {AnswerSignals, ProcessSignals, SignalTable} from './target_signals.js';
+import {
+  AnswerSignals,
+  NamedLimit,
+  ProcessSignals,
+  SignalTable,
+} from './target_signals.js';
 
 /**
  * Returns the key of a model, or of an adapter of it.
@@ -23,6 +28,17 @@
 /** Time for which a reported load is valid; reports are repeated more often. */
 const LOAD_LIFETIME_MS = 1_000;
 
+/** Duration of a request that is assumed before any was observed. */
+const INITIAL_RUN_MS = 1_000;
+
+/** Weight of a new observation in the average duration. */
+const RUN_WEIGHT = 0.1;
+
+/** Lower bound of the effective slots, which divide the load. */
+const MIN_EFFECTIVE_SLOTS = 0.25;
+
+const MS_PER_SECOND = 1_000;
+
 /** A target, with everything that this host knows about it. */
 export class KnownTarget {
   /** Number of requests of this host that run or wait at the target. */
@@ -34,6 +50,8 @@
   readonly held = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
   isRemoved = false;
+  private throttledUntilMs = -Infinity;
+  private averageRunMs = INITIAL_RUN_MS;
   private reportedLoad = 0;
   private reportedMs = -Infinity;
 
@@ -68,12 +86,50 @@
     return this.isOpen && this.backOffLeftMs <= 0;
   }
 
+  /** What the target last said about its limit, to this host or another. */
+  get limit(): NamedLimit {
+    return this.signals.limit;
+  }
+
+  /** Whether the target has ever named a limit. */
+  get hasNamedLimit(): boolean {
+    return this.signals.hasNamedLimit;
+  }
+
   /**
-   * Requests per second that the target takes from all hosts together, by its
-   * latest answer to this host; undefined if it named no limit.
+   * Requests per second that the target takes from all hosts together;
+   * undefined if it names no limit.
    */
   get requestsPerSecond(): number | undefined {
-    return this.signals.requestsPerSecond;
+    return this.signals.limit.perSecond;
+  }
+
+  /** Time until a request may be sent within the target's limit; 0 if now. */
+  get throttledLeftMs(): number {
+    if (this.requestsPerSecond === undefined) return 0;
+    return Math.max(0, this.throttledUntilMs - this.clock.now());
+  }
+
+  /** Records that no request may be sent within the limit for a time. */
+  throttle(forMs: number): void {
+    this.throttledUntilMs = this.clock.now() + forMs;
+  }
+
+  /**
+   * Requests that the target can run at once: its slots, or fewer if its limit
+   * does not fill them.
+   */
+  get effectiveSlots(): number {
+    const slots = Math.max(1, this.registration.slots);
+    const {requestsPerSecond} = this;
+    if (requestsPerSecond === undefined) return slots;
+    const running = (requestsPerSecond * this.averageRunMs) / MS_PER_SECOND;
+    return Math.min(slots, Math.max(MIN_EFFECTIVE_SLOTS, running));
+  }
+
+  /** Records how long a request ran. */
+  recordRun(runMs: number): void {
+    this.averageRunMs += RUN_WEIGHT * (runMs - this.averageRunMs);
   }
 
   /**
@@ -88,7 +144,7 @@
    * of this host's own requests and the reported load of all hosts.
    */
   get load(): number {
-    const own = this.inFlight / Math.max(1, this.registration.slots);
+    const own = this.inFlight / this.effectiveSlots;
     const isReportCurrent =
       this.clock.now() - this.reportedMs < LOAD_LIFETIME_MS;
     return isReportCurrent ? Math.max(own, this.reportedLoad) : own;
@@ -172,6 +228,9 @@
   private changeCount = 0;
   private readonly byService = new Map<string, KnownTarget[]>();
   private readonly signals: SignalTable;
+  private readonly limitListeners: Array<
+    (target: KnownTarget, isOwn: boolean) => void
+  > = [];
   private readonly leavingListeners: Array<(target: KnownTarget) => void> = [];
 
   /** @param clock - measures the validity of the data about each target. */
@@ -199,11 +258,48 @@
     if (signals.backOffMs !== undefined) {
       this.signals.recordBackOff(known, signals.backOffMs);
     }
-    known.requestsPerSecond = signals.requestsPerSecond;
     if (signals.isLeaving)
       this.markLeaving(registration.id, registration.startedMs);
   }
 
+  /**
+   * Records the limit in an answer to a request, or that it named none.
+   *
+   * @param target - the target that answered.
+   * @param perSecond - the limit, if it named one.
+   */
+  recordLimit(target: KnownTarget, perSecond: number | undefined): void {
+    const {id, startedMs} = target.registration;
+    const known = this.signals.forProcess(id, startedMs);
+    const limit = {perSecond, namedMs: this.clock.now()};
+    if (this.signals.recordLimit(known, limit))
+      for (const listener of this.limitListeners) listener(target, true);
+  }
+
+  /**
+   * Applies the limit that a target has named to another host.
+   *
+   * @param id - id of the target.
+   * @param startedMs - start time of the process, Unix milliseconds.
+   * @param limit - the limit.
+   */
+  applyLimit(id: string, startedMs: number, limit: NamedLimit): void {
+    if (this.signals.isOutdated(id, startedMs)) return;
+    const known = this.signals.forProcess(id, startedMs);
+    if (!this.signals.recordLimit(known, limit)) return;
+    const target = this.byId.get(id);
+    if (target?.registration.startedMs !== startedMs) return;
+    for (const listener of this.limitListeners) listener(target, false);
+  }
+
+  /**
+   * @param listener - called with each target whose limit has changed, and
+   *     whether the target named it to this host.
+   */
+  onLimitChange(listener: (target: KnownTarget, isOwn: boolean) => void): void {
+    this.limitListeners.push(listener);
+  }
+
   /**
    * Marks a process of a target as leaving. This is final.
    *
--- /dev/null
+++ b/packages/core/src/lib/target_limits/limit_exchange.ts
@@ -0,0 +1,154 @@
+/** Shares the limits of targets between hosts. @packageDocumentation */
+
+import {KnownTarget, TargetTable} from '../gateway/target_table.js';
+import {PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {
+  LimitState,
+  PUBLISH_LIMITS,
+  REPORT_LIMIT,
+  REQUEST_SEND,
+} from './limit_messages.js';
+import {SendGrant, SendLoans, SendRequest} from './send_loans.js';
+import {SendLender} from './send_lender.js';
+
+/** Interval at which all limits are repeated, for hosts that missed some. */
+const REPEAT_INTERVAL_MS = 1_000;
+
+/** How long the end of a limit is repeated. */
+const ENDED_LIFETIME_MS = 10_000;
+
+/** Timeout of a request for a send: a reachable lender replies at once. */
+const REQUEST_TIMEOUT_MS = 250;
+
+/** Dependencies of a {@link LimitExchange}. */
+export interface LimitExchangeParts {
+  clock: Clock;
+  network: PeerNetwork;
+  targets: TargetTable;
+  /** The host that shares the limits, while it is heard. */
+  lendingHost: () => {host: string; incarnation: string} | undefined;
+  hostCount: () => number;
+}
+
+/**
+ * Lets one host share the limits of targets among all hosts. Each host reports
+ * what targets say to it, and is told what they said to others.
+ */
+export class LimitExchange extends SendLoans {
+  private readonly lender: SendLender;
+  private wasLending = false;
+
+  /** @param parts - see {@link LimitExchangeParts}. */
+  constructor(private readonly parts: LimitExchangeParts) {
+    super();
+    this.lender = new SendLender(parts.clock);
+    parts.targets.onLimitChange((target, isOwn) => this.spread(target, isOwn));
+    this.registerHandlers();
+  }
+
+  override get hostCount(): number {
+    return this.parts.hostCount();
+  }
+
+  /**
+   * Repeats the limits while this host shares them, until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, network} = this.parts;
+    while (!signal.aborted) {
+      this.noticeTakeover();
+      const limits = this.isLending ? this.currentLimits() : [];
+      if (limits.length > 0) network.broadcast(PUBLISH_LIMITS, {limits});
+      await clock.sleep(REPEAT_INTERVAL_MS, signal);
+    }
+  }
+
+  override async requestSend(
+    request: SendRequest,
+    signal: AbortSignal,
+  ): Promise<SendGrant | undefined> {
+    const {lendingHost, network} = this.parts;
+    if (this.isLending) return this.lend(request);
+    const lending = lendingHost();
+    if (lending === undefined) return undefined;
+    const grant = await network.call(lending.host, REQUEST_SEND, request, {
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      signal,
+    });
+    return grant.isOk() ? grant.value : undefined;
+  }
+
+  private get isLending(): boolean {
+    const {lendingHost, network} = this.parts;
+    return lendingHost()?.incarnation === network.self.incarnation;
+  }
+
+  /** Starts with empty schedules, as another host has lent until now. */
+  private noticeTakeover(): void {
+    if (this.isLending && !this.wasLending) this.lender.restart();
+    this.wasLending = this.isLending;
+  }
+
+  private lend(request: SendRequest): SendGrant {
+    this.noticeTakeover();
+    const target = this.parts.targets.get(request.target);
+    const isSame = target?.registration.startedMs === request.startedMs;
+    const perSecond = isSame ? target.requestsPerSecond : undefined;
+    return this.lender.lend(request, perSecond ?? request.perSecond);
+  }
+
+  private registerHandlers(): void {
+    const {network} = this.parts;
+    network.serveUnary(REQUEST_SEND, request => {
+      // A rejected call makes the host use its own part of the limit.
+      if (!this.isLending) throw new Error('not the lending host');
+      return this.lend(request);
+    });
+    network.onNotification(REPORT_LIMIT, limit => this.apply(limit));
+    network.onNotification(PUBLISH_LIMITS, ({limits}, from) => {
+      const {lendingHost} = this.parts;
+      if (lendingHost()?.incarnation !== from.incarnation) return;
+      for (const limit of limits) this.apply(limit);
+    });
+  }
+
+  private apply({target, startedMs, perSecond, namedAgoMs}: LimitState): void {
+    const {clock, targets} = this.parts;
+    const namedMs = clock.now() - namedAgoMs;
+    targets.applyLimit(target, startedMs, {perSecond, namedMs});
+  }
+
+  /** Passes on a limit that has changed. */
+  private spread(target: KnownTarget, isOwn: boolean): void {
+    const {lendingHost, network} = this.parts;
+    const limit = this.stateOf(target);
+    if (this.isLending) {
+      network.broadcast(PUBLISH_LIMITS, {limits: [limit]});
+      return;
+    }
+    const lending = lendingHost();
+    if (isOwn && lending !== undefined)
+      network.notify(lending.host, REPORT_LIMIT, limit);
+  }
+
+  private currentLimits(): LimitState[] {
+    const limits: LimitState[] = [];
+    for (const target of this.parts.targets.all()) {
+      const limit = this.stateOf(target);
+      const isRecent = limit.namedAgoMs < ENDED_LIFETIME_MS;
+      if (limit.perSecond !== undefined || (target.hasNamedLimit && isRecent))
+        limits.push(limit);
+    }
+    return limits;
+  }
+
+  private stateOf(target: KnownTarget): LimitState {
+    const {id, startedMs} = target.registration;
+    const {perSecond, namedMs} = target.limit;
+    const namedAgoMs = this.parts.clock.now() - namedMs;
+    return {target: id, startedMs, perSecond, namedAgoMs};
+  }
+}
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -46,6 +46,8 @@
 import {QuarantineExchange} from '../../lib/quarantine/quarantine_exchange.js';
 import {TargetEndDetector} from '../../lib/quarantine/target_end_detector.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {SendLoans} from '../../lib/target_limits/send_loans.js';
+import {TargetSends} from '../../lib/target_limits/target_sends.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
@@ -189,6 +191,13 @@
   return new PromptGuard({clock, ledger, exchange, detector});
 }
 
+/** Reaches no lender, on the only host. */
+class LoneLoans extends SendLoans {
+  override readonly hostCount = 1;
+
+  override async requestSend(): Promise<undefined> {}
+}
+
 class UnlimitedSource extends TokenLoanClient {
   override readonly hostCount = 1;
 
@@ -241,7 +250,6 @@
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
   readonly ends: EndedSend[] = [];
-  readonly limits: Array<[string, number | undefined]> = [];
 
   override sendAnswered(): void {}
 
@@ -253,10 +261,6 @@
 
   override targetBackingOff(): void {}
 
-  override targetLimited(target: string, perSecond: number | undefined): void {
-    this.limits.push([target, perSecond]);
-  }
-
   override limitedSend(): void {}
 
   override requestEnded(story: RequestTrace): void {
@@ -329,6 +333,7 @@
     retries,
     models: options.models?.(clock, targets) ?? new NoModels(clock),
     prompts: lonePromptGuard(clock, port, ledger),
+    sends: new TargetSends(clock, new LoneLoans()),
     observer,
     zone: 'a',
   });
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
 import {BODY_END, NOT_RUN, SendResult} from '../../lib/gateway/target_port.js';
+import {ModelSearch} from '../../lib/gateway/model_finder.js';
 import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {digestParts} from '../../lib/quarantine/part_digest.js';
 import {FAILURE, REFUSAL} from '../../lib/requests/outcome.js';
@@ -241,25 +242,6 @@
     expect(later).to.not.include(left);
   });
 
-  it('reports a limit that a target names and that it names none any more', async () => {
-    const named = {...NO_SIGNALS, requestsPerSecond: 2};
-    const plays: TargetBehavior[] = [
-      () => answer(200, ['ok'], BODY_END.complete, named),
-      () => answer(200, ['ok'], BODY_END.complete, named),
-      () => answer(200, ['ok']),
-    ];
-    const world = relayWorld({
-      route: repeatable,
-      behaviors: plays,
-      targetCount: 1,
-    });
-    for (let i = 0; i < plays.length; i++) await serve(world);
-    expect(world.observer.limits).to.deep.equal([
-      ['t1', 2],
-      ['t1', undefined],
-    ]);
-  });
-
   it('cancels a send while its connection is being established', async () => {
     const world = relayWorld({
       route: once,
@@ -616,3 +598,107 @@
     expect(world.port.sent).to.have.lengthOf(1);
   });
 });
+
+describe('Relay: limits of targets', () => {
+  /** The first target names a limit in each answer. */
+  function limitedWorld(targetCount: number, perSecond: number): RelayWorld {
+    const signals = {...NO_SIGNALS, requestsPerSecond: perSecond};
+    const reply: TargetBehavior = () => {
+      const isLimited = world.port.sent.at(-1)!.target === 't1';
+      const named = isLimited ? signals : NO_SIGNALS;
+      return answer(200, ['ok'], BODY_END.complete, named);
+    };
+    const behaviors = Array.from({length: 40}, () => reply);
+    const world: RelayWorld = relayWorld({
+      route: repeatable,
+      behaviors,
+      targetCount,
+    });
+    world.targets.recordLimit(world.targets.get('t1')!, perSecond);
+    return world;
+  }
+
+  it('sends requests elsewhere while the limit of a target is used up', async () => {
+    const world = limitedWorld(2, 1);
+    const startMs = world.clock.now();
+    for (let i = 0; i < 20; i++) await serve(world);
+    const elapsedMs = world.clock.now() - startMs;
+    expect(elapsedMs).to.be.below(2_500);
+    const limited = world.port.sent.filter(({target}) => target === 't1');
+    expect(limited.length).to.be.at.most(3);
+    expect(world.port.sent).to.have.lengthOf(20);
+  });
+
+  it('spaces out requests if there is no other target', async () => {
+    const world = limitedWorld(1, 4);
+    const callers = Array.from({length: 4}, () => new FakeCaller(world.clock));
+    const done = callers.map(caller => world.relay.handle(caller));
+    await world.clock.advance(0);
+    await world.clock.advance(500);
+    expect(world.port.sent.length).to.be.within(1, 2);
+    await world.clock.advance(1_500);
+    await Promise.all(done);
+    expect(world.port.sent).to.have.lengthOf(4);
+    for (const caller of callers) expect(caller.isEnded).to.equal(true);
+  });
+
+  it('refuses what a limit does not take in time, as not run', async () => {
+    const world = limitedWorld(1, 0.5);
+    const callers = Array.from({length: 6}, () => new FakeCaller(world.clock));
+    const done = callers.map(caller => world.relay.handle(caller));
+    await world.clock.advance(0);
+    await world.clock.advance(2_400);
+    await Promise.all(done);
+    const refused = callers.filter(({refusal}) => refusal !== undefined);
+    expect(refused.length).to.be.at.least(4);
+    for (const {refusal} of refused) {
+      expect(refusal?.reason).to.equal(REFUSAL.noCapacity);
+      expect(refusal?.retryAfterMs).to.be.at.least(1_000);
+    }
+    expect(world.port.sent.length).to.equal(6 - refused.length);
+  });
+
+  it('finds another target of the model while the limit is used up', async () => {
+    const route = routeRule({
+      kind: REQUEST_KIND.stream,
+      shares: [{service: ENGINE_SERVICE, weight: 1}],
+    });
+    let searched: string[] = [];
+    const world = relayWorld({
+      route,
+      behaviors: Array.from({length: 4}, () => () => answer(200, [event(1)])),
+      models: (clock, targets) =>
+        new (class extends OneTarget {
+          override async find(search?: ModelSearch) {
+            searched = [...search!.tried];
+            return super.find();
+          }
+        })(clock, () => targets.get('e2')!),
+    });
+    const service = ENGINE_SERVICE;
+    const held = [{model: 'm1', adapters: []}];
+    world.targets.put(targetRegistration({id: 'e1', service, held}), true);
+    world.targets.put(targetRegistration({id: 'e2', service}), true);
+    world.targets.recordLimit(world.targets.get('e1')!, 0.5);
+    const caller = new FakeCaller(world.clock);
+    caller.demand = {model: 'm1', adapter: undefined};
+    await world.run(caller);
+    expect(caller.isEnded).to.equal(true);
+    expect(searched).to.deep.equal(['e1']);
+    expect(world.port.sent.map(({target}) => target)).to.deep.equal(['e2']);
+  });
+
+  it('takes one retry from the budget for a send that waits for a limit', async () => {
+    const world = relayWorld({
+      route: repeatable,
+      behaviors: [() => lost, () => answer(200, ['ok'])],
+      targetCount: 2,
+      retries: 1,
+    });
+    for (const target of world.targets.all())
+      world.targets.recordLimit(target, 2);
+    const caller = await serve(world);
+    expect(caller.isEnded).to.equal(true);
+    expect(world.port.sent).to.have.lengthOf(2);
+  });
+});
--- a/packages/core/src/test/gateway/target_table_test.ts
+++ b/packages/core/src/test/gateway/target_table_test.ts
@@ -79,4 +79,48 @@
     await clock.advance(100);
     expect(table.get('t1')?.takesRequests).to.equal(true);
   });
+
+  it('keeps a limit until an answer to a request names none', () => {
+    const target = table.put(targetRegistration({id: 't1'}), true);
+    const changes: Array<[number | undefined, boolean]> = [];
+    table.onLimitChange(({requestsPerSecond}, isOwn) =>
+      changes.push([requestsPerSecond, isOwn]),
+    );
+    table.recordLimit(target, 3);
+    table.recordLimit(target, 3);
+    // The answer to an order.
+    table.recordSignals(target, NO_SIGNALS);
+    expect(target.requestsPerSecond).to.equal(3);
+    const {startedMs} = target.registration;
+    const limit = {perSecond: 9, namedMs: clock.now() - 1};
+    table.applyLimit('t1', startedMs, limit);
+    expect(target.requestsPerSecond).to.equal(3);
+    table.applyLimit('t1', startedMs, {...limit, namedMs: clock.now()});
+    expect(target.requestsPerSecond).to.equal(9);
+    table.recordLimit(target, undefined);
+    expect(changes).to.deep.equal([
+      [3, true],
+      [9, false],
+      [undefined, true],
+    ]);
+  });
+
+  it('forgets the limit of an earlier process', () => {
+    const old = targetRegistration({id: 't1', startedMs: 1_000});
+    table.recordLimit(table.put(old, true), 3);
+    const next = table.put({...old, startedMs: 2_000}, true);
+    expect(next.requestsPerSecond).to.equal(undefined);
+    table.applyLimit('t1', 1_000, {perSecond: 3, namedMs: clock.now() + 1});
+    expect(next.requestsPerSecond).to.equal(undefined);
+  });
+
+  it('counts the load of a limited target by what its limit lets it run', () => {
+    const target = table.put(targetRegistration({id: 't1', slots: 8}), true);
+    target.beginRequest(undefined);
+    expect(target.load).to.equal(1 / 8);
+    table.recordLimit(target, 2);
+    expect(target.load).to.be.above(0.25);
+    table.recordLimit(target, undefined);
+    expect(target.load).to.equal(1 / 8);
+  });
 });
