Plan models by the limits of targets

A target whose limit is below its demand looked idle to the planner, since what it turns away is not in flight; rare models were moved to it, and busy ones stayed there (0.669 on capped, seed 1, without this).

The load of a limited target is the demand for its models over its limit, its slots are what the limit lets it run; copies, evictions and surplus are counted in these. A busy model of such a target is copied first, and only to targets without a limit: without that bound copies went from one limited target to the next (0.583, trial).

--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -45,6 +45,11 @@
   revived: ModelCopy[];
   /** One entry for each further copy that has to be loaded. */
   missing: string[];
+  /**
+   * Models whose targets named limits below their demand, the most wanted
+   * first.
+   */
+  limited: string[];
 }
 
 /**
@@ -60,12 +65,15 @@
  */
 export function chooseCopies(round: PlanRound, usage: UsageTable): CopyNeeds {
   const crowded = new Set<string>();
+  const limited = new Set<string>();
   for (const account of round.accounts) {
     if (round.load(account) <= COPY_LOAD_THRESHOLD) continue;
-    const model = modelsByLoad(account, usage).find(
+    const models = modelsByLoad(account, round).filter(
       each => copiesWithCapacity(each, round).length === 0,
     );
-    if (model !== undefined) crowded.add(model);
+    if (models.length > 0) crowded.add(models[0]);
+    if (account.target.requestsPerSecond === undefined) continue;
+    for (const model of models) limited.add(model);
   }
   const revived: ModelCopy[] = [];
   const missing: string[] = [];
@@ -75,7 +83,11 @@
     for (const account of reusable) revived.push({model, account});
     for (let i = reusable.length; i < count; i++) missing.push(model);
   }
-  return {revived, missing: missing.slice(0, MAX_COPIES_PER_ROUND)};
+  return {
+    revived,
+    missing: missing.slice(0, MAX_COPIES_PER_ROUND),
+    limited: [...limited].sort((a, b) => round.demand(b) - round.demand(a)),
+  };
 }
 
 /**
@@ -126,21 +138,22 @@
       account => account.residents.get(model)?.isRetiring === false,
     );
     if (holders.length < 2) continue;
-    const load = inFlight(model, holders, usage) / holders[0].engine.slots;
-    if (load > (holders.length - 1) * SURPLUS_LOAD_THRESHOLD) continue;
     const account = leastUsedHolder(model, holders, usage);
-    if (account !== undefined) surplus.push({model, account});
+    if (account === undefined) continue;
+    const others = holders.filter(other => other !== account);
+    const capacity = slotsOf(others) * SURPLUS_LOAD_THRESHOLD;
+    if (inFlight(model, holders, usage) <= capacity)
+      surplus.push({model, account});
   }
   return surplus;
 }
 
 /** Returns the models that use most of a target's slots, the busiest first. */
-function modelsByLoad(account: ResidencyAccount, usage: UsageTable): string[] {
-  const least = account.engine.slots * MIN_COPIED_MODEL_LOAD;
-  const use = (model: string) => usage.inFlight(account.id, model);
+function modelsByLoad(account: ResidencyAccount, round: PlanRound): string[] {
+  const load = (model: string) => round.loadOf(account, model);
   return [...account.residents.keys()]
-    .filter(model => use(model) >= least)
-    .sort((a, b) => use(b) - use(a));
+    .filter(model => load(model) >= MIN_COPIED_MODEL_LOAD)
+    .sort((a, b) => load(b) - load(a));
 }
 
 /** Returns the copies of a model that can take requests from full copies. */
@@ -167,10 +180,17 @@
       (account.residents.get(model)?.readyMs ?? 0) > round.nowMs,
   ).length;
   const slots = copies[0]?.engine.slots ?? 1;
-  const needed = inFlight(model, copies, usage) / (slots * COPY_LOAD_THRESHOLD);
-  const missing = Math.ceil(needed) - copies.length - loadingCount;
+  const excess =
+    inFlight(model, copies, usage) - slotsOf(copies) * COPY_LOAD_THRESHOLD;
+  const missing = Math.ceil(excess / (slots * COPY_LOAD_THRESHOLD));
   // Its targets are full, possibly with requests for other models.
-  return Math.max(missing, loadingCount === 0 ? 1 : 0);
+  return Math.max(missing - loadingCount, loadingCount === 0 ? 1 : 0);
+}
+
+function slotsOf(accounts: readonly ResidencyAccount[]): number {
+  let sum = 0;
+  for (const {slots} of accounts) sum += slots;
+  return sum;
 }
 
 function inFlight(
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -18,6 +18,9 @@
 /** Weight of the reload delay if the latency objective allows for it. */
 const ON_TIME_FACTOR = 0.25;
 
+/** Lower bound of a limit that divides a demand, in requests per second. */
+const MIN_LIMIT = 0.2;
+
 const MS_PER_SECOND = 1_000;
 
 /** A model that a target could unload. */
@@ -81,6 +84,11 @@
     return this.parts.waiting.get(model) ?? 0;
   }
 
+  /** Returns the requests per second for a model, over all hosts. */
+  demand(model: string): number {
+    return this.parts.usage.demand(this.parts.service, model).perSecond;
+  }
+
   /** Returns the reachable targets with a retiring copy of a model. */
   retiring(model: string): readonly ResidencyAccount[] {
     return this.retiringByModel.get(model) ?? [];
@@ -138,16 +146,49 @@
     return count;
   }
 
-  /** Returns the requests in flight at a target as a fraction of its slots. */
+  /** Returns the load of a target as a fraction of its capacity. */
   load(account: ResidencyAccount): number {
     let load = this.loads.get(account.id);
     if (load === undefined) {
-      load = account.load(this.parts.usage);
+      load = 0;
+      for (const model of account.residents.keys())
+        load += this.loadOf(account, model);
       this.loads.set(account.id, load);
     }
     return load;
   }
 
+  /**
+   * Returns the load of a target by one of its models: the requests in flight
+   * as a fraction of its slots, or the model's demand as a fraction of the limit
+   * that the target named, whichever is larger.
+   */
+  loadOf(account: ResidencyAccount, model: string): number {
+    const {service, usage} = this.parts;
+    const running = usage.inFlight(account.id, model) / account.slots;
+    const limit = account.target.requestsPerSecond;
+    if (limit === undefined) return running;
+    let slots = account.slots;
+    for (const copy of this.copies(model)) {
+      if (copy !== account) slots += copy.slots;
+    }
+    const {perSecond} = usage.demand(service, model);
+    const share = (perSecond * account.slots) / slots;
+    return Math.max(running, share / Math.max(limit, MIN_LIMIT));
+  }
+
+  /**
+   * Returns the load that a model would add to a target, as far as the target
+   * named a limit.
+   */
+  addedLoad(account: ResidencyAccount, model: string): number {
+    const limit = account.target.requestsPerSecond;
+    if (limit === undefined) return 0;
+    const {perSecond} = this.parts.usage.demand(this.parts.service, model);
+    const copies = this.copies(model).length + 1;
+    return perSecond / copies / Math.max(limit, MIN_LIMIT);
+  }
+
   /**
    * Returns a target's share of the requests a second that need an adapter of
    * one of its models.
@@ -222,7 +263,9 @@
     const {usage} = this.parts;
     let running = usage.inFlight(account.id, model);
     for (const {id} of others) running += usage.inFlight(id, model);
-    return running / (others.length * account.engine.slots);
+    let slots = 0;
+    for (const other of others) slots += other.slots;
+    return running / slots;
   }
 
   /** Returns the shortest time in which any target could load a model. */
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -132,7 +132,12 @@
     for (const model of this.residents.keys()) {
       running += usage.inFlight(this.id, model);
     }
-    return running / this.engine.slots;
+    return running / this.slots;
+  }
+
+  /** Requests that the target can run at once, within the limit it named. */
+  get slots(): number {
+    return Math.min(this.engine.slots, this.target.effectiveSlots);
   }
 
   /**
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -98,6 +98,8 @@
   private readonly storeLoads: StoreLoadScheduler;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
+  /** Models to copy because of the limits of their targets, by service. */
+  private readonly limitedModels = new Map<string, readonly string[]>();
   private activeFencing: number | undefined;
   /** Whether orders have been allowed at some time since the takeover. */
   private hasOrderingBegun = false;
@@ -192,6 +194,7 @@
     this.storeLoads.clear();
     this.rounds.clear();
     this.wanted.clear();
+    this.limitedModels.clear();
     this.parts.lender.restart();
   }
 
@@ -229,6 +232,7 @@
   private plan(service: string): void {
     this.waitQueue.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.parts.registry.ofService(service);
+    this.relieveLimits(service, accounts);
     const planned = new Set<string>();
     for (const waiter of this.waitQueue.byUrgency(service)) {
       const {model, adapter, tried} = waiter.request;
@@ -239,6 +243,25 @@
     }
   }
 
+  /**
+   * Starts copies of models whose targets named limits below their demand,
+   * before rare models take the targets that are left.
+   */
+  private relieveLimits(
+    service: string,
+    accounts: readonly ResidencyAccount[],
+  ): void {
+    for (const model of this.limitedModels.get(service) ?? []) {
+      const isRelieved = accounts.some(
+        account =>
+          account.target.requestsPerSecond === undefined &&
+          account.isReachable &&
+          account.isHeldOrLoading(model),
+      );
+      if (!isRelieved) this.startSwap(model, service);
+    }
+  }
+
   /** Starts loads for callers who were told when to retry. */
   private planWanted(): void {
     const nowMs = this.parts.clock.now();
@@ -439,7 +462,13 @@
       engine,
       round,
     );
-    const swap = chooseSwap(model, round, canLoadFromStore);
+    const isLimited = this.limitedModels.get(service)?.includes(model);
+    const swap = chooseSwap(
+      model,
+      round,
+      canLoadFromStore,
+      ({target}) => !isLimited || target.requestsPerSecond === undefined,
+    );
     if (swap === undefined) return;
     this.rounds.delete(service);
     if (swap.mustDrain) {
@@ -518,7 +547,8 @@
     if (!lease.canOrder) return;
     const round = this.roundOf(service);
     const adapterCopies = chooseAdapterCopies(round, usage);
-    const {missing, revived} = chooseCopies(round, usage);
+    const {limited, missing, revived} = chooseCopies(round, usage);
+    this.limitedModels.set(service, limited);
     for (const {model, account} of revived) this.unretire(account, model);
     this.storeLoads.setWanted(service, missing);
     for (const model of missing) this.startSwap(model, service);
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -6,6 +6,9 @@
 /** Cost of a fully loaded target as an equivalent delay of a request. */
 const LOAD_COST_MS = 1_500;
 
+/** Load beyond which a target, whose limit may be low, costs no more. */
+const MAX_COSTED_LOAD = 2;
+
 /** Weight of the delay of a request that misses its latency objective. */
 const MISS_FACTOR = 3;
 
@@ -39,6 +42,7 @@
  * @param model - a model that no target holds, or that needs another copy.
  * @param round - state of targets and demand.
  * @param canLoadFromStore - whether a load from the weight store may start now.
+ * @param isAllowed - whether a target may load the model; all may by default.
  * @returns the swap; undefined if it is best to wait for a target that is busy
  *     now, or if no target can be used.
  */
@@ -46,12 +50,13 @@
   model: string,
   round: PlanRound,
   canLoadFromStore: boolean,
+  isAllowed: (account: ResidencyAccount) => boolean = () => true,
 ): Swap | undefined {
   const waiting = Math.max(1, round.waiting(model));
   let best: Swap | undefined;
   let bestCost = Infinity;
   for (const account of round.accounts) {
-    if (!canOrderTo(account, round.nowMs)) continue;
+    if (!isAllowed(account) || !canOrderTo(account, round.nowMs)) continue;
     if (account.residents.has(model) || account.loadingModel === model)
       continue;
     const {loadMs, fromStore} = account.loadEstimate(model);
@@ -62,7 +67,8 @@
       ? Math.max(0, account.busyUntilMs - round.nowMs)
       : 0;
     const readyInMs = evictionPlan.drainMs + loadMs;
-    const loadCost = LOAD_COST_MS * round.load(account);
+    const load = round.load(account) + round.addedLoad(account, model);
+    const loadCost = LOAD_COST_MS * Math.min(MAX_COSTED_LOAD, load);
     const delayMs = waitMs + readyInMs + loadCost;
     const busyCost = adapterCost(account, readyInMs, round);
     const diskCost = fromStore
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -280,6 +280,11 @@
     this.state.applyIfNewer(deployment);
   }
 
+  /** Lets the target of an engine name a limit, or none any more. */
+  nameLimit(id: string, perSecond: number | undefined): void {
+    this.targets.recordLimit(this.targets.get(id)!, perSecond);
+  }
+
   /** Marks the target of an engine as leaving. */
   announceLeaving(id: string): void {
     this.targets.markLeaving(id, targetRegistration().startedMs);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -75,6 +75,27 @@
     ]);
   });
 
+  it('copies a busy model of a limited target to one without a limit', async () => {
+    const world = await startWorld([
+      ['m0', 'm1'],
+      ['m3', 'm4', 'm5'],
+      ['m6', 'm7', 'm8'],
+    ]);
+    const rates = {m0: 6, m1: 2, m3: 0.2, m4: 0.2, m6: 0.2, m7: 0.2};
+    world.report([['e1', 'm0', 2]], rates, 400);
+    await world.clock.advance(2_000);
+    expect(world.engines.get('e2')!.models.has('m0')).to.equal(false);
+    world.nameLimit('e1', 3);
+    world.nameLimit('e2', 1);
+    for (let i = 0; i < 30; i++) {
+      world.report([['e1', 'm0', 2]], rates, 400);
+      await world.clock.advance(100);
+    }
+    const held = (id: string) => [...world.engines.get(id)!.models.keys()];
+    expect(held('e3')).to.include.members(['m0']);
+    expect(held('e2')).to.not.include('m0');
+  });
+
   it('does not evict a busy model for a rare one', async () => {
     const world = await startWorld([
       ['m0', 'm1', 'm2'],
