Bring busy models of limited targets elsewhere first, and refuse sooner

Rare models with one caller had taken both loads that the weight store brings at once, and both targets without a limit; copies were begun on targets that named a limit 100 ms later; requests waited 1.8 s before they were refused.

A model whose targets cannot take its demand within their limits is now copied before rare ones are planned, once limits are known for 0.4 s, to targets without a limit or to limited ones that have room for a good part of it and the weights at hand; one load of the weight store is left to such models. The wait for a limit is 0.6 s or 1.5 objectives, and a refusal names the time at which the model will be ready where it is known.

--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -27,8 +27,8 @@
  * How long a request waits for the limits of its targets, in latency
  * objectives, and at least.
  */
-const MAX_LIMIT_WAIT_OBJECTIVES = 3.5;
-const MIN_LIMIT_WAIT_MS = 1_800;
+const MAX_LIMIT_WAIT_OBJECTIVES = 1.5;
+const MIN_LIMIT_WAIT_MS = 600;
 
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchParts {
@@ -119,6 +119,7 @@
     call: RelayCall<CallerRequest>,
   ): Promise<Result<KnownTarget, Refusal> | undefined> {
     const {clock, models} = this.parts;
+    let readyMs = 0;
     if (req.demand !== undefined && this.engineOf(call) !== undefined) {
       const limited = new AbortController();
       const abort = () => limited.abort();
@@ -129,13 +130,14 @@
       timer.cancel();
       call.waitSignal.removeEventListener('abort', abort);
       if (found.isOk()) return found;
+      if (!limited.signal.aborted) readyMs = found.error.retryAfterMs ?? 0;
     }
     const waitMs = target.throttledLeftMs;
     const objectivesMs = call.route.objectiveMs * MAX_LIMIT_WAIT_OBJECTIVES;
     const patienceMs = Math.max(MIN_LIMIT_WAIT_MS, objectivesMs);
     const endMs = Math.min(call.deadlineMs, req.arrivedMs + patienceMs);
     if (clock.now() + waitMs >= endMs || call.waitSignal.aborted)
-      return err(limitRefusal(waitMs));
+      return err(limitRefusal(Math.max(waitMs, readyMs)));
     await clock.sleep(waitMs, call.waitSignal);
     return undefined;
   }
--- a/packages/core/src/lib/gateway/target_signals.ts
+++ b/packages/core/src/lib/gateway/target_signals.ts
@@ -48,6 +48,8 @@
   limit: NamedLimit = {perSecond: undefined, namedMs: -Infinity};
   /** Whether the process has ever named a limit. */
   hasNamedLimit = false;
+  /** Clock time at which the limit last changed, as known here. */
+  limitChangedMs = -Infinity;
 
   /** @param startedMs - start time of the process, Unix milliseconds. */
   constructor(readonly startedMs: number) {}
@@ -118,7 +120,9 @@
     if (limit.namedMs < known.namedMs) return false;
     signals.limit = limit;
     if (limit.perSecond !== undefined) signals.hasNamedLimit = true;
-    return limit.perSecond !== known.perSecond;
+    if (limit.perSecond === known.perSecond) return false;
+    signals.limitChangedMs = this.clock.now();
+    return true;
   }
 
   private dropOldest(): void {
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -91,6 +91,11 @@
     return this.signals.limit;
   }
 
+  /** Time since the target named another limit, in milliseconds. */
+  get limitAgeMs(): number {
+    return this.clock.now() - this.signals.limitChangedMs;
+  }
+
   /** Whether the target has ever named a limit. */
   get hasNamedLimit(): boolean {
     return this.signals.hasNamedLimit;
--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -14,6 +14,15 @@
  */
 const MIN_COPIED_MODEL_LOAD = 0.15;
 
+/**
+ * Time after which models of a limited target are copied. Other targets may
+ * name limits at the same time, and copies there would be of little use.
+ */
+const RELIEF_DELAY_MS = 400;
+
+/** Requests per second for a model that is copied because of a limit. */
+const MIN_LIMITED_RATE = 1;
+
 /** Load of the remaining copies, likewise, up to which one copy is surplus. */
 const SURPLUS_LOAD_THRESHOLD = 0.25;
 
@@ -72,8 +81,12 @@
       each => copiesWithCapacity(each, round).length === 0,
     );
     if (models.length > 0) crowded.add(models[0]);
-    if (account.target.requestsPerSecond === undefined) continue;
-    for (const model of models) limited.add(model);
+    const {limitAgeMs, requestsPerSecond} = account.target;
+    if (requestsPerSecond === undefined || limitAgeMs < RELIEF_DELAY_MS)
+      continue;
+    for (const model of models) {
+      if (round.demand(model) >= MIN_LIMITED_RATE) limited.add(model);
+    }
   }
   const revived: ModelCopy[] = [];
   const missing: string[] = [];
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -18,6 +18,9 @@
 /** Weight of the reload delay if the latency objective allows for it. */
 const ON_TIME_FACTOR = 0.25;
 
+/** Time within which a model that is being loaded counts as ready. */
+const SOON_MS = 2_000;
+
 /** Lower bound of a limit that divides a demand, in requests per second. */
 const MIN_LIMIT = 0.2;
 
@@ -177,6 +180,33 @@
     return Math.max(running, share / Math.max(limit, MIN_LIMIT));
   }
 
+  /**
+   * Returns the requests per second that the targets of a model can take within
+   * the limits they named, besides the demand for their other models. Targets
+   * that are about to load it count as well.
+   *
+   * @param model - name of the model.
+   * @returns the rate; infinite if a target without a limit holds the model.
+   */
+  capacity(model: string): number {
+    let perSecond = 0;
+    for (const account of this.parts.accounts) {
+      if (!account.isReachable || !this.isSoonReady(account, model)) continue;
+      const limit = account.target.requestsPerSecond;
+      if (limit === undefined) return Infinity;
+      const otherLoad = this.load(account) - this.loadOf(account, model);
+      perSecond += limit * Math.max(0, 1 - otherLoad);
+    }
+    return perSecond;
+  }
+
+  private isSoonReady(account: ResidencyAccount, model: string): boolean {
+    const resident = account.residents.get(model);
+    if (resident?.isRetiring || resident?.isUnloading) return false;
+    if (!account.isHeldOrLoading(model)) return false;
+    return account.expectedReadyMs(model) - this.nowMs < SOON_MS;
+  }
+
   /**
    * Returns the load that a model would add to a target, as far as the target
    * named a limit.
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -40,6 +40,12 @@
 /** Delay from when a model is ready until refused callers should retry. */
 const READY_MARGIN_MS = 100;
 
+/**
+ * Fraction of a model's demand that a limited target must have room for to load
+ * a copy of it.
+ */
+const MIN_RELIEF_FRACTION = 0.15;
+
 /** How long after the announced retry time a load may still start. */
 const WANTED_GRACE_MS = 3_000;
 
@@ -232,7 +238,7 @@
   private plan(service: string): void {
     this.waitQueue.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.parts.registry.ofService(service);
-    this.relieveLimits(service, accounts);
+    this.relieveLimits(service);
     const planned = new Set<string>();
     for (const waiter of this.waitQueue.byUrgency(service)) {
       const {model, adapter, tried} = waiter.request;
@@ -247,18 +253,15 @@
    * Starts copies of models whose targets named limits below their demand,
    * before rare models take the targets that are left.
    */
-  private relieveLimits(
-    service: string,
-    accounts: readonly ResidencyAccount[],
-  ): void {
-    for (const model of this.limitedModels.get(service) ?? []) {
-      const isRelieved = accounts.some(
-        account =>
-          account.target.requestsPerSecond === undefined &&
-          account.isReachable &&
-          account.isHeldOrLoading(model),
-      );
-      if (!isRelieved) this.startSwap(model, service);
+  private relieveLimits(service: string): void {
+    const models = this.limitedModels.get(service) ?? [];
+    const isShort = (model: string) => {
+      const round = this.roundOf(service);
+      return round.capacity(model) < round.demand(model);
+    };
+    this.storeLoads.setUrgent(service, models.filter(isShort));
+    for (const model of models) {
+      if (isShort(model)) this.startSwap(model, service);
     }
   }
 
@@ -467,7 +470,7 @@
       model,
       round,
       canLoadFromStore,
-      ({target}) => !isLimited || target.requestsPerSecond === undefined,
+      account => !isLimited || canRelieve(account, model, round),
     );
     if (swap === undefined) return;
     this.rounds.delete(service);
@@ -561,3 +564,19 @@
     }
   }
 }
+
+/**
+ * Returns whether a target is worth a copy of a model whose targets cannot take
+ * its demand.
+ */
+function canRelieve(
+  account: ResidencyAccount,
+  model: string,
+  round: PlanRound,
+): boolean {
+  const limit = account.target.requestsPerSecond;
+  if (limit === undefined) return true;
+  if (account.loadEstimate(model).fromStore) return false;
+  const room = limit * (1 - round.load(account));
+  return room >= round.demand(model) * MIN_RELIEF_FRACTION;
+}
--- a/packages/core/src/lib/residency/store_load_scheduler.ts
+++ b/packages/core/src/lib/residency/store_load_scheduler.ts
@@ -31,6 +31,8 @@
   private readonly missesByService = new Map<string, Map<string, Misses>>();
   /** Models of each service that need further copies. */
   private readonly wantedByService = new Map<string, ReadonlySet<string>>();
+  /** Models of each service whose targets cannot take their demand. */
+  private readonly urgentByService = new Map<string, ReadonlySet<string>>();
 
   /** @param clock - clock for rates and ages. */
   constructor(private readonly clock: Clock) {}
@@ -43,6 +45,7 @@
     this.buckets.clear();
     this.missesByService.clear();
     this.wantedByService.clear();
+    this.urgentByService.clear();
   }
 
   /** Sets the models of a service that need further copies now. */
@@ -50,6 +53,14 @@
     this.wantedByService.set(service, new Set(models));
   }
 
+  /**
+   * Sets the models of a service whose targets cannot take their demand.
+   * Other models leave one load to them.
+   */
+  setUrgent(service: string, models: readonly string[]): void {
+    this.urgentByService.set(service, new Set(models));
+  }
+
   /**
    * Counts a caller that was refused because its model is only in the store, or
    * because all targets with its model are full.
@@ -82,9 +93,13 @@
     const loadingCount = round.accounts.filter(
       ({isLoadingFromStore}) => isLoadingFromStore,
     ).length;
-    if (loadingCount >= this.concurrencyOf(service).allowed) return false;
+    const {allowed} = this.concurrencyOf(service);
+    const urgent = this.urgentByService.get(service);
+    const isUrgent = urgent?.has(model) === true;
+    const reserved = !isUrgent && (urgent?.size ?? 0) > 0 ? 1 : 0;
+    if (loadingCount >= allowed - reserved) return false;
     if (this.bucketOf(service, engine).level < 1) return false;
-    return this.hasPriority(service, model, round);
+    return isUrgent || this.hasPriority(service, model, round);
   }
 
   /** Records how long a load took. */
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -482,6 +482,33 @@
     expect(brought.sort()).to.deep.equal(['m3', 'm4', 'm5']);
   });
 
+  it('brings a busy model of a limited target from the store before rare ones', async () => {
+    const held = [
+      ['m0', 'm1', 'm2'],
+      ['m3', 'm4', 'm5'],
+      ['m3', 'm4', 'm5'],
+    ];
+    const onDisk = ['m1', 'm2', 'm3', 'm4', 'm5'];
+    const world = new EngineWorld(held, engineConfig(), onDisk);
+    await waitUntilStarted(world);
+    world.report([], {m0: 1});
+    await world.clock.advance(LONG_HELD_MS);
+    world.nameLimit('e1', 3);
+    const beganMs = world.clock.now();
+    const copied = () => {
+      const others = [...world.engines].filter(([id]) => id !== 'e1');
+      return others.some(([, {models}]) => models.has('m0'));
+    };
+    for (let i = 0; !copied() && i < 200; i++) {
+      world.report([['e1', 'm0', 3]], {m0: 9, m6: 0.3, m7: 0.3}, 400);
+      // Callers of rare models come back more often than those of the busy one.
+      void world.refusal(`m${6 + (i % 4)}`, 300);
+      await world.clock.advance(100);
+    }
+    expect(copied()).to.equal(true);
+    expect(world.clock.now() - beganMs).to.be.at.most(STORE_LOAD_MS + 2_000);
+  });
+
   it('starts no more loads from the weight store than its rate allows', async () => {
     const storeLoadsPerSecond = 1;
     const models = new Map(engineConfig().models);
