--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -17,6 +17,7 @@
 export * from './lib/limits/retry_budget.js';
 export * from './lib/peers/tcp_peer_network.js';
 export * from './lib/quarantine/answered_parts.js';
+export * from './lib/quarantine/part_digest.js';
 export * from './lib/quarantine/part_ledger.js';
 export * from './lib/quarantine/part_record.js';
 export * from './lib/quarantine/prompt_guard.js';
--- a/packages/core/src/lib/quarantine/quarantine_archive.ts
+++ b/packages/core/src/lib/quarantine/quarantine_archive.ts
@@ -3,6 +3,13 @@
 import {Result} from 'neverthrow';
 import {PartState} from './part_record.js';
 
+/** Content of the archive. */
+export interface ArchivedParts {
+  states: PartState[];
+  /** Parts that an operator has lifted. */
+  lifted: string[];
+}
+
 /**
  * Keeps the states of quarantined parts while all hosts are down. Writers may
  * race: the last one counts for each part.
@@ -15,13 +22,13 @@
   abstract readonly era: number | undefined;
 
   /**
-   * Reads the states of all stored parts.
+   * Reads all parts.
    *
    * @param signal - cancels the read.
    */
   abstract read(
     signal: AbortSignal,
-  ): Promise<Result<PartState[], 'unavailable'>>;
+  ): Promise<Result<ArchivedParts, 'unavailable'>>;
 
   /**
    * Stores states; one without ends and quarantine removes its part.
--- a/packages/core/src/lib/quarantine/quarantine_keeper.ts
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -12,8 +12,15 @@
 /** Delay after a failed call; each call to the archive is priced. */
 const RETRY_DELAY_MS = 1_000;
 
-/** Interval of reads of a host that hears no deciding host. */
+/**
+ * Interval of reads of a host that hears no deciding host, and of the deciding
+ * host, which learns in this way what operators have set and lifted.
+ */
 const LONE_READ_INTERVAL_MS = 1_000;
+const DECIDING_READ_INTERVAL_MS = 5_000;
+
+/** Number of quarantines that marks a part as lifted. */
+const LIFTED = -1;
 
 /** Dependencies of a {@link QuarantineKeeper}. */
 export interface QuarantineKeeperParts {
@@ -30,9 +37,9 @@
 }
 
 /**
- * Reads the archive when the host starts, and writes what is quarantined while
- * the host decides for all or for itself. A host without a deciding host also
- * learns from the archive what others in its place have written.
+ * Reads the archive when the host starts, and reads and writes it while the
+ * host decides for all or for itself: other hosts without a deciding host and
+ * operators write to it as well.
  */
 export class QuarantineKeeper {
   /** Quarantines in the archive by part; undefined if not known. */
@@ -74,31 +81,33 @@
     if (hasForgotten) this.stored = undefined;
     if (ledger.size === 0 && this.stored === undefined && !isDeciding())
       return true;
-    const isReadDue = !isDeciding() && this.isLoneReadDue;
+    const intervalMs = isDeciding()
+      ? DECIDING_READ_INTERVAL_MS
+      : LONE_READ_INTERVAL_MS;
+    const isReadDue = this.parts.clock.now() - this.lastReadMs >= intervalMs;
     if (this.stored === undefined || isReadDue) {
       if (!(await this.read(signal))) return false;
     }
     return this.write(signal);
   }
 
-  private get isLoneReadDue(): boolean {
-    const ageMs = this.parts.clock.now() - this.lastReadMs;
-    return ageMs >= LONE_READ_INTERVAL_MS;
-  }
-
   private async read(signal: AbortSignal): Promise<boolean> {
     const {archive, clock, ledger, logger} = this.parts;
     this.lastReadMs = clock.now();
-    const states = await archive.read(signal);
-    if (states.isErr()) return false;
+    const archived = await archive.read(signal);
+    if (archived.isErr()) return false;
+    const {lifted, states} = archived.value;
     this.stored = new Map(
-      states.value.map(({part, quarantineCount}) => [part, quarantineCount]),
+      states.map(({part, quarantineCount}) => [part, quarantineCount]),
     );
+    for (const part of lifted) {
+      this.stored.set(part, LIFTED);
+      ledger.clear(part, 'lifted by an operator');
+    }
     this.storedEra = archive.era;
-    if (!this.hasRead)
-      logger.info('quarantine_read', {parts: states.value.length});
+    if (!this.hasRead) logger.info('quarantine_read', {parts: states.length});
     this.hasRead = true;
-    ledger.mergeEvidence(states.value);
+    ledger.mergeEvidence(states);
     return true;
   }
 
