--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -84,7 +84,7 @@
     help: 'Prompt parts under which targets ended, by standing.',
     labelNames: ['standing'],
     registers: [this.registry],
-    collect: () => {
+    collect: (): void => {
       const counts = Object.entries(this.countRestrictedParts());
       for (const [standing, count] of counts)
         this.restrictedParts.set({standing}, count);
@@ -98,6 +98,27 @@
     registers: [this.registry],
   });
 
+  /** Counts the targets that name a limit, when metrics are read. */
+  countLimitedTargets: () => number = () => 0;
+
+  /** Number of targets that name a limit. */
+  readonly limitedTargets = new Gauge({
+    name: 'fuchsiacleat_gateway_limited_targets',
+    help: 'Targets that name a limit of requests per second.',
+    registers: [this.registry],
+    collect: (): void => {
+      this.limitedTargets.set(this.countLimitedTargets());
+    },
+  });
+
+  /** Number of sends to limited targets that were made or put off. */
+  readonly limitedSends = new Counter({
+    name: 'fuchsiacleat_gateway_limited_sends_total',
+    help: 'Sends to targets with a limit, by whether it allowed them.',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
+
   /** Number of calls to the platform's store. */
   readonly storeCalls = new Counter({
     name: 'fuchsiacleat_gateway_store_calls_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -16,6 +16,15 @@
 /** Time between reports of omitted lines and of sends to limited targets. */
 const REPORT_INTERVAL_MS = 4_000;
 
+/** Sends to a target with a limit. */
+interface LimitCounts extends Record<string, number> {
+  sends: number;
+  /** Those of them whose request was sent before. */
+  repeats: number;
+  /** Sends that the limit did not allow when they were due. */
+  throttled: number;
+}
+
 /**
  * Writes one log line for each request that ends. Unserved and served requests
  * have separate rate limits, so that many served requests cannot displace
@@ -26,10 +35,7 @@
   private readonly servedBucket: TokenBucket;
   private omittedCount = 0;
   /** Sends to targets with a limit since the last report. */
-  private readonly limitedSends = new Map<
-    string,
-    {sends: number; repeats: number}
-  >();
+  private readonly limitCounts = new Map<string, LimitCounts>();
 
   /**
    * @param clock - measures the rate of lines.
@@ -101,26 +107,36 @@
   }
 
   override limitedSend(target: string, isRepeat: boolean): void {
-    let counts = this.limitedSends.get(target);
-    if (counts === undefined) {
-      counts = {sends: 0, repeats: 0};
-      this.limitedSends.set(target, counts);
-    }
+    this.metrics.limitedSends.inc({result: 'sent'});
+    const counts = this.limitCountsOf(target);
     counts.sends += 1;
     if (isRepeat) counts.repeats += 1;
   }
 
+  override sendThrottled(target: string): void {
+    this.metrics.limitedSends.inc({result: 'throttled'});
+    this.limitCountsOf(target).throttled += 1;
+  }
+
+  private limitCountsOf(target: string): LimitCounts {
+    let counts = this.limitCounts.get(target);
+    if (counts === undefined) {
+      counts = {sends: 0, repeats: 0, throttled: 0};
+      this.limitCounts.set(target, counts);
+    }
+    return counts;
+  }
+
   private logLimitedSends(): void {
-    for (const [target, {sends, repeats}] of this.limitedSends) {
+    for (const [target, counts] of this.limitCounts) {
       if (!this.tryTakeLine(this.servedBucket)) continue;
       this.logger.info('target_limit_sends', {
         target,
-        sends,
-        repeats,
+        ...counts,
         over_ms: REPORT_INTERVAL_MS,
       });
     }
-    this.limitedSends.clear();
+    this.limitCounts.clear();
   }
 
   override requestEnded(story: RequestTrace): void {
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -219,8 +219,10 @@
       }
       const {objectiveMs} = call.route;
       const {sends} = this.parts;
-      if (!(await sends.acquire(target.value, objectiveMs, call.waitSignal)))
+      if (!(await sends.acquire(target.value, objectiveMs, call.waitSignal))) {
+        this.parts.observer.sendThrottled(target.value.registration.id);
         continue;
+      }
       const outcome =
         (await this.checkPrompt(target.value, req, call)) ??
         (await this.sendTo(target.value, req, call));
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -77,6 +77,13 @@
    */
   abstract limitedSend(target: string, isRepeat: boolean): void;
 
+  /**
+   * Called when the limit of a target allows no send now.
+   *
+   * @param target - id of the target.
+   */
+  abstract sendThrottled(target: string): void;
+
   /** Called when a request has ended. */
   abstract requestEnded(trace: RequestTrace): void;
 }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -340,6 +340,15 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Number of targets that name a limit. */
+  get limitedCount(): number {
+    let count = 0;
+    for (const {requestsPerSecond} of this.byId.values()) {
+      if (requestsPerSecond !== undefined) count += 1;
+    }
+    return count;
+  }
+
   /** Revision; increases with each change that other hosts have to know. */
   get revision(): number {
     return this.changeCount;
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -37,6 +37,7 @@
   'target_gone',
   'target_leaving',
   'target_avoided',
+  'target_limit',
   'target_trusted',
   'target_unreachable',
   'log_lines_dropped',
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -125,4 +125,35 @@
     const other = {target: 'other', end: 'answered'};
     expect(await valueOf(metrics, sends, other)).to.equal(1_000 - 256);
   });
+
+  it('reports sends to limited targets together', async () => {
+    const clock = new ManualClock();
+    const lines: Array<Record<string, unknown>> = [];
+    const logger = new (class extends SilentLogger {
+      override info(...[event, fields]: Parameters<Logger['info']>): void {
+        lines.push({event, ...fields});
+      }
+    })();
+    const metrics = new GatewayMetrics();
+    const journal = new LoggingObserver(clock, logger, metrics);
+    void journal.run(clock, new AbortController().signal);
+    await clock.advance(10);
+    journal.limitedSend('t1', false);
+    journal.limitedSend('t1', true);
+    journal.sendThrottled('t1');
+    await clock.advance(9_000);
+    expect(lines).to.deep.equal([
+      {
+        event: 'target_limit_sends',
+        target: 't1',
+        sends: 2,
+        repeats: 1,
+        throttled: 1,
+        over_ms: 4_000,
+      },
+    ]);
+    const name = 'fuchsiacleat_gateway_limited_sends_total';
+    expect(await valueOf(metrics, name, {result: 'sent'})).to.equal(2);
+    expect(await valueOf(metrics, name, {result: 'throttled'})).to.equal(1);
+  });
 });
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -263,6 +263,8 @@
 
   override limitedSend(): void {}
 
+  override sendThrottled(): void {}
+
   override requestEnded(story: RequestTrace): void {
     this.traces.push(story);
   }
