Suspend models whose loads end targets

What callers would have seen: a model whose weights crash an engine that loads them was ordered to one engine after the other for as long as anybody asked for it, and each end cost all runs of that engine.

Change: when the registration of a process ends while it loads a model, or less than six seconds after the load should have been complete, without a request served since, the end counts against the model. Meanwhile callers are refused at once with the time that is left.

--- a/packages/core/src/lib/residency/account_registry.ts
+++ b/packages/core/src/lib/residency/account_registry.ts
@@ -7,6 +7,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ResidencyOrders} from './residency_order_sender.js';
+import {LoadFailures} from './load_failures.js';
 import {ResidencyAccount, isDeferred} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 
@@ -31,11 +32,18 @@
   state: DeploymentState;
   targets: TargetTable;
   orders: ResidencyOrders;
+  loadFailures: LoadFailures;
   usage: UsageTable;
   /** Publishes to the hosts which models of a target take requests. */
   publish: (account: ResidencyAccount) => void;
 }
 
+/**
+ * Time after a load from which requests in flight show that the target has
+ * survived it.
+ */
+const SERVED_DELAY_MS = 300;
+
 /** A request for a model that a target did not run. */
 export interface RefusedRequest {
   target: string;
@@ -123,7 +131,9 @@
     const {clock, orders, targets} = this.parts;
     const engines = this.engines();
     for (const [id, account] of this.accounts) {
-      if (targets.get(id) !== account.target) this.accounts.delete(id);
+      if (targets.get(id) === account.target) continue;
+      this.accounts.delete(id);
+      this.recordLoadEnds(account);
     }
     for (const target of targets.all()) {
       const engine = engines.get(target.registration.service);
@@ -134,6 +144,7 @@
     }
     const nowMs = clock.now();
     for (const account of this.accounts.values()) {
+      this.recordServedModels(account, nowMs);
       if (!account.needsReport || account.backoffUntilMs > nowMs) continue;
       if (account.isReportPending) continue;
       account.isReportPending = true;
@@ -145,6 +156,28 @@
     }
   }
 
+  /** Records which loaded models have requests in flight. */
+  private recordServedModels(account: ResidencyAccount, nowMs: number): void {
+    const {loadFailures, usage} = this.parts;
+    for (const [model, resident] of account.residents) {
+      if (resident.isServed || nowMs < resident.readyMs + SERVED_DELAY_MS)
+        continue;
+      if (usage.reportedInFlight(account.id, model) === 0) continue;
+      resident.isServed = true;
+      loadFailures.recordLoaded(account.target.registration.service, model);
+    }
+  }
+
+  /** Records the loads that were under way when a target's process ended. */
+  private recordLoadEnds(account: ResidencyAccount): void {
+    const {clock, loadFailures} = this.parts;
+    const {target} = account;
+    if (target.isLeaving) return;
+    const {address, service} = target.registration;
+    for (const model of account.modelsLoadingAtEnd(clock.now()))
+      loadFailures.recordEnd(service, model, address);
+  }
+
   private open(target: KnownTarget, engine: EngineConfig): void {
     const account = new ResidencyAccount(
       target,
--- a/packages/core/src/lib/residency/controller_factory.ts
+++ b/packages/core/src/lib/residency/controller_factory.ts
@@ -5,6 +5,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {AccountRegistry} from './account_registry.js';
+import {LoadFailures} from './load_failures.js';
 import {OrderLease} from './order_lease.js';
 import {OrderPort} from './order_port.js';
 import {ResidencyOrders} from './residency_order_sender.js';
@@ -39,12 +40,14 @@
   controller: ResidencyController;
 } {
   const orders = new ResidencyOrders(parts);
-  const registry = new AccountRegistry({...parts, orders});
+  const loadFailures = new LoadFailures(parts.clock, parts.logger);
+  const registry = new AccountRegistry({...parts, orders, loadFailures});
   const executor = new SwapExecutor({...parts, orders});
   const controller = new ResidencyController({
     ...parts,
     registry,
     executor,
+    loadFailures,
   });
   return {registry, controller};
 }
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -43,6 +43,8 @@
   isRetiring: boolean;
   /** Whether it is confirmed to take requests, not only expected to. */
   isConfirmed: boolean;
+  /** Whether it was loaded before this host knew it, or has served since. */
+  isServed: boolean;
   /** Clock time at which the first request after its load was assigned. */
   probedMs: number | undefined;
   readonly adapters: Map<string, HeldAdapter>;
@@ -51,6 +53,9 @@
 /** Time within which a refusal of the first request after a load arrives. */
 const PROBE_WAIT_MS = 80;
 
+/** Longest time from the end of a process to the end of its registration. */
+const REGISTRATION_LAPSE_MS = 6_000;
+
 /** Time after which a loaded model without requests counts as confirmed. */
 export const UNPROBED_CONFIRM_MS = 200;
 
@@ -203,11 +208,29 @@
     return resident.isConfirmed;
   }
 
+  /**
+   * Returns the models that the target may have been loading when its process
+   * ended.
+   *
+   * @param nowMs - clock time at which its registration ended.
+   */
+  modelsLoadingAtEnd(nowMs: number): string[] {
+    const {loadingModel} = this;
+    const loading = [...this.residents].filter(
+      ([, {readyMs, isServed}]) =>
+        !isServed && nowMs - readyMs < REGISTRATION_LAPSE_MS,
+    );
+    const models = new Set(loading.map(([model]) => model));
+    if (loadingModel !== undefined) models.add(loadingModel);
+    return [...models];
+  }
+
   /** Marks a model as unconfirmed, as a load of it is new or late. */
   markUnconfirmed(model: string): void {
     const resident = this.residents.get(model);
     if (resident === undefined) return;
     resident.isConfirmed = false;
+    resident.isServed = false;
     resident.probedMs = undefined;
   }
 
@@ -299,6 +322,7 @@
       isRetiring: false,
       isUnloading: false,
       isConfirmed: true,
+      isServed: true,
       probedMs: undefined,
       adapters: held,
     };
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -7,6 +7,7 @@
 import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountRegistry} from './account_registry.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
+import {LoadFailures} from './load_failures.js';
 import {OrderLease} from './order_lease.js';
 import {
   chooseAdapterCopies,
@@ -62,6 +63,7 @@
   lease: OrderLease;
   registry: AccountRegistry;
   executor: SwapExecutor;
+  loadFailures: LoadFailures;
   usage: UsageTable;
   lender: TokenLender;
   /** Publishes to the hosts which models of a target take requests. */
@@ -329,6 +331,11 @@
     );
     const ready = holders.filter(account => account.isReady(model, nowMs));
     if (ready.length === 0) {
+      const leftMs = this.parts.loadFailures.suspendedLeftMs(service, model);
+      if (holders.length === 0 && leftMs > 0) {
+        this.waitQueue.refuse(waiter, {retryAfterMs: leftMs, isFinal: true});
+        return;
+      }
       if (holders.length === 0 && canStart) this.startSwap(model, service);
       this.refuseIfTooLate(waiter, accounts);
       return;
@@ -457,6 +464,7 @@
     if (!lease.canOrder) return;
     const engine = this.parts.registry.engineOf(service);
     if (engine === undefined || !engine.models.has(model)) return;
+    if (this.parts.loadFailures.suspendedLeftMs(service, model) > 0) return;
     const round = this.roundOf(service);
     const {storeLoads} = this;
     const canLoadFromStore = storeLoads.canStartLoad(
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -88,6 +88,11 @@
     return reserved + (this.inFlightSums.get(id) ?? 0);
   }
 
+  /** Returns the same, without requests that no host has reported yet. */
+  reportedInFlight(target: string, key: string): number {
+    return this.inFlightSums.get(`${target} ${key}`) ?? 0;
+  }
+
   /** Returns the demand for a model over all hosts. */
   demand(service: string, model: string): DemandRate {
     return this.demandSums.get(`${service} ${model}`) ?? NO_DEMAND;
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -40,6 +40,9 @@
 const HOST = 'host-1';
 const STEP_MS = 10;
 
+/** Time from the end of an engine until its registration is replaced. */
+const LAPSE_MS = 3_600;
+
 /** Faults of orders and reports that a test can inject. */
 export interface OrderFaults {
   /** Fraction of orders without an answer. */
@@ -59,6 +62,9 @@
   readonly storeLoads: number[] = [];
   orderCount = 0;
   crashes = 0;
+  /** Model whose load ends the engine, and what happens then. */
+  endingModel: string | undefined;
+  onEnd: () => void = () => {};
   /** Order under way; a load ends after a time, an unload with its requests. */
   busy: {model: string; isUnload: boolean} | undefined;
 
@@ -121,9 +127,12 @@
     const isOnDisk = this.onDisk.has(model);
     if (!isOnDisk) this.storeLoads.push(this.clock.now());
     this.busy = {model, isUnload: false};
-    this.clock.after(isOnDisk ? facts.diskLoadMs : facts.storeLoadMs, () => {
+    const loadMs = isOnDisk ? facts.diskLoadMs : facts.storeLoadMs;
+    this.clock.after(loadMs, () => {
       this.busy = undefined;
     });
+    if (model === this.endingModel)
+      this.clock.after(loadMs / 2, () => this.onEnd());
     return ORDER_REPLY.accepted;
   }
 
@@ -232,6 +241,7 @@
       const service = ENGINE_SERVICE;
       const registration = targetRegistration({
         id,
+        address: `10.0.0.${i + 1}:8000`,
         service,
         held: list,
         onDisk,
@@ -273,6 +283,37 @@
     void this.controller.run(signal);
   }
 
+  /**
+   * Lets the load of a model end the process of every engine. Its registration
+   * lapses later, and another process is back at its address, with the models
+   * of the start.
+   *
+   * @param model - name of the model.
+   * @returns counts the ends.
+   */
+  endUnderLoad(model: string): {count: number} {
+    const ends = {count: 0};
+    for (const [id, engine] of this.engines) {
+      engine.endingModel = model;
+      engine.onEnd = () => {
+        ends.count += 1;
+        this.clock.after(LAPSE_MS, () => this.restartEngine(id));
+      };
+    }
+    return ends;
+  }
+
+  private restartEngine(id: string): void {
+    const engine = this.engines.get(id)!;
+    const {registration} = this.targets.get(id)!;
+    engine.models.clear();
+    for (const {model} of registration.held)
+      engine.models.set(model, new Set());
+    engine.orderCount = 0;
+    const startedMs = registration.startedMs + 1;
+    this.targets.put({...registration, startedMs}, true);
+  }
+
   /** Puts a configuration with the given facts of engines in force. */
   configure(version: number, engine: EngineConfig): void {
     const deployment = deploymentOf([], undefined, version);
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -62,6 +62,23 @@
     expect(await world.find('m5')).to.equal('e1');
   });
 
+  it('does not end one engine after the other by the load of a model', async () => {
+    const held = ['m0', 'm1', 'm2'].map(model => [model, 'm3', 'm4']);
+    const world = await startWorld(held);
+    world.report([], {m0: 5, m1: 5, m2: 5}, 400);
+    const ends = world.endUnderLoad('m7');
+    for (let i = 0; i < 25; i++) {
+      void world.refusal('m7', 500);
+      world.report([], {m0: 5, m1: 5, m2: 5, m7: 1}, 400);
+      await world.clock.advance(1_000);
+    }
+    expect(ends.count).to.be.within(1, 3);
+    const refusal = await world.settle(world.refusal('m7', 20_000));
+    expect(refusal?.isFinal).to.equal(true);
+    expect(refusal?.retryAfterMs).to.be.above(1_000);
+    expect(await world.find('m8')).to.not.equal(undefined);
+  });
+
   it('evicts an idle model without demand for a load from disk', async () => {
     const world = await startWorld([['m0', 'm1', 'm2']]);
     world.report([], {m0: 5, m1: 3}, 400);
