Publish cleared prompt parts in a form that hosts accept

Cause: the state of a part without a record told the time since its last end as infinite, and messages with numbers that are not finite do not match their schema; the receivers dropped the whole list of changes. The memory network of the tests did not look at schemas, so that no test of the exchange could see it.

Change: 0 where there is no end. The memory network drops what does not match, as the real one does: with it, "clears a part on all hosts once any has seen an answer" failed before and passes now.

--- a/packages/core/src/lib/peers/memory_peer_network.ts
+++ b/packages/core/src/lib/peers/memory_peer_network.ts
@@ -108,6 +108,7 @@
 
 /**
  * A {@link PeerNetwork} that sends its messages through a {@link MemoryHub}.
+ * Like a real one, it drops notifications that do not match their schema.
  */
 export class MemoryPeerNetwork extends PeerNetwork {
   private readonly handlers = new Map<string, AnyHandler>();
@@ -153,9 +154,11 @@
     method: PeerMethod<Body, never>,
     body: Body,
   ): boolean {
-    this.hub.send(this.self, host, body, to =>
-      to.notificationHandlers.get(method.name)?.(body, this.self),
-    );
+    this.hub.send(this.self, host, body, to => {
+      const parsed = method.body.safeParse(body);
+      if (!parsed.success) return;
+      to.notificationHandlers.get(method.name)?.(parsed.data, this.self);
+    });
     return true;
   }
 
--- a/packages/core/src/lib/quarantine/part_record.ts
+++ b/packages/core/src/lib/quarantine/part_record.ts
@@ -22,7 +22,7 @@
   part: z.string(),
   /** Processes that ended under the part since it was last answered. */
   ends: z.number(),
-  /** Time since the last of these ends, in milliseconds. */
+  /** Time since the last of these ends, in milliseconds; 0 if there is none. */
   endAgoMs: z.number(),
   /** Time since a target began the last answer that proved the part sound. */
   answeredAgoMs: z.number().optional(),
@@ -91,10 +91,12 @@
   toState(nowMs: number): PartState {
     const {part, ends, quarantineCount, targets} = this;
     const hasAnswer = this.answeredMs !== -Infinity;
+    // Messages hold finite numbers only.
+    const hasEnd = this.lastEndMs !== -Infinity;
     return {
       part,
       ends,
-      endAgoMs: nowMs - this.lastEndMs,
+      endAgoMs: hasEnd ? nowMs - this.lastEndMs : 0,
       answeredAgoMs: hasAnswer ? nowMs - this.answeredMs : undefined,
       quarantineLeftMs: Math.max(0, this.quarantinedUntilMs - nowMs),
       quarantineCount,
