Let a host that decides about prompt parts read the archive before it is ready

A host that held the order lease counted itself as the host from which it had learned what was quarantined, and taught the others. After the death of all hosts the first to claim the lease was ready, and the others with it, before the store had been read: up to half a second in which requests with a quarantined part were sent. Found by reading.

Only another host that has itself read the archive teaches now; the deciding host reads it. Test: neither a host that has not read it nor an earlier process of the host itself counts; the second was seen to fail on the way.

--- a/packages/core/src/lib/quarantine/quarantine_exchange.ts
+++ b/packages/core/src/lib/quarantine/quarantine_exchange.ts
@@ -55,6 +55,8 @@
   /** The deciding host, while it is heard; it may be this host. */
   decidingHost: () => DecidingHost | undefined;
   hostCount: () => number;
+  /** Whether this host knows what was quarantined before it started. */
+  isInformed: () => boolean;
 }
 
 /**
@@ -82,7 +84,7 @@
     this.registerHandlers();
   }
 
-  /** Whether this host has learned what a deciding host knows. */
+  /** Whether this host has learned what another host knows as the deciding one. */
   get hasExchanged(): boolean {
     return this.hasEverExchanged;
   }
@@ -209,7 +211,9 @@
       return {tried: ledger.tryStartTrial(trial)};
     });
     network.serveUnary(EXCHANGE_STATES, ({states}) => {
-      if (!this.isDeciding) throw new Error('not the deciding host');
+      const {isInformed} = this.parts;
+      if (!this.isDeciding || !isInformed())
+        throw new Error('not the deciding host, or not informed yet');
       ledger.mergeEvidence(states);
       return {states: ledger.states()};
     });
@@ -227,8 +231,9 @@
     if (deciding === undefined) this.exchangedWith = '';
     if (deciding === undefined || deciding.incarnation === this.exchangedWith)
       return;
-    if (this.isDeciding) {
-      this.recordExchange(deciding.incarnation);
+    // It may also be an earlier process of this host.
+    if (deciding.host === network.self.host) {
+      this.exchangedWith = deciding.incarnation;
       return;
     }
     const own = {states: ledger.states()};
@@ -240,16 +245,12 @@
       options,
     );
     if (reply.isErr()) return;
-    this.recordExchange(deciding.incarnation);
+    this.exchangedWith = deciding.incarnation;
+    this.hasEverExchanged = true;
     ledger.applyDecisions(reply.value.states, true);
     this.reportEarlierAnswers(reply.value.states);
   }
 
-  private recordExchange(incarnation: string): void {
-    this.exchangedWith = incarnation;
-    this.hasEverExchanged = true;
-  }
-
   private scheduleFlush(part: string): void {
     if (!this.isDeciding) return;
     this.changedParts.add(part);
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -181,6 +181,7 @@
     answered: new AnsweredParts(clock),
     decidingHost: () => self,
     hostCount: () => 1,
+    isInformed: () => true,
   });
   const detector = new TargetEndDetector({
     clock,
--- a/packages/core/src/test/quarantine/quarantine_exchange_test.ts
+++ b/packages/core/src/test/quarantine/quarantine_exchange_test.ts
@@ -88,6 +88,19 @@
     expect(world.standings('bad')).to.deep.equal(all(STANDING.quarantined));
   });
 
+  it('is taught only by another host that has read the archive', async () => {
+    world.hosts[0].isInformed = false;
+    const started = world.startHost(2);
+    await world.clock.advance(1_000);
+    expect(started.exchange.hasExchanged).to.equal(false);
+    world.hosts[0].isInformed = true;
+    await world.clock.advance(1_000);
+    expect(started.exchange.hasExchanged).to.equal(true);
+    const restarted = world.startHost(0);
+    await world.clock.advance(1_000);
+    expect(restarted.exchange.hasExchanged).to.equal(false);
+  });
+
   it('keeps a quarantine when the deciding host is replaced', async () => {
     world.end(3, ['bad']);
     await world.clock.advance(SPREAD_MS);
--- a/packages/core/src/test/quarantine/quarantine_world.ts
+++ b/packages/core/src/test/quarantine/quarantine_world.ts
@@ -16,6 +16,8 @@
   readonly ledger: PartLedger;
   readonly exchange: QuarantineExchange;
   readonly guard: PromptGuard;
+  /** Whether the host has read the archive. */
+  isInformed = true;
   private readonly shutdown = new AbortController();
 
   constructor(
@@ -35,6 +37,7 @@
       answered: new AnsweredParts(clock),
       decidingHost: () => world.decidingHostFor(self.host),
       hostCount: () => world.hosts.length,
+      isInformed: () => this.isInformed,
     });
     const detector = new TargetEndDetector({
       clock,
