Spare the holder messages about limits, and end waits for them when a host stops

Changes of limits are collected for 20 ms before they are published, and all limits are repeated less often the more there are: 87 limited targets before 195 hosts were 17,000 messages at once and 5 KB a second for each host. A request that waits for a limit when its host stops is refused at once; before, it asked again until it was turned down.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -221,6 +221,8 @@
       const {sends} = this.parts;
       if (!(await sends.acquire(target.value, objectiveMs, call.waitSignal))) {
         this.parts.observer.sendThrottled(target.value.registration.id);
+        if (call.waitSignal.aborted && !call.signal.aborted)
+          return this.unservedOutcome(call, stoppingRefusal());
         continue;
       }
       const outcome =
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -437,10 +437,10 @@
     let best: ResidencyAccount | undefined;
     let bestLoad = Infinity;
     for (const account of accounts) {
-      const triedPenalty = tried.has(account.id) ? account.engine.slots : 0;
-      const avoidedFactor = account.target.health.isAvoided ? 2 : 0;
-      const penalty = triedPenalty + avoidedFactor * account.engine.slots;
-      const load = usage.inFlight(account.id, model) + penalty;
+      const triedPenalty = tried.has(account.id) ? 1 : 0;
+      const avoidedPenalty = account.target.health.isAvoided ? 2 : 0;
+      const running = usage.inFlight(account.id, model) / account.slots;
+      const load = running + triedPenalty + avoidedPenalty;
       if (load >= bestLoad) continue;
       best = account;
       bestLoad = load;
--- a/packages/core/src/lib/target_limits/limit_exchange.ts
+++ b/packages/core/src/lib/target_limits/limit_exchange.ts
@@ -12,8 +12,15 @@
 import {SendGrant, SendLoans, SendRequest} from './send_loans.js';
 import {SendLender} from './send_lender.js';
 
-/** Interval at which all limits are repeated, for hosts that missed some. */
+/**
+ * Interval at which all limits are repeated, for hosts that missed some, and
+ * the same for each limit.
+ */
 const REPEAT_INTERVAL_MS = 1_000;
+const REPEAT_MS_PER_LIMIT = 100;
+
+/** Time in which changes are collected before they are published. */
+const PUBLISH_DELAY_MS = 20;
 
 /** How long the end of a limit is repeated. */
 const ENDED_LIFETIME_MS = 10_000;
@@ -38,6 +45,8 @@
 export class LimitExchange extends SendLoans {
   private readonly lender: SendLender;
   private wasLending = false;
+  /** Targets whose limits have changed since the last publication. */
+  private readonly changed = new Set<KnownTarget>();
 
   /** @param parts - see {@link LimitExchangeParts}. */
   constructor(private readonly parts: LimitExchangeParts) {
@@ -62,7 +71,8 @@
       this.noticeTakeover();
       const limits = this.isLending ? this.currentLimits() : [];
       if (limits.length > 0) network.broadcast(PUBLISH_LIMITS, {limits});
-      await clock.sleep(REPEAT_INTERVAL_MS, signal);
+      const pauseMs = REPEAT_INTERVAL_MS + limits.length * REPEAT_MS_PER_LIMIT;
+      await clock.sleep(pauseMs, signal);
     }
   }
 
@@ -123,15 +133,22 @@
 
   /** Passes on a limit that has changed. */
   private spread(target: KnownTarget, isOwn: boolean): void {
-    const {lendingHost, network} = this.parts;
-    const limit = this.stateOf(target);
+    const {clock, lendingHost, network} = this.parts;
     if (this.isLending) {
-      network.broadcast(PUBLISH_LIMITS, {limits: [limit]});
+      if (this.changed.size === 0)
+        clock.after(PUBLISH_DELAY_MS, () => this.publishChanged());
+      this.changed.add(target);
       return;
     }
     const lending = lendingHost();
     if (isOwn && lending !== undefined)
-      network.notify(lending.host, REPORT_LIMIT, limit);
+      network.notify(lending.host, REPORT_LIMIT, this.stateOf(target));
+  }
+
+  private publishChanged(): void {
+    const limits = [...this.changed].map(target => this.stateOf(target));
+    this.changed.clear();
+    if (this.isLending) this.parts.network.broadcast(PUBLISH_LIMITS, {limits});
   }
 
   private currentLimits(): LimitState[] {
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -658,6 +658,19 @@
     expect(world.port.sent.length).to.equal(6 - refused.length);
   });
 
+  it('refuses a request that waits for a limit when the host stops', async () => {
+    const world = limitedWorld(1, 2);
+    const caller = new FakeCaller(world.clock);
+    const done = world.relay.handle(caller);
+    await world.clock.advance(0);
+    await world.clock.advance(100);
+    world.relay.refuseWaiting();
+    await world.clock.advance(100);
+    expect(caller.refusal?.reason).to.equal(REFUSAL.stopping);
+    await done;
+    expect(world.port.sent).to.have.lengthOf(0);
+  });
+
   it('finds another target of the model while the limit is used up', async () => {
     const route = routeRule({
       kind: REQUEST_KIND.stream,
