Say in the log what a caller received and what ended each send

The log had the same line, send_ended end=broken, for a target that reset its connection and for a host that gave the target up, so that the hypotheses of the incident could not be told apart.

send_ended and request now carry ended_by (target, head-timeout, stall, quarantine, deadline, caller, stop), request carries answer (whole, status, cut, none), explain says both, and fuchsiacleat_gateway_answers_cut_total counts cut answers by what ended them. No decision changes.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -1,6 +1,7 @@
 /** Relays the answer of a target to the caller. @packageDocumentation */
 
 import {Clock, Timer} from '../time/clock.js';
+import {ENDED_BY} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
 import {EventBoundary} from './event_boundary.js';
@@ -72,7 +73,11 @@
     splitter?.discardPartialEvent();
     const maxStallMs = Math.max(MIN_STREAM_STALL_MS, call.route.objectiveMs);
     const watchdog =
-      splitter && new StallWatchdog(this.clock, answer, maxStallMs);
+      splitter &&
+      new StallWatchdog(this.clock, maxStallMs, () => {
+        call.recordEnd(ENDED_BY.stall);
+        answer.discard();
+      });
     const boundary = new EventBoundary();
     this.sendHead(req, call, answer.head);
     const end = await answer.read(chunk => {
@@ -142,15 +147,15 @@
   }
 }
 
-/** Discards an answer that makes no progress for too long. */
+/** Calls back when an answer makes no progress for too long. */
 class StallWatchdog {
   private progressMs: number;
   private timer: Timer;
 
   constructor(
     private readonly clock: Clock,
-    private readonly answer: TargetAnswer,
     private readonly maxStallMs: number,
+    private readonly onStall: () => void,
   ) {
     this.progressMs = clock.now();
     this.timer = this.arm(maxStallMs);
@@ -168,7 +173,7 @@
     return this.clock.after(delayMs, () => {
       const stalledMs = this.clock.now() - this.progressMs;
       const leftMs = this.maxStallMs - stalledMs;
-      if (leftMs <= 0) this.answer.discard();
+      if (leftMs <= 0) this.onStall();
       else this.timer = this.arm(leftMs);
     });
   }
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -68,6 +68,14 @@
     registers: [this.registry],
   });
 
+  /** Number of answers that ended before they were complete. */
+  readonly cutAnswers = new Counter({
+    name: 'fuchsiacleat_gateway_answers_cut_total',
+    help: 'Answers that ended after their head and before their end, by what ended them.',
+    labelNames: ['kind', 'ended_by'],
+    registers: [this.registry],
+  });
+
   /** Number of processes of targets that ended under requests of this host. */
   readonly targetEnds = new Counter({
     name: 'fuchsiacleat_gateway_target_ends_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -4,6 +4,7 @@
 import {TokenBucket} from '../limits/token_bucket.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
+import {ANSWER_END} from './answer_end.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {EndedSend, RelayObserver, RequestTrace} from './relay_observer.js';
 
@@ -81,7 +82,7 @@
   }
 
   override sendEnded(send: EndedSend): void {
-    const {id, target, end, detail, receivedBytes} = send;
+    const {id, target, end, endedBy, detail, receivedBytes} = send;
     this.metrics.unansweredSends.inc({end, detail});
     this.metrics.countSend(target, end);
     if (!this.tryTakeLine(this.unservedBucket)) return;
@@ -89,6 +90,7 @@
       id,
       target,
       end,
+      ended_by: endedBy,
       detail,
       send_age_ms: send.ageMs,
       received_bytes: receivedBytes,
@@ -142,6 +144,8 @@
   override requestEnded(story: RequestTrace): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
+    if (story.answer === ANSWER_END.cut)
+      this.metrics.cutAnswers.inc({kind, ended_by: story.endedBy});
     this.metrics.requests.inc({kind, outcome: outcome.type, reason});
     this.metrics.duration.observe(
       {kind, outcome: outcome.type},
@@ -162,6 +166,8 @@
       retry_after_ms:
         'retryAfterMs' in outcome ? outcome.retryAfterMs : undefined,
       status: story.status,
+      answer: story.answer,
+      ended_by: story.endedBy,
       route: story.route,
       kind: story.kind,
       team: story.team,
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,6 +12,7 @@
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
+import {ANSWER_END, AnswerEnd, ENDED_BY} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
@@ -172,7 +173,7 @@
 
   /** Aborts all requests. */
   abortAll(): void {
-    for (const call of this.calls) call.abort();
+    for (const call of this.calls) call.abort(ENDED_BY.stop);
   }
 
   /** Cancels the sends of requests with a part that no target has answered. */
@@ -490,6 +491,7 @@
       id: req.id,
       target: target.registration.id,
       end,
+      endedBy: call.endedBy,
       detail,
       ageMs: call.sendAgeMs,
       receivedBytes: call.receivedBytes,
@@ -551,10 +553,28 @@
       totalMs: Math.round(clock.now() - req.arrivedMs),
       status: call?.status,
       outcome,
+      answer: answerEndOf(call, outcome),
+      endedBy: hasEndedSend(call, outcome) ? call?.endedBy : undefined,
     };
   }
 }
 
+function answerEndOf<Req extends CallerRequest>(
+  call: RelayCall<Req> | undefined,
+  outcome: Outcome,
+): AnswerEnd {
+  if (outcome.type === 'served') return ANSWER_END.whole;
+  if (call?.isHeadSent === true) return ANSWER_END.cut;
+  return outcome.type === 'cancelled' ? ANSWER_END.none : ANSWER_END.status;
+}
+
+function hasEndedSend<Req extends CallerRequest>(
+  call: RelayCall<Req> | undefined,
+  outcome: Outcome,
+): boolean {
+  return outcome.type !== 'served' && (call?.sends ?? 0) > 0;
+}
+
 function routeAndTeam(
   route: RouteRule | undefined,
   team: TeamConfig | undefined,
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -3,6 +3,7 @@
 import {Clock, Timer} from '../time/clock.js';
 import {GuardedRun} from '../quarantine/guarded_run.js';
 import {GrantedTrial} from '../quarantine/trial.js';
+import {ENDED_BY, EndedBy} from './answer_end.js';
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
@@ -49,6 +50,8 @@
   run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
   receivedBytes = 0;
+  /** What ended the current send, once its end is known; see {@link ENDED_BY}. */
+  endedBy: EndedBy = ENDED_BY.target;
   /** Whether the head of an answer was sent to the caller. */
   isHeadSent = false;
   status: number | undefined;
@@ -81,9 +84,11 @@
   ) {
     const isResumable = route.kind === REQUEST_KIND.stream && route.isResumable;
     this.splitter = isResumable ? new EventSplitter() : undefined;
-    this.timer = clock.after(deadlineMs - clock.now(), this.abort);
-    req.signal.addEventListener('abort', this.abort);
-    if (req.signal.aborted) this.abort();
+    this.timer = clock.after(deadlineMs - clock.now(), () =>
+      this.abort(ENDED_BY.deadline),
+    );
+    req.signal.addEventListener('abort', this.abortForCaller);
+    if (req.signal.aborted) this.abortForCaller();
   }
 
   /** Id of the request. */
@@ -106,11 +111,25 @@
     this.waitController.abort();
   }
 
-  /** Aborts the request in any state. */
-  readonly abort = (): void => {
+  /**
+   * Aborts the request in any state.
+   *
+   * @param endedBy - the reason.
+   */
+  abort(endedBy: EndedBy): void {
+    this.recordEnd(endedBy);
     this.requestController.abort();
     this.waitController.abort();
-  };
+  }
+
+  /**
+   * Records what ends the current send; the first reason counts.
+   *
+   * @param endedBy - the reason.
+   */
+  recordEnd(endedBy: EndedBy): void {
+    if (this.endedBy === ENDED_BY.target) this.endedBy = endedBy;
+  }
 
   /** Whether the request may run more than once. */
   get isRepeatable(): boolean {
@@ -140,6 +159,7 @@
     this.sentTo.push(target);
     this.sendStartMs = this.clock.now();
     this.receivedBytes = 0;
+    this.endedBy = ENDED_BY.target;
   }
 
   /** Time since the start of the current send. */
@@ -174,19 +194,23 @@
     const {signal: requestSignal} = this;
     const controller = new AbortController();
     const abort = () => controller.abort();
+    const end = (endedBy: EndedBy) => {
+      this.recordEnd(endedBy);
+      abort();
+    };
     requestSignal.addEventListener('abort', abort);
     if (requestSignal.aborted) abort();
     const timer =
       headTimeoutMs === undefined
         ? undefined
-        : this.clock.after(headTimeoutMs, abort);
+        : this.clock.after(headTimeoutMs, () => end(ENDED_BY.headTimeout));
     const attempt = {
       signal: controller.signal,
       isWithdrawn: false,
       cancelHeadTimeout: () => timer?.cancel(),
       withdraw: () => {
         attempt.isWithdrawn = true;
-        abort();
+        end(ENDED_BY.quarantine);
       },
       dispose: () => {
         timer?.cancel();
@@ -201,9 +225,11 @@
   /** Cancels the timer and removes the listener. */
   dispose(): void {
     this.timer.cancel();
-    this.req.signal.removeEventListener('abort', this.abort);
+    this.req.signal.removeEventListener('abort', this.abortForCaller);
   }
 
+  private readonly abortForCaller = (): void => this.abort(ENDED_BY.caller);
+
   private elapsedMs(): number {
     return Math.round(this.clock.now() - this.req.arrivedMs);
   }
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -1,6 +1,7 @@
 /** Interface to observe how requests are relayed. @packageDocumentation */
 
 import {Outcome} from '../requests/outcome.js';
+import {AnswerEnd, EndedBy} from './answer_end.js';
 
 /** Trace of a finished request: the data that explains how it was handled. */
 export interface RequestTrace {
@@ -25,6 +26,10 @@
   totalMs: number;
   status: number | undefined;
   outcome: Outcome;
+  /** What the caller received. */
+  answer: AnswerEnd;
+  /** What ended the last send, unless it brought a complete answer. */
+  endedBy: EndedBy | undefined;
 }
 
 /** A send that has led to no complete answer. */
@@ -35,6 +40,8 @@
   target: string;
   /** How the send ended. */
   end: string;
+  /** What ended it. */
+  endedBy: EndedBy;
   /** The reason or the status. */
   detail: string;
   /** Time from the start of the send to its end. */
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -77,6 +77,20 @@
   'too-large': 'the request was larger than the configuration allows',
 };
 
+/** Descriptions of what ended the last send of a request, by `ended_by`. */
+const SEND_ENDS: Readonly<Record<string, string>> = {
+  target: 'the target or its connection broke off',
+  'head-timeout': 'this host, as no answer began in time',
+  stall: 'this host, as the stream made no progress',
+  quarantine: 'this host, as a part of the prompt was quarantined',
+  deadline: 'the deadline',
+  caller: 'the caller, who disconnected',
+  stop: 'this host, at the end of its stop',
+};
+
+/** Value of `answer` of a request whose answer ended after its head. */
+const CUT_ANSWER = 'cut';
+
 /** Explanation of a request. */
 export interface RequestExplanation {
   /** Lines of the request and of related events, sorted by time. */
@@ -180,7 +194,13 @@
   const cause = CAUSES_BY_REASON[reason] ?? reason;
   const detail = end.get('detail');
   const detailText = detail === undefined ? '' : ` (${detail})`;
-  return `${outcome}, ${reason}: ${cause}${detailText}`;
+  return `${outcome}, ${reason}: ${cause}${detailText}${cutTextOf(end)}`;
+}
+
+function cutTextOf(end: ParsedLine): string {
+  if (end.get('answer') !== CUT_ANSWER) return '';
+  const endedBy = end.get('ended_by') ?? 'unknown';
+  return `; the answer was cut; its last send was ended by ${SEND_ENDS[endedBy] ?? endedBy}`;
 }
 
 function formatLine(line: ParsedLine): string {
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {ANSWER_END, ENDED_BY} from '../../lib/gateway/answer_end.js';
 import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
 import {LoggingObserver} from '../../lib/gateway/logging_observer.js';
 import {RequestTrace} from '../../lib/gateway/relay_observer.js';
@@ -36,6 +37,8 @@
     totalMs: 900,
     status: 200,
     outcome: {type},
+    answer: type === 'served' ? ANSWER_END.whole : ANSWER_END.none,
+    endedBy: undefined,
   };
 }
 
@@ -111,6 +114,7 @@
       id: 'r',
       target: 't0',
       end: 'lost',
+      endedBy: ENDED_BY.target,
       detail: 'reset',
       ageMs: 5,
       receivedBytes: 0,
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -283,7 +283,8 @@
           read: async sink => {
             for (const part of chunks) {
               await clock.sleep(intervalMs, discarded.signal);
-              if (discarded.signal.aborted) return BODY_END.broken;
+              if (discarded.signal.aborted || options.signal.aborted)
+                return BODY_END.broken;
               await sink(Buffer.from(part));
             }
             return BODY_END.complete;
@@ -322,6 +323,29 @@
     expect(world.clock.now()).to.be.below(100);
   });
 
+  it('reports whether the target, the host or the caller ended a cut answer', async () => {
+    const resets = () => answer(200, [event(1)], BODY_END.broken);
+    const ends: Array<[TargetBehavior, string]> = [
+      [resets, 'target'],
+      [paced([event(1), event(2)], 700), 'deadline'],
+    ];
+    for (const [behavior, endedBy] of ends) {
+      const world = relayWorld({route: stream, behaviors: [behavior]});
+      const caller = new FakeCaller(world.clock);
+      caller.timeoutMs = 1_000;
+      await world.run(caller);
+      const [trace] = world.observer.traces;
+      expect(trace.answer).to.equal('cut');
+      expect(trace.endedBy).to.equal(endedBy);
+    }
+    const world = relayWorld({route: stream, behaviors: [silent]});
+    const caller = new FakeCaller(world.clock);
+    world.clock.after(100, () => caller.disconnect.abort());
+    await world.run(caller);
+    expect(world.observer.traces[0].answer).to.equal('none');
+    expect(world.observer.traces[0].endedBy).to.equal('caller');
+  });
+
   it('continues a slow stream within the latency objective', async () => {
     const slow = routeRule({
       kind: REQUEST_KIND.stream,
