Give a silent target up only on evidence, and only for a secured replacement

Cause: a resumable stream without an event for a second, or one objective, was discarded by this host. Its continuation then needed a retry from the shared budget and another target. All streams of a silent target came to this within the same moment, so that the budget was used up just then, and the caller's connection was reset. A stream on the last target that its route allows was discarded without any way to go on. Silence was taken for death.

Ruled out: that the target broke off (ended_by=stall in all reproductions), that a stop or a broken invariant is needed.

Now a stall leads to checks of the target over new connections, shared by all of its streams: nothing listens, three checks without a reply, or it answers others while this run stands still. Only such evidence ends the run, and only once another target and a retry are secured; a stream that was given up is tried until its deadline. Streams on their last target are not watched. Without evidence the host waits: the target goes on, or the deadline, the caller or the connection ends the run.

Four tests of silent_target_test failed before and pass; the evidence is tested to move a stream within the 2 s after which callers leave. run_stalled and fuchsiacleat_gateway_runs_stalled_total tell what checks showed.

--- a/packages/core/src/lib/gateway/answer_end.ts
+++ b/packages/core/src/lib/gateway/answer_end.ts
@@ -6,8 +6,12 @@
   target: 'target',
   /** This host, as no head of an answer arrived in time. */
   headTimeout: 'head-timeout',
-  /** This host, as a stream made no progress for too long. */
+  /** This host, as a stream made no progress while its target answered others. */
   stall: 'stall',
+  /** This host, as nothing listens at the target's address any more. */
+  targetEnded: 'target-ended',
+  /** This host, as the target did not reply to several new connections. */
+  targetUnreachable: 'target-unreachable',
   /** This host, as a part of the prompt was quarantined. */
   quarantine: 'quarantine',
   /** The deadline of the request. */
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -1,22 +1,21 @@
 /** Relays the answer of a target to the caller. @packageDocumentation */
 
-import {Clock, Timer} from '../time/clock.js';
-import {ENDED_BY} from './answer_end.js';
+import {Clock} from '../time/clock.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
 import {EventBoundary} from './event_boundary.js';
 import {RelayCall} from './relay_call.js';
+import {StallHandler, StallMonitor} from './stall_monitor.js';
 import {BODY_END, BodyEnd, TargetAnswer} from './target_port.js';
 
 /** Size up to which a plain answer is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
 /**
- * Minimum time without an event after which a resumable stream is continued on
- * another target. The limit is one latency objective, because a stream that
- * stalls for that long is late already, but at least a second. Callers
- * disconnect after a gap of two seconds or four objectives, whichever is
- * longer.
+ * Minimum time without an event after which the target of a resumable stream is
+ * checked. The limit is one latency objective, because a stream that stalls for
+ * that long is late already, but at least a second. Callers disconnect after a
+ * gap of two seconds or four objectives, whichever is longer.
  */
 const MIN_STREAM_STALL_MS = 1_000;
 
@@ -48,6 +47,7 @@
    * @param req - the request to answer.
    * @param call - the state of the request.
    * @param answer - the answer of the target.
+   * @param stalls - decides about a stream that makes no progress.
    * @returns whether the caller received the complete answer. After `broken`,
    *     the caller has received no part of a plain answer unless
    *     `call.isHeadSent`, and only whole events of a resumable stream.
@@ -56,10 +56,11 @@
     req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
+    stalls: StallHandler,
   ): Promise<RelayResult> {
     const isStream = call.route.kind === REQUEST_KIND.stream;
     const end = isStream
-      ? await this.relayStream(req, call, answer)
+      ? await this.relayStream(req, call, answer, stalls)
       : await this.relayPlain(req, call, answer);
     return end === BODY_END.complete ? RELAY_RESULT.whole : RELAY_RESULT.broken;
   }
@@ -68,31 +69,32 @@
     req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
+    stalls: StallHandler,
   ): Promise<BodyEnd> {
     const {splitter} = call;
     splitter?.discardPartialEvent();
     const maxStallMs = Math.max(MIN_STREAM_STALL_MS, call.route.objectiveMs);
-    const watchdog =
-      splitter &&
-      new StallWatchdog(this.clock, maxStallMs, () => {
-        call.recordEnd(ENDED_BY.stall);
-        answer.discard();
-      });
+    const monitor = call.canRunAgain
+      ? new StallMonitor(this.clock, maxStallMs, stalls)
+      : undefined;
+    const ended = new AbortController();
+    void monitor?.run(ended.signal);
     const boundary = new EventBoundary();
     this.sendHead(req, call, answer.head);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
       call.recordBytes();
       boundary.push(chunk);
+      monitor?.recordBytes();
       if (splitter === undefined) return req.write(chunk);
       const {lastId} = splitter;
       const bytes = splitter.push(chunk);
       // Comments and partial events do not count as progress.
-      if (splitter.lastId !== lastId) watchdog!.recordProgress();
+      if (splitter.lastId !== lastId) monitor?.recordProgress();
       if (splitter.isTooLong) answer.discard();
       return bytes.length === 0 ? undefined : req.write(bytes);
     });
-    watchdog?.stop();
+    ended.abort();
     if (end !== BODY_END.complete) return end;
     // The end of its connection may be all that ends a stream.
     if (answer.head.isEventStream && boundary.isInsideEvent)
@@ -146,35 +148,3 @@
     req.writeHead(head);
   }
 }
-
-/** Calls back when an answer makes no progress for too long. */
-class StallWatchdog {
-  private progressMs: number;
-  private timer: Timer;
-
-  constructor(
-    private readonly clock: Clock,
-    private readonly maxStallMs: number,
-    private readonly onStall: () => void,
-  ) {
-    this.progressMs = clock.now();
-    this.timer = this.arm(maxStallMs);
-  }
-
-  recordProgress(): void {
-    this.progressMs = this.clock.now();
-  }
-
-  stop(): void {
-    this.timer.cancel();
-  }
-
-  private arm(delayMs: number): Timer {
-    return this.clock.after(delayMs, () => {
-      const stalledMs = this.clock.now() - this.progressMs;
-      const leftMs = this.maxStallMs - stalledMs;
-      if (leftMs <= 0) this.onStall();
-      else this.timer = this.arm(leftMs);
-    });
-  }
-}
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -76,6 +76,14 @@
     registers: [this.registry],
   });
 
+  /** Number of runs without progress, by what checks of their targets showed. */
+  readonly stalledRuns = new Counter({
+    name: 'fuchsiacleat_gateway_runs_stalled_total',
+    help: 'Runs that made no progress, by what a check of the target showed.',
+    labelNames: ['state'],
+    registers: [this.registry],
+  });
+
   /** Number of processes of targets that ended under requests of this host. */
   readonly targetEnds = new Counter({
     name: 'fuchsiacleat_gateway_target_ends_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -6,7 +6,12 @@
 import {Clock} from '../time/clock.js';
 import {ANSWER_END} from './answer_end.js';
 import {GatewayMetrics} from './gateway_metrics.js';
-import {EndedSend, RelayObserver, RequestTrace} from './relay_observer.js';
+import {
+  EndedSend,
+  RelayObserver,
+  RequestTrace,
+  StalledRun,
+} from './relay_observer.js';
 
 /**
  * Rate limits of log lines for unserved and served requests, lines per second.
@@ -98,6 +103,19 @@
     });
   }
 
+  override runStalled(run: StalledRun): void {
+    const {id, target, state, ageMs, receivedBytes} = run;
+    this.metrics.stalledRuns.inc({state});
+    if (!this.tryTakeLine(this.unservedBucket)) return;
+    this.logger.info('run_stalled', {
+      id,
+      target,
+      state,
+      send_age_ms: ageMs,
+      received_bytes: receivedBytes,
+    });
+  }
+
   override targetAvoided(target: string, forMs: number): void {
     if (!this.tryTakeLine(this.unservedBucket)) return;
     this.logger.info('target_avoided', {target, for_ms: forMs});
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,7 +12,7 @@
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
-import {ANSWER_END, AnswerEnd, ENDED_BY} from './answer_end.js';
+import {ANSWER_END, AnswerEnd, ENDED_BY, EndedBy} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
@@ -24,8 +24,11 @@
 import {RelayObserver, RequestTrace} from './relay_observer.js';
 import {AnswerRelay, RELAY_RESULT} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
+import {RunReplacement} from './run_replacement.js';
+import {RunStallHandler, RunStallHandlerParts} from './run_stall_handler.js';
 import {noCapacityRefusal} from './capacity_refusal.js';
 import {chooseService} from './target_choice.js';
+import {TargetProber} from './target_prober.js';
 import {TargetSearch} from './target_search.js';
 import {
   NOT_RUN,
@@ -76,6 +79,12 @@
   NOT_RUN.withdrawn,
 ]);
 
+/** Ends of sends that the end of the target's process may have caused. */
+const TARGET_ENDS: ReadonlySet<EndedBy> = new Set([
+  ENDED_BY.target,
+  ENDED_BY.targetEnded,
+]);
+
 const OK = 200;
 const SERVER_ERROR = 500;
 const LEAST_URGENT = 9;
@@ -116,6 +125,7 @@
   private readonly admission: Admission;
   private readonly answers: AnswerRelay<Req, Head>;
   private readonly search: TargetSearch;
+  private readonly stallParts: RunStallHandlerParts;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
 
@@ -124,6 +134,12 @@
     this.admission = new Admission(parts);
     this.answers = new AnswerRelay(parts.clock);
     this.search = new TargetSearch(parts);
+    const {clock, observer, port, retries} = parts;
+    this.stallParts = {
+      prober: new TargetProber(clock, target => port.probe(target)),
+      replacement: new RunReplacement(this.search, retries),
+      observer,
+    };
     parts.prompts.onQuarantined(part => this.withdrawSends(part));
   }
 
@@ -204,6 +220,7 @@
       const target = await this.search.find(req, call);
       if (call.signal.aborted) return this.abortedOutcome(req, call);
       if (target.isErr()) {
+        if (await this.waitToContinue(call)) continue;
         const isStopped = call.waitSignal.aborted;
         const refusal = isStopped ? stoppingRefusal() : target.error;
         return this.unservedOutcome(call, refusal);
@@ -211,6 +228,7 @@
       const refusal = this.checkSend(req, call);
       if (refusal !== undefined) return this.unservedOutcome(call, refusal);
       if (!this.tryTakeSend(call)) {
+        if (await this.waitToContinue(call)) continue;
         if (call.possibleRuns > 0 || !this.canWaitForBudget(req, call)) {
           const refusal = noCapacityRefusal('the retry budget is used up');
           return this.unservedOutcome(call, refusal);
@@ -295,6 +313,18 @@
     return this.parts.clock.now() < req.arrivedMs + waitMs;
   }
 
+  /**
+   * Waits before the next attempt to continue a stream whose run this host has
+   * given up.
+   *
+   * @returns whether the stream has to be continued.
+   */
+  private async waitToContinue(call: RelayCall<Req>): Promise<boolean> {
+    if (!call.mustContinue) return false;
+    await this.parts.clock.sleep(BUDGET_POLL_MS, call.signal);
+    return true;
+  }
+
   /**
    * Sends a request to a target and relays the answer.
    *
@@ -327,8 +357,7 @@
       attempt.cancelHeadTimeout();
       this.recordSignals(target, sent);
       if (sent.type === 'answered') {
-        call.possibleRuns += 1;
-        call.run.hasBegun = true;
+        call.recordAnswered();
         observer.sendAnswered(registration.id);
         return await this.relay(target, req, call, sent.answer, attempt);
       }
@@ -463,7 +492,9 @@
       this.reportSendEnd(target, req, call, 'error', `status ${status}`);
       return call.canRunAgain ? undefined : this.abortedOutcome(req, call);
     }
-    const end = await this.answers.relay(req, call, answer);
+    const run = {target, req, call, answer};
+    const stalls = new RunStallHandler(this.stallParts, run);
+    const end = await this.answers.relay(req, call, answer, stalls);
     if (end === RELAY_RESULT.whole) {
       if (status === OK) call.run?.recordComplete();
       target.recordRun(call.sendAgeMs);
@@ -474,7 +505,8 @@
     call.tried.add(target.registration.id);
     if (!attempt.isWithdrawn) {
       this.recordFailure(target);
-      await this.recordBrokenRun(target, call);
+      const mayHaveEnded = TARGET_ENDS.has(call.endedBy);
+      if (mayHaveEnded) await this.recordBrokenRun(target, call);
     }
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -36,6 +36,10 @@
   readonly sentTo: string[] = [];
   /** Number of sends that reached a target. */
   deliveredSends = 0;
+  /** Whether a send has got an answer and the run may go on. */
+  isAnswered = false;
+  /** Whether this host ended a run that its target may have completed. */
+  wasGivenUp = false;
   /** Whether a retry was taken from the budget for the next send. */
   holdsRetry = false;
   /** Number of sends whose target may have started to work on the request. */
@@ -143,6 +147,21 @@
     return this.possibleRuns < this.route.maxTargets;
   }
 
+  /** Whether the request may run at another target than the current one. */
+  get canRunElsewhere(): boolean {
+    if (!this.isRepeatable || this.signal.aborted) return false;
+    const currentRuns = this.isAnswered ? 0 : 1;
+    return this.possibleRuns + currentRuns < this.route.maxTargets;
+  }
+
+  /**
+   * Whether the caller has a part of the answer that a target might have
+   * completed if this host had not given its run up.
+   */
+  get mustContinue(): boolean {
+    return this.isHeadSent && this.wasGivenUp && !this.signal.aborted;
+  }
+
   /** Number of sends. */
   get sends(): number {
     return this.sentTo.length;
@@ -160,6 +179,14 @@
     this.sendStartMs = this.clock.now();
     this.receivedBytes = 0;
     this.endedBy = ENDED_BY.target;
+    this.isAnswered = false;
+  }
+
+  /** Records that the target of the current send has begun an answer. */
+  recordAnswered(): void {
+    this.possibleRuns += 1;
+    this.isAnswered = true;
+    if (this.run !== undefined) this.run.hasBegun = true;
   }
 
   /** Time since the start of the current send. */
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -2,6 +2,7 @@
 
 import {Outcome} from '../requests/outcome.js';
 import {AnswerEnd, EndedBy} from './answer_end.js';
+import {TargetState} from './target_port.js';
 
 /** Trace of a finished request: the data that explains how it was handled. */
 export interface RequestTrace {
@@ -52,6 +53,20 @@
   parts: readonly string[];
 }
 
+/** A check of a target because one of its runs makes no progress. */
+export interface StalledRun {
+  /** Id of the request. */
+  id: string;
+  /** Id of the target. */
+  target: string;
+  /** What the check showed. */
+  state: TargetState;
+  /** Time since the start of the send. */
+  ageMs: number;
+  /** Bytes of the body that the target has returned. */
+  receivedBytes: number;
+}
+
 /** Receives the events of relayed requests as they occur. */
 export abstract class RelayObserver {
   /** Called when the head of an answer has arrived from a target. */
@@ -60,6 +75,12 @@
   /** Called when a send has led to no complete answer. */
   abstract sendEnded(send: EndedSend): void;
 
+  /**
+   * Called when a run makes no progress, for each state of its target that
+   * checks show.
+   */
+  abstract runStalled(run: StalledRun): void;
+
   /**
    * Called when a target has asked this host to back off.
    *
--- /dev/null
+++ b/packages/core/src/lib/gateway/run_replacement.ts
@@ -0,0 +1,42 @@
+/** Secures the replacement of runs that may have stopped. @packageDocumentation */
+
+import {CallerRequest} from './caller_request.js';
+import {RelayCall} from './relay_call.js';
+import {RetryAllowance} from './retry_allowance.js';
+import {TargetSearch} from './target_search.js';
+import {KnownTarget} from './target_table.js';
+
+/**
+ * Decides whether a run may be given up for a run at another target. Giving it
+ * up without one would end the answer to the caller, although the target may
+ * still complete it.
+ */
+export class RunReplacement {
+  /**
+   * @param search - finds other targets.
+   * @param retries - the retry budgets.
+   */
+  constructor(
+    private readonly search: TargetSearch,
+    private readonly retries: RetryAllowance,
+  ) {}
+
+  /**
+   * Secures another target and a retry for a request.
+   *
+   * @param target - the target that runs the request.
+   * @param req - the request.
+   * @param call - its progress; it holds the retry afterwards.
+   * @returns whether the run may be given up.
+   */
+  trySecure(
+    target: KnownTarget,
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+  ): boolean {
+    if (!call.canRunElsewhere) return false;
+    if (!this.search.hasOther(target, req, call)) return false;
+    if (!call.holdsRetry) call.holdsRetry = this.retries.tryRetry(call.service);
+    return call.holdsRetry;
+  }
+}
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -23,6 +23,21 @@
 /** One of {@link NOT_RUN}. */
 export type NotRunReason = (typeof NOT_RUN)[keyof typeof NOT_RUN];
 
+/** What a check of a target shows. */
+export const TARGET_STATE = {
+  /** Nothing listens at its address. */
+  ended: 'ended',
+  /** It does not reply, not even to a new connection. */
+  unreachable: 'unreachable',
+  /** It accepts connections and sends nothing. */
+  silent: 'silent',
+  /** It answers. */
+  responsive: 'responsive',
+} as const;
+
+/** One of {@link TARGET_STATE}. */
+export type TargetState = (typeof TARGET_STATE)[keyof typeof TARGET_STATE];
+
 /** How the body of an answer ended. */
 export const BODY_END = {complete: 'complete', broken: 'broken'} as const;
 
@@ -106,4 +121,13 @@
    * @returns whether it does; undefined if it did not reply in time.
    */
   abstract isListening(target: KnownTarget): Promise<boolean | undefined>;
+
+  /**
+   * Checks over a new connection whether a target answers.
+   *
+   * @param target - the target.
+   * @returns its state; a target that can't be asked anything without running
+   *     a request counts as silent.
+   */
+  abstract probe(target: KnownTarget): Promise<TargetState>;
 }
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -58,7 +58,7 @@
     req: CallerRequest,
     call: RelayCall<CallerRequest>,
   ): Promise<Result<KnownTarget, Refusal>> {
-    const {clock, models, targets} = this.parts;
+    const {clock, models} = this.parts;
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
     const engine = this.engineOf(call);
     for (;;) {
@@ -67,14 +67,11 @@
         tried: call.tried,
         draw: this.parts.random.float(),
       };
-      const all = targets.ofService(call.service);
       const {demand} = req;
       const needsModel = engine !== undefined && demand !== undefined;
       if (needsModel && !engine.models.has(demand.model))
         return err(noCapacityRefusal('the configuration has no such model'));
-      const candidates = needsModel
-        ? all.filter(target => target.holds(demand.model, demand.adapter))
-        : all;
+      const candidates = this.candidatesFor(req, call);
       const target = chooseTarget(candidates, options);
       if (target !== undefined && !target.health.isAvoided) {
         if (target.throttledLeftMs === 0) return ok(target);
@@ -105,6 +102,40 @@
     }
   }
 
+  /**
+   * Checks whether a request could be sent to another target now.
+   *
+   * @param target - the target that runs the request.
+   * @param req - the request.
+   * @param call - its progress.
+   * @returns whether there is one.
+   */
+  hasOther(
+    target: KnownTarget,
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+  ): boolean {
+    const tried = new Set(call.tried).add(target.registration.id);
+    const candidates = this.candidatesFor(req, call);
+    const other = chooseTarget(candidates, {
+      zone: this.parts.zone,
+      tried,
+      draw: 0,
+    });
+    if (other === undefined || other.health.isAvoided) return false;
+    return other.throttledLeftMs === 0;
+  }
+
+  /** Returns the targets of the service that hold the model, if it needs one. */
+  private candidatesFor(
+    {demand}: CallerRequest,
+    call: RelayCall<CallerRequest>,
+  ): readonly KnownTarget[] {
+    const all = this.parts.targets.ofService(call.service);
+    if (this.engineOf(call) === undefined || demand === undefined) return all;
+    return all.filter(target => target.holds(demand.model, demand.adapter));
+  }
+
   /**
    * Looks for a target with the model of a request while the limits of the
    * known ones are used up, and waits for these.
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -81,7 +81,10 @@
 const SEND_ENDS: Readonly<Record<string, string>> = {
   target: 'the target or its connection broke off',
   'head-timeout': 'this host, as no answer began in time',
-  stall: 'this host, as the stream made no progress',
+  stall:
+    'this host, as the stream made no progress while its target answered others',
+  'target-ended': 'this host, as nothing listened at the address of the target',
+  'target-unreachable': 'this host, as the target accepted no connections',
   quarantine: 'this host, as a part of the prompt was quarantined',
   deadline: 'the deadline',
   caller: 'the caller, who disconnected',
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -15,6 +15,7 @@
   EndedSend,
   RelayObserver,
   RequestTrace,
+  StalledRun,
 } from '../../lib/gateway/relay_observer.js';
 import {Relay} from '../../lib/gateway/relay.js';
 import {RetryAllowance} from '../../lib/gateway/retry_allowance.js';
@@ -24,7 +25,9 @@
   NotRunReason,
   SendOptions,
   SendResult,
+  TARGET_STATE,
   TargetPort,
+  TargetState,
 } from '../../lib/gateway/target_port.js';
 import {AnswerSignals, NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
@@ -138,6 +141,8 @@
   readonly sent: Array<{target: string; options: SendOptions}> = [];
   /** Ids of the targets whose process has ended. */
   readonly ended = new Set<string>();
+  /** What checks of targets that have not ended show. */
+  state: TargetState = TARGET_STATE.silent;
 
   constructor(
     private readonly clock: ManualClock,
@@ -162,6 +167,10 @@
   }: KnownTarget): Promise<boolean | undefined> {
     return !this.ended.has(registration.id);
   }
+
+  override async probe({registration}: KnownTarget): Promise<TargetState> {
+    return this.ended.has(registration.id) ? TARGET_STATE.ended : this.state;
+  }
 }
 
 /** Returns a guard of a host that is alone. */
@@ -251,6 +260,7 @@
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
   readonly ends: EndedSend[] = [];
+  readonly stalls: StalledRun[] = [];
 
   override sendAnswered(): void {}
 
@@ -260,6 +270,10 @@
 
   override targetAvoided(): void {}
 
+  override runStalled(run: StalledRun): void {
+    this.stalls.push(run);
+  }
+
   override targetBackingOff(): void {}
 
   override limitedSend(): void {}
--- a/packages/core/src/test/gateway/silent_target_test.ts
+++ b/packages/core/src/test/gateway/silent_target_test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
 import {REQUEST_KIND, RouteRule} from '../../lib/gateway/deployment.js';
-import {BODY_END} from '../../lib/gateway/target_port.js';
+import {
+  BODY_END,
+  NOT_RUN,
+  TARGET_STATE,
+} from '../../lib/gateway/target_port.js';
 import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {PLAIN_SERVICE, routeRule} from './gateway_fixtures.js';
 import {
@@ -142,3 +146,44 @@
     expect(caller.body).to.equal('ok');
   });
 });
+
+describe('Relay: a silent target that will not go on', () => {
+  /** Gap between events after which callers disconnect, in milliseconds. */
+  const CALLER_GAP_MS = 2_000;
+  const neverOn = silentBefore(SILENT_BEFORE[1], TIMEOUT_MS);
+  const rest: TargetBehavior = () => answer(200, EVENTS.slice(1));
+
+  for (const [state, endedBy] of [
+    [TARGET_STATE.ended, 'target-ended'],
+    [TARGET_STATE.unreachable, 'target-unreachable'],
+    [TARGET_STATE.responsive, 'stall'],
+  ] as const) {
+    it(`is left for another one in time when it is ${state}`, async () => {
+      const world = relayWorld({route: resumable, behaviors: [neverOn, rest]});
+      world.port.state = state;
+      const caller = new FakeCaller(world.clock);
+      await world.run(caller);
+      expect(caller.body).to.equal(WHOLE);
+      expect(world.clock.now()).to.be.below(CALLER_GAP_MS);
+      expect(world.observer.ends[0].endedBy).to.equal(endedBy);
+      expect(world.observer.stalls[0].state).to.equal(state);
+    });
+  }
+
+  it('does not end the answer when other targets refuse to continue it', async () => {
+    const refuse: TargetBehavior = () => ({
+      type: 'not-run',
+      reason: NOT_RUN.refused,
+    });
+    const behaviors = [neverOn, refuse, refuse, rest];
+    const world = relayWorld({route: resumable, behaviors, retries: 1});
+    world.port.state = TARGET_STATE.unreachable;
+    const caller = new FakeCaller(world.clock);
+    // Other requests refill the budget.
+    const refill = () => world.retries.countRequest(PLAIN_SERVICE);
+    for (const ms of [2_500, 3_000, 3_500]) world.clock.after(ms, refill);
+    await world.run(caller);
+    expect(caller.body).to.equal(WHOLE);
+    expect(caller.isEnded).to.equal(true);
+  });
+});
