End a send without an answer only if another target can take the request

Callers of repeatable requests got 502 after four objectives, or a second, with most of their time left, while their target was silent for a moment.

Cause: the time limit for the head of an answer ended the send whether or not the request could be sent again: without a retry in the budget, without another target, or on the last target that its route allows, that ended the request.

The time limit now asks for another target and a retry first, as for streams under way, and again each 150 ms; a send on the last target has no time limit but the deadline. A silence that this host ended no longer counts as a possible end of the target's process, so that the request is sent on without a check.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -337,11 +337,14 @@
   ): Promise<Outcome | undefined> {
     const {clock, observer} = this.parts;
     const {registration} = target;
-    const attempt = call.startAttempt(this.headTimeoutMs(call));
     if (target.requestsPerSecond !== undefined)
       observer.limitedSend(registration.id, call.sends > 0);
     call.recordSend(registration.id);
     call.holdsRetry = false;
+    const {replacement} = this.stallParts;
+    const attempt = call.startAttempt(this.headTimeoutMs(call), () =>
+      replacement.trySecure(target, req, call),
+    );
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
     try {
@@ -441,14 +444,20 @@
     call.possibleRuns += 1;
     call.deliveredSends += 1;
     call.tried.add(target.registration.id);
-    if (!attempt.isWithdrawn) {
-      this.recordFailure(target);
-      await this.recordBrokenRun(target, call);
-    }
+    if (!attempt.isWithdrawn) await this.recordLostRun(target, call);
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target gave no answer');
   }
 
+  /** Records a run that brought no complete answer. */
+  private async recordLostRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<void> {
+    this.recordFailure(target);
+    if (TARGET_ENDS.has(call.endedBy)) await this.recordBrokenRun(target, call);
+  }
+
   private recordFailure({health, registration}: KnownTarget): void {
     this.parts.observer.targetAvoided(registration.id, health.recordFailure());
   }
@@ -503,11 +512,7 @@
     if (call.signal.aborted) return this.abortedOutcome(req, call);
     this.reportSendEnd(target, req, call, 'broken', `status ${status}`);
     call.tried.add(target.registration.id);
-    if (!attempt.isWithdrawn) {
-      this.recordFailure(target);
-      const mayHaveEnded = TARGET_ENDS.has(call.endedBy);
-      if (mayHaveEnded) await this.recordBrokenRun(target, call);
-    }
+    if (!attempt.isWithdrawn) await this.recordLostRun(target, call);
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
@@ -562,7 +567,7 @@
   }
 
   private headTimeoutMs(call: RelayCall<Req>): number | undefined {
-    if (!call.isRepeatable) return undefined;
+    if (!call.canRunElsewhere) return undefined;
     const timeoutMs = call.route.objectiveMs * HEAD_TIMEOUT_OBJECTIVES;
     return Math.max(MIN_HEAD_TIMEOUT_MS, timeoutMs);
   }
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -26,6 +26,12 @@
   dispose(): void;
 }
 
+/**
+ * Time between checks whether a send without an answer can be ended, once its
+ * time limit is reached.
+ */
+const HEAD_RECHECK_INTERVAL_MS = 150;
+
 /** Decisions about a request, and its progress. */
 export class RelayCall<Req extends CallerRequest> {
   /** Name of the service; empty until it is chosen. */
@@ -215,9 +221,14 @@
    *
    * @param headTimeoutMs - time limit for the head of the answer; undefined if
    *     only the deadline of the request applies.
+   * @param canEnd - called at the time limit, and repeatedly after it, until it
+   *     returns that the send may be ended.
    * @returns the attempt; the caller of this method has to dispose of it.
    */
-  startAttempt(headTimeoutMs: number | undefined): SendAttempt {
+  startAttempt(
+    headTimeoutMs: number | undefined,
+    canEnd: () => boolean,
+  ): SendAttempt {
     const {signal: requestSignal} = this;
     const controller = new AbortController();
     const abort = () => controller.abort();
@@ -227,10 +238,18 @@
     };
     requestSignal.addEventListener('abort', abort);
     if (requestSignal.aborted) abort();
-    const timer =
-      headTimeoutMs === undefined
-        ? undefined
-        : this.clock.after(headTimeoutMs, () => end(ENDED_BY.headTimeout));
+    let timer: Timer | undefined;
+    const armHeadTimeout = (timeoutMs: number) => {
+      timer = this.clock.after(timeoutMs, () => {
+        if (!canEnd()) {
+          armHeadTimeout(HEAD_RECHECK_INTERVAL_MS);
+          return;
+        }
+        this.wasGivenUp = true;
+        end(ENDED_BY.headTimeout);
+      });
+    };
+    if (headTimeoutMs !== undefined) armHeadTimeout(headTimeoutMs);
     const attempt = {
       signal: controller.signal,
       isWithdrawn: false,
