Let a stopping host continue streams that have begun

Callers of a host that got SIGTERM lost streams whose target broke off during the stop, though another target would have taken the rest a moment later.

Cause: a stop ends the wait of all requests to be sent, also of those that have begun and only wait to be continued: the stream was then ended at once as 'this host is stopping', after its head. A request that a target has begun to run now waits until its deadline, or the end of the stop.

The test (another target refuses once, then takes the rest) failed before.

--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -111,12 +111,15 @@
     return this.requestController.signal;
   }
 
-  /** Aborts when the request must not wait to be sent any longer. */
+  /**
+   * Aborts when the request must not wait to be sent any longer. A request that
+   * a target has begun to run may wait to be sent again until its deadline.
+   */
   get waitSignal(): AbortSignal {
-    return this.waitController.signal;
+    return this.possibleRuns > 0 ? this.signal : this.waitController.signal;
   }
 
-  /** Ends the wait of a request to be sent. */
+  /** Ends the wait of a request that no target has begun to run. */
   stopWaiting(): void {
     this.waitController.abort();
   }
--- a/packages/core/src/test/gateway/silent_target_test.ts
+++ b/packages/core/src/test/gateway/silent_target_test.ts
@@ -187,3 +187,24 @@
     expect(caller.isEnded).to.equal(true);
   });
 });
+
+describe('Relay: a stopping host', () => {
+  it('continues a stream elsewhere whose target breaks it off', async () => {
+    const breaksOff: TargetBehavior = async (options, clock) => {
+      await clock.sleep(500);
+      return answer(200, [EVENTS[0]], BODY_END.broken);
+    };
+    const refuse: TargetBehavior = () => ({
+      type: 'not-run',
+      reason: NOT_RUN.refused,
+    });
+    const rest: TargetBehavior = () => answer(200, EVENTS.slice(1));
+    const behaviors = [breaksOff, refuse, rest];
+    const world = relayWorld({route: resumable, behaviors});
+    const caller = new FakeCaller(world.clock);
+    world.clock.after(100, () => world.relay.refuseWaiting());
+    await world.run(caller);
+    expect(caller.body).to.equal(WHOLE);
+    expect(caller.isEnded).to.equal(true);
+  });
+});
