--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,7 +12,7 @@
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
-import {ANSWER_END, AnswerEnd, ENDED_BY, EndedBy} from './answer_end.js';
+import {ENDED_BY, EndedBy} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {DeploymentState} from './deployment_state.js';
@@ -22,6 +22,7 @@
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {RelayCall, SendAttempt} from './relay_call.js';
 import {RelayObserver, RequestTrace} from './relay_observer.js';
+import {traceRequest} from './relay_trace.js';
 import {AnswerRelay, RELAY_RESULT} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
 import {RunReplacement} from './run_replacement.js';
@@ -154,7 +155,7 @@
     if (admitted.isErr()) {
       const {refusal, route, team} = admitted.error;
       req.refuse(refusal);
-      const trace = this.trace(req, undefined, refusal);
+      const trace = traceRequest(this.parts, req, undefined, refusal);
       observer.requestEnded({...trace, ...routeAndTeam(route, team)});
       return;
     }
@@ -171,7 +172,7 @@
       if (team !== undefined && outcome.type === 'refused') {
         this.parts.quotas.refund(team, tokens);
       }
-      observer.requestEnded(this.trace(req, call, outcome));
+      observer.requestEnded(traceRequest(this.parts, req, call, outcome));
     } finally {
       this.calls.delete(call);
       call.dispose();
@@ -499,7 +500,12 @@
       answer.discard();
       call.tried.add(target.registration.id);
       this.reportSendEnd(target, req, call, 'error', `status ${status}`);
-      return call.canRunAgain ? undefined : this.abortedOutcome(req, call);
+      if (call.signal.aborted) return this.abortedOutcome(req, call);
+      if (call.canRunAgain) return undefined;
+      return fail(
+        FAILURE.targetError,
+        'the answer was continued with an error',
+      );
     }
     const run = {target, req, call, answer};
     const stalls = new RunStallHandler(this.stallParts, run);
@@ -571,45 +577,6 @@
     const timeoutMs = call.route.objectiveMs * HEAD_TIMEOUT_OBJECTIVES;
     return Math.max(MIN_HEAD_TIMEOUT_MS, timeoutMs);
   }
-
-  private trace(req: Req, call: RelayCall<Req> | undefined, outcome: Outcome) {
-    const {clock, freshness, state} = this.parts;
-    return {
-      id: req.id,
-      route: call?.route.name,
-      kind: call?.route.kind,
-      team: call?.team?.name,
-      service: call?.service,
-      model: req.demand?.model,
-      parts: call?.parts ?? [],
-      targets: call?.sentTo ?? [],
-      configVersion: state.current?.deployment.version,
-      configAgeMs: Math.round(freshness.ageMs),
-      waitedMs: call?.firstSendMs,
-      firstByteMs: call?.firstByteMs,
-      totalMs: Math.round(clock.now() - req.arrivedMs),
-      status: call?.status,
-      outcome,
-      answer: answerEndOf(call, outcome),
-      endedBy: hasEndedSend(call, outcome) ? call?.endedBy : undefined,
-    };
-  }
-}
-
-function answerEndOf<Req extends CallerRequest>(
-  call: RelayCall<Req> | undefined,
-  outcome: Outcome,
-): AnswerEnd {
-  if (outcome.type === 'served') return ANSWER_END.whole;
-  if (call?.isHeadSent === true) return ANSWER_END.cut;
-  return outcome.type === 'cancelled' ? ANSWER_END.none : ANSWER_END.status;
-}
-
-function hasEndedSend<Req extends CallerRequest>(
-  call: RelayCall<Req> | undefined,
-  outcome: Outcome,
-): boolean {
-  return outcome.type !== 'served' && (call?.sends ?? 0) > 0;
 }
 
 function routeAndTeam(
