Let the worker stand-in pace its streams and fall silent

The users' pages say that a sound worker may fall silent for a second or so and go on. The stand-in could not: its only silent answer, 'mute', never goes on.

It now paces the events of a stream, goes on after last-event-id, lists Runs in its report, answers health checks, and can fall silent as a whole or in one response, before the head, between events, inside an event or before the last. Its kernel accepts connections meanwhile, and nothing is lost. Connections can also be lost without a trace, while new ones work.

The faults of responses and the writing of them move to files of their own.

--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -2,12 +2,21 @@
 
 import {AddressInfo, Socket} from 'node:net';
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {
+  ENDLESS_ANSWERS,
+  FAULTY_ANSWER,
+  FaultyAnswer,
+  RETRY_AFTER_S,
+} from './faulty_answers.js';
+import {PlannedSilence, WorkerAnswer, WorkerAnswers} from './worker_answers.js';
+import {WorkerOutput} from './worker_output.js';
 
 const HEADER_PREFIX = 'x-fuchsiacleat-';
+/** Number of events of a stream by default. */
 const EVENT_COUNT = 4;
 
-/** Fraction of a body before a cut; within an event of a stream. */
-const CUT_FRACTION = 0.55;
+/** Priority of requests that name none. */
+const DEFAULT_PRIORITY = 5;
 
 /** Time from the head of an answer to the crash, in milliseconds. */
 const CRASH_DELAY_MS = 5;
@@ -15,79 +24,6 @@
 /** Time after a crash until the worker listens again, in milliseconds. */
 const CRASH_DOWN_MS = 400;
 
-/** Faults that a worker can inject into the response to one request. */
-export const FAULTY_ANSWER = {
-  /** Refuses the request as not run. */
-  refuse: 'refuse',
-  /** Runs the request and closes the connection without a response. */
-  lose: 'lose',
-  /** Runs the request and never responds. */
-  mute: 'mute',
-  /** Closes the connection halfway through the response body. */
-  cut: 'cut',
-  /** Sends no content length; the end of the connection ends the response. */
-  unframed: 'unframed',
-  /** Sends no content length and closes the connection after half the body. */
-  unframedShort: 'unframed-short',
-  /** Responds with the id of another request. */
-  otherId: 'other-id',
-  /** Responds without the server's stamp, as an unrelated process would. */
-  unsigned: 'unsigned',
-  /** Refuses the request as not run, with a `retry-after` header. */
-  refuseFor: 'refuse-for',
-  /** Responds, then sends a second copy on the same connection. */
-  twice: 'twice',
-  /** Refuses the request as not run, with a body that never ends. */
-  endlessRefusal: 'endless-refusal',
-  /** Sends a response head that never ends. */
-  endlessHead: 'endless-head',
-  /** Sends interim (1xx) responses without end. */
-  endlessInterim: 'endless-interim',
-  /** Sends a chunk whose extension never ends. */
-  endlessExtension: 'endless-extension',
-  /** Sends trailers without end. */
-  endlessTrailer: 'endless-trailer',
-} as const;
-
-/** One of {@link FAULTY_ANSWER}. */
-export type FaultyAnswer = (typeof FAULTY_ANSWER)[keyof typeof FAULTY_ANSWER];
-
-/** `retry-after` value of {@link FAULTY_ANSWER.refuseFor}, in seconds. */
-export const RETRY_AFTER_S = 1.5;
-
-/** Delay of the second copy of {@link FAULTY_ANSWER.twice}, in milliseconds. */
-const DUPLICATE_DELAY_MS = 30;
-
-/** Start of each endless response and the unit that it repeats. */
-const ENDLESS_ANSWERS: Partial<
-  Record<FaultyAnswer, {start: string; unit: string}>
-> = {
-  [FAULTY_ANSWER.endlessRefusal]: {
-    start:
-      `HTTP/1.1 503 Busy\r\n${HEADER_PREFIX}not-executed: 1\r\n` +
-      'transfer-encoding: chunked\r\n\r\n',
-    unit: `400\r\n${'x'.repeat(1_024)}\r\n`,
-  },
-  [FAULTY_ANSWER.endlessHead]: {
-    start: 'HTTP/1.1 200 OK\r\n',
-    unit: `x-more: ${'x'.repeat(1_000)}\r\n`,
-  },
-  [FAULTY_ANSWER.endlessInterim]: {
-    start: '',
-    unit: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(32),
-  },
-  [FAULTY_ANSWER.endlessExtension]: {
-    start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;x=',
-    unit: 'x'.repeat(1_024),
-  },
-  [FAULTY_ANSWER.endlessTrailer]: {
-    start:
-      'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' +
-      '2\r\nok\r\n0\r\n',
-    unit: `x-more: ${'x'.repeat(1_000)}\r\n`,
-  },
-};
-
 /** Request that a worker started to run. */
 export interface WorkerRun {
   id: string;
@@ -116,6 +52,16 @@
   models?: string[];
 }
 
+/** Path that reports the health of a worker. */
+const HEALTH_PATH = '/healthz';
+
+/** Request that a worker works on, as it reports it. */
+interface RunningRequest {
+  answer: WorkerAnswer;
+  promptTokens: number;
+  priority: number;
+}
+
 /** Worker that is a plain service or a model engine that accepts orders. */
 export class PlatformWorkerStandin {
   /** Requests that were run, in order. */
@@ -126,8 +72,14 @@
   readonly orderLog: AcceptedOrder[] = [];
   /** Faults of the next responses; each request uses up the first one. */
   readonly faultyAnswers: FaultyAnswer[] = [];
-  /** Duration of each request, in milliseconds. */
+  /** Silences of the next responses; each request uses up the first one. */
+  readonly silences: PlannedSilence[] = [];
+  /** Duration of each request before its response, in milliseconds. */
   workMs = 0;
+  /** Number of events of each stream. */
+  streamEvents = EVENT_COUNT;
+  /** Time between the events of a stream, in milliseconds; 0 for none. */
+  eventGapMs = 0;
   /** Whether each response announces that the worker is leaving. */
   isLeaving = false;
   /**
@@ -158,13 +110,18 @@
   private isStopped = false;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private readonly output = new WorkerOutput();
+  private readonly answers: WorkerAnswers;
+  private readonly running = new Set<RunningRequest>();
   private address = '';
 
   /** @param options - see {@link WorkerOptions}. */
   constructor(private readonly options: WorkerOptions) {
     this.models = new Set(options.models ?? []);
+    this.answers = new WorkerAnswers(`${options.id}.stamp`, this.output);
     this.server = createServer((req, res) => void this.handle(req, res));
     this.server.on('connection', socket => {
+      this.output.attach(socket);
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
@@ -200,6 +157,24 @@
     this.address = `127.0.0.1:${port}`;
   }
 
+  /**
+   * Falls silent: the worker writes nothing on any connection, makes no events
+   * and goes on afterwards where it was. Connections are still accepted.
+   *
+   * @param forMs - duration in milliseconds.
+   */
+  silence(forMs: number): void {
+    this.output.silence(forMs);
+  }
+
+  /**
+   * Loses every open connection without a trace: nothing arrives through it any
+   * more, in either direction. New connections work.
+   */
+  loseConnections(): void {
+    for (const socket of this.sockets) this.output.lose(socket);
+  }
+
   /** Stops immediately and closes every connection. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -232,6 +207,7 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
+    if (this.output.isLost(req.socket)) return;
     const body = Buffer.concat(chunks).toString();
     this.arrivalsMs.push(performance.now());
     if (this.isLeaving) res.setHeader('server-leaving', '1');
@@ -240,6 +216,7 @@
       res.setHeader(`${HEADER_PREFIX}instance-id`, this.options.id);
       res.writeHead(421).end();
     } else if (req.url === '/report') this.report(res);
+    else if (req.url === HEALTH_PATH) this.reportHealth(res);
     else if (req.url === '/order') this.executeOrder(JSON.parse(body), res);
     else this.runRequest(req, res, body);
   }
@@ -247,7 +224,17 @@
   private report(res: ServerResponse): void {
     const {Models, Seq} = this.registration() as {Models: object; Seq: number};
     res.setHeader('content-type', 'application/json');
-    res.end(JSON.stringify({Stage: 'both', Models, Busy: false, Seq}));
+    const Runs = [...this.running].map(({answer, priority, promptTokens}) => {
+      const {eventsMade, id} = answer;
+      return [id, promptTokens + eventsMade, eventsMade, priority];
+    });
+    const load = {Waiting: 0, Running: Runs.length, Runs};
+    res.end(JSON.stringify({Stage: 'both', Models, Busy: false, Seq, ...load}));
+  }
+
+  private reportHealth(res: ServerResponse): void {
+    res.setHeader(`${HEADER_PREFIX}instance-id`, this.options.id);
+    res.writeHead(200).end();
   }
 
   private executeOrder(
@@ -307,9 +294,23 @@
       return;
     }
     this.recordRun(req, id, body);
+    const isStream = model !== undefined;
+    const answer: WorkerAnswer = {
+      id,
+      res,
+      fault,
+      silence: this.silences.shift(),
+      events: isStream ? this.streamEvents : undefined,
+      gapMs: this.eventGapMs,
+      afterEvent: isStream ? numberOf(req.headers['last-event-id'], 0) : 0,
+      eventsMade: 0,
+    };
+    const entry = toRunningRequest(req, answer);
+    this.running.add(entry);
+    res.on('close', () => this.running.delete(entry));
     setTimeout(() => {
       if (this.holdsCrashingPart(req)) this.beginAnswerAndCrash(res, id);
-      else this.sendAnswer(res, id, fault, model !== undefined);
+      else void this.answers.send(answer);
     }, this.workMs);
   }
 
@@ -350,60 +351,28 @@
       .split(',')
       .some(part => part.split(':')[0] === this.crashingPart);
   }
+}
 
-  private sendAnswer(
-    res: ServerResponse,
-    id: string,
-    injectedFault: FaultyAnswer | undefined,
-    isStream: boolean,
-  ): void {
-    if (injectedFault === FAULTY_ANSWER.mute || res.destroyed) return;
-    if (injectedFault === FAULTY_ANSWER.lose) {
-      res.socket?.destroy();
-      return;
-    }
-    const echoed = injectedFault === FAULTY_ANSWER.otherId ? 'another' : id;
-    res.setHeader(`${HEADER_PREFIX}attempt-id`, echoed);
-    if (injectedFault !== FAULTY_ANSWER.unsigned) {
-      res.setHeader(`${HEADER_PREFIX}server-stamp`, `${this.options.id}.stamp`);
-    }
-    const text = isStream ? formatEvents(EVENT_COUNT) : `done ${id}`;
-    if (isStream) res.setHeader('content-type', 'text/event-stream');
-    const half = text.slice(0, text.length * CUT_FRACTION);
-    if (
-      injectedFault === FAULTY_ANSWER.unframed ||
-      injectedFault === FAULTY_ANSWER.unframedShort
-    ) {
-      res.useChunkedEncodingByDefault = false;
-      res.shouldKeepAlive = false;
-      res
-        .writeHead(200)
-        .end(injectedFault === FAULTY_ANSWER.unframed ? text : half);
-      return;
-    }
-    res.writeHead(200, {'content-length': Buffer.byteLength(text)});
-    if (injectedFault === FAULTY_ANSWER.cut) {
-      res.write(half, () => res.socket?.destroy());
-      return;
-    }
-    const {socket} = res;
-    res.end(text);
-    if (injectedFault !== FAULTY_ANSWER.twice || socket === null) return;
-    const copy =
-      `HTTP/1.1 200 OK\r\n${HEADER_PREFIX}attempt-id: ${id}\r\n` +
-      `${HEADER_PREFIX}server-stamp: s\r\ncontent-length: ${text.length}\r\n\r\n` +
-      text;
-    setTimeout(() => socket.write(copy), DUPLICATE_DELAY_MS);
-  }
+function toModelEntry(name: string): object {
+  return {Name: name, Version: 1, Adapters: []};
 }
 
-/** @returns an event stream with ids from 1. */
-function formatEvents(count: number): string {
-  let text = '';
-  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: piece\n\n`;
-  return text;
+function toRunningRequest(
+  {headers}: IncomingMessage,
+  answer: WorkerAnswer,
+): RunningRequest {
+  const tokens = String(headers[`${HEADER_PREFIX}token-count`] ?? '');
+  const promptTokens = numberOf(tokens.split(',', 1)[0], 0);
+  const rank = headers[`${HEADER_PREFIX}request-priority`];
+  const priority = numberOf(rank, DEFAULT_PRIORITY);
+  return {answer, promptTokens, priority};
 }
 
-function toModelEntry(name: string): object {
-  return {Name: name, Version: 1, Adapters: []};
+/** @returns the number that a header holds, or the default. */
+function numberOf(
+  text: string | string[] | undefined,
+  defaultNumber: number,
+): number {
+  const number = Number(text ?? defaultNumber);
+  return Number.isFinite(number) ? number : defaultNumber;
 }
--- /dev/null
+++ b/packages/standins/src/lib/platform/worker_answers.ts
@@ -0,0 +1,207 @@
+/** Writes the responses of a worker. @packageDocumentation */
+
+import {ServerResponse} from 'node:http';
+import {FAULTY_ANSWER, FaultyAnswer} from './faulty_answers.js';
+import {WorkerOutput} from './worker_output.js';
+
+const HEADER_PREFIX = 'x-fuchsiacleat-';
+
+/** Fraction of a body before a cut; within an event of a stream. */
+const CUT_FRACTION = 0.55;
+
+/** Delay of the second copy of {@link FAULTY_ANSWER.twice}, in milliseconds. */
+const DUPLICATE_DELAY_MS = 30;
+
+/** Places in a response at which a worker can fall silent. */
+export const SILENCE_PLACE = {
+  /** Before the head. */
+  head: 'before the head',
+  /** Between two events, or halfway through a plain body. */
+  between: 'between events',
+  /** After half of an event, or halfway through a plain body. */
+  inside: 'inside an event',
+  /** Before the last event, or halfway through a plain body. */
+  last: 'before the last event',
+} as const;
+
+/** One of {@link SILENCE_PLACE}. */
+export type SilencePlace = (typeof SILENCE_PLACE)[keyof typeof SILENCE_PLACE];
+
+/** Silence at a place in the response to one request. */
+export interface PlannedSilence {
+  place: SilencePlace;
+  /** Duration in milliseconds. */
+  forMs: number;
+  /** Whether the whole worker is silent; by default only this response is. */
+  isWorkerSilent?: boolean;
+}
+
+/** Response to be written, and its progress. */
+export interface WorkerAnswer {
+  id: string;
+  res: ServerResponse;
+  fault: FaultyAnswer | undefined;
+  silence: PlannedSilence | undefined;
+  /** Number of events; undefined for a plain response. */
+  events: number | undefined;
+  /** Time between two events in milliseconds; 0 for a stream sent at once. */
+  gapMs: number;
+  /** Id of the last event that the caller has; 0 for none. */
+  afterEvent: number;
+  /** Id of the newest event that was made. */
+  eventsMade: number;
+}
+
+/** A part of a body, with what to do before it is written. */
+interface BodyPiece {
+  text: string;
+  /** Id of the event that is whole with this piece; undefined within events. */
+  eventId?: number;
+  place?: SilencePlace;
+  /** Pause in milliseconds. */
+  pauseMs: number;
+}
+
+/** Writes responses, with their faults and silences. */
+export class WorkerAnswers {
+  /**
+   * @param stamp - value of the header by which the worker signs.
+   * @param output - holds responses back while the worker is silent.
+   */
+  constructor(
+    private readonly stamp: string,
+    private readonly output: WorkerOutput,
+  ) {}
+
+  /** Writes a response until its end; stops when the connection closes. */
+  async send(answer: WorkerAnswer): Promise<void> {
+    const {fault, id, res} = answer;
+    if (fault === FAULTY_ANSWER.mute || res.destroyed) return;
+    if (fault === FAULTY_ANSWER.lose) {
+      res.socket?.destroy();
+      return;
+    }
+    await this.beSilent(answer, SILENCE_PLACE.head);
+    if (res.destroyed) return;
+    const echoed = fault === FAULTY_ANSWER.otherId ? 'another' : id;
+    res.setHeader(`${HEADER_PREFIX}attempt-id`, echoed);
+    if (fault !== FAULTY_ANSWER.unsigned)
+      res.setHeader(`${HEADER_PREFIX}server-stamp`, this.stamp);
+    if (answer.events !== undefined)
+      res.setHeader('content-type', 'text/event-stream');
+    const text = bodyOf(answer);
+    if (
+      fault === FAULTY_ANSWER.unframed ||
+      fault === FAULTY_ANSWER.unframedShort
+    ) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+      res.writeHead(200);
+    } else if (answer.gapMs > 0 && answer.events !== undefined) {
+      res.writeHead(200).flushHeaders();
+    } else {
+      res.writeHead(200, {'content-length': Buffer.byteLength(text)});
+    }
+    await this.writeBody(answer, text);
+  }
+
+  private async writeBody(answer: WorkerAnswer, text: string): Promise<void> {
+    const {fault, res} = answer;
+    const {socket} = res;
+    const isShort =
+      fault === FAULTY_ANSWER.cut || fault === FAULTY_ANSWER.unframedShort;
+    const end = isShort ? Math.floor(text.length * CUT_FRACTION) : text.length;
+    let position = 0;
+    for (const piece of piecesOf(answer, text)) {
+      if (piece.pauseMs > 0) await pause(piece.pauseMs);
+      await this.beSilent(answer, piece.place);
+      if (res.destroyed) return;
+      res.write(piece.text.slice(0, end - position));
+      position += piece.text.length;
+      if (piece.eventId !== undefined) answer.eventsMade = piece.eventId;
+      if (position >= end) break;
+    }
+    if (fault === FAULTY_ANSWER.cut) {
+      res.write('', () => res.socket?.destroy());
+      return;
+    }
+    res.end();
+    if (fault === FAULTY_ANSWER.twice && socket !== null)
+      setTimeout(() => socket.write(copyOf(answer, text)), DUPLICATE_DELAY_MS);
+  }
+
+  /** Falls silent if that is planned here, and waits while the worker is. */
+  private async beSilent(
+    {silence}: WorkerAnswer,
+    place: SilencePlace | undefined,
+  ): Promise<void> {
+    if (silence !== undefined && silence.place === place) {
+      if (silence.isWorkerSilent) this.output.silence(silence.forMs);
+      else await pause(silence.forMs);
+    }
+    await this.output.opened();
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** @returns the second copy of a response. */
+function copyOf({id}: WorkerAnswer, text: string): string {
+  return (
+    `HTTP/1.1 200 OK\r\n${HEADER_PREFIX}attempt-id: ${id}\r\n` +
+    `${HEADER_PREFIX}server-stamp: s\r\ncontent-length: ${text.length}\r\n\r\n` +
+    text
+  );
+}
+
+function bodyOf({afterEvent, events, id}: WorkerAnswer): string {
+  if (events === undefined) return `done ${id}`;
+  let text = '';
+  for (let i = afterEvent + 1; i <= events; i++) text += formatEvent(i);
+  return text;
+}
+
+function formatEvent(id: number): string {
+  return `id: ${id}\ndata: piece\n\n`;
+}
+
+/** @returns the parts of a body, split where pauses are. */
+function piecesOf(answer: WorkerAnswer, text: string): BodyPiece[] {
+  const {afterEvent, events, gapMs, silence} = answer;
+  const isSilentWithin =
+    silence !== undefined && silence.place !== SILENCE_PLACE.head;
+  if (events === undefined) {
+    if (!isSilentWithin) return [{text, pauseMs: 0}];
+    const half = text.slice(0, text.length / 2);
+    const rest = text.slice(half.length);
+    return [
+      {text: half, pauseMs: 0},
+      {text: rest, pauseMs: 0, place: silence.place},
+    ];
+  }
+  if (gapMs === 0 && !isSilentWithin)
+    return [{text, eventId: events, pauseMs: 0}];
+  const middleEvent = afterEvent + Math.ceil((events - afterEvent + 1) / 2);
+  const pieces: BodyPiece[] = [];
+  for (let eventId = afterEvent + 1; eventId <= events; eventId++) {
+    const pauseMs = eventId === afterEvent + 1 ? 0 : gapMs;
+    const event = formatEvent(eventId);
+    if (eventId === middleEvent && silence?.place === SILENCE_PLACE.inside) {
+      const half = event.slice(0, event.length / 2);
+      pieces.push({text: half, pauseMs});
+      const rest = event.slice(half.length);
+      pieces.push({text: rest, eventId, pauseMs: 0, place: silence.place});
+      continue;
+    }
+    const isMiddle =
+      eventId === middleEvent ? SILENCE_PLACE.between : undefined;
+    const place =
+      eventId === events && silence?.place === SILENCE_PLACE.last
+        ? SILENCE_PLACE.last
+        : isMiddle;
+    pieces.push({text: event, eventId, pauseMs, place});
+  }
+  return pieces;
+}
