Say how a request of a fault run ended that was cut

The check 'cut without an outcome' named the request and the host, and nothing about how the connection ended, who ended it, or what went on meanwhile.

The caller now keeps the error that ended its connection and the text received up to it, so that the check of whole answers covers cut ones as well. Each request of a fault run has a trace of its own over all hosts. The message names the time against the deadline, the lag of the loop, the faults from two seconds before the request to its end, and the spans. A host that closes the connection of a stream itself says so in the request's span.

--- a/packages/daemon/src/lib/completion_handler.ts
+++ b/packages/daemon/src/lib/completion_handler.ts
@@ -209,7 +209,10 @@
       encode: event => sseEvent(JSON.stringify(chunkOf(event, format))),
       encodeEnd: lastEvent,
       cancelRun,
-      abortConnection: () => outgoing.destroy(),
+      abortConnection: () => {
+        admitted.span.set('connection', 'closed by this host');
+        outgoing.destroy();
+      },
       finish: admitted.finish,
     });
     if (asBody) {
--- a/packages/local-cluster/src/lib/caller.ts
+++ b/packages/local-cluster/src/lib/caller.ts
@@ -28,6 +28,16 @@
   text: string;
   /** Error code, if the request was not served. */
   code: string | undefined;
+  /** How the connection ended, if it did so before an outcome. */
+  closed?: string;
+}
+
+/** Response whose head is not an error. */
+interface ReadAnswer {
+  text: string;
+  end: CallerEnd;
+  error?: ErrorBody;
+  closed?: string;
 }
 
 /** Options of {@link Caller.chat}. */
@@ -84,19 +94,22 @@
     return this.send('POST', path, body, options, async res => {
       const chunks: CompletionChunk[] = [];
       let isDone = false;
-      await readEvents(res.body, data => {
-        if (data === '[DONE]') isDone = true;
-        else chunks.push(JSON.parse(data) as CompletionChunk);
-        onToken(chunks.length);
-      });
-      const text = chunks.map(c => c.choices?.[0]?.delta?.content ?? '');
+      let closed = 'ended inside the body';
+      try {
+        await readEvents(res.body, data => {
+          if (data === '[DONE]') isDone = true;
+          else chunks.push(JSON.parse(data) as CompletionChunk);
+          onToken(chunks.length);
+        });
+      } catch (error) {
+        closed = describeError(error);
+      }
+      const tokens = chunks.map(c => c.choices?.[0]?.delta?.content ?? '');
+      const text = tokens.join('');
       const error = chunks.find(chunk => chunk.error !== undefined)?.error;
-      const endWithoutError = isDone ? CALLER_END.served : CALLER_END.cut;
-      return {
-        text: text.join(''),
-        end: error?.outcome ?? endWithoutError,
-        error,
-      };
+      if (error !== undefined) return {text, end: error.outcome, error};
+      if (isDone) return {text, end: CALLER_END.served};
+      return {text, end: CALLER_END.cut, closed};
     });
   }
 
@@ -114,7 +127,7 @@
     const url = `/services/${route}${path}`;
     return this.send(method, url, body, options, async res => {
       const text = await res.body.text();
-      return {text, end: CALLER_END.served, error: undefined};
+      return {text, end: CALLER_END.served};
     });
   }
 
@@ -123,11 +136,7 @@
     path: string,
     body: string,
     {key = SAMPLE_KEY, headers = {}, signal}: ChatOptions,
-    read: (res: Dispatcher.ResponseData) => Promise<{
-      text: string;
-      end: CallerEnd;
-      error: ErrorBody | undefined;
-    }>,
+    read: (res: Dispatcher.ResponseData) => Promise<ReadAnswer>,
   ): Promise<CallerAnswer> {
     const dispatcher = new Agent({headersTimeout: 0, bodyTimeout: 0});
     const authorization =
@@ -142,9 +151,9 @@
         dispatcher,
       });
       if (res.headers['x-outcome'] !== undefined) return await readError(res);
-      const {text, end, error} = await read(res);
+      const {error, ...answer} = await read(res);
       const {statusCode: status, headers: received} = res;
-      return {text, end, code: error?.code, status, headers: received};
+      return {...answer, code: error?.code, status, headers: received};
     } catch (error) {
       const {code} = error as NodeJS.ErrnoException;
       const isRefused = code === 'ECONNREFUSED';
@@ -154,6 +163,7 @@
         headers: res?.headers ?? {},
         text: '',
         code: undefined,
+        closed: describeError(error),
       };
     } finally {
       void dispatcher.destroy();
@@ -173,6 +183,11 @@
   return offsets.map(offset => expectedToken(prompt, offset)).join('');
 }
 
+function describeError(error: unknown): string {
+  const {code, message} = error as NodeJS.ErrnoException;
+  return code === undefined ? message : `${message} (${code})`;
+}
+
 async function readError(res: Dispatcher.ResponseData): Promise<CallerAnswer> {
   const {error} = (await res.body.json()) as {error: ErrorBody};
   const {statusCode: status, headers} = res;
--- a/packages/local-cluster/src/lib/faults/fault_scenario.ts
+++ b/packages/local-cluster/src/lib/faults/fault_scenario.ts
@@ -1,6 +1,7 @@
 /** Cluster and declarations of a fault run. @packageDocumentation */
 
-import {RawObject, digestOf} from '@fuchsiacleat/core';
+import {RawObject, Tracing, digestOf} from '@fuchsiacleat/core';
+import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
 import {LocalCluster} from '../local_cluster.js';
 import {JumpingClock} from './jumping_clock.js';
 
@@ -39,6 +40,8 @@
   /** Hosts to which callers send no requests, as if behind a load balancer. */
   readonly hostsOutOfService = new Set<string>();
   readonly models: readonly string[] = MODELS;
+  /** Finished spans of all hosts. */
+  readonly spans = new InMemorySpanExporter();
   private started: LocalCluster | undefined;
 
   /** The cluster; valid after {@link FaultScenario.start}. */
@@ -72,7 +75,10 @@
       services: ['a', 'c'].map(zone => ({name: `registry-${zone}`, zone})),
       weights: Object.fromEntries(weights),
       graceMs: GRACE_MS,
-      depsForHost: host => ({clock: this.clocks.get(host)!}),
+      depsForHost: host => ({
+        clock: this.clocks.get(host)!,
+        tracing: new Tracing([this.spans]),
+      }),
     });
     await this.cluster.publish([
       ...this.cluster.platformObjects(),
--- a/packages/local-cluster/src/lib/faults/promise_checks.ts
+++ b/packages/local-cluster/src/lib/faults/promise_checks.ts
@@ -2,6 +2,7 @@
 
 import {EngineRun} from '@fuchsiacleat/standins';
 import {CALLER_END} from '../caller.js';
+import {describeCut} from './cut_report.js';
 import {FaultSchedule} from './fault_schedule.js';
 import {FaultScenario, TEAM_BURST, TEAM_RATE} from './fault_scenario.js';
 import {LoopLag} from './loop_lag.js';
@@ -126,12 +127,14 @@
   return {checked, violations};
 }
 
-function checkServedOrRefused({journal, lag, schedule}: RunRecord) {
+function checkServedOrRefused(record: RunRecord) {
+  const {journal, lag, schedule} = record;
   const violations: string[] = [];
   for (const entry of journal.entries) {
     const {sentMs, endedMs, deadlineMs, answer, text, host} = entry;
     if (answer.end === CALLER_END.cut && !wasHostDown(schedule, entry)) {
-      violations.push(`${text} at ${host}: cut without an outcome`);
+      const report = describeCut(entry, record);
+      violations.push(`${text} at ${host}: cut without an outcome; ${report}`);
     }
     const lateMs =
       endedMs - sentMs - deadlineMs - lag.lagWithin(sentMs, endedMs);
@@ -319,13 +322,17 @@
   return {checked, violations};
 }
 
-function checkGracefulStop({journal, schedule}: RunRecord) {
+function checkGracefulStop(record: RunRecord) {
+  const {journal, schedule} = record;
   const stops = journal.entries.filter(entry =>
     overlaps(schedule, entry, ['host-stopped']),
   );
   const violations = stops
     .filter(({answer}) => answer.end === CALLER_END.cut)
-    .map(({text, host}) => `${text}: cut by the stop of ${host}`);
+    .map(entry => {
+      const report = describeCut(entry, record);
+      return `${entry.text}: cut by the stop of ${entry.host}; ${report}`;
+    });
   return {checked: stops.length, violations};
 }
 
--- a/packages/local-cluster/src/lib/faults/request_journal.ts
+++ b/packages/local-cluster/src/lib/faults/request_journal.ts
@@ -1,12 +1,13 @@
 /** Requests of a fault run and their results. @packageDocumentation */
 
-import {Random} from '@fuchsiacleat/core';
+import {Random, newRequestId} from '@fuchsiacleat/core';
 import {CallerAnswer, expectedText} from '../caller.js';
 import {FaultScenario, ScenarioTeam} from './fault_scenario.js';
 
 const MIN_DEADLINE_MS = 400;
 const MAX_DEADLINE_MS = 6_000;
 const MAX_TOKENS = 30;
+const SPAN_ID_DIGITS = 16;
 const UNKNOWN_KEY = 'fc-nobody';
 
 /** Request and its result. */
@@ -28,6 +29,8 @@
   sentMs: number;
   endedMs: number;
   answer: CallerAnswer;
+  /** Id of the request's trace. */
+  traceId: string;
   /** Text of a complete response; undefined for services. */
   expected: string | undefined;
 }
@@ -74,8 +77,10 @@
       ? `chat ${number}`
       : `call ${isKeyed ? 'k' : ''}${call}`;
     const idempotencyKey = isKeyed ? `${team.name} ${call}` : undefined;
+    const traceId = newRequestId();
     const headers: Record<string, string> = {
       'x-deadline-ms': String(deadlineMs),
+      traceparent: `00-${traceId}-${traceId.slice(0, SPAN_ID_DIGITS)}-01`,
     };
     if (idempotencyKey !== undefined) {
       headers['idempotency-key'] = idempotencyKey;
@@ -99,6 +104,7 @@
       sentMs,
       endedMs: performance.now(),
       answer,
+      traceId,
       expected: isChat ? expectedText(text, tokens) : undefined,
     });
   }
