End a stream at its deadline with the outcome, not by closing the connection

Callers of a stream saw the connection close, with neither [DONE] nor an error event, 50 ms after the deadline.

The timer of a streamed response is meant for callers that do not read. It closed the connection of every stream that was still open 50 ms after the deadline, also where the caller read everything and only the run was late to end: - at a host that forwards, the peer counts the deadline from when the request reaches it, so that its outcome comes later than this host's deadline by the way of the request. A busy loop makes that more than 50 ms. - after a pause of the host beyond the deadline before the first event, the timer is started with a negative delay and closes the connection at once.

The timer now writes the outcome ('deadline', may have run) if the connection takes it, and cancels the run. A connection that takes nothing is closed as before, and so is one that has not taken the outcome 50 ms later. A service's body has no place for an outcome; there the cut connection stays the sign.

--- a/packages/daemon/src/lib/answer_stream.ts
+++ b/packages/daemon/src/lib/answer_stream.ts
@@ -1,11 +1,16 @@
 /** Writes the body of a streamed response. @packageDocumentation */
 
 import {ServerResponse} from 'node:http';
-import {Clock, Outcome, Timer} from '@fuchsiacleat/core';
+import {Clock, FAILURE, Outcome, Timer, fail} from '@fuchsiacleat/core';
 
-/** Delay after the deadline until an unread stream's connection is closed. */
+/**
+ * Delay after the deadline until a stream whose run has not ended is ended, and
+ * until an unread stream's connection is closed, in milliseconds.
+ */
 const ABORT_DELAY_MS = 50;
 
+const OVERDUE = fail(FAILURE.deadline, 'the deadline passed in the response');
+
 type Controller = ReadableStreamDefaultController<Uint8Array>;
 
 /** Options of an {@link AnswerStream}. */
@@ -34,7 +39,8 @@
 
 /**
  * Reads a run with backpressure from the caller, and cancels it when the caller
- * disconnects or still does not read after the deadline.
+ * disconnects or the deadline has passed. A caller that reads then receives the
+ * outcome; the connection of one that does not is closed.
  */
 export class AnswerStream<Event> {
   private currentStep: IteratorResult<Event, Outcome>;
@@ -53,13 +59,12 @@
    * @param outgoing - the HTTP response; its head must have been written.
    */
   async writeTo(outgoing: ServerResponse): Promise<void> {
-    const {abortConnection} = this.options;
     // A write can fail because the caller has just closed the connection, which
     // is not an error of this host.
-    outgoing.on('error', abortConnection);
-    this.abortAfterDeadline(abortConnection);
+    outgoing.on('error', () => outgoing.destroy());
+    this.startWatchdog(() => this.endOverdue(outgoing));
     while (!this.currentStep.done) {
-      if (!outgoing.destroyed) {
+      if (!this.hasEnded && !outgoing.destroyed) {
         const hasCapacity = outgoing.write(
           this.options.encode(this.currentStep.value),
         );
@@ -67,6 +72,7 @@
       }
       await this.readNextStep();
     }
+    if (this.hasEnded) return;
     this.watchdog?.cancel();
     this.endWriting(outgoing, this.currentStep.value);
   }
@@ -75,7 +81,9 @@
   toReadableStream(): ReadableStream<Uint8Array> {
     return new ReadableStream<Uint8Array>(
       {
-        start: controller => this.startWatchdog(controller),
+        start: controller => {
+          this.startWatchdog(() => this.closeOverdue(controller));
+        },
         pull: controller => this.pull(controller),
         cancel: () => this.abandon(),
       },
@@ -84,22 +92,41 @@
   }
 
   /**
-   * Closes the connection shortly after the deadline. The run checks its
-   * deadline only while it is read, so a caller that stops reading would
-   * otherwise keep it open.
+   * Starts the timer that ends the response shortly after the deadline. The run
+   * checks its deadline only while it is read, and it can end late.
    */
-  private abortAfterDeadline(onDeadline: () => void): void {
+  private startWatchdog(onDeadline: () => void): void {
     const {clock, deadlineMs} = this.options;
     const delayMs = deadlineMs - clock.now() + ABORT_DELAY_MS;
     this.watchdog = clock.after(delayMs, onDeadline);
   }
 
-  private startWatchdog(controller: Controller): void {
-    this.abortAfterDeadline(() => {
-      this.options.abortConnection();
-      controller.close();
-      void this.abandon();
+  private endOverdue(outgoing: ServerResponse): void {
+    const {abortConnection, cancelRun, clock} = this.options;
+    if (outgoing.writableNeedDrain) {
+      abortConnection();
+      return;
+    }
+    this.hasEnded = true;
+    this.endWriting(outgoing, OVERDUE);
+    this.watchdog = clock.after(ABORT_DELAY_MS, () => {
+      if (!outgoing.writableFinished) abortConnection();
     });
+    cancelRun();
+  }
+
+  private closeOverdue(controller: Controller): void {
+    const {abortConnection, encodeEnd, finish} = this.options;
+    const end = encodeEnd(OVERDUE);
+    const isRead = (controller.desiredSize ?? 0) > 0;
+    if (end !== undefined && isRead) {
+      controller.enqueue(end);
+      finish(OVERDUE);
+    } else {
+      abortConnection();
+    }
+    controller.close();
+    void this.abandon();
   }
 
   private endWriting(outgoing: ServerResponse, outcome: Outcome): void {
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -6,6 +6,7 @@
 export * from './lib/sample_declarations.js';
 export * from './lib/trace_view.js';
 export * from './lib/network_partitions.js';
+export * from './lib/faults/jumping_clock.js';
 export * from './lib/faults/loop_lag.js';
 export * from './lib/placement_audit.js';
 export * from './lib/platform_world.js';
