Keep the deadline of a forwarded request at the host that took it

Only the peer knew the deadline. The forwarding host waited for its outcome without a limit of its own, so that a peer that is paused or busy, while its link still carries data, held the request.

A forwarded request or service call now ends 40 ms after the deadline as 'deadline', may have run, and the call to the peer is cancelled. The 40 ms leave the peer time to report its own, more exact outcome, such as a refusal of what never ran.

Not covered: dialling a peer that does not accept takes up to 1 s and does not end at the deadline.

--- a/packages/core/src/lib/requests/forward.ts
+++ b/packages/core/src/lib/requests/forward.ts
@@ -3,7 +3,20 @@
 import {z} from 'zod';
 import {PeerMethod} from '../peers/peer_network.js';
 import {generationEventSchema, generationRequestSchema} from './generation.js';
-import {FAILURE, FailureReason, REFUSAL, RefusalReason} from './outcome.js';
+import {
+  FAILURE,
+  Failure,
+  FailureReason,
+  REFUSAL,
+  RefusalReason,
+  fail,
+} from './outcome.js';
+
+/**
+ * Time after the deadline for which a forwarding host waits for the outcome that
+ * its peer reports, in milliseconds.
+ */
+export const OUTCOME_GRACE_MS = 40;
 
 const forwardedRequestSchema = z.object({
   request: generationRequestSchema,
@@ -60,3 +73,9 @@
   body: forwardedRequestSchema,
   event: forwardEventSchema,
 };
+
+/** @returns the outcome of a request whose peer did not report one in time. */
+export function overdueForward(): Failure {
+  const message = 'the peer reported no outcome until the deadline';
+  return fail(FAILURE.deadline, message);
+}
--- a/packages/core/src/lib/requests/peer_runner.ts
+++ b/packages/core/src/lib/requests/peer_runner.ts
@@ -4,8 +4,14 @@
 import {Router} from '../routing/router.js';
 import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
+import {deadlineSignal} from '../time/deadline.js';
 import {Attempt, AttemptEnd, ResumePoint, RunContext} from './attempt.js';
-import {FORWARD, ForwardedRequest} from './forward.js';
+import {
+  FORWARD,
+  ForwardedRequest,
+  OUTCOME_GRACE_MS,
+  overdueForward,
+} from './forward.js';
 import {GenerationEvent, GenerationRequest} from './generation.js';
 import {FAILURE, REFUSAL, fail, refuse} from './outcome.js';
 
@@ -53,6 +59,29 @@
     req: GenerationRequest,
     context: RunContext,
     avoid: ReadonlySet<string>,
+  ): Attempt {
+    const {clock} = this.options;
+    const endMs = context.deadlineMs + OUTCOME_GRACE_MS;
+    const deadline = deadlineSignal(clock, endMs);
+    const signal = AbortSignal.any([context.signal, deadline.signal]);
+    try {
+      const limited = {...context, signal};
+      const end = yield* this.runLimited(host, zone, req, limited, avoid);
+      const isCut = signal.aborted && end.outcome.type === 'cancelled';
+      if (!isCut || context.signal.aborted) return end;
+      return {outcome: overdueForward(), generated: undefined};
+    } finally {
+      deadline.dispose();
+    }
+  }
+
+  /** Runs one attempt that is cancelled when the signal of its context aborts. */
+  private async *runLimited(
+    host: string,
+    zone: string,
+    req: GenerationRequest,
+    context: RunContext,
+    avoid: ReadonlySet<string>,
   ): Attempt {
     const progress: RunProgress = {target: undefined, next: 0};
     let peer = host;
--- a/packages/core/src/lib/requests/service_runner.ts
+++ b/packages/core/src/lib/requests/service_runner.ts
@@ -5,8 +5,10 @@
 import {Router} from '../routing/router.js';
 import {HOP, Tracing} from '../telemetry/tracing.js';
 import {Clock} from '../time/clock.js';
+import {deadlineSignal} from '../time/deadline.js';
 import {RunContext} from './attempt.js';
 import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
+import {OUTCOME_GRACE_MS, overdueForward} from './forward.js';
 import {runWithRetries} from './retry_loop.js';
 import {RetryBudget} from '../limits/retry_budget.js';
 import {ServiceAttempt, LocalServiceRunner} from './local_service_runner.js';
@@ -115,16 +117,21 @@
       outcome: fail(FAILURE.peerLost, message),
       avoid: host,
     });
-    const {signal} = context;
+    const endMs = context.deadlineMs + OUTCOME_GRACE_MS;
+    const deadline = deadlineSignal(clock, endMs);
+    const signal = AbortSignal.any([context.signal, deadline.signal]);
     const answers = network.open(host, FORWARD_SERVICE, forward, signal);
     try {
       for await (const answer of answers) {
-        if (signal.aborted) return {outcome: {type: 'cancelled'}};
+        if (context.signal.aborted) return {outcome: {type: 'cancelled'}};
         if (answer.isErr()) {
           const {type, message} = answer.error;
-          if (type !== PEER_ERROR.notSent) return lostEnd(message);
-          const outcome = refuse(REFUSAL.noCapacity, message);
-          return {outcome, avoid: host};
+          if (type === PEER_ERROR.notSent) {
+            const outcome = refuse(REFUSAL.noCapacity, message);
+            return {outcome, avoid: host};
+          }
+          if (!deadline.signal.aborted) return lostEnd(message);
+          return {outcome: overdueForward(), avoid: host};
         }
         const {id, event} = answer.value;
         if (id !== req.id) return lostEnd('the peer answered another request');
@@ -136,6 +143,7 @@
       }
       return lostEnd('the peer ended without an outcome');
     } finally {
+      deadline.dispose();
       span.end();
     }
   }
--- a/packages/local-cluster/src/test/deadline_outcome_test.ts
+++ b/packages/local-cluster/src/test/deadline_outcome_test.ts
@@ -78,4 +78,31 @@
     const lateMs = performance.now() - sentMs - DEADLINE_MS;
     expect(lateMs).to.be.lessThan(MAX_DELAY_MS);
   });
+
+  it('reaches the caller in time if the peer is paused before the first token', async () => {
+    await start({firstTokenMs: FIRST_TOKEN_MS});
+    const {runs} = cluster.engines.get('pool-1')!;
+    cluster.engines.get('pool-1')!.silenceOpenConnections();
+    const sentMs = performance.now();
+    const answer = cluster.caller('b-1').chat('a draft', {headers});
+    await cluster.until(() => performance.now() - sentMs > FIRST_TOKEN_MS / 2);
+    cluster.clocks.get('a-1')!.pause();
+    expectDeadline(await answer);
+    expect(runs.filter(run => run.text === 'a draft')).to.have.length(0);
+    const lateMs = performance.now() - sentMs - DEADLINE_MS;
+    expect(lateMs).to.be.lessThan(MAX_DELAY_MS);
+  });
+
+  it('reaches the caller of a forwarded service call in time if the peer is paused', async () => {
+    await start({});
+    const service = cluster.services.get('registry-1')!;
+    service.faults = {...service.faults, silent: true};
+    const sentMs = performance.now();
+    const answer = cluster.caller('b-1').service('a filing', {headers});
+    await cluster.until(() => performance.now() - sentMs > FIRST_TOKEN_MS);
+    cluster.clocks.get('a-1')!.pause();
+    expectDeadline(await answer);
+    const lateMs = performance.now() - sentMs - DEADLINE_MS;
+    expect(lateMs).to.be.lessThan(MAX_DELAY_MS);
+  });
 });
