Show that a target's silence of up to 3 s ends no answer

The engine stand-in can fall silent as a whole, before the head, a token or the end event, and then go on. For 0.3, 0.9, 1.1, 1.6 and 3 s before each of these points a streamed answer is whole at a host of the target's zone and at one that forwards to it, and the engine starts each request once.

The stand-in also no longer counts a run as done whose connection ended before the end event was sent: it stays resumable.

--- /dev/null
+++ b/packages/local-cluster/src/test/silent_target_test.ts
@@ -0,0 +1,67 @@
+import {expect} from 'chai';
+import {EngineSilence} from '@fuchsiacleat/standins';
+import {
+  CALLER_END,
+  LocalCluster,
+  expectedText,
+  sampleDeclarations,
+} from '../index.js';
+
+const HOSTS = ['a-1', 'b-1'];
+const TOKENS = 6;
+const DURATIONS_MS = [300, 900, 1_100, 1_600, 3_000];
+const POINTS: Record<string, EngineSilence['before']> = {
+  'the head': 'head',
+  'the first token': 0,
+  'a later token': 3,
+  'the last byte': 'end',
+};
+
+describe('target that falls silent and goes on', () => {
+  let cluster: LocalCluster;
+
+  before(async () => {
+    cluster = await LocalCluster.start({
+      hosts: HOSTS.map(name => ({name, zone: name[0]})),
+      engines: [{name: 'pool-1', zone: 'a'}],
+      services: [{name: 'registry-1', zone: 'a'}],
+    });
+    await cluster.publish([
+      ...cluster.platformObjects(),
+      ...sampleDeclarations({services: ['registry-1']}),
+    ]);
+    for (const host of HOSTS) {
+      await cluster.caller(host).chat('warm up', {maxTokens: 1});
+    }
+  });
+
+  after(() => cluster.kill());
+
+  for (const [name, point] of Object.entries(POINTS)) {
+    for (const durationMs of DURATIONS_MS) {
+      it(`ends no answer by ${durationMs} ms of silence before ${name}`, async () => {
+        const engine = cluster.engines.get('pool-1')!;
+        engine.nextSilence = {before: point, durationMs};
+        const sentMs = performance.now();
+        const answers = await Promise.all(
+          HOSTS.map(async host => {
+            const text = `${host} ${name} ${durationMs}`;
+            const {end, code, ...rest} = await cluster
+              .caller(host)
+              .chat(text, {maxTokens: TOKENS});
+            const isWhole = rest.text === expectedText(text, TOKENS);
+            const runs = engine.runs.filter(run => run.text === text).length;
+            return {host, end, code, isWhole, runs};
+          }),
+        );
+        const isSilent = performance.now() - sentMs > durationMs;
+        const whole = HOSTS.map(host => ({
+          ...{host, end: CALLER_END.served, code: undefined},
+          ...{isWhole: true, runs: 1},
+        }));
+        expect(answers).to.deep.equal(whole);
+        expect(isSilent).to.equal(true);
+      });
+    }
+  }
+});
--- a/packages/standins/src/lib/engine_standin.ts
+++ b/packages/standins/src/lib/engine_standin.ts
@@ -40,6 +40,14 @@
   reportLagMs?: number;
 }
 
+/** Silence of a whole engine that goes on afterwards. */
+export interface EngineSilence {
+  /** Before the response head, the token with this offset, or the end event. */
+  before: 'head' | 'end' | number;
+  /** In milliseconds. */
+  durationMs: number;
+}
+
 /** Model engine with continuous batching that generates predictable text. */
 export class EngineStandin extends StandinServer {
   /** Every generation that was started, in order. */
@@ -50,7 +58,13 @@
   fencedOrders = 0;
   /** Whether the engine reports that it is about to be removed. */
   leaving = false;
+  /**
+   * Silence that begins when a generation first comes to its point. Meanwhile
+   * the engine accepts connections, but does no work and sends nothing.
+   */
+  nextSilence: EngineSilence | undefined;
   readonly memory: EngineMemory;
+  private silence: Promise<void> = Promise.resolve();
   private role = 'any';
   private highestFencing = -1;
   private running = 0;
@@ -69,6 +83,10 @@
     super(options);
     this.memory = new EngineMemory(options.memoryBytes);
     this.loadReports = new LoadReports(this.clock, options.reportLagMs);
+    this.app.use('*', async (unused, next) => {
+      await this.silence;
+      await next();
+    });
     this.app.post('/generate', c => this.generate(c));
     this.app.post('/cancel', c => this.cancel(c));
     this.app.post('/orders', c => this.handleOrder(c));
@@ -92,6 +110,7 @@
     const parsed = generateSchema.safeParse(await c.req.json());
     if (!parsed.success) return notRun(c, 400, 'malformed request');
     const body = parsed.data;
+    await this.waitAt('head');
     const resumedRun = body.resume
       ? this.runsById.get(body.request_id)
       : undefined;
@@ -193,6 +212,7 @@
     this.cacheEvents.recordPrefix(text);
     await this.clock.sleep(firstTokenMs, connectionSignal);
     for (let offset = body.resume_from; offset < body.max_tokens; offset++) {
+      await this.waitAt(offset);
       if (connectionSignal.aborted || run.state === 'cancelled') return;
       if (offset >= run.tokens) run.tokenTimesMs.push(this.clock.now());
       run.tokens = Math.max(run.tokens, offset + 1);
@@ -200,6 +220,8 @@
       await write({type: 'token', offset, text: token});
       if (tokenGapMs > 0) await this.clock.sleep(tokenGapMs, connectionSignal);
     }
+    await this.waitAt('end');
+    if (connectionSignal.aborted || run.state === 'cancelled') return;
     run.state = 'done';
     await write({
       type: 'end',
@@ -209,6 +231,16 @@
     });
   }
 
+  /** Begins the next silence at its point, and waits for the current one. */
+  private waitAt(point: EngineSilence['before']): Promise<void> {
+    const {nextSilence} = this;
+    if (nextSilence?.before === point) {
+      this.nextSilence = undefined;
+      this.silence = this.clock.sleep(nextSilence.durationMs);
+    }
+    return this.silence;
+  }
+
   private async takeSlot(closeSignal: AbortSignal): Promise<void> {
     if (this.running >= this.slots) {
       this.queued += 1;
