Read what has arrived before the time limit of a send ends it

A host that was busy or suspended gave sends up whose answers had arrived meanwhile: timers run before connections are read. Its callers waited for another run, or got 502 when the retry budget was used up, as happens when a large configuration is applied on a slow host.

The time limit for the head now looks again 10 ms later, after one read of all connections. Streams under way have this already, as the check of their target takes a connection.

The test (a host that is busy for 2.1 s while the target answers) failed before: the request ran twice.

--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -32,6 +32,12 @@
  */
 const HEAD_RECHECK_INTERVAL_MS = 150;
 
+/**
+ * Delay after the time limit for the head. A host that was busy runs its timers
+ * before it reads what its connections have received meanwhile.
+ */
+const HEAD_CONFIRM_MS = 10;
+
 /** Decisions about a request, and its progress. */
 export class RelayCall<Req extends CallerRequest> {
   /** Name of the service; empty until it is chosen. */
@@ -242,17 +248,19 @@
     requestSignal.addEventListener('abort', abort);
     if (requestSignal.aborted) abort();
     let timer: Timer | undefined;
-    const armHeadTimeout = (timeoutMs: number) => {
-      timer = this.clock.after(timeoutMs, () => {
-        if (!canEnd()) {
-          armHeadTimeout(HEAD_RECHECK_INTERVAL_MS);
-          return;
-        }
-        this.wasGivenUp = true;
-        end(ENDED_BY.headTimeout);
-      });
+    const arm = (timeoutMs: number, callback: () => void) => {
+      timer = this.clock.after(timeoutMs, callback);
+    };
+    const tryEnd = () => {
+      if (!canEnd()) {
+        arm(HEAD_RECHECK_INTERVAL_MS, tryEnd);
+        return;
+      }
+      this.wasGivenUp = true;
+      end(ENDED_BY.headTimeout);
     };
-    if (headTimeoutMs !== undefined) armHeadTimeout(headTimeoutMs);
+    if (headTimeoutMs !== undefined)
+      arm(headTimeoutMs, () => arm(HEAD_CONFIRM_MS, tryEnd));
     const attempt = {
       signal: controller.signal,
       isWithdrawn: false,
