Log answers whose connection ended before all of them was sent

The log said `request outcome=served` as soon as a host had an answer in hand, whether or not the caller's connection took it. A host that cut such an answer could not be told from one that sent it, nor from a caller that left.

`answer_unsent` names the request, the bytes of the body that were accepted and not passed to the operating system, the side that closed the connection, and whether the host was stopping. It shares the limit of the lines for unserved requests, and a counter tells the sides apart.

`finish` and `writableFinished` of a response do not tell this: when Node destroys a connection it discards the buffer, calls the callbacks of all writes without an error and emits `finish`, with `writableFinished` true (seen on Node 20.19 for destroy(), resetAndDestroy() and a reset by the peer, with 20 MB written to a peer that does not read).

--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -68,6 +68,14 @@
     registers: [this.registry],
   });
 
+  /** Number of answers that callers were not sent completely. */
+  readonly unsentAnswers = new Counter({
+    name: 'fuchsiacleat_gateway_answers_unsent_total',
+    help: 'Answers whose connection ended before all was sent, by who closed it.',
+    labelNames: ['closed_by'],
+    registers: [this.registry],
+  });
+
   /** Number of processes of targets that ended under requests of this host. */
   readonly targetEnds = new Counter({
     name: 'fuchsiacleat_gateway_target_ends_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -5,7 +5,12 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {GatewayMetrics} from './gateway_metrics.js';
-import {EndedSend, RelayObserver, RequestTrace} from './relay_observer.js';
+import {
+  EndedSend,
+  RelayObserver,
+  RequestTrace,
+  UnsentAnswer,
+} from './relay_observer.js';
 
 /**
  * Rate limits of log lines for unserved and served requests, lines per second.
@@ -139,6 +144,18 @@
     this.limitCounts.clear();
   }
 
+  override answerUnsent(answer: UnsentAnswer): void {
+    const {id, unsentBytes, closedBy, isStopping} = answer;
+    this.metrics.unsentAnswers.inc({closed_by: closedBy});
+    if (!this.tryTakeLine(this.unservedBucket)) return;
+    this.logger.info('answer_unsent', {
+      id,
+      unsent_bytes: unsentBytes,
+      closed_by: closedBy,
+      stopping: isStopping,
+    });
+  }
+
   override requestEnded(story: RequestTrace): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -45,6 +45,23 @@
   parts: readonly string[];
 }
 
+/** Sides that may have closed the connection to a caller. */
+export const CLOSED_BY = {caller: 'caller', host: 'host'} as const;
+
+/** One of {@link CLOSED_BY}. */
+export type ClosedBy = (typeof CLOSED_BY)[keyof typeof CLOSED_BY];
+
+/** An answer whose connection ended before all of it was handed over. */
+export interface UnsentAnswer {
+  /** Id of the request. */
+  id: string;
+  /** Bytes of the body that this host had accepted and not yet sent. */
+  unsentBytes: number;
+  closedBy: ClosedBy;
+  /** Whether this host was stopping. */
+  isStopping: boolean;
+}
+
 /** Receives the events of relayed requests as they occur. */
 export abstract class RelayObserver {
   /** Called when the head of an answer has arrived from a target. */
@@ -84,6 +101,12 @@
    */
   abstract sendThrottled(target: string): void;
 
+  /**
+   * Called when the connection to a caller ended before all of the answer was
+   * handed over to it.
+   */
+  abstract answerUnsent(answer: UnsentAnswer): void;
+
   /** Called when a request has ended. */
   abstract requestEnded(trace: RequestTrace): void;
 }
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -126,6 +126,25 @@
     expect(await valueOf(metrics, sends, other)).to.equal(1_000 - 256);
   });
 
+  it('counts every unsent answer and limits their lines', async () => {
+    const logger = new CountingLogger();
+    const metrics = new GatewayMetrics();
+    const journal = new LoggingObserver(new ManualClock(), logger, metrics);
+    for (let i = 0; i < 1_000; i++) {
+      journal.answerUnsent({
+        id: 'r',
+        unsentBytes: 10,
+        closedBy: 'host',
+        isStopping: true,
+      });
+    }
+    const unsent = 'fuchsiacleat_gateway_answers_unsent_total';
+    const byHost = {closed_by: 'host'};
+    expect(await valueOf(metrics, unsent, byHost)).to.equal(1_000);
+    expect(logger.events.length).to.be.within(1, MAX_BURST_LINES);
+    expect(new Set(logger.events)).to.deep.equal(new Set(['answer_unsent']));
+  });
+
   it('reports sends to limited targets together', async () => {
     const clock = new ManualClock();
     const lines: Array<Record<string, unknown>> = [];
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -266,6 +266,8 @@
 
   override sendThrottled(): void {}
 
+  override answerUnsent(): void {}
+
   override requestEnded(story: RequestTrace): void {
     this.traces.push(story);
   }
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -112,6 +112,8 @@
   );
   readonly engines: readonly PlatformWorkerStandin[];
   readonly hosts: GatewayHost[] = [];
+  /** Log lines of all hosts. */
+  readonly lines: string[] = [];
   private readonly settings: PlatformSettings[] = [];
   private clients: Client[] = [];
   private version = 1;
@@ -264,7 +266,9 @@
 
   private async startHostAt(settings: PlatformSettings): Promise<void> {
     this.settings.push(settings);
-    const host = new GatewayHost(settings, {write: () => {}});
+    const host = new GatewayHost(settings, {
+      write: line => this.lines.push(line),
+    });
     this.hosts.push(host);
     await host.start();
   }
