--- a/packages/local-cluster/src/test/platform/answer_delivery_test.ts
+++ b/packages/local-cluster/src/test/platform/answer_delivery_test.ts
@@ -3,7 +3,7 @@
 import {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {FillingTarget} from '../../lib/filling_target.js';
+import {FillingTarget, LAST_EVENT} from '../../lib/filling_target.js';
 import {
   PlatformWorld,
   ROUTE_PATH,
@@ -12,6 +12,15 @@
 } from '../../lib/platform_world.js';
 import {RawCaller} from '../../lib/raw_caller.js';
 
+/** Time after the stop for which connections are accepted, in milliseconds. */
+const ACCEPT_TIME_MS = 2_600;
+
+/** Within the time that is left after it. */
+const READ_DELAY_MS = 300;
+
+const LATE_REQUEST_MS = 500;
+const GRACE_MS = 4_000;
+
 const REQUEST_CHANNEL = 'http.server.request.start';
 
 const REQUESTS = {
@@ -103,4 +112,73 @@
     await sleep(100);
     expect(lineOf('answer_unsent', REQUESTS.plain.id)).to.equal(undefined);
   });
+
+  /** Connects to the host; a kept connection has brought an answer before. */
+  async function open(isKept: boolean): Promise<RawCaller> {
+    const caller = await RawCaller.open(world.callerUrl());
+    if (!isKept) return caller;
+    target.isFull = () => true;
+    caller.send({path: ROUTE_PATH.once, id: 'first'});
+    await caller.waitForEnd();
+    caller.text = '';
+    return caller;
+  }
+
+  for (const [kind, request] of Object.entries(REQUESTS)) {
+    for (const isKept of [false, true]) {
+      const connection = isKept ? 'kept' : 'new';
+      it(`does not cut an answered ${kind} request on a ${connection} connection when it stops`, async () => {
+        const caller = await open(isKept);
+        await fill(caller, request);
+        const stopped = world.hosts[0].stop();
+        await sleep(ACCEPT_TIME_MS + READ_DELAY_MS);
+        caller.socket.resume();
+        await caller.waitForEnd();
+        expect(caller.isAnswered).to.equal(true);
+        expect(caller.text).to.include(LAST_EVENT);
+        await stopped;
+        expect(lineOf('answer_unsent', request.id)).to.equal(undefined);
+      });
+
+      it(`does not cut a ${kind} request that it answers on a ${connection} connection while it stops`, async () => {
+        const caller = await open(isKept);
+        const stopped = world.hosts[0].stop();
+        await sleep(LATE_REQUEST_MS);
+        await fill(caller, request);
+        await sleep(ACCEPT_TIME_MS + READ_DELAY_MS - LATE_REQUEST_MS);
+        caller.socket.resume();
+        await caller.waitForEnd();
+        expect(caller.isAnswered).to.equal(true);
+        expect(caller.text).to.include(LAST_EVENT);
+        await stopped;
+        expect(lineOf('answer_unsent', request.id)).to.equal(undefined);
+      });
+    }
+  }
+
+  it('closes idle connections while it waits for an answer to be read', async () => {
+    const idle = await open(true);
+    const unread = await open(false);
+    await fill(unread, REQUESTS.plain);
+    const stopped = world.hosts[0].stop();
+    await sleep(ACCEPT_TIME_MS + READ_DELAY_MS);
+    expect(idle.isClosed).to.equal(true);
+    expect(unread.isClosed).to.equal(false);
+    unread.socket.resume();
+    await unread.waitForEnd();
+    expect(unread.isAnswered).to.equal(true);
+    await sleep(READ_DELAY_MS);
+    expect(unread.isClosed).to.equal(true);
+    await stopped;
+  });
+
+  it('stops within the grace period although an answer is not read', async () => {
+    const caller = await open(false);
+    await fill(caller, REQUESTS.plain);
+    const startMs = performance.now();
+    await world.hosts[0].stop();
+    expect(performance.now() - startMs).to.be.within(3_000, GRACE_MS);
+    const line = lineOf('answer_unsent', REQUESTS.plain.id);
+    expect(line).to.include('closed_by=host').and.include('stopping=true');
+  });
 });
