--- a/packages/local-cluster/src/test/platform/answer_delivery_test.ts
+++ b/packages/local-cluster/src/test/platform/answer_delivery_test.ts
@@ -179,6 +179,7 @@
     await world.hosts[0].stop();
     expect(performance.now() - startMs).to.be.within(3_000, GRACE_MS);
     const line = lineOf('answer_unsent', REQUESTS.plain.id);
+    expect(line).to.match(/unsent_bytes=[1-9]/);
     expect(line).to.include('closed_by=host').and.include('stopping=true');
   });
 });
