--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -11,6 +11,7 @@
   RelayObserver,
   RequestTrace,
   StalledRun,
+  UnsentAnswer,
 } from './relay_observer.js';
 
 /**
@@ -159,6 +160,18 @@
     this.limitCounts.clear();
   }
 
+  override answerUnsent(answer: UnsentAnswer): void {
+    const {id, unsentBytes, closedBy, isStopping} = answer;
+    this.metrics.unsentAnswers.inc({closed_by: closedBy});
+    if (!this.tryTakeLine(this.unservedBucket)) return;
+    this.logger.info('answer_unsent', {
+      id,
+      unsent_bytes: unsentBytes,
+      closed_by: closedBy,
+      stopping: isStopping,
+    });
+  }
+
   override requestEnded(story: RequestTrace): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
