Refuse a request whose wait for a model is ended at the lease holder

Callers of the host with the order lease got neither an answer nor a refusal if the wait of their request for a model ended early: when the limit of a target allowed the send (beside a limit that a target names), when the host stopped while it still held the lease, or at the deadline. The connection stayed open until the caller left or the process ended; a request in that state was not counted down either, so that a stop lasted for its whole grace period.

Cause: the abort of its signal removed the waiter from the queue without an answer, so that the promise of ResidencyController.find never resolved. Other hosts are not affected, as their call to the holder ends with the signal.

--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -153,7 +153,7 @@
    * Finds a target for a request, or loads its model.
    *
    * @param request - see {@link ResidencyRequest}.
-   * @param signal - aborts when the caller gives up.
+   * @param signal - ends the wait with a refusal.
    * @returns the id of the target, or when to retry.
    */
   find(
@@ -161,12 +161,20 @@
     signal: AbortSignal,
   ): Promise<Result<string, NotResident>> {
     return new Promise(resolve => {
-      const leave = () => this.waitQueue.remove(waiter);
+      const leave = () =>
+        this.waitQueue.refuse(waiter, {
+          retryAfterMs: RETRY_AFTER_MS,
+          isFinal: true,
+        });
       const waiter = this.waitQueue.add(request, result => {
         signal.removeEventListener('abort', leave);
         resolve(result);
       });
       signal.addEventListener('abort', leave);
+      if (signal.aborted) {
+        leave();
+        return;
+      }
       if (this.hasTakenOver) this.planWaiter(waiter);
     });
   }
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -361,8 +361,9 @@
   async refusal(
     model: string,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<NotResident | undefined> {
-    const found = await this.request(model, undefined, waitMs);
+    const found = await this.request(model, undefined, waitMs, signal);
     return found.isErr() ? found.error : undefined;
   }
 
@@ -370,6 +371,7 @@
     model: string,
     adapter: string | undefined,
     waitMs: number,
+    signal = new AbortController().signal,
   ): Promise<Result<string, NotResident>> {
     const nowMs = this.clock.now();
     const request: ResidencyRequest = {
@@ -380,7 +382,7 @@
       giveUpMs: nowMs + waitMs,
       tried: new Set(),
     };
-    return this.controller.find(request, new AbortController().signal);
+    return this.controller.find(request, signal);
   }
 
   /** Advances the clock until a promise is settled. */
--- a/packages/core/src/test/residency/residency_controller_test.ts
+++ b/packages/core/src/test/residency/residency_controller_test.ts
@@ -48,6 +48,19 @@
     expect(await world.find('m1')).to.equal('e1');
   });
 
+  it('answers a request that no longer waits for its model', async () => {
+    const world = await startWorld([['m0', 'm1', 'm2']]);
+    const left = new AbortController();
+    let isAnswered = false;
+    void world
+      .refusal('m7', 20_000, left.signal)
+      .finally(() => (isAnswered = true));
+    await world.clock.advance(100);
+    left.abort();
+    await world.clock.advance(30_000);
+    expect(isAnswered).to.equal(true);
+  });
+
   it('survives that a model is removed while requests wait for its load', async () => {
     const world = await startWorld([['m0', 'm1', 'm2']]);
     world.report([], {m0: 5, m1: 3, m2: 1}, 400);
