--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -11,6 +11,7 @@
 import {PlannedSilence, WorkerAnswer, WorkerAnswers} from './worker_answers.js';
 import {WorkerOutput} from './worker_output.js';
 
+const LOOPBACK = '127.0.0.1';
 const HEADER_PREFIX = 'x-fuchsiacleat-';
 /** Number of events of a stream by default. */
 const EVENT_COUNT = 4;
@@ -72,14 +73,16 @@
   readonly orderLog: AcceptedOrder[] = [];
   /** Faults of the next responses; each request uses up the first one. */
   readonly faultyAnswers: FaultyAnswer[] = [];
-  /** Silences of the next responses; each request uses up the first one. */
-  readonly silences: PlannedSilence[] = [];
+  /** Silences by request id; each arrival of a request uses up its first one. */
+  readonly silences = new Map<string, PlannedSilence[]>();
   /** Duration of each request before its response, in milliseconds. */
   workMs = 0;
   /** Number of events of each stream. */
   streamEvents = EVENT_COUNT;
   /** Time between the events of a stream, in milliseconds; 0 for none. */
   eventGapMs = 0;
+  /** Loopback port that the worker registers instead of its own. */
+  registeredPort: number | undefined;
   /** Whether each response announces that the worker is leaving. */
   isLeaving = false;
   /**
@@ -113,7 +116,6 @@
   private readonly output = new WorkerOutput();
   private readonly answers: WorkerAnswers;
   private readonly running = new Set<RunningRequest>();
-  private address = '';
 
   /** @param options - see {@link WorkerOptions}. */
   constructor(private readonly options: WorkerOptions) {
@@ -131,7 +133,7 @@
   registration(state = 'ready'): object {
     return {
       Service: this.options.service,
-      Addr: this.address,
+      Addr: `${LOOPBACK}:${this.registeredPort ?? this.port}`,
       Zone: this.options.zone,
       Version: 'v1',
       Slots: 8,
@@ -151,10 +153,8 @@
   /** Starts to listen on a free port. */
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', resolve),
+      this.server.listen(0, LOOPBACK, resolve),
     );
-    const {port} = this.server.address() as AddressInfo;
-    this.address = `127.0.0.1:${port}`;
   }
 
   /**
@@ -192,7 +192,7 @@
       this.startedMs = Date.now();
       this.orderCount = 0;
       this.models = new Set(this.options.models ?? []);
-      this.server.listen(port, '127.0.0.1', () => this.onRestart());
+      this.server.listen(port, LOOPBACK, () => this.onRestart());
     }, CRASH_DOWN_MS);
   }
 
@@ -299,7 +299,7 @@
       id,
       res,
       fault,
-      silence: this.silences.shift(),
+      silence: this.silences.get(id)?.shift(),
       events: isStream ? this.streamEvents : undefined,
       gapMs: this.eventGapMs,
       afterEvent: isStream ? numberOf(req.headers['last-event-id'], 0) : 0,
--- a/packages/standins/src/test/platform/platform_worker_standin_test.ts
+++ b/packages/standins/src/test/platform/platform_worker_standin_test.ts
@@ -94,7 +94,7 @@
 
   for (const place of Object.values(SILENCE_PLACE)) {
     it(`is silent ${place} of one response`, async () => {
-      worker.silences.push({place, forMs: SILENCE_MS});
+      worker.silences.set('s1', [{place, forMs: SILENCE_MS}]);
       const peer = await Peer.open(worker);
       peer.send('/s', STREAM);
       await sleep(2 * SILENCE_MS + 150);
