Test that hosts answer through the silence of a sound target

Callers saw streams reset after their head, and requests that a target was working on answered 502, when a sound target fell silent for a second or so.

Real connections on PlatformWorld: silences of 0.3 to 3 s at four places of a response, of the only target, one of two and both, repeated, with requests of all kinds, more streams than the retry budget carries, and beside planned work. A request that a target ran needs its whole answer before its deadline; one that may run once runs once. On the other side a target that ended, crashed, lost its connections or went dark is left before callers are gone.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -16,6 +16,7 @@
   once: '/once/',
   repeatable: '/repeatable/',
   stream: '/stream/',
+  resumable: '/resumable/',
 } as const;
 
 /** Names of the services. */
@@ -50,20 +51,41 @@
   Burst?: number;
 }
 
+/** Properties of the routes. */
+export interface RouteOptions {
+  /** Time limit of requests, in milliseconds. */
+  timeoutMs: number;
+  /** Latency objective of resumable streams, in milliseconds. */
+  resumableObjectiveMs: number;
+  /** Time for which callers may be idle, in milliseconds. */
+  idleTimeoutMs?: number;
+}
+
+const DEFAULT_ROUTES: RouteOptions = {
+  timeoutMs: 3_000,
+  resumableObjectiveMs: 500,
+};
+
 /**
- * Returns an operator's configuration with three routes and two services.
+ * Returns an operator's configuration with four routes and two services.
  *
  * @param version - version of the configuration.
  * @param teams - teams with their API keys.
+ * @param options - see {@link RouteOptions}.
  * @returns the configuration.
  */
-export function platformConfig(version: number, teams: PlatformTeam[]): object {
+export function platformConfig(
+  version: number,
+  teams: PlatformTeam[],
+  options = DEFAULT_ROUTES,
+): object {
+  const {idleTimeoutMs: IdleTimeoutMs} = options;
   const route = (name: string, prefix: string, kind: string, to: string) => ({
     Name: name,
     Host: HOST_NAME,
     PathPrefix: prefix,
     Kind: kind,
-    TimeoutMs: 3_000,
+    TimeoutMs: options.timeoutMs,
     TargetLatencyMs: 500,
     Priority: 1,
     Service: to,
@@ -84,6 +106,11 @@
       route('once', ROUTE_PATH.once, 'non_idempotent', PLAIN),
       route('repeatable', ROUTE_PATH.repeatable, 'idempotent', PLAIN),
       route('stream', ROUTE_PATH.stream, 'streaming', ENGINES),
+      {
+        ...route('resumable', ROUTE_PATH.resumable, 'streaming', ENGINES),
+        TargetLatencyMs: options.resumableObjectiveMs,
+        Resumable: true,
+      },
     ],
     Services: [
       {Name: PLAIN, HealthPath: '/healthz', MaxConns: 100},
@@ -101,9 +128,21 @@
       },
     ],
     Tenants: teams,
+    ...(IdleTimeoutMs === undefined ? {} : {Limits: {IdleTimeoutMs}}),
   };
 }
 
+/** Options of a {@link PlatformWorld}. */
+export interface WorldOptions {
+  routes?: Partial<RouteOptions>;
+  /** Retries that the budget allows beyond its share of the requests. */
+  retrySlack?: number;
+  /** Time after its start in which a host is granted them, in milliseconds. */
+  retryWindowMs?: number;
+  /** Called when the workers listen, before they register. */
+  prepare?: (world: PlatformWorld) => Promise<void>;
+}
+
 /** Store, two plain workers, engine workers, and gateway hosts. */
 export class PlatformWorld {
   readonly store = new PlatformStoreStandin();
@@ -117,7 +156,10 @@
   private version = 1;
   private requestCount = 0;
 
-  private constructor(engineCount: number) {
+  private constructor(
+    engineCount: number,
+    private readonly options: WorldOptions,
+  ) {
     this.engines = Array.from(
       {length: engineCount},
       (unusedItem, i) =>
@@ -136,10 +178,15 @@
   }
 
   /** @returns a deployment whose hosts are all ready. */
-  static async start(hostCount = 1, engineCount = 1): Promise<PlatformWorld> {
-    const world = new PlatformWorld(engineCount);
+  static async start(
+    hostCount = 1,
+    engineCount = 1,
+    options: WorldOptions = {},
+  ): Promise<PlatformWorld> {
+    const world = new PlatformWorld(engineCount, options);
     await world.store.start();
     for (const worker of world.workers) await worker.start();
+    await options.prepare?.(world);
     world.registerTargets();
     world.publish([TEAM_KEY]);
     for (let i = 0; i < hostCount; i++) await world.startHost();
@@ -169,7 +216,8 @@
   /** Publishes a configuration with the given API keys. */
   publish(keys: string[]): void {
     const teams = [{Name: 'team', ApiKeys: keys}];
-    const config = platformConfig(this.version++, teams);
+    const routes = {...DEFAULT_ROUTES, ...this.options.routes};
+    const config = platformConfig(this.version++, teams, routes);
     this.store.put(STORE_TOPIC.operator, 'config', config);
   }
 
@@ -253,8 +301,8 @@
       stopGraceMs: 4_000,
       orderGapMs: 50,
       retriesPerRequest: 0.2,
-      retrySlack: 50,
-      retryWindowMs: 10_000,
+      retrySlack: this.options.retrySlack ?? 50,
+      retryWindowMs: this.options.retryWindowMs ?? 10_000,
       quotaWindowMs: 8_000,
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
