Tell lost targets from silent ones by repeated evidence, and sooner

- A stream that a host had given up was cut after eight refusals, or while the configuration was outdated for a moment, long before its deadline.
- A pause inside an event, and a caller that reads slowly, counted as evidence against the target.
- One answered check was taken as evidence against a run whose target had just come back; it takes two now, and what the target sends to other requests of this host counts as an answer, without a check.
- A leaving target stops listening before it has finished its runs; that is no evidence.
- Checks without a reply take their whole time limit, so that a target that was cut off was left after 1,960 ms, when callers leave after 2,000; they follow each other at once now.
- A request without a head waited for its deadline at a target that was cut off, if no other target held its model.
Its target is checked after one objective, at least a second, and one that is lost is left whether or not the model is elsewhere, as it is loaded then.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -85,14 +85,15 @@
       call.recordReceived(chunk.length);
       call.recordBytes();
       boundary.push(chunk);
-      monitor?.recordBytes();
       if (splitter === undefined) return req.write(chunk);
       const {lastId} = splitter;
       const bytes = splitter.push(chunk);
       // Comments and partial events do not count as progress.
       if (splitter.lastId !== lastId) monitor?.recordProgress();
       if (splitter.isTooLong) answer.discard();
-      return bytes.length === 0 ? undefined : req.write(bytes);
+      const written = bytes.length === 0 ? undefined : req.write(bytes);
+      if (written !== undefined) monitor?.recordBlocked(written);
+      return written;
     });
     ended.abort();
     if (end !== BODY_END.complete) return end;
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -18,6 +18,7 @@
 import {DeploymentState} from './deployment_state.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
+import {HeadWait} from './head_wait.js';
 import {ModelFinder} from './model_finder.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {RelayCall, SendAttempt} from './relay_call.js';
@@ -64,15 +65,6 @@
 /** Number of targets that may end while they run the same request. */
 const MAX_ENDED_TARGETS = 2;
 
-/**
- * Time limit for the head of an answer, in latency objectives, if the request
- * can be sent to another target.
- */
-const HEAD_TIMEOUT_OBJECTIVES = 4;
-
-/** Minimum of that time limit. */
-const MIN_HEAD_TIMEOUT_MS = 1_000;
-
 /** Reasons for which no byte of a request has reached a target. */
 const NOT_DELIVERED: ReadonlySet<NotRunReason> = new Set([
   NOT_RUN.unreachable,
@@ -227,7 +219,11 @@
         return this.unservedOutcome(call, refusal);
       }
       const refusal = this.checkSend(req, call);
-      if (refusal !== undefined) return this.unservedOutcome(call, refusal);
+      if (refusal !== undefined) {
+        const isPassing = refusal.reason === REFUSAL.configTooOld;
+        if (isPassing && (await this.waitToContinue(call))) continue;
+        return this.unservedOutcome(call, refusal);
+      }
       if (!this.tryTakeSend(call)) {
         if (await this.waitToContinue(call)) continue;
         if (call.possibleRuns > 0 || !this.canWaitForBudget(req, call)) {
@@ -258,7 +254,7 @@
    * @returns the refusal, or undefined if it may be sent.
    */
   private checkSend(req: Req, call: RelayCall<Req>): Refusal | undefined {
-    if (call.sends >= MAX_SENDS) {
+    if (call.sends >= MAX_SENDS && !call.mustContinue) {
       return noCapacityRefusal('every target that was tried refused');
     }
     if (call.endedTargets >= MAX_ENDED_TARGETS) {
@@ -340,12 +336,10 @@
     const {registration} = target;
     if (target.requestsPerSecond !== undefined)
       observer.limitedSend(registration.id, call.sends > 0);
-    call.recordSend(registration.id);
+    call.recordSend(target);
     call.holdsRetry = false;
-    const {replacement} = this.stallParts;
-    const attempt = call.startAttempt(this.headTimeoutMs(call), () =>
-      replacement.trySecure(target, req, call),
-    );
+    const wait = new HeadWait(clock, this.stallParts, {target, req, call});
+    const attempt = call.startAttempt(wait.checkAfterMs, () => wait.canEnd());
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
     try {
@@ -571,12 +565,6 @@
     else if (outcome.type === 'refused') req.refuse(outcome);
     else req.fail(outcome);
   }
-
-  private headTimeoutMs(call: RelayCall<Req>): number | undefined {
-    if (!call.canRunElsewhere) return undefined;
-    const timeoutMs = call.route.objectiveMs * HEAD_TIMEOUT_OBJECTIVES;
-    return Math.max(MIN_HEAD_TIMEOUT_MS, timeoutMs);
-  }
 }
 
 function routeAndTeam(
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -7,6 +7,7 @@
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
+import {KnownTarget} from './target_table.js';
 
 /**
  * A single send of a request, with the time limit for the head of its answer.
@@ -81,6 +82,7 @@
   private readonly requestController = new AbortController();
   private readonly waitController = new AbortController();
   private readonly timer: Timer;
+  private target: KnownTarget | undefined;
   private sendStartMs = 0;
   private currentAttempt: SendAttempt | undefined;
 
@@ -188,9 +190,10 @@
   }
 
   /** Records a send. */
-  recordSend(target: string): void {
+  recordSend(target: KnownTarget): void {
     this.firstSendMs ??= this.elapsedMs();
-    this.sentTo.push(target);
+    this.target = target;
+    this.sentTo.push(target.registration.id);
     this.sendStartMs = this.clock.now();
     this.receivedBytes = 0;
     this.endedBy = ENDED_BY.target;
@@ -200,6 +203,7 @@
   /** Records that the target of the current send has begun an answer. */
   recordAnswered(): void {
     this.possibleRuns += 1;
+    this.target?.recordHeard();
     this.isAnswered = true;
     if (this.run !== undefined) this.run.hasBegun = true;
   }
@@ -212,6 +216,7 @@
   /** Records bytes that the target of the current send has returned. */
   recordReceived(bytes: number): void {
     this.receivedBytes += bytes;
+    this.target?.recordHeard();
     this.run?.recordBytes();
   }
 
@@ -228,9 +233,9 @@
   /**
    * Starts a send.
    *
-   * @param headTimeoutMs - time limit for the head of the answer; undefined if
-   *     only the deadline of the request applies.
-   * @param canEnd - called at the time limit, and repeatedly after it, until it
+   * @param headTimeoutMs - time after which the send is ended if there is no
+   *     head of an answer; undefined if only the deadline of the request applies.
+   * @param canEnd - called at that time, and repeatedly after it, until it
    *     returns that the send may be ended.
    * @returns the attempt; the caller of this method has to dispose of it.
    */
--- a/packages/core/src/lib/gateway/run_replacement.ts
+++ b/packages/core/src/lib/gateway/run_replacement.ts
@@ -27,15 +27,18 @@
    * @param target - the target that runs the request.
    * @param req - the request.
    * @param call - its progress; it holds the retry afterwards.
+   * @param isTargetLost - whether the run can't go on; then a retry is enough,
+   *     as another target may have to load the model first.
    * @returns whether the run may be given up.
    */
   trySecure(
     target: KnownTarget,
     req: CallerRequest,
     call: RelayCall<CallerRequest>,
+    isTargetLost: boolean,
   ): boolean {
     if (!call.canRunElsewhere) return false;
-    if (!this.search.hasOther(target, req, call)) return false;
+    if (!isTargetLost && !this.search.hasOther(target, req, call)) return false;
     if (!call.holdsRetry) call.holdsRetry = this.retries.tryRetry(call.service);
     return call.holdsRetry;
   }
--- a/packages/core/src/lib/gateway/run_stall_handler.ts
+++ b/packages/core/src/lib/gateway/run_stall_handler.ts
@@ -2,6 +2,7 @@
 
 import {EndedBy} from './answer_end.js';
 import {CallerRequest} from './caller_request.js';
+import {isTargetLoss} from './loss_evidence.js';
 import {RelayCall} from './relay_call.js';
 import {RelayObserver} from './relay_observer.js';
 import {RunReplacement} from './run_replacement.js';
@@ -63,7 +64,9 @@
 
   override tryEnd(endedBy: EndedBy): boolean {
     const {answer, call, req, target} = this.run;
-    if (!this.parts.replacement.trySecure(target, req, call)) return false;
+    const {replacement} = this.parts;
+    if (!replacement.trySecure(target, req, call, isTargetLoss(endedBy)))
+      return false;
     call.recordEnd(endedBy);
     call.wasGivenUp = true;
     answer.discard();
--- a/packages/core/src/lib/gateway/stall_monitor.ts
+++ b/packages/core/src/lib/gateway/stall_monitor.ts
@@ -1,21 +1,14 @@
 /** Detects runs that make no progress and looks for the reason. @packageDocumentation */
 
 import {Clock} from '../time/clock.js';
-import {ENDED_BY, EndedBy} from './answer_end.js';
+import {EndedBy} from './answer_end.js';
+import {LossEvidence} from './loss_evidence.js';
 import {TARGET_STATE, TargetState} from './target_port.js';
 
 /** Time between checks of a target while a run of it makes no progress. */
 const CHECK_INTERVAL_MS = 250;
 
-/** Consecutive checks without any reply after which a target is cut off. */
-const MAX_UNREACHABLE_CHECKS = 3;
-
-/**
- * Decides what happens to a run that makes no progress.
- *
- * Silence alone is no evidence: a sound target may send nothing for seconds and
- * go on.
- */
+/** Decides what happens to a run that makes no progress. */
 export abstract class StallHandler {
   /** Checks the target of the run. */
   abstract check(): Promise<TargetState>;
@@ -32,7 +25,7 @@
 /** Watches the progress of one run. */
 export class StallMonitor {
   private progressMs: number;
-  private bytesMs: number;
+  private blockedWrites = 0;
 
   /**
    * @param clock - measures the time without progress.
@@ -46,12 +39,6 @@
     private readonly handler: StallHandler,
   ) {
     this.progressMs = clock.now();
-    this.bytesMs = this.progressMs;
-  }
-
-  /** Records that bytes arrived. */
-  recordBytes(): void {
-    this.bytesMs = this.clock.now();
   }
 
   /** Records that the run made progress. */
@@ -59,6 +46,20 @@
     this.progressMs = this.clock.now();
   }
 
+  /**
+   * Records that the caller has to accept a write before more is read; this
+   * time is no stall of the target.
+   *
+   * @param written - resolves once the write is accepted.
+   */
+  recordBlocked(written: Promise<void>): void {
+    this.blockedWrites += 1;
+    void written.then(() => {
+      this.blockedWrites -= 1;
+      this.recordProgress();
+    });
+  }
+
   /**
    * Watches the run until it is ended.
    *
@@ -66,6 +67,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.blockedWrites > 0) this.recordProgress();
       const leftMs = this.progressMs + this.maxStallMs - this.clock.now();
       if (leftMs > 0) await this.clock.sleep(leftMs, signal);
       else if (await this.examineStall(signal)) return;
@@ -79,41 +81,16 @@
    */
   private async examineStall(signal: AbortSignal): Promise<boolean> {
     const stalledSinceMs = this.progressMs;
-    let unreachableChecks = 0;
+    const evidence = new LossEvidence();
     for (;;) {
-      const state = await this.currentState();
+      const state = await this.handler.check();
       if (signal.aborted || this.progressMs !== stalledSinceMs) return false;
-      unreachableChecks =
-        state === TARGET_STATE.unreachable ? unreachableChecks + 1 : 0;
-      const endedBy = evidenceOf(state, unreachableChecks);
+      const endedBy = evidence.record(state);
       if (endedBy !== undefined && this.handler.tryEnd(endedBy)) return true;
-      await this.clock.sleep(CHECK_INTERVAL_MS, signal);
+      const isRepeatedAtOnce =
+        state === TARGET_STATE.unreachable && endedBy === undefined;
+      // A check without any reply has taken its whole time limit already.
+      if (!isRepeatedAtOnce) await this.clock.sleep(CHECK_INTERVAL_MS, signal);
     }
   }
-
-  private async currentState(): Promise<TargetState> {
-    // A target that sends comments or parts of an event is not silent.
-    const silentMs = this.clock.now() - this.bytesMs;
-    if (silentMs < this.maxStallMs / 2) return TARGET_STATE.responsive;
-    return this.handler.check();
-  }
-}
-
-/** Returns what shows that a run will not go on; undefined for no evidence. */
-function evidenceOf(
-  state: TargetState,
-  unreachableChecks: number,
-): EndedBy | undefined {
-  switch (state) {
-    case TARGET_STATE.ended:
-      return ENDED_BY.targetEnded;
-    case TARGET_STATE.responsive:
-      return ENDED_BY.stall;
-    case TARGET_STATE.unreachable:
-      return unreachableChecks < MAX_UNREACHABLE_CHECKS
-        ? undefined
-        : ENDED_BY.targetUnreachable;
-    default:
-      return undefined;
-  }
 }
--- a/packages/core/src/lib/gateway/target_prober.ts
+++ b/packages/core/src/lib/gateway/target_prober.ts
@@ -1,9 +1,12 @@
 /** Checks targets whose runs make no progress. @packageDocumentation */
 
 import {Clock} from '../time/clock.js';
-import {TargetState} from './target_port.js';
+import {TARGET_STATE, TargetState} from './target_port.js';
 import {KnownTarget} from './target_table.js';
 
+/** Time for which a target that has sent anything needs no check. */
+const HEARD_LIFETIME_MS = 400;
+
 /** How long the result of a check holds for other runs of the target. */
 const RESULT_LIFETIME_MS = 150;
 
@@ -32,9 +35,10 @@
    * @returns its state, at most {@link RESULT_LIFETIME_MS} old.
    */
   async check(target: KnownTarget): Promise<TargetState> {
+    if (target.silentMs < HEARD_LIFETIME_MS) return TARGET_STATE.responsive;
     const known = this.probes.get(target);
     if (known !== undefined) return known.state;
-    const probe = {startedMs: this.clock.now(), state: this.probe(target)};
+    const probe = {startedMs: this.clock.now(), state: this.probeOnce(target)};
     this.probes.set(target, probe);
     try {
       return await probe.state;
@@ -45,4 +49,13 @@
       else this.clock.after(RESULT_LIFETIME_MS - ageMs, forget);
     }
   }
+
+  private async probeOnce(target: KnownTarget): Promise<TargetState> {
+    const state = await this.probe(target);
+    // A target that leaves stops listening before it has finished its runs.
+    const mayFinish = target.isLeaving || target.isRemoved;
+    return state === TARGET_STATE.ended && mayFinish
+      ? TARGET_STATE.silent
+      : state;
+  }
 }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -50,6 +50,7 @@
   readonly held = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
   isRemoved = false;
+  private heardMs = -Infinity;
   private throttledUntilMs = -Infinity;
   private averageRunMs = INITIAL_RUN_MS;
   private reportedLoad = 0;
@@ -71,6 +72,16 @@
     this.setHeldModels(registration);
   }
 
+  /** Records that the target has sent something to this host. */
+  recordHeard(): void {
+    this.heardMs = this.clock.now();
+  }
+
+  /** Time since the target has sent anything to this host, in milliseconds. */
+  get silentMs(): number {
+    return this.clock.now() - this.heardMs;
+  }
+
   /** Whether the target may get new requests, from this host or from others. */
   get isOpen(): boolean {
     return !this.isRemoved && !this.isLeaving;
