Let the soak check that requests are answered beside planned work

Callers reported requests that ended with a closed connection beside a change of the configuration. The soak could not see this: nothing in it fell silent without counting as a disturbance, every stop excused its host, and no check asked whether a request that was read got an answer.

Callers now use resumable streams of 16 events, 40 ms apart. Workers of a service, one, half or all, fall silent for 0.3 to 3 s, which disturbs nobody; series of configurations change the time limits. The promise 'answered' says that a request which a worker ran, or that was held for 500 ms, ends with a whole answer or a status. Excused are unplanned disturbances of its host from 4 s before it, the worker's own faults by request id, the time limit, and the last sixth of a stop's grace period. A planted host that closes connections is found.

The first regression seeds keep their kinds of faults, so that their series stay the same.

--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -5,7 +5,7 @@
 import {NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
 import {HostProcess} from './host_process.js';
-import {SoakWorld} from './soak_world.js';
+import {LinkedWorker, ROUTE_RANGES, SoakWorld} from './soak_world.js';
 
 /** Range of the pause between the starts of two faults, in milliseconds. */
 const MIN_GAP_MS = 100;
@@ -22,6 +22,16 @@
 const MIN_FORBIDDEN_MS = 4_000;
 const MAX_FORBIDDEN_MS = 9_000;
 
+/** Range of the duration of a silence of workers, in milliseconds. */
+const MIN_SILENCE_MS = 300;
+const MAX_SILENCE_MS = 3_000;
+
+/** Range of the number of configurations in a series, and of their gaps. */
+const MIN_PUBLICATIONS = 1;
+const MAX_PUBLICATIONS = 4;
+const MIN_PUBLICATION_GAP_MS = 100;
+const MAX_PUBLICATION_GAP_MS = 600;
+
 const MAX_DOWN_MS = 2_000;
 const MAX_ODD_ANSWERS = 6;
 
@@ -44,6 +54,45 @@
   FAULTY_ANSWER.unframed,
 ];
 
+/** Kinds of faults. */
+export const FAULT = {
+  pause: 'pause',
+  kill: 'kill',
+  killAll: 'killAll',
+  term: 'term',
+  hup: 'hup',
+  storeLink: 'storeLink',
+  storeDown: 'storeDown',
+  storeLate: 'storeLate',
+  storeLoses: 'storeLoses',
+  workerLink: 'workerLink',
+  oddAnswers: 'oddAnswers',
+  withdraw: 'withdraw',
+  drain: 'drain',
+  silence: 'silence',
+  publish: 'publish',
+} as const;
+
+/** One of {@link FAULT}. */
+export type FaultName = (typeof FAULT)[keyof typeof FAULT];
+
+/** Kinds of faults that the first regression seeds chose from, in this order. */
+export const FIRST_FAULTS: readonly FaultName[] = Object.values(FAULT).filter(
+  name => name !== FAULT.silence && name !== FAULT.publish,
+);
+
+/** Planned work, and what sound workers do: it excuses no lost request. */
+export const PLANNED_FAULTS: readonly FaultName[] = [
+  FAULT.term,
+  FAULT.hup,
+  FAULT.withdraw,
+  FAULT.drain,
+  FAULT.silence,
+  FAULT.silence,
+  FAULT.publish,
+  FAULT.publish,
+];
+
 /** Injects one fault, keeps it for a time and reverts it. */
 type Fault = (forMs: number) => Promise<void>;
 
@@ -51,7 +100,7 @@
 export class FaultSeries {
   /** Number of injected faults by kind. */
   readonly counts: Record<string, number> = {};
-  private readonly kinds: Record<string, Fault>;
+  private readonly kinds: Record<FaultName, Fault>;
   private readonly running = new Set<Promise<void>>();
   private isWithdrawn = false;
   private readonly clock = new SystemClock();
@@ -59,12 +108,14 @@
   /**
    * @param world - the deployment to inject faults into.
    * @param random - chooses kinds, components and times.
+   * @param names - kinds to choose from.
    * @param signal - when aborted, no new fault starts and running faults are
    *   reverted early.
    */
   constructor(
     private readonly world: SoakWorld,
     private readonly random: Random,
+    private readonly names: readonly FaultName[],
     private readonly signal: AbortSignal,
   ) {
     this.kinds = {
@@ -81,16 +132,17 @@
       oddAnswers: async () => this.oddAnswers(),
       withdraw: () => this.withdraw(),
       drain: () => this.drain(),
+      silence: async () => this.silence(),
+      publish: () => this.publish(),
     };
   }
 
   /** Injects faults until the signal aborts, then waits until all are reverted. */
   async run(): Promise<void> {
-    const names = Object.keys(this.kinds);
     // Each fault under way waits on the signal, and any number may overlap.
     setMaxListeners(0, this.signal);
     while (!this.signal.aborted) {
-      const name = this.random.pick(names);
+      const name = this.random.pick(this.names);
       const forMs = this.random.int(MIN_FAULT_MS, MAX_FAULT_MS);
       this.counts[name] = (this.counts[name] ?? 0) + 1;
       const fault = this.kinds[name](forMs);
@@ -135,10 +187,11 @@
 
   private async term(): Promise<void> {
     const host = this.host();
-    this.world.disturb(host, MAX_FAULT_MS);
+    this.world.disturb(host, MAX_FAULT_MS, true);
     host.signal('SIGTERM', true);
     const isGone = async () => !host.isRunning;
     const hasEnded = await this.world.until(isGone, MAX_FAULT_MS);
+    this.world.disturb(host, 0);
     if (!hasEnded) await host.kill();
     await host.start();
     this.world.disturb(host, 0);
@@ -219,6 +272,35 @@
     this.world.setDraining(worker, false);
   }
 
+  /** Lets one worker of a service, half of them or all fall silent. */
+  private silence(): void {
+    const isEngine = this.random.pick([true, false]);
+    const forMs = this.random.int(MIN_SILENCE_MS, MAX_SILENCE_MS);
+    const all = this.world.workers.filter(
+      worker => worker.isEngine === isEngine,
+    );
+    const count = this.random.pick([1, Math.ceil(all.length / 2), all.length]);
+    const first = this.random.int(0, all.length - 1);
+    for (let i = 0; i < count; i++) {
+      const worker: LinkedWorker = all[(first + i) % all.length];
+      worker.standin.silence(forMs);
+    }
+  }
+
+  private async publish(): Promise<void> {
+    const count = this.random.int(MIN_PUBLICATIONS, MAX_PUBLICATIONS);
+    for (let i = 0; i < count && !this.signal.aborted; i++) {
+      this.world.publish({
+        timeoutMs: this.random.int(...ROUTE_RANGES.timeoutMs),
+        idleTimeoutMs: this.random.int(...ROUTE_RANGES.idleTimeoutMs),
+      });
+      const {random} = this;
+      await this.wait(
+        random.int(MIN_PUBLICATION_GAP_MS, MAX_PUBLICATION_GAP_MS),
+      );
+    }
+  }
+
   private disturbAll(forMs: number): void {
     for (const host of this.world.hosts) this.world.disturb(host, forMs);
   }
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -66,6 +66,10 @@
     const isStream = req.headers['x-fuchsiacleat-model'] !== undefined;
     const answer = await this.forward(id, isStream);
     if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream);
+    if (this.fault === PROMISE.answered) {
+      res.destroy();
+      return;
+    }
     if (this.fault === PROMISE.truthfulRefusal) {
       res.writeHead(503).end();
       return;
--- a/packages/soak/src/lib/request_ledger.ts
+++ b/packages/soak/src/lib/request_ledger.ts
@@ -1,7 +1,12 @@
 /** Records the requests of callers and their responses. @packageDocumentation */
 
-/** Kind of route: run once, safe to retry, or streamed. */
-export type RouteName = 'once' | 'repeatable' | 'stream';
+/** Kind of route: run once, safe to retry, streamed, or streamed and resumable. */
+export type RouteName = 'once' | 'repeatable' | 'stream' | 'resumable';
+
+/** @returns whether the answers of a route are streams of events. */
+export function isStream(route: RouteName): boolean {
+  return route === 'stream' || route === 'resumable';
+}
 
 /** A request of a caller and its outcome. */
 export interface SentRequest {
@@ -22,6 +27,8 @@
   isComplete: boolean;
   /** The worker's signature from the response. */
   stamp?: string;
+  /** Code or message of the error that ended the response early. */
+  error?: string;
 }
 
 /** Holds every request of a run, by id. */
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -3,10 +3,15 @@
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {HOST_NAME, ROUTE_PATH} from '@fuchsiacleat/local-cluster';
 import {Client} from 'undici';
-import {RouteName, SentRequest} from './request_ledger.js';
+import {RouteName, SentRequest, isStream} from './request_ledger.js';
 import {SOAK_KEY, SoakWorld} from './soak_world.js';
 
-const ROUTES: readonly RouteName[] = ['once', 'repeatable', 'stream'];
+const ROUTES: readonly RouteName[] = [
+  'once',
+  'repeatable',
+  'stream',
+  'resumable',
+];
 const MODELS = ['m1', 'm1', 'm1', 'm2'] as const;
 
 /** Fraction of the requests that use the key of the limited team. */
@@ -73,8 +78,10 @@
     this.world.ledger.add(request);
     try {
       await this.send(target, request);
-    } catch {
+    } catch (err) {
       // Without a complete response, the ledger entry lacks a status or `isComplete`.
+      const {code, message} = err as NodeJS.ErrnoException;
+      request.error = code ?? message;
       await this.closeClient(target);
     }
     request.endedMs = performance.now();
@@ -91,7 +98,7 @@
       'x-fuchsiacleat-deadline-ms': String(DEADLINE_MS),
       'x-fuchsiacleat-key': request.key,
     };
-    if (request.route === 'stream') {
+    if (isStream(request.route)) {
       headers['x-fuchsiacleat-model'] = this.random.pick(MODELS);
     }
     const res = await this.clientOf(target).request({
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -1,13 +1,15 @@
 /** Checks the promises against the records of callers and workers. @packageDocumentation */
 
 import {AcceptedOrder, WorkerRun} from '@fuchsiacleat/standins';
-import {RequestLedger, SentRequest} from './request_ledger.js';
+import {DisturbanceBook} from './disturbance_book.js';
+import {RequestLedger, isStream} from './request_ledger.js';
 
 /** The promises that are checked. */
 export const PROMISE = {
   runsOnce: 'runs-once',
   truthfulRefusal: 'not-run-is-true',
   wholeAnswer: 'whole-answer',
+  answered: 'answered',
   withdrawnKey: 'withdrawn-key',
   drain: 'drain',
   limit: 'limit',
@@ -42,6 +44,8 @@
   orders: readonly AcceptedOrder[];
   /** Number of models that the worker can hold; undefined for a plain service. */
   modelCapacity: number | undefined;
+  /** Ids of requests whose response had a fault of the worker. */
+  faultyIds: ReadonlySet<string>;
   /** Number of models that the worker held at the start. */
   initialModels: number;
 }
@@ -58,6 +62,11 @@
   minOrderGapMs: number;
   /** Times at which hosts resumed or links recovered; delayed orders may follow. */
   resumptionsMs: readonly number[];
+  disturbances: DisturbanceBook;
+  /** Shortest time limit of requests in any configuration. */
+  minTimeoutMs: number;
+  /** Number of events of each stream. */
+  streamEvents: number;
 }
 
 /** Statuses that guarantee that a request did not run and never will. */
@@ -67,9 +76,6 @@
 /** Time after a resumption in which earlier orders may still arrive. */
 const RESUMPTION_SLACK_MS = 300;
 
-/** Matches a complete stream of the stand-in. */
-const WHOLE_STREAM = /^(id: \d+\ndata: piece\n\n){4}$/;
-
 /** @returns every violation that the records show. */
 export function checkRecords(record: SoakRecord): Violation[] {
   return [
@@ -87,7 +93,8 @@
   for (const request of ledger.all()) {
     const {id, route, status} = request;
     const count = counts.get(id) ?? 0;
-    if (route !== 'repeatable' && count > 1) {
+    const mayRepeat = route === 'repeatable' || route === 'resumable';
+    if (!mayRepeat && count > 1) {
       found.push(violation(PROMISE.runsOnce, `${id} ran ${count} times`));
     }
     if (count > 0 && status !== undefined && NOT_RUN.has(status)) {
@@ -98,19 +105,25 @@
   return found;
 }
 
-function checkAnswers({ledger}: SoakRecord): Violation[] {
+function checkAnswers({ledger, streamEvents}: SoakRecord): Violation[] {
+  const stream = wholeStream(streamEvents);
   const found: Violation[] = [];
   for (const request of ledger.all()) {
     if (request.status !== OK || !request.isComplete) continue;
-    if (request.stamp !== undefined && isCorrectAnswer(request)) continue;
-    const detail = `${request.id} got ${JSON.stringify(request.body)}`;
+    const {body, id, route} = request;
+    const expected = isStream(route) ? stream : `done ${id}`;
+    if (request.stamp !== undefined && body === expected) continue;
+    const detail = `${id} got ${JSON.stringify(body)}`;
     found.push(violation(PROMISE.wholeAnswer, detail));
   }
   return found;
 }
 
-function isCorrectAnswer({body = '', id, route}: SentRequest): boolean {
-  return route === 'stream' ? WHOLE_STREAM.test(body) : body === `done ${id}`;
+/** @returns the whole stream of the stand-in, with every event once. */
+function wholeStream(count: number): string {
+  let text = '';
+  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: piece\n\n`;
+  return text;
 }
 
 function checkForbiddenUse(record: SoakRecord): Violation[] {
@@ -187,7 +200,10 @@
   return found;
 }
 
-function countRuns(workers: readonly WorkerRecord[]): Map<string, number> {
+/** @returns how often each request ran, by id. */
+export function countRuns(
+  workers: readonly WorkerRecord[],
+): Map<string, number> {
   const counts = new Map<string, number>();
   for (const {id} of workers.flatMap(({runs}) => runs)) {
     counts.set(id, (counts.get(id) ?? 0) + 1);
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -1,7 +1,8 @@
 /** Runs hosts, callers and faults for a time, then checks all promises. @packageDocumentation */
 
 import {Random, SystemClock} from '@fuchsiacleat/core';
-import {FaultSeries} from './fault_series.js';
+import {checkAnswered} from './answered_check.js';
+import {FAULT, FaultName, FaultSeries} from './fault_series.js';
 import {PlantedHost} from './planted_host.js';
 import {CallerTarget, SoakCaller} from './soak_callers.js';
 import {PROMISE, PromiseName, Violation, checkRecords} from './soak_checks.js';
@@ -30,6 +31,8 @@
   plant?: PromiseName;
   /** Whether the random series of faults runs; true by default. */
   hasFaults?: boolean;
+  /** Kinds of faults to choose from; all by default. */
+  faults?: readonly FaultName[];
 }
 
 /** Result of a soak run. */
@@ -52,6 +55,8 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const world = await SoakWorld.start(options.processes);
+  // Planted violations of limits need as many requests as possible.
+  if (options.plant !== undefined) world.sendStreamsAtOnce();
   const run = new SoakRun(world, options);
   try {
     return await run.play();
@@ -75,11 +80,17 @@
 
   async play(): Promise<SoakResult> {
     const {durationMs, hasFaults = true} = this.options;
+    const names = this.options.faults ?? Object.values(FAULT);
     await this.checkRecovery('after the start');
     const callersEnd = new AbortController();
     const callers = await this.startCallers(callersEnd.signal);
     const faultsEnd = new AbortController();
-    const series = new FaultSeries(this.world, this.random, faultsEnd.signal);
+    const series = new FaultSeries(
+      this.world,
+      this.random,
+      names,
+      faultsEnd.signal,
+    );
     await this.clock.sleep(FIRST_FAULT_DELAY_MS);
     const planted = this.plantRunFault();
     const faults = hasFaults ? series.run() : Promise.resolve();
@@ -94,7 +105,8 @@
       this.clock.sleep(DRAIN_TIMEOUT_MS),
     ]);
     this.recordUnexpectedExits();
-    this.violations.push(...checkRecords(this.world.createRecord()));
+    const record = this.world.createRecord();
+    this.violations.push(...checkRecords(record), ...checkAnswered(record));
     return {
       violations: this.violations,
       requests: this.world.ledger.all().length,
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -6,6 +6,7 @@
 import {SystemClock} from '@fuchsiacleat/core';
 import {
   PlatformTeam,
+  RouteOptions,
   SERVICE,
   STORE_TOPIC,
   platformConfig,
@@ -14,6 +15,7 @@
   PlatformStoreStandin,
   PlatformWorkerStandin,
 } from '@fuchsiacleat/standins';
+import {DisturbanceBook} from './disturbance_book.js';
 import {FaultyLink} from './faulty_link.js';
 import {ForbiddenSpans} from './forbidden_spans.js';
 import {HostProcess} from './host_process.js';
@@ -44,6 +46,21 @@
 /** Time after a disturbance in which a host is exempt from some promises. */
 const DISTURBANCE_GRACE_MS = 4_000;
 
+/** Number of events of each stream and the time between them, in milliseconds. */
+const STREAM = {events: 16, gapMs: 40} as const;
+
+/** Properties of the routes at first. */
+const FIRST_ROUTES: RouteOptions = {
+  timeoutMs: 3_000,
+  resumableObjectiveMs: 500,
+};
+
+/** Ranges of what planned configurations change, in milliseconds. */
+export const ROUTE_RANGES = {
+  timeoutMs: [2_500, 4_000],
+  idleTimeoutMs: [6_000, 15_000],
+} as const;
+
 const MS_PER_SECOND = 1_000;
 const PLAIN_COUNT = 4;
 const ENGINE_COUNT = 2;
@@ -75,8 +92,14 @@
   readonly withdrawn = new ForbiddenSpans();
   readonly drained = new ForbiddenSpans();
   readonly resumptionsMs: number[] = [];
+  readonly disturbances = new DisturbanceBook(
+    DISTURBANCE_GRACE_MS,
+    BOUNDS.GraceS * MS_PER_SECOND,
+  );
   private readonly clock = new SystemClock();
   private version = 1;
+  private isKeyValid = true;
+  private routes = FIRST_ROUTES;
   private folderPath = '';
 
   private constructor(
@@ -101,7 +124,7 @@
     for (let i = 0; i < PLAIN_COUNT + ENGINE_COUNT; i++) {
       await world.addWorker(i);
     }
-    world.publish(true);
+    world.publish();
     for (let i = 0; i < hostCount; i++) await world.addHost(i);
     await Promise.all(world.hosts.map(host => host.start()));
     return world;
@@ -115,22 +138,28 @@
   /**
    * Publishes a new version of the configuration.
    *
-   * @param isKeyValid - whether the key of the limited team is valid.
+   * @param changes - properties of the routes that it changes.
    */
-  publish(isKeyValid: boolean): void {
+  publish(changes: Partial<RouteOptions> = {}): void {
+    this.routes = {...this.routes, ...changes};
     const limited: PlatformTeam = {
       Name: 'limited',
-      ApiKeys: isKeyValid ? [SOAK_KEY.limited] : [],
+      ApiKeys: this.isKeyValid ? [SOAK_KEY.limited] : [],
       Unit: 'tokens',
       PlainTokens: LIMIT.request,
       PerS: LIMIT.perSecond,
       Burst: LIMIT.burst,
     };
     const free = {Name: 'team', ApiKeys: [SOAK_KEY.free]};
-    const config = platformConfig(this.version++, [free, limited]);
+    const config = platformConfig(this.version++, [free, limited], this.routes);
     this.store.put(STORE_TOPIC.operator, 'config', config);
   }
 
+  /** Lets workers send whole streams at once, so that callers send more. */
+  sendStreamsAtOnce(): void {
+    for (const {standin} of this.workers) standin.eventGapMs = 0;
+  }
+
   /** Withdraws the key of the limited team, or restores it. */
   setWithdrawn(isWithdrawn: boolean): void {
     const nowMs = performance.now();
@@ -138,7 +167,9 @@
     const isChanged = isWithdrawn
       ? this.withdrawn.begin(name, nowMs + BOUNDS.RevokeMs)
       : this.withdrawn.end(name, nowMs);
-    if (isChanged) this.publish(!isWithdrawn);
+    if (!isChanged) return;
+    this.isKeyValid = !isWithdrawn;
+    this.publish();
   }
 
   /**
@@ -154,8 +185,17 @@
     if (isChanged) this.announce(worker, isDraining ? 'draining' : 'ready');
   }
 
-  /** Marks a host as disturbed for a time plus {@link DISTURBANCE_GRACE_MS}. */
-  disturb(host: HostProcess, forMs: number): void {
+  /**
+   * Marks a host as disturbed for a time plus {@link DISTURBANCE_GRACE_MS}.
+   *
+   * @param host - the host.
+   * @param forMs - duration in milliseconds.
+   * @param isPlanned - whether it is a planned stop, which excuses less.
+   */
+  disturb(host: HostProcess, forMs: number, isPlanned = false): void {
+    const {name} = host.options;
+    if (isPlanned) this.disturbances.recordStop(name);
+    else this.disturbances.recordDisturbance(name, forMs);
     const untilMs = performance.now() + forMs + DISTURBANCE_GRACE_MS;
     host.disturbedUntilMs = Math.max(host.disturbedUntilMs, untilMs);
   }
@@ -191,6 +231,9 @@
       },
       minOrderGapMs: BOUNDS.LeaseMs,
       resumptionsMs: this.resumptionsMs,
+      disturbances: this.disturbances,
+      minTimeoutMs: ROUTE_RANGES.timeoutMs[0],
+      streamEvents: STREAM.events,
     };
   }
 
@@ -220,6 +263,8 @@
       zone: ZONES[i % ZONES.length],
       models: isEngine ? ['m1'] : undefined,
     });
+    standin.streamEvents = STREAM.events;
+    standin.eventGapMs = STREAM.gapMs;
     await standin.start();
     const link = new FaultyLink(standin.port);
     await link.open();
@@ -257,12 +302,13 @@
 }
 
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
-  const {orderLog: orders, runs} = standin;
+  const {faultyIds, orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
   return {
     name,
     runs,
     orders,
+    faultyIds,
     modelCapacity: capacity,
     initialModels: isEngine ? ENGINE_MODEL_CAPACITY : 0,
   };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 
 import {formatFields} from '@fuchsiacleat/core';
 import {Command} from 'commander';
+import {PLANNED_FAULTS} from './lib/fault_series.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
 import {runSoak} from './lib/soak_run.js';
 
@@ -17,13 +18,20 @@
   minutes: number;
   processes: number;
   plant?: PromiseName;
+  planned?: boolean;
 }
 
 async function main(options: Options): Promise<number> {
-  const {minutes, plant, seed} = options;
+  const {minutes, planned, plant, seed} = options;
   const processes = Math.min(MAX_PROCESSES, options.processes);
   const durationMs = minutes * MS_PER_MINUTE;
-  const result = await runSoak({seed, durationMs, processes, plant});
+  const result = await runSoak({
+    seed,
+    durationMs,
+    processes,
+    plant,
+    faults: planned ? PLANNED_FAULTS : undefined,
+  });
   const {statusCounts, faultCounts, folder, requests, violations} = result;
   const out = (line: string) => process.stdout.write(`${line}\n`);
   out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
@@ -41,6 +49,7 @@
   .option('--seed <number>', 'seed of all randomness', Number, DEFAULT_SEED)
   .option('--minutes <number>', 'how long', Number, DEFAULT_MINUTES)
   .option('--processes <number>', 'hosts', Number, DEFAULT_PROCESSES)
+  .option('--planned', 'only planned work and silences of sound workers')
   .option('--plant <promise>', `one of ${Object.values(PROMISE).join(', ')}`)
   .action(async (options: Options) => process.exit(await main(options)))
   .parseAsync();
--- a/packages/soak/src/test/soak_run_test.ts
+++ b/packages/soak/src/test/soak_run_test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
+import {FIRST_FAULTS, PLANNED_FAULTS} from '../lib/fault_series.js';
 import {PROMISE, PromiseName} from '../lib/soak_checks.js';
 import {runSoak} from '../lib/soak_run.js';
-import {REGRESSION_SEEDS} from '../lib/regression_seeds.js';
+import {PLANNED_SEEDS, REGRESSION_SEEDS} from '../lib/regression_seeds.js';
 
 /** Promises with a time allowance, whose violation takes some seconds. */
 const SLOW: readonly PromiseName[] = [
@@ -13,6 +14,7 @@
 const QUICK_MS = 2_500;
 const SHORT_MS = 10_000;
 const REGRESSION_MS = 15_000;
+const PLANNED_MS = 12_000;
 
 async function findViolations(plant: PromiseName): Promise<Set<PromiseName>> {
   const durationMs = SLOW.includes(plant) ? SLOW_MS : QUICK_MS;
@@ -39,10 +41,23 @@
   it('finds no violation with the regression seeds', async () => {
     const options = {durationMs: REGRESSION_MS, processes: 3};
     const results = await Promise.all(
-      REGRESSION_SEEDS.map(({seed}) => runSoak({...options, seed})),
+      REGRESSION_SEEDS.map(({seed}) =>
+        runSoak({...options, seed, faults: FIRST_FAULTS}),
+      ),
     );
     REGRESSION_SEEDS.forEach(({seed, cause}, i) => {
       expect(results[i].violations, `seed ${seed}: ${cause}`).to.deep.equal([]);
     });
   });
+
+  it('finds no lost request beside planned work and silences', async () => {
+    const options = {durationMs: PLANNED_MS, processes: 3};
+    const faults = PLANNED_FAULTS;
+    const results = await Promise.all(
+      PLANNED_SEEDS.map(({seed}) => runSoak({...options, seed, faults})),
+    );
+    PLANNED_SEEDS.forEach(({seed, cause}, i) => {
+      expect(results[i].violations, `seed ${seed}: ${cause}`).to.deep.equal([]);
+    });
+  });
 });
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -73,6 +73,8 @@
   readonly orderLog: AcceptedOrder[] = [];
   /** Faults of the next responses; each request uses up the first one. */
   readonly faultyAnswers: FaultyAnswer[] = [];
+  /** Ids of requests whose responses had a fault. */
+  readonly faultyIds = new Set<string>();
   /** Silences by request id; each arrival of a request uses up its first one. */
   readonly silences = new Map<string, PlannedSilence[]>();
   /** Duration of each request before its response, in milliseconds. */
@@ -268,6 +270,7 @@
       res.setHeader('server-limit', String(this.requestsPerSecond));
     const id = String(req.headers[`${HEADER_PREFIX}attempt-id`] ?? '');
     const fault = this.faultyAnswers.shift();
+    if (fault !== undefined) this.faultyIds.add(id);
     const model = req.headers[`${HEADER_PREFIX}model`];
     const isAbsent = typeof model === 'string' && !this.models.has(model);
     if (isAbsent) {
