Keep the stand-in that blocks a thread with the tests; keep a worker's port over its crash

The users' builds refuse shared memory outside of tests. A worker that is registered while it is down after a crash had no address (crashing_part_test failed with a TypeError after the stand-in was split).

--- a/packages/standins/src/test/platform/dark_link_test.ts
+++ b/packages/local-cluster/src/test/platform/dark_link_test.ts
@@ -1,7 +1,7 @@
 import {AddressInfo, connect, createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {DarkLink} from '../../lib/platform/dark_link.js';
+import {DarkLink} from './dark_link.js';
 
 describe('DarkLink', () => {
   it('forwards, and once dark neither establishes nor refuses connections', async () => {
--- a/packages/local-cluster/src/test/platform/silent_target_test.ts
+++ b/packages/local-cluster/src/test/platform/silent_target_test.ts
@@ -1,9 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-  DarkLink,
-  PlatformWorkerStandin,
-  SILENCE_PLACE,
-} from '@fuchsiacleat/standins';
+import {PlatformWorkerStandin, SILENCE_PLACE} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
 import {Client} from 'undici';
 import {
@@ -13,6 +9,7 @@
   TEAM_KEY,
   WorldOptions,
 } from '../../lib/platform_world.js';
+import {DarkLink} from './dark_link.js';
 
 /**
  * Retry budget that is not used up, although a new host takes itself for one of
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -11,7 +11,6 @@
 export * from './lib/standin_server.js';
 export * from './lib/weight_store_standin.js';
 export * from './lib/platform/platform_store_standin.js';
-export * from './lib/platform/dark_link.js';
 export * from './lib/platform/faulty_answers.js';
 export * from './lib/platform/platform_worker_standin.js';
 export * from './lib/platform/worker_answers.js';
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -113,6 +113,7 @@
   private models: Set<string>;
   private startedMs = Date.now();
   private isStopped = false;
+  private listenPort = 0;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly output = new WorkerOutput();
@@ -147,9 +148,9 @@
     };
   }
 
-  /** Port on loopback, once started. */
+  /** Port on loopback, once started; the same after a crash. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.listenPort;
   }
 
   /** Starts to listen on a free port. */
@@ -157,6 +158,7 @@
     await new Promise<void>(resolve =>
       this.server.listen(0, LOOPBACK, resolve),
     );
+    this.listenPort = (this.server.address() as AddressInfo).port;
   }
 
   /**
