--- a/packages/local-cluster/src/test/platform/planned_stop_test.ts
+++ b/packages/local-cluster/src/test/platform/planned_stop_test.ts
@@ -88,4 +88,14 @@
     expect(kept.text).to.contain('done kept');
     await stopped;
   });
+
+  it('does not end requests in progress at a second stop', async () => {
+    for (const worker of world.plain) worker.workMs = 500;
+    const caller = await RawCaller.open(world.callerUrl());
+    caller.socket.write(head('twice') + BODY);
+    await sleep(100);
+    void world.hosts[0].stop();
+    await world.hosts[0].stop();
+    expect(caller.text).to.contain('done twice');
+  });
 });
