Say how a request of a fault run ended that was late

The message of a late request named no more than the delay. It now has the report that cut requests have.

--- a/packages/local-cluster/src/lib/faults/cut_report.ts
+++ b/packages/local-cluster/src/lib/faults/end_report.ts
@@ -1,4 +1,4 @@
-/** Describes a request that ended without an outcome. @packageDocumentation */
+/** Describes a request that ended without an outcome or late. @packageDocumentation */
 
 import {hrTimeToMilliseconds} from '@opentelemetry/core';
 import {formatTrace} from '../trace_view.js';
@@ -10,13 +10,13 @@
 const FAULT_MARGIN_MS = 2_000;
 
 /**
- * Returns how the connection of a request ended, which faults were active, and
+ * Returns how a request and its connection ended, which faults were active, and
  * its trace through all hosts. Times are relative to the request's start.
  *
  * @param entry - the request.
  * @param record - records of the run.
  */
-export function describeCut(
+export function describeEnd(
   {
     answer,
     sentMs,
@@ -47,7 +47,7 @@
   return [
     `${team} on ${route}, status ${answer.status}, ` +
       `${answer.text.length} characters for ${tokens} tokens, ` +
-      `${answer.closed} after ${lifeMs} ms of ${deadlineMs} (lag ${lagMs} ms)`,
+      `${answer.closed ?? answer.code ?? answer.end} after ${lifeMs} ms of ${deadlineMs} (lag ${lagMs} ms)`,
     `faults: ${faults.join(', ') || 'none'}`,
     `spans: ${starts.join(', ') || 'none'}`,
     ...formatTrace(spans),
--- a/packages/local-cluster/src/lib/faults/promise_checks.ts
+++ b/packages/local-cluster/src/lib/faults/promise_checks.ts
@@ -2,7 +2,7 @@
 
 import {EngineRun} from '@fuchsiacleat/standins';
 import {CALLER_END} from '../caller.js';
-import {describeCut} from './cut_report.js';
+import {describeEnd} from './end_report.js';
 import {FaultSchedule} from './fault_schedule.js';
 import {FaultScenario, TEAM_BURST, TEAM_RATE} from './fault_scenario.js';
 import {LoopLag} from './loop_lag.js';
@@ -133,13 +133,16 @@
   for (const entry of journal.entries) {
     const {sentMs, endedMs, deadlineMs, answer, text, host} = entry;
     if (answer.end === CALLER_END.cut && !wasHostDown(schedule, entry)) {
-      const report = describeCut(entry, record);
+      const report = describeEnd(entry, record);
       violations.push(`${text} at ${host}: cut without an outcome; ${report}`);
     }
     const lateMs =
       endedMs - sentMs - deadlineMs - lag.lagWithin(sentMs, endedMs);
     if (lateMs <= MAX_DELAY_MS) continue;
-    violations.push(`${text} at ${host}: ${Math.round(lateMs)} ms late`);
+    const report = describeEnd(entry, record);
+    violations.push(
+      `${text} at ${host}: ${Math.round(lateMs)} ms late; ${report}`,
+    );
   }
   return {checked: journal.entries.length, violations};
 }
@@ -330,7 +333,7 @@
   const violations = stops
     .filter(({answer}) => answer.end === CALLER_END.cut)
     .map(entry => {
-      const report = describeCut(entry, record);
+      const report = describeEnd(entry, record);
       return `${entry.text}: cut by the stop of ${entry.host}; ${report}`;
     });
   return {checked: stops.length, violations};
