Leave a repeatable service call its whole deadline

Callers of a repeatable service got 'may have run', or a response whose connection was closed inside its body, at half of their deadline, although the service was sound and answered later, within the deadline.

An attempt of a repeatable call was given up after half of the remaining time, so that a retry could follow. That takes silence for death: it ended calls at a service that was silent for 1.1 s of a deadline of 2 s, and, since the limit also covered the body, cut responses whose head the caller already had, after which no retry is possible. With one target the retry found none and the call failed at once.

An attempt now lasts until the deadline. What shows that a service is gone (refused or ended connection) still leads to a retry. What is lost by it: a call to a target that vanishes without closing its connections is no longer tried at another one; it fails at its deadline.

Failed before: {end: 'may_have_run'} at both hosts for 1.1 s of silence before the head, {end: 'cut'} at both for 1.1 s inside the body, while the same calls on the route that is not repeatable were whole.

--- a/packages/core/src/lib/requests/local_service_runner.ts
+++ b/packages/core/src/lib/requests/local_service_runner.ts
@@ -69,10 +69,7 @@
     const {tracing, clock} = this.options;
     context.onStart?.();
     const span = tracing.start(HOP.target, context.span.context, {target});
-    const deadline = deadlineSignal(
-      clock,
-      this.attemptDeadlineMs(req, context),
-    );
+    const deadline = deadlineSignal(clock, context.deadlineMs);
     const signal = AbortSignal.any([context.signal, deadline.signal]);
     this.running.set(target, this.countRunning(target) + 1);
     let outcome: Outcome = {type: 'cancelled'};
@@ -92,20 +89,6 @@
     return this.running.get(target) ?? 0;
   }
 
-  /**
-   * Returns the clock time at which the attempt is given up, in milliseconds.
-   * A repeatable call gets half of the remaining time, so that a retry can
-   * follow.
-   */
-  private attemptDeadlineMs(
-    {repeatable}: ServiceRequest,
-    {deadlineMs}: RunContext,
-  ): number {
-    if (!repeatable) return deadlineMs;
-    const nowMs = this.options.clock.now();
-    return nowMs + (deadlineMs - nowMs) / 2;
-  }
-
   private async *read(
     target: string,
     req: ServiceRequest,
--- a/packages/local-cluster/src/test/silent_target_test.ts
+++ b/packages/local-cluster/src/test/silent_target_test.ts
@@ -10,6 +10,8 @@
 const HOSTS = ['a-1', 'b-1'];
 const TOKENS = 6;
 const DURATIONS_MS = [300, 900, 1_100, 1_600, 3_000];
+const SERVICE_DEADLINE_MS = 2_000;
+const SERVICE_SILENCE_MS = 1_100;
 const POINTS: Record<string, EngineSilence['before']> = {
   'the head': 'head',
   'the first token': 0,
@@ -29,6 +31,15 @@
     await cluster.publish([
       ...cluster.platformObjects(),
       ...sampleDeclarations({services: ['registry-1']}),
+      {
+        kind: 'route',
+        name: 'lookup',
+        fields: {
+          targets: 'registry-1',
+          teams: 'inspectors',
+          repeatable: 'yes',
+        },
+      },
     ]);
     for (const host of HOSTS) {
       await cluster.caller(host).chat('warm up', {maxTokens: 1});
@@ -37,6 +48,12 @@
 
   after(() => cluster.kill());
 
+  afterEach(() => {
+    const service = cluster.services.get('registry-1')!;
+    service.workMs = 1;
+    service.bodySilenceMs = 0;
+  });
+
   for (const [name, point] of Object.entries(POINTS)) {
     for (const durationMs of DURATIONS_MS) {
       it(`ends no answer by ${durationMs} ms of silence before ${name}`, async () => {
@@ -64,4 +81,45 @@
       });
     }
   }
+
+  /** Sends the same call to each host, one on each route. */
+  async function callServices(body: string) {
+    const headers = {'x-deadline-ms': String(SERVICE_DEADLINE_MS)};
+    const calls = HOSTS.flatMap(host =>
+      ['lookup', 'filing'].map(async route => {
+        const text = `${body} at ${host} on ${route}`;
+        const caller = cluster.caller(host);
+        const answer = await caller.service(text, {route, headers});
+        const isWhole = answer.text.endsWith(`"received":"${text}"}`);
+        return {text, end: answer.end, isWhole};
+      }),
+    );
+    return Promise.all(calls);
+  }
+
+  function expectWhole(answers: Awaited<ReturnType<typeof callServices>>) {
+    expect(answers).to.deep.equal(
+      answers.map(({text}) => ({
+        text,
+        end: CALLER_END.served,
+        isWhole: true,
+      })),
+    );
+    const {runs} = cluster.services.get('registry-1')!;
+    for (const {text} of answers) {
+      expect(runs.filter(({body}) => body === text)).to.have.length(1);
+    }
+  }
+
+  it('ends no service call before its head within the deadline', async () => {
+    const service = cluster.services.get('registry-1')!;
+    service.workMs = SERVICE_SILENCE_MS;
+    expectWhole(await callServices('silent head'));
+  });
+
+  it('ends no service call inside its body within the deadline', async () => {
+    const service = cluster.services.get('registry-1')!;
+    service.bodySilenceMs = SERVICE_SILENCE_MS;
+    expectWhole(await callServices('silent body'));
+  });
 });
--- a/packages/standins/src/lib/service_standin.ts
+++ b/packages/standins/src/lib/service_standin.ts
@@ -1,6 +1,7 @@
 /** Fake plain service. @packageDocumentation */
 
 import {Context} from 'hono';
+import {stream} from 'hono/streaming';
 import {StandinOptions, StandinServer} from './standin_server.js';
 
 /** Call that the service executed. */
@@ -19,6 +20,8 @@
   readonly runs: RecordedCall[] = [];
   /** Duration of a call, in milliseconds. */
   workMs = 1;
+  /** Silence in the middle of each response body, in milliseconds. */
+  bodySilenceMs = 0;
 
   constructor(options: StandinOptions = {}) {
     super(options);
@@ -37,6 +40,14 @@
     this.runs.push(run);
     const number = this.runs.length;
     await this.clock.sleep(this.workMs);
-    return c.json({number, path: run.path, received: run.body});
+    const answer = {number, path: run.path, received: run.body};
+    if (this.bodySilenceMs === 0) return c.json(answer);
+    const text = JSON.stringify(answer);
+    const middle = text.length / 2;
+    return stream(c, async body => {
+      await body.write(text.slice(0, middle));
+      await this.clock.sleep(this.bodySilenceMs);
+      await body.write(text.slice(middle));
+    });
   }
 }
