Give up an append to the log when its own caller does

Callers with an idempotency key got their refusal up to seconds after the deadline while the log was slow or silent.

Appends of a few milliseconds share one call. It was given up only when all of its callers had given up, and each of them waited for it until then: a claim whose request had 0.4 s left waited as long as another one of the batch with up to 5 s.

Each append now ends at its own signal.

The test failed before: 'pending' after its signal had aborted.

--- a/packages/core/src/lib/platform/batching_platform_log.ts
+++ b/packages/core/src/lib/platform/batching_platform_log.ts
@@ -1,6 +1,6 @@
 /** Group commit for appends to the log. @packageDocumentation */
 
-import {Result} from 'neverthrow';
+import {Result, err} from 'neverthrow';
 import {Clock} from '../time/clock.js';
 import {
   LogError,
@@ -15,6 +15,11 @@
 
 const MAX_BATCH_RECORDS = 500;
 
+const GIVEN_UP: LogError = {
+  type: 'log-unavailable',
+  message: 'the wait for the log was given up',
+};
+
 interface PendingAppend {
   records: readonly LogRecord[];
   signal: AbortSignal;
@@ -44,7 +49,15 @@
     records: readonly LogRecord[],
     signal: AbortSignal,
   ): Promise<Result<number[], LogError>> {
-    return new Promise(resolve => {
+    return new Promise(finish => {
+      const onAbort = () => resolve(err(GIVEN_UP));
+      const resolve = (answer: Result<number[], LogError>) => {
+        signal.removeEventListener('abort', onAbort);
+        finish(answer);
+      };
+      // The batch may go on for longer, for the sake of its other appends.
+      signal.addEventListener('abort', onAbort);
+      if (signal.aborted) onAbort();
       const batch = this.batches.get(stream);
       if (batch !== undefined && batch.length < MAX_BATCH_RECORDS) {
         batch.push({records, signal, resolve});
--- a/packages/core/src/test/platform/batching_platform_log_test.ts
+++ b/packages/core/src/test/platform/batching_platform_log_test.ts
@@ -35,4 +35,20 @@
       expect(answer.isErr()).to.equal(true);
     }
   });
+
+  it('ends an append at its own signal while others of its batch wait', async () => {
+    const clock = new ManualClock();
+    const inner = new MemoryLog(clock);
+    inner.append = () => new Promise(() => {});
+    const log = new BatchingPlatformLog(inner, clock);
+    const impatient = new AbortController();
+    const answer = log.append('s', [{id: 'a', body: 1}], impatient.signal);
+    void log.append('s', [{id: 'b', body: 2}], signal);
+    await clock.advance(10);
+    impatient.abort();
+    const pending = new Promise(resolve => setTimeout(resolve, 50, 'pending'));
+    const first = await Promise.race([answer, pending]);
+    expect(first).not.to.equal('pending');
+    expect((await answer).isErr()).to.equal(true);
+  });
 });
