Do not take this host's own pause for the silence of a peer

Callers at a forwarding host got 'may have run' (target-lost, peer-lost) for requests that ran undisturbed at a sound peer, after their host had been held up for 1.7 s.

A link is closed if no data has come for 1.7 s. A host that was paused, or whose event loop was busy, checks that before it reads what has arrived meanwhile, so that it closed all its links as it went on, and with them every call that had no token yet (a call whose target is known resumes).

The limit, the log and the placement were ruled out by the spans before (load order done in 59 ms, one peer call).

The silence of a link is now the sum of what its ticks see, and a late tick counts for at most two intervals, so that the data is read before the limit is reached. A peer that is silent is still found in 1.7 s while this host runs.

The test failed before: {type: 'lost', message: 'no data received from the peer within the timeout'} for a call that was answered during a pause of 2.5 s.

--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -12,12 +12,21 @@
 /** Time without sent data after which a heartbeat is sent, in milliseconds. */
 export const HEARTBEAT_INTERVAL_MS = 800;
 
-/** Time without received data after which a link is closed, in milliseconds. */
+/**
+ * Time without received data after which a link is closed, in milliseconds. A
+ * pause of this host does not count.
+ */
 export const RECEIVE_TIMEOUT_MS = 1_700;
 
 /** Interval at which {@link PeerLink.tick} must be called, in milliseconds. */
 export const TICK_INTERVAL_MS = 200;
 
+/**
+ * Longest silence that one tick counts, in milliseconds. After a later tick the
+ * data of the peer may still wait in the socket.
+ */
+const MAX_SILENCE_PER_TICK_MS = 2 * TICK_INTERVAL_MS;
+
 /** Time that a replaced link stays open after its last call, for late calls. */
 const RETIRED_GRACE_MS = 2_000;
 
@@ -54,7 +63,8 @@
   private readonly closed = new AbortController();
   private readonly outgoing = new OutgoingCalls(frame => this.send(frame));
   private readonly incoming: IncomingCalls;
-  private lastReceivedMs: number;
+  private lastTickMs: number;
+  private silentMs = 0;
   private lastSentMs = -Infinity;
   private lastCallMs: number;
   private retiredMs: number | undefined;
@@ -63,7 +73,7 @@
 
   constructor(private readonly options: PeerLinkOptions) {
     this.createdMs = options.clock.now();
-    this.lastReceivedMs = this.createdMs;
+    this.lastTickMs = this.createdMs;
     this.lastCallMs = this.createdMs;
     this.incoming = new IncomingCalls(options.handler, this);
     // Each call that waits for the socket to drain adds a listener to both.
@@ -100,7 +110,7 @@
     onHello: (peer: PeerIdentity) => void,
     signal: AbortSignal,
   ): Promise<void> {
-    const {socket, self, clock} = this.options;
+    const {socket, self} = this.options;
     const stop = () => this.close('this host closed the link');
     signal.addEventListener('abort', stop);
     if (signal.aborted) stop();
@@ -108,7 +118,7 @@
     const decoder = new FrameDecoder();
     try {
       for await (const chunk of socket) {
-        this.lastReceivedMs = clock.now();
+        this.silentMs = 0;
         const frames = decoder.push(chunk as Buffer);
         if (frames.isErr()) {
           this.close(frames.error.message);
@@ -175,13 +185,16 @@
    */
   tick(): void {
     const nowMs = this.options.clock.now();
+    const sinceTickMs = nowMs - this.lastTickMs;
+    this.lastTickMs = nowMs;
+    this.silentMs += Math.min(sinceTickMs, MAX_SILENCE_PER_TICK_MS);
     if (this.outgoing.size + this.incoming.size > 0) this.lastCallMs = nowMs;
     else if (this.remote && !this.options.isKeptAlive(this.remote)) {
       // Without calls there is no need to detect that the peer is gone.
-      this.lastReceivedMs = nowMs;
+      this.silentMs = 0;
       this.lastSentMs = nowMs;
     }
-    if (nowMs - this.lastReceivedMs > RECEIVE_TIMEOUT_MS) {
+    if (this.silentMs > RECEIVE_TIMEOUT_MS) {
       this.close('no data received from the peer within the timeout');
     } else if (this.isGracePeriodOver(nowMs)) {
       this.close('the link was replaced');
--- a/packages/core/src/test/peers/tcp_peer_network_test.ts
+++ b/packages/core/src/test/peers/tcp_peer_network_test.ts
@@ -2,6 +2,7 @@
 import {AddressInfo, Server, Socket, connect, createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {ok} from 'neverthrow';
 import {z} from 'zod';
 import {
   PEER_ERROR,
@@ -14,6 +15,8 @@
 } from '../../index.js';
 
 const POLL_MS = 10;
+const SLOW_ANSWER_MS = 400;
+const PAUSE_MS = 2_500;
 const EVENT_BYTES = 16 * 1024;
 
 /**
@@ -27,6 +30,11 @@
   body: z.string(),
   event: z.string(),
 };
+const SLOW: PeerMethod<null, string> = {
+  name: 'test.slow',
+  body: z.null(),
+  event: z.string(),
+};
 const FLOOD: PeerMethod<null, string> = {
   name: 'test.flood',
   body: z.null(),
@@ -143,6 +151,23 @@
     proxy.stop();
   });
 
+  it('does not take its own pause for the silence of the peer', async () => {
+    const a = await start('a');
+    const b = await start('b');
+    b.serve(SLOW, async function* () {
+      await sleep(SLOW_ANSWER_MS);
+      yield 'done';
+    });
+    expect((await echo(a, 'b')).isOk()).to.equal(true);
+    const {signal} = lifetime;
+    const limits = {timeoutMs: 30_000, signal};
+    const answer = a.call('b', SLOW, null, limits);
+    await sleep(SLOW_ANSWER_MS / 2);
+    const resumeMs = performance.now() + PAUSE_MS;
+    while (performance.now() < resumeMs);
+    expect(await answer).to.deep.equal(ok('done'));
+  });
+
   it('keeps one link when both ends dial simultaneously', async () => {
     const names = ['a', 'b', 'c', 'd'];
     const networks = await Promise.all(names.map(start));
--- a/packages/local-cluster/src/test/stream_flow_test.ts
+++ b/packages/local-cluster/src/test/stream_flow_test.ts
@@ -103,7 +103,7 @@
           if (count === 5) gone.abort();
         },
       });
-      expect(answer.end).to.equal(CALLER_END.cut);
+      expect(answer.end, JSON.stringify(answer)).to.equal(CALLER_END.cut);
       await cluster.until(() => runOf(host)!.state === 'cancelled');
       expect(runOf(host)!.tokens).to.be.lessThan(MANY_TOKENS);
     });
