Try another host when a peer refuses because it stops

Callers at a sound host got 'not run', stopping, because the host of another zone to which their request was forwarded had begun to stop, although that zone had hosts that could serve it.

A peer that stops refuses what is forwarded to it, and that refusal is meant to be retried. Its end did not name the host to avoid, and an end that names none is final, so that no retry took place. Forwarded service calls did name it.

The forwarding host now names the peer for a refusal of this kind.

The new test failed before: 'not_run' for 'served' among ten requests from another zone to a zone one of whose two or more hosts is draining.

--- a/packages/core/src/lib/requests/peer_runner.ts
+++ b/packages/core/src/lib/requests/peer_runner.ts
@@ -13,7 +13,7 @@
   overdueForward,
 } from './forward.js';
 import {GenerationEvent, GenerationRequest} from './generation.js';
-import {FAILURE, REFUSAL, fail, refuse} from './outcome.js';
+import {FAILURE, Outcome, REFUSAL, fail, refuse} from './outcome.js';
 
 const RESUME_ATTEMPTS = 3;
 const RESUME_DELAY_MS = 100;
@@ -139,8 +139,9 @@
         const {id, event} = answer.value;
         if (id !== req.id) return lostError('answered another request');
         if (event.type === 'outcome') {
-          const {outcome, generated, avoid: failed} = event;
-          return {outcome, generated, avoid: failed};
+          const {outcome, generated} = event;
+          const failed = isStopping(outcome) ? host : undefined;
+          return {outcome, generated, avoid: event.avoid ?? failed};
         }
         if (event.type === 'target') {
           progress.target = event.target;
@@ -160,6 +161,11 @@
   }
 }
 
+/** Whether the peer takes no more requests, so that another host may serve. */
+function isStopping(outcome: Outcome): boolean {
+  return outcome.type === 'refused' && outcome.reason === REFUSAL.stopping;
+}
+
 function notSentEnd(host: string, {message}: PeerError): AttemptEnd {
   const outcome = refuse(REFUSAL.noCapacity, message);
   return {outcome, generated: 0, avoid: host};
--- a/packages/local-cluster/src/test/promises/graceful_stop_test.ts
+++ b/packages/local-cluster/src/test/promises/graceful_stop_test.ts
@@ -9,6 +9,7 @@
 } from '../../index.js';
 
 const TOKENS = 60;
+const GRACE_MS = 300;
 const HOSTS = ['a-1', 'a-2', 'a-3', 'b-1'];
 
 describe('promise: graceful-stop', () => {
@@ -19,7 +20,7 @@
       hosts: HOSTS.map(name => ({name, zone: name[0]})),
       engines: [{name: 'pool-1', zone: 'a', tokenGapMs: 10, slots: 64}],
       services: [{name: 'registry-1', zone: 'a'}],
-      graceMs: 300,
+      graceMs: GRACE_MS,
     });
     await cluster.publish([
       ...cluster.platformObjects(),
@@ -59,6 +60,21 @@
     await Promise.all(stops);
   });
 
+  it('serves what another zone forwards to a host that no longer accepts', async () => {
+    await cluster.caller('b-1').chat('warm the model up');
+    const running = cluster.caller('a-1').chat('long', {maxTokens: 300});
+    const {runs} = cluster.engines.get('pool-1')!;
+    await cluster.until(() => runs.some(({text}) => text === 'long'));
+    const stop = cluster.daemon('a-1').stop();
+    await new Promise(resolve => setTimeout(resolve, 2 * GRACE_MS));
+    const late = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10].map(number =>
+      stream('b-1', `late ${number}`),
+    );
+    expectServed(await Promise.all(late));
+    expect((await running).end).to.equal(CALLER_END.served);
+    await stop;
+  });
+
   it('becomes unready at once and serves late requests', async () => {
     await cluster.caller('a-1').chat('warm the model up');
     const stop = cluster.daemon('a-1').stop();
