--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -110,6 +110,7 @@
   /** Called when the worker is back after a crash, with a new process. */
   onRestart: () => void = () => {};
   private orderCount = 0;
+  private ownPort = 0;
   private models: Set<string>;
   private startedMs = Date.now();
   private isStopped = false;
@@ -135,7 +136,7 @@
   registration(state = 'ready'): object {
     return {
       Service: this.options.service,
-      Addr: `${LOOPBACK}:${this.registeredPort ?? this.port}`,
+      Addr: `${LOOPBACK}:${this.registeredPort ?? this.ownPort}`,
       Zone: this.options.zone,
       Version: 'v1',
       Slots: 8,
@@ -157,6 +158,7 @@
     await new Promise<void>(resolve =>
       this.server.listen(0, LOOPBACK, resolve),
     );
+    this.ownPort = this.port;
   }
 
   /**
