Write up the answers that end early; pace the target that fills a caller's connection

FillingTarget wrote 8 KiB at a time by a timer. When two events were under way, the host stopped reading before the end of the answer, which then ended at its deadline (answer_delivery_test, 3 of 8 runs; log: outcome=failed reason=deadline unsent_bytes=16400). It writes 2 KiB in each turn of the loop now.

--- a/packages/local-cluster/src/lib/filling_target.ts
+++ b/packages/local-cluster/src/lib/filling_target.ts
@@ -2,14 +2,17 @@
 
 import {AddressInfo} from 'node:net';
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {SERVICE} from './platform_world.js';
 
 const HEADER_PREFIX = 'x-fuchsiacleat-';
 const MODELS = [{Name: 'm1', Version: 1, Adapters: []}];
 
-/** Less than a host buffers before it stops to read an answer. */
-const EVENT_BYTES = 8 * 1024;
+/**
+ * A fraction of what a host buffers before it stops reading an answer, so that
+ * it still reads the end of one that has filled the connection to the caller.
+ */
+const EVENT_BYTES = 2 * 1024;
 
 /** Last event of each answer. */
 export const LAST_EVENT = 'data: last\n\n';
@@ -78,7 +81,8 @@
     const event = `data: ${'x'.repeat(EVENT_BYTES)}\n\n`;
     while (!this.isFull() && !res.destroyed) {
       res.write(event);
-      await sleep(1);
+      await nextTurn();
+      await nextTurn();
     }
     res.end(LAST_EVENT);
   }
