Give each deployment of the platform tests loopback addresses of its own

A port that was free was taken by an outgoing connection of another deployment before the host listened. Hosts have addresses of their own now, as in the soak, by one function for both.

--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -9,4 +9,5 @@
 export * from './lib/faults/jumping_clock.js';
 export * from './lib/faults/loop_lag.js';
 export * from './lib/placement_audit.js';
+export * from './lib/loopback_address.js';
 export * from './lib/platform_world.js';
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -7,6 +7,7 @@
 } from '@fuchsiacleat/standins';
 import {Client} from 'undici';
 import {GatewayHost, PlatformSettings} from '@fuchsiacleat/platform';
+import {loopbackAddress, nextDeployment} from './loopback_address.js';
 
 /** API key of the only team. */
 export const TEAM_KEY = 'key-1';
@@ -155,6 +156,7 @@
   readonly lines: string[] = [];
   private readonly settings: PlatformSettings[] = [];
   private clients: Client[] = [];
+  private readonly number = nextDeployment();
   private version = 1;
   private requestCount = 0;
 
@@ -283,10 +285,8 @@
   }
 
   private async startHost(): Promise<void> {
-    const freeAddress = async () => ({
-      address: '127.0.0.1',
-      port: await freePort(),
-    });
+    const address = loopbackAddress(this.number, this.hosts.length);
+    const freeAddress = async () => ({address, port: await freePort(address)});
     const url = new URL(this.store.url);
     const settings: PlatformSettings = {
       hostName: `host-${this.hosts.length}`,
@@ -322,11 +322,11 @@
   }
 }
 
-/** @returns a port on which nothing listens. */
-function freePort(): Promise<number> {
+/** @returns a port of an address on which nothing listens. */
+function freePort(address: string): Promise<number> {
   return new Promise(resolve => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
+    server.listen(0, address, () => {
       const {port} = server.address() as AddressInfo;
       server.close(() => resolve(port));
     });
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -9,6 +9,8 @@
   RouteOptions,
   SERVICE,
   STORE_TOPIC,
+  loopbackAddress,
+  nextDeployment,
   platformConfig,
 } from '@fuchsiacleat/local-cluster';
 import {
@@ -67,11 +69,6 @@
 const ENGINE_MODEL_CAPACITY = 1;
 const ZONES = ['a', 'b'];
 const POLL_MS = 50;
-const MIN_LAST_BYTE = 10;
-
-/** Least second byte of the hosts' addresses, and number of distinct worlds per process. */
-const MIN_SECOND_BYTE = 16;
-const WORLDS_PER_PROCESS = 16;
 
 /** A worker and the link through which hosts reach it. */
 export interface LinkedWorker {
@@ -118,7 +115,7 @@
     hostCount: number,
     args?: readonly string[],
   ): Promise<SoakWorld> {
-    const world = new SoakWorld(worldCount++, args);
+    const world = new SoakWorld(nextDeployment(), args);
     world.folderPath = await mkdtemp(join(tmpdir(), 'fuchsiacleat-soak-'));
     await world.store.start();
     for (let i = 0; i < PLAIN_COUNT + ENGINE_COUNT; i++) {
@@ -281,7 +278,7 @@
       new HostProcess({
         name: `host-${i}`,
         zone: ZONES[i % ZONES.length],
-        address: addressOf(this.number, i),
+        address: loopbackAddress(this.number, i),
         storePort: link.port,
         folder: this.folderPath,
         bounds: BOUNDS,
@@ -291,16 +288,6 @@
   }
 }
 
-/** Number of worlds that this process has started; each uses its own addresses. */
-let worldCount = 0;
-
-/** @returns a loopback address that no other run is likely to use. */
-function addressOf(world: number, host: number): string {
-  const run = process.pid * WORLDS_PER_PROCESS + (world % WORLDS_PER_PROCESS);
-  const second = MIN_SECOND_BYTE + ((run >> 8) & 0x7f);
-  return `127.${second}.${run & 0xff}.${MIN_LAST_BYTE + host}`;
-}
-
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
   const {faultyIds, orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
