--- a/packages/core/src/test/gateway/given_up_test.ts
+++ b/packages/core/src/test/gateway/given_up_test.ts
@@ -1,17 +1,13 @@
 import {expect} from 'chai';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
-import {
-  BODY_END,
-  NOT_RUN,
-  TARGET_STATE,
-} from '../../lib/gateway/target_port.js';
-import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
+import {NOT_RUN, TARGET_STATE} from '../../lib/gateway/target_port.js';
 import {routeRule} from './gateway_fixtures.js';
 import {
   FakeCaller,
   TargetBehavior,
   answer,
   relayWorld,
+  timedAnswer,
 } from './relay_fixtures.js';
 
 const EVENTS = [1, 2, 3].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
@@ -27,31 +23,7 @@
   reason: NOT_RUN.refused,
 });
 
-/** Sends each chunk at its time, unless it is cancelled. */
-function timed(chunks: ReadonlyArray<[number, string]>): TargetBehavior {
-  return (options, clock) => {
-    const discarded = new AbortController();
-    options.signal.addEventListener('abort', () => discarded.abort());
-    return {
-      type: 'answered',
-      answer: {
-        head: {status: 200, isEventStream: true},
-        signals: NO_SIGNALS,
-        read: async sink => {
-          for (const [pauseMs, chunk] of chunks) {
-            await clock.sleep(pauseMs, discarded.signal);
-            if (discarded.signal.aborted) return BODY_END.broken;
-            await sink(Buffer.from(chunk));
-          }
-          return BODY_END.complete;
-        },
-        discard: () => discarded.abort(),
-      },
-    };
-  };
-}
-
-const neverOn = timed([
+const neverOn = timedAnswer([
   [0, EVENTS[0]],
   [20_000, EVENTS[1]],
 ]);
@@ -83,7 +55,7 @@
 
 describe('Relay: evidence of a stall', () => {
   it('needs a check when a target is silent inside an event', async () => {
-    const halves = timed([
+    const halves = timedAnswer([
       [0, EVENTS[0]],
       [700, EVENTS[1].slice(0, 8)],
       [700, EVENTS[1].slice(8)],
@@ -108,7 +80,7 @@
 
   it('is not given by a caller that reads slowly', async () => {
     const whole: TargetBehavior = (...args) =>
-      timed([
+      timedAnswer([
         [0, EVENTS[0]],
         [0, EVENTS[1]],
         [0, EVENTS[2]],
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -136,6 +136,35 @@
   };
 }
 
+/**
+ * Returns a behavior that sends each chunk of a stream after a pause, in
+ * milliseconds, unless it is cancelled or discarded.
+ */
+export function timedAnswer(
+  chunks: ReadonlyArray<readonly [pauseMs: number, chunk: string]>,
+): TargetBehavior {
+  return (options, clock) => {
+    const ended = new AbortController();
+    options.signal.addEventListener('abort', () => ended.abort());
+    return {
+      type: 'answered',
+      answer: {
+        head: {status: 200, isEventStream: true},
+        signals: NO_SIGNALS,
+        read: async sink => {
+          for (const [pauseMs, chunk] of chunks) {
+            if (pauseMs > 0) await clock.sleep(pauseMs, ended.signal);
+            if (ended.signal.aborted) return BODY_END.broken;
+            await sink(Buffer.from(chunk));
+          }
+          return BODY_END.complete;
+        },
+        discard: () => ended.abort(),
+      },
+    };
+  };
+}
+
 /** Returns the given results one after the other and records the sends. */
 export class FakePort extends TargetPort<FakeCaller> {
   readonly sent: Array<{target: string; options: SendOptions}> = [];
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -20,6 +20,7 @@
   RelayWorld,
   answer,
   relayWorld,
+  timedAnswer,
 } from './relay_fixtures.js';
 
 const once = routeRule({kind: REQUEST_KIND.once, maxTargets: 1});
@@ -271,28 +272,8 @@
 
 describe('Relay: progress of streams', () => {
   /** Sends a chunk at each interval until the answer is discarded. */
-  const paced =
-    (chunks: string[], intervalMs: number): TargetBehavior =>
-    (options, clock) => {
-      const discarded = new AbortController();
-      return {
-        type: 'answered',
-        answer: {
-          head: {status: 200, isEventStream: true},
-          signals: NO_SIGNALS,
-          read: async sink => {
-            for (const part of chunks) {
-              await clock.sleep(intervalMs, discarded.signal);
-              if (discarded.signal.aborted || options.signal.aborted)
-                return BODY_END.broken;
-              await sink(Buffer.from(part));
-            }
-            return BODY_END.complete;
-          },
-          discard: () => discarded.abort(),
-        },
-      };
-    };
+  const paced = (chunks: string[], intervalMs: number): TargetBehavior =>
+    timedAnswer(chunks.map(chunk => [intervalMs, chunk] as const));
 
   it('abandons a stream that sends bytes but no whole events', async () => {
     for (const fragment of ['x', ': alive\n\n']) {
--- a/packages/core/src/test/gateway/silent_target_test.ts
+++ b/packages/core/src/test/gateway/silent_target_test.ts
@@ -5,7 +5,6 @@
   NOT_RUN,
   TARGET_STATE,
 } from '../../lib/gateway/target_port.js';
-import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {PLAIN_SERVICE, routeRule} from './gateway_fixtures.js';
 import {
   FakeCaller,
@@ -13,6 +12,7 @@
   TargetBehavior,
   answer,
   relayWorld,
+  timedAnswer,
 } from './relay_fixtures.js';
 
 const TIMEOUT_MS = 12_000;
@@ -49,26 +49,9 @@
   {chunks, at}: {chunks: string[]; at: number},
   silenceMs: number,
 ): TargetBehavior {
-  return (options, clock) => {
-    const discarded = new AbortController();
-    options.signal.addEventListener('abort', () => discarded.abort());
-    return {
-      type: 'answered',
-      answer: {
-        head: {status: 200, isEventStream: true},
-        signals: NO_SIGNALS,
-        read: async sink => {
-          for (const [i, chunk] of chunks.entries()) {
-            if (i === at) await clock.sleep(silenceMs, discarded.signal);
-            if (discarded.signal.aborted) return BODY_END.broken;
-            await sink(Buffer.from(chunk));
-          }
-          return BODY_END.complete;
-        },
-        discard: () => discarded.abort(),
-      },
-    };
-  };
+  return timedAnswer(
+    chunks.map((chunk, i) => [i === at ? silenceMs : 0, chunk] as const),
+  );
 }
 
 /** Sends nothing for a time, and a whole answer then, unless it is cancelled. */
