Take the ports of a test's host at once

Its four ports were taken and given back one after the other, so that the same could come twice; all are held now until the last one is known.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -286,15 +286,19 @@
 
   private async startHost(): Promise<void> {
     const address = loopbackAddress(this.number, this.hosts.length);
-    const freeAddress = async () => ({address, port: await freePort(address)});
+    const ports = await freePorts(address, 4);
+    const [callers, ready, peers, metrics] = ports.map(port => ({
+      address,
+      port,
+    }));
     const url = new URL(this.store.url);
     const settings: PlatformSettings = {
       hostName: `host-${this.hosts.length}`,
       zone: 'a',
-      callers: await freeAddress(),
-      ready: await freeAddress(),
-      peers: await freeAddress(),
-      metrics: await freeAddress(),
+      callers,
+      ready,
+      peers,
+      metrics,
       store: {address: url.hostname, port: Number(url.port)},
       cpuShare: 0.9,
       linkMbps: 1_000,
@@ -322,13 +326,13 @@
   }
 }
 
-/** @returns a port of an address on which nothing listens. */
-function freePort(address: string): Promise<number> {
-  return new Promise(resolve => {
-    const server = createServer();
-    server.listen(0, address, () => {
-      const {port} = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
+/** @returns distinct ports of an address on which nothing listens. */
+async function freePorts(address: string, count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers)
+    await new Promise<void>(resolve => server.listen(0, address, resolve));
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  for (const server of servers)
+    await new Promise(resolve => server.close(resolve));
+  return ports;
 }
