Log by which request a send broke off

send_ended named the attempt only, and each attempt of a caller has an id of its own, so the log could not tell whether targets end under one request that comes again. It now names a digest of method, host, path, body and team.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -26,6 +26,7 @@
 export * from './lib/quarantine/quarantine_exchange.js';
 export * from './lib/quarantine/quarantine_keeper.js';
 export * from './lib/quarantine/quarantine_metrics.js';
+export * from './lib/quarantine/request_digest.js';
 export * from './lib/quarantine/target_end_detector.js';
 export * from './lib/residency/account_registry.js';
 export * from './lib/residency/controller_factory.js';
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -1,5 +1,6 @@
 /** Transport-independent interface to a request of a caller and its answer. @packageDocumentation */
 
+import {RequestContent} from '../quarantine/request_digest.js';
 import {Refusal, UnservedOutcome} from '../requests/outcome.js';
 
 /** The model that a request asks for. */
@@ -35,6 +36,8 @@
   /** Path without the query. */
   abstract readonly path: string;
   abstract readonly key: string | undefined;
+  /** What repeats of the request have in common with it. */
+  abstract readonly content: RequestContent;
   abstract readonly demand: ModelDemand | undefined;
   abstract readonly tokens: TokenCount | undefined;
   /**
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -533,6 +533,7 @@
       ageMs: call.sendAgeMs,
       receivedBytes: call.receivedBytes,
       parts: call.parts,
+      request: call.requestDigest,
     });
   }
 
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -2,6 +2,7 @@
 
 import {Clock, Timer} from '../time/clock.js';
 import {GuardedRun} from '../quarantine/guarded_run.js';
+import {digestRequest} from '../quarantine/request_digest.js';
 import {GrantedTrial} from '../quarantine/trial.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
 import {CallerRequest} from './caller_request.js';
@@ -85,6 +86,7 @@
   private target: KnownTarget | undefined;
   private sendStartMs = 0;
   private currentAttempt: SendAttempt | undefined;
+  private digest: string | undefined;
 
   /**
    * @param clock - measures the remaining time.
@@ -114,6 +116,12 @@
     return this.req.id;
   }
 
+  /** Digest that the request shares with its repeats. */
+  get requestDigest(): string {
+    this.digest ??= digestRequest(this.req.content, this.team?.name);
+    return this.digest;
+  }
+
   /** Aborts at the deadline, or when the caller disconnects. */
   get signal(): AbortSignal {
     return this.requestController.signal;
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -51,6 +51,8 @@
   receivedBytes: number;
   /** Digests of the shared parts of the prompt. */
   parts: readonly string[];
+  /** Digest that the request shares with its repeats. */
+  request: string;
 }
 
 /** A check of a target because one of its runs makes no progress. */
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -46,6 +46,7 @@
 import {AnsweredParts} from '../../lib/quarantine/answered_parts.js';
 import {PartLedger} from '../../lib/quarantine/part_ledger.js';
 import {PromptGuard} from '../../lib/quarantine/prompt_guard.js';
+import {RequestContent} from '../../lib/quarantine/request_digest.js';
 import {QuarantineExchange} from '../../lib/quarantine/quarantine_exchange.js';
 import {TargetEndDetector} from '../../lib/quarantine/target_end_detector.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
@@ -60,6 +61,7 @@
   override readonly id = 'req-1';
   override readonly host = 'h.example';
   override readonly path = '/x';
+  override readonly content: RequestContent;
   override key: string | undefined = 'key';
   override demand: ModelDemand | undefined;
   override tokens: TokenCount | undefined;
@@ -75,9 +77,16 @@
   isEnded = false;
   isAborted = false;
 
-  constructor(clock: ManualClock) {
+  constructor(clock: ManualClock, body = '') {
     super();
     this.arrivedMs = clock.now();
+    const {host, path: requestTarget} = this;
+    this.content = {
+      method: 'POST',
+      host,
+      requestTarget,
+      body: Buffer.from(body),
+    };
   }
 
   override get signal(): AbortSignal {
