Reproduce a request that crashes one target after the other

Three hosts, four plain workers and five engines that crash on one body, which comes again five times a second under new ids.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -133,8 +133,13 @@
   };
 }
 
+/** Number of workers of the plain service by default. */
+const DEFAULT_PLAIN_COUNT = 2;
+
 /** Options of a {@link PlatformWorld}. */
 export interface WorldOptions {
+  /** Number of workers of the plain service. */
+  plainCount?: number;
   routes?: Partial<RouteOptions>;
   /** Retries that the budget allows beyond its share of the requests. */
   retrySlack?: number;
@@ -144,12 +149,10 @@
   prepare?: (world: PlatformWorld) => Promise<void>;
 }
 
-/** Store, two plain workers, engine workers, and gateway hosts. */
+/** Store, plain workers, engine workers, and gateway hosts. */
 export class PlatformWorld {
   readonly store = new PlatformStoreStandin();
-  readonly plain = [1, 2].map(
-    i => new PlatformWorkerStandin({id: `p${i}`, service: PLAIN, zone: 'a'}),
-  );
+  readonly plain: readonly PlatformWorkerStandin[];
   readonly engines: readonly PlatformWorkerStandin[];
   readonly hosts: GatewayHost[] = [];
   /** Log lines of all hosts. */
@@ -164,6 +167,15 @@
     engineCount: number,
     private readonly options: WorldOptions,
   ) {
+    this.plain = Array.from(
+      {length: options.plainCount ?? DEFAULT_PLAIN_COUNT},
+      (unusedItem, i) =>
+        new PlatformWorkerStandin({
+          id: `p${i + 1}`,
+          service: PLAIN,
+          zone: 'a',
+        }),
+    );
     this.engines = Array.from(
       {length: engineCount},
       (unusedItem, i) =>
@@ -227,16 +239,10 @@
 
   /** Writes the registrations of the workers to the store. */
   registerTargets(state = 'ready'): void {
-    this.store.put(
-      STORE_TOPIC.targets,
-      'p1',
-      this.plain[0].registration(state),
-    );
-    this.store.put(
-      STORE_TOPIC.targets,
-      'p2',
-      this.plain[1].registration(state),
-    );
+    for (const [i, worker] of this.plain.entries()) {
+      const id = `p${i + 1}`;
+      this.store.put(STORE_TOPIC.targets, id, worker.registration(state));
+    }
     for (const [i, engine] of this.engines.entries()) {
       const id = `e${i + 1}`;
       this.store.put(STORE_TOPIC.targets, id, engine.registration());
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -105,6 +105,11 @@
    * write an answer.
    */
   crashingPart: string | undefined;
+  /**
+   * Body of a request on which the worker crashes as soon as it begins to run
+   * it; an engine has sent the head of its answer by then.
+   */
+  crashingBody: string | undefined;
   /** Times of the crashes, in milliseconds. */
   readonly crashesMs: number[] = [];
   /** Called when the worker is back after a crash, with a new process. */
@@ -314,8 +319,10 @@
     this.running.add(entry);
     res.on('close', () => this.running.delete(entry));
     setTimeout(() => {
-      if (this.holdsCrashingPart(req)) this.beginAnswerAndCrash(res, id);
-      else void this.answers.send(answer);
+      const isCrashing = this.isCrashingRequest(req, body);
+      if (!isCrashing) void this.answers.send(answer);
+      else if (isStream) this.beginAnswerAndCrash(res, id);
+      else void this.crash();
     }, this.workMs);
   }
 
@@ -348,7 +355,9 @@
     setTimeout(() => void this.crash(), CRASH_DELAY_MS);
   }
 
-  private holdsCrashingPart(req: IncomingMessage): boolean {
+  private isCrashingRequest(req: IncomingMessage, body: string): boolean {
+    if (this.crashingBody !== undefined && body === this.crashingBody)
+      return true;
     const parts = req.headers[`${HEADER_PREFIX}prompt-prefix`];
     if (this.crashingPart === undefined || typeof parts !== 'string')
       return false;
