Quarantine the request that crashes its targets

Cause: what was known of an end was held against parts of prompts only, and a plain call has none; each attempt of the caller looked new.

A request is now known by a digest of method, host, path with query, body and team, which takes the place of the last part of its prompt in the ledger of the quarantine: it is suspected, tried alone, quarantined, kept in the store and cleared by an answer like a part. The log's `parts` end with the digest, in place of the field of its own.

The test of the relay's reports expects the digest as well; the fixture of the exchange gives each end a request of its own, as all had one id.

--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -101,7 +101,6 @@
       send_age_ms: send.ageMs,
       received_bytes: receivedBytes,
       parts: send.parts.length > 0 ? send.parts.join(',') : undefined,
-      request: send.request,
     });
   }
 
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -15,6 +15,7 @@
 import {ENDED_BY, EndedBy} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {digestParts} from '../quarantine/part_digest.js';
+import {digestRequest} from '../quarantine/request_digest.js';
 import {DeploymentState} from './deployment_state.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
@@ -200,7 +201,8 @@
       return refuse(REFUSAL.noCapacity, 'the route has no service');
     }
     call.service = service;
-    call.parts = digestParts(service, req.sharedParts);
+    const sharedParts = digestParts(service, req.sharedParts);
+    call.parts = [...sharedParts, digestRequest(req.content, call.team?.name)];
     const refusal = this.parts.prompts.check(call.parts);
     if (refusal !== undefined) return refusal;
     this.parts.retries.countRequest(service);
@@ -533,7 +535,6 @@
       ageMs: call.sendAgeMs,
       receivedBytes: call.receivedBytes,
       parts: call.parts,
-      request: call.requestDigest,
     });
   }
 
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -2,7 +2,6 @@
 
 import {Clock, Timer} from '../time/clock.js';
 import {GuardedRun} from '../quarantine/guarded_run.js';
-import {digestRequest} from '../quarantine/request_digest.js';
 import {GrantedTrial} from '../quarantine/trial.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
 import {CallerRequest} from './caller_request.js';
@@ -58,7 +57,7 @@
   holdsRetry = false;
   /** Number of sends whose target may have started to work on the request. */
   possibleRuns = 0;
-  /** Digests of the shared parts of the prompt. */
+  /** Digests of the shared parts of the prompt, and of the whole request. */
   parts: readonly string[] = [];
   /** Number of processes that ended while they may have run the request. */
   endedTargets = 0;
@@ -86,7 +85,6 @@
   private target: KnownTarget | undefined;
   private sendStartMs = 0;
   private currentAttempt: SendAttempt | undefined;
-  private digest: string | undefined;
 
   /**
    * @param clock - measures the remaining time.
@@ -116,12 +114,6 @@
     return this.req.id;
   }
 
-  /** Digest that the request shares with its repeats. */
-  get requestDigest(): string {
-    this.digest ??= digestRequest(this.req.content, this.team?.name);
-    return this.digest;
-  }
-
   /** Aborts at the deadline, or when the caller disconnects. */
   get signal(): AbortSignal {
     return this.requestController.signal;
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -12,7 +12,7 @@
   team: string | undefined;
   service: string | undefined;
   model: string | undefined;
-  /** Digests of the shared parts of the prompt. */
+  /** Digests of the shared parts of the prompt, and of the whole request. */
   parts: readonly string[];
   /** Targets that the request was sent to, in order. */
   targets: string[];
@@ -49,10 +49,8 @@
   ageMs: number;
   /** Bytes of the body that the target returned. */
   receivedBytes: number;
-  /** Digests of the shared parts of the prompt. */
+  /** Digests of the shared parts of the prompt, and of the whole request. */
   parts: readonly string[];
-  /** Digest that the request shares with its repeats. */
-  request: string;
 }
 
 /** A check of a target because one of its runs makes no progress. */
--- a/packages/core/src/lib/quarantine/part_ledger.ts
+++ b/packages/core/src/lib/quarantine/part_ledger.ts
@@ -1,20 +1,13 @@
-/** Decides which prompt parts may be sent to targets. @packageDocumentation */
+/** Decides which requests may be sent to targets that may crash on them. @packageDocumentation */
 
 import {Logger} from '../telemetry/logger.js';
-import {Clock, Timer} from '../time/clock.js';
+import {Clock} from '../time/clock.js';
+import {Accusation, EndCase, GATHER_MS, requestOf} from './end_case.js';
 import {PartRecord, PartState, STANDING, Standing} from './part_record.js';
+import {PartRecords} from './part_records.js';
 import {RunAtEnd, TargetEnd} from './target_end.js';
 import {Trial} from './trial.js';
 
-/** Most parts with a record. */
-const MAX_PARTS = 1_000;
-
-/**
- * Time after the first report of an end in which other hosts may report runs
- * that had begun. Until then, runs that only waited accuse no part.
- */
-const GATHER_MS = 150;
-
 /** How long reports of the same process are taken together. */
 const END_LIFETIME_MS = 10_000;
 
@@ -27,10 +20,16 @@
 /** Ends without an answer in between that quarantine a part without a trial. */
 const QUARANTINE_ENDS = 4;
 
-/** Duration of the first quarantine of a part; it doubles with each further. */
+/** Duration of the first quarantine; that of a part doubles with each further. */
 const FIRST_QUARANTINE_MS = 30_000;
 const MAX_QUARANTINE_MS = 3_600_000;
 
+/**
+ * Duration of each further quarantine of a whole request, which serves nobody
+ * else and is seldom tried again.
+ */
+const FURTHER_REQUEST_QUARANTINE_MS = 86_400_000;
+
 /** Time after which a trial without a result no longer blocks the next one. */
 const TRIAL_TIMEOUT_MS = 5_000;
 
@@ -43,37 +42,23 @@
  */
 const MESSAGE_DELAY_MS = 100;
 
-/** Evidence of one end against a part. */
-interface Accusation {
-  /** Whether it counted as a further end. */
-  wasCounted: boolean;
-  atMs: number;
-  /** Time of the last end before it. */
-  previousEndMs: number;
-}
-
-/** The end of a process, with the parts that it accuses. */
-interface EndCase {
-  readonly firstMs: number;
-  readonly end: TargetEnd;
-  readonly accused: Map<string, Accusation>;
-  /** Whether a part is known that caused the end. */
-  isExplained: boolean;
-  readonly timer: Timer;
-}
-
 /**
- * Records under which prompt parts targets ended, and derives how each part is
- * treated.
+ * Records under which prompt parts and whole requests targets ended, and derives
+ * how each is treated. A request counts as the last of its own parts: what is
+ * said of parts here holds for the digest of the request, too.
  *
  * A target that crashes on a part does so when it begins to answer, so that an
  * end accuses the parts of the runs that had just begun, or of those that
  * waited if none had. An answer to a request proves all of its parts sound. A
  * part is quarantined after an end in a trial, that is, in the only run with
- * the part at that time. An end under a quarantined part accuses no other.
+ * the part at that time. An end under a quarantined part accuses no other, and
+ * however often one request ends targets, that counts once against the parts
+ * that other requests share with it.
  */
 export class PartLedger {
-  private readonly records = new Map<string, PartRecord>();
+  private readonly records = new PartRecords(record =>
+    this.remove(record, 'too many parts'),
+  );
   private readonly cases = new Map<string, EndCase>();
   private readonly changeListeners: Array<(part: string) => void> = [];
   private readonly quarantineListeners: Array<(part: string) => void> = [];
@@ -129,19 +114,14 @@
    */
   recordEnd(end: TargetEnd): void {
     const key = `${end.target} ${end.startedMs}`;
-    let known = this.cases.get(key);
+    const known = this.cases.get(key);
+    const endCase = known ?? new EndCase(end.target, this.clock.now());
     if (known === undefined) {
-      known = {
-        firstMs: this.clock.now(),
-        end: {...end, runs: []},
-        accused: new Map(),
-        isExplained: false,
-        timer: this.clock.after(GATHER_MS, () => this.judge(known!)),
-      };
-      this.cases.set(key, known);
+      this.cases.set(key, endCase);
+      this.clock.after(GATHER_MS, () => this.judge(endCase));
     }
-    known.end.runs.push(...end.runs);
-    this.judge(known);
+    endCase.add(end);
+    this.judge(endCase);
   }
 
   /**
@@ -176,7 +156,7 @@
     if (parts.some(part => this.isQuarantined(part))) return undefined;
     const nowMs = this.clock.now();
     const suspects = new Set(this.suspectsOf(parts));
-    for (const record of this.records.values()) {
+    for (const record of this.records.all()) {
       const {trial} = record;
       if (trial === undefined || trial.untilMs <= nowMs) continue;
       if (trial.requestId === requestId) continue;
@@ -215,11 +195,22 @@
     return record.toState(this.clock.now());
   }
 
+  /**
+   * Returns whether hosts have to know of a part. Most requests that are watched
+   * were bystanders and never come again, and their sends are not restricted.
+   *
+   * @param part - digest of the part.
+   */
+  concernsHosts(part: string): boolean {
+    const isRequest = this.records.get(part)?.isRequest ?? false;
+    return !isRequest || this.standingOf(part) !== STANDING.watched;
+  }
+
   /** Returns the number of parts by standing. */
   countByStanding(): Record<Standing, number> {
     const nowMs = this.clock.now();
     const counts = {clear: 0, watched: 0, suspect: 0, quarantined: 0};
-    for (const record of this.records.values()) {
+    for (const record of this.records.all()) {
       counts[record.standingAt(nowMs)] += 1;
     }
     return counts;
@@ -228,7 +219,7 @@
   /** Returns the states of all parts with a record. */
   states(): PartState[] {
     const nowMs = this.clock.now();
-    return [...this.records.values()].map(record => record.toState(nowMs));
+    return this.records.all().map(record => record.toState(nowMs));
   }
 
   /**
@@ -245,7 +236,7 @@
       this.applyState(state);
     }
     if (!isComplete) return;
-    for (const record of [...this.records.values()]) {
+    for (const record of this.records.all()) {
       if (!listed.has(record.part)) this.remove(record, 'not listed');
     }
   }
@@ -275,7 +266,7 @@
    * @param forMs - duration in milliseconds.
    */
   setQuarantine(part: string, forMs: number): void {
-    const record = this.recordOf(part);
+    const record = this.records.obtain(part);
     const before = this.standingOf(part);
     record.ends = Math.max(1, record.ends);
     record.lastEndMs = this.clock.now();
@@ -296,12 +287,10 @@
   /** Forgets evidence that is too old. */
   prune(): void {
     const nowMs = this.clock.now();
-    for (const [key, {firstMs, timer}] of this.cases) {
-      if (nowMs - firstMs <= END_LIFETIME_MS) continue;
-      timer.cancel();
-      this.cases.delete(key);
+    for (const [key, {firstMs}] of this.cases) {
+      if (nowMs - firstMs > END_LIFETIME_MS) this.cases.delete(key);
     }
-    for (const record of [...this.records.values()]) {
+    for (const record of this.records.all()) {
       const newestMs = Math.max(record.lastEndMs, record.quarantinedUntilMs);
       if (nowMs - newestMs > SUSPICION_LIFETIME_MS)
         this.remove(record, 'expired');
@@ -310,26 +299,27 @@
 
   /** Accuses the parts that the known runs of an ended process point to. */
   private judge(endCase: EndCase): void {
-    const {end, accused} = endCase;
+    const {accused, target} = endCase;
     if (endCase.isExplained) return;
-    const begun = end.runs.filter(run => run.hasBegun);
-    endCase.isExplained = begun.some(run => this.explains(end, run));
-    const isGathered = this.clock.now() - endCase.firstMs >= GATHER_MS;
-    const waiting = isGathered ? end.runs : [];
-    const candidates = begun.length > 0 ? begun : waiting;
-    const parts = new Set(
-      endCase.isExplained ? [] : candidates.flatMap(run => run.parts),
-    );
+    const candidates = endCase.candidates(this.clock.now());
+    endCase.isExplained = candidates.some(run => this.explains(target, run));
+    const suspects = endCase.isExplained ? [] : candidates;
+    const parts = new Set(suspects.flatMap(run => run.parts));
     for (const [part, accusation] of accused) {
       if (!parts.has(part)) this.withdraw(endCase, part, accusation);
     }
+    const isSole = new Set(suspects.map(requestOf)).size === 1;
     for (const part of parts) {
-      if (!accused.has(part)) this.accuse(endCase, part);
+      const accusation = accused.get(part);
+      if (accusation === undefined) {
+        const runs = suspects.filter(run => run.parts.includes(part));
+        this.accuse(endCase, part, runs, isSole);
+      } else if (accusation.isSole !== isSole) this.setSole(part, accusation);
     }
   }
 
   /** Checks whether a run caused the end, and quarantines the part if so. */
-  private explains(end: TargetEnd, run: RunAtEnd): boolean {
+  private explains(target: string, run: RunAtEnd): boolean {
     if (run.parts.some(part => this.isQuarantined(part))) return true;
     let worst: PartRecord | undefined;
     // Of equally suspect parts the last is the one that fewest requests share.
@@ -339,29 +329,51 @@
     if (worst === undefined) return false;
     worst.lastEndMs = this.clock.now();
     worst.ends += 1;
-    worst.recordTarget(end.target);
+    worst.recordTarget(target);
     this.quarantine(worst, STANDING.suspect);
     return true;
   }
 
-  private accuse({accused, end}: EndCase, part: string): void {
-    const record = this.recordOf(part);
+  /** Counts an end against a part, under runs of requests with it. */
+  private accuse(
+    {accused, target}: EndCase,
+    part: string,
+    runs: readonly RunAtEnd[],
+    isSole: boolean,
+  ): void {
+    const known = this.records.get(part);
+    if (known?.hasAllWitnesses(runs.map(requestOf))) return;
+    const record = known ?? this.records.obtain(part);
     const before = this.standingOf(part);
     const nowMs = this.clock.now();
     const previousEndMs = record.lastEndMs;
-    const wasCounted = nowMs - previousEndMs >= ENDS_APART_MS;
+    const isApart = nowMs - previousEndMs >= ENDS_APART_MS;
+    const wasCounted = isApart || record.hasRepeated(runs);
     if (wasCounted) record.ends += 1;
+    if (isSole) record.soleEnds += 1;
     record.lastEndMs = nowMs;
-    record.recordTarget(end.target);
-    accused.set(part, {wasCounted, atMs: nowMs, previousEndMs});
+    record.recordTarget(target);
+    const requests = record.recordWitnesses(runs);
+    const accusation = {wasCounted, isSole, previousEndMs, requests};
+    accused.set(part, {...accusation, atMs: nowMs});
     if (record.ends >= QUARANTINE_ENDS) this.quarantine(record, before);
     else this.reportChange(record, before);
   }
 
+  /** Corrects whether an end points to one request, as more is known. */
+  private setSole(part: string, accusation: Accusation): void {
+    accusation.isSole = !accusation.isSole;
+    const record = this.records.get(part);
+    if (record?.lastEndMs !== accusation.atMs) return;
+    const before = this.standingOf(part);
+    record.soleEnds += accusation.isSole ? 1 : -1;
+    this.reportChange(record, before);
+  }
+
   private withdraw(
     {accused}: EndCase,
     part: string,
-    {atMs, previousEndMs, wasCounted}: Accusation,
+    {atMs, isSole, previousEndMs, requests, wasCounted}: Accusation,
   ): void {
     accused.delete(part);
     const record = this.records.get(part);
@@ -370,6 +382,8 @@
     const before = this.standingOf(part);
     record.lastEndMs = previousEndMs;
     if (wasCounted) record.ends -= 1;
+    if (isSole) record.soleEnds -= 1;
+    record.forgetWitnesses(requests);
     if (record.ends === 0 && record.quarantineCount === 0)
       this.remove(record, 'another part explains the end');
     else this.reportChange(record, before);
@@ -378,13 +392,16 @@
   private quarantine(
     record: PartRecord,
     before: Standing,
-    forMs = quarantineMs(record.quarantineCount),
+    forMs = quarantineMs(record),
   ): void {
     if (before === STANDING.quarantined) return;
     record.quarantineCount += 1;
     record.quarantinedUntilMs = this.clock.now() + forMs;
     record.trial = undefined;
     this.reportChange(record, before);
+    // A request that crashes targets explains the other ends that it was at.
+    if (record.isRequest)
+      for (const endCase of this.cases.values()) this.judge(endCase);
   }
 
   private applyState(state: PartState): void {
@@ -393,7 +410,7 @@
       return;
     }
     const before = this.standingOf(state.part);
-    const record = this.recordOf(state.part);
+    const record = this.records.obtain(state.part);
     record.applyState(state, this.clock.now());
     this.reportChange(record, before);
   }
@@ -412,30 +429,6 @@
     return suspects;
   }
 
-  private recordOf(part: string): PartRecord {
-    let record = this.records.get(part);
-    if (record === undefined) {
-      if (this.records.size >= MAX_PARTS) this.dropWeakest();
-      record = new PartRecord(part);
-      this.records.set(part, record);
-    }
-    return record;
-  }
-
-  /** Drops a part that is not quarantined if there is one, else the oldest. */
-  private dropWeakest(): void {
-    let weakest: PartRecord | undefined;
-    for (const record of this.records.values()) {
-      const isWeaker =
-        weakest === undefined ||
-        record.quarantinedUntilMs < weakest.quarantinedUntilMs ||
-        (record.quarantinedUntilMs === weakest.quarantinedUntilMs &&
-          record.lastEndMs < weakest.lastEndMs);
-      if (isWeaker) weakest = record;
-    }
-    if (weakest !== undefined) this.remove(weakest, 'too many parts');
-  }
-
   private remove(record: PartRecord, reason: string): void {
     const before = this.standingOf(record.part);
     this.records.delete(record.part);
@@ -467,7 +460,8 @@
   }
 }
 
-function quarantineMs(earlierCount: number): number {
-  const doubled = FIRST_QUARANTINE_MS * 2 ** earlierCount;
+function quarantineMs({isRequest, quarantineCount}: PartRecord): number {
+  if (isRequest && quarantineCount > 0) return FURTHER_REQUEST_QUARANTINE_MS;
+  const doubled = FIRST_QUARANTINE_MS * 2 ** quarantineCount;
   return Math.min(MAX_QUARANTINE_MS, doubled);
 }
--- a/packages/core/src/lib/quarantine/prompt_guard.ts
+++ b/packages/core/src/lib/quarantine/prompt_guard.ts
@@ -8,6 +8,7 @@
 import {PartLedger} from './part_ledger.js';
 import {STANDING} from './part_record.js';
 import {QuarantineExchange} from './quarantine_exchange.js';
+import {isRequestDigest} from './request_digest.js';
 import {TargetEndDetector} from './target_end_detector.js';
 import {GrantedTrial, Trial} from './trial.js';
 
@@ -38,11 +39,11 @@
 export interface GuardedRequest {
   /** Id of the request. */
   id: string;
-  /** Digests of the shared parts of its prompt. */
+  /** Digests of the shared parts of its prompt, and of the whole request. */
   parts: readonly string[];
 }
 
-/** Checks the prompt parts of requests before they are sent. */
+/** Checks requests, and the parts of their prompts, before they are sent. */
 export class PromptGuard {
   /** Parts that this host has, or asks for, a trial of. */
   private readonly ownTrials = new Set<string>();
@@ -58,19 +59,23 @@
   /**
    * Checks whether a request may be sent at all.
    *
-   * @param parts - digests of the shared parts of its prompt.
+   * @param parts - digests of the parts of its prompt and of the request.
    * @returns the refusal, or undefined if no part is quarantined.
    */
   check(parts: readonly string[]): Refusal | undefined {
     const {ledger} = this.parts;
     if (ledger.size === 0) return undefined;
-    let leftMs = 0;
+    let longestMs = 0;
+    let cause = '';
     for (const part of parts) {
-      leftMs = Math.max(leftMs, ledger.quarantineLeftMs(part));
+      const leftMs = ledger.quarantineLeftMs(part);
+      if (leftMs <= longestMs) continue;
+      longestMs = leftMs;
+      cause = isRequestDigest(part) ? 'the request' : 'a part of the prompt';
     }
-    if (leftMs === 0) return undefined;
-    const message = 'targets crashed on a part of the prompt';
-    return refuse(REFUSAL.quarantined, message, Math.ceil(leftMs));
+    if (longestMs === 0) return undefined;
+    const message = `targets crashed on ${cause}`;
+    return refuse(REFUSAL.quarantined, message, Math.ceil(longestMs));
   }
 
   /**
@@ -101,14 +106,14 @@
       if (clock.now() >= endMs) break;
       await clock.sleep(TRIAL_POLL_MS, signal);
     }
-    const message = 'a part of the prompt is suspected to crash targets';
+    const message = 'the request is suspected to crash targets';
     return err(refuse(REFUSAL.quarantined, message, TRIAL_RETRY_AFTER_MS));
   }
 
   /**
    * Checks again, right before a send, that a request may be sent.
    *
-   * @param parts - digests of the shared parts of its prompt.
+   * @param parts - digests of the parts of its prompt and of the request.
    * @param isTrial - whether it is the trial of its suspect parts.
    */
   canStillSend(parts: readonly string[], isTrial: boolean): boolean {
@@ -125,7 +130,7 @@
   /**
    * Observes a run of a request, from its send on.
    *
-   * @param parts - digests of the shared parts of its prompt.
+   * @param parts - digests of the parts of its prompt and of the request.
    */
   observeRun(parts: readonly string[]): GuardedRun {
     const {clock, exchange} = this.parts;
--- a/packages/core/src/lib/quarantine/quarantine_exchange.ts
+++ b/packages/core/src/lib/quarantine/quarantine_exchange.ts
@@ -270,7 +270,9 @@
     }
     this.changedParts.clear();
     if (!this.isDeciding) return;
-    const states = changed.map(part => ledger.stateOf(part));
+    const published = changed.filter(part => ledger.concernsHosts(part));
+    if (published.length === 0) return;
+    const states = published.map(part => ledger.stateOf(part));
     network.broadcast(PUBLISH_STATES, {states, isComplete: false});
   }
 
@@ -282,7 +284,9 @@
     const intervalMs = FULL_INTERVAL_MS + ledger.size * FULL_MS_PER_PART;
     if (nowMs - this.fullSentMs < intervalMs) return;
     this.fullSentMs = nowMs;
-    const states = ledger.states();
+    const states = ledger
+      .states()
+      .filter(({part}) => ledger.concernsHosts(part));
     network.broadcast(PUBLISH_STATES, {states, isComplete: true});
   }
 
--- a/packages/core/src/lib/quarantine/target_end.ts
+++ b/packages/core/src/lib/quarantine/target_end.ts
@@ -5,7 +5,7 @@
 export const runAtEndSchema = z.object({
   /** Id of the request. */
   id: z.string(),
-  /** Digests of the shared parts of its prompt, in order. */
+  /** Digests of the shared parts of its prompt, in order, and of the request. */
   parts: z.array(z.string()),
   /** Whether the target had begun to answer, as far as this host knows. */
   hasBegun: z.boolean(),
--- a/packages/core/src/lib/quarantine/trial.ts
+++ b/packages/core/src/lib/quarantine/trial.ts
@@ -5,7 +5,7 @@
 export const trialSchema = z.object({
   /** Id of the request that is sent as the trial. */
   requestId: z.string(),
-  /** Digests of the shared parts of its prompt. */
+  /** Digests of the shared parts of its prompt, and of the request. */
   parts: z.array(z.string()),
   /** Id of the target that it is sent to. */
   target: z.string(),
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -119,7 +119,6 @@
       ageMs: 5,
       receivedBytes: 0,
       parts: [],
-      request: 'req-0',
     });
     for (let i = 0; i < 1_000; i++) journal.sendAnswered(`t${i}`);
     const sends = 'fuchsiacleat_gateway_target_sends_total';
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -488,8 +488,9 @@
     await world.run(caller);
     const [end] = world.observer.ends;
     expect(end.receivedBytes).to.equal(event(1).length);
-    expect(end.parts).to.have.lengthOf(1);
+    expect(end.parts).to.have.lengthOf(2);
     expect(end.parts[0]).to.match(/^[0-9a-f]{16}$/);
+    expect(end.parts[1]).to.match(/^req-[0-9a-f]{16}$/);
   });
 });
 
--- a/packages/core/src/test/quarantine/quarantine_world.ts
+++ b/packages/core/src/test/quarantine/quarantine_world.ts
@@ -105,7 +105,7 @@
     this.hosts[host].exchange.reportEnd({
       target: `t${++this.endedProcesses}`,
       startedMs: 1,
-      runs: [{id: 'r', parts, hasBegun: true, tried}],
+      runs: [{id: `r${this.endedProcesses}`, parts, hasBegun: true, tried}],
     });
   }
 
