Log software versions and streams that callers take up

The log could not tell whether a stream went on at another software version, as no registration's version was read, nor that a request takes up a stream. It now names the version of each target, and of those a resumed or unserved request was sent to, with the attempt that it resumes and the last event that its caller has. Nothing is decided by it yet.

--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -51,6 +51,11 @@
   abstract readonly timeoutMs: number | undefined;
   /** Id of the last event that the caller has already received. */
   abstract readonly lastEventId: string | undefined;
+  /**
+   * Id of the attempt that brought the caller the first event, if the request
+   * takes up a stream.
+   */
+  abstract readonly resumedId: string | undefined;
   /** Clock time at which the request had been read completely. */
   abstract readonly arrivedMs: number;
   /** Aborts when the caller disconnects. */
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -187,6 +187,8 @@
     }
     const isServed = outcome.type === 'served';
     const hasParts = story.parts.length > 0;
+    const isResumed = story.lastEventId !== undefined;
+    const versions = story.softwareVersions.join(',') || undefined;
     const bucket = isServed ? this.servedBucket : this.unservedBucket;
     if (!this.tryTakeLine(bucket)) return;
     this.logger.info('request', {
@@ -206,6 +208,9 @@
       model: story.model,
       parts: isServed || !hasParts ? undefined : story.parts.join(','),
       targets: story.targets.length > 0 ? story.targets.join(',') : undefined,
+      versions: isServed && !isResumed ? undefined : versions,
+      resumes: story.resumedId,
+      after_event: story.lastEventId,
       config: story.configVersion,
       config_age_ms: story.configAgeMs,
       waited_ms: story.waitedMs,
--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -51,6 +51,7 @@
   service: z.string(),
   address: z.string(),
   zone: z.string(),
+  softwareVersion: z.string().optional(),
   slots: z.number(),
   isLeaving: z.boolean(),
 });
@@ -403,5 +404,15 @@
 function toSummary(registration: RegistrationSummary): RegistrationSummary {
   const {id, startedMs, service, address, zone, slots, isLeaving} =
     registration;
-  return {id, startedMs, service, address, zone, slots, isLeaving};
+  const {softwareVersion} = registration;
+  return {
+    id,
+    startedMs,
+    service,
+    address,
+    zone,
+    softwareVersion,
+    slots,
+    isLeaving,
+  };
 }
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -47,6 +47,8 @@
   readonly tried = new Set<string>();
   /** Targets that the request was sent to, in order. */
   readonly sentTo: string[] = [];
+  /** Software versions of these targets. */
+  readonly softwareVersions = new Set<string>();
   /** Number of sends that reached a target. */
   deliveredSends = 0;
   /** Whether a send has got an answer and the run may go on. */
@@ -193,7 +195,10 @@
   recordSend(target: KnownTarget): void {
     this.firstSendMs ??= this.elapsedMs();
     this.target = target;
-    this.sentTo.push(target.registration.id);
+    const {id, softwareVersion} = target.registration;
+    this.sentTo.push(id);
+    if (softwareVersion !== undefined)
+      this.softwareVersions.add(softwareVersion);
     this.sendStartMs = this.clock.now();
     this.receivedBytes = 0;
     this.endedBy = ENDED_BY.target;
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -16,6 +16,12 @@
   parts: readonly string[];
   /** Targets that the request was sent to, in order. */
   targets: string[];
+  /** Software versions of these targets, in the order of their first use. */
+  softwareVersions: string[];
+  /** Last event that the caller has, if it takes up a stream. */
+  lastEventId: string | undefined;
+  /** Id of the attempt that began that stream. */
+  resumedId: string | undefined;
   /** Version of the configuration in force when the request ended. */
   configVersion: number | undefined;
   /** Age of the newest confirmation of that version. */
--- a/packages/core/src/lib/gateway/target_registration.ts
+++ b/packages/core/src/lib/gateway/target_registration.ts
@@ -16,6 +16,11 @@
   /** IP address and port. */
   address: string;
   zone: string;
+  /**
+   * Version of the software that the target runs, which has nothing to do with
+   * that of its weights; left out if it is not known.
+   */
+  softwareVersion?: string;
   slots: number;
   /** Whether the target is shutting down and accepts no new requests. */
   isLeaving: boolean;
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -487,6 +487,7 @@
   return (
     known.isLeaving !== registration.isLeaving ||
     known.address !== registration.address ||
+    known.softwareVersion !== registration.softwareVersion ||
     known.service !== registration.service
   );
 }
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -68,6 +68,7 @@
   override sharedParts: readonly string[] = [];
   override timeoutMs: number | undefined;
   override lastEventId: string | undefined;
+  override resumedId: string | undefined;
   override readonly arrivedMs: number;
   readonly disconnect = new AbortController();
   refusal: Refusal | undefined;
