Reproduce streams joined from two software versions

Workers of several versions write different events, and the test looks at what a caller has received over all its attempts.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -155,6 +155,8 @@
   readonly plain: readonly PlatformWorkerStandin[];
   readonly engines: readonly PlatformWorkerStandin[];
   readonly hosts: GatewayHost[] = [];
+  /** Engine workers whose registrations have ended. */
+  readonly goneEngines = new Set<PlatformWorkerStandin>();
   /** Log lines of all hosts. */
   readonly lines: string[] = [];
   private readonly settings: PlatformSettings[] = [];
@@ -244,11 +246,20 @@
       this.store.put(STORE_TOPIC.targets, id, worker.registration(state));
     }
     for (const [i, engine] of this.engines.entries()) {
+      if (this.goneEngines.has(engine)) continue;
       const id = `e${i + 1}`;
       this.store.put(STORE_TOPIC.targets, id, engine.registration());
     }
   }
 
+  /** Ends the registration of an engine worker and the worker itself. */
+  async removeEngine(engine: PlatformWorkerStandin): Promise<void> {
+    this.goneEngines.add(engine);
+    const id = `e${this.engines.indexOf(engine) + 1}`;
+    this.store.put(STORE_TOPIC.targets, id, undefined);
+    await engine.stop();
+  }
+
   /** Sends a request to a host on a new connection. */
   async call(
     path: string,
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -81,6 +81,10 @@
   workMs = 0;
   /** Number of events of each stream. */
   streamEvents = EVENT_COUNT;
+  /** What each event of a stream holds. */
+  piece = 'piece';
+  /** Version of the software, as the worker registers it. */
+  softwareVersion = 'v1';
   /** Time between the events of a stream, in milliseconds; 0 for none. */
   eventGapMs = 0;
   /** Loopback port that the worker registers instead of its own. */
@@ -143,7 +147,7 @@
       Service: this.options.service,
       Addr: `${LOOPBACK}:${this.registeredPort ?? this.port}`,
       Zone: this.options.zone,
-      Version: 'v1',
+      Version: this.softwareVersion,
       Slots: 8,
       State: state,
       ColdLeftMs: 0,
@@ -310,6 +314,7 @@
       res,
       fault,
       silence: this.silences.get(id)?.shift(),
+      piece: this.piece,
       events: isStream ? this.streamEvents : undefined,
       gapMs: this.eventGapMs,
       afterEvent: isStream ? numberOf(req.headers['last-event-id'], 0) : 0,
--- a/packages/standins/src/lib/platform/worker_answers.ts
+++ b/packages/standins/src/lib/platform/worker_answers.ts
@@ -42,6 +42,8 @@
   res: ServerResponse;
   fault: FaultyAnswer | undefined;
   silence: PlannedSilence | undefined;
+  /** What each event of a stream holds. */
+  piece: string;
   /** Number of events; undefined for a plain response. */
   events: number | undefined;
   /** Time between two events in milliseconds; 0 for a stream sent at once. */
@@ -156,20 +158,20 @@
   );
 }
 
-function bodyOf({afterEvent, events, id}: WorkerAnswer): string {
+function bodyOf({afterEvent, events, id, piece}: WorkerAnswer): string {
   if (events === undefined) return `done ${id}`;
   let text = '';
-  for (let i = afterEvent + 1; i <= events; i++) text += formatEvent(i);
+  for (let i = afterEvent + 1; i <= events; i++) text += formatEvent(i, piece);
   return text;
 }
 
-function formatEvent(id: number): string {
-  return `id: ${id}\ndata: piece\n\n`;
+function formatEvent(id: number, piece: string): string {
+  return `id: ${id}\ndata: ${piece}\n\n`;
 }
 
 /** @returns the parts of a body, split where pauses are. */
 function piecesOf(answer: WorkerAnswer, text: string): BodyPiece[] {
-  const {afterEvent, events, gapMs, silence} = answer;
+  const {afterEvent, events, gapMs, piece, silence} = answer;
   const isSilentWithin =
     silence !== undefined && silence.place !== SILENCE_PLACE.head;
   if (events === undefined) {
@@ -187,7 +189,7 @@
   const pieces: BodyPiece[] = [];
   for (let eventId = afterEvent + 1; eventId <= events; eventId++) {
     const pauseMs = eventId === afterEvent + 1 ? 0 : gapMs;
-    const event = formatEvent(eventId);
+    const event = formatEvent(eventId, piece);
     if (eventId === middleEvent && silence?.place === SILENCE_PLACE.inside) {
       const half = event.slice(0, event.length / 2);
       pieces.push({text: half, pauseMs});
