Continue streams only at the software version that began them

Cause: no host knew the version of a target, so a stream went on at any target with the model, within one answer and when its caller took it up; and a host that had lost its memory guessed.

- Within one answer only targets of the version that made the first event can go on.
Before the first event any can.
- Each host remembers where its streams have begun.
While a service runs several versions, the lease holder passes this on to all hosts, so that any of them can take a stream up after the loss of the first.
- A host that does not know the origin goes on only if one version has run for as long as a stream can last: by its own list of targets, by what the lease holder knows and, after the loss of all hosts, by the versions in the store.
Otherwise it refuses (503, not run) at once.
- The search for a model, and loads for it, keep to the version.
A version that is not known is the same as no other.
With one version nothing is sent; the holder reads the versions once and writes them when they change.

--- /dev/null
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -0,0 +1,192 @@
+/** Tells hosts where streams have begun. @packageDocumentation */
+
+import {PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
+import {
+  EXCHANGE_ORIGINS,
+  PUBLISH_ORIGINS,
+  REPORT_ORIGINS,
+  VersionKnowledge,
+} from './origin_messages.js';
+import {ServiceVersions} from './service_versions.js';
+import {
+  ORIGIN_LIFETIME_MS,
+  OriginGroup,
+  StreamOrigin,
+  StreamOrigins,
+} from './stream_origins.js';
+
+/** Time in which streams are collected before they are sent. */
+const SEND_DELAY_MS = 50;
+
+/** Additional time in which the passing host collects them, for each host. */
+const SEND_DELAY_MS_PER_HOST = 2;
+
+/** Delay before streams that could not be sent are sent again. */
+const RESEND_DELAY_MS = 250;
+
+/** Interval of checks for a new host that passes origins on. */
+const CHECK_INTERVAL_MS = 500;
+
+const CALL_TIMEOUT_MS = 500;
+
+/** The host that passes on what the others tell it. */
+export interface PassingHost {
+  host: string;
+  incarnation: string;
+}
+
+/** Dependencies of an {@link OriginExchange}. */
+export interface OriginExchangeParts {
+  clock: Clock;
+  network: PeerNetwork;
+  origins: StreamOrigins;
+  versions: ServiceVersions;
+  /** The passing host, while it is heard; it may be this host. */
+  passingHost: () => PassingHost | undefined;
+  hostCount: () => number;
+}
+
+/**
+ * Lets every host know where streams have begun, so that each can continue them
+ * when the host that served them is lost. One host passes on what the others
+ * tell it. As long as a service runs one version, nothing is sent.
+ */
+export class OriginExchange {
+  private readonly toPass: OriginGroup[] = [];
+  private isSendScheduled = false;
+  private isPassScheduled = false;
+  /** Incarnation of the passing host that knows what this host knows. */
+  private exchangedWith = '';
+
+  /** @param parts - see {@link OriginExchangeParts}. */
+  constructor(private readonly parts: OriginExchangeParts) {
+    const {network, origins, versions} = parts;
+    versions.onChange(() => this.scheduleSend());
+    network.onNotification(REPORT_ORIGINS, ({groups}) => {
+      origins.addGroups(groups);
+      this.pass(groups);
+    });
+    network.onNotification(PUBLISH_ORIGINS, ({groups}) =>
+      origins.addGroups(groups),
+    );
+    network.serveUnary(EXCHANGE_ORIGINS, knowledge => {
+      // A rejected call makes the host ask again once it knows the new one.
+      if (!this.isPassing) throw new Error('not the passing host');
+      const reply = this.knowledge();
+      origins.addGroups(knowledge.groups);
+      if (knowledge.knowsPast && !versions.knowsPast)
+        versions.addPast(knowledge.past);
+      this.pass(knowledge.groups);
+      return reply;
+    });
+  }
+
+  /**
+   * Records a stream that has begun at this host.
+   *
+   * @param key - its key, see {@link streamKey}.
+   * @param origin - the service and the version that began it.
+   */
+  recordBegun(key: string, origin: StreamOrigin): void {
+    this.parts.origins.addOwn(key, origin);
+    if (this.isMixed(origin.service)) this.scheduleSend();
+  }
+
+  /**
+   * Exchanges knowledge with each new passing host until the signal aborts.
+   *
+   * @param signal - ends the task.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.parts.clock.every(CHECK_INTERVAL_MS, signal, () =>
+      this.exchange(signal),
+    );
+  }
+
+  private async exchange(signal: AbortSignal): Promise<void> {
+    const {network, origins, versions} = this.parts;
+    const passing = this.parts.passingHost();
+    if (passing === undefined || this.isPassing) return;
+    if (passing.incarnation === this.exchangedWith) return;
+    const reply = await network.call(
+      passing.host,
+      EXCHANGE_ORIGINS,
+      this.knowledge(),
+      {timeoutMs: CALL_TIMEOUT_MS, signal},
+    );
+    if (reply.isErr()) return;
+    const {groups, knowsPast, past} = reply.value;
+    origins.addGroups(groups);
+    if (!knowsPast) return;
+    versions.addPast(past);
+    this.exchangedWith = passing.incarnation;
+  }
+
+  private knowledge(): VersionKnowledge {
+    const {origins, versions} = this.parts;
+    const {knowsPast} = versions;
+    const groups = origins.all(service => this.isMixed(service));
+    return {groups, knowsPast, past: versions.past()};
+  }
+
+  private get isPassing(): boolean {
+    const {network, passingHost} = this.parts;
+    return passingHost()?.incarnation === network.self.incarnation;
+  }
+
+  private isMixed(service: string): boolean {
+    return this.parts.versions.isMixed(service, ORIGIN_LIFETIME_MS);
+  }
+
+  private scheduleSend(delayMs = SEND_DELAY_MS): void {
+    if (this.isSendScheduled) return;
+    this.isSendScheduled = true;
+    this.parts.clock.after(delayMs, () => this.send());
+  }
+
+  /** Sends the streams of this host in services that run several versions. */
+  private send(): void {
+    const {network, origins, passingHost} = this.parts;
+    this.isSendScheduled = false;
+    const groups = origins.takeUnsent(service => this.isMixed(service));
+    if (groups.length === 0) return;
+    if (this.isPassing) {
+      this.pass(groups);
+      return;
+    }
+    const receiver = passingHost()?.host;
+    const isSent =
+      receiver !== undefined &&
+      network.notify(receiver, REPORT_ORIGINS, {groups});
+    if (isSent) return;
+    origins.markUnsent(groups);
+    this.scheduleSend(RESEND_DELAY_MS);
+  }
+
+  private pass(groups: readonly OriginGroup[]): void {
+    if (groups.length === 0) return;
+    this.toPass.push(...groups);
+    if (this.isPassScheduled) return;
+    this.isPassScheduled = true;
+    const {clock, hostCount, network} = this.parts;
+    const delayMs = SEND_DELAY_MS + hostCount() * SEND_DELAY_MS_PER_HOST;
+    clock.after(delayMs, () => {
+      this.isPassScheduled = false;
+      const passed = mergeGroups(this.toPass.splice(0));
+      network.broadcast(PUBLISH_ORIGINS, {groups: passed});
+    });
+  }
+}
+
+/** Merges groups with the same origin. */
+function mergeGroups(groups: readonly OriginGroup[]): OriginGroup[] {
+  const merged = new Map<string, OriginGroup>();
+  for (const {keys, service, softwareVersion} of groups) {
+    const name = JSON.stringify([service, softwareVersion]);
+    const known = merged.get(name);
+    if (known !== undefined) known.keys.push(...keys);
+    else merged.set(name, {service, softwareVersion, keys: [...keys]});
+  }
+  return [...merged.values()];
+}
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -38,8 +38,15 @@
   Req extends CallerRequest<Head>,
   Head extends AnswerHead,
 > {
-  /** @param clock - measures the time between events of a stream. */
-  constructor(private readonly clock: Clock) {}
+  /**
+   * @param clock - measures the time between events of a stream.
+   * @param onEvents - called before whole events of a resumable stream are
+   *     passed on.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly onEvents: (call: RelayCall<Req>) => void,
+  ) {}
 
   /**
    * Relays an answer until it ends.
@@ -91,6 +98,7 @@
       // Comments and partial events do not count as progress.
       if (splitter.lastId !== lastId) monitor?.recordProgress();
       if (splitter.isTooLong) answer.discard();
+      if (bytes.length > 0) this.onEvents(call);
       const written = bytes.length === 0 ? undefined : req.write(bytes);
       if (written !== undefined) monitor?.recordBlocked(written);
       return written;
@@ -101,8 +109,10 @@
     if (answer.head.isEventStream && boundary.isInsideEvent)
       return BODY_END.broken;
     const remainingBytes = splitter?.flush();
-    if (remainingBytes !== undefined && remainingBytes.length > 0)
+    if (remainingBytes !== undefined && remainingBytes.length > 0) {
+      this.onEvents(call);
       void req.write(remainingBytes);
+    }
     req.end();
     return end;
   }
--- a/packages/core/src/lib/gateway/model_finder.ts
+++ b/packages/core/src/lib/gateway/model_finder.ts
@@ -18,6 +18,8 @@
   deadlineMs: number;
   /** Ids of the targets to avoid: tried already or backing off. */
   tried: ReadonlySet<string>;
+  /** Software version of the targets that may be used, if not all may. */
+  softwareVersion: string | undefined;
 }
 
 /** Finds targets for models and triggers loads of missing models. */
--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -233,6 +233,11 @@
     return reader()?.incarnation === network.self.incarnation;
   }
 
+  /** Age of the targets in the reader's last reply, in milliseconds. */
+  get targetsAgeMs(): number {
+    return this.parts.clock.now() - this.targetsMs;
+  }
+
   /** Whether the targets are fresh enough that the store need not be read. */
   get hasFreshTargets(): boolean {
     return !this.isReader && this.isWithinLifetime(this.targetsMs);
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -14,6 +14,7 @@
 import {Admission} from './admission.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
+import {StreamContinuity} from '../continuation/stream_continuity.js';
 import {digestParts} from '../quarantine/part_digest.js';
 import {digestRequest} from '../quarantine/request_digest.js';
 import {DeploymentState} from './deployment_state.js';
@@ -44,6 +45,9 @@
 import {KnownTarget, TargetTable} from './target_table.js';
 import {TeamQuotas} from './team_quotas.js';
 
+/** Retry-after time of a refusal to continue a stream of unknown origin. */
+const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 1_000;
+
 /** Time reserved for sending the answer to the caller. */
 const ANSWER_MARGIN_MS = 15;
 
@@ -105,6 +109,7 @@
   models: ModelFinder;
   prompts: PromptGuard;
   sends: TargetSends;
+  continuity: StreamContinuity;
   observer: RelayObserver;
   /** Zone of this host. */
   zone: string;
@@ -126,7 +131,9 @@
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
-    this.answers = new AnswerRelay(parts.clock);
+    this.answers = new AnswerRelay(parts.clock, call =>
+      this.recordEvents(call),
+    );
     this.search = new TargetSearch(parts);
     const {clock, observer, port, retries} = parts;
     this.stallParts = {
@@ -201,14 +208,18 @@
       return refuse(REFUSAL.noCapacity, 'the route has no service');
     }
     call.service = service;
-    const sharedParts = digestParts(service, req.sharedParts);
+    if (!this.tryResume(req, call)) {
+      const message = 'the software version of the stream is not known';
+      return refuse(REFUSAL.noCapacity, message, UNKNOWN_ORIGIN_RETRY_AFTER_MS);
+    }
+    const sharedParts = digestParts(call.service, req.sharedParts);
     call.parts = [...sharedParts, digestRequest(req.content, call.team?.name)];
     const refusal = this.parts.prompts.check(call.parts);
     if (refusal !== undefined) return refusal;
-    this.parts.retries.countRequest(service);
+    this.parts.retries.countRequest(call.service);
     if (req.demand !== undefined) {
       const {objectiveMs} = call.route;
-      this.parts.models.countRequest(service, req.demand, objectiveMs);
+      this.parts.models.countRequest(call.service, req.demand, objectiveMs);
     }
     for (;;) {
       if (call.signal.aborted) return this.abortedOutcome(req, call);
@@ -250,6 +261,38 @@
     }
   }
 
+  /**
+   * Finds where a stream that a caller takes up may go on.
+   *
+   * @returns whether it is known; also true for all other requests.
+   */
+  private tryResume(req: Req, call: RelayCall<Req>): boolean {
+    if (req.lastEventId === undefined || call.splitter === undefined)
+      return true;
+    const origin = this.parts.continuity.originOf({
+      team: call.team?.name,
+      resumedId: req.resumedId,
+      service: call.service,
+      timeoutMs: call.route.timeoutMs,
+    });
+    if (origin === undefined) return false;
+    const {service} = origin;
+    if (!call.route.shares.some(share => share.service === service))
+      return false;
+    call.service = service;
+    call.fixVersion(origin.softwareVersion);
+    return true;
+  }
+
+  /** Records where a stream has begun, before its caller learns of it. */
+  private recordEvents(call: RelayCall<Req>): void {
+    const target = call.recordEvents();
+    if (target?.softwareVersion === undefined) return;
+    const {softwareVersion} = target;
+    const origin = {service: call.service, softwareVersion};
+    this.parts.continuity.recordBegun(call.team?.name, call.id, origin);
+  }
+
   /**
    * Checks whether a request may be sent now.
    *
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -7,6 +7,7 @@
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
+import {TargetRegistration} from './target_registration.js';
 import {KnownTarget} from './target_table.js';
 
 /**
@@ -43,6 +44,13 @@
 export class RelayCall<Req extends CallerRequest> {
   /** Name of the service; empty until it is chosen. */
   service = '';
+  /**
+   * Software version that the stream has begun at, if it has begun and the
+   * version is known.
+   */
+  softwareVersion: string | undefined;
+  /** Whether only targets of that version may go on with the stream. */
+  isVersionFixed = false;
   /** Targets that refused the request or failed to answer it. */
   readonly tried = new Set<string>();
   /** Targets that the request was sent to, in order. */
@@ -213,6 +221,42 @@
     if (this.run !== undefined) this.run.hasBegun = true;
   }
 
+  /**
+   * Lets only targets of a software version go on with the stream.
+   *
+   * @param softwareVersion - the version; undefined if it is not known, and then
+   *     no target may.
+   */
+  fixVersion(softwareVersion: string | undefined): void {
+    this.isVersionFixed = true;
+    this.softwareVersion = softwareVersion;
+  }
+
+  /**
+   * Returns whether a target runs a version that may go on with the stream.
+   *
+   * @param target - the target.
+   */
+  canUseVersionOf({registration}: KnownTarget): boolean {
+    if (!this.isVersionFixed) return true;
+    // A version that is not known is not the same as another such.
+    if (this.softwareVersion === undefined) return false;
+    return registration.softwareVersion === this.softwareVersion;
+  }
+
+  /**
+   * Records that events are about to be passed on to the caller.
+   *
+   * @returns the registration of the target that has begun the stream, if these
+   *     are the first events of it.
+   */
+  recordEvents(): TargetRegistration | undefined {
+    if (this.isVersionFixed || this.target === undefined) return undefined;
+    const {registration} = this.target;
+    this.fixVersion(registration.softwareVersion);
+    return registration;
+  }
+
   /** Time since the start of the current send. */
   get sendAgeMs(): number {
     return Math.round(this.clock.now() - this.sendStartMs);
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -62,6 +62,10 @@
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
     const engine = this.engineOf(call);
     for (;;) {
+      if (!this.canContinue(call)) {
+        const message = 'no target runs the software version of the stream';
+        return err(noCapacityRefusal(message));
+      }
       const options = {
         zone: this.parts.zone,
         tried: call.tried,
@@ -126,12 +130,25 @@
     return other.throttledLeftMs === 0;
   }
 
+  /** Returns the targets of the service that may run the request. */
+  private targetsFor(call: RelayCall<CallerRequest>): readonly KnownTarget[] {
+    const all = this.parts.targets.ofService(call.service);
+    if (!call.isVersionFixed) return all;
+    return all.filter(target => call.canUseVersionOf(target));
+  }
+
+  /** Returns whether there is any target that may go on with the stream. */
+  private canContinue(call: RelayCall<CallerRequest>): boolean {
+    if (!call.isVersionFixed) return true;
+    return this.targetsFor(call).some(target => target.isOpen);
+  }
+
   /** Returns the targets of the service that hold the model, if it needs one. */
   private candidatesFor(
     {demand}: CallerRequest,
     call: RelayCall<CallerRequest>,
   ): readonly KnownTarget[] {
-    const all = this.parts.targets.ofService(call.service);
+    const all = this.targetsFor(call);
     if (this.engineOf(call) === undefined || demand === undefined) return all;
     return all.filter(target => target.holds(demand.model, demand.adapter));
   }
@@ -181,6 +198,7 @@
       objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
       deadlineMs: call.deadlineMs,
       tried: this.targetsToAvoid(call),
+      softwareVersion: call.softwareVersion,
     };
   }
 
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -25,6 +25,20 @@
   return adapter === undefined ? model : `${model}/${adapter}`;
 }
 
+/**
+ * Returns whether a target runs a software version.
+ *
+ * @param target - the target.
+ * @param softwareVersion - the version; undefined if any will do.
+ */
+export function runsVersion(
+  {registration}: KnownTarget,
+  softwareVersion: string | undefined,
+): boolean {
+  if (softwareVersion === undefined) return true;
+  return registration.softwareVersion === softwareVersion;
+}
+
 /** Time for which a reported load is valid; reports are repeated more often. */
 const LOAD_LIFETIME_MS = 1_000;
 
@@ -248,12 +262,25 @@
     (target: KnownTarget, isOwn: boolean) => void
   > = [];
   private readonly leavingListeners: Array<(target: KnownTarget) => void> = [];
+  private readonly processListeners: Array<
+    (ended: TargetRegistration | undefined) => void
+  > = [];
 
   /** @param clock - measures the validity of the data about each target. */
   constructor(private readonly clock: Clock) {
     this.signals = new SignalTable(clock);
   }
 
+  /**
+   * @param listener - called with the registration of each process that is
+   *     replaced or removed, and without one for each that is added.
+   */
+  onProcessChange(
+    listener: (ended: TargetRegistration | undefined) => void,
+  ): void {
+    this.processListeners.push(listener);
+  }
+
   /** @param listener - called once for each process that is leaving. */
   onLeaving(listener: (target: KnownTarget) => void): void {
     this.leavingListeners.push(listener);
@@ -420,12 +447,16 @@
       known !== undefined &&
       isSameProcess(known.registration, registration)
     ) {
-      const hasMoved = known.registration.service !== registration.service;
+      const earlier = known.registration;
+      const hasMoved = earlier.service !== registration.service;
       if (isRelevantToPeers(known.registration, registration))
         this.recordChange(registration.id);
       known.registration = registration;
       if (shouldSetHeldModels) known.setHeldModels(registration);
       if (hasMoved) this.reindex();
+      const {softwareVersion} = registration;
+      if (hasMoved || earlier.softwareVersion !== softwareVersion)
+        this.reportProcess(earlier);
       return known;
     }
     if (known !== undefined) known.isRemoved = true;
@@ -433,6 +464,7 @@
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
     this.reindex();
+    this.reportProcess(known?.registration);
     return target;
   }
 
@@ -461,6 +493,11 @@
     this.byId.delete(id);
     this.recordChange(id);
     this.reindex();
+    this.reportProcess(known.registration);
+  }
+
+  private reportProcess(ended: TargetRegistration | undefined): void {
+    for (const listener of this.processListeners) listener(ended);
   }
 
   private recordChange(id: string): void {
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -1,7 +1,7 @@
 /** Decides which models the targets hold, on the host with the lease. @packageDocumentation */
 
 import {Result, ok} from 'neverthrow';
-import {residentKey} from '../gateway/target_table.js';
+import {residentKey, runsVersion} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {WakeableSleep} from '../time/wakeable_sleep.js';
@@ -81,6 +81,8 @@
   giveUpMs: number;
   /** Targets that refused the request. */
   tried: ReadonlySet<string>;
+  /** Software version of the targets that may be used, if not all may. */
+  softwareVersion: string | undefined;
 }
 
 /** Refusal, as no target will hold the model in time. */
@@ -251,8 +253,8 @@
     this.relieveLimits(service);
     const planned = new Set<string>();
     for (const waiter of this.waitQueue.byUrgency(service)) {
-      const {model, adapter, tried} = waiter.request;
-      const key = residentKey(model, adapter);
+      const {model, adapter, softwareVersion, tried} = waiter.request;
+      const key = JSON.stringify([model, adapter, softwareVersion]);
       const isFirst = !planned.has(key);
       if (tried.size === 0) planned.add(key);
       this.planFor(waiter, service, accounts, isFirst);
@@ -313,18 +315,22 @@
   /**
    * Assigns a request to a target, starts a load for it or refuses it.
    *
+   * @param all - the targets of the service.
    * @param canStart - whether a swap may be started for the request; false if
    *     one was considered for the same model in this round.
    */
   private planFor(
     waiter: Waiter,
     service: string,
-    accounts: readonly ResidencyAccount[],
+    all: readonly ResidencyAccount[],
     canStart: boolean,
   ): void {
     const {clock, registry} = this.parts;
     const nowMs = clock.now();
-    const {model, adapter} = waiter.request;
+    const {model, adapter, softwareVersion} = waiter.request;
+    const accounts = all.filter(({target}) =>
+      runsVersion(target, softwareVersion),
+    );
     if (!registry.engineOf(service)?.models.has(model)) {
       const refusal = {retryAfterMs: RETRY_AFTER_MS, isFinal: true};
       this.waitQueue.refuse(waiter, refusal);
@@ -344,7 +350,8 @@
         this.waitQueue.refuse(waiter, {retryAfterMs: leftMs, isFinal: true});
         return;
       }
-      if (holders.length === 0 && canStart) this.startSwap(model, service);
+      if (holders.length === 0 && canStart)
+        this.startSwap(model, service, softwareVersion);
       this.refuseIfTooLate(waiter, accounts);
       return;
     }
@@ -467,7 +474,11 @@
     waiter.resolve(ok(best.id));
   }
 
-  private startSwap(model: string, service: string): void {
+  private startSwap(
+    model: string,
+    service: string,
+    softwareVersion?: string,
+  ): void {
     const {lease, logger} = this.parts;
     if (!lease.canOrder) return;
     const engine = this.parts.registry.engineOf(service);
@@ -486,7 +497,9 @@
       model,
       round,
       canLoadFromStore,
-      account => !isLimited || canRelieve(account, model, round),
+      account =>
+        runsVersion(account.target, softwareVersion) &&
+        (!isLimited || canRelieve(account, model, round)),
     );
     if (swap === undefined) return;
     this.rounds.delete(service);
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -4,7 +4,11 @@
 import {ModelDemand} from '../gateway/caller_request.js';
 import {ModelFinder, ModelSearch} from '../gateway/model_finder.js';
 import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
-import {KnownTarget, TargetTable} from '../gateway/target_table.js';
+import {
+  KnownTarget,
+  TargetTable,
+  runsVersion,
+} from '../gateway/target_table.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
@@ -220,7 +224,7 @@
     while (!signal.aborted && clock.now() < giveUpMs) {
       const found = await this.askHolder(search, giveUpMs, signal);
       if (found?.target !== undefined) {
-        const target = this.adoptFound(found.target, search.demand);
+        const target = this.adoptFound(found.target, search);
         if (target !== undefined) return ok(target);
       } else if (found !== undefined) {
         retryAfterMs = found.retryAfterMs;
@@ -272,11 +276,19 @@
     signal: AbortSignal,
   ): Promise<FoundBody | undefined> {
     const {clock, controller, lease, network} = this.parts;
-    const {service, demand, objectiveEndMs, tried} = search;
+    const {service, demand, objectiveEndMs, softwareVersion, tried} = search;
     const {model, adapter} = demand;
     if (controller.isActive) {
       return this.findAsHolder(
-        {service, model, adapter, objectiveEndMs, giveUpMs, tried},
+        {
+          service,
+          model,
+          adapter,
+          objectiveEndMs,
+          giveUpMs,
+          tried,
+          softwareVersion,
+        },
         signal,
       );
     }
@@ -290,6 +302,7 @@
       objectiveInMs: objectiveEndMs - nowMs,
       giveUpInMs: giveUpMs - nowMs,
       tried: [...tried],
+      softwareVersion,
     };
     const timeoutMs = giveUpMs - nowMs;
     const found = await network.call(holder.host, FIND_TARGET, body, {
@@ -311,10 +324,12 @@
 
   private adoptFound(
     id: string,
-    {model, adapter}: ModelDemand,
+    {demand, softwareVersion}: ModelSearch,
   ): KnownTarget | undefined {
+    const {model, adapter} = demand;
     const target = this.parts.targets.get(id);
     if (target === undefined || !target.takesRequests) return undefined;
+    if (!runsVersion(target, softwareVersion)) return undefined;
     let adapters = target.held.get(model);
     if (adapters === undefined) {
       adapters = new Set();
@@ -329,6 +344,7 @@
     for (const target of this.parts.targets.ofService(search.service)) {
       if (!target.takesRequests) continue;
       if (search.tried.has(target.registration.id)) continue;
+      if (!runsVersion(target, search.softwareVersion)) continue;
       if (target.holds(model, adapter) && !target.health.isAvoided) {
         return target;
       }
@@ -353,6 +369,7 @@
           objectiveEndMs: nowMs + body.objectiveInMs,
           giveUpMs: nowMs + body.giveUpInMs,
           tried: new Set(body.tried),
+          softwareVersion: body.softwareVersion,
         },
         signal,
       );
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -14,6 +14,8 @@
   /** Time left until the caller no longer waits. */
   giveUpInMs: z.number(),
   tried: z.array(z.string()),
+  /** Software version of the targets that may be used, if not all may. */
+  softwareVersion: z.string().optional(),
 });
 
 /** Body of {@link FIND_TARGET}. */
--- a/packages/core/src/test/gateway/gateway_fixtures.ts
+++ b/packages/core/src/test/gateway/gateway_fixtures.ts
@@ -113,6 +113,7 @@
     service: PLAIN_SERVICE,
     address: '127.0.0.1:1',
     zone: 'a',
+    softwareVersion: 'v1',
     slots: 8,
     isLeaving: false,
     orderCount: 0,
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -43,6 +43,10 @@
   refuse,
 } from '../../lib/requests/outcome.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
+import {OriginExchange} from '../../lib/continuation/origin_exchange.js';
+import {ServiceVersions} from '../../lib/continuation/service_versions.js';
+import {StreamContinuity} from '../../lib/continuation/stream_continuity.js';
+import {StreamOrigins} from '../../lib/continuation/stream_origins.js';
 import {AnsweredParts} from '../../lib/quarantine/answered_parts.js';
 import {PartLedger} from '../../lib/quarantine/part_ledger.js';
 import {PromptGuard} from '../../lib/quarantine/prompt_guard.js';
@@ -240,6 +244,26 @@
   return new PromptGuard({clock, ledger, exchange, detector});
 }
 
+/** Returns the continuity of streams on a host that is alone. */
+function loneContinuity(
+  clock: ManualClock,
+  targets: TargetTable,
+): StreamContinuity {
+  const self = {host: 'h', zone: 'z', incarnation: 'h-1'};
+  const origins = new StreamOrigins(clock);
+  const versions = new ServiceVersions({clock, targets, listAgeMs: () => 0});
+  versions.addPast([]);
+  const exchange = new OriginExchange({
+    clock,
+    network: new MemoryHub(clock, new Random(1)).join(self),
+    origins,
+    versions,
+    passingHost: () => self,
+    hostCount: () => 1,
+  });
+  return new StreamContinuity({origins, versions, exchange});
+}
+
 /** Reaches no lender, on the only host. */
 class LoneLoans extends SendLoans {
   override readonly hostCount = 1;
@@ -392,6 +416,7 @@
     models: options.models?.(clock, targets) ?? new NoModels(clock),
     prompts: lonePromptGuard(clock, port, ledger),
     sends: new TargetSends(clock, new LoneLoans()),
+    continuity: loneContinuity(clock, targets),
     observer,
     zone: 'a',
   });
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -381,6 +381,7 @@
       objectiveEndMs: nowMs + 2_500,
       giveUpMs: nowMs + waitMs,
       tried: new Set(),
+      softwareVersion: undefined,
     };
     return this.controller.find(request, signal);
   }
