Exchange stream origins once with a host that does not know the past

A host repeated the exchange twice a second for as long as the passing host had not read the stored versions. Now it repeats it every two seconds, and only while it does not know the past itself.

--- a/packages/core/src/lib/continuation/origin_exchange.ts
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -28,6 +28,9 @@
 /** Interval of checks for a new host that passes origins on. */
 const CHECK_INTERVAL_MS = 500;
 
+/** Interval of exchanges with one that does not know the past yet. */
+const UNINFORMED_INTERVAL_MS = 2_000;
+
 const CALL_TIMEOUT_MS = 500;
 
 /** The host that passes on what the others tell it. */
@@ -58,6 +61,7 @@
   private isPassScheduled = false;
   /** Incarnation of the passing host that knows what this host knows. */
   private exchangedWith = '';
+  private nextExchangeMs = -Infinity;
 
   /** @param parts - see {@link OriginExchangeParts}. */
   constructor(private readonly parts: OriginExchangeParts) {
@@ -105,10 +109,12 @@
   }
 
   private async exchange(signal: AbortSignal): Promise<void> {
-    const {network, origins, versions} = this.parts;
+    const {clock, network, origins, versions} = this.parts;
     const passing = this.parts.passingHost();
     if (passing === undefined || this.isPassing) return;
-    if (passing.incarnation === this.exchangedWith) return;
+    const isNew = passing.incarnation !== this.exchangedWith;
+    const isDue = !versions.knowsPast && clock.now() >= this.nextExchangeMs;
+    if (!isNew && !isDue) return;
     const reply = await network.call(
       passing.host,
       EXCHANGE_ORIGINS,
@@ -118,9 +124,9 @@
     if (reply.isErr()) return;
     const {groups, knowsPast, past} = reply.value;
     origins.addGroups(groups);
-    if (!knowsPast) return;
-    versions.addPast(past);
     this.exchangedWith = passing.incarnation;
+    this.nextExchangeMs = clock.now() + UNINFORMED_INTERVAL_MS;
+    if (knowsPast) versions.addPast(past);
   }
 
   private knowledge(): VersionKnowledge {
--- /dev/null
+++ b/packages/core/src/test/continuation/version_keeper_test.ts
@@ -0,0 +1,120 @@
+import {expect} from 'chai';
+import {Result, err, ok} from 'neverthrow';
+import {
+  ArchivedVersions,
+  VersionArchive,
+} from '../../lib/continuation/version_archive.js';
+import {VersionKeeper} from '../../lib/continuation/version_keeper.js';
+import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {ContinuityHost, ContinuityWorld, SERVICE} from './continuity_world.js';
+
+const SECOND_MS = 1_000;
+
+/** Keeps versions in memory, unless it is down. */
+class MemoryArchive extends VersionArchive {
+  readonly stored = new Map<string, ArchivedVersions>();
+  reads = 0;
+  writes = 0;
+  isDown = false;
+
+  override async read(): Promise<Result<ArchivedVersions[], 'unavailable'>> {
+    this.reads += 1;
+    return this.isDown ? err('unavailable') : ok([...this.stored.values()]);
+  }
+
+  override async write(
+    versions: readonly ArchivedVersions[],
+  ): Promise<Result<void, 'unavailable'>> {
+    this.writes += 1;
+    if (this.isDown) return err('unavailable');
+    for (const entry of versions) this.stored.set(entry.service, entry);
+    return ok(undefined);
+  }
+}
+
+describe('VersionKeeper', () => {
+  let world: ContinuityWorld;
+  let archive: MemoryArchive;
+  let host: ContinuityHost;
+  let shutdown: AbortController;
+  let isDeciding: boolean;
+
+  function startKeeper(): void {
+    const {clock} = world;
+    const keeper = new VersionKeeper({
+      clock,
+      logger: new SilentLogger(),
+      versions: host.versions,
+      archive,
+      isDeciding: () => isDeciding,
+    });
+    shutdown = new AbortController();
+    void keeper.run(shutdown.signal);
+  }
+
+  /** Loses all memory, as if all hosts had been killed. */
+  async function restart(...versions: string[]): Promise<void> {
+    shutdown.abort();
+    host = world.startHost(0);
+    host.versions.recordListed();
+    for (const [i, version] of versions.entries())
+      host.setTarget(`t${i}`, version);
+    startKeeper();
+    await world.clock.advance(SECOND_MS);
+  }
+
+  beforeEach(async () => {
+    world = new ContinuityWorld(1);
+    archive = new MemoryArchive();
+    isDeciding = true;
+    host = world.hosts[0];
+    world.setTargets('v1', 'v1');
+    startKeeper();
+    await world.clock.advance(SECOND_MS);
+  });
+
+  afterEach(() => shutdown.abort());
+
+  it('makes two calls while one version runs', async () => {
+    await world.clock.advance(100 * SECOND_MS);
+    expect([archive.reads, archive.writes]).to.deep.equal([1, 1]);
+    expect(archive.stored.get(SERVICE)?.current).to.deep.equal(['v1']);
+  });
+
+  it('continues streams of the only version after all hosts were killed', async () => {
+    await restart('v1', 'v1');
+    expect(host.versionOf('unknown')).to.equal('v1');
+  });
+
+  it('continues no unknown stream after a version came while all hosts were down', async () => {
+    await restart('v2', 'v2');
+    expect(host.versionOf('unknown')).to.equal(undefined);
+  });
+
+  it('continues no unknown stream after a version left before all hosts were killed', async () => {
+    host.setTarget('t1', 'v2');
+    await world.clock.advance(SECOND_MS);
+    host.setTarget('t0', 'v2');
+    await world.clock.advance(SECOND_MS);
+    await restart('v2', 'v2');
+    expect(host.versionOf('unknown')).to.equal(undefined);
+  });
+
+  it('continues no unknown stream while the archive cannot be read', async () => {
+    archive.isDown = true;
+    await restart('v1', 'v1');
+    expect(host.versionOf('unknown')).to.equal(undefined);
+    archive.isDown = false;
+    await world.clock.advance(3 * SECOND_MS);
+    expect(host.versionOf('unknown')).to.equal('v1');
+  });
+
+  it('writes again what could not be written', async () => {
+    archive.isDown = true;
+    host.setTarget('t1', 'v2');
+    await world.clock.advance(3 * SECOND_MS);
+    archive.isDown = false;
+    await world.clock.advance(3 * SECOND_MS);
+    expect(archive.stored.get(SERVICE)?.current).to.deep.equal(['v1', 'v2']);
+  });
+});
