Keep where streams have begun in the store while versions are mixed

ORDER held, as no host knew an origin and none guessed. The origins were in the hosts' memory only, which all had lost.

--- a/packages/core/src/lib/continuation/origin_exchange.ts
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -14,6 +14,7 @@
   OriginGroup,
   StreamOrigin,
   StreamOrigins,
+  mergeGroups,
 } from './stream_origins.js';
 
 /** Time in which streams are collected before they are sent. */
@@ -29,7 +30,7 @@
 const CHECK_INTERVAL_MS = 500;
 
 /** Interval of exchanges with one that does not know the past yet. */
-const UNINFORMED_INTERVAL_MS = 2_000;
+const UNINFORMED_INTERVAL_MS = 1_000;
 
 const CALL_TIMEOUT_MS = 500;
 
@@ -57,6 +58,9 @@
  */
 export class OriginExchange {
   private readonly toPass: OriginGroup[] = [];
+  private readonly passListeners: Array<
+    (groups: readonly OriginGroup[]) => void
+  > = [];
   private isSendScheduled = false;
   private isPassScheduled = false;
   /** Incarnation of the passing host that knows what this host knows. */
@@ -97,6 +101,21 @@
     if (this.isMixed(origin.service)) this.scheduleSend();
   }
 
+  /** @param listener - called with the streams that this host passes on. */
+  onPass(listener: (groups: readonly OriginGroup[]) => void): void {
+    this.passListeners.push(listener);
+  }
+
+  /**
+   * Adds streams that were archived, and passes them on.
+   *
+   * @param groups - the streams.
+   */
+  addArchived(groups: readonly OriginGroup[]): void {
+    this.parts.origins.addGroups(groups);
+    this.broadcastSoon(groups);
+  }
+
   /**
    * Exchanges knowledge with each new passing host until the signal aborts.
    *
@@ -172,6 +191,11 @@
 
   private pass(groups: readonly OriginGroup[]): void {
     if (groups.length === 0) return;
+    for (const listener of this.passListeners) listener(groups);
+    this.broadcastSoon(groups);
+  }
+
+  private broadcastSoon(groups: readonly OriginGroup[]): void {
     this.toPass.push(...groups);
     if (this.isPassScheduled) return;
     this.isPassScheduled = true;
@@ -184,15 +208,3 @@
     });
   }
 }
-
-/** Merges groups with the same origin. */
-function mergeGroups(groups: readonly OriginGroup[]): OriginGroup[] {
-  const merged = new Map<string, OriginGroup>();
-  for (const {keys, service, softwareVersion} of groups) {
-    const name = JSON.stringify([service, softwareVersion]);
-    const known = merged.get(name);
-    if (known !== undefined) known.keys.push(...keys);
-    else merged.set(name, {service, softwareVersion, keys: [...keys]});
-  }
-  return [...merged.values()];
-}
--- a/packages/core/src/lib/continuation/service_versions.ts
+++ b/packages/core/src/lib/continuation/service_versions.ts
@@ -119,6 +119,18 @@
     return this.since(service, withinMs).size > 1;
   }
 
+  /**
+   * Returns whether any service has run several versions of late.
+   *
+   * @param withinMs - how far to look back.
+   */
+  isAnyMixed(withinMs: number): boolean {
+    for (const service of this.services()) {
+      if (this.isMixed(service, withinMs)) return true;
+    }
+    return false;
+  }
+
   /**
    * Returns the version that all streams of a service have begun at.
    *
--- a/packages/core/src/lib/continuation/stream_origins.ts
+++ b/packages/core/src/lib/continuation/stream_origins.ts
@@ -41,6 +41,22 @@
   return hash.digest('hex').slice(0, KEY_CHARS);
 }
 
+/**
+ * Merges groups with the same origin.
+ *
+ * @param groups - the groups, which stay as they are.
+ */
+export function mergeGroups(groups: readonly OriginGroup[]): OriginGroup[] {
+  const merged = new Map<string, OriginGroup>();
+  for (const {keys, service, softwareVersion} of groups) {
+    const name = JSON.stringify([service, softwareVersion]);
+    const known = merged.get(name);
+    if (known !== undefined) known.keys.push(...keys);
+    else merged.set(name, {service, softwareVersion, keys: [...keys]});
+  }
+  return [...merged.values()];
+}
+
 /** Remembers the origins of streams of this host and of others. */
 export class StreamOrigins {
   private readonly streams = new Map<string, KnownStream>();
