Take the end of a connection for no proof of a whole answer

An answer may come with neither a length nor chunks and end with its connection. The process that a request ends looks the same: such a run cleared the request that had crashed its target, and an event stream without any event was passed on as complete. Now a close-delimited answer proves nothing; whether its target has ended is checked, and an event stream that ends so before its first event has broken off. Both tests fail without the change (no suspect; an empty answer).

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -106,7 +106,9 @@
     ended.abort();
     if (end !== BODY_END.complete) return end;
     // The end of its connection may be all that ends a stream.
-    if (answer.head.isEventStream && boundary.isInsideEvent)
+    const {isCloseDelimited, isEventStream} = answer.head;
+    const isEmpty = isCloseDelimited && call.receivedBytes === 0;
+    if (isEventStream && (boundary.isInsideEvent || isEmpty))
       return BODY_END.broken;
     const remainingBytes = splitter?.flush();
     if (remainingBytes !== undefined && remainingBytes.length > 0) {
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -21,6 +21,8 @@
   readonly status: number;
   /** Whether the body is a stream of events. */
   readonly isEventStream: boolean;
+  /** Whether the end of the connection is all that ends the body. */
+  readonly isCloseDelimited: boolean;
 }
 
 /**
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -427,12 +427,23 @@
     target: KnownTarget,
     call: RelayCall<Req>,
   ): Promise<void> {
-    const {prompts} = this.parts;
-    const tried = call.trial?.tried ?? [];
-    const checked = prompts.recordBrokenRun(target, call, call.run!, tried);
+    const checked = this.reportBrokenRun(target, call);
     if (!call.canRunAgain || !(await checked)) return;
     call.endedTargets += 1;
-    await prompts.awaitEvidence(call.signal);
+    await this.parts.prompts.awaitEvidence(call.signal);
+  }
+
+  /**
+   * Reports a run that may have ended its target.
+   *
+   * @returns whether the target's process has ended.
+   */
+  private reportBrokenRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<boolean> {
+    const tried = call.trial?.tried ?? [];
+    return this.parts.prompts.recordBrokenRun(target, call, call.run!, tried);
   }
 
   /**
@@ -489,6 +500,18 @@
     return fail(FAILURE.targetLost, 'the target gave no answer');
   }
 
+  /** Records a run whose answer looks complete. */
+  private recordWholeRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+    {isCloseDelimited, status}: Head,
+  ): void {
+    target.recordRun(call.sendAgeMs);
+    // The end of a crashed process would look the same.
+    if (isCloseDelimited) void this.reportBrokenRun(target, call);
+    else if (status === OK) call.run?.recordComplete();
+  }
+
   /** Records a run that brought no complete answer. */
   private async recordLostRun(
     target: KnownTarget,
@@ -550,8 +573,7 @@
     const stalls = new RunStallHandler(this.stallParts, run);
     const end = await this.answers.relay(req, call, answer, stalls);
     if (end === RELAY_RESULT.whole) {
-      if (status === OK) call.run?.recordComplete();
-      target.recordRun(call.sendAgeMs);
+      this.recordWholeRun(target, call, answer.head);
       return {type: 'served'};
     }
     if (call.signal.aborted) return this.abortedOutcome(req, call);
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -139,7 +139,11 @@
   return {
     type: 'answered',
     answer: {
-      head: {status, isEventStream: chunks.some(text => text.includes('id:'))},
+      head: {
+        status,
+        isEventStream: chunks.some(text => text.includes('id:')),
+        isCloseDelimited: false,
+      },
       signals,
       read: async sink => {
         for (const part of chunks) await sink(Buffer.from(part));
@@ -163,7 +167,7 @@
     return {
       type: 'answered',
       answer: {
-        head: {status: 200, isEventStream: true},
+        head: {status: 200, isEventStream: true, isCloseDelimited: false},
         signals: NO_SIGNALS,
         read: async sink => {
           for (const [pauseMs, chunk] of chunks) {
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -516,6 +516,39 @@
     return caller;
   }
 
+  it('suspects a request whose target ended with an answer that only its connection ends', async () => {
+    const ending: TargetBehavior = () => {
+      const sent = answer(200, []);
+      if (sent.type !== 'answered') throw new Error('no answer');
+      const head = {status: 200, isEventStream: false, isCloseDelimited: true};
+      world.port.ended.add(world.port.sent.at(-1)!.target);
+      return {...sent, answer: {...sent.answer, head}};
+    };
+    const world: RelayWorld = relayWorld({
+      route: repeatable,
+      behaviors: [ending],
+    });
+    await world.run(new FakeCaller(world.clock));
+    await world.clock.advance(1_000);
+    const [state] = world.ledger.states();
+    expect(state.part).to.match(/^req-/);
+    expect(world.ledger.standingOf(state.part)).to.equal('suspect');
+  });
+
+  it('continues a stream that ends with its connection before the first event', async () => {
+    const empty: TargetBehavior = () => {
+      const sent = answer(200, []);
+      if (sent.type !== 'answered') throw new Error('no answer');
+      const head = {status: 200, isEventStream: true, isCloseDelimited: true};
+      return {...sent, answer: {...sent.answer, head}};
+    };
+    const plays = [empty, () => answer(200, [event(1)])];
+    const world = relayWorld({route, behaviors: plays});
+    const caller = new FakeCaller(world.clock);
+    await world.run(caller);
+    expect(caller.body).to.equal(event(1));
+  });
+
   it('does not send a request to a third target after two ended under it', async () => {
     const plays = Array.from({length: 5}, () => crash(() => world));
     const world: RelayWorld = relayWorld({
@@ -537,7 +570,7 @@
         async ({signal}, clock) => ({
           type: 'answered',
           answer: {
-            head: {status: 200, isEventStream: true},
+            head: {status: 200, isEventStream: true, isCloseDelimited: false},
             signals: NO_SIGNALS,
             read: async sink => {
               await sink(Buffer.from(event(1)));
