Soak: a request that crashes workers comes again

New fault: for some seconds callers send a request on which workers crash; the links refuse connections while a worker is down. New promise: later than 3 s after the third end it reaches workers three times at most, from undisturbed hosts; a planted host that sends it on each time is found.

--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -71,15 +71,28 @@
   drain: 'drain',
   silence: 'silence',
   publish: 'publish',
+  crashRequest: 'crashRequest',
 } as const;
 
 /** One of {@link FAULT}. */
 export type FaultName = (typeof FAULT)[keyof typeof FAULT];
 
 /** Kinds of faults that the first regression seeds chose from, in this order. */
-export const FIRST_FAULTS: readonly FaultName[] = Object.values(FAULT).filter(
-  name => name !== FAULT.silence && name !== FAULT.publish,
-);
+export const FIRST_FAULTS: readonly FaultName[] = [
+  FAULT.pause,
+  FAULT.kill,
+  FAULT.killAll,
+  FAULT.term,
+  FAULT.hup,
+  FAULT.storeLink,
+  FAULT.storeDown,
+  FAULT.storeLate,
+  FAULT.storeLoses,
+  FAULT.workerLink,
+  FAULT.oddAnswers,
+  FAULT.withdraw,
+  FAULT.drain,
+];
 
 /** Planned work, and what sound workers do: it excuses no lost request. */
 export const PLANNED_FAULTS: readonly FaultName[] = [
@@ -134,6 +147,7 @@
       drain: () => this.drain(),
       silence: async () => this.silence(),
       publish: () => this.publish(),
+      crashRequest: () => this.crashRequest(),
     };
   }
 
@@ -301,6 +315,18 @@
     }
   }
 
+  private async crashRequest(): Promise<void> {
+    if (this.world.hasCrashingRequest) return;
+    const forMs = this.random.int(MIN_FORBIDDEN_MS, MAX_FORBIDDEN_MS);
+    // A crash breaks off what other requests run on the worker. The hosts
+    // themselves are undisturbed.
+    for (const {options} of this.world.hosts)
+      this.world.disturbances.recordDisturbance(options.name, forMs);
+    this.world.setCrashing(true);
+    await this.wait(forMs);
+    this.world.setCrashing(false);
+  }
+
   private disturbAll(forMs: number): void {
     for (const host of this.world.hosts) this.world.disturb(host, forMs);
   }
--- a/packages/soak/src/lib/faulty_link.ts
+++ b/packages/soak/src/lib/faulty_link.ts
@@ -29,15 +29,17 @@
   private mode: LinkMode = LINK_MODE.open;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
+  private suspendedPort = 0;
 
   /** @param target - loopback port to forward to. */
   constructor(private readonly target: number) {
     this.server = createServer(socket => this.accept(socket));
   }
 
-  /** Loopback port that the link listens on; valid while it is open. */
+  /** Loopback port that the link listens on, once it was opened. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    const address = this.server.address() as AddressInfo | null;
+    return address?.port ?? this.suspendedPort;
   }
 
   /** Starts listening on a free port. */
@@ -47,6 +49,18 @@
     );
   }
 
+  /** Resets all connections and refuses new ones until {@link resume}. */
+  suspend(): void {
+    this.suspendedPort = this.port;
+    this.cut();
+    this.server.close();
+  }
+
+  /** Accepts connections again, at the same port. */
+  resume(): void {
+    this.server.listen(this.suspendedPort, LOOPBACK);
+  }
+
   /** Resets all connections and stops listening. */
   async close(): Promise<void> {
     this.cut();
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -61,11 +61,12 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    for await (const unused of req) void unused;
+    let body = '';
+    for await (const chunk of req) body += String(chunk);
     const id = String(req.headers[ATTEMPT_ID_HEADER]);
     const isStream = req.headers['x-fuchsiacleat-model'] !== undefined;
-    const answer = await this.forward(id, isStream);
-    if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream);
+    const answer = await this.forward(id, isStream, body);
+    if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream, body);
     if (this.fault === PROMISE.answered) {
       res.destroy();
       return;
@@ -74,25 +75,34 @@
       res.writeHead(503).end();
       return;
     }
-    const body =
-      this.fault === PROMISE.wholeAnswer
-        ? answer.body.slice(0, answer.body.length / 2)
-        : answer.body;
+    const text = this.spoil(answer.body);
     if (answer.stamp !== undefined) res.setHeader(STAMP_HEADER, answer.stamp);
-    res.writeHead(answer.status, {'content-length': Buffer.byteLength(body)});
-    res.end(body);
+    res.writeHead(answer.status, {'content-length': Buffer.byteLength(text)});
+    res.end(text);
+  }
+
+  /** Returns the body that the caller gets. */
+  private spoil(body: string): string {
+    if (this.fault === PROMISE.wholeAnswer)
+      return body.slice(0, body.length / 2);
+    return body;
   }
 
   private async forward(
     id: string,
     isStream: boolean,
+    requestBody: string,
   ): Promise<{status: number; body: string; stamp?: string}> {
     const {workers} = this.world;
     const worker = workers.find(({isEngine}) => isEngine === isStream)!;
     const headers: Record<string, string> = {[ATTEMPT_ID_HEADER]: id};
     if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
     const url = `http://127.0.0.1:${worker.standin.port}/`;
-    const res = await request(url, {method: 'POST', body: 'x', headers});
+    const res = await request(url, {
+      method: 'POST',
+      body: requestBody,
+      headers,
+    });
     const stamp = res.headers[STAMP_HEADER];
     return {
       status: res.statusCode,
--- a/packages/soak/src/lib/request_ledger.ts
+++ b/packages/soak/src/lib/request_ledger.ts
@@ -27,6 +27,8 @@
   isComplete: boolean;
   /** The worker's signature from the response. */
   stamp?: string;
+  /** Body of the request; the same for all sound requests. */
+  requestBody?: string;
   /** Code or message of the error that ended the response early. */
   error?: string;
 }
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -3,6 +3,7 @@
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {HOST_NAME, ROUTE_PATH} from '@fuchsiacleat/local-cluster';
 import {Client} from 'undici';
+import {CRASHING_BODY} from './soak_checks.js';
 import {RouteName, SentRequest, isStream} from './request_ledger.js';
 import {SOAK_KEY, SoakWorld} from './soak_world.js';
 
@@ -17,6 +18,11 @@
 /** Fraction of the requests that use the key of the limited team. */
 const LIMITED_FRACTION = 0.3;
 
+/** Fraction of the plain requests that crash workers, while any do. */
+const CRASHING_FRACTION = 0.2;
+
+const SOUND_BODY = 'x';
+
 /** Deadline of a request; the routes' own time limit is shorter. */
 const DEADLINE_MS = 3_000;
 const SOCKET_TIMEOUT_MS = 8_000;
@@ -66,15 +72,34 @@
   private async sendRandomRequest(target: CallerTarget): Promise<void> {
     const route = this.random.pick(ROUTES);
     const isLimited = this.random.float() < LIMITED_FRACTION;
-    const request: SentRequest = {
+    const key = isLimited ? SOAK_KEY.limited : SOAK_KEY.free;
+    const request = this.newRequest(target, route, key);
+    const mayCrash = this.world.hasCrashingRequest && !isStream(route);
+    if (mayCrash && this.random.float() < CRASHING_FRACTION)
+      request.requestBody = CRASHING_BODY;
+    await this.sendRecorded(target, request);
+  }
+
+  private newRequest(
+    target: CallerTarget,
+    route: RouteName,
+    key: string,
+  ): SentRequest {
+    return {
       id: `${this.name}-${this.count++}`,
       route,
-      key: isLimited ? SOAK_KEY.limited : SOAK_KEY.free,
+      key,
       host: target.name,
       sentMs: performance.now(),
       wasHostUndisturbed: target.isUndisturbed(),
       isComplete: false,
     };
+  }
+
+  private async sendRecorded(
+    target: CallerTarget,
+    request: SentRequest,
+  ): Promise<void> {
     this.world.ledger.add(request);
     try {
       await this.send(target, request);
@@ -104,13 +129,14 @@
     const res = await this.clientOf(target).request({
       method: 'POST',
       path: ROUTE_PATH[request.route],
-      body: 'x',
+      body: request.requestBody ?? SOUND_BODY,
       headers,
     });
     request.status = res.statusCode;
     const stamp = res.headers['x-fuchsiacleat-server-stamp'];
     request.stamp = typeof stamp === 'string' ? stamp : undefined;
-    request.body = await res.body.text();
+    request.body = '';
+    for await (const chunk of res.body) request.body += String(chunk);
     request.isComplete = true;
   }
 
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -17,6 +17,7 @@
   memory: 'memory',
   recovery: 'recovery',
   staysUp: 'stays-up',
+  crashBudget: 'crash-budget',
 } as const;
 
 /** One of {@link PROMISE}. */
@@ -67,12 +68,24 @@
   minTimeoutMs: number;
   /** Number of events of each stream. */
   streamEvents: number;
+  /** Times at which workers crashed on the request that crashes them. */
+  crashesMs: readonly number[];
 }
 
 /** Statuses that guarantee that a request did not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 const OK = 200;
 
+/** Body of the request on which workers crash. */
+export const CRASHING_BODY = 'crashing';
+
+/** Ends under a request after which hosts have to know it, and in what time. */
+const KNOWN_CRASHES = 3;
+const CRASH_KNOWN_MS = 3_000;
+
+/** Most runs of the request after that. */
+const MAX_LATE_CRASHES = 3;
+
 /** Time after a resumption in which earlier orders may still arrive. */
 const RESUMPTION_SLACK_MS = 300;
 
@@ -83,6 +96,7 @@
     ...checkAnswers(record),
     ...checkForbiddenUse(record),
     ...checkLimit(record),
+    ...checkCrashes(record),
     ...record.workers.flatMap(worker => checkOrders(worker, record)),
   ];
 }
@@ -126,6 +140,20 @@
   return text;
 }
 
+/** A request that has ended three workers reaches few further ones. */
+function checkCrashes({crashesMs, ledger, workers}: SoakRecord): Violation[] {
+  const knownMs = (crashesMs[KNOWN_CRASHES - 1] ?? Infinity) + CRASH_KNOWN_MS;
+  const late = workers
+    .flatMap(({runs}) => runs)
+    .filter(
+      ({body, startedMs}) => body === CRASHING_BODY && startedMs > knownMs,
+    )
+    .filter(({id}) => ledger.get(id)?.wasHostUndisturbed);
+  if (late.length <= MAX_LATE_CRASHES) return [];
+  const detail = `${late.length} runs of a request that had ended three workers`;
+  return [violation(PROMISE.crashBudget, detail)];
+}
+
 function checkForbiddenUse(record: SoakRecord): Violation[] {
   const {drained, ledger, withdrawn, workers} = record;
   const found: Violation[] = [];
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -159,6 +159,7 @@
     if (plant === PROMISE.staysUp) hosts[0].signal('SIGKILL');
     if (plant === PROMISE.recovery) hosts[0].signal('SIGSTOP');
     if (plant === PROMISE.withdrawnKey) this.world.setWithdrawn(true);
+    if (plant === PROMISE.crashBudget) this.world.setCrashing(true);
     if (plant === PROMISE.drain) this.world.setDraining(workers[0], true);
     await this.clock.sleep(durationMs);
   }
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -21,7 +21,7 @@
 import {FaultyLink} from './faulty_link.js';
 import {ForbiddenSpans} from './forbidden_spans.js';
 import {HostProcess} from './host_process.js';
-import {SoakRecord, WorkerRecord} from './soak_checks.js';
+import {CRASHING_BODY, SoakRecord, WorkerRecord} from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
 
 /** Keys of the team without a limit and of the limited team. */
@@ -63,6 +63,9 @@
   idleTimeoutMs: [6_000, 15_000],
 } as const;
 
+/** Longest time from the start of a crashing request to the crash. */
+const CRASH_AFTER_MS = 200;
+
 const MS_PER_SECOND = 1_000;
 const PLAIN_COUNT = 4;
 const ENGINE_COUNT = 2;
@@ -76,6 +79,8 @@
   standin: PlatformWorkerStandin;
   link: FaultyLink;
   isEngine: boolean;
+  /** State that the worker last announced. */
+  state: string;
 }
 
 /** A deployment whose components can be disturbed. */
@@ -89,6 +94,8 @@
   readonly withdrawn = new ForbiddenSpans();
   readonly drained = new ForbiddenSpans();
   readonly resumptionsMs: number[] = [];
+  /** Whether callers send the request that crashes workers. */
+  hasCrashingRequest = false;
   readonly disturbances = new DisturbanceBook(
     DISTURBANCE_GRACE_MS,
     BOUNDS.GraceS * MS_PER_SECOND,
@@ -157,6 +164,12 @@
     for (const {standin} of this.workers) standin.eventGapMs = 0;
   }
 
+  /** Lets the workers crash on one request that callers send, or no longer. */
+  setCrashing(isCrashing: boolean): void {
+    this.hasCrashingRequest = isCrashing;
+    for (const {standin} of this.workers) standin.crashingBody = CRASHING_BODY;
+  }
+
   /** Withdraws the key of the limited team, or restores it. */
   setWithdrawn(isWithdrawn: boolean): void {
     const nowMs = performance.now();
@@ -231,6 +244,9 @@
       disturbances: this.disturbances,
       minTimeoutMs: ROUTE_RANGES.timeoutMs[0],
       streamEvents: STREAM.events,
+      crashesMs: this.workers
+        .flatMap(({standin}) => crashesOf(standin))
+        .sort((a, b) => a - b),
     };
   }
 
@@ -245,7 +261,9 @@
     await this.store.stop();
   }
 
-  private announce({link, name, standin}: LinkedWorker, state: string): void {
+  private announce(worker: LinkedWorker, state: string): void {
+    const {link, name, standin} = worker;
+    worker.state = state;
     const Addr = `127.0.0.1:${link.port}`;
     const entry = {...standin.registration(state), Addr};
     this.store.put(STORE_TOPIC.targets, name, entry);
@@ -265,8 +283,13 @@
     await standin.start();
     const link = new FaultyLink(standin.port);
     await link.open();
-    const worker = {name, standin, link, isEngine};
+    const worker = {name, standin, link, isEngine, state: 'ready'};
     this.workers.push(worker);
+    standin.onCrash = () => link.suspend();
+    standin.onRestart = () => {
+      link.resume();
+      this.announce(worker, worker.state);
+    };
     this.announce(worker, 'ready');
   }
 
@@ -288,6 +311,16 @@
   }
 }
 
+/** @returns the times of the crashes of a worker under a crashing request. */
+function crashesOf({crashesMs, runs}: PlatformWorkerStandin): number[] {
+  const crashing = runs.filter(({body}) => body === CRASHING_BODY);
+  return crashesMs.filter(ms =>
+    crashing.some(
+      ({startedMs}) => startedMs <= ms && ms - startedMs < CRASH_AFTER_MS,
+    ),
+  );
+}
+
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
   const {faultyIds, orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
--- a/packages/soak/src/test/soak_run_test.ts
+++ b/packages/soak/src/test/soak_run_test.ts
@@ -9,6 +9,7 @@
   PROMISE.withdrawnKey,
   PROMISE.drain,
   PROMISE.limit,
+  PROMISE.crashBudget,
 ];
 const SLOW_MS = 8_000;
 const QUICK_MS = 2_500;
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -116,6 +116,8 @@
   crashingBody: string | undefined;
   /** Times of the crashes, in milliseconds. */
   readonly crashesMs: number[] = [];
+  /** Called when the worker crashes. */
+  onCrash: () => void = () => {};
   /** Called when the worker is back after a crash, with a new process. */
   onRestart: () => void = () => {};
   private orderCount = 0;
@@ -199,6 +201,7 @@
     if (!this.server.listening) return;
     const {port} = this;
     this.crashesMs.push(performance.now());
+    this.onCrash();
     await this.close();
     setTimeout(() => {
       if (this.isStopped) return;
