Soak: engines change their software version, callers take streams up

New fault: an engine restarts with the other version, which writes other events. Callers take a resumable stream that broke off up again at any host. New promise: what a caller has received over its attempts is of one version; a planted host that joins two is found.

--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -71,6 +71,7 @@
   drain: 'drain',
   silence: 'silence',
   publish: 'publish',
+  changeVersion: 'changeVersion',
   crashRequest: 'crashRequest',
 } as const;
 
@@ -147,6 +148,7 @@
       drain: () => this.drain(),
       silence: async () => this.silence(),
       publish: () => this.publish(),
+      changeVersion: () => this.changeVersion(),
       crashRequest: () => this.crashRequest(),
     };
   }
@@ -315,6 +317,13 @@
     }
   }
 
+  private async changeVersion(): Promise<void> {
+    const engines = this.world.workers.filter(({isEngine}) => isEngine);
+    this.disturbAll(0);
+    await this.world.changeVersion(this.random.pick(engines));
+    this.recordResumption();
+  }
+
   private async crashRequest(): Promise<void> {
     if (this.world.hasCrashingRequest) return;
     const forMs = this.random.int(MIN_FORBIDDEN_MS, MAX_FORBIDDEN_MS);
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -3,7 +3,7 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {request} from 'undici';
-import {PROMISE, PromiseName} from './soak_checks.js';
+import {PIECE_OF, PROMISE, PromiseName} from './soak_checks.js';
 import {SoakWorld} from './soak_world.js';
 
 /** Holder name of its orders. */
@@ -85,7 +85,8 @@
   private spoil(body: string): string {
     if (this.fault === PROMISE.wholeAnswer)
       return body.slice(0, body.length / 2);
-    return body;
+    if (this.fault !== PROMISE.oneVersion) return body;
+    return body.replace(PIECE_OF.v1, PIECE_OF.v2);
   }
 
   private async forward(
--- a/packages/soak/src/lib/request_ledger.ts
+++ b/packages/soak/src/lib/request_ledger.ts
@@ -29,6 +29,8 @@
   stamp?: string;
   /** Body of the request; the same for all sound requests. */
   requestBody?: string;
+  /** The request whose stream this one takes up, and its events so far. */
+  resumed?: {id: string; text: string};
   /** Code or message of the error that ended the response early. */
   error?: string;
 }
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -23,6 +23,9 @@
 
 const SOUND_BODY = 'x';
 
+/** End of each event of a stream. */
+const EVENT_END = '\n\n';
+
 /** Deadline of a request; the routes' own time limit is shorter. */
 const DEADLINE_MS = 3_000;
 const SOCKET_TIMEOUT_MS = 8_000;
@@ -78,6 +81,16 @@
     if (mayCrash && this.random.float() < CRASHING_FRACTION)
       request.requestBody = CRASHING_BODY;
     await this.sendRecorded(target, request);
+    const {body = '', isComplete} = request;
+    const end = body.lastIndexOf(EVENT_END);
+    const isBroken = route === 'resumable' && !isComplete && end > 0;
+    if (!isBroken) return;
+    const next = this.random.pick(this.targets);
+    if (!next.isRunning()) return;
+    const again = this.newRequest(next, route, key);
+    const text = body.slice(0, end + EVENT_END.length);
+    again.resumed = {id: request.id, text};
+    await this.sendRecorded(next, again);
   }
 
   private newRequest(
@@ -124,7 +137,13 @@
       'x-fuchsiacleat-key': request.key,
     };
     if (isStream(request.route)) {
-      headers['x-fuchsiacleat-model'] = this.random.pick(MODELS);
+      headers['x-fuchsiacleat-model'] =
+        request.resumed === undefined ? this.random.pick(MODELS) : 'm1';
+    }
+    if (request.resumed !== undefined) {
+      const {id, text} = request.resumed;
+      headers['resumes'] = id;
+      headers['last-event-id'] = `${text.split(EVENT_END).length - 1}`;
     }
     const res = await this.clientOf(target).request({
       method: 'POST',
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -17,6 +17,7 @@
   memory: 'memory',
   recovery: 'recovery',
   staysUp: 'stays-up',
+  oneVersion: 'one-version',
   crashBudget: 'crash-budget',
 } as const;
 
@@ -76,6 +77,9 @@
 const NOT_RUN = new Set([408, 421, 429, 503]);
 const OK = 200;
 
+/** What events hold, by the software version of the worker. */
+export const PIECE_OF = {v1: 'piece', v2: 'piece of v2'} as const;
+
 /** Body of the request on which workers crash. */
 export const CRASHING_BODY = 'crashing';
 
@@ -96,6 +100,7 @@
     ...checkAnswers(record),
     ...checkForbiddenUse(record),
     ...checkLimit(record),
+    ...checkVersions(record),
     ...checkCrashes(record),
     ...record.workers.flatMap(worker => checkOrders(worker, record)),
   ];
@@ -120,13 +125,19 @@
 }
 
 function checkAnswers({ledger, streamEvents}: SoakRecord): Violation[] {
-  const stream = wholeStream(streamEvents);
+  const streams = Object.values(PIECE_OF).map(piece =>
+    wholeStream(streamEvents, piece),
+  );
   const found: Violation[] = [];
   for (const request of ledger.all()) {
     if (request.status !== OK || !request.isComplete) continue;
-    const {body, id, route} = request;
-    const expected = isStream(route) ? stream : `done ${id}`;
-    if (request.stamp !== undefined && body === expected) continue;
+    const {body = '', id, resumed, route} = request;
+    const text = (resumed?.text ?? '') + body;
+    // Streams joined from two versions break another promise.
+    const isExpected = isStream(route)
+      ? streams.includes(text) || versionsIn(text).length > 1
+      : body === `done ${id}`;
+    if (request.stamp !== undefined && isExpected) continue;
     const detail = `${id} got ${JSON.stringify(body)}`;
     found.push(violation(PROMISE.wholeAnswer, detail));
   }
@@ -134,12 +145,31 @@
 }
 
 /** @returns the whole stream of the stand-in, with every event once. */
-function wholeStream(count: number): string {
+function wholeStream(count: number, piece: string): string {
   let text = '';
-  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: piece\n\n`;
+  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: ${piece}\n\n`;
   return text;
 }
 
+/** @returns what the events of a stream hold, each once. */
+function versionsIn(text: string): string[] {
+  return [...new Set([...text.matchAll(/^data: (.+)$/gm)].map(m => m[1]))];
+}
+
+/** A caller receives a stream of one version, over all its attempts. */
+function checkVersions({ledger}: SoakRecord): Violation[] {
+  const found: Violation[] = [];
+  for (const {body = '', id, resumed, route} of ledger.all()) {
+    if (!isStream(route)) continue;
+    const versions = versionsIn((resumed?.text ?? '') + body);
+    if (versions.length <= 1) continue;
+    const begun = resumed === undefined ? '' : `, begun as ${resumed.id}`;
+    const detail = `${id} got ${versions.join(' and ')}${begun}`;
+    found.push(violation(PROMISE.oneVersion, detail));
+  }
+  return found;
+}
+
 /** A request that has ended three workers reaches few further ones. */
 function checkCrashes({crashesMs, ledger, workers}: SoakRecord): Violation[] {
   const knownMs = (crashesMs[KNOWN_CRASHES - 1] ?? Infinity) + CRASH_KNOWN_MS;
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -21,7 +21,12 @@
 import {FaultyLink} from './faulty_link.js';
 import {ForbiddenSpans} from './forbidden_spans.js';
 import {HostProcess} from './host_process.js';
-import {CRASHING_BODY, SoakRecord, WorkerRecord} from './soak_checks.js';
+import {
+  CRASHING_BODY,
+  PIECE_OF,
+  SoakRecord,
+  WorkerRecord,
+} from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
 
 /** Keys of the team without a limit and of the limited team. */
@@ -170,6 +175,14 @@
     for (const {standin} of this.workers) standin.crashingBody = CRASHING_BODY;
   }
 
+  /** Restarts an engine worker with the other software version. */
+  async changeVersion({standin}: LinkedWorker): Promise<void> {
+    const version = standin.softwareVersion === 'v1' ? 'v2' : 'v1';
+    standin.softwareVersion = version;
+    standin.piece = PIECE_OF[version];
+    await standin.crash();
+  }
+
   /** Withdraws the key of the limited team, or restores it. */
   setWithdrawn(isWithdrawn: boolean): void {
     const nowMs = performance.now();
