--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,7 +12,7 @@
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
-import {ENDED_BY, EndedBy} from './answer_end.js';
+import {ENDED_BY} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {StreamContinuity} from '../continuation/stream_continuity.js';
 import {digestParts} from '../quarantine/part_digest.js';
@@ -28,19 +28,15 @@
 import {traceRequest} from './relay_trace.js';
 import {AnswerRelay, RELAY_RESULT} from './answer_relay.js';
 import {RetryAllowance} from './retry_allowance.js';
+import {RunRecorder} from './run_recorder.js';
 import {RunReplacement} from './run_replacement.js';
 import {RunStallHandler, RunStallHandlerParts} from './run_stall_handler.js';
 import {noCapacityRefusal} from './capacity_refusal.js';
+import {StreamResumption} from './stream_resumption.js';
 import {chooseService} from './target_choice.js';
 import {TargetProber} from './target_prober.js';
 import {TargetSearch} from './target_search.js';
-import {
-  NOT_RUN,
-  NotRunReason,
-  SendResult,
-  TargetAnswer,
-  TargetPort,
-} from './target_port.js';
+import {SendResult, TargetAnswer, TargetPort} from './target_port.js';
 import {TargetSends} from '../target_limits/target_sends.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 import {TeamQuotas} from './team_quotas.js';
@@ -70,19 +66,6 @@
 /** Number of targets that may end while they run the same request. */
 const MAX_ENDED_TARGETS = 2;
 
-/** Reasons for which no byte of a request has reached a target. */
-const NOT_DELIVERED: ReadonlySet<NotRunReason> = new Set([
-  NOT_RUN.unreachable,
-  NOT_RUN.noConnection,
-  NOT_RUN.withdrawn,
-]);
-
-/** Ends of sends that the end of the target's process may have caused. */
-const TARGET_ENDS: ReadonlySet<EndedBy> = new Set([
-  ENDED_BY.target,
-  ENDED_BY.targetEnded,
-]);
-
 const OK = 200;
 const SERVER_ERROR = 500;
 const LEAST_URGENT = 9;
@@ -124,6 +107,8 @@
   private readonly admission: Admission;
   private readonly answers: AnswerRelay<Req, Head>;
   private readonly search: TargetSearch;
+  private readonly runs: RunRecorder<Req, Head>;
+  private readonly resumption: StreamResumption<Req>;
   private readonly stallParts: RunStallHandlerParts;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
@@ -132,9 +117,11 @@
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
     this.answers = new AnswerRelay(parts.clock, call =>
-      this.recordEvents(call),
+      this.resumption.recordEvents(call),
     );
     this.search = new TargetSearch(parts);
+    this.runs = new RunRecorder(parts);
+    this.resumption = new StreamResumption(parts.continuity);
     const {clock, observer, port, retries} = parts;
     this.stallParts = {
       prober: new TargetProber(clock, target => port.probe(target)),
@@ -208,7 +195,7 @@
       return refuse(REFUSAL.noCapacity, 'the route has no service');
     }
     call.service = service;
-    if (!this.tryResume(req, call)) {
+    if (!this.resumption.tryResume(req, call)) {
       const message = 'the software version of the stream is not known';
       return refuse(REFUSAL.noCapacity, message, UNKNOWN_ORIGIN_RETRY_AFTER_MS);
     }
@@ -261,38 +248,6 @@
     }
   }
 
-  /**
-   * Finds where a stream that a caller takes up may go on.
-   *
-   * @returns whether it is known; also true for all other requests.
-   */
-  private tryResume(req: Req, call: RelayCall<Req>): boolean {
-    if (req.lastEventId === undefined || call.splitter === undefined)
-      return true;
-    const origin = this.parts.continuity.originOf({
-      team: call.team?.name,
-      resumedId: req.resumedId,
-      service: call.service,
-      timeoutMs: call.route.timeoutMs,
-    });
-    if (origin === undefined) return false;
-    const {service} = origin;
-    if (!call.route.shares.some(share => share.service === service))
-      return false;
-    call.service = service;
-    call.fixVersion(origin.softwareVersion);
-    return true;
-  }
-
-  /** Records where a stream has begun, before its caller learns of it. */
-  private recordEvents(call: RelayCall<Req>): void {
-    const target = call.recordEvents();
-    if (target?.softwareVersion === undefined) return;
-    const {softwareVersion} = target;
-    const origin = {service: call.service, softwareVersion};
-    this.parts.continuity.recordBegun(call.team?.name, call.id, origin);
-  }
-
   /**
    * Checks whether a request may be sent now.
    *
@@ -329,7 +284,7 @@
     }
     call.trial = admitted.value;
     if (!call.signal.aborted) return undefined;
-    this.endTrial(call);
+    this.runs.endTrial(call);
     return this.abortedOutcome(req, call);
   }
 
@@ -398,54 +353,22 @@
         signal: attempt.signal,
       });
       attempt.cancelHeadTimeout();
-      this.recordSignals(target, sent);
+      this.runs.recordSignals(target, sent);
       if (sent.type === 'answered') {
         call.recordAnswered();
         observer.sendAnswered(registration.id);
         return await this.relay(target, req, call, sent.answer, attempt);
       }
       const detail = sent.reason;
-      this.reportSendEnd(target, req, call, sent.type, detail);
+      this.runs.reportSendEnd(target, req, call, sent.type, detail);
       return await this.handleUnanswered(target, req, call, sent, attempt);
     } finally {
       attempt.dispose();
       target.endRequest(req.demand);
-      this.endTrial(call);
+      this.runs.endTrial(call);
     }
   }
 
-  private endTrial(call: RelayCall<Req>): void {
-    if (call.trial !== undefined) this.parts.prompts.endTrial(call.trial);
-    call.trial = undefined;
-  }
-
-  /**
-   * Records a run that broke off. Before the request is sent again, the
-   * evidence of other hosts is awaited if it may have ended the target.
-   */
-  private async recordBrokenRun(
-    target: KnownTarget,
-    call: RelayCall<Req>,
-  ): Promise<void> {
-    const checked = this.reportBrokenRun(target, call);
-    if (!call.canRunAgain || !(await checked)) return;
-    call.endedTargets += 1;
-    await this.parts.prompts.awaitEvidence(call.signal);
-  }
-
-  /**
-   * Reports a run that may have ended its target.
-   *
-   * @returns whether the target's process has ended.
-   */
-  private reportBrokenRun(
-    target: KnownTarget,
-    call: RelayCall<Req>,
-  ): Promise<boolean> {
-    const tried = call.trial?.tried ?? [];
-    return this.parts.prompts.recordBrokenRun(target, call, call.run!, tried);
-  }
-
   /**
    * Checks again, once a connection is established, that a request may be sent.
    *
@@ -462,21 +385,6 @@
     return this.admission.recheck(req, call.team) === undefined;
   }
 
-  /** Records the signals of a target, whatever the result of the send. */
-  private recordSignals(target: KnownTarget, sent: SendResult<Head>): void {
-    const answerSignals =
-      sent.type === 'answered' ? sent.answer.signals : undefined;
-    const signals = sent.type === 'not-run' ? sent.signals : answerSignals;
-    if (signals === undefined) return;
-    this.parts.targets.recordSignals(target, signals);
-    this.parts.targets.recordLimit(target, signals.requestsPerSecond);
-    if (signals.backOffMs === undefined) return;
-    this.parts.observer.targetBackingOff(
-      target.registration.id,
-      signals.backOffMs,
-    );
-  }
-
   private async handleUnanswered(
     target: KnownTarget,
     req: Req,
@@ -485,7 +393,7 @@
     attempt: SendAttempt,
   ): Promise<Outcome | undefined> {
     if (sent.type === 'not-run') {
-      this.recordNotRun(target, req, call, sent.reason);
+      this.runs.recordNotRun(target, req, call, sent.reason);
       return undefined;
     }
     if (call.signal.aborted) {
@@ -495,55 +403,11 @@
     call.possibleRuns += 1;
     call.deliveredSends += 1;
     call.tried.add(target.registration.id);
-    if (!attempt.isWithdrawn) await this.recordLostRun(target, call);
+    if (!attempt.isWithdrawn) await this.runs.recordLostRun(target, call);
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target gave no answer');
   }
 
-  /** Records a run whose answer looks complete. */
-  private recordWholeRun(
-    target: KnownTarget,
-    call: RelayCall<Req>,
-    {isCloseDelimited, status}: Head,
-  ): void {
-    target.recordRun(call.sendAgeMs);
-    // The end of a crashed process would look the same.
-    if (isCloseDelimited) void this.reportBrokenRun(target, call);
-    else if (status === OK) call.run?.recordComplete();
-  }
-
-  /** Records a run that brought no complete answer. */
-  private async recordLostRun(
-    target: KnownTarget,
-    call: RelayCall<Req>,
-  ): Promise<void> {
-    this.recordFailure(target);
-    if (TARGET_ENDS.has(call.endedBy)) await this.recordBrokenRun(target, call);
-  }
-
-  private recordFailure({health, registration}: KnownTarget): void {
-    this.parts.observer.targetAvoided(registration.id, health.recordFailure());
-  }
-
-  private recordNotRun(
-    target: KnownTarget,
-    req: Req,
-    call: RelayCall<Req>,
-    reason: NotRunReason,
-  ): void {
-    const {id} = target.registration;
-    if (!NOT_DELIVERED.has(reason)) call.deliveredSends += 1;
-    call.tried.add(id);
-    if (reason === NOT_RUN.unreachable) this.recordFailure(target);
-    if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
-    if (req.demand === undefined) return;
-    this.parts.models.recordNotRun(target, req.demand, reason);
-    const isReachable =
-      reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent;
-    // The finder looks up the models of the target again, so it may be retried.
-    if (isReachable) call.tried.delete(id);
-  }
-
   /** Relays an answer, or discards one that cannot be used. */
   private async relay(
     target: KnownTarget,
@@ -561,7 +425,7 @@
     if (isUnusable && (call.isHeadSent || call.canRunAgain)) {
       answer.discard();
       call.tried.add(target.registration.id);
-      this.reportSendEnd(target, req, call, 'error', `status ${status}`);
+      this.runs.reportSendEnd(target, req, call, 'error', `status ${status}`);
       if (call.signal.aborted) return this.abortedOutcome(req, call);
       if (call.canRunAgain) return undefined;
       return fail(
@@ -573,36 +437,17 @@
     const stalls = new RunStallHandler(this.stallParts, run);
     const end = await this.answers.relay(req, call, answer, stalls);
     if (end === RELAY_RESULT.whole) {
-      this.recordWholeRun(target, call, answer.head);
+      this.runs.recordWholeRun(target, call, answer.head);
       return {type: 'served'};
     }
     if (call.signal.aborted) return this.abortedOutcome(req, call);
-    this.reportSendEnd(target, req, call, 'broken', `status ${status}`);
+    this.runs.reportSendEnd(target, req, call, 'broken', `status ${status}`);
     call.tried.add(target.registration.id);
-    if (!attempt.isWithdrawn) await this.recordLostRun(target, call);
+    if (!attempt.isWithdrawn) await this.runs.recordLostRun(target, call);
     if (call.canRunAgain) return undefined;
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
 
-  private reportSendEnd(
-    target: KnownTarget,
-    req: Req,
-    call: RelayCall<Req>,
-    end: string,
-    detail: string,
-  ): void {
-    this.parts.observer.sendEnded({
-      id: req.id,
-      target: target.registration.id,
-      end,
-      endedBy: call.endedBy,
-      detail,
-      ageMs: call.sendAgeMs,
-      receivedBytes: call.receivedBytes,
-      parts: call.parts,
-    });
-  }
-
   /**
    * Returns the outcome of a request whose caller disconnected or whose
    * deadline has passed.
--- /dev/null
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -0,0 +1,155 @@
+/** Records what sends of requests show about their targets. @packageDocumentation */
+
+import {PromptGuard} from '../quarantine/prompt_guard.js';
+import {ENDED_BY, EndedBy} from './answer_end.js';
+import {AnswerHead, CallerRequest} from './caller_request.js';
+import {ModelFinder} from './model_finder.js';
+import {RelayCall} from './relay_call.js';
+import {RelayObserver} from './relay_observer.js';
+import {NOT_RUN, NotRunReason, SendResult} from './target_port.js';
+import {KnownTarget, TargetTable} from './target_table.js';
+
+/** Reasons for which no byte of a request has reached a target. */
+const NOT_DELIVERED: ReadonlySet<NotRunReason> = new Set([
+  NOT_RUN.unreachable,
+  NOT_RUN.noConnection,
+  NOT_RUN.withdrawn,
+]);
+
+/** Ends of sends that the end of the target's process may have caused. */
+const TARGET_ENDS: ReadonlySet<EndedBy> = new Set([
+  ENDED_BY.target,
+  ENDED_BY.targetEnded,
+]);
+
+const OK = 200;
+
+/** Dependencies of a {@link RunRecorder}. */
+export interface RunRecorderParts {
+  targets: TargetTable;
+  models: ModelFinder;
+  prompts: PromptGuard;
+  observer: RelayObserver;
+}
+
+/** Records the results of sends and runs, for all who have to know them. */
+export class RunRecorder<
+  Req extends CallerRequest<Head>,
+  Head extends AnswerHead,
+> {
+  /** @param parts - see {@link RunRecorderParts}. */
+  constructor(private readonly parts: RunRecorderParts) {}
+
+  /** Ends the trial that the current send is, if it is one. */
+  endTrial(call: RelayCall<Req>): void {
+    if (call.trial !== undefined) this.parts.prompts.endTrial(call.trial);
+    call.trial = undefined;
+  }
+
+  /**
+   * Records a run that broke off. Before the request is sent again, the
+   * evidence of other hosts is awaited if it may have ended the target.
+   */
+  private async recordBrokenRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<void> {
+    const checked = this.reportBrokenRun(target, call);
+    if (!call.canRunAgain || !(await checked)) return;
+    call.endedTargets += 1;
+    await this.parts.prompts.awaitEvidence(call.signal);
+  }
+
+  /**
+   * Reports a run that may have ended its target.
+   *
+   * @returns whether the target's process has ended.
+   */
+  private reportBrokenRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<boolean> {
+    const tried = call.trial?.tried ?? [];
+    return this.parts.prompts.recordBrokenRun(target, call, call.run!, tried);
+  }
+
+  /** Records the signals of a target, whatever the result of the send. */
+  recordSignals(target: KnownTarget, sent: SendResult<Head>): void {
+    const answerSignals =
+      sent.type === 'answered' ? sent.answer.signals : undefined;
+    const signals = sent.type === 'not-run' ? sent.signals : answerSignals;
+    if (signals === undefined) return;
+    this.parts.targets.recordSignals(target, signals);
+    this.parts.targets.recordLimit(target, signals.requestsPerSecond);
+    if (signals.backOffMs === undefined) return;
+    this.parts.observer.targetBackingOff(
+      target.registration.id,
+      signals.backOffMs,
+    );
+  }
+
+  /** Records a run whose answer looks complete. */
+  recordWholeRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+    {isCloseDelimited, status}: Head,
+  ): void {
+    target.recordRun(call.sendAgeMs);
+    // The end of a crashed process would look the same.
+    if (isCloseDelimited) void this.reportBrokenRun(target, call);
+    else if (status === OK) call.run?.recordComplete();
+  }
+
+  /** Records a run that brought no complete answer. */
+  async recordLostRun(
+    target: KnownTarget,
+    call: RelayCall<Req>,
+  ): Promise<void> {
+    this.recordFailure(target);
+    if (TARGET_ENDS.has(call.endedBy)) await this.recordBrokenRun(target, call);
+  }
+
+  private recordFailure({health, registration}: KnownTarget): void {
+    this.parts.observer.targetAvoided(registration.id, health.recordFailure());
+  }
+
+  /** Records a send whose target did not run the request. */
+  recordNotRun(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    reason: NotRunReason,
+  ): void {
+    const {id} = target.registration;
+    if (!NOT_DELIVERED.has(reason)) call.deliveredSends += 1;
+    call.tried.add(id);
+    if (reason === NOT_RUN.unreachable) this.recordFailure(target);
+    if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
+    if (req.demand === undefined) return;
+    this.parts.models.recordNotRun(target, req.demand, reason);
+    const isReachable =
+      reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent;
+    // The finder looks up the models of the target again, so it may be retried.
+    if (isReachable) call.tried.delete(id);
+  }
+
+  /** Reports a send that has led to no complete answer. */
+  reportSendEnd(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    end: string,
+    detail: string,
+  ): void {
+    this.parts.observer.sendEnded({
+      id: req.id,
+      target: target.registration.id,
+      end,
+      endedBy: call.endedBy,
+      detail,
+      ageMs: call.sendAgeMs,
+      receivedBytes: call.receivedBytes,
+      parts: call.parts,
+    });
+  }
+}
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -7,6 +7,7 @@
 import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountRegistry} from './account_registry.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
+import {canRelieve} from './limit_relief.js';
 import {LoadFailures} from './load_failures.js';
 import {OrderLease} from './order_lease.js';
 import {
@@ -16,6 +17,7 @@
 } from './copy_choice.js';
 import {PlanRound} from './plan_round.js';
 import {ResidencyAccount, isUsable} from './residency_account.js';
+import {NotResident, ResidencyRequest} from './residency_request.js';
 import {StoreLoadScheduler} from './store_load_scheduler.js';
 import {Swap, chooseSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
@@ -41,12 +43,6 @@
 /** Delay from when a model is ready until refused callers should retry. */
 const READY_MARGIN_MS = 100;
 
-/**
- * Fraction of a model's demand that a limited target must have room for to load
- * a copy of it.
- */
-const MIN_RELIEF_FRACTION = 0.15;
-
 /** How long after the announced retry time a load may still start. */
 const WANTED_GRACE_MS = 3_000;
 
@@ -70,28 +66,6 @@
   publish: (account: ResidencyAccount) => void;
 }
 
-/** A host's request for a target that holds a model. */
-export interface ResidencyRequest {
-  service: string;
-  model: string;
-  adapter: string | undefined;
-  /** Clock time by which the first event is due to be on time. */
-  objectiveEndMs: number;
-  /** Clock time after which the caller no longer waits. */
-  giveUpMs: number;
-  /** Targets that refused the request. */
-  tried: ReadonlySet<string>;
-  /** Software version of the targets that may be used, if not all may. */
-  softwareVersion: string | undefined;
-}
-
-/** Refusal, as no target will hold the model in time. */
-export interface NotResident {
-  retryAfterMs: number;
-  /** Whether a retry before then cannot succeed. */
-  isFinal: boolean;
-}
-
 /** A model to load though no request waits, as callers will retry. */
 interface WantedModel {
   service: string;
@@ -593,19 +567,3 @@
     }
   }
 }
-
-/**
- * Returns whether a target is worth a copy of a model whose targets cannot take
- * its demand.
- */
-function canRelieve(
-  account: ResidencyAccount,
-  model: string,
-  round: PlanRound,
-): boolean {
-  const limit = account.target.requestsPerSecond;
-  if (limit === undefined) return true;
-  if (account.loadEstimate(model).fromStore) return false;
-  const room = limit * (1 - round.load(account));
-  return room >= round.demand(model) * MIN_RELIEF_FRACTION;
-}
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -19,7 +19,8 @@
 import {HostCounter} from './host_counter.js';
 import {LeaseHolder, OrderLease} from './order_lease.js';
 import {ResidencyAccount} from './residency_account.js';
-import {ResidencyController, ResidencyRequest} from './residency_controller.js';
+import {ResidencyController} from './residency_controller.js';
+import {ResidencyRequest} from './residency_request.js';
 import {
   BORROW_TOKENS,
   FIND_TARGET,
--- a/packages/core/src/lib/residency/wait_queue.ts
+++ b/packages/core/src/lib/residency/wait_queue.ts
@@ -2,7 +2,7 @@
 
 import {Result, err} from 'neverthrow';
 import {Clock} from '../time/clock.js';
-import type {NotResident, ResidencyRequest} from './residency_controller.js';
+import {NotResident, ResidencyRequest} from './residency_request.js';
 
 /** Rank of late requests, after every request that can still be on time. */
 const LATE_RANK = 1e12;
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -19,11 +19,11 @@
 } from '../../lib/residency/order_port.js';
 import {AccountRegistry} from '../../lib/residency/account_registry.js';
 import {createController} from '../../lib/residency/controller_factory.js';
+import {ResidencyController} from '../../lib/residency/residency_controller.js';
 import {
   NotResident,
-  ResidencyController,
   ResidencyRequest,
-} from '../../lib/residency/residency_controller.js';
+} from '../../lib/residency/residency_request.js';
 import {TokenLender} from '../../lib/residency/token_lender.js';
 import {UsageTable} from '../../lib/residency/usage_table.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
