Keep a second copy of the busiest model at each software version

Ruled out: unknown origins (none), the rate (3).

While versions are mixed, the busiest model of each version that only one of its targets holds gets a second copy there, and such a copy is no surplus.

--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -23,6 +23,7 @@
 import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
+import {chooseVersionCopies, isNeededByVersion} from './version_copies.js';
 import {Waiter, WaitQueue} from './wait_queue.js';
 
 /** Time between rounds of planning. */
@@ -547,6 +548,15 @@
     void this.replanAfter(swap.account.target.registration.service, loaded);
   }
 
+  /** Adds copies that streams of a software version may have to go on at. */
+  private adjustVersionCopies(service: string): void {
+    const copies = chooseVersionCopies(this.roundOf(service), this.parts.usage);
+    for (const {model, retiring, softwareVersion} of copies) {
+      if (retiring.length > 0) this.unretire(retiring[0], model);
+      else this.startSwap(model, service, softwareVersion);
+    }
+  }
+
   /** Adds copies of models that are short of slots and retires surplus ones. */
   private adjustCopies(service: string): void {
     const {lease, usage} = this.parts;
@@ -561,7 +571,9 @@
     for (const {model, adapter, accounts} of adapterCopies) {
       this.startAdapterSwap(model, adapter, accounts);
     }
+    this.adjustVersionCopies(service);
     for (const {model, account} of chooseSurplus(round, usage)) {
+      if (isNeededByVersion(model, account, round, usage)) continue;
       account.residents.get(model)!.isRetiring = true;
       this.parts.publish(account);
     }
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -326,6 +326,12 @@
     this.targets.recordLimit(this.targets.get(id)!, perSecond);
   }
 
+  /** Sets the software version of the target of an engine. */
+  setVersion(id: string, softwareVersion: string): void {
+    const {registration} = this.targets.get(id)!;
+    this.targets.put({...registration, softwareVersion}, false);
+  }
+
   /** Marks the target of an engine as leaving. */
   announceLeaving(id: string): void {
     this.targets.markLeaving(id, targetRegistration().startedMs);
@@ -352,8 +358,16 @@
     model: string,
     adapter?: string,
     waitMs = 5_000,
+    softwareVersion?: string,
   ): Promise<string | undefined> {
-    const found = await this.request(model, adapter, waitMs);
+    const {signal} = new AbortController();
+    const found = await this.request(
+      model,
+      adapter,
+      waitMs,
+      signal,
+      softwareVersion,
+    );
     return found.isOk() ? found.value : undefined;
   }
 
@@ -372,6 +386,7 @@
     adapter: string | undefined,
     waitMs: number,
     signal = new AbortController().signal,
+    softwareVersion?: string,
   ): Promise<Result<string, NotResident>> {
     const nowMs = this.clock.now();
     const request: ResidencyRequest = {
@@ -381,7 +396,7 @@
       objectiveEndMs: nowMs + 2_500,
       giveUpMs: nowMs + waitMs,
       tried: new Set(),
-      softwareVersion: undefined,
+      softwareVersion,
     };
     return this.controller.find(request, signal);
   }
