Count ends that follow each other closely from the last one counted

A request that came again five times a second, in groups with others, stayed watched: each of its ends came less than 600 ms after the one before, which counted only once, and every end moved that time on. The 600 ms now run from the last end that counted, so that targets that end at the same moment still count once. Parts of prompts had the same gap.

The two tests of crashes share their play.

--- a/packages/core/src/lib/quarantine/end_case.ts
+++ b/packages/core/src/lib/quarantine/end_case.ts
@@ -18,6 +18,8 @@
   atMs: number;
   /** Time of the last end before it. */
   previousEndMs: number;
+  /** Time of the last end before it that counted. */
+  previousCountedMs: number;
   /** Requests that it made known to the record. */
   requests: readonly string[];
 }
--- a/packages/core/src/lib/quarantine/part_ledger.ts
+++ b/packages/core/src/lib/quarantine/part_ledger.ts
@@ -328,6 +328,7 @@
     }
     if (worst === undefined) return false;
     worst.lastEndMs = this.clock.now();
+    worst.lastCountedMs = worst.lastEndMs;
     worst.ends += 1;
     worst.recordTarget(target);
     this.quarantine(worst, STANDING.suspect);
@@ -347,14 +348,19 @@
     const before = this.standingOf(part);
     const nowMs = this.clock.now();
     const previousEndMs = record.lastEndMs;
-    const isApart = nowMs - previousEndMs >= ENDS_APART_MS;
+    const isApart = nowMs - record.lastCountedMs >= ENDS_APART_MS;
     const wasCounted = isApart || record.hasRepeated(runs);
-    if (wasCounted) record.ends += 1;
+    const previousCountedMs = record.lastCountedMs;
+    if (wasCounted) {
+      record.ends += 1;
+      record.lastCountedMs = nowMs;
+    }
     if (isSole) record.soleEnds += 1;
     record.lastEndMs = nowMs;
     record.recordTarget(target);
     const requests = record.recordWitnesses(runs);
-    const accusation = {wasCounted, isSole, previousEndMs, requests};
+    const previous = {previousEndMs, previousCountedMs};
+    const accusation = {wasCounted, isSole, requests, ...previous};
     accused.set(part, {...accusation, atMs: nowMs});
     if (record.ends >= QUARANTINE_ENDS) this.quarantine(record, before);
     else this.reportChange(record, before);
@@ -373,14 +379,16 @@
   private withdraw(
     {accused}: EndCase,
     part: string,
-    {atMs, isSole, previousEndMs, requests, wasCounted}: Accusation,
+    accusation: Accusation,
   ): void {
+    const {atMs, isSole, previousEndMs, requests, wasCounted} = accusation;
     accused.delete(part);
     const record = this.records.get(part);
     // The part was answered in between, or accused again.
     if (record?.lastEndMs !== atMs) return;
     const before = this.standingOf(part);
     record.lastEndMs = previousEndMs;
+    record.lastCountedMs = accusation.previousCountedMs;
     if (wasCounted) record.ends -= 1;
     if (isSole) record.soleEnds -= 1;
     record.forgetWitnesses(requests);
--- a/packages/core/src/lib/quarantine/part_record.ts
+++ b/packages/core/src/lib/quarantine/part_record.ts
@@ -61,6 +61,8 @@
 export class PartRecord {
   ends = 0;
   lastEndMs = -Infinity;
+  /** Time of the last end that counted as a further one. */
+  lastCountedMs = -Infinity;
   answeredMs = -Infinity;
   quarantinedUntilMs = -Infinity;
   quarantineCount = 0;
@@ -174,6 +176,7 @@
     const {answeredAgoMs = Infinity, quarantineLeftMs} = state;
     this.ends = state.ends;
     this.lastEndMs = nowMs - state.endAgoMs;
+    this.lastCountedMs = this.lastEndMs;
     this.answeredMs = nowMs - answeredAgoMs;
     this.quarantinedUntilMs =
       quarantineLeftMs > 0 ? nowMs + quarantineLeftMs : -Infinity;
--- a/packages/core/src/test/quarantine/crashing_request_test.ts
+++ b/packages/core/src/test/quarantine/crashing_request_test.ts
@@ -90,6 +90,15 @@
     expect(standing(CRASHING)).to.equal(STANDING.suspect);
   });
 
+  it('suspects a request that ends a target among others every 400 ms', async () => {
+    for (let i = 0; i < 4; i++) {
+      end({parts: ['part', CRASHING]}, {parts: [`req-beside-${i}`]});
+      await clock.advance(400);
+    }
+    expect(standing(CRASHING)).to.equal(STANDING.suspect);
+    expect(standing('part')).to.equal(STANDING.suspect);
+  });
+
   it('quarantines the request of a trial under which a target ends unanswered', async () => {
     end({parts: [CRASHING]});
     await clock.advance(SECOND_MS);
--- a/packages/local-cluster/src/test/platform/crashing_part_test.ts
+++ b/packages/local-cluster/src/test/platform/crashing_part_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {CrashPlay, PlayedRequest} from '../../lib/crash_play.js';
 import {PlatformWorld, ROUTE_PATH} from '../../lib/platform_world.js';
 
 const HOSTS = 3;
@@ -24,54 +25,16 @@
 
 const pause = (ms: number) => new Promise(done => setTimeout(done, ms));
 
-/** Sends sound and crashing requests to all hosts in turn. */
-class CrashingPartPlay {
-  readonly crashingIds = new Set<string>();
-  readonly sound: Array<{sentMs: number; status: number}> = [];
-  private readonly calls: Array<Promise<void>> = [];
-
-  constructor(private readonly world: PlatformWorld) {}
-
-  async run(): Promise<void> {
-    const endMs = performance.now() + PLAY_MS;
-    for (let i = 0; performance.now() < endMs; i++) {
-      this.send(i);
-      await pause(REQUEST_INTERVAL_MS);
-    }
-    await Promise.all(this.calls);
-  }
-
-  /** Times at which crashing requests began to run. */
-  get crashingRunsMs(): number[] {
-    return this.world.engines
-      .flatMap(({runs}) => runs)
-      .filter(({id}) => this.crashingIds.has(id))
-      .map(({startedMs}) => startedMs)
-      .sort((a, b) => a - b);
-  }
-
-  private send(i: number): void {
-    const isCrashing = i % CRASHING_EVERY === CRASHING_EVERY - 1;
-    const id = `part-${i}`;
-    if (isCrashing) this.crashingIds.add(id);
-    const subject = isCrashing ? CRASHING : `5b${i % 7}`;
-    const headers = {
-      'x-fuchsiacleat-model': 'm1',
-      'x-fuchsiacleat-token-count': '100,20',
-      'x-fuchsiacleat-prompt-prefix': `ba5e:50,${subject}:40,${i}0:10`,
-    };
-    const sentMs = performance.now();
-    const call = this.world
-      .call(ROUTE_PATH.stream, {host: i % HOSTS, headers, id})
-      .then(
-        ({status}) => status,
-        () => 0,
-      )
-      .then(status => {
-        if (!isCrashing) this.sound.push({sentMs, status});
-      });
-    this.calls.push(call);
-  }
+function requestOf(i: number): PlayedRequest {
+  const isCrashing = i % CRASHING_EVERY === CRASHING_EVERY - 1;
+  const subject = isCrashing ? CRASHING : `5b${i % 7}`;
+  const headers = {
+    'x-fuchsiacleat-model': 'm1',
+    'x-fuchsiacleat-token-count': '100,20',
+    'x-fuchsiacleat-prompt-prefix': `ba5e:50,${subject}:40,${i}0:10`,
+  };
+  // No two requests are alike.
+  return {path: ROUTE_PATH.stream, headers, body: `body ${i}`, isCrashing};
 }
 
 describe('GatewayHost and a prompt part that crashes its targets', () => {
@@ -88,18 +51,18 @@
       engine.workMs = 40;
       engine.onRestart = () => world.registerTargets();
     }
-    const play = new CrashingPartPlay(world);
+    const play = new CrashPlay(world, {
+      playMs: PLAY_MS,
+      intervalMs: REQUEST_INTERVAL_MS,
+      request: requestOf,
+    });
     await play.run();
-    const crashesMs = world.engines
-      .flatMap(engine => engine.crashesMs)
-      .sort((a, b) => a - b);
-    const lastMs = crashesMs[KNOWN_AFTER_CRASHES - 1] ?? crashesMs.at(-1)!;
-    const knownMs = lastMs + KNOWN_AFTER_MS;
-    const lateRuns = play.crashingRunsMs.filter(ms => ms > knownMs);
+    const knownMs = play.crashMs(KNOWN_AFTER_CRASHES) + KNOWN_AFTER_MS;
     expect(play.crashingIds.size, 'requests with the part').to.be.above(30);
-    expect(lateRuns.length, 'late runs').to.be.at.most(MAX_LATE_RUNS);
-    const late = play.sound.filter(({sentMs}) => sentMs > knownMs);
-    const served = late.filter(({status}) => status === 200);
+    const lateRuns = play.countCrashingRuns(knownMs);
+    expect(lateRuns, 'late runs').to.be.at.most(MAX_LATE_RUNS);
+    const late = play.soundStatuses(knownMs);
+    const served = late.filter(status => status === 200);
     expect(late.length, 'late sound requests').to.be.above(100);
     expect(served.length / late.length).to.be.at.least(MIN_SOUND_SERVED);
   });
