Let requests that take up a stream wait for their team's rate

Callers leave a stream after two seconds without an event, and most retry once.

Such a request now waits for up to 1.2 s; the rate itself is kept. New requests are refused at once as before. admission_test fails without the change.

--- a/packages/core/src/lib/gateway/admission.ts
+++ b/packages/core/src/lib/gateway/admission.ts
@@ -2,6 +2,7 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
+import {Clock} from '../time/clock.js';
 import {CallerRequest} from './caller_request.js';
 import {DeploymentState} from './deployment_state.js';
 import {RouteRule, TeamConfig} from './deployment.js';
@@ -17,6 +18,13 @@
  */
 const LENDER_WAIT_FRACTION = 0.4;
 
+/**
+ * How long a request that takes up a stream waits for its team's rate. Callers
+ * leave after two seconds without an event.
+ */
+const MAX_RESUMED_WAIT_MS = 1_200;
+const MIN_RATE_POLL_MS = 20;
+
 /** An admitted request. */
 export interface Admitted {
   route: RouteRule;
@@ -33,6 +41,7 @@
 
 /** Dependencies of {@link Admission}. */
 export interface AdmissionParts {
+  clock: Clock;
   state: DeploymentState;
   freshness: Freshness;
   quotas: TeamQuotas;
@@ -52,7 +61,7 @@
    * @returns the route, the team and the charged tokens, or the refusal.
    */
   async admit(req: CallerRequest): Promise<Result<Admitted, Rejected>> {
-    const {state, freshness, quotas} = this.parts;
+    const {state, freshness} = this.parts;
     const inForce = state.current;
     if (inForce === undefined) {
       return err({refusal: staleConfigRefusal('no configuration is known')});
@@ -82,14 +91,38 @@
       req.tokens === undefined
         ? team.defaultRequestTokens
         : req.tokens.prompt + req.tokens.output;
-    const maxWaitMs = route.objectiveMs * LENDER_WAIT_FRACTION;
-    const retryAfterMs = await quotas.take(team, tokens, maxWaitMs, req.signal);
+    const retryAfterMs = await this.takeTokens(req, route, team, tokens);
     if (retryAfterMs === undefined) return ok({route, team, tokens});
     const message = `${tokens} tokens are over the rate of the team`;
     const refusal = refuse(REFUSAL.overRate, message, retryAfterMs);
     return err({refusal, route, team});
   }
 
+  /**
+   * Takes the tokens of a request. One that takes up a stream waits for them, as
+   * its caller has a part of the answer already.
+   *
+   * @returns undefined if the request may run, else the retry-after time in
+   *     milliseconds.
+   */
+  private async takeTokens(
+    req: CallerRequest,
+    route: RouteRule,
+    team: TeamConfig,
+    tokens: number,
+  ): Promise<number | undefined> {
+    const {clock, quotas} = this.parts;
+    const maxWaitMs = route.objectiveMs * LENDER_WAIT_FRACTION;
+    const isResumed = req.lastEventId !== undefined;
+    const endMs = isResumed ? clock.now() + MAX_RESUMED_WAIT_MS : -Infinity;
+    for (;;) {
+      const waitMs = await quotas.take(team, tokens, maxWaitMs, req.signal);
+      const isOver = waitMs === undefined || clock.now() + waitMs > endMs;
+      if (isOver || req.signal.aborted) return waitMs;
+      await clock.sleep(Math.max(MIN_RATE_POLL_MS, waitMs), req.signal);
+    }
+  }
+
   /**
    * Checks again, right before a send, that an admitted request may run.
    *
