Pass on each stream origin once

Found by reading, shown by a test: at a change of the passing host every host sent all streams that it knew, and the new one passed on each copy and wrote it to the store; with 195 hosts that is each stream 195 times over to 195 hosts.

--- a/packages/core/src/lib/continuation/origin_exchange.ts
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -72,20 +72,20 @@
     const {network, origins, versions} = parts;
     versions.onChange(() => this.scheduleSend());
     network.onNotification(REPORT_ORIGINS, ({groups}) => {
+      this.pass(origins.addGroups(groups));
+    });
+    network.onNotification(PUBLISH_ORIGINS, ({groups}) => {
       origins.addGroups(groups);
-      this.pass(groups);
     });
-    network.onNotification(PUBLISH_ORIGINS, ({groups}) =>
-      origins.addGroups(groups),
-    );
     network.serveUnary(EXCHANGE_ORIGINS, knowledge => {
       // A rejected call makes the host ask again once it knows the new one.
       if (!this.isPassing) throw new Error('not the passing host');
-      const reply = this.knowledge();
-      origins.addGroups(knowledge.groups);
+      const isMixed = (service: string) => this.isMixed(service);
+      const groups = knowledge.knowsStreams ? [] : origins.all(isMixed);
+      const reply = this.knowledge(groups);
       if (knowledge.knowsPast && !versions.knowsPast)
         versions.addPast(knowledge.past);
-      this.pass(knowledge.groups);
+      this.pass(origins.addGroups(knowledge.groups));
       return reply;
     });
   }
@@ -112,8 +112,7 @@
    * @param groups - the streams.
    */
   addArchived(groups: readonly OriginGroup[]): void {
-    this.parts.origins.addGroups(groups);
-    this.broadcastSoon(groups);
+    this.broadcastSoon(this.parts.origins.addGroups(groups));
   }
 
   /**
@@ -130,14 +129,20 @@
   private async exchange(signal: AbortSignal): Promise<void> {
     const {clock, network, origins, versions} = this.parts;
     const passing = this.parts.passingHost();
-    if (passing === undefined || this.isPassing) return;
+    if (passing === undefined) return;
+    if (this.isPassing) {
+      this.exchangedWith = passing.incarnation;
+      return;
+    }
     const isNew = passing.incarnation !== this.exchangedWith;
     const isDue = !versions.knowsPast && clock.now() >= this.nextExchangeMs;
     if (!isNew && !isDue) return;
+    const own = origins.own(service => this.isMixed(service));
+    const knowsStreams = this.exchangedWith !== '';
     const reply = await network.call(
       passing.host,
       EXCHANGE_ORIGINS,
-      this.knowledge(),
+      {...this.knowledge(own), knowsStreams},
       {timeoutMs: CALL_TIMEOUT_MS, signal},
     );
     if (reply.isErr()) return;
@@ -148,10 +153,9 @@
     if (knowsPast) versions.addPast(past);
   }
 
-  private knowledge(): VersionKnowledge {
-    const {origins, versions} = this.parts;
+  private knowledge(groups: OriginGroup[]): VersionKnowledge {
+    const {versions} = this.parts;
     const {knowsPast} = versions;
-    const groups = origins.all(service => this.isMixed(service));
     return {groups, knowsPast, past: versions.past()};
   }
 
@@ -196,6 +200,7 @@
   }
 
   private broadcastSoon(groups: readonly OriginGroup[]): void {
+    if (groups.length === 0) return;
     this.toPass.push(...groups);
     if (this.isPassScheduled) return;
     this.isPassScheduled = true;
--- a/packages/core/src/lib/continuation/origin_messages.ts
+++ b/packages/core/src/lib/continuation/origin_messages.ts
@@ -43,10 +43,17 @@
 /** What a host knows of the versions that streams can have begun at. */
 export type VersionKnowledge = z.output<typeof knowledgeSchema>;
 
+const exchangeSchema = knowledgeSchema.extend({
+  /** Whether the sender knows the streams of other hosts already. */
+  knowsStreams: z.boolean(),
+});
+
+/** Body of {@link EXCHANGE_ORIGINS}, with the streams of the sender. */
+export type ExchangeBody = z.output<typeof exchangeSchema>;
+
 /** Exchanges what two hosts know. */
-export const EXCHANGE_ORIGINS: PeerMethod<VersionKnowledge, VersionKnowledge> =
-  {
-    name: 'stream-origins-exchange',
-    body: knowledgeSchema,
-    event: knowledgeSchema,
-  };
+export const EXCHANGE_ORIGINS: PeerMethod<ExchangeBody, VersionKnowledge> = {
+  name: 'stream-origins-exchange',
+  body: exchangeSchema,
+  event: knowledgeSchema,
+};
--- a/packages/core/src/lib/continuation/stream_origins.ts
+++ b/packages/core/src/lib/continuation/stream_origins.ts
@@ -25,6 +25,8 @@
 
 interface KnownStream extends StreamOrigin {
   atMs: number;
+  /** Whether it began at this host. */
+  isOwn: boolean;
   /** Whether other hosts still have to learn of it from this one. */
   isUnsent: boolean;
 }
@@ -76,13 +78,20 @@
     this.add(key, origin, true);
   }
 
-  /** Adds streams that another host tells of. */
-  addGroups(groups: readonly OriginGroup[]): void {
+  /**
+   * Adds streams that another host tells of.
+   *
+   * @param groups - the streams.
+   * @returns those that were not known before.
+   */
+  addGroups(groups: readonly OriginGroup[]): OriginGroup[] {
+    const added: OriginGroup[] = [];
     for (const {keys, ...origin} of groups) {
-      for (const key of keys) {
-        if (!this.streams.has(key)) this.add(key, origin, false);
-      }
+      const unknown = keys.filter(key => !this.streams.has(key));
+      for (const key of unknown) this.add(key, origin, false);
+      if (unknown.length > 0) added.push({...origin, keys: unknown});
     }
+    return added;
   }
 
   /**
@@ -107,6 +116,15 @@
     return this.group(({service}) => isWanted(service));
   }
 
+  /**
+   * Returns the streams of some services that began at this host.
+   *
+   * @param isWanted - whether the streams of a service are wanted.
+   */
+  own(isWanted: (service: string) => boolean): OriginGroup[] {
+    return this.group(({isOwn, service}) => isOwn && isWanted(service));
+  }
+
   /** Marks streams as not sent, as sending them has failed. */
   markUnsent(groups: readonly OriginGroup[]): void {
     for (const {keys} of groups) {
@@ -117,10 +135,11 @@
     }
   }
 
-  private add(key: string, origin: StreamOrigin, isUnsent: boolean): void {
+  private add(key: string, origin: StreamOrigin, isOwn: boolean): void {
     const {service, softwareVersion} = origin;
     const atMs = this.clock.now();
-    this.streams.set(key, {service, softwareVersion, atMs, isUnsent});
+    const stream = {service, softwareVersion, atMs, isOwn, isUnsent: isOwn};
+    this.streams.set(key, stream);
     // The first entries are the oldest.
     for (const [oldest, stream] of this.streams) {
       if (this.streams.size <= MAX_STREAMS && !this.isExpired(stream)) break;
--- a/packages/core/src/test/continuation/stream_continuity_test.ts
+++ b/packages/core/src/test/continuation/stream_continuity_test.ts
@@ -81,6 +81,21 @@
     expect(world.hosts[1].versionOf('s')).to.equal('v2');
   });
 
+  it('sends each stream once more to a new passing host, not all that is known', async () => {
+    world.setTargets('v1', 'v2');
+    for (const host of world.hosts) host.versions.addPast([]);
+    for (let i = 0; i < 300; i++) world.hosts[i % 3].begin(`s${i}`, 'v2');
+    await world.clock.advance(2 * SPREAD_MS);
+    let keys = 0;
+    world.hub.onMessage = (unusedFrom, body) => {
+      const sent = JSON.stringify(body).match(/"[0-9a-f]{16}"/g);
+      keys += sent?.length ?? 0;
+    };
+    world.passing = 2;
+    await world.clock.advance(2 * SPREAD_MS);
+    expect(keys).to.be.within(1, 300);
+  });
+
   it('continues no stream of another team', async () => {
     world.setTargets('v1', 'v2');
     world.hosts[0].begin('s', 'v1');
