Check seldom for what other hosts know once the past is known

Hosts now check four times a second until they know the past, once a second afterwards; the deciding host writes four times a second only while versions are mixed. A fixed second was tried first: after all hosts were killed two tests of mixed_versions_test failed, as the chain of checks took longer than callers wait.

--- a/packages/core/src/lib/continuation/origin_exchange.ts
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -26,9 +26,6 @@
 /** Delay before streams that could not be sent are sent again. */
 const RESEND_DELAY_MS = 250;
 
-/** Interval of checks for a new host that passes origins on. */
-const CHECK_INTERVAL_MS = 500;
-
 /** Interval of exchanges with one that does not know the past yet. */
 const UNINFORMED_INTERVAL_MS = 1_000;
 
@@ -121,9 +118,11 @@
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await this.parts.clock.every(CHECK_INTERVAL_MS, signal, () =>
-      this.exchange(signal),
-    );
+    const {clock, versions} = this.parts;
+    while (!signal.aborted) {
+      await this.exchange(signal);
+      await clock.sleep(versions.idleMs, signal);
+    }
   }
 
   private async exchange(signal: AbortSignal): Promise<void> {
--- a/packages/core/src/lib/continuation/origin_keeper.ts
+++ b/packages/core/src/lib/continuation/origin_keeper.ts
@@ -50,8 +50,12 @@
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
+    const {clock, versions} = this.parts;
     while (!signal.aborted) {
+      if (!this.isNeeded()) {
+        await clock.sleep(versions.idleMs, signal);
+        continue;
+      }
       const isDone = await this.update(signal);
       await clock.sleep(isDone ? WRITE_INTERVAL_MS : RETRY_DELAY_MS, signal);
     }
@@ -63,16 +67,19 @@
     if (count <= MAX_UNWRITTEN) this.unwritten = merged;
   }
 
-  /** Makes the calls that are due; returns whether none failed. */
-  private async update(signal: AbortSignal): Promise<boolean> {
+  /** Returns whether this host decides and any service is mixed. */
+  private isNeeded(): boolean {
     const {isDeciding, versions} = this.parts;
     if (!isDeciding()) {
       this.hasRead = false;
       this.unwritten = [];
-      return true;
+      return false;
     }
-    if (!versions.knowsPast || !versions.isAnyMixed(ORIGIN_LIFETIME_MS))
-      return true;
+    return versions.knowsPast && versions.isAnyMixed(ORIGIN_LIFETIME_MS);
+  }
+
+  /** Makes the calls that are due; returns whether none failed. */
+  private async update(signal: AbortSignal): Promise<boolean> {
     if (!this.hasRead && !(await this.read(signal))) return false;
     return this.write(signal);
   }
--- a/packages/core/src/lib/continuation/service_versions.ts
+++ b/packages/core/src/lib/continuation/service_versions.ts
@@ -12,6 +12,13 @@
  */
 const MAX_LIST_AGE_MS = 5_000;
 
+/**
+ * Interval of checks of a host that waits for others, until it knows the past
+ * and afterwards.
+ */
+const UNINFORMED_IDLE_MS = 250;
+const INFORMED_IDLE_MS = 1_000;
+
 /** Stands for the version of a target that does not name any. */
 const UNKNOWN_VERSION = '';
 
@@ -67,6 +74,11 @@
     return this.completeSinceMs === -Infinity;
   }
 
+  /** Time between checks for what other hosts know, in milliseconds. */
+  get idleMs(): number {
+    return this.knowsPast ? INFORMED_IDLE_MS : UNINFORMED_IDLE_MS;
+  }
+
   /**
    * Adds what another host, or an earlier process, knows of the past.
    *
--- a/packages/core/src/lib/continuation/version_keeper.ts
+++ b/packages/core/src/lib/continuation/version_keeper.ts
@@ -38,8 +38,13 @@
    * @param signal - ends the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
+    const {clock, isDeciding, versions} = this.parts;
     while (!signal.aborted) {
+      if (!isDeciding()) {
+        this.stored = undefined;
+        await clock.sleep(versions.idleMs, signal);
+        continue;
+      }
       const isDone = await this.update(signal);
       await clock.sleep(isDone ? CHECK_INTERVAL_MS : RETRY_DELAY_MS, signal);
     }
@@ -47,10 +52,6 @@
 
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
-    if (!this.parts.isDeciding()) {
-      this.stored = undefined;
-      return true;
-    }
     if (this.stored === undefined && !(await this.read(signal))) return false;
     return this.write(signal);
   }
