--- a/review/lib/config.mjs
+++ b/review/lib/config.mjs
@@ -13,7 +13,7 @@
 };
 
 /** A valid configuration with a route of each kind. */
-export function deploymentConfig(version) {
+export function deploymentConfig(version, models = [MODEL]) {
   const route = (name, kind, service, more) => ({
     Name: name,
     Host: HOST_NAME,
@@ -58,17 +58,15 @@
         MaxConns: 370,
         Engine: {
           Slots: 64,
-          Models: [
-            {
-              Name: MODEL,
-              WeightsMb: 70_000,
-              LoadTimeS: 6,
-              Adapters: 0,
-              AdapterMb: 12,
-              WarmS: 0.45,
-              DiskS: 0.8,
-            },
-          ],
+          Models: models.map(Name => ({
+            Name,
+            WeightsMb: 70_000,
+            LoadTimeS: 6,
+            Adapters: 0,
+            AdapterMb: 12,
+            WarmS: 0.45,
+            DiskS: 0.8,
+          })),
           WeightsMb: 230_000,
           AdapterSlots: 8,
           LoadsPerS: 3,
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -129,6 +129,12 @@
     host.child = child;
   }
 
+  /** Starts the process of a host again, after it has ended. */
+  async spawnAgain(host) {
+    host.exit = undefined;
+    await this.spawn(host, await readRunLine());
+  }
+
   async whenReady(host) {
     const endMs = performance.now() + READY_LIMIT_MS;
     while (performance.now() < endMs) {
@@ -152,13 +158,13 @@
     throw new Error(`${host.name} is not ready`);
   }
 
-  /** Lines of the log of every host that contain a text. */
-  async logLines(text) {
+  /** Lines of the logs of all hosts that begin with the name of an error. */
+  async logErrors() {
     const found = [];
     for (const {name} of this.hosts) {
       const path = join(this.folder, `${name}.log`);
       const log = await readFile(path, 'utf8').catch(() => '');
-      found.push(...log.split('\n').filter(line => line.includes(text)));
+      found.push(...log.split('\n').filter(line => /^\w*Error/.test(line)));
     }
     return found;
   }
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -2,13 +2,15 @@
 
 import {createServer} from 'node:http';
 
-const ANSWER_MS = 4;
+export const ANSWER_MS = 4;
 const POLL_MS = 5;
 
 /** A store that follows the users' protocol page and loses nothing. */
 export class Store {
   constructor() {
     this.topics = new Map();
+    /** Time until an answer, in milliseconds. */
+    this.answerMs = ANSWER_MS;
     this.server = createServer((req, res) => void this.handle(req, res));
     this.server.keepAliveTimeout = 0;
   }
@@ -41,7 +43,10 @@
     for await (const chunk of req) chunks.push(chunk);
     const body = Buffer.concat(chunks);
     const url = new URL(req.url, 'http://store');
-    await pause(ANSWER_MS);
+    // Half of the time passes before the call takes effect.
+    await pause(this.answerMs / 2);
+    const end = res.end.bind(res);
+    res.end = (...args) => setTimeout(() => end(...args), this.answerMs / 2);
     if (url.pathname === '/log-read') await this.read(url.searchParams, res);
     else if (url.pathname === '/log-newest') this.newest(url.searchParams, res);
     else if (url.pathname === '/log-append')
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -16,6 +16,8 @@
  *   follows at the point where the next answer is expected.
  * - `answerFault(id, afterEvent)`: undefined, or `{unframed, cutAfter}` for a
  *   stream without a length, and one that ends early after so many events.
+ * - `plainFault(id)`: undefined, or the number of bytes of a plain body after
+ *   which the answer breaks off.
  */
 export class Worker {
   constructor(store, options) {
@@ -27,6 +29,10 @@
     this.waiting = [];
     /** Runs in the order in which they began. */
     this.runs = [];
+    this.runningByModel = new Map();
+    this.isBusy = false;
+    /** Orders in the order of their arrival. */
+    this.orders = [];
     /** Requests that were not run, with their statuses. */
     this.refusals = [];
     this.answers = 0;
@@ -61,7 +67,7 @@
       ColdLeftMs: 0,
       Seq: this.orderCount,
       Models,
-      AtHand: {InMemory: [...this.models], OnDisk: [...this.models]},
+      AtHand: {InMemory: this.options.atHand ?? [...this.models]},
       born: this.born,
     });
   }
@@ -98,7 +104,7 @@
     answerJson(res, 200, {
       Stage: 'both',
       Models: [...this.models].map(toEntry),
-      Busy: false,
+      Busy: this.isBusy,
       Seq: this.orderCount,
       Waiting: this.waiting.length,
       Running: this.running,
@@ -108,17 +114,30 @@
     });
   }
 
-  order(order, res) {
-    const {Adapter, Model, Op, Precondition} = order;
-    if (Precondition !== undefined && Precondition !== this.orderCount) {
-      res.writeHead(409).end();
-      return;
+  /** Carries out one order for a model at a time. */
+  order({Fence, Holder, Model, Op, Precondition}, res) {
+    const atMs = Math.round(performance.now());
+    const isConflict = this.isBusy || Precondition !== this.orderCount;
+    const status = isConflict ? 409 : 202;
+    this.orders.push({atMs, Fence, Holder, Model, Op, status});
+    if (!isConflict) {
+      this.orderCount += 1;
+      void this.carryOut(Op, Model);
+    }
+    res.writeHead(status).end();
+  }
+
+  async carryOut(op, model) {
+    this.isBusy = true;
+    if (op === 'load') {
+      await pause(this.options.loadMs ?? 0);
+      this.models.add(model);
+    } else {
+      this.models.delete(model);
+      while ((this.runningByModel.get(model) ?? 0) > 0) await pause(10);
     }
-    this.orderCount += 1;
-    if (Op === 'load' && Adapter === undefined) this.models.add(Model);
-    else if (Op === 'unload' && Adapter === undefined)
-      this.models.delete(Model);
-    res.writeHead(202).end();
+    this.isBusy = false;
+    this.register();
   }
 
   async request(req, res) {
@@ -141,6 +160,7 @@
       return;
     }
     this.running += 1;
+    this.countModel(model, 1);
     const run = {
       id,
       worker: this.options.id,
@@ -152,9 +172,15 @@
     if (model === undefined) await this.answerPlain(req, res, id);
     else await this.answerStream(req, res, id);
     this.running -= 1;
+    this.countModel(model, -1);
     this.next();
   }
 
+  countModel(model, change) {
+    const count = (this.runningByModel.get(model) ?? 0) + change;
+    this.runningByModel.set(model, count);
+  }
+
   next() {
     if (this.running < this.options.slots) this.waiting.shift()?.();
   }
@@ -179,13 +205,21 @@
   async answerPlain(req, res, id) {
     const workMs = Number(req.headers['x-work-ms'] ?? 80);
     await pause(workMs);
-    const body = `answer to ${id}`;
+    const {bodyBytes = 0, plainFault} = this.options;
+    const body = plainBody(id, bodyBytes);
+    const cutAfter = plainFault?.(id);
     res.writeHead(200, {
       [`${PREFIX}attempt-id`]: id,
       [`${PREFIX}server-stamp`]: `${this.options.id}.stamp`,
       'content-length': body.length,
     });
-    res.end(body);
+    if (cutAfter === undefined) {
+      await new Promise(resolve => res.end(body, resolve));
+      return;
+    }
+    await new Promise(resolve => res.write(body.slice(0, cutAfter), resolve));
+    await pause(20);
+    res.destroy();
   }
 
   /** Streams events `1` to `events`, or those after the last event's id. */
@@ -218,6 +252,17 @@
   }
 }
 
+/** The body of a plain answer: lines that name the request and the place. */
+export function plainBody(id, minBytes) {
+  const lines = [`answer to ${id}`];
+  for (let bytes = lines[0].length; bytes < minBytes;) {
+    const line = `\n${id} at ${bytes}`;
+    lines.push(line);
+    bytes += line.length;
+  }
+  return lines.join('');
+}
+
 function toEntry(Name) {
   return {Name, Version: 1, Adapters: []};
 }
