--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -205,6 +205,7 @@
   async answerPlain(req, res, id) {
     const workMs = Number(req.headers['x-work-ms'] ?? 80);
     await pause(workMs);
+    if (res.destroyed) return;
     const {bodyBytes = 0, plainFault} = this.options;
     const body = plainBody(id, bodyBytes);
     const cutAfter = plainFault?.(id);
@@ -214,10 +215,16 @@
       'content-length': body.length,
     });
     if (cutAfter === undefined) {
-      await new Promise(resolve => res.end(body, resolve));
+      await new Promise(resolve => {
+        res.on('close', resolve);
+        res.end(body, resolve);
+      });
       return;
     }
-    await new Promise(resolve => res.write(body.slice(0, cutAfter), resolve));
+    await new Promise(resolve => {
+      res.on('close', resolve);
+      res.write(body.slice(0, cutAfter), resolve);
+    });
     await pause(20);
     res.destroy();
   }
