--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -17,7 +17,7 @@
 const MAX_ENDS = 3;
 const MIN_MACHINES = 2;
 const RESTART_MS = 2_000;
-const RUN_MS = 45_000;
+const RUN_MS = 40_000;
 const REQUEST_EVERY_MS = 100;
 
 await writeFile(RECORD, `trouble: ${hasTrouble}\n`);
@@ -61,7 +61,7 @@
   if (hasTrouble) {
     store.put('keyed.servers', 'entry-of-another-writer', {
       Service: SERVICE.engine,
-      Addr: '10.0.0.300:8080',
+      Addr: '127.0.0.300:8080',
       Zone: 'a',
       Version: 'v1',
       Slots: 64,
