--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -6,25 +6,29 @@
 import {appendFile, writeFile} from 'node:fs/promises';
 import {PATH, SERVICE, deploymentConfig} from '../lib/config.mjs';
 import {Deployment, send} from '../lib/deployment.mjs';
+import {FaultWindow} from '../lib/fault_window.mjs';
 import {Store, pause} from '../lib/store.mjs';
 import {Worker} from '../lib/worker.mjs';
 
 const RECORD = new URL('record.txt', import.meta.url);
 const hasTrouble = process.env.TROUBLE !== '0';
 
-const ROUNDS = 24;
+const ROUNDS = 14;
+/** The round that the time with second copies begins with. */
+const FIRST_COPIED_ROUND = 6;
 const SLOTS = 6;
+const QUEUE = 3;
 /** Work of the requests that fill the workers, and when the next one comes. */
 const WORK_MS = 300;
 const PROBE_AFTER_MS = 270;
-const ROUND_PAUSE_MS = 500;
+const ROUND_PAUSE_MS = 150;
 
 /** Requests of the calm host before each round; they fill its retry budget. */
 const CALM_REQUESTS = 15;
 const CALM_WORK_MS = 5;
 
-/** Share of the answers of the faulty worker that get a second copy. */
-const MAX_COPIED_SHARE = 0.03;
+/** Limits of the site file for `garble`, how = "extra late". */
+const COPIES = new FaultWindow(5_000, 0.03);
 
 await writeFile(RECORD, `trouble: ${hasTrouble}\n`);
 const note = text => appendFile(RECORD, `${text}\n`);
@@ -35,11 +39,9 @@
 try {
   await store.start();
   store.put('keyed.op', 'config', deploymentConfig(1));
-  let copies = 0;
   const duplicates = id => {
     if (!hasTrouble || !id.startsWith('probe')) return false;
-    if (copies + 1 > workers[0].answers * MAX_COPIED_SHARE) return false;
-    copies += 1;
+    if (!COPIES.take(workers[0])) return false;
     void note(`second copy of the 503 to ${id} will follow late`);
     return true;
   };
@@ -49,6 +51,7 @@
       service: SERVICE.plain,
       zone,
       slots: SLOTS,
+      queue: QUEUE,
       duplicates: i === 0 ? duplicates : undefined,
     });
     await worker.start();
@@ -64,10 +67,11 @@
     answers.push(await send(host, {headers, id, path: `${PATH.once}x`}));
   };
   for (let round = 0; round < ROUNDS; round++) {
+    if (round === FIRST_COPIED_ROUND) COPIES.open([workers[0]]);
     for (let i = 0; i < CALM_REQUESTS; i++)
       await ask(calm, `calm-${round}-${i}`, CALM_WORK_MS);
     const pending = [];
-    for (let i = 0; i < SLOTS * workers.length; i++)
+    for (let i = 0; i < (SLOTS + QUEUE) * workers.length; i++)
       pending.push(ask(busy, `fill-${round}-${i}`, WORK_MS));
     await pause(PROBE_AFTER_MS);
     pending.push(ask(calm, `probe-${round}`, 30));
@@ -99,7 +103,7 @@
   }
   await note(
     `answers of workers: ${workers.map(({answers}) => answers).join(' and ')}, ` +
-      `second copies: ${copies}, broken: ${broken}`,
+      `second copies: ${COPIES.faults}, broken: ${broken}`,
   );
   const served = answers.filter(({status}) => status === 200).length;
   await note(`served ${served} of ${answers.length}`);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -17,7 +17,7 @@
 const MAX_ENDS = 3;
 const MIN_MACHINES = 2;
 const RESTART_MS = 2_000;
-const RUN_MS = 40_000;
+const RUN_MS = 30_000;
 const REQUEST_EVERY_MS = 100;
 
 await writeFile(RECORD, `trouble: ${hasTrouble}\n`);
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -67,6 +67,12 @@
   constructor(store) {
     this.store = store;
     this.hosts = [];
+    // No process is left behind, whatever ends this one.
+    process.on('exit', () => {
+      for (const {child} of this.hosts) child?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+      process.on(signal, () => process.exit(2));
   }
 
   async start(count, zones = ['a', 'b']) {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -22,7 +22,7 @@
 export class Worker {
   constructor(store, options) {
     this.store = store;
-    this.options = {slots: 6, queue: 0, models: [], version: 'v1', ...options};
+    this.options = {slots: 6, queue: 3, models: [], version: 'v1', ...options};
     this.models = new Set(this.options.models);
     this.orderCount = 0;
     this.running = 0;
