An unexpected error about one target ends only the work on that target

What callers saw: one entry in the list of targets ended the process of the host with the order lease, then that of its successor, and so on for as long as the entry stood.

Cause: AccountRegistry.sync runs the report of a target in a promise that nothing awaits. HttpOrderPort.report threw for that target, Node ends a process on an unhandled rejection, and the fault stands in the store, so that it follows the lease. Besides, ResidencyAccount.runExclusive chained later work to the rejected promise, so that it would never have run again.

Ruled out: the plain service (no process ends when the entry names it, the request alone breaks with 500), and the lease itself (the ends follow it at 0.4 s after each claim).

Why this works: work that nothing awaits goes through TaskSupervisor. An error ends that piece of work, is logged as task_failed with the stack and the id of the target, record or request, and counted by task; lasting tasks are run again. The account of the target counts as unknown until it has reported again, a second later at the earliest, so that no memory is counted as free that may be taken.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -48,6 +48,7 @@
 export * from './lib/residency/swap_executor.js';
 export * from './lib/residency/token_lender.js';
 export * from './lib/residency/usage_table.js';
+export * from './lib/tasks/task_supervisor.js';
 export * from './lib/target_limits/limit_exchange.js';
 export * from './lib/target_limits/target_sends.js';
 export * from './lib/requests/outcome.js';
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -1,5 +1,6 @@
 /** Relays the answer of a target to the caller. @packageDocumentation */
 
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
@@ -40,11 +41,13 @@
 > {
   /**
    * @param clock - measures the time between events of a stream.
+   * @param tasks - watches the progress of streams.
    * @param onEvents - called before whole events of a resumable stream are
    *     passed on.
    */
   constructor(
     private readonly clock: Clock,
+    private readonly tasks: TaskSupervisor,
     private readonly onEvents: (call: RelayCall<Req>) => void,
   ) {}
 
@@ -85,7 +88,10 @@
       ? new StallMonitor(this.clock, maxStallMs, stalls)
       : undefined;
     const ended = new AbortController();
-    void monitor?.run(ended.signal);
+    if (monitor !== undefined) {
+      const watch = () => monitor.run(ended.signal);
+      void this.tasks.run('stall_monitor', watch, {id: call.id});
+    }
     const boundary = new EventBoundary();
     this.sendHead(req, call, answer.head);
     const end = await answer.read(chunk => {
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -143,6 +143,14 @@
     registers: [this.registry],
   });
 
+  /** Number of unexpected errors that ended a piece of work. */
+  readonly taskFailures = new Counter({
+    name: 'fuchsiacleat_gateway_task_failures_total',
+    help: 'Unexpected errors that ended a piece of work, by task.',
+    labelNames: ['task'],
+    registers: [this.registry],
+  });
+
   /** Number of calls to the platform's store. */
   readonly storeCalls = new Counter({
     name: 'fuchsiacleat_gateway_store_calls_total',
--- a/packages/core/src/lib/gateway/head_wait.ts
+++ b/packages/core/src/lib/gateway/head_wait.ts
@@ -1,5 +1,6 @@
 /** The wait for the head of an answer. @packageDocumentation */
 
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {CallerRequest} from './caller_request.js';
 import {LossEvidence, isTargetLoss} from './loss_evidence.js';
@@ -22,6 +23,7 @@
 export interface HeadWaitParts {
   prober: TargetProber;
   replacement: RunReplacement;
+  tasks: TaskSupervisor;
 }
 
 /** A request that was sent to a target. */
@@ -73,7 +75,12 @@
     const mayEnd = hasHadTime || this.isTargetLost;
     if (mayEnd && replacement.trySecure(target, req, call, this.isTargetLost))
       return true;
-    void this.checkTarget();
+    const subject = {id: call.id, target: target.registration.id};
+    void this.parts.tasks.run(
+      'target_check',
+      () => this.checkTarget(),
+      subject,
+    );
     return false;
   }
 
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -9,6 +9,7 @@
   fail,
   refuse,
 } from '../requests/outcome.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission} from './admission.js';
@@ -94,6 +95,7 @@
   sends: TargetSends;
   continuity: StreamContinuity;
   observer: RelayObserver;
+  tasks: TaskSupervisor;
   /** Zone of this host. */
   zone: string;
 }
@@ -116,17 +118,18 @@
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
-    this.answers = new AnswerRelay(parts.clock, call =>
+    this.answers = new AnswerRelay(parts.clock, parts.tasks, call =>
       this.resumption.recordEvents(call),
     );
     this.search = new TargetSearch(parts);
     this.runs = new RunRecorder(parts);
     this.resumption = new StreamResumption(parts.continuity);
-    const {clock, observer, port, retries} = parts;
+    const {clock, observer, port, retries, tasks} = parts;
     this.stallParts = {
       prober: new TargetProber(clock, target => port.probe(target)),
       replacement: new RunReplacement(this.search, retries),
       observer,
+      tasks,
     };
     parts.prompts.onQuarantined(part => this.withdrawSends(part));
   }
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -1,6 +1,7 @@
 /** Records what sends of requests show about their targets. @packageDocumentation */
 
 import {PromptGuard} from '../quarantine/prompt_guard.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {ModelFinder} from './model_finder.js';
@@ -30,6 +31,7 @@
   models: ModelFinder;
   prompts: PromptGuard;
   observer: RelayObserver;
+  tasks: TaskSupervisor;
 }
 
 /** Records the results of sends and runs, for all who have to know them. */
@@ -65,12 +67,20 @@
    *
    * @returns whether the target's process has ended.
    */
-  private reportBrokenRun(
+  private async reportBrokenRun(
     target: KnownTarget,
     call: RelayCall<Req>,
   ): Promise<boolean> {
+    const {prompts, tasks} = this.parts;
     const tried = call.trial?.tried ?? [];
-    return this.parts.prompts.recordBrokenRun(target, call, call.run!, tried);
+    const run = call.run!;
+    let hasEnded = false;
+    const report = async () => {
+      hasEnded = await prompts.recordBrokenRun(target, call, run, tried);
+    };
+    const subject = {id: call.id, target: target.registration.id};
+    await tasks.run('broken_run_report', report, subject);
+    return hasEnded;
   }
 
   /** Records the signals of a target, whatever the result of the send. */
--- a/packages/core/src/lib/gateway/run_stall_handler.ts
+++ b/packages/core/src/lib/gateway/run_stall_handler.ts
@@ -6,6 +6,7 @@
 import {RelayCall} from './relay_call.js';
 import {RelayObserver} from './relay_observer.js';
 import {RunReplacement} from './run_replacement.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {StallHandler} from './stall_monitor.js';
 import {TARGET_STATE, TargetAnswer, TargetState} from './target_port.js';
 import {TargetProber} from './target_prober.js';
@@ -19,6 +20,7 @@
   prober: TargetProber;
   replacement: RunReplacement;
   observer: RelayObserver;
+  tasks: TaskSupervisor;
 }
 
 /** A run of a request at a target that has begun its answer. */
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -4,6 +4,7 @@
 import {AddressInfo, Socket} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Logger} from '../telemetry/logger.js';
 import {encodeFrame} from './frame.js';
 import {LinkHandler} from './incoming_calls.js';
@@ -36,6 +37,8 @@
   self: PeerIdentity;
   clock: Clock;
   logger: Logger;
+  /** Confines errors to a message or a link; logs them only by default. */
+  tasks?: TaskSupervisor;
   /** Secret that all hosts share; undefined for links without encryption. */
   secret: string | undefined;
   /** Returns the address of a peer, or undefined if it is not known. */
@@ -76,12 +79,15 @@
     RegisteredNotification
   >();
   private readonly sockets: PeerSockets;
+  private readonly tasks: TaskSupervisor;
   private signal = new AbortController().signal;
   private boundPort = 0;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     super();
     this.sockets = new PeerSockets(options);
+    const {clock, logger, tasks} = options;
+    this.tasks = tasks ?? new TaskSupervisor(clock, logger);
   }
 
   override get self(): PeerIdentity {
@@ -105,9 +111,13 @@
     // Each link adds an abort listener to this signal.
     setMaxListeners(0, signal);
     const {clock} = this.options;
-    void clock.every(TICK_INTERVAL_MS, signal, () => this.tick());
+    void this.tasks.keepRunning('peer_links', signal, () =>
+      clock.every(TICK_INTERVAL_MS, signal, () => this.tick()),
+    );
     const server = this.sockets.createServer(socket => {
-      void this.runLink(this.createLink(socket, false), () => {});
+      void this.tasks.run('peer_link', () =>
+        this.runLink(this.createLink(socket, false), () => {}),
+      );
     });
     return new Promise(resolve => {
       server.once('error', error => resolve(err(error.message)));
@@ -238,7 +248,13 @@
   handleNotification(name: string, body: unknown, from: PeerIdentity): void {
     const registered = this.notificationHandlers.get(name);
     const parsed = registered?.method.body.safeParse(body);
-    if (parsed?.success) registered?.handler(parsed.data, from);
+    if (!parsed?.success) return;
+    // The link carries other work; one message must not close it.
+    this.tasks.attempt(
+      'peer_message',
+      () => registered?.handler(parsed.data, from),
+      {method: name, peer: from.host},
+    );
   }
 
   private isLinkAllowed(host: string): boolean {
@@ -269,8 +285,7 @@
     if (link !== undefined) return link;
     const pending = this.dialling.get(host) ?? this.dial(host);
     this.dialling.set(host, pending);
-    const dialled = await pending;
-    this.dialling.delete(host);
+    const dialled = await pending.finally(() => this.dialling.delete(host));
     if (dialled === undefined) this.recordFailure(host);
     return dialled;
   }
--- a/packages/core/src/lib/residency/account_registry.ts
+++ b/packages/core/src/lib/residency/account_registry.ts
@@ -5,6 +5,7 @@
 import {NOT_RUN, NotRunReason} from '../gateway/target_port.js';
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {ResidencyOrders} from './residency_order_sender.js';
 import {LoadFailures} from './load_failures.js';
@@ -29,6 +30,7 @@
 export interface AccountRegistryParts {
   clock: Clock;
   logger: Logger;
+  tasks: TaskSupervisor;
   state: DeploymentState;
   targets: TargetTable;
   orders: ResidencyOrders;
@@ -128,7 +130,7 @@
    * @param signal - cancels the reports.
    */
   sync(signal: AbortSignal): void {
-    const {clock, orders, targets} = this.parts;
+    const {clock, targets, tasks} = this.parts;
     const engines = this.engines();
     for (const [id, account] of this.accounts) {
       if (targets.get(id) === account.target) continue;
@@ -148,14 +150,27 @@
       if (!account.needsReport || account.backoffUntilMs > nowMs) continue;
       if (account.isReportPending) continue;
       account.isReportPending = true;
-      void account.runExclusive(async () => {
-        await orders.refresh(account, signal);
-        account.isReportPending = false;
-        this.parts.publish(account);
-      });
+      const report = () => this.requestReport(account, signal);
+      void tasks.run('target_report', report, {target: account.id});
     }
   }
 
+  private async requestReport(
+    account: ResidencyAccount,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, orders} = this.parts;
+    const refresh = () => orders.refresh(account, signal);
+    try {
+      await account.runExclusive(refresh);
+    } catch (error) {
+      account.recordFailedWork(clock.now());
+      throw error;
+    }
+    account.isReportPending = false;
+    this.parts.publish(account);
+  }
+
   /** Records which loaded models have requests in flight. */
   private recordServedModels(account: ResidencyAccount, nowMs: number): void {
     const {loadFailures, usage} = this.parts;
--- a/packages/core/src/lib/residency/controller_factory.ts
+++ b/packages/core/src/lib/residency/controller_factory.ts
@@ -3,6 +3,7 @@
 import {DeploymentState} from '../gateway/deployment_state.js';
 import {TargetTable} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {AccountRegistry} from './account_registry.js';
 import {LoadFailures} from './load_failures.js';
@@ -19,6 +20,7 @@
 export interface ControllerParts {
   clock: Clock;
   logger: Logger;
+  tasks: TaskSupervisor;
   state: DeploymentState;
   targets: TargetTable;
   lease: OrderLease;
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -56,6 +56,9 @@
 /** Longest time from the end of a process to the end of its registration. */
 const REGISTRATION_LAPSE_MS = 6_000;
 
+/** Time before a target is called again after work on it failed. */
+const FAILED_WORK_BACKOFF_MS = 1_000;
+
 /** Time after which a loaded model without requests counts as confirmed. */
 export const UNPROBED_CONFIRM_MS = 200;
 
@@ -282,14 +285,29 @@
   /**
    * Runs work on the target's orders after all earlier work has ended.
    *
-   * @param work - the work; must not reject.
+   * @param work - the work; a rejection is passed on, and later work still runs.
    */
   runExclusive<T>(work: () => Promise<T>): Promise<T> {
     const result = this.queue.then(work);
-    this.queue = result;
+    // Whoever asked for the work handles its failure.
+    this.queue = result.catch(() => undefined);
     return result;
   }
 
+  /**
+   * Records that work on the target's orders failed at an unknown point. Its
+   * state must be reported before anything else is ordered.
+   *
+   * @param nowMs - clock time.
+   */
+  recordFailedWork(nowMs: number): void {
+    this.loadingModel = undefined;
+    this.isLoadingFromStore = false;
+    this.isReportPending = false;
+    this.needsReport = true;
+    this.backoffUntilMs = nowMs + FAILED_WORK_BACKOFF_MS;
+  }
+
   /** Replaces the state of the account by the target's own report. */
   applyReport(report: ResidencyReport, nowMs: number): void {
     this.orderCount = report.orderCount;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -3,6 +3,7 @@
 import {Result, ok} from 'neverthrow';
 import {residentKey, runsVersion} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {WakeableSleep} from '../time/wakeable_sleep.js';
 import {AccountRegistry} from './account_registry.js';
@@ -57,6 +58,7 @@
 export interface ResidencyControllerParts {
   clock: Clock;
   logger: Logger;
+  tasks: TaskSupervisor;
   lease: OrderLease;
   registry: AccountRegistry;
   executor: SwapExecutor;
@@ -121,7 +123,7 @@
     const pause = new WakeableSleep(this.parts.clock);
     this.parts.lease.onChange(() => pause.wake());
     while (!signal.aborted) {
-      this.tick();
+      this.parts.tasks.attempt('residency_round', () => this.tick());
       await pause.sleep(this.isActive ? TICK_MS : IDLE_TICK_MS, signal);
     }
   }
@@ -138,11 +140,7 @@
     signal: AbortSignal,
   ): Promise<Result<string, NotResident>> {
     return new Promise(resolve => {
-      const leave = () =>
-        this.waitQueue.refuse(waiter, {
-          retryAfterMs: RETRY_AFTER_MS,
-          isFinal: true,
-        });
+      const leave = () => this.refuseForGood(waiter);
       const waiter = this.waitQueue.add(request, result => {
         signal.removeEventListener('abort', leave);
         resolve(result);
@@ -172,8 +170,11 @@
     const isAdjustDue = nowMs - this.copiesAdjustedMs >= ADJUST_INTERVAL_MS;
     if (isAdjustDue) this.copiesAdjustedMs = nowMs;
     for (const service of this.parts.registry.engines().keys()) {
-      if (isAdjustDue) this.adjustCopies(service);
-      this.plan(service);
+      const planService = () => {
+        if (isAdjustDue) this.adjustCopies(service);
+        this.plan(service);
+      };
+      this.parts.tasks.attempt('residency_plan', planService, {service});
     }
     this.planWanted();
     this.preload();
@@ -232,10 +233,22 @@
       const key = JSON.stringify([model, adapter, softwareVersion]);
       const isFirst = !planned.has(key);
       if (tried.size === 0) planned.add(key);
-      this.planFor(waiter, service, accounts, isFirst);
+      const planWaiter = () => this.planFor(waiter, service, accounts, isFirst);
+      const isPlanned = this.parts.tasks.attempt('request_plan', planWaiter, {
+        service,
+        model,
+        adapter,
+      });
+      // It would fail in every round, and the callers behind it wait.
+      if (!isPlanned) this.refuseForGood(waiter);
     }
   }
 
+  private refuseForGood(waiter: Waiter): void {
+    const refusal = {retryAfterMs: RETRY_AFTER_MS, isFinal: true};
+    this.waitQueue.refuse(waiter, refusal);
+  }
+
   /**
    * Starts copies of models whose targets named limits below their demand,
    * before rare models take the targets that are left.
@@ -307,8 +320,7 @@
       runsVersion(target, softwareVersion),
     );
     if (!registry.engineOf(service)?.models.has(model)) {
-      const refusal = {retryAfterMs: RETRY_AFTER_MS, isFinal: true};
-      this.waitQueue.refuse(waiter, refusal);
+      this.refuseForGood(waiter);
       return;
     }
     const shouldSkipTried = nowMs - waiter.sinceMs < RETRY_TRIED_TARGET_MS;
@@ -491,7 +503,7 @@
       from_store: swap.fromStore,
       waiting: round.waiting(model),
     });
-    void this.replanAfter(service, this.executeSwap(service, swap));
+    this.runOrders('swap', swap.account, () => this.executeSwap(service, swap));
   }
 
   private async executeSwap(service: string, swap: Swap): Promise<void> {
@@ -515,13 +527,24 @@
     });
   }
 
-  /** Plans a service again once an order has been carried out. */
-  private async replanAfter(
-    service: string,
-    work: Promise<void>,
-  ): Promise<void> {
-    await work;
-    if (this.hasTakenOver) this.plan(service);
+  /** Runs orders to a target, then plans its service again. */
+  private runOrders(
+    task: string,
+    account: ResidencyAccount,
+    work: () => Promise<void>,
+  ): void {
+    const {clock, tasks} = this.parts;
+    const {service} = account.target.registration;
+    const runAndPlan = async () => {
+      try {
+        await work();
+      } catch (error) {
+        account.recordFailedWork(clock.now());
+        throw error;
+      }
+      if (this.hasTakenOver) this.plan(service);
+    };
+    void tasks.run(task, runAndPlan, {target: account.id});
   }
 
   /** Stops new requests for the victims, so that they can be unloaded. */
@@ -544,8 +567,9 @@
     const wanted = {model, adapter};
     const swap = chooseAdapterSwap(wanted, ready, usage, clock.now());
     if (swap === undefined) return;
-    const loaded = this.parts.executor.loadAdapter(swap, this.signal);
-    void this.replanAfter(swap.account.target.registration.service, loaded);
+    this.runOrders('adapter_load', swap.account, () =>
+      this.parts.executor.loadAdapter(swap, this.signal),
+    );
   }
 
   /** Adds copies that streams of a software version may have to go on at. */
--- a/packages/core/src/lib/residency/swap_executor.ts
+++ b/packages/core/src/lib/residency/swap_executor.ts
@@ -1,6 +1,7 @@
 /** Carries out swaps and adapter loads. @packageDocumentation */
 
 import {Logger} from '../telemetry/logger.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {AdapterSwap} from './adapter_choice.js';
 import {ResidencyOrders} from './residency_order_sender.js';
@@ -24,6 +25,7 @@
 export interface SwapExecutorParts {
   clock: Clock;
   logger: Logger;
+  tasks: TaskSupervisor;
   orders: ResidencyOrders;
   /** Publishes to the hosts which models of a target take requests. */
   publish: (account: ResidencyAccount) => void;
@@ -70,7 +72,10 @@
       const leftMs = (resident?.readyMs ?? 0) - this.parts.clock.now();
       await this.parts.clock.sleep(leftMs, signal);
       this.parts.publish(account);
-      void this.publishUnprobed(account, signal);
+      const publish = () => this.publishUnprobed(account, signal);
+      void this.parts.tasks.run('view_of_target', publish, {
+        target: account.id,
+      });
       if (swap.fromStore) {
         const beganMs = (resident?.readyMs ?? 0) - loadMs - LOAD_MARGIN_MS;
         loadedMs = await this.awaitLoad(account, beganMs, signal);
--- a/packages/core/src/lib/time/system_clock.ts
+++ b/packages/core/src/lib/time/system_clock.ts
@@ -8,6 +8,17 @@
  * A {@link Clock} that reads the operating system's monotonic and wall clocks.
  */
 export class SystemClock extends Clock {
+  /**
+   * @param call - calls the callback of each timer, for example to handle its
+   *     errors; by default they end the process.
+   */
+  constructor(
+    private readonly call: (callback: () => void) => void = callback =>
+      callback(),
+  ) {
+    super();
+  }
+
   override now(): number {
     return Number(process.hrtime.bigint()) / NANOS_PER_MS;
   }
@@ -17,7 +28,8 @@
   }
 
   override after(delayMs: number, callback: () => void): Timer {
-    const handle = setTimeout(callback, Math.max(0, delayMs));
+    const fire = () => this.call(callback);
+    const handle = setTimeout(fire, Math.max(0, delayMs));
     return {cancel: () => clearTimeout(handle)};
   }
 }
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -56,6 +56,7 @@
 import {SilentLogger} from '../../lib/telemetry/logger.js';
 import {SendLoans} from '../../lib/target_limits/send_loans.js';
 import {TargetSends} from '../../lib/target_limits/target_sends.js';
+import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
@@ -422,6 +423,7 @@
     sends: new TargetSends(clock, new LoneLoans()),
     continuity: loneContinuity(clock, targets),
     observer,
+    tasks: new TaskSupervisor(clock, new SilentLogger()),
     zone: 'a',
   });
   const run = async (caller: FakeCaller, limitMs = 60_000) => {
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -27,6 +27,7 @@
 import {TokenLender} from '../../lib/residency/token_lender.js';
 import {UsageTable} from '../../lib/residency/usage_table.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {
@@ -51,6 +52,8 @@
   lateMs: number;
   /** Time that a report takes. */
   reportMs: number;
+  /** Engine whose orders and reports throw an unexpected error. */
+  throwingEngine?: string;
 }
 
 /** Simulated engine that counts a crash for each order beyond its capacity. */
@@ -173,6 +176,7 @@
   ): Promise<OrderReply> {
     const {clock, faults} = this.world;
     this.orders.push(order);
+    this.throwIfPlanned(target);
     const engine = this.world.engines.get(target.registration.id)!;
     if (this.random.float() < faults.lossRate) {
       clock.after(faults.lateMs, () => engine.execute(order));
@@ -183,6 +187,7 @@
 
   override async report(target: KnownTarget): Promise<ResidencyReport> {
     const engine = this.world.engines.get(target.registration.id)!;
+    this.throwIfPlanned(target);
     await this.world.clock.sleep(this.world.faults.reportMs);
     return {
       orderCount: engine.orderCount,
@@ -194,6 +199,11 @@
       loadingAdapters: [],
     };
   }
+
+  private throwIfPlanned({registration}: KnownTarget): void {
+    if (registration.id === this.world.faults.throwingEngine)
+      throw new Error('unexpected');
+  }
 }
 
 class EmptyLeaseLog extends LeaseLog {
@@ -217,6 +227,8 @@
   readonly port: FakeOrderPort;
   readonly registry: AccountRegistry;
   readonly controller: ResidencyController;
+  /** Names of the tasks that failed. */
+  readonly failedTasks: string[] = [];
   private readonly targets = new TargetTable(this.clock);
   private readonly state = new DeploymentState();
 
@@ -268,6 +280,9 @@
     const {registry, controller} = createController({
       clock,
       logger,
+      tasks: new TaskSupervisor(clock, logger, task =>
+        this.failedTasks.push(task),
+      ),
       state,
       targets,
       lease,
--- a/packages/core/src/test/residency/fleet_world.ts
+++ b/packages/core/src/test/residency/fleet_world.ts
@@ -14,6 +14,7 @@
 import {ResidencyHost} from '../../lib/residency/residency_host.js';
 import {TokenLender} from '../../lib/residency/token_lender.js';
 import {UsageTable} from '../../lib/residency/usage_table.js';
+import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
@@ -134,6 +135,7 @@
     const {registry, controller} = createController({
       clock,
       logger,
+      tasks: new TaskSupervisor(clock, logger),
       state,
       targets,
       lease,
