An entry whose address cannot be connected to names no target

What callers saw: while an entry for a plain service had an address such as 127.0.0.300:8080 or 127.0.0.1:99999, requests that were sent there got 500, up to a third of them.

Cause: the decoder of registrations checked the address by a pattern that lets octets over 255 and ports over 65535 pass; the text became an address only when a connection was opened, where nobody expects a failure.

Ruled out: other fields. Entries with odd slots, ids, versions, models, counts and start times ended and cost nothing, neither before nor now.

--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -1,6 +1,7 @@
 /** Updates of configuration and targets that one host distributes to the others. @packageDocumentation */
 
 import {z} from 'zod';
+import {parseSocketAddress} from '../net/socket_address.js';
 import {PeerIdentity, PeerMethod, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {DeploymentState} from './deployment_state.js';
@@ -364,7 +365,9 @@
     const {targets} = this.parts;
     for (const {id, notice: registration} of reply.targets) {
       if (registration === undefined) targets.remove(id);
-      else targets.putSummary(registration);
+      // A reader of another release may pass on what it cannot connect to.
+      else if (parseSocketAddress(registration.address) !== undefined)
+        targets.putSummary(registration);
     }
     if (this.lastReply.revision === 0) this.removeUnlisted(reply);
   }
--- a/packages/core/src/lib/gateway/target_registration.ts
+++ b/packages/core/src/lib/gateway/target_registration.ts
@@ -13,7 +13,7 @@
   /** Start time of the target's process, Unix milliseconds. */
   startedMs: number;
   service: string;
-  /** IP address and port. */
+  /** IPv4 address and port that a connection can be opened to. */
   address: string;
   zone: string;
   /**
