Log which connection a send used, and which of its requests it was

A refusal that arrives over a connection which has carried the same request before may be a second copy of the first one, or a new one; the log could not tell them apart. send_ended now says connection=14/17: the 14th connection of the host, its 17th request.

--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -100,6 +100,7 @@
       detail,
       send_age_ms: send.ageMs,
       received_bytes: receivedBytes,
+      connection: send.connection,
       parts: send.parts.length > 0 ? send.parts.join(',') : undefined,
     });
   }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -37,7 +37,7 @@
 import {chooseService} from './target_choice.js';
 import {TargetProber} from './target_prober.js';
 import {TargetSearch} from './target_search.js';
-import {SendResult, TargetAnswer, TargetPort} from './target_port.js';
+import {TargetAnswer, TargetPort, UnansweredSend} from './target_port.js';
 import {TargetSends} from '../target_limits/target_sends.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 import {TeamQuotas} from './team_quotas.js';
@@ -362,8 +362,8 @@
         observer.sendAnswered(registration.id);
         return await this.relay(target, req, call, sent.answer, attempt);
       }
-      const detail = sent.reason;
-      this.runs.reportSendEnd(target, req, call, sent.type, detail);
+      const {connection, reason, type} = sent;
+      this.runs.reportSendEnd(target, req, call, type, reason, connection);
       return await this.handleUnanswered(target, req, call, sent, attempt);
     } finally {
       attempt.dispose();
@@ -392,7 +392,7 @@
     target: KnownTarget,
     req: Req,
     call: RelayCall<Req>,
-    sent: Exclude<SendResult<Head>, {type: 'answered'}>,
+    sent: UnansweredSend,
     attempt: SendAttempt,
   ): Promise<Outcome | undefined> {
     if (sent.type === 'not-run') {
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -57,6 +57,8 @@
   receivedBytes: number;
   /** Digests of the shared parts of the prompt, and of the whole request. */
   parts: readonly string[];
+  /** The connection that was used, and which of its requests this one was. */
+  connection?: string;
 }
 
 /** A check of a target because one of its runs makes no progress. */
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -150,6 +150,7 @@
     call: RelayCall<Req>,
     end: string,
     detail: string,
+    connection?: string,
   ): void {
     this.parts.observer.sendEnded({
       id: req.id,
@@ -160,6 +161,7 @@
       ageMs: call.sendAgeMs,
       receivedBytes: call.receivedBytes,
       parts: call.parts,
+      connection,
     });
   }
 }
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -65,12 +65,23 @@
   discard(): void;
 }
 
-/** Result of a send. */
-export type SendResult<Head extends AnswerHead = AnswerHead> =
-  | {type: 'not-run'; reason: NotRunReason; signals?: AnswerSignals}
+/** Result of a send without an answer to relay. */
+export type UnansweredSend =
+  | {
+      type: 'not-run';
+      reason: NotRunReason;
+      signals?: AnswerSignals;
+      connection?: string;
+    }
   /** The request may have run, but no usable answer arrived. */
-  | {type: 'lost'; reason: string}
-  | {type: 'answered'; answer: TargetAnswer<Head>};
+  | {type: 'lost'; reason: string; connection?: string};
+
+/**
+ * Result of a send. `connection` names the connection that was used and says
+ * how many requests it has carried, this one included.
+ */
+export type SendResult<Head extends AnswerHead = AnswerHead> =
+  UnansweredSend | {type: 'answered'; answer: TargetAnswer<Head>};
 
 /** Options of a send. */
 export interface SendOptions {
