--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,4 +13,5 @@
 export * from './lib/platform/platform_store_standin.js';
 export * from './lib/platform/faulty_answers.js';
 export * from './lib/platform/platform_worker_standin.js';
+export * from './lib/platform/second_copies.js';
 export * from './lib/platform/worker_answers.js';
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -8,6 +8,7 @@
   FaultyAnswer,
   RETRY_AFTER_S,
 } from './faulty_answers.js';
+import {CopyTime, SecondCopies} from './second_copies.js';
 import {PlannedSilence, WorkerAnswer, WorkerAnswers} from './worker_answers.js';
 import {WorkerOutput} from './worker_output.js';
 
@@ -102,6 +103,13 @@
   readonly retryAfterSentMs: number[] = [];
   /** Arrival times of requests, orders and report calls, in milliseconds. */
   readonly arrivalsMs: number[] = [];
+  /**
+   * Decides for each request, order or report whether its response is sent
+   * twice, and when.
+   */
+  copyTime: (req: IncomingMessage) => CopyTime | undefined = () => undefined;
+  /** Sends the second copies. */
+  readonly secondCopies = new SecondCopies();
   /** Number of bytes sent in endless responses. */
   floodBytes = 0;
   /**
@@ -226,6 +234,9 @@
     if (this.output.isLost(req.socket)) return;
     const body = Buffer.concat(chunks).toString();
     this.arrivalsMs.push(performance.now());
+    this.secondCopies.sendDue(req.socket);
+    const copyTime = this.copyTime(req);
+    if (copyTime !== undefined) this.secondCopies.copy(res, copyTime);
     if (this.isLeaving) res.setHeader('server-leaving', '1');
     const expected = req.headers[`${HEADER_PREFIX}expect-instance`];
     if (expected !== undefined && expected !== this.options.id) {
@@ -292,12 +303,14 @@
       return;
     }
     if (fault === FAULTY_ANSWER.refuse) {
+      res.setHeader(`${HEADER_PREFIX}attempt-id`, id);
       res.setHeader(`${HEADER_PREFIX}not-executed`, '1');
       res.writeHead(503).end();
       return;
     }
     if (fault === FAULTY_ANSWER.refuseFor) {
       this.retryAfterSentMs.push(performance.now());
+      res.setHeader(`${HEADER_PREFIX}attempt-id`, id);
       res.setHeader(`${HEADER_PREFIX}not-executed`, '1');
       res.setHeader('retry-after', String(RETRY_AFTER_S));
       res.writeHead(503).end();
