A lasting task that failed is stopped whole before it runs again

Each run has a signal of its own now, which its failure aborts.

Tests: task_supervisor_test, two more; before, 4 loops for 1, and a task that is done never ended.

--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -111,8 +111,8 @@
     // Each link adds an abort listener to this signal.
     setMaxListeners(0, signal);
     const {clock} = this.options;
-    void this.tasks.keepRunning('peer_links', signal, () =>
-      clock.every(TICK_INTERVAL_MS, signal, () => this.tick()),
+    void this.tasks.keepRunning('peer_links', signal, each =>
+      clock.every(TICK_INTERVAL_MS, each, () => this.tick()),
     );
     const server = this.sockets.createServer(socket => {
       void this.tasks.run('peer_link', () =>
--- a/packages/core/src/lib/tasks/task_supervisor.ts
+++ b/packages/core/src/lib/tasks/task_supervisor.ts
@@ -1,5 +1,6 @@
 /** Runs work that no caller awaits. @packageDocumentation */
 
+import {setMaxListeners} from 'node:events';
 import {LogFields, Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 
@@ -44,17 +45,19 @@
    * @param task - constant name of the work in snake case.
    * @param work - the work.
    * @param subject - what the work is about, such as the id of a target.
-   * @returns resolves at the end of the work and never rejects.
+   * @returns whether it succeeded, once it has ended; never rejects.
    */
   async run(
     task: string,
     work: () => Promise<unknown>,
     subject: LogFields = {},
-  ): Promise<void> {
+  ): Promise<boolean> {
     try {
       await work();
+      return true;
     } catch (error) {
       this.recordFailure(task, error, subject);
+      return false;
     }
   }
 
@@ -77,11 +80,13 @@
   }
 
   /**
-   * Runs a task that lasts until the signal aborts, and again after a failure.
+   * Runs a lasting task, and again after each failure.
    *
    * @param task - constant name of the task in snake case.
    * @param signal - ends the task.
-   * @param work - runs the task until the signal aborts.
+   * @param work - runs the task until it is done or its signal aborts, which
+   *     a failure does as well, so that no part of the task goes on beside the
+   *     next run.
    */
   async keepRunning(
     task: string,
@@ -89,7 +94,15 @@
     work: (signal: AbortSignal) => Promise<void>,
   ): Promise<void> {
     while (!signal.aborted) {
-      await this.run(task, () => work(signal));
+      const stop = new AbortController();
+      // Each wait of the task adds a listener.
+      setMaxListeners(0, stop.signal);
+      const abort = () => stop.abort();
+      signal.addEventListener('abort', abort);
+      const isDone = await this.run(task, () => work(stop.signal));
+      signal.removeEventListener('abort', abort);
+      abort();
+      if (isDone) return;
       await this.clock.sleep(RESTART_DELAY_MS, signal);
     }
   }
--- a/packages/core/src/test/tasks/task_supervisor_test.ts
+++ b/packages/core/src/test/tasks/task_supervisor_test.ts
@@ -77,4 +77,31 @@
     stop.abort();
     await ended;
   });
+
+  it('stops the rest of a task that has failed before it runs it again', async () => {
+    const stop = new AbortController();
+    let loops = 0;
+    const loop = async (signal: AbortSignal) => {
+      loops += 1;
+      await clock.sleep(Infinity, signal);
+      loops -= 1;
+    };
+    let runs = 0;
+    const work = (signal: AbortSignal) =>
+      Promise.all([loop(signal), ++runs < 4 ? failing() : undefined]);
+    void tasks.keepRunning('loop', stop.signal, async signal => {
+      await work(signal);
+    });
+    for (let i = 0; i < 100; i++) await clock.advance(50);
+    expect(runs).to.equal(4);
+    expect(loops).to.equal(1);
+    stop.abort();
+  });
+
+  it('does not run a task again that is done', async () => {
+    let runs = 0;
+    const {signal} = new AbortController();
+    await tasks.keepRunning('task', signal, async () => void (runs += 1));
+    expect(runs).to.equal(1);
+  });
 });
