A member whose port cannot be connected to is no member

Why this works: the record is rejected as malformed where it is decoded.

Test: member_table_test, red before (65536 and 99999 accepted, also -1).

--- a/packages/core/src/lib/membership/member_table.ts
+++ b/packages/core/src/lib/membership/member_table.ts
@@ -4,9 +4,11 @@
 import {ZoneStatePart} from './zone_state.js';
 import {ZoneRecordType, ZoneStream} from './zone_stream.js';
 
+const MAX_PORT = 65_535;
+
 const addressSchema = z.object({
   address: z.string(),
-  port: z.number().int(),
+  port: z.number().int().min(0).max(MAX_PORT),
 });
 
 /** Schema of a host that has joined a zone. */
