Soak: second copies of all responses, and entries of other writers

A worker sends some of its responses to requests, orders and reports twice for a while, early or late; entries with odd addresses stand in the list of targets.

--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -2,7 +2,7 @@
 
 import {setMaxListeners} from 'node:events';
 import {Random, SystemClock} from '@fuchsiacleat/core';
-import {NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
+import {COPY_TIME, NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
 import {HostProcess} from './host_process.js';
 import {LinkedWorker, ROUTE_RANGES, SoakWorld} from './soak_world.js';
@@ -54,6 +54,18 @@
   FAULTY_ANSWER.unframed,
 ];
 
+/** Most responses of a worker between two that it sends twice. */
+const MAX_COPY_INTERVAL = 5;
+
+/** Addresses that no connection can be opened to. */
+const ODD_ADDRESSES = [
+  '127.0.0.300:8080',
+  '127.0.0.1:99999',
+  '127.0.0.1:0',
+  'localhost:80',
+  '',
+];
+
 /** Kinds of faults. */
 export const FAULT = {
   pause: 'pause',
@@ -73,6 +85,8 @@
   publish: 'publish',
   changeVersion: 'changeVersion',
   crashRequest: 'crashRequest',
+  secondCopies: 'secondCopies',
+  oddEntries: 'oddEntries',
 } as const;
 
 /** One of {@link FAULT}. */
@@ -150,6 +164,8 @@
       publish: () => this.publish(),
       changeVersion: () => this.changeVersion(),
       crashRequest: () => this.crashRequest(),
+      secondCopies: forMs => this.secondCopies(forMs),
+      oddEntries: forMs => this.oddEntries(forMs),
     };
   }
 
@@ -271,6 +287,28 @@
     }
   }
 
+  /** Lets one worker send some of its responses twice, whatever they are. */
+  private async secondCopies(forMs: number): Promise<void> {
+    const {standin} = this.random.pick(this.world.workers);
+    const time = this.random.pick(Object.values(COPY_TIME));
+    const every = this.random.int(1, MAX_COPY_INTERVAL);
+    let responses = 0;
+    this.disturbAll(forMs);
+    standin.copyTime = () => (++responses % every === 0 ? time : undefined);
+    await this.wait(forMs);
+    standin.copyTime = () => undefined;
+    this.disturbAll(0);
+  }
+
+  /** Puts entries of another writer into the list of targets. */
+  private async oddEntries(forMs: number): Promise<void> {
+    const isEngine = this.random.pick([true, false]);
+    const address = this.random.pick(ODD_ADDRESSES);
+    this.world.putOddEntry(isEngine, address);
+    await this.wait(forMs);
+    this.world.removeOddEntries();
+  }
+
   private async withdraw(): Promise<void> {
     if (this.isWithdrawn) return;
     this.isWithdrawn = true;
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -92,6 +92,7 @@
 export class SoakWorld {
   readonly ledger = new RequestLedger();
   readonly store = new PlatformStoreStandin();
+  private readonly oddEntries: string[] = [];
   readonly workers: LinkedWorker[] = [];
   readonly hosts: HostProcess[] = [];
   /** Links to the store, one per host. */
@@ -274,6 +275,21 @@
     await this.store.stop();
   }
 
+  /** Lists a target that has no process, with an address of any form. */
+  putOddEntry(isEngine: boolean, address: string): void {
+    const worker = this.workers.find(each => each.isEngine === isEngine)!;
+    const name = `odd-${this.oddEntries.length}`;
+    this.oddEntries.push(name);
+    const entry = {...worker.standin.registration(), Addr: address};
+    this.store.put(STORE_TOPIC.targets, name, entry);
+  }
+
+  /** Ends the entries of targets that have no process. */
+  removeOddEntries(): void {
+    for (const name of this.oddEntries)
+      this.store.put(STORE_TOPIC.targets, name, undefined);
+  }
+
   private announce(worker: LinkedWorker, state: string): void {
     const {link, name, standin} = worker;
     worker.state = state;
