--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -111,8 +111,8 @@
     // Each link adds an abort listener to this signal.
     setMaxListeners(0, signal);
     const {clock} = this.options;
-    void this.tasks.keepRunning('peer_links', signal, each =>
-      clock.every(TICK_INTERVAL_MS, each, () => this.tick()),
+    void this.tasks.keepRunning('peer_links', signal, taskSignal =>
+      clock.every(TICK_INTERVAL_MS, taskSignal, () => this.tick()),
     );
     const server = this.sockets.createServer(socket => {
       void this.tasks.run('peer_link', () =>
@@ -297,10 +297,12 @@
     if (socket === undefined) return undefined;
     return new Promise(resolve => {
       const link = this.createLink(socket, true);
-      const ended = this.runLink(link, kept => {
+      const ready = (kept: PeerLink) => {
         const isExpectedPeer = kept.peer!.host === host || isAddress(host);
         resolve(isExpectedPeer ? kept : undefined);
-      });
+      };
+      const run = () => this.runLink(link, ready);
+      const ended = this.tasks.run('peer_link', run, {peer: host});
       void ended.then(() => resolve(this.table.get(host)));
     });
   }
