Log that the event loop was held up

A request that lies unread in a connection leaves no line of its own. To tell whether a connection was closed before it was read, the log now says when the process did not run or was busy for 200 ms or more: event_loop_held with held_ms, measured by the delay of the timers that fire anyway, a line a second at most, and a metric. No decision depends on it.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -54,6 +54,7 @@
 export * from './lib/target_limits/target_sends.js';
 export * from './lib/requests/outcome.js';
 export * from './lib/telemetry/line_writer.js';
+export * from './lib/telemetry/loop_hold_log.js';
 export * from './lib/telemetry/logger.js';
 export * from './lib/time/clock.js';
 export * from './lib/time/random.js';
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -151,6 +151,13 @@
     registers: [this.registry],
   });
 
+  /** Number of times at which the event loop was held up. */
+  readonly loopHolds = new Counter({
+    name: 'fuchsiacleat_gateway_event_loop_holds_total',
+    help: 'Times at which the process did not run or was busy for 200 ms or more.',
+    registers: [this.registry],
+  });
+
   /** Number of calls to the platform's store. */
   readonly storeCalls = new Counter({
     name: 'fuchsiacleat_gateway_store_calls_total',
--- a/packages/core/src/lib/time/system_clock.ts
+++ b/packages/core/src/lib/time/system_clock.ts
@@ -11,10 +11,13 @@
   /**
    * @param call - calls the callback of each timer, for example to handle its
    *     errors; by default they end the process.
+   * @param onFired - called with the delay of each timer beyond its time, in
+   *     milliseconds.
    */
   constructor(
     private readonly call: (callback: () => void) => void = callback =>
       callback(),
+    private readonly onFired: (lateMs: number) => void = () => {},
   ) {
     super();
   }
@@ -28,7 +31,11 @@
   }
 
   override after(delayMs: number, callback: () => void): Timer {
-    const fire = () => this.call(callback);
+    const dueMs = this.now() + Math.max(0, delayMs);
+    const fire = () => {
+      this.onFired(this.now() - dueMs);
+      this.call(callback);
+    };
     const handle = setTimeout(fire, Math.max(0, delayMs));
     return {cancel: () => clearTimeout(handle)};
   }
