Known red: a host that was held up closes connections with unread requests

The event loop of a host is held up for 400 ms between the phase that reads connections and the one that runs timers, while a whole request arrives on a kept connection, in the queue of the listener, on a connection without a request, and, for 1.4 s, at the idle timeout. When its timers run, the host closes each of them unread. All four tests fail on this code: the caller gets a reset and no byte.

--- /dev/null
+++ b/packages/local-cluster/src/test/platform/unread_request_test.ts
@@ -0,0 +1,125 @@
+import {Worker} from 'node:worker_threads';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {PlatformWorld, ROUTE_PATH} from '../../lib/platform_world.js';
+import {RawCaller} from '../../lib/raw_caller.js';
+import {ThreadAnswer} from './caller_thread.js';
+
+/** Time after the stop for which connections are accepted, in milliseconds. */
+const ACCEPT_TIME_MS = 2_600;
+
+/** Time for which the event loop is held up, in milliseconds. */
+const HELD_MS = 400;
+
+/** Time that Node.js adds to the idle timeout, in milliseconds. */
+const NODE_IDLE_MARGIN_MS = 1_000;
+
+/** Time of that before the timer of the host is due, in milliseconds. */
+const LEAD_MS = 100;
+
+const IDLE_TIMEOUT_MS = 1_000;
+const OLDEST_IDLE_MS = (IDLE_TIMEOUT_MS * 4) / 5;
+
+/**
+ * Holds the event loop up between the phase that reads connections and the one
+ * that runs timers.
+ *
+ * @param begin - called before; the connections are not read after it.
+ * @param forMs - time to hold it up for, in milliseconds.
+ */
+function holdUp(begin: () => void, forMs = HELD_MS): Promise<void> {
+  return new Promise(resolve =>
+    setImmediate(() => {
+      begin();
+      const endMs = performance.now() + forMs;
+      while (performance.now() < endMs);
+      resolve();
+    }),
+  );
+}
+
+describe('GatewayHost with requests that it has not read yet', () => {
+  let world: PlatformWorld;
+
+  beforeEach(async () => {
+    world = await PlatformWorld.start();
+  });
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  /** Starts again with a short idle timeout. */
+  async function shortenIdleTimeout(): Promise<void> {
+    await world.stop();
+    const routes = {idleTimeoutMs: IDLE_TIMEOUT_MS};
+    world = await PlatformWorld.start(1, 1, {routes});
+  }
+
+  async function openKept(): Promise<RawCaller> {
+    const caller = await RawCaller.open(world.callerUrl());
+    caller.send({path: ROUTE_PATH.once, id: 'first'});
+    await caller.waitForEnd();
+    expect(caller.isAnswered).to.equal(true);
+    caller.text = '';
+    return caller;
+  }
+
+  it('does not close a connection as idle with a request in it', async () => {
+    await shortenIdleTimeout();
+    const caller = await openKept();
+    await sleep(OLDEST_IDLE_MS);
+    const send = () => caller.send({path: ROUTE_PATH.once, id: 'second'});
+    await holdUp(send, NODE_IDLE_MARGIN_MS + HELD_MS);
+    await caller.waitForEnd();
+    expect(caller.text).to.include('done second');
+  });
+
+  it('closes a connection that stays idle', async () => {
+    await shortenIdleTimeout();
+    const caller = await openKept();
+    await holdUp(() => {});
+    await sleep(2 * IDLE_TIMEOUT_MS);
+    expect(caller.isClosed).to.equal(true);
+  });
+
+  it('does not close a kept connection with a request in it when it stops', async () => {
+    const caller = await openKept();
+    const stopped = world.hosts[0].stop();
+    await sleep(ACCEPT_TIME_MS - LEAD_MS);
+    await holdUp(() => caller.send({path: ROUTE_PATH.once, id: 'second'}));
+    await caller.waitForEnd();
+    expect(caller.text).to.match(/^HTTP\/1\.1 (200|503) /);
+    await stopped;
+  });
+
+  it('does not close its listener with a request in the queue when it stops', async () => {
+    const file = new URL('./caller_thread.js', import.meta.url);
+    const workerData = {url: world.callerUrl(), id: 'queued'};
+    const thread = new Worker(file, {workerData});
+    const isReady = new Promise(resolve => thread.once('message', resolve));
+    await isReady;
+    const answer = new Promise<ThreadAnswer>(resolve =>
+      thread.once('message', resolve),
+    );
+    const stopped = world.hosts[0].stop();
+    await sleep(ACCEPT_TIME_MS - LEAD_MS);
+    await holdUp(() => thread.postMessage('send'));
+    expect((await answer).text).to.match(/^HTTP\/1\.1 (200|503) /);
+    expect(world.lines.join('\n')).to.match(/event=event_loop_held .*held_ms=/);
+    await stopped;
+  });
+
+  it('does not end with a request in a new connection', async () => {
+    const stopped = world.hosts[0].stop();
+    await sleep(ACCEPT_TIME_MS - LEAD_MS);
+    const caller = await RawCaller.open(world.callerUrl());
+    const hasStopped = (line: string) => line.includes('event=stopped ');
+    while (!world.lines.some(hasStopped)) await sleep(1);
+    const wasClosed = caller.isClosed;
+    await holdUp(() => caller.send({path: ROUTE_PATH.once, id: 'fresh'}));
+    await caller.waitForEnd();
+    if (!wasClosed) expect(caller.isAnswered).to.equal(true);
+    await stopped;
+  });
+});
