An answer under way is not ended before the time of its request is over

What callers saw: a stream that outlasted its time budget, or the route's timeout, was reset up to 15 ms before that, by the caller's own clock.

Cause: 15 ms are reserved for sending an answer of the host's own, a 504, and the same timer ended streams whose head was sent. Targets were given the shorter time, too, so that they stopped early as well.

A link that takes 15 ms there and back hides it.

Change: a request whose head was sent is ended 10 ms after its limit, which begins once the host has read it; targets of streams are given the whole rest. Without a head, the 504 is sent 15 ms before the limit as before. A run that its target breaks off in these last milliseconds is not sent again.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -45,9 +45,6 @@
 /** Retry-after time of a refusal to continue a stream of unknown origin. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 1_000;
 
-/** Time reserved for sending the answer to the caller. */
-const ANSWER_MARGIN_MS = 15;
-
 /**
  * Retry-after time of a refusal because this host is stopping; the caller
  * retries at another host.
@@ -151,8 +148,8 @@
     }
     const {route, team, tokens} = admitted.value;
     const timeoutMs = Math.min(req.timeoutMs ?? Infinity, route.timeoutMs);
-    const deadlineMs = req.arrivedMs + timeoutMs - ANSWER_MARGIN_MS;
-    const call = new RelayCall(clock, req, route, team, deadlineMs);
+    const limitMs = req.arrivedMs + timeoutMs;
+    const call = new RelayCall(clock, req, route, team, limitMs);
     this.calls.add(call);
     try {
       const outcome = this.isClosing
@@ -347,7 +344,7 @@
     target.beginRequest(req.demand);
     try {
       const sent = await this.parts.port.send(target, req, {
-        remainingMs: Math.max(1, Math.floor(call.deadlineMs - clock.now())),
+        remainingMs: call.remainingMs,
         team: call.team?.name,
         urgency: urgencyOf(call),
         lastEventId: call.lastEventId,
@@ -443,6 +440,7 @@
       this.runs.recordWholeRun(target, call, answer.head);
       return {type: 'served'};
     }
+    call.endIfLate();
     if (call.signal.aborted) return this.abortedOutcome(req, call);
     this.runs.reportSendEnd(target, req, call, 'broken', `status ${status}`);
     call.tried.add(target.registration.id);
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -40,6 +40,15 @@
  */
 const HEAD_CONFIRM_MS = 10;
 
+/**
+ * Time before the limit of a request that is reserved for sending an answer of
+ * this host's own to the caller.
+ */
+const ANSWER_MARGIN_MS = 15;
+
+/** Time after the limit of a request at which an answer under way is ended. */
+const END_MARGIN_MS = 10;
+
 /** Decisions about a request, and its progress. */
 export class RelayCall<Req extends CallerRequest> {
   /** Name of the service; empty until it is chosen. */
@@ -91,7 +100,9 @@
   readonly splitter: EventSplitter | undefined;
   private readonly requestController = new AbortController();
   private readonly waitController = new AbortController();
-  private readonly timer: Timer;
+  /** Clock time at which an answer of this host's own has to be sent. */
+  readonly deadlineMs: number;
+  private timer!: Timer;
   private target: KnownTarget | undefined;
   private sendStartMs = 0;
   private currentAttempt: SendAttempt | undefined;
@@ -101,20 +112,19 @@
    * @param req - the request.
    * @param route - the route that matches the request.
    * @param team - the team that owns the API key of the request.
-   * @param deadlineMs - clock time at which the answer is due.
+   * @param limitMs - clock time at which the caller's time is over.
    */
   constructor(
     private readonly clock: Clock,
     private readonly req: Req,
     readonly route: RouteRule,
     readonly team: TeamConfig | undefined,
-    readonly deadlineMs: number,
+    private readonly limitMs: number,
   ) {
+    this.deadlineMs = limitMs - ANSWER_MARGIN_MS;
     const isResumable = route.kind === REQUEST_KIND.stream && route.isResumable;
     this.splitter = isResumable ? new EventSplitter() : undefined;
-    this.timer = clock.after(deadlineMs - clock.now(), () =>
-      this.abort(ENDED_BY.deadline),
-    );
+    this.endAt(this.deadlineMs);
     req.signal.addEventListener('abort', this.abortForCaller);
     if (req.signal.aborted) this.abortForCaller();
   }
@@ -124,7 +134,21 @@
     return this.req.id;
   }
 
-  /** Aborts at the deadline, or when the caller disconnects. */
+  /** Time that a target has for the request, in milliseconds. */
+  get remainingMs(): number {
+    const nowMs = this.clock.now();
+    // What ends a stream early is seen by its caller, who has its head.
+    const isStream = this.route.kind === REQUEST_KIND.stream;
+    const leftMs = isStream
+      ? Math.ceil(this.limitMs - nowMs)
+      : Math.floor(this.deadlineMs - nowMs);
+    return Math.max(1, leftMs);
+  }
+
+  /**
+   * Aborts at the deadline, or at the limit if an answer is under way, or when
+   * the caller disconnects.
+   */
   get signal(): AbortSignal {
     return this.requestController.signal;
   }
@@ -153,6 +177,11 @@
     this.waitController.abort();
   }
 
+  /** Aborts the request if its time is over. */
+  endIfLate(): void {
+    if (this.clock.now() >= this.deadlineMs) this.abort(ENDED_BY.deadline);
+  }
+
   /**
    * Records what ends the current send; the first reason counts.
    *
@@ -339,6 +368,20 @@
     this.req.signal.removeEventListener('abort', this.abortForCaller);
   }
 
+  /**
+   * Aborts the request at a time, or later if its answer is under way then.
+   *
+   * @param dueMs - the clock time.
+   */
+  private endAt(dueMs: number): void {
+    const {clock, limitMs} = this;
+    this.timer = clock.after(dueMs - clock.now(), () => {
+      if (this.isHeadSent && dueMs < limitMs)
+        this.endAt(limitMs + END_MARGIN_MS);
+      else this.abort(ENDED_BY.deadline);
+    });
+  }
+
   private readonly abortForCaller = (): void => this.abort(ENDED_BY.caller);
 
   private elapsedMs(): number {
