A host that was held up reads an answer before it ends it for its time

What callers saw: a stream cut, or a 504, although the target had sent the whole answer in time, after a pause of the host across the limit of the request or the end of the grace period of a stop.

Cause: the timer of the request, or of the stop, fell due during the pause and ran before the connection to the target was read: the cause of the connections closed unread, on the targets' side.

--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -49,6 +49,12 @@
 /** Time after the limit of a request at which an answer under way is ended. */
 const END_MARGIN_MS = 10;
 
+/**
+ * Delay from which a timer counts as late. A host that was held up runs its
+ * timers before it reads what its connections have received meanwhile.
+ */
+const MIN_LATE_MS = 50;
+
 /** Decisions about a request, and its progress. */
 export class RelayCall<Req extends CallerRequest> {
   /** Name of the service; empty until it is chosen. */
@@ -372,12 +378,16 @@
    * Aborts the request at a time, or later if its answer is under way then.
    *
    * @param dueMs - the clock time.
+   * @param canWait - whether to wait once more if the timer is late.
    */
-  private endAt(dueMs: number): void {
+  private endAt(dueMs: number, canWait = true): void {
     const {clock, limitMs} = this;
     this.timer = clock.after(dueMs - clock.now(), () => {
+      const nowMs = clock.now();
       if (this.isHeadSent && dueMs < limitMs)
         this.endAt(limitMs + END_MARGIN_MS);
+      else if (canWait && nowMs - dueMs >= MIN_LATE_MS)
+        this.endAt(nowMs + END_MARGIN_MS, false);
       else this.abort(ENDED_BY.deadline);
     });
   }
--- a/packages/core/src/test/gateway/relay_call_test.ts
+++ b/packages/core/src/test/gateway/relay_call_test.ts
@@ -58,4 +58,17 @@
     clock.fireAt(LIMIT_MS + 10);
     expect(call.signal.aborted).to.equal(true);
   });
+
+  for (const isHeadSent of [false, true]) {
+    const state = isHeadSent ? 'with' : 'without';
+    it(`does not end a request ${state} a head before a host that was held up has read its answer`, () => {
+      const clock = new LateClock();
+      const call = newCall(clock);
+      call.isHeadSent = isHeadSent;
+      for (const heldMs of [400, 401]) clock.fireAt(LIMIT_MS + heldMs);
+      expect(call.signal.aborted).to.equal(false);
+      clock.fireAt(LIMIT_MS + 420);
+      expect(call.signal.aborted).to.equal(true);
+    });
+  }
 });
--- a/packages/local-cluster/src/test/platform/unread_request_test.ts
+++ b/packages/local-cluster/src/test/platform/unread_request_test.ts
@@ -1,7 +1,12 @@
 import {Worker} from 'node:worker_threads';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {PlatformWorld, ROUTE_PATH} from '../../lib/platform_world.js';
+import {
+  PlatformWorld,
+  ROUTE_PATH,
+  SERVICE,
+  STORE_TOPIC,
+} from '../../lib/platform_world.js';
 import {RawCaller} from '../../lib/raw_caller.js';
 import {ThreadAnswer} from './caller_thread.js';
 
@@ -38,6 +43,11 @@
   );
 }
 
+/** Time after the stop at which the host ends what is left. */
+const GRACE_END_MS = 3_600;
+
+const SEND_AFTER_STOP_MS = 1_900;
+
 describe('GatewayHost with requests that it has not read yet', () => {
   let world: PlatformWorld;
 
@@ -122,4 +132,32 @@
     if (!wasClosed) expect(caller.isAnswered).to.equal(true);
     await stopped;
   });
+
+  it('does not cut an answer that it has not read when its grace period ends', async () => {
+    const file = new URL('./target_thread.js', import.meta.url);
+    const lastEventAfterMs = GRACE_END_MS - SEND_AFTER_STOP_MS - LEAD_MS;
+    const thread = new Worker(file, {workerData: {lastEventAfterMs}});
+    const port = await new Promise(resolve => thread.once('message', resolve));
+    const entry = world.engine.registration();
+    world.store.put(STORE_TOPIC.targets, 'e1', undefined);
+    world.store.put(STORE_TOPIC.targets, 'thread', {
+      ...entry,
+      Service: SERVICE.engines,
+      Addr: `127.0.0.1:${String(port)}`,
+    });
+    const knows = (line: string) => line.includes('target=thread');
+    await world.until(() => world.lines.some(knows));
+    const caller = await RawCaller.open(world.callerUrl());
+    const stopped = world.hosts[0].stop();
+    await sleep(SEND_AFTER_STOP_MS);
+    caller.send({path: ROUTE_PATH.stream, id: 'last', model: 'm1'});
+    await sleep(lastEventAfterMs - LEAD_MS);
+    await holdUp(() => {}, 2 * HELD_MS);
+    await caller.waitForEnd();
+    expect(caller.text)
+      .to.include('data: last')
+      .and.match(/\r\n0\r\n\r\n$/);
+    await stopped;
+    await thread.terminate();
+  });
 });
