--- a/packages/local-cluster/src/test/platform/caller_thread.ts
+++ b/packages/local-cluster/src/test/platform/caller_thread.ts
@@ -1,18 +1,19 @@
-/** Caller in a thread of its own. @packageDocumentation */
+/** Callers in a thread of their own. @packageDocumentation */
 
 import {parentPort, workerData} from 'node:worker_threads';
 import {ROUTE_PATH} from '../../lib/platform_world.js';
 import {RawCaller} from '../../lib/raw_caller.js';
 
-/** What the caller received until its connection ended. */
+/** What a caller received until its connection ended. */
 export interface ThreadAnswer {
   text: string;
   errorCode: string | undefined;
 }
 
-const {url, id} = workerData as {url: string; id: string};
+/** URL of the host, and the number of callers. */
+const {url, count} = workerData as {url: string; count: number};
 
-async function call(): Promise<ThreadAnswer> {
+async function call(id: string): Promise<ThreadAnswer> {
   const caller = await RawCaller.open(url);
   caller.send({path: ROUTE_PATH.once, id});
   await caller.waitForEnd();
@@ -22,8 +23,11 @@
 }
 
 parentPort!.once('message', () => {
-  void call().then(answer => {
-    parentPort!.postMessage(answer);
+  const calls = Array.from({length: count}, (unusedItem, i) =>
+    call(`queued-${i}`),
+  );
+  void Promise.all(calls).then(answers => {
+    parentPort!.postMessage(answers);
     parentPort!.close();
   });
 });
--- a/packages/local-cluster/src/test/platform/unread_request_test.ts
+++ b/packages/local-cluster/src/test/platform/unread_request_test.ts
@@ -103,22 +103,25 @@
     await stopped;
   });
 
-  it('does not close its listener with a request in the queue when it stops', async () => {
-    const file = new URL('./caller_thread.js', import.meta.url);
-    const workerData = {url: world.callerUrl(), id: 'queued'};
-    const thread = new Worker(file, {workerData});
-    const isReady = new Promise(resolve => thread.once('message', resolve));
-    await isReady;
-    const answer = new Promise<ThreadAnswer>(resolve =>
-      thread.once('message', resolve),
-    );
-    const stopped = world.hosts[0].stop();
-    await sleep(ACCEPT_TIME_MS - LEAD_MS);
-    await holdUp(() => thread.postMessage('send'));
-    expect((await answer).text).to.match(/^HTTP\/1\.1 (200|503) /);
-    expect(world.lines.join('\n')).to.match(/event=event_loop_held .*held_ms=/);
-    await stopped;
-  });
+  for (const count of [1, 40]) {
+    it(`does not close its listener with a queue of ${count} when it stops`, async () => {
+      const file = new URL('./caller_thread.js', import.meta.url);
+      const workerData = {url: world.callerUrl(), count};
+      const thread = new Worker(file, {workerData});
+      await new Promise(resolve => thread.once('message', resolve));
+      const answers = new Promise<ThreadAnswer[]>(resolve =>
+        thread.once('message', resolve),
+      );
+      const stopped = world.hosts[0].stop();
+      await sleep(ACCEPT_TIME_MS - LEAD_MS);
+      await holdUp(() => thread.postMessage('send'));
+      for (const {text} of await answers)
+        expect(text).to.match(/^HTTP\/1\.1 (200|503) /);
+      const log = world.lines.join('\n');
+      expect(log).to.match(/event=event_loop_held .*held_ms=/);
+      await stopped;
+    });
+  }
 
   it('does not end with a request in a new connection', async () => {
     const stopped = world.hosts[0].stop();
