A host goes on after connections that it can't accept

What callers saw: all requests in flight at a host were reset at once, and the process was gone.

Cause: Node emits an error of accept(), such as ENOBUFS, ENOMEM or ENFILE, on the listening server. The servers for callers, readiness, metrics and peers had `once('error', reject)` for the start only: it took the first error without a line, and the second one was an uncaught exception. The daemon's HTTP listener was written alike.

Why this works: startListening() is the one place that lets a server listen. It rejects while the address is bound, and from then on an `error` listener stays that logs `accept_failed` with the name of the listener, at most a line a second each. An accept error leaves the server itself listening.

Evidence: the real program (platform/dist/main.js, no store), three accept errors played on each of its four servers by calling their onconnection(ENOBUFS): before, exit 1 with the stack on stderr and nothing in the log; now four accept_failed lines, the readiness endpoint answers, and a SIGTERM stops it with exit 0. One run each. A real shortage of memory was not tried. accept_errors_test failed before with "Error: accept ENOBUFS"; the check of the log lines in it and listener_test are new.

Run: accept_errors_test, listener_test, tcp_peer_network_test, caller_server_test (14 passing); docs_test, whole_path_test, gateway_host_test (23 passing).

--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -4,6 +4,7 @@
 import {AddressInfo, Socket} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {Clock} from '../time/clock.js';
+import {startListening} from '../net/listener.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Logger} from '../telemetry/logger.js';
 import {encodeFrame} from './frame.js';
@@ -119,14 +120,16 @@
         this.runLink(this.createLink(socket, false), () => {}),
       );
     });
-    return new Promise(resolve => {
-      server.once('error', error => resolve(err(error.message)));
-      server.listen(port, address, () => {
-        signal.addEventListener('abort', () => server.close());
-        this.boundPort = (server.address() as AddressInfo).port;
-        resolve(ok(this.boundPort));
-      });
-    });
+    const {logger} = this.options;
+    const listener = {address, port, listener: 'peers', clock, logger};
+    try {
+      await startListening(server, listener);
+    } catch (error) {
+      return err((error as Error).message);
+    }
+    signal.addEventListener('abort', () => server.close());
+    this.boundPort = (server.address() as AddressInfo).port;
+    return ok(this.boundPort);
   }
 
   /**
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -331,7 +331,11 @@
       maxBodyBytes: limits.body_bytes,
     });
     const maxConnections = limits.connections;
-    return HttpListener.start(app, {...listen.caller, maxConnections});
+    return HttpListener.start(app, {
+      ...listen.caller,
+      ...this.listenerOptions('callers'),
+      maxConnections,
+    });
   }
 
   private startOperatorApi(): Promise<Result<HttpListener, string>> {
@@ -352,7 +356,15 @@
       drain: () => void this.stop(),
     });
     const maxConnections = MAX_OPERATOR_CONNECTIONS;
-    return HttpListener.start(app, {...listen.operator, maxConnections});
+    return HttpListener.start(app, {
+      ...listen.operator,
+      ...this.listenerOptions('operators'),
+      maxConnections,
+    });
+  }
+
+  private listenerOptions(listener: string) {
+    return {listener, clock: this.clock, logger: this.deps.logger};
   }
 
   private status(): HostStatus {
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -5,17 +5,19 @@
 import {Server, createServer} from 'node:http';
 import {getRequestListener} from '@hono/node-server';
 import {Hono} from 'hono';
-import {REFUSAL, refuse} from '@fuchsiacleat/core';
+import {
+  ListenerOptions,
+  REFUSAL,
+  refuse,
+  startListening,
+} from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 import {errorBody} from './http_outcome.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 
 /** Options of an {@link HttpListener}. */
-export interface HttpListenerOptions {
-  address: string;
-  /** Port to bind; 0 selects a free one. */
-  port: number;
+export interface HttpListenerOptions extends ListenerOptions {
   maxConnections: number;
 }
 
@@ -36,7 +38,7 @@
    */
   static async start(
     app: Hono,
-    {address, port, maxConnections}: HttpListenerOptions,
+    options: HttpListenerOptions,
   ): Promise<Result<HttpListener, string>> {
     const requestListener = getRequestListener(app.fetch, {
       overrideGlobalObjects: false,
@@ -45,15 +47,15 @@
       {maxHeaderSize: MAX_HEADER_BYTES},
       (req, res) => void requestListener(req, res),
     );
-    server.maxConnections = maxConnections;
+    server.maxConnections = options.maxConnections;
     server.on('clientError', respondToMalformedRequest);
-    return new Promise(resolve => {
-      server.once('error', error => resolve(err(error.message)));
-      server.listen(port, address, () => {
-        const boundPort = (server.address() as AddressInfo).port;
-        resolve(ok(new HttpListener(server, boundPort)));
-      });
-    });
+    try {
+      await startListening(server, options);
+    } catch (error) {
+      return err((error as Error).message);
+    }
+    const {port} = server.address() as AddressInfo;
+    return ok(new HttpListener(server, port));
   }
 
   /** Stops accepting connections and closes idle ones; open requests continue. */
