A host goes on when its log can't be written

What callers saw: all requests in flight at a host were reset at once, and the process was gone.

Cause: openStdout() handled errors of its own socket only. If standard output is a file, or a pipe that process.stdout is still writing its first line to, it returns process.stdout, whose 'error' event had no listener.

Why this works: the listener is set on whichever stream is returned. There is nowhere to report these errors: the log is what failed. Lines are lost meanwhile, and they aren't counted. Node keeps process.stdout open after an error, so that the log resumes.

--- a/packages/core/src/lib/telemetry/line_writer.ts
+++ b/packages/core/src/lib/telemetry/line_writer.ts
@@ -1,5 +1,6 @@
 /** Non-blocking output of log lines. @packageDocumentation */
 
+import {EventEmitter} from 'node:events';
 import {Socket} from 'node:net';
 
 /** Number of buffered bytes above which lines are dropped. */
@@ -51,15 +52,23 @@
   }
 }
 
-/** Opens the standard output as a stream whose writes do not block. */
+/**
+ * Opens the standard output as a stream whose writes do not block. Lines that
+ * can't be written are lost; an unhandled error would end the process.
+ */
 export function openStdout(): LineStream {
+  const stream = openStdoutStream();
+  // If the standard output can't be written, there is nowhere to report it.
+  stream.on('error', () => {});
+  return stream;
+}
+
+function openStdoutStream(): LineStream & EventEmitter {
   try {
-    const socket = new Socket({fd: STDOUT_FD, readable: false});
-    // If the standard output is closed, there is nowhere to report the error.
-    socket.on('error', () => {});
-    return socket;
+    return new Socket({fd: STDOUT_FD, readable: false});
   } catch {
-    // The standard output is a file; writes to it do not wait for a reader.
+    // A file, whose writes do not wait for a reader, a terminal, or a pipe that
+    // process.stdout is still writing to.
     return process.stdout;
   }
 }
