Log who closed the connection of a request

A request whose connection this host had closed was logged as `cancelled ended_by=caller`, as if the caller had left: every end of the connection aborted its signal, and every abort counted as the caller's.

A cancelled request that wasn't sent has ended_by as well. The end of the grace period stays `stop`.

Not told apart: other closes by the host (`host`). The reason `deadline` beside `ended_by=stop` is made in relay.ts and stays.

--- a/packages/core/src/lib/gateway/answer_end.ts
+++ b/packages/core/src/lib/gateway/answer_end.ts
@@ -18,6 +18,10 @@
   deadline: 'deadline',
   /** The caller, who disconnected. */
   caller: 'caller',
+  /** This host, which closed the caller's connection before the answer's turn. */
+  earlierAnswer: 'earlier-answer',
+  /** This host, which closed the caller's connection for another reason. */
+  host: 'host',
   /** This host, at the end of its graceful stop. */
   stop: 'stop',
 } as const;
@@ -25,6 +29,22 @@
 /** One of {@link ENDED_BY}. */
 export type EndedBy = (typeof ENDED_BY)[keyof typeof ENDED_BY];
 
+/** What ended the connection of a caller. */
+export type ConnectionEndedBy =
+  typeof ENDED_BY.caller | typeof ENDED_BY.earlierAnswer | typeof ENDED_BY.host;
+
+/**
+ * Returns what ended the connection of a caller.
+ *
+ * @param signal - signal of the request, whose reason says it; if it says
+ *     nothing, the caller did.
+ */
+export function connectionEndOf({reason}: AbortSignal): ConnectionEndedBy {
+  if (reason === ENDED_BY.host || reason === ENDED_BY.earlierAnswer)
+    return reason;
+  return ENDED_BY.caller;
+}
+
 /** What a caller received. */
 export const ANSWER_END = {
   /** The complete answer of a target. */
@@ -33,7 +53,7 @@
   status: 'status',
   /** A part of an answer; the connection was reset. */
   cut: 'cut',
-  /** Nothing; the caller disconnected. */
+  /** Nothing; the connection ended. */
   none: 'none',
 } as const;
 
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -60,7 +60,10 @@
   abstract readonly resumedId: string | undefined;
   /** Clock time at which the request had been read completely. */
   abstract readonly arrivedMs: number;
-  /** Aborts when the caller disconnects. */
+  /**
+   * Aborts when the caller's connection ends; see {@link connectionEndOf} for
+   * the reason.
+   */
   abstract readonly signal: AbortSignal;
 
   /**
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -3,7 +3,7 @@
 import {Clock, Timer} from '../time/clock.js';
 import {GuardedRun} from '../quarantine/guarded_run.js';
 import {GrantedTrial} from '../quarantine/trial.js';
-import {ENDED_BY, EndedBy} from './answer_end.js';
+import {ENDED_BY, EndedBy, connectionEndOf} from './answer_end.js';
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
@@ -131,8 +131,8 @@
     const isResumable = route.kind === REQUEST_KIND.stream && route.isResumable;
     this.splitter = isResumable ? new EventSplitter() : undefined;
     this.endAt(this.deadlineMs);
-    req.signal.addEventListener('abort', this.abortForCaller);
-    if (req.signal.aborted) this.abortForCaller();
+    req.signal.addEventListener('abort', this.abortForConnection);
+    if (req.signal.aborted) this.abortForConnection();
   }
 
   /** Id of the request. */
@@ -153,7 +153,7 @@
 
   /**
    * Aborts at the deadline, or at the limit if an answer is under way, or when
-   * the caller disconnects.
+   * the caller's connection ends.
    */
   get signal(): AbortSignal {
     return this.requestController.signal;
@@ -371,7 +371,7 @@
   /** Cancels the timer and removes the listener. */
   dispose(): void {
     this.timer.cancel();
-    this.req.signal.removeEventListener('abort', this.abortForCaller);
+    this.req.signal.removeEventListener('abort', this.abortForConnection);
   }
 
   /**
@@ -392,7 +392,8 @@
     });
   }
 
-  private readonly abortForCaller = (): void => this.abort(ENDED_BY.caller);
+  private readonly abortForConnection = (): void =>
+    this.abort(connectionEndOf(this.req.signal));
 
   private elapsedMs(): number {
     return Math.round(this.clock.now() - this.req.arrivedMs);
--- a/packages/core/src/lib/gateway/relay_trace.ts
+++ b/packages/core/src/lib/gateway/relay_trace.ts
@@ -32,6 +32,7 @@
   outcome: Outcome,
 ): RequestTrace {
   const hasEndedSend = outcome.type !== 'served' && (call?.sends ?? 0) > 0;
+  const hasEnd = hasEndedSend || outcome.type === 'cancelled';
   return {
     id: req.id,
     route: call?.route.name,
@@ -52,7 +53,7 @@
     status: call?.status,
     outcome,
     answer: answerEndOf(call?.isHeadSent ?? false, outcome),
-    endedBy: hasEndedSend ? call?.endedBy : undefined,
+    endedBy: hasEnd ? call?.endedBy : undefined,
   };
 }
 
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -88,6 +88,9 @@
   quarantine: 'this host, as a part of the prompt was quarantined',
   deadline: 'the deadline',
   caller: 'the caller, who disconnected',
+  'earlier-answer':
+    "this host, which closed the caller's connection before the answer's turn",
+  host: "this host, which closed the caller's connection",
   stop: 'this host, at the end of its stop',
 };
 
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -327,6 +327,17 @@
     expect(world.observer.traces[0].endedBy).to.equal('caller');
   });
 
+  it("tells that this host closed the caller's connection", async () => {
+    for (const endedBy of ['host', 'earlier-answer']) {
+      const world = relayWorld({route: once, behaviors: [silent]});
+      const caller = new FakeCaller(world.clock);
+      world.clock.after(100, () => caller.disconnect.abort(endedBy));
+      await world.run(caller);
+      expect(world.observer.traces[0].answer).to.equal('none');
+      expect(world.observer.traces[0].endedBy).to.equal(endedBy);
+    }
+  });
+
   it('continues a slow stream within the latency objective', async () => {
     const slow = routeRule({
       kind: REQUEST_KIND.stream,
--- a/packages/local-cluster/src/test/platform/planned_stop_test.ts
+++ b/packages/local-cluster/src/test/platform/planned_stop_test.ts
@@ -98,4 +98,19 @@
     await world.hosts[0].stop();
     expect(caller.text).to.contain('done twice');
   });
+
+  it('does not log the caller as the end of a request whose connection it closes', async () => {
+    for (const worker of world.plain) worker.workMs = 100;
+    const caller = await RawCaller.open(world.callerUrl());
+    const stopped = world.hosts[0].stop();
+    caller.socket.write(head('quick') + BODY);
+    await sleep(50);
+    for (const worker of world.plain) worker.workMs = 600;
+    caller.socket.write(head('late') + BODY);
+    await stopped;
+    expect(caller.text).to.contain('done quick');
+    // The caller has closed nothing.
+    const ofLate = world.lines.filter(line => line.includes(' id=late '));
+    expect(ofLate.join('\n')).not.to.contain('ended_by=caller');
+  });
 });
