Log which models one target of a version alone holds, and why streams are refused

- models_held_once: once a second at the lease holder, for each version while several serve, the models that one of its targets alone holds, with their requests in flight.
- stream_not_continued: for each refusal of a stream by the time its model would take, the targets of its version, those that hold the model or have its weights, and how many of these cannot be reached.

Nothing is written while one version serves, except for streams that are refused.

--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -9,6 +9,7 @@
 import {AccountRegistry} from './account_registry.js';
 import {chooseAdapterSwap} from './adapter_choice.js';
 import {canRelieve} from './limit_relief.js';
+import {ContinuityReporter} from './continuity_reporter.js';
 import {LoadFailures} from './load_failures.js';
 import {OrderLease} from './order_lease.js';
 import {
@@ -83,6 +84,7 @@
 export class ResidencyController {
   private readonly waitQueue: WaitQueue;
   private readonly storeLoads: StoreLoadScheduler;
+  private readonly continuity: ContinuityReporter;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
   /** Models to copy because of the limits of their targets, by service. */
@@ -97,6 +99,7 @@
   constructor(private readonly parts: ResidencyControllerParts) {
     this.waitQueue = new WaitQueue(parts.clock);
     this.storeLoads = new StoreLoadScheduler(parts.clock);
+    this.continuity = new ContinuityReporter(parts);
     parts.registry.onTargetFull((service, model) =>
       this.storeLoads.recordMiss(service, model),
     );
@@ -387,6 +390,7 @@
     }
     const untilMs = readyMs + WANTED_GRACE_MS;
     this.wanted.set(residentKey(service, model), {service, model, untilMs});
+    this.continuity.reportRefused(waiter.request, accounts, readyMs - nowMs);
     this.waitQueue.refuse(waiter, {
       retryAfterMs: readyMs - nowMs + READY_MARGIN_MS,
       isFinal: true,
@@ -574,7 +578,9 @@
 
   /** Adds copies that streams of a software version may have to go on at. */
   private adjustVersionCopies(service: string): void {
-    const copies = chooseVersionCopies(this.roundOf(service), this.parts.usage);
+    const round = this.roundOf(service);
+    this.continuity.reportLoneModels(service, round);
+    const copies = chooseVersionCopies(round, this.parts.usage);
     for (const {model, retiring, softwareVersion} of copies) {
       if (retiring.length > 0) this.unretire(retiring[0], model);
       else this.startSwap(model, service, softwareVersion);
--- a/packages/core/src/lib/residency/version_copies.ts
+++ b/packages/core/src/lib/residency/version_copies.ts
@@ -25,6 +25,18 @@
   retiring: readonly ResidencyAccount[];
 }
 
+/** Requests in flight that one target alone could go on with. */
+export interface LoneModels {
+  softwareVersion: string;
+  targetCount: number;
+  /** Targets that no order for a model keeps busy. */
+  idleCount: number;
+  /** Requests in flight at the targets of the version. */
+  requests: number;
+  /** Models that one of them holds, with their requests; the busiest first. */
+  models: ReadonlyArray<readonly [string, number]>;
+}
+
 /** Groups reachable targets by version; empty while all run the same. */
 function targetsByVersion(round: PlanRound): Map<string, ResidencyAccount[]> {
   const byVersion = new Map<string, ResidencyAccount[]>();
@@ -72,6 +84,33 @@
   return chosen;
 }
 
+/**
+ * Returns the models of each version that only one of its targets holds.
+ *
+ * @param round - state of targets and demand.
+ * @param usage - requests in flight.
+ * @returns an entry for each version; none while all targets run the same.
+ */
+export function findLoneModels(
+  round: PlanRound,
+  usage: UsageTable,
+): LoneModels[] {
+  const found: LoneModels[] = [];
+  for (const [softwareVersion, targets] of targetsByVersion(round)) {
+    const counts = countByModel(targets, usage);
+    found.push({
+      softwareVersion,
+      targetCount: targets.length,
+      idleCount: targets.filter(({isBusy}) => !isBusy).length,
+      requests: [...counts.values()].reduce((sum, count) => sum + count, 0),
+      models: [...counts]
+        .filter(([model, count]) => count > 0 && isLone(model, targets))
+        .sort(([, a], [, b]) => b - a),
+    });
+  }
+  return found;
+}
+
 /**
  * Returns whether the streams of a software version need a copy.
  *
--- a/packages/core/src/lib/telemetry/request_explanation.ts
+++ b/packages/core/src/lib/telemetry/request_explanation.ts
@@ -51,6 +51,7 @@
   'swap_started',
   'swap_ended',
   'order',
+  'stream_not_continued',
 ]);
 
 /** Events about prompt parts, which are related if the request has the part. */
