--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -255,6 +255,7 @@
         id,
         address: `10.0.0.${i + 1}:8000`,
         service,
+        slots: engine.slots,
         held: list,
         onDisk,
       });
