The product's own interface reads its callers' connections before it closes them

What callers saw: a whole request on an open connection, or on one in the system's queue, and a reset instead of an answer, beside a stop of the host; on a connection that had been idle for 5 s also without a stop.

After a hold of the event loop, due timers run before connections are read. The daemon then closed its listener with connections in its queue and kept connections with unread requests, and so did Node's idle timeout.

Change: the connection book moves from platform/ to packages/core/src/lib/net/, with the accepting loop and the replacement of Node's idle handling, which CallerServer held; its logic is unchanged. HttpListener uses it too: it counts a request until its body is read and its response has ended, accepts what waits before it closes the listener, answers later requests with "connection: close", and closes a connection only when a quick turn of the loop has read it. The daemon's stop waits for its callers' connections to end, for a second at most, before it leaves the zone.

Changes to tests: the test of the queue could not pass. It passed an id and expected one answer, but caller_thread.ts takes a count and returns a list since the stop accepts all waiting connections, so it compared undefined. It now connects 1 and 40 callers, expects that many answers and checks each. A test that idle connections are still closed is new.

Bytes that are no request behind one that is being answered still put a 400 into its answer here (by the code; not tried).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 export * from './lib/membership/zone_links.js';
 export * from './lib/membership/zone_state.js';
 export * from './lib/membership/zone_stream.js';
+export * from './lib/net/caller_connections.js';
 export * from './lib/net/listener.js';
 export * from './lib/peers/async_queue.js';
 export * from './lib/peers/frame.js';
--- a/platform/src/lib/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -1,7 +1,9 @@
 /** Connections of callers. @packageDocumentation */
 
+import {Server} from 'node:http';
 import {Socket} from 'node:net';
-import {readConnections} from '@fuchsiacleat/core/gateway';
+import {Clock} from '../time/clock.js';
+import {readConnections} from '../time/loop_turn.js';
 
 /**
  * Time without a byte after which a connection is closed that has brought no
@@ -43,13 +45,38 @@
     return this.states.size;
   }
 
-  /** Number of connections that were ever accepted. */
-  get acceptedCount(): number {
-    return this.accepted;
+  /**
+   * Records the connections of a server, and closes the idle ones in place of
+   * Node.js, whose own handling closes connections that it has not read and
+   * discards answers that are still sent.
+   *
+   * @param server - the server, which does not listen yet.
+   */
+  follow(server: Server): void {
+    server.on('connection', socket => this.add(socket));
+    server.on('timeout', socket => void this.closeExpired(socket));
+    // The server's close() calls this.
+    server.closeIdleConnections = () => this.closeIdle();
+  }
+
+  /**
+   * Waits until no connection is waiting to be accepted. The server can close
+   * its listener then.
+   *
+   * @param clock - measures the time.
+   * @param endMs - clock time until which this waits at most.
+   */
+  async acceptWaiting(clock: Clock, endMs: number): Promise<void> {
+    let isEmpty = false;
+    // A turn of the event loop accepts one connection only.
+    while (!isEmpty && clock.now() < endMs) {
+      const {accepted} = this;
+      const isRead = await readConnections();
+      isEmpty = isRead && this.accepted === accepted;
+    }
   }
 
-  /** Records a new connection. */
-  add(socket: Socket): void {
+  private add(socket: Socket): void {
     this.accepted += 1;
     this.states.set(socket, {
       checkedBytes: 0,
@@ -112,7 +139,7 @@
    * Closes a connection that has been idle for its time limit, unless bytes have
    * arrived meanwhile; these start the time again.
    */
-  async closeExpired(socket: Socket): Promise<void> {
+  private async closeExpired(socket: Socket): Promise<void> {
     const {bytesRead} = socket;
     const isRead = await readConnections();
     const state = this.states.get(socket);
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -274,11 +274,12 @@
     await this.clock.sleep(graceMs);
     this.gate.close();
     this.requestComponents.close();
-    this.caller?.close();
+    await this.caller?.close();
     await Promise.all([
       this.gate.whenIdle(),
       this.requestComponents.whenIdle(),
     ]);
+    await this.caller?.whenEnded();
     await this.zoneComponents.leave();
     await this.tracing.flush();
     logger.info('stopped', {});
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -2,12 +2,15 @@
 
 import {AddressInfo} from 'node:net';
 import {Duplex} from 'node:stream';
-import {Server, createServer} from 'node:http';
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {getRequestListener} from '@hono/node-server';
 import {Hono} from 'hono';
 import {
+  CallerConnections,
+  Clock,
   ListenerOptions,
   REFUSAL,
+  readConnections,
   refuse,
   startListening,
 } from '@fuchsiacleat/core';
@@ -16,6 +19,15 @@
 
 const MAX_HEADER_BYTES = 16 * 1024;
 
+/** Longest time for which a stop accepts connections, in milliseconds. */
+const MAX_ACCEPT_MS = 1_000;
+
+/** Longest time that connections have to end in a stop, in milliseconds. */
+const MAX_END_MS = 1_000;
+
+/** Interval of the checks whether they have, in milliseconds. */
+const END_POLL_MS = 50;
+
 /** Options of an {@link HttpListener}. */
 export interface HttpListenerOptions extends ListenerOptions {
   maxConnections: number;
@@ -23,11 +35,21 @@
 
 /** An HTTP server that serves one API. */
 export class HttpListener {
+  private readonly connections = new CallerConnections();
+  private isClosing = false;
+  private boundPort = 0;
+
   private constructor(
     private readonly server: Server,
-    /** The bound port. */
-    readonly port: number,
-  ) {}
+    private readonly clock: Clock,
+  ) {
+    this.connections.follow(server);
+  }
+
+  /** The bound port. */
+  get port(): number {
+    return this.boundPort;
+  }
 
   /**
    * Binds the address and starts serving.
@@ -43,10 +65,12 @@
     const requestListener = getRequestListener(app.fetch, {
       overrideGlobalObjects: false,
     });
-    const server = createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES},
-      (req, res) => void requestListener(req, res),
-    );
+    const server = createServer({maxHeaderSize: MAX_HEADER_BYTES});
+    const listener = new HttpListener(server, options.clock);
+    server.on('request', (req, res) => {
+      void listener.follow(req, res);
+      void requestListener(req, res);
+    });
     server.maxConnections = options.maxConnections;
     server.on('clientError', respondToMalformedRequest);
     try {
@@ -54,14 +78,33 @@
     } catch (error) {
       return err((error as Error).message);
     }
-    const {port} = server.address() as AddressInfo;
-    return ok(new HttpListener(server, port));
+    listener.boundPort = (server.address() as AddressInfo).port;
+    return ok(listener);
   }
 
-  /** Stops accepting connections and closes idle ones; open requests continue. */
-  close(): void {
+  /**
+   * Accepts the connections that are waiting and no new ones, and closes each
+   * one that is idle or falls idle; open requests continue.
+   */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    const endMs = this.clock.now() + MAX_ACCEPT_MS;
+    await this.connections.acceptWaiting(this.clock, endMs);
     this.server.close();
-    this.server.closeIdleConnections();
+  }
+
+  /**
+   * Waits until all connections have ended after {@link HttpListener.close},
+   * for {@link MAX_END_MS} at most.
+   */
+  async whenEnded(): Promise<void> {
+    const {clock, connections} = this;
+    const endMs = clock.now() + MAX_END_MS;
+    while (connections.count > 0 && clock.now() < endMs) {
+      await clock.sleep(END_POLL_MS);
+      connections.closeIdle();
+    }
+    await readConnections();
   }
 
   /** Closes all connections at once, including those with open requests. */
@@ -69,6 +112,24 @@
     this.server.close();
     this.server.closeAllConnections();
   }
+
+  /** Records a request until it has been read and its response passed on. */
+  private async follow(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {connections} = this;
+    const {socket} = req;
+    if (this.isClosing) res.shouldKeepAlive = false;
+    connections.beginRequest(socket);
+    const passedOn = new Promise(resolve => res.once('close', resolve));
+    await new Promise(resolve =>
+      req.once('end', resolve).once('close', resolve),
+    );
+    connections.recordRead(socket);
+    await passedOn;
+    connections.endRequest(socket);
+  }
 }
 
 /** Responds to input that is not valid HTTP or whose head is too large. */
--- a/packages/local-cluster/src/test/unread_request_test.ts
+++ b/packages/local-cluster/src/test/unread_request_test.ts
@@ -16,6 +16,12 @@
 /** Time of that before the timer of the host is due, in milliseconds. */
 const LEAD_MS = 100;
 
+/** Size of a request body that is refused unread, in bytes. */
+const BODY_BYTES = 20_000;
+
+/** Numbers of callers that connect while the event loop is held up. */
+const QUEUE_LENGTHS = [1, 40];
+
 /** Idle timeout of Node.js, and the time that it adds, in milliseconds. */
 const NODE_IDLE_MS = 5_000;
 const NODE_IDLE_MARGIN_MS = 1_000;
@@ -56,13 +62,13 @@
 
   afterEach(() => cluster.kill());
 
-  function send(caller: RawCaller): void {
-    caller.send({path: '/services/filing/cases', id: 'raw'});
+  function send(caller: RawCaller, body = ''): void {
+    caller.send({path: '/services/filing/cases', id: 'raw', body});
   }
 
-  async function openKept(): Promise<RawCaller> {
+  async function openKept(body?: string): Promise<RawCaller> {
     const caller = await RawCaller.open(cluster.callerUrl(HOST));
-    send(caller);
+    send(caller, body);
     await caller.waitForEnd();
     expect(caller.isAnswered).to.equal(true);
     caller.text = '';
@@ -79,20 +85,24 @@
     await stopped;
   });
 
-  it('does not close its listener with a request in the queue when it stops', async () => {
-    const file = new URL('./platform/caller_thread.js', import.meta.url);
-    const workerData = {url: cluster.callerUrl(HOST), id: 'queued'};
-    const thread = new Worker(file, {workerData});
-    await new Promise(resolve => thread.once('message', resolve));
-    const answer = new Promise<ThreadAnswer>(resolve =>
-      thread.once('message', resolve),
-    );
-    const stopped = cluster.daemon(HOST).stop();
-    await sleep(GRACE_MS - LEAD_MS);
-    await holdUp(() => thread.postMessage('send'));
-    expect((await answer).text).to.match(/^HTTP\/1\.1 /);
-    await stopped;
-  });
+  for (const count of QUEUE_LENGTHS) {
+    it(`does not close its listener with a queue of ${count} when it stops`, async () => {
+      const file = new URL('./platform/caller_thread.js', import.meta.url);
+      const workerData = {url: cluster.callerUrl(HOST), count};
+      const thread = new Worker(file, {workerData});
+      await new Promise(resolve => thread.once('message', resolve));
+      const answers = new Promise<ThreadAnswer[]>(resolve =>
+        thread.once('message', resolve),
+      );
+      const stopped = cluster.daemon(HOST).stop();
+      await sleep(GRACE_MS - LEAD_MS);
+      await holdUp(() => thread.postMessage('send'));
+      const received = await answers;
+      expect(received).to.have.lengthOf(count);
+      for (const {text} of received) expect(text).to.match(/^HTTP\/1\.1 /);
+      await stopped;
+    });
+  }
 
   it('does not close a connection as idle with a request in it', async () => {
     const caller = await openKept();
@@ -101,4 +111,12 @@
     await caller.waitForEnd();
     expect(caller.text).to.match(/^HTTP\/1\.1 /);
   });
+
+  it('closes connections that stay idle', async () => {
+    const bodies = ['', 'x'.repeat(BODY_BYTES)];
+    const callers = await Promise.all(bodies.map(body => openKept(body)));
+    await sleep(NODE_IDLE_MS + NODE_IDLE_MARGIN_MS + HELD_MS);
+    for (const {isClosed, text} of callers)
+      expect({isClosed, text}).to.deep.equal({isClosed: true, text: ''});
+  });
 });
