Soak: a faulty link does not end a connection in order before its data

Cause, of a part of them: the link between hosts and workers delayed data by 250 ms when it was slow, but not the end of the connection, and passed an end on after data that it had dropped. For an answer without a length that is an orderly end, and no host can tell. The faults that a link plays are losses and delays, not ends that nobody made.

Change: data and its end keep their order, and a connection on which data was dropped is reset. The checks of the soak are the same.

--- a/packages/soak/src/lib/faulty_link.ts
+++ b/packages/soak/src/lib/faulty_link.ts
@@ -1,6 +1,7 @@
 /** A loopback TCP proxy that simulates network faults. @packageDocumentation */
 
 import {AddressInfo, Server, Socket, connect, createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 const LOOPBACK = '127.0.0.1';
 
@@ -93,18 +94,34 @@
   }
 
   private forward(from: Socket, to: Socket, shouldDrop: () => boolean): void {
+    let hasDropped = false;
+    let last = Promise.resolve();
+    // Data and its end keep their order, however the mode changes.
+    const pass = (callback: () => void) => {
+      const delayMs = this.mode === LINK_MODE.slow ? SLOW_MS : 0;
+      const dueMs = performance.now() + delayMs;
+      last = last.then(async () => {
+        const leftMs = dueMs - performance.now();
+        if (leftMs > 0) await sleep(leftMs);
+        callback();
+      });
+    };
     this.sockets.add(from);
     from.on('data', chunk => {
-      if (shouldDrop()) return;
-      if (this.mode !== LINK_MODE.slow) to.write(chunk);
-      else setTimeout(() => to.write(chunk), SLOW_MS);
+      if (shouldDrop()) hasDropped = true;
+      else pass(() => to.write(chunk));
+    });
+    from.on('end', () => {
+      // An orderly end would make an answer without a length look complete.
+      if (hasDropped) to.resetAndDestroy();
+      else pass(() => to.end());
     });
-    from.on('end', () => to.end());
     // Resets the other side too, since tests depend on how a connection ends.
     from.on('error', () => to.resetAndDestroy());
-    from.on('close', () => {
+    from.on('close', hadError => {
       this.sockets.delete(from);
-      to.destroy();
+      if (hadError) to.destroy();
+      else pass(() => to.destroySoon());
     });
   }
 }
