--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -60,7 +60,7 @@
 export * from './lib/telemetry/loop_hold_log.js';
 export * from './lib/telemetry/logger.js';
 export * from './lib/time/clock.js';
-export * from './lib/time/loop_turn.js';
+export * from './lib/time/connections_read.js';
 export * from './lib/time/random.js';
 export * from './lib/time/system_clock.js';
 export * from './lib/time/timeout.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -138,7 +138,7 @@
 export * from './lib/telemetry/request_explanation.js';
 export * from './lib/telemetry/tracing.js';
 export * from './lib/time/clock.js';
-export * from './lib/time/loop_turn.js';
+export * from './lib/time/connections_read.js';
 export * from './lib/time/deadline.js';
 export * from './lib/time/manual_clock.js';
 export * from './lib/time/random.js';
--- a/packages/core/src/lib/net/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -3,7 +3,7 @@
 import {Server} from 'node:http';
 import {Socket} from 'node:net';
 import {Clock} from '../time/clock.js';
-import {readConnections} from '../time/loop_turn.js';
+import {whenConnectionsRead} from '../time/connections_read.js';
 
 /**
  * Time without a byte after which a connection is closed that has brought no
@@ -71,7 +71,7 @@
     // A turn of the event loop accepts one connection only.
     while (!isEmpty && clock.now() < endMs) {
       const {accepted} = this;
-      const isRead = await readConnections();
+      const isRead = await whenConnectionsRead();
       isEmpty = isRead && this.accepted === accepted;
     }
   }
@@ -141,7 +141,7 @@
    */
   private async closeExpired(socket: Socket): Promise<void> {
     const {bytesRead} = socket;
-    const isRead = await readConnections();
+    const isRead = await whenConnectionsRead();
     const state = this.states.get(socket);
     if (state === undefined || state.requests > 0) return;
     if (isRead && socket.bytesRead === bytesRead) socket.destroy();
@@ -151,7 +151,7 @@
   private async sweep(): Promise<void> {
     if (this.isSweeping) return;
     this.isSweeping = true;
-    while (await readConnections()) {
+    while (await whenConnectionsRead()) {
       if (this.closeUntil(performance.now() + MAX_CLOSE_MS)) break;
     }
     this.isSweeping = false;
--- a/packages/core/src/lib/time/loop_turn.ts
+++ b/packages/core/src/lib/time/connections_read.ts
@@ -16,7 +16,7 @@
  *
  * @returns whether there was such a turn within {@link MAX_WAIT_MS}.
  */
-export async function readConnections(): Promise<boolean> {
+export async function whenConnectionsRead(): Promise<boolean> {
   const endMs = performance.now() + MAX_WAIT_MS;
   // Ends the current turn, whose reading phase may be over.
   await setImmediate();
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -10,7 +10,7 @@
   Clock,
   ListenerOptions,
   REFUSAL,
-  readConnections,
+  whenConnectionsRead,
   refuse,
   startListening,
 } from '@fuchsiacleat/core';
@@ -104,7 +104,7 @@
       await clock.sleep(END_POLL_MS);
       connections.closeIdle();
     }
-    await readConnections();
+    await whenConnectionsRead();
   }
 
   /** Closes all connections at once, including those with open requests. */
--- a/packages/local-cluster/src/test/platform/unread_request_test.ts
+++ b/packages/local-cluster/src/test/platform/unread_request_test.ts
@@ -7,15 +7,13 @@
   SERVICE,
   STORE_TOPIC,
 } from '../../lib/platform_world.js';
+import {HELD_MS, holdUp} from './hold_up.js';
 import {RawCaller} from '../../lib/raw_caller.js';
 import {ThreadAnswer} from './caller_thread.js';
 
 /** Time after the stop for which connections are accepted, in milliseconds. */
 const ACCEPT_TIME_MS = 2_600;
 
-/** Time for which the event loop is held up, in milliseconds. */
-const HELD_MS = 400;
-
 /** Time that Node.js adds to the idle timeout, in milliseconds. */
 const NODE_IDLE_MARGIN_MS = 1_000;
 
@@ -25,24 +23,6 @@
 const IDLE_TIMEOUT_MS = 1_000;
 const OLDEST_IDLE_MS = (IDLE_TIMEOUT_MS * 4) / 5;
 
-/**
- * Holds the event loop up between the phase that reads connections and the one
- * that runs timers.
- *
- * @param begin - called before; the connections are not read after it.
- * @param forMs - time to hold it up for, in milliseconds.
- */
-function holdUp(begin: () => void, forMs = HELD_MS): Promise<void> {
-  return new Promise(resolve =>
-    setImmediate(() => {
-      begin();
-      const endMs = performance.now() + forMs;
-      while (performance.now() < endMs);
-      resolve();
-    }),
-  );
-}
-
 /** Time after the stop at which the host ends what is left. */
 const GRACE_END_MS = 3_600;
 
--- a/packages/local-cluster/src/test/unread_request_test.ts
+++ b/packages/local-cluster/src/test/unread_request_test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {LocalCluster, sampleDeclarations} from '../index.js';
+import {HELD_MS, holdUp} from './platform/hold_up.js';
 import {RawCaller} from '../lib/raw_caller.js';
 import {ThreadAnswer} from './platform/caller_thread.js';
 
@@ -10,9 +11,6 @@
 /** Time for which a stopping host accepts connections, in milliseconds. */
 const GRACE_MS = 1_000;
 
-/** Time for which the event loop is held up, in milliseconds. */
-const HELD_MS = 400;
-
 /** Time of that before the timer of the host is due, in milliseconds. */
 const LEAD_MS = 100;
 
@@ -26,24 +24,6 @@
 const NODE_IDLE_MS = 5_000;
 const NODE_IDLE_MARGIN_MS = 1_000;
 
-/**
- * Holds the event loop up between the phase that reads connections and the one
- * that runs timers.
- *
- * @param begin - called before; the connections are not read after it.
- * @param forMs - time to hold it up for, in milliseconds.
- */
-function holdUp(begin: () => void, forMs = HELD_MS): Promise<void> {
-  return new Promise(resolve =>
-    setImmediate(() => {
-      begin();
-      const endMs = performance.now() + forMs;
-      while (performance.now() < endMs);
-      resolve();
-    }),
-  );
-}
-
 describe('Daemon with requests that it has not read yet', () => {
   let cluster: LocalCluster;
 
