Log how each answer was put together: sends, framing, bytes, connection; and surplus bytes

All that is passed on to a caller goes through PassedAnswer, which counts bytes and the sends that they are from. Served answers of several sends, and those without a length, have a rate limit of their own (6 lines/s, taken from that of other served requests, so that the sum is the same). connection_surplus names the connection on which a target wrote bytes that no request was waiting for, and the request before them. Two counters. No decision is changed.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -1,6 +1,7 @@
 /** Public API for gateway hosts on a platform with target discovery. @packageDocumentation */
 
 export * from './lib/gateway/answer_end.js';
+export * from './lib/gateway/answer_framing.js';
 export * from './lib/gateway/caller_request.js';
 export * from './lib/gateway/deployment.js';
 export * from './lib/gateway/deployment_state.js';
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -2,6 +2,7 @@
 
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
+import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
 import {EventBoundary} from './event_boundary.js';
@@ -54,7 +55,6 @@
   /**
    * Relays an answer until it ends.
    *
-   * @param req - the request to answer.
    * @param call - the state of the request.
    * @param answer - the answer of the target.
    * @param stalls - decides about a stream that makes no progress.
@@ -63,20 +63,18 @@
    *     `call.isHeadSent`, and only whole events of a resumable stream.
    */
   async relay(
-    req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
   ): Promise<RelayResult> {
     const isStream = call.route.kind === REQUEST_KIND.stream;
     const end = isStream
-      ? await this.relayStream(req, call, answer, stalls)
-      : await this.relayPlain(req, call, answer);
+      ? await this.relayStream(call, answer, stalls)
+      : await this.relayPlain(call, answer);
     return end === BODY_END.complete ? RELAY_RESULT.whole : RELAY_RESULT.broken;
   }
 
   private async relayStream(
-    req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
@@ -93,40 +91,39 @@
       void this.tasks.run('stall_monitor', watch, {id: call.id});
     }
     const boundary = new EventBoundary();
-    this.sendHead(req, call, answer.head);
+    call.answer.open(answer.head);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
       call.recordBytes();
       boundary.push(chunk);
-      if (splitter === undefined) return req.write(chunk);
+      if (splitter === undefined) return call.answer.write(chunk);
       const {lastId} = splitter;
       const bytes = splitter.push(chunk);
       // Comments and partial events do not count as progress.
       if (splitter.lastId !== lastId) monitor?.recordProgress();
       if (splitter.isTooLong) answer.discard();
       if (bytes.length > 0) this.onEvents(call);
-      const written = bytes.length === 0 ? undefined : req.write(bytes);
+      const written = bytes.length === 0 ? undefined : call.answer.write(bytes);
       if (written !== undefined) monitor?.recordBlocked(written);
       return written;
     });
     ended.abort();
     if (end !== BODY_END.complete) return end;
     // The end of its connection may be all that ends a stream.
-    const {isCloseDelimited, isEventStream} = answer.head;
-    const isEmpty = isCloseDelimited && call.receivedBytes === 0;
+    const {framing, isEventStream} = answer.head;
+    const isEmpty = framing === FRAMING.close && call.receivedBytes === 0;
     if (isEventStream && (boundary.isInsideEvent || isEmpty))
       return BODY_END.broken;
     const remainingBytes = splitter?.flush();
     if (remainingBytes !== undefined && remainingBytes.length > 0) {
       this.onEvents(call);
-      void req.write(remainingBytes);
+      void call.answer.write(remainingBytes);
     }
-    req.end();
+    call.answer.end();
     return end;
   }
 
   private async relayPlain(
-    req: Req,
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
   ): Promise<BodyEnd> {
@@ -134,36 +131,28 @@
     let bufferedBytes = 0;
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
-      if (call.isHeadSent) return req.write(chunk);
+      if (call.isHeadSent) return call.answer.write(chunk);
       bufferedChunks.push(chunk);
       bufferedBytes += chunk.length;
       if (bufferedBytes <= MAX_BUFFERED_BYTES) return undefined;
-      return this.sendBuffered(req, call, answer.head, bufferedChunks);
+      return this.sendBuffered(call, answer.head, bufferedChunks);
     });
     if (end !== BODY_END.complete) return end;
     if (!call.isHeadSent)
-      void this.sendBuffered(req, call, answer.head, bufferedChunks);
-    req.end();
+      void this.sendBuffered(call, answer.head, bufferedChunks);
+    call.answer.end();
     return end;
   }
 
   private sendBuffered(
-    req: Req,
     call: RelayCall<Req>,
     head: Head,
     bufferedChunks: Buffer[],
   ): Promise<void> | undefined {
-    this.sendHead(req, call, head);
+    call.answer.open(head);
     call.recordBytes();
     return bufferedChunks.length === 0
       ? undefined
-      : req.write(Buffer.concat(bufferedChunks));
-  }
-
-  private sendHead(req: Req, call: RelayCall<Req>, head: Head): void {
-    if (call.isHeadSent) return;
-    call.isHeadSent = true;
-    call.status = head.status;
-    req.writeHead(head);
+      : call.answer.write(Buffer.concat(bufferedChunks));
   }
 }
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -2,6 +2,7 @@
 
 import {RequestContent} from '../quarantine/request_digest.js';
 import {Refusal, UnservedOutcome} from '../requests/outcome.js';
+import {Framing} from './answer_framing.js';
 
 /** The model that a request asks for. */
 export interface ModelDemand {
@@ -21,8 +22,8 @@
   readonly status: number;
   /** Whether the body is a stream of events. */
   readonly isEventStream: boolean;
-  /** Whether the end of the connection is all that ends the body. */
-  readonly isCloseDelimited: boolean;
+  /** What delimits the body. */
+  readonly framing: Framing;
 }
 
 /**
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -92,6 +92,21 @@
     registers: [this.registry],
   });
 
+  /** Number of answers served, by framing and by how many sends they are from. */
+  readonly answers = new Counter({
+    name: 'fuchsiacleat_gateway_answers_total',
+    help: 'Answers of targets that were served, by what delimited the body and by whether one or several sends brought it.',
+    labelNames: ['framing', 'sends'],
+    registers: [this.registry],
+  });
+
+  /** Number of connections that ended because of surplus bytes. */
+  readonly surplusBytes = new Counter({
+    name: 'fuchsiacleat_gateway_connection_surplus_total',
+    help: 'Connections to targets that ended because of bytes that no request was waiting for.',
+    registers: [this.registry],
+  });
+
   /** Number of processes of targets that ended under requests of this host. */
   readonly targetEnds = new Counter({
     name: 'fuchsiacleat_gateway_target_ends_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -5,12 +5,14 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ANSWER_END} from './answer_end.js';
+import {FRAMING} from './answer_framing.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {
   EndedSend,
   RelayObserver,
   RequestTrace,
   StalledRun,
+  SurplusBytes,
   UnsentAnswer,
 } from './relay_observer.js';
 
@@ -18,7 +20,13 @@
  * Rate limits of log lines for unserved and served requests, lines per second.
  */
 const UNSERVED_LINE_LIMIT = {rate: 100, burst: 300};
-const SERVED_LINE_LIMIT = {rate: 20, burst: 60};
+const SERVED_LINE_LIMIT = {rate: 14, burst: 40};
+
+/**
+ * Limit for answers whose completeness is not plain from one send's framing, and
+ * for surplus bytes. They are rare, and no other lines displace them.
+ */
+const UNUSUAL_LINE_LIMIT = {rate: 6, burst: 20};
 
 /** Time between reports of omitted lines and of sends to limited targets. */
 const REPORT_INTERVAL_MS = 4_000;
@@ -33,13 +41,14 @@
 }
 
 /**
- * Writes one log line for each request that ends. Unserved and served requests
- * have separate rate limits, so that many served requests cannot displace
- * unserved ones. The number of omitted lines is logged as well.
+ * Writes one log line for each request that ends. Unserved, unusual and
+ * other served requests have separate rate limits, so that many served requests
+ * cannot displace the others. The number of omitted lines is logged as well.
  */
 export class LoggingObserver extends RelayObserver {
   private readonly unservedBucket: TokenBucket;
   private readonly servedBucket: TokenBucket;
+  private readonly unusualBucket: TokenBucket;
   private omittedCount = 0;
   /** Sends to targets with a limit since the last report. */
   private readonly limitCounts = new Map<string, LimitCounts>();
@@ -65,6 +74,11 @@
       SERVED_LINE_LIMIT,
       SERVED_LINE_LIMIT.burst,
     );
+    this.unusualBucket = new TokenBucket(
+      clock,
+      UNUSUAL_LINE_LIMIT,
+      UNUSUAL_LINE_LIMIT.burst,
+    );
   }
 
   /**
@@ -173,6 +187,16 @@
     });
   }
 
+  override surplusReceived({afterId, connection, target}: SurplusBytes): void {
+    this.metrics.surplusBytes.inc();
+    if (!this.tryTakeLine(this.unusualBucket)) return;
+    this.logger.info('connection_surplus', {
+      target,
+      connection,
+      after_request: afterId,
+    });
+  }
+
   override requestEnded(story: RequestTrace): void {
     const {outcome, kind = 'none'} = story;
     const reason = reasonOf(outcome);
@@ -190,7 +214,12 @@
     const hasParts = story.parts.length > 0;
     const isResumed = story.lastEventId !== undefined;
     const versions = story.softwareVersions.join(',') || undefined;
-    const bucket = isServed ? this.servedBucket : this.unservedBucket;
+    if (isServed && story.framing !== undefined)
+      this.metrics.answers.inc({
+        framing: story.framing,
+        sends: story.answerSends > 1 ? 'several' : 'one',
+      });
+    const bucket = this.bucketFor(story);
     if (!this.tryTakeLine(bucket)) return;
     this.logger.info('request', {
       id: story.id,
@@ -201,6 +230,10 @@
         'retryAfterMs' in outcome ? outcome.retryAfterMs : undefined,
       status: story.status,
       answer: story.answer,
+      framing: story.framing,
+      body_bytes: story.framing === undefined ? undefined : story.bodyBytes,
+      answer_sends: story.answerSends > 1 ? story.answerSends : undefined,
+      connection: story.connection,
       ended_by: story.endedBy,
       route: story.route,
       kind: story.kind,
@@ -220,6 +253,16 @@
     });
   }
 
+  private bucketFor({
+    answerSends,
+    framing,
+    outcome,
+  }: RequestTrace): TokenBucket {
+    if (outcome.type !== 'served') return this.unservedBucket;
+    const isUnusual = answerSends > 1 || framing === FRAMING.close;
+    return isUnusual ? this.unusualBucket : this.servedBucket;
+  }
+
   private tryTakeLine(bucket: TokenBucket): boolean {
     if (bucket.take(1)) {
       bucket.settle(1, 1);
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -355,7 +355,7 @@
       attempt.cancelHeadTimeout();
       this.runs.recordSignals(target, sent);
       if (sent.type === 'answered') {
-        call.recordAnswered();
+        call.recordAnswered(sent.answer);
         observer.sendAnswered(registration.id);
         return await this.relay(target, req, call, sent.answer, attempt);
       }
@@ -425,7 +425,9 @@
     if (isUnusable && (call.isHeadSent || call.canRunAgain)) {
       answer.discard();
       call.tried.add(target.registration.id);
-      this.runs.reportSendEnd(target, req, call, 'error', `status ${status}`);
+      const detail = `status ${status}`;
+      const {connection} = answer;
+      this.runs.reportSendEnd(target, req, call, 'error', detail, connection);
       if (call.signal.aborted) return this.abortedOutcome(req, call);
       if (call.canRunAgain) return undefined;
       return fail(
@@ -435,14 +437,16 @@
     }
     const run = {target, req, call, answer};
     const stalls = new RunStallHandler(this.stallParts, run);
-    const end = await this.answers.relay(req, call, answer, stalls);
+    const end = await this.answers.relay(call, answer, stalls);
     if (end === RELAY_RESULT.whole) {
       this.runs.recordWholeRun(target, call, answer.head);
       return {type: 'served'};
     }
     call.endIfLate();
     if (call.signal.aborted) return this.abortedOutcome(req, call);
-    this.runs.reportSendEnd(target, req, call, 'broken', `status ${status}`);
+    const detail = `status ${status}`;
+    const {connection} = answer;
+    this.runs.reportSendEnd(target, req, call, 'broken', detail, connection);
     call.tried.add(target.registration.id);
     if (!attempt.isWithdrawn) await this.runs.recordLostRun(target, call);
     if (call.canRunAgain) return undefined;
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -4,9 +4,12 @@
 import {GuardedRun} from '../quarantine/guarded_run.js';
 import {GrantedTrial} from '../quarantine/trial.js';
 import {ENDED_BY, EndedBy, connectionEndOf} from './answer_end.js';
+import {Framing} from './answer_framing.js';
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
+import {PassedAnswer} from './passed_answer.js';
+import {TargetAnswer} from './target_port.js';
 import {TargetRegistration} from './target_registration.js';
 import {KnownTarget} from './target_table.js';
 
@@ -94,9 +97,11 @@
   receivedBytes = 0;
   /** What ended the current send, once its end is known; see {@link ENDED_BY}. */
   endedBy: EndedBy = ENDED_BY.target;
-  /** Whether the head of an answer was sent to the caller. */
-  isHeadSent = false;
-  status: number | undefined;
+  /** What the caller has of an answer. */
+  readonly answer: PassedAnswer;
+  /** Connection of the latest send that was answered, and its framing. */
+  connection: string | undefined;
+  framing: Framing | undefined;
   /**
    * Time from arrival to the first send, and to the first byte of the answer.
    */
@@ -127,6 +132,7 @@
     readonly team: TeamConfig | undefined,
     private readonly limitMs: number,
   ) {
+    this.answer = new PassedAnswer(req);
     this.deadlineMs = limitMs - ANSWER_MARGIN_MS;
     const isResumable = route.kind === REQUEST_KIND.stream && route.isResumable;
     this.splitter = isResumable ? new EventSplitter() : undefined;
@@ -140,6 +146,11 @@
     return this.req.id;
   }
 
+  /** Whether the head of an answer was sent to the caller. */
+  get isHeadSent(): boolean {
+    return this.answer.head !== undefined;
+  }
+
   /** Time that a target has for the request, in milliseconds. */
   get remainingMs(): number {
     const nowMs = this.clock.now();
@@ -249,7 +260,9 @@
   }
 
   /** Records that the target of the current send has begun an answer. */
-  recordAnswered(): void {
+  recordAnswered({connection, head}: TargetAnswer): void {
+    this.connection = connection;
+    this.framing = head.framing;
     this.possibleRuns += 1;
     this.target?.recordHeard();
     this.isAnswered = true;
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -2,6 +2,7 @@
 
 import {Outcome} from '../requests/outcome.js';
 import {AnswerEnd, EndedBy} from './answer_end.js';
+import {Framing} from './answer_framing.js';
 import {TargetState} from './target_port.js';
 
 /** Trace of a finished request: the data that explains how it was handled. */
@@ -32,6 +33,12 @@
   firstByteMs: number | undefined;
   totalMs: number;
   status: number | undefined;
+  /** Connection of the last answer of a target, and what delimited its body. */
+  connection: string | undefined;
+  framing: Framing | undefined;
+  /** Bytes of the body that were passed on, and how many sends they are from. */
+  bodyBytes: number;
+  answerSends: number;
   outcome: Outcome;
   /** What the caller received. */
   answer: AnswerEnd;
@@ -92,6 +99,15 @@
   isStopping: boolean;
 }
 
+/** Bytes on a connection to a target that no request was waiting for. */
+export interface SurplusBytes {
+  /** Id of the target. */
+  target: string;
+  connection: string;
+  /** Id of the request that the connection carried last. */
+  afterId: string;
+}
+
 /** Receives the events of relayed requests as they occur. */
 export abstract class RelayObserver {
   /** Called when the head of an answer has arrived from a target. */
@@ -143,6 +159,9 @@
    */
   abstract answerUnsent(answer: UnsentAnswer): void;
 
+  /** Called when a connection ended because of such bytes. */
+  abstract surplusReceived(surplus: SurplusBytes): void;
+
   /** Called when a request has ended. */
   abstract requestEnded(trace: RequestTrace): void;
 }
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -3,6 +3,7 @@
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
+import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
@@ -102,11 +103,11 @@
   recordWholeRun(
     target: KnownTarget,
     call: RelayCall<Req>,
-    {isCloseDelimited, status}: Head,
+    {framing, status}: Head,
   ): void {
     target.recordRun(call.sendAgeMs);
     // The end of a crashed process would look the same.
-    if (isCloseDelimited) void this.reportBrokenRun(target, call);
+    if (framing === FRAMING.close) void this.reportBrokenRun(target, call);
     else if (status === OK) call.run?.recordComplete();
   }
 
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -53,6 +53,8 @@
 export interface TargetAnswer<Head extends AnswerHead = AnswerHead> {
   head: Head;
   signals: AnswerSignals;
+  /** Connection of the answer, see {@link SendResult}. */
+  connection: string;
   /**
    * Reads the body to its end.
    *
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {ANSWER_END, ENDED_BY} from '../../lib/gateway/answer_end.js';
+import {FRAMING} from '../../lib/gateway/answer_framing.js';
 import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
 import {LoggingObserver} from '../../lib/gateway/logging_observer.js';
 import {RequestTrace} from '../../lib/gateway/relay_observer.js';
@@ -39,6 +40,10 @@
     firstByteMs: 120,
     totalMs: 900,
     status: 200,
+    connection: '1/1',
+    framing: FRAMING.length,
+    bodyBytes: 100,
+    answerSends: 1,
     outcome: {type},
     answer: type === 'served' ? ANSWER_END.whole : ANSWER_END.none,
     endedBy: undefined,
@@ -59,6 +64,17 @@
 }
 
 describe('LoggingObserver', () => {
+  it('logs answers of several sends and of unknown length among many served requests', () => {
+    const clock = new ManualClock();
+    const logger = new CountingLogger();
+    const observer = new LoggingObserver(clock, logger, new GatewayMetrics());
+    for (let i = 0; i < 1_000; i++) observer.requestEnded(traceOf('served'));
+    const before = logger.events.length;
+    observer.requestEnded({...traceOf('served'), answerSends: 2});
+    observer.requestEnded({...traceOf('served'), framing: FRAMING.close});
+    expect(logger.events.length - before).to.equal(2);
+  });
+
   it('limits served and unserved lines separately and logs the number omitted', async () => {
     const clock = new ManualClock();
     const logger = new CountingLogger();
--- a/packages/core/src/test/gateway/relay_call_test.ts
+++ b/packages/core/src/test/gateway/relay_call_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {FRAMING} from '../../lib/gateway/answer_framing.js';
 import {RelayCall} from '../../lib/gateway/relay_call.js';
 import {Clock, Timer} from '../../lib/time/clock.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
@@ -7,6 +8,8 @@
 
 const LIMIT_MS = 1_000;
 
+const HEAD = {status: 200, isEventStream: false, framing: FRAMING.length};
+
 /** Clock whose timers a test fires at any time after they are due. */
 class LateClock extends Clock {
   nowMs = 0;
@@ -52,7 +55,7 @@
   it('does not end an answer under way before the limit of its request', () => {
     const clock = new LateClock();
     const call = newCall(clock);
-    call.isHeadSent = true;
+    call.answer.open(HEAD);
     for (const nowMs of [990, LIMIT_MS]) clock.fireAt(nowMs);
     expect(call.signal.aborted).to.equal(false);
     clock.fireAt(LIMIT_MS + 10);
@@ -64,7 +67,7 @@
     it(`does not end a request ${state} a head before a host that was held up has read its answer`, () => {
       const clock = new LateClock();
       const call = newCall(clock);
-      call.isHeadSent = isHeadSent;
+      if (isHeadSent) call.answer.open(HEAD);
       for (const heldMs of [400, 401]) clock.fireAt(LIMIT_MS + heldMs);
       expect(call.signal.aborted).to.equal(false);
       clock.fireAt(LIMIT_MS + 420);
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -1,6 +1,7 @@
 /** A relay with simulated callers and targets for tests. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
+import {FRAMING} from '../../lib/gateway/answer_framing.js';
 import {
   AnswerHead,
   CallerRequest,
@@ -143,9 +144,10 @@
       head: {
         status,
         isEventStream: chunks.some(text => text.includes('id:')),
-        isCloseDelimited: false,
+        framing: FRAMING.chunks,
       },
       signals,
+      connection: '1/1',
       read: async sink => {
         for (const part of chunks) await sink(Buffer.from(part));
         return end;
@@ -168,8 +170,9 @@
     return {
       type: 'answered',
       answer: {
-        head: {status: 200, isEventStream: true, isCloseDelimited: false},
+        head: {status: 200, isEventStream: true, framing: FRAMING.chunks},
         signals: NO_SIGNALS,
+        connection: '1/1',
         read: async sink => {
           for (const [pauseMs, chunk] of chunks) {
             if (pauseMs > 0) await clock.sleep(pauseMs, ended.signal);
@@ -350,6 +353,8 @@
 
   override answerUnsent(): void {}
 
+  override surplusReceived(): void {}
+
   override requestEnded(story: RequestTrace): void {
     this.traces.push(story);
   }
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {FRAMING} from '../../lib/gateway/answer_framing.js';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
 import {BODY_END, NOT_RUN, SendResult} from '../../lib/gateway/target_port.js';
 import {ModelSearch} from '../../lib/gateway/model_finder.js';
@@ -531,7 +532,7 @@
     const ending: TargetBehavior = () => {
       const sent = answer(200, []);
       if (sent.type !== 'answered') throw new Error('no answer');
-      const head = {status: 200, isEventStream: false, isCloseDelimited: true};
+      const head = {status: 200, isEventStream: false, framing: FRAMING.close};
       world.port.ended.add(world.port.sent.at(-1)!.target);
       return {...sent, answer: {...sent.answer, head}};
     };
@@ -550,7 +551,7 @@
     const empty: TargetBehavior = () => {
       const sent = answer(200, []);
       if (sent.type !== 'answered') throw new Error('no answer');
-      const head = {status: 200, isEventStream: true, isCloseDelimited: true};
+      const head = {status: 200, isEventStream: true, framing: FRAMING.close};
       return {...sent, answer: {...sent.answer, head}};
     };
     const plays = [empty, () => answer(200, [event(1)])];
@@ -581,8 +582,9 @@
         async ({signal}, clock) => ({
           type: 'answered',
           answer: {
-            head: {status: 200, isEventStream: true, isCloseDelimited: false},
+            head: {status: 200, isEventStream: true, framing: FRAMING.chunks},
             signals: NO_SIGNALS,
+            connection: '1/1',
             read: async sink => {
               await sink(Buffer.from(event(1)));
               await clock.sleep(400, signal);
