Known red: answers that are put together from two sends

Four tests of the relay that fail on this code: the second answer is written behind the first 300 kB of a plain one; a stream that began in chunks is ended as complete when the connection of a target without a length ends; events are written behind the first part of an error, and an answer that is no event stream behind events.

--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -52,6 +52,13 @@
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
 
+/** Lets only the end of the connection delimit an answer. */
+function unframed(sent: SendResult): SendResult {
+  if (sent.type !== 'answered') throw new Error('no answer');
+  const head = {...sent.answer.head, framing: FRAMING.close};
+  return {...sent, answer: {...sent.answer, head}};
+}
+
 describe('Relay: admission', () => {
   it('refuses for an outdated configuration, not for an unknown route', async () => {
     const world = relayWorld({route: once, behaviors: []});
@@ -363,6 +370,53 @@
     expect(caller.failure?.type).to.equal('failed');
   });
 
+  it('does not continue a plain answer with the answer to another send', async () => {
+    const start = 'x'.repeat(300 * 1_024);
+    const plays: TargetBehavior[] = [
+      () => answer(200, [start], BODY_END.broken),
+      () => answer(200, ['y']),
+    ];
+    const world = relayWorld({route: repeatable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(start);
+    expect(caller.isEnded).to.equal(false);
+    expect(caller.isAborted).to.equal(true);
+  });
+
+  it('does not end a stream that began in chunks because the connection of its next target ended', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(200, [event(1)], BODY_END.broken),
+      () => unframed(answer(200, [event(2)])),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(event(1) + event(2));
+    expect(caller.isEnded).to.equal(false);
+    expect(caller.isAborted).to.equal(true);
+  });
+
+  it('does not continue an answer that is no event stream with events', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(400, ['{"error":'], BODY_END.broken),
+      () => answer(200, [event(1)]),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.not.include(event(1));
+    expect(caller.isEnded).to.equal(false);
+  });
+
+  it('does not continue a stream with an answer that is no event stream', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(200, [event(1)], BODY_END.broken),
+      () => answer(200, ['{}']),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body).to.equal(event(1));
+    expect(caller.isEnded).to.equal(false);
+  });
+
   it('aborts a broken stream that is not resumable', async () => {
     const plays = [() => answer(200, [event(1)], BODY_END.broken)];
     const world = relayWorld({route: stream, behaviors: plays});
