Don't continue an answer with the answer to another send, unless both are events

Cause: whether a request may be sent again was decided by its kind and by the number of its runs, and not by what its caller already had. A plain answer over 256 KiB is passed on before it has ended; when it broke off, a repeatable request was sent again, and the second answer was written behind the first part. The same class elsewhere: events behind the first part of an error or of another body, and a body that is no event stream behind events.

Change: PassedAnswer, the only way to write to a caller, holds what belongs together. An answer belongs to one send; only events, on a route that may be resumed, may follow from another one. canRunAgain, canRunElsewhere and mustContinue ask it, and it throws if an answer is opened that cannot follow. Any other answer that breaks off after a part was passed on resets its connection.

A head without a body counted as no event stream in the tests' answers and in the stand-in that crashes after its head; both say now what an engine says.

--- a/packages/core/src/lib/gateway/passed_answer.ts
+++ b/packages/core/src/lib/gateway/passed_answer.ts
@@ -2,21 +2,51 @@
 
 import {AnswerHead, CallerRequest} from './caller_request.js';
 
-/** Writes the answer to one request, and counts what it is made of. */
+const OK = 200;
+
+/**
+ * Writes the answer to one request, and counts what it is made of.
+ *
+ * An answer belongs to one send. Only events may follow from another one: a
+ * target can go on after an event that it is told, and the caller can tell
+ * events apart, while any other body is what one run has made.
+ */
 export class PassedAnswer {
   private begunHead: AnswerHead | undefined;
   private isNewSend = false;
   private byteCount = 0;
   private sendCount = 0;
 
-  /** @param req - the request to answer. */
-  constructor(private readonly req: CallerRequest) {}
+  /**
+   * @param req - the request to answer.
+   * @param isResumable - whether another target can go on with its events.
+   */
+  constructor(
+    private readonly req: CallerRequest,
+    private readonly isResumable: boolean,
+  ) {}
 
   /** Head that was passed on; undefined before. */
   get head(): AnswerHead | undefined {
     return this.begunHead;
   }
 
+  /** Whether another send may bring the answer, or the rest of it. */
+  get canGoOn(): boolean {
+    if (this.begunHead === undefined) return true;
+    return this.isResumable && isEvents(this.begunHead);
+  }
+
+  /**
+   * Returns whether an answer may be passed on here.
+   *
+   * @param head - its head.
+   */
+  canGoOnWith(head: AnswerHead): boolean {
+    if (this.begunHead === undefined) return true;
+    return this.canGoOn && isEvents(head);
+  }
+
   /** Number of bytes of the body that were passed on. */
   get bytes(): number {
     return this.byteCount;
@@ -31,8 +61,11 @@
    * Begins the answer with that of a send, or goes on with it.
    *
    * @param head - head of the send's answer; passed on if it is the first one.
+   * @throws if an answer has begun that this one can't follow.
    */
   open(head: AnswerHead): void {
+    if (!this.canGoOnWith(head))
+      throw new Error('an answer cannot follow the answer to another send');
     this.isNewSend = true;
     if (this.begunHead !== undefined) return;
     this.begunHead = head;
@@ -56,3 +89,7 @@
     this.req.end();
   }
 }
+
+function isEvents({isEventStream, status}: AnswerHead): boolean {
+  return isEventStream && status === OK;
+}
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -64,7 +64,6 @@
 /** Number of targets that may end while they run the same request. */
 const MAX_ENDED_TARGETS = 2;
 
-const OK = 200;
 const SERVER_ERROR = 500;
 const LEAST_URGENT = 9;
 
@@ -421,7 +420,9 @@
     const isFailure = status >= SERVER_ERROR;
     if (isFailure) target.health.recordErrorAnswer();
     else target.health.recordSuccess();
-    const isUnusable = call.isHeadSent ? status !== OK : isFailure;
+    const isUnusable = call.isHeadSent
+      ? !call.answer.canGoOnWith(answer.head)
+      : isFailure;
     if (isUnusable && (call.isHeadSent || call.canRunAgain)) {
       answer.discard();
       call.tried.add(target.registration.id);
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -132,10 +132,10 @@
     readonly team: TeamConfig | undefined,
     private readonly limitMs: number,
   ) {
-    this.answer = new PassedAnswer(req);
     this.deadlineMs = limitMs - ANSWER_MARGIN_MS;
     const isResumable = route.kind === REQUEST_KIND.stream && route.isResumable;
     this.splitter = isResumable ? new EventSplitter() : undefined;
+    this.answer = new PassedAnswer(req, isResumable);
     this.endAt(this.deadlineMs);
     req.signal.addEventListener('abort', this.abortForConnection);
     if (req.signal.aborted) this.abortForConnection();
@@ -217,12 +217,14 @@
   /** Whether the request may be sent again although it may have run already. */
   get canRunAgain(): boolean {
     if (!this.isRepeatable || this.signal.aborted) return false;
+    if (!this.answer.canGoOn) return false;
     return this.possibleRuns < this.route.maxTargets;
   }
 
   /** Whether the request may run at another target than the current one. */
   get canRunElsewhere(): boolean {
     if (!this.isRepeatable || this.signal.aborted) return false;
+    if (!this.answer.canGoOn) return false;
     const currentRuns = this.isAnswered ? 0 : 1;
     return this.possibleRuns + currentRuns < this.route.maxTargets;
   }
@@ -232,7 +234,8 @@
    * completed if this host had not given its run up.
    */
   get mustContinue(): boolean {
-    return this.isHeadSent && this.wasGivenUp && !this.signal.aborted;
+    const canContinue = this.isHeadSent && this.answer.canGoOn;
+    return canContinue && this.wasGivenUp && !this.signal.aborted;
   }
 
   /** Number of sends. */
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -131,7 +131,10 @@
   clock: ManualClock,
 ) => Promise<SendResult> | SendResult;
 
-/** Returns an answer whose body consists of the given chunks. */
+/**
+ * Returns an answer whose body consists of the given chunks. It is an event
+ * stream if it has an event or no body.
+ */
 export function answer(
   status: number,
   chunks: string[],
@@ -143,7 +146,8 @@
     answer: {
       head: {
         status,
-        isEventStream: chunks.some(text => text.includes('id:')),
+        isEventStream:
+          chunks.length === 0 || chunks.some(text => text.includes('id:')),
         framing: FRAMING.chunks,
       },
       signals,
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -372,6 +372,7 @@
   private beginAnswerAndCrash(res: ServerResponse, id: string): void {
     res.setHeader(`${HEADER_PREFIX}attempt-id`, id);
     res.setHeader(`${HEADER_PREFIX}server-stamp`, `${this.options.id}.stamp`);
+    res.setHeader('content-type', 'text/event-stream');
     res.writeHead(200).flushHeaders();
     setTimeout(() => void this.crash(), CRASH_DELAY_MS);
   }
