Don't end a framed stream because the connection of its next target ended

Cause: a resumed stream went on at a target that answered without a length. The end of that connection was taken for the end of the stream, whatever framing the caller had got with the first head. A process that crashes ends its connections in the same way, so that the host assured the caller of what no target had said. The decision was spread over the two ways of relaying.

Change: isWhole() alone decides that an answer is whole, from how the body ended, the framing of the answer that ended and that of the head which the caller has. An answer without other framing is passed on as whole only if the caller's has none either; otherwise the stream goes on elsewhere after its last event, or its connection is reset.

--- /dev/null
+++ b/packages/core/src/lib/gateway/answer_completeness.ts
@@ -0,0 +1,35 @@
+/** Decides whether an answer is whole. @packageDocumentation */
+
+import {FRAMING} from './answer_framing.js';
+import {AnswerHead} from './caller_request.js';
+import {BODY_END, BodyEnd} from './target_port.js';
+
+/** The body of a send's answer once no more of it follows. */
+export interface EndedBody {
+  end: BodyEnd;
+  /** Whether it ends within an event. */
+  isInsideEvent: boolean;
+  bytes: number;
+}
+
+/**
+ * Decides whether the answer to a caller is whole once a send's answer has
+ * ended. A crashed process ends its connections like one that has sent all, so
+ * that an answer without other framing is only as whole as its caller can know.
+ *
+ * @param head - head of the send's answer.
+ * @param passedHead - head that the caller has; undefined if it has none.
+ * @param body - how the send's answer ended.
+ */
+export function isWhole(
+  head: AnswerHead,
+  passedHead: AnswerHead | undefined,
+  body: EndedBody,
+): boolean {
+  if (body.end !== BODY_END.complete) return false;
+  if (head.isEventStream && body.isInsideEvent) return false;
+  if (head.framing !== FRAMING.close) return true;
+  if (head.isEventStream && body.bytes === 0) return false;
+  // Chunks or a length would assure the caller of what no target has said.
+  return passedHead === undefined || passedHead.framing === FRAMING.close;
+}
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -2,13 +2,13 @@
 
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
-import {FRAMING} from './answer_framing.js';
+import {EndedBody, isWhole} from './answer_completeness.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
 import {EventBoundary} from './event_boundary.js';
 import {RelayCall} from './relay_call.js';
 import {StallHandler, StallMonitor} from './stall_monitor.js';
-import {BODY_END, BodyEnd, TargetAnswer} from './target_port.js';
+import {TargetAnswer} from './target_port.js';
 
 /** Size up to which a plain answer is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -32,6 +32,12 @@
 /** One of {@link RELAY_RESULT}. */
 export type RelayResult = (typeof RELAY_RESULT)[keyof typeof RELAY_RESULT];
 
+/** The body of an answer that has been relayed as far as it may be. */
+interface RelayedBody extends EndedBody {
+  /** Passes on what was held back until the answer was known to be whole. */
+  passRest(): void;
+}
+
 /**
  * Relays answers to callers. Events are forwarded as they arrive; small plain
  * answers are buffered and forwarded once complete.
@@ -68,17 +74,21 @@
     stalls: StallHandler,
   ): Promise<RelayResult> {
     const isStream = call.route.kind === REQUEST_KIND.stream;
-    const end = isStream
+    const body = isStream
       ? await this.relayStream(call, answer, stalls)
       : await this.relayPlain(call, answer);
-    return end === BODY_END.complete ? RELAY_RESULT.whole : RELAY_RESULT.broken;
+    if (!isWhole(answer.head, call.answer.head, body))
+      return RELAY_RESULT.broken;
+    body.passRest();
+    call.answer.end();
+    return RELAY_RESULT.whole;
   }
 
   private async relayStream(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
-  ): Promise<BodyEnd> {
+  ): Promise<RelayedBody> {
     const {splitter} = call;
     splitter?.discardPartialEvent();
     const maxStallMs = Math.max(MIN_STREAM_STALL_MS, call.route.objectiveMs);
@@ -108,25 +118,20 @@
       return written;
     });
     ended.abort();
-    if (end !== BODY_END.complete) return end;
-    // The end of its connection may be all that ends a stream.
-    const {framing, isEventStream} = answer.head;
-    const isEmpty = framing === FRAMING.close && call.receivedBytes === 0;
-    if (isEventStream && (boundary.isInsideEvent || isEmpty))
-      return BODY_END.broken;
-    const remainingBytes = splitter?.flush();
-    if (remainingBytes !== undefined && remainingBytes.length > 0) {
+    const passRest = () => {
+      const remainingBytes = splitter?.flush();
+      if (remainingBytes === undefined || remainingBytes.length === 0) return;
       this.onEvents(call);
       void call.answer.write(remainingBytes);
-    }
-    call.answer.end();
-    return end;
+    };
+    const {isInsideEvent} = boundary;
+    return {end, isInsideEvent, bytes: call.receivedBytes, passRest};
   }
 
   private async relayPlain(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
-  ): Promise<BodyEnd> {
+  ): Promise<RelayedBody> {
     const bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
     const end = await answer.read(chunk => {
@@ -137,11 +142,12 @@
       if (bufferedBytes <= MAX_BUFFERED_BYTES) return undefined;
       return this.sendBuffered(call, answer.head, bufferedChunks);
     });
-    if (end !== BODY_END.complete) return end;
-    if (!call.isHeadSent)
-      void this.sendBuffered(call, answer.head, bufferedChunks);
-    call.answer.end();
-    return end;
+    const passRest = () => {
+      if (!call.isHeadSent)
+        void this.sendBuffered(call, answer.head, bufferedChunks);
+    };
+    const bytes = call.receivedBytes;
+    return {end, isInsideEvent: false, bytes, passRest};
   }
 
   private sendBuffered(
