Soak: the planted host exceeds the limit by itself, not by the callers' pace

Cause: the planted host passes on whatever its callers send. Four callers, one request after another with 10 to 90 ms between two, 30% of them of the limited team, half of those to the planted host, and half of these streams, most of which its engine rejects as without the model. So the planted host runs about 48 in the window of 8 s, the real host its full allowance of about 90, and what is found depends on the pace of the callers: 127 to 131 in the fullest window on a fast machine, for 103. The check is right: it has no book of disturbances or drains, and it counted every run.

Now the planted host itself passes on, when it starts and all at once, as many requests of the limited team as a window allows, and one more, each in the ledger as a caller's. The check is the same as before.

--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -3,11 +3,12 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {request} from 'undici';
+import {SentRequest} from './request_ledger.js';
 import {PIECE_OF, PROMISE, PromiseName} from './soak_checks.js';
 import {SoakWorld} from './soak_world.js';
 
-/** Holder name of its orders. */
-const HOLDER_NAME = 'planted';
+/** Its name as a host, and as the holder that sends its orders. */
+const PLANTED_NAME = 'planted';
 
 const ORDER_INTERVAL_MS = 100;
 const ATTEMPT_ID_HEADER = 'x-fuchsiacleat-attempt-id';
@@ -39,11 +40,12 @@
     return `http://127.0.0.1:${port}`;
   }
 
-  /** Starts listening, and sending orders if the fault requires it. */
+  /** Starts listening, and sending orders or requests if the fault requires it. */
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
       this.server.listen(0, '127.0.0.1', resolve),
     );
+    if (this.fault === PROMISE.limit) await this.exceedLimit();
     const sendsOrders =
       this.fault === PROMISE.singleHolder || this.fault === PROMISE.memory;
     if (!sendsOrders) return;
@@ -81,6 +83,35 @@
     res.end(text);
   }
 
+  /**
+   * Passes one request of the limited team more on than a whole window allows.
+   * How many the callers send depends on the machine.
+   */
+  private async exceedLimit(): Promise<void> {
+    const {requests} = this.world.limit;
+    const sent: Array<Promise<void>> = [];
+    for (let i = 0; i <= requests; i++)
+      sent.push(this.sendLimited(`${PLANTED_NAME}-${i}`));
+    await Promise.all(sent);
+  }
+
+  /** Sends a request of the limited team, as one of its callers would. */
+  private async sendLimited(id: string): Promise<void> {
+    const request: SentRequest = {
+      id,
+      route: 'once',
+      key: this.world.limit.key,
+      host: PLANTED_NAME,
+      sentMs: performance.now(),
+      wasHostUndisturbed: true,
+      isComplete: false,
+    };
+    this.world.ledger.add(request);
+    const {body, stamp, status} = await this.forward(id, false, '');
+    const endedMs = performance.now();
+    Object.assign(request, {body, endedMs, isComplete: true, stamp, status});
+  }
+
   /** Returns the body that the caller gets. */
   private spoil(body: string): string {
     if (this.fault === PROMISE.wholeAnswer)
@@ -117,7 +148,7 @@
     // For `singleHolder` two holders alternate; for `memory` one holder only loads.
     const isOtherHolder =
       this.fault === PROMISE.singleHolder && this.loads % 2 === 0;
-    const Holder = isOtherHolder ? `${HOLDER_NAME}-other` : HOLDER_NAME;
+    const Holder = isOtherHolder ? `${PLANTED_NAME}-other` : PLANTED_NAME;
     const Op = this.fault === PROMISE.memory ? 'load' : 'unload';
     this.loads += 1;
     const body = JSON.stringify({Op, Model: `m${this.loads}`, Holder});
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -52,14 +52,23 @@
   initialModels: number;
 }
 
+/** A team with a limit, by its key. */
+export interface TeamLimit {
+  key: string;
+  /** Length of the sliding window, in milliseconds. */
+  windowMs: number;
+  /** Most requests that may run in a window. */
+  requests: number;
+}
+
 /** Records of a run to be checked. */
 export interface SoakRecord {
   ledger: RequestLedger;
   workers: readonly WorkerRecord[];
   withdrawn: readonly ForbiddenSpan[];
   drained: readonly ForbiddenSpan[];
-  /** The only limited team, by its key. */
-  limit: {key: string; windowMs: number; requests: number};
+  /** The only limited team. */
+  limit: TeamLimit;
   /** Shortest time between orders of two hosts to one worker. */
   minOrderGapMs: number;
   /** Times at which hosts resumed or links recovered; delayed orders may follow. */
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -25,6 +25,7 @@
   CRASHING_BODY,
   PIECE_OF,
   SoakRecord,
+  TeamLimit,
   WorkerRecord,
 } from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
@@ -145,6 +146,18 @@
     return this.folderPath;
   }
 
+  /** The only limited team, and what a window allows it. */
+  get limit(): TeamLimit {
+    const {perSecond, burst, request} = LIMIT;
+    const inWindow = perSecond * BOUNDS.QuotaWindowS + burst;
+    const tokens = inWindow * (1 + BOUNDS.QuotaOverage) + BOUNDS.QuotaSlack;
+    return {
+      key: SOAK_KEY.limited,
+      windowMs: BOUNDS.QuotaWindowS * MS_PER_SECOND,
+      requests: Math.floor(tokens / request),
+    };
+  }
+
   /**
    * Publishes a new version of the configuration.
    *
@@ -239,20 +252,12 @@
 
   /** Returns the records of the callers and the workers. */
   createRecord(): SoakRecord {
-    const windowMs = BOUNDS.QuotaWindowS * MS_PER_SECOND;
-    const {perSecond, burst, request} = LIMIT;
-    const inWindow = perSecond * BOUNDS.QuotaWindowS + burst;
-    const tokens = inWindow * (1 + BOUNDS.QuotaOverage) + BOUNDS.QuotaSlack;
     return {
       ledger: this.ledger,
       workers: this.workers.map(toWorkerRecord),
       withdrawn: this.withdrawn.all,
       drained: this.drained.all,
-      limit: {
-        key: SOAK_KEY.limited,
-        windowMs,
-        requests: Math.floor(tokens / request),
-      },
+      limit: this.limit,
       minOrderGapMs: BOUNDS.LeaseMs,
       resumptionsMs: this.resumptionsMs,
       disturbances: this.disturbances,
