--- a/packages/soak/src/lib/answered_check.ts
+++ b/packages/soak/src/lib/answered_check.ts
@@ -1,7 +1,8 @@
 /** Checks that requests that were read are answered. @packageDocumentation */
 
+import {FAULTY_ANSWER, FaultyAnswer, WorkerRun} from '@fuchsiacleat/standins';
 import {SentRequest} from './request_ledger.js';
-import {PROMISE, SoakRecord, Violation, countRuns} from './soak_checks.js';
+import {PROMISE, SoakRecord, Violation, runsById} from './soak_checks.js';
 
 /**
  * Time after which a request that no worker ran counts as read by its host; a
@@ -18,34 +19,42 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Faults by which a worker breaks its answer off. */
+const BREAKS_OFF: ReadonlySet<FaultyAnswer> = new Set([
+  FAULTY_ANSWER.lose,
+  FAULTY_ANSWER.cut,
+  FAULTY_ANSWER.unframedShort,
+  FAULTY_ANSWER.unframedEvents,
+]);
+
 /**
  * A request that a host has read whole ends with a complete answer or a status,
- * unless something unplanned excuses it.
+ * unless a worker broke its answer off or something unplanned excuses it.
  *
  * @param record - the records of the run.
  * @returns the violations.
  */
 export function checkAnswered(record: SoakRecord): Violation[] {
   const {ledger, workers} = record;
-  const runs = countRuns(workers);
-  const isFaulty = (id: string) =>
-    workers.some(({faultyIds}) => faultyIds.has(id));
+  const runs = runsById(workers);
   return ledger
     .all()
-    .filter(({id, isComplete}) => !isComplete && !isFaulty(id))
-    .filter(request => isOwed(record, request, runs.get(request.id) ?? 0))
+    .filter(({isComplete}) => !isComplete)
+    .filter(request => isOwed(record, request, runs.get(request.id) ?? []))
     .map(request => ({promise: PROMISE.answered, detail: describe(request)}));
 }
 
 function isOwed(
   {disturbances, minTimeoutMs}: SoakRecord,
   {endedMs, error, host, sentMs, status}: SentRequest,
-  runs: number,
+  runs: readonly WorkerRun[],
 ): boolean {
+  if (runs.some(({fault}) => fault !== undefined && BREAKS_OFF.has(fault)))
+    return false;
   if (endedMs === undefined || NOT_SENT.has(error ?? '')) return false;
   const ageMs = endedMs - sentMs;
   if (ageMs > minTimeoutMs - LIMIT_MARGIN_MS) return false;
-  const isRead = status !== undefined || runs > 0 || ageMs > READ_MS;
+  const isRead = status !== undefined || runs.length > 0 || ageMs > READ_MS;
   return isRead && disturbances.isCalm(host, sentMs, endedMs);
 }
 
--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -1,10 +1,12 @@
 /** Injects a random series of overlapping faults. @packageDocumentation */
 
 import {setMaxListeners} from 'node:events';
+import {IncomingHttpHeaders} from 'node:http';
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {COPY_TIME, NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
 import {HostProcess} from './host_process.js';
+import {LARGE_BODY} from './soak_checks.js';
 import {LinkedWorker, ROUTE_RANGES, SoakWorld} from './soak_world.js';
 
 /** Range of the pause between the starts of two faults, in milliseconds. */
@@ -57,6 +59,16 @@
 /** Most responses of a worker between two that it sends twice. */
 const MAX_COPY_INTERVAL = 5;
 
+/** Most responses of a worker between two that it breaks off. */
+const MAX_BREAK_INTERVAL = 3;
+
+/** Faults of responses to requests that take up a stream. */
+const TAKE_UP_FAULTS = [
+  undefined,
+  FAULTY_ANSWER.unframed,
+  FAULTY_ANSWER.unframedEvents,
+];
+
 /** Addresses that no connection can be opened to. */
 const ODD_ADDRESSES = [
   '127.0.0.300:8080',
@@ -87,6 +99,8 @@
   crashRequest: 'crashRequest',
   secondCopies: 'secondCopies',
   oddEntries: 'oddEntries',
+  breakLarge: 'breakLarge',
+  breakStreams: 'breakStreams',
 } as const;
 
 /** One of {@link FAULT}. */
@@ -121,6 +135,12 @@
   FAULT.publish,
 ];
 
+/** Answers of which a part has been passed on when they break off. */
+export const BREAKS: readonly FaultName[] = [
+  FAULT.breakLarge,
+  FAULT.breakStreams,
+];
+
 /** Injects one fault, keeps it for a time and reverts it. */
 type Fault = (forMs: number) => Promise<void>;
 
@@ -166,6 +186,8 @@
       crashRequest: () => this.crashRequest(),
       secondCopies: forMs => this.secondCopies(forMs),
       oddEntries: forMs => this.oddEntries(forMs),
+      breakLarge: forMs => this.breakLarge(forMs),
+      breakStreams: forMs => this.breakStreams(forMs),
     };
   }
 
@@ -309,6 +331,42 @@
     this.world.removeOddEntries();
   }
 
+  /** Lets one worker break off some of the large answers that callers ask for. */
+  private async breakLarge(forMs: number): Promise<void> {
+    if (this.world.hasLargeAnswers) return;
+    const plain = this.world.workers.filter(({isEngine}) => !isEngine);
+    const {standin} = this.random.pick(plain);
+    const every = this.random.int(1, MAX_BREAK_INTERVAL);
+    let answers = 0;
+    standin.faultOf = (headers, body) => {
+      const isLarge = body === LARGE_BODY;
+      return isLarge && ++answers % every === 0 ? FAULTY_ANSWER.cut : undefined;
+    };
+    this.world.hasLargeAnswers = true;
+    await this.wait(forMs);
+    this.world.hasLargeAnswers = false;
+    standin.faultOf = () => undefined;
+  }
+
+  /**
+   * Lets engines break off some of the streams that begin, and end some of those
+   * that go on without a length, whole or not.
+   */
+  private async breakStreams(forMs: number): Promise<void> {
+    const engines = this.world.workers.filter(({isEngine}) => isEngine);
+    const every = this.random.int(1, MAX_BREAK_INTERVAL);
+    const random = new Random(this.random.int(1, 1_000_000_000));
+    let answers = 0;
+    const faultOf = (headers: IncomingHttpHeaders) => {
+      if (headers['last-event-id'] !== undefined)
+        return random.pick(TAKE_UP_FAULTS);
+      return ++answers % every === 0 ? FAULTY_ANSWER.cut : undefined;
+    };
+    for (const {standin} of engines) standin.faultOf = faultOf;
+    await this.wait(forMs);
+    for (const {standin} of engines) standin.faultOf = () => undefined;
+  }
+
   private async withdraw(): Promise<void> {
     if (this.isWithdrawn) return;
     this.isWithdrawn = true;
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -38,6 +38,8 @@
 export class HostProcess {
   /** Exit codes and signals of unexpected process exits. */
   readonly unexpectedExits: string[] = [];
+  /** Times at which its processes were killed or exited, on the monotonic clock. */
+  readonly endsMs: number[] = [];
   /** Time until which the host counts as disturbed, on the monotonic clock. */
   disturbedUntilMs = 0;
   private child: ChildProcess | undefined;
@@ -92,6 +94,7 @@
     child.stdout.pipe(this.log, {end: false});
     child.stderr.pipe(this.log, {end: false});
     child.on('exit', (code, signal) => {
+      this.endsMs.push(performance.now());
       if (this.child === child) this.child = undefined;
       if (!this.isExitExpected)
         this.unexpectedExits.push(`${name} ${code ?? signal}`);
@@ -112,6 +115,7 @@
   async kill(): Promise<void> {
     const {child} = this;
     if (child === undefined) return;
+    this.endsMs.push(performance.now());
     this.signal('SIGKILL', true);
     if (child.exitCode !== null || child.signalCode !== null) return;
     await new Promise(resolve => child.once('exit', resolve));
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -2,10 +2,11 @@
 
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
-import {request} from 'undici';
+import {FAULTY_ANSWER} from '@fuchsiacleat/standins';
+import {Dispatcher, request} from 'undici';
 import {SentRequest} from './request_ledger.js';
 import {PIECE_OF, PROMISE, PromiseName} from './soak_checks.js';
-import {SoakWorld} from './soak_world.js';
+import {LinkedWorker, SoakWorld} from './soak_world.js';
 
 /** Its name as a host, and as the holder that sends its orders. */
 const PLANTED_NAME = 'planted';
@@ -67,6 +68,10 @@
     for await (const chunk of req) body += String(chunk);
     const id = String(req.headers[ATTEMPT_ID_HEADER]);
     const isStream = req.headers['x-fuchsiacleat-model'] !== undefined;
+    const part =
+      this.fault === PROMISE.wholeDespiteFault
+        ? await this.receivePart(id, isStream, body)
+        : '';
     const answer = await this.forward(id, isStream, body);
     if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream, body);
     if (this.fault === PROMISE.answered) {
@@ -77,10 +82,34 @@
       res.writeHead(503).end();
       return;
     }
-    const text = this.spoil(answer.body);
+    // As many bytes as the announced length; the rest is dropped.
+    const text =
+      part === ''
+        ? this.spoil(answer.body)
+        : (part + answer.body).slice(0, answer.body.length);
     if (answer.stamp !== undefined) res.setHeader(STAMP_HEADER, answer.stamp);
     res.writeHead(answer.status, {'content-length': Buffer.byteLength(text)});
-    res.end(text);
+    if (this.fault === PROMISE.rightPart)
+      res.write(text.slice(1), () => res.destroy());
+    else res.end(text);
+  }
+
+  /** Returns what a worker sends before it breaks its answer off. */
+  private async receivePart(
+    id: string,
+    isStream: boolean,
+    body: string,
+  ): Promise<string> {
+    const {standin} = this.workerFor(isStream);
+    standin.plannedFaults.set(id, [FAULTY_ANSWER.cut]);
+    const res = await this.send(id, isStream, body);
+    let part = '';
+    try {
+      for await (const chunk of res.body) part += String(chunk);
+    } catch {
+      // The worker broke off, as planned.
+    }
+    return part;
   }
 
   /**
@@ -125,16 +154,7 @@
     isStream: boolean,
     requestBody: string,
   ): Promise<{status: number; body: string; stamp?: string}> {
-    const {workers} = this.world;
-    const worker = workers.find(({isEngine}) => isEngine === isStream)!;
-    const headers: Record<string, string> = {[ATTEMPT_ID_HEADER]: id};
-    if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
-    const url = `http://127.0.0.1:${worker.standin.port}/`;
-    const res = await request(url, {
-      method: 'POST',
-      body: requestBody,
-      headers,
-    });
+    const res = await this.send(id, isStream, requestBody);
     const stamp = res.headers[STAMP_HEADER];
     return {
       status: res.statusCode,
@@ -143,6 +163,21 @@
     };
   }
 
+  private send(
+    id: string,
+    isStream: boolean,
+    requestBody: string,
+  ): Promise<Dispatcher.ResponseData> {
+    const headers: Record<string, string> = {[ATTEMPT_ID_HEADER]: id};
+    if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
+    const url = `http://127.0.0.1:${this.workerFor(isStream).standin.port}/`;
+    return request(url, {method: 'POST', body: requestBody, headers});
+  }
+
+  private workerFor(isStream: boolean): LinkedWorker {
+    return this.world.workers.find(({isEngine}) => isEngine === isStream)!;
+  }
+
   private async sendOrder(): Promise<void> {
     const engine = this.world.workers.find(({isEngine}) => isEngine)!;
     // For `singleHolder` two holders alternate; for `memory` one holder only loads.
--- a/packages/soak/src/lib/request_ledger.ts
+++ b/packages/soak/src/lib/request_ledger.ts
@@ -8,6 +8,17 @@
   return route === 'stream' || route === 'resumable';
 }
 
+/** What ends the body of a response, as its head says. */
+export const FRAMING = {
+  length: 'length',
+  chunked: 'chunked',
+  /** The end of the connection. */
+  close: 'close',
+} as const;
+
+/** One of {@link FRAMING}. */
+export type Framing = (typeof FRAMING)[keyof typeof FRAMING];
+
 /** A request of a caller and its outcome. */
 export interface SentRequest {
   id: string;
@@ -23,11 +34,13 @@
   /** Unset if no response was received. */
   status?: number;
   body?: string;
+  /** Framing of the response; unset if no response was received. */
+  framing?: Framing;
   /** Whether the complete response was received. */
   isComplete: boolean;
   /** The worker's signature from the response. */
   stamp?: string;
-  /** Body of the request; the same for all sound requests. */
+  /** Body of the request; the same for all short sound requests. */
   requestBody?: string;
   /** The request whose stream this one takes up, and its events so far. */
   resumed?: {id: string; text: string};
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -3,8 +3,8 @@
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {HOST_NAME, ROUTE_PATH} from '@fuchsiacleat/local-cluster';
 import {Client} from 'undici';
-import {CRASHING_BODY} from './soak_checks.js';
-import {RouteName, SentRequest, isStream} from './request_ledger.js';
+import {CRASHING_BODY, LARGE_BODY} from './soak_checks.js';
+import {FRAMING, RouteName, SentRequest, isStream} from './request_ledger.js';
 import {SOAK_KEY, SoakWorld} from './soak_world.js';
 
 const ROUTES: readonly RouteName[] = [
@@ -21,6 +21,9 @@
 /** Fraction of the plain requests that crash workers, while any do. */
 const CRASHING_FRACTION = 0.2;
 
+/** Fraction of the plain requests with large answers, while there are any. */
+const LARGE_FRACTION = 0.3;
+
 const SOUND_BODY = 'x';
 
 /** End of each event of a stream. */
@@ -80,6 +83,9 @@
     const mayCrash = this.world.hasCrashingRequest && !isStream(route);
     if (mayCrash && this.random.float() < CRASHING_FRACTION)
       request.requestBody = CRASHING_BODY;
+    const mayBeLarge = this.world.hasLargeAnswers && !isStream(route);
+    if (mayBeLarge && this.random.float() < LARGE_FRACTION)
+      request.requestBody = LARGE_BODY;
     await this.sendRecorded(target, request);
     const {body = '', isComplete} = request;
     const end = body.lastIndexOf(EVENT_END);
@@ -153,6 +159,11 @@
     });
     request.status = res.statusCode;
     const stamp = res.headers['x-fuchsiacleat-server-stamp'];
+    if (res.headers['content-length'] !== undefined)
+      request.framing = FRAMING.length;
+    else if (res.headers['transfer-encoding'] !== undefined)
+      request.framing = FRAMING.chunked;
+    else request.framing = FRAMING.close;
     request.stamp = typeof stamp === 'string' ? stamp : undefined;
     request.body = '';
     for await (const chunk of res.body) request.body += String(chunk);
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -3,12 +3,15 @@
 import {AcceptedOrder, WorkerRun} from '@fuchsiacleat/standins';
 import {DisturbanceBook} from './disturbance_book.js';
 import {RequestLedger, isStream} from './request_ledger.js';
+import {versionsIn} from './stream_text.js';
 
 /** The promises that are checked. */
 export const PROMISE = {
   runsOnce: 'runs-once',
   truthfulRefusal: 'not-run-is-true',
   wholeAnswer: 'whole-answer',
+  wholeDespiteFault: 'whole-despite-fault',
+  rightPart: 'right-part',
   answered: 'answered',
   withdrawnKey: 'withdrawn-key',
   drain: 'drain',
@@ -46,8 +49,6 @@
   orders: readonly AcceptedOrder[];
   /** Number of models that the worker can hold; undefined for a plain service. */
   modelCapacity: number | undefined;
-  /** Ids of requests whose response had a fault of the worker. */
-  faultyIds: ReadonlySet<string>;
   /** Number of models that the worker held at the start. */
   initialModels: number;
 }
@@ -78,13 +79,14 @@
   minTimeoutMs: number;
   /** Number of events of each stream. */
   streamEvents: number;
+  /** Times at which the processes of a host were killed or exited, by its name. */
+  hostEndsMs: ReadonlyMap<string, readonly number[]>;
   /** Times at which workers crashed on the request that crashes them. */
   crashesMs: readonly number[];
 }
 
 /** Statuses that guarantee that a request did not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
-const OK = 200;
 
 /** What events hold, by the software version of the worker. */
 export const PIECE_OF = {v1: 'piece', v2: 'piece of v2'} as const;
@@ -92,6 +94,9 @@
 /** Body of the request on which workers crash. */
 export const CRASHING_BODY = 'crashing';
 
+/** Body of requests whose answers are large. */
+export const LARGE_BODY = 'large';
+
 /** Ends under a request after which hosts have to know it, and in what time. */
 const KNOWN_CRASHES = 3;
 const CRASH_KNOWN_MS = 3_000;
@@ -106,7 +111,6 @@
 export function checkRecords(record: SoakRecord): Violation[] {
   return [
     ...checkRuns(record),
-    ...checkAnswers(record),
     ...checkForbiddenUse(record),
     ...checkLimit(record),
     ...checkVersions(record),
@@ -116,11 +120,11 @@
 }
 
 function checkRuns({ledger, workers}: SoakRecord): Violation[] {
-  const counts = countRuns(workers);
+  const runs = runsById(workers);
   const found: Violation[] = [];
   for (const request of ledger.all()) {
     const {id, route, status} = request;
-    const count = counts.get(id) ?? 0;
+    const count = runs.get(id)?.length ?? 0;
     const mayRepeat = route === 'repeatable' || route === 'resumable';
     if (!mayRepeat && count > 1) {
       found.push(violation(PROMISE.runsOnce, `${id} ran ${count} times`));
@@ -133,38 +137,6 @@
   return found;
 }
 
-function checkAnswers({ledger, streamEvents}: SoakRecord): Violation[] {
-  const streams = Object.values(PIECE_OF).map(piece =>
-    wholeStream(streamEvents, piece),
-  );
-  const found: Violation[] = [];
-  for (const request of ledger.all()) {
-    if (request.status !== OK || !request.isComplete) continue;
-    const {body = '', id, resumed, route} = request;
-    const text = (resumed?.text ?? '') + body;
-    // Streams joined from two versions break another promise.
-    const isExpected = isStream(route)
-      ? streams.includes(text) || versionsIn(text).length > 1
-      : body === `done ${id}`;
-    if (request.stamp !== undefined && isExpected) continue;
-    const detail = `${id} got ${JSON.stringify(body)}`;
-    found.push(violation(PROMISE.wholeAnswer, detail));
-  }
-  return found;
-}
-
-/** @returns the whole stream of the stand-in, with every event once. */
-function wholeStream(count: number, piece: string): string {
-  let text = '';
-  for (let id = 1; id <= count; id++) text += `id: ${id}\ndata: ${piece}\n\n`;
-  return text;
-}
-
-/** @returns what the events of a stream hold, each once. */
-function versionsIn(text: string): string[] {
-  return [...new Set([...text.matchAll(/^data: (.+)$/gm)].map(m => m[1]))];
-}
-
 /** A caller receives a stream of one version, over all its attempts. */
 function checkVersions({ledger}: SoakRecord): Violation[] {
   const found: Violation[] = [];
@@ -267,15 +239,17 @@
   return found;
 }
 
-/** @returns how often each request ran, by id. */
-export function countRuns(
+/** @returns the runs of each request, by id. */
+export function runsById(
   workers: readonly WorkerRecord[],
-): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const {id} of workers.flatMap(({runs}) => runs)) {
-    counts.set(id, (counts.get(id) ?? 0) + 1);
+): Map<string, WorkerRun[]> {
+  const runs = new Map<string, WorkerRun[]>();
+  for (const run of workers.flatMap(worker => worker.runs)) {
+    const others = runs.get(run.id);
+    if (others === undefined) runs.set(run.id, [run]);
+    else others.push(run);
   }
-  return counts;
+  return runs;
 }
 
 function violation(promise: PromiseName, detail: string): Violation {
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -1,6 +1,7 @@
 /** Runs hosts, callers and faults for a time, then checks all promises. @packageDocumentation */
 
 import {Random, SystemClock} from '@fuchsiacleat/core';
+import {checkAnswers} from './answer_check.js';
 import {checkAnswered} from './answered_check.js';
 import {FAULT, FaultName, FaultSeries} from './fault_series.js';
 import {PlantedHost} from './planted_host.js';
@@ -106,7 +107,11 @@
     ]);
     this.recordUnexpectedExits();
     const record = this.world.createRecord();
-    this.violations.push(...checkRecords(record), ...checkAnswered(record));
+    this.violations.push(
+      ...checkRecords(record),
+      ...checkAnswers(record),
+      ...checkAnswered(record),
+    );
     return {
       violations: this.violations,
       requests: this.world.ledger.all().length,
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -23,6 +23,7 @@
 import {HostProcess} from './host_process.js';
 import {
   CRASHING_BODY,
+  LARGE_BODY,
   PIECE_OF,
   SoakRecord,
   TeamLimit,
@@ -103,6 +104,8 @@
   readonly resumptionsMs: number[] = [];
   /** Whether callers send the request that crashes workers. */
   hasCrashingRequest = false;
+  /** Whether callers send requests whose answers are large. */
+  hasLargeAnswers = false;
   readonly disturbances = new DisturbanceBook(
     DISTURBANCE_GRACE_MS,
     BOUNDS.GraceS * MS_PER_SECOND,
@@ -263,6 +266,9 @@
       disturbances: this.disturbances,
       minTimeoutMs: ROUTE_RANGES.timeoutMs[0],
       streamEvents: STREAM.events,
+      hostEndsMs: new Map(
+        this.hosts.map(({endsMs, options}) => [options.name, endsMs]),
+      ),
       crashesMs: this.workers
         .flatMap(({standin}) => crashesOf(standin))
         .sort((a, b) => a - b),
@@ -314,6 +320,7 @@
     });
     standin.streamEvents = STREAM.events;
     standin.eventGapMs = STREAM.gapMs;
+    standin.largeBody = LARGE_BODY;
     await standin.start();
     const link = new FaultyLink(standin.port);
     await link.open();
@@ -356,13 +363,12 @@
 }
 
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
-  const {faultyIds, orderLog: orders, runs} = standin;
+  const {orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
   return {
     name,
     runs,
     orders,
-    faultyIds,
     modelCapacity: capacity,
     initialModels: isEngine ? ENGINE_MODEL_CAPACITY : 0,
   };
--- a/packages/soak/src/test/soak_run_test.ts
+++ b/packages/soak/src/test/soak_run_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {FIRST_FAULTS, PLANNED_FAULTS} from '../lib/fault_series.js';
+import {BREAKS, FIRST_FAULTS, PLANNED_FAULTS} from '../lib/fault_series.js';
 import {PROMISE, PromiseName} from '../lib/soak_checks.js';
 import {runSoak} from '../lib/soak_run.js';
 import {PLANNED_SEEDS, REGRESSION_SEEDS} from '../lib/regression_seeds.js';
@@ -51,6 +51,12 @@
     });
   });
 
+  it('finds no answer joined from two sends or ended early when workers break off', async () => {
+    const options = {seed: 1, durationMs: SHORT_MS, processes: 3};
+    const {violations} = await runSoak({...options, faults: BREAKS});
+    expect(violations).to.deep.equal([]);
+  });
+
   it('finds no lost request beside planned work and silences', async () => {
     const options = {durationMs: PLANNED_MS, processes: 3};
     const faults = PLANNED_FAULTS;
--- a/packages/standins/src/lib/platform/faulty_answers.ts
+++ b/packages/standins/src/lib/platform/faulty_answers.ts
@@ -16,6 +16,8 @@
   unframed: 'unframed',
   /** Sends no content length and closes the connection after half the body. */
   unframedShort: 'unframed-short',
+  /** Sends no content length and closes the connection after some whole events. */
+  unframedEvents: 'unframed-events',
   /** Responds with the id of another request. */
   otherId: 'other-id',
   /** Responds without the server's stamp, as an unrelated process would. */
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -9,7 +9,12 @@
   RETRY_AFTER_S,
 } from './faulty_answers.js';
 import {CopyTime, SecondCopies} from './second_copies.js';
-import {PlannedSilence, WorkerAnswer, WorkerAnswers} from './worker_answers.js';
+import {
+  AnswerProgress,
+  PlannedSilence,
+  WorkerAnswer,
+  WorkerAnswers,
+} from './worker_answers.js';
 import {WorkerOutput} from './worker_output.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -20,6 +25,12 @@
 /** Priority of requests that name none. */
 const DEFAULT_PRIORITY = 5;
 
+/**
+ * Size of a large answer, in bytes. Hosts have passed a part of it on where
+ * {@link FAULTY_ANSWER.cut} breaks it off.
+ */
+export const LARGE_BYTES = 600_000;
+
 /** Time from the head of an answer to the crash, in milliseconds. */
 const CRASH_DELAY_MS = 5;
 
@@ -35,6 +46,10 @@
   headers: IncomingMessage['headers'];
   /** Start on the monotonic clock of this process, in milliseconds. */
   startedMs: number;
+  /** Fault of the response; undefined for none. */
+  fault: FaultyAnswer | undefined;
+  /** How far the worker has written the response; not kept of endless ones. */
+  progress: AnswerProgress;
 }
 
 /** Order that a worker accepted. */
@@ -74,8 +89,13 @@
   readonly orderLog: AcceptedOrder[] = [];
   /** Faults of the next responses; each request uses up the first one. */
   readonly faultyAnswers: FaultyAnswer[] = [];
-  /** Ids of requests whose responses had a fault. */
-  readonly faultyIds = new Set<string>();
+  /** Faults by request id; each arrival of a request uses up its first one. */
+  readonly plannedFaults = new Map<string, FaultyAnswer[]>();
+  /** Chooses the fault of each request that no other fault was planned for. */
+  faultOf: (
+    headers: IncomingMessage['headers'],
+    body: string,
+  ) => FaultyAnswer | undefined = () => undefined;
   /** Silences by request id; each arrival of a request uses up its first one. */
   readonly silences = new Map<string, PlannedSilence[]>();
   /** Duration of each request before its response, in milliseconds. */
@@ -122,6 +142,8 @@
    * it; an engine has sent the head of its answer by then.
    */
   crashingBody: string | undefined;
+  /** Body of the requests whose plain answers are large; undefined for none. */
+  largeBody: string | undefined;
   /** Times of the crashes, in milliseconds. */
   readonly crashesMs: number[] = [];
   /** Called when the worker crashes. */
@@ -294,8 +316,10 @@
     if (this.requestsPerSecond !== undefined)
       res.setHeader('server-limit', String(this.requestsPerSecond));
     const id = String(req.headers[`${HEADER_PREFIX}attempt-id`] ?? '');
-    const fault = this.faultyAnswers.shift();
-    if (fault !== undefined) this.faultyIds.add(id);
+    const fault =
+      this.faultyAnswers.shift() ??
+      this.plannedFaults.get(id)?.shift() ??
+      this.faultOf(req.headers, body);
     const model = req.headers[`${HEADER_PREFIX}model`];
     const isAbsent = typeof model === 'string' && !this.models.has(model);
     if (isAbsent) {
@@ -319,11 +343,11 @@
     const endlessAnswer = fault && ENDLESS_ANSWERS[fault];
     if (endlessAnswer !== undefined) {
       const isRun = fault !== FAULTY_ANSWER.endlessRefusal;
-      if (isRun) this.recordRun(req, id, body);
+      if (isRun) this.recordRun(req, id, body, fault);
       this.sendEndless(res.socket!, endlessAnswer, id);
       return;
     }
-    this.recordRun(req, id, body);
+    const {progress} = this.recordRun(req, id, body, fault);
     const isStream = model !== undefined;
     const answer: WorkerAnswer = {
       id,
@@ -331,6 +355,8 @@
       fault,
       silence: this.silences.get(id)?.shift(),
       piece: this.piece,
+      progress,
+      bodyBytes: body === this.largeBody ? LARGE_BYTES : undefined,
       events: isStream ? this.streamEvents : undefined,
       gapMs: this.eventGapMs,
       afterEvent: isStream ? numberOf(req.headers['last-event-id'], 0) : 0,
@@ -347,10 +373,25 @@
     }, this.workMs);
   }
 
-  private recordRun(req: IncomingMessage, id: string, body: string): void {
+  private recordRun(
+    req: IncomingMessage,
+    id: string,
+    body: string,
+    fault: FaultyAnswer | undefined,
+  ): WorkerRun {
     const {method = '', url: path = '', headers} = req;
-    const atMs = performance.now();
-    this.runs.push({id, method, path, body, headers, startedMs: atMs});
+    const run: WorkerRun = {
+      id,
+      method,
+      path,
+      body,
+      headers,
+      startedMs: performance.now(),
+      fault,
+      progress: {text: '', isEnded: false},
+    };
+    this.runs.push(run);
+    return run;
   }
 
   /** Sends an endless response until the peer closes the connection. */
--- a/packages/standins/src/lib/platform/worker_answers.ts
+++ b/packages/standins/src/lib/platform/worker_answers.ts
@@ -12,6 +12,23 @@
 /** Delay of the second copy of {@link FAULTY_ANSWER.twice}, in milliseconds. */
 const DUPLICATE_DELAY_MS = 30;
 
+/** End of each event of a stream. */
+const EVENT_END = '\n\n';
+
+/** Faults of responses without a length. */
+const UNFRAMED: ReadonlySet<FaultyAnswer> = new Set([
+  FAULTY_ANSWER.unframed,
+  FAULTY_ANSWER.unframedShort,
+  FAULTY_ANSWER.unframedEvents,
+]);
+
+/** Faults of responses that lack a part of their body. */
+const SHORT: ReadonlySet<FaultyAnswer> = new Set([
+  FAULTY_ANSWER.cut,
+  FAULTY_ANSWER.unframedShort,
+  FAULTY_ANSWER.unframedEvents,
+]);
+
 /** Places in a response at which a worker can fall silent. */
 export const SILENCE_PLACE = {
   /** Before the head. */
@@ -36,6 +53,14 @@
   isWorkerSilent?: boolean;
 }
 
+/** How far a worker has written a response. */
+export interface AnswerProgress {
+  /** The part of the body that was written. */
+  text: string;
+  /** Whether the worker has ended the response in order, whole or not. */
+  isEnded: boolean;
+}
+
 /** Response to be written, and its progress. */
 export interface WorkerAnswer {
   id: string;
@@ -44,6 +69,9 @@
   silence: PlannedSilence | undefined;
   /** What each event of a stream holds. */
   piece: string;
+  progress: AnswerProgress;
+  /** Size of a large plain response; undefined for a short one. */
+  bodyBytes: number | undefined;
   /** Number of events; undefined for a plain response. */
   events: number | undefined;
   /** Time between two events in milliseconds; 0 for a stream sent at once. */
@@ -92,10 +120,7 @@
     if (answer.events !== undefined)
       res.setHeader('content-type', 'text/event-stream');
     const text = bodyOf(answer);
-    if (
-      fault === FAULTY_ANSWER.unframed ||
-      fault === FAULTY_ANSWER.unframedShort
-    ) {
+    if (fault !== undefined && UNFRAMED.has(fault)) {
       res.useChunkedEncodingByDefault = false;
       res.shouldKeepAlive = false;
       res.writeHead(200);
@@ -110,15 +135,15 @@
   private async writeBody(answer: WorkerAnswer, text: string): Promise<void> {
     const {fault, res} = answer;
     const {socket} = res;
-    const isShort =
-      fault === FAULTY_ANSWER.cut || fault === FAULTY_ANSWER.unframedShort;
-    const end = isShort ? Math.floor(text.length * CUT_FRACTION) : text.length;
+    const end = endOf(text, fault);
     let position = 0;
     for (const piece of piecesOf(answer, text)) {
       if (piece.pauseMs > 0) await pause(piece.pauseMs);
       await this.beSilent(answer, piece.place);
       if (res.destroyed) return;
-      res.write(piece.text.slice(0, end - position));
+      const part = piece.text.slice(0, end - position);
+      res.write(part);
+      answer.progress.text += part;
       position += piece.text.length;
       if (piece.eventId !== undefined) answer.eventsMade = piece.eventId;
       if (position >= end) break;
@@ -128,6 +153,7 @@
       return;
     }
     res.end();
+    answer.progress.isEnded = true;
     if (fault === FAULTY_ANSWER.twice && socket !== null)
       setTimeout(() => socket.write(copyOf(answer, text)), DUPLICATE_DELAY_MS);
   }
@@ -158,8 +184,34 @@
   );
 }
 
-function bodyOf({afterEvent, events, id, piece}: WorkerAnswer): string {
-  if (events === undefined) return `done ${id}`;
+/** @returns where a response ends that has this fault, if any. */
+function endOf(text: string, fault: FaultyAnswer | undefined): number {
+  if (fault === undefined || !SHORT.has(fault)) return text.length;
+  const end = Math.floor(text.length * CUT_FRACTION);
+  if (fault !== FAULTY_ANSWER.unframedEvents) return end;
+  const index = text.slice(0, end).lastIndexOf(EVENT_END);
+  return index < 0 ? 0 : index + EVENT_END.length;
+}
+
+/**
+ * @param id - id of the request.
+ * @param bytes - size of a large response; undefined for a short one.
+ * @returns the body of the plain response; no two parts of it are the same.
+ */
+export function plainBody(id: string, bytes: number | undefined): string {
+  let text = `done ${id}`;
+  if (bytes === undefined) return text;
+  const lines: string[] = [text];
+  for (let size = text.length; size < bytes; size += text.length) {
+    text = `\n${id} ${size}`;
+    lines.push(text);
+  }
+  return lines.join('').slice(0, bytes);
+}
+
+function bodyOf(answer: WorkerAnswer): string {
+  const {afterEvent, bodyBytes, events, id, piece} = answer;
+  if (events === undefined) return plainBody(id, bodyBytes);
   let text = '';
   for (let i = afterEvent + 1; i <= events; i++) text += formatEvent(i, piece);
   return text;
