--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -2,12 +2,14 @@
 
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
-import {request} from 'undici';
+import {FAULTY_ANSWER} from '@fuchsiacleat/standins';
+import {Dispatcher, request} from 'undici';
+import {SentRequest} from './request_ledger.js';
 import {PIECE_OF, PROMISE, PromiseName} from './soak_checks.js';
-import {SoakWorld} from './soak_world.js';
+import {LinkedWorker, SoakWorld} from './soak_world.js';
 
-/** Holder name of its orders. */
-const HOLDER_NAME = 'planted';
+/** Its name as a host, and as the holder that sends its orders. */
+const PLANTED_NAME = 'planted';
 
 const ORDER_INTERVAL_MS = 100;
 const ATTEMPT_ID_HEADER = 'x-fuchsiacleat-attempt-id';
@@ -39,11 +41,12 @@
     return `http://127.0.0.1:${port}`;
   }
 
-  /** Starts listening, and sending orders if the fault requires it. */
+  /** Starts listening, and sending orders or requests if the fault requires it. */
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
       this.server.listen(0, '127.0.0.1', resolve),
     );
+    if (this.fault === PROMISE.limit) await this.exceedLimit();
     const sendsOrders =
       this.fault === PROMISE.singleHolder || this.fault === PROMISE.memory;
     if (!sendsOrders) return;
@@ -65,6 +68,10 @@
     for await (const chunk of req) body += String(chunk);
     const id = String(req.headers[ATTEMPT_ID_HEADER]);
     const isStream = req.headers['x-fuchsiacleat-model'] !== undefined;
+    const part =
+      this.fault === PROMISE.wholeDespiteFault
+        ? await this.receivePart(id, isStream, body)
+        : '';
     const answer = await this.forward(id, isStream, body);
     if (this.fault === PROMISE.runsOnce) await this.forward(id, isStream, body);
     if (this.fault === PROMISE.answered) {
@@ -75,10 +82,63 @@
       res.writeHead(503).end();
       return;
     }
-    const text = this.spoil(answer.body);
+    // As many bytes as the announced length; the rest is dropped.
+    const text =
+      part === ''
+        ? this.spoil(answer.body)
+        : (part + answer.body).slice(0, answer.body.length);
     if (answer.stamp !== undefined) res.setHeader(STAMP_HEADER, answer.stamp);
     res.writeHead(answer.status, {'content-length': Buffer.byteLength(text)});
-    res.end(text);
+    if (this.fault === PROMISE.rightPart)
+      res.write(text.slice(1), () => res.destroy());
+    else res.end(text);
+  }
+
+  /** Returns what a worker sends before it breaks its answer off. */
+  private async receivePart(
+    id: string,
+    isStream: boolean,
+    body: string,
+  ): Promise<string> {
+    const {standin} = this.workerFor(isStream);
+    standin.plannedFaults.set(id, [FAULTY_ANSWER.cut]);
+    const res = await this.send(id, isStream, body);
+    let part = '';
+    try {
+      for await (const chunk of res.body) part += String(chunk);
+    } catch {
+      // The worker broke off, as planned.
+    }
+    return part;
+  }
+
+  /**
+   * Passes one request of the limited team more on than a whole window allows.
+   * How many the callers send depends on the machine.
+   */
+  private async exceedLimit(): Promise<void> {
+    const {requests} = this.world.limit;
+    const sent: Array<Promise<void>> = [];
+    for (let i = 0; i <= requests; i++)
+      sent.push(this.sendLimited(`${PLANTED_NAME}-${i}`));
+    await Promise.all(sent);
+  }
+
+  /** Sends a request of the limited team, as one of its callers would. */
+  private async sendLimited(id: string): Promise<void> {
+    const request: SentRequest = {
+      id,
+      route: 'once',
+      key: this.world.limit.key,
+      host: PLANTED_NAME,
+      sentMs: performance.now(),
+      wasHostUndisturbed: true,
+      isComplete: false,
+    };
+    this.world.ledger.add(request);
+    const {body, stamp, status} = await this.forward(id, false, '');
+    const endedMs = performance.now();
+    Object.assign(request, {body, endedMs, isComplete: true, stamp, status});
   }
 
   /** Returns the body that the caller gets. */
@@ -94,16 +154,7 @@
     isStream: boolean,
     requestBody: string,
   ): Promise<{status: number; body: string; stamp?: string}> {
-    const {workers} = this.world;
-    const worker = workers.find(({isEngine}) => isEngine === isStream)!;
-    const headers: Record<string, string> = {[ATTEMPT_ID_HEADER]: id};
-    if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
-    const url = `http://127.0.0.1:${worker.standin.port}/`;
-    const res = await request(url, {
-      method: 'POST',
-      body: requestBody,
-      headers,
-    });
+    const res = await this.send(id, isStream, requestBody);
     const stamp = res.headers[STAMP_HEADER];
     return {
       status: res.statusCode,
@@ -112,12 +163,27 @@
     };
   }
 
+  private send(
+    id: string,
+    isStream: boolean,
+    requestBody: string,
+  ): Promise<Dispatcher.ResponseData> {
+    const headers: Record<string, string> = {[ATTEMPT_ID_HEADER]: id};
+    if (isStream) headers['x-fuchsiacleat-model'] = 'm1';
+    const url = `http://127.0.0.1:${this.workerFor(isStream).standin.port}/`;
+    return request(url, {method: 'POST', body: requestBody, headers});
+  }
+
+  private workerFor(isStream: boolean): LinkedWorker {
+    return this.world.workers.find(({isEngine}) => isEngine === isStream)!;
+  }
+
   private async sendOrder(): Promise<void> {
     const engine = this.world.workers.find(({isEngine}) => isEngine)!;
     // For `singleHolder` two holders alternate; for `memory` one holder only loads.
     const isOtherHolder =
       this.fault === PROMISE.singleHolder && this.loads % 2 === 0;
-    const Holder = isOtherHolder ? `${HOLDER_NAME}-other` : HOLDER_NAME;
+    const Holder = isOtherHolder ? `${PLANTED_NAME}-other` : PLANTED_NAME;
     const Op = this.fault === PROMISE.memory ? 'load' : 'unload';
     this.loads += 1;
     const body = JSON.stringify({Op, Model: `m${this.loads}`, Holder});
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -23,8 +23,10 @@
 import {HostProcess} from './host_process.js';
 import {
   CRASHING_BODY,
+  LARGE_BODY,
   PIECE_OF,
   SoakRecord,
+  TeamLimit,
   WorkerRecord,
 } from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
@@ -102,6 +104,8 @@
   readonly resumptionsMs: number[] = [];
   /** Whether callers send the request that crashes workers. */
   hasCrashingRequest = false;
+  /** Whether callers send requests whose answers are large. */
+  hasLargeAnswers = false;
   readonly disturbances = new DisturbanceBook(
     DISTURBANCE_GRACE_MS,
     BOUNDS.GraceS * MS_PER_SECOND,
@@ -145,6 +149,18 @@
     return this.folderPath;
   }
 
+  /** The only limited team, and what a window allows it. */
+  get limit(): TeamLimit {
+    const {perSecond, burst, request} = LIMIT;
+    const inWindow = perSecond * BOUNDS.QuotaWindowS + burst;
+    const tokens = inWindow * (1 + BOUNDS.QuotaOverage) + BOUNDS.QuotaSlack;
+    return {
+      key: SOAK_KEY.limited,
+      windowMs: BOUNDS.QuotaWindowS * MS_PER_SECOND,
+      requests: Math.floor(tokens / request),
+    };
+  }
+
   /**
    * Publishes a new version of the configuration.
    *
@@ -239,25 +255,20 @@
 
   /** Returns the records of the callers and the workers. */
   createRecord(): SoakRecord {
-    const windowMs = BOUNDS.QuotaWindowS * MS_PER_SECOND;
-    const {perSecond, burst, request} = LIMIT;
-    const inWindow = perSecond * BOUNDS.QuotaWindowS + burst;
-    const tokens = inWindow * (1 + BOUNDS.QuotaOverage) + BOUNDS.QuotaSlack;
     return {
       ledger: this.ledger,
       workers: this.workers.map(toWorkerRecord),
       withdrawn: this.withdrawn.all,
       drained: this.drained.all,
-      limit: {
-        key: SOAK_KEY.limited,
-        windowMs,
-        requests: Math.floor(tokens / request),
-      },
+      limit: this.limit,
       minOrderGapMs: BOUNDS.LeaseMs,
       resumptionsMs: this.resumptionsMs,
       disturbances: this.disturbances,
       minTimeoutMs: ROUTE_RANGES.timeoutMs[0],
       streamEvents: STREAM.events,
+      hostEndsMs: new Map(
+        this.hosts.map(({endsMs, options}) => [options.name, endsMs]),
+      ),
       crashesMs: this.workers
         .flatMap(({standin}) => crashesOf(standin))
         .sort((a, b) => a - b),
@@ -309,6 +320,7 @@
     });
     standin.streamEvents = STREAM.events;
     standin.eventGapMs = STREAM.gapMs;
+    standin.largeBody = LARGE_BODY;
     await standin.start();
     const link = new FaultyLink(standin.port);
     await link.open();
@@ -351,13 +363,12 @@
 }
 
 function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
-  const {faultyIds, orderLog: orders, runs} = standin;
+  const {orderLog: orders, runs} = standin;
   const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
   return {
     name,
     runs,
     orders,
-    faultyIds,
     modelCapacity: capacity,
     initialModels: isEngine ? ENGINE_MODEL_CAPACITY : 0,
   };
