Known red: answers made of two sends, and heads merged with a broken copy

Callers get answers that look complete and are no answer of their target. RawWorker writes the answers of a target byte by byte, and StrictCaller trusts their framing only.

- A plain answer that breaks off after 300 kB is continued by the whole answer of another send: "whole with 697791 bytes, after 2 sends" in chunks; with a length its rest stays on the caller's connection, and the next request gets no answer ("malformed 0").
The same for 800 bytes in chunks that go on for 640 kB and are reset ("whole with 641600 bytes").
- A stream in chunks that goes on at a target without a length, which closes its connection, is "whole after event 7" of 12.
After a target with a length its caller waits: "unfinished after event 7".
- The length of the first target is passed on: longer events of the next one leave "e\n\nid: 10..." on the connection, shorter ones are "unfinished after event 12".
- transfer-encoding: identity, broken off: "400 bytes as complete".
- A late copy that ends within a value of its head merges with the head of the next answer, as the parser reads "fiHTTP/1.1 200 OK" as the rest of the value.
The caller gets two ids or two signatures.
The status is that of the copy, even if the copy ends within its reason phrase or ahead of its id, so that there is only one id and one signature: a 200 becomes a 500 or a signed 503, a 500 a 200.
With `not-executed` a request that must not be repeated runs twice.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,5 +13,7 @@
 export * from './lib/platform/platform_store_standin.js';
 export * from './lib/platform/faulty_answers.js';
 export * from './lib/platform/platform_worker_standin.js';
+export * from './lib/platform/raw_answer.js';
+export * from './lib/platform/raw_worker.js';
 export * from './lib/platform/second_copies.js';
 export * from './lib/platform/worker_answers.js';
