Soak of targets with faulty answers, beside hosts that are held up

Real hosts that stand still for 50 to 400 ms, 40 callers on kept connections who read by framing, and eight workers that write their answers byte by byte in random segments. A quarter of the answers has a fault: closed in order or reset at any byte, a second copy at once, later or where the next answer is due, a copy of which a part is due there, surplus bytes, a body that goes on for 640 kB and is reset, a longer length, a head ahead of its body, interim responses. Each answer that looks complete has to be the whole body of the worker that has signed it, with its status, and nothing may follow it. Only one kind may be cut: what neither the worker nor the host delimited, closed in order by the worker after exactly the bytes that the caller got.

--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -11,3 +11,5 @@
 export * from './lib/placement_audit.js';
 export * from './lib/loopback_address.js';
 export * from './lib/platform_world.js';
+export * from './lib/raw_caller.js';
+export * from './lib/strict_caller.js';
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 
 import {formatFields} from '@fuchsiacleat/core';
 import {Command} from 'commander';
+import {AnswersOptions, runAnswers} from './lib/answers_run.js';
 import {PLANNED_FAULTS} from './lib/fault_series.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
 import {runSoak} from './lib/soak_run.js';
@@ -17,14 +18,34 @@
   seed: number;
   minutes: number;
   processes: number;
+  answers?: boolean;
   plant?: PromiseName;
   planned?: boolean;
 }
 
+function out(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function checkAnswers(options: AnswersOptions): Promise<number> {
+  const {processes, seed} = options;
+  const result = await runAnswers(options);
+  const {faults, folder, requests, verdicts, violations} = result;
+  out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
+  out(`answers: ${formatFields(verdicts)}`);
+  out(`sends by fault: ${formatFields(faults)}`);
+  for (const [kind, number] of Object.entries(result.violationCounts))
+    out(`broken: ${number} ${kind}`);
+  for (const violation of violations.slice(0, MAX_SHOWN)) out(violation);
+  out(`${violations.length} broken; logs in ${folder}`);
+  return violations.length === 0 ? 0 : 1;
+}
+
 async function main(options: Options): Promise<number> {
   const {minutes, planned, plant, seed} = options;
   const processes = Math.min(MAX_PROCESSES, options.processes);
   const durationMs = minutes * MS_PER_MINUTE;
+  if (options.answers) return checkAnswers({seed, durationMs, processes});
   const result = await runSoak({
     seed,
     durationMs,
@@ -33,7 +54,6 @@
     faults: planned ? PLANNED_FAULTS : undefined,
   });
   const {statusCounts, faultCounts, folder, requests, violations} = result;
-  const out = (line: string) => process.stdout.write(`${line}\n`);
   out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
   out(`ends: ${formatFields(statusCounts)}`);
   out(`faults: ${formatFields(faultCounts)}`);
@@ -49,6 +69,7 @@
   .option('--seed <number>', 'seed of all randomness', Number, DEFAULT_SEED)
   .option('--minutes <number>', 'how long', Number, DEFAULT_MINUTES)
   .option('--processes <number>', 'hosts', Number, DEFAULT_PROCESSES)
+  .option('--answers', 'only faulty answers, beside hosts that are held up')
   .option('--planned', 'only planned work and silences of sound workers')
   .option('--plant <promise>', `one of ${Object.values(PROMISE).join(', ')}`)
   .action(async (options: Options) => process.exit(await main(options)))
--- a/packages/standins/src/lib/platform/raw_worker.ts
+++ b/packages/standins/src/lib/platform/raw_worker.ts
@@ -19,7 +19,9 @@
   | {type: 'close'}
   | {type: 'reset'}
   /** Keeps bytes back until the next answer is due, and writes them before it. */
-  | {type: 'owe'; bytes: Buffer};
+  | {type: 'owe'; bytes: Buffer}
+  /** Writes bytes after a time in milliseconds, once no answer is under way. */
+  | {type: 'add-later'; bytes: Buffer; ms: number};
 
 /** What a worker does for a request. */
 export interface AnswerScript {
@@ -34,6 +36,12 @@
   closedAfterBytes?: number;
 }
 
+/** A script that a worker carries out. */
+export interface WorkerScript extends AnswerScript {
+  /** Arrival of its request on the monotonic clock, in milliseconds. */
+  startedMs: number;
+}
+
 /** Request that has arrived at a worker. */
 export interface RawWorkerRequest {
   id: string;
@@ -59,7 +67,7 @@
 /** Worker whose answers are scripts; each run has a script of its own. */
 export class RawWorker {
   /** Scripts of all runs, by request id. */
-  readonly runs = new Map<string, AnswerScript[]>();
+  readonly runs = new Map<string, WorkerScript[]>();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly bornMs = Date.now();
@@ -118,7 +126,8 @@
     const number = this.requestCount++;
     const afterEvent = Number(headerOf(head, 'last-event-id') ?? 0);
     const request = {id, target, number, afterEvent};
-    const script = this.options.script(request);
+    const startedMs = performance.now();
+    const script = {...this.options.script(request), startedMs};
     this.runs.set(id, [...(this.runs.get(id) ?? []), script]);
     return script.steps;
   }
@@ -162,6 +171,13 @@
     }
   }
 
+  private addLater({bytes, ms}: {bytes: Buffer; ms: number}): void {
+    const steps: AnswerStep[] = [{type: 'write', bytes}];
+    setTimeout(() => {
+      this.last = this.last.then(() => this.carryOut(steps));
+    }, ms);
+  }
+
   private async carryOut(steps: readonly AnswerStep[]): Promise<void> {
     const {socket} = this;
     let segment: Buffer = this.owed;
@@ -175,6 +191,7 @@
     for (const step of steps) {
       if (step.type === 'write') segment = Buffer.concat([segment, step.bytes]);
       else if (step.type === 'owe') this.owed = step.bytes;
+      else if (step.type === 'add-later') this.addLater(step);
       else {
         await flush();
         if (step.type === 'wait') await sleep(step.ms);
