Known red: bytes behind an answer that look like a refusal

A request that must not be repeated runs twice, or its caller gets a 503 although it has run. Cause: bytes behind a complete answer that look like the head of a 503 or 421, without an id, are read where the next answer is due. Only an id that is another request's makes a head foreign; a head without one is believed. Three tests fail on, in each of two kinds: two runs ("expected ... to have a length of 1 but got 2", for a marked 503 and a 421) and a 503 for a request that has run.

--- a/packages/local-cluster/src/test/platform/broken_answers_test.ts
+++ b/packages/local-cluster/src/test/platform/broken_answers_test.ts
@@ -350,6 +350,34 @@
       expect(runs).to.have.lengthOf(1);
     });
   });
+
+  const notRun = 'x-fuchsiacleat-not-executed: 1\r\n';
+  const noBody = 'content-length: 0\r\n\r\n';
+  const stray = {
+    'a marked refusal': `HTTP/1.1 503 Unavailable\r\n${notRun}${noBody}`,
+    'a refusal': `HTTP/1.1 503 Unavailable\r\n${noBody}`,
+    'a 421': `HTTP/1.1 421 Misdirected Request\r\n${noBody}`,
+  };
+  for (const [kind, text] of Object.entries(stray)) {
+    it(`does not take ${kind} without an id behind an answer for that of the next request`, async () => {
+      await start(({id}, worker, send) => {
+        const body = fill(`${worker} ${id} ${send};`, SMALL_BYTES);
+        const signature = `${worker}.${id}.${send}`;
+        const answer = rawAnswer({id, signature, body});
+        const steps = [write(encodeAnswer(answer))];
+        if (id !== 'first') return script(answer, steps);
+        return script(answer, [
+          ...steps,
+          {type: 'owe', bytes: Buffer.from(text)},
+        ]);
+      }, 1);
+      await caller.call({path: ROUTE_PATH.once, id: 'first'});
+      const res = await caller.call({path: ROUTE_PATH.once, id: 'second'});
+      const runs = workers.flatMap(each => each.runs.get('second') ?? []);
+      expect(runs).to.have.lengthOf(1);
+      expect([200, 502]).to.include(res.status);
+    });
+  }
 });
 
 function write(bytes: Buffer): AnswerStep {
--- a/packages/soak/src/lib/random_answers.ts
+++ b/packages/soak/src/lib/random_answers.ts
@@ -33,6 +33,8 @@
   brokenCopyDue: 'broken-copy-due',
   /** Other bytes follow the answer. */
   surplus: 'surplus',
+  /** Other bytes precede the next answer, behind its request. */
+  surplusDue: 'surplus-due',
   /** The body goes on for long, and the connection is reset. */
   excess: 'excess',
   /** The length is that of a longer body, and the connection ends. */
@@ -103,6 +105,10 @@
   'more text\r\n\r\n',
   'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore',
   'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n\r\n',
+  'HTTP/1.1 500 Server Error\r\ncontent-length: 4\r\n\r\nmore',
+  `HTTP/1.1 503 Unavailable\r\n${NOT_RUN_HEADER}\r\ncontent-length: 0\r\n\r\n`,
+  'HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\n\r\n',
+  'HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n',
 ] as const;
 
 const INTERIM = [
@@ -118,6 +124,7 @@
   ANSWER_FAULT.copyLater,
   ANSWER_FAULT.copyDue,
   ANSWER_FAULT.brokenCopyDue,
+  ANSWER_FAULT.surplusDue,
 ];
 
 /** Faults that nothing tells from the body of an answer without a length. */
@@ -233,6 +240,10 @@
         const more = Buffer.from(random.pick(SURPLUS));
         return script([write, {type: 'write', bytes: more}, ...end]);
       }
+      case ANSWER_FAULT.surplusDue: {
+        const more = Buffer.from(random.pick(SURPLUS));
+        return script([write, {type: 'owe', bytes: more}]);
+      }
       case ANSWER_FAULT.excess:
         return script([...this.excess(answer, bytes), ...reset]);
       case ANSWER_FAULT.longerLength: {
