--- a/packages/soak/src/lib/answers_run.ts
+++ b/packages/soak/src/lib/answers_run.ts
@@ -37,8 +37,8 @@
   ROUTE_PATH.repeatable,
 ];
 
-/** Retries without a limit, so that faults do not use them up. */
-const BOUNDS = {
+/** Settings of hosts without a limit on retries, which faults would use up. */
+export const UNLIMITED_RETRIES = {
   ConfigApplyMs: 3_000,
   DrainTimeoutMs: 3_000,
   RevokeMs: 5_000,
@@ -137,7 +137,7 @@
         address: loopbackAddress(deployment, i),
         storePort: Number(new URL(store.url).port),
         folder,
-        bounds: BOUNDS,
+        bounds: UNLIMITED_RETRIES,
         args,
       });
       hosts.push(host);
