--- a/packages/soak/src/lib/answers_run.ts
+++ b/packages/soak/src/lib/answers_run.ts
@@ -21,7 +21,7 @@
   checkAnswer,
   isRefusal,
   saysNotRun,
-} from './answer_check.js';
+} from './strict_answer_check.js';
 import {HostProcess} from './host_process.js';
 import {AnswerMix, MIXED_ANSWERS, RandomAnswers} from './random_answers.js';
 
