--- a/packages/soak/src/test/strict_answer_check_test.ts
+++ b/packages/soak/src/test/strict_answer_check_test.ts
@@ -1,7 +1,11 @@
 import {ANSWER_END, ReceivedAnswer} from '@fuchsiacleat/local-cluster';
 import {AnswerScript, FRAMING, rawAnswer} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
-import {CheckedRequest, VERDICT, checkAnswer} from '../lib/strict_answer_check.js';
+import {
+  CheckedRequest,
+  VERDICT,
+  checkAnswer,
+} from '../lib/strict_answer_check.js';
 import {NOT_RUN_HEADER, STREAM_EVENTS} from '../lib/random_answers.js';
 
 const BODY = Buffer.from('the whole body');
