Services: an answer without a length that is reset is not complete

Callers of a plain service got the part of an answer that arrived before a reset as a complete answer (200, last chunk), and a call with an idempotency key had it stored and replayed.

TargetConnection tells the two apart for targets of the platform; HttpServiceClient used a plain client.

CheckedClient now tells them apart for any HTTP client: it passes on an error in place of the end when the connection was reset. The code of the error is the one for connections that were closed early, since undici would finish the body on ECONNRESET.

The test resets a raw connection at each byte of an answer with a length, in chunks and without either; cuts the first two in order at each byte; and ends each in order.

--- /dev/null
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -0,0 +1,136 @@
+/** An HTTP client that tells a reset from the end of an answer. @packageDocumentation */
+
+import {Socket} from 'node:net';
+import {Client, Dispatcher, buildConnector} from 'undici';
+
+/** Code of the errors of connections that were closed early. */
+const SOCKET_ERROR_CODE = 'UND_ERR_SOCKET';
+
+/** Options of a {@link CheckedClient}. */
+export interface CheckedClientOptions extends Omit<
+  Client.Options,
+  'connect' | 'pipelining'
+> {
+  /** Time limit for a connection, in milliseconds. */
+  connectTimeoutMs: number;
+  /** Called with each connection before the client reads from it. */
+  onConnected?: (socket: Socket) => void;
+}
+
+/** How the current connection of a client has ended. */
+class ConnectionEnd {
+  /** Whether the connection was reset or failed in another way. */
+  hasFailed = false;
+
+  /** Follows a new connection; must be called before the client listens to it. */
+  follow(socket: Socket): void {
+    this.hasFailed = false;
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.hasFailed = true;
+      // The client takes a reset for the end of a close-delimited body, and
+      // throws if it is paused.
+      if (error.code === 'ECONNRESET') error.code = SOCKET_ERROR_CODE;
+    });
+    socket.on('end', () => {
+      if (wasReset(socket)) this.hasFailed = true;
+    });
+  }
+}
+
+/**
+ * Returns whether a connection whose reading has ended was reset.
+ *
+ * Node reports a reset that it finds together with the last bytes as the end,
+ * without an error. A connection that was closed in order still has a peer
+ * then. The peer must not be read before, since Node remembers it.
+ */
+function wasReset({remotePort}: Socket): boolean {
+  return remotePort === undefined;
+}
+
+/** Passes an answer on, with an error in place of an end that was none. */
+class CheckedHandler implements Dispatcher.DispatchHandler {
+  constructor(
+    private readonly handler: Dispatcher.DispatchHandler,
+    private readonly connectionEnd: ConnectionEnd,
+  ) {}
+
+  onConnect(abort: (error?: Error) => void): void {
+    this.handler.onConnect!(abort);
+  }
+
+  onHeaders(
+    status: number,
+    headers: Buffer[],
+    resume: () => void,
+    statusText: string,
+  ): boolean {
+    return this.handler.onHeaders!(status, headers, resume, statusText);
+  }
+
+  onData(chunk: Buffer): boolean {
+    return this.handler.onData!(chunk);
+  }
+
+  onComplete(trailers: string[] | null): void {
+    if (this.connectionEnd.hasFailed) this.onError(brokenError());
+    else this.handler.onComplete!(trailers);
+  }
+
+  onError(error: Error): void {
+    this.handler.onError!(error);
+  }
+}
+
+function brokenError(): Error {
+  const error = new Error('the connection was reset during the answer');
+  return Object.assign(error, {code: SOCKET_ERROR_CODE});
+}
+
+/**
+ * A client with one connection, which carries one request at a time. An answer
+ * that ends with its connection is complete only if that was closed in order.
+ */
+export class CheckedClient extends Client {
+  private readonly connectionEnd: ConnectionEnd;
+
+  /**
+   * @param origin - protocol, host and port.
+   * @param options - see {@link CheckedClientOptions}.
+   */
+  constructor(
+    origin: string | URL,
+    {connectTimeoutMs, onConnected, ...options}: CheckedClientOptions,
+  ) {
+    const connect = buildConnector({timeout: connectTimeoutMs});
+    const connectionEnd = new ConnectionEnd();
+    super(origin, {
+      ...options,
+      pipelining: 1,
+      connect: (target, callback) =>
+        connect(target, (error, socket) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          connectionEnd.follow(socket);
+          onConnected?.(socket);
+          callback(null, socket);
+        }),
+    });
+    this.connectionEnd = connectionEnd;
+  }
+
+  /** Whether the current or last connection was reset or failed. */
+  get hasFailed(): boolean {
+    return this.connectionEnd.hasFailed;
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    const checked = new CheckedHandler(handler, this.connectionEnd);
+    return super.dispatch(options, checked);
+  }
+}
--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -1,7 +1,7 @@
 /** Client of a plain service over HTTP. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Client} from 'undici';
+import {CheckedClient} from '../net/checked_client.js';
 import {
   ServiceAnswer,
   ServiceCall,
@@ -26,8 +26,8 @@
     signal: AbortSignal,
   ): Promise<Result<ServiceAnswer, ServiceError>> {
     const {origin, pathname} = new URL(this.url);
-    const client = new Client(origin, {
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+    const client = new CheckedClient(origin, {
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- /dev/null
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -0,0 +1,102 @@
+import {AddressInfo, Server, Socket, createServer} from 'node:net';
+import {expect} from 'chai';
+import {HttpServiceClient} from '../../lib/targets/http_service_client.js';
+
+const CALL = {method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0)};
+const ROUNDS = 10;
+
+/** Ways to frame a body. */
+const FRAMINGS = {
+  length: (body: Buffer) => ({
+    headers: `content-length: ${body.length}\r\n`,
+    bytes: body,
+  }),
+  chunks: (body: Buffer) => ({
+    headers: 'transfer-encoding: chunked\r\n',
+    bytes: Buffer.concat([
+      Buffer.from(`${body.length.toString(16)}\r\n`),
+      body,
+      Buffer.from('\r\n0\r\n\r\n'),
+    ]),
+  }),
+  'no length': (body: Buffer) => ({headers: '', bytes: body}),
+};
+
+type FramingName = keyof typeof FRAMINGS;
+
+function answerBytes(framing: FramingName, body: Buffer): Buffer {
+  const {headers, bytes} = FRAMINGS[framing](body);
+  const head = `HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n`;
+  return Buffer.concat([Buffer.from(head), bytes]);
+}
+
+describe('HttpServiceClient', () => {
+  let server: Server;
+  let respond: (socket: Socket) => void;
+  const {signal} = new AbortController();
+
+  beforeEach(async () => {
+    server = createServer(socket => {
+      socket.on('error', () => {});
+      socket.once('data', () => respond(socket));
+    });
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  });
+
+  afterEach(() => {
+    server.close();
+  });
+
+  /** Returns the body of an answer, or undefined if it is not complete. */
+  async function call(): Promise<string | undefined> {
+    const {port} = server.address() as AddressInfo;
+    const client = new HttpServiceClient(`http://127.0.0.1:${port}`);
+    const answer = await client.call(CALL, signal);
+    if (answer.isErr()) return undefined;
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of answer.value.body) chunks.push(chunk as Buffer);
+    } catch {
+      return undefined;
+    }
+    return String(Buffer.concat(chunks));
+  }
+
+  for (const framing of Object.keys(FRAMINGS) as FramingName[]) {
+    const whole = answerBytes(framing, Buffer.from('the body'));
+
+    it(`does not take an answer with ${framing} for complete that is reset at any byte`, async () => {
+      const lastCut = framing === 'no length' ? whole.length : whole.length - 1;
+      for (let cut = 1; cut <= lastCut; cut++) {
+        respond = socket =>
+          socket.write(whole.subarray(0, cut), () => socket.resetAndDestroy());
+        expect(await call(), `reset at byte ${cut}`).to.equal(undefined);
+      }
+    });
+
+    it(`takes an answer with ${framing} for complete that ends in order`, async () => {
+      for (let i = 0; i < ROUNDS; i++) {
+        respond = socket => socket.end(whole);
+        expect(await call()).to.equal('the body');
+      }
+    });
+  }
+
+  it('does not take an answer for complete that is cut in order before its length', async () => {
+    for (const framing of ['length', 'chunks'] as const) {
+      const whole = answerBytes(framing, Buffer.from('the body'));
+      for (let cut = 1; cut < whole.length; cut++) {
+        respond = socket => socket.end(whole.subarray(0, cut));
+        expect(await call(), `${framing}, byte ${cut}`).to.equal(undefined);
+      }
+    }
+  });
+
+  it('takes no bytes behind an answer for a part of it', async () => {
+    for (const framing of ['length', 'chunks'] as const) {
+      const whole = answerBytes(framing, Buffer.from('the body'));
+      respond = socket => socket.end(Buffer.concat([whole, whole]));
+      expect(await call()).to.equal('the body');
+    }
+  });
+});
