Services: a slow caller of an answer whose service closes does not end the process

The process of a host ended with "AssertionError: assert(!this.paused)" in undici when a plain service closed its connection behind an answer over 64 KB that its caller took slowly. The client asks every service to close, so that any long answer could do it.

CheckedClient lets it go on first, as TargetConnection does for targets of the platform; the client then reports an empty chunk, which is dropped.

Test: answers of 400,000 bytes with a length, in chunks and without either, whose caller takes 5 ms for each part, ended in order and reset, 10 rounds each.

--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -21,10 +21,13 @@
 class ConnectionEnd {
   /** Whether the connection was reset or failed in another way. */
   hasFailed = false;
+  /** Lets the client read on; undefined before an answer. */
+  resume: (() => void) | undefined;
 
   /** Follows a new connection; must be called before the client listens to it. */
   follow(socket: Socket): void {
     this.hasFailed = false;
+    this.resume = undefined;
     socket.on('error', (error: NodeJS.ErrnoException) => {
       this.hasFailed = true;
       // The client takes a reset for the end of a close-delimited body, and
@@ -33,6 +36,8 @@
     });
     socket.on('end', () => {
       if (wasReset(socket)) this.hasFailed = true;
+      // A client that is paused throws at the end.
+      this.resume?.();
     });
   }
 }
@@ -65,11 +70,13 @@
     resume: () => void,
     statusText: string,
   ): boolean {
+    this.connectionEnd.resume = resume;
     return this.handler.onHeaders!(status, headers, resume, statusText);
   }
 
   onData(chunk: Buffer): boolean {
-    return this.handler.onData!(chunk);
+    // A client that goes on at the end of its connection reports an empty chunk.
+    return chunk.length === 0 || this.handler.onData!(chunk);
   }
 
   onComplete(trailers: string[] | null): void {
--- a/packages/core/src/test/targets/http_service_client_test.ts
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -1,10 +1,17 @@
 import {AddressInfo, Server, Socket, createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {HttpServiceClient} from '../../lib/targets/http_service_client.js';
 
 const CALL = {method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0)};
 const ROUNDS = 10;
 
+/** Longer than what the client buffers before it pauses its connection. */
+const LONG_BODY = Buffer.alloc(400_000, 'a');
+
+/** Time that a caller takes for each part of the answer, in milliseconds. */
+const TAKE_MS = 5;
+
 /** Ways to frame a body. */
 const FRAMINGS = {
   length: (body: Buffer) => ({
@@ -48,14 +55,17 @@
   });
 
   /** Returns the body of an answer, or undefined if it is not complete. */
-  async function call(): Promise<string | undefined> {
+  async function call(takeMs?: number): Promise<string | undefined> {
     const {port} = server.address() as AddressInfo;
     const client = new HttpServiceClient(`http://127.0.0.1:${port}`);
     const answer = await client.call(CALL, signal);
     if (answer.isErr()) return undefined;
     const chunks: Buffer[] = [];
     try {
-      for await (const chunk of answer.value.body) chunks.push(chunk as Buffer);
+      for await (const chunk of answer.value.body) {
+        chunks.push(chunk as Buffer);
+        if (takeMs !== undefined) await sleep(takeMs);
+      }
     } catch {
       return undefined;
     }
@@ -80,6 +90,19 @@
         expect(await call()).to.equal('the body');
       }
     });
+
+    // The client threw at the end of a connection while it was paused, which
+    // ended the process.
+    it(`reads an answer with ${framing} whose caller is slow`, async () => {
+      const bytes = answerBytes(framing, LONG_BODY);
+      for (let i = 0; i < ROUNDS; i++) {
+        respond = socket => socket.end(bytes);
+        const body = await call(TAKE_MS);
+        expect(body?.length).to.equal(LONG_BODY.length);
+        respond = socket => socket.write(bytes, () => socket.resetAndDestroy());
+        await call(TAKE_MS);
+      }
+    });
   }
 
   it('does not take an answer for complete that is cut in order before its length', async () => {
