--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -18,6 +18,7 @@
 export * from './lib/gateway/team_quotas.js';
 export * from './lib/limits/retry_budget.js';
 export * from './lib/net/caller_connections.js';
+export * from './lib/net/checked_client.js';
 export * from './lib/net/listener.js';
 export * from './lib/net/socket_address.js';
 export * from './lib/peers/tcp_peer_network.js';
