Engines: a slow caller of a stream whose engine closes does not end the process

The engine's client uses CheckedClient, too, which lets a paused client go on.

Test: streams of 200 events of 2,000 bytes with a length, in chunks and without either, whose caller takes 1 ms for each event, ended in order and reset.

--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -1,10 +1,11 @@
 /** Client of an engine over HTTP. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Agent, Client, Dispatcher} from 'undici';
+import {Agent, Dispatcher, Pool} from 'undici';
 import {createParser} from 'eventsource-parser';
 import {Readable} from 'node:stream';
 import {z} from 'zod';
+import {CheckedClient} from '../net/checked_client.js';
 import {withTimeout} from '../time/timeout.js';
 import {
   GenerationEvent,
@@ -155,7 +156,7 @@
     // no response, it is unknown whether it ran, so a request that is not
     // repeatable gets its own connection.
     const isFresh = !req.repeatable;
-    const connection = isFresh ? this.createConnection() : this.pool;
+    const connection = isFresh ? createConnection(this.url) : this.pool;
     try {
       const res = await connection.request({
         origin: this.url,
@@ -189,14 +190,6 @@
     this.pool = createPool();
   }
 
-  private createConnection(): Dispatcher {
-    return new Client(this.url, {
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
-  }
-
   private async query<T>(
     path: string,
     schema: z.ZodType<T>,
@@ -233,10 +226,13 @@
 
 function createPool(): Dispatcher {
   return new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
-    // Disables pipelining, so that requests in flight never share a
-    // connection.
-    pipelining: 1,
+    factory: origin => new Pool(origin, {factory: createConnection}),
+  });
+}
+
+function createConnection(origin: string | URL): Dispatcher {
+  return new CheckedClient(origin, {
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
     bodyTimeout: 0,
     headersTimeout: 0,
   });
