Engines: a second copy of an answer is not the answer to an order

An engine that sends a second copy of an answer where the next one is due had its inventory taken for "executed" of an order that it had refused as fenced, and an old inventory for a new one: answers to orders and queries do not name them, and they shared connections.

Each call has a connection of its own now. Streams of repeatable requests still share them; their events name the request.

Test: a raw engine that copies its last answer on the same connection.

--- a/packages/core/src/lib/targets/http_engine_client.ts
+++ b/packages/core/src/lib/targets/http_engine_client.ts
@@ -207,8 +207,11 @@
     body: object | undefined,
     signal: AbortSignal,
   ): Promise<Result<unknown, EngineError>> {
+    // Answers to calls do not name them, so that a second copy of an answer would
+    // be taken for the next one.
+    const connection = createConnection(this.url);
     try {
-      const res = await this.pool.request({
+      const res = await connection.request({
         origin: this.url,
         method,
         path,
@@ -220,6 +223,8 @@
       return ok(await res.body.json());
     } catch (error) {
       return err(toEngineError(error));
+    } finally {
+      void connection.destroy();
     }
   }
 }
--- a/packages/core/src/test/targets/http_engine_client_test.ts
+++ b/packages/core/src/test/targets/http_engine_client_test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {GenerationRequest} from '../../lib/requests/generation.js';
+import {ENGINE_ERROR, FencedOrder} from '../../lib/targets/engine_client.js';
 import {HttpEngineClient} from '../../lib/targets/http_engine_client.js';
 
 const REQUEST: GenerationRequest = {
@@ -50,6 +51,34 @@
   'no length': body => `${HEAD}\r\n${body}`,
 };
 
+/** Time after which a connection is used again, in milliseconds. */
+const IDLE_MS = 20;
+
+const FENCED = '412 Precondition Failed';
+
+const INVENTORY = {
+  target: 't1',
+  memoryBytes: 1,
+  usedBytes: 0,
+  slots: 1,
+  running: 0,
+  highestFencing: 2,
+  leaving: false,
+  onDisk: [],
+  inMemory: [],
+  residents: [],
+};
+
+function jsonAnswer(status: string, body: object): string {
+  const text = JSON.stringify(body);
+  return `HTTP/1.1 ${status}\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+}
+
+function loadOrder(fencing: number): FencedOrder {
+  const order = {kind: 'load', model: 'm1', version: 'v1'} as const;
+  return {id: 'o1', fencing, order};
+}
+
 describe('HttpEngineClient', () => {
   let server: Server;
   let client: HttpEngineClient;
@@ -118,4 +147,20 @@
       }
     });
   }
+
+  // Answers to orders name no order: a second copy of an earlier answer, where
+  // the next one is due, was taken for it.
+  it('does not take a second copy of an answer for the answer to an order', async () => {
+    const answers = [jsonAnswer('200 OK', INVENTORY), jsonAnswer(FENCED, {})];
+    const last = new Map<Socket, string>();
+    respond = socket => {
+      const next = answers.shift() ?? '';
+      socket.write((last.get(socket) ?? '') + next);
+      last.set(socket, next);
+    };
+    expect((await client.inventory(signal)).isOk()).to.equal(true);
+    await sleep(IDLE_MS);
+    const ordered = await client.order(loadOrder(1), signal);
+    expect(ordered.isErr() && ordered.error.type).to.equal(ENGINE_ERROR.fenced);
+  });
 });
