Services: an answer to an HTTP/1.0 caller that breaks off does not look complete

A caller without chunks got the begin of a plain service's answer and an end in order when the service was lost, which is how an answer to it ends: 200 and the first part, complete. The host destroyed the response, which closes the connection in order; in chunks the missing last chunk tells.

An answer that breaks off resets its connection now, as on the users' platform.

Test: a service that is lost after 0 to 5 parts.

--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -92,7 +92,7 @@
       admitted,
       idempotencyKey,
       content,
-      () => this.run(admitted, call, callerSignal, () => outgoing.destroy()),
+      () => this.run(admitted, call, callerSignal, () => reset(outgoing)),
     );
   }
 
@@ -157,6 +157,13 @@
   }
 }
 
+/** Resets a connection: an answer without chunks would look complete at its end. */
+function reset(outgoing: ServerResponse): void {
+  const {socket} = outgoing;
+  if (socket === null) outgoing.destroy();
+  else socket.resetAndDestroy();
+}
+
 function forwardedHeaders(headers: Headers): Record<string, string> {
   const passed: Record<string, string> = {};
   for (const [name, value] of headers) {
--- /dev/null
+++ b/packages/daemon/src/test/service_handler_test.ts
@@ -0,0 +1,103 @@
+import {AddressInfo, Socket, connect} from 'node:net';
+import {Server, createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {HttpBindings, getRequestListener} from '@hono/node-server';
+import {
+  FAILURE,
+  Outcome,
+  ServiceEvent,
+  ServiceRunner,
+  SystemClock,
+  fail,
+} from '@fuchsiacleat/core';
+import {expect} from 'chai';
+import {Hono} from 'hono';
+import {IdempotencyGuard} from '../lib/idempotency_guard.js';
+import {AdmittedRequest} from '../lib/request_gate.js';
+import {ServiceHandler} from '../lib/service_handler.js';
+import {Withdrawal} from '../lib/withdrawal.js';
+
+const PART = Buffer.from('the first part');
+const PART_DELAY_MS = 20;
+const TIMEOUT_MS = 5_000;
+
+/** A service whose answer breaks off after some parts. */
+async function* brokenRun(
+  parts: number,
+): AsyncGenerator<ServiceEvent, Outcome> {
+  yield {type: 'head', status: 200, headers: {}};
+  for (let i = 0; i < parts; i++) {
+    yield {type: 'chunk', data: PART};
+    await sleep(PART_DELAY_MS);
+  }
+  return fail(FAILURE.targetLost, 'the service was lost');
+}
+
+describe('ServiceHandler', () => {
+  let server: Server;
+  let parts: number;
+
+  beforeEach(async () => {
+    const clock = new SystemClock();
+    const runner = {run: () => brokenRun(parts)} as unknown as ServiceRunner;
+    const idempotencyGuard = {
+      run: (
+        ...[, , , run]: Parameters<IdempotencyGuard['run']>
+      ): Promise<Response> => run(),
+    } as unknown as IdempotencyGuard;
+    const handler = new ServiceHandler({runner, idempotencyGuard, clock});
+    const app = new Hono();
+    app.all('/', c => {
+      const {outgoing} = c.env as HttpBindings;
+      const admitted = {
+        route: {repeatable: false},
+        deadlineMs: clock.now() + TIMEOUT_MS,
+        withdrawal: new Withdrawal(false),
+        finish: () => {},
+      } as unknown as AdmittedRequest;
+      const {signal} = new AbortController();
+      const body = new Uint8Array();
+      const caller = {signal, outgoing};
+      return handler.handle(admitted, c.req.raw, '/', body, caller);
+    });
+    const listener = getRequestListener(app.fetch, {
+      overrideGlobalObjects: false,
+    });
+    server = createServer((req, res) => void listener(req, res));
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  });
+
+  afterEach(() => {
+    server.close();
+  });
+
+  /** Returns what a caller receives, and the error that ends its connection. */
+  async function call(version: string): Promise<{text: string; error: string}> {
+    const {port} = server.address() as AddressInfo;
+    const socket: Socket = connect(port, '127.0.0.1');
+    let text = '';
+    let error = '';
+    socket.on('data', chunk => (text += String(chunk)));
+    socket.on('error', ({code = ''}: NodeJS.ErrnoException) => (error = code));
+    socket.write(`GET / HTTP/${version}\r\nhost: h\r\n\r\n`);
+    await new Promise(resolve => socket.on('close', resolve));
+    return {text, error};
+  }
+
+  // Its end in order was the only end that an answer without chunks has.
+  it('resets an answer to HTTP/1.0 that breaks off', async () => {
+    for (parts = 0; parts < 6; parts++) {
+      const {text, error} = await call('1.0');
+      const looksComplete = text !== '' && error !== 'ECONNRESET';
+      expect(looksComplete, `${parts} parts: ${text}`).to.equal(false);
+    }
+  });
+
+  it('ends no answer in chunks that breaks off', async () => {
+    for (parts = 0; parts < 6; parts++) {
+      const {text} = await call('1.1');
+      expect(text, `${parts} parts`).not.to.match(/\r\n0\r\n\r\n$/);
+      expect(text).not.to.match(/content-length/i);
+    }
+  });
+});
