Peers: a call behind a frame that closes its link does not run

A host ran a call whose frame arrived in one read behind a frame that made it close the link (here one ahead of the hello frame): the rest of the read was handled, the call ran, its answer could not be sent, and the closed link was entered as the link to its peer. A peer counts calls on a lost link as "may have run", so that no wrong answer is known from this.

The link handles no frame after it is closed.

Tests with a raw peer. Before: "expected 1 to equal +0" (runs). Two that were green before, as none existed: an answer cut at each byte in order and by a reset is lost; of two answers to one call the first is used, and one to a call that does not exist is not.

--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -124,7 +124,10 @@
           this.close(frames.error.message);
           break;
         }
-        for (const frame of frames.value) this.handleFrame(frame, onHello);
+        for (const frame of frames.value) {
+          // An earlier frame may have closed the link.
+          if (this.isAlive) this.handleFrame(frame, onHello);
+        }
       }
       this.close('the peer closed the link');
     } catch (error) {
--- a/packages/core/src/test/peers/tcp_peer_network_test.ts
+++ b/packages/core/src/test/peers/tcp_peer_network_test.ts
@@ -5,6 +5,7 @@
 import {ok} from 'neverthrow';
 import {z} from 'zod';
 import {
+  FrameDecoder,
   PEER_ERROR,
   PeerAddress,
   PeerMethod,
@@ -25,6 +26,11 @@
  */
 const MAX_SENT_BYTES = 15 * 1024 ** 2;
 
+const CALLS = 5;
+
+/** Identity of a peer that the test plays itself. */
+const RAW_PEER = {host: 'raw', zone: 'a', incarnation: 'raw.1'};
+
 const ECHO: PeerMethod<string, string> = {
   name: 'test.echo',
   body: z.string(),
@@ -213,4 +219,82 @@
     expect(sentBytes).to.be.below(MAX_SENT_BYTES);
     socket.destroy();
   });
+
+  /** Starts a host and a raw peer of it that answers calls with bytes. */
+  async function startWithRawPeer(
+    respond: (socket: Socket, id: number) => void,
+  ): Promise<{network: TcpPeerNetwork; server: Server}> {
+    const server = createServer(socket => {
+      const decoder = new FrameDecoder();
+      socket.on('error', () => {});
+      socket.write(encodeFrame({t: 'hello', ...RAW_PEER}));
+      socket.on('data', chunk => {
+        for (const frame of decoder.push(chunk)._unsafeUnwrap())
+          if (frame.t === 'open') respond(socket, frame.id);
+      });
+    });
+    addresses.set('raw', await listenOn(server));
+    return {network: await start('a'), server};
+  }
+
+  it('does not use an answer that is cut at any byte', async () => {
+    let cut = 0;
+    let isReset = false;
+    const answerTo = (id: number) =>
+      encodeFrame({t: 'end', id, body: 'an answer'});
+    const {network, server} = await startWithRawPeer((socket, id) => {
+      const end = () => {
+        if (isReset) socket.resetAndDestroy();
+        else socket.end();
+      };
+      socket.write(answerTo(id).subarray(0, cut), end);
+    });
+    for (cut = 0; cut < answerTo(0).length; cut++) {
+      for (isReset of [false, true]) {
+        const answer = await echo(network, 'raw');
+        const error = answer._unsafeUnwrapErr().type;
+        expect(error, `byte ${cut}`).to.equal(PEER_ERROR.lost);
+      }
+    }
+    server.close();
+  });
+
+  it('uses the first of two answers to a call, and none to another call', async () => {
+    const {network, server} = await startWithRawPeer((socket, id) => {
+      const frames = [
+        {t: 'end', id: id + 1, body: 'answer to a later call'},
+        {t: 'end', id, body: `answer ${id}`},
+        {t: 'end', id, body: 'second answer'},
+      ] as const;
+      socket.write(Buffer.concat(frames.map(frame => encodeFrame(frame))));
+    });
+    for (let id = 0; id < CALLS; id++)
+      expect((await echo(network, 'raw'))._unsafeUnwrap()).to.match(
+        /^answer \d/,
+      );
+    server.close();
+  });
+
+  // The call ran, although its answer could not be sent any more.
+  it('handles no call behind a frame that breaks its link', async () => {
+    const network = await start('a');
+    let runs = 0;
+    network.serveUnary(ECHO, text => {
+      runs += 1;
+      return text;
+    });
+    const {port, address} = addresses.get('a')!;
+    const socket = connect(port, address);
+    const closed = once(socket, 'close');
+    socket.on('error', () => {});
+    const frames = [
+      {t: 'beat'},
+      {t: 'hello', ...RAW_PEER},
+      {t: 'open', id: 0, method: ECHO.name, body: 'hi'},
+    ] as const;
+    socket.end(Buffer.concat(frames.map(frame => encodeFrame(frame))));
+    socket.resume();
+    await closed;
+    expect(runs).to.equal(0);
+  });
 });
