--- a/packages/soak/src/lib/answer_check.ts
+++ b/packages/soak/src/lib/answer_check.ts
@@ -1,5 +1,6 @@
 /** Checks that callers receive what their workers answered. @packageDocumentation */
 
+import {FRAMING} from '@fuchsiacleat/core/gateway';
 import {
   FAULTY_ANSWER,
   FaultyAnswer,
@@ -7,7 +8,7 @@
   WorkerRun,
   plainBody,
 } from '@fuchsiacleat/standins';
-import {FRAMING, SentRequest, isStream} from './request_ledger.js';
+import {SentRequest, isStream} from './request_ledger.js';
 import {
   LARGE_BODY,
   PIECE_OF,
--- a/packages/soak/src/lib/request_ledger.ts
+++ b/packages/soak/src/lib/request_ledger.ts
@@ -1,5 +1,7 @@
 /** Records the requests of callers and their responses. @packageDocumentation */
 
+import {Framing} from '@fuchsiacleat/core/gateway';
+
 /** Kind of route: run once, safe to retry, streamed, or streamed and resumable. */
 export type RouteName = 'once' | 'repeatable' | 'stream' | 'resumable';
 
@@ -8,17 +10,6 @@
   return route === 'stream' || route === 'resumable';
 }
 
-/** What ends the body of a response, as its head says. */
-export const FRAMING = {
-  length: 'length',
-  chunked: 'chunked',
-  /** The end of the connection. */
-  close: 'close',
-} as const;
-
-/** One of {@link FRAMING}. */
-export type Framing = (typeof FRAMING)[keyof typeof FRAMING];
-
 /** A request of a caller and its outcome. */
 export interface SentRequest {
   id: string;
@@ -34,7 +25,7 @@
   /** Unset if no response was received. */
   status?: number;
   body?: string;
-  /** Framing of the response; unset if no response was received. */
+  /** Framing of the response, as its head says; unset if no response was received. */
   framing?: Framing;
   /** Whether the complete response was received. */
   isComplete: boolean;
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -1,10 +1,11 @@
 /** Callers that keep connections open and record every response. @packageDocumentation */
 
 import {Random, SystemClock} from '@fuchsiacleat/core';
+import {FRAMING} from '@fuchsiacleat/core/gateway';
 import {HOST_NAME, ROUTE_PATH} from '@fuchsiacleat/local-cluster';
 import {Client} from 'undici';
 import {CRASHING_BODY, LARGE_BODY} from './soak_checks.js';
-import {FRAMING, RouteName, SentRequest, isStream} from './request_ledger.js';
+import {RouteName, SentRequest, isStream} from './request_ledger.js';
 import {SOAK_KEY, SoakWorld} from './soak_world.js';
 
 const ROUTES: readonly RouteName[] = [
@@ -162,7 +163,7 @@
     if (res.headers['content-length'] !== undefined)
       request.framing = FRAMING.length;
     else if (res.headers['transfer-encoding'] !== undefined)
-      request.framing = FRAMING.chunked;
+      request.framing = FRAMING.chunks;
     else request.framing = FRAMING.close;
     request.stamp = typeof stamp === 'string' ? stamp : undefined;
     request.body = '';
--- a/packages/soak/src/test/answer_check_test.ts
+++ b/packages/soak/src/test/answer_check_test.ts
@@ -1,9 +1,10 @@
+import {FRAMING} from '@fuchsiacleat/core/gateway';
 import {FAULTY_ANSWER, FaultyAnswer, WorkerRun} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
 import {checkAnswers} from '../lib/answer_check.js';
 import {checkAnswered} from '../lib/answered_check.js';
 import {DisturbanceBook} from '../lib/disturbance_book.js';
-import {FRAMING, RequestLedger, SentRequest} from '../lib/request_ledger.js';
+import {RequestLedger, SentRequest} from '../lib/request_ledger.js';
 import {
   PIECE_OF,
   PROMISE,
@@ -85,7 +86,7 @@
   });
 
   it('reports the same if the caller gets it with a framing', () => {
-    for (const framing of [FRAMING.chunked, FRAMING.length]) {
+    for (const framing of [FRAMING.chunks, FRAMING.length]) {
       const found = find(stream({framing}), run(unframedEvents, SHORT));
       expect(found, framing).to.deep.equal([PROMISE.wholeDespiteFault]);
     }
