--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -128,11 +128,6 @@
     this.connectionEnd = connectionEnd;
   }
 
-  /** Whether the current or last connection was reset or failed. */
-  get hasFailed(): boolean {
-    return this.connectionEnd.hasFailed;
-  }
-
   override dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
