Known red: a copy of an answer within a body that broke off

What callers would see: an answer that is complete by its framing and that no target has sent: with a length, the right number of bytes, the last of them from the head of a copy; in chunks, the rest of one body and all of another (MIXED). In a stream, the head of the copy is an event (ORDER).

Cause: a target breaks an answer off within its body, goes on with the connection and writes a copy of this or of an earlier answer, as after an answer that it takes for sent. The parser counts bytes; nothing looks for a head in a body. In chunks the copy has to have a line end where the broken chunk ends, and a chunk behind it: that is so behind its head and behind each of its chunks.

Whether a target of the users does this is not known.

--- a/packages/local-cluster/src/test/platform/broken_answers_test.ts
+++ b/packages/local-cluster/src/test/platform/broken_answers_test.ts
@@ -351,6 +351,71 @@
     });
   });
 
+  describe('where a copy comes within their bodies', () => {
+    /** Writes an answer up to a byte, then all of the copy of another one. */
+    function interrupted(answer: RawAnswer, cut: number, copy: RawAnswer) {
+      const bytes = encodeAnswer(answer).subarray(0, cut);
+      return script(answer, [
+        write(bytes),
+        write(encodeAnswer(copy)),
+        UNTIL_READ,
+        {type: 'reset'},
+      ]);
+    }
+
+    /** Length of the head of an answer, with the blank line. */
+    function headBytes(answer: RawAnswer): number {
+      return encodeAnswer(answer).indexOf('\r\n\r\n') + 4;
+    }
+
+    for (const kind of ['earlier', 'same']) {
+      for (const framing of [FRAMING.length, FRAMING.chunks]) {
+        it(`does not take a copy of the ${kind} answer for the rest of a body (${framing})`, async () => {
+          await start(({id}, worker, send) => {
+            const answerTo = (subject: string) =>
+              rawAnswer({
+                id: subject,
+                signature: `${worker}.${subject}`,
+                body: fill(`${worker} ${subject} ${send};`, SMALL_BYTES),
+                framing,
+              });
+            const answer = answerTo(id);
+            if (id === 'first' || send > 0) return whole(answer);
+            const copy = kind === 'same' ? answer : answerTo('first');
+            // The first chunk ends where the copy has its blank line.
+            const missing = headBytes(copy) - 2;
+            const left = framing === FRAMING.chunks ? LAST_CHUNK.length + 2 : 0;
+            const cut = encodeAnswer(answer).length - left - missing;
+            return interrupted(answer, cut, copy);
+          }, 1);
+          const path = ROUTE_PATH.once;
+          await caller.call({path, id: 'first'});
+          await expectOwnOrBroken(
+            'second',
+            await caller.call({path, id: 'second'}),
+          );
+        });
+      }
+    }
+
+    it('does not pass on the head of a copy as an event', async () => {
+      await start(({afterEvent, id}, worker, send) => {
+        const body = eventsOf('piece', afterEvent, EVENTS);
+        const headers = [EVENT_STREAM];
+        const framing = FRAMING.chunks;
+        const chunkBytes = body.length;
+        const signature = `${worker}.${send}`;
+        const parts = {id, signature, body, headers, framing, chunkBytes};
+        const answer = rawAnswer(parts);
+        if (send > 0) return whole(answer);
+        const cut = encodeAnswer(answer).indexOf('id: 04\n') + 9;
+        return interrupted(answer, cut, answer);
+      });
+      const {body} = await callStream();
+      expect(String(body)).to.not.include('HTTP/1.1');
+    });
+  });
+
   const notRun = 'x-fuchsiacleat-not-executed: 1\r\n';
   const noBody = 'content-length: 0\r\n\r\n';
   const stray = {
