Known red: events that come twice when another target goes on; a send that isn't counted

What callers would see: an event twice in a stream that looks complete (ORDER). What operators would see: one send, in an ordinary line or none, for an answer with the head of one target and the events of another.

Cause: a stream goes on after the last id, but events without an id behind it have been passed on, and the next target sends them again. And the events of the next target are passed on whatever their ids are. PassedAnswer counts a send with its first byte, so that the one that brought the head alone isn't counted.

--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -417,6 +417,39 @@
     expect(caller.isEnded).to.equal(false);
   });
 
+  it('does not pass on events without an id again when another target goes on', async () => {
+    const bare = (text: string) => `data: ${text}\n\n`;
+    const plays: TargetBehavior[] = [
+      () => answer(200, [event(1), bare('a')], BODY_END.broken),
+      () => answer(200, [bare('a'), event(2)]),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.body.split(bare('a'))).to.have.lengthOf(2);
+  });
+
+  it('does not pass on events again that the next target repeats', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(200, [event(1), event(2)], BODY_END.broken),
+      () => answer(200, [event(1), event(2), event(3)]),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    const sound = event(1) + event(2);
+    expect(caller.body).to.be.oneOf([sound, sound + event(3)]);
+  });
+
+  it('counts the send that brought only the head of an answer', async () => {
+    const plays: TargetBehavior[] = [
+      () => answer(200, [], BODY_END.broken),
+      () => answer(200, [event(1)]),
+    ];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = await serve(world);
+    expect(caller.isEnded).to.equal(true);
+    expect(world.observer.traces[0].answerSends).to.equal(2);
+  });
+
   it('aborts a broken stream that is not resumable', async () => {
     const plays = [() => answer(200, [event(1)], BODY_END.broken)];
     const world = relayWorld({route: stream, behaviors: plays});
