--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -381,6 +381,7 @@
     expect(caller.body).to.equal(start);
     expect(caller.isEnded).to.equal(false);
     expect(caller.isAborted).to.equal(true);
+    expect(world.port.sent).to.have.lengthOf(1);
   });
 
   it('does not end a stream that began in chunks because the connection of its next target ended', async () => {
@@ -404,6 +405,7 @@
     const caller = await serve(world);
     expect(caller.body).to.not.include(event(1));
     expect(caller.isEnded).to.equal(false);
+    expect(world.port.sent).to.have.lengthOf(1);
   });
 
   it('does not continue a stream with an answer that is no event stream', async () => {
