Second copies at a software version before rare models, for streams that rely on one target

Cause: a stream can go on only at its version, and the model was often held by one target of it. The second copy was chosen by the model's share of the whole version; only the busiest model was tried; it was tried every 150 ms, after rare models had taken each target that became idle; at the weight store it came behind every model that callers had been refused for; and it was the first to be unloaded.

Change: a model gets a second copy at its version from a fifth of the requests there, from a tenth if no other target could load it without the store. These copies are started before the models of waiting callers; at the store each stream counts as a refused caller, with one load at a time for a version, within the rate and concurrency as before. An unload of a copy that streams rely on costs a quarter of the reload delay of each, so that it makes way late, but never blocks a load. VersionUse groups targets by version once a round; nothing changes while one version serves.

--- a/packages/core/src/lib/residency/continuity_reporter.ts
+++ b/packages/core/src/lib/residency/continuity_reporter.ts
@@ -5,7 +5,6 @@
 import {PlanRound} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
 import {ResidencyRequest} from './residency_request.js';
-import {UsageTable} from './usage_table.js';
 import {findLoneModels} from './version_copies.js';
 
 /** Time between reports of the models that one target alone holds. */
@@ -15,7 +14,6 @@
 export interface ContinuityReporterParts {
   clock: Clock;
   logger: Logger;
-  usage: UsageTable;
 }
 
 /** Logs what tells apart why streams do not go on; nothing with one version. */
@@ -32,12 +30,12 @@
    * @param round - state of its targets and of the demand.
    */
   reportLoneModels(service: string, round: PlanRound): void {
-    const {clock, logger, usage} = this.parts;
+    const {clock, logger} = this.parts;
     const nowMs = clock.now();
     const reportedMs = this.reportedMs.get(service) ?? -Infinity;
     if (nowMs - reportedMs < REPORT_INTERVAL_MS) return;
     this.reportedMs.set(service, nowMs);
-    for (const lone of findLoneModels(round, usage)) {
+    for (const lone of findLoneModels(round)) {
       if (lone.models.length === 0) continue;
       logger.info('models_held_once', {
         service,
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -2,10 +2,26 @@
 
 import {ResidencyAccount} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
+import {VersionUse, versionsInUse} from './version_use.js';
 
 /** Requests in flight, as a fraction of the slots, from which to add a copy. */
 export const COPY_LOAD_THRESHOLD = 0.45;
 
+/** Copies of a model at each software version among which a stream can be moved. */
+export const COPIES_PER_VERSION = 2;
+
+/**
+ * Fraction of the requests in flight at a software version that a model must
+ * have for a second copy there.
+ */
+export const MIN_EXPOSED_SHARE = 0.1;
+
+/**
+ * Weight of the reload delay of requests that can go on at another copy, and
+ * only have to wait if its target ends.
+ */
+const OTHER_COPY_FACTOR = 0.25;
+
 /** Expected time until the requests of a model have ended before an unload. */
 const DRAIN_MS = 1_500;
 
@@ -56,6 +72,7 @@
   private readonly reloads = new Map<string, number>();
   private readonly loads = new Map<string, number>();
   private cachedLocalCopyCounts: ReadonlyMap<string, number> | undefined;
+  private cachedVersions: ReadonlyMap<string, VersionUse> | undefined;
   private readonly adapterRates = new Map<string, number>();
   private readonly evictionsById = new Map<string, Eviction[]>();
 
@@ -82,6 +99,43 @@
     return this.parts.accounts;
   }
 
+  /** Software versions that serve; none while all targets run the same. */
+  get versions(): ReadonlyMap<string, VersionUse> {
+    const {accounts, usage} = this.parts;
+    this.cachedVersions ??= versionsInUse(accounts, usage);
+    return this.cachedVersions;
+  }
+
+  /** Returns the software version of a target, while several serve. */
+  private versionOf(account: ResidencyAccount): VersionUse | undefined {
+    const {softwareVersion = ''} = account.target.registration;
+    return this.versions.get(softwareVersion);
+  }
+
+  /** Returns whether one target of a software version alone keeps a model. */
+  isLone(softwareVersion: string, model: string): boolean {
+    return this.versions.get(softwareVersion)?.keepers(model).length === 1;
+  }
+
+  /**
+   * Returns whether a share of the requests in flight at a software version
+   * could go on at one target at most if a target unloaded their model.
+   *
+   * @param account - the target that holds the model.
+   * @param model - name of the model.
+   */
+  isNeededByVersion(account: ResidencyAccount, model: string): boolean {
+    const version = this.versionOf(account);
+    if (version === undefined) return false;
+    const requests = version.inFlight(model);
+    const isRelevant = requests >= version.requestCount * MIN_EXPOSED_SHARE;
+    if (requests === 0 || !isRelevant) return false;
+    const isOfVersion = (copy: ResidencyAccount) =>
+      version.targets.includes(copy);
+    const copies = this.copies(model).filter(isOfVersion);
+    return copies.length <= COPIES_PER_VERSION;
+  }
+
   /** Returns the number of requests that wait for a model. */
   waiting(model: string): number {
     return this.parts.waiting.get(model) ?? 0;
@@ -269,7 +323,13 @@
     if (others.length > 0) {
       const load = this.loadWithout(account, held, others);
       if (load > COPY_LOAD_THRESHOLD) return undefined;
-      return {held, cost: perSecond, drainMs};
+      // Most rounds need no reload time for models with other copies.
+      const relyingCost = this.isNeededByVersion(account, held)
+        ? this.versionOf(account)!.inFlight(held) *
+          this.reloadMs(held) *
+          OTHER_COPY_FACTOR
+        : 0;
+      return {held, cost: perSecond + relyingCost, drainMs};
     }
     // New requests would keep the model in use for ever.
     if (running > 0 && perSecond > MAX_DRAINED_RATE) return undefined;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -25,7 +25,11 @@
 import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
-import {chooseVersionCopies, isNeededByVersion} from './version_copies.js';
+import {
+  VersionCopy,
+  chooseLoads,
+  chooseVersionCopies,
+} from './version_copies.js';
 import {Waiter, WaitQueue} from './wait_queue.js';
 
 /** Time between rounds of planning. */
@@ -89,6 +93,8 @@
   private readonly wanted = new Map<string, WantedModel>();
   /** Models to copy because of the limits of their targets, by service. */
   private readonly limitedModels = new Map<string, readonly string[]>();
+  /** Copies that streams of a version rely on, by service. */
+  private readonly versionCopies = new Map<string, readonly VersionCopy[]>();
   private activeFencing: number | undefined;
   /** Whether orders have been allowed at some time since the takeover. */
   private hasOrderingBegun = false;
@@ -192,6 +198,7 @@
     this.rounds.clear();
     this.wanted.clear();
     this.limitedModels.clear();
+    this.versionCopies.clear();
     this.parts.lender.restart();
   }
 
@@ -230,6 +237,7 @@
     this.waitQueue.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.parts.registry.ofService(service);
     this.relieveLimits(service);
+    this.loadVersionCopies(service);
     const planned = new Set<string>();
     for (const waiter of this.waitQueue.byUrgency(service)) {
       const {model, adapter, softwareVersion, tried} = waiter.request;
@@ -268,6 +276,22 @@
     }
   }
 
+  /**
+   * Starts copies that streams of a software version rely on, before rare
+   * models take the targets and the loads from the store that are left.
+   */
+  private loadVersionCopies(service: string): void {
+    const isLone = ({model, softwareVersion}: VersionCopy) =>
+      this.roundOf(service).isLone(softwareVersion, model);
+    const copies = (this.versionCopies.get(service) ?? []).filter(isLone);
+    const exposed = new Map<string, number>();
+    for (const {fromStore, model, requests} of copies)
+      if (fromStore) exposed.set(model, (exposed.get(model) ?? 0) + requests);
+    this.storeLoads.setExposed(service, exposed);
+    for (const {model, softwareVersion} of copies)
+      this.startSwap(model, service, softwareVersion);
+  }
+
   /** Starts loads for callers who were told when to retry. */
   private planWanted(): void {
     const nowMs = this.parts.clock.now();
@@ -580,11 +604,11 @@
   private adjustVersionCopies(service: string): void {
     const round = this.roundOf(service);
     this.continuity.reportLoneModels(service, round);
-    const copies = chooseVersionCopies(round, this.parts.usage);
-    for (const {model, retiring, softwareVersion} of copies) {
+    const copies = chooseVersionCopies(round);
+    const missing = copies.filter(({retiring}) => retiring.length === 0);
+    this.versionCopies.set(service, chooseLoads(missing, round));
+    for (const {model, retiring} of copies)
       if (retiring.length > 0) this.unretire(retiring[0], model);
-      else this.startSwap(model, service, softwareVersion);
-    }
   }
 
   /** Adds copies of models that are short of slots and retires surplus ones. */
@@ -603,7 +627,7 @@
     }
     this.adjustVersionCopies(service);
     for (const {model, account} of chooseSurplus(round, usage)) {
-      if (isNeededByVersion(model, account, round, usage)) continue;
+      if (round.isNeededByVersion(account, model)) continue;
       account.residents.get(model)!.isRetiring = true;
       this.parts.publish(account);
     }
--- a/packages/core/src/lib/residency/store_load_scheduler.ts
+++ b/packages/core/src/lib/residency/store_load_scheduler.ts
@@ -33,6 +33,11 @@
   private readonly wantedByService = new Map<string, ReadonlySet<string>>();
   /** Models of each service whose targets cannot take their demand. */
   private readonly urgentByService = new Map<string, ReadonlySet<string>>();
+  /** Streams of each model that need a second copy, by service. */
+  private readonly exposedByService = new Map<
+    string,
+    ReadonlyMap<string, number>
+  >();
 
   /** @param clock - clock for rates and ages. */
   constructor(private readonly clock: Clock) {}
@@ -46,6 +51,7 @@
     this.missesByService.clear();
     this.wantedByService.clear();
     this.urgentByService.clear();
+    this.exposedByService.clear();
   }
 
   /** Sets the models of a service that need further copies now. */
@@ -61,6 +67,18 @@
     this.urgentByService.set(service, new Set(models));
   }
 
+  /**
+   * Sets the models of a service whose streams one target alone could go on
+   * with, and that another target should load. Each stream counts as much as a
+   * refused caller.
+   *
+   * @param service - name of the service.
+   * @param streams - number of streams by model.
+   */
+  setExposed(service: string, streams: ReadonlyMap<string, number>): void {
+    this.exposedByService.set(service, streams);
+  }
+
   /**
    * Counts a caller that was refused because its model is only in the store, or
    * because all targets with its model are full.
@@ -131,12 +149,17 @@
     round: PlanRound,
   ): boolean {
     const misses = this.missesByService.get(service);
-    if (misses === undefined) return true;
+    const exposed = this.exposedByService.get(service);
     const wanted = this.wantedByService.get(service);
     const sinceMs = this.clock.now() - MISS_LIFETIME_MS;
-    const ownCount = (misses.get(model)?.count ?? 0) + round.waiting(model);
-    for (const [other, {count, lastMs}] of misses) {
-      if (lastMs < sinceMs) misses.delete(other);
+    const ownCount =
+      (misses?.get(model)?.count ?? 0) +
+      (exposed?.get(model) ?? 0) +
+      round.waiting(model);
+    for (const [other, streams] of exposed ?? [])
+      if (other !== model && streams > ownCount) return false;
+    for (const [other, {count, lastMs}] of misses ?? []) {
+      if (lastMs < sinceMs) misses?.delete(other);
       else if (other === model || count <= ownCount) continue;
       else if (round.isOnlyInStore(other)) return false;
       else if (wanted?.has(other) && round.isNextCopyFromStore(other))
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -51,6 +51,32 @@
   round: PlanRound,
   canLoadFromStore: boolean,
   isAllowed: (account: ResidencyAccount) => boolean = () => true,
+): Swap | undefined {
+  const best = cheapestSwap(model, round, canLoadFromStore, isAllowed);
+  return best?.account.isBusy ? undefined : best;
+}
+
+/**
+ * Returns whether a target could load a model from the weight store, now or
+ * once an order for another model has ended.
+ *
+ * @param model - the model.
+ * @param round - state of targets and demand.
+ * @param isAllowed - whether a target may load the model.
+ */
+export function canPlace(
+  model: string,
+  round: PlanRound,
+  isAllowed: (account: ResidencyAccount) => boolean,
+): boolean {
+  return cheapestSwap(model, round, true, isAllowed) !== undefined;
+}
+
+function cheapestSwap(
+  model: string,
+  round: PlanRound,
+  canLoadFromStore: boolean,
+  isAllowed: (account: ResidencyAccount) => boolean,
 ): Swap | undefined {
   const waiting = Math.max(1, round.waiting(model));
   let best: Swap | undefined;
@@ -81,7 +107,7 @@
     best = {account, model, victims, readyInMs, fromStore, mustDrain};
     bestCost = cost;
   }
-  return best?.account.isBusy ? undefined : best;
+  return best;
 }
 
 /** Returns whether orders for models can be sent to a target now or soon. */
--- a/packages/core/src/lib/residency/version_copies.ts
+++ b/packages/core/src/lib/residency/version_copies.ts
@@ -1,26 +1,30 @@
 /** Chooses copies by which streams can go on at their software version. @packageDocumentation */
 
-import {PlanRound} from './plan_round.js';
+import {
+  COPIES_PER_VERSION,
+  MIN_EXPOSED_SHARE,
+  PlanRound,
+} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
-import {UsageTable} from './usage_table.js';
+import {canPlace} from './swap_choice.js';
 
 /**
  * Fraction of the requests in flight at the targets of a version that a model
- * must have for a second copy there, and to keep that copy.
+ * must have for a second copy there if another target has its weights.
  */
 const MIN_COPIED_SHARE = 0.2;
-const MIN_KEPT_SHARE = 0.1;
 
 /** Requests in flight for a model at a version from which it is copied. */
 const MIN_COPIED_REQUESTS = 3;
 
-/** Copies of a model at each version among which a stream can be moved. */
-const COPIES_PER_VERSION = 2;
-
 /** A model that another target of a software version should load. */
 export interface VersionCopy {
   model: string;
   softwareVersion: string;
+  /** Requests in flight that one target alone could go on with. */
+  requests: number;
+  /** Whether no other target of the version can load it without the store. */
+  fromStore: boolean;
   /** Retiring copies that could take requests again instead. */
   retiring: readonly ResidencyAccount[];
 }
@@ -37,122 +41,86 @@
   models: ReadonlyArray<readonly [string, number]>;
 }
 
-/** Groups reachable targets by version; empty while all run the same. */
-function targetsByVersion(round: PlanRound): Map<string, ResidencyAccount[]> {
-  const byVersion = new Map<string, ResidencyAccount[]>();
-  for (const account of round.accounts) {
-    const {softwareVersion} = account.target.registration;
-    if (softwareVersion === undefined || !account.isReachable) continue;
-    const targets = byVersion.get(softwareVersion);
-    if (targets === undefined) byVersion.set(softwareVersion, [account]);
-    else targets.push(account);
-  }
-  if (byVersion.size < 2) byVersion.clear();
-  return byVersion;
-}
-
 /**
- * Chooses the busiest model of each version that only one of its targets holds.
- * When that target ends, its streams could go on nowhere else in time.
+ * Chooses the models of each version whose streams one of its targets alone
+ * could go on with.
+ *
+ * Streams of a model whose weights another target of the version has can wait
+ * for its load. Others cannot wait for the weight store, so that fewer of them
+ * call for a copy.
  *
  * @param round - state of targets and demand.
- * @param usage - requests in flight.
- * @returns at most one model for each version; none while all targets run the
- *     same version.
+ * @returns the copies, those with most requests first; none while all targets
+ *     run the same version.
  */
-export function chooseVersionCopies(
-  round: PlanRound,
-  usage: UsageTable,
-): VersionCopy[] {
+export function chooseVersionCopies(round: PlanRound): VersionCopy[] {
   const chosen: VersionCopy[] = [];
-  for (const [softwareVersion, targets] of targetsByVersion(round)) {
-    if (targets.length < COPIES_PER_VERSION) continue;
-    const counts = countByModel(targets, usage);
-    const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
-    const isBusy = (count: number) =>
-      count >= MIN_COPIED_REQUESTS && count >= total * MIN_COPIED_SHARE;
-    const lone = [...counts]
-      .filter(([model, count]) => isBusy(count) && isLone(model, targets))
-      .sort(([, a], [, b]) => b - a);
-    if (lone.length === 0) continue;
-    const [model] = lone[0];
-    const retiring = round
-      .retiring(model)
-      .filter(account => targets.includes(account));
-    chosen.push({model, softwareVersion, retiring});
+  for (const version of round.versions.values()) {
+    if (version.targets.length < COPIES_PER_VERSION) continue;
+    for (const [model, requests] of version.requestsByModel) {
+      if (
+        requests < MIN_COPIED_REQUESTS ||
+        !round.isLone(version.softwareVersion, model)
+      )
+        continue;
+      const fromStore = version.localCount(model) < COPIES_PER_VERSION;
+      const minShare = fromStore ? MIN_EXPOSED_SHARE : MIN_COPIED_SHARE;
+      if (requests < version.requestCount * minShare) continue;
+      const {softwareVersion} = version;
+      const retiring = round
+        .retiring(model)
+        .filter(account => version.targets.includes(account));
+      chosen.push({model, softwareVersion, requests, fromStore, retiring});
+    }
   }
-  return chosen;
+  return chosen.sort((a, b) => b.requests - a.requests);
 }
 
 /**
- * Returns the models of each version that only one of its targets holds.
+ * Chooses the copies to load next: those whose weights a target has, and for
+ * each version one from the weight store, while none of its targets loads from
+ * there. Such a load keeps its target from all other orders for seconds, and a
+ * version may have few targets.
  *
+ * @param copies - the copies that versions need, the most urgent first.
  * @param round - state of targets and demand.
- * @param usage - requests in flight.
- * @returns an entry for each version; none while all targets run the same.
+ * @returns the copies.
  */
-export function findLoneModels(
+export function chooseLoads(
+  copies: readonly VersionCopy[],
   round: PlanRound,
-  usage: UsageTable,
-): LoneModels[] {
-  const found: LoneModels[] = [];
-  for (const [softwareVersion, targets] of targetsByVersion(round)) {
-    const counts = countByModel(targets, usage);
-    found.push({
-      softwareVersion,
-      targetCount: targets.length,
-      idleCount: targets.filter(({isBusy}) => !isBusy).length,
-      requests: [...counts.values()].reduce((sum, count) => sum + count, 0),
-      models: [...counts]
-        .filter(([model, count]) => count > 0 && isLone(model, targets))
-        .sort(([, a], [, b]) => b - a),
-    });
+): VersionCopy[] {
+  const chosen = copies.filter(({fromStore}) => !fromStore);
+  for (const {softwareVersion, targets} of round.versions.values()) {
+    if (targets.some(({isLoadingFromStore}) => isLoadingFromStore)) continue;
+    const copy = copies.find(
+      each =>
+        each.softwareVersion === softwareVersion &&
+        each.fromStore &&
+        canPlace(each.model, round, account => targets.includes(account)),
+    );
+    if (copy !== undefined) chosen.push(copy);
   }
-  return found;
+  return chosen;
 }
 
 /**
- * Returns whether the streams of a software version need a copy.
+ * Returns the models of each version that only one of its targets holds.
  *
- * @param model - the model.
- * @param account - the target that holds the copy.
  * @param round - state of targets and demand.
- * @param usage - requests in flight.
+ * @returns an entry for each version; none while all targets run the same.
  */
-export function isNeededByVersion(
-  model: string,
-  account: ResidencyAccount,
-  round: PlanRound,
-  usage: UsageTable,
-): boolean {
-  const {softwareVersion = ''} = account.target.registration;
-  const targets = targetsByVersion(round).get(softwareVersion);
-  if (targets === undefined) return false;
-  const copies = round.copies(model).filter(copy => targets.includes(copy));
-  if (copies.length > COPIES_PER_VERSION) return false;
-  const counts = countByModel(targets, usage);
-  const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
-  return total > 0 && (counts.get(model) ?? 0) >= total * MIN_KEPT_SHARE;
-}
-
-function isLone(model: string, targets: readonly ResidencyAccount[]): boolean {
-  const holders = targets.filter(account => {
-    const isRetiring = account.residents.get(model)?.isRetiring ?? false;
-    return account.isHeldOrLoading(model) && !isRetiring;
-  });
-  return holders.length === 1;
-}
-
-function countByModel(
-  targets: readonly ResidencyAccount[],
-  usage: UsageTable,
-): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const {id, residents} of targets) {
-    for (const model of residents.keys()) {
-      const count = usage.inFlight(id, model);
-      counts.set(model, (counts.get(model) ?? 0) + count);
-    }
-  }
-  return counts;
+export function findLoneModels(round: PlanRound): LoneModels[] {
+  return [...round.versions.values()].map(version => ({
+    softwareVersion: version.softwareVersion,
+    targetCount: version.targets.length,
+    idleCount: version.targets.filter(({isBusy}) => !isBusy).length,
+    requests: version.requestCount,
+    models: [...version.requestsByModel]
+      .filter(
+        ([model, count]) =>
+          count > 0 && round.isLone(version.softwareVersion, model),
+      )
+      .sort(([, a], [, b]) => b - a),
+  }));
 }
