Reset answers under way when all connections are closed

Cause: Relay.abortAll() resets the answers that are still relayed. One that the relay has ended and the caller has not read was closed by Node's closeAllConnections(), which ends connections in order; so was that of a request that broke the server.

Change: closeAll() resets connections with an answer that has not been passed to the operating system completely, and closes the others.

--- a/packages/core/src/lib/net/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -129,6 +129,17 @@
     return true;
   }
 
+  /**
+   * Closes all connections. Those with an answer that has not been passed on
+   * completely are reset, as an answer without a length would look complete.
+   */
+  closeAll(): void {
+    for (const [socket, {requests}] of this.states) {
+      if (requests > 0) socket.resetAndDestroy();
+      else socket.destroy();
+    }
+  }
+
   /** Closes the idle connections, and from now on each as it falls idle. */
   closeIdle(): void {
     this.isClosing = true;
