Log surplus bytes though the next request has taken their connection; count heads

CheckedClient knows that from the request's writing to the end of its answer, and reports surplus bytes. An answer whose head is of one send and whose events are of the next has answer_sends=2 now.

--- a/packages/core/src/lib/gateway/passed_answer.ts
+++ b/packages/core/src/lib/gateway/passed_answer.ts
@@ -52,7 +52,7 @@
     return this.byteCount;
   }
 
-  /** Number of sends whose answers these bytes come from. */
+  /** Number of sends that the head and these bytes come from. */
   get sends(): number {
     return this.sendCount;
   }
@@ -69,6 +69,8 @@
     this.isNewSend = true;
     if (this.begunHead !== undefined) return;
     this.begunHead = head;
+    this.sendCount = 1;
+    this.isNewSend = false;
     this.req.writeHead(head);
   }
 
--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -13,6 +13,8 @@
 > {
   /** Time limit for a connection, in milliseconds. */
   connectTimeoutMs: number;
+  /** Called when a connection ends because of bytes that no request waits for. */
+  onSurplus?: () => void;
   /** Called with each connection before the client reads from it. */
   onConnected?: (socket: Socket) => void;
 }
@@ -21,6 +23,8 @@
 class ConnectionEnd {
   /** Whether the connection was reset or failed in another way. */
   hasFailed = false;
+  /** Whether an answer is due, or the last one was none. */
+  isAnswerDue = false;
   /** Lets the client read on; undefined before an answer. */
   resume: (() => void) | undefined;
 
@@ -53,6 +57,11 @@
   return remotePort === undefined;
 }
 
+/** Returns whether a connection ended because of bytes that it received. */
+function isSurplus({message, name}: Error): boolean {
+  return name === 'HTTPParserError' || message === 'bad response';
+}
+
 /** Passes an answer on, with an error in place of an end that was none. */
 class CheckedHandler implements Dispatcher.DispatchHandler {
   constructor(
@@ -61,6 +70,7 @@
   ) {}
 
   onConnect(abort: (error?: Error) => void): void {
+    this.connectionEnd.isAnswerDue = true;
     this.handler.onConnect!(abort);
   }
 
@@ -80,8 +90,12 @@
   }
 
   onComplete(trailers: string[] | null): void {
-    if (this.connectionEnd.hasFailed) this.onError(brokenError());
-    else this.handler.onComplete!(trailers);
+    if (this.connectionEnd.hasFailed) {
+      this.onError(brokenError());
+      return;
+    }
+    this.connectionEnd.isAnswerDue = false;
+    this.handler.onComplete!(trailers);
   }
 
   onError(error: Error): void {
@@ -107,7 +121,12 @@
    */
   constructor(
     origin: string | URL,
-    {connectTimeoutMs, onConnected, ...options}: CheckedClientOptions,
+    {
+      connectTimeoutMs,
+      onConnected,
+      onSurplus,
+      ...options
+    }: CheckedClientOptions,
   ) {
     const connect = buildConnector({timeout: connectTimeoutMs});
     const connectionEnd = new ConnectionEnd();
@@ -126,6 +145,9 @@
         }),
     });
     this.connectionEnd = connectionEnd;
+    this.on('disconnect', (unusedOrigin, unusedTargets, error) => {
+      if (!connectionEnd.isAnswerDue && isSurplus(error)) onSurplus?.();
+    });
   }
 
   override dispatch(
