--- a/packages/core/src/lib/gateway/passed_answer.ts
+++ b/packages/core/src/lib/gateway/passed_answer.ts
@@ -32,7 +32,7 @@
   }
 
   /** Whether another send may bring the answer, or the rest of it. */
-  get canGoOn(): boolean {
+  get canContinue(): boolean {
     if (this.begunHead === undefined) return true;
     return this.isResumable && isEvents(this.begunHead);
   }
@@ -42,9 +42,9 @@
    *
    * @param head - its head.
    */
-  canGoOnWith(head: AnswerHead): boolean {
+  canContinueWith(head: AnswerHead): boolean {
     if (this.begunHead === undefined) return true;
-    return this.canGoOn && isEvents(head);
+    return this.canContinue && isEvents(head);
   }
 
   /** Number of bytes of the body that were passed on. */
@@ -64,7 +64,7 @@
    * @throws if an answer has begun that this one can't follow.
    */
   open(head: AnswerHead): void {
-    if (!this.canGoOnWith(head))
+    if (!this.canContinueWith(head))
       throw new Error('an answer cannot follow the answer to another send');
     this.isNewSend = true;
     if (this.begunHead !== undefined) return;
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -421,7 +421,7 @@
     if (isFailure) target.health.recordErrorAnswer();
     else target.health.recordSuccess();
     const isUnusable = call.isHeadSent
-      ? !call.answer.canGoOnWith(answer.head)
+      ? !call.answer.canContinueWith(answer.head)
       : isFailure;
     if (isUnusable && (call.isHeadSent || call.canRunAgain)) {
       answer.discard();
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -217,14 +217,14 @@
   /** Whether the request may be sent again although it may have run already. */
   get canRunAgain(): boolean {
     if (!this.isRepeatable || this.signal.aborted) return false;
-    if (!this.answer.canGoOn) return false;
+    if (!this.answer.canContinue) return false;
     return this.possibleRuns < this.route.maxTargets;
   }
 
   /** Whether the request may run at another target than the current one. */
   get canRunElsewhere(): boolean {
     if (!this.isRepeatable || this.signal.aborted) return false;
-    if (!this.answer.canGoOn) return false;
+    if (!this.answer.canContinue) return false;
     const currentRuns = this.isAnswered ? 0 : 1;
     return this.possibleRuns + currentRuns < this.route.maxTargets;
   }
@@ -234,8 +234,8 @@
    * completed if this host had not given its run up.
    */
   get mustContinue(): boolean {
-    const canContinue = this.isHeadSent && this.answer.canGoOn;
-    return canContinue && this.wasGivenUp && !this.signal.aborted;
+    if (!this.isHeadSent || !this.answer.canContinue) return false;
+    return this.wasGivenUp && !this.signal.aborted;
   }
 
   /** Number of sends. */
