--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -6,6 +6,7 @@
 export * from './lib/gateway/deployment.js';
 export * from './lib/gateway/deployment_state.js';
 export * from './lib/gateway/target_registration.js';
+export * from './lib/evacuation/zone_evacuations.js';
 export * from './lib/gateway/freshness.js';
 export * from './lib/gateway/gateway_metrics.js';
 export * from './lib/gateway/logging_observer.js';
