Send nothing to targets in evacuated zones

Cause: the source of the operator's topic ignored all keys except config, so that an evacuated zone went on being used, and nothing told of it. Change: evacuate/ZONE records are applied by the host that reads the store and passed on in its hints and replies; a host confirms the freshness of its configuration only after it has applied the zones of the same reply, and reads the store itself behind a reader of a release without them. Targets of such a zone are not open: no send, retry, resumed stream, probe, report or order goes there. Models in use that only they hold are loaded elsewhere, those in highest demand first, unless that evicts one in higher demand. Requests without another zone are refused at once. Other records and fields that are not understood are logged once and counted.

--- /dev/null
+++ b/packages/core/src/lib/evacuation/evacuation_messages.ts
@@ -0,0 +1,70 @@
+/** The evacuated zones as hosts pass them on to each other. @packageDocumentation */
+
+import {z} from 'zod';
+import {EVACUATION_SOURCE, ZoneEvacuations} from './zone_evacuations.js';
+
+/**
+ * Age up to which the end of an evacuation is passed on. A target is cold for
+ * about 3 s after it, and a host learns of it within 5 s.
+ */
+const ENDED_REPORT_MS = 10_000;
+
+/** Schema of {@link EvacuationSet}. */
+export const evacuationSetSchema = z.object({
+  /** Revision of the newest record that the set covers. */
+  revision: z.number(),
+  zones: z.array(z.string()),
+  /** Evacuations that ended lately, and how many milliseconds ago. */
+  ended: z
+    .array(
+      z.object({zone: z.string(), revision: z.number(), agoMs: z.number()}),
+    )
+    .optional(),
+});
+
+/** All evacuated zones that a host knows. */
+export type EvacuationSet = z.output<typeof evacuationSetSchema>;
+
+/**
+ * Returns the message with all evacuated zones.
+ *
+ * @param evacuations - the zones.
+ * @param nowMs - clock time.
+ */
+export function evacuationSetOf(
+  evacuations: ZoneEvacuations,
+  nowMs: number,
+): EvacuationSet {
+  const {revision, zones} = evacuations;
+  const ended = evacuations
+    .endedSince(nowMs - ENDED_REPORT_MS)
+    .map(({zone, revision: endRevision, endedMs}) => ({
+      zone,
+      revision: endRevision,
+      agoMs: nowMs - endedMs,
+    }));
+  return {
+    revision,
+    zones: [...zones],
+    ended: ended.length > 0 ? ended : undefined,
+  };
+}
+
+/**
+ * Applies a message of another host.
+ *
+ * @param evacuations - the zones that this host knows.
+ * @param set - the message.
+ * @param nowMs - clock time.
+ */
+export function applyEvacuationSet(
+  evacuations: ZoneEvacuations,
+  set: EvacuationSet,
+  nowMs: number,
+): void {
+  const isCurrent = set.revision >= evacuations.revision;
+  evacuations.replaceAll(set.zones, set.revision, EVACUATION_SOURCE.peer);
+  if (!isCurrent) return;
+  for (const {zone, revision, agoMs} of set.ended ?? [])
+    evacuations.recordEnd({zone, revision, endedMs: nowMs - agoMs});
+}
--- a/packages/core/src/lib/evacuation/zone_evacuations.ts
+++ b/packages/core/src/lib/evacuation/zone_evacuations.ts
@@ -21,6 +21,8 @@
 /** The end of an evacuation. */
 export interface EndedEvacuation {
   zone: string;
+  /** Revision of the record, or of the read, that ended it. */
+  revision: number;
   /** Clock time at which it ended. */
   endedMs: number;
 }
@@ -35,7 +37,7 @@
  */
 export class ZoneEvacuations {
   private readonly evacuated = new Set<string>();
-  private readonly endedMsByZone = new Map<string, number>();
+  private readonly endsByZone = new Map<string, EndedEvacuation>();
   private readonly listeners: Array<(change: ZoneChange) => void> = [];
   private currentRevision = NO_REVISION;
 
@@ -54,7 +56,7 @@
    * @returns clock time in milliseconds; undefined if none has ended.
    */
   endedMs(zone: string): number | undefined {
-    return this.endedMsByZone.get(zone);
+    return this.endsByZone.get(zone)?.endedMs;
   }
 
   /** The evacuated zones, sorted by name. */
@@ -76,9 +78,9 @@
    * @param sinceMs - clock time after which they ended.
    */
   endedSince(sinceMs: number): EndedEvacuation[] {
-    return [...this.endedMsByZone]
-      .filter(([, endedMs]) => endedMs >= sinceMs)
-      .map(([zone, endedMs]) => ({zone, endedMs}));
+    return [...this.endsByZone.values()].filter(
+      ({endedMs}) => endedMs >= sinceMs,
+    );
   }
 
   /**
@@ -139,12 +141,15 @@
    * not have seen it, if the zone was returned soon after its evacuation or
    * before this host was started.
    *
-   * @param ended - the end; an older one than the known one changes nothing.
+   * @param end - the end; an older one than the known one changes nothing.
    */
-  recordEnd({zone, endedMs}: EndedEvacuation): void {
+  recordEnd(end: EndedEvacuation): void {
+    const {revision, zone} = end;
     if (this.evacuated.has(zone)) return;
-    if (endedMs <= (this.endedMsByZone.get(zone) ?? -Infinity)) return;
-    this.endedMsByZone.set(zone, endedMs);
+    const known = this.endsByZone.get(zone)?.revision ?? NO_REVISION;
+    if (revision <= known) return;
+    this.endsByZone.set(zone, end);
+    this.report(zone, EVACUATION_SOURCE.peer);
   }
 
   private apply(zone: string, isEvacuated: boolean): void {
@@ -153,7 +158,8 @@
       return;
     }
     this.evacuated.delete(zone);
-    this.endedMsByZone.set(zone, this.clock.now());
+    const revision = this.currentRevision;
+    this.endsByZone.set(zone, {zone, revision, endedMs: this.clock.now()});
   }
 
   private report(zone: string, source: EvacuationSource): void {
--- a/packages/core/src/lib/gateway/capacity_refusal.ts
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -14,6 +14,14 @@
   return refuse(REFUSAL.noCapacity, message, CAPACITY_RETRY_AFTER_MS);
 }
 
+/**
+ * Creates a refusal because the zones of all targets are evacuated. When the
+ * operator will return them is not known.
+ */
+export function evacuatedRefusal(): Refusal {
+  return noCapacityRefusal('every zone with targets is evacuated');
+}
+
 /**
  * Creates a refusal because all targets ask this host to back off.
  *
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -213,6 +213,33 @@
     registers: [this.registry],
   });
 
+  /** Counts the evacuated zones, when metrics are read. */
+  countEvacuatedZones: () => number = () => 0;
+
+  /** Number of evacuated zones. */
+  readonly evacuatedZones = new Gauge({
+    name: 'fuchsiacleat_gateway_evacuated_zones',
+    help: 'Availability zones that the operator has evacuated.',
+    registers: [this.registry],
+    collect: (): void => {
+      this.evacuatedZones.set(this.countEvacuatedZones());
+    },
+  });
+
+  /** Number of operator records that were read and not understood. */
+  readonly ignoredRecords = new Counter({
+    name: 'fuchsiacleat_gateway_operator_records_ignored_total',
+    help: 'Records of the operator that were read and not understood.',
+    registers: [this.registry],
+  });
+
+  /** Number of configuration fields that were read and not understood. */
+  readonly ignoredFields = new Counter({
+    name: 'fuchsiacleat_gateway_config_fields_ignored_total',
+    help: 'Fields of configurations that were read and not understood.',
+    registers: [this.registry],
+  });
+
   private readonly labeledTargets = new Set<string>();
 
   /**
--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -3,7 +3,14 @@
 import {z} from 'zod';
 import {parseSocketAddress} from '../net/socket_address.js';
 import {PeerIdentity, PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {ZoneEvacuations} from '../evacuation/zone_evacuations.js';
 import {Clock} from '../time/clock.js';
+import {
+  EvacuationSet,
+  applyEvacuationSet,
+  evacuationSetOf,
+  evacuationSetSchema,
+} from '../evacuation/evacuation_messages.js';
 import {DeploymentState} from './deployment_state.js';
 import {ConfigSources} from './config_sources.js';
 import {RegistrationSummary} from './target_registration.js';
@@ -90,6 +97,8 @@
    * it and need not read the store.
    */
   source: z.string().optional(),
+  /** Missing in the replies of readers of a release without evacuations. */
+  evacuations: evacuationSetSchema.optional(),
 });
 
 /** Request of a host to the reader. */
@@ -119,9 +128,15 @@
 };
 
 /** Notifies hosts that the reader has updates. */
-const UPDATE_HINT: PeerMethod<{revision: number}, never> = {
+const UPDATE_HINT: PeerMethod<
+  {revision: number; evacuations?: EvacuationSet},
+  never
+> = {
   name: 'news-hint',
-  body: z.object({revision: z.number()}),
+  body: z.object({
+    revision: z.number(),
+    evacuations: evacuationSetSchema.optional(),
+  }),
   event: z.never(),
 };
 
@@ -146,6 +161,7 @@
   state: DeploymentState;
   freshness: Freshness;
   targets: TargetTable;
+  evacuations: ZoneEvacuations;
   /**
    * Age up to which data of the store need not be read again, counted from the
    * reader's own read.
@@ -176,8 +192,10 @@
   private targetsMs = -Infinity;
   private lastReply = {reader: '', revision: 0};
   private readerVersion = -Infinity;
+  private hasReaderEvacuations = false;
   private hintedRevision = 0;
   private hintedVersion = -Infinity;
+  private hintedEvacuations: number;
   private wake = new AbortController();
   private readonly sources: ConfigSources;
   /** Start times of leaving processes that are not reported yet, by target. */
@@ -187,7 +205,8 @@
 
   /** @param parts - the dependencies, see {@link PeerUpdatesParts}. */
   constructor(private readonly parts: PeerUpdatesParts) {
-    const {network, targets} = parts;
+    const {evacuations, network, targets} = parts;
+    this.hintedEvacuations = evacuations.revision;
     this.sources = new ConfigSources(network.self, parts.zone);
     network.serveUnary(GET_UPDATES, (request, {from}) =>
       this.serveUpdate(request, from),
@@ -195,7 +214,11 @@
     network.serveUnary(GET_CONFIG, ({version}, {signal}) =>
       this.serveConfig(version, signal),
     );
-    network.onNotification(UPDATE_HINT, () => this.wake.abort());
+    network.onNotification(UPDATE_HINT, hint => {
+      this.applyEvacuations(hint.evacuations);
+      this.wake.abort();
+    });
+    evacuations.onChange(() => this.broadcastHint());
     network.onNotification(TARGET_LEAVING, ({target, startedMs}) =>
       targets.markLeaving(target, startedMs),
     );
@@ -249,6 +272,8 @@
    */
   get hasFreshConfig(): boolean {
     if (this.isReader || !this.isWithinLifetime(this.configMs)) return false;
+    // Its reply says nothing of the operator's other records.
+    if (!this.hasReaderEvacuations) return false;
     return this.isFetchingConfig || this.readerVersion === this.ownVersion;
   }
 
@@ -262,15 +287,24 @@
 
   /** Notifies the other hosts of updates, if this host is the reader. */
   broadcastHint(): void {
-    const {network, state, targets} = this.parts;
+    const {clock, evacuations, network, state, targets} = this.parts;
     const version = state.current?.deployment.version ?? 0;
     const {revision} = targets;
+    const hasNewEvacuations = evacuations.revision !== this.hintedEvacuations;
     const isNew =
-      revision !== this.hintedRevision || version !== this.hintedVersion;
+      revision !== this.hintedRevision ||
+      version !== this.hintedVersion ||
+      hasNewEvacuations;
     if (!isNew || !this.isReader) return;
     this.hintedRevision = revision;
     this.hintedVersion = version;
-    network.broadcast(UPDATE_HINT, {revision});
+    this.hintedEvacuations = evacuations.revision;
+    network.broadcast(UPDATE_HINT, {
+      revision,
+      evacuations: hasNewEvacuations
+        ? evacuationSetOf(evacuations, clock.now())
+        : undefined,
+    });
   }
 
   /**
@@ -310,6 +344,8 @@
     });
     if (reply.isErr()) return;
     const {configAgeMs, source, targetsAgeMs, revision, version} = reply.value;
+    this.hasReaderEvacuations = reply.value.evacuations !== undefined;
+    this.applyEvacuations(reply.value.evacuations);
     this.readerVersion = version;
     this.configMs = askedMs - configAgeMs;
     const targetsMs = askedMs - targetsAgeMs;
@@ -325,6 +361,12 @@
     if (this.hasFreshConfig) freshness.confirm(this.configMs);
   }
 
+  private applyEvacuations(set: EvacuationSet | undefined): void {
+    const {clock, evacuations} = this.parts;
+    if (set === undefined) return;
+    applyEvacuationSet(evacuations, set, clock.now());
+  }
+
   private async fetchConfig(
     source: string,
     version: number,
@@ -382,7 +424,7 @@
   }
 
   private serveUpdate(request: UpdateRequest, from: PeerIdentity): UpdateReply {
-    const {clock, freshness, network, state, targets} = this.parts;
+    const {clock, evacuations, freshness, network, state, targets} = this.parts;
     const version = state.current?.deployment.version ?? -1;
     const isOutdated = this.isReader && request.version < version;
     const isSameReader = request.reader === network.self.incarnation;
@@ -399,6 +441,7 @@
         ? clock.now() - this.parts.targetsReadMs()
         : unknownMs,
       revision: targets.revision,
+      evacuations: evacuationSetOf(evacuations, clock.now()),
       targets: targets
         .changesSince(isSameReader ? request.revision : 0)
         .map(({id, registration: notice}) => ({
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -240,6 +240,8 @@
           return this.unservedOutcome(call, stoppingRefusal());
         continue;
       }
+      // Its zone may have been evacuated while the request waited.
+      if (target.value.isEvacuated) continue;
       const outcome =
         (await this.checkPrompt(target.value, req, call)) ??
         (await this.sendTo(target.value, req, call));
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -74,6 +74,21 @@
   return nearestMs === Infinity ? undefined : nearestMs;
 }
 
+/**
+ * Returns whether targets can take nothing because the operator has evacuated
+ * their zones: some are in an evacuated zone, and no other one is open.
+ *
+ * @param targets - the targets of a service.
+ */
+export function isAllEvacuated(targets: readonly KnownTarget[]): boolean {
+  let hasEvacuated = false;
+  for (const target of targets) {
+    if (target.isOpen) return false;
+    if (target.isEvacuated) hasEvacuated = true;
+  }
+  return hasEvacuated;
+}
+
 /**
  * Chooses a service at random, by weight.
  *
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -33,6 +33,8 @@
   silent: 'silent',
   /** It answers. */
   responsive: 'responsive',
+  /** It was not checked, as its zone is evacuated. */
+  unchecked: 'unchecked',
 } as const;
 
 /** One of {@link TARGET_STATE}. */
--- a/packages/core/src/lib/gateway/target_prober.ts
+++ b/packages/core/src/lib/gateway/target_prober.ts
@@ -36,6 +36,7 @@
    */
   async check(target: KnownTarget): Promise<TargetState> {
     if (target.silentMs < HEARD_LIFETIME_MS) return TARGET_STATE.responsive;
+    if (target.isEvacuated) return TARGET_STATE.unchecked;
     const known = this.probes.get(target);
     if (known !== undefined) return known.state;
     const probe = {startedMs: this.clock.now(), state: this.probeOnce(target)};
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -7,6 +7,7 @@
 import {CallerRequest} from './caller_request.js';
 import {
   backingOffRefusal,
+  evacuatedRefusal,
   limitRefusal,
   noCapacityRefusal,
 } from './capacity_refusal.js';
@@ -14,7 +15,7 @@
 import {EngineConfig} from './deployment.js';
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
-import {chooseTarget, minBackOffMs} from './target_choice.js';
+import {chooseTarget, isAllEvacuated, minBackOffMs} from './target_choice.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 
 /** Pause before a request is sent again to targets that have all refused it. */
@@ -83,6 +84,7 @@
         if (found !== undefined) return found;
         continue;
       }
+      if (isAllEvacuated(this.targetsFor(call))) return err(evacuatedRefusal());
       const backOffMs = minBackOffMs(candidates);
       if (backOffMs !== undefined) return err(backingOffRefusal(backOffMs));
       if (needsModel) {
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -1,5 +1,6 @@
 /** Table of the targets that this host knows. @packageDocumentation */
 
+import {ZoneEvacuations} from '../evacuation/zone_evacuations.js';
 import {Clock} from '../time/clock.js';
 import {ModelDemand} from './caller_request.js';
 import {
@@ -74,6 +75,7 @@
    * @param registration - the latest registration of the target.
    * @param clock - measures how long failures and load reports are valid.
    * @param signals - the signals of its process.
+   * @param evacuations - the evacuated zones; none by default.
    */
   constructor(
     public registration: TargetRegistration,
@@ -81,6 +83,7 @@
     private readonly signals: ProcessSignals = new ProcessSignals(
       registration.startedMs,
     ),
+    private readonly evacuations?: ZoneEvacuations,
   ) {
     this.health = new TargetHealth(clock);
     this.setHeldModels(registration);
@@ -98,7 +101,15 @@
 
   /** Whether the target may get new requests, from this host or from others. */
   get isOpen(): boolean {
-    return !this.isRemoved && !this.isLeaving;
+    return !this.isRemoved && !this.isLeaving && !this.isEvacuated;
+  }
+
+  /**
+   * Whether the target is in an evacuated zone: nothing may be sent to it, but
+   * the requests that it runs go on.
+   */
+  get isEvacuated(): boolean {
+    return this.evacuations?.isEvacuated(this.registration.zone) ?? false;
   }
 
   /** Whether the target is leaving, by its registration or by its signals. */
@@ -266,8 +277,14 @@
     (ended: TargetRegistration | undefined) => void
   > = [];
 
-  /** @param clock - measures the validity of the data about each target. */
-  constructor(private readonly clock: Clock) {
+  /**
+   * @param clock - measures the validity of the data about each target.
+   * @param evacuations - the evacuated zones.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly evacuations = new ZoneEvacuations(clock),
+  ) {
     this.signals = new SignalTable(clock);
   }
 
@@ -460,7 +477,12 @@
       return known;
     }
     if (known !== undefined) known.isRemoved = true;
-    const target = new KnownTarget(registration, this.clock, signals);
+    const target = new KnownTarget(
+      registration,
+      this.clock,
+      signals,
+      this.evacuations,
+    );
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
     this.reindex();
--- a/packages/core/src/lib/quarantine/target_end_detector.ts
+++ b/packages/core/src/lib/quarantine/target_end_detector.ts
@@ -68,7 +68,10 @@
   }
 
   private async check(target: KnownTarget, key: string): Promise<boolean> {
-    const isListening = await this.parts.isListening(target);
+    // Nothing is sent to an evacuated zone, so that the end stays unknown.
+    const isListening = target.isEvacuated
+      ? undefined
+      : await this.parts.isListening(target);
     const {id, startedMs} = target.registration;
     const runs = this.checks.get(key)?.runs ?? [];
     this.parts.logger.info('target_end_checked', {
--- a/packages/core/src/lib/residency/account_registry.ts
+++ b/packages/core/src/lib/residency/account_registry.ts
@@ -148,7 +148,7 @@
     for (const account of this.accounts.values()) {
       this.recordServedModels(account, nowMs);
       if (!account.needsReport || account.backoffUntilMs > nowMs) continue;
-      if (account.isReportPending) continue;
+      if (account.isReportPending || account.target.isEvacuated) continue;
       account.isReportPending = true;
       const report = () => this.requestReport(account, signal);
       void tasks.run('target_report', report, {target: account.id});
--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -189,8 +189,9 @@
   const copies = round.copies(model);
   const loadingCount = round.accounts.filter(
     account =>
-      account.loadingModel === model ||
-      (account.residents.get(model)?.readyMs ?? 0) > round.nowMs,
+      !account.target.isEvacuated &&
+      (account.loadingModel === model ||
+        (account.residents.get(model)?.readyMs ?? 0) > round.nowMs),
   ).length;
   const slots = copies[0]?.engine.slots ?? 1;
   const excess =
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -1,6 +1,7 @@
 /** Decides which models the targets hold, on the host with the lease. @packageDocumentation */
 
 import {Result, ok} from 'neverthrow';
+import {isAllEvacuated} from '../gateway/target_choice.js';
 import {residentKey, runsVersion} from '../gateway/target_table.js';
 import {Logger} from '../telemetry/logger.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
@@ -10,6 +11,7 @@
 import {chooseAdapterSwap} from './adapter_choice.js';
 import {canRelieve} from './limit_relief.js';
 import {ContinuityReporter} from './continuity_reporter.js';
+import {EvacuationHandoff, isWorthwhile} from './evacuation_handoff.js';
 import {LoadFailures} from './load_failures.js';
 import {OrderLease} from './order_lease.js';
 import {
@@ -89,6 +91,7 @@
   private readonly waitQueue: WaitQueue;
   private readonly storeLoads: StoreLoadScheduler;
   private readonly continuity: ContinuityReporter;
+  private readonly handoff: EvacuationHandoff;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
   /** Models to copy because of the limits of their targets, by service. */
@@ -106,6 +109,8 @@
     this.waitQueue = new WaitQueue(parts.clock);
     this.storeLoads = new StoreLoadScheduler(parts.clock);
     this.continuity = new ContinuityReporter(parts);
+    const {clock, registry, usage} = parts;
+    this.handoff = new EvacuationHandoff(clock, registry, usage);
     parts.registry.onTargetFull((service, model) =>
       this.storeLoads.recordMiss(service, model),
     );
@@ -175,6 +180,7 @@
     this.refreshOnceOrdersAllowed();
     this.parts.registry.sync(this.signal);
     this.planHandoffs();
+    this.handoff.update();
     const nowMs = this.parts.clock.now();
     const isAdjustDue = nowMs - this.copiesAdjustedMs >= ADJUST_INTERVAL_MS;
     if (isAdjustDue) this.copiesAdjustedMs = nowMs;
@@ -199,6 +205,7 @@
     this.wanted.clear();
     this.limitedModels.clear();
     this.versionCopies.clear();
+    this.handoff.clear();
     this.parts.lender.restart();
   }
 
@@ -236,6 +243,7 @@
   private plan(service: string): void {
     this.waitQueue.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.parts.registry.ofService(service);
+    this.loadDisplaced(service);
     this.relieveLimits(service);
     this.loadVersionCopies(service);
     const planned = new Set<string>();
@@ -260,6 +268,14 @@
     this.waitQueue.refuse(waiter, refusal);
   }
 
+  /** Starts loads of models that only evacuated targets hold. */
+  private loadDisplaced(service: string): void {
+    const models = this.handoff.models(service);
+    this.storeLoads.setDisplaced(service, models);
+    for (const model of models.keys())
+      this.startSwap(model, service, undefined, isWorthwhile);
+  }
+
   /**
    * Starts copies of models whose targets named limits below their demand,
    * before rare models take the targets that are left.
@@ -311,7 +327,11 @@
     if (!lease.canOrder || usage.hasDemand) return;
     for (const [service, {models}] of registry.engines()) {
       const round = this.roundOf(service);
-      if (round.accounts.some(({needsReport}) => needsReport)) continue;
+      // An evacuated target is not asked for its report.
+      const isUncertain = round.accounts.some(
+        ({needsReport, target}) => needsReport && !target.isEvacuated,
+      );
+      if (isUncertain) continue;
       const busy = round.accounts.filter(({isBusy}) => isBusy).length;
       if (busy + 1 > round.accounts.length * PRELOAD_FRACTION) continue;
       const missing = [...models.keys()].find(model =>
@@ -359,6 +379,10 @@
     );
     const ready = holders.filter(account => account.isReady(model, nowMs));
     if (ready.length === 0) {
+      if (isAllEvacuated(accounts.map(({target}) => target))) {
+        this.refuseForGood(waiter);
+        return;
+      }
       const leftMs = this.parts.loadFailures.suspendedLeftMs(service, model);
       if (holders.length === 0 && leftMs > 0) {
         this.waitQueue.refuse(waiter, {retryAfterMs: leftMs, isFinal: true});
@@ -493,6 +517,7 @@
     model: string,
     service: string,
     softwareVersion?: string,
+    accepts: (swap: Swap, round: PlanRound) => boolean = () => true,
   ): void {
     const {lease, logger} = this.parts;
     if (!lease.canOrder) return;
@@ -516,7 +541,7 @@
         runsVersion(account.target, softwareVersion) &&
         (!isLimited || canRelieve(account, model, round)),
     );
-    if (swap === undefined) return;
+    if (swap === undefined || !accepts(swap, round)) return;
     this.rounds.delete(service);
     if (swap.mustDrain) {
       this.retireVictims(swap);
--- a/packages/core/src/lib/residency/residency_order_sender.ts
+++ b/packages/core/src/lib/residency/residency_order_sender.ts
@@ -124,10 +124,11 @@
     return (await this.report(account, signal))?.isBusy;
   }
 
-  private report(
+  private async report(
     {target}: ResidencyAccount,
     signal: AbortSignal,
   ): Promise<ResidencyReport | undefined> {
+    if (target.isEvacuated) return undefined;
     return withTimeout(ORDER_TIMEOUT_MS, signal, limited =>
       this.parts.port.report(target, limited),
     );
@@ -140,6 +141,7 @@
   ): Promise<OrderReply> {
     const {lease, logger, port} = this.parts;
     if (!lease.canOrder) return ORDER_REPLY.rejected;
+    if (account.target.isEvacuated) return ORDER_REPLY.rejected;
     if (account.target.backOffLeftMs > 0) return ORDER_REPLY.rejected;
     const fullOrder = {
       ...order,
--- a/packages/core/src/lib/residency/store_load_scheduler.ts
+++ b/packages/core/src/lib/residency/store_load_scheduler.ts
@@ -38,6 +38,11 @@
     string,
     ReadonlyMap<string, number>
   >();
+  /** Models that only evacuated targets hold, by service. */
+  private readonly displacedByService = new Map<
+    string,
+    ReadonlyMap<string, number>
+  >();
 
   /** @param clock - clock for rates and ages. */
   constructor(private readonly clock: Clock) {}
@@ -52,6 +57,7 @@
     this.wantedByService.clear();
     this.urgentByService.clear();
     this.exposedByService.clear();
+    this.displacedByService.clear();
   }
 
   /** Sets the models of a service that need further copies now. */
@@ -79,6 +85,17 @@
     this.exposedByService.set(service, streams);
   }
 
+  /**
+   * Sets the models of a service that only evacuated targets hold. The requests
+   * of one second count as refused callers, as nothing serves them.
+   *
+   * @param service - name of the service.
+   * @param rates - requests per second by model.
+   */
+  setDisplaced(service: string, rates: ReadonlyMap<string, number>): void {
+    this.displacedByService.set(service, rates);
+  }
+
   /**
    * Counts a caller that was refused because its model is only in the store, or
    * because all targets with its model are full.
@@ -155,6 +172,7 @@
     const ownCount =
       (misses?.get(model)?.count ?? 0) +
       (exposed?.get(model) ?? 0) +
+      (this.displacedByService.get(service)?.get(model) ?? 0) +
       round.waiting(model);
     for (const [other, streams] of exposed ?? [])
       if (other !== model && streams > ownCount) return false;
--- a/packages/core/src/test/evacuation/zone_evacuations_test.ts
+++ b/packages/core/src/test/evacuation/zone_evacuations_test.ts
@@ -64,15 +64,16 @@
   });
 
   it('learns the end of an evacuation that it has missed', async () => {
-    const {clock, evacuations} = createEvacuations();
+    const {clock, evacuations, changes} = createEvacuations();
     await clock.advance(100);
-    evacuations.recordEnd({zone: 'a', endedMs: 40});
-    evacuations.recordEnd({zone: 'a', endedMs: 20});
+    evacuations.recordEnd({zone: 'a', revision: 4, endedMs: 40});
+    evacuations.recordEnd({zone: 'a', revision: 2, endedMs: 60});
     expect(evacuations.endedMs('a')).to.equal(40);
     expect(evacuations.endedSince(30)).to.deep.equal([
-      {zone: 'a', endedMs: 40},
+      {zone: 'a', revision: 4, endedMs: 40},
     ]);
     expect(evacuations.endedSince(50)).to.deep.equal([]);
+    expect(changes).to.deep.equal(['a:in']);
   });
 
   // Guards against hosts that differ after they have seen the same records in
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {ZoneEvacuations} from '../../lib/evacuation/zone_evacuations.js';
 import {DeploymentState} from '../../lib/gateway/deployment_state.js';
 import {Freshness} from '../../lib/gateway/freshness.js';
 import {StoreReader, PeerUpdates} from '../../lib/gateway/peer_updates.js';
@@ -19,6 +20,7 @@
   readonly state = new DeploymentState();
   readonly freshness: Freshness;
   readonly targets: TargetTable;
+  readonly evacuations: ZoneEvacuations;
   readonly updates: PeerUpdates;
   targetsReadMs = -Infinity;
   /** Versions of the configurations that came from another host. */
@@ -31,7 +33,8 @@
     zone = 'z',
   ) {
     this.freshness = new Freshness(clock, MAX_AGE_MS);
-    this.targets = new TargetTable(clock);
+    this.evacuations = new ZoneEvacuations(clock);
+    this.targets = new TargetTable(clock, this.evacuations);
     this.updates = new PeerUpdates({
       clock,
       network,
@@ -39,6 +42,7 @@
       state: this.state,
       freshness: this.freshness,
       targets: this.targets,
+      evacuations: this.evacuations,
       lifetimeMs: LIFETIME_MS,
       targetsReadMs: () => this.targetsReadMs,
       reader,
