--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -89,7 +89,13 @@
     }
   };
   const cut = (i: number) => disconnected.add(`h${i}`);
-  return Object.assign(world, {clock, hosts, run, cut});
+  /** Removes what readers of an earlier release do not send. */
+  const dropEvacuations = () => {
+    hub.onMessage = (unused, body) => {
+      delete (body as {evacuations?: unknown}).evacuations;
+    };
+  };
+  return Object.assign(world, {clock, hosts, run, cut, dropEvacuations});
 }
 
 function createTwoHosts(zone = 'z') {
@@ -271,4 +277,51 @@
     expect(other.targets.get('t1')?.isOpen).to.equal(false);
     expect(other.targets.get('t2')).to.equal(undefined);
   });
+
+  it('notifies the other hosts at once of an evacuated zone', async () => {
+    const {reader, other, run} = createTwoHosts();
+    other.state.applyIfNewer(deploymentOf([], [], 7));
+    await run(1_000, 7);
+    reader.evacuations.set('a', true, 3);
+    await run(40);
+    expect(other.evacuations.zones).to.deep.equal(['a']);
+    expect(other.evacuations.revision).to.equal(3);
+  });
+
+  // Guards against a host that has read the store itself and is then told the
+  // state of before by a reader that has not.
+  it('does not return a zone on the word of an older reader', async () => {
+    const {reader, other, run} = createTwoHosts();
+    other.state.applyIfNewer(deploymentOf([], [], 7));
+    reader.evacuations.replaceAll([], 3);
+    other.evacuations.set('a', true, 4);
+    await run(2_000, 7);
+    expect(other.evacuations.zones).to.deep.equal(['a']);
+    expect(other.freshness.isFresh).to.equal(true);
+  });
+
+  // Guards against a host that was cut off during both changes and takes the
+  // targets of the zone for warm.
+  it('passes on the end of an evacuation that a host has missed', async () => {
+    const {clock, reader, other, run} = createTwoHosts();
+    reader.evacuations.set('a', true, 3);
+    reader.evacuations.set('a', false, 4);
+    const endedMs = clock.now();
+    await run(1_000, 7);
+    expect(other.evacuations.zones).to.deep.equal([]);
+    expect(other.evacuations.endedMs('a')).to.be.within(endedMs, endedMs + 40);
+  });
+
+  // Guards against hosts that are up to date with the configuration and not
+  // with the evacuations, behind a reader of an earlier release.
+  it('does not rely on a reader that passes on no evacuations', async () => {
+    const world = createHosts(['z', 'z']);
+    const [, other] = world.hosts;
+    other.state.applyIfNewer(deploymentOf([], [], 7));
+    world.dropEvacuations();
+    await world.run(2_000, 7);
+    expect(other.updates.hasFreshTargets).to.equal(true);
+    expect(other.updates.hasFreshConfig).to.equal(false);
+    expect(other.freshness.isFresh).to.equal(false);
+  });
 });
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -1,5 +1,6 @@
 /** A relay with simulated callers and targets for tests. @packageDocumentation */
 
+import {ZoneEvacuations} from '../../lib/evacuation/zone_evacuations.js';
 import {Result, err, ok} from 'neverthrow';
 import {FRAMING} from '../../lib/gateway/answer_framing.js';
 import {
@@ -370,6 +371,7 @@
   state: DeploymentState;
   freshness: Freshness;
   targets: TargetTable;
+  evacuations: ZoneEvacuations;
   port: FakePort;
   retries: RetryAllowance;
   ledger: PartLedger;
@@ -400,7 +402,8 @@
   state.applyIfNewer(deploymentOf([options.route]));
   const freshness = new Freshness(clock, MAX_AGE_MS);
   freshness.confirm(clock.now());
-  const targets = new TargetTable(clock);
+  const evacuations = new ZoneEvacuations(clock);
+  const targets = new TargetTable(clock, evacuations);
   for (let i = 1; i <= (options.targetCount ?? 2); i++) {
     targets.put(targetRegistration({id: `t${i}`, zone: 'a'}), true);
   }
@@ -447,6 +450,7 @@
     state,
     freshness,
     targets,
+    evacuations,
     port,
     retries,
     ledger,
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -1,5 +1,6 @@
 /** Simulated engine targets and a residency controller, on a manual clock. @packageDocumentation */
 
+import {ZoneEvacuations} from '../../lib/evacuation/zone_evacuations.js';
 import {DeploymentState} from '../../lib/gateway/deployment_state.js';
 import {EngineConfig} from '../../lib/gateway/deployment.js';
 import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
@@ -162,6 +163,8 @@
 
 class FakeOrderPort extends OrderPort {
   readonly orders: ResidencyOrder[] = [];
+  /** Number of reports requested from each engine. */
+  readonly reportCounts = new Map<string, number>();
 
   constructor(
     private readonly world: EngineWorld,
@@ -186,7 +189,9 @@
   }
 
   override async report(target: KnownTarget): Promise<ResidencyReport> {
-    const engine = this.world.engines.get(target.registration.id)!;
+    const {id} = target.registration;
+    this.reportCounts.set(id, (this.reportCounts.get(id) ?? 0) + 1);
+    const engine = this.world.engines.get(id)!;
     this.throwIfPlanned(target);
     await this.world.clock.sleep(this.world.faults.reportMs);
     return {
@@ -229,7 +234,8 @@
   readonly controller: ResidencyController;
   /** Names of the tasks that failed. */
   readonly failedTasks: string[] = [];
-  private readonly targets = new TargetTable(this.clock);
+  readonly evacuations = new ZoneEvacuations(this.clock);
+  private readonly targets = new TargetTable(this.clock, this.evacuations);
   private readonly state = new DeploymentState();
 
   /**
@@ -348,6 +354,18 @@
     this.targets.put({...registration, softwareVersion}, false);
   }
 
+  /** Returns the number of reports requested from an engine. */
+  reportsTo(id: string): number {
+    return this.port.reportCounts.get(id) ?? 0;
+  }
+
+  /** Moves the target of an engine to another zone, as a new process. */
+  setZone(id: string, zone: string): void {
+    const {registration} = this.targets.get(id)!;
+    const startedMs = registration.startedMs + 1;
+    this.targets.put({...registration, zone, startedMs}, true);
+  }
+
   /** Marks the target of an engine as leaving. */
   announceLeaving(id: string): void {
     this.targets.markLeaving(id, targetRegistration().startedMs);
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -140,6 +140,8 @@
 export interface WorldOptions {
   /** Number of workers of the plain service. */
   plainCount?: number;
+  /** Zones of the workers of the plain service; `a` by default. */
+  plainZones?: readonly string[];
   routes?: Partial<RouteOptions>;
   /** Retries that the budget allows beyond its share of the requests. */
   retrySlack?: number;
@@ -175,7 +177,7 @@
         new PlatformWorkerStandin({
           id: `p${i + 1}`,
           service: PLAIN,
-          zone: 'a',
+          zone: options.plainZones?.[i] ?? 'a',
         }),
     );
     this.engines = Array.from(
