Cold targets: what they take is shared among all hosts

Targets that have just started, or whose zone returns to service, take few requests per second and crash above that; hosts treated them as idle and sent them the most. Warming decides until when a target counts as cold, from its registration, its health responses, its age on this host and its zone's evacuation; the lending host grants each send to it at an even pace, and a permit is checked before bytes are written. Nothing changes where no service declares ColdS and ColdPerS.

--- a/packages/core/src/lib/gateway/capacity_refusal.ts
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -24,6 +24,16 @@
   return refuse(REFUSAL.noCapacity, message, Math.ceil(backOffMs));
 }
 
+/**
+ * Creates a refusal because what cold targets take is used up.
+ *
+ * @param waitMs - time until the next request may be sent.
+ */
+export function coldRefusal(waitMs: number): Refusal {
+  const message = 'its targets are cold and take no more now';
+  return refuse(REFUSAL.noCapacity, message, Math.max(1, Math.ceil(waitMs)));
+}
+
 /**
  * Creates a refusal because the limits that targets named are used up.
  *
--- a/packages/core/src/lib/gateway/deployment.ts
+++ b/packages/core/src/lib/gateway/deployment.ts
@@ -1,5 +1,7 @@
 /** The validated configuration that the gateway works with. @packageDocumentation */
 
+import type {ColdSpec} from '../warming/target_warming.js';
+
 /** Kinds of requests, by how often they may run. */
 export const REQUEST_KIND = {
   /** The request may run more than once. */
@@ -74,6 +76,8 @@
   maxConnections: number;
   /** Set if the targets are model engines. */
   engine: EngineConfig | undefined;
+  /** Set if targets can be cold. */
+  cold?: ColdSpec;
 }
 
 /** A team with its API keys and its token rate. */
--- a/packages/core/src/lib/gateway/deployment_state.ts
+++ b/packages/core/src/lib/gateway/deployment_state.ts
@@ -13,6 +13,7 @@
 /** Holds the newest known configuration; the version never decreases. */
 export class DeploymentState {
   private inForce: DeploymentInForce | undefined;
+  private hasColdTargets = false;
   private readonly listeners: Array<(now: DeploymentInForce) => void> = [];
 
   /** The configuration in force; undefined until one is known. */
@@ -20,6 +21,11 @@
     return this.inForce;
   }
 
+  /** Whether any service declares that its targets can be cold. */
+  get declaresCold(): boolean {
+    return this.hasColdTargets;
+  }
+
   /**
    * Puts a configuration in force if it is newer than the current one.
    *
@@ -35,6 +41,8 @@
     }
     const routes = new RouteTable(deployment.routes);
     this.inForce = {deployment, routes, teamByKey};
+    const services = [...deployment.services.values()];
+    this.hasColdTargets = services.some(({cold}) => cold !== undefined);
     for (const listener of this.listeners) listener(this.inForce);
     return true;
   }
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -150,6 +150,19 @@
     },
   });
 
+  /** Counts the cold targets, when metrics are read. */
+  countColdTargets: () => number = () => 0;
+
+  /** Number of targets that are cold. */
+  readonly coldTargets = new Gauge({
+    name: 'fuchsiacleat_gateway_cold_targets',
+    help: 'Targets that are cold and take few requests per second.',
+    registers: [this.registry],
+    collect: (): void => {
+      this.coldTargets.set(this.countColdTargets());
+    },
+  });
+
   /** Number of sends to limited targets that were made or put off. */
   readonly limitedSends = new Counter({
     name: 'fuchsiacleat_gateway_limited_sends_total',
--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -43,6 +43,8 @@
 /** Time between checks whether there is a reader. */
 const NO_READER_POLL_MS = 100;
 
+const coldReportSchema = z.object({leftMs: z.number(), ageMs: z.number()});
+
 /**
  * The part of a registration that hosts need; only the reader needs the models.
  */
@@ -55,6 +57,7 @@
   softwareVersion: z.string().optional(),
   slots: z.number(),
   isLeaving: z.boolean(),
+  cold: coldReportSchema.optional(),
 });
 
 /** Age in milliseconds; infinite if nothing was read yet. */
@@ -412,7 +415,7 @@
 function toSummary(registration: RegistrationSummary): RegistrationSummary {
   const {id, startedMs, service, address, zone, slots, isLeaving} =
     registration;
-  const {softwareVersion} = registration;
+  const {cold, softwareVersion} = registration;
   return {
     id,
     startedMs,
@@ -422,5 +425,7 @@
     softwareVersion,
     slots,
     isLeaving,
+    // The reply may take this long, which makes the report look newer.
+    cold: cold && {...cold, ageMs: cold.ageMs + UPDATE_TIMEOUT_MS},
   };
 }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -232,9 +232,15 @@
         await this.parts.clock.sleep(BUDGET_POLL_MS, call.waitSignal);
         continue;
       }
-      const {objectiveMs} = call.route;
-      const {sends} = this.parts;
-      if (!(await sends.acquire(target.value, objectiveMs, call.waitSignal))) {
+      call.permit = await this.parts.sends.acquire(
+        target.value,
+        {
+          objectiveMs: call.route.objectiveMs,
+          hasOther: () => this.search.hasOther(target.value, req, call),
+        },
+        call.waitSignal,
+      );
+      if (call.permit === undefined) {
         this.parts.observer.sendThrottled(target.value.registration.id);
         if (call.waitSignal.aborted && !call.signal.aborted)
           return this.unservedOutcome(call, stoppingRefusal());
@@ -378,7 +384,7 @@
     req: Req,
     call: RelayCall<Req>,
   ): boolean {
-    if (!target.takesRequests) return false;
+    if (!target.takesRequests || !call.permit?.isValid) return false;
     const isTrial = call.trial !== undefined;
     if (!this.parts.prompts.canStillSend(call.parts, isTrial)) return false;
     return this.admission.recheck(req, call.team) === undefined;
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -3,6 +3,7 @@
 import {Clock, Timer} from '../time/clock.js';
 import {GuardedRun} from '../quarantine/guarded_run.js';
 import {GrantedTrial} from '../quarantine/trial.js';
+import type {SendPermit} from '../target_limits/send_permit.js';
 import {ENDED_BY, EndedBy, connectionEndOf} from './answer_end.js';
 import {Framing} from './answer_framing.js';
 import {CallerRequest} from './caller_request.js';
@@ -91,6 +92,8 @@
   endedTargets = 0;
   /** The trial of suspect parts of the prompt that the next send is. */
   trial: GrantedTrial | undefined;
+  /** Permission for the current send. */
+  permit: SendPermit | undefined;
   /** Progress of the current send. */
   run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -134,7 +134,10 @@
     const {id} = target.registration;
     if (!NOT_DELIVERED.has(reason)) call.deliveredSends += 1;
     call.tried.add(id);
-    if (reason === NOT_RUN.unreachable) this.recordFailure(target);
+    if (reason === NOT_RUN.unreachable) {
+      this.recordFailure(target);
+      this.parts.targets.recordUnreachable(target);
+    }
     if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
     if (req.demand === undefined) return;
     this.parts.models.recordNotRun(target, req.demand, reason);
--- a/packages/core/src/lib/gateway/target_registration.ts
+++ b/packages/core/src/lib/gateway/target_registration.ts
@@ -1,5 +1,7 @@
 /** Registration of a target in service discovery. @packageDocumentation */
 
+import type {ColdReport} from '../warming/target_warming.js';
+
 /** A model that a target has loaded, with its adapters. */
 export interface HeldModel {
   model: string;
@@ -24,6 +26,8 @@
   slots: number;
   /** Whether the target is shutting down and accepts no new requests. */
   isLeaving: boolean;
+  /** How cold the target is; left out if it does not say. */
+  cold?: ColdReport;
 }
 
 /** A complete registration, as the target published it. */
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -7,6 +7,7 @@
 import {CallerRequest} from './caller_request.js';
 import {
   backingOffRefusal,
+  coldRefusal,
   limitRefusal,
   noCapacityRefusal,
 } from './capacity_refusal.js';
@@ -181,11 +182,16 @@
       if (!limited.signal.aborted) readyMs = found.error.retryAfterMs ?? 0;
     }
     const waitMs = target.throttledLeftMs;
+    const isCold = target.coldLeftMs > 0;
     const objectivesMs = call.route.objectiveMs * MAX_LIMIT_WAIT_OBJECTIVES;
-    const patienceMs = Math.max(MIN_LIMIT_WAIT_MS, objectivesMs);
+    const patienceMs = isCold
+      ? call.route.objectiveMs
+      : Math.max(MIN_LIMIT_WAIT_MS, objectivesMs);
     const endMs = Math.min(call.deadlineMs, req.arrivedMs + patienceMs);
     if (clock.now() + waitMs >= endMs || call.waitSignal.aborted)
-      return err(limitRefusal(Math.max(waitMs, readyMs)));
+      return err(
+        isCold ? coldRefusal(waitMs) : limitRefusal(Math.max(waitMs, readyMs)),
+      );
     await clock.sleep(waitMs, call.waitSignal);
     return undefined;
   }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -1,6 +1,12 @@
 /** Table of the targets that this host knows. @packageDocumentation */
 
 import {Clock} from '../time/clock.js';
+import {
+  ColdReport,
+  ColdSource,
+  NeverCold,
+  TargetWarming,
+} from '../warming/target_warming.js';
 import {ModelDemand} from './caller_request.js';
 import {
   RegistrationSummary,
@@ -53,6 +59,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Age of a report whose time is not known. */
+const MAX_REPORT_AGE_MS = 86_400_000;
+
 /** A target, with everything that this host knows about it. */
 export class KnownTarget {
   /** Number of requests of this host that run or wait at the target. */
@@ -81,6 +90,7 @@
     private readonly signals: ProcessSignals = new ProcessSignals(
       registration.startedMs,
     ),
+    private readonly warming: TargetWarming = new NeverCold(),
   ) {
     this.health = new TargetHealth(clock);
     this.setHeldModels(registration);
@@ -128,10 +138,29 @@
 
   /**
    * Requests per second that the target takes from all hosts together;
-   * undefined if it names no limit.
+   * undefined if it names no limit and is not cold.
    */
   get requestsPerSecond(): number | undefined {
-    return this.signals.limit.perSecond;
+    const {perSecond} = this.signals.limit;
+    const coldPerSecond = this.warming.perSecond(this.registration);
+    if (perSecond === undefined || coldPerSecond === undefined)
+      return perSecond ?? coldPerSecond;
+    return Math.min(perSecond, coldPerSecond);
+  }
+
+  /** Time for which the target stays cold, in milliseconds; 0 if it is warm. */
+  get coldLeftMs(): number {
+    return this.warming.leftMs(this.registration);
+  }
+
+  /** What other hosts have to know of it; undefined if it is never cold. */
+  get coldReport(): ColdReport | undefined {
+    const state = this.warming.stateOf(this.registration);
+    if (state === undefined) return undefined;
+    const nowMs = this.clock.now();
+    const leftMs = Math.max(0, state.untilMs - nowMs);
+    const ageMs = Math.min(MAX_REPORT_AGE_MS, nowMs - state.asOfMs);
+    return {leftMs, ageMs};
   }
 
   /** Time until a request may be sent within the target's limit; 0 if now. */
@@ -266,8 +295,14 @@
     (ended: TargetRegistration | undefined) => void
   > = [];
 
-  /** @param clock - measures the validity of the data about each target. */
-  constructor(private readonly clock: Clock) {
+  /**
+   * @param clock - measures the validity of the data about each target.
+   * @param warming - knows which targets are cold; by default none is.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly warming: TargetWarming = new NeverCold(),
+  ) {
     this.signals = new SignalTable(clock);
   }
 
@@ -381,12 +416,44 @@
   /** Number of targets that name a limit. */
   get limitedCount(): number {
     let count = 0;
-    for (const {requestsPerSecond} of this.byId.values()) {
-      if (requestsPerSecond !== undefined) count += 1;
+    for (const {limit} of this.byId.values()) {
+      if (limit.perSecond !== undefined) count += 1;
+    }
+    return count;
+  }
+
+  /** Number of targets that are cold. */
+  get coldCount(): number {
+    if (!this.warming.isDeclared) return 0;
+    let count = 0;
+    for (const {coldLeftMs} of this.byId.values()) {
+      if (coldLeftMs > 0) count += 1;
     }
     return count;
   }
 
+  /**
+   * Records how cold a target is.
+   *
+   * @param target - the target.
+   * @param report - what it, or a peer, says.
+   * @param source - where the report comes from.
+   */
+  recordCold(
+    {registration}: KnownTarget,
+    report: ColdReport,
+    source: ColdSource,
+  ): void {
+    if (this.warming.recordReport(registration, report, source))
+      this.recordChange(registration.id);
+  }
+
+  /** Records that a target could not be reached and may have been restarted. */
+  recordUnreachable({registration}: KnownTarget): void {
+    if (this.warming.recordUnreachable(registration))
+      this.recordChange(registration.id);
+  }
+
   /** Revision; increases with each change that other hosts have to know. */
   get revision(): number {
     return this.changeCount;
@@ -406,6 +473,7 @@
       const registration = target && {
         ...target.registration,
         isLeaving: target.isLeaving,
+        cold: target.coldReport,
       };
       changed.push({id, registration});
     }
@@ -449,7 +517,8 @@
     ) {
       const earlier = known.registration;
       const hasMoved = earlier.service !== registration.service;
-      if (isRelevantToPeers(known.registration, registration))
+      const isColder = this.warming.recordRegistration(registration, false);
+      if (isColder || isRelevantToPeers(known.registration, registration))
         this.recordChange(registration.id);
       known.registration = registration;
       if (shouldSetHeldModels) known.setHeldModels(registration);
@@ -460,7 +529,9 @@
       return known;
     }
     if (known !== undefined) known.isRemoved = true;
-    const target = new KnownTarget(registration, this.clock, signals);
+    this.warming.recordRegistration(registration, true);
+    const {clock, warming} = this;
+    const target = new KnownTarget(registration, clock, signals, warming);
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
     this.reindex();
--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -81,9 +81,8 @@
       each => copiesWithCapacity(each, round).length === 0,
     );
     if (models.length > 0) crowded.add(models[0]);
-    const {limitAgeMs, requestsPerSecond} = account.target;
-    if (requestsPerSecond === undefined || limitAgeMs < RELIEF_DELAY_MS)
-      continue;
+    const {limit, limitAgeMs} = account.target;
+    if (limit.perSecond === undefined || limitAgeMs < RELIEF_DELAY_MS) continue;
     for (const model of models) {
       if (round.demand(model) >= MIN_LIMITED_RATE) limited.add(model);
     }
--- a/packages/core/src/lib/residency/limit_relief.ts
+++ b/packages/core/src/lib/residency/limit_relief.ts
@@ -18,7 +18,7 @@
   model: string,
   round: PlanRound,
 ): boolean {
-  const limit = account.target.requestsPerSecond;
+  const limit = account.target.limit.perSecond;
   if (limit === undefined) return true;
   if (account.loadEstimate(model).fromStore) return false;
   const room = limit * (1 - round.load(account));
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -223,7 +223,7 @@
   loadOf(account: ResidencyAccount, model: string): number {
     const {service, usage} = this.parts;
     const running = usage.inFlight(account.id, model) / account.slots;
-    const limit = account.target.requestsPerSecond;
+    const limit = account.target.limit.perSecond;
     if (limit === undefined) return running;
     let slots = account.slots;
     for (const copy of this.copies(model)) {
@@ -246,7 +246,7 @@
     let perSecond = 0;
     for (const account of this.parts.accounts) {
       if (!account.isReachable || !this.isSoonReady(account, model)) continue;
-      const limit = account.target.requestsPerSecond;
+      const limit = account.target.limit.perSecond;
       if (limit === undefined) return Infinity;
       const otherLoad = this.load(account) - this.loadOf(account, model);
       perSecond += limit * Math.max(0, 1 - otherLoad);
@@ -266,7 +266,7 @@
    * named a limit.
    */
   addedLoad(account: ResidencyAccount, model: string): number {
-    const limit = account.target.requestsPerSecond;
+    const limit = account.target.limit.perSecond;
     if (limit === undefined) return 0;
     const {perSecond} = this.parts.usage.demand(this.parts.service, model);
     const copies = this.copies(model).length + 1;
--- a/packages/core/src/lib/target_limits/limit_exchange.ts
+++ b/packages/core/src/lib/target_limits/limit_exchange.ts
@@ -3,6 +3,7 @@
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
+import {COLD_SOURCE} from '../warming/target_warming.js';
 import {
   LimitState,
   PUBLISH_LIMITS,
@@ -33,8 +34,12 @@
   clock: Clock;
   network: PeerNetwork;
   targets: TargetTable;
-  /** The host that shares the limits, while it is heard. */
-  lendingHost: () => {host: string; incarnation: string} | undefined;
+  /**
+   * The host that shares the limits, while it is heard; `fencing` differs each
+   * time that the role changes.
+   */
+  lendingHost: () =>
+    {host: string; incarnation: string; fencing?: number} | undefined;
   hostCount: () => number;
 }
 
@@ -45,6 +50,7 @@
 export class LimitExchange extends SendLoans {
   private readonly lender: SendLender;
   private wasLending = false;
+  private lastFencing: number | undefined;
   /** Targets whose limits have changed since the last publication. */
   private readonly changed = new Set<KnownTarget>();
 
@@ -98,16 +104,33 @@
 
   /** Starts with empty schedules, as another host has lent until now. */
   private noticeTakeover(): void {
-    if (this.isLending && !this.wasLending) this.lender.restart();
-    this.wasLending = this.isLending;
+    const {isLending} = this;
+    const fencing = this.parts.lendingHost()?.fencing;
+    const isNewRole = !this.wasLending || fencing !== this.lastFencing;
+    if (isLending && isNewRole) this.lender.restart();
+    this.wasLending = isLending;
+    this.lastFencing = fencing;
   }
 
   private lend(request: SendRequest): SendGrant {
     this.noticeTakeover();
     const target = this.parts.targets.get(request.target);
     const isSame = target?.registration.startedMs === request.startedMs;
-    const perSecond = isSame ? target.requestsPerSecond : undefined;
-    return this.lender.lend(request, perSecond ?? request.perSecond);
+    if (!isSame) {
+      const isCold = request.cold !== undefined;
+      return this.lender.lend(request, request.perSecond, isCold);
+    }
+    const {targets} = this.parts;
+    if (request.cold !== undefined)
+      targets.recordCold(target, request.cold, COLD_SOURCE.peer);
+    const cold = target.coldReport;
+    const isCold = target.coldLeftMs > 0;
+    const isWarmHere = request.cold !== undefined && !isCold;
+    const perSecond = target.requestsPerSecond;
+    if (isWarmHere && perSecond === undefined)
+      return {isGranted: true, waitMs: 0, cold};
+    const rate = perSecond ?? request.perSecond;
+    return {...this.lender.lend(request, rate, isCold), cold};
   }
 
   private registerHandlers(): void {
--- a/packages/core/src/lib/target_limits/limit_messages.ts
+++ b/packages/core/src/lib/target_limits/limit_messages.ts
@@ -37,16 +37,20 @@
   event: z.never(),
 };
 
+const coldReportSchema = z.object({leftMs: z.number(), ageMs: z.number()});
+
 const sendRequestSchema = z.object({
   target: z.string(),
   startedMs: z.number(),
   perSecond: z.number(),
   maxWaitMs: z.number(),
+  cold: coldReportSchema.optional(),
 });
 
 const sendGrantSchema = z.object({
   isGranted: z.boolean(),
   waitMs: z.number(),
+  cold: coldReportSchema.optional(),
 });
 
 /** Asks the host that shares the limits for a send. */
--- a/packages/core/src/lib/target_limits/send_loans.ts
+++ b/packages/core/src/lib/target_limits/send_loans.ts
@@ -1,5 +1,10 @@
 /** Interface to the shared limits of targets. @packageDocumentation */
 
+import {ColdReport} from '../warming/target_warming.js';
+
+/** Longest wait for which a send is reserved, in milliseconds. */
+export const MAX_RESERVED_WAIT_MS = 1_000;
+
 /** Request of a host to send a request to a limited target. */
 export interface SendRequest {
   /** Id of the target. */
@@ -10,6 +15,8 @@
   perSecond: number;
   /** Longest wait for which the request is reserved. */
   maxWaitMs: number;
+  /** What the host knows about the target, if that is cold. */
+  cold?: ColdReport;
 }
 
 /** Reply to a {@link SendRequest}. */
@@ -18,6 +25,8 @@
   isGranted: boolean;
   /** Time until it may be sent, or until another host may ask again. */
   waitMs: number;
+  /** What the lender knows about the target, if that can be cold. */
+  cold?: ColdReport;
 }
 
 /** Grants sends to limited targets, for all hosts together. */
--- a/packages/core/src/lib/target_limits/send_schedule.ts
+++ b/packages/core/src/lib/target_limits/send_schedule.ts
@@ -11,13 +11,24 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** How closely a {@link SendSchedule} keeps to its rate. */
+export const PACE = {
+  /** A few requests may be sent at once after a pause. */
+  bursts: 'bursts',
+  /** Two requests are never closer than the rate says. */
+  strict: 'strict',
+} as const;
+
+/** One of {@link PACE}. */
+export type Pace = (typeof PACE)[keyof typeof PACE];
+
 /**
  * Grants requests at a rate, in the order in which they are asked for. A
  * request that cannot be sent now reserves a time in the near future.
  */
 export class SendSchedule {
   private intervalMs: number;
-  private burstMs: number;
+  private readonly burstMs: number;
   /** Clock time at which the next request is due at an even pace. */
   private dueMs: number;
 
@@ -25,10 +36,15 @@
    * @param nowMs - clock time. The first request is granted one interval later,
    *     as it is not known what was sent before.
    * @param perSecond - requests per second.
+   * @param pace - see {@link PACE}.
    */
-  constructor(nowMs: number, perSecond: number) {
+  constructor(
+    nowMs: number,
+    perSecond: number,
+    private readonly pace: Pace = PACE.bursts,
+  ) {
     this.intervalMs = intervalOf(perSecond);
-    this.burstMs = BURST_S * MS_PER_SECOND;
+    this.burstMs = pace === PACE.strict ? 0 : BURST_S * MS_PER_SECOND;
     this.dueMs = nowMs + this.intervalMs + this.burstMs;
   }
 
@@ -42,6 +58,8 @@
     const intervalMs = intervalOf(perSecond);
     if (intervalMs === this.intervalMs) return;
     this.intervalMs = intervalMs;
+    // What is reserved already would come on top of an earlier time.
+    if (this.pace === PACE.strict) return;
     this.dueMs = Math.min(this.dueMs, nowMs + intervalMs + this.burstMs);
   }
 
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -1,5 +1,6 @@
 /** Small deployment on the platform stand-ins. @packageDocumentation */
 
+import {DEFAULT_COLD_BOUNDS} from '@fuchsiacleat/core/gateway';
 import {createServer, AddressInfo} from 'node:net';
 import {
   PlatformStoreStandin,
@@ -329,6 +330,7 @@
       quotaWindowMs: 8_000,
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
+      coldBounds: DEFAULT_COLD_BOUNDS,
     };
     await this.startHostAt(settings);
   }
