--- a/packages/core/src/lib/warming/cold_monitor.ts
+++ b/packages/core/src/lib/warming/cold_monitor.ts
@@ -52,9 +52,9 @@
       if (isCold) cold.add(key);
       if (isCold === this.cold.has(key)) continue;
       const source = warming.stateOf(registration)?.source;
-      const left_ms = Math.round(coldLeftMs);
+      const leftMs = Math.round(coldLeftMs);
       const event = isCold ? 'target_cold' : 'target_warm';
-      lines.push(() => logger.info(event, {target, left_ms, source}));
+      lines.push(() => logger.info(event, {target, left_ms: leftMs, source}));
     }
     this.cold = cold;
     if (lines.length === 0) return;
--- a/packages/core/src/lib/warming/warming.ts
+++ b/packages/core/src/lib/warming/warming.ts
@@ -158,7 +158,8 @@
       seenMs: clock.now(),
       ageMs: clock.epochNow() - startedMs,
       isNewcomer: hasList(),
-      report: known?.startedMs === startedMs ? stillCold(known, clock) : undefined,
+      report:
+        known?.startedMs === startedMs ? stillCold(known, clock) : undefined,
     });
     if (this.byId.size <= MAX_TARGETS) return;
     const [oldest] = this.byId.keys();
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -6,6 +6,9 @@
 import {TargetTable} from '../../lib/gateway/target_table.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
 import {PeerNetwork} from '../../lib/peers/peer_network.js';
+import {DEFAULT_COLD_BOUNDS} from '../../lib/warming/cold_pace.js';
+import {TargetWarming} from '../../lib/warming/target_warming.js';
+import {Warming} from '../../lib/warming/warming.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
@@ -29,9 +32,10 @@
     network: PeerNetwork,
     reader: () => StoreReader | undefined,
     zone = 'z',
+    warming?: TargetWarming,
   ) {
     this.freshness = new Freshness(clock, MAX_AGE_MS);
-    this.targets = new TargetTable(clock);
+    this.targets = new TargetTable(clock, warming);
     this.updates = new PeerUpdates({
       clock,
       network,
@@ -65,7 +69,10 @@
 }
 
 /** Creates a host in each of the given zones; the first one is the reader. */
-function createHosts(zones: string[]) {
+function createHosts(
+  zones: string[],
+  warmingOf?: (clock: ManualClock) => TargetWarming,
+) {
   const clock = new ManualClock();
   const hub = new MemoryHub(clock, new Random(1));
   const world = {isReaderHeard: true};
@@ -76,7 +83,9 @@
     disconnected.has(from.host) || disconnected.has(to.host);
   const hosts = zones.map((zone, i) => {
     const self = {host: `h${i}`, zone: 'z', incarnation: `h${i}-1`};
-    return new UpdatesHost(clock, hub.join(self), currentReader, zone);
+    const network = hub.join(self);
+    const warming = warmingOf?.(clock);
+    return new UpdatesHost(clock, network, currentReader, zone, warming);
   });
   const run = async (ms: number, readVersion?: number) => {
     for (let at = 0; at < ms; at += STEP_MS) {
@@ -100,6 +109,33 @@
   );
 }
 
+describe('PeerUpdates: cold targets', () => {
+  it('passes on how cold a target is, and that it is cold again', async () => {
+    const {hosts, run} = createHosts(['z', 'z'], clock => {
+      return new Warming({
+        clock,
+        spec: () => ({coldMs: 3_000, perSecond: 13}),
+        isDeclared: () => true,
+        bounds: DEFAULT_COLD_BOUNDS,
+        hostCount: () => 2,
+        hasList: () => true,
+      });
+    });
+    const [reader, other] = hosts;
+    const put = (leftMs: number) => {
+      const cold = {leftMs, ageMs: 3_500};
+      reader.targets.put(targetRegistration({cold}), true);
+    };
+    put(0);
+    await run(500, 7);
+    expect(other.targets.get('t1')?.coldLeftMs).to.equal(0);
+    put(2_800);
+    await run(300, 7);
+    const leftMs = other.targets.get('t1')?.coldLeftMs;
+    expect(leftMs).to.be.within(reader.targets.get('t1')!.coldLeftMs, 2_800);
+  });
+});
+
 describe('PeerUpdates', () => {
   it('lets a host skip its own reads while the reader reads the store', async () => {
     const {reader, other, run} = createTwoHosts();
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -58,6 +58,7 @@
 import {SendLoans} from '../../lib/target_limits/send_loans.js';
 import {TargetSends} from '../../lib/target_limits/target_sends.js';
 import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
+import {TargetWarming} from '../../lib/warming/target_warming.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
@@ -388,6 +389,8 @@
   /** Number of targets of the plain service; 2 by default. */
   targetCount?: number;
   models?: (clock: ManualClock, targets: TargetTable) => ModelFinder;
+  /** Which targets are cold; by default none is. */
+  warming?: TargetWarming;
 }
 
 const MAX_AGE_MS = 4_000;
@@ -400,7 +403,7 @@
   state.applyIfNewer(deploymentOf([options.route]));
   const freshness = new Freshness(clock, MAX_AGE_MS);
   freshness.confirm(clock.now());
-  const targets = new TargetTable(clock);
+  const targets = new TargetTable(clock, options.warming);
   for (let i = 1; i <= (options.targetCount ?? 2); i++) {
     targets.put(targetRegistration({id: `t${i}`, zone: 'a'}), true);
   }
--- a/packages/core/src/test/target_limits/limit_bound.ts
+++ b/packages/core/src/test/target_limits/limit_bound.ts
@@ -14,13 +14,16 @@
   return (OVERAGE * perSecond * WINDOW_MS) / MS_PER_SECOND + SLACK;
 }
 
-/** Returns the largest number of times within any window. */
-export function mostInWindow(timesMs: readonly number[]): number {
+/** Returns the largest number of times within any window, 4 s by default. */
+export function mostInWindow(
+  timesMs: readonly number[],
+  windowMs = WINDOW_MS,
+): number {
   const sorted = [...timesMs].sort((a, b) => a - b);
   let most = 0;
   let first = 0;
   for (let last = 0; last < sorted.length; last++) {
-    while (sorted[last] - sorted[first] >= WINDOW_MS) first += 1;
+    while (sorted[last] - sorted[first] >= windowMs) first += 1;
     most = Math.max(most, last - first + 1);
   }
   return most;
--- a/packages/core/src/test/target_limits/limits_world.ts
+++ b/packages/core/src/test/target_limits/limits_world.ts
@@ -7,6 +7,9 @@
 import {TargetSends} from '../../lib/target_limits/target_sends.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
+import {DEFAULT_COLD_BOUNDS} from '../../lib/warming/cold_pace.js';
+import {ColdSpec} from '../../lib/warming/target_warming.js';
+import {Warming} from '../../lib/warming/warming.js';
 import {targetRegistration} from '../gateway/gateway_fixtures.js';
 
 const never = new AbortController().signal;
@@ -18,22 +21,42 @@
   readonly targets: TargetTable;
   readonly exchange: LimitExchange;
   readonly sends: TargetSends;
+  /** Clock time at which this host learned of the end of an evacuation. */
+  endedMs: number | undefined;
+  /** Whether the target is in service, as far as this host knows. */
+  isInService = true;
 
   constructor(
     private readonly world: LimitsWorld,
     readonly network: PeerNetwork,
   ) {
     const {clock} = world;
-    this.targets = new TargetTable(clock);
+    const hostCount = () => world.hosts.length;
+    const bounds = DEFAULT_COLD_BOUNDS;
+    const warming = new Warming({
+      clock,
+      spec: () => world.cold,
+      isDeclared: () => world.cold !== undefined,
+      bounds,
+      hostCount,
+      hasList: () => true,
+      evacuations: {endedMs: () => this.endedMs},
+    });
+    const targets = new TargetTable(clock, warming);
+    this.targets = targets;
     this.targets.put(targetRegistration({id: 't1'}), true);
     this.exchange = new LimitExchange({
       clock,
       network,
-      targets: this.targets,
+      targets,
       lendingHost: () => world.lendingHostFor(network.self.host),
-      hostCount: () => world.hosts.length,
+      hostCount,
+    });
+    this.sends = new TargetSends(clock, this.exchange, {
+      targets,
+      bounds,
+      perSecond: () => world.cold?.perSecond,
     });
-    this.sends = new TargetSends(clock, this.exchange);
     void this.exchange.run(new AbortController().signal);
   }
 
@@ -50,8 +73,9 @@
   async send(): Promise<void> {
     const {sends, target, world} = this;
     const options = {objectiveMs: OBJECTIVE_MS, hasOther: () => false};
-    const isGranted = await sends.acquire(target, options, never);
-    if (isGranted) world.arrivalsMs.push(world.clock.now());
+    const permit = await sends.acquire(target, options, never);
+    await world.delayWrite();
+    if (permit?.isValid) world.arrivalsMs.push(world.clock.now());
   }
 }
 
@@ -63,10 +87,18 @@
   readonly arrivalsMs: number[] = [];
   /** Index of the lending host, if there is one. */
   lending: number | undefined = 0;
+  /** Index of another host that takes itself for the lending one. */
+  otherLending: number | undefined;
+  /** Differs whenever the lending host changes. */
+  fencing = 0;
+  /** What the target declares; undefined if it is never cold. */
+  cold: ColdSpec | undefined;
+  /** Longest time between a grant and the write of the request. */
+  maxWriteDelayMs = 0;
   /** Names of the hosts that reach no other host. */
   readonly isolated = new Set<string>();
   private readonly random = new Random(1);
-  private readonly hub = new MemoryHub(this.clock, this.random);
+  readonly hub = new MemoryHub(this.clock, this.random);
   private incarnations = 0;
 
   constructor(hostCount: number) {
@@ -86,11 +118,26 @@
 
   /** Returns the lending host that a host hears. */
   lendingHostFor(host: string) {
-    if (this.lending === undefined) return undefined;
-    const self = this.hosts[this.lending]?.network.self;
+    const lending = this.followsOther(host) ? this.otherLending : this.lending;
+    if (lending === undefined) return undefined;
+    const self = this.hosts[lending]?.network.self;
     if (self === undefined) return undefined;
     const isCut = this.isolated.has(host) || this.isolated.has(self.host);
-    return host === self.host || !isCut ? self : undefined;
+    const {fencing} = this;
+    return host === self.host || !isCut ? {...self, fencing} : undefined;
+  }
+
+  /** Waits for a connection, at random. */
+  async delayWrite(): Promise<void> {
+    if (this.maxWriteDelayMs === 0) return;
+    await this.clock.sleep(this.random.float() * this.maxWriteDelayMs);
+  }
+
+  /** Of two lending hosts, each is believed by itself and by half of the others. */
+  private followsOther(host: string): boolean {
+    const {lending, otherLending} = this;
+    if (otherLending === undefined || host === `h${lending}`) return false;
+    return host === `h${otherLending}` || Number(host.slice(1)) % 2 === 1;
   }
 
   /**
@@ -103,7 +150,8 @@
     const endMs = this.clock.now() + forMs;
     while (this.clock.now() < endMs) {
       for (const host of this.hosts) {
-        if (this.random.float() < STEP_MS / askMs) void host.send();
+        const isAsking = this.random.float() < STEP_MS / askMs;
+        if (isAsking && host.isInService) void host.send();
       }
       await this.clock.advance(STEP_MS);
     }
