--- a/packages/core/src/lib/gateway/deployment.ts
+++ b/packages/core/src/lib/gateway/deployment.ts
@@ -76,6 +76,8 @@
   maxConnections: number;
   /** Set if the targets are model engines. */
   engine: EngineConfig | undefined;
+  /** Path at which a target reports its health. */
+  healthPath?: string;
   /** Set if targets can be cold. */
   cold?: ColdSpec;
 }
