Cold targets: summaries shorten nothing, removed targets are forgotten

A summary of what the reader concludes could have shortened a cold time that a peer knew from the target's registration.

--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -5,6 +5,7 @@
   ColdReport,
   ColdSource,
   NeverCold,
+  OWN_WORDS,
   TargetWarming,
 } from '../warming/target_warming.js';
 import {ModelDemand} from './caller_request.js';
@@ -153,7 +154,7 @@
     return this.warming.leftMs(this.registration);
   }
 
-  /** What other hosts have to know of it; undefined if it is never cold. */
+  /** What this host knows about that; undefined if it is never cold. */
   get coldReport(): ColdReport | undefined {
     const state = this.warming.stateOf(this.registration);
     if (state === undefined) return undefined;
@@ -163,6 +164,18 @@
     return {leftMs, ageMs};
   }
 
+  /**
+   * The same for a summary of its registration. What is not the target's own
+   * word is marked as old, so that it shortens no cold time on other hosts.
+   */
+  get coldSummary(): ColdReport | undefined {
+    const report = this.coldReport;
+    const state = this.warming.stateOf(this.registration);
+    if (report === undefined || state === undefined) return undefined;
+    const isOwnWord = OWN_WORDS.has(state.source);
+    return isOwnWord ? report : {...report, ageMs: MAX_REPORT_AGE_MS};
+  }
+
   /** Time until a request may be sent within the target's limit; 0 if now. */
   get throttledLeftMs(): number {
     if (this.requestsPerSecond === undefined) return 0;
@@ -473,7 +486,7 @@
       const registration = target && {
         ...target.registration,
         isLeaving: target.isLeaving,
-        cold: target.coldReport,
+        cold: target.coldSummary,
       };
       changed.push({id, registration});
     }
@@ -562,6 +575,7 @@
     if (known === undefined) return;
     known.isRemoved = true;
     this.byId.delete(id);
+    this.warming.forget(id);
     this.recordChange(id);
     this.reindex();
     this.reportProcess(known.registration);
--- a/packages/core/src/lib/warming/target_warming.ts
+++ b/packages/core/src/lib/warming/target_warming.ts
@@ -39,6 +39,12 @@
 /** One of {@link COLD_SOURCE}. */
 export type ColdSource = (typeof COLD_SOURCE)[keyof typeof COLD_SOURCE];
 
+/** Words of the target itself; the others are conclusions of hosts. */
+export const OWN_WORDS: ReadonlySet<ColdSource> = new Set([
+  COLD_SOURCE.registration,
+  COLD_SOURCE.health,
+]);
+
 /** Until when a target counts as cold, and why. */
 export interface ColdState {
   /** Clock time at which it counts as warm. */
@@ -65,6 +71,9 @@
     isNew: boolean,
   ): boolean;
 
+  /** Forgets a target that was removed; it may be cold when it returns. */
+  abstract forget(id: string): void;
+
   /**
    * Records a report.
    *
@@ -112,6 +121,8 @@
     return false;
   }
 
+  override forget(): void {}
+
   override recordReport(): boolean {
     return false;
   }
--- a/packages/core/src/lib/warming/warming.ts
+++ b/packages/core/src/lib/warming/warming.ts
@@ -24,9 +24,6 @@
 /** Shortest extension of a cold time that other hosts have to know. */
 const MIN_EXTENSION_MS = 300;
 
-/** Most targets that are remembered: several times those of a platform. */
-const MAX_TARGETS = 8_192;
-
 /** Ends of evacuations of zones. */
 export abstract class EvacuationEnds {
   /**
@@ -98,6 +95,10 @@
     return this.recordReport(registration, cold, COLD_SOURCE.registration);
   }
 
+  override forget(id: string): void {
+    this.byId.delete(id);
+  }
+
   override recordReport(
     target: RegistrationSummary,
     {leftMs, ageMs}: ColdReport,
@@ -151,19 +152,13 @@
 
   private add({id, startedMs}: RegistrationSummary): void {
     const {clock, hasList} = this.parts;
-    const known = this.byId.get(id);
-    this.byId.delete(id);
     this.byId.set(id, {
       startedMs,
       seenMs: clock.now(),
       ageMs: clock.epochNow() - startedMs,
       isNewcomer: hasList(),
-      report:
-        known?.startedMs === startedMs ? stillCold(known, clock) : undefined,
+      report: undefined,
     });
-    if (this.byId.size <= MAX_TARGETS) return;
-    const [oldest] = this.byId.keys();
-    this.byId.delete(oldest);
   }
 
   /** @returns whether the target counts as cold for longer than before. */
@@ -200,15 +195,6 @@
   return !isReported || isLonger || isNewer;
 }
 
-/** Returns the report on a process that is added again, if it still holds. */
-function stillCold(
-  {report}: KnownProcess,
-  clock: Clock,
-): ColdState | undefined {
-  if (report === undefined || report.untilMs <= clock.now()) return undefined;
-  return report;
-}
-
 function unknownState(nowMs: number, {coldMs}: ColdSpec): ColdState {
   const source = COLD_SOURCE.process;
   return {untilMs: nowMs + coldMs, asOfMs: -Infinity, source};
--- a/packages/core/src/test/gateway/cold_targets_test.ts
+++ b/packages/core/src/test/gateway/cold_targets_test.ts
@@ -39,6 +39,8 @@
     return false;
   }
 
+  override forget(): void {}
+
   override recordReport(): boolean {
     return false;
   }
--- a/packages/core/src/test/warming/warming_test.ts
+++ b/packages/core/src/test/warming/warming_test.ts
@@ -67,6 +67,13 @@
     expect(put(undefined, NOW_MS - 1_000).coldLeftMs).to.equal(3_000);
   });
 
+  it('takes a target that is registered again for cold', async () => {
+    put(0);
+    await clock.advance(60_000);
+    targets.remove('t1');
+    expect(put().coldLeftMs).to.equal(3_000);
+  });
+
   it('is never cold where the service declares nothing', () => {
     spec = undefined;
     endedMs = clock.now();
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -61,6 +61,8 @@
   resumableObjectiveMs: number;
   /** Time for which callers may be idle, in milliseconds. */
   idleTimeoutMs?: number;
+  /** What the plain service declares about cold workers. */
+  coldPlain?: {ColdS: number; ColdPerS: number};
 }
 
 const DEFAULT_ROUTES: RouteOptions = {
@@ -115,7 +117,12 @@
       },
     ],
     Services: [
-      {Name: PLAIN, HealthPath: '/healthz', MaxConns: 100},
+      {
+        Name: PLAIN,
+        HealthPath: '/healthz',
+        MaxConns: 100,
+        ...options.coldPlain,
+      },
       {
         Name: ENGINES,
         HealthPath: '/healthz',
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -117,6 +117,8 @@
    * requests; undefined for none.
    */
   requestsPerSecond: number | undefined;
+  /** Time at which the worker is no longer cold, in milliseconds. */
+  coldUntilMs = -Infinity;
   /** Arrival times of requests only, in milliseconds. */
   readonly requestArrivalsMs: number[] = [];
   /** Times at which a `retry-after` header was sent, in milliseconds. */
@@ -182,13 +184,18 @@
       Version: this.softwareVersion,
       Slots: 8,
       State: state,
-      ColdLeftMs: 0,
+      ColdLeftMs: this.coldLeftMs,
       Seq: this.orderCount,
       Models: [...this.models].map(toModelEntry),
       born: this.startedMs,
     };
   }
 
+  /** Time for which the worker says that it stays cold, in milliseconds. */
+  get coldLeftMs(): number {
+    return Math.max(0, Math.ceil(this.coldUntilMs - performance.now()));
+  }
+
   /** Port on loopback, once started; the same after a crash. */
   get port(): number {
     return this.listenPort;
@@ -283,6 +290,7 @@
 
   private reportHealth(res: ServerResponse): void {
     res.setHeader(`${HEADER_PREFIX}instance-id`, this.options.id);
+    res.setHeader(`${HEADER_PREFIX}cold-ms`, String(this.coldLeftMs));
     res.writeHead(200).end();
   }
 
