--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -1,5 +1,6 @@
 /** Small deployment on the platform stand-ins. @packageDocumentation */
 
+import {DEFAULT_COLD_BOUNDS} from '@fuchsiacleat/core/gateway';
 import {createServer, AddressInfo} from 'node:net';
 import {
   PlatformStoreStandin,
@@ -60,6 +61,8 @@
   resumableObjectiveMs: number;
   /** Time for which callers may be idle, in milliseconds. */
   idleTimeoutMs?: number;
+  /** What the plain service declares about cold workers. */
+  coldPlain?: {ColdS: number; ColdPerS: number};
 }
 
 const DEFAULT_ROUTES: RouteOptions = {
@@ -114,7 +117,12 @@
       },
     ],
     Services: [
-      {Name: PLAIN, HealthPath: '/healthz', MaxConns: 100},
+      {
+        Name: PLAIN,
+        HealthPath: '/healthz',
+        MaxConns: 100,
+        ...options.coldPlain,
+      },
       {
         Name: ENGINES,
         HealthPath: '/healthz',
@@ -331,6 +339,7 @@
       quotaWindowMs: 8_000,
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
+      coldBounds: DEFAULT_COLD_BOUNDS,
     };
     await this.startHostAt(settings);
   }
