Requests over a team's rate wait for their turn over all hosts

Callers that honoured the times that they were told came back at once and were refused again.

Change: the lender keeps one RateQueue for each team. A host asks first as before, so a request within the rate takes the same single call. Over the rate it states urgency and times, and waits if its turn comes in time or within half of its remaining time; else it is refused with its turn, and its tokens are promised to the caller. Without a lender the same queue orders the host's own share. The new fields are optional for older hosts.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -9,6 +9,7 @@
 export * from './lib/gateway/freshness.js';
 export * from './lib/gateway/gateway_metrics.js';
 export * from './lib/gateway/logging_observer.js';
+export * from './lib/gateway/logging_turn_observer.js';
 export * from './lib/gateway/peer_updates.js';
 export * from './lib/gateway/relay.js';
 export * from './lib/gateway/relay_observer.js';
--- a/packages/core/src/lib/gateway/admission.ts
+++ b/packages/core/src/lib/gateway/admission.ts
@@ -1,9 +1,12 @@
 /** Admission control for caller requests. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
+import {turnUrgency} from '../limits/turn_rule.js';
+import {digestRequest} from '../quarantine/request_digest.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {CallerRequest} from './caller_request.js';
+import {stoppingRefusal} from './capacity_refusal.js';
 import {DeploymentState} from './deployment_state.js';
 import {RouteRule, TeamConfig} from './deployment.js';
 import {Freshness} from './freshness.js';
@@ -19,11 +22,10 @@
 const LENDER_WAIT_FRACTION = 0.4;
 
 /**
- * How long a request that takes up a stream waits for its team's rate. Callers
- * leave after two seconds without an event.
+ * Time until the deadline of a request that takes up a stream, of which it may
+ * wait a half for its turn. Callers leave after two seconds without an event.
  */
-const MAX_RESUMED_WAIT_MS = 1_200;
-const MIN_RATE_POLL_MS = 20;
+const RESUMED_DEADLINE_MS = 2_400;
 
 /** An admitted request. */
 export interface Admitted {
@@ -93,19 +95,21 @@
         : req.tokens.prompt + req.tokens.output;
     const retryAfterMs = await this.takeTokens(req, route, team, tokens);
     if (retryAfterMs === undefined) return ok({route, team, tokens});
+    if (this.parts.quotas.isStopped)
+      return err({refusal: stoppingRefusal(), route, team});
     const message = `${tokens} tokens are over the rate of the team`;
     const refusal = refuse(REFUSAL.overRate, message, retryAfterMs);
     return err({refusal, route, team});
   }
 
   /**
-   * Takes the tokens of a request. One that takes up a stream waits for them, as
-   * its caller has a part of the answer already.
+   * Takes the tokens of a request, or waits for its turn. One that takes up a
+   * stream goes first, as its caller has a part of the answer already.
    *
    * @returns undefined if the request may run, else the retry-after time in
    *     milliseconds.
    */
-  private async takeTokens(
+  private takeTokens(
     req: CallerRequest,
     route: RouteRule,
     team: TeamConfig,
@@ -114,13 +118,21 @@
     const {clock, quotas} = this.parts;
     const maxWaitMs = route.objectiveMs * LENDER_WAIT_FRACTION;
     const isResumed = req.lastEventId !== undefined;
-    const endMs = isResumed ? clock.now() + MAX_RESUMED_WAIT_MS : -Infinity;
-    for (;;) {
-      const waitMs = await quotas.take(team, tokens, maxWaitMs, req.signal);
-      const isOver = waitMs === undefined || clock.now() + waitMs > endMs;
-      if (isOver || req.signal.aborted) return waitMs;
-      await clock.sleep(Math.max(MIN_RATE_POLL_MS, waitMs), req.signal);
-    }
+    const timeoutMs = Math.min(req.timeoutMs ?? Infinity, route.timeoutMs);
+    const resumedEndMs = clock.now() + RESUMED_DEADLINE_MS;
+    return quotas.take(team, tokens, maxWaitMs, req.signal, {
+      urgency: turnUrgency(
+        team.priority ?? route.priority,
+        isResumed ? 0 : route.objectiveMs,
+      ),
+      arrivedMs: req.arrivedMs,
+      objectiveMs: req.arrivedMs + route.objectiveMs,
+      deadlineMs: Math.min(
+        req.arrivedMs + timeoutMs,
+        isResumed ? resumedEndMs : Infinity,
+      ),
+      digest: () => digestRequest(req.content, team.name),
+    });
   }
 
   /**
--- a/packages/core/src/lib/gateway/capacity_refusal.ts
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -1,10 +1,16 @@
-/** Refusals because no target can take a request. @packageDocumentation */
+/** Refusals because no target, or not this host, can take a request. @packageDocumentation */
 
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 
 /** Retry-after time of a refusal because there is no target or all are full. */
 const CAPACITY_RETRY_AFTER_MS = 1_000;
 
+/**
+ * Retry-after time of a refusal because this host is stopping; the caller
+ * retries at another host.
+ */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /**
  * Creates a refusal.
  *
@@ -34,3 +40,9 @@
   const retryAfterMs = Math.max(CAPACITY_RETRY_AFTER_MS, Math.ceil(waitMs));
   return refuse(REFUSAL.noCapacity, message, retryAfterMs);
 }
+
+/** Creates a refusal because this host is stopping. */
+export function stoppingRefusal(): Refusal {
+  const message = 'this host is stopping';
+  return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
+}
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -158,6 +158,31 @@
     registers: [this.registry],
   });
 
+  /** Returns the tokens that requests of each team wait for on this host. */
+  waitingTokens: () => ReadonlyMap<string, number> = () => new Map();
+
+  /** Tokens that requests over the rates of their teams wait for. */
+  readonly rateWaitingTokens = new Gauge({
+    name: 'fuchsiacleat_gateway_rate_waiting_tokens',
+    help: 'Tokens that requests over the rates of their teams wait for, by team.',
+    labelNames: ['team'],
+    registers: [this.registry],
+    collect: (): void => {
+      this.rateWaitingTokens.reset();
+      for (const [team, tokens] of this.waitingTokens())
+        this.rateWaitingTokens.set({team}, tokens);
+    },
+  });
+
+  /** Waits of requests over the rates of their teams. */
+  readonly rateWait = new Histogram({
+    name: 'fuchsiacleat_gateway_rate_wait_seconds',
+    help: 'Time that requests over the rates of their teams waited, by how it ended.',
+    labelNames: ['end'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
   /** Number of unexpected errors that ended a piece of work. */
   readonly taskFailures = new Counter({
     name: 'fuchsiacleat_gateway_task_failures_total',
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -32,7 +32,7 @@
 import {RunRecorder} from './run_recorder.js';
 import {RunReplacement} from './run_replacement.js';
 import {RunStallHandler, RunStallHandlerParts} from './run_stall_handler.js';
-import {noCapacityRefusal} from './capacity_refusal.js';
+import {noCapacityRefusal, stoppingRefusal} from './capacity_refusal.js';
 import {StreamResumption} from './stream_resumption.js';
 import {chooseService} from './target_choice.js';
 import {TargetProber} from './target_prober.js';
@@ -45,12 +45,6 @@
 /** Retry-after time of a refusal to continue a stream of unknown origin. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 1_000;
 
-/**
- * Retry-after time of a refusal because this host is stopping; the caller
- * retries at another host.
- */
-const STOPPING_RETRY_AFTER_MS = 50;
-
 /**
  * Time between checks of an exhausted retry budget, and the time limit for them
  * in latency objectives.
@@ -141,7 +135,10 @@
     if (admitted.isErr()) {
       const {refusal, route, team} = admitted.error;
       req.refuse(refusal);
-      const trace = traceRequest(this.parts, req, undefined, refusal);
+      const outcome: Outcome = req.signal.aborted
+        ? {type: 'cancelled'}
+        : refusal;
+      const trace = traceRequest(this.parts, req, undefined, outcome);
       observer.requestEnded({...trace, ...routeAndTeam(route, team)});
       return;
     }
@@ -171,6 +168,7 @@
    */
   refuseWaiting(): void {
     this.isClosing = true;
+    this.parts.quotas.stopWaiting();
     for (const call of this.calls) call.stopWaiting();
   }
 
@@ -500,8 +498,3 @@
   const rank = 2 * priority + isLessUrgent * isGeneration;
   return Math.min(LEAST_URGENT, rank);
 }
-
-function stoppingRefusal(): Refusal {
-  const message = 'this host is stopping';
-  return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
-}
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -1,9 +1,12 @@
 /** Enforces the token rates of teams on this host. @packageDocumentation */
 
-import {TokenBucket} from '../limits/token_bucket.js';
+import {RateQueue, TurnRequest} from '../limits/rate_queue.js';
+import {canAwaitTurn} from '../limits/turn_rule.js';
 import {WindowSum} from '../limits/window_sum.js';
 import {Clock} from '../time/clock.js';
 import {TeamConfig} from './deployment.js';
+import {SilentTurnObserver, TurnObserver} from './turn_observer.js';
+import {HostTurn, TurnNeeds, TurnWaits} from './turn_waits.js';
 
 /** Maximum retry-after time of a refusal. */
 const MAX_RETRY_AFTER_MS = 3_000;
@@ -46,6 +49,8 @@
   neededTokens: number;
   /** Tokens that the host would like to borrow in total. */
   wantedTokens: number;
+  /** Set if the request may wait in the queue of its team. */
+  turn?: TurnRequest;
 }
 
 /** Reply to a loan request. */
@@ -54,6 +59,8 @@
   tokens: number;
   /** Time until the needed tokens can be lent, if none were lent. */
   waitMs: number;
+  /** Whether the request must not wait for its turn; unset if it stated none. */
+  isRefused?: boolean;
 }
 
 /** Lends tokens of rates that are shared by all hosts. */
@@ -86,9 +93,9 @@
 interface TeamBalance {
   tokens: number;
   lastUsedMs: number;
-  /** Local token bucket; set while no lender can be reached. */
-  localBucket: TokenBucket | undefined;
-  /** Clock time at which the slack was last granted to the local bucket. */
+  /** Queue of this host's share; set while no lender can be reached. */
+  localQueue: RateQueue | undefined;
+  /** Clock time at which the slack was last granted to the local queue. */
   slackGrantedMs: number;
   /** Tokens of requests that were admitted. */
   readonly used: WindowSum;
@@ -102,18 +109,37 @@
 export class TeamQuotas {
   private readonly balances = new Map<string, TeamBalance>();
   private readonly startedMs: number;
+  private readonly waits: TurnWaits;
 
   /**
    * @param clock - measures refills and ages.
    * @param source - lends the tokens.
    * @param slack - allowed excess over the rates.
+   * @param observer - receives how requests over the rates waited.
    */
   constructor(
     private readonly clock: Clock,
     private readonly source: TokenLoanClient,
     private readonly slack: QuotaSlack,
+    observer: TurnObserver = new SilentTurnObserver(),
   ) {
     this.startedMs = clock.now();
+    this.waits = new TurnWaits(clock, observer);
+  }
+
+  /** Whether {@link TeamQuotas.stopWaiting} was called. */
+  get isStopped(): boolean {
+    return this.waits.isStopped;
+  }
+
+  /** Returns the tokens for which requests of each team wait on this host. */
+  waitingTokens(): Map<string, number> {
+    return this.waits.tokensByTeam();
+  }
+
+  /** Ends the waits of all requests; none waits any more. */
+  stopWaiting(): void {
+    this.waits.stop();
   }
 
   /**
@@ -123,6 +149,7 @@
    * @param tokens - number of tokens of the request.
    * @param maxWaitMs - maximum time to wait for a lender, in milliseconds.
    * @param signal - aborts the wait.
+   * @param needs - set if the request may wait for its turn.
    * @returns undefined if the request may run, else the retry-after time in
    *     milliseconds.
    */
@@ -131,9 +158,10 @@
     tokens: number,
     maxWaitMs: number,
     signal: AbortSignal,
+    needs?: TurnNeeds,
   ): Promise<number | undefined> {
     if (team.tokensPerSecond <= 0) return undefined;
-    const waitMs = await this.tryTake(team, tokens, maxWaitMs, signal);
+    const waitMs = await this.tryTake(team, tokens, maxWaitMs, signal, needs);
     if (waitMs === undefined) this.balanceOf(team).used.add(tokens);
     return waitMs;
   }
@@ -161,16 +189,32 @@
     tokens: number,
     maxWaitMs: number,
     signal: AbortSignal,
+    needs: TurnNeeds | undefined,
   ): Promise<number | undefined> {
     const balance = this.balanceOf(team);
     const deadlineMs = this.clock.now() + maxWaitMs;
     for (;;) {
       if (this.spend(balance, tokens)) return undefined;
       const loan = await this.borrow(team, balance, tokens, signal);
+      if (needs !== undefined) {
+        const isTaken =
+          loan === undefined
+            ? this.takeFromLocalQueue(team, balance, tokens) === undefined
+            : this.spend(balance, tokens);
+        if (isTaken) return undefined;
+        return this.waitForTurn(
+          team,
+          balance,
+          tokens,
+          deadlineMs,
+          signal,
+          needs,
+        );
+      }
       if (loan !== undefined) {
         return this.takeFromLoan(team, balance, tokens, loan, signal);
       }
-      const waitMs = this.takeFromLocalBucket(team, balance, tokens);
+      const waitMs = this.takeFromLocalQueue(team, balance, tokens);
       const isTimeUp = signal.aborted || this.clock.now() >= deadlineMs;
       if (waitMs === undefined || isTimeUp) return waitMs;
       await this.clock.sleep(LENDER_POLL_MS, signal);
@@ -226,7 +270,10 @@
     tokens: number,
     signal: AbortSignal,
   ): Promise<Loan | undefined> {
-    const neededTokens = Math.max(0, tokens - balance.tokens);
+    // Set aside, so that concurrent requests do not count on the same tokens.
+    const ownTokens = Math.min(tokens, balance.tokens);
+    balance.tokens -= ownTokens;
+    const neededTokens = tokens - ownTokens;
     const aheadTokens = Math.min(
       this.maxHeldTokens(team),
       tokens * BORROWED_AHEAD_REQUESTS,
@@ -237,30 +284,80 @@
       wantedTokens: neededTokens + aheadTokens,
     };
     const loan = await this.source.borrow(request, signal);
-    if (loan === undefined) return undefined;
-    balance.tokens += loan.tokens;
-    balance.localBucket = undefined;
+    balance.tokens += ownTokens + (loan?.tokens ?? 0);
+    if (loan !== undefined) balance.localQueue = undefined;
     return loan;
   }
 
+  private waitForTurn(
+    team: TeamConfig,
+    balance: TeamBalance,
+    tokens: number,
+    lenderEndMs: number,
+    signal: AbortSignal,
+    needs: TurnNeeds,
+  ): Promise<number | undefined> {
+    return this.waits.run({
+      team: team.name,
+      tokens,
+      needs,
+      lenderEndMs,
+      signal,
+      ask: (request, ended) =>
+        this.askTurn(team, balance, tokens, request, ended),
+    });
+  }
+
+  /** Asks the lender, or this host's own queue, for the turn of a request. */
+  private async askTurn(
+    team: TeamConfig,
+    balance: TeamBalance,
+    tokens: number,
+    turn: TurnRequest,
+    signal: AbortSignal,
+  ): Promise<HostTurn> {
+    const request = {
+      team: team.name,
+      neededTokens: tokens,
+      wantedTokens: tokens,
+      turn,
+    };
+    const loan = signal.aborted
+      ? undefined
+      : await this.source.borrow(request, signal);
+    if (signal.aborted) {
+      // The wait has ended; tokens that were lent serve later requests.
+      const room = Math.max(0, this.maxHeldTokens(team) - balance.tokens);
+      balance.tokens += Math.min(room, loan?.tokens ?? 0);
+      return {isGranted: false, inMs: 1, isRefused: true, isLocal: false};
+    }
+    if (loan === undefined) {
+      balance.localQueue ??= this.openLocalQueue(team, balance);
+      const local = balance.localQueue.ask(tokens, turn);
+      const inMs = Math.min(MAX_NO_LENDER_RETRY_AFTER_MS, local.inMs);
+      return {...local, inMs, isLocal: true};
+    }
+    balance.localQueue = undefined;
+    const isGranted = loan.tokens >= tokens;
+    balance.tokens += isGranted ? loan.tokens - tokens : loan.tokens;
+    const inMs = isGranted ? 0 : Math.max(1, loan.waitMs);
+    const isRefused = !isGranted && (loan.isRefused ?? !mayWait(inMs, turn));
+    return {isGranted, inMs, isRefused, isLocal: false};
+  }
+
   /** Takes the tokens from this host's share of the rate and of the slack. */
-  private takeFromLocalBucket(
+  private takeFromLocalQueue(
     team: TeamConfig,
     balance: TeamBalance,
     tokens: number,
   ): number | undefined {
-    balance.localBucket ??= this.openLocalBucket(team, balance);
-    if (balance.localBucket.take(tokens)) {
-      balance.localBucket.settle(tokens, tokens);
-      return undefined;
-    }
-    return Math.min(
-      MAX_NO_LENDER_RETRY_AFTER_MS,
-      balance.localBucket.timeUntil(tokens),
-    );
+    balance.localQueue ??= this.openLocalQueue(team, balance);
+    const waitMs = balance.localQueue.takeSpare(tokens);
+    if (waitMs === 0) return undefined;
+    return Math.min(MAX_NO_LENDER_RETRY_AFTER_MS, waitMs);
   }
 
-  private openLocalBucket(team: TeamConfig, balance: TeamBalance): TokenBucket {
+  private openLocalQueue(team: TeamConfig, balance: TeamBalance): RateQueue {
     const {hostCount} = this.source;
     const {fraction, tokens, windowMs} = this.slack;
     const rate = team.tokensPerSecond / hostCount;
@@ -272,7 +369,7 @@
     const isDue = nowMs - balance.slackGrantedMs > windowMs;
     if (isDue) balance.slackGrantedMs = nowMs;
     const shape = {rate, burst: Math.max(rate, slack)};
-    return new TokenBucket(this.clock, shape, isDue ? slack : 0);
+    return new RateQueue(this.clock, shape, isDue ? slack : 0);
   }
 
   private maxHeldTokens(team: TeamConfig): number {
@@ -287,7 +384,7 @@
       balance = {
         tokens: 0,
         lastUsedMs,
-        localBucket: undefined,
+        localQueue: undefined,
         slackGrantedMs: -Infinity,
         used,
       };
@@ -296,3 +393,8 @@
     return balance;
   }
 }
+
+/** Decides as the lender would, for a lender that knows no turns. */
+function mayWait(turnInMs: number, request: TurnRequest): boolean {
+  return request.canWait && canAwaitTurn(turnInMs, request);
+}
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -135,13 +135,30 @@
   event: z.never(),
 };
 
+const turnRequestSchema = z.object({
+  id: z.string(),
+  content: z.string(),
+  urgency: z.number(),
+  objectiveInMs: z.number(),
+  deadlineInMs: z.number(),
+  waitedMs: z.number(),
+  canWait: z.boolean(),
+});
+
 const loanRequestSchema = z.object({
   team: z.string(),
   neededTokens: z.number(),
   wantedTokens: z.number(),
+  /** Unset for requests that do not wait, and from older hosts. */
+  turn: turnRequestSchema.optional(),
 });
 
-const loanSchema = z.object({tokens: z.number(), waitMs: z.number()});
+const loanSchema = z.object({
+  tokens: z.number(),
+  waitMs: z.number(),
+  /** Unset if no turn was asked for, and from older hosts. */
+  isRefused: z.boolean().optional(),
+});
 
 /** Borrows tokens of a team from the lease holder. */
 export const BORROW_TOKENS: PeerMethod<LoanRequest, Loan> = {
--- a/packages/core/src/lib/residency/token_lender.ts
+++ b/packages/core/src/lib/residency/token_lender.ts
@@ -3,7 +3,8 @@
 import {DeploymentState} from '../gateway/deployment_state.js';
 import {TeamConfig} from '../gateway/deployment.js';
 import {HELD_FRACTION, Loan, LoanRequest} from '../gateway/team_quotas.js';
-import {BucketShape, TokenBucket} from '../limits/token_bucket.js';
+import {NO_TURN_MS, RateQueue} from '../limits/rate_queue.js';
+import {BucketShape} from '../limits/token_bucket.js';
 import {Clock} from '../time/clock.js';
 
 /** Fraction of the tokens in a bucket that a host may borrow in advance. */
@@ -19,16 +20,16 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Keeps one token bucket for each team, over all hosts.
+ * Keeps one queue of waiting requests for each team, over all hosts.
  *
  * In any window a team gets at most the tokens that its rate and burst allow.
  * The fraction of the burst that cannot be used at once is granted evenly over
- * the window. A new lender starts with empty buckets, as the previous one may
- * have lent all tokens. Once nearly all hosts have reported what they used in
+ * the window. A new lender starts without tokens, as the previous one may have
+ * lent them all, and learns of waiting requests when they ask again. Once nearly all hosts have reported what they used in
  * the last window, it adds the remaining tokens.
  */
 export class TokenLender {
-  private readonly buckets = new Map<string, TokenBucket>();
+  private readonly queues = new Map<string, RateQueue>();
   /**
    * Hosts that have reported since the restart; undefined once the remaining
    * tokens were added.
@@ -47,13 +48,13 @@
     private readonly windowMs: number,
   ) {}
 
-  /** Starts again with empty buckets. */
+  /** Starts again without tokens and with empty queues. */
   restart(): void {
-    this.buckets.clear();
+    this.queues.clear();
     this.reportedHosts = new Set();
     this.usedByTeam.clear();
     const teams = this.state.current?.deployment.teams.values() ?? [];
-    for (const team of teams) this.bucketOf(team);
+    for (const team of teams) this.queueOf(team);
   }
 
   /**
@@ -94,37 +95,41 @@
       const used = (this.usedByTeam.get(team.name) ?? 0) * missingFactor;
       const held = team.burstTokens * HELD_FRACTION;
       const left = rate * windowS - used - held;
-      if (left > 0) this.bucketOf(team).add(left);
+      if (left > 0) this.queueOf(team).add(left);
     }
     this.usedByTeam.clear();
   }
 
-  /** Lends tokens, or returns when enough will be available. */
-  lend({team, neededTokens, wantedTokens}: LoanRequest): Loan {
+  /**
+   * Lends tokens, or returns when it is the turn of the request. A request that
+   * states no turn takes what no waiting request needs.
+   */
+  lend({team, neededTokens, turn, wantedTokens}: LoanRequest): Loan {
     const facts = this.state.current?.deployment.teams.get(team);
-    if (facts === undefined) return {tokens: 0, waitMs: Infinity};
-    const bucket = this.bucketOf(facts);
-    const {level} = bucket;
-    if (level < neededTokens) {
-      return {tokens: 0, waitMs: bucket.timeUntil(neededTokens)};
+    if (facts === undefined)
+      return {tokens: 0, waitMs: NO_TURN_MS, isRefused: true};
+    const queue = this.queueOf(facts);
+    if (turn !== undefined) {
+      const {inMs, isGranted, isRefused} = queue.ask(neededTokens, turn);
+      return {tokens: isGranted ? neededTokens : 0, waitMs: inMs, isRefused};
     }
-    const spare = (level - neededTokens) * ADVANCE_FRACTION;
-    const ahead = Math.min(spare, wantedTokens - neededTokens);
-    const tokens = Math.floor(neededTokens + Math.max(0, ahead));
-    bucket.take(tokens);
-    bucket.settle(tokens, tokens);
-    return {tokens, waitMs: 0};
+    const waitMs = queue.takeSpare(neededTokens);
+    if (waitMs > 0) return {tokens: 0, waitMs};
+    const spare = queue.spareTokens * ADVANCE_FRACTION;
+    const ahead = Math.floor(Math.min(spare, wantedTokens - neededTokens));
+    const isAhead = ahead > 0 && queue.takeSpare(ahead) === 0;
+    return {tokens: neededTokens + (isAhead ? ahead : 0), waitMs: 0};
   }
 
-  private bucketOf(team: TeamConfig): TokenBucket {
+  private queueOf(team: TeamConfig): RateQueue {
     const shape = this.shapeOf(team);
-    let bucket = this.buckets.get(team.name);
-    if (bucket === undefined) {
-      bucket = new TokenBucket(this.clock, shape, 0);
-      this.buckets.set(team.name, bucket);
+    let queue = this.queues.get(team.name);
+    if (queue === undefined) {
+      queue = new RateQueue(this.clock, shape, 0);
+      this.queues.set(team.name, queue);
     }
-    bucket.reshape(shape);
-    return bucket;
+    queue.reshape(shape);
+    return queue;
   }
 
   private shapeOf(team: TeamConfig): BucketShape {
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -16,6 +16,7 @@
 } from './gateway_fixtures.js';
 import {
   FakeCaller,
+  NoLoans,
   OneTarget,
   TargetBehavior,
   RelayWorld,
@@ -580,6 +581,48 @@
   });
 });
 
+describe('Relay: a request that waits for tokens of its team', () => {
+  /** Has a request wait for about a second, at a host without a lender. */
+  async function waitForTokens() {
+    const world = relayWorld({
+      route: once,
+      behaviors: [() => answer(200, ['x'])],
+      loans: new NoLoans(),
+    });
+    const team = teamConfig({tokensPerSecond: 100, burstTokens: 100});
+    world.state.applyIfNewer(deploymentOf([once], [team], 2));
+    const caller = new FakeCaller(world.clock);
+    const handled = world.relay.handle(caller);
+    await world.clock.advance(0);
+    await world.clock.advance(500);
+    return {world, caller, handled};
+  }
+
+  it('is refused as not run when its host stops', async () => {
+    const {world, caller, handled} = await waitForTokens();
+    expect(caller.refusal).to.equal(undefined);
+    world.relay.refuseWaiting();
+    await handled;
+    expect(caller.refusal?.reason).to.equal(REFUSAL.stopping);
+    expect(world.port.sent).to.eql([]);
+  });
+
+  it('no longer waits when its caller has left', async () => {
+    const {world, caller, handled} = await waitForTokens();
+    caller.disconnect.abort();
+    await handled;
+    expect(world.observer.traces[0].outcome.type).to.equal('cancelled');
+    expect(world.port.sent).to.eql([]);
+  });
+
+  it('is served once it is its turn', async () => {
+    const {world, caller, handled} = await waitForTokens();
+    await world.clock.advance(600);
+    await handled;
+    expect(caller.isEnded).to.equal(true);
+  });
+});
+
 describe('Relay: reports', () => {
   it('reports how far a broken answer had come and its prompt parts', async () => {
     const plays = [() => answer(200, [event(1)], BODY_END.broken)];
