--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -341,7 +341,9 @@
     const isGranted = loan.tokens >= tokens;
     balance.tokens += isGranted ? loan.tokens - tokens : loan.tokens;
     const inMs = isGranted ? 0 : Math.max(1, loan.waitMs);
-    const isRefused = !isGranted && (loan.isRefused ?? !mayWait(inMs, turn));
+    // An older lender knows no turns, and this host decides in its place.
+    const mayWait = turn.canWait && canAwaitTurn(inMs, turn);
+    const isRefused = !isGranted && (loan.isRefused ?? !mayWait);
     return {isGranted, inMs, isRefused, isLocal: false};
   }
 
@@ -393,8 +395,3 @@
     return balance;
   }
 }
-
-/** Decides as the lender would, for a lender that knows no turns. */
-function mayWait(turnInMs: number, request: TurnRequest): boolean {
-  return request.canWait && canAwaitTurn(turnInMs, request);
-}
