Test: turns of hosts that vanish in a burst go to others

Cause: the burst at 70 hosts had no host that ends with waiting requests.

Change: half of the hosts vanish after 4 s of the burst; the others' callers are all served, within the time that their own tokens take and one second.

--- a/packages/core/src/test/gateway/rate_burst_test.ts
+++ b/packages/core/src/test/gateway/rate_burst_test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
+import {WAITER_LIFETIME_MS} from '../../lib/limits/rate_queue.js';
 import {
   CLASS,
   Call,
+  HOSTS,
   MAX_WINDOW_TOKENS,
   RATE,
   RateBurstWorld,
@@ -94,5 +96,25 @@
       expect(mean(urgent)).to.be.below(mean(patient) / 2);
       expect(world.maxWindowTokens).to.be.at.most(MAX_WINDOW_TOKENS);
     });
+
+    it('gives the turns of hosts that vanished to others', async () => {
+      const world = new RateBurstWorld(seed);
+      await world.burst({urgent: 0.5, patient: 2}, BURST_MS, atMs => {
+        if (atMs !== 4_000) return;
+        for (let host = 0; host < HOSTS / 2; host++) world.vanished.add(host);
+      });
+      expect(world.calls.filter(call => world.isLost(call)).length).to.be.above(
+        50,
+      );
+      await world.finish();
+      const rest = world.calls.filter(call => !world.isLost(call));
+      expect(rest.filter(call => call.admittedMs === undefined)).to.eql([]);
+      // The others are served sooner than if the lost ones had kept their turns.
+      const tokens = rest.reduce((sum, call) => sum + call.tokens, 0);
+      const lastMs = Math.max(...rest.map(call => call.admittedMs ?? Infinity));
+      const neededMs = (tokens / RATE) * 1_000 + WAITER_LIFETIME_MS;
+      expect(lastMs - world.calls[0].beganMs).to.be.below(neededMs);
+      expect(world.maxWindowTokens).to.be.at.most(MAX_WINDOW_TOKENS);
+    });
   });
 }
--- a/packages/core/src/test/gateway/rate_burst_world.ts
+++ b/packages/core/src/test/gateway/rate_burst_world.ts
@@ -47,6 +47,8 @@
   beganMs: number;
   /** Time at which it was admitted; undefined if it was not. */
   admittedMs?: number;
+  /** Index of the host that it reached last. */
+  host?: number;
   /** Times at which it was told to return, one for each refusal. */
   told: number[];
 }
@@ -58,6 +60,8 @@
   readonly calls: Call[] = [];
   readonly lender: TokenLender;
   isReached = true;
+  /** Hosts that have ended, by their index; the last calls there get nothing. */
+  readonly vanished = new Set<number>();
   private readonly admissions: Admission[] = [];
   private readonly random: Random;
   private pending = 0;
@@ -82,16 +86,22 @@
     this.lender.restart();
     const slack = {fraction: 0.1, tokens: 7_400, windowMs: WINDOW_MS};
     for (let i = 0; i < HOSTS; i++) {
-      const quotas = new TeamQuotas(clock, new DelayedSource(this), slack);
+      const quotas = new TeamQuotas(clock, new DelayedSource(this, i), slack);
       this.quotas.push(quotas);
       const parts = {clock, state, freshness, quotas};
       this.admissions.push(new Admission(parts));
     }
   }
 
-  /** Runs until all callers are done. */
+  /** Runs until all callers of hosts that remain are done. */
   async finish(): Promise<void> {
-    while (this.pending > 0) await this.clock.advance(STEP_MS);
+    const lost = this.calls.filter(call => this.isLost(call)).length;
+    while (this.pending > lost) await this.clock.advance(STEP_MS);
+  }
+
+  /** Whether a call was waiting at a host that has vanished. */
+  isLost({admittedMs, host}: Call): boolean {
+    return admittedMs === undefined && this.vanished.has(host ?? -1);
   }
 
   /** Sends requests of several classes for a time, by multiples of the rate. */
@@ -133,6 +143,13 @@
     return Math.max(0, ...sums);
   }
 
+  private chooseHost(): number {
+    for (;;) {
+      const host = Math.floor(this.random.float() * HOSTS);
+      if (!this.vanished.has(host)) return host;
+    }
+  }
+
   private start(kind: RequestClass): number {
     const span = MAX_TOKENS - MIN_TOKENS;
     const tokens = MIN_TOKENS + Math.floor(this.random.float() * span);
@@ -156,7 +173,8 @@
       req.path = `${path}/x`;
       req.tokens = {prompt: call.tokens, output: 0};
       req.timeoutMs = leftMs;
-      const host = Math.floor(this.random.float() * HOSTS);
+      const host = this.chooseHost();
+      call.host = host;
       const admitted = await this.admissions[host].admit(req);
       if (admitted.isOk()) {
         call.admittedMs = clock.now();
@@ -174,12 +192,16 @@
 class DelayedSource extends TokenLoanClient {
   override readonly hostCount = HOSTS;
 
-  constructor(private readonly world: RateBurstWorld) {
+  constructor(
+    private readonly world: RateBurstWorld,
+    private readonly host: number,
+  ) {
     super();
   }
 
   override async borrow(request: LoanRequest): Promise<Loan | undefined> {
     const {clock, lender} = this.world;
+    if (this.world.vanished.has(this.host)) return new Promise(() => {});
     if (!this.world.isReached) return undefined;
     await clock.sleep(ONE_WAY_MS);
     const loan = lender.lend(request);
