--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -68,7 +68,7 @@
 export class FakeCaller extends CallerRequest {
   override readonly id = 'req-1';
   override readonly host = 'h.example';
-  override readonly path = '/x';
+  override path = '/x';
   override readonly content: RequestContent;
   override key: string | undefined = 'key';
   override demand: ModelDemand | undefined;
@@ -285,6 +285,13 @@
   override async requestSend(): Promise<undefined> {}
 }
 
+/** Reaches no lender of tokens, on the only host. */
+export class NoLoans extends TokenLoanClient {
+  override readonly hostCount = 1;
+
+  override async borrow(): Promise<undefined> {}
+}
+
 class UnlimitedSource extends TokenLoanClient {
   override readonly hostCount = 1;
 
@@ -393,6 +400,8 @@
   models?: (clock: ManualClock, targets: TargetTable) => ModelFinder;
   /** Which targets are cold; by default none is. */
   warming?: TargetWarming;
+  /** Lends tokens of teams; without bounds by default. */
+  loans?: TokenLoanClient;
 }
 
 const MAX_AGE_MS = 4_000;
@@ -412,7 +421,7 @@
   }
   const port = new FakePort(clock, options.behaviors);
   const observer = new RecordingObserver();
-  const quotas = new TeamQuotas(clock, new UnlimitedSource(), {
+  const quotas = new TeamQuotas(clock, options.loans ?? new UnlimitedSource(), {
     fraction: 0,
     tokens: 0,
     windowMs: 1_000,
