--- a/packages/core/src/lib/residency/evacuation_handoff.ts
+++ b/packages/core/src/lib/residency/evacuation_handoff.ts
@@ -39,6 +39,8 @@
   private readonly sinceMs = new Map<ResidencyAccount, number>();
   private readonly displaced = new Map<string, Displaced>();
   private readonly handedOver = new Set<string>();
+  /** Models that reachable targets hold or load, by service and model. */
+  private held: ReadonlySet<string> = new Set();
 
   /**
    * @param clock - measures how long models are tried.
@@ -61,22 +63,24 @@
   /** Updates the models to load from the accounts. */
   update(): void {
     const nowMs = this.clock.now();
-    let hasEvacuated = false;
-    for (const account of this.registry.all()) {
-      if (!account.target.isEvacuated) continue;
-      hasEvacuated = true;
-      const sinceMs = this.sinceMs.get(account) ?? nowMs;
-      this.sinceMs.set(account, sinceMs);
-      if (nowMs - sinceMs <= COLLECT_MS) this.collect(account, nowMs);
-    }
-    if (!hasEvacuated) {
+    const accounts = [...this.registry.all()];
+    const evacuated = accounts.filter(({target}) => target.isEvacuated);
+    if (evacuated.length === 0) {
       if (this.sinceMs.size > 0) this.clear();
       return;
     }
     for (const account of this.sinceMs.keys())
-      if (!account.target.isEvacuated) this.sinceMs.delete(account);
-    for (const [key, {service, model, untilMs}] of this.displaced) {
-      const isHeld = this.isHeldElsewhere(service, model);
+      if (!account.target.isEvacuated) this.forget(account);
+    for (const account of evacuated)
+      if (!this.sinceMs.has(account)) this.sinceMs.set(account, nowMs);
+    const recent = evacuated.filter(
+      account => nowMs - this.sinceMs.get(account)! <= COLLECT_MS,
+    );
+    if (recent.length === 0 && this.displaced.size === 0) return;
+    this.held = heldModels(accounts);
+    for (const account of recent) this.collect(account, nowMs);
+    for (const [key, {untilMs}] of this.displaced) {
+      const isHeld = this.held.has(key);
       if (isHeld) this.handedOver.add(key);
       if (isHeld || untilMs <= nowMs) this.displaced.delete(key);
     }
@@ -100,27 +104,46 @@
     return new Map(models.slice(0, MAX_MODELS_PER_ROUND));
   }
 
+  /** Lets the models of a returned target be handed over another time. */
+  private forget(account: ResidencyAccount): void {
+    this.sinceMs.delete(account);
+    const {service} = account.target.registration;
+    for (const model of modelsOf(account))
+      this.handedOver.delete(residentKey(service, model));
+  }
+
   private collect(account: ResidencyAccount, nowMs: number): void {
     const {service} = account.target.registration;
-    const models = new Set(account.residents.keys());
-    if (account.loadingModel !== undefined) models.add(account.loadingModel);
-    for (const model of models) {
+    for (const model of modelsOf(account)) {
       const key = residentKey(service, model);
       if (this.displaced.has(key) || this.handedOver.has(key)) continue;
       const isUsed =
         this.usage.demand(service, model).perSecond > 0 ||
         this.usage.inFlight(account.id, model) > 0;
-      if (!isUsed || this.isHeldElsewhere(service, model)) continue;
+      if (!isUsed || this.held.has(key)) continue;
       const untilMs = nowMs + HANDOFF_LIFETIME_MS;
       this.displaced.set(key, {service, model, untilMs});
     }
   }
+}
 
-  private isHeldElsewhere(service: string, model: string): boolean {
-    return this.registry
-      .ofService(service)
-      .some(account => account.isReachable && account.isHeldOrLoading(model));
+/** Returns the models that reachable targets hold or load. */
+function heldModels(accounts: readonly ResidencyAccount[]): Set<string> {
+  const held = new Set<string>();
+  for (const account of accounts) {
+    if (!account.isReachable) continue;
+    const {service} = account.target.registration;
+    for (const model of modelsOf(account))
+      if (account.isHeldOrLoading(model)) held.add(residentKey(service, model));
   }
+  return held;
+}
+
+/** Returns the models that a target holds, loads or unloads. */
+function modelsOf({loadingModel, residents}: ResidencyAccount): Set<string> {
+  const models = new Set(residents.keys());
+  if (loadingModel !== undefined) models.add(loadingModel);
+  return models;
 }
 
 /**
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -354,6 +354,17 @@
     this.targets.put({...registration, softwareVersion}, false);
   }
 
+  /** Removes a model from an engine, by another process of its target. */
+  removeModel(id: string, model: string): void {
+    const engine = this.engines.get(id)!;
+    engine.models.delete(model);
+    engine.orderCount = 0;
+    const {registration} = this.targets.get(id)!;
+    const held = registration.held.filter(each => each.model !== model);
+    const startedMs = registration.startedMs + 1;
+    this.targets.put({...registration, held, startedMs}, true);
+  }
+
   /** Returns the number of reports requested from an engine. */
   reportsTo(id: string): number {
     return this.port.reportCounts.get(id) ?? 0;
--- a/packages/core/src/test/residency/evacuated_zone_test.ts
+++ b/packages/core/src/test/residency/evacuated_zone_test.ts
@@ -69,4 +69,23 @@
     expect(refusal?.isFinal).to.equal(true);
     expect(world.clock.now() - beganMs).to.be.at.most(20);
   });
+
+  // Guards against models that are not loaded elsewhere at a second evacuation,
+  // as another zone was evacuated all the time.
+  it('hands models over again when their zone is evacuated again', async () => {
+    const world = await startWorld([['m0'], ['m1'], []]);
+    world.setZone('e3', 'always-out');
+    world.evacuations.set('always-out', true, 1);
+    world.report([], {m0: 2, m1: 1});
+    world.evacuations.set('out', true, 2);
+    await world.clock.advance(1_500);
+    world.evacuations.set('out', false, 3);
+    await world.clock.advance(500);
+    world.removeModel('e2', 'm0');
+    await world.clock.advance(500);
+    world.report([], {m0: 2, m1: 1});
+    world.evacuations.set('out', true, 4);
+    await world.clock.advance(1_500);
+    expect(loadedModels(world)).to.deep.equal(['m0', 'm0']);
+  });
 });
