Choose targets by their predicted work and pace

Cause: hosts counted requests relative to slots only; targets that differ in pace, queued prompts or memory looked alike.

Change: each host accounts its own sends in tokens (work/target_work.ts) and learns the pace of targets from first events and pauses (work/pace.ts). chooseTarget takes the predicted first event and harmful pauses into its cost, draws among nearly equal targets by free slots, and leaves out targets whose memory the request does not fit into. Only services whose engine states KvCapacityTokens are affected.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -66,3 +66,4 @@
 export * from './lib/time/random.js';
 export * from './lib/time/system_clock.js';
 export * from './lib/time/timeout.js';
+export * from './lib/work/work_model.js';
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -106,7 +106,11 @@
       call.recordReceived(chunk.length);
       call.recordBytes();
       boundary.push(chunk);
-      if (splitter === undefined) return call.answer.write(chunk);
+      if (splitter === undefined) {
+        const passed = call.answer.write(chunk);
+        if (passed !== undefined) call.work?.skipPause();
+        return passed;
+      }
       const {lastId} = splitter;
       const bytes = splitter.push(chunk);
       // Comments and partial events do not count as progress.
@@ -114,7 +118,10 @@
       if (splitter.isTooLong) answer.discard();
       if (bytes.length > 0) this.onEvents(call);
       const written = bytes.length === 0 ? undefined : call.answer.write(bytes);
-      if (written !== undefined) monitor?.recordBlocked(written);
+      if (written !== undefined) {
+        call.work?.skipPause();
+        monitor?.recordBlocked(written);
+      }
       return written;
     });
     ended.abort();
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -15,6 +15,8 @@
   prompt: number;
   /** Maximum number of tokens to generate. */
   output: number;
+  /** Tokens that the caller expects to be generated, if it says so. */
+  expectedOutput?: number;
 }
 
 /** Head of a target's answer; everything else is up to the transport. */
--- a/packages/core/src/lib/gateway/deployment.ts
+++ b/packages/core/src/lib/gateway/deployment.ts
@@ -62,6 +62,13 @@
   /** Memory of a target for weights and adapters. */
   weightsMb: number;
   adapterSlots: number;
+  /**
+   * Tokens of running requests that the memory of a target holds; undefined if
+   * not stated.
+   */
+  kvCapacityTokens?: number;
+  /** Tokens in one event of a stream, if stated. */
+  tokensPerEvent?: number;
   /** Loads per second that the weight store allows for all targets together. */
   storeLoadsPerSecond: number;
   models: ReadonlyMap<string, ModelConfig>;
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -40,6 +40,7 @@
 import {TargetAnswer, TargetPort, UnansweredSend} from './target_port.js';
 import {TargetSends} from '../target_limits/target_sends.js';
 import {KnownTarget, TargetTable} from './target_table.js';
+import {WorkModel} from '../work/work_model.js';
 import {TeamQuotas} from './team_quotas.js';
 
 /** Retry-after time of a refusal to continue a stream of unknown origin. */
@@ -89,6 +90,7 @@
   models: ModelFinder;
   prompts: PromptGuard;
   sends: TargetSends;
+  work: WorkModel;
   continuity: StreamContinuity;
   observer: RelayObserver;
   tasks: TaskSupervisor;
@@ -341,6 +343,8 @@
     const attempt = call.startAttempt(wait.checkAfterMs, () => wait.canEnd());
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
+    this.beginWork(target, req, call);
+    let isWhole = false;
     try {
       const sent = await this.parts.port.send(target, req, {
         remainingMs: call.remainingMs,
@@ -356,7 +360,10 @@
       if (sent.type === 'answered') {
         call.recordAnswered(sent.answer);
         observer.sendAnswered(registration.id);
-        return await this.relay(target, req, call, sent.answer, attempt);
+        const {answer} = sent;
+        const outcome = await this.relay(target, req, call, answer, attempt);
+        isWhole = outcome?.type === 'served';
+        return outcome;
       }
       const {connection, reason, type} = sent;
       this.runs.reportSendEnd(target, req, call, type, reason, connection);
@@ -364,10 +371,20 @@
     } finally {
       attempt.dispose();
       target.endRequest(req.demand);
+      call.work?.end(isWhole);
       this.runs.endTrial(call);
     }
   }
 
+  /** Counts the work of a send, if its service has a model of work. */
+  private beginWork(target: KnownTarget, req: Req, call: RelayCall<Req>): void {
+    const {work} = this.parts;
+    const {kind, objectiveMs} = call.route;
+    const requestWork = work.workOf(call.service, req, objectiveMs);
+    const isStream = kind === REQUEST_KIND.stream;
+    call.work = requestWork && work.begin(target, requestWork, isStream);
+  }
+
   /**
    * Checks again, once a connection is established, that a request may be sent.
    *
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -12,6 +12,7 @@
 import {TargetAnswer} from './target_port.js';
 import {TargetRegistration} from './target_registration.js';
 import {KnownTarget} from './target_table.js';
+import {SentWork} from '../work/sent_work.js';
 
 /**
  * A single send of a request, with the time limit for the head of its answer.
@@ -91,6 +92,8 @@
   endedTargets = 0;
   /** The trial of suspect parts of the prompt that the next send is. */
   trial: GrantedTrial | undefined;
+  /** The work of the latest send, if its service has a model of work. */
+  work: SentWork | undefined;
   /** Progress of the current send. */
   run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
@@ -317,6 +320,7 @@
   recordReceived(bytes: number): void {
     this.receivedBytes += bytes;
     this.target?.recordHeard();
+    this.work?.recordChunk();
     this.run?.recordBytes();
   }
 
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -1,7 +1,9 @@
 /** Selection of a service and a target for a request. @packageDocumentation */
 
 import {ServiceShare} from './deployment.js';
+import {RequestWork} from '../work/work_model.js';
 import {KnownTarget} from './target_table.js';
+import {chooseWeighted} from './weighted_choice.js';
 
 /**
  * Penalty of a target in another zone, as a fraction of its slots: the load
@@ -26,6 +28,8 @@
   tried: ReadonlySet<string>;
   /** Random number in [0, 1) that breaks ties. */
   draw: number;
+  /** Work of the request, if its service has a model of work. */
+  work?: RequestWork;
 }
 
 /**
@@ -40,13 +44,18 @@
   targets: readonly KnownTarget[],
   options: ChoiceOptions,
 ): KnownTarget | undefined {
+  const {work} = options;
+  if (work !== undefined) {
+    const cost = (target: KnownTarget) => workCost(target, work, options);
+    const weight = (target: KnownTarget) => work.service.freeSlots(target);
+    return chooseWeighted(targets, cost, weight, options.draw);
+  }
   let best: KnownTarget | undefined;
   let bestCost = Infinity;
   const first = Math.floor(options.draw * targets.length);
   for (let i = 0; i < targets.length; i++) {
     const target = targets[(first + i) % targets.length];
-    if (!target.takesRequests || options.tried.has(target.registration.id))
-      continue;
+    if (!isCandidate(target, options)) continue;
     const cost = costOf(target, options);
     if (cost >= bestCost) continue;
     best = target;
@@ -95,12 +104,31 @@
   return shares.at(-1)?.service;
 }
 
+function isCandidate(target: KnownTarget, {tried}: ChoiceOptions): boolean {
+  return target.takesRequests && !tried.has(target.registration.id);
+}
+
+/** Returns the cost of a target by the model of work; Infinity if unusable. */
+function workCost(
+  target: KnownTarget,
+  {service, size, objectiveMs}: RequestWork,
+  options: ChoiceOptions,
+): number {
+  if (!isCandidate(target, options)) return Infinity;
+  if (!service.fitsMemory(target, size)) return Infinity;
+  const cost = service.cost(target, size, objectiveMs);
+  return cost + penaltyOf(target, options);
+}
+
 function costOf(target: KnownTarget, options: ChoiceOptions): number {
+  return target.load + penaltyOf(target, options);
+}
+
+function penaltyOf(target: KnownTarget, {zone}: ChoiceOptions): number {
   const distancePenalty =
-    target.registration.zone === options.zone ? 0 : OTHER_ZONE_PENALTY;
+    target.registration.zone === zone ? 0 : OTHER_ZONE_PENALTY;
   const failurePenalty = target.health.recentFailures * FAILURE_PENALTY;
   const avoidedPenalty = target.health.isAvoided ? AVOIDED_PENALTY : 0;
   const limitPenalty = target.throttledLeftMs > 0 ? THROTTLED_PENALTY : 0;
-  const penalty = failurePenalty + avoidedPenalty + limitPenalty;
-  return target.load + distancePenalty + penalty;
+  return distancePenalty + failurePenalty + avoidedPenalty + limitPenalty;
 }
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -16,6 +16,7 @@
 import {RelayCall} from './relay_call.js';
 import {chooseTarget, minBackOffMs} from './target_choice.js';
 import {KnownTarget, TargetTable} from './target_table.js';
+import {WorkModel} from '../work/work_model.js';
 
 /** Pause before a request is sent again to targets that have all refused it. */
 const ALL_REFUSED_PAUSE_MS = 60;
@@ -37,6 +38,7 @@
   state: DeploymentState;
   targets: TargetTable;
   models: ModelFinder;
+  work: WorkModel;
   /** Zone of this host. */
   zone: string;
 }
@@ -70,6 +72,7 @@
         zone: this.parts.zone,
         tried: call.tried,
         draw: this.parts.random.float(),
+        work: this.workOf(req, call),
       };
       const {demand} = req;
       const needsModel = engine !== undefined && demand !== undefined;
@@ -125,11 +128,18 @@
       zone: this.parts.zone,
       tried,
       draw: 0,
+      work: this.workOf(req, call),
     });
     if (other === undefined || other.health.isAvoided) return false;
     return other.throttledLeftMs === 0;
   }
 
+  /** Returns the work of the request, if its service has a model of work. */
+  private workOf(req: CallerRequest, call: RelayCall<CallerRequest>) {
+    const {objectiveMs} = call.route;
+    return this.parts.work.workOf(call.service, req, objectiveMs);
+  }
+
   /** Returns the targets of the service that may run the request. */
   private targetsFor(call: RelayCall<CallerRequest>): readonly KnownTarget[] {
     const all = this.parts.targets.ofService(call.service);
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -7,6 +7,7 @@
   TargetRegistration,
   isSameProcess,
 } from './target_registration.js';
+import {TargetWork} from '../work/target_work.js';
 import {TargetHealth} from './target_health.js';
 import {
   AnswerSignals,
@@ -60,6 +61,8 @@
   /** The same by model and by adapter; for the keys see {@link residentKey}. */
   readonly inFlightByModel = new Map<string, number>();
   readonly health: TargetHealth;
+  /** Work at this process; a new process starts without any. */
+  readonly work: TargetWork;
   /** Names of the loaded models, each with its loaded adapters. */
   readonly held = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
@@ -83,6 +86,7 @@
     ),
   ) {
     this.health = new TargetHealth(clock);
+    this.work = new TargetWork(clock);
     this.setHeldModels(registration);
   }
 
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -60,6 +60,7 @@
 import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
+import {WorkModel} from '../../lib/work/work_model.js';
 import {deploymentOf, targetRegistration} from './gateway_fixtures.js';
 
 /** A request that records its answer. */
@@ -430,6 +431,12 @@
     models: options.models?.(clock, targets) ?? new NoModels(clock),
     prompts: lonePromptGuard(clock, port, ledger),
     sends: new TargetSends(clock, new LoneLoans()),
+    work: new WorkModel({
+      clock,
+      random: new Random(1),
+      state,
+      hostCount: () => 1,
+    }),
     continuity: loneContinuity(clock, targets),
     observer,
     tasks: new TaskSupervisor(clock, new SilentLogger()),
