--- a/packages/core/src/lib/residency/account_registry.ts
+++ b/packages/core/src/lib/residency/account_registry.ts
@@ -76,6 +76,15 @@
     this.targetFullListener = listener;
   }
 
+  /**
+   * Returns the account of a target.
+   *
+   * @param id - id of the target.
+   */
+  get(id: string): ResidencyAccount | undefined {
+    return this.accounts.get(id);
+  }
+
   /** Returns the accounts of all targets. */
   all(): IterableIterator<ResidencyAccount> {
     return this.accounts.values();
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -32,6 +32,8 @@
   UsageBody,
   ViewBody,
 } from './residency_messages.js';
+import {WorkModel} from '../work/work_model.js';
+import {decodeWork} from '../work/work_messages.js';
 import {SuccessorTracker} from './successor_tracker.js';
 import {TokenLender} from './token_lender.js';
 import {UsageReporter} from './usage_reporter.js';
@@ -83,6 +85,7 @@
   registry: AccountRegistry;
   usage: UsageTable;
   lender: TokenLender;
+  work: WorkModel;
   /** Returns the tokens of each team used here in the last window, if known. */
   usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
@@ -405,7 +408,11 @@
     this.applyView(body);
   }
 
-  private applyView({crowded, targets}: Pick<ViewBody, 'crowded' | 'targets'>) {
+  private applyView({
+    crowded,
+    targets,
+    work = [],
+  }: Pick<ViewBody, 'crowded' | 'targets' | 'work'>) {
     const table = this.parts.targets;
     for (const {id, held} of targets) {
       const target = table.get(id);
@@ -416,6 +423,11 @@
       }
     }
     for (const [id, load] of crowded) table.get(id)?.setReportedLoad(load);
+    for (const entry of work) {
+      const target = table.get(entry[0]);
+      if (target !== undefined)
+        this.parts.work.applyPublished(target, decodeWork(entry));
+    }
   }
 
   private handleReport({host}: PeerIdentity, body: UsageBody): void {
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -4,6 +4,7 @@
 import {NOT_RUN} from '../gateway/target_port.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
 import {PeerMethod} from '../peers/peer_network.js';
+import {workEntrySchema} from '../work/work_messages.js';
 
 const findSchema = z.object({
   service: z.string(),
@@ -62,6 +63,10 @@
   /** Rank of the host as a successor of the holder; the lowest is best. */
   successorRankMs: z.number(),
   inFlight: z.array(z.tuple([z.string(), z.string(), z.number()])),
+  /** Work and pace of targets; unset if there is none to report. */
+  work: z
+    .object({entries: z.array(workEntrySchema), isFull: z.boolean()})
+    .optional(),
   demand: z
     .array(
       z.object({
@@ -102,6 +107,8 @@
   targets: z.array(targetViewSchema),
   /** Targets that fill up, with their requests as a fraction of their slots. */
   crowded: z.array(z.tuple([z.string(), z.number()])),
+  /** Work of all hosts at targets where it has changed. */
+  work: z.array(workEntrySchema).optional(),
   /** Number of hosts that report to the holder, itself included. */
   hosts: z.number(),
 });
--- a/packages/core/src/lib/residency/residency_view_publisher.ts
+++ b/packages/core/src/lib/residency/residency_view_publisher.ts
@@ -3,6 +3,7 @@
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {WakeableSleep} from '../time/wakeable_sleep.js';
+import {WorkPublication} from '../work/work_publication.js';
 import {AccountRegistry} from './account_registry.js';
 import {HostCounter} from './host_counter.js';
 import {OrderLease} from './order_lease.js';
@@ -55,7 +56,7 @@
   hostCounter: HostCounter;
   network: PeerNetwork;
   /** Applies a view on this host. */
-  applyView: (view: Pick<ViewBody, 'targets' | 'crowded'>) => void;
+  applyView: (view: Pick<ViewBody, 'targets' | 'crowded' | 'work'>) => void;
 }
 
 /** Sends changes to all hosts, and a full view to each new host. */
@@ -70,8 +71,16 @@
     {load: number; ms: number}
   >();
 
+  private readonly work: WorkPublication;
+
   /** @param parts - see {@link ResidencyViewPublisherParts}. */
-  constructor(private readonly parts: ResidencyViewPublisherParts) {}
+  constructor(private readonly parts: ResidencyViewPublisherParts) {
+    this.work = new WorkPublication(
+      parts.clock,
+      parts.usage.work,
+      id => parts.registry.get(id)?.slots,
+    );
+  }
 
   /** Queues the view of a target for the hosts, and applies it on this host. */
   publish(account: ResidencyAccount): void {
@@ -109,12 +118,15 @@
     this.fullyInformed.add(incarnation);
     const crowded: ViewBody['crowded'] = [];
     for (const [id, {load}] of this.publishedLoads) crowded.push([id, load]);
-    network.notify(host, RESIDENCY_VIEW, this.view(registry.all(), crowded));
+    const work = this.work.current();
+    const view = this.view(registry.all(), crowded, work);
+    network.notify(host, RESIDENCY_VIEW, view);
   }
 
   private view(
     accounts: Iterable<ResidencyAccount>,
     crowded: ViewBody['crowded'],
+    work: ViewBody['work'],
   ): ViewBody {
     const {hostCounter, lease, network, usage} = this.parts;
     const targets: TargetModelsView[] = [];
@@ -127,6 +139,7 @@
       leaseEnd: lease.knownEnd,
       targets,
       crowded,
+      work,
       hosts: hostCounter.count ?? 1,
     };
   }
@@ -139,6 +152,7 @@
       this.changed.clear();
       this.fullyInformed.clear();
       this.publishedLoads.clear();
+      this.work.clear();
       return;
     }
     const nowMs = clock.now();
@@ -149,8 +163,9 @@
     if (!isFull && !isDue && this.changed.size === 0) return;
     const accounts = isFull ? registry.all() : this.changed.values();
     const crowded = this.crowded();
-    applyView({targets: [], crowded});
-    network.broadcast(RESIDENCY_VIEW, this.view(accounts, crowded));
+    const work = this.work.take();
+    applyView({targets: [], crowded, work});
+    network.broadcast(RESIDENCY_VIEW, this.view(accounts, crowded, work));
     this.changed.clear();
     this.sentMs = nowMs;
     if (isFull) this.fullSentMs = nowMs;
--- a/packages/core/src/lib/residency/usage_reporter.ts
+++ b/packages/core/src/lib/residency/usage_reporter.ts
@@ -3,6 +3,7 @@
 import {TargetTable} from '../gateway/target_table.js';
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
+import {WorkReports} from '../work/work_reports.js';
 import {DemandRates} from './demand_rates.js';
 import {HostCounter} from './host_counter.js';
 import {OrderLease} from './order_lease.js';
@@ -45,8 +46,12 @@
   private demandSentMs = -Infinity;
   private lastDemandHolder = '';
 
+  private readonly workReports: WorkReports;
+
   /** @param parts - see {@link UsageReporterParts}. */
-  constructor(private readonly parts: UsageReporterParts) {}
+  constructor(private readonly parts: UsageReporterParts) {
+    this.workReports = new WorkReports(parts.clock, parts.targets);
+  }
 
   /**
    * Sends reports until the signal aborts.
@@ -87,10 +92,14 @@
       usedTokens: isNewHolder ? usedTokens() : undefined,
       successorRankMs: lease.successorRankMs,
       inFlight,
+      work: this.workReports.take(isNewHolder),
       demand: shouldSendDemand ? demand.rates() : undefined,
     };
     if (lease.isHeld) handleReport(network.self, body);
-    else if (!network.notify(leaseHolder.host, HOST_USAGE, body)) return false;
+    else if (!network.notify(leaseHolder.host, HOST_USAGE, body)) {
+      this.workReports.recordLost();
+      return false;
+    }
     this.lastInFlightJson = text;
     this.sentMs = nowMs;
     this.lastHolder = leaseHolder.incarnation;
--- a/packages/core/src/lib/residency/usage_table.ts
+++ b/packages/core/src/lib/residency/usage_table.ts
@@ -1,6 +1,8 @@
 /** Table of the requests and demand that hosts report. @packageDocumentation */
 
 import {Clock} from '../time/clock.js';
+import {HostWork} from '../work/work_reports.js';
+import {WorkTable} from '../work/work_table.js';
 import {DemandRate, ModelDemandRate} from './demand_rates.js';
 
 /** How long the last report of a host that stopped reporting counts. */
@@ -24,6 +26,8 @@
   inFlight: ReadonlyArray<readonly [string, string, number]>;
   /** Demand for models; absent if that of an earlier report still holds. */
   demand?: readonly ModelDemandRate[];
+  /** Work at targets. */
+  work?: HostWork;
 }
 
 interface HostUsage {
@@ -34,6 +38,8 @@
 
 /** Sums the requests in flight and the demand over the reports of all hosts. */
 export class UsageTable {
+  /** Work of all hosts at the targets. */
+  readonly work = new WorkTable();
   private readonly hosts = new Map<string, HostUsage>();
   private readonly reservations = new Map<string, number>();
   private readonly inFlightSums = new Map<string, number>();
@@ -66,6 +72,7 @@
         demand.set(`${rate.service} ${rate.model}`, rate);
       }
     }
+    if (report.work !== undefined) this.work.report(host, report.work);
     if (known !== undefined) this.subtract(known);
     const usage = {heardMs: this.clock.now(), inFlight, demand};
     this.hosts.set(host, usage);
@@ -104,6 +111,7 @@
     for (const [host, usage] of this.hosts) {
       if (nowMs - usage.heardMs <= REPORT_LIFETIME_MS) continue;
       this.hosts.delete(host);
+      this.work.remove(host);
       this.subtract(usage);
     }
     for (const [id, untilMs] of this.reservations) {
--- a/packages/core/src/lib/work/work_model.ts
+++ b/packages/core/src/lib/work/work_model.ts
@@ -8,7 +8,7 @@
 import {RequestSize, requestSize} from './request_size.js';
 import {SentWork} from './sent_work.js';
 import {Prediction, ServiceWork} from './service_work.js';
-import {WorkSums} from './target_work.js';
+import {TargetReport} from './work_messages.js';
 
 /**
  * Parts of the free slots that hosts may use, relative to equal parts: not
@@ -107,13 +107,14 @@
    * divided among the hosts, as all of them learn of these at the same time.
    *
    * @param target - the target.
-   * @param sums - the work, as published.
+   * @param report - the work, as published.
    */
-  applyPublished(target: KnownTarget, sums: WorkSums): void {
+  applyPublished(target: KnownTarget, {sums, pace}: TargetReport): void {
     const requests = sums.waiting + sums.running;
     const free = Math.max(0, target.effectiveSlots - requests);
     const part = (PART_FACTOR * free) / Math.max(1, this.parts.hostCount());
     const wholePart = Math.floor(part + this.parts.random.float());
     target.work.setPublished(sums, wholePart);
+    target.work.pace.setPublished(pace);
   }
 }
--- a/packages/core/src/test/residency/fleet_world.ts
+++ b/packages/core/src/test/residency/fleet_world.ts
@@ -18,6 +18,7 @@
 import {SilentLogger} from '../../lib/telemetry/logger.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
+import {WorkModel} from '../../lib/work/work_model.js';
 import {
   ENGINE_SERVICE,
   deploymentOf,
@@ -153,6 +154,12 @@
       registry,
       usage,
       lender,
+      work: new WorkModel({
+        clock,
+        random: new Random(i),
+        state,
+        hostCount: () => residency.hostCount,
+      }),
       usedTokens: () => [],
       network,
     });
--- a/packages/core/src/test/work/work_fixtures.ts
+++ b/packages/core/src/test/work/work_fixtures.ts
@@ -29,12 +29,9 @@
 }
 
 /** Returns a model of one of `hostCount` hosts. */
-export function workModel(
-  clock: Clock,
-  hostCount = 1,
-  state = workState(),
-): WorkModel {
-  const random = new Random(1);
+export function workModel(clock: Clock, hostCount = 1, seed = 1): WorkModel {
+  const state = workState();
+  const random = new Random(seed);
   return new WorkModel({clock, random, state, hostCount: () => hostCount});
 }
 
--- a/packages/core/src/test/work/work_model_test.ts
+++ b/packages/core/src/test/work/work_model_test.ts
@@ -81,7 +81,7 @@
       prefillTokens: 1_000,
       memoryTokens: 20_000,
     };
-    model.applyPublished(target, sums);
+    model.applyPublished(target, {sums, pace: {log: 0, count: 0}});
     model.begin(target, work, true);
     expect(target.work.requests).to.equal(SLOTS + 2);
     await clock.advance(1_000);
