Send targets only what they can begin; let the rest wait at the host

Change: hosts divide the free slots of a target as last published, 0.8 of equal parts, with a tenth of the used slots divided again each time. A request without a target that has room waits at the host, ordered by urgency, then by the end of the objective (work/host_queue.ts); a stream at most as long as its caller waits for a first event. A prompt larger than the memory is refused. urgencyOf moves to its own file.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -42,6 +42,7 @@
 import {KnownTarget, TargetTable} from './target_table.js';
 import {WorkModel} from '../work/work_model.js';
 import {TeamQuotas} from './team_quotas.js';
+import {urgencyOf} from './urgency.js';
 
 /** Retry-after time of a refusal to continue a stream of unknown origin. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 1_000;
@@ -66,13 +67,6 @@
 const MAX_ENDED_TARGETS = 2;
 
 const SERVER_ERROR = 500;
-const LEAST_URGENT = 9;
-
-/**
- * Latency objective above which a generation yields to other requests of the
- * same priority.
- */
-const MAX_URGENT_OBJECTIVE_MS = 1_000;
 
 /** Dependencies of a {@link Relay}. */
 export interface RelayParts<
@@ -509,15 +503,6 @@
   return {route: route?.name, kind: route?.kind, team: team?.name};
 }
 
-function urgencyOf<Req extends CallerRequest>(call: RelayCall<Req>): number {
-  const {route, team} = call;
-  const priority = team?.priority ?? route.priority;
-  const isLessUrgent = route.objectiveMs > MAX_URGENT_OBJECTIVE_MS ? 1 : 0;
-  const isGeneration = route.kind === REQUEST_KIND.stream ? 1 : 0;
-  const rank = 2 * priority + isLessUrgent * isGeneration;
-  return Math.min(LEAST_URGENT, rank);
-}
-
 function stoppingRefusal(): Refusal {
   const message = 'this host is stopping';
   return refuse(REFUSAL.stopping, message, STOPPING_RETRY_AFTER_MS);
--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -64,6 +64,21 @@
   return best;
 }
 
+/**
+ * Returns whether any candidate takes requests, whether it has room or not.
+ *
+ * @param targets - the candidates.
+ * @param options - see {@link ChoiceOptions}.
+ */
+export function hasCandidate(
+  targets: readonly KnownTarget[],
+  options: ChoiceOptions,
+): boolean {
+  return targets.some(
+    target => isCandidate(target, options) && !target.health.isAvoided,
+  );
+}
+
 /**
  * Returns the time until a target accepts requests again.
  *
@@ -116,6 +131,7 @@
 ): number {
   if (!isCandidate(target, options)) return Infinity;
   if (!service.fitsMemory(target, size)) return Infinity;
+  if (!service.hasRoom(target)) return Infinity;
   const cost = service.cost(target, size, objectiveMs);
   return cost + penaltyOf(target, options);
 }
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -1,7 +1,7 @@
 /** Finds a target for a request. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Refusal} from '../requests/outcome.js';
+import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {CallerRequest} from './caller_request.js';
@@ -11,10 +11,12 @@
   noCapacityRefusal,
 } from './capacity_refusal.js';
 import {DeploymentState} from './deployment_state.js';
-import {EngineConfig} from './deployment.js';
+import {EngineConfig, REQUEST_KIND} from './deployment.js';
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
-import {chooseTarget, minBackOffMs} from './target_choice.js';
+import {chooseTarget, hasCandidate, minBackOffMs} from './target_choice.js';
+import {urgencyOf} from './urgency.js';
+import {HostQueue, WaitPlace} from '../work/host_queue.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 import {WorkModel} from '../work/work_model.js';
 
@@ -31,6 +33,13 @@
 const MAX_LIMIT_WAIT_OBJECTIVES = 1.5;
 const MIN_LIMIT_WAIT_MS = 600;
 
+/**
+ * How long a stream waits at this host for room at a target: callers of streams
+ * wait for a first event for 3.5 objectives, and at least 1.8 s.
+ */
+const MAX_ROOM_WAIT_OBJECTIVES = 3.5;
+const MIN_ROOM_WAIT_MS = 1_800;
+
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchParts {
   clock: Clock;
@@ -45,8 +54,13 @@
 
 /** Chooses targets for requests, and waits until there is one. */
 export class TargetSearch {
+  /** Requests that wait for room at a target. */
+  readonly waiting: HostQueue;
+
   /** @param parts - see {@link TargetSearchParts}. */
-  constructor(private readonly parts: TargetSearchParts) {}
+  constructor(private readonly parts: TargetSearchParts) {
+    this.waiting = new HostQueue(parts.clock);
+  }
 
   /**
    * Finds a target for the next send of a request.
@@ -59,6 +73,23 @@
   async find(
     req: CallerRequest,
     call: RelayCall<CallerRequest>,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    const place = this.waiting.place({
+      key: waitKey(req, call),
+      urgency: urgencyOf(call),
+      objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
+    });
+    try {
+      return await this.search(req, call, place);
+    } finally {
+      place.leave();
+    }
+  }
+
+  private async search(
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+    place: WaitPlace,
   ): Promise<Result<KnownTarget, Refusal>> {
     const {clock, models} = this.parts;
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
@@ -79,7 +110,22 @@
       if (needsModel && !engine.models.has(demand.model))
         return err(noCapacityRefusal('the configuration has no such model'));
       const candidates = this.candidatesFor(req, call);
-      const target = chooseTarget(candidates, options);
+      const {work} = options;
+      if (work !== undefined && !work.service.canEverFit(work.size)) {
+        const message = 'the prompt exceeds the memory of the targets';
+        return err(refuse(REFUSAL.tooLarge, message));
+      }
+      const mustYield = work !== undefined && place.mustYield;
+      const target = mustYield ? undefined : chooseTarget(candidates, options);
+      const canWait = work !== undefined && hasCandidate(candidates, options);
+      if (target === undefined && canWait) {
+        if (clock.now() >= this.roomWaitEndMs(req, call))
+          return err(noCapacityRefusal('every target is full'));
+        await place.wait(call.waitSignal);
+        if (call.waitSignal.aborted)
+          return err(noCapacityRefusal('the time is over'));
+        continue;
+      }
       if (target !== undefined && !target.health.isAvoided) {
         if (target.throttledLeftMs === 0) return ok(target);
         const found = await this.findUnthrottled(target, req, call);
@@ -134,6 +180,17 @@
     return other.throttledLeftMs === 0;
   }
 
+  /** Returns the clock time until which a request waits for room. */
+  private roomWaitEndMs(
+    {arrivedMs}: CallerRequest,
+    {deadlineMs, mustContinue, route}: RelayCall<CallerRequest>,
+  ): number {
+    if (route.kind !== REQUEST_KIND.stream || mustContinue) return deadlineMs;
+    const objectivesMs = route.objectiveMs * MAX_ROOM_WAIT_OBJECTIVES;
+    const waitMs = Math.max(MIN_ROOM_WAIT_MS, objectivesMs);
+    return Math.min(deadlineMs, arrivedMs + waitMs);
+  }
+
   /** Returns the work of the request, if its service has a model of work. */
   private workOf(req: CallerRequest, call: RelayCall<CallerRequest>) {
     const {objectiveMs} = call.route;
@@ -227,3 +284,11 @@
     return deployment.services.get(call.service)?.engine;
   }
 }
+
+/** Returns what requests that wait for the same targets have in common. */
+function waitKey(
+  {demand}: CallerRequest,
+  {service}: RelayCall<CallerRequest>,
+): string {
+  return `${service} ${demand?.model ?? ''}/${demand?.adapter ?? ''}`;
+}
--- a/packages/core/src/lib/work/service_work.ts
+++ b/packages/core/src/lib/work/service_work.ts
@@ -24,12 +24,6 @@
  */
 const QUEUED_FRACTION = 0.06;
 
-/**
- * Fraction of the slots up to which a target takes requests of any host; above
- * it, each host may use its part of the free slots.
- */
-const UNDIVIDED_LOAD = 0.5;
-
 /** What is predicted for a request at a target. */
 export interface Prediction {
   /** Time from the send to the first event, in milliseconds. */
@@ -109,13 +103,18 @@
     return promptTokens < this.kvCapacityTokens;
   }
 
-  /** Returns whether a request would start at once, or nearly so. */
+  /**
+   * Returns whether this host may send a target a request that would start at
+   * once, or nearly so. Without current sums of all hosts, it always may.
+   *
+   * @param target - the target.
+   */
   hasRoom(target: KnownTarget): boolean {
+    const {work} = target;
+    if (!work.isCurrent) return true;
     const slots = target.effectiveSlots;
-    const load = this.loadOf(target);
-    if (load < UNDIVIDED_LOAD) return true;
     const queued = Math.max(1, slots * QUEUED_FRACTION);
-    return load * slots < slots + queued && !target.work.isPartUsed;
+    return work.requests < slots + queued && !work.isPartUsed;
   }
 
   /** Returns the typical time to the first event on an idle target. */
--- a/packages/core/src/lib/work/target_work.ts
+++ b/packages/core/src/lib/work/target_work.ts
@@ -86,6 +86,11 @@
     return this.isCurrent && this.ownRequests >= this.ownLimit;
   }
 
+  /** Number of requests of this host in its last report. */
+  get reportedRequests(): number {
+    return this.reported.waiting + this.reported.running;
+  }
+
   /** Records that the present work of this host is reported. */
   recordReported(): void {
     Object.assign(this.reported, this.own);
@@ -105,10 +110,10 @@
    * Stores the work of all hosts.
    *
    * @param sums - the work, which includes this host's last report.
-   * @param part - number of requests that this host may add until the next
-   *     publication.
+   * @param ownLimit - number of requests that this host may have there until
+   *     the next publication.
    */
-  setPublished(sums: WorkSums, part: number): void {
+  setPublished(sums: WorkSums, ownLimit: number): void {
     const {others, reported} = this;
     Object.assign(others, sums);
     addWork(others, reported, -1);
@@ -117,6 +122,6 @@
     others.prefillTokens = Math.max(0, others.prefillTokens);
     others.memoryTokens = Math.max(0, others.memoryTokens);
     this.publishedMs = this.clock.now();
-    this.ownLimit = this.ownRequests + part;
+    this.ownLimit = ownLimit;
   }
 }
--- a/packages/core/src/lib/work/work_model.ts
+++ b/packages/core/src/lib/work/work_model.ts
@@ -11,10 +11,16 @@
 import {TargetReport} from './work_messages.js';
 
 /**
- * Parts of the free slots that hosts may use, relative to equal parts: not
- * every host has a request for every target.
+ * Parts of the free slots that hosts may use, relative to equal parts. Rounding
+ * is random, so that equal parts at times add up to more than the free slots.
  */
-const PART_FACTOR = 1.5;
+const PART_FACTOR = 0.8;
+
+/**
+ * Part of the slots in use that is divided again with each publication, so that
+ * a host without requests at a full target gets slots there within seconds.
+ */
+const REDIVIDED_FRACTION = 0.1;
 
 /** Dependencies of {@link WorkModel}. */
 export interface WorkModelParts {
@@ -111,10 +117,12 @@
    */
   applyPublished(target: KnownTarget, {sums, pace}: TargetReport): void {
     const requests = sums.waiting + sums.running;
-    const free = Math.max(0, target.effectiveSlots - requests);
+    const returned = REDIVIDED_FRACTION * requests;
+    const free = Math.max(0, target.effectiveSlots - requests + returned);
     const part = (PART_FACTOR * free) / Math.max(1, this.parts.hostCount());
-    const wholePart = Math.floor(part + this.parts.random.float());
-    target.work.setPublished(sums, wholePart);
+    const kept = (1 - REDIVIDED_FRACTION) * target.work.reportedRequests;
+    const limit = Math.floor(kept + part + this.parts.random.float());
+    target.work.setPublished(sums, limit);
     target.work.pace.setPublished(pace);
   }
 }
