Do not ask a target again that lacks the model

Cause: a request was sent four times in 4 s to a target that answered with 421 each time: views that repeat an older state, and the lease holder's guess when a load would be ready, made it a candidate again.

Change: a request remembers the targets that answered that they lack its model (gateway/lacking_targets.ts) until a report names the model after a report that left it out (gateway/model_gains.ts). If the holder names such a target five times, it is asked for another one. Only for services with a model of work.

Measured: lacking_model_test; both cases fail without the rule.

--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -11,6 +11,7 @@
 import {PassedAnswer} from './passed_answer.js';
 import {TargetAnswer} from './target_port.js';
 import {TargetRegistration} from './target_registration.js';
+import {LackingTargets} from './lacking_targets.js';
 import {KnownTarget} from './target_table.js';
 import {SentWork} from '../work/sent_work.js';
 
@@ -72,6 +73,8 @@
   isVersionFixed = false;
   /** Targets that refused the request or failed to answer it. */
   readonly tried = new Set<string>();
+  /** Targets that have said that they lack the model. */
+  readonly lacking = new LackingTargets();
   /** Targets that the request was sent to, in order. */
   readonly sentTo: string[] = [];
   /** Software versions of these targets. */
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -137,6 +137,8 @@
     if (reason === NOT_RUN.unreachable) this.recordFailure(target);
     if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
     if (req.demand === undefined) return;
+    if (reason === NOT_RUN.modelAbsent && call.work !== undefined)
+      call.lacking.add(target, req.demand);
     this.parts.models.recordNotRun(target, req.demand, reason);
     const isReachable =
       reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent;
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -4,7 +4,7 @@
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
-import {CallerRequest} from './caller_request.js';
+import {CallerRequest, ModelDemand} from './caller_request.js';
 import {
   backingOffRefusal,
   limitRefusal,
@@ -139,6 +139,12 @@
           this.modelSearch(req, call),
           call.waitSignal,
         );
+        if (found.isOk() && call.lacking.has(found.value, demand)) {
+          call.lacking.recordNamed(found.value);
+          await clock.sleep(ALL_REFUSED_PAUSE_MS, call.waitSignal);
+          if (!call.waitSignal.aborted) continue;
+          return err(noCapacityRefusal('the time is over'));
+        }
         if (found.isOk() || target === undefined) return found;
       }
       if (target !== undefined) return ok(target);
@@ -217,7 +223,11 @@
   ): readonly KnownTarget[] {
     const all = this.targetsFor(call);
     if (this.engineOf(call) === undefined || demand === undefined) return all;
-    return all.filter(target => target.holds(demand.model, demand.adapter));
+    return all.filter(
+      target =>
+        target.holds(demand.model, demand.adapter) &&
+        !call.lacking.has(target, demand),
+    );
   }
 
   /**
@@ -244,8 +254,11 @@
       const found = await models.find(search, limited.signal);
       timer.cancel();
       call.waitSignal.removeEventListener('abort', abort);
-      if (found.isOk()) return found;
-      if (!limited.signal.aborted) readyMs = found.error.retryAfterMs ?? 0;
+      const isUsable =
+        found.isOk() && !call.lacking.has(found.value, req.demand);
+      if (isUsable) return found;
+      if (found.isErr() && !limited.signal.aborted)
+        readyMs = found.error.retryAfterMs ?? 0;
     }
     const waitMs = target.throttledLeftMs;
     const objectivesMs = call.route.objectiveMs * MAX_LIMIT_WAIT_OBJECTIVES;
@@ -264,18 +277,22 @@
       demand: req.demand!,
       objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
       deadlineMs: call.deadlineMs,
-      tried: this.targetsToAvoid(call),
+      tried: this.targetsToAvoid(req.demand!, call),
       softwareVersion: call.softwareVersion,
     };
   }
 
   /** Returns the ids of the targets that cannot take the request now. */
-  private targetsToAvoid(call: RelayCall<CallerRequest>): ReadonlySet<string> {
+  private targetsToAvoid(
+    demand: ModelDemand,
+    call: RelayCall<CallerRequest>,
+  ): ReadonlySet<string> {
     const avoided = new Set(call.tried);
     for (const target of this.parts.targets.ofService(call.service)) {
       const isUnusable = target.backOffLeftMs > 0 || target.throttledLeftMs > 0;
       if (isUnusable) avoided.add(target.registration.id);
     }
+    call.lacking.addExcluded(avoided, demand);
     return avoided;
   }
 
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -8,6 +8,8 @@
   isSameProcess,
 } from './target_registration.js';
 import {TargetWork} from '../work/target_work.js';
+import {ModelGains} from './model_gains.js';
+import {residentKey} from './resident_key.js';
 import {TargetHealth} from './target_health.js';
 import {
   AnswerSignals,
@@ -16,15 +18,7 @@
   SignalTable,
 } from './target_signals.js';
 
-/**
- * Returns the key of a model, or of an adapter of it.
- *
- * @param model - name of the model.
- * @param adapter - name of the adapter, if any.
- */
-export function residentKey(model: string, adapter?: string): string {
-  return adapter === undefined ? model : `${model}/${adapter}`;
-}
+export {residentKey} from './resident_key.js';
 
 /**
  * Returns whether a target runs a software version.
@@ -67,6 +61,7 @@
   readonly held = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
   isRemoved = false;
+  private readonly gains = new ModelGains();
   private heardMs = -Infinity;
   private throttledUntilMs = -Infinity;
   private averageRunMs = INITIAL_RUN_MS;
@@ -213,10 +208,31 @@
    * @param registration - the registration to take the models from.
    */
   setHeldModels(registration: TargetRegistration): void {
+    this.replaceHeld(
+      registration.held.map(({model, adapters}) => [model, adapters]),
+    );
+  }
+
+  /**
+   * Replaces the set of loaded models.
+   *
+   * @param models - the models, each with its adapters.
+   */
+  replaceHeld(models: Iterable<readonly [string, readonly string[]]>): void {
     this.held.clear();
-    for (const {model, adapters} of registration.held) {
+    for (const [model, adapters] of models)
       this.held.set(model, new Set(adapters));
-    }
+    this.gains.update(this.held);
+  }
+
+  /**
+   * Returns a number that changes when reports name a model after they have
+   * left it out.
+   *
+   * @param demand - the model, or an adapter of it.
+   */
+  gainsOf({model, adapter}: ModelDemand): number {
+    return this.gains.countOf(residentKey(model, adapter));
   }
 
   /** Counts a request as in flight until {@link KnownTarget.endRequest}. */
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -415,12 +415,7 @@
   }: Pick<ViewBody, 'crowded' | 'targets' | 'work'>) {
     const table = this.parts.targets;
     for (const {id, held} of targets) {
-      const target = table.get(id);
-      if (target === undefined) continue;
-      target.held.clear();
-      for (const [model, adapters] of held) {
-        target.held.set(model, new Set(adapters));
-      }
+      table.get(id)?.replaceHeld(held);
     }
     for (const [id, load] of crowded) table.get(id)?.setReportedLoad(load);
     for (const entry of work) {
