Report predicted and observed first events and the pace of targets

Cause: the model of work decides by figures that operators could not see.

Change: histograms of the predicted and the observed first event, gauges of the pace of targets and of requests that wait for room, and the prediction in the request line (predicted_first_ms, target_first_ms, predicted_pause_ms). LogMedian keeps its value instead of an exponential for each read.

--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -158,6 +158,51 @@
     registers: [this.registry],
   });
 
+  /** Time from a send to the first event, as predicted for the send. */
+  readonly predictedFirstEvent = new Histogram({
+    name: 'fuchsiacleat_gateway_predicted_first_event_seconds',
+    help: 'Predicted time from a send to its first event, for sends that had one.',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  /** The same, as observed. */
+  readonly observedFirstEvent = new Histogram({
+    name: 'fuchsiacleat_gateway_observed_first_event_seconds',
+    help: 'Time from a send to its first event, for sends with a prediction.',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  /** Returns the targets of known pace, when metrics are read. */
+  listPaces: () => Iterable<readonly [string, number]> = () => [];
+
+  /** Pace of targets, see {@link Pace}. */
+  readonly targetPace = new Gauge({
+    name: 'fuchsiacleat_gateway_target_pace',
+    help: 'Duration of runs at a target, relative to the typical one of its service.',
+    labelNames: ['target'],
+    registers: [this.registry],
+    collect: (): void => {
+      this.targetPace.reset();
+      for (const [target, pace] of this.listPaces())
+        this.targetPace.set({target: this.targetLabel(target)}, pace);
+    },
+  });
+
+  /** Counts the requests that wait for room, when metrics are read. */
+  countWaitingForRoom: () => number = () => 0;
+
+  /** Number of requests that wait at this host for room at a target. */
+  readonly waitingForRoom = new Gauge({
+    name: 'fuchsiacleat_gateway_requests_waiting_for_room',
+    help: 'Requests that wait at this host for room at a target.',
+    registers: [this.registry],
+    collect: (): void => {
+      this.waitingForRoom.set(this.countWaitingForRoom());
+    },
+  });
+
   /** Number of unexpected errors that ended a piece of work. */
   readonly taskFailures = new Counter({
     name: 'fuchsiacleat_gateway_task_failures_total',
@@ -225,6 +270,17 @@
     this.targetSends.inc({target: this.targetLabel(target), end});
   }
 
+  /**
+   * Records the first event of a send.
+   *
+   * @param predictedMs - the predicted time from the send, in milliseconds.
+   * @param observedMs - the time that it took, in milliseconds.
+   */
+  recordFirstEvent(predictedMs: number, observedMs: number): void {
+    this.predictedFirstEvent.observe(predictedMs / 1_000);
+    this.observedFirstEvent.observe(observedMs / 1_000);
+  }
+
   private targetLabel(target: string): string {
     const {labeledTargets: labels} = this;
     if (labels.has(target)) return target;
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -210,6 +210,11 @@
     if (story.firstByteMs !== undefined) {
       this.metrics.firstByte.observe({kind}, story.firstByteMs / 1_000);
     }
+    const {work} = story;
+    if (work?.firstEventMs !== undefined) {
+      const {firstEventMs, prediction} = work;
+      this.metrics.recordFirstEvent(prediction.firstEventMs, firstEventMs);
+    }
     const isServed = outcome.type === 'served';
     const hasParts = story.parts.length > 0;
     const isResumed = story.lastEventId !== undefined;
@@ -249,6 +254,9 @@
       config_age_ms: story.configAgeMs,
       waited_ms: story.waitedMs,
       first_byte_ms: story.firstByteMs,
+      predicted_first_ms: rounded(work?.prediction.firstEventMs),
+      target_first_ms: rounded(work?.firstEventMs),
+      predicted_pause_ms: rounded(work?.prediction.pauseMs),
       total_ms: story.totalMs,
     });
   }
@@ -277,3 +285,7 @@
 function reasonOf(outcome: Outcome): string {
   return 'reason' in outcome ? outcome.reason : '';
 }
+
+function rounded(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -170,6 +170,11 @@
     for (const call of this.calls) call.stopWaiting();
   }
 
+  /** Number of requests that wait at this host for room at a target. */
+  get waitingForRoom(): number {
+    return this.search.waiting.size;
+  }
+
   /** Aborts all requests. */
   abortAll(): void {
     for (const call of this.calls) call.abort(ENDED_BY.stop);
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -4,6 +4,7 @@
 import {AnswerEnd, EndedBy} from './answer_end.js';
 import {Framing} from './answer_framing.js';
 import {TargetState} from './target_port.js';
+import {SentWork} from '../work/sent_work.js';
 
 /** Trace of a finished request: the data that explains how it was handled. */
 export interface RequestTrace {
@@ -31,6 +32,8 @@
   waitedMs: number | undefined;
   /** Time from arrival to the first byte of the answer. */
   firstByteMs: number | undefined;
+  /** The last send, if its service has a model of work. */
+  work?: Pick<SentWork, 'prediction' | 'firstEventMs'>;
   totalMs: number;
   status: number | undefined;
   /** Connection of the last answer of a target, and what delimited its body. */
--- a/packages/core/src/lib/gateway/relay_trace.ts
+++ b/packages/core/src/lib/gateway/relay_trace.ts
@@ -49,6 +49,7 @@
     configAgeMs: Math.round(freshness.ageMs),
     waitedMs: call?.firstSendMs,
     firstByteMs: call?.firstByteMs,
+    work: call?.work,
     totalMs: Math.round(clock.now() - req.arrivedMs),
     status: call?.answer.head?.status,
     connection: call?.connection,
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -407,6 +407,15 @@
     return count;
   }
 
+  /** Returns the paces of the targets that runs were observed at lately. */
+  *paces(): Generator<readonly [string, number]> {
+    for (const {registration, work} of this.byId.values()) {
+      const {factor} = work.pace;
+      if (work.pace.own.count > 0 || factor !== 1)
+        yield [registration.id, factor];
+    }
+  }
+
   /** Revision; increases with each change that other hosts have to know. */
   get revision(): number {
     return this.changeCount;
--- a/packages/core/src/lib/work/log_median.ts
+++ b/packages/core/src/lib/work/log_median.ts
@@ -14,29 +14,29 @@
  * than one step, whatever its size.
  */
 export class LogMedian {
-  private logValue: number;
+  private median: number;
   private count = 0;
 
   /** @param initial - the value until one is recorded. */
   constructor(initial: number) {
-    this.logValue = Math.log(initial);
+    this.median = initial;
   }
 
   /** Median of the values so far. */
   get value(): number {
-    return Math.exp(this.logValue);
+    return this.median;
   }
 
   /** Adds a value. */
   record(value: number): void {
-    const logValue = Math.log(Math.max(MIN_VALUE, value));
+    const counted = Math.max(MIN_VALUE, value);
     this.count += 1;
     if (this.count === 1) {
-      this.logValue = logValue;
+      this.median = counted;
       return;
     }
     const step = Math.max(STEP, FIRST_STEP / this.count);
-    const change = logValue - this.logValue;
-    this.logValue += Math.max(-step, Math.min(step, change));
+    const change = Math.log(counted / this.median);
+    this.median *= Math.exp(Math.max(-step, Math.min(step, change)));
   }
 }
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -198,4 +198,30 @@
     expect(await valueOf(metrics, name, {result: 'sent'})).to.equal(2);
     expect(await valueOf(metrics, name, {result: 'throttled'})).to.equal(1);
   });
+
+  it('reports what was predicted for a send beside what was observed', async () => {
+    const lines: Array<Record<string, unknown>> = [];
+    const logger = new (class extends SilentLogger {
+      override info(...[event, fields]: Parameters<Logger['info']>): void {
+        lines.push({event, ...fields});
+      }
+    })();
+    const metrics = new GatewayMetrics();
+    const observer = new LoggingObserver(new ManualClock(), logger, metrics);
+    const prediction = {
+      firstEventMs: 120.4,
+      pauseMs: 44.6,
+      fitsMemory: true,
+      confidence: 1,
+    };
+    const work = {prediction, firstEventMs: 181};
+    observer.requestEnded({...traceOf('served'), work});
+    expect(lines[0]).to.include({
+      predicted_first_ms: 120,
+      target_first_ms: 181,
+      predicted_pause_ms: 45,
+    });
+    const name = 'fuchsiacleat_gateway_observed_first_event_seconds_sum';
+    expect(await metrics.registry.metrics()).to.include(`${name} 0.181`);
+  });
 });
