Index the targets that hold a model

Cause: each choice went through all targets of a service and allocated a list of those that hold the model.

Change: TargetTable.holding keeps the holders of each model until anything that targets hold changes (gateway/holder_index.ts); held models change through methods of KnownTarget only.

--- a/packages/core/src/lib/gateway/lacking_targets.ts
+++ b/packages/core/src/lib/gateway/lacking_targets.ts
@@ -28,6 +28,11 @@
     this.denials.set(target, {gains, namedCount: 0});
   }
 
+  /** Whether no target has said so. */
+  get isEmpty(): boolean {
+    return this.denials.size === 0;
+  }
+
   /** Returns whether a target lacks the model, as far as is known. */
   has(target: KnownTarget, demand: ModelDemand | undefined): boolean {
     const denial = this.denials.get(target);
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -221,12 +221,13 @@
     {demand}: CallerRequest,
     call: RelayCall<CallerRequest>,
   ): readonly KnownTarget[] {
-    const all = this.targetsFor(call);
-    if (this.engineOf(call) === undefined || demand === undefined) return all;
-    return all.filter(
+    if (this.engineOf(call) === undefined || demand === undefined)
+      return this.targetsFor(call);
+    const holders = this.parts.targets.holding(call.service, demand);
+    if (!call.isVersionFixed && call.lacking.isEmpty) return holders;
+    return holders.filter(
       target =>
-        target.holds(demand.model, demand.adapter) &&
-        !call.lacking.has(target, demand),
+        call.canUseVersionOf(target) && !call.lacking.has(target, demand),
     );
   }
 
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -8,6 +8,7 @@
   isSameProcess,
 } from './target_registration.js';
 import {TargetWork} from '../work/target_work.js';
+import {HolderIndex} from './holder_index.js';
 import {ModelGains} from './model_gains.js';
 import {residentKey} from './resident_key.js';
 import {TargetHealth} from './target_health.js';
@@ -57,8 +58,7 @@
   readonly health: TargetHealth;
   /** Work at this process; a new process starts without any. */
   readonly work: TargetWork;
-  /** Names of the loaded models, each with its loaded adapters. */
-  readonly held = new Map<string, Set<string>>();
+  private readonly heldModels = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
   isRemoved = false;
   private readonly gains = new ModelGains();
@@ -72,6 +72,7 @@
    * @param registration - the latest registration of the target.
    * @param clock - measures how long failures and load reports are valid.
    * @param signals - the signals of its process.
+   * @param onHeldChange - called when the loaded models may have changed.
    */
   constructor(
     public registration: TargetRegistration,
@@ -79,6 +80,7 @@
     private readonly signals: ProcessSignals = new ProcessSignals(
       registration.startedMs,
     ),
+    private readonly onHeldChange: () => void = () => {},
   ) {
     this.health = new TargetHealth(clock);
     this.work = new TargetWork(clock);
@@ -189,6 +191,11 @@
     this.reportedMs = this.clock.now();
   }
 
+  /** Names of the loaded models, each with its loaded adapters. */
+  get held(): ReadonlyMap<string, ReadonlySet<string>> {
+    return this.heldModels;
+  }
+
   /**
    * Checks whether a model is loaded.
    *
@@ -197,7 +204,7 @@
    * @returns whether it is loaded.
    */
   holds(model: string, adapter?: string): boolean {
-    const adapters = this.held.get(model);
+    const adapters = this.heldModels.get(model);
     if (adapters === undefined) return false;
     return adapter === undefined || adapters.has(adapter);
   }
@@ -219,10 +226,29 @@
    * @param models - the models, each with its adapters.
    */
   replaceHeld(models: Iterable<readonly [string, readonly string[]]>): void {
-    this.held.clear();
+    this.heldModels.clear();
     for (const [model, adapters] of models)
-      this.held.set(model, new Set(adapters));
-    this.gains.update(this.held);
+      this.heldModels.set(model, new Set(adapters));
+    this.gains.update(this.heldModels);
+    this.onHeldChange();
+  }
+
+  /** Records that a model, or an adapter of it, is loaded. */
+  addHeld({model, adapter}: ModelDemand): void {
+    let adapters = this.heldModels.get(model);
+    if (adapters === undefined) {
+      adapters = new Set();
+      this.heldModels.set(model, adapters);
+    }
+    if (adapter !== undefined) adapters.add(adapter);
+    this.onHeldChange();
+  }
+
+  /** Records that a model, or an adapter of it, is not loaded. */
+  dropHeld({model, adapter}: ModelDemand): void {
+    if (adapter === undefined) this.heldModels.delete(model);
+    else this.heldModels.get(model)?.delete(adapter);
+    this.onHeldChange();
   }
 
   /**
@@ -277,6 +303,7 @@
   private readonly changes = new Map<string, number>();
   private changeCount = 0;
   private readonly byService = new Map<string, KnownTarget[]>();
+  private readonly holders = new HolderIndex();
   private readonly signals: SignalTable;
   private readonly limitListeners: Array<
     (target: KnownTarget, isOwn: boolean) => void
@@ -398,6 +425,16 @@
     return this.byService.get(service) ?? [];
   }
 
+  /**
+   * Returns the targets of a service that hold a model, including leaving ones.
+   *
+   * @param service - name of the service.
+   * @param demand - the model.
+   */
+  holding(service: string, demand: ModelDemand): readonly KnownTarget[] {
+    return this.holders.find(service, this.ofService(service), demand);
+  }
+
   /** Number of targets that name a limit. */
   get limitedCount(): number {
     let count = 0;
@@ -489,7 +526,9 @@
       return known;
     }
     if (known !== undefined) known.isRemoved = true;
-    const target = new KnownTarget(registration, this.clock, signals);
+    const target = new KnownTarget(registration, this.clock, signals, () =>
+      this.holders.clear(),
+    );
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
     this.reindex();
@@ -535,6 +574,7 @@
   }
 
   private reindex(): void {
+    this.holders.clear();
     this.byService.clear();
     for (const target of this.byId.values()) {
       const {service} = target.registration;
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -249,8 +249,7 @@
     reason: NotRunReason,
   ): void {
     if (reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent) {
-      if (adapter === undefined) target.held.delete(model);
-      else target.held.get(model)?.delete(adapter);
+      target.dropHeld({model, adapter});
     }
     const saysLittle =
       reason === NOT_RUN.noConnection || reason === NOT_RUN.withdrawn;
@@ -330,16 +329,10 @@
     id: string,
     {demand, softwareVersion}: ModelSearch,
   ): KnownTarget | undefined {
-    const {model, adapter} = demand;
     const target = this.parts.targets.get(id);
     if (target === undefined || !target.takesRequests) return undefined;
     if (!runsVersion(target, softwareVersion)) return undefined;
-    let adapters = target.held.get(model);
-    if (adapters === undefined) {
-      adapters = new Set();
-      target.held.set(model, adapters);
-    }
-    if (adapter !== undefined) adapters.add(adapter);
+    target.addHeld(demand);
     return target;
   }
 
--- a/packages/core/src/test/gateway/target_table_test.ts
+++ b/packages/core/src/test/gateway/target_table_test.ts
@@ -124,3 +124,31 @@
     expect(target.load).to.equal(1 / 8);
   });
 });
+
+describe('TargetTable: targets that hold a model', () => {
+  it('returns no outdated holders after any change of what targets hold', () => {
+    const table = new TargetTable(new ManualClock());
+    const held = [{model: 'm', adapters: ['a']}];
+    const demand = {model: 'm', adapter: undefined};
+    const withAdapter = {model: 'm', adapter: 'b'};
+    const service = targetRegistration().service;
+    const idsOf = (wanted: typeof demand | typeof withAdapter) =>
+      table.holding(service, wanted).map(({registration}) => registration.id);
+    const target = table.put(targetRegistration({id: 't1', held}), true);
+    expect(idsOf(demand)).to.deep.equal(['t1']);
+    expect(idsOf(withAdapter)).to.deep.equal([]);
+    target.addHeld(withAdapter);
+    expect(idsOf(withAdapter)).to.deep.equal(['t1']);
+    target.dropHeld(withAdapter);
+    expect(idsOf(withAdapter)).to.deep.equal([]);
+    table.put(targetRegistration({id: 't2', held}), true);
+    expect(idsOf(demand)).to.deep.equal(['t1', 't2']);
+    target.replaceHeld([]);
+    expect(idsOf(demand)).to.deep.equal(['t2']);
+    table.remove('t2');
+    expect(idsOf(demand)).to.deep.equal([]);
+    target.replaceHeld([['m', []]]);
+    table.put(targetRegistration({id: 't1', startedMs: 2}), true);
+    expect(idsOf(demand)).to.deep.equal([]);
+  });
+});
