--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -40,7 +40,9 @@
 import {TargetAnswer, TargetPort, UnansweredSend} from './target_port.js';
 import {TargetSends} from '../target_limits/target_sends.js';
 import {KnownTarget, TargetTable} from './target_table.js';
+import {WorkModel} from '../work/work_model.js';
 import {TeamQuotas} from './team_quotas.js';
+import {urgencyOf} from './urgency.js';
 
 /** Retry-after time of a refusal to continue a stream of unknown origin. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 1_000;
@@ -59,13 +61,6 @@
 const MAX_ENDED_TARGETS = 2;
 
 const SERVER_ERROR = 500;
-const LEAST_URGENT = 9;
-
-/**
- * Latency objective above which a generation yields to other requests of the
- * same priority.
- */
-const MAX_URGENT_OBJECTIVE_MS = 1_000;
 
 /** Dependencies of a {@link Relay}. */
 export interface RelayParts<
@@ -83,6 +78,7 @@
   models: ModelFinder;
   prompts: PromptGuard;
   sends: TargetSends;
+  work: WorkModel;
   continuity: StreamContinuity;
   observer: RelayObserver;
   tasks: TaskSupervisor;
@@ -172,6 +168,11 @@
     for (const call of this.calls) call.stopWaiting();
   }
 
+  /** Number of requests that wait at this host for room at a target. */
+  get waitingForRoom(): number {
+    return this.search.waiting.size;
+  }
+
   /** Aborts all requests. */
   abortAll(): void {
     for (const call of this.calls) call.abort(ENDED_BY.stop);
@@ -347,6 +348,8 @@
     const attempt = call.startAttempt(wait.checkAfterMs, () => wait.canEnd());
     call.run = this.parts.prompts.observeRun(call.parts);
     target.beginRequest(req.demand);
+    this.beginWork(target, req, call);
+    let isWhole = false;
     try {
       const sent = await this.parts.port.send(target, req, {
         remainingMs: call.remainingMs,
@@ -362,7 +365,10 @@
       if (sent.type === 'answered') {
         call.recordAnswered(sent.answer);
         observer.sendAnswered(registration.id);
-        return await this.relay(target, req, call, sent.answer, attempt);
+        const {answer} = sent;
+        const outcome = await this.relay(target, req, call, answer, attempt);
+        isWhole = outcome?.type === 'served';
+        return outcome;
       }
       const {connection, reason, type} = sent;
       this.runs.reportSendEnd(target, req, call, type, reason, connection);
@@ -370,10 +376,20 @@
     } finally {
       attempt.dispose();
       target.endRequest(req.demand);
+      call.work?.end(isWhole);
       this.runs.endTrial(call);
     }
   }
 
+  /** Counts the work of a send, if its service has a model of work. */
+  private beginWork(target: KnownTarget, req: Req, call: RelayCall<Req>): void {
+    const {work} = this.parts;
+    const {kind, objectiveMs} = call.route;
+    const requestWork = work.workOf(call.service, req, objectiveMs);
+    const isStream = kind === REQUEST_KIND.stream;
+    call.work = requestWork && work.begin(target, requestWork, isStream);
+  }
+
   /**
    * Checks again, once a connection is established, that a request may be sent.
    *
@@ -497,12 +513,3 @@
 ): Partial<RequestTrace> {
   return {route: route?.name, kind: route?.kind, team: team?.name};
 }
-
-function urgencyOf<Req extends CallerRequest>(call: RelayCall<Req>): number {
-  const {route, team} = call;
-  const priority = team?.priority ?? route.priority;
-  const isLessUrgent = route.objectiveMs > MAX_URGENT_OBJECTIVE_MS ? 1 : 0;
-  const isGeneration = route.kind === REQUEST_KIND.stream ? 1 : 0;
-  const rank = 2 * priority + isLessUrgent * isGeneration;
-  return Math.min(LEAST_URGENT, rank);
-}
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -12,7 +12,9 @@
 import {PassedAnswer} from './passed_answer.js';
 import {TargetAnswer} from './target_port.js';
 import {TargetRegistration} from './target_registration.js';
+import {LackingTargets} from './lacking_targets.js';
 import {KnownTarget} from './target_table.js';
+import {SentWork} from '../work/sent_work.js';
 
 /**
  * A single send of a request, with the time limit for the head of its answer.
@@ -72,6 +74,8 @@
   isVersionFixed = false;
   /** Targets that refused the request or failed to answer it. */
   readonly tried = new Set<string>();
+  /** Targets that have said that they lack the model. */
+  readonly lacking = new LackingTargets();
   /** Targets that the request was sent to, in order. */
   readonly sentTo: string[] = [];
   /** Software versions of these targets. */
@@ -94,6 +98,8 @@
   trial: GrantedTrial | undefined;
   /** Permission for the current send. */
   permit: SendPermit | undefined;
+  /** The work of the latest send, if its service has a model of work. */
+  work: SentWork | undefined;
   /** Progress of the current send. */
   run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
@@ -320,6 +326,7 @@
   recordReceived(bytes: number): void {
     this.receivedBytes += bytes;
     this.target?.recordHeard();
+    this.work?.recordChunk();
     this.run?.recordBytes();
   }
 
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -1,10 +1,10 @@
 /** Finds a target for a request. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
-import {Refusal} from '../requests/outcome.js';
+import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
-import {CallerRequest} from './caller_request.js';
+import {CallerRequest, ModelDemand} from './caller_request.js';
 import {
   backingOffRefusal,
   coldRefusal,
@@ -13,11 +13,19 @@
   noCapacityRefusal,
 } from './capacity_refusal.js';
 import {DeploymentState} from './deployment_state.js';
-import {EngineConfig} from './deployment.js';
+import {EngineConfig, REQUEST_KIND} from './deployment.js';
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
-import {chooseTarget, isAllEvacuated, minBackOffMs} from './target_choice.js';
+import {
+  chooseTarget,
+  hasCandidate,
+  isAllEvacuated,
+  minBackOffMs,
+} from './target_choice.js';
+import {urgencyOf} from './urgency.js';
+import {HostQueue, WaitPlace} from '../work/host_queue.js';
 import {KnownTarget, TargetTable} from './target_table.js';
+import {WorkModel} from '../work/work_model.js';
 
 /** Pause before a request is sent again to targets that have all refused it. */
 const ALL_REFUSED_PAUSE_MS = 60;
@@ -32,6 +40,13 @@
 const MAX_LIMIT_WAIT_OBJECTIVES = 1.5;
 const MIN_LIMIT_WAIT_MS = 600;
 
+/**
+ * How long a stream waits at this host for room at a target: callers of streams
+ * wait for a first event for 3.5 objectives, and at least 1.8 s.
+ */
+const MAX_ROOM_WAIT_OBJECTIVES = 3.5;
+const MIN_ROOM_WAIT_MS = 1_800;
+
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchParts {
   clock: Clock;
@@ -39,14 +54,20 @@
   state: DeploymentState;
   targets: TargetTable;
   models: ModelFinder;
+  work: WorkModel;
   /** Zone of this host. */
   zone: string;
 }
 
 /** Chooses targets for requests, and waits until there is one. */
 export class TargetSearch {
+  /** Requests that wait for room at a target. */
+  readonly waiting: HostQueue;
+
   /** @param parts - see {@link TargetSearchParts}. */
-  constructor(private readonly parts: TargetSearchParts) {}
+  constructor(private readonly parts: TargetSearchParts) {
+    this.waiting = new HostQueue(parts.clock);
+  }
 
   /**
    * Finds a target for the next send of a request.
@@ -59,6 +80,23 @@
   async find(
     req: CallerRequest,
     call: RelayCall<CallerRequest>,
+  ): Promise<Result<KnownTarget, Refusal>> {
+    const place = this.waiting.place({
+      key: waitKey(req, call),
+      urgency: urgencyOf(call),
+      objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
+    });
+    try {
+      return await this.search(req, call, place);
+    } finally {
+      place.leave();
+    }
+  }
+
+  private async search(
+    req: CallerRequest,
+    call: RelayCall<CallerRequest>,
+    place: WaitPlace,
   ): Promise<Result<KnownTarget, Refusal>> {
     const {clock, models} = this.parts;
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
@@ -72,13 +110,29 @@
         zone: this.parts.zone,
         tried: call.tried,
         draw: this.parts.random.float(),
+        work: this.workOf(req, call),
       };
       const {demand} = req;
       const needsModel = engine !== undefined && demand !== undefined;
       if (needsModel && !engine.models.has(demand.model))
         return err(noCapacityRefusal('the configuration has no such model'));
       const candidates = this.candidatesFor(req, call);
-      const target = chooseTarget(candidates, options);
+      const {work} = options;
+      if (work !== undefined && !work.service.canEverFit(work.size)) {
+        const message = 'the prompt exceeds the memory of the targets';
+        return err(refuse(REFUSAL.tooLarge, message));
+      }
+      const mustYield = work !== undefined && place.mustYield;
+      const target = mustYield ? undefined : chooseTarget(candidates, options);
+      const canWait = work !== undefined && hasCandidate(candidates, options);
+      if (target === undefined && canWait) {
+        if (clock.now() >= this.roomWaitEndMs(req, call))
+          return err(noCapacityRefusal('every target is full'));
+        await place.wait(call.waitSignal);
+        if (call.waitSignal.aborted)
+          return err(noCapacityRefusal('the time is over'));
+        continue;
+      }
       if (target !== undefined && !target.health.isAvoided) {
         if (target.throttledLeftMs === 0) return ok(target);
         const found = await this.findUnthrottled(target, req, call);
@@ -93,6 +147,12 @@
           this.modelSearch(req, call),
           call.waitSignal,
         );
+        if (found.isOk() && call.lacking.has(found.value, demand)) {
+          call.lacking.recordNamed(found.value);
+          await clock.sleep(ALL_REFUSED_PAUSE_MS, call.waitSignal);
+          if (!call.waitSignal.aborted) continue;
+          return err(noCapacityRefusal('the time is over'));
+        }
         if (found.isOk() || target === undefined) return found;
       }
       if (target !== undefined) return ok(target);
@@ -128,11 +188,29 @@
       zone: this.parts.zone,
       tried,
       draw: 0,
+      work: this.workOf(req, call),
     });
     if (other === undefined || other.health.isAvoided) return false;
     return other.throttledLeftMs === 0;
   }
 
+  /** Returns the clock time until which a request waits for room. */
+  private roomWaitEndMs(
+    {arrivedMs}: CallerRequest,
+    {deadlineMs, mustContinue, route}: RelayCall<CallerRequest>,
+  ): number {
+    if (route.kind !== REQUEST_KIND.stream || mustContinue) return deadlineMs;
+    const objectivesMs = route.objectiveMs * MAX_ROOM_WAIT_OBJECTIVES;
+    const waitMs = Math.max(MIN_ROOM_WAIT_MS, objectivesMs);
+    return Math.min(deadlineMs, arrivedMs + waitMs);
+  }
+
+  /** Returns the work of the request, if its service has a model of work. */
+  private workOf(req: CallerRequest, call: RelayCall<CallerRequest>) {
+    const {objectiveMs} = call.route;
+    return this.parts.work.workOf(call.service, req, objectiveMs);
+  }
+
   /** Returns the targets of the service that may run the request. */
   private targetsFor(call: RelayCall<CallerRequest>): readonly KnownTarget[] {
     const all = this.parts.targets.ofService(call.service);
@@ -151,9 +229,14 @@
     {demand}: CallerRequest,
     call: RelayCall<CallerRequest>,
   ): readonly KnownTarget[] {
-    const all = this.targetsFor(call);
-    if (this.engineOf(call) === undefined || demand === undefined) return all;
-    return all.filter(target => target.holds(demand.model, demand.adapter));
+    if (this.engineOf(call) === undefined || demand === undefined)
+      return this.targetsFor(call);
+    const holders = this.parts.targets.holding(call.service, demand);
+    if (!call.isVersionFixed && call.lacking.isEmpty) return holders;
+    return holders.filter(
+      target =>
+        call.canUseVersionOf(target) && !call.lacking.has(target, demand),
+    );
   }
 
   /**
@@ -180,8 +263,11 @@
       const found = await models.find(search, limited.signal);
       timer.cancel();
       call.waitSignal.removeEventListener('abort', abort);
-      if (found.isOk()) return found;
-      if (!limited.signal.aborted) readyMs = found.error.retryAfterMs ?? 0;
+      const isUsable =
+        found.isOk() && !call.lacking.has(found.value, req.demand);
+      if (isUsable) return found;
+      if (found.isErr() && !limited.signal.aborted)
+        readyMs = found.error.retryAfterMs ?? 0;
     }
     const waitMs = target.throttledLeftMs;
     const isCold = target.coldLeftMs > 0;
@@ -205,18 +291,22 @@
       demand: req.demand!,
       objectiveEndMs: req.arrivedMs + call.route.objectiveMs,
       deadlineMs: call.deadlineMs,
-      tried: this.targetsToAvoid(call),
+      tried: this.targetsToAvoid(req.demand!, call),
       softwareVersion: call.softwareVersion,
     };
   }
 
   /** Returns the ids of the targets that cannot take the request now. */
-  private targetsToAvoid(call: RelayCall<CallerRequest>): ReadonlySet<string> {
+  private targetsToAvoid(
+    demand: ModelDemand,
+    call: RelayCall<CallerRequest>,
+  ): ReadonlySet<string> {
     const avoided = new Set(call.tried);
     for (const target of this.parts.targets.ofService(call.service)) {
       const isUnusable = target.backOffLeftMs > 0 || target.throttledLeftMs > 0;
       if (isUnusable) avoided.add(target.registration.id);
     }
+    call.lacking.addExcluded(avoided, demand);
     return avoided;
   }
 
@@ -225,3 +315,11 @@
     return deployment.services.get(call.service)?.engine;
   }
 }
+
+/** Returns what requests that wait for the same targets have in common. */
+function waitKey(
+  {demand}: CallerRequest,
+  {service}: RelayCall<CallerRequest>,
+): string {
+  return `${service} ${demand?.model ?? ''}/${demand?.adapter ?? ''}`;
+}
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -15,6 +15,10 @@
   TargetRegistration,
   isSameProcess,
 } from './target_registration.js';
+import {TargetWork} from '../work/target_work.js';
+import {HolderIndex} from './holder_index.js';
+import {ModelGains} from './model_gains.js';
+import {residentKey} from './resident_key.js';
 import {TargetHealth} from './target_health.js';
 import {
   AnswerSignals,
@@ -23,15 +27,7 @@
   SignalTable,
 } from './target_signals.js';
 
-/**
- * Returns the key of a model, or of an adapter of it.
- *
- * @param model - name of the model.
- * @param adapter - name of the adapter, if any.
- */
-export function residentKey(model: string, adapter?: string): string {
-  return adapter === undefined ? model : `${model}/${adapter}`;
-}
+export {residentKey} from './resident_key.js';
 
 /**
  * Returns whether a target runs a software version.
@@ -64,6 +60,16 @@
 /** Age of a report whose time is not known. */
 const MAX_REPORT_AGE_MS = 86_400_000;
 
+/** What a {@link KnownTarget} asks or tells about itself. */
+export interface TargetContext {
+  /** The evacuated zones; none by default. */
+  evacuations?: ZoneEvacuations;
+  /** Knows which targets are cold; by default none is. */
+  warming?: TargetWarming;
+  /** Called when the loaded models may have changed. */
+  onHeldChange?: () => void;
+}
+
 /** A target, with everything that this host knows about it. */
 export class KnownTarget {
   /** Number of requests of this host that run or wait at the target. */
@@ -71,10 +77,15 @@
   /** The same by model and by adapter; for the keys see {@link residentKey}. */
   readonly inFlightByModel = new Map<string, number>();
   readonly health: TargetHealth;
-  /** Names of the loaded models, each with its loaded adapters. */
-  readonly held = new Map<string, Set<string>>();
+  /** Work at this process; a new process starts without any. */
+  readonly work: TargetWork;
+  private readonly heldModels = new Map<string, Set<string>>();
   /** Whether the target was removed from service discovery. */
   isRemoved = false;
+  private readonly gains = new ModelGains();
+  private readonly evacuations: ZoneEvacuations | undefined;
+  private readonly warming: TargetWarming;
+  private readonly onHeldChange: () => void;
   private heardMs = -Infinity;
   private throttledUntilMs = -Infinity;
   private averageRunMs = INITIAL_RUN_MS;
@@ -85,8 +96,7 @@
    * @param registration - the latest registration of the target.
    * @param clock - measures how long failures and load reports are valid.
    * @param signals - the signals of its process.
-   * @param evacuations - the evacuated zones; none by default.
-   * @param warming - knows which targets are cold; by default none is.
+   * @param context - see {@link TargetContext}.
    */
   constructor(
     public registration: TargetRegistration,
@@ -94,10 +104,13 @@
     private readonly signals: ProcessSignals = new ProcessSignals(
       registration.startedMs,
     ),
-    private readonly evacuations?: ZoneEvacuations,
-    private readonly warming: TargetWarming = new NeverCold(),
+    context: TargetContext = {},
   ) {
+    this.evacuations = context.evacuations;
+    this.warming = context.warming ?? new NeverCold();
+    this.onHeldChange = context.onHeldChange ?? (() => {});
     this.health = new TargetHealth(clock);
+    this.work = new TargetWork(clock);
     this.setHeldModels(registration);
   }
 
@@ -244,6 +257,11 @@
     this.reportedMs = this.clock.now();
   }
 
+  /** Names of the loaded models, each with its loaded adapters. */
+  get held(): ReadonlyMap<string, ReadonlySet<string>> {
+    return this.heldModels;
+  }
+
   /**
    * Checks whether a model is loaded.
    *
@@ -252,7 +270,7 @@
    * @returns whether it is loaded.
    */
   holds(model: string, adapter?: string): boolean {
-    const adapters = this.held.get(model);
+    const adapters = this.heldModels.get(model);
     if (adapters === undefined) return false;
     return adapter === undefined || adapters.has(adapter);
   }
@@ -263,10 +281,50 @@
    * @param registration - the registration to take the models from.
    */
   setHeldModels(registration: TargetRegistration): void {
-    this.held.clear();
-    for (const {model, adapters} of registration.held) {
-      this.held.set(model, new Set(adapters));
+    this.replaceHeld(
+      registration.held.map(({model, adapters}) => [model, adapters]),
+    );
+  }
+
+  /**
+   * Replaces the set of loaded models.
+   *
+   * @param models - the models, each with its adapters.
+   */
+  replaceHeld(models: Iterable<readonly [string, readonly string[]]>): void {
+    this.heldModels.clear();
+    for (const [model, adapters] of models)
+      this.heldModels.set(model, new Set(adapters));
+    this.gains.update(this.heldModels);
+    this.onHeldChange();
+  }
+
+  /** Records that a model, or an adapter of it, is loaded. */
+  addHeld({model, adapter}: ModelDemand): void {
+    let adapters = this.heldModels.get(model);
+    if (adapters === undefined) {
+      adapters = new Set();
+      this.heldModels.set(model, adapters);
     }
+    if (adapter !== undefined) adapters.add(adapter);
+    this.onHeldChange();
+  }
+
+  /** Records that a model, or an adapter of it, is not loaded. */
+  dropHeld({model, adapter}: ModelDemand): void {
+    if (adapter === undefined) this.heldModels.delete(model);
+    else this.heldModels.get(model)?.delete(adapter);
+    this.onHeldChange();
+  }
+
+  /**
+   * Returns a number that changes when reports name a model after they have
+   * left it out.
+   *
+   * @param demand - the model, or an adapter of it.
+   */
+  gainsOf({model, adapter}: ModelDemand): number {
+    return this.gains.countOf(residentKey(model, adapter));
   }
 
   /** Counts a request as in flight until {@link KnownTarget.endRequest}. */
@@ -311,6 +369,7 @@
   private readonly changes = new Map<string, number>();
   private changeCount = 0;
   private readonly byService = new Map<string, KnownTarget[]>();
+  private readonly holders = new HolderIndex();
   private readonly signals: SignalTable;
   private readonly limitListeners: Array<
     (target: KnownTarget, isOwn: boolean) => void
@@ -440,6 +499,16 @@
     return this.byService.get(service) ?? [];
   }
 
+  /**
+   * Returns the targets of a service that hold a model, including leaving ones.
+   *
+   * @param service - name of the service.
+   * @param demand - the model.
+   */
+  holding(service: string, demand: ModelDemand): readonly KnownTarget[] {
+    return this.holders.find(service, this.ofService(service), demand);
+  }
+
   /** Number of targets that name a limit. */
   get limitedCount(): number {
     let count = 0;
@@ -481,6 +550,15 @@
       this.recordChange(registration.id);
   }
 
+  /** Returns the paces of the targets that runs were observed at lately. */
+  *paces(): Generator<readonly [string, number]> {
+    for (const {registration, work} of this.byId.values()) {
+      const {factor} = work.pace;
+      if (work.pace.own.count > 0 || factor !== 1)
+        yield [registration.id, factor];
+    }
+  }
+
   /** Revision; increases with each change that other hosts have to know. */
   get revision(): number {
     return this.changeCount;
@@ -558,13 +636,9 @@
     if (known !== undefined) known.isRemoved = true;
     this.warming.recordRegistration(registration, true);
     const {clock, evacuations, warming} = this;
-    const target = new KnownTarget(
-      registration,
-      clock,
-      signals,
-      evacuations,
-      warming,
-    );
+    const onHeldChange = () => this.holders.clear();
+    const context = {evacuations, warming, onHeldChange};
+    const target = new KnownTarget(registration, clock, signals, context);
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
     this.reindex();
@@ -611,6 +685,7 @@
   }
 
   private reindex(): void {
+    this.holders.clear();
     this.byService.clear();
     for (const target of this.byId.values()) {
       const {service} = target.registration;
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -32,6 +32,8 @@
   UsageBody,
   ViewBody,
 } from './residency_messages.js';
+import {WorkModel} from '../work/work_model.js';
+import {decodeWork} from '../work/work_messages.js';
 import {SuccessorTracker} from './successor_tracker.js';
 import {TokenLender} from './token_lender.js';
 import {UsageReporter} from './usage_reporter.js';
@@ -83,6 +85,7 @@
   registry: AccountRegistry;
   usage: UsageTable;
   lender: TokenLender;
+  work: WorkModel;
   /** Returns the tokens of each team used here in the last window, if known. */
   usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
@@ -246,8 +249,7 @@
     reason: NotRunReason,
   ): void {
     if (reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent) {
-      if (adapter === undefined) target.held.delete(model);
-      else target.held.get(model)?.delete(adapter);
+      target.dropHeld({model, adapter});
     }
     const saysLittle =
       reason === NOT_RUN.noConnection || reason === NOT_RUN.withdrawn;
@@ -327,16 +329,10 @@
     id: string,
     {demand, softwareVersion}: ModelSearch,
   ): KnownTarget | undefined {
-    const {model, adapter} = demand;
     const target = this.parts.targets.get(id);
     if (target === undefined || !target.takesRequests) return undefined;
     if (!runsVersion(target, softwareVersion)) return undefined;
-    let adapters = target.held.get(model);
-    if (adapters === undefined) {
-      adapters = new Set();
-      target.held.set(model, adapters);
-    }
-    if (adapter !== undefined) adapters.add(adapter);
+    target.addHeld(demand);
     return target;
   }
 
@@ -405,17 +401,21 @@
     this.applyView(body);
   }
 
-  private applyView({crowded, targets}: Pick<ViewBody, 'crowded' | 'targets'>) {
+  private applyView({
+    crowded,
+    targets,
+    work = [],
+  }: Pick<ViewBody, 'crowded' | 'targets' | 'work'>) {
     const table = this.parts.targets;
     for (const {id, held} of targets) {
-      const target = table.get(id);
-      if (target === undefined) continue;
-      target.held.clear();
-      for (const [model, adapters] of held) {
-        target.held.set(model, new Set(adapters));
-      }
+      table.get(id)?.replaceHeld(held);
     }
     for (const [id, load] of crowded) table.get(id)?.setReportedLoad(load);
+    for (const entry of work) {
+      const target = table.get(entry[0]);
+      if (target !== undefined)
+        this.parts.work.applyPublished(target, decodeWork(entry));
+    }
   }
 
   private handleReport({host}: PeerIdentity, body: UsageBody): void {
