Work model: spare slots of few holders, and the risk of late events

Equal parts of a target's free slots among 70 hosts are less than one slot, so that a host would wait for the only holder of a rare model while slots are free. A host may now send one request beyond its part where few targets hold the model. Streams avoid targets whose pauses exceed the accepted one in slow moments: at a pace of 1.7 and 2.5 times that for half a second, an event comes after 212 ms.

--- a/packages/core/src/lib/gateway/target_choice.ts
+++ b/packages/core/src/lib/gateway/target_choice.ts
@@ -17,6 +17,15 @@
 /** Penalty of an avoided target, as load. */
 const AVOIDED_PENALTY = 1_000;
 
+/** Penalty of a target whose free slots this host has used its part of, as load. */
+const PART_USED_PENALTY = 100;
+
+/**
+ * Number of targets up to which a host may exceed its part of their free slots.
+ * Among more targets it finds one whose part is unused.
+ */
+const MAX_FEW_TARGETS = 4;
+
 /** Penalty of a target whose limit is used up for now, as load. */
 const THROTTLED_PENALTY = 500;
 
@@ -46,7 +55,9 @@
 ): KnownTarget | undefined {
   const {work} = options;
   if (work !== undefined) {
-    const cost = (target: KnownTarget) => workCost(target, work, options);
+    const canExceed = targets.length <= MAX_FEW_TARGETS;
+    const cost = (target: KnownTarget) =>
+      workCost(target, work, options, canExceed);
     const weight = (target: KnownTarget) => work.service.freeSlots(target);
     return chooseWeighted(targets, cost, weight, options.draw);
   }
@@ -138,17 +149,24 @@
   return target.takesRequests && !tried.has(target.registration.id);
 }
 
-/** Returns the cost of a target by the model of work; Infinity if unusable. */
+/**
+ * Returns the cost of a target by the model of work; Infinity if unusable.
+ *
+ * @param canExceed - whether this host may exceed its part of the free slots.
+ */
 function workCost(
   target: KnownTarget,
   {service, size, objectiveMs}: RequestWork,
   options: ChoiceOptions,
+  canExceed: boolean,
 ): number {
   if (!isCandidate(target, options)) return Infinity;
   if (!service.fitsMemory(target, size)) return Infinity;
-  if (!service.hasRoom(target)) return Infinity;
+  const hasRoom = service.hasRoom(target);
+  if (!hasRoom && !(canExceed && service.hasSpareRoom(target))) return Infinity;
   const cost = service.cost(target, size, objectiveMs);
-  return cost + penaltyOf(target, options);
+  const partPenalty = hasRoom ? 0 : PART_USED_PENALTY;
+  return cost + partPenalty + penaltyOf(target, options);
 }
 
 function costOf(target: KnownTarget, options: ChoiceOptions): number {
--- a/packages/core/src/lib/work/service_work.ts
+++ b/packages/core/src/lib/work/service_work.ts
@@ -18,12 +18,32 @@
 /** Fraction of the accepted pause from which a predicted one is harmful. */
 const HARMLESS_PAUSE_FRACTION = 0.75;
 
+/**
+ * Factor by which targets are slower than their recent pace for moments of about
+ * half a second: a stream runs for several of them, and one late event makes it
+ * late.
+ */
+const PAUSE_VARIATION = 2.5;
+
+/** Longest pause, as a fraction of the accepted one, that is no risk. */
+const SAFE_PAUSE_FRACTION = 0.8;
+
+/** Cost of a target at which streams have late events for certain, as load. */
+const LATE_PAUSE_COST = 0.5;
+
 /**
  * Requests beyond the slots that a target is given, as a fraction of its slots:
  * a slot that becomes free must not wait for the news to reach a host.
  */
 const QUEUED_FRACTION = 0.06;
 
+/**
+ * Free slots, as a fraction of all, from which a host may exceed its part of
+ * them. Among 70 hosts an equal part is less than one slot, and the only target
+ * that holds a rare model would be left unused.
+ */
+const SPARE_FRACTION = 0.25;
+
 /** What is predicted for a request at a target. */
 export interface Prediction {
   /** Time from the send to the first event, in milliseconds. */
@@ -77,9 +97,17 @@
     const lateMs = this.firstEventMs(target, size, factor) - idleMs;
     const harmlessMs = HARMLESS_PAUSE_FRACTION * MAX_PAUSE_MS;
     const harmfulMs = Math.max(0, factor * this.pauses.value - harmlessMs);
-    return (
-      this.loadOf(target) + lateMs / objectiveMs + harmfulMs / MAX_PAUSE_MS
-    );
+    const pauseCost = harmfulMs / MAX_PAUSE_MS + this.latePauseCost(factor);
+    return this.loadOf(target) + lateMs / objectiveMs + pauseCost;
+  }
+
+  /** Returns the cost of the risk that an event comes late in a slow moment. */
+  private latePauseCost(factor: number): number {
+    const slowMs = factor * this.pauses.value * PAUSE_VARIATION;
+    const riskMs = slowMs - SAFE_PAUSE_FRACTION * MAX_PAUSE_MS;
+    const certainMs = 2 * (1 - SAFE_PAUSE_FRACTION) * MAX_PAUSE_MS;
+    const risk = Math.max(0, Math.min(1, riskMs / certainMs));
+    return LATE_PAUSE_COST * risk;
   }
 
   /** Returns the requests of all hosts, as a fraction of the slots. */
@@ -117,6 +145,17 @@
     return work.requests < slots + queued && !work.isPartUsed;
   }
 
+  /**
+   * Returns whether a target has so many free slots that this host may send it
+   * one request beyond its part of them.
+   *
+   * @param target - the target.
+   */
+  hasSpareRoom(target: KnownTarget): boolean {
+    if (target.work.isPartExceeded) return false;
+    return this.freeSlots(target) >= SPARE_FRACTION * target.effectiveSlots;
+  }
+
   /** Returns the typical time to the first event on an idle target. */
   typicalFirstMs(prefillTokens: number): number {
     return this.firstEvents.value + prefillTokens / PREFILL_TOKENS_PER_MS;
--- a/packages/core/src/lib/work/target_work.ts
+++ b/packages/core/src/lib/work/target_work.ts
@@ -86,6 +86,11 @@
     return this.isCurrent && this.ownRequests >= this.ownLimit;
   }
 
+  /** Whether this host has more requests there than its part allows. */
+  get isPartExceeded(): boolean {
+    return this.isCurrent && this.ownRequests > this.ownLimit;
+  }
+
   /** Number of requests of this host in its last report. */
   get reportedRequests(): number {
     return this.reported.waiting + this.reported.running;
