--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -30,6 +30,8 @@
   folder: string;
   /** Further settings, by their names without the prefix `Bounds.`. */
   bounds: Record<string, number>;
+  /** Settings that describe the machine, by their names without `Limits.`. */
+  machine?: Record<string, number>;
   /** Node.js arguments; by default the built program with its deployment's flags. */
   args?: readonly string[];
 }
@@ -143,7 +145,7 @@
   }
 
   private settingsText(): string {
-    const {address, bounds, name, storePort, zone} = this.options;
+    const {address, bounds, machine = {}, name, storePort, zone} = this.options;
     const lines = [
       `NodeName=${name}`,
       `Zone=${zone}`,
@@ -155,6 +157,8 @@
       'Limits.CpuShare=1',
       'Limits.LinkMbps=1000',
     ];
+    for (const [key, value] of Object.entries(machine))
+      lines.push(`Limits.${key}=${value}`);
     for (const [key, value] of Object.entries(bounds)) {
       lines.push(`Bounds.${key}=${value}`);
     }
