Bound what callers can make a host hold

Cause: each request had a limit, but all together had none; every chunk was a buffer; a body was read whole where its head already decided; answers piled up behind callers that do not read.

--- a/packages/core/src/lib/gateway/admission.ts
+++ b/packages/core/src/lib/gateway/admission.ts
@@ -25,10 +25,14 @@
 const MAX_RESUMED_WAIT_MS = 1_200;
 const MIN_RATE_POLL_MS = 20;
 
-/** An admitted request. */
-export interface Admitted {
+/** What the head of a request has decided. */
+export interface HeadChecked {
   route: RouteRule;
   team: TeamConfig | undefined;
+}
+
+/** An admitted request. */
+export interface Admitted extends HeadChecked {
   tokens: number;
 }
 
@@ -55,12 +59,12 @@
   constructor(private readonly parts: AdmissionParts) {}
 
   /**
-   * Admits or rejects a new request.
+   * Checks what the head of a request decides; takes no tokens.
    *
-   * @param req - the request.
-   * @returns the route, the team and the charged tokens, or the refusal.
+   * @param req - the request, whose body may not have been read.
+   * @returns the route and the team, or the refusal.
    */
-  async admit(req: CallerRequest): Promise<Result<Admitted, Rejected>> {
+  checkHead(req: CallerRequest): Result<HeadChecked, Rejected> {
     const {state, freshness} = this.parts;
     const inForce = state.current;
     if (inForce === undefined) {
@@ -79,7 +83,7 @@
       return err({refusal: refuse(REFUSAL.unknownRoute, message)});
     }
     if (route.isPublic || inForce.deployment.teams.size === 0) {
-      return ok({route, team: undefined, tokens: 0});
+      return ok({route, team: undefined});
     }
     const team =
       req.key === undefined ? undefined : inForce.teamByKey.get(req.key);
@@ -87,6 +91,20 @@
       const message = 'the key is not known';
       return err({refusal: refuse(REFUSAL.unauthenticated, message), route});
     }
+    return ok({route, team});
+  }
+
+  /**
+   * Admits or rejects a new request.
+   *
+   * @param req - the request.
+   * @returns the route, the team and the charged tokens, or the refusal.
+   */
+  async admit(req: CallerRequest): Promise<Result<Admitted, Rejected>> {
+    const checked = this.checkHead(req);
+    if (checked.isErr()) return err(checked.error);
+    const {route, team} = checked.value;
+    if (team === undefined) return ok({route, team, tokens: 0});
     const tokens =
       req.tokens === undefined
         ? team.defaultRequestTokens
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -158,6 +158,27 @@
     registers: [this.registry],
   });
 
+  /** Number of requests and connections that were refused to bound resources. */
+  readonly intakeRefusals = new Counter({
+    name: 'fuchsiacleat_gateway_intake_refusals_total',
+    help: 'Requests and connections of callers that were refused or closed to bound memory and descriptors, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
+  /** Reads the bytes that are held for callers, when metrics are read. */
+  countIntakeBytes: () => number = () => 0;
+
+  /** Bytes of bodies and answers that are held for callers. */
+  readonly intakeBytes = new Gauge({
+    name: 'fuchsiacleat_gateway_intake_bytes',
+    help: 'Bytes of bodies and answers that are held for callers.',
+    registers: [this.registry],
+    collect: (): void => {
+      this.intakeBytes.set(this.countIntakeBytes());
+    },
+  });
+
   /** Number of unexpected errors that ended a piece of work. */
   readonly taskFailures = new Counter({
     name: 'fuchsiacleat_gateway_task_failures_total',
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -12,7 +12,7 @@
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
-import {Admission} from './admission.js';
+import {Admission, Rejected} from './admission.js';
 import {ENDED_BY} from './answer_end.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {StreamContinuity} from '../continuation/stream_continuity.js';
@@ -139,10 +139,7 @@
     const {clock, observer} = this.parts;
     const admitted = await this.admission.admit(req);
     if (admitted.isErr()) {
-      const {refusal, route, team} = admitted.error;
-      req.refuse(refusal);
-      const trace = traceRequest(this.parts, req, undefined, refusal);
-      observer.requestEnded({...trace, ...routeAndTeam(route, team)});
+      this.reject(req, admitted.error);
       return;
     }
     const {route, team, tokens} = admitted.value;
@@ -165,6 +162,25 @@
     }
   }
 
+  /**
+   * Refuses a request if its head decides that; it is answered then.
+   *
+   * @param req - the request, whose body has not been read.
+   * @returns whether it was refused.
+   */
+  refuseFromHead(req: Req): boolean {
+    const checked = this.admission.checkHead(req);
+    if (checked.isErr()) this.reject(req, checked.error);
+    return checked.isErr();
+  }
+
+  /** Refuses a request whose body was not received, and records it. */
+  reject(req: Req, {refusal, route, team}: Rejected): void {
+    req.refuse(refusal);
+    const trace = traceRequest(this.parts, req, undefined, refusal);
+    this.parts.observer.requestEnded({...trace, ...routeAndTeam(route, team)});
+  }
+
   /**
    * Refuses requests that wait to be sent, and all new ones. Requests that
    * targets work on are not affected.
--- a/packages/core/src/lib/net/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -14,11 +14,16 @@
 /** Longest time for which connections are closed without reading the others. */
 const MAX_CLOSE_MS = 20;
 
+/** Share of the allowed connections that are closed when there are too many. */
+const SHED_SHARE = 0.02;
+
 /** State of a connection. */
 interface ConnectionState {
   /** Bytes that had been received at the last check, and when they changed. */
   checkedBytes: number;
   changedMs: number;
+  /** When the connection was opened, or the last request was received. */
+  usedMs: number;
   /** Requests whose response has not been passed on completely. */
   requests: number;
   /** Those of them that have been received completely. */
@@ -37,6 +42,8 @@
 export class CallerConnections {
   private readonly states = new Map<Socket, ConnectionState>();
   private accepted = 0;
+  private maxCount = Infinity;
+  private onShed: (count: number) => void = () => {};
   private isClosing = false;
   private isSweeping = false;
 
@@ -76,11 +83,44 @@
     }
   }
 
+  /**
+   * Limits the number of connections. Beyond it, those are closed that have been
+   * without a request that was received completely for the longest time.
+   *
+   * @param maxCount - largest number of connections.
+   * @param onShed - called with the number of connections that were closed.
+   */
+  limitCount(maxCount: number, onShed: (count: number) => void): void {
+    this.maxCount = maxCount;
+    this.onShed = onShed;
+  }
+
+  /** Closes a few connections at once, as each search reads all of them. */
+  private shed(): void {
+    const unused = [...this.states].filter(
+      ([, {readRequests}]) => readRequests === 0,
+    );
+    unused.sort(([, a], [, b]) => a.usedMs - b.usedMs);
+    const count = Math.ceil(this.maxCount * SHED_SHARE);
+    const shed = unused.slice(0, count);
+    for (const [socket] of shed) socket.destroy();
+    for (const [socket] of shed) this.states.delete(socket);
+    this.onShed(shed.length);
+  }
+
   private add(socket: Socket): void {
     this.accepted += 1;
+    if (this.states.size >= this.maxCount) this.shed();
+    if (this.states.size >= this.maxCount) {
+      // Each connection has a request that may be running.
+      socket.destroy();
+      this.onShed(1);
+      return;
+    }
     this.states.set(socket, {
       checkedBytes: 0,
       changedMs: performance.now(),
+      usedMs: performance.now(),
       requests: 0,
       readRequests: 0,
       readBytes: 0,
@@ -103,6 +143,7 @@
     if (state === undefined) return;
     state.readRequests += 1;
     state.readBytes = socket.bytesRead;
+    state.usedMs = performance.now();
   }
 
   /** Records that the response to a request has been passed on, or ended. */
--- a/packages/core/src/lib/telemetry/metrics.ts
+++ b/packages/core/src/lib/telemetry/metrics.ts
@@ -39,6 +39,14 @@
     registers: [this.registry],
   });
 
+  /** Number of requests and connections that were refused to bound resources. */
+  readonly intakeRefusals = new Counter({
+    name: 'fuchsiacleat_intake_refusals_total',
+    help: 'Requests of callers that were refused to bound memory, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   /** Version of the configuration in force. */
   readonly configVersion = new Gauge({
     name: 'fuchsiacleat_config_version',
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -1,6 +1,6 @@
 /** HTTP API for callers. @packageDocumentation */
 
-import {Logger, REFUSAL, refuse} from '@fuchsiacleat/core';
+import {CallerMessage, Logger, REFUSAL, refuse} from '@fuchsiacleat/core';
 import {Context, Hono} from 'hono';
 import {HttpBindings} from '@hono/node-server';
 import {z} from 'zod';
@@ -14,7 +14,12 @@
   completionBodySchema,
 } from './openai_format.js';
 import {IDEMPOTENCY_HEADER} from './idempotency_guard.js';
-import {createCallerSignal, readBody} from './request_body.js';
+import {
+  BodyBounds,
+  closeUnread,
+  createCallerSignal,
+  readBody,
+} from './request_body.js';
 import {DEADLINE_HEADER, GateHeaders, RequestGate} from './request_gate.js';
 import {ServiceHandler} from './service_handler.js';
 import {ConfigStore} from '@fuchsiacleat/core';
@@ -26,7 +31,7 @@
   completions: CompletionHandler;
   services: ServiceHandler;
   logger: Logger;
-  maxBodyBytes: number;
+  bodies: BodyBounds;
 }
 
 /**
@@ -85,12 +90,17 @@
 
 async function handleCompletion(
   c: Context,
-  {gate, completions, maxBodyBytes}: CallerApiOptions,
+  {gate, completions, bodies}: CallerApiOptions,
   schema: z.ZodType<CompletionBody>,
   makeFormat: FormatFactory,
 ): Promise<Response> {
-  const {incoming, outgoing} = c.env as HttpBindings;
-  const body = await readBody(incoming, maxBodyBytes);
+  const {incoming, outgoing} = callerBindings(c);
+  const refusal = gate.refuseUnknownKey(gateHeaders(c));
+  if (refusal !== undefined) {
+    void closeUnread(incoming, bodies.clock);
+    return errorResponse(refusal);
+  }
+  const body = await readBody(incoming, outgoing, bodies);
   if (body.isErr()) return errorResponse(body.error);
   const json = parseJson(body.value);
   const parsed = schema.safeParse(json);
@@ -113,11 +123,16 @@
 
 async function handleServiceCall(
   c: Context,
-  {gate, services, maxBodyBytes}: CallerApiOptions,
+  {gate, services, bodies}: CallerApiOptions,
 ): Promise<Response> {
   const routeName = c.req.param('route') ?? '';
-  const {incoming, outgoing} = c.env as HttpBindings;
-  const body = await readBody(incoming, maxBodyBytes);
+  const {incoming, outgoing} = callerBindings(c);
+  const refusal = gate.refuseFromHead(routeName, gateHeaders(c));
+  if (refusal !== undefined) {
+    void closeUnread(incoming, bodies.clock);
+    return errorResponse(refusal);
+  }
+  const body = await readBody(incoming, outgoing, bodies);
   if (body.isErr()) return errorResponse(body.error);
   const bytes = new Uint8Array(body.value);
   const admitted = gate.admit(routeName, gateHeaders(c));
@@ -129,6 +144,11 @@
   return services.handle(admitted.value, c.req.raw, path, bytes, caller);
 }
 
+/** The listener creates requests as {@link CallerMessage}. */
+function callerBindings(c: Context): HttpBindings & {incoming: CallerMessage} {
+  return c.env as HttpBindings & {incoming: CallerMessage};
+}
+
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'));
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -20,6 +20,7 @@
   SystemClock,
   TargetClients,
   Tracing,
+  createIntake,
 } from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 import {createCallerApi} from './caller_api.js';
@@ -313,6 +314,14 @@
       serviceRunner: services,
       idempotencyGuard,
     } = this.requestComponents;
+    const {logger} = this.deps;
+    const intake = createIntake({
+      clock,
+      logger,
+      machine: {memoryMb: limits.memory_mb, maxDescriptors: undefined},
+      onRefused: (reason, number) =>
+        metrics.intakeRefusals.inc({reason}, number),
+    });
     const app = createCallerApi({
       gate,
       config,
@@ -328,8 +337,8 @@
         idempotencyGuard,
         clock,
       }),
-      logger: this.deps.logger,
-      maxBodyBytes: limits.body_bytes,
+      logger,
+      bodies: {maxBytes: limits.body_bytes, intake, clock},
     });
     const maxConnections = limits.connections;
     return HttpListener.start(app, {
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -7,6 +7,8 @@
 import {Hono} from 'hono';
 import {
   CallerConnections,
+  CallerMessage,
+  MAX_RECEIVE_MS,
   Clock,
   ListenerOptions,
   REFUSAL,
@@ -65,7 +67,11 @@
     const requestListener = getRequestListener(app.fetch, {
       overrideGlobalObjects: false,
     });
-    const server = createServer({maxHeaderSize: MAX_HEADER_BYTES});
+    const server = createServer({
+      IncomingMessage: CallerMessage,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: MAX_RECEIVE_MS,
+    });
     const listener = new HttpListener(server, options.clock);
     server.on('request', (req, res) => {
       void listener.follow(req, res);
--- a/packages/daemon/src/lib/request_body.ts
+++ b/packages/daemon/src/lib/request_body.ts
@@ -1,47 +1,85 @@
 /** Reads request bodies and detects disconnected callers. @packageDocumentation */
 
-import {IncomingMessage, ServerResponse} from 'node:http';
-import {REFUSAL, Refusal, refuse} from '@fuchsiacleat/core';
+import {ServerResponse} from 'node:http';
+import {
+  CallerMessage,
+  Clock,
+  Intake,
+  REFUSAL,
+  Refusal,
+  UNREAD,
+  UnreadReason,
+  discardRest,
+  readBody as readWithin,
+  refuse,
+} from '@fuchsiacleat/core';
 import {Result, err, ok} from 'neverthrow';
 
+/** Retry-after time of a refusal for lack of memory. */
+const NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
+/** What bounds the bodies of callers. */
+export interface BodyBounds {
+  /** Largest body, in bytes. */
+  maxBytes: number;
+  intake: Intake;
+  clock: Clock;
+}
+
 /**
  * Reads a complete body directly from the connection: a web stream would cost
- * more than the rest of the admission.
+ * more than the rest of the admission. Its memory counts until the response is
+ * passed on.
  *
  * @param incoming - the caller's request.
- * @param maxBytes - maximum size of the body.
+ * @param outgoing - its response.
+ * @param bounds - see {@link BodyBounds}.
  * @returns the body, or a refusal if it is too large or incomplete.
  */
-export function readBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
+export async function readBody(
+  incoming: CallerMessage,
+  outgoing: ServerResponse,
+  bounds: BodyBounds,
 ): Promise<Result<Buffer, Refusal>> {
-  const tooLarge = refuse(
-    REFUSAL.tooLarge,
-    `the body exceeds ${maxBytes} bytes`,
-  );
-  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) {
-    return Promise.resolve(err(tooLarge));
-  }
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    const finish = (result: Result<Buffer, Refusal>) => {
-      incoming.off('data', onData).off('end', onEnd).off('close', onClose);
-      resolve(result);
-    };
-    const onData = (chunk: Buffer) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes <= maxBytes) return;
-      incoming.pause();
-      finish(err(tooLarge));
-    };
-    const onEnd = () => finish(ok(Buffer.concat(chunks)));
-    const onClose = () =>
-      finish(err(refuse(REFUSAL.badRequest, 'the body is not whole')));
-    incoming.on('data', onData).on('end', onEnd).on('close', onClose);
+  const {intake, maxBytes} = bounds;
+  const read = await readWithin(incoming, intake.account, {
+    maxBytes,
+    isFavored: true,
   });
+  if (read.isErr()) {
+    const reason = read.error;
+    if (reason !== UNREAD.gone) intake.log.record(reason);
+    void closeUnread(incoming, bounds.clock);
+    return err(refusalFor(reason, maxBytes));
+  }
+  const {bytes, holding} = read.value;
+  holding.pin();
+  if (outgoing.closed) holding.close();
+  else outgoing.once('close', () => holding.close());
+  return ok(bytes);
+}
+
+/**
+ * Lets a caller read the refusal of a request that was not read completely. The
+ * connection closes unless the rest is short.
+ *
+ * @param incoming - the caller's request.
+ * @param clock - limits the time.
+ */
+export async function closeUnread(
+  incoming: CallerMessage,
+  clock: Clock,
+): Promise<void> {
+  if (!(await discardRest(incoming, clock))) incoming.socket.destroySoon();
+}
+
+function refusalFor(reason: UnreadReason, maxBytes: number): Refusal {
+  if (reason === UNREAD.tooLarge)
+    return refuse(REFUSAL.tooLarge, `the body exceeds ${maxBytes} bytes`);
+  if (reason === UNREAD.gone)
+    return refuse(REFUSAL.badRequest, 'the body is not whole');
+  const message = 'the host has no memory for the body';
+  return refuse(REFUSAL.noCapacity, message, NO_MEMORY_RETRY_AFTER_MS);
 }
 
 /**
--- a/packages/daemon/src/lib/request_gate.ts
+++ b/packages/daemon/src/lib/request_gate.ts
@@ -120,6 +120,50 @@
     return authenticate(declared, headers.authorization);
   }
 
+  /**
+   * Refuses a request whose route is known if its head decides that.
+   *
+   * @returns the refusal, which is already recorded; undefined if the head does
+   *     not decide it.
+   */
+  refuseFromHead(routeName: string, headers: GateHeaders): Refusal | undefined {
+    const checked = this.check(routeName, headers);
+    if (checked.isOk()) return undefined;
+    return this.recordRefusal(routeName, headers, checked.error);
+  }
+
+  /**
+   * Refuses a request whose route is not known yet if no host would accept its
+   * key. A route may be too old on this host to say so.
+   *
+   * @returns the refusal, which is already recorded, or undefined.
+   */
+  refuseUnknownKey(headers: GateHeaders): Refusal | undefined {
+    if (headers.authorization === undefined || this.isStopping)
+      return undefined;
+    const team = this.authenticate(headers);
+    if (team.isOk()) return undefined;
+    const {config} = this.options;
+    const ageMs = config.ageMs();
+    for (const [, {max_config_age: maxAgeMs}] of config.state.declared.all(
+      'route',
+    )) {
+      if (maxAgeMs !== undefined && ageMs > maxAgeMs) return undefined;
+    }
+    return this.recordRefusal('', headers, team.error);
+  }
+
+  private recordRefusal(
+    routeName: string,
+    headers: GateHeaders,
+    refusal: Refusal,
+  ): Refusal {
+    const {tracing} = this.options;
+    const span = tracing.startRemote(HOP.request, headers.traceparent);
+    this.recordOutcome(routeName, 'none', refusal, span);
+    return refusal;
+  }
+
   /**
    * Checks a request and admits it.
    *
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -94,6 +94,12 @@
       connections: countSchema
         .default(4_096)
         .describe('Most connections of callers at once.'),
+      memory_mb: countSchema
+        .optional()
+        .describe(
+          'Memory of the machine, in megabytes, from which the memory for ' +
+            'bodies follows; see limits.md. 602 by default.',
+        ),
     })
     .default({body_bytes: 1024 * 1024, connections: 4_096}),
   shutdown: z
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -310,6 +310,7 @@
     }));
     const url = new URL(this.store.url);
     const settings: PlatformSettings = {
+      machine: {memoryMb: undefined, maxDescriptors: undefined},
       hostName: `host-${this.hosts.length}`,
       zone: 'a',
       callers,
