--- a/packages/core/src/lib/intake/unread_rest.ts
+++ b/packages/core/src/lib/intake/unread_rest.ts
@@ -4,7 +4,7 @@
 import {CallerMessage, HOLD} from './caller_message.js';
 import {ChunkCounter} from './read_turns.js';
 
-/** Bytes of the rest of a request that are read and discarded. */
+/** Bytes of the rest of a request that are read and discarded by default. */
 const MAX_DISCARDED_BYTES = 262_144;
 
 /** Longest time for which a refused connection stays open, in milliseconds. */
@@ -17,11 +17,13 @@
  *
  * @param req - the request, whose answer has been written.
  * @param clock - limits the time.
+ * @param maxBytes - largest number of bytes to discard.
  * @returns whether all of the request was read.
  */
 export function discardRest(
   req: CallerMessage,
   clock: Clock,
+  maxBytes = MAX_DISCARDED_BYTES,
 ): Promise<boolean> {
   if (req.complete) {
     req.resume();
@@ -38,7 +40,7 @@
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
       counter.record();
-      if (bytes > MAX_DISCARDED_BYTES) req.hold(HOLD.rest);
+      if (bytes > maxBytes) req.hold(HOLD.rest);
     };
     const onEnd = () => finish(true);
     const onClose = () => finish(false);
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -97,7 +97,7 @@
   const {incoming, outgoing} = callerBindings(c);
   const refusal = gate.refuseUnknownKey(gateHeaders(c));
   if (refusal !== undefined) {
-    void closeUnread(incoming, bodies.clock);
+    void closeUnread(incoming, bodies);
     return errorResponse(refusal);
   }
   const body = await readBody(incoming, outgoing, bodies);
@@ -129,7 +129,7 @@
   const {incoming, outgoing} = callerBindings(c);
   const refusal = gate.refuseFromHead(routeName, gateHeaders(c));
   if (refusal !== undefined) {
-    void closeUnread(incoming, bodies.clock);
+    void closeUnread(incoming, bodies);
     return errorResponse(refusal);
   }
   const body = await readBody(incoming, outgoing, bodies);
--- a/packages/daemon/src/lib/request_body.ts
+++ b/packages/daemon/src/lib/request_body.ts
@@ -18,6 +18,12 @@
 /** Retry-after time of a refusal for lack of memory. */
 const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 
+/**
+ * Most of the rest of a refused body that is discarded, in largest bodies. The
+ * connection of a caller that is little over the limit can be used again then.
+ */
+const REST_FACTOR = 2;
+
 /** What bounds the bodies of callers. */
 export interface BodyBounds {
   /** Largest body, in bytes. */
@@ -49,7 +55,7 @@
   if (read.isErr()) {
     const reason = read.error;
     if (reason !== UNREAD.gone) intake.log.record(reason);
-    void closeUnread(incoming, bounds.clock);
+    void closeUnread(incoming, bounds);
     return err(refusalFor(reason, maxBytes));
   }
   const {bytes, holding} = read.value;
@@ -64,13 +70,15 @@
  * connection closes unless the rest is short.
  *
  * @param incoming - the caller's request.
- * @param clock - limits the time.
+ * @param bounds - see {@link BodyBounds}.
  */
 export async function closeUnread(
   incoming: CallerMessage,
-  clock: Clock,
+  {clock, maxBytes}: BodyBounds,
 ): Promise<void> {
-  if (!(await discardRest(incoming, clock))) incoming.socket.destroySoon();
+  const maxRestBytes = maxBytes * REST_FACTOR;
+  if (!(await discardRest(incoming, clock, maxRestBytes)))
+    incoming.socket.destroySoon();
 }
 
 function refusalFor(reason: UnreadReason, maxBytes: number): Refusal {
