Bound the requests of a connection that are handled at once

Callers that pipelined 60 requests each and read no answer made a host of 210 MB hold 282 MB: 1,200 answers held some 128 KiB each before the first stall of 5 s could be acted on.

--- a/packages/core/src/lib/intake/intake_limits.ts
+++ b/packages/core/src/lib/intake/intake_limits.ts
@@ -34,6 +34,11 @@
 /** Longest time in which a request is received, in milliseconds. */
 export const MAX_RECEIVE_MS = 300_000;
 
+/**
+ * Requests of one connection that are handled at the same time. Each may hold
+ * some 128 KiB of an answer that its caller does not read.
+ */
+export const MAX_PIPELINED = 8;
 
 /** Requests of one connection that may be unanswered. */
 export const MAX_UNANSWERED = 64;
