Plan copies, evictions and store loads by the work of models

Cause: copies followed the requests in flight. While demand shifted to a model on two slow targets, loads from the weight store went to models with one waiting caller, and one of them evicted a copy that a wave needed four seconds later.

Change, for services whose engine states its token capacity: the lease holder learns the mean slot time, the lasting pace of targets and decaying peaks of the demand. A model whose demand exceeds the capacity of its copies gets as many as it needs; this generalizes the relief of targets that named limits. Loads from the store are ordered by the requests per second that are not served without them, raised by their age. Copies that the peak needs are kept, and evicted only for a load of higher priority. The cost of a target contains the time lost to its pace.

--- a/packages/core/src/lib/residency/copy_choice.ts
+++ b/packages/core/src/lib/residency/copy_choice.ts
@@ -55,10 +55,10 @@
   /** One entry for each further copy that has to be loaded. */
   missing: string[];
   /**
-   * Models whose targets named limits below their demand, the most wanted
-   * first.
+   * Models whose targets cannot take their demand, the most wanted first: they
+   * named limits, or their slots do not suffice for the work.
    */
-  limited: string[];
+  short: string[];
 }
 
 /**
@@ -74,7 +74,7 @@
  */
 export function chooseCopies(round: PlanRound, usage: UsageTable): CopyNeeds {
   const crowded = new Set<string>();
-  const limited = new Set<string>();
+  const short = new Set<string>(round.work?.shortModels());
   for (const account of round.accounts) {
     if (round.load(account) <= COPY_LOAD_THRESHOLD) continue;
     const models = modelsByLoad(account, round).filter(
@@ -85,11 +85,19 @@
     if (requestsPerSecond === undefined || limitAgeMs < RELIEF_DELAY_MS)
       continue;
     for (const model of models) {
-      if (round.demand(model) >= MIN_LIMITED_RATE) limited.add(model);
+      if (round.demand(model) >= MIN_LIMITED_RATE) short.add(model);
     }
   }
   const revived: ModelCopy[] = [];
   const missing: string[] = [];
+  for (const model of short) {
+    if (round.work === undefined || crowded.has(model)) continue;
+    if (!round.isShort(model)) continue;
+    const account = round
+      .retiring(model)
+      .find(({residents}) => !residents.get(model)!.isVictim);
+    if (account !== undefined) revived.push({model, account});
+  }
   for (const model of crowded) {
     const count = missingCopies(model, round, usage);
     const reusable = round.retiring(model).slice(0, count);
@@ -99,7 +107,7 @@
   return {
     revived,
     missing: missing.slice(0, MAX_COPIES_PER_ROUND),
-    limited: [...limited].sort((a, b) => round.demand(b) - round.demand(a)),
+    short: [...short].sort((a, b) => shortage(b, round) - shortage(a, round)),
   };
 }
 
@@ -155,12 +163,18 @@
     if (account === undefined) continue;
     const others = holders.filter(other => other !== account);
     const capacity = slotsOf(others) * SURPLUS_LOAD_THRESHOLD;
-    if (inFlight(model, holders, usage) <= capacity)
+    const isNeeded = (round.work?.lossWithout(account, model) ?? 0) > 0;
+    if (!isNeeded && inFlight(model, holders, usage) <= capacity)
       surplus.push({model, account});
   }
   return surplus;
 }
 
+/** Returns the rank among the models that are short of capacity. */
+function shortage(model: string, round: PlanRound): number {
+  return round.work?.shortage(model) ?? round.demand(model);
+}
+
 /** Returns the models that use most of a target's slots, the busiest first. */
 function modelsByLoad(account: ResidencyAccount, round: PlanRound): string[] {
   const load = (model: string) => round.loadOf(account, model);
--- a/packages/core/src/lib/residency/limit_relief.ts
+++ b/packages/core/src/lib/residency/limit_relief.ts
@@ -1,11 +1,11 @@
-/** Copies of models whose targets named limits. @packageDocumentation */
+/** Targets for copies of models that are short of capacity. @packageDocumentation */
 
 import {PlanRound} from './plan_round.js';
 import {ResidencyAccount} from './residency_account.js';
 
 /**
- * Fraction of a model's demand that a limited target must have room for to load
- * a copy of it.
+ * Fraction of a model's demand that a target must have room for to load a copy
+ * of it.
  */
 const MIN_RELIEF_FRACTION = 0.15;
 
@@ -18,6 +18,11 @@
   model: string,
   round: PlanRound,
 ): boolean {
+  const {work} = round;
+  if (work !== undefined) {
+    const neededRoom = work.demand(model) * MIN_RELIEF_FRACTION;
+    if (work.room(account) < neededRoom) return false;
+  }
   const limit = account.target.requestsPerSecond;
   if (limit === undefined) return true;
   if (account.loadEstimate(model).fromStore) return false;
--- a/packages/core/src/lib/residency/plan_round.ts
+++ b/packages/core/src/lib/residency/plan_round.ts
@@ -1,8 +1,11 @@
 /** Cached state of targets and demand for a round of planning. @packageDocumentation */
 
+import {reloadCost} from './reload_cost.js';
 import {ResidencyAccount} from './residency_account.js';
 import {UsageTable} from './usage_table.js';
 import {VersionUse, versionsInUse} from './version_use.js';
+import type {ModelWork} from './model_work.js';
+import {WorkPlan} from './work_plan.js';
 
 /** Requests in flight, as a fraction of the slots, from which to add a copy. */
 export const COPY_LOAD_THRESHOLD = 0.45;
@@ -28,20 +31,12 @@
 /** Requests a second up to which a model's only copy may be drained. */
 const MAX_DRAINED_RATE = 1;
 
-/** Weight of the reload delay if it is longer than the latency objective. */
-const MISS_FACTOR = 3;
-
-/** Weight of the reload delay if the latency objective allows for it. */
-const ON_TIME_FACTOR = 0.25;
-
 /** Time within which a model that is being loaded counts as ready. */
 const SOON_MS = 2_000;
 
 /** Lower bound of a limit that divides a demand, in requests per second. */
 const MIN_LIMIT = 0.2;
 
-const MS_PER_SECOND = 1_000;
-
 /** A model that a target could unload. */
 export interface Eviction {
   held: string;
@@ -49,6 +44,8 @@
   cost: number;
   /** Expected time until its requests have ended. */
   drainMs: number;
+  /** Requests per second that would lack a slot afterwards; 0 if unknown. */
+  neededPerSecond: number;
 }
 
 /** Inputs of {@link PlanRound}. */
@@ -59,6 +56,8 @@
   accounts: readonly ResidencyAccount[];
   /** Number of requests that wait for each model. */
   waiting: ReadonlyMap<string, number>;
+  /** Set if the service is planned by the work of its models. */
+  work?: ModelWork;
 }
 
 /**
@@ -72,6 +71,7 @@
   private readonly reloads = new Map<string, number>();
   private readonly loads = new Map<string, number>();
   private cachedLocalCopyCounts: ReadonlyMap<string, number> | undefined;
+  private cachedWork: WorkPlan | undefined;
   private cachedVersions: ReadonlyMap<string, VersionUse> | undefined;
   private readonly adapterRates = new Map<string, number>();
   private readonly evictionsById = new Map<string, Eviction[]>();
@@ -99,6 +99,13 @@
     return this.parts.accounts;
   }
 
+  /** Work of the models; undefined if the service is not planned by it. */
+  get work(): WorkPlan | undefined {
+    const {work} = this.parts;
+    if (work !== undefined) this.cachedWork ??= new WorkPlan(this, work);
+    return this.cachedWork;
+  }
+
   /** Software versions that serve; none while all targets run the same. */
   get versions(): ReadonlyMap<string, VersionUse> {
     const {accounts, usage} = this.parts;
@@ -234,6 +241,15 @@
     return Math.max(running, share / Math.max(limit, MIN_LIMIT));
   }
 
+  /**
+   * Returns whether the targets of a model cannot take its demand: within the
+   * limits they named, or without queues if the service is planned by work.
+   */
+  isShort(model: string): boolean {
+    if (this.limitCapacity(model) < this.demand(model)) return true;
+    return this.work !== undefined && this.work.shortage(model) > 0;
+  }
+
   /**
    * Returns the requests per second that the targets of a model can take within
    * the limits they named, besides the demand for their other models. Targets
@@ -242,7 +258,7 @@
    * @param model - name of the model.
    * @returns the rate; infinite if a target without a limit holds the model.
    */
-  capacity(model: string): number {
+  private limitCapacity(model: string): number {
     let perSecond = 0;
     for (const account of this.parts.accounts) {
       if (!account.isReachable || !this.isSoonReady(account, model)) continue;
@@ -318,7 +334,9 @@
     }
     const running = usage.inFlight(account.id, held);
     const drainMs = running > 0 ? DRAIN_MS : 0;
-    const {perSecond, objectiveMs} = usage.demand(service, held);
+    const {objectiveMs} = usage.demand(service, held);
+    const perSecond = this.work?.demand(held) ?? this.demand(held);
+    const neededPerSecond = this.work?.lossWithout(account, held) ?? 0;
     const others = this.copies(held).filter(other => other !== account);
     if (others.length > 0) {
       const load = this.loadWithout(account, held, others);
@@ -329,16 +347,17 @@
           this.reloadMs(held) *
           OTHER_COPY_FACTOR
         : 0;
-      return {held, cost: perSecond + relyingCost, drainMs};
+      const lossCost =
+        neededPerSecond === 0
+          ? 0
+          : reloadCost(neededPerSecond, objectiveMs, this.reloadMs(held));
+      const cost = perSecond + relyingCost + lossCost;
+      return {held, cost, drainMs, neededPerSecond};
     }
     // New requests would keep the model in use for ever.
-    if (running > 0 && perSecond > MAX_DRAINED_RATE) return undefined;
-    const reloadMs = this.reloadMs(held);
-    const missed = (perSecond * reloadMs) / MS_PER_SECOND;
-    const isLate = objectiveMs < reloadMs;
-    const factor = isLate ? MISS_FACTOR : ON_TIME_FACTOR;
-    const cost = factor * (missed + perSecond) * reloadMs;
-    return {held, cost, drainMs};
+    if (running > 0 && this.demand(held) > MAX_DRAINED_RATE) return undefined;
+    const cost = reloadCost(perSecond, objectiveMs, this.reloadMs(held));
+    return {held, cost, drainMs, neededPerSecond};
   }
 
   /**
--- a/packages/core/src/lib/residency/residency_account.ts
+++ b/packages/core/src/lib/residency/residency_account.ts
@@ -41,6 +41,8 @@
   usedMs: number;
   /** Whether requests go elsewhere, so that the model can be unloaded. */
   isRetiring: boolean;
+  /** Whether it is retiring because a swap needs its memory. */
+  isVictim: boolean;
   /** Whether it is confirmed to take requests, not only expected to. */
   isConfirmed: boolean;
   /** Whether it was loaded before this host knew it, or has served since. */
@@ -338,6 +340,7 @@
       refusalCount: 0,
       usedMs: readyMs,
       isRetiring: false,
+      isVictim: false,
       isUnloading: false,
       isConfirmed: true,
       isServed: true,
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -17,11 +17,12 @@
   chooseCopies,
   chooseSurplus,
 } from './copy_choice.js';
+import {ModelWorks} from './model_works.js';
 import {PlanRound} from './plan_round.js';
 import {ResidencyAccount, isUsable} from './residency_account.js';
 import {NotResident, ResidencyRequest} from './residency_request.js';
 import {StoreLoadScheduler} from './store_load_scheduler.js';
-import {Swap, chooseSwap} from './swap_choice.js';
+import {Swap, cheapestSwap} from './swap_choice.js';
 import {SwapExecutor} from './swap_executor.js';
 import {TokenLender} from './token_lender.js';
 import {UsageTable} from './usage_table.js';
@@ -91,8 +92,10 @@
   private readonly continuity: ContinuityReporter;
   private readonly rounds = new Map<string, PlanRound>();
   private readonly wanted = new Map<string, WantedModel>();
-  /** Models to copy because of the limits of their targets, by service. */
-  private readonly limitedModels = new Map<string, readonly string[]>();
+  /** What is known of the work of the models, by service. */
+  private readonly works: ModelWorks;
+  /** Models to copy because their targets cannot take their demand, by service. */
+  private readonly shortModels = new Map<string, readonly string[]>();
   /** Copies that streams of a version rely on, by service. */
   private readonly versionCopies = new Map<string, readonly VersionCopy[]>();
   private activeFencing: number | undefined;
@@ -105,6 +108,7 @@
   constructor(private readonly parts: ResidencyControllerParts) {
     this.waitQueue = new WaitQueue(parts.clock);
     this.storeLoads = new StoreLoadScheduler(parts.clock);
+    this.works = new ModelWorks(parts.clock);
     this.continuity = new ContinuityReporter(parts);
     parts.registry.onTargetFull((service, model) =>
       this.storeLoads.recordMiss(service, model),
@@ -197,7 +201,8 @@
     this.storeLoads.clear();
     this.rounds.clear();
     this.wanted.clear();
-    this.limitedModels.clear();
+    this.shortModels.clear();
+    this.works.clear();
     this.versionCopies.clear();
     this.parts.lender.restart();
   }
@@ -236,7 +241,7 @@
   private plan(service: string): void {
     this.waitQueue.refuseExpired(RETRY_AFTER_MS);
     const accounts = this.parts.registry.ofService(service);
-    this.relieveLimits(service);
+    this.relieveShortages(service);
     this.loadVersionCopies(service);
     const planned = new Set<string>();
     for (const waiter of this.waitQueue.byUrgency(service)) {
@@ -261,15 +266,12 @@
   }
 
   /**
-   * Starts copies of models whose targets named limits below their demand,
-   * before rare models take the targets that are left.
+   * Starts copies of models whose targets cannot take their demand, before rare
+   * models take the targets that are left.
    */
-  private relieveLimits(service: string): void {
-    const models = this.limitedModels.get(service) ?? [];
-    const isShort = (model: string) => {
-      const round = this.roundOf(service);
-      return round.capacity(model) < round.demand(model);
-    };
+  private relieveShortages(service: string): void {
+    const models = this.shortModels.get(service) ?? [];
+    const isShort = (model: string) => this.roundOf(service).isShort(model);
     this.storeLoads.setUrgent(service, models.filter(isShort));
     for (const model of models) {
       if (isShort(model)) this.startSwap(model, service);
@@ -435,6 +437,7 @@
       usage,
       accounts: this.parts.registry.ofService(service),
       waiting: this.waitQueue.countByModel(service),
+      work: this.works.of(service, this.parts.registry.engineOf(service)),
     });
     this.rounds.set(service, round);
     return round;
@@ -458,6 +461,7 @@
     const resident = account.residents.get(model)!;
     if (!resident.isRetiring) return;
     resident.isRetiring = false;
+    resident.isVictim = false;
     this.parts.publish(account);
   }
 
@@ -501,28 +505,37 @@
     if (this.parts.loadFailures.suspendedLeftMs(service, model) > 0) return;
     const round = this.roundOf(service);
     const {storeLoads} = this;
+    const {work} = round;
+    work?.work.requests.ask(model);
+    const priority = work && storeLoads.priority(service, model, work);
     const canLoadFromStore = storeLoads.canStartLoad(
       service,
       model,
       engine,
       round,
     );
-    const isLimited = this.limitedModels.get(service)?.includes(model);
-    const swap = chooseSwap(
+    const isShort = this.shortModels.get(service)?.includes(model);
+    const isAllowed = (account: ResidencyAccount) =>
+      runsVersion(account.target, softwareVersion) &&
+      (!isShort || canRelieve(account, model, round));
+    const swap = cheapestSwap(
       model,
       round,
       canLoadFromStore,
-      account =>
-        runsVersion(account.target, softwareVersion) &&
-        (!isLimited || canRelieve(account, model, round)),
+      isAllowed,
+      priority,
     );
-    if (swap === undefined) return;
+    if (swap === undefined && canLoadFromStore)
+      work?.work.requests.recordUnplaced(model);
+    // It may be best to wait for a target that is busy now.
+    if (swap === undefined || swap.account.isBusy) return;
     this.rounds.delete(service);
     if (swap.mustDrain) {
       this.retireVictims(swap);
       return;
     }
     if (swap.fromStore) storeLoads.recordStart(service, model, engine);
+    work?.work.requests.recordStart(model);
     logger.info('swap_started', {
       target: swap.account.id,
       model,
@@ -530,6 +543,7 @@
       ready_in_ms: swap.readyInMs,
       from_store: swap.fromStore,
       waiting: round.waiting(model),
+      ...work?.logFields(model),
     });
     this.runOrders('swap', swap.account, () => this.executeSwap(service, swap));
   }
@@ -581,6 +595,7 @@
       const resident = account.residents.get(victim)!;
       if (resident.isRetiring) continue;
       resident.isRetiring = true;
+      resident.isVictim = true;
       this.parts.publish(account);
     }
   }
@@ -616,10 +631,13 @@
     const {lease, usage} = this.parts;
     if (!lease.canOrder) return;
     const round = this.roundOf(service);
+    round.work?.work.observe(round, usage);
     const adapterCopies = chooseAdapterCopies(round, usage);
-    const {limited, missing, revived} = chooseCopies(round, usage);
-    this.limitedModels.set(service, limited);
+    const {missing, revived, short} = chooseCopies(round, usage);
+    this.shortModels.set(service, short);
     for (const {model, account} of revived) this.unretire(account, model);
+    // Revived copies are part of the capacity.
+    if (round.work && revived.length > 0) this.rounds.delete(service);
     this.storeLoads.setWanted(service, missing);
     for (const model of missing) this.startSwap(model, service);
     for (const {model, adapter, accounts} of adapterCopies) {
@@ -630,6 +648,12 @@
       if (round.isNeededByVersion(account, model)) continue;
       account.residents.get(model)!.isRetiring = true;
       this.parts.publish(account);
+      if (round.work !== undefined)
+        this.parts.logger.info('copy_retired', {
+          target: account.id,
+          model,
+          ...round.work.logFields(model),
+        });
     }
   }
 }
--- a/packages/core/src/lib/residency/store_load_scheduler.ts
+++ b/packages/core/src/lib/residency/store_load_scheduler.ts
@@ -5,6 +5,7 @@
 import {Clock} from '../time/clock.js';
 import {PlanRound} from './plan_round.js';
 import {StoreLoad, StoreConcurrency} from './store_concurrency.js';
+import {WorkPlan} from './work_plan.js';
 
 /** Fraction of the weight store's configured rate that is used. */
 const STORE_RATE_FRACTION = 0.8;
@@ -15,6 +16,8 @@
 /** How long a refused caller counts towards the priority of its model. */
 const MISS_LIFETIME_MS = 15_000;
 
+const MS_PER_SECOND = 1_000;
+
 interface Misses {
   count: number;
   lastMs: number;
@@ -112,6 +115,12 @@
       ({isLoadingFromStore}) => isLoadingFromStore,
     ).length;
     const {allowed} = this.concurrencyOf(service);
+    if (round.work !== undefined) {
+      if (loadingCount >= allowed) return false;
+      if (this.bucketOf(service, engine).level < 1) return false;
+      const better = this.countBetter(service, model, round, round.work);
+      return better < allowed - loadingCount;
+    }
     const urgent = this.urgentByService.get(service);
     const isUrgent = urgent?.has(model) === true;
     const reserved = !isUrgent && (urgent?.size ?? 0) > 0 ? 1 : 0;
@@ -120,6 +129,30 @@
     return isUrgent || this.hasPriority(service, model, round);
   }
 
+  /**
+   * Returns the priority of a load in a service that is planned by work: the
+   * requests per second that are not served in time without it, raised by its
+   * age.
+   *
+   * @param service - service of the model.
+   * @param model - model to load.
+   * @param plan - work and capacity of the models.
+   */
+  priority(service: string, model: string, plan: WorkPlan): number {
+    const misses = this.missesByService.get(service)?.get(model);
+    const sinceMs = this.clock.now() - MISS_LIFETIME_MS;
+    const isRecent = misses !== undefined && misses.lastMs >= sinceMs;
+    const missed = isRecent
+      ? (misses.count * MS_PER_SECOND) / MISS_LIFETIME_MS
+      : 0;
+    const streams = this.exposedByService.get(service)?.get(model) ?? 0;
+    // Refused callers are part of the demand.
+    const rate =
+      Math.max(missed, plan.unserved(model)) + plan.perLoad(model, streams);
+    // Loads that no caller asks for, such as preloads, do not age.
+    return rate > 0 ? rate + plan.work.requests.agePriority(model) : 0;
+  }
+
   /** Records how long a load took. */
   recordEnd(service: string, load: StoreLoad): void {
     this.concurrencyOf(service).record(load);
@@ -143,6 +176,25 @@
     this.missesByService.get(service)?.delete(model);
   }
 
+  /** Returns the number of other models that need a load more than this one. */
+  private countBetter(
+    service: string,
+    model: string,
+    round: PlanRound,
+    plan: WorkPlan,
+  ): number {
+    const own = this.priority(service, model, plan);
+    const better = plan.work.requests
+      .active()
+      .filter(
+        other =>
+          other !== model &&
+          this.priority(service, other, plan) > own &&
+          round.isNextCopyFromStore(other),
+      );
+    return better.length;
+  }
+
   private hasPriority(
     service: string,
     model: string,
--- a/packages/core/src/lib/residency/swap_choice.ts
+++ b/packages/core/src/lib/residency/swap_choice.ts
@@ -42,43 +42,21 @@
  * @param model - a model that no target holds, or that needs another copy.
  * @param round - state of targets and demand.
  * @param canLoadFromStore - whether a load from the weight store may start now.
- * @param isAllowed - whether a target may load the model; all may by default.
- * @returns the swap; undefined if it is best to wait for a target that is busy
- *     now, or if no target can be used.
- */
-export function chooseSwap(
-  model: string,
-  round: PlanRound,
-  canLoadFromStore: boolean,
-  isAllowed: (account: ResidencyAccount) => boolean = () => true,
-): Swap | undefined {
-  const best = cheapestSwap(model, round, canLoadFromStore, isAllowed);
-  return best?.account.isBusy ? undefined : best;
-}
-
-/**
- * Returns whether a target could load a model from the weight store, now or
- * once an order for another model has ended.
- *
- * @param model - the model.
- * @param round - state of targets and demand.
  * @param isAllowed - whether a target may load the model.
+ * @param priority - requests per second that lack the model; only models that
+ *     fewer would lack afterwards are evicted.
+ * @returns the swap; its target may be busy now, if it is best to wait for it.
+ *     Undefined if no target can be used.
  */
-export function canPlace(
-  model: string,
-  round: PlanRound,
-  isAllowed: (account: ResidencyAccount) => boolean,
-): boolean {
-  return cheapestSwap(model, round, true, isAllowed) !== undefined;
-}
-
-function cheapestSwap(
+export function cheapestSwap(
   model: string,
   round: PlanRound,
   canLoadFromStore: boolean,
   isAllowed: (account: ResidencyAccount) => boolean,
+  priority = Infinity,
 ): Swap | undefined {
-  const waiting = Math.max(1, round.waiting(model));
+  const shortage = round.work?.shortage(model) ?? 0;
+  const waiting = Math.max(1, round.waiting(model), shortage);
   let best: Swap | undefined;
   let bestCost = Infinity;
   for (const account of round.accounts) {
@@ -87,7 +65,7 @@
       continue;
     const {loadMs, fromStore} = account.loadEstimate(model);
     if (fromStore && !canLoadFromStore) continue;
-    const evictionPlan = planEvictions(account, model, round);
+    const evictionPlan = planEvictions(account, model, round, priority);
     if (evictionPlan === undefined) continue;
     const waitMs = account.isBusy
       ? Math.max(0, account.busyUntilMs - round.nowMs)
@@ -100,7 +78,9 @@
     const diskCost = fromStore
       ? SOLE_COPY_COST_MS * round.soleCopyCount(account)
       : 0;
-    const cost = waiting * delayMs + evictionPlan.cost + busyCost + diskCost;
+    const paceCost = round.work?.extraMs(account, model) ?? 0;
+    const cost =
+      waiting * delayMs + evictionPlan.cost + busyCost + diskCost + paceCost;
     if (cost >= bestCost) continue;
     const {victims, drainMs} = evictionPlan;
     const mustDrain = drainMs > 0;
@@ -110,6 +90,22 @@
   return best;
 }
 
+/**
+ * Returns whether a target could load a model from the weight store, now or
+ * once an order for another model has ended.
+ *
+ * @param model - the model.
+ * @param round - state of targets and demand.
+ * @param isAllowed - whether a target may load the model.
+ */
+export function canPlace(
+  model: string,
+  round: PlanRound,
+  isAllowed: (account: ResidencyAccount) => boolean,
+): boolean {
+  return cheapestSwap(model, round, true, isAllowed) !== undefined;
+}
+
 /** Returns whether orders for models can be sent to a target now or soon. */
 function canOrderTo(account: ResidencyAccount, nowMs: number): boolean {
   if (account.needsReport || account.backoffUntilMs > nowMs) return false;
@@ -140,13 +136,16 @@
   account: ResidencyAccount,
   model: string,
   round: PlanRound,
+  priority: number,
 ): EvictionPlan | undefined {
   const {engine} = account;
   const neededMb = account.weightsMbOf(model);
   let freeMb = engine.weightsMb - account.usedMb;
   const plan: EvictionPlan = {victims: [], drainMs: 0, cost: 0};
   if (freeMb >= neededMb) return plan;
-  for (const {held, cost, drainMs} of round.evictions(account)) {
+  for (const eviction of round.evictions(account)) {
+    const {held, cost, drainMs, neededPerSecond} = eviction;
+    if (neededPerSecond > 0 && neededPerSecond >= priority) continue;
     freeMb += account.sizeOf(held);
     plan.victims.push(held);
     plan.cost += cost;
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -30,6 +30,8 @@
 import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
+import {noWork} from '../../lib/work/target_work.js';
+import {encodeWork} from '../../lib/work/work_messages.js';
 import {
   ENGINE_SERVICE,
   deploymentOf,
@@ -56,6 +58,25 @@
   throwingEngine?: string;
 }
 
+/** Loads that a weight store serves at full speed. */
+const STORE_CONCURRENCY = 2;
+
+/** Weight store; more concurrent loads take proportionally longer. */
+class WeightStore {
+  private loadingCount = 0;
+
+  constructor(private readonly clock: ManualClock) {}
+
+  /** Starts a load; returns the time that it takes. */
+  start(nominalMs: number): number {
+    this.loadingCount += 1;
+    const loadMs =
+      nominalMs * Math.max(1, this.loadingCount / STORE_CONCURRENCY);
+    this.clock.after(loadMs, () => (this.loadingCount -= 1));
+    return loadMs;
+  }
+}
+
 /** Simulated engine that counts a crash for each order beyond its capacity. */
 export class FakeEngine {
   readonly models = new Map<string, Set<string>>();
@@ -75,6 +96,7 @@
     private readonly clock: ManualClock,
     private readonly engine: EngineConfig,
     private readonly onDisk: ReadonlySet<string>,
+    private readonly store = new WeightStore(clock),
   ) {}
 
   get usedMb(): number {
@@ -130,7 +152,9 @@
     const isOnDisk = this.onDisk.has(model);
     if (!isOnDisk) this.storeLoads.push(this.clock.now());
     this.busy = {model, isUnload: false};
-    const loadMs = isOnDisk ? facts.diskLoadMs : facts.storeLoadMs;
+    const loadMs = isOnDisk
+      ? facts.diskLoadMs
+      : this.store.start(facts.storeLoadMs);
     this.clock.after(loadMs, () => {
       this.busy = undefined;
     });
@@ -244,9 +268,11 @@
   ) {
     const {state} = this;
     this.configure(1, engine);
+    const store = new WeightStore(this.clock);
     held.forEach((models, i) => {
       const id = `e${i + 1}`;
-      const fake = new FakeEngine(this.clock, engine, new Set(onDisk));
+      const disk = new Set(onDisk);
+      const fake = new FakeEngine(this.clock, engine, disk, store);
       for (const model of models) fake.models.set(model, new Set());
       this.engines.set(id, fake);
       const list = models.map(model => ({model, adapters: []}));
@@ -369,6 +395,18 @@
     this.usage.report(HOST, {inFlight, demand});
   }
 
+  /** Reports duration factors of targets, each observed several times. */
+  reportPaces(factors: Record<string, number>): void {
+    const entries = Object.entries(factors).map(([id, factor]) =>
+      encodeWork(id, {
+        sums: noWork(),
+        pace: {log: Math.log2(factor), count: 5},
+      }),
+    );
+    const work = {entries, isFull: true};
+    this.usage.report('pace-host', {inFlight: [], work});
+  }
+
   /** Requests a target; the clock must be advanced for an answer. */
   async ask(
     model: string,
