--- a/packages/core/src/lib/gateway/admission.ts
+++ b/packages/core/src/lib/gateway/admission.ts
@@ -27,6 +27,8 @@
  */
 const RESUMED_DEADLINE_MS = 2_400;
 
+const MIN_RATE_POLL_MS = 20;
+
 /** What the head of a request has decided. */
 export interface HeadChecked {
   route: RouteRule;
@@ -136,6 +138,8 @@
     const {clock, quotas} = this.parts;
     const maxWaitMs = route.objectiveMs * LENDER_WAIT_FRACTION;
     const isResumed = req.lastEventId !== undefined;
+    if (!quotas.hasQueue)
+      return this.takeWithoutQueue(req, team, tokens, maxWaitMs);
     const timeoutMs = Math.min(req.timeoutMs ?? Infinity, route.timeoutMs);
     const resumedEndMs = clock.now() + RESUMED_DEADLINE_MS;
     return quotas.take(team, tokens, maxWaitMs, req.signal, {
@@ -153,6 +157,29 @@
     });
   }
 
+  /**
+   * Takes the tokens of a request in the order of arrival. Only one that takes
+   * up a stream waits for them.
+   *
+   * @returns as {@link Admission.takeTokens}.
+   */
+  private async takeWithoutQueue(
+    req: CallerRequest,
+    team: TeamConfig,
+    tokens: number,
+    maxWaitMs: number,
+  ): Promise<number | undefined> {
+    const {clock, quotas} = this.parts;
+    const isResumed = req.lastEventId !== undefined;
+    const endMs = isResumed ? clock.now() + RESUMED_DEADLINE_MS / 2 : -Infinity;
+    for (;;) {
+      const waitMs = await quotas.take(team, tokens, maxWaitMs, req.signal);
+      const isOver = waitMs === undefined || clock.now() + waitMs > endMs;
+      if (isOver || req.signal.aborted || quotas.isStopped) return waitMs;
+      await clock.sleep(Math.max(MIN_RATE_POLL_MS, waitMs), req.signal);
+    }
+  }
+
   /**
    * Checks again, right before a send, that an admitted request may run.
    *
--- a/packages/core/src/lib/gateway/team_quotas.ts
+++ b/packages/core/src/lib/gateway/team_quotas.ts
@@ -116,12 +116,14 @@
    * @param source - lends the tokens.
    * @param slack - allowed excess over the rates.
    * @param observer - receives how requests over the rates waited.
+   * @param hasQueue - whether requests over a rate wait for their turn.
    */
   constructor(
     private readonly clock: Clock,
     private readonly source: TokenLoanClient,
     private readonly slack: QuotaSlack,
     observer: TurnObserver = new SilentTurnObserver(),
+    readonly hasQueue = true,
   ) {
     this.startedMs = clock.now();
     this.waits = new TurnWaits(clock, observer);
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -342,6 +342,7 @@
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
       coldBounds: DEFAULT_COLD_BOUNDS,
+      hasRateQueue: false,
     };
     await this.startHostAt(settings);
   }
