--- a/packages/core/src/lib/residency/controller_factory.ts
+++ b/packages/core/src/lib/residency/controller_factory.ts
@@ -29,6 +29,8 @@
   lender: TokenLender;
   /** Publishes to the hosts which models of a target take requests. */
   publish: (account: ResidencyAccount) => void;
+  /** Whether copies and loads follow the work of models; true by default. */
+  plansByWork?: boolean;
 }
 
 /**
--- a/packages/core/src/lib/residency/model_works.ts
+++ b/packages/core/src/lib/residency/model_works.ts
@@ -8,8 +8,14 @@
 export class ModelWorks {
   private readonly works = new Map<string, ModelWork>();
 
-  /** @param clock - measures ages. */
-  constructor(private readonly clock: Clock) {}
+  /**
+   * @param clock - measures ages.
+   * @param isEnabled - whether any service is planned by work.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly isEnabled: boolean,
+  ) {}
 
   /** Clears everything that was learnt. */
   clear(): void {
@@ -25,7 +31,8 @@
    *     are planned by the requests in flight alone.
    */
   of(service: string, engine: EngineConfig | undefined): ModelWork | undefined {
-    if (engine?.kvCapacityTokens === undefined) return undefined;
+    if (!this.isEnabled || engine?.kvCapacityTokens === undefined)
+      return undefined;
     let work = this.works.get(service);
     if (work === undefined) {
       work = new ModelWork(this.clock);
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -75,6 +75,8 @@
   lender: TokenLender;
   /** Publishes to the hosts which models of a target take requests. */
   publish: (account: ResidencyAccount) => void;
+  /** Whether copies and loads follow the work of models; true by default. */
+  plansByWork?: boolean;
 }
 
 /** A model to load though no request waits, as callers will retry. */
@@ -111,7 +113,7 @@
   constructor(private readonly parts: ResidencyControllerParts) {
     this.waitQueue = new WaitQueue(parts.clock);
     this.storeLoads = new StoreLoadScheduler(parts.clock);
-    this.works = new ModelWorks(parts.clock);
+    this.works = new ModelWorks(parts.clock, parts.plansByWork ?? true);
     this.continuity = new ContinuityReporter(parts);
     const {clock, registry, usage} = parts;
     this.handoff = new EvacuationHandoff(clock, registry, usage);
--- a/packages/core/src/lib/work/work_model.ts
+++ b/packages/core/src/lib/work/work_model.ts
@@ -29,6 +29,8 @@
   state: DeploymentState;
   /** Returns the number of hosts that share the targets. */
   hostCount: () => number;
+  /** Whether the model is in use; true by default. */
+  isEnabled?: boolean;
 }
 
 /** The work of a request, as the choice of its target needs it. */
@@ -55,6 +57,7 @@
    * @returns undefined if its configuration states no token capacity.
    */
   ofService(name: string): ServiceWork | undefined {
+    if (this.parts.isEnabled === false) return undefined;
     const {deployment} = this.parts.state.current ?? {};
     const engine = deployment?.services.get(name)?.engine;
     const kvCapacityTokens = engine?.kvCapacityTokens;
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -342,6 +342,8 @@
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
       coldBounds: DEFAULT_COLD_BOUNDS,
+      hasWorkModel: false,
+      plansByWork: false,
       hasRateQueue: false,
     };
     await this.startHostAt(settings);
