Daemon: close a connection as idle though its refused body came late

A request that is refused from its head is answered before its body has come. Node stops its idle timer when those bytes arrive, so that the connection stayed open for good.

--- a/packages/daemon/src/lib/request_body.ts
+++ b/packages/daemon/src/lib/request_body.ts
@@ -24,6 +24,9 @@
  */
 const REST_FACTOR = 2;
 
+/** Time after which a connection is closed as idle, as by Node.js. */
+const IDLE_TIMEOUT_MS = 6_000;
+
 /** What bounds the bodies of callers. */
 export interface BodyBounds {
   /** Largest body, in bytes. */
@@ -77,8 +80,10 @@
   {clock, maxBytes}: BodyBounds,
 ): Promise<void> {
   const maxRestBytes = maxBytes * REST_FACTOR;
-  if (!(await discardRest(incoming, clock, maxRestBytes)))
-    incoming.socket.destroySoon();
+  const {socket} = incoming;
+  if (!(await discardRest(incoming, clock, maxRestBytes))) socket.destroySoon();
+  // Node stops its idle timer when bytes arrive behind the response.
+  else socket.setTimeout(IDLE_TIMEOUT_MS);
 }
 
 function refusalFor(reason: UnreadReason, maxBytes: number): Refusal {
