--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -44,6 +44,13 @@
   process.exit(code);
 }
 
+// However the script ends, its hosts end with it.
+process.on('exit', () => {
+  for (const host of hosts) host.child?.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+  process.on(signal, () => finish(2, `ended by ${signal}`));
+
 const store = new Store();
 await store.start();
 store.put('keyed.op', 'config', {
