Log how a caller is told the end of an answer

A killed host writes no line about them, so that three causes looked alike: the target ended its answer early, the host ended it, or the operating system closed the connection of a killed host.

Change: answer_begun names the framing of an answer at the target and for the caller when its head is passed on, where only the end of a connection delimits either; request lines and fuchsiacleat_gateway_answers_total carry the caller's framing as well.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -49,12 +49,17 @@
   /**
    * @param clock - measures the time between events of a stream.
    * @param tasks - watches the progress of streams.
+   * @param onBegun - called once the head of an answer was passed on.
    * @param onEvents - called before whole events of a resumable stream are
    *     passed on.
    */
   constructor(
     private readonly clock: Clock,
     private readonly tasks: TaskSupervisor,
+    private readonly onBegun: (
+      call: RelayCall<Req>,
+      answer: TargetAnswer<Head>,
+    ) => void,
     private readonly onEvents: (call: RelayCall<Req>) => void,
   ) {}
 
@@ -101,7 +106,7 @@
       void this.tasks.run('stall_monitor', watch, {id: call.id});
     }
     const boundary = new EventBoundary();
-    call.answer.open(answer.head);
+    this.open(call, answer);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
       call.recordBytes();
@@ -135,6 +140,12 @@
     return {end, isInsideEvent, bytes: call.receivedBytes, passRest};
   }
 
+  private open(call: RelayCall<Req>, answer: TargetAnswer<Head>): void {
+    const isFirst = !call.isHeadSent;
+    call.answer.open(answer.head);
+    if (isFirst) this.onBegun(call, answer);
+  }
+
   private async relayPlain(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
@@ -147,11 +158,11 @@
       bufferedChunks.push(chunk);
       bufferedBytes += chunk.length;
       if (bufferedBytes <= MAX_BUFFERED_BYTES) return undefined;
-      return this.sendBuffered(call, answer.head, bufferedChunks);
+      return this.sendBuffered(call, answer, bufferedChunks);
     });
     const passRest = () => {
       if (!call.isHeadSent)
-        void this.sendBuffered(call, answer.head, bufferedChunks);
+        void this.sendBuffered(call, answer, bufferedChunks);
     };
     const bytes = call.receivedBytes;
     return {end, isInsideEvent: false, bytes, passRest};
@@ -159,10 +170,10 @@
 
   private sendBuffered(
     call: RelayCall<Req>,
-    head: Head,
+    answer: TargetAnswer<Head>,
     bufferedChunks: Buffer[],
   ): Promise<void> | undefined {
-    call.answer.open(head);
+    this.open(call, answer);
     call.recordBytes();
     return bufferedChunks.length === 0
       ? undefined
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -83,6 +83,13 @@
    */
   abstract fail(unserved: UnservedOutcome): void;
 
+  /**
+   * Returns how the caller is told the end of an answer.
+   *
+   * @param head - head of the target's answer.
+   */
+  abstract framingFor(head: Head): Framing;
+
   /** Sends the head of a target's answer to the caller. */
   abstract writeHead(head: Head): void;
 
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -92,11 +92,11 @@
     registers: [this.registry],
   });
 
-  /** Number of answers served, by framing and by how many sends they are from. */
+  /** Number of answers served, by framings and by how many sends they are from. */
   readonly answers = new Counter({
     name: 'fuchsiacleat_gateway_answers_total',
-    help: 'Answers of targets that were served, by what delimited the body and by whether one or several sends brought it.',
-    labelNames: ['framing', 'sends'],
+    help: 'Answers of targets that were served, by what delimited the body at the target and for the caller, and by whether one or several sends brought it.',
+    labelNames: ['framing', 'caller_framing', 'sends'],
     registers: [this.registry],
   });
 
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -8,6 +8,7 @@
 import {FRAMING} from './answer_framing.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {
+  BegunAnswer,
   EndedSend,
   RelayObserver,
   RequestTrace,
@@ -101,6 +102,19 @@
     this.metrics.countSend(target, 'answered');
   }
 
+  override answerBegun(answer: BegunAnswer): void {
+    const {callerFraming, connection, framing, id, target} = answer;
+    if (framing !== FRAMING.close && callerFraming !== FRAMING.close) return;
+    if (!this.tryTakeLine(this.unusualBucket)) return;
+    this.logger.info('answer_begun', {
+      id,
+      target,
+      connection,
+      framing,
+      caller_framing: callerFraming,
+    });
+  }
+
   override sendEnded(send: EndedSend): void {
     const {id, target, end, endedBy, detail, receivedBytes} = send;
     this.metrics.unansweredSends.inc({end, detail});
@@ -222,6 +236,7 @@
     if (isServed && story.framing !== undefined)
       this.metrics.answers.inc({
         framing: story.framing,
+        caller_framing: story.callerFraming,
         sends: story.answerSends > 1 ? 'several' : 'one',
       });
     const bucket = this.bucketFor(story);
@@ -236,6 +251,8 @@
       status: story.status,
       answer: story.answer,
       framing: story.framing,
+      caller_framing:
+        story.callerFraming === story.framing ? undefined : story.callerFraming,
       body_bytes: story.framing === undefined ? undefined : story.bodyBytes,
       answer_sends: story.answerSends > 1 ? story.answerSends : undefined,
       connection: story.connection,
--- a/packages/core/src/lib/gateway/passed_answer.ts
+++ b/packages/core/src/lib/gateway/passed_answer.ts
@@ -1,5 +1,6 @@
 /** The answer of targets as it is passed on to a caller. @packageDocumentation */
 
+import {Framing} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 
 const OK = 200;
@@ -13,6 +14,7 @@
  */
 export class PassedAnswer {
   private begunHead: AnswerHead | undefined;
+  private callerFraming: Framing | undefined;
   private isNewSend = false;
   private byteCount = 0;
   private sendCount = 0;
@@ -31,6 +33,11 @@
     return this.begunHead;
   }
 
+  /** How the caller is told its end; undefined before the head was passed on. */
+  get framing(): Framing | undefined {
+    return this.callerFraming;
+  }
+
   /** Whether another send may bring the answer, or the rest of it. */
   get canContinue(): boolean {
     if (this.begunHead === undefined) return true;
@@ -69,6 +76,7 @@
     this.isNewSend = true;
     if (this.begunHead !== undefined) return;
     this.begunHead = head;
+    this.callerFraming = this.req.framingFor(head);
     this.sendCount = 1;
     this.isNewSend = false;
     this.req.writeHead(head);
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -104,8 +104,11 @@
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
-    this.answers = new AnswerRelay(parts.clock, parts.tasks, call =>
-      this.resumption.recordEvents(call),
+    this.answers = new AnswerRelay(
+      parts.clock,
+      parts.tasks,
+      (call, answer) => this.runs.recordBegunAnswer(call, answer),
+      call => this.resumption.recordEvents(call),
     );
     this.search = new TargetSearch(parts);
     this.runs = new RunRecorder(parts);
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -39,6 +39,8 @@
   /** Connection of the last answer of a target, and what delimited its body. */
   connection: string | undefined;
   framing: Framing | undefined;
+  /** How the caller was told the end of the answer. */
+  callerFraming: Framing | undefined;
   /** Bytes of the body that were passed on, and how many sends they are from. */
   bodyBytes: number;
   answerSends: number;
@@ -102,6 +104,19 @@
   isStopping: boolean;
 }
 
+/** An answer of a target whose head was passed on. */
+export interface BegunAnswer {
+  /** Id of the request. */
+  id: string;
+  /** Id of the target. */
+  target: string;
+  connection: string;
+  /** What delimits the body of the target's answer. */
+  framing: Framing;
+  /** How the caller is told the end of it. */
+  callerFraming: Framing;
+}
+
 /** Bytes on a connection to a target that no request was waiting for. */
 export interface SurplusBytes {
   /** Id of the target. */
@@ -116,6 +131,12 @@
   /** Called when the head of an answer has arrived from a target. */
   abstract sendAnswered(target: string): void;
 
+  /**
+   * Called once the answer to a caller has begun. A host that is killed while it
+   * passes the answer on reports no end of it.
+   */
+  abstract answerBegun(answer: BegunAnswer): void;
+
   /** Called when a send has led to no complete answer. */
   abstract sendEnded(send: EndedSend): void;
 
--- a/packages/core/src/lib/gateway/relay_trace.ts
+++ b/packages/core/src/lib/gateway/relay_trace.ts
@@ -54,6 +54,7 @@
     status: call?.answer.head?.status,
     connection: call?.connection,
     framing: call?.framing,
+    callerFraming: call?.answer.framing,
     bodyBytes: call?.answer.bytes ?? 0,
     answerSends: call?.answer.sends ?? 0,
     outcome,
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -8,7 +8,12 @@
 import {ModelFinder} from './model_finder.js';
 import {RelayCall} from './relay_call.js';
 import {RelayObserver} from './relay_observer.js';
-import {NOT_RUN, NotRunReason, SendResult} from './target_port.js';
+import {
+  NOT_RUN,
+  NotRunReason,
+  SendResult,
+  TargetAnswer,
+} from './target_port.js';
 import {KnownTarget, TargetTable} from './target_table.js';
 
 /** Reasons for which no byte of a request has reached a target. */
@@ -99,6 +104,20 @@
     );
   }
 
+  /** Reports an answer whose head was passed on. */
+  recordBegunAnswer(
+    call: RelayCall<Req>,
+    {connection, head: {framing}}: TargetAnswer<Head>,
+  ): void {
+    this.parts.observer.answerBegun({
+      id: call.id,
+      target: call.sentTo.at(-1)!,
+      connection,
+      framing,
+      callerFraming: call.answer.framing!,
+    });
+  }
+
   /** Records a run whose answer looks complete. */
   recordWholeRun(
     target: KnownTarget,
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -42,6 +42,7 @@
     status: 200,
     connection: '1/1',
     framing: FRAMING.length,
+    callerFraming: FRAMING.length,
     bodyBytes: 100,
     answerSends: 1,
     outcome: {type},
@@ -75,6 +76,23 @@
     expect(logger.events.length - before).to.equal(2);
   });
 
+  it('logs the begin of an answer whose end only its connection tells', () => {
+    const logger = new CountingLogger();
+    const metrics = new GatewayMetrics();
+    const observer = new LoggingObserver(new ManualClock(), logger, metrics);
+    const {chunks, close, length} = FRAMING;
+    for (const [framing, callerFraming] of [
+      [length, length],
+      [close, chunks],
+      [chunks, close],
+    ] as const) {
+      const connection = '1/1';
+      const answer = {id: 'r', target: 't1', connection};
+      observer.answerBegun({...answer, framing, callerFraming});
+    }
+    expect(logger.events).to.deep.equal(['answer_begun', 'answer_begun']);
+  });
+
   it('limits served and unserved lines separately and logs the number omitted', async () => {
     const clock = new ManualClock();
     const logger = new CountingLogger();
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -2,7 +2,7 @@
 
 import {ZoneEvacuations} from '../../lib/evacuation/zone_evacuations.js';
 import {Result, err, ok} from 'neverthrow';
-import {FRAMING} from '../../lib/gateway/answer_framing.js';
+import {FRAMING, Framing} from '../../lib/gateway/answer_framing.js';
 import {
   AnswerHead,
   CallerRequest,
@@ -14,6 +14,7 @@
 import {Freshness} from '../../lib/gateway/freshness.js';
 import {ModelFinder, ModelSearch} from '../../lib/gateway/model_finder.js';
 import {
+  BegunAnswer,
   EndedSend,
   RelayObserver,
   RequestTrace,
@@ -111,6 +112,10 @@
     this.failure = unserved;
   }
 
+  override framingFor({framing}: AnswerHead): Framing {
+    return framing;
+  }
+
   override writeHead(head: AnswerHead): void {
     this.head = head;
   }
@@ -344,11 +349,16 @@
 
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
+  readonly begun: BegunAnswer[] = [];
   readonly ends: EndedSend[] = [];
   readonly stalls: StalledRun[] = [];
 
   override sendAnswered(): void {}
 
+  override answerBegun(answer: BegunAnswer): void {
+    this.begun.push(answer);
+  }
+
   override sendEnded(send: EndedSend): void {
     this.ends.push(send);
   }
