Take an empty rest of a stream for its end where a target gives no length

What callers saw: a caller that had all events of a stream, but not its end, took the stream up after the last event and was reset again, at every attempt whose targets answered without a length.

Cause: an event stream without a length and without a byte counts as broken off, as that of a process that crashed under it does. A target that is told to go on after the last event has nothing to send.

Change: this holds only where the target has the stream to begin.

Evidence: Relay test "does not break off an empty rest of a stream because only its connection ended" (before: isEnded false).

--- a/packages/core/src/lib/gateway/answer_completeness.ts
+++ b/packages/core/src/lib/gateway/answer_completeness.ts
@@ -10,6 +10,8 @@
   /** Whether it ends within an event. */
   isInsideEvent: boolean;
   bytes: number;
+  /** Whether the target was told to go on after an event. */
+  isResumed: boolean;
 }
 
 /**
@@ -29,7 +31,7 @@
   if (body.end !== BODY_END.complete) return false;
   if (head.isEventStream && body.isInsideEvent) return false;
   if (head.framing !== FRAMING.close) return true;
-  if (head.isEventStream && body.bytes === 0) return false;
+  if (head.isEventStream && body.bytes === 0 && !body.isResumed) return false;
   // Chunks or a length would assure the caller of what no target has said.
   return passedHead === undefined || passedHead.framing === FRAMING.close;
 }
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -137,7 +137,8 @@
       void call.answer.write(remainingBytes);
     };
     const {isInsideEvent} = boundary;
-    return {end, isInsideEvent, bytes: call.receivedBytes, passRest};
+    const {isResumed, receivedBytes: bytes} = call;
+    return {end, isInsideEvent, bytes, isResumed, passRest};
   }
 
   private open(call: RelayCall<Req>, answer: TargetAnswer<Head>): void {
@@ -165,7 +166,7 @@
         void this.sendBuffered(call, answer, bufferedChunks);
     };
     const bytes = call.receivedBytes;
-    return {end, isInsideEvent: false, bytes, passRest};
+    return {end, isInsideEvent: false, bytes, isResumed: false, passRest};
   }
 
   private sendBuffered(
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -257,6 +257,11 @@
     return this.splitter?.lastId;
   }
 
+  /** Whether a target has to go on after an event that the caller has. */
+  get isResumed(): boolean {
+    return this.lastEventId !== undefined || this.req.lastEventId !== undefined;
+  }
+
   /** Records a send. */
   recordSend(target: KnownTarget): void {
     this.firstSendMs ??= this.elapsedMs();
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -397,6 +397,17 @@
     expect(caller.isAborted).to.equal(true);
   });
 
+  // The caller was cut off again and again once it had all events.
+  it('does not break off an empty rest of a stream because only its connection ended', async () => {
+    const plays: TargetBehavior[] = [() => unframed(answer(200, []))];
+    const world = relayWorld({route: resumable, behaviors: plays});
+    const caller = new FakeCaller(world.clock);
+    caller.lastEventId = '16';
+    caller.resumedId = 'req-0';
+    await world.run(caller);
+    expect(caller.isEnded).to.equal(true);
+  });
+
   it('does not continue an answer that is no event stream with events', async () => {
     const plays: TargetBehavior[] = [
       () => answer(400, ['{"error":'], BODY_END.broken),
