--- a/packages/local-cluster/src/test/platform/broken_answers_test.ts
+++ b/packages/local-cluster/src/test/platform/broken_answers_test.ts
@@ -248,7 +248,7 @@
     });
   }
 
-  it('does not frame an answer whose transfer encoding is not in chunks', async () => {
+  it('does not pass on as complete an answer whose transfer encoding is not in chunks', async () => {
     await start(({id}, worker, send) => {
       const body = fill(`${worker} ${id} ${send};`, SMALL_BYTES);
       const signature = `${worker}.${send}`;
