Tell callers the end of every answer by a length or chunks

Cause: an answer whose target gave no length was passed on without one. The operating system closes the connections of a killed process in order, so that the caller could not tell that from the end of the answer. For HTTP/1.0 this held for every answer in chunks and every stream.

The reason given until now, that chunks would assure the caller of what no target has said, is dropped: HTTP and the platform take an end in order for the end of such an answer and a reset never, at the target as at the caller, so the missing framing claimed just as much.

Change: chooseCallerFraming in core gives every answer a length or chunks. For HTTP/1.0 an answer of unknown length is held whole in the memory account, and its connection is reset if that memory is needed.

Checks: the soak excused such an end only where the caller had no framing either; now it excuses exactly what the target wrote up to an end in order, and reports every success that only its connection delimits, whole or not. A test of the gateway that asked for no framing asks for chunks.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -22,6 +22,7 @@
 export * from './lib/limits/retry_budget.js';
 export * from './lib/intake/body_reader.js';
 export * from './lib/intake/caller_message.js';
+export * from './lib/intake/held_body.js';
 export * from './lib/intake/intake.js';
 export * from './lib/intake/intake_limits.js';
 export * from './lib/intake/intake_log.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export * from './lib/membership/zone_stream.js';
 export * from './lib/intake/body_reader.js';
 export * from './lib/intake/caller_message.js';
+export * from './lib/intake/held_body.js';
 export * from './lib/intake/intake.js';
 export * from './lib/intake/intake_limits.js';
 export * from './lib/intake/intake_log.js';
--- a/packages/core/src/lib/gateway/answer_completeness.ts
+++ b/packages/core/src/lib/gateway/answer_completeness.ts
@@ -16,8 +16,8 @@
 
 /**
  * Decides whether the answer to a caller is whole once a send's answer has
- * ended. A crashed process ends its connections like one that has sent all, so
- * that an answer without other framing is only as whole as its caller can know.
+ * ended. Where a target frames its answer by the end of the connection, HTTP
+ * takes an end in order for the end of the answer, and a reset never.
  *
  * @param head - head of the send's answer.
  * @param passedHead - head that the caller has; undefined if it has none.
@@ -32,6 +32,6 @@
   if (head.isEventStream && body.isInsideEvent) return false;
   if (head.framing !== FRAMING.close) return true;
   if (head.isEventStream && body.bytes === 0 && !body.isResumed) return false;
-  // Chunks or a length would assure the caller of what no target has said.
+  // The target that began the answer would have told its end.
   return passedHead === undefined || passedHead.framing === FRAMING.close;
 }
--- a/packages/core/src/lib/gateway/caller_request.ts
+++ b/packages/core/src/lib/gateway/caller_request.ts
@@ -2,7 +2,7 @@
 
 import {RequestContent} from '../quarantine/request_digest.js';
 import {Refusal, UnservedOutcome} from '../requests/outcome.js';
-import {Framing} from './answer_framing.js';
+import {CallerFraming, Framing} from './answer_framing.js';
 
 /** The model that a request asks for. */
 export interface ModelDemand {
@@ -88,7 +88,7 @@
    *
    * @param head - head of the target's answer.
    */
-  abstract framingFor(head: Head): Framing;
+  abstract framingFor(head: Head): CallerFraming;
 
   /** Sends the head of a target's answer to the caller. */
   abstract writeHead(head: Head): void;
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -5,7 +5,7 @@
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ANSWER_END} from './answer_end.js';
-import {FRAMING} from './answer_framing.js';
+import {CALLER_FRAMING, FRAMING} from './answer_framing.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {
   BegunAnswer,
@@ -104,7 +104,8 @@
 
   override answerBegun(answer: BegunAnswer): void {
     const {callerFraming, connection, framing, id, target} = answer;
-    if (framing !== FRAMING.close && callerFraming !== FRAMING.close) return;
+    const isHeld = callerFraming === CALLER_FRAMING.held;
+    if (framing !== FRAMING.close && !isHeld) return;
     if (!this.tryTakeLine(this.unusualBucket)) return;
     this.logger.info('answer_begun', {
       id,
--- a/packages/core/src/lib/gateway/passed_answer.ts
+++ b/packages/core/src/lib/gateway/passed_answer.ts
@@ -1,6 +1,6 @@
 /** The answer of targets as it is passed on to a caller. @packageDocumentation */
 
-import {Framing} from './answer_framing.js';
+import {CallerFraming} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 
 const OK = 200;
@@ -14,7 +14,7 @@
  */
 export class PassedAnswer {
   private begunHead: AnswerHead | undefined;
-  private callerFraming: Framing | undefined;
+  private callerFraming: CallerFraming | undefined;
   private isNewSend = false;
   private byteCount = 0;
   private sendCount = 0;
@@ -34,7 +34,7 @@
   }
 
   /** How the caller is told its end; undefined before the head was passed on. */
-  get framing(): Framing | undefined {
+  get framing(): CallerFraming | undefined {
     return this.callerFraming;
   }
 
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -2,7 +2,7 @@
 
 import {Outcome} from '../requests/outcome.js';
 import {AnswerEnd, EndedBy} from './answer_end.js';
-import {Framing} from './answer_framing.js';
+import {CallerFraming, Framing} from './answer_framing.js';
 import {TargetState} from './target_port.js';
 import {SentWork} from '../work/sent_work.js';
 
@@ -40,7 +40,7 @@
   connection: string | undefined;
   framing: Framing | undefined;
   /** How the caller was told the end of the answer. */
-  callerFraming: Framing | undefined;
+  callerFraming: CallerFraming | undefined;
   /** Bytes of the body that were passed on, and how many sends they are from. */
   bodyBytes: number;
   answerSends: number;
@@ -114,7 +114,7 @@
   /** What delimits the body of the target's answer. */
   framing: Framing;
   /** How the caller is told the end of it. */
-  callerFraming: Framing;
+  callerFraming: CallerFraming;
 }
 
 /** Bytes on a connection to a target that no request was waiting for. */
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {ANSWER_END, ENDED_BY} from '../../lib/gateway/answer_end.js';
-import {FRAMING} from '../../lib/gateway/answer_framing.js';
+import {CALLER_FRAMING, FRAMING} from '../../lib/gateway/answer_framing.js';
 import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
 import {LoggingObserver} from '../../lib/gateway/logging_observer.js';
 import {RequestTrace} from '../../lib/gateway/relay_observer.js';
@@ -81,10 +81,11 @@
     const metrics = new GatewayMetrics();
     const observer = new LoggingObserver(new ManualClock(), logger, metrics);
     const {chunks, close, length} = FRAMING;
+    const {held} = CALLER_FRAMING;
     for (const [framing, callerFraming] of [
       [length, length],
       [close, chunks],
-      [chunks, close],
+      [chunks, held],
     ] as const) {
       const connection = '1/1';
       const answer = {id: 'r', target: 't1', connection};
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -2,7 +2,11 @@
 
 import {ZoneEvacuations} from '../../lib/evacuation/zone_evacuations.js';
 import {Result, err, ok} from 'neverthrow';
-import {FRAMING, Framing} from '../../lib/gateway/answer_framing.js';
+import {
+  CallerFraming,
+  FRAMING,
+  chooseCallerFraming,
+} from '../../lib/gateway/answer_framing.js';
 import {
   AnswerHead,
   CallerRequest,
@@ -112,8 +116,8 @@
     this.failure = unserved;
   }
 
-  override framingFor({framing}: AnswerHead): Framing {
-    return framing;
+  override framingFor({framing}: AnswerHead): CallerFraming {
+    return chooseCallerFraming(framing === FRAMING.length, true);
   }
 
   override writeHead(head: AnswerHead): void {
--- a/packages/local-cluster/src/lib/raw_caller.ts
+++ b/packages/local-cluster/src/lib/raw_caller.ts
@@ -13,6 +13,8 @@
   id: string;
   body?: string;
   model?: string;
+  /** Version of HTTP; 1.1 unless stated otherwise. */
+  version?: '1.0' | '1.1';
 }
 
 /** Caller connection that records the received text and how it ended. */
@@ -44,11 +46,17 @@
   }
 
   /** Returns the head of a request. */
-  static head({path, id, body = '', model}: RawRequest): string {
+  static head({
+    path,
+    id,
+    body = '',
+    model,
+    version = '1.1',
+  }: RawRequest): string {
     const demand =
       model === undefined ? '' : `x-fuchsiacleat-model: ${model}\r\n`;
     return (
-      `POST ${path} HTTP/1.1\r\nhost: ${HOST_NAME}\r\n` +
+      `POST ${path} HTTP/${version}\r\nhost: ${HOST_NAME}\r\n` +
       `x-fuchsiacleat-attempt-id: ${id}\r\n${demand}` +
       `x-fuchsiacleat-deadline-ms: 4000\r\nx-fuchsiacleat-key: ${TEAM_KEY}\r\n` +
       `content-length: ${body.length}\r\n\r\n`
--- a/packages/local-cluster/src/test/platform/gateway_host_test.ts
+++ b/packages/local-cluster/src/test/platform/gateway_host_test.ts
@@ -111,12 +111,12 @@
     expect(next.status).to.equal(200);
   });
 
-  it('does not frame a response that ends with its connection', async () => {
-    injectFaults(FAULTY_ANSWER.unframedShort);
+  // The end of a killed host's connection looked like the end of the response.
+  it('passes a response that ends with its connection on in chunks', async () => {
+    injectFaults(FAULTY_ANSWER.unframed);
     const res = await world.call(ROUTE_PATH.once);
-    expect(res.headers).to.not.have.property('transfer-encoding');
+    expect(res.headers['transfer-encoding']).to.equal('chunked');
     expect(res.headers).to.not.have.property('content-length');
-    expect(res.headers.connection).to.equal('close');
   });
 
   it('resets a caller whose unframed stream ended inside an event', async () => {
--- a/packages/soak/src/lib/answer_check.ts
+++ b/packages/soak/src/lib/answer_check.ts
@@ -39,7 +39,8 @@
 /**
  * A success that looks complete bears the signature of its worker and is the
  * whole body, whatever faults its workers had. One that breaks off is a part of
- * the right body up to there. The workers of the soak sign no failures.
+ * the right body up to there. The end of the connection delimits no answer, as
+ * that of a killed host looks the same. The workers of the soak sign no failures.
  *
  * @param record - the records of the run.
  * @returns the violations.
@@ -59,11 +60,12 @@
   runs: readonly WorkerRun[],
   streamEvents: number,
 ): Violation['promise'] | undefined {
-  const {isComplete, stamp, status} = request;
+  const {framing, isComplete, stamp, status} = request;
   if (status === undefined) return undefined;
   if (status !== OK)
     return stamp === undefined ? undefined : PROMISE.wholeAnswer;
   if (stamp === undefined) return PROMISE.wholeAnswer;
+  if (framing === FRAMING.close) return PROMISE.visibleEnd;
   if (isComplete) {
     if (isWhole(request, streamEvents) || isEndHidden(request, runs))
       return undefined;
@@ -93,22 +95,16 @@
 }
 
 /**
- * Whether neither the host nor the caller can know that a body is not whole: all
- * that the worker sent, without a length to either, up to an end in order.
+ * Whether the host cannot know that a body is not whole: all that the worker
+ * sent, without a length, up to an end in order.
  */
-function isEndHidden(
-  {body, framing}: SentRequest,
-  runs: readonly WorkerRun[],
-): boolean {
-  return (
-    framing === FRAMING.close &&
-    runs.some(
-      ({fault, progress}) =>
-        fault !== undefined &&
-        SHORT_UNFRAMED.has(fault) &&
-        progress.isEnded &&
-        progress.text === body,
-    )
+function isEndHidden({body}: SentRequest, runs: readonly WorkerRun[]): boolean {
+  return runs.some(
+    ({fault, progress}) =>
+      fault !== undefined &&
+      SHORT_UNFRAMED.has(fault) &&
+      progress.isEnded &&
+      progress.text === body,
   );
 }
 
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -88,7 +88,10 @@
         ? this.spoil(answer.body)
         : (part + answer.body).slice(0, answer.body.length);
     if (answer.stamp !== undefined) res.setHeader(STAMP_HEADER, answer.stamp);
-    res.writeHead(answer.status, {'content-length': Buffer.byteLength(text)});
+    if (this.fault === PROMISE.visibleEnd)
+      res.useChunkedEncodingByDefault = false;
+    else res.setHeader('content-length', Buffer.byteLength(text));
+    res.writeHead(answer.status);
     if (this.fault === PROMISE.rightPart)
       res.write(text.slice(1), () => res.destroy());
     else res.end(text);
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -12,6 +12,7 @@
   wholeAnswer: 'whole-answer',
   wholeDespiteFault: 'whole-despite-fault',
   rightPart: 'right-part',
+  visibleEnd: 'visible-end',
   answered: 'answered',
   withdrawnKey: 'withdrawn-key',
   drain: 'drain',
--- a/packages/soak/src/lib/strict_answer_check.ts
+++ b/packages/soak/src/lib/strict_answer_check.ts
@@ -38,7 +38,7 @@
   own: 'own',
   /** Its caller can tell that it is not complete. */
   broken: 'broken',
-  /** It looks complete with what {@link cutInOrder} allows. */
+  /** It looks complete with what {@link isCutInOrder} allows. */
   cutInOrder: 'cut-in-order',
 } as const;
 
@@ -69,21 +69,24 @@
     const isSuccess = status >= SUCCESS.first && status <= SUCCESS.last;
     return isSuccess ? violation('success without a signature') : VERDICT.own;
   }
+  if (answer.isCloseDelimited) return violation('end that a cut looks like');
   const ids = headers.get(ID_HEADER) ?? [];
   if (signatures.length > 1 || ids.length !== 1 || ids[0] !== id)
     return violation('head of more than one answer');
   const script = scripts.find(each => each.answer.signature === signatures[0]);
   if (script === undefined) return violation('answer of another request');
   if (script.answer.status !== status) return violation('another status');
-  if (isStream && status === SUCCESS.first) return checkEvents(answer, scripts);
+  if (isStream && status === SUCCESS.first)
+    return checkEvents(answer, script, scripts);
   if (script.answer.body.equals(body)) return VERDICT.whole;
-  if (cutInOrder(answer, script, body)) return VERDICT.cutInOrder;
+  if (isCutInOrder(script, script, body)) return VERDICT.cutInOrder;
   return violation('not the whole body');
 }
 
 /** Expects each event once, from runs that follow one another. */
 function checkEvents(
   answer: ReceivedAnswer,
+  begun: AnswerScript,
   scripts: readonly AnswerScript[],
 ): Verdict | AnswerViolation {
   const text = answer.body.toString('latin1');
@@ -103,31 +106,31 @@
   const own = last === undefined ? [] : eventsOf(last.answer);
   const lastEvents = own.slice(0, own.indexOf(events.at(-1) ?? '') + 1);
   const body = Buffer.from(lastEvents.map(each => each + EVENT_END).join(''));
-  if (last !== undefined && cutInOrder(answer, last, body))
+  if (last !== undefined && isCutInOrder(begun, last, body))
     return VERDICT.cutInOrder;
   return violation('ends before its last event');
 }
 
 /**
  * Returns whether an answer may look complete although its worker broke it off:
- * neither the worker nor the host announced how the body ends, the worker closed
- * the connection in order, and the caller got exactly the bytes of the body that
- * it had written until then. A reset is never the end of an answer.
+ * no worker announced how the body ends, the last one closed the connection in
+ * order, and the caller got exactly the bytes of the body that it had written
+ * until then. A reset is never the end of an answer.
  *
- * @param answer - what the caller got.
- * @param script - the send that the answer ends with.
- * @param body - the bytes that come from this send.
+ * @param begun - the send whose head the caller got.
+ * @param last - the send that the answer ends with.
+ * @param body - the bytes that come from the last send.
  */
-function cutInOrder(
-  answer: ReceivedAnswer,
-  script: AnswerScript,
+function isCutInOrder(
+  begun: AnswerScript,
+  last: AnswerScript,
   body: Buffer,
 ): boolean {
   return (
-    answer.isCloseDelimited &&
-    isCloseDelimited(script.answer) &&
-    script.closedAfterBytes === body.length &&
-    script.answer.body.subarray(0, body.length).equals(body)
+    isCloseDelimited(begun.answer) &&
+    isCloseDelimited(last.answer) &&
+    last.closedAfterBytes === body.length &&
+    last.answer.body.subarray(0, body.length).equals(body)
   );
 }
 
--- a/packages/soak/src/test/answer_check_test.ts
+++ b/packages/soak/src/test/answer_check_test.ts
@@ -29,7 +29,7 @@
     wasHostUndisturbed: true,
     status: 200,
     stamp: 's',
-    framing: FRAMING.close,
+    framing: FRAMING.chunks,
     body: SHORT,
     isComplete: true,
     ...changes,
@@ -81,14 +81,18 @@
     expect(find(whole, run(FAULTY_ANSWER.cut, SHORT, false))).to.deep.equal([]);
   });
 
-  it('accepts what a worker ended in order without a length, unframed', () => {
-    expect(find(stream(), run(unframedEvents, SHORT))).to.deep.equal([]);
-  });
-
-  it('reports the same if the caller gets it with a framing', () => {
+  it('accepts what a worker ended in order without a length', () => {
     for (const framing of [FRAMING.chunks, FRAMING.length]) {
       const found = find(stream({framing}), run(unframedEvents, SHORT));
-      expect(found, framing).to.deep.equal([PROMISE.wholeDespiteFault]);
+      expect(found, framing).to.deep.equal([]);
+    }
+  });
+
+  it('reports any success whose end only the connection tells', () => {
+    for (const text of [SHORT, WHOLE]) {
+      const unframed = stream({framing: FRAMING.close, body: text});
+      const found = find(unframed, run(unframedEvents, text));
+      expect(found).to.deep.equal([PROMISE.visibleEnd]);
     }
   });
 
--- a/packages/soak/src/test/strict_answer_check_test.ts
+++ b/packages/soak/src/test/strict_answer_check_test.ts
@@ -69,17 +69,25 @@
     expect(check(sends, broken)).to.equal(VERDICT.broken);
   });
 
-  it('accepts a part only of what neither side delimited and was closed there', () => {
-    const cut = received('a', {body: part, isCloseDelimited: true});
+  it('accepts a part only of what its worker did not delimit and closed there', () => {
+    const cut = received('a', {body: part});
     const closed = script('a', none, part.length);
     expect(check([closed], cut)).to.equal(VERDICT.cutInOrder);
     const not = 'not the whole body';
-    expect(check([closed], {...cut, isCloseDelimited: false})).to.equal(not);
     expect(check([script('a', none, part.length + 1)], cut)).to.equal(not);
     expect(check([script('a', none)], cut)).to.equal(not);
     expect(check([script('a', {}, part.length)], cut)).to.equal(not);
   });
 
+  it('finds answers whose end only the connection tells, whole ones too', () => {
+    const hidden = 'end that a cut looks like';
+    const isCloseDelimited = true;
+    const whole = received('a', {isCloseDelimited});
+    expect(check([script('a', none)], whole)).to.equal(hidden);
+    const closed = script('a', none, part.length);
+    expect(check([closed], {...whole, body: part})).to.equal(hidden);
+  });
+
   it('finds answers that are not whole or not of one send', () => {
     const other = script('b', {body: Buffer.from('another body')});
     const sends = [script('a'), other];
@@ -124,20 +132,20 @@
   });
 
   it('finds streams that end early or are joined in the wrong way', () => {
-    const first = script('a', {body: events(1, STREAM_EVENTS, 'a')});
+    const whole = {body: events(1, STREAM_EVENTS, 'a')};
+    const first = script('a', whole);
     const body = events(4, STREAM_EVENTS, 'b');
     const size = events(4, 7, 'b').length;
     const second = script('b', {...none, body}, size);
-    const stream = (body: Buffer, isCloseDelimited = false) =>
-      check([first, second], received('a', {body, isCloseDelimited}), {
-        isStream: true,
-      });
+    const stream = (body: Buffer, sends = [first, second]) =>
+      check(sends, received('a', {body}), {isStream: true});
+    const unframed = [script('a', {...none, ...whole}), second];
     const start = events(1, 3, 'a');
     expect(stream(Buffer.concat([start, body]))).to.equal(VERDICT.whole);
     const cut = Buffer.concat([start, events(4, 7, 'b')]);
     expect(stream(cut)).to.equal('ends before its last event');
-    expect(stream(cut, true)).to.equal(VERDICT.cutInOrder);
-    expect(stream(start, true)).to.equal('ends before its last event');
+    expect(stream(cut, unframed)).to.equal(VERDICT.cutInOrder);
+    expect(stream(start, unframed)).to.equal('ends before its last event');
     const back = Buffer.concat([start, events(4, 4, 'b'), events(5, 5, 'a')]);
     expect(stream(back)).to.equal('an event of another answer');
     expect(stream(events(2, 3, 'a'))).to.equal(
