Do not take the end of a target's process for the end of its answer

What callers saw: a part of an answer without a length as a complete one, with status 200 and a stamp, when its target was killed.

Cause: the operating system closes the connections of a killed process in order, which ended the answer. The host asked only afterwards, for the quarantine of prompts, whether the process had ended.

Change: before the end of an answer that only its connection tells is passed on, the host connects to the target. If nothing listens there, the answer has broken off. A target that leaves stops listening before its last answers end; its ends count as before. The check for the quarantine comes with the broken run now, once instead of twice.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -3,12 +3,14 @@
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {EndedBody, isWhole} from './answer_completeness.js';
+import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
 import {EventBoundary} from './event_boundary.js';
 import {RelayCall} from './relay_call.js';
 import {StallHandler, StallMonitor} from './stall_monitor.js';
 import {TargetAnswer} from './target_port.js';
+import {KnownTarget} from './target_table.js';
 
 /** Size up to which a plain answer is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -38,6 +40,22 @@
   passRest(): void;
 }
 
+/** Dependencies of an {@link AnswerRelay}. */
+export interface AnswerRelayParts<
+  Req extends CallerRequest<Head>,
+  Head extends AnswerHead,
+> {
+  clock: Clock;
+  /** Watches the progress of streams. */
+  tasks: TaskSupervisor;
+  /** Called once the head of an answer was passed on. */
+  onBegun: (call: RelayCall<Req>, answer: TargetAnswer<Head>) => void;
+  /** Called before whole events of a resumable stream are passed on. */
+  onEvents: (call: RelayCall<Req>) => void;
+  /** Returns whether the process of a target is known to have ended. */
+  hasEnded: (target: KnownTarget) => Promise<boolean>;
+}
+
 /**
  * Relays answers to callers. Events are forwarded as they arrive; small plain
  * answers are buffered and forwarded once complete.
@@ -46,28 +64,15 @@
   Req extends CallerRequest<Head>,
   Head extends AnswerHead,
 > {
-  /**
-   * @param clock - measures the time between events of a stream.
-   * @param tasks - watches the progress of streams.
-   * @param onBegun - called once the head of an answer was passed on.
-   * @param onEvents - called before whole events of a resumable stream are
-   *     passed on.
-   */
-  constructor(
-    private readonly clock: Clock,
-    private readonly tasks: TaskSupervisor,
-    private readonly onBegun: (
-      call: RelayCall<Req>,
-      answer: TargetAnswer<Head>,
-    ) => void,
-    private readonly onEvents: (call: RelayCall<Req>) => void,
-  ) {}
+  /** @param parts - see {@link AnswerRelayParts}. */
+  constructor(private readonly parts: AnswerRelayParts<Req, Head>) {}
 
   /**
    * Relays an answer until it ends.
    *
    * @param call - the state of the request.
-   * @param answer - the answer of the target.
+   * @param target - the target.
+   * @param answer - its answer.
    * @param stalls - decides about a stream that makes no progress.
    * @returns whether the caller received the complete answer. After `broken`,
    *     the caller has received no part of a plain answer unless
@@ -75,6 +80,7 @@
    */
   async relay(
     call: RelayCall<Req>,
+    target: KnownTarget,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
   ): Promise<RelayResult> {
@@ -84,6 +90,9 @@
       : await this.relayPlain(call, answer);
     if (!isWhole(answer.head, call.answer.head, body))
       return RELAY_RESULT.broken;
+    const isTold = answer.head.framing !== FRAMING.close;
+    if (!isTold && (await this.parts.hasEnded(target)))
+      return RELAY_RESULT.broken;
     body.passRest();
     call.answer.end();
     return RELAY_RESULT.whole;
@@ -98,12 +107,12 @@
     splitter?.discardPartialEvent();
     const maxStallMs = Math.max(MIN_STREAM_STALL_MS, call.route.objectiveMs);
     const monitor = call.canRunAgain
-      ? new StallMonitor(this.clock, maxStallMs, stalls)
+      ? new StallMonitor(this.parts.clock, maxStallMs, stalls)
       : undefined;
     const ended = new AbortController();
     if (monitor !== undefined) {
       const watch = () => monitor.run(ended.signal);
-      void this.tasks.run('stall_monitor', watch, {id: call.id});
+      void this.parts.tasks.run('stall_monitor', watch, {id: call.id});
     }
     const boundary = new EventBoundary();
     this.open(call, answer);
@@ -121,7 +130,7 @@
       // Comments and partial events do not count as progress.
       if (splitter.lastId !== lastId) monitor?.recordProgress();
       if (splitter.isTooLong) answer.discard();
-      if (bytes.length > 0) this.onEvents(call);
+      if (bytes.length > 0) this.parts.onEvents(call);
       const written = bytes.length === 0 ? undefined : call.answer.write(bytes);
       if (written !== undefined) {
         call.work?.skipPause();
@@ -133,7 +142,7 @@
     const passRest = () => {
       const remainingBytes = splitter?.flush();
       if (remainingBytes === undefined || remainingBytes.length === 0) return;
-      this.onEvents(call);
+      this.parts.onEvents(call);
       void call.answer.write(remainingBytes);
     };
     const {isInsideEvent} = boundary;
@@ -144,7 +153,7 @@
   private open(call: RelayCall<Req>, answer: TargetAnswer<Head>): void {
     const isFirst = !call.isHeadSent;
     call.answer.open(answer.head);
-    if (isFirst) this.onBegun(call, answer);
+    if (isFirst) this.parts.onBegun(call, answer);
   }
 
   private async relayPlain(
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -104,16 +104,17 @@
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
     this.admission = new Admission(parts);
-    this.answers = new AnswerRelay(
-      parts.clock,
-      parts.tasks,
-      (call, answer) => this.runs.recordBegunAnswer(call, answer),
-      call => this.resumption.recordEvents(call),
-    );
+    const {clock, observer, port, retries, tasks} = parts;
+    this.answers = new AnswerRelay({
+      clock,
+      tasks,
+      onBegun: (call, answer) => this.runs.recordBegunAnswer(call, answer),
+      onEvents: call => this.resumption.recordEvents(call),
+      hasEnded: target => this.hasEnded(target),
+    });
     this.search = new TargetSearch(parts);
     this.runs = new RunRecorder(parts);
     this.resumption = new StreamResumption(parts.continuity);
-    const {clock, observer, port, retries, tasks} = parts;
     this.stallParts = {
       prober: new TargetProber(clock, target => port.probe(target)),
       replacement: new RunReplacement(this.search, retries),
@@ -477,7 +478,7 @@
     }
     const run = {target, req, call, answer};
     const stalls = new RunStallHandler(this.stallParts, run);
-    const end = await this.answers.relay(call, answer, stalls);
+    const end = await this.answers.relay(call, target, answer, stalls);
     if (end === RELAY_RESULT.whole) {
       this.runs.recordWholeRun(target, call, answer.head);
       return {type: 'served'};
@@ -493,6 +494,15 @@
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
 
+  /**
+   * Returns whether the process of a target is known to have ended. One that
+   * leaves stops listening before it has finished its answers.
+   */
+  private async hasEnded(target: KnownTarget): Promise<boolean> {
+    if (!target.takesRequests) return false;
+    return (await this.parts.port.isListening(target)) === false;
+  }
+
   /**
    * Returns the outcome of a request whose caller disconnected or whose
    * deadline has passed.
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -125,9 +125,9 @@
     {framing, status}: Head,
   ): void {
     target.recordRun(call.sendAgeMs);
-    // The end of a crashed process would look the same.
-    if (framing === FRAMING.close) void this.reportBrokenRun(target, call);
-    else if (status === OK) call.run?.recordComplete();
+    // A target that leaves may have ended with an answer without a length.
+    const isTold = framing !== FRAMING.close;
+    if (isTold && status === OK) call.run?.recordComplete();
   }
 
   /** Records a run that brought no complete answer. */
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -397,6 +397,56 @@
     expect(caller.isAborted).to.equal(true);
   });
 
+  describe('whose target gave no length and whose connection ended', () => {
+    /** Ends the process of the target with its connection. */
+    function endsWith(chunks: string[]): TargetBehavior {
+      return () => {
+        world.port.ended.add(world.port.sent.at(-1)!.target);
+        return unframed(answer(200, chunks));
+      };
+    }
+
+    let world: RelayWorld;
+
+    // The operating system closes the connections of a crashed process in order.
+    it('does not take the end of a process for the end of a plain answer', async () => {
+      world = relayWorld({route: once, behaviors: [endsWith(['part'])]});
+      const caller = await serve(world);
+      expect(caller.head).to.equal(undefined);
+      expect(caller.failure?.type).to.equal('failed');
+    });
+
+    it('sends a repeatable request again if its process ended', async () => {
+      const behaviors = [endsWith(['part']), () => answer(200, ['whole'])];
+      world = relayWorld({route: repeatable, behaviors});
+      expect((await serve(world)).body).to.equal('whole');
+    });
+
+    it('goes on with a stream elsewhere if its process ended', async () => {
+      const behaviors = [endsWith([event(1)]), () => answer(200, [event(2)])];
+      world = relayWorld({route: resumable, behaviors});
+      const caller = await serve(world);
+      expect(caller.body).to.equal(event(1) + event(2));
+      expect(caller.isEnded).to.equal(true);
+    });
+
+    it('takes it for whole if its process lives, or leaves', async () => {
+      for (const isLeaving of [false, true]) {
+        const behaviors = isLeaving
+          ? [endsWith(['whole'])]
+          : [() => unframed(answer(200, ['whole']))];
+        world = relayWorld({route: once, behaviors, targetCount: 1});
+        const [sent] = behaviors;
+        behaviors[0] = (options, clock) => {
+          const registration = targetRegistration({id: 't1', zone: 'a'});
+          world.targets.put({...registration, isLeaving}, true);
+          return sent(options, clock);
+        };
+        expect((await serve(world)).body).to.equal('whole');
+      }
+    });
+  });
+
   // The caller was cut off again and again once it had all events.
   it('does not break off an empty rest of a stream because only its connection ended', async () => {
     const plays: TargetBehavior[] = [() => unframed(answer(200, []))];
