Hold answers of plain services for callers of HTTP/1.0

What callers saw: on the product's own interface, an answer of a plain service that ended early as a complete one, if the caller speaks HTTP/1.0 and its host is killed.

Cause: without chunks and without a length, only the connection ended it, which the operating system closes in order.

Change: chooseCallerFraming decides here as well; such an answer is held in the memory account and sent with a length.

Evidence: ServiceHandler "gives HTTP/1.0 callers the length of an answer" (before: no length).

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -31,6 +31,7 @@
 export * from './lib/net/caller_connections.js';
 export * from './lib/net/checked_client.js';
 export * from './lib/net/listener.js';
+export * from './lib/net/listening_check.js';
 export * from './lib/net/socket_address.js';
 export * from './lib/peers/tcp_peer_network.js';
 export * from './lib/continuation/origin_archive.js';
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -336,6 +336,7 @@
         runner: services,
         idempotencyGuard,
         clock,
+        account: intake.account,
       }),
       logger,
       bodies: {maxBytes: limits.body_bytes, intake, clock},
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -2,12 +2,16 @@
 
 import {ServerResponse} from 'node:http';
 import {
+  CALLER_FRAMING,
   Clock,
+  HeldBody,
+  MemoryAccount,
   Outcome,
   ServiceEvent,
   ServiceRequest,
   ServiceRun,
   ServiceRunner,
+  chooseCallerFraming,
 } from '@fuchsiacleat/core';
 import {AnswerStream} from './answer_stream.js';
 import {errorResponse} from './http_outcome.js';
@@ -38,6 +42,8 @@
   runner: ServiceRunner;
   idempotencyGuard: IdempotencyGuard;
   clock: Clock;
+  /** Counts what is held for callers. */
+  account: MemoryAccount;
 }
 
 /** Connection of a waiting caller. */
@@ -92,7 +98,7 @@
       admitted,
       idempotencyKey,
       content,
-      () => this.run(admitted, call, callerSignal, () => reset(outgoing)),
+      () => this.run(admitted, call, callerSignal, outgoing),
     );
   }
 
@@ -100,8 +106,9 @@
     admitted: AdmittedRequest,
     call: ServiceRequest,
     callerSignal: AbortSignal,
-    abortConnection: () => void,
+    outgoing: ServerResponse,
   ): Promise<Response> {
+    const abortConnection = () => reset(outgoing);
     const cancel = new AbortController();
     const {deadlineMs, span, withdrawal} = admitted;
     const abortSignals = [callerSignal, cancel.signal, withdrawal.signal];
@@ -128,11 +135,26 @@
     );
     const {status} = head;
     const headers = forwardedHeaders(new Headers(head.headers));
-    if (!STATUSES_WITHOUT_BODY.includes(status)) {
-      return new Response(body, {status, headers});
+    if (STATUSES_WITHOUT_BODY.includes(status)) {
+      await body.pipeTo(new WritableStream());
+      return new Response(null, {status, headers});
     }
-    await body.pipeTo(new WritableStream());
-    return new Response(null, {status, headers});
+    const {useChunkedEncodingByDefault: readsChunks} = outgoing;
+    const framing = chooseCallerFraming(false, readsChunks);
+    const isHeld = framing === CALLER_FRAMING.held;
+    const sent = isHeld ? await this.hold(body, outgoing) : body;
+    return new Response(sent, {status, headers});
+  }
+
+  /** Returns a whole body, or what is left of it if its connection has ended. */
+  private async hold(
+    body: ReadableStream<Uint8Array>,
+    outgoing: ServerResponse,
+  ): Promise<Uint8Array<ArrayBuffer>> {
+    const held = new HeldBody(this.options.account, () => reset(outgoing));
+    outgoing.once('close', () => held.discard());
+    for await (const chunk of body) await held.append(Buffer.from(chunk));
+    return new Uint8Array(held.take());
   }
 
   private async answerBody(
@@ -157,7 +179,7 @@
   }
 }
 
-/** Resets a connection: an answer without chunks would look complete at its end. */
+/** Resets a connection, as its end could look like that of the answer. */
 function reset(outgoing: ServerResponse): void {
   const {socket} = outgoing;
   if (socket === null) outgoing.destroy();
--- a/packages/daemon/src/test/service_handler_test.ts
+++ b/packages/daemon/src/test/service_handler_test.ts
@@ -4,6 +4,7 @@
 import {HttpBindings, getRequestListener} from '@hono/node-server';
 import {
   FAILURE,
+  MemoryAccount,
   Outcome,
   ServiceEvent,
   ServiceRunner,
@@ -20,32 +21,40 @@
 const PART = Buffer.from('the first part');
 const PART_DELAY_MS = 20;
 const TIMEOUT_MS = 5_000;
+const ACCOUNT_BYTES = 1_000_000;
 
-/** A service whose answer breaks off after some parts. */
-async function* brokenRun(
+/** A service that answers in some parts, and ends with the given outcome. */
+async function* playRun(
   parts: number,
+  outcome: Outcome,
 ): AsyncGenerator<ServiceEvent, Outcome> {
   yield {type: 'head', status: 200, headers: {}};
   for (let i = 0; i < parts; i++) {
     yield {type: 'chunk', data: PART};
     await sleep(PART_DELAY_MS);
   }
-  return fail(FAILURE.targetLost, 'the service was lost');
+  return outcome;
 }
 
 describe('ServiceHandler', () => {
   let server: Server;
   let parts: number;
+  let outcome: Outcome;
 
   beforeEach(async () => {
+    outcome = fail(FAILURE.targetLost, 'the service was lost');
     const clock = new SystemClock();
-    const runner = {run: () => brokenRun(parts)} as unknown as ServiceRunner;
+    const runner = {
+      run: () => playRun(parts, outcome),
+    } as unknown as ServiceRunner;
     const idempotencyGuard = {
       run: (
         ...[, , , run]: Parameters<IdempotencyGuard['run']>
       ): Promise<Response> => run(),
     } as unknown as IdempotencyGuard;
-    const handler = new ServiceHandler({runner, idempotencyGuard, clock});
+    const account = new MemoryAccount(clock, ACCOUNT_BYTES);
+    const options = {runner, idempotencyGuard, clock, account};
+    const handler = new ServiceHandler(options);
     const app = new Hono();
     app.all('/', c => {
       const {outgoing} = c.env as HttpBindings;
@@ -93,6 +102,18 @@
     }
   });
 
+  // The end of a killed host's connection looked like the end of the answer.
+  it('gives HTTP/1.0 callers the length of an answer', async () => {
+    outcome = {type: 'served'};
+    parts = 3;
+    const {text} = await call('1.0');
+    const size = parts * PART.length;
+    expect(text).to.match(new RegExp(`content-length: ${size}\r\n`, 'i'));
+    expect(text.endsWith(`\r\n\r\n${String(PART).repeat(parts)}`)).to.equal(
+      true,
+    );
+  });
+
   it('ends no answer in chunks that breaks off', async () => {
     for (parts = 0; parts < 6; parts++) {
       const {text} = await call('1.1');
