Do not take the end of a plain service's process for the end of its answer

What callers saw: on the product's own interface, a part of an answer without a length as a complete one, when the service was killed.

Cause: as on the platform's interface, the operating system closes the connections of a killed process in order.

Change: where only its connection ends an answer, the client connects to the service before it reports the end; if nothing listens there, the answer has broken off and the call may have run.

Evidence: HttpServiceClient "does not take an answer without a length for complete whose service has ended" (before: 'a part' as complete).

--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -2,6 +2,8 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {CheckedClient} from '../net/checked_client.js';
+import {isListening} from '../net/listening_check.js';
+import {confirmEnd} from './confirmed_body.js';
 import {
   ServiceAnswer,
   ServiceCall,
@@ -10,6 +12,8 @@
 } from './service_client.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const HTTP_PORT = 80;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * A {@link ServiceClient} over HTTP. Opens a connection for each call, so that
@@ -21,6 +25,12 @@
     super();
   }
 
+  private async hasEnded(): Promise<boolean> {
+    const {hostname: host, port} = new URL(this.url);
+    const listener = {host, port: port === '' ? HTTP_PORT : Number(port)};
+    return (await isListening(listener)) === false;
+  }
+
   override async call(
     call: ServiceCall,
     signal: AbortSignal,
@@ -44,11 +54,13 @@
         signal,
       });
       res.body.once('close', () => void client.destroy().catch(() => {}));
-      return ok({
-        status: res.statusCode,
-        headers: flattenHeaders(res.headers),
-        body: res.body,
-      });
+      const headers = flattenHeaders(res.headers);
+      const status = res.statusCode;
+      const isFramed = isEndTold(call.method, status, headers);
+      const body = isFramed
+        ? res.body
+        : confirmEnd(res.body, () => this.hasEnded());
+      return ok({status, headers, body});
     } catch (error) {
       void client.destroy().catch(() => {});
       return err({
@@ -59,6 +71,16 @@
   }
 }
 
+/** Returns whether something else than its connection ends an answer. */
+function isEndTold(
+  method: string,
+  status: number,
+  headers: Record<string, string>,
+): boolean {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
+  return 'content-length' in headers || 'transfer-encoding' in headers;
+}
+
 function flattenHeaders(
   headers: Record<string, string | string[] | undefined>,
 ): Record<string, string> {
--- a/packages/core/src/test/targets/http_service_client_test.ts
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -105,6 +105,16 @@
     });
   }
 
+  // The operating system closes the connections of a killed process in order.
+  it('does not take an answer without a length for complete whose service has ended', async () => {
+    const part = answerBytes('no length', Buffer.from('a part'));
+    respond = socket => {
+      server.close();
+      socket.end(part);
+    };
+    expect(await call()).to.equal(undefined);
+  });
+
   it('does not take an answer for complete that is cut in order before its length', async () => {
     for (const framing of ['length', 'chunks'] as const) {
       const whole = answerBytes(framing, Buffer.from('the body'));
