Log when the lease was checked for an order and when it was written

Why: the lines of two holders' orders are written at the answers, up to 0.4 s after the orders, or seconds after them where the holder was frozen. Orders of an old holder among those of the next could not be told from late lines.

Change: write_ms and reply_ms in the line of an order, from the check of the lease on.

--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -19,6 +19,15 @@
   onConnected?: (socket: Socket) => void;
 }
 
+/** The request was not written, as it could not be sent any more. */
+export class WithdrawnRequestError extends Error {}
+
+/** Options of a request. */
+export interface CheckedRequestOptions extends Dispatcher.RequestOptions {
+  /** Returns right before the request is written whether it still may be. */
+  canStillSend?: () => boolean;
+}
+
 /** How the current connection of a client has ended. */
 class ConnectionEnd {
   /** Whether the connection was reset or failed in another way. */
@@ -67,11 +76,13 @@
   constructor(
     private readonly handler: Dispatcher.DispatchHandler,
     private readonly connectionEnd: ConnectionEnd,
+    private readonly canStillSend: () => boolean,
   ) {}
 
   onConnect(abort: (error?: Error) => void): void {
     this.connectionEnd.isAnswerDue = true;
     this.handler.onConnect!(abort);
+    if (!this.canStillSend()) abort(new WithdrawnRequestError());
   }
 
   onHeaders(
@@ -150,11 +161,19 @@
     });
   }
 
+  override request(
+    options: CheckedRequestOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    return super.request(options);
+  }
+
   override dispatch(
-    options: Dispatcher.DispatchOptions,
+    options: Dispatcher.DispatchOptions & CheckedRequestOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    const checked = new CheckedHandler(handler, this.connectionEnd);
+    const {canStillSend = () => true} = options;
+    const {connectionEnd} = this;
+    const checked = new CheckedHandler(handler, connectionEnd, canStillSend);
     return super.dispatch(options, checked);
   }
 }
--- a/packages/core/src/lib/residency/order_port.ts
+++ b/packages/core/src/lib/residency/order_port.ts
@@ -27,6 +27,8 @@
   otherProcess: 'other-process',
   /** No byte of the order left this host. */
   unreachable: 'unreachable',
+  /** This host may not order any more; no byte of the order left it. */
+  withdrawn: 'withdrawn',
   /** No answer; the order may take effect later if its count still fits. */
   unknown: 'unknown',
 } as const;
@@ -44,6 +46,18 @@
   loadingAdapters: ReadonlyArray<{model: string; adapter: string}>;
 }
 
+/** Options of an order. */
+export interface OrderOptions {
+  /**
+   * Called right before the order is written, which may be some time later than
+   * the call of `send`. If it returns false, the order is not sent and the reply
+   * is `withdrawn`.
+   */
+  canStillSend: () => boolean;
+  /** Cancels the wait for an answer. */
+  signal: AbortSignal;
+}
+
 /** Sends orders to targets and requests reports of what they hold. */
 export abstract class OrderPort {
   /**
@@ -51,12 +65,12 @@
    *
    * @param target - the receiver.
    * @param order - see {@link ResidencyOrder}.
-   * @param signal - cancels the wait for an answer.
+   * @param options - see {@link OrderOptions}.
    */
   abstract send(
     target: KnownTarget,
     order: ResidencyOrder,
-    signal: AbortSignal,
+    options: OrderOptions,
   ): Promise<OrderReply>;
 
   /**
--- a/packages/core/src/lib/residency/residency_order_sender.ts
+++ b/packages/core/src/lib/residency/residency_order_sender.ts
@@ -139,7 +139,7 @@
     order: OrderSpec,
     signal: AbortSignal,
   ): Promise<OrderReply> {
-    const {lease, logger, port} = this.parts;
+    const {clock, lease, logger, port} = this.parts;
     if (!lease.canOrder) return ORDER_REPLY.rejected;
     if (account.target.isEvacuated) return ORDER_REPLY.rejected;
     if (account.target.backOffLeftMs > 0) return ORDER_REPLY.rejected;
@@ -148,8 +148,14 @@
       expectedCount: account.orderCount,
       fencing: lease.fencingNumber,
     };
+    const checkedMs = clock.now();
+    let writeMs: number | undefined;
+    const canStillSend = () => {
+      writeMs = clock.now() - checkedMs;
+      return true;
+    };
     const reply = await withTimeout(ORDER_TIMEOUT_MS, signal, limited =>
-      port.send(account.target, fullOrder, limited),
+      port.send(account.target, fullOrder, {canStillSend, signal: limited}),
     );
     logger.info('order', {
       target: account.id,
@@ -159,6 +165,8 @@
       count: fullOrder.expectedCount,
       fencing: fullOrder.fencing,
       reply,
+      write_ms: writeMs === undefined ? undefined : Math.round(writeMs),
+      reply_ms: Math.round(clock.now() - checkedMs),
     });
     return reply;
   }
