Do not hold the order lease again by a renewal under way at its release

What callers saw: nothing by itself; two hosts' orders reached a target 1.4 to 2.2 s apart where 3 s are promised, when the lease holder was stopped beside a slow store.

Cause: release() ended the lease and named a successor, and the renewal that was under way then held it again for up to 1.6 s, as a successful append set heldUntilMs whatever had become of the lease. The release record conflicted with that renewal.

Change: an append that ends after the lease was released does not hold it; the release waits for it and is recorded behind it.

Evidence: OrderLease "does not hold it again by a renewal that is under way when it is released" (before: the stopped host orders again); the property "never lets two hosts order within the gap" with slow appends and stops fails within 100 plans before and holds for 5,000 now.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -110,6 +110,7 @@
   /** Clock time of the last answer of the log. */
   private tailReadMs = -Infinity;
   private isStopping = false;
+  private pendingAppend: Promise<unknown> = Promise.resolve();
   private isHolderSilent = false;
   private isLogReadable = true;
   private resignation = {fencing: -1, ms: -Infinity, isSuccessor: false};
@@ -225,11 +226,18 @@
   /** Releases the lease for good, so that another host can claim it sooner. */
   async release(signal: AbortSignal): Promise<void> {
     this.isStopping = true;
-    const wasHeld = this.isHeld;
-    if (wasHeld) this.relinquish();
+    if (this.isHeld) this.relinquish();
     this.heldUntilMs = -Infinity;
     this.notifyListeners();
-    if (wasHeld) await this.append(LEASE_EVENT.release, signal);
+    // A claim or renewal that is under way may be recorded all the same.
+    await this.pendingAppend;
+    if (this.wroteNewest) await this.append(LEASE_EVENT.release, signal);
+  }
+
+  /** Whether the newest record names this process as the holder. */
+  private get wroteNewest(): boolean {
+    if (this.newest?.incarnation !== this.parts.incarnation) return false;
+    return this.newest.event !== LEASE_EVENT.release;
   }
 
   private async waitForNextStep(signal: AbortSignal): Promise<void> {
@@ -421,7 +429,16 @@
   }
 
   /** Appends a record and returns whether that succeeded. */
-  private async append(
+  private append(
+    event: LeaseRecord['event'],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const appended = this.appendOnce(event, signal);
+    this.pendingAppend = appended.catch(() => {});
+    return appended;
+  }
+
+  private async appendOnce(
     event: LeaseRecord['event'],
     signal: AbortSignal,
   ): Promise<boolean> {
@@ -452,7 +469,7 @@
       return false;
     }
     this.adoptRecord(record, offset.value + 1);
-    if (event === LEASE_EVENT.release) return true;
+    if (this.isStopping) return true;
     if (this.suspensionWatch.wasSuspendedSince(sentMs)) return true;
     if (event === LEASE_EVENT.claim) {
       this.ordersFromMs = ordersFromMs;
--- a/packages/core/src/test/residency/lease_log_fixtures.ts
+++ b/packages/core/src/test/residency/lease_log_fixtures.ts
@@ -21,6 +21,8 @@
   losesAnswers: boolean;
   /** Delay after which appends take effect, without an answer; 0 for none. */
   lateMs: number;
+  /** Time that an append takes; it takes effect halfway. */
+  slowMs: number;
 }
 
 /** In-memory log that all hosts share. */
@@ -42,6 +44,7 @@
     isCut: false,
     losesAnswers: false,
     lateMs: 0,
+    slowMs: 0,
   };
 
   constructor(
@@ -71,8 +74,14 @@
     expectedEnd: number,
   ): Promise<Result<number, LeaseError>> {
     this.log.calls += 1;
-    const {isCut, losesAnswers, lateMs} = this.faults;
+    const {isCut, losesAnswers, lateMs, slowMs} = this.faults;
     if (isCut) return err(LEASE_ERROR.unknown);
+    if (slowMs > 0) {
+      await this.clock.sleep(slowMs / 2);
+      const appended = this.log.append(record, expectedEnd);
+      await this.clock.sleep(slowMs / 2);
+      return appended;
+    }
     if (lateMs > 0) {
       this.clock.after(lateMs, () => this.log.append(record, expectedEnd));
       return err(LEASE_ERROR.unknown);
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -9,6 +9,9 @@
 const HOLDER_GAP_MS = 3_000;
 const STEP_MS = LOG_POLL_MS;
 
+/** Longest time of a slow append, below the timeout of the lease. */
+const MAX_SLOW_MS = 900;
+
 interface LeaseHost {
   lease: OrderLease;
   log: FaultyLeaseLog;
@@ -59,7 +62,7 @@
   private start(i: number): LeaseHost {
     const log = new FaultyLeaseLog(this.clock, this.shared);
     const incarnation = `${i}-${this.starts++}`;
-    const lease = new OrderLease({
+    const lease: OrderLease = new OrderLease({
       clock: this.clock,
       random: new Random(this.starts),
       log,
@@ -70,7 +73,10 @@
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => this.hosts.length,
       claimDelayMs: this.claimDelayMs,
-      onResign: () => this.notifyResigned(i),
+      // A process that was killed sends nothing.
+      onResign: () => {
+        if (this.hosts[i]?.lease === lease) this.notifyResigned(i);
+      },
     });
     const stop = new AbortController();
     void lease.run(stop.signal);
@@ -97,6 +103,8 @@
   'restart',
   'release',
   'pause',
+  'slow',
+  'stop',
 );
 
 describe('OrderLease', () => {
@@ -214,6 +222,25 @@
     expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
   });
 
+  // The stopping host held the lease again and ordered beside its successor.
+  it('does not hold it again by a renewal that is under way when it is released', async () => {
+    for (let atMs = 0; atMs < 1_000; atMs += 100) {
+      const world = new LeaseWorld(3);
+      await world.run(2_000);
+      const first = world.hosts.findIndex(({lease}) => lease.canOrder);
+      const {lease, log} = world.hosts[first];
+      log.faults.slowMs = 400;
+      await world.run(2_000 + atMs);
+      void lease.release(new AbortController().signal);
+      expect(lease.canOrder, `after ${atMs} ms`).to.equal(false);
+      const before = world.orders.length;
+      await world.run(9_000);
+      const later = world.orders.slice(before).map(({host}) => host);
+      expect(later, `after ${atMs} ms`).to.not.include(first);
+      expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+    }
+  });
+
   it('is held by a new host, which can lend, before orders are allowed', async () => {
     const world = new LeaseWorld(2);
     await world.run(2_000);
@@ -270,11 +297,17 @@
     case 'late':
       log.faults.lateMs = ms;
       break;
+    case 'slow':
+      log.faults.slowMs = Math.min(ms, MAX_SLOW_MS);
+      break;
+    case 'stop':
+      void lease.release(new AbortController().signal);
+      break;
     case 'restart':
       world.restart(host);
       break;
     case 'release':
-      await lease.release(new AbortController().signal);
+      void lease.release(new AbortController().signal);
       world.restart(host);
       break;
     case 'pause':
@@ -286,6 +319,7 @@
 }
 
 function heal({faults}: FaultyLeaseLog): void {
+  faults.slowMs = 0;
   faults.isCut = false;
   faults.losesAnswers = false;
   faults.lateMs = 0;
