Check the lease again right before an order is written

A former holder of the order lease could write an order seconds after the lease had passed on.

Cause: the lease was checked before the connection to the target was opened. A host that stands still in between writes the order when it goes on: the event loop runs connections that are due before timers, so that neither the check nor the timeout of 400 ms comes first.

Change: canStillSend asks for the lease and its fencing number right before the order is written.

Evidence: ResidencyOrders "does not write an order whose lease passed on while it was connecting" (before: written).

--- a/packages/core/src/lib/residency/residency_order_sender.ts
+++ b/packages/core/src/lib/residency/residency_order_sender.ts
@@ -151,6 +151,9 @@
     const checkedMs = clock.now();
     let writeMs: number | undefined;
     const canStillSend = () => {
+      // The lease may have passed on while the connection was established.
+      if (!lease.canOrder || lease.fencingNumber !== fullOrder.fencing)
+        return false;
       writeMs = clock.now() - checkedMs;
       return true;
     };
