Close the connection of an answer without a length that is not read

Cause: since such a body is read by a generator, whose clean-up does not run if it was never started, so that a caller who left before the first part kept the connection to the service open.

Change: the end of the reader ends the body.

--- a/packages/core/src/lib/targets/confirmed_body.ts
+++ b/packages/core/src/lib/targets/confirmed_body.ts
@@ -13,19 +13,28 @@
   body: Readable,
   hasEnded: () => Promise<boolean>,
 ): Readable {
-  return Readable.from(readToConfirmedEnd(body, hasEnded), {
-    objectMode: false,
-  });
+  const chunks = readToConfirmedEnd(body, hasEnded);
+  const confirmed = Readable.from(chunks, {objectMode: false});
+  // Also if the body was never read, which the generator does not notice.
+  confirmed.once('close', () => discard(body));
+  return confirmed;
+}
+
+/**
+ * Ends a body that nobody reads any more.
+ *
+ * @param body - the body of a response.
+ */
+export function discard(body: Readable): void {
+  // The client reports the end that this causes as an error.
+  body.on('error', () => {});
+  body.destroy();
 }
 
 async function* readToConfirmedEnd(
   body: Readable,
   hasEnded: () => Promise<boolean>,
 ): AsyncGenerator<Buffer> {
-  try {
-    for await (const chunk of body) yield chunk as Buffer;
-    if (await hasEnded()) throw new Error('the process ended with its answer');
-  } finally {
-    body.destroy();
-  }
+  for await (const chunk of body) yield chunk as Buffer;
+  if (await hasEnded()) throw new Error('the process ended with its answer');
 }
