Pass on no answer with a status that HTTP does not have

What callers saw: an answer with status 600 or 999 as the target sent it, with its signature. 000, 099 and 101 became 502, 199 a 502 or 504, as they still do.

Cause: every number from 200 on counted as a final status. The status cannot be replaced under the target's signature either.

Change: such an answer counts as lost: another target where the request may be repeated, else 502. Plain services of the product's own interface alike.

--- /dev/null
+++ b/packages/core/src/lib/net/http_status.ts
@@ -0,0 +1,14 @@
+/** Status codes of HTTP. @packageDocumentation */
+
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/**
+ * Returns whether a status is one of a final answer. HTTP gives other numbers
+ * no meaning, and a client may take them for any (RFC 9110, section 15).
+ *
+ * @param status - number in the status line.
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -2,8 +2,9 @@
 
 import {Result, err, ok} from 'neverthrow';
 import {CheckedClient} from '../net/checked_client.js';
+import {isFinalStatus} from '../net/http_status.js';
 import {isListening} from '../net/listening_check.js';
-import {confirmEnd} from './confirmed_body.js';
+import {confirmEnd, discard} from './confirmed_body.js';
 import {
   ServiceAnswer,
   ServiceCall,
@@ -56,6 +57,11 @@
       res.body.once('close', () => void client.destroy().catch(() => {}));
       const headers = flattenHeaders(res.headers);
       const status = res.statusCode;
+      if (!isFinalStatus(status)) {
+        discard(res.body);
+        const message = `status ${status}, which HTTP does not have`;
+        return err({mayHaveBeenSent: true, message});
+      }
       const isFramed = isEndTold(call.method, status, headers);
       const body = isFramed
         ? res.body
--- a/packages/core/src/test/targets/http_service_client_test.ts
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -105,6 +105,17 @@
     });
   }
 
+  // A client may read an unknown status as it likes, as a success too.
+  it('takes no answer for one whose status HTTP does not have', async () => {
+    for (const status of ['000', '099', '101', '199', '600', '999']) {
+      for (const framing of Object.keys(FRAMINGS) as FramingName[]) {
+        const whole = String(answerBytes(framing, Buffer.from('the body')));
+        respond = socket => socket.end(whole.replace('200', status));
+        expect(await call(), `${status}, ${framing}`).to.equal(undefined);
+      }
+    }
+  });
+
   // The operating system closes the connections of a killed process in order.
   it('does not take an answer without a length for complete whose service has ended', async () => {
     const part = answerBytes('no length', Buffer.from('a part'));
@@ -115,6 +126,20 @@
     expect(await call()).to.equal(undefined);
   });
 
+  it('closes the connection of an answer without a length that is not read', async () => {
+    const {port} = server.address() as AddressInfo;
+    const client = new HttpServiceClient(`http://127.0.0.1:${port}`);
+    const closed = new Promise(resolve => {
+      respond = socket => {
+        socket.on('close', resolve);
+        socket.write(answerBytes('no length', Buffer.from('a part')));
+      };
+    });
+    const answer = await client.call(CALL, signal);
+    answer._unsafeUnwrap().body.destroy();
+    await closed;
+  });
+
   it('does not take an answer for complete that is cut in order before its length', async () => {
     for (const framing of ['length', 'chunks'] as const) {
       const whole = answerBytes(framing, Buffer.from('the body'));
--- a/packages/standins/src/lib/platform/raw_answer.ts
+++ b/packages/standins/src/lib/platform/raw_answer.ts
@@ -31,6 +31,7 @@
 export const LAST_CHUNK = '0\r\n\r\n';
 
 const HTTP_STATUS = {ok: 200} as const;
+const STATUS_DIGITS = 3;
 
 /** An answer that a worker has for a request. */
 export interface RawAnswer {
@@ -81,7 +82,7 @@
   const length = framing === FRAMING.length ? body.length : '';
   const framingHeader = `${FRAMING_HEADERS[framing]}${length}`;
   const lines = [
-    `HTTP/1.1 ${status} ${reason}`,
+    `HTTP/1.1 ${String(status).padStart(STATUS_DIGITS, '0')} ${reason}`,
     ...answer.firstHeaders,
     `${HEADER_PREFIX}attempt-id: ${id}`,
     `${HEADER_PREFIX}server-stamp: ${signature}`,
