Ask twice whether the process behind an answer has ended

What callers saw: still a part of an answer without a length as a complete one when its target was killed beside load: 2 of 16 runs of killed_target_test.

Cause: a killed process closes its sockets one after the other.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -91,6 +91,7 @@
     if (!isWhole(answer.head, call.answer.head, body))
       return RELAY_RESULT.broken;
     const isTold = answer.head.framing !== FRAMING.close;
+    // The operating system closes the connections of a killed process in order.
     if (!isTold && (await this.parts.hasEnded(target)))
       return RELAY_RESULT.broken;
     body.passRest();
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -9,6 +9,7 @@
   fail,
   refuse,
 } from '../requests/outcome.js';
+import {hasStoppedListening} from '../net/listening_check.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
@@ -500,7 +501,11 @@
    */
   private async hasEnded(target: KnownTarget): Promise<boolean> {
     if (!target.takesRequests) return false;
-    return (await this.parts.port.isListening(target)) === false;
+    const {clock, port} = this.parts;
+    return hasStoppedListening(
+      () => port.isListening(target),
+      ms => clock.sleep(ms),
+    );
   }
 
   /**
--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -1,9 +1,10 @@
 /** Client of a plain service over HTTP. @packageDocumentation */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Result, err, ok} from 'neverthrow';
 import {CheckedClient} from '../net/checked_client.js';
 import {isFinalStatus} from '../net/http_status.js';
-import {isListening} from '../net/listening_check.js';
+import {hasStoppedListening, isListening} from '../net/listening_check.js';
 import {confirmEnd, discard} from './confirmed_body.js';
 import {
   ServiceAnswer,
@@ -14,6 +15,9 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_PORT = 80;
+
+/** After any other last coding, the end of the connection ends the body. */
+const IS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -26,10 +30,10 @@
     super();
   }
 
-  private async hasEnded(): Promise<boolean> {
+  private hasEnded(): Promise<boolean> {
     const {hostname: host, port} = new URL(this.url);
     const listener = {host, port: port === '' ? HTTP_PORT : Number(port)};
-    return (await isListening(listener)) === false;
+    return hasStoppedListening(() => isListening(listener), sleep);
   }
 
   override async call(
@@ -84,7 +88,8 @@
   headers: Record<string, string>,
 ): boolean {
   if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
-  return 'content-length' in headers || 'transfer-encoding' in headers;
+  if ('content-length' in headers) return true;
+  return IS_CHUNKED.test(headers['transfer-encoding'] ?? '');
 }
 
 function flattenHeaders(
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -208,6 +208,8 @@
   readonly sent: Array<{target: string; options: SendOptions}> = [];
   /** Ids of the targets whose process has ended. */
   readonly ended = new Set<string>();
+  /** Ids of the targets whose process ends after it has accepted a connection. */
+  readonly ending = new Set<string>();
   /** What checks of targets that have not ended show. */
   state: TargetState = TARGET_STATE.silent;
 
@@ -232,7 +234,10 @@
   override async isListening({
     registration,
   }: KnownTarget): Promise<boolean | undefined> {
-    return !this.ended.has(registration.id);
+    const {id} = registration;
+    if (this.ended.has(id)) return false;
+    if (this.ending.delete(id)) this.ended.add(id);
+    return true;
   }
 
   override async probe({registration}: KnownTarget): Promise<TargetState> {
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -416,6 +416,17 @@
       expect(caller.failure?.type).to.equal('failed');
     });
 
+    it('finds the end of a process that closes its listener last', async () => {
+      const ending: TargetBehavior = () => {
+        world.port.ending.add(world.port.sent.at(-1)!.target);
+        return unframed(answer(200, ['part']));
+      };
+      world = relayWorld({route: once, behaviors: [ending]});
+      const caller = await serve(world);
+      expect(caller.head).to.equal(undefined);
+      expect(caller.failure?.type).to.equal('failed');
+    });
+
     it('sends a repeatable request again if its process ended', async () => {
       const behaviors = [endsWith(['part']), () => answer(200, ['whole'])];
       world = relayWorld({route: repeatable, behaviors});
--- a/packages/core/src/test/targets/http_service_client_test.ts
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -118,12 +118,16 @@
 
   // The operating system closes the connections of a killed process in order.
   it('does not take an answer without a length for complete whose service has ended', async () => {
-    const part = answerBytes('no length', Buffer.from('a part'));
-    respond = socket => {
-      server.close();
-      socket.end(part);
-    };
-    expect(await call()).to.equal(undefined);
+    const part = String(answerBytes('no length', Buffer.from('a part')));
+    const coded = part.replace('connection', 'transfer-encoding: x\r\n$&');
+    for (const bytes of [part, coded]) {
+      respond = socket => {
+        server.close();
+        socket.end(bytes);
+      };
+      expect(await call()).to.equal(undefined);
+      await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    }
   });
 
   it('closes the connection of an answer without a length that is not read', async () => {
