Do not go on with a stream at a target that has started again

Cause: a target may start again under its id and address with another version. Only its registration says so, and while the store is down the host keeps the version of the process that it has itself seen end.

The logs show the end of the process (target_end_checked ended=true), the take-up at the same target 2 s later, and a registration with a later start and the other version once the store is back.

Why it works: the version counts as unknown from the end that a host has seen, by a broken run (also one that the target has withstood) or a refused connection, until another start is registered.

Before, 4 of 4 tests of "where a target starts again before it registers" failed: 5 sends for 1, no rest of the stream at the registered one, "quarantined" for "no-capacity", 9 sends for 2.

--- a/packages/core/src/lib/continuation/service_versions.ts
+++ b/packages/core/src/lib/continuation/service_versions.ts
@@ -19,8 +19,8 @@
 const UNINFORMED_IDLE_MS = 250;
 const INFORMED_IDLE_MS = 1_000;
 
-/** Stands for the version of a target that does not name any. */
-const UNKNOWN_VERSION = '';
+/** Stands for a version that is not known; no target runs it. */
+export const UNKNOWN_VERSION = '';
 
 /** A version that no target of a service runs any more. */
 export interface PastVersion {
@@ -69,6 +69,12 @@
     );
   }
 
+  /** Records that a stream has begun at a version that is not known. */
+  recordUnknownRun(service: string): void {
+    this.recordRun(service, UNKNOWN_VERSION, 0);
+    for (const listener of this.listeners) listener();
+  }
+
   /** Whether the versions of before the start of this host are known. */
   get knowsPast(): boolean {
     return this.completeSinceMs === -Infinity;
--- a/packages/core/src/lib/continuation/stream_continuity.ts
+++ b/packages/core/src/lib/continuation/stream_continuity.ts
@@ -1,7 +1,7 @@
 /** Decides where streams may go on. @packageDocumentation */
 
 import {OriginExchange} from './origin_exchange.js';
-import {ServiceVersions} from './service_versions.js';
+import {ServiceVersions, UNKNOWN_VERSION} from './service_versions.js';
 import {StreamOrigin, StreamOrigins, streamKey} from './stream_origins.js';
 
 /** Time by which a stream may outlast the time limit of its route. */
@@ -39,21 +39,29 @@
    *
    * @param team - name of the team that it is sent to.
    * @param attemptId - id of the request.
-   * @param origin - the service and the version that began it.
+   * @param service - the service that began it.
+   * @param softwareVersion - the version that began it, if it is known.
    */
   recordBegun(
     team: string | undefined,
     attemptId: string,
-    origin: StreamOrigin,
+    service: string,
+    softwareVersion: string | undefined,
   ): void {
-    this.parts.exchange.recordBegun(streamKey(team, attemptId), origin);
+    const {exchange, versions} = this.parts;
+    if (softwareVersion === undefined) versions.recordUnknownRun(service);
+    exchange.recordBegun(streamKey(team, attemptId), {
+      service,
+      softwareVersion: softwareVersion ?? UNKNOWN_VERSION,
+    });
   }
 
   /**
    * Finds the origin of a stream that a caller takes up again.
    *
    * @param stream - see {@link ResumedStream}.
-   * @returns the origin; undefined if the stream may have begun at several.
+   * @returns the origin; undefined if its version is not known, or if the stream
+   *     may have begun at several.
    */
   originOf({
     resumedId,
@@ -64,6 +72,7 @@
     const {origins, versions} = this.parts;
     if (resumedId !== undefined) {
       const known = origins.get(streamKey(team, resumedId));
+      if (known?.softwareVersion === UNKNOWN_VERSION) return undefined;
       if (known !== undefined) return known;
     }
     const lifetimeMs = timeoutMs + LIFETIME_MARGIN_MS;
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -152,6 +152,12 @@
     this.logger.info('target_avoided', {target, for_ms: forMs});
   }
 
+  override targetRefusedConnection(target: string, startedMs: number): void {
+    if (!this.tryTakeLine(this.unservedBucket)) return;
+    const fields = {target, started: startedMs};
+    this.logger.info('target_refused_connection', fields);
+  }
+
   override targetBackingOff(target: string, forMs: number): void {
     if (!this.tryTakeLine(this.unservedBucket)) return;
     this.logger.info('target_quiet', {target, for_ms: forMs});
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -433,7 +433,7 @@
     attempt: SendAttempt,
   ): Promise<Outcome | undefined> {
     if (sent.type === 'not-run') {
-      this.runs.recordNotRun(target, req, call, sent.reason);
+      this.runs.recordNotRun(target, req, call, sent);
       return undefined;
     }
     if (call.signal.aborted) {
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -11,7 +11,6 @@
 import {EventSplitter} from './event_splitter.js';
 import {PassedAnswer} from './passed_answer.js';
 import {TargetAnswer} from './target_port.js';
-import {TargetRegistration} from './target_registration.js';
 import {LackingTargets} from './lacking_targets.js';
 import {KnownTarget} from './target_table.js';
 import {SentWork} from '../work/sent_work.js';
@@ -266,8 +265,8 @@
   recordSend(target: KnownTarget): void {
     this.firstSendMs ??= this.elapsedMs();
     this.target = target;
-    const {id, softwareVersion} = target.registration;
-    this.sentTo.push(id);
+    const {softwareVersion} = target;
+    this.sentTo.push(target.registration.id);
     if (softwareVersion !== undefined)
       this.softwareVersions.add(softwareVersion);
     this.sendStartMs = this.clock.now();
@@ -302,24 +301,23 @@
    *
    * @param target - the target.
    */
-  canUseVersionOf({registration}: KnownTarget): boolean {
+  canUseVersionOf(target: KnownTarget): boolean {
     if (!this.isVersionFixed) return true;
     // A version that is not known is not the same as another such.
     if (this.softwareVersion === undefined) return false;
-    return registration.softwareVersion === this.softwareVersion;
+    return target.softwareVersion === this.softwareVersion;
   }
 
   /**
    * Records that events are about to be passed on to the caller.
    *
-   * @returns the registration of the target that has begun the stream, if these
-   *     are the first events of it.
+   * @returns the target that has begun the stream, if these are the first
+   *     events of it.
    */
-  recordEvents(): TargetRegistration | undefined {
+  recordEvents(): KnownTarget | undefined {
     if (this.isVersionFixed || this.target === undefined) return undefined;
-    const {registration} = this.target;
-    this.fixVersion(registration.softwareVersion);
-    return registration;
+    this.fixVersion(this.target.softwareVersion);
+    return this.target;
   }
 
   /** Time since the start of the current send. */
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -162,6 +162,14 @@
    */
   abstract targetAvoided(target: string, forMs: number): void;
 
+  /**
+   * Called when a target that was heard before refuses a connection.
+   *
+   * @param target - id of the target.
+   * @param startedMs - start time of its registered process, Unix milliseconds.
+   */
+  abstract targetRefusedConnection(target: string, startedMs: number): void;
+
   /**
    * Called for each send to a target that has named a limit.
    *
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -11,6 +11,7 @@
 import {
   NOT_RUN,
   NotRunReason,
+  NotRunSend,
   SendResult,
   TargetAnswer,
 } from './target_port.js';
@@ -148,7 +149,7 @@
     target: KnownTarget,
     req: Req,
     call: RelayCall<Req>,
-    reason: NotRunReason,
+    {isRefused = false, reason}: NotRunSend,
   ): void {
     const {id} = target.registration;
     if (!NOT_DELIVERED.has(reason)) call.deliveredSends += 1;
@@ -156,6 +157,7 @@
     if (reason === NOT_RUN.unreachable) {
       this.recordFailure(target);
       this.parts.targets.recordUnreachable(target);
+      if (isRefused) this.recordRefusedConnection(target);
     }
     if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
     if (req.demand === undefined) return;
@@ -168,6 +170,14 @@
     if (isReachable) call.tried.delete(id);
   }
 
+  private recordRefusedConnection(target: KnownTarget): void {
+    // A process that has sent nothing yet may not listen yet.
+    if (!target.hasBeenHeard) return;
+    const {id, startedMs} = target.registration;
+    this.parts.observer.targetRefusedConnection(id, startedMs);
+    this.parts.targets.recordEnded(target);
+  }
+
   /** Reports a send that has led to no complete answer. */
   reportSendEnd(
     target: KnownTarget,
--- a/packages/core/src/lib/gateway/stream_resumption.ts
+++ b/packages/core/src/lib/gateway/stream_resumption.ts
@@ -35,9 +35,9 @@
   /** Records where a stream has begun, before its caller learns of it. */
   recordEvents(call: RelayCall<Req>): void {
     const target = call.recordEvents();
-    if (target?.softwareVersion === undefined) return;
+    if (target === undefined) return;
     const {softwareVersion} = target;
-    const origin = {service: call.service, softwareVersion};
-    this.continuity.recordBegun(call.team?.name, call.id, origin);
+    const {id, service, team} = call;
+    this.continuity.recordBegun(team?.name, id, service, softwareVersion);
   }
 }
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -69,14 +69,19 @@
   discard(): void;
 }
 
+/** Result of a send whose target did not run the request. */
+export interface NotRunSend {
+  type: 'not-run';
+  reason: NotRunReason;
+  /** Whether nothing listens at the target's address. */
+  isRefused?: boolean;
+  signals?: AnswerSignals;
+  connection?: string;
+}
+
 /** Result of a send without an answer to relay. */
 export type UnansweredSend =
-  | {
-      type: 'not-run';
-      reason: NotRunReason;
-      signals?: AnswerSignals;
-      connection?: string;
-    }
+  | NotRunSend
   /** The request may have run, but no usable answer arrived. */
   | {type: 'lost'; reason: string; connection?: string};
 
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -36,11 +36,11 @@
  * @param softwareVersion - the version; undefined if any will do.
  */
 export function runsVersion(
-  {registration}: KnownTarget,
+  target: KnownTarget,
   softwareVersion: string | undefined,
 ): boolean {
   if (softwareVersion === undefined) return true;
-  return registration.softwareVersion === softwareVersion;
+  return target.softwareVersion === softwareVersion;
 }
 
 /** Time for which a reported load is valid; reports are repeated more often. */
@@ -119,6 +119,11 @@
     this.heardMs = this.clock.now();
   }
 
+  /** Whether the target has ever sent anything to this host. */
+  get hasBeenHeard(): boolean {
+    return this.heardMs !== -Infinity;
+  }
+
   /** Time since the target has sent anything to this host, in milliseconds. */
   get silentMs(): number {
     return this.clock.now() - this.heardMs;
@@ -142,6 +147,16 @@
     return this.registration.isLeaving || this.signals.isLeaving;
   }
 
+  /**
+   * Version of the software that the target runs; undefined if it is not known.
+   * After the registered process has ended, another one may have its id and its
+   * address, and run another version, before it is registered.
+   */
+  get softwareVersion(): string | undefined {
+    if (this.signals.hasEnded) return undefined;
+    return this.registration.softwareVersion;
+  }
+
   /** Whether this host may send a request to the target now. */
   get takesRequests(): boolean {
     return this.isOpen && this.backOffLeftMs <= 0;
@@ -481,6 +496,13 @@
     for (const listener of this.leavingListeners) listener(target);
   }
 
+  /** Records that the process of a target was seen to have ended. */
+  recordEnded({registration}: KnownTarget): void {
+    const {id, startedMs} = registration;
+    if (this.signals.isOutdated(id, startedMs)) return;
+    this.signals.forProcess(id, startedMs).hasEnded = true;
+  }
+
   /**
    * Returns a registered target.
    *
--- a/packages/core/src/lib/quarantine/prompt_guard.ts
+++ b/packages/core/src/lib/quarantine/prompt_guard.ts
@@ -154,14 +154,17 @@
     run: GuardedRun,
     tried: readonly string[],
   ): Promise<boolean> {
-    if (run.isProven) return false;
-    const hasEnded = await this.parts.detector.recordBrokenRun(target, {
+    const {detector} = this.parts;
+    if (run.isProven) {
+      await detector.recordBrokenRun(target, undefined);
+      return false;
+    }
+    return detector.recordBrokenRun(target, {
       id,
       parts: [...parts],
       hasBegun: run.hasBegun,
       tried: [...tried],
     });
-    return hasEnded;
   }
 
   /** Waits for the evidence of other hosts after the end of a process. */
--- a/packages/core/src/lib/quarantine/target_end_detector.ts
+++ b/packages/core/src/lib/quarantine/target_end_detector.ts
@@ -18,6 +18,8 @@
    * @returns whether it does; undefined if it did not reply in time.
    */
   isListening: (target: KnownTarget) => Promise<boolean | undefined>;
+  /** Called once a process is known to have ended. */
+  onEnded: (target: KnownTarget) => void;
   /** Receives the runs that ended with a process. */
   report: (end: TargetEnd) => void;
 }
@@ -44,10 +46,13 @@
    * Records a run that broke off, and reports it if its process has ended.
    *
    * @param target - the target of the run.
-   * @param run - the run.
+   * @param run - the run; undefined if the target has withstood it.
    * @returns whether the process has ended.
    */
-  async recordBrokenRun(target: KnownTarget, run: RunAtEnd): Promise<boolean> {
+  async recordBrokenRun(
+    target: KnownTarget,
+    run: RunAtEnd | undefined,
+  ): Promise<boolean> {
     // A leaving target ends by itself, whatever it runs.
     if (target.isLeaving) return false;
     const {id, startedMs} = target.registration;
@@ -59,7 +64,7 @@
       check = {startedMs: nowMs, hasEnded: this.check(target, key), runs: []};
       this.checks.set(key, check);
     }
-    check.runs.push(run);
+    if (run !== undefined) check.runs.push(run);
     const hasEnded = await check.hasEnded;
     const runs = check.runs.splice(0);
     if (hasEnded && runs.length > 0)
@@ -82,7 +87,9 @@
       runs: runs.length,
       begun: runs.filter(run => run.hasBegun).length,
     });
-    return isListening === false;
+    if (isListening !== false) return false;
+    this.parts.onEnded(target);
+    return true;
   }
 
   private prune(nowMs: number): void {
--- a/packages/core/src/test/continuation/continuity_world.ts
+++ b/packages/core/src/test/continuation/continuity_world.ts
@@ -62,9 +62,8 @@
   }
 
   /** Records that this host has passed on the first event of a stream. */
-  begin(id: string, softwareVersion: string, team = 'team'): void {
-    const origin = {service: SERVICE, softwareVersion};
-    this.continuity.recordBegun(team, id, origin);
+  begin(id: string, softwareVersion: string | undefined, team = 'team'): void {
+    this.continuity.recordBegun(team, id, SERVICE, softwareVersion);
   }
 
   /** Returns the version at which this host would continue a stream. */
--- a/packages/core/src/test/continuation/stream_continuity_test.ts
+++ b/packages/core/src/test/continuation/stream_continuity_test.ts
@@ -44,6 +44,12 @@
     ]);
   });
 
+  it('continues no stream of a version that is not known', async () => {
+    world.hosts[1].begin('s', undefined);
+    await world.clock.advance(SPREAD_MS);
+    expect(versions('s')).to.deep.equal([undefined, undefined, undefined]);
+  });
+
   it('lets every host know where a stream has begun', async () => {
     world.setTargets('v1', 'v2');
     world.hosts[1].begin('s', 'v2');
--- a/packages/core/src/test/gateway/mixed_versions_test.ts
+++ b/packages/core/src/test/gateway/mixed_versions_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
-import {BODY_END} from '../../lib/gateway/target_port.js';
+import {BODY_END, NOT_RUN} from '../../lib/gateway/target_port.js';
 import {REFUSAL} from '../../lib/requests/outcome.js';
 import {routeRule, targetRegistration} from './gateway_fixtures.js';
 import {
@@ -20,6 +20,12 @@
 /** Longer than a stream of the route can last. */
 const LONG_MS = route.timeoutMs + 10_000;
 
+/** Longer than a target is avoided after a failure. */
+const AVOIDED_MS = 1_000;
+
+/** Id of each request. */
+const STREAM = 'req-1';
+
 function event(id: number): string {
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
@@ -127,4 +133,61 @@
     await world.run(caller);
     expect(caller.body).to.equal(event(2) + event(3));
   });
+
+  describe('where a target starts again before it registers', () => {
+    /** Plays the end of the only target, whose successor then listens. */
+    async function endTarget(plays: TargetBehavior[]): Promise<RelayWorld> {
+      const world = worldWith(['v1'], [broken, ...plays]);
+      world.port.ended.add('t0');
+      await world.run(new FakeCaller(world.clock));
+      world.port.ended.delete('t0');
+      await world.clock.advance(AVOIDED_MS);
+      world.freshness.confirm(world.clock.now());
+      return world;
+    }
+
+    // The successor may run another version than the process that registered.
+    it('does not go on there with a stream of the registered version', async () => {
+      const world = await endTarget([rest]);
+      await world.run(resuming(world, STREAM));
+      expect(world.port.sent).to.have.lengthOf(1);
+    });
+
+    it('goes on there once it has registered with that version', async () => {
+      const world = await endTarget([rest]);
+      const registered = {id: 't0', zone: 'a', softwareVersion: 'v1'};
+      const startedMs = world.targets.get('t0')!.registration.startedMs + 1;
+      world.targets.put(targetRegistration({...registered, startedMs}), true);
+      const caller = resuming(world, STREAM);
+      await world.run(caller);
+      expect(caller.body).to.equal(event(2) + event(3));
+    });
+
+    // The version that began such a stream is not known to any host.
+    it('does not go on anywhere with a stream that began there', async () => {
+      const world = await endTarget([broken, rest]);
+      await world.run(new FakeCaller(world.clock));
+      const caller = resuming(world, STREAM);
+      await world.run(caller);
+      expect(world.port.sent).to.have.lengthOf(2);
+      expect(caller.refusal?.reason).to.equal(REFUSAL.noCapacity);
+    });
+
+    it('takes a refused connection for the end of a target that was heard', async () => {
+      const refused: TargetBehavior = () => ({
+        type: 'not-run',
+        reason: NOT_RUN.unreachable,
+        isRefused: true,
+      });
+      const plays = [broken, refused, rest];
+      const world = worldWith(['v1'], plays);
+      await world.run(new FakeCaller(world.clock));
+      await world.clock.advance(AVOIDED_MS);
+      await world.run(resuming(world, STREAM));
+      await world.clock.advance(AVOIDED_MS);
+      world.freshness.confirm(world.clock.now());
+      await world.run(resuming(world, STREAM));
+      expect(world.port.sent).to.have.lengthOf(2);
+    });
+  });
 });
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -250,6 +250,7 @@
   clock: ManualClock,
   port: FakePort,
   ledger: PartLedger,
+  targets: TargetTable,
 ): PromptGuard {
   const logger = new SilentLogger();
   const self = {host: 'h', zone: 'z', incarnation: 'h-1'};
@@ -268,6 +269,7 @@
     clock,
     logger,
     isListening: target => port.isListening(target),
+    onEnded: target => targets.recordEnded(target),
     report: end => exchange.reportEnd(end),
   });
   return new PromptGuard({clock, ledger, exchange, detector});
@@ -374,6 +376,8 @@
 
   override targetAvoided(): void {}
 
+  override targetRefusedConnection(): void {}
+
   override runStalled(run: StalledRun): void {
     this.stalls.push(run);
   }
@@ -463,7 +467,7 @@
     quotas,
     retries,
     models: options.models?.(clock, targets) ?? new NoModels(clock),
-    prompts: lonePromptGuard(clock, port, ledger),
+    prompts: lonePromptGuard(clock, port, ledger, targets),
     sends: new TargetSends(clock, new LoneLoans()),
     work: new WorkModel({
       clock,
--- a/packages/core/src/test/quarantine/quarantine_world.ts
+++ b/packages/core/src/test/quarantine/quarantine_world.ts
@@ -43,6 +43,7 @@
       clock,
       logger,
       isListening: async () => false,
+      onEnded: () => {},
       report: end => this.exchange.reportEnd(end),
     });
     this.guard = new PromptGuard({
--- a/packages/core/src/test/quarantine/target_end_detector_test.ts
+++ b/packages/core/src/test/quarantine/target_end_detector_test.ts
@@ -15,6 +15,7 @@
 function createWorld(isListening: boolean | undefined) {
   const clock = new ManualClock();
   const ends: TargetEnd[] = [];
+  const ended: KnownTarget[] = [];
   const world = {checks: 0};
   const detector = new TargetEndDetector({
     clock,
@@ -24,10 +25,11 @@
       await clock.sleep(CHECK_MS);
       return isListening;
     },
+    onEnded: target => ended.push(target),
     report: end => ends.push(end),
   });
   const target = new KnownTarget(targetRegistration({id: 't1'}), clock);
-  return {clock, detector, ends, target, world};
+  return {clock, detector, ended, ends, target, world};
 }
 
 describe('TargetEndDetector', () => {
@@ -54,6 +56,15 @@
     });
   }
 
+  it('checks a target that breaks off a run that it has withstood', async () => {
+    const {clock, detector, ended, ends, target} = createWorld(false);
+    const result = detector.recordBrokenRun(target, undefined);
+    await clock.advance(CHECK_MS);
+    expect(await result).to.equal(true);
+    expect(ended).to.deep.equal([target]);
+    expect(ends).to.have.lengthOf(0);
+  });
+
   it('accuses no request of the end of a target that is leaving', async () => {
     const {detector, ends, target, world} = createWorld(false);
     target.registration = {...target.registration, isLeaving: true};
