Do not give up a paused run whose key was withdrawn

A stream that pauses while its key is withdrawn was reset by its host, though its target would have gone on.

Cause: a run without progress is given up once another target and a retry are secured; the check of the key before the next send then refused the request.

Evidence: the test fails before with a reset at 1,260 ms.

Why it works: a run that its target may still complete is given up only if another may begin. A target that is known to be lost is left as before.

--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -118,7 +118,7 @@
     this.resumption = new StreamResumption(parts.continuity);
     this.stallParts = {
       prober: new TargetProber(clock, target => port.probe(target)),
-      replacement: new RunReplacement(this.search, retries),
+      replacement: new RunReplacement(this.admission, this.search, retries),
       observer,
       tasks,
     };
--- a/packages/core/src/lib/gateway/run_replacement.ts
+++ b/packages/core/src/lib/gateway/run_replacement.ts
@@ -1,5 +1,6 @@
 /** Secures the replacement of runs that may have stopped. @packageDocumentation */
 
+import {Admission} from './admission.js';
 import {CallerRequest} from './caller_request.js';
 import {RelayCall} from './relay_call.js';
 import {RetryAllowance} from './retry_allowance.js';
@@ -13,10 +14,12 @@
  */
 export class RunReplacement {
   /**
+   * @param admission - knows which requests may still run.
    * @param search - finds other targets.
    * @param retries - the retry budgets.
    */
   constructor(
+    private readonly admission: Admission,
     private readonly search: TargetSearch,
     private readonly retries: RetryAllowance,
   ) {}
@@ -38,7 +41,11 @@
     isTargetLost: boolean,
   ): boolean {
     if (!call.canRunElsewhere) return false;
-    if (!isTargetLost && !this.search.hasOther(target, req, call)) return false;
+    if (!isTargetLost) {
+      // A run may end although its key was withdrawn; another may not begin.
+      if (this.admission.recheck(req, call.team) !== undefined) return false;
+      if (!this.search.hasOther(target, req, call)) return false;
+    }
     if (!call.holdsRetry) call.holdsRetry = this.retries.tryRetry(call.service);
     return call.holdsRetry;
   }
--- a/packages/core/src/test/gateway/given_up_test.ts
+++ b/packages/core/src/test/gateway/given_up_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {REQUEST_KIND} from '../../lib/gateway/deployment.js';
 import {NOT_RUN, TARGET_STATE} from '../../lib/gateway/target_port.js';
-import {routeRule} from './gateway_fixtures.js';
+import {deploymentOf, routeRule, teamConfig} from './gateway_fixtures.js';
 import {
   FakeCaller,
   TargetBehavior,
@@ -53,6 +53,27 @@
   });
 });
 
+describe('Relay: a run that pauses beside a change of the keys', () => {
+  // Another target may not begin the rest, so that giving the run up ends it.
+  it('is not given up once its key is withdrawn', async () => {
+    const paused = timedAnswer([
+      [0, EVENTS[0]],
+      [4_000, EVENTS[1]],
+      [0, EVENTS[2]],
+    ]);
+    const world = relayWorld({route: resumable, behaviors: [paused, rest]});
+    world.port.state = TARGET_STATE.responsive;
+    const caller = new FakeCaller(world.clock);
+    world.clock.after(500, () => {
+      const teams = [teamConfig({keys: ['other']})];
+      world.state.applyIfNewer(deploymentOf([resumable], teams, 2));
+    });
+    await world.run(caller);
+    expect(caller.isAborted, `at ${world.clock.now()} ms`).to.equal(false);
+    expect(caller.body).to.equal(EVENTS.join(''));
+  });
+});
+
 describe('Relay: evidence of a stall', () => {
   it('needs a check when a target is silent inside an event', async () => {
     const halves = timedAnswer([
