Tell all hosts of the end of a target's process

A host that had neither a run nor a connection attempt at a target while it was down kept taking it for the version that had registered, so that a stream which its caller took up there could be joined from two versions.

Why it works: ends are reported to the host that distributes the targets and passed on with its list, as targets that leave are. Reports about processes have a module of their own. "notifies other hosts of a process that was seen to have ended" fails without the report: expected 'v1' to equal undefined.

--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -15,7 +15,8 @@
 import {ConfigSources} from './config_sources.js';
 import {RegistrationSummary} from './target_registration.js';
 import {Freshness} from './freshness.js';
-import {KnownTarget, TargetTable} from './target_table.js';
+import {ProcessReports, processReport} from './process_reports.js';
+import {TargetTable} from './target_table.js';
 
 /**
  * Time between requests to the reader, as a fraction of the lifetime of a
@@ -64,6 +65,7 @@
   softwareVersion: z.string().optional(),
   slots: z.number(),
   isLeaving: z.boolean(),
+  hasEnded: z.boolean().optional(),
   cold: coldReportSchema.optional(),
 });
 
@@ -123,12 +125,11 @@
   event: z.object({text: z.instanceof(Uint8Array).optional()}),
 };
 
-/** Reports that a target is leaving, which the reader may not know yet. */
-const TARGET_LEAVING: PeerMethod<{target: string; startedMs: number}, never> = {
-  name: 'target-leaves',
-  body: z.object({target: z.string(), startedMs: z.number()}),
-  event: z.never(),
-};
+/** Reports that a process is leaving, which the reader may not know yet. */
+const TARGET_LEAVING = processReport('target-leaves');
+
+/** Reports that a process was seen to have ended. */
+const TARGET_ENDED = processReport('target-ended');
 
 /** Notifies hosts that the reader has updates. */
 const UPDATE_HINT: PeerMethod<
@@ -201,8 +202,7 @@
   private hintedEvacuations: number;
   private wake = new AbortController();
   private readonly sources: ConfigSources;
-  /** Start times of leaving processes that are not reported yet, by target. */
-  private readonly unreportedLeaving = new Map<string, number>();
+  private readonly reports: readonly ProcessReports[];
   /** Whether a configuration is being fetched from another host. */
   private isFetchingConfig = false;
 
@@ -222,36 +222,19 @@
       this.wake.abort();
     });
     evacuations.onChange(() => this.broadcastHint());
-    network.onNotification(TARGET_LEAVING, ({target, startedMs}) =>
-      targets.markLeaving(target, startedMs),
-    );
-    targets.onLeaving(target => this.reportLeaving(target));
-  }
-
-  /** Reports that a target is leaving, so that all hosts are notified. */
-  private reportLeaving({registration}: KnownTarget): void {
-    this.unreportedLeaving.set(registration.id, registration.startedMs);
-    this.sendLeavingReports();
-  }
-
-  /**
-   * Reports leaving targets to the reader, or to all hosts if this is the
-   * reader. Keeps them for later while there is no reader.
-   */
-  private sendLeavingReports(): void {
-    const {network, reader} = this.parts;
-    const receiver = reader();
-    if (receiver === undefined || this.unreportedLeaving.size === 0) return;
-    if (this.isReader) {
-      this.unreportedLeaving.clear();
-      this.broadcastHint();
-      return;
-    }
-    for (const [target, startedMs] of this.unreportedLeaving) {
-      const body = {target, startedMs};
-      const isSent = network.notify(receiver.host, TARGET_LEAVING, body);
-      if (isSent) this.unreportedLeaving.delete(target);
-    }
+    const broadcast = () => this.broadcastHint();
+    const reportParts = {network, reader: parts.reader, broadcast};
+    const leaving = new ProcessReports(TARGET_LEAVING, {
+      ...reportParts,
+      apply: ({target, startedMs}) => targets.markLeaving(target, startedMs),
+    });
+    const ended = new ProcessReports(TARGET_ENDED, {
+      ...reportParts,
+      apply: ({target, startedMs}) => targets.markEnded(target, startedMs),
+    });
+    targets.onLeaving(({registration}) => leaving.add(registration));
+    targets.onEnded(({registration}) => ended.add(registration));
+    this.reports = [leaving, ended];
   }
 
   /** Whether this host is the reader. */
@@ -319,7 +302,7 @@
     const {clock, reader} = this.parts;
     while (!signal.aborted) {
       const from = reader();
-      this.sendLeavingReports();
+      for (const reports of this.reports) reports.send();
       if (from === undefined || this.isReader) {
         await clock.sleep(NO_READER_POLL_MS, signal);
         continue;
@@ -458,7 +441,7 @@
 function toSummary(registration: RegistrationSummary): RegistrationSummary {
   const {id, startedMs, service, address, zone, slots, isLeaving} =
     registration;
-  const {cold, softwareVersion} = registration;
+  const {cold, hasEnded, softwareVersion} = registration;
   return {
     id,
     startedMs,
@@ -468,6 +451,7 @@
     softwareVersion,
     slots,
     isLeaving,
+    hasEnded,
     // The reply may take this long, which makes the report look newer.
     cold: cold && {...cold, ageMs: cold.ageMs + UPDATE_TIMEOUT_MS},
   };
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -175,7 +175,7 @@
     if (!target.hasBeenHeard) return;
     const {id, startedMs} = target.registration;
     this.parts.observer.targetRefusedConnection(id, startedMs);
-    this.parts.targets.recordEnded(target);
+    this.parts.targets.markEnded(id, startedMs);
   }
 
   /** Reports a send that has led to no complete answer. */
--- a/packages/core/src/lib/gateway/target_registration.ts
+++ b/packages/core/src/lib/gateway/target_registration.ts
@@ -26,6 +26,8 @@
   slots: number;
   /** Whether the target is shutting down and accepts no new requests. */
   isLeaving: boolean;
+  /** Whether a host has seen the process end; left out if none has. */
+  hasEnded?: boolean;
   /** How cold the target is; left out if it does not say. */
   cold?: ColdReport;
 }
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -153,10 +153,15 @@
    * address, and run another version, before it is registered.
    */
   get softwareVersion(): string | undefined {
-    if (this.signals.hasEnded) return undefined;
+    if (this.hasEnded) return undefined;
     return this.registration.softwareVersion;
   }
 
+  /** Whether the registered process was seen to have ended. */
+  get hasEnded(): boolean {
+    return this.signals.hasEnded;
+  }
+
   /** Whether this host may send a request to the target now. */
   get takesRequests(): boolean {
     return this.isOpen && this.backOffLeftMs <= 0;
@@ -390,6 +395,7 @@
     (target: KnownTarget, isOwn: boolean) => void
   > = [];
   private readonly leavingListeners: Array<(target: KnownTarget) => void> = [];
+  private readonly endedListeners: Array<(target: KnownTarget) => void> = [];
   private readonly processListeners: Array<
     (ended: TargetRegistration | undefined) => void
   > = [];
@@ -422,6 +428,11 @@
     this.leavingListeners.push(listener);
   }
 
+  /** @param listener - called once for each process that has ended. */
+  onEnded(listener: (target: KnownTarget) => void): void {
+    this.endedListeners.push(listener);
+  }
+
   /**
    * Records the signals of an answer. They apply until another process has the
    * target's id.
@@ -496,11 +507,21 @@
     for (const listener of this.leavingListeners) listener(target);
   }
 
-  /** Records that the process of a target was seen to have ended. */
-  recordEnded({registration}: KnownTarget): void {
-    const {id, startedMs} = registration;
+  /**
+   * Records that the process of a target was seen to have ended. This is final.
+   *
+   * @param id - id of the target.
+   * @param startedMs - start time of the process, Unix milliseconds.
+   */
+  markEnded(id: string, startedMs: number): void {
     if (this.signals.isOutdated(id, startedMs)) return;
-    this.signals.forProcess(id, startedMs).hasEnded = true;
+    const signals = this.signals.forProcess(id, startedMs);
+    if (signals.hasEnded) return;
+    signals.hasEnded = true;
+    const target = this.byId.get(id);
+    if (target?.registration.startedMs !== startedMs) return;
+    this.recordChange(id);
+    for (const listener of this.endedListeners) listener(target);
   }
 
   /**
@@ -600,6 +621,7 @@
       const registration = target && {
         ...target.registration,
         isLeaving: target.isLeaving,
+        hasEnded: target.hasEnded || undefined,
         cold: target.coldSummary,
       };
       changed.push({id, registration});
@@ -638,6 +660,7 @@
       registration.startedMs,
     );
     if (registration.isLeaving) signals.isLeaving = true;
+    if (registration.hasEnded) signals.hasEnded = true;
     if (
       known !== undefined &&
       isSameProcess(known.registration, registration)
--- a/packages/core/src/lib/quarantine/target_end_detector.ts
+++ b/packages/core/src/lib/quarantine/target_end_detector.ts
@@ -18,8 +18,13 @@
    * @returns whether it does; undefined if it did not reply in time.
    */
   isListening: (target: KnownTarget) => Promise<boolean | undefined>;
-  /** Called once a process is known to have ended. */
-  onEnded: (target: KnownTarget) => void;
+  /**
+   * Called when a process is known to have ended.
+   *
+   * @param id - id of the target.
+   * @param startedMs - start time of the process, Unix milliseconds.
+   */
+  onEnded: (id: string, startedMs: number) => void;
   /** Receives the runs that ended with a process. */
   report: (end: TargetEnd) => void;
 }
@@ -88,7 +93,7 @@
       begun: runs.filter(run => run.hasBegun).length,
     });
     if (isListening !== false) return false;
-    this.parts.onEnded(target);
+    this.parts.onEnded(id, startedMs);
     return true;
   }
 
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -282,6 +282,33 @@
     expect(other.targets.get('t1')?.isOpen).to.equal(false);
   });
 
+  // Another process may have its id and run another version.
+  it('notifies other hosts of a process that was seen to have ended', async () => {
+    const {reader, other, run} = createTwoHosts();
+    const first = {id: 't1', softwareVersion: 'v1'};
+    for (const {targets} of [reader, other])
+      targets.put(targetRegistration(first), true);
+    await run(1_000, 7);
+    const {startedMs} = other.targets.get('t1')!.registration;
+    other.targets.markEnded('t1', startedMs);
+    await run(100, 7);
+    expect(reader.targets.get('t1')?.softwareVersion).to.equal(undefined);
+    const second = {...first, startedMs: startedMs + 1};
+    reader.targets.put(targetRegistration(second), true);
+    await run(100, 7);
+    expect(other.targets.get('t1')?.softwareVersion).to.equal('v1');
+  });
+
+  it('tells a host that comes of a process that was seen to have ended', async () => {
+    const {reader, other, run} = createTwoHosts();
+    const target = {id: 't1', softwareVersion: 'v1'};
+    reader.targets.put(targetRegistration(target), true);
+    const {startedMs} = reader.targets.get('t1')!.registration;
+    reader.targets.markEnded('t1', startedMs);
+    await run(1_000, 7);
+    expect(other.targets.get('t1')?.hasEnded).to.equal(true);
+  });
+
   it('notifies them later if there is no reader at the time', async () => {
     const world = createHosts(['z', 'z', 'z']);
     const {hosts, run} = world;
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -269,7 +269,7 @@
     clock,
     logger,
     isListening: target => port.isListening(target),
-    onEnded: target => targets.recordEnded(target),
+    onEnded: (id, startedMs) => targets.markEnded(id, startedMs),
     report: end => exchange.reportEnd(end),
   });
   return new PromptGuard({clock, ledger, exchange, detector});
--- a/packages/core/src/test/quarantine/target_end_detector_test.ts
+++ b/packages/core/src/test/quarantine/target_end_detector_test.ts
@@ -15,7 +15,7 @@
 function createWorld(isListening: boolean | undefined) {
   const clock = new ManualClock();
   const ends: TargetEnd[] = [];
-  const ended: KnownTarget[] = [];
+  const ended: string[] = [];
   const world = {checks: 0};
   const detector = new TargetEndDetector({
     clock,
@@ -25,7 +25,7 @@
       await clock.sleep(CHECK_MS);
       return isListening;
     },
-    onEnded: target => ended.push(target),
+    onEnded: id => ended.push(id),
     report: end => ends.push(end),
   });
   const target = new KnownTarget(targetRegistration({id: 't1'}), clock);
@@ -61,7 +61,7 @@
     const result = detector.recordBrokenRun(target, undefined);
     await clock.advance(CHECK_MS);
     expect(await result).to.equal(true);
-    expect(ended).to.deep.equal([target]);
+    expect(ended).to.deep.equal(['t1']);
     expect(ends).to.have.lengthOf(0);
   });
 
