Check a target again after it was found listening

Cause: the result of a check whether a target listens was kept for a second. A run that was reset at 53.18 s found it listening; its process ended at 53.33 s, and the runs that broke off then took the earlier result.

Why it works: runs that break off while a check is under way still share it, but only the end of a process is kept. The new test of the detector gave one check for two before.

--- a/packages/core/src/lib/quarantine/target_end_detector.ts
+++ b/packages/core/src/lib/quarantine/target_end_detector.ts
@@ -5,7 +5,7 @@
 import {Clock} from '../time/clock.js';
 import {RunAtEnd, TargetEnd} from './target_end.js';
 
-/** How long the result of a check holds for further broken runs. */
+/** How long a process that has ended is not checked again. */
 const RESULT_LIFETIME_MS = 1_000;
 
 /** Dependencies of a {@link TargetEndDetector}. */
@@ -71,6 +71,8 @@
     }
     if (run !== undefined) check.runs.push(run);
     const hasEnded = await check.hasEnded;
+    // A process that still listened may end any time after.
+    if (!hasEnded && this.checks.get(key) === check) this.checks.delete(key);
     const runs = check.runs.splice(0);
     if (hasEnded && runs.length > 0)
       this.parts.report({target: id, startedMs, runs});
--- a/packages/core/src/test/quarantine/target_end_detector_test.ts
+++ b/packages/core/src/test/quarantine/target_end_detector_test.ts
@@ -74,11 +74,21 @@
   });
 
   it('checks again after a while', async () => {
-    const {clock, detector, target, world} = createWorld(true);
+    const {clock, detector, target, world} = createWorld(false);
     void detector.recordBrokenRun(target, runOf('r1'));
     await clock.advance(2_000);
     void detector.recordBrokenRun(target, runOf('r2'));
     await clock.advance(CHECK_MS);
     expect(world.checks).to.equal(2);
   });
+
+  // Guards against an end that goes unseen behind a lost connection.
+  it('checks again at the next broken run while the process listens', async () => {
+    const {clock, detector, target, world} = createWorld(true);
+    for (const ids of [['r1', 'r2'], ['r3']]) {
+      for (const id of ids) void detector.recordBrokenRun(target, runOf(id));
+      await clock.advance(CHECK_MS);
+    }
+    expect(world.checks).to.equal(2);
+  });
 });
