Forget the end of a target that stays registered

A target behind a cut that refuses connections was taken for ended, as one that has ended is; from then on its software version counted as unknown, so that no stream was taken up there any more.

Why it works: the registration of an ended process is replaced or removed after three of its reports; one that is listed for longer, without a gap in the lists, belongs to a process that runs.

--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -341,6 +341,7 @@
       this.applyTargets(reply.value);
       this.lastReply = {reader: reader.incarnation, revision};
       this.targetsMs = targetsMs;
+      this.parts.targets.recordListed(targetsMs);
     }
     if (source !== undefined) await this.fetchConfig(source, version, signal);
     // The configuration in force here is as fresh as the reader's own.
--- a/packages/core/src/lib/gateway/target_signals.ts
+++ b/packages/core/src/lib/gateway/target_signals.ts
@@ -42,8 +42,8 @@
 export class ProcessSignals {
   /** Whether the process has signalled that it is leaving; this is final. */
   isLeaving = false;
-  /** Whether the process was seen to have ended; this is final. */
-  hasEnded = false;
+  /** Clock time at which the process was last seen to have ended. */
+  endedMs = -Infinity;
   /** Clock time until which this host must not send requests to the process. */
   backOffUntilMs = -Infinity;
   /** What the process last said about its limit. */
--- a/packages/core/src/lib/gateway/target_table.ts
+++ b/packages/core/src/lib/gateway/target_table.ts
@@ -17,6 +17,7 @@
 } from './target_registration.js';
 import {TargetWork} from '../work/target_work.js';
 import {HolderIndex} from './holder_index.js';
+import {ListingPeriod} from './listing_period.js';
 import {ModelGains} from './model_gains.js';
 import {residentKey} from './resident_key.js';
 import {TargetHealth} from './target_health.js';
@@ -68,6 +69,11 @@
   warming?: TargetWarming;
   /** Called when the loaded models may have changed. */
   onHeldChange?: () => void;
+  /**
+   * Returns whether its registration shows that the process runs, although it
+   * was seen to have ended at a clock time; by default it never does.
+   */
+  outlastsEnd?: (endedMs: number) => boolean;
 }
 
 /** A target, with everything that this host knows about it. */
@@ -86,6 +92,7 @@
   private readonly evacuations: ZoneEvacuations | undefined;
   private readonly warming: TargetWarming;
   private readonly onHeldChange: () => void;
+  private readonly outlastsEnd: (endedMs: number) => boolean;
   private heardMs = -Infinity;
   private throttledUntilMs = -Infinity;
   private averageRunMs = INITIAL_RUN_MS;
@@ -109,6 +116,7 @@
     this.evacuations = context.evacuations;
     this.warming = context.warming ?? new NeverCold();
     this.onHeldChange = context.onHeldChange ?? (() => {});
+    this.outlastsEnd = context.outlastsEnd ?? (() => false);
     this.health = new TargetHealth(clock);
     this.work = new TargetWork(clock);
     this.setHeldModels(registration);
@@ -159,7 +167,8 @@
 
   /** Whether the registered process was seen to have ended. */
   get hasEnded(): boolean {
-    return this.signals.hasEnded;
+    const {endedMs} = this.signals;
+    return endedMs !== -Infinity && !this.outlastsEnd(endedMs);
   }
 
   /** Whether this host may send a request to the target now. */
@@ -391,6 +400,7 @@
   private readonly byService = new Map<string, KnownTarget[]>();
   private readonly holders = new HolderIndex();
   private readonly signals: SignalTable;
+  private readonly listed = new ListingPeriod();
   private readonly limitListeners: Array<
     (target: KnownTarget, isOwn: boolean) => void
   > = [];
@@ -404,11 +414,14 @@
    * @param clock - measures the validity of the data about each target.
    * @param evacuations - the evacuated zones.
    * @param warming - knows which targets are cold; by default none is.
+   * @param registrationLifetimeMs - time after the end of a process by which its
+   *     registration has been replaced or removed; by default it may stay.
    */
   constructor(
     private readonly clock: Clock,
     private readonly evacuations = new ZoneEvacuations(clock),
     private readonly warming: TargetWarming = new NeverCold(),
+    private readonly registrationLifetimeMs = Infinity,
   ) {
     this.signals = new SignalTable(clock);
   }
@@ -508,7 +521,17 @@
   }
 
   /**
-   * Records that the process of a target was seen to have ended. This is final.
+   * Records that the table holds the listed targets.
+   *
+   * @param asOfMs - clock time at which the list was current.
+   */
+  recordListed(asOfMs: number): void {
+    this.listed.record(asOfMs);
+  }
+
+  /**
+   * Records that the process of a target was seen to have ended. A process that
+   * stays registered for longer than one that has ended was cut off instead.
    *
    * @param id - id of the target.
    * @param startedMs - start time of the process, Unix milliseconds.
@@ -516,10 +539,10 @@
   markEnded(id: string, startedMs: number): void {
     if (this.signals.isOutdated(id, startedMs)) return;
     const signals = this.signals.forProcess(id, startedMs);
-    if (signals.hasEnded) return;
-    signals.hasEnded = true;
     const target = this.byId.get(id);
-    if (target?.registration.startedMs !== startedMs) return;
+    const isKnown = target?.hasEnded ?? false;
+    signals.endedMs = this.clock.now();
+    if (isKnown || target?.registration.startedMs !== startedMs) return;
     this.recordChange(id);
     for (const listener of this.endedListeners) listener(target);
   }
@@ -660,7 +683,7 @@
       registration.startedMs,
     );
     if (registration.isLeaving) signals.isLeaving = true;
-    if (registration.hasEnded) signals.hasEnded = true;
+    if (registration.hasEnded) signals.endedMs = this.clock.now();
     if (
       known !== undefined &&
       isSameProcess(known.registration, registration)
@@ -682,7 +705,9 @@
     this.warming.recordRegistration(registration, true);
     const {clock, evacuations, warming} = this;
     const onHeldChange = () => this.holders.clear();
-    const context = {evacuations, warming, onHeldChange};
+    const outlastsEnd = (endedMs: number) =>
+      this.listed.lengthSince(endedMs) >= this.registrationLifetimeMs;
+    const context = {evacuations, warming, onHeldChange, outlastsEnd};
     const target = new KnownTarget(registration, clock, signals, context);
     this.byId.set(registration.id, target);
     this.recordChange(registration.id);
--- a/packages/core/src/test/gateway/target_table_test.ts
+++ b/packages/core/src/test/gateway/target_table_test.ts
@@ -151,4 +151,29 @@
     table.put(targetRegistration({id: 't1', startedMs: 2}), true);
     expect(idsOf(demand)).to.deep.equal([]);
   });
+
+  // Guards against targets that keep no version after a cut was taken for their
+  // end.
+  it('forgets the end of a process that stays registered', async () => {
+    const lifetimeMs = 5_000;
+    const clock = new ManualClock();
+    const table = new TargetTable(clock, undefined, undefined, lifetimeMs);
+    const target = table.put(targetRegistration({id: 't1'}), true);
+    const list = async (forMs: number) => {
+      for (let ms = 0; ms < forMs; ms += 500) {
+        await clock.advance(500);
+        table.recordListed(clock.now());
+      }
+    };
+    await list(1_000);
+    table.markEnded('t1', target.registration.startedMs);
+    await list(4_000);
+    expect(target.hasEnded).to.equal(true);
+    // While no list can be read, another process may have started.
+    await clock.advance(20_000);
+    await list(4_000);
+    expect(target.hasEnded).to.equal(true);
+    await list(2_000);
+    expect(target.hasEnded).to.equal(false);
+  });
 });
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -26,6 +26,10 @@
 
 const ENGINES = SERVICE.engines;
 const PLAIN = SERVICE.plain;
+
+/** Time by which the registration of an ended process ends as well. */
+const REGISTRATION_LIFETIME_MS = 5_000;
+
 /** Host name that callers use. */
 export const HOST_NAME = 'desk.example';
 const POLL_MS = 20;
@@ -332,6 +336,7 @@
       cpuShare: 0.9,
       linkMbps: 1_000,
       updateLifetimeMs: 2_000,
+      registrationLifetimeMs: REGISTRATION_LIFETIME_MS,
       keyWithdrawalMs: 5_000,
       stopGraceMs: 4_000,
       orderGapMs: 50,
