Share what both clients of targets know of HTTP

The last transfer coding that tells an end, the statuses without a body and the first final status stood in core and in platform. They are in core/net now; the client of plain services, the reader of raw heads and the exchange with a target call them. Behaviour is the same; no test changes.

--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -3,8 +3,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Result, err, ok} from 'neverthrow';
 import {CheckedClient} from '../net/checked_client.js';
-import {isFinalStatus} from '../net/http_status.js';
+import {isBodilessStatus, isFinalStatus} from '../net/http_status.js';
 import {hasStoppedListening, isListening} from '../net/listening_check.js';
+import {endsWithChunks} from '../net/transfer_coding.js';
 import {confirmEnd, discard} from './confirmed_body.js';
 import {
   ServiceAnswer,
@@ -16,10 +17,6 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_PORT = 80;
 
-/** After any other last coding, the end of the connection ends the body. */
-const IS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /**
  * A {@link ServiceClient} over HTTP. Opens a connection for each call, so that
  * no call is written to a connection that the service is about to close.
@@ -87,9 +84,9 @@
   status: number,
   headers: Record<string, string>,
 ): boolean {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
+  if (method === 'HEAD' || isBodilessStatus(status)) return true;
   if ('content-length' in headers) return true;
-  return IS_CHUNKED.test(headers['transfer-encoding'] ?? '');
+  return endsWithChunks(headers['transfer-encoding'] ?? '');
 }
 
 function flattenHeaders(
