--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -16,7 +16,12 @@
 const OK = 200;
 
 /** Ports of a host; each host has its own loopback address. */
-const PORT = {callers: 8080, ready: 8081, peers: 7400} as const;
+const PORT = {
+  callers: 8080,
+  ready: 8081,
+  peers: 7400,
+  metrics: 9464,
+} as const;
 
 /** Options of a {@link HostProcess}. */
 export interface HostOptions {
@@ -58,6 +63,21 @@
     return `http://${this.options.address}:${PORT.callers}`;
   }
 
+  /** URL of the readiness endpoint. */
+  get readyUrl(): string {
+    return `http://${this.options.address}:${PORT.ready}`;
+  }
+
+  /** URL of the metrics endpoint. */
+  get metricsUrl(): string {
+    return `http://${this.options.address}:${PORT.metrics}`;
+  }
+
+  /** Address for links of other hosts, as a URL. */
+  get peersUrl(): string {
+    return `http://${this.options.address}:${PORT.peers}`;
+  }
+
   /** Whether the process has installed its signal handlers: it does so before its first output. */
   get canHandleSignals(): boolean {
     return this.child !== undefined && this.hasOutput;
@@ -132,7 +152,7 @@
   /** @returns whether the host reports that it is ready. */
   async isReady(): Promise<boolean> {
     try {
-      const url = `http://${this.options.address}:${PORT.ready}/readyz`;
+      const url = `${this.readyUrl}/readyz`;
       return await withTimeout(READY_TIMEOUT_MS, undefined, async signal => {
         const res = await request(url, {signal});
         await res.body.dump();
