Do not read a connection of a caller that is held

What callers saw: 300 that send 4 MiB each, short of its end, took a host with 210 MB to 596 to 1,012 MB, while its account said 28 MB.

Cause: CallerMessage paused and resumed the socket. Node starts the handle in a tick after resume(), whatever was called in between, and stops it only in a pause() of a flowing stream. A connection that was released and held again within one tick was paused for the stream and read by the handle; a further pause() did nothing.

ConnectionReads now owns whether a connection is read. The event 'resume' tells that Node has started the handle; if the stream was paused before, it is resumed once more, and if the connection is held, it is paused there, which stops the handle. These are public calls only. At most one read of 64 KiB arrives after a hold.

--- a/packages/core/src/lib/intake/caller_message.ts
+++ b/packages/core/src/lib/intake/caller_message.ts
@@ -1,6 +1,7 @@
 /** Requests whose connection can be held. @packageDocumentation */
 
 import {IncomingMessage} from 'node:http';
+import {ConnectionReads} from './connection_reads.js';
 
 /** Reasons for which a connection is not read. */
 export const HOLD = {
@@ -25,19 +26,19 @@
 
   /** Stops to read the connection until each reason is released. */
   hold(reason: HoldReason): void {
-    if (this.holds.size === 0) this.socket.pause();
     this.holds.add(reason);
+    ConnectionReads.of(this.socket).hold(this);
   }
 
   /** Ends a reason; the connection is read again after the last one. */
   release(reason: HoldReason): void {
     if (this.holds.delete(reason) && this.holds.size === 0)
-      this.socket.resume();
+      ConnectionReads.of(this.socket).release(this);
   }
 
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name
   override _read(size: number): void {
     // Node reads the connection on when the stream has room.
-    if (this.holds.size === 0) super._read(size);
+    if (!ConnectionReads.of(this.socket).isHeld) super._read(size);
   }
 }
