Share each turn of the event loop among all connections of callers

Cause: one read brings up to 11,000 chunks, which took 20 to 30 ms here. Turns were counted for each request by itself, from 4,096 chunks on, so that all connections together were bounded by nothing: each was read in every turn, and the host's own calls waited behind them.

ReadTurns counts the work of all connections in a turn. Chunks go to their consumer without the stream of the request, which queued a callback for each of them.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -27,6 +27,7 @@
 export * from './lib/intake/intake_limits.js';
 export * from './lib/intake/intake_log.js';
 export * from './lib/intake/memory_account.js';
+export * from './lib/intake/read_turns.js';
 export * from './lib/intake/unread_rest.js';
 export * from './lib/net/caller_connections.js';
 export * from './lib/net/checked_client.js';
--- a/packages/core/src/lib/intake/body_reader.ts
+++ b/packages/core/src/lib/intake/body_reader.ts
@@ -4,7 +4,7 @@
 import {BodyBuffer} from './body_buffer.js';
 import {CallerMessage, HOLD} from './caller_message.js';
 import {MemoryAccount, MemoryHolding} from './memory_account.js';
-import {ChunkCounter} from './read_turns.js';
+import {readTurns} from './read_turns.js';
 
 /** Why a body was not read. */
 export const UNREAD = {
@@ -71,14 +71,15 @@
   if ((announced ?? 0) > maxBytes) return Promise.resolve(err(UNREAD.tooLarge));
   return new Promise(resolve => {
     const body = new BodyBuffer();
-    const counter = new ChunkCounter(req);
+    const {socket} = req;
     const holding = account.open({
       isFavored,
       evict: () => fail(UNREAD.noMemory),
       resume: () => req.release(HOLD.memory),
     });
     const stop = () => {
-      req.off('data', onData).off('end', onEnd);
+      req.stopConsuming();
+      req.off('end', onEnd);
       req.off('close', onGone).off('error', onGone);
       deadline?.removeEventListener('abort', onLate);
     };
@@ -96,7 +97,7 @@
     };
     const onData = (chunk: Buffer) => {
       holding.recordMoved(chunk.length);
-      counter.record();
+      readTurns.recordChunk(socket, chunk.length);
       if (chunk.length === announced) {
         // No copy of a body that has come as a whole.
         holding.grow(chunk.buffer.byteLength);
@@ -109,7 +110,7 @@
     const onEnd = () => finish(body.take());
     const onGone = () => fail(UNREAD.gone);
     const onLate = () => fail(UNREAD.late);
-    req.on('data', onData).on('end', onEnd);
+    req.on('end', onEnd).consume(onData);
     req.on('close', onGone).on('error', onGone);
     deadline?.addEventListener('abort', onLate);
   });
--- a/packages/core/src/lib/intake/caller_message.ts
+++ b/packages/core/src/lib/intake/caller_message.ts
@@ -3,12 +3,10 @@
 import {IncomingMessage} from 'node:http';
 import {ConnectionReads} from './connection_reads.js';
 
-/** Reasons for which a connection is not read. */
+/** Reasons for which a request holds its connection. */
 export const HOLD = {
   /** The account has no memory for more. */
   memory: 'memory',
-  /** Other connections have their turn. */
-  turn: 'turn',
   /** The rest of the request is not wanted. */
   rest: 'rest',
 } as const;
@@ -23,6 +21,7 @@
  */
 export class CallerMessage extends IncomingMessage {
   private readonly holds = new Set<HoldReason>();
+  private consumer: ((chunk: Buffer) => void) | undefined;
 
   /** Stops to read the connection until each reason is released. */
   hold(reason: HoldReason): void {
@@ -36,6 +35,33 @@
       ConnectionReads.of(this.socket).release(this);
   }
 
+  /**
+   * Passes the chunks of the body on as the parser finds them. A stream would
+   * spend more time on a small chunk than the parser.
+   *
+   * @param consumer - called with each chunk; replaces an earlier one.
+   */
+  consume(consumer: (chunk: Buffer) => void): void {
+    this.stopConsuming();
+    this.consumer = consumer;
+    // What has arrived before, and the end, come by the stream.
+    this.on('data', consumer);
+  }
+
+  /** Ends {@link CallerMessage.consume}; what arrives later is lost. */
+  stopConsuming(): void {
+    if (this.consumer !== undefined) this.off('data', this.consumer);
+    this.consumer = undefined;
+  }
+
+  override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+    if (chunk === null) return super.push(chunk);
+    if (this.consumer === undefined || this.readableLength > 0)
+      return super.push(chunk, encoding);
+    this.consumer(chunk);
+    return true;
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- Node's name
   override _read(size: number): void {
     // Node reads the connection on when the stream has room.
--- a/packages/core/src/lib/intake/unread_rest.ts
+++ b/packages/core/src/lib/intake/unread_rest.ts
@@ -2,7 +2,7 @@
 
 import {Clock} from '../time/clock.js';
 import {CallerMessage, HOLD} from './caller_message.js';
-import {ChunkCounter} from './read_turns.js';
+import {readTurns} from './read_turns.js';
 
 /** Bytes of the rest of a request that are read and discarded by default. */
 const MAX_DISCARDED_BYTES = 262_144;
@@ -31,21 +31,22 @@
   }
   return new Promise(resolve => {
     let bytes = 0;
-    const counter = new ChunkCounter(req);
+    const {socket} = req;
     const finish = (isWhole: boolean) => {
       timer.cancel();
-      req.off('data', onData).off('end', onEnd).off('close', onClose);
+      req.stopConsuming();
+      req.off('end', onEnd).off('close', onClose);
       resolve(isWhole);
     };
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
-      counter.record();
+      readTurns.recordChunk(socket, chunk.length);
       if (bytes > maxBytes) req.hold(HOLD.rest);
     };
     const onEnd = () => finish(true);
     const onClose = () => finish(false);
     const timer = clock.after(MAX_LINGER_MS, () => finish(false));
-    req.on('data', onData).on('end', onEnd).on('close', onClose);
+    req.on('end', onEnd).on('close', onClose).consume(onData);
     req.release(HOLD.memory);
   });
 }
--- a/packages/core/src/lib/net/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -2,6 +2,7 @@
 
 import {Server} from 'node:http';
 import {Socket} from 'node:net';
+import {readTurns} from '../intake/read_turns.js';
 import {Clock} from '../time/clock.js';
 import {whenConnectionsRead} from '../time/connections_read.js';
 
@@ -126,6 +127,7 @@
       readBytes: 0,
       isUnreadable: false,
     });
+    readTurns.add(socket);
     // Each pipelined request listens for the end of the connection.
     socket.setMaxListeners(0);
     socket.once('close', () => this.states.delete(socket));
@@ -133,6 +135,7 @@
 
   /** Records that the head of a request has arrived. */
   beginRequest(socket: Socket): void {
+    readTurns.recordRequest(socket);
     const state = this.states.get(socket);
     if (state !== undefined) state.requests += 1;
   }
@@ -141,6 +144,7 @@
   recordRead(socket: Socket): void {
     const state = this.states.get(socket);
     if (state === undefined) return;
+    readTurns.recordWhole(socket);
     state.readRequests += 1;
     state.readBytes = socket.bytesRead;
     state.usedMs = performance.now();
