--- a/packages/core/src/lib/intake/body_buffer.ts
+++ b/packages/core/src/lib/intake/body_buffer.ts
@@ -5,7 +5,7 @@
 const BLOCK_BYTES = 65_536;
 
 /** Blocks that are kept for reuse, so that they need not be collected. */
-const MAX_SPARE_BLOCKS = 64;
+const MAX_SPARE_BLOCKS = 256;
 
 const spareBlocks: Buffer[] = [];
 
--- a/packages/core/src/test/intake/memory_account_test.ts
+++ b/packages/core/src/test/intake/memory_account_test.ts
@@ -80,6 +80,46 @@
     expect(resumed).to.deep.equal(['first']);
   });
 
+  // One in 250 ms was refused, and 505 MB stood for seconds.
+  it('refuses as many as the first one needs to go on', async () => {
+    const bodies: MemoryHolding[] = [];
+    for (const name of ['first', 'second', 'third', 'fourth', 'fifth']) {
+      bodies.push(open(name));
+      await clock.advance(1);
+    }
+    for (const body of bodies) body.grow(220_000);
+    for (const body of bodies) body.grow(1_000);
+    await clock.advance(1_300);
+    expect(evicted).to.deep.equal(['fifth', 'fourth', 'third']);
+    expect(resumed[0]).to.equal('first');
+  });
+
+  it('lets the one that began first go on first', async () => {
+    const first = open('first');
+    await clock.advance(1);
+    const second = open('second');
+    first.grow(400_000);
+    second.grow(700_000);
+    first.grow(1_000);
+    second.shrink(200_000);
+    expect(resumed[0]).to.equal('first');
+  });
+
+  // Small bodies of many connections exceeded the memory of the machine.
+  it('gives holdings up at once far beyond the limit', async () => {
+    for (let i = 0; i < 100; i++) open(`small ${i}`, true).grow(50_000);
+    await Promise.resolve();
+    expect(account.usedBytes).to.be.at.most(account.maxBytes);
+    expect(evicted).not.to.have.lengthOf(0);
+  });
+
+  it('counts what the operating system keeps of connections that wait', async () => {
+    open('large').grow(LIMIT);
+    for (let i = 0; i < 100; i++) open(`waiting ${i}`).grow(100);
+    await Promise.resolve();
+    expect(account.waitingCount * 65_536).to.be.at.most(account.maxBytes);
+  });
+
   it('lets small bodies pass while the account is full', () => {
     open('large').grow(LIMIT + 1);
     expect(open('small', true).grow(50_000)).to.equal(true);
