Count unfinished heads, and requests that wait on their connection

Cause: nothing counted what the parser keeps of a head, nor requests behind others on their connection, up to 64 of which were parsed: some 16 KiB each beside their heads, all in the heap. The body of such a request stayed in its stream, where each 1-byte chunk is an object of its own.

What has arrived of the body of one that waits is copied into blocks and counted. An account of its own, 0.1 of the memory beyond 140 MB, counts unfinished heads and trailers, checked every 100 ms, and the requests behind the first unanswered one; the connections that hold most close.

--- a/packages/core/src/lib/intake/body_reader.ts
+++ b/packages/core/src/lib/intake/body_reader.ts
@@ -37,6 +37,8 @@
   isFavored: boolean;
   /** Aborts once the caller's deadline has passed. */
   deadline?: AbortSignal;
+  /** Beginning of the body that was read before. */
+  early?: Buffer;
 }
 
 /** Returns the announced length of a body; undefined if there is none. */
@@ -65,7 +67,7 @@
 export function readBody(
   req: CallerMessage,
   account: MemoryAccount,
-  {maxBytes, isFavored, deadline}: BodyOptions,
+  {maxBytes, isFavored, deadline, early}: BodyOptions,
 ): Promise<Result<ReadBody, UnreadReason>> {
   const announced = announcedLength(req);
   if ((announced ?? 0) > maxBytes) return Promise.resolve(err(UNREAD.tooLarge));
@@ -104,12 +106,20 @@
         req.off('end', onEnd).once('end', () => finish(chunk));
         return;
       }
+      store(chunk);
+    };
+    const store = (chunk: Buffer) => {
       if (body.length + chunk.length > maxBytes) fail(UNREAD.tooLarge);
       else if (!holding.grow(body.append(chunk))) req.hold(HOLD.memory);
     };
     const onEnd = () => finish(body.take());
     const onGone = () => fail(UNREAD.gone);
     const onLate = () => fail(UNREAD.late);
+    if (early !== undefined) store(early);
+    if (req.readableEnded) {
+      onEnd();
+      return;
+    }
     req.on('end', onEnd).consume(onData);
     req.on('close', onGone).on('error', onGone);
     deadline?.addEventListener('abort', onLate);
--- a/packages/core/src/lib/intake/caller_message.ts
+++ b/packages/core/src/lib/intake/caller_message.ts
@@ -7,6 +7,8 @@
 export const HOLD = {
   /** The account has no memory for more. */
   memory: 'memory',
+  /** Many earlier requests of the connection are unanswered. */
+  pipelined: 'pipelined',
   /** The rest of the request is not wanted. */
   rest: 'rest',
 } as const;
@@ -22,6 +24,12 @@
 export class CallerMessage extends IncomingMessage {
   private readonly holds = new Set<HoldReason>();
   private consumer: ((chunk: Buffer) => void) | undefined;
+  private receivedBytes = 0;
+
+  /** Bytes of the body that have arrived. */
+  get bodyBytes(): number {
+    return this.receivedBytes;
+  }
 
   /** Stops to read the connection until each reason is released. */
   hold(reason: HoldReason): void {
@@ -56,6 +64,7 @@
 
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk === null) return super.push(chunk);
+    this.receivedBytes += chunk.length;
     if (this.consumer === undefined || this.readableLength > 0)
       return super.push(chunk, encoding);
     this.consumer(chunk);
--- a/packages/core/src/lib/intake/intake.ts
+++ b/packages/core/src/lib/intake/intake.ts
@@ -12,7 +12,10 @@
 
 /** The parts that all listeners for callers of a process share. */
 export interface Intake {
+  /** Counts bodies and answers. */
   account: MemoryAccount;
+  /** Counts unfinished heads, and requests that wait for earlier ones. */
+  heads: MemoryAccount;
   limits: IntakeLimits;
   log: IntakeLog;
 }
@@ -36,6 +39,7 @@
   const limits = deriveIntakeLimits(machine);
   return {
     account: new MemoryAccount(clock, limits.accountBytes),
+    heads: new MemoryAccount(clock, limits.headsBytes),
     limits,
     log: new IntakeLog(clock, logger, onRefused),
   };
--- a/packages/core/src/lib/intake/intake_limits.ts
+++ b/packages/core/src/lib/intake/intake_limits.ts
@@ -14,6 +14,12 @@
 /** Room for four bodies of 4 MiB, on however small a machine. */
 const MIN_ACCOUNT_BYTES = 17_000_000;
 
+/** Share of that memory for unfinished heads and for requests that wait. */
+const HEADS_SHARE = 0.1;
+
+/** Room for many heads of the largest size, on however small a machine. */
+const MIN_HEADS_BYTES = 4_000_000;
+
 /** Memory of a machine whose settings name none. */
 const DEFAULT_MEMORY_MB = 602;
 
@@ -55,6 +61,8 @@
 export interface IntakeLimits {
   /** Bytes of bodies and answers. */
   accountBytes: number;
+  /** Bytes of unfinished heads, and of requests that wait for earlier ones. */
+  headsBytes: number;
   /** Number of connections. */
   maxConnections: number;
 }
@@ -71,11 +79,13 @@
 }: MachineLimits): IntakeLimits {
   const freeBytes = (memoryMb - RESERVED_MB) * BYTES_PER_MB;
   const accountBytes = Math.max(MIN_ACCOUNT_BYTES, freeBytes * ACCOUNT_SHARE);
+  const headsBytes = Math.max(MIN_HEADS_BYTES, freeBytes * HEADS_SHARE);
   const byDescriptors =
     maxDescriptors === undefined
       ? DEFAULT_CONNECTIONS
       : (maxDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE;
   const byMemory = accountBytes / CONNECTION_BYTES;
   const count = Math.floor(Math.min(byDescriptors, byMemory));
-  return {accountBytes, maxConnections: Math.max(MIN_CONNECTIONS, count)};
+  const maxConnections = Math.max(MIN_CONNECTIONS, count);
+  return {accountBytes, headsBytes, maxConnections};
 }
--- a/packages/core/src/lib/intake/intake_log.ts
+++ b/packages/core/src/lib/intake/intake_log.ts
@@ -26,6 +26,8 @@
   connections: 'connections',
   /** Too many requests of a connection were unanswered. */
   pipelined: 'pipelined',
+  /** The memory of a head, or of requests that waited, was needed for others. */
+  heads: 'heads',
 } as const;
 
 /** One of {@link INTAKE_END}. */
--- a/packages/core/src/lib/net/caller_connections.ts
+++ b/packages/core/src/lib/net/caller_connections.ts
@@ -2,6 +2,9 @@
 
 import {Server} from 'node:http';
 import {Socket} from 'node:net';
+import {CallerMessage} from '../intake/caller_message.js';
+import {ConnectionHolding} from '../intake/connection_holding.js';
+import {MemoryAccount} from '../intake/memory_account.js';
 import {readTurns} from '../intake/read_turns.js';
 import {Clock} from '../time/clock.js';
 import {whenConnectionsRead} from '../time/connections_read.js';
@@ -15,6 +18,9 @@
 /** Longest time for which connections are closed without reading the others. */
 const MAX_CLOSE_MS = 20;
 
+/** Interval of the checks what connections hold, in milliseconds. */
+const MEMORY_CHECK_INTERVAL_MS = 100;
+
 /** Share of the allowed connections that are closed when there are too many. */
 const SHED_SHARE = 0.02;
 
@@ -33,6 +39,15 @@
   readBytes: number;
   /** Whether nothing more can be read from the connection. */
   isUnreadable: boolean;
+  /** Counts what it holds; undefined if nothing limits that. */
+  holding: ConnectionHolding | undefined;
+}
+
+/** What limits the memory of heads and of requests that wait. */
+interface MemoryLimit {
+  account: MemoryAccount;
+  clock: Clock;
+  onEvicted: () => void;
 }
 
 /**
@@ -45,6 +60,8 @@
   private accepted = 0;
   private maxCount = Infinity;
   private onShed: (count: number) => void = () => {};
+  private memoryLimit: MemoryLimit | undefined;
+  private isChecking = false;
   private isClosing = false;
   private isSweeping = false;
 
@@ -96,6 +113,38 @@
     this.onShed = onShed;
   }
 
+  /**
+   * Limits what unfinished heads and requests that wait for earlier ones hold.
+   * Connections that hold most are closed beyond it.
+   *
+   * @param account - counts the bytes.
+   * @param clock - times the checks.
+   * @param onEvicted - called for each connection that is closed for its memory.
+   */
+  limitMemory(
+    account: MemoryAccount,
+    clock: Clock,
+    onEvicted: () => void,
+  ): void {
+    this.memoryLimit = {account, clock, onEvicted};
+  }
+
+  private scheduleCheck({clock}: MemoryLimit): void {
+    if (this.isChecking || this.states.size === 0) return;
+    this.isChecking = true;
+    clock.after(MEMORY_CHECK_INTERVAL_MS, () => {
+      this.isChecking = false;
+      for (const {holding} of this.states.values()) holding?.check();
+      if (this.memoryLimit) this.scheduleCheck(this.memoryLimit);
+    });
+  }
+
+  private openHolding(socket: Socket): ConnectionHolding | undefined {
+    if (this.memoryLimit === undefined) return undefined;
+    const {account, onEvicted} = this.memoryLimit;
+    return new ConnectionHolding(socket, account, onEvicted);
+  }
+
   /** Closes a few connections at once, as each search reads all of them. */
   private shed(): void {
     const unused = [...this.states].filter(
@@ -126,24 +175,35 @@
       readRequests: 0,
       readBytes: 0,
       isUnreadable: false,
+      holding: this.openHolding(socket),
     });
+    if (this.memoryLimit) this.scheduleCheck(this.memoryLimit);
     readTurns.add(socket);
     // Each pipelined request listens for the end of the connection.
     socket.setMaxListeners(0);
     socket.once('close', () => this.states.delete(socket));
   }
 
+  /** Returns the number of requests of a connection that are unanswered. */
+  requestCount(socket: Socket): number {
+    return this.states.get(socket)?.requests ?? 0;
+  }
+
   /** Records that the head of a request has arrived. */
-  beginRequest(socket: Socket): void {
-    readTurns.recordRequest(socket);
-    const state = this.states.get(socket);
-    if (state !== undefined) state.requests += 1;
+  beginRequest(req: CallerMessage): void {
+    readTurns.recordRequest(req.socket);
+    const state = this.states.get(req.socket);
+    if (state === undefined) return;
+    state.requests += 1;
+    state.holding?.beginRequest(req);
   }
 
   /** Records that no more of a request is to be received. */
-  recordRead(socket: Socket): void {
+  recordRead(req: CallerMessage): void {
+    const {socket} = req;
     const state = this.states.get(socket);
     if (state === undefined) return;
+    state.holding?.recordRead(req);
     readTurns.recordWhole(socket);
     state.readRequests += 1;
     state.readBytes = socket.bytesRead;
@@ -151,9 +211,11 @@
   }
 
   /** Records that the response to a request has been passed on, or ended. */
-  endRequest(socket: Socket): void {
+  endRequest(req: CallerMessage): void {
+    const {socket} = req;
     const state = this.states.get(socket);
     if (state === undefined) return;
+    state.holding?.endRequest(req);
     state.requests -= 1;
     state.readRequests -= 1;
     if (state.isUnreadable) closeIfIdle(socket, state);
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -2,7 +2,7 @@
 
 import {AddressInfo} from 'node:net';
 import {Duplex} from 'node:stream';
-import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {Server, ServerResponse, createServer} from 'node:http';
 import {getRequestListener} from '@hono/node-server';
 import {Hono} from 'hono';
 import {
@@ -120,21 +120,17 @@
   }
 
   /** Records a request until it has been read and its response passed on. */
-  private async follow(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
+  private async follow(req: CallerMessage, res: ServerResponse): Promise<void> {
     const {connections} = this;
-    const {socket} = req;
     if (this.isClosing) res.shouldKeepAlive = false;
-    connections.beginRequest(socket);
+    connections.beginRequest(req);
     const passedOn = new Promise(resolve => res.once('close', resolve));
     await new Promise(resolve =>
       req.once('end', resolve).once('close', resolve),
     );
-    connections.recordRead(socket);
+    connections.recordRead(req);
     await passedOn;
-    connections.endRequest(socket);
+    connections.endRequest(req);
   }
 }
 
