--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -64,6 +64,7 @@
 export * from './lib/intake/read_turns.js';
 export * from './lib/intake/unread_rest.js';
 export * from './lib/net/caller_connections.js';
+export * from './lib/net/endpoint_server.js';
 export * from './lib/net/http_status.js';
 export * from './lib/net/listener.js';
 export * from './lib/net/listening_check.js';
