Bound what links from unknown hosts hold

Cause: a frame was joined anew for each read, and frames of all links were bounded by the number of links only, 1,024; a silent link lasted 1.7 s, and one that sent a byte now and then for ever. Each link could have 16 MiB unsent.

A frame is kept in blocks until it is complete. All links share an account of 8 MiB for frames; beyond it those without progress for 1 s close, at 12 MiB the heaviest. A peer has 2 s and 4 KiB for its hello frame, and 256 accepted links may lack one; the oldest closes. Beyond 32 MiB of unsent bytes over all links the slowest readers are closed.

--- a/packages/core/src/lib/peers/frame.ts
+++ b/packages/core/src/lib/peers/frame.ts
@@ -3,6 +3,7 @@
 import {Encoder} from 'cbor-x';
 import {Result, err, ok} from 'neverthrow';
 import {z} from 'zod';
+import {BodyBuffer} from '../intake/body_buffer.js';
 
 const LENGTH_BYTES = 4;
 
@@ -69,7 +70,19 @@
 
 /** Decodes a byte stream into frames. */
 export class FrameDecoder {
-  private buffered: Buffer = Buffer.alloc(0);
+  private readonly buffer = new BodyBuffer();
+  /** Bytes from which on the next frame, or its length, is complete. */
+  private neededBytes = LENGTH_BYTES;
+
+  /** Length of the frame that is incomplete, as far as it is known, in bytes. */
+  get pendingBytes(): number {
+    return this.neededBytes;
+  }
+
+  /** Bytes that are kept until their frame is complete. */
+  get bufferedBytes(): number {
+    return this.buffer.length;
+  }
 
   /**
    * Adds bytes and decodes the frames that they complete.
@@ -79,24 +92,30 @@
    *     cannot be decoded.
    */
   push(chunk: Buffer): Result<Frame[], FrameError> {
-    this.buffered =
-      this.buffered.length === 0
-        ? chunk
-        : Buffer.concat([this.buffered, chunk]);
+    let bytes = chunk;
+    if (this.buffer.length > 0) {
+      this.buffer.append(chunk);
+      if (this.buffer.length < this.neededBytes) return ok([]);
+      bytes = this.buffer.take();
+    }
     const frames: Frame[] = [];
     for (;;) {
-      if (this.buffered.length < LENGTH_BYTES) return ok(frames);
-      const length = this.buffered.readUInt32BE(0);
+      this.neededBytes = LENGTH_BYTES;
+      if (bytes.length < LENGTH_BYTES) break;
+      const length = bytes.readUInt32BE(0);
       if (length > MAX_FRAME_BYTES) {
         return frameError(`frame of ${length} bytes exceeds the size limit`);
       }
       const end = LENGTH_BYTES + length;
-      if (this.buffered.length < end) return ok(frames);
-      const frame = decodeFrame(this.buffered.subarray(LENGTH_BYTES, end));
+      this.neededBytes = end;
+      if (bytes.length < end) break;
+      const frame = decodeFrame(bytes.subarray(LENGTH_BYTES, end));
       if (frame.isErr()) return err(frame.error);
       frames.push(frame.value);
-      this.buffered = this.buffered.subarray(end);
+      bytes = bytes.subarray(end);
     }
+    if (bytes.length > 0) this.buffer.append(bytes);
+    return ok(frames);
   }
 }
 
--- a/packages/core/src/lib/peers/peer_link.ts
+++ b/packages/core/src/lib/peers/peer_link.ts
@@ -3,6 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import {Socket} from 'node:net';
 import {Result, err} from 'neverthrow';
+import {MemoryAccount, MemoryHolding} from '../intake/memory_account.js';
 import {Clock} from '../time/clock.js';
 import {Frame, FrameDecoder, encodeFrame} from './frame.js';
 import {AnswerWriter, IncomingCalls, LinkHandler} from './incoming_calls.js';
@@ -36,6 +37,12 @@
 /** Unsent bytes above which notifications are dropped. */
 const NOTIFICATION_DROP_THRESHOLD_BYTES = 1024 * 1024;
 
+/** Time in which a peer has to send its hello frame, in milliseconds. */
+const HELLO_TIMEOUT_MS = 2_000;
+
+/** Largest hello frame; larger ones come from known peers only. */
+const MAX_HELLO_BYTES = 4_096;
+
 /** Unsent bytes above which the link is closed. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
@@ -47,6 +54,8 @@
   isDialler: boolean;
   clock: Clock;
   handler: LinkHandler;
+  /** Counts frames that have not arrived completely. */
+  account: MemoryAccount;
   /** Whether heartbeats keep the link alive while it carries no calls. */
   isKeptAlive: (peer: PeerIdentity) => boolean;
 }
@@ -63,6 +72,7 @@
   private readonly closed = new AbortController();
   private readonly outgoing = new OutgoingCalls(frame => this.send(frame));
   private readonly incoming: IncomingCalls;
+  private readonly holding: MemoryHolding;
   private lastTickMs: number;
   private silentMs = 0;
   private lastSentMs = -Infinity;
@@ -76,6 +86,11 @@
     this.lastTickMs = this.createdMs;
     this.lastCallMs = this.createdMs;
     this.incoming = new IncomingCalls(options.handler, this);
+    this.holding = options.account.open({
+      isFavored: false,
+      evict: () => this.close('the memory of its frame was needed for others'),
+      resume: () => {},
+    });
     // Each call that waits for the socket to drain adds a listener to both.
     setMaxListeners(0, options.socket, this.closed.signal);
   }
@@ -85,6 +100,11 @@
     return this.remote;
   }
 
+  /** Whether it was accepted, and its peer has not sent a hello frame yet. */
+  get isUnknown(): boolean {
+    return !this.options.isDialler && this.remote === undefined;
+  }
+
   /** Whether the link is open. */
   get isAlive(): boolean {
     return !this.closed.signal.aborted;
@@ -128,12 +148,18 @@
           // An earlier frame may have closed the link.
           if (this.isAlive) this.handleFrame(frame, onHello);
         }
+        this.holding.recordMoved((chunk as Buffer).length);
+        this.holding.resize(decoder.bufferedBytes);
+        const isUnknown = this.remote === undefined;
+        if (isUnknown && decoder.pendingBytes > MAX_HELLO_BYTES)
+          this.close('the hello frame is too large');
       }
       this.close('the peer closed the link');
     } catch (error) {
       this.close((error as Error).message);
     } finally {
       signal.removeEventListener('abort', stop);
+      this.holding.close();
     }
   }
 
@@ -197,7 +223,9 @@
       this.silentMs = 0;
       this.lastSentMs = nowMs;
     }
-    if (this.silentMs > RECEIVE_TIMEOUT_MS) {
+    if (this.remote === undefined && this.ageMs > HELLO_TIMEOUT_MS) {
+      this.close('no hello frame within the timeout');
+    } else if (this.silentMs > RECEIVE_TIMEOUT_MS) {
       this.close('no data received from the peer within the timeout');
     } else if (this.isGracePeriodOver(nowMs)) {
       this.close('the link was replaced');
@@ -206,6 +234,16 @@
     }
   }
 
+  /** Time since the link was created, in milliseconds. */
+  private get ageMs(): number {
+    return this.options.clock.now() - this.createdMs;
+  }
+
+  /** Bytes that the peer has not read. */
+  get unsentBytes(): number {
+    return this.options.socket.writableLength;
+  }
+
   /** Time since the link last carried a call, in milliseconds. */
   get idleMs(): number {
     return this.options.clock.now() - this.lastCallMs;
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -3,6 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import {AddressInfo, Socket} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
+import {MemoryAccount} from '../intake/memory_account.js';
 import {Clock} from '../time/clock.js';
 import {startListening} from '../net/listener.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
@@ -30,6 +31,15 @@
 /** Time without calls after which a link is closed unless it is kept alive. */
 const IDLE_TIMEOUT_MS = 60_000;
 
+/** Bytes of frames that have not arrived completely, over all links. */
+const FRAMES_LIMIT_BYTES = 8 * 1024 * 1024;
+
+/** Unsent bytes over all links beyond which those that read slowest are closed. */
+const MAX_UNSENT_BYTES = 32 * 1024 * 1024;
+
+/** Accepted links whose peer has not said yet which host it is. */
+const MAX_UNKNOWN_LINKS = 256;
+
 /** Time for which a peer is suspect after a failure, in milliseconds. */
 const SUSPECT_DURATION_MS = 5_000;
 
@@ -80,6 +90,8 @@
     RegisteredNotification
   >();
   private readonly sockets: PeerSockets;
+  /** Counts frames that have not arrived completely. */
+  private readonly frames: MemoryAccount;
   private readonly tasks: TaskSupervisor;
   private signal = new AbortController().signal;
   private boundPort = 0;
@@ -88,6 +100,7 @@
     super();
     this.sockets = new PeerSockets(options);
     const {clock, logger, tasks} = options;
+    this.frames = new MemoryAccount(clock, FRAMES_LIMIT_BYTES);
     this.tasks = tasks ?? new TaskSupervisor(clock, logger);
   }
 
@@ -116,6 +129,7 @@
       clock.every(TICK_INTERVAL_MS, taskSignal, () => this.tick()),
     );
     const server = this.sockets.createServer(socket => {
+      this.closeOldestUnknown();
       void this.tasks.run('peer_link', () =>
         this.runLink(this.createLink(socket, false), () => {}),
       );
@@ -270,6 +284,7 @@
   }
 
   private tick(): void {
+    this.closeSlowReaders();
     for (const link of this.openLinks) {
       link.tick();
       const {peer} = link;
@@ -282,6 +297,25 @@
     }
   }
 
+  /** Makes room for a new link if many peers have not sent their hello frame. */
+  private closeOldestUnknown(): void {
+    const unknown = [...this.openLinks].filter(link => link.isUnknown);
+    if (unknown.length >= MAX_UNKNOWN_LINKS)
+      unknown[0].close('too many links without a hello frame');
+  }
+
+  private closeSlowReaders(): void {
+    const links = [...this.openLinks];
+    let unsentBytes = links.reduce((sum, link) => sum + link.unsentBytes, 0);
+    if (unsentBytes <= MAX_UNSENT_BYTES) return;
+    links.sort((a, b) => b.unsentBytes - a.unsentBytes);
+    for (const link of links) {
+      if (unsentBytes <= MAX_UNSENT_BYTES) return;
+      unsentBytes -= link.unsentBytes;
+      link.close('the memory of unsent bytes was needed for others');
+    }
+  }
+
   private async getOrDialLink(host: string): Promise<PeerLink | undefined> {
     if (!this.isLinkAllowed(host)) return undefined;
     const link = this.table.get(host);
@@ -320,6 +354,7 @@
       isDialler: dialled,
       clock,
       handler: this,
+      account: this.frames,
       isKeptAlive: isPeerKeptAlive,
     });
   }
