Bound what connections make the daemon hold, as on the platform

Cause: the listener handled all pipelined requests at once, refused connections beyond their limit instead of closing unused ones, and left the rest of a body that nobody reads to Node, which reads it without a limit. A call of a service was copied twice, and three more times as text, to compare it with others, also without an idempotency key; the account counted it once.

HttpListener takes the limits of the process for connections, heads and pipelining, for callers and operators, and discards an unread body as it does that of a refusal. The text is made for calls with an idempotency key only, and the body isn't copied. 200 MB, not 140, are left to the program, as the daemon takes 120 MB at rest.

--- a/packages/core/src/lib/intake/intake_limits.ts
+++ b/packages/core/src/lib/intake/intake_limits.ts
@@ -6,9 +6,9 @@
  * Memory of a machine that the account leaves to the program and to garbage that
  * has not been collected: a host at rest takes about 100 MB.
  */
-const RESERVED_MB = 140;
+const DEFAULT_RESERVED_MB = 140;
 
-/** Share of the memory beyond {@link RESERVED_MB} that the account may use. */
+/** Share of the memory beyond what is reserved that the account may use. */
 const ACCOUNT_SHARE = 0.4;
 
 /** Room for four bodies of 4 MiB, on however small a machine. */
@@ -55,6 +55,8 @@
   memoryMb: number | undefined;
   /** Number of descriptors that a process may have open. */
   maxDescriptors: number | undefined;
+  /** Memory for the program itself, in megabytes; 140 by default. */
+  reservedMb?: number;
 }
 
 /** Limits on what a process holds for its callers. */
@@ -76,8 +78,9 @@
 export function deriveIntakeLimits({
   maxDescriptors,
   memoryMb = DEFAULT_MEMORY_MB,
+  reservedMb = DEFAULT_RESERVED_MB,
 }: MachineLimits): IntakeLimits {
-  const freeBytes = (memoryMb - RESERVED_MB) * BYTES_PER_MB;
+  const freeBytes = (memoryMb - reservedMb) * BYTES_PER_MB;
   const accountBytes = Math.max(MIN_ACCOUNT_BYTES, freeBytes * ACCOUNT_SHARE);
   const headsBytes = Math.max(MIN_HEADS_BYTES, freeBytes * HEADS_SHARE);
   const byDescriptors =
--- a/packages/daemon/src/lib/caller_api.ts
+++ b/packages/daemon/src/lib/caller_api.ts
@@ -134,13 +134,13 @@
   }
   const body = await readBody(incoming, outgoing, bodies);
   if (body.isErr()) return errorResponse(body.error);
-  const bytes = new Uint8Array(body.value);
   const admitted = gate.admit(routeName, gateHeaders(c));
   if (admitted.isErr()) return errorResponse(admitted.error);
   const {pathname, search} = new URL(c.req.url);
   const subpath = pathname.slice(`/services/${routeName}`.length);
   const path = (subpath === '' ? '/' : subpath) + search;
   const caller = {signal: createCallerSignal(outgoing), outgoing};
+  const bytes = body.value as Uint8Array<ArrayBuffer>;
   return services.handle(admitted.value, c.req.raw, path, bytes, caller);
 }
 
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -8,6 +8,7 @@
   ConfigStore,
   HostStatus,
   HttpPlatformLog,
+  Intake,
   LeaseAuthority,
   Logger,
   Member,
@@ -39,6 +40,9 @@
 
 const MAX_OPERATOR_CONNECTIONS = 64;
 
+/** Memory of the daemon at rest, and of what it copies, in megabytes. */
+const RESERVED_MB = 200;
+
 /** Dependencies of a {@link Daemon}; tests substitute some of them. */
 export interface DaemonDeps {
   logger: Logger;
@@ -68,6 +72,7 @@
   private readonly requestComponents: RequestComponents;
   private readonly targets: TargetClients;
   private readonly gate: RequestGate;
+  private readonly intake: Intake;
   private caller: HttpListener | undefined;
   private operator: HttpListener | undefined;
   private shutdownPromise: Promise<void> | undefined;
@@ -165,6 +170,17 @@
       logger,
       signal: this.lifetime.signal,
     });
+    this.intake = createIntake({
+      clock,
+      logger,
+      machine: {
+        memoryMb: settings.limits.memory_mb,
+        maxDescriptors: undefined,
+        reservedMb: RESERVED_MB,
+      },
+      onRefused: (reason, number) =>
+        metrics.intakeRefusals.inc({reason}, number),
+    });
     this.gate = new RequestGate({
       config: this.config,
       clock,
@@ -307,7 +323,7 @@
   }
 
   private startCallerApi(): Promise<Result<HttpListener, string>> {
-    const {config, clock, metrics, gate} = this;
+    const {config, clock, metrics, gate, intake} = this;
     const {limits, listen} = this.settings;
     const {
       generationRunner: runner,
@@ -315,13 +331,6 @@
       idempotencyGuard,
     } = this.requestComponents;
     const {logger} = this.deps;
-    const intake = createIntake({
-      clock,
-      logger,
-      machine: {memoryMb: limits.memory_mb, maxDescriptors: undefined},
-      onRefused: (reason, number) =>
-        metrics.intakeRefusals.inc({reason}, number),
-    });
     const app = createCallerApi({
       gate,
       config,
@@ -341,7 +350,10 @@
       logger,
       bodies: {maxBytes: limits.body_bytes, intake, clock},
     });
-    const maxConnections = limits.connections;
+    const maxConnections = Math.min(
+      limits.connections,
+      intake.limits.maxConnections,
+    );
     return HttpListener.start(app, {
       ...listen.caller,
       ...this.listenerOptions('callers'),
@@ -375,7 +387,8 @@
   }
 
   private listenerOptions(listener: string) {
-    return {listener, clock: this.clock, logger: this.deps.logger};
+    const {clock, deps, intake} = this;
+    return {listener, clock, intake, logger: deps.logger};
   }
 
   private status(): HostStatus {
--- a/packages/daemon/src/lib/http_listener.ts
+++ b/packages/daemon/src/lib/http_listener.ts
@@ -8,10 +8,16 @@
 import {
   CallerConnections,
   CallerMessage,
-  MAX_RECEIVE_MS,
   Clock,
+  HOLD,
+  INTAKE_END,
+  Intake,
   ListenerOptions,
+  MAX_PIPELINED,
+  MAX_RECEIVE_MS,
+  MAX_UNANSWERED,
   REFUSAL,
+  discardRest,
   whenConnectionsRead,
   refuse,
   startListening,
@@ -33,6 +39,8 @@
 /** Options of an {@link HttpListener}. */
 export interface HttpListenerOptions extends ListenerOptions {
   maxConnections: number;
+  /** Bounds what connections hold. */
+  intake: Intake;
 }
 
 /** An HTTP server that serves one API. */
@@ -44,8 +52,17 @@
   private constructor(
     private readonly server: Server,
     private readonly clock: Clock,
+    private readonly intake: Intake,
+    maxConnections: number,
   ) {
+    const {heads, log} = intake;
     this.connections.follow(server);
+    this.connections.limitCount(maxConnections, count =>
+      log.record(INTAKE_END.connections, count),
+    );
+    this.connections.limitMemory(heads, clock, () =>
+      log.record(INTAKE_END.heads),
+    );
   }
 
   /** The bound port. */
@@ -72,12 +89,13 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: MAX_RECEIVE_MS,
     });
-    const listener = new HttpListener(server, options.clock);
+    const {clock, intake, maxConnections} = options;
+    const listener = new HttpListener(server, clock, intake, maxConnections);
     server.on('request', (req, res) => {
+      if (!listener.accepts(req)) return;
       void listener.follow(req, res);
       void requestListener(req, res);
     });
-    server.maxConnections = options.maxConnections;
     server.on('clientError', respondToMalformedRequest);
     try {
       await startListening(server, options);
@@ -119,12 +137,38 @@
     this.server.closeAllConnections();
   }
 
+  /** Takes a body that nobody has read, as Node would without a limit. */
+  private discardUnread(req: CallerMessage): void {
+    if (req.complete || req.listenerCount('data') > 0) return;
+    void discardRest(req, this.clock).then(isWhole => {
+      if (!isWhole) req.socket.destroySoon();
+    });
+  }
+
+  /**
+   * Returns whether a request is handled; a connection with too many unanswered
+   * ones closes.
+   */
+  private accepts({socket}: CallerMessage): boolean {
+    // The parser goes on with what it has read of a closed connection.
+    if (socket.destroyed) return false;
+    if (this.connections.requestCount(socket) < MAX_UNANSWERED) return true;
+    this.intake.log.record(INTAKE_END.pipelined);
+    socket.destroy();
+    return false;
+  }
+
   /** Records a request until it has been read and its response passed on. */
   private async follow(req: CallerMessage, res: ServerResponse): Promise<void> {
     const {connections} = this;
     if (this.isClosing) res.shouldKeepAlive = false;
     connections.beginRequest(req);
     const passedOn = new Promise(resolve => res.once('close', resolve));
+    if (connections.requestCount(req.socket) > MAX_PIPELINED) {
+      req.hold(HOLD.pipelined);
+      void passedOn.then(() => req.release(HOLD.pipelined));
+    }
+    res.prependOnceListener('finish', () => this.discardUnread(req));
     await new Promise(resolve =>
       req.once('end', resolve).once('close', resolve),
     );
--- a/packages/daemon/src/lib/service_handler.ts
+++ b/packages/daemon/src/lib/service_handler.ts
@@ -88,8 +88,16 @@
       repeatable: route.repeatable,
     };
     const idempotencyKey = req.headers.get(IDEMPOTENCY_HEADER) ?? undefined;
-    const text = Buffer.from(body).toString('base64');
-    const content = JSON.stringify([routeName, req.method, path, text]);
+    // Only calls that are compared with others need a copy of the body as text.
+    const content =
+      idempotencyKey === undefined
+        ? ''
+        : JSON.stringify([
+            routeName,
+            req.method,
+            path,
+            Buffer.from(body).toString('base64'),
+          ]);
     // A call with an idempotency key continues after its caller disconnects,
     // so that a retry gets the response.
     const runsAtMostOnce = idempotencyKey !== undefined && !route.repeatable;
