Log the era of the store, and why the lease log cannot be read

The logs of the shared fencing numbers don't tell a store that came back from an older copy from other causes: its era isn't logged, and a read that it answers with 410 looks like a store that is lost.

--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -285,6 +285,13 @@
     registers: [this.registry],
   });
 
+  /** Era of the store: how often it came back from an older copy. */
+  readonly storeEra = new Gauge({
+    name: 'fuchsiacleat_gateway_store_era',
+    help: 'Era of the store, which rises when it comes back from an older copy.',
+    registers: [this.registry],
+  });
+
   /** Duration of calls to the store that do not wait for changes. */
   readonly storeSeconds = new Histogram({
     name: 'fuchsiacleat_gateway_store_call_seconds',
--- a/packages/core/src/lib/residency/lease_log.ts
+++ b/packages/core/src/lib/residency/lease_log.ts
@@ -36,6 +36,18 @@
   end: number;
 }
 
+/** Reasons why a read failed. */
+export const LEASE_READ_ERROR = {
+  /** The log does not have the offset that was asked for. */
+  gone: 'gone',
+  /** The log did not answer. */
+  unavailable: 'unavailable',
+} as const;
+
+/** One of {@link LEASE_READ_ERROR}. */
+export type LeaseReadError =
+  (typeof LEASE_READ_ERROR)[keyof typeof LEASE_READ_ERROR];
+
 /** Reasons why an append failed. */
 export const LEASE_ERROR = {
   /** The log no longer ends where the writer expected. */
@@ -55,14 +67,13 @@
    * @param from - offset to read from.
    * @param waitMs - how long the log may wait for a record.
    * @param signal - cancels the read.
-   * @returns the newest record and the end of the log, or that the log did not
-   *     answer.
+   * @returns the newest record and the end of the log, or why the read failed.
    */
   abstract read(
     from: number,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<Result<LeaseTail, 'unavailable'>>;
+  ): Promise<Result<LeaseTail, LeaseReadError>>;
 
   /**
    * Appends a record.
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -5,7 +5,12 @@
 import {Random} from '../time/random.js';
 import {SuspensionDetector} from '../time/suspension_detector.js';
 import {withTimeout} from '../time/timeout.js';
-import {LEASE_EVENT, LeaseLog, LeaseRecord} from './lease_log.js';
+import {
+  LEASE_EVENT,
+  LeaseLog,
+  LeaseReadError,
+  LeaseRecord,
+} from './lease_log.js';
 
 /** Lifetime of a lease record: a few renewals may be lost. */
 export const LEASE_TTL_MS = 1_600;
@@ -112,7 +117,7 @@
   private isStopping = false;
   private pendingAppend: Promise<unknown> = Promise.resolve();
   private isHolderSilent = false;
-  private isLogReadable = true;
+  private readError: LeaseReadError | undefined;
   private resignation = {fencing: -1, ms: -Infinity, isSuccessor: false};
   private wakeController = new AbortController();
   private readonly suspensionWatch: SuspensionDetector;
@@ -249,7 +254,7 @@
       await clock.sleep(pauseMs, this.wakeController.signal);
     } else if (this.isHolderHeard) {
       await clock.sleep(POLL_INTERVAL_MS, this.wakeController.signal);
-    } else if (this.isLogReadable) {
+    } else if (this.readError === undefined) {
       // One long poll for the whole time instead of several reads.
       const untilClaimMs = this.claimableMs - clock.now();
       const waitMs = Math.min(MAX_LONG_POLL_MS, untilClaimMs);
@@ -395,7 +400,7 @@
       this.parts.log.read(this.end, waitMs, limited),
     );
     if (signal.aborted) return;
-    this.logReadability(tail.isOk());
+    this.logReadability(tail.isErr() ? tail.error : undefined);
     if (tail.isErr()) return;
     this.hasReadLog = true;
     this.tailReadMs = this.parts.clock.now();
@@ -408,12 +413,13 @@
     this.adoptRecord(newest, end);
   }
 
-  /** Logs each change of whether the log can be read. */
-  private logReadability(isRead: boolean): void {
-    if (isRead === this.isLogReadable) return;
-    this.isLogReadable = isRead;
-    const event = isRead ? 'order_lease_log_read' : 'order_lease_log_unread';
-    this.parts.logger.info(event, {end: this.end});
+  /** Logs each change of whether, or why not, the log can be read. */
+  private logReadability(error: LeaseReadError | undefined): void {
+    if (error === this.readError) return;
+    this.readError = error;
+    const event =
+      error === undefined ? 'order_lease_log_read' : 'order_lease_log_unread';
+    this.parts.logger.info(event, {end: this.end, reason: error});
   }
 
   private adoptRecord(record: LeaseRecord, end: number): void {
