Let the stand-in of the store come back from a whole older copy

A read beyond the end of a partition gets 410, as from the store; the stand-in waited for a record instead, so that no test could see what hosts make of it. restore() brings all topics back from a copy and raises the era; a late append takes effect in the topic as it is then.

--- a/packages/standins/src/lib/platform/platform_store_standin.ts
+++ b/packages/standins/src/lib/platform/platform_store_standin.ts
@@ -14,9 +14,16 @@
   records: Buffer[];
 }
 
+/** The topics of a store at some time. */
+export interface StoreCopy {
+  readonly topics: ReadonlyMap<string, Topic>;
+  /** Newest values of the keys in compacted topics, by topic and key. */
+  readonly snapshots: ReadonlyMap<string, Map<string, Buffer>>;
+}
+
 /**
  * Store that keeps its topics in memory. In addition to the common faults it
- * can delay appends and compact topics.
+ * can delay appends, compact topics and come back from an older copy.
  */
 export class PlatformStoreStandin extends StandinServer {
   /**
@@ -89,6 +96,29 @@
     this.era += 1;
   }
 
+  /** Copies all topics, for {@link restore}. */
+  copy(): StoreCopy {
+    const topics = new Map<string, Topic>();
+    for (const [name, {firstOffset, records}] of this.topics)
+      topics.set(name, {firstOffset, records: [...records]});
+    return {topics, snapshots: new Map(this.snapshots)};
+  }
+
+  /**
+   * Comes back from an older copy: what was appended since is lost, and its
+   * offsets are given out again.
+   *
+   * @param copy - the copy, which can be used again.
+   */
+  restore({topics, snapshots}: StoreCopy): void {
+    this.topics.clear();
+    for (const [name, {firstOffset, records}] of topics)
+      this.topics.set(name, {firstOffset, records: [...records]});
+    this.snapshots.clear();
+    for (const [name, values] of snapshots) this.snapshots.set(name, values);
+    this.era += 1;
+  }
+
   /** Newest values of the keys in compacted topics, by topic and key. */
   private readonly snapshots = new Map<string, Map<string, Buffer>>();
 
@@ -108,19 +138,17 @@
       this.malformedCalls.push(c.req.url);
       return c.json({}, 400);
     }
-    const topic = this.topic(c.req.query('Topic') ?? '');
+    const name = c.req.query('Topic') ?? '';
     const from = Number(c.req.query('From') ?? 0);
     const endMs = this.clock.now() + Number(c.req.query('WaitMs') ?? 0);
-    if (from < topic.firstOffset)
-      return c.json({First: topic.firstOffset}, 410);
-    while (topic.firstOffset + topic.records.length <= from) {
-      if (this.clock.now() >= endMs) break;
+    while (endOf(this.topic(name)) === from && this.clock.now() < endMs)
       await this.clock.sleep(POLL_MS);
-    }
-    if (from < topic.firstOffset)
+    // A copy that the store came back from may have replaced the topic.
+    const topic = this.topic(name);
+    if (from < topic.firstOffset || from > endOf(topic))
       return c.json({First: topic.firstOffset}, 410);
     const head = Buffer.alloc(2 * OFFSET_BYTES);
-    head.writeBigUInt64BE(BigInt(topic.firstOffset + topic.records.length), 0);
+    head.writeBigUInt64BE(BigInt(endOf(topic)), 0);
     head.writeBigUInt64BE(BigInt(topic.firstOffset), OFFSET_BYTES);
     const framed = topic.records.slice(from - topic.firstOffset).flatMap(frame);
     return c.body(new Uint8Array(Buffer.concat([head, ...framed])));
@@ -134,8 +162,7 @@
       Value: value.toString('base64'),
       Offset: topic.firstOffset,
     }));
-    const end = topic.firstOffset + topic.records.length;
-    return c.json({items, HasMore: false, End: end});
+    return c.json({items, HasMore: false, End: endOf(topic)});
   }
 
   private newestValues(name: string): Map<string, Buffer> {
@@ -151,28 +178,33 @@
   }
 
   private async append(c: Context): Promise<Response> {
-    const topic = this.topic(c.req.query('Topic') ?? '');
+    const name = c.req.query('Topic') ?? '';
     const expectedOffset = c.req.query('At');
     const body = Buffer.from(await c.req.arrayBuffer());
     if (this.appendDelayMs > 0) {
       this.clock.after(this.appendDelayMs, () =>
-        appendAt(topic, expectedOffset, body),
+        appendAt(this.topic(name), expectedOffset, body),
       );
       return new Promise(() => {});
     }
+    const topic = this.topic(name);
     const offset = appendAt(topic, expectedOffset, body);
-    const end = topic.firstOffset + topic.records.length;
-    if (offset === undefined) return c.json({End: end}, 412);
-    return c.json({Offset: offset, End: end});
+    if (offset === undefined) return c.json({End: endOf(topic)}, 412);
+    return c.json({Offset: offset, End: endOf(topic)});
   }
 }
 
+/** Returns the offset after the newest record. */
+function endOf({firstOffset, records}: Topic): number {
+  return firstOffset + records.length;
+}
+
 function appendAt(
   topic: Topic,
   expectedEnd: string | undefined,
   body: Buffer,
 ): number | undefined {
-  const end = topic.firstOffset + topic.records.length;
+  const end = endOf(topic);
   if (expectedEnd !== undefined && Number(expectedEnd) !== end)
     return undefined;
   for (let i = 0; i < body.length;) {
