Count fencing numbers by the era of the store, and wait out leases it has lost

Besides, nobody may order any more after the first copy.

Cause: the number of a claim was its offset. A store that comes back from an older copy gives offsets out again, so that a later holder gets the number of an earlier one, or a lower one; whoever reads the log then sees nothing of the lease that still holds. A host that knew a later end got status 410, took it for a store that does not answer, and claimed at that end for ever, or until the log had grown back to it. The class: an offset, or the fact that a record was acknowledged, outlives the log that it belongs to.

Each answer of the log names its era. The fencing number is the position of the claim, (era, offset), as one integer. A host that learns of a new era reads the log from its beginning, and claims only after a lease granted before has expired; its orders keep the gap after that. Only the holder itself claims anew at once, while its lease holds: nobody else can until then. Records and answers of an earlier era grant nothing, also where their condition matches again. Messages of the holder tell their era. A controller that goes on in a new era keeps its accounts and loans.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -49,6 +49,7 @@
 export * from './lib/continuation/stream_origins.js';
 export * from './lib/continuation/version_archive.js';
 export * from './lib/continuation/version_keeper.js';
+export * from './lib/platform/log_position.js';
 export * from './lib/quarantine/answered_parts.js';
 export * from './lib/quarantine/part_digest.js';
 export * from './lib/quarantine/part_ledger.js';
--- a/packages/core/src/lib/residency/lease_log.ts
+++ b/packages/core/src/lib/residency/lease_log.ts
@@ -1,6 +1,7 @@
 /** Interface of the log that holds the order lease. @packageDocumentation */
 
 import {Result} from 'neverthrow';
+import {LogPosition} from '../platform/log_position.js';
 
 /** Kinds of lease records. */
 export const LEASE_EVENT = {
@@ -26,28 +27,37 @@
   hosts: number;
   /** Offset of the claim that is renewed or released; unset in a claim. */
   claimOffset?: number;
+  /**
+   * Era of the log for which the record was written: a late append may take
+   * effect in a newer one. Unset in records of hosts of an earlier release.
+   */
+  era?: number;
+}
+
+/** A record and where it is. */
+export interface LeaseEntry {
+  record: LeaseRecord;
+  offset: number;
 }
 
-/** The newest record from an offset on. */
+/** What a read of the log returns. */
 export interface LeaseTail {
-  /** The newest record, if there is any at or after the offset asked for. */
-  newest: LeaseRecord | undefined;
+  /** Era of the log when it answered. */
+  era: number;
   /** Offset after the newest record. */
   end: number;
+  /**
+   * Records from the position that was asked for; all that are retained if the
+   * log does not have it.
+   */
+  entries: LeaseEntry[];
+  /**
+   * Whether the log came back from an older copy since the position that was
+   * asked for, even if it names no other era.
+   */
+  isRestored: boolean;
 }
 
-/** Reasons why a read failed. */
-export const LEASE_READ_ERROR = {
-  /** The log does not have the offset that was asked for. */
-  gone: 'gone',
-  /** The log did not answer. */
-  unavailable: 'unavailable',
-} as const;
-
-/** One of {@link LEASE_READ_ERROR}. */
-export type LeaseReadError =
-  (typeof LEASE_READ_ERROR)[keyof typeof LEASE_READ_ERROR];
-
 /** Reasons why an append failed. */
 export const LEASE_ERROR = {
   /** The log no longer ends where the writer expected. */
@@ -59,33 +69,39 @@
 /** One of {@link LEASE_ERROR}. */
 export type LeaseError = (typeof LEASE_ERROR)[keyof typeof LEASE_ERROR];
 
-/** A log with conditional appends: the writer names the end that it expects. */
+/**
+ * A log with conditional appends: the writer names the end that it expects. The
+ * log may come back from an older copy, which begins a new era. A condition is
+ * about the offset alone, so that an append of an earlier era may take effect.
+ */
 export abstract class LeaseLog {
   /**
-   * Reads the newest record.
+   * Reads records.
    *
-   * @param from - offset to read from.
+   * @param from - position to read from.
    * @param waitMs - how long the log may wait for a record.
    * @param signal - cancels the read.
-   * @returns the newest record and the end of the log, or why the read failed.
+   * @returns the records, or that the log did not answer.
    */
   abstract read(
-    from: number,
+    from: LogPosition,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<Result<LeaseTail, LeaseReadError>>;
+  ): Promise<Result<LeaseTail, 'unavailable'>>;
 
   /**
    * Appends a record.
    *
    * @param record - the record.
-   * @param expectedEnd - the append takes effect only if the log ends here.
+   * @param expectedEnd - the append takes effect only if the log ends at this
+   *     offset.
    * @param signal - cancels the wait for an answer.
-   * @returns the offset of the record, or why it was not appended.
+   * @returns the position of the record, whose era may be a newer one than the
+   *     writer knew, or why it was not appended.
    */
   abstract append(
     record: LeaseRecord,
     expectedEnd: number,
     signal: AbortSignal,
-  ): Promise<Result<number, LeaseError>>;
+  ): Promise<Result<LogPosition, LeaseError>>;
 }
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -5,11 +5,13 @@
 import {Random} from '../time/random.js';
 import {SuspensionDetector} from '../time/suspension_detector.js';
 import {withTimeout} from '../time/timeout.js';
+import {LogPosition, revisionOf} from '../platform/log_position.js';
 import {
   LEASE_EVENT,
+  LeaseEntry,
   LeaseLog,
-  LeaseReadError,
   LeaseRecord,
+  LeaseTail,
 } from './lease_log.js';
 
 /** Lifetime of a lease record: a few renewals may be lost. */
@@ -57,11 +59,17 @@
  */
 const HOLDER_TIMEOUT_MS = 750;
 
+/** Era of a log that has never come back from an older copy, or a lower one. */
+const FIRST_ERA = 1;
+
+/** Fencing number before any claim, lower than that of any. */
+const NO_CLAIM = -1;
+
 /** The lease holder, as far as this host knows. */
 export interface LeaseHolder {
   host: string;
   incarnation: string;
-  /** Offset of the claim; increases with every holder. */
+  /** Revision of the claim; increases with every claim, over all eras. */
   fencing: number;
 }
 
@@ -99,15 +107,30 @@
  * notifies its peers that it resigned, and names a successor that claims at
  * once. A machine whose own previous process holds the lease claims at once
  * too: that process has ended, and targets see both as one holder.
+ *
+ * The log may come back from an older copy. Records of claims and renewals are
+ * lost then, so that every host that learns of the new era waits until all that
+ * may have been granted before has expired; only the host that still holds the
+ * lease claims it anew at once, as nobody else can until then. What was written
+ * or answered in an earlier era grants nothing in the new one.
  */
 export class OrderLease {
-  private end = 0;
+  /** Position after the newest record that this host knows. */
+  private end: LogPosition = {era: 0, offset: 0};
   private seenMs = -Infinity;
+  /** The newest record that this host knows, and the era of its claim. */
   private newest: LeaseRecord | undefined;
-  private fencing = 0;
+  private newestEra = 0;
+  private fencing = NO_CLAIM;
+  /** Clock time until which a lease may hold whose record is not in the log. */
+  private unrecordedUntilMs = -Infinity;
   private heldUntilMs = -Infinity;
   private heldSinceMs = -Infinity;
+  /** Fencing number with which this host began to hold the lease. */
+  private firstFencing = NO_CLAIM;
   private ordersFromMs = -Infinity;
+  /** Offset of the claim that is renewed. */
+  private claimAt = 0;
   /** Fencing number of the claim that {@link ordersFromMs} belongs to. */
   private claimedFencing: number | undefined;
   private holderHeardMs = -Infinity;
@@ -117,7 +140,7 @@
   private isStopping = false;
   private pendingAppend: Promise<unknown> = Promise.resolve();
   private isHolderSilent = false;
-  private readError: LeaseReadError | undefined;
+  private isLogReadable = true;
   private resignation = {fencing: -1, ms: -Infinity, isSuccessor: false};
   private wakeController = new AbortController();
   private readonly suspensionWatch: SuspensionDetector;
@@ -146,6 +169,14 @@
     return this.fencing;
   }
 
+  /**
+   * Fencing number with which this host began to hold the lease without a
+   * break. It stays when the lease is claimed anew in a new era of the log.
+   */
+  get firstFencingNumber(): number {
+    return this.firstFencing;
+  }
+
   /** The holder that this host knows of, possibly itself. */
   get holder(): LeaseHolder | undefined {
     if (this.newest === undefined) return undefined;
@@ -169,8 +200,8 @@
     return this.newest?.hosts;
   }
 
-  /** Offset after the newest record that this host knows. */
-  get knownEnd(): number {
+  /** Position after the newest record that this host knows. */
+  get knownEnd(): LogPosition {
     return this.end;
   }
 
@@ -178,16 +209,22 @@
    * Records a message from the holder, which shows that it is alive.
    *
    * @param incarnation - incarnation of the sender.
-   * @param end - offset after the newest record that the sender knew.
+   * @param end - position after the newest record that the sender knew; its era
+   *     is unset in messages of hosts of an earlier release.
    */
-  recordHolderContact(incarnation: string, end: number): void {
+  recordHolderContact(
+    incarnation: string,
+    {era = this.newestEra, offset}: Partial<LogPosition> & {offset: number},
+  ): void {
     if (this.newest?.incarnation !== incarnation) return;
+    // This host has to read the holder's new claim, or that there is none.
+    if (era !== this.newestEra) return;
     const nowMs = this.parts.clock.now();
     this.holderHeardMs = nowMs;
     this.isHolderSilent = false;
-    if (end <= this.end) return;
+    if (era !== this.end.era || offset <= this.end.offset) return;
     // A record that was appended by now binds this host from now on.
-    this.end = end;
+    this.end = {era, offset};
     this.seenMs = nowMs;
   }
 
@@ -239,12 +276,18 @@
     if (this.wroteNewest) await this.append(LEASE_EVENT.release, signal);
   }
 
-  /** Whether the newest record names this process as the holder. */
+  /** Whether the newest record of this era names this process as the holder. */
   private get wroteNewest(): boolean {
+    if (!this.isNewestCurrent) return false;
     if (this.newest?.incarnation !== this.parts.incarnation) return false;
     return this.newest.event !== LEASE_EVENT.release;
   }
 
+  /** Whether the newest record is of a claim of the current era of the log. */
+  private get isNewestCurrent(): boolean {
+    return this.newest !== undefined && this.newestEra === this.end.era;
+  }
+
   private async waitForNextStep(signal: AbortSignal): Promise<void> {
     if (signal.aborted || this.wakeController.signal.aborted) return;
     const {clock} = this.parts;
@@ -254,7 +297,7 @@
       await clock.sleep(pauseMs, this.wakeController.signal);
     } else if (this.isHolderHeard) {
       await clock.sleep(POLL_INTERVAL_MS, this.wakeController.signal);
-    } else if (this.readError === undefined) {
+    } else if (this.isLogReadable) {
       // One long poll for the whole time instead of several reads.
       const untilClaimMs = this.claimableMs - clock.now();
       const waitMs = Math.min(MAX_LONG_POLL_MS, untilClaimMs);
@@ -283,8 +326,10 @@
     );
   }
 
+  /** Renews the lease; claims it anew in a new era, which has no record of it. */
   private async renew(signal: AbortSignal): Promise<void> {
-    const isRenewed = await this.append(LEASE_EVENT.renew, signal);
+    const event = this.wroteNewest ? LEASE_EVENT.renew : LEASE_EVENT.claim;
+    const isRenewed = await this.append(event, signal);
     if (isRenewed || !this.isHeld) return;
     const leftMs = this.heldUntilMs - this.parts.clock.now();
     if (leftMs >= RESIGN_THRESHOLD_MS) return;
@@ -341,13 +386,16 @@
   private get isPredecessorLocal(): boolean {
     const {incarnation, owner} = this.parts;
     const {newest} = this;
+    if (!this.isNewestCurrent) return false;
     return newest?.owner === owner && newest.incarnation !== incarnation;
   }
 
   /** Whether this host claims without a delay. */
   private get hasClaimPriority(): boolean {
     if (this.isPredecessorLocal) return true;
-    return this.isResigned && this.resignation.isSuccessor;
+    return (
+      this.isNewestCurrent && this.isResigned && this.resignation.isSuccessor
+    );
   }
 
   /** Logs once that no message of the holder arrives any more. */
@@ -369,10 +417,8 @@
 
   /** Clock time by which every earlier lease has certainly expired. */
   private get expiryMs(): number {
-    if (this.newest === undefined) {
-      // Records that the log no longer has may have been of a holder.
-      return this.end === 0 ? -Infinity : this.seenMs + LEASE_TTL_MS;
-    }
+    if (this.newest === undefined || !this.isNewestCurrent)
+      return this.unrecordedUntilMs;
     if (this.isResigned) return this.resignation.ms;
     const isRelease = this.newest.event === LEASE_EVENT.release;
     return this.seenMs + (isRelease ? 0 : this.newest.ttlMs);
@@ -386,6 +432,9 @@
   /** Clock time from which orders keep the gap to another holder's orders. */
   private nextOrdersMs(): number {
     const {holderGapMs, owner} = this.parts;
+    // Nobody else has ordered since this host was allowed to.
+    if (this.isHeld) return this.ordersFromMs;
+    if (!this.isNewestCurrent) return this.expiryMs + holderGapMs;
     if (this.fencing === this.claimedFencing) return this.ordersFromMs;
     if (this.newest?.owner === owner) {
       // Written by a previous process, or a claim whose answer was lost.
@@ -400,34 +449,71 @@
       this.parts.log.read(this.end, waitMs, limited),
     );
     if (signal.aborted) return;
-    this.logReadability(tail.isErr() ? tail.error : undefined);
+    this.logReadability(tail.isOk());
     if (tail.isErr()) return;
+    // An answer from before the copy.
+    if (this.hasReadLog && tail.value.era < this.end.era) return;
+    this.adoptTail(tail.value);
     this.hasReadLog = true;
     this.tailReadMs = this.parts.clock.now();
-    const {newest, end} = tail.value;
-    if (newest === undefined) {
-      if (end > this.end) this.seenMs = this.parts.clock.now();
-      this.end = Math.max(this.end, end);
-      return;
+  }
+
+  private adoptTail({end, entries, era, isRestored}: LeaseTail): void {
+    const isNewEra = era !== this.end.era || isRestored;
+    const knownEnd = isNewEra ? 0 : this.end.offset;
+    if (isNewEra && this.hasReadLog) this.beginEra(era);
+    if (end > knownEnd || isNewEra) this.end = {era, offset: end};
+    for (const entry of entries) this.adoptRecord(entry);
+    if (this.isNewestCurrent) return;
+    // Records that the log does not have may have been of a holder.
+    const isFirstUse = !this.hasReadLog && end === 0 && era <= FIRST_ERA;
+    if (!isFirstUse && (isNewEra || end > knownEnd)) this.awaitUnrecorded();
+  }
+
+  /** Makes this host wait until a lease that no record shows has expired. */
+  private awaitUnrecorded(): void {
+    this.unrecordedUntilMs = this.parts.clock.now() + LEASE_TTL_MS;
+  }
+
+  /** Begins anew at a log that came back from an older copy. */
+  private beginEra(era: number): void {
+    this.parts.logger.warn('order_lease_log_restored', {
+      era,
+      before: this.end.era,
+      known_end: this.end.offset,
+      held: this.isHeld,
+      fencing: this.fencing,
+    });
+    // The log names no other era: the numbers of its records say nothing.
+    if (era === this.end.era) {
+      this.newest = undefined;
+      this.fencing = NO_CLAIM;
+      this.heldUntilMs = -Infinity;
     }
-    this.adoptRecord(newest, end);
+    this.awaitUnrecorded();
   }
 
-  /** Logs each change of whether, or why not, the log can be read. */
-  private logReadability(error: LeaseReadError | undefined): void {
-    if (error === this.readError) return;
-    this.readError = error;
-    const event =
-      error === undefined ? 'order_lease_log_read' : 'order_lease_log_unread';
-    this.parts.logger.info(event, {end: this.end, reason: error});
+  /** Logs each change of whether the log can be read. */
+  private logReadability(isRead: boolean): void {
+    if (isRead === this.isLogReadable) return;
+    this.isLogReadable = isRead;
+    const event = isRead ? 'order_lease_log_read' : 'order_lease_log_unread';
+    const {era, offset: end} = this.end;
+    this.parts.logger.info(event, {end, era});
   }
 
-  private adoptRecord(record: LeaseRecord, end: number): void {
+  /** Adopts a record, unless it is of an older claim than the newest one. */
+  private adoptRecord({offset, record}: LeaseEntry): void {
+    const {claimOffset = offset, era = this.end.era} = record;
+    const fencing = revisionOf({era, offset: claimOffset});
+    // A late append of an earlier era, or a record that only the copy has.
+    if (fencing < this.fencing) return;
     this.newest = record;
-    this.end = end;
+    this.newestEra = era;
     this.seenMs = this.parts.clock.now();
     this.isHolderSilent = false;
-    this.fencing = record.claimOffset ?? end - 1;
+    this.fencing = fencing;
+    this.claimAt = claimOffset;
     if (record.incarnation !== this.parts.incarnation) {
       this.heldUntilMs = -Infinity;
     }
@@ -449,9 +535,11 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const {clock, host, incarnation, log, logger, owner} = this.parts;
-    const claimOffset = event === LEASE_EVENT.claim ? undefined : this.fencing;
+    const {era, offset: expectedEnd} = this.end;
+    const claimOffset = event === LEASE_EVENT.claim ? undefined : this.claimAt;
     const sentMs = clock.now();
     const ordersFromMs = this.nextOrdersMs();
+    const continuesLease = this.isHeld;
     const record = {
       event,
       host,
@@ -461,25 +549,33 @@
       ordersInMs: Math.max(0, ordersFromMs - sentMs),
       hosts: this.parts.hostCount(),
       claimOffset,
+      era,
     };
-    const offset = await withTimeout(LOG_CALL_TIMEOUT_MS, signal, limited =>
-      log.append(record, this.end, limited),
+    const appended = await withTimeout(LOG_CALL_TIMEOUT_MS, signal, limited =>
+      log.append(record, expectedEnd, limited),
     );
-    if (offset.isErr()) {
+    const isCurrent = appended.isOk() && appended.value.era === era;
+    if (!isCurrent) {
       logger.info('order_lease_append_failed', {
         record: event,
-        expected_end: this.end,
-        reason: offset.error,
+        expected_end: expectedEnd,
+        era,
+        reason: appended.isErr() ? appended.error : 'other-era',
       });
       await this.readTail(signal);
       return false;
     }
-    this.adoptRecord(record, offset.value + 1);
+    const {offset} = appended.value;
+    // A read that overlapped may have shown a newer era meanwhile.
+    if (this.end.era !== era) return false;
+    this.end = {era, offset: Math.max(this.end.offset, offset + 1)};
+    this.adoptRecord({record, offset});
     if (this.isStopping) return true;
     if (this.suspensionWatch.wasSuspendedSince(sentMs)) return true;
     if (event === LEASE_EVENT.claim) {
       this.ordersFromMs = ordersFromMs;
       this.claimedFencing = this.fencing;
+      if (!continuesLease) this.firstFencing = this.fencing;
     }
     this.heldSinceMs = sentMs;
     this.heldUntilMs = sentMs + LEASE_TTL_MS;
--- a/packages/core/src/lib/residency/residency_controller.ts
+++ b/packages/core/src/lib/residency/residency_controller.ts
@@ -130,7 +130,7 @@
   /** Whether the accounts belong to the current lease. */
   private get hasTakenOver(): boolean {
     const {lease} = this.parts;
-    return lease.isHeld && this.activeFencing === lease.fencingNumber;
+    return lease.isHeld && this.activeFencing === lease.firstFencingNumber;
   }
 
   /**
@@ -181,8 +181,9 @@
       return;
     }
     this.parts.usage.prune();
-    const {fencingNumber} = this.parts.lease;
-    if (this.activeFencing !== fencingNumber) this.takeOver(fencingNumber);
+    const {firstFencingNumber} = this.parts.lease;
+    if (this.activeFencing !== firstFencingNumber)
+      this.takeOver(firstFencingNumber);
     this.refreshOnceOrdersAllowed();
     this.parts.registry.sync(this.signal);
     this.planHandoffs();
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -200,7 +200,8 @@
     const connected = network.connected();
     const body = {
       fencing: lease.fencingNumber,
-      leaseEnd: lease.knownEnd,
+      leaseEnd: lease.knownEnd.offset,
+      leaseEra: lease.knownEnd.era,
       successor: this.successors.best(connected.map(({host}) => host)),
     };
     network.broadcast(LEASE_RESIGNED, body);
@@ -381,8 +382,8 @@
     });
     network.onNotification(
       LEASE_RESIGNED,
-      ({fencing, leaseEnd, successor}, from) => {
-        lease.recordHolderContact(from.incarnation, leaseEnd);
+      ({fencing, leaseEnd: offset, leaseEra: era, successor}, from) => {
+        lease.recordHolderContact(from.incarnation, {era, offset});
         lease.handleResignation(fencing, successor === network.self.host);
       },
     );
@@ -394,7 +395,8 @@
   private handleView(body: ViewBody, incarnation: string): void {
     const {clock, controller, lease} = this.parts;
     if (controller.isActive) return;
-    lease.recordHolderContact(incarnation, body.leaseEnd);
+    const end = {era: body.leaseEra, offset: body.leaseEnd};
+    lease.recordHolderContact(incarnation, end);
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewReceivedMs = clock.now();
     this.hostCounter.record(Math.max(1, body.hosts));
--- a/packages/core/src/lib/residency/residency_view_publisher.ts
+++ b/packages/core/src/lib/residency/residency_view_publisher.ts
@@ -136,7 +136,8 @@
     hostCounter.record(Math.max(1, usage.hostCount));
     return {
       holder: network.self.incarnation,
-      leaseEnd: lease.knownEnd,
+      leaseEnd: lease.knownEnd.offset,
+      leaseEra: lease.knownEnd.era,
       targets,
       crowded,
       work,
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -29,6 +29,7 @@
 import {UsageTable} from '../../lib/residency/usage_table.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
 import {TaskSupervisor} from '../../lib/tasks/task_supervisor.js';
+import {LogPosition} from '../../lib/platform/log_position.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
 import {noWork} from '../../lib/work/target_work.js';
@@ -235,15 +236,19 @@
   }
 }
 
+/** Era of the lease log. */
+const ERA = 1;
+
 class EmptyLeaseLog extends LeaseLog {
   private end = 0;
 
   override async read(): Promise<Result<LeaseTail, 'unavailable'>> {
-    return ok({newest: undefined, end: this.end});
+    const {end} = this;
+    return ok({era: ERA, end, entries: [], isRestored: false});
   }
 
-  override async append(): Promise<Result<number, LeaseError>> {
-    return ok(this.end++);
+  override async append(): Promise<Result<LogPosition, LeaseError>> {
+    return ok({era: ERA, offset: this.end++});
   }
 }
 
--- a/packages/core/src/test/residency/lease_log_fixtures.ts
+++ b/packages/core/src/test/residency/lease_log_fixtures.ts
@@ -5,10 +5,10 @@
   LEASE_ERROR,
   LeaseError,
   LeaseLog,
-  LeaseReadError,
   LeaseRecord,
   LeaseTail,
 } from '../../lib/residency/lease_log.js';
+import {LogPosition} from '../../lib/platform/log_position.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 
 /** Poll interval of a read that waits for a record, in milliseconds. */
@@ -29,18 +29,23 @@
 /** In-memory log that all hosts share. */
 export class SharedLog {
   readonly records: LeaseRecord[] = [];
+  era = 1;
   /** Number of calls of all hosts. */
   calls = 0;
 
   /** Comes back from an older copy without the newest records. */
   restore(lostRecords: number): void {
     this.records.splice(Math.max(0, this.records.length - lostRecords));
+    this.era += 1;
   }
 
-  append(record: LeaseRecord, expectedEnd: number): Result<number, LeaseError> {
+  append(
+    record: LeaseRecord,
+    expectedEnd: number,
+  ): Result<LogPosition, LeaseError> {
     if (this.records.length !== expectedEnd) return err(LEASE_ERROR.conflict);
     this.records.push(record);
-    return ok(expectedEnd);
+    return ok({era: this.era, offset: expectedEnd});
   }
 }
 
@@ -61,25 +66,31 @@
   }
 
   override async read(
-    from: number,
+    from: LogPosition,
     waitMs: number,
-  ): Promise<Result<LeaseTail, LeaseReadError>> {
+  ): Promise<Result<LeaseTail, 'unavailable'>> {
     this.log.calls += 1;
-    const {records} = this.log;
+    const {log} = this;
     const untilMs = this.clock.now() + waitMs;
-    while (records.length === from && this.clock.now() < untilMs) {
+    const isAtEnd = () =>
+      log.era === from.era && log.records.length === from.offset;
+    while (isAtEnd() && this.clock.now() < untilMs) {
       await this.clock.sleep(LOG_POLL_MS);
     }
     if (this.faults.isCut) return err('unavailable');
-    if (from > records.length) return err('gone');
-    const newest = from < records.length ? records.at(-1) : undefined;
-    return ok({newest, end: records.length});
+    const {era, records} = log;
+    const isRestored = from.offset > 0 && from.era !== era;
+    const first = isRestored ? 0 : from.offset;
+    const entries = records
+      .slice(first)
+      .map((record, i) => ({record, offset: first + i}));
+    return ok({era, end: records.length, entries, isRestored});
   }
 
   override async append(
     record: LeaseRecord,
     expectedEnd: number,
-  ): Promise<Result<number, LeaseError>> {
+  ): Promise<Result<LogPosition, LeaseError>> {
     this.log.calls += 1;
     const {isCut, losesAnswers, lateMs, slowMs} = this.faults;
     if (isCut) return err(LEASE_ERROR.unknown);
--- a/packages/core/src/test/residency/lease_world.ts
+++ b/packages/core/src/test/residency/lease_world.ts
@@ -16,8 +16,12 @@
 /** Longest time of a slow append, below the timeout of the lease. */
 const MAX_SLOW_MS = 900;
 
+/** Time between the messages of a holder to the other hosts. */
+const CONTACT_INTERVAL_MS = 250;
+
 /** A host that competes. */
 export interface LeaseHost {
+  incarnation: string;
   lease: OrderLease;
   log: FaultyLeaseLog;
   stop: AbortController;
@@ -36,7 +40,11 @@
   readonly hosts: LeaseHost[] = [];
   /** Each step in which a host may order. */
   readonly orders: OrderMoment[] = [];
+  /** Clock times at which several hosts held the lease. */
+  readonly sharedMs: number[] = [];
   readonly shared = new SharedLog();
+  /** Hosts that messages of holders do not reach; all by default. */
+  readonly deaf = new Set<number>();
   /** Hosts that have stopped and were not restarted. */
   readonly stopped = new Set<number>();
   private starts = 0;
@@ -45,7 +53,10 @@
     count: number,
     private readonly claimDelayMs = 0,
   ) {
-    for (let i = 0; i < count; i++) this.hosts.push(this.start(i));
+    for (let i = 0; i < count; i++) {
+      this.deaf.add(i);
+      this.hosts.push(this.start(i));
+    }
   }
 
   /** Kills a host and restarts it without any state. */
@@ -64,6 +75,9 @@
   async run(durationMs: number): Promise<void> {
     for (let ms = 0; ms < durationMs; ms += STEP_MS) {
       await this.clock.advance(STEP_MS);
+      if (ms % CONTACT_INTERVAL_MS === 0) this.sendContacts();
+      const holders = this.hosts.filter(({lease}) => lease.isHeld);
+      if (holders.length > 1) this.sharedMs.push(this.clock.now());
       this.hosts.forEach(({lease}, host) => {
         if (!lease.canOrder) return;
         const fencing = lease.fencingNumber;
@@ -72,6 +86,16 @@
     }
   }
 
+  private sendContacts(): void {
+    const holders = this.hosts.filter(({lease}) => lease.isHeld);
+    for (const {incarnation, lease: holder} of holders) {
+      this.hosts.forEach(({lease}, i) => {
+        if (lease !== holder && !this.deaf.has(i))
+          lease.recordHolderContact(incarnation, holder.knownEnd);
+      });
+    }
+  }
+
   /** Notifies the other hosts, and names the next one as the successor. */
   private notifyResigned(holder: number): void {
     const {fencingNumber} = this.hosts[holder].lease;
@@ -102,7 +126,7 @@
     });
     const stop = new AbortController();
     void lease.run(stop.signal);
-    return {lease, log, stop};
+    return {incarnation, lease, log, stop};
   }
 }
 
@@ -145,6 +169,12 @@
     case 'slow':
       log.faults.slowMs = Math.min(ms, MAX_SLOW_MS);
       break;
+    case 'hear':
+      world.deaf.delete(host);
+      break;
+    case 'deafen':
+      world.deaf.add(host);
+      break;
     case 'stop':
       world.stopped.add(host);
       void lease.release(new AbortController().signal);
@@ -157,7 +187,7 @@
       world.restart(host);
       break;
     case 'restore':
-      world.shared.restore(Math.ceil(ms / MS_PER_LOST_RECORD));
+      world.shared.restore(Math.floor(ms / MS_PER_LOST_RECORD));
       break;
     case 'pause':
       world.clock.pause(ms);
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -188,6 +188,7 @@
         for (const {log} of world.hosts) heal(log);
         await world.run(9_000);
         expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+        expect(world.sharedMs).to.deep.equal([]);
       }),
       {numRuns: 60},
     );
--- a/packages/core/src/test/residency/restored_lease_log_test.ts
+++ b/packages/core/src/test/residency/restored_lease_log_test.ts
@@ -97,6 +97,28 @@
     expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
   });
 
+  for (const isRestarted of [false, true]) {
+    const what = isRestarted ? 'that restarts' : 'that goes on';
+    it(`keeps a machine ${what} behind a holder whose claim is lost`, async () => {
+      const world = new LeaseWorld(2);
+      await world.run(8_000);
+      const first = world.hosts.findIndex(({lease}) => lease.canOrder);
+      world.hosts[first].log.faults.isCut = true;
+      const claimedAt = world.shared.records.length;
+      await world.run(LEASE_TTL_MS + CLAIM_TIME_MS + HOLDER_GAP_MS);
+      expect(world.hosts[1 - first].lease.canOrder).to.equal(true);
+      world.hosts[1 - first].log.faults.isCut = true;
+      world.shared.restore(world.shared.records.length - claimedAt);
+      heal(world.hosts[first].log);
+      if (isRestarted) world.restart(first);
+      await world.run(2 * MAX_PAUSE_MS);
+      expect(world.hosts[first].lease.canOrder).to.equal(true);
+      expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+      expect(loweredNumbers(world.orders)).to.deep.equal([]);
+      expect(world.sharedMs).to.deep.equal([]);
+    });
+  }
+
   it('keeps numbers rising and unshared, and the gap, in any order of faults', async () => {
     const steps = fc.array(
       fc.record({
@@ -121,10 +143,11 @@
         expect(loweredNumbers(world.orders)).to.deep.equal([]);
         expect(sharedNumbers(world.orders)).to.deep.equal([]);
         expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+        expect(world.sharedMs).to.deep.equal([]);
         const last = world.orders.at(-1);
         expect(last?.ms).to.be.above(healedMs + MAX_PAUSE_MS);
       }),
-      {numRuns: 60},
+      {numRuns: 200},
     );
   });
 });
