Do not claim beside a holder that resigned, claimed again and is heard

Cause: a message of the holder names the end of the log that it knows, and its peers go on reading from there. After the holder had resigned and claimed again, they skipped the record of the new claim and kept the resigned one, whose lease anybody may claim at once.

The message names the fencing number of the lease; a peer that does not know that claim reads it first. It also takes the place of the era in the message.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -73,6 +73,19 @@
   fencing: number;
 }
 
+/** What a message of the lease holder says of its lease. */
+export interface HolderContact {
+  /** Incarnation of the sender. */
+  incarnation: string;
+  /**
+   * Fencing number of the sender's lease; unset in messages of hosts of an
+   * earlier release.
+   */
+  fencing: number | undefined;
+  /** Offset after the newest record that the sender knew. */
+  end: number;
+}
+
 /** Dependencies of {@link OrderLease}. */
 export interface OrderLeaseParts {
   clock: Clock;
@@ -200,31 +213,26 @@
     return this.newest?.hosts;
   }
 
-  /** Position after the newest record that this host knows. */
-  get knownEnd(): LogPosition {
-    return this.end;
+  /** Offset after the newest record that this host knows. */
+  get knownEnd(): number {
+    return this.end.offset;
   }
 
   /**
    * Records a message from the holder, which shows that it is alive.
    *
-   * @param incarnation - incarnation of the sender.
-   * @param end - position after the newest record that the sender knew; its era
-   *     is unset in messages of hosts of an earlier release.
+   * @param contact - see {@link HolderContact}.
    */
-  recordHolderContact(
-    incarnation: string,
-    {era = this.newestEra, offset}: Partial<LogPosition> & {offset: number},
-  ): void {
+  recordHolderContact({end, fencing, incarnation}: HolderContact): void {
     if (this.newest?.incarnation !== incarnation) return;
-    // This host has to read the holder's new claim, or that there is none.
-    if (era !== this.newestEra) return;
+    // The holder has claimed anew; this host has to read that claim.
+    if (fencing !== undefined && fencing !== this.fencing) return;
     const nowMs = this.parts.clock.now();
     this.holderHeardMs = nowMs;
     this.isHolderSilent = false;
-    if (era !== this.end.era || offset <= this.end.offset) return;
+    if (!this.isNewestCurrent || end <= this.end.offset) return;
     // A record that was appended by now binds this host from now on.
-    this.end = {era, offset};
+    this.end = {era: this.end.era, offset: end};
     this.seenMs = nowMs;
   }
 
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -200,8 +200,7 @@
     const connected = network.connected();
     const body = {
       fencing: lease.fencingNumber,
-      leaseEnd: lease.knownEnd.offset,
-      leaseEra: lease.knownEnd.era,
+      leaseEnd: lease.knownEnd,
       successor: this.successors.best(connected.map(({host}) => host)),
     };
     network.broadcast(LEASE_RESIGNED, body);
@@ -382,8 +381,8 @@
     });
     network.onNotification(
       LEASE_RESIGNED,
-      ({fencing, leaseEnd: offset, leaseEra: era, successor}, from) => {
-        lease.recordHolderContact(from.incarnation, {era, offset});
+      ({fencing, leaseEnd: end, successor}, {incarnation}) => {
+        lease.recordHolderContact({incarnation, fencing, end});
         lease.handleResignation(fencing, successor === network.self.host);
       },
     );
@@ -395,8 +394,8 @@
   private handleView(body: ViewBody, incarnation: string): void {
     const {clock, controller, lease} = this.parts;
     if (controller.isActive) return;
-    const end = {era: body.leaseEra, offset: body.leaseEnd};
-    lease.recordHolderContact(incarnation, end);
+    const {fencing, leaseEnd: end} = body;
+    lease.recordHolderContact({incarnation, fencing, end});
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewReceivedMs = clock.now();
     this.hostCounter.record(Math.max(1, body.hosts));
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -104,8 +104,8 @@
   holder: z.string(),
   /** Offset after the newest record of its lease. */
   leaseEnd: z.number(),
-  /** Era of that offset; missing in messages of an earlier release. */
-  leaseEra: z.number().optional(),
+  /** Fencing number of the lease; missing in messages of an earlier release. */
+  fencing: z.number().optional(),
   targets: z.array(targetViewSchema),
   /** Targets that fill up, with their requests as a fraction of their slots. */
   crowded: z.array(z.tuple([z.string(), z.number()])),
@@ -130,8 +130,6 @@
   fencing: z.number(),
   /** Offset after its newest record, as far as the holder knows. */
   leaseEnd: z.number(),
-  /** Era of that offset; missing in messages of an earlier release. */
-  leaseEra: z.number().optional(),
   /** Host that should claim the lease; unset if none reported lately. */
   successor: z.string().optional(),
 });
--- a/packages/core/src/lib/residency/residency_view_publisher.ts
+++ b/packages/core/src/lib/residency/residency_view_publisher.ts
@@ -136,8 +136,8 @@
     hostCounter.record(Math.max(1, usage.hostCount));
     return {
       holder: network.self.incarnation,
-      leaseEnd: lease.knownEnd.offset,
-      leaseEra: lease.knownEnd.era,
+      leaseEnd: lease.knownEnd,
+      fencing: lease.fencingNumber,
       targets,
       crowded,
       work,
--- a/packages/core/src/test/residency/lease_world.ts
+++ b/packages/core/src/test/residency/lease_world.ts
@@ -91,7 +91,11 @@
     for (const {incarnation, lease: holder} of holders) {
       this.hosts.forEach(({lease}, i) => {
         if (lease !== holder && !this.deaf.has(i))
-          lease.recordHolderContact(incarnation, holder.knownEnd);
+          lease.recordHolderContact({
+            incarnation,
+            fencing: holder.fencingNumber,
+            end: holder.knownEnd,
+          });
       });
     }
   }
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -19,6 +19,8 @@
   'pause',
   'slow',
   'stop',
+  'hear',
+  'deafen',
 );
 
 describe('OrderLease', () => {
@@ -67,7 +69,11 @@
       const hear = async (ms: number) => {
         for (let at = 0; at < ms; at += 250) {
           for (const {lease} of world.hosts) {
-            lease.recordHolderContact(incarnation, heard.knownEnd);
+            lease.recordHolderContact({
+              incarnation,
+              fencing: heard.fencingNumber,
+              end: heard.knownEnd,
+            });
           }
           await world.run(250);
         }
@@ -155,6 +161,24 @@
     }
   });
 
+  it('is not claimed beside a holder that resigned, claimed again and is heard', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.canOrder);
+    for (const {log} of world.hosts) log.faults.isCut = true;
+    await world.run(LEASE_TTL_MS + HOLDER_GAP_MS);
+    heal(world.hosts[first].log);
+    await world.run(2_000);
+    expect(world.hosts[first].lease.canOrder).to.equal(true);
+    world.deaf.clear();
+    await world.run(300);
+    world.deaf.add(0).add(1).add(2);
+    for (const {log} of world.hosts) heal(log);
+    await world.run(2_000);
+    expect(world.sharedMs).to.deep.equal([]);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
   it('is held by a new host, which can lend, before orders are allowed', async () => {
     const world = new LeaseWorld(2);
     await world.run(2_000);
@@ -180,6 +204,7 @@
     await fc.assert(
       fc.asyncProperty(steps, async plan => {
         const world = new LeaseWorld(3);
+        world.deaf.clear();
         await world.run(500);
         for (const {host, fault, ms} of plan) {
           await injectFault(world, host, fault, ms);
--- a/packages/core/src/test/residency/restored_lease_log_test.ts
+++ b/packages/core/src/test/residency/restored_lease_log_test.ts
@@ -29,6 +29,8 @@
   'pause',
   'slow',
   'stop',
+  'hear',
+  'deafen',
 ];
 
 /** Returns the numbers that were used after higher ones. */
@@ -131,6 +133,7 @@
     await fc.assert(
       fc.asyncProperty(steps, async plan => {
         const world = new LeaseWorld(3);
+        world.deaf.clear();
         await world.run(500);
         for (const {host, fault, ms} of plan) {
           await injectFault(world, host, fault, ms);
