Trust a lease record and an empty log only where their era is known

Found by the review. What targets would see, around a copy of the store: two holders at once and orders within the gap.

Cause: a record without an era, of a host of an earlier release, counted as one of the current era, so that it let its own machine claim at once, or anybody after a release, or named a claim beyond the end of the log, above which no claim was adopted while its host held the lease. And an empty log in era 1 was taken for one that has had no holder, where eras may begin at 0.

Such a record binds as before, but shortens no wait. A renewal whose claim the log has lost is not adopted. A claim that is not adopted does not hold. An empty log is claimed at once only when all hosts start for the first time, as the settings tell (Bootstrap). Resignations of holders of the earlier release are heeded.

A test shows that a holder goes on without a pause and without a new take-over.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -59,9 +59,6 @@
  */
 const HOLDER_TIMEOUT_MS = 750;
 
-/** Era of a log that has never come back from an older copy, or a lower one. */
-const FIRST_ERA = 1;
-
 /** Fencing number before any claim, lower than that of any. */
 const NO_CLAIM = -1;
 
@@ -104,6 +101,11 @@
   hostCount: () => number;
   /** Delay of claims, so that other hosts claim first, in milliseconds. */
   claimDelayMs: number;
+  /**
+   * Whether all hosts start for the first time, so that an empty log has had no
+   * holder. A log that came back from an older copy may be empty as well.
+   */
+  isFirstStart: boolean;
   /** Notifies the peers that this host resigned before its lease expired. */
   onResign: () => void;
 }
@@ -226,7 +228,7 @@
   recordHolderContact({end, fencing, incarnation}: HolderContact): void {
     if (this.newest?.incarnation !== incarnation) return;
     // The holder has claimed anew; this host has to read that claim.
-    if (fencing !== undefined && fencing !== this.fencing) return;
+    if (fencing !== undefined && !this.isOfNewestClaim(fencing)) return;
     const nowMs = this.parts.clock.now();
     this.holderHeardMs = nowMs;
     this.isHolderSilent = false;
@@ -243,12 +245,19 @@
    * @param isSuccessor - whether this host was named as the successor.
    */
   handleResignation(fencing: number, isSuccessor: boolean): void {
-    if (this.newest === undefined || fencing !== this.fencing) return;
-    if (this.isResigned) return;
+    if (!this.isOfNewestClaim(fencing) || this.isResigned) return;
     this.markResigned(isSuccessor);
     this.wakeController.abort();
   }
 
+  /** Returns whether a host means the newest claim by a fencing number. */
+  private isOfNewestClaim(fencing: number): boolean {
+    if (this.newest === undefined) return false;
+    // Hosts of an earlier release order with the offset of their claim.
+    const isEarlierRelease = this.newest.era === undefined;
+    return fencing === (isEarlierRelease ? this.claimAt : this.fencing);
+  }
+
   /** Rank of this host as a successor, in milliseconds; the lowest is best. */
   get successorRankMs(): number {
     const ageMs = this.parts.clock.now() - this.startedMs;
@@ -291,7 +300,15 @@
     return this.newest.event !== LEASE_EVENT.release;
   }
 
-  /** Whether the newest record is of a claim of the current era of the log. */
+  /** Whether the newest record is surely of the current era of the log. */
+  private get isNewestOfThisEra(): boolean {
+    return this.newest?.era !== undefined && this.isNewestCurrent;
+  }
+
+  /**
+   * Whether the newest record is of a claim of the current era of the log. One of
+   * a host of an earlier release names no era, and counts as current.
+   */
   private get isNewestCurrent(): boolean {
     return this.newest !== undefined && this.newestEra === this.end.era;
   }
@@ -394,7 +411,7 @@
   private get isPredecessorLocal(): boolean {
     const {incarnation, owner} = this.parts;
     const {newest} = this;
-    if (!this.isNewestCurrent) return false;
+    if (!this.isNewestOfThisEra) return false;
     return newest?.owner === owner && newest.incarnation !== incarnation;
   }
 
@@ -433,7 +450,8 @@
     if (this.newest === undefined || !this.isNewestCurrent) return -Infinity;
     if (this.isResigned) return this.resignation.ms;
     const isRelease = this.newest.event === LEASE_EVENT.release;
-    return this.seenMs + (isRelease ? 0 : this.newest.ttlMs);
+    const endsAtOnce = isRelease && this.isNewestOfThisEra;
+    return this.seenMs + (endsAtOnce ? 0 : this.newest.ttlMs);
   }
 
   /** Clock time from which this host may claim the lease. */
@@ -449,7 +467,7 @@
     if (this.isHeld) return this.ordersFromMs;
     if (!this.isNewestCurrent) return this.expiryMs + holderGapMs;
     if (this.fencing === this.claimedFencing) return this.ordersFromMs;
-    if (this.newest?.owner === owner) {
+    if (this.newest?.owner === owner && this.isNewestOfThisEra) {
       // Written by a previous process, or a claim whose answer was lost.
       return this.seenMs + this.newest.ordersInMs;
     }
@@ -481,7 +499,8 @@
     const readEnd = (entries.at(-1)?.offset ?? knownEnd - 1) + 1;
     // What can't be decoded, or is no longer retained, may be of a holder.
     const hasUnread = end > knownEnd && readEnd !== end;
-    const isFirstUse = !this.hasReadLog && end === 0 && era <= FIRST_ERA;
+    const {isFirstStart} = this.parts;
+    const isFirstUse = isFirstStart && !this.hasReadLog && end === 0;
     const hasNoRecord = !this.isNewestCurrent && isNewEra && !isFirstUse;
     if (hasUnread || hasNoRecord) this.awaitUnrecorded();
   }
@@ -522,12 +541,17 @@
   private adoptRecord({offset, record}: LeaseEntry): void {
     const {claimOffset = offset, era = this.end.era} = record;
     const fencing = revisionOf({era, offset: claimOffset});
+    if (claimOffset > offset) {
+      // A late renewal, whose claim the log has lost.
+      this.awaitUnrecorded();
+      return;
+    }
     // A late append of an earlier era, or a record that only the copy has.
     if (fencing < this.fencing) return;
     this.newest = record;
     this.newestEra = era;
     // A claim of this era was made when nobody else could hold the lease.
-    if (era === this.end.era) this.unrecordedUntilMs = -Infinity;
+    if (record.era === this.end.era) this.unrecordedUntilMs = -Infinity;
     this.seenMs = this.parts.clock.now();
     this.isHolderSilent = false;
     this.fencing = fencing;
@@ -587,6 +611,8 @@
     if (this.end.era !== era) return false;
     this.end = {era, offset: Math.max(this.end.offset, offset + 1)};
     this.adoptRecord({record, offset});
+    this.notifyListeners();
+    if (this.newest !== record) return false;
     if (this.isStopping) return true;
     if (this.suspensionWatch.wasSuspendedSince(sentMs)) return true;
     if (event === LEASE_EVENT.claim) {
--- a/packages/core/src/test/residency/engine_world.ts
+++ b/packages/core/src/test/residency/engine_world.ts
@@ -311,6 +311,7 @@
       holderGapMs: 0,
       hostCount: () => 1,
       claimDelayMs: 0,
+      isFirstStart: true,
       onResign: () => {},
     });
     this.port = new FakeOrderPort(this, random);
--- a/packages/core/src/test/residency/fleet_world.ts
+++ b/packages/core/src/test/residency/fleet_world.ts
@@ -128,6 +128,7 @@
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => residency.reportedHostCount ?? 1,
       claimDelayMs: 300,
+      isFirstStart: true,
       onResign: () => residency.announceResignation(),
     });
     const usage = new UsageTable(clock);
--- a/packages/core/src/test/residency/lease_world.ts
+++ b/packages/core/src/test/residency/lease_world.ts
@@ -55,7 +55,7 @@
   ) {
     for (let i = 0; i < count; i++) {
       this.deaf.add(i);
-      this.hosts.push(this.start(i));
+      this.hosts.push(this.start(i, true));
     }
   }
 
@@ -63,7 +63,7 @@
   restart(i: number): void {
     this.stopped.delete(i);
     this.hosts[i].stop.abort();
-    this.hosts[i] = this.start(i);
+    this.hosts[i] = this.start(i, false);
   }
 
   /** Restarts the hosts that have stopped. */
@@ -109,7 +109,7 @@
     });
   }
 
-  private start(i: number): LeaseHost {
+  private start(i: number, isFirstStart: boolean): LeaseHost {
     const log = new FaultyLeaseLog(this.clock, this.shared);
     const incarnation = `${i}-${this.starts++}`;
     const lease: OrderLease = new OrderLease({
@@ -123,6 +123,7 @@
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => this.hosts.length,
       claimDelayMs: this.claimDelayMs,
+      isFirstStart,
       // A process that was killed sends nothing.
       onResign: () => {
         if (this.hosts[i]?.lease === lease) this.notifyResigned(i);
--- a/packages/core/src/test/residency/restored_lease_log_test.ts
+++ b/packages/core/src/test/residency/restored_lease_log_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {LEASE_TTL_MS} from '../../lib/residency/order_lease.js';
+import {LOG_POLL_MS} from './lease_log_fixtures.js';
 import {
   HOLDER_GAP_MS,
   LeaseWorld,
@@ -69,6 +70,23 @@
     }
   });
 
+  it('lets the holder go on without a pause, with a higher number', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(8_000);
+    const before = world.orders.at(-1)!;
+    world.shared.restore(9);
+    const count = world.orders.length;
+    await world.run(MAX_PAUSE_MS);
+    const later = world.orders.slice(count);
+    expect(new Set(later.map(({host}) => host))).to.deep.equal(
+      new Set([before.host]),
+    );
+    expect(later).to.have.lengthOf(MAX_PAUSE_MS / LOG_POLL_MS);
+    expect(later.at(-1)!.fencing).to.be.above(before.fencing);
+    const {firstFencingNumber} = world.hosts[before.host].lease;
+    expect(firstFencingNumber).to.equal(before.fencing);
+  });
+
   it('does not give a host that restarts a number that was in use', async () => {
     const world = new LeaseWorld(3);
     await world.run(8_000);
--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -313,7 +313,8 @@
   async restartHosts(): Promise<void> {
     const settings = this.settings.splice(0);
     for (const host of this.hosts.splice(0)) host.terminate();
-    for (const each of settings) await this.startHostAt(each);
+    for (const each of settings)
+      await this.startHostAt({...each, isFirstStart: false});
   }
 
   private async startHost(): Promise<void> {
@@ -347,6 +348,7 @@
       quotaOverage: 0.1,
       quotaSlackTokens: 1_000,
       coldBounds: DEFAULT_COLD_BOUNDS,
+      isFirstStart: true,
       hasWorkModel: false,
       plansByWork: false,
       hasRateQueue: false,
