Test hosts that have lost their network path to all targets

A host has nothing but its own connections to targets. PlatformWorld now lets each host reach them through links of its own, which a test cuts for one host alone: connections hang, are reset, or live on while new ones are refused. TargetLinks comes out of DarkLink, which could only hang, for good. Requests and what callers see of them move out of silent_target_test for both.

Callers send 25 requests a second of four kinds to each host; some leave early, so that hosts need new connections. Counted are tries from 3 s to 6 s after the cut.

Green: no request runs twice or is refused and runs, no stream misses or repeats events, other hosts' callers are served, and the host is used again after the cut.

Node.js never closes a socket that is reset while it shuts down, and a thread that holds one cannot be terminated (seen: 8 minutes at full load); links don't reset such sockets.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -7,7 +7,11 @@
   PlatformWorkerStandin,
 } from '@fuchsiacleat/standins';
 import {Client} from 'undici';
-import {GatewayHost, PlatformSettings} from '@fuchsiacleat/platform';
+import {
+  DialAddress,
+  GatewayHost,
+  PlatformSettings,
+} from '@fuchsiacleat/platform';
 import {loopbackAddress, nextDeployment} from './loopback_address.js';
 
 /** API key of the only team. */
@@ -160,6 +164,13 @@
   retrySlack?: number;
   /** Time after its start in which a host is granted them, in milliseconds. */
   retryWindowMs?: number;
+  /** Zones of the hosts; `a` by default. */
+  hostZones?: readonly string[];
+  /**
+   * Where a host connects to for a target, by the number of the host; at the
+   * registered address by default.
+   */
+  dialAddress?: (host: number) => DialAddress | undefined;
   /** Called when the workers listen, before they register. */
   prepare?: (world: PlatformWorld) => Promise<void>;
 }
@@ -327,7 +338,7 @@
     const settings: PlatformSettings = {
       machine: {memoryMb: undefined, maxDescriptors: undefined},
       hostName: `host-${this.hosts.length}`,
-      zone: 'a',
+      zone: this.options.hostZones?.[this.hosts.length] ?? 'a',
       callers,
       ready,
       peers,
@@ -356,9 +367,11 @@
 
   private async startHostAt(settings: PlatformSettings): Promise<void> {
     this.settings.push(settings);
-    const host = new GatewayHost(settings, {
-      write: line => this.lines.push(line),
-    });
+    const host = new GatewayHost(
+      settings,
+      {write: line => this.lines.push(line)},
+      this.options.dialAddress?.(this.hosts.length),
+    );
     this.hosts.push(host);
     await host.start();
   }
--- a/packages/local-cluster/src/test/platform/silent_target_test.ts
+++ b/packages/local-cluster/src/test/platform/silent_target_test.ts
@@ -1,15 +1,21 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PlatformWorkerStandin, SILENCE_PLACE} from '@fuchsiacleat/standins';
 import {expect} from 'chai';
-import {Client} from 'undici';
 import {
-  HOST_NAME,
   PlatformWorld,
-  ROUTE_PATH,
   TEAM_KEY,
   WorldOptions,
 } from '../../lib/platform_world.js';
-import {DarkLink} from './dark_link.js';
+import {
+  KINDS,
+  Kind,
+  RUNS_ONCE,
+  STREAMS,
+  SeenAnswer,
+  sendRequest,
+  wholeStream,
+} from './seen_answer.js';
+import {LINK_CUT, TargetLinks} from './target_links.js';
 
 /**
  * Retry budget that is not used up, although a new host takes itself for one of
@@ -37,73 +43,10 @@
 const MIN_CALLER_GAP_MS = 2_000;
 const CALLER_GAP_OBJECTIVES = 4;
 
-type Kind = keyof typeof ROUTE_PATH;
-const KINDS = Object.keys(ROUTE_PATH) as Kind[];
-const RUNS_ONCE: readonly Kind[] = ['once', 'stream'];
-const STREAMS: readonly Kind[] = ['stream', 'resumable'];
 const OK = 200;
 
-/** Request and what its caller saw of the answer. */
-interface SeenAnswer {
-  id: string;
-  kind: Kind;
-  status?: number;
-  body: string;
-  /** How the connection ended without a complete answer. */
-  error?: string;
-  /** Longest time without a byte from sending to the end. */
-  maxGapMs: number;
-  totalMs: number;
-}
-
-async function send(
-  world: PlatformWorld,
-  kind: Kind,
-  id: string,
-): Promise<SeenAnswer> {
-  const isStream = STREAMS.includes(kind);
-  const client = new Client(world.callerUrl());
-  const seen: SeenAnswer = {id, kind, body: '', maxGapMs: 0, totalMs: 0};
-  const startMs = performance.now();
-  let lastMs = startMs;
-  const recordProgress = () => {
-    const nowMs = performance.now();
-    seen.maxGapMs = Math.max(seen.maxGapMs, Math.round(nowMs - lastMs));
-    seen.totalMs = Math.round(nowMs - startMs);
-    lastMs = nowMs;
-  };
-  try {
-    const res = await client.request({
-      method: 'POST',
-      path: ROUTE_PATH[kind],
-      body: 'x',
-      headers: {
-        host: HOST_NAME,
-        'x-fuchsiacleat-attempt-id': id,
-        'x-fuchsiacleat-deadline-ms': String(DEADLINE_MS),
-        'x-fuchsiacleat-key': TEAM_KEY,
-        ...(isStream ? {'x-fuchsiacleat-model': 'm1'} : {}),
-      },
-    });
-    seen.status = res.statusCode;
-    for await (const chunk of res.body) {
-      seen.body += String(chunk);
-      recordProgress();
-    }
-  } catch (err) {
-    seen.error = (err as Error).message;
-  }
-  recordProgress();
-  await client.destroy();
-  return seen;
-}
-
-function wholeStream(): string {
-  const events = Array.from({length: EVENT_COUNT}, (unusedItem, i) => {
-    return `id: ${i + 1}\ndata: piece\n\n`;
-  });
-  return events.join('');
-}
+const send = (world: PlatformWorld, kind: Kind, id: string) =>
+  sendRequest(world, kind, id, {deadlineMs: DEADLINE_MS});
 
 /**
  * @returns what is wrong with an answer; undefined if nothing is. A request that
@@ -118,7 +61,9 @@
     return `${where}: ran ${runs} times`;
   if (error !== undefined) return `${where}: ${error}`;
   if (status !== OK) return runs > 0 ? `${where}: ran, no answer` : undefined;
-  const whole = STREAMS.includes(kind) ? wholeStream() : `done ${id}`;
+  const whole = STREAMS.includes(kind)
+    ? wholeStream(EVENT_COUNT)
+    : `done ${id}`;
   return body === whole ? undefined : `${where}: ${JSON.stringify(body)}`;
 }
 
@@ -379,12 +324,12 @@
 
   /** @returns a scenario whose engines are reached through links. */
   function darkScenario(title: string, lossCase: LossCase): Scenario {
-    const links = new Map<PlatformWorkerStandin, DarkLink>();
+    const links = new Map<PlatformWorkerStandin, TargetLinks>();
     const prepare = async ({engines}: PlatformWorld) => {
       for (const engine of engines) {
-        const link = await DarkLink.open(engine.port);
+        const link = await TargetLinks.open([engine.port]);
         links.set(engine, link);
-        engine.registeredPort = link.port;
+        engine.registeredPort = link.portTo(engine.port);
       }
     };
     const routes = {resumableObjectiveMs: lossCase.objectiveMs};
@@ -393,7 +338,7 @@
       engineCount: 2,
       options: {...AMPLE_RETRIES, routes, prepare},
       play: async world => {
-        const lose: Loss = engine => links.get(engine)!.goDark();
+        const lose: Loss = engine => links.get(engine)!.cut(LINK_CUT.hang);
         const faults = await playLoss(world, lossCase, lose);
         for (const link of links.values()) await link.close();
         return faults;
