Tell lost paths from failed targets

A host that has lost its network path to a target sees refusals and silence, and told the other hosts that the target had ended or could not be reached. It now compares its own connection with one of another host at the same time: the path is lost only if the other host connects. The end of a process is believed only once another host confirms it. Not wired yet: the relay uses unchecked paths.

--- a/packages/core/src/lib/gateway/capacity_refusal.ts
+++ b/packages/core/src/lib/gateway/capacity_refusal.ts
@@ -59,6 +59,14 @@
   return refuse(REFUSAL.noCapacity, message, retryAfterMs);
 }
 
+/**
+ * Creates a refusal because this host reaches no target, neither directly nor
+ * through another host.
+ */
+export function cutOffRefusal(): Refusal {
+  return noCapacityRefusal('this host reaches no target of the service');
+}
+
 /** Creates a refusal because this host is stopping. */
 export function stoppingRefusal(): Refusal {
   const message = 'this host is stopping';
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -10,6 +10,7 @@
   refuse,
 } from '../requests/outcome.js';
 import {hasStoppedListening} from '../net/listening_check.js';
+import {PathView, UncheckedPaths} from '../paths/path_view.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
@@ -85,6 +86,8 @@
   tasks: TaskSupervisor;
   /** Zone of this host. */
   zone: string;
+  /** Tells lost paths from failed targets; by default no path is checked. */
+  paths?: PathView;
 }
 
 /**
@@ -99,11 +102,14 @@
   private readonly runs: RunRecorder<Req, Head>;
   private readonly resumption: StreamResumption<Req>;
   private readonly stallParts: RunStallHandlerParts;
+  private readonly paths: PathView;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
 
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
+    const {paths = new UncheckedPaths()} = parts;
+    this.paths = paths;
     this.admission = new Admission(parts);
     const {clock, observer, port, retries, tasks} = parts;
     this.answers = new AnswerRelay({
@@ -113,11 +119,11 @@
       onEvents: call => this.resumption.recordEvents(call),
       hasEnded: target => this.hasEnded(target),
     });
-    this.search = new TargetSearch(parts);
-    this.runs = new RunRecorder(parts);
+    this.search = new TargetSearch({...parts, paths});
+    this.runs = new RunRecorder({...parts, paths});
     this.resumption = new StreamResumption(parts.continuity);
     this.stallParts = {
-      prober: new TargetProber(clock, target => port.probe(target)),
+      prober: new TargetProber(clock, target => port.probe(target), paths),
       replacement: new RunReplacement(this.admission, this.search, retries),
       observer,
       tasks,
@@ -433,7 +439,7 @@
     attempt: SendAttempt,
   ): Promise<Outcome | undefined> {
     if (sent.type === 'not-run') {
-      this.runs.recordNotRun(target, req, call, sent);
+      await this.runs.recordNotRun(target, req, call, sent);
       return undefined;
     }
     if (call.signal.aborted) {
@@ -502,10 +508,11 @@
   private async hasEnded(target: KnownTarget): Promise<boolean> {
     if (!target.takesRequests) return false;
     const {clock, port} = this.parts;
-    return hasStoppedListening(
+    const hasStopped = await hasStoppedListening(
       () => port.isListening(target),
       ms => clock.sleep(ms),
     );
+    return hasStopped && this.paths.confirmEnded(target);
   }
 
   /**
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -81,6 +81,8 @@
   readonly softwareVersions = new Set<string>();
   /** Number of sends that reached a target. */
   deliveredSends = 0;
+  /** Number of sends to targets that could not be reached. */
+  unexplainedSends = 0;
   /** Whether a send has got an answer and the run may go on. */
   isAnswered = false;
   /** Whether this host ended a run that its target may have completed. */
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -1,5 +1,6 @@
 /** Records what sends of requests show about their targets. @packageDocumentation */
 
+import {PATH_VERDICT, PathVerdict, PathView} from '../paths/path_view.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
@@ -20,6 +21,7 @@
 /** Reasons for which no byte of a request has reached a target. */
 const NOT_DELIVERED: ReadonlySet<NotRunReason> = new Set([
   NOT_RUN.unreachable,
+  NOT_RUN.noPath,
   NOT_RUN.noConnection,
   NOT_RUN.withdrawn,
 ]);
@@ -32,6 +34,12 @@
 
 const OK = 200;
 
+/**
+ * Unreachable targets after which a request waits for the reason: it is likely to
+ * meet the same at the next ones.
+ */
+const MAX_UNEXPLAINED = 2;
+
 /** Dependencies of a {@link RunRecorder}. */
 export interface RunRecorderParts {
   targets: TargetTable;
@@ -39,6 +47,7 @@
   prompts: PromptGuard;
   observer: RelayObserver;
   tasks: TaskSupervisor;
+  paths: PathView;
 }
 
 /** Records the results of sends and runs, for all who have to know them. */
@@ -144,21 +153,29 @@
     this.parts.observer.targetAvoided(registration.id, health.recordFailure());
   }
 
-  /** Records a send whose target did not run the request. */
-  recordNotRun(
+  /**
+   * Records a send whose target did not run the request.
+   *
+   * @returns once the request may be sent again.
+   */
+  async recordNotRun(
     target: KnownTarget,
     req: Req,
     call: RelayCall<Req>,
-    {isRefused = false, reason}: NotRunSend,
-  ): void {
+    sent: NotRunSend,
+  ): Promise<void> {
+    const {reason} = sent;
+    if (reason === NOT_RUN.unreachable) {
+      await this.recordUnreachable(target, req, call, sent);
+      return;
+    }
     const {id} = target.registration;
+    if (reason === NOT_RUN.noPath) {
+      if (!this.parts.paths.isLost(target)) call.tried.add(id);
+      return;
+    }
     if (!NOT_DELIVERED.has(reason)) call.deliveredSends += 1;
     call.tried.add(id);
-    if (reason === NOT_RUN.unreachable) {
-      this.recordFailure(target);
-      this.parts.targets.recordUnreachable(target);
-      if (isRefused) this.recordRefusedConnection(target);
-    }
     if (reason === NOT_RUN.otherProcess) target.isRemoved = true;
     if (req.demand === undefined) return;
     if (reason === NOT_RUN.modelAbsent && call.work !== undefined)
@@ -170,6 +187,51 @@
     if (isReachable) call.tried.delete(id);
   }
 
+  /** Records a target that could not be reached, unless its path is the cause. */
+  private async recordUnreachable(
+    target: KnownTarget,
+    req: Req,
+    call: RelayCall<Req>,
+    sent: NotRunSend,
+  ): Promise<void> {
+    const {paths, tasks} = this.parts;
+    const {id} = target.registration;
+    const isPathLost = !sent.isTunneled && paths.isLost(target);
+    if (isPathLost) return;
+    call.tried.add(id);
+    this.recordFailure(target);
+    // Either the helper or the target may have been silent.
+    if (sent.isTunneled && !sent.isRefused) return;
+    call.unexplainedSends += 1;
+    const explain = async () => {
+      const verdict = sent.isTunneled
+        ? PATH_VERDICT.targetEnded
+        : await paths.judge(target);
+      if (verdict === PATH_VERDICT.lost) call.tried.delete(id);
+      else await this.reportUnreachable(target, req, sent, verdict);
+    };
+    const subject = {id: call.id, target: id};
+    const explained = tasks.run('unreachable_target', explain, subject);
+    if (call.unexplainedSends >= MAX_UNEXPLAINED) await explained;
+  }
+
+  private async reportUnreachable(
+    target: KnownTarget,
+    {demand}: Req,
+    {isRefused = false}: NotRunSend,
+    verdict: PathVerdict,
+  ): Promise<void> {
+    const {models, paths, targets} = this.parts;
+    targets.recordUnreachable(target);
+    if (demand !== undefined)
+      models.recordNotRun(target, demand, NOT_RUN.unreachable);
+    if (!isRefused || verdict === PATH_VERDICT.sound) return;
+    const hasEnded =
+      verdict === PATH_VERDICT.targetEnded ||
+      (await paths.confirmEnded(target));
+    if (hasEnded) this.recordRefusedConnection(target);
+  }
+
   private recordRefusedConnection(target: KnownTarget): void {
     // A process that has sent nothing yet may not listen yet.
     if (!target.hasBeenHeard) return;
--- a/packages/core/src/lib/gateway/target_health.ts
+++ b/packages/core/src/lib/gateway/target_health.ts
@@ -67,4 +67,11 @@
     this.avoid(avoidMs);
     return avoidMs;
   }
+
+  /** Forgets failures that were not the target's. */
+  forgive(): void {
+    this.consecutiveFailures = 0;
+    this.avoidUntilMs = -Infinity;
+    this.failureRate = 0;
+  }
 }
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -8,6 +8,8 @@
 export const NOT_RUN = {
   /** The target could not be reached; no byte was sent. */
   unreachable: 'unreachable',
+  /** The path to the target has failed, not the target; no byte was sent. */
+  noPath: 'no-path',
   /** This host has reached its limit of connections to the target. */
   noConnection: 'no-connection',
   /** This host cancelled the send before any byte was sent. */
@@ -75,6 +77,8 @@
   reason: NotRunReason;
   /** Whether nothing listens at the target's address. */
   isRefused?: boolean;
+  /** Whether the connection would have led through a helper host. */
+  isTunneled?: boolean;
   signals?: AnswerSignals;
   connection?: string;
 }
--- a/packages/core/src/lib/gateway/target_prober.ts
+++ b/packages/core/src/lib/gateway/target_prober.ts
@@ -1,5 +1,6 @@
 /** Checks targets whose runs make no progress. @packageDocumentation */
 
+import {PATH_VERDICT, PathView, UncheckedPaths} from '../paths/path_view.js';
 import {Clock} from '../time/clock.js';
 import {TARGET_STATE, TargetState} from './target_port.js';
 import {KnownTarget} from './target_table.js';
@@ -26,6 +27,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly probe: (target: KnownTarget) => Promise<TargetState>,
+    private readonly paths: PathView = new UncheckedPaths(),
   ) {}
 
   /**
@@ -52,7 +54,15 @@
   }
 
   private async probeOnce(target: KnownTarget): Promise<TargetState> {
+    // Another host probes then, so that the result is not that of the path.
+    const isTunneled = this.paths.isLost(target);
     const state = await this.probe(target);
+    const isReached =
+      state === TARGET_STATE.responsive || state === TARGET_STATE.silent;
+    if (!isReached && !isTunneled) {
+      const verdict = await this.paths.judge(target);
+      if (verdict === PATH_VERDICT.lost) return TARGET_STATE.unchecked;
+    }
     // A target that leaves stops listening before it has finished its runs.
     const mayFinish = target.isLeaving || target.isRemoved;
     return state === TARGET_STATE.ended && mayFinish
--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -1,6 +1,7 @@
 /** Finds a target for a request. @packageDocumentation */
 
 import {Result, err, ok} from 'neverthrow';
+import {PathView} from '../paths/path_view.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
@@ -8,6 +9,7 @@
 import {
   backingOffRefusal,
   coldRefusal,
+  cutOffRefusal,
   evacuatedRefusal,
   limitRefusal,
   noCapacityRefusal,
@@ -57,6 +59,7 @@
   work: WorkModel;
   /** Zone of this host. */
   zone: string;
+  paths: PathView;
 }
 
 /** Chooses targets for requests, and waits until there is one. */
@@ -106,6 +109,7 @@
         const message = 'no target runs the software version of the stream';
         return err(noCapacityRefusal(message));
       }
+      if (this.isCutOff(call)) return err(cutOffRefusal());
       const options = {
         zone: this.parts.zone,
         tried: call.tried,
@@ -211,6 +215,14 @@
     return this.parts.work.workOf(call.service, req, objectiveMs);
   }
 
+  /** Returns whether this host reaches none of the open targets. */
+  private isCutOff(call: RelayCall<CallerRequest>): boolean {
+    const {paths} = this.parts;
+    if (!paths.hasLost) return false;
+    const open = this.targetsFor(call).filter(target => target.isOpen);
+    return open.length > 0 && !open.some(target => paths.canReach(target));
+  }
+
   /** Returns the targets of the service that may run the request. */
   private targetsFor(call: RelayCall<CallerRequest>): readonly KnownTarget[] {
     const all = this.parts.targets.ofService(call.service);
@@ -224,10 +236,21 @@
     return this.targetsFor(call).some(target => target.isOpen);
   }
 
-  /** Returns the targets of the service that hold the model, if it needs one. */
+  /** Returns the targets that this host reaches and that hold the model. */
   private candidatesFor(
     {demand}: CallerRequest,
     call: RelayCall<CallerRequest>,
+  ): readonly KnownTarget[] {
+    const {paths} = this.parts;
+    const holders = this.holdersFor(demand, call);
+    if (!paths.hasLost) return holders;
+    return holders.filter(target => paths.canReach(target));
+  }
+
+  /** Returns the targets of the service that hold the model, if it needs one. */
+  private holdersFor(
+    demand: ModelDemand | undefined,
+    call: RelayCall<CallerRequest>,
   ): readonly KnownTarget[] {
     if (this.engineOf(call) === undefined || demand === undefined)
       return this.targetsFor(call);
@@ -303,7 +326,10 @@
   ): ReadonlySet<string> {
     const avoided = new Set(call.tried);
     for (const target of this.parts.targets.ofService(call.service)) {
-      const isUnusable = target.backOffLeftMs > 0 || target.throttledLeftMs > 0;
+      const isUnusable =
+        target.backOffLeftMs > 0 ||
+        target.throttledLeftMs > 0 ||
+        !this.parts.paths.canReach(target);
       if (isUnusable) avoided.add(target.registration.id);
     }
     call.lacking.addExcluded(avoided, demand);
--- a/packages/core/src/lib/paths/helper_choice.ts
+++ b/packages/core/src/lib/paths/helper_choice.ts
@@ -1,6 +1,7 @@
 /** Choice among helper hosts. @packageDocumentation */
 
 import {SocketAddress, parseSocketAddress} from '../net/socket_address.js';
+import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {HelperHost} from './path_messages.js';
@@ -42,11 +43,13 @@
   /**
    * @param clock - measures how long helpers are avoided.
    * @param random - breaks ties.
+   * @param logger - receives the choices and failures.
    * @param zone - zone of this host.
    */
   constructor(
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly logger: Logger,
     private readonly zone: string,
   ) {}
 
@@ -79,8 +82,14 @@
     if (known !== undefined && this.isListed(known) && this.isUsable(known))
       return known;
     const chosen = this.choose();
-    if (chosen === undefined) this.assigned.delete(target);
-    else this.assigned.set(target, chosen);
+    if (chosen === undefined) {
+      this.assigned.delete(target);
+      return undefined;
+    }
+    const {host, load, zone} = chosen;
+    if (this.targetsOf(host) === 0)
+      this.logger.info('helper_chosen', {helper: host, zone, load});
+    this.assigned.set(target, chosen);
     return chosen;
   }
 
@@ -94,9 +103,15 @@
    * have lost their paths together.
    *
    * @param count - most helpers to return.
+   * @param except - names of helpers to leave out.
    */
-  forChecks(count: number): KnownHelper[] {
-    const usable = this.helpers.filter(helper => this.isUsable(helper));
+  forChecks(
+    count: number,
+    except: ReadonlySet<string> = new Set(),
+  ): KnownHelper[] {
+    const usable = this.helpers.filter(
+      helper => this.isUsable(helper) && !except.has(helper.host),
+    );
     const chosen: KnownHelper[] = [];
     while (chosen.length < count && usable.length > 0) {
       const zones = new Set(chosen.map(({zone}) => zone));
@@ -121,19 +136,25 @@
    *
    * @param host - name of the helper.
    * @param isCertain - whether the target can't be the cause.
-   * @returns for how long the helper is avoided, in milliseconds; 0 if it isn't.
+   * @param reason - for the log.
+   * @returns whether the helper is avoided from now on.
    */
-  recordFailure(host: string, isCertain: boolean): number {
+  recordFailure(host: string, isCertain: boolean, reason: string): boolean {
     const nowMs = this.clock.now();
     const known = this.standings.get(host);
     const {failures = 0, provenMs = -Infinity} = known ?? {};
-    if (!isCertain && nowMs - provenMs < PROVEN_LIFETIME_MS) return 0;
+    if (!isCertain && nowMs - provenMs < PROVEN_LIFETIME_MS) return false;
     // Connections that were set up together fail together.
-    if (known !== undefined && nowMs < known.avoidUntilMs) return 0;
+    if (known !== undefined && nowMs < known.avoidUntilMs) return false;
     const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** failures);
     const avoidUntilMs = nowMs + avoidMs;
     this.standings.set(host, {avoidUntilMs, failures: failures + 1, provenMs});
-    return avoidMs;
+    this.logger.info('helper_avoided', {
+      helper: host,
+      avoid_ms: avoidMs,
+      reason,
+    });
+    return true;
   }
 
   private isUsable({host}: KnownHelper): boolean {
@@ -164,10 +185,15 @@
   }
 
   private loadOf({host, load}: KnownHelper): number {
-    let targets = 0;
+    return load + this.targetsOf(host) * LOAD_PER_TARGET;
+  }
+
+  /** Returns the number of targets that this host reaches over a helper. */
+  private targetsOf(host: string): number {
+    let count = 0;
     for (const helper of this.assigned.values()) {
-      if (helper.host === host) targets += 1;
+      if (helper.host === host) count += 1;
     }
-    return load + targets * LOAD_PER_TARGET;
+    return count;
   }
 }
--- a/packages/core/src/lib/paths/helper_directory.ts
+++ b/packages/core/src/lib/paths/helper_directory.ts
@@ -107,7 +107,9 @@
       {timeoutMs: FETCH_TIMEOUT_MS, signal},
     );
     if (fetched.isErr()) return;
-    choice.update(fetched.value.hosts);
+    const {hosts} = fetched.value;
+    // A new holder has not yet heard of the others.
+    if (hosts.length > 0 || choice.isEmpty) choice.update(hosts);
     this.fetchedMs = clock.now();
   }
 }
--- a/packages/core/src/lib/paths/helper_table.ts
+++ b/packages/core/src/lib/paths/helper_table.ts
@@ -75,8 +75,11 @@
     const sorted = (hosts: Array<[HelperHost, number]>) =>
       hosts.sort(([, a], [, b]) => a - b).map(([helper]) => helper);
     const nearest = sorted(near);
-    const minNear = Math.max(MAX_NEAR_HELPERS, MAX_HELPERS - far.length);
-    return [...nearest.slice(0, minNear), ...sorted(far)].slice(0, MAX_HELPERS);
+    const nearCount = Math.max(MAX_NEAR_HELPERS, MAX_HELPERS - far.length);
+    return [...nearest.slice(0, nearCount), ...sorted(far)].slice(
+      0,
+      MAX_HELPERS,
+    );
   }
 
   private prune(): void {
--- a/packages/core/src/lib/quarantine/target_end_detector.ts
+++ b/packages/core/src/lib/quarantine/target_end_detector.ts
@@ -18,6 +18,11 @@
    * @returns whether it does; undefined if it did not reply in time.
    */
   isListening: (target: KnownTarget) => Promise<boolean | undefined>;
+  /**
+   * Confirms that a target that refuses this host has ended; by default the
+   * refusal is enough.
+   */
+  confirmEnded?: (target: KnownTarget) => Promise<boolean>;
   /**
    * Called when a process is known to have ended.
    *
@@ -84,17 +89,20 @@
     const isListening = target.isEvacuated
       ? undefined
       : await this.parts.isListening(target);
+    const {confirmEnded} = this.parts;
+    const isConfirmed =
+      isListening === false && ((await confirmEnded?.(target)) ?? true);
     const {id, startedMs} = target.registration;
     const runs = this.checks.get(key)?.runs ?? [];
     this.parts.logger.info('target_end_checked', {
       target: id,
       started: startedMs,
-      ended: isListening === false,
+      ended: isConfirmed,
       replied: isListening !== undefined,
       runs: runs.length,
       begun: runs.filter(run => run.hasBegun).length,
     });
-    if (isListening !== false) return false;
+    if (!isConfirmed) return false;
     this.parts.onEnded(id, startedMs);
     return true;
   }
--- a/packages/core/src/test/work/host_wait_test.ts
+++ b/packages/core/src/test/work/host_wait_test.ts
@@ -3,6 +3,7 @@
 import {RelayCall} from '../../lib/gateway/relay_call.js';
 import {TargetSearch} from '../../lib/gateway/target_search.js';
 import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
+import {UncheckedPaths} from '../../lib/paths/path_view.js';
 import {REFUSAL} from '../../lib/requests/outcome.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
@@ -31,6 +32,7 @@
     models: new NoModels(clock),
     work,
     zone: 'a',
+    paths: new UncheckedPaths(),
   });
   const target = targets.get('t0')!;
   const setRunning = (running: number) =>
--- a/packages/core/src/test/work/lacking_model_test.ts
+++ b/packages/core/src/test/work/lacking_model_test.ts
@@ -5,6 +5,7 @@
 import {RelayCall} from '../../lib/gateway/relay_call.js';
 import {TargetSearch} from '../../lib/gateway/target_search.js';
 import {KnownTarget, TargetTable} from '../../lib/gateway/target_table.js';
+import {UncheckedPaths} from '../../lib/paths/path_view.js';
 import {REFUSAL, Refusal, refuse} from '../../lib/requests/outcome.js';
 import {ManualClock} from '../../lib/time/manual_clock.js';
 import {Random} from '../../lib/time/random.js';
@@ -44,7 +45,8 @@
   const random = new Random(1);
   const state = workState();
   const parts = {clock, random, state, targets, models, work, zone: 'a'};
-  const search = new TargetSearch(parts);
+  const paths = new UncheckedPaths();
+  const search = new TargetSearch({...parts, paths});
   const caller = new FakeCaller(clock);
   caller.demand = DEMAND;
   const route = routeRule({kind: REQUEST_KIND.stream, timeoutMs: 12_000});
