--- a/packages/core/src/lib/paths/helper_directory.ts
+++ b/packages/core/src/lib/paths/helper_directory.ts
@@ -6,7 +6,7 @@
 import {HelperTable} from './helper_table.js';
 import {HELPER_HOSTS} from './path_messages.js';
 
-/** Age from which the list is fetched again when it is needed. */
+/** Age from which the list is fetched again while tunnels are used. */
 const REFRESH_INTERVAL_MS = 5_000;
 
 /**
@@ -68,12 +68,21 @@
     }
   }
 
-  /** Makes sure that the list is recent; keeps the last one without a holder. */
-  async refresh(signal: AbortSignal): Promise<void> {
+  /**
+   * Makes sure that the list is recent. Keeps the last one without a holder.
+   *
+   * @param signal - cancels the fetch.
+   * @param maxAgeMs - age up to which the list is recent; it is fetched sooner if
+   *     none of the helpers can be used.
+   */
+  async refresh(
+    signal: AbortSignal,
+    maxAgeMs = REFRESH_INTERVAL_MS,
+  ): Promise<void> {
     const nowMs = this.parts.clock.now();
-    const hasUsable = this.parts.choice.hasUsable;
-    const maxAgeMs = hasUsable ? REFRESH_INTERVAL_MS : RETRY_INTERVAL_MS;
-    if (nowMs - this.fetchedMs < maxAgeMs) return;
+    const {hasUsable} = this.parts.choice;
+    const limitMs = hasUsable ? maxAgeMs : RETRY_INTERVAL_MS;
+    if (nowMs - this.fetchedMs < limitMs) return;
     if (nowMs - this.triedMs < RETRY_INTERVAL_MS) return this.fetching;
     await this.fetch(signal);
   }
--- a/packages/core/src/lib/paths/path_check_service.ts
+++ b/packages/core/src/lib/paths/path_check_service.ts
@@ -22,8 +22,11 @@
  */
 export class PathCheckService {
   /** @param parts - see {@link PathCheckServiceParts}. */
-  constructor(private readonly parts: PathCheckServiceParts) {
-    parts.network.serveUnary(PATH_CHECK, async ({target}) => ({
+  constructor(private readonly parts: PathCheckServiceParts) {}
+
+  /** Answers the questions of other hosts from now on. */
+  start(): void {
+    this.parts.network.serveUnary(PATH_CHECK, async ({target}) => ({
       reply: await this.check(target),
     }));
   }
@@ -31,8 +34,8 @@
   private async check(id: string): Promise<PathReply> {
     const {checks, paths, random, targets} = this.parts;
     const target = targets.get(id);
-    if (target === undefined || target.isEvacuated || paths.isLost(target))
-      return PATH_REPLY.unchecked;
+    if (target === undefined || target.isEvacuated) return PATH_REPLY.unchecked;
+    if (paths.isLost(target)) return PATH_REPLY.noPath;
     const others = paths.reachable().filter(other => other !== target);
     const checkOther = () =>
       others.length === 0 ? undefined : checks.check(random.pick(others));
--- a/packages/core/src/lib/paths/path_judge.ts
+++ b/packages/core/src/lib/paths/path_judge.ts
@@ -12,6 +12,9 @@
 const HELPERS_PER_ROUND = 2;
 const MAX_ROUNDS = 2;
 
+/** Age up to which the helpers are known well enough for a suspicion. */
+const MAX_LIST_AGE_MS = 1_000;
+
 /** Timeout of a question: the helper's own check takes 150 ms at most. */
 const ASK_TIMEOUT_MS = 300;
 
@@ -52,7 +55,7 @@
     hasConnected: () => boolean,
   ): Promise<Judgement> {
     const {checks, choice, directory, signal} = this.parts;
-    const refreshed = directory.refresh(signal);
+    const refreshed = directory.refresh(signal, MAX_LIST_AGE_MS);
     const first = await checks.check(target);
     if (first === PATH_REPLY.listening)
       return {verdict: PATH_VERDICT.sound, isSilent: false};
@@ -112,8 +115,10 @@
       timeoutMs: ASK_TIMEOUT_MS,
       signal,
     });
-    if (answer.isOk()) return answer.value.reply;
-    choice.recordFailure(host, true, answer.error.type);
+    const reply = answer.isOk() ? answer.value.reply : PATH_REPLY.unchecked;
+    if (answer.isErr()) choice.recordFailure(host, true, answer.error.type);
+    if (reply !== PATH_REPLY.noPath) return reply;
+    choice.recordFailure(host, true, reply);
     return PATH_REPLY.unchecked;
   }
 }
--- a/packages/core/src/lib/paths/path_messages.ts
+++ b/packages/core/src/lib/paths/path_messages.ts
@@ -11,8 +11,10 @@
   refused: 'refused',
   /** No reply arrived in time. */
   silent: 'silent',
-  /** The host did not check the target or has no sound path to it. */
+  /** The host did not check the target. */
   unchecked: 'unchecked',
+  /** The host has lost its own paths. */
+  noPath: 'no-path',
 } as const;
 
 /** One of {@link PATH_REPLY}. */
--- a/packages/core/src/lib/paths/path_monitor.ts
+++ b/packages/core/src/lib/paths/path_monitor.ts
@@ -3,10 +3,11 @@
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Logger} from '../telemetry/logger.js';
-import {Clock} from '../time/clock.js';
+import {Clock, Timer} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {DirectChecks} from './direct_checks.js';
 import {HelperChoice} from './helper_choice.js';
+import {HelperDirectory} from './helper_directory.js';
 import {PathJudge} from './path_judge.js';
 import {PATH_REPLY} from './path_messages.js';
 import {PathRecovery} from './path_recovery.js';
@@ -36,6 +37,14 @@
  */
 const ABANDON_AFTER_MS = 500;
 
+/**
+ * Interval of the checks whether the helpers are up to date, and the age up to
+ * which they are soon after a loss: other hosts may have lost paths with this one.
+ */
+const REFRESH_CHECK_INTERVAL_MS = 500;
+const NEW_LOSS_MS = 3_000;
+const NEW_LOSS_LIST_AGE_MS = 1_000;
+
 /** Why a path is suspected. */
 const SUSPICION = {
   slowConnect: 'slow-connect',
@@ -56,6 +65,7 @@
   paths: PathTable;
   checks: DirectChecks;
   choice: HelperChoice;
+  directory: HelperDirectory;
   judge: PathJudge;
   /**
    * Resets direct connections to a target that have received nothing since a
@@ -73,6 +83,9 @@
   private wasCutOff = false;
   /** Clock time at which the last loss was first suspected. */
   private suspectedMs = -Infinity;
+  /** Clock time of the last loss. */
+  private lostMs = -Infinity;
+  private abandonTimer: Timer | undefined;
   private readonly lostListeners: Array<(count: number) => void> = [];
 
   /** @param parts - see {@link PathMonitorParts}. */
@@ -103,7 +116,12 @@
    * @param signal - stops the task.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.silence.run(signal), this.recovery.run(signal)]);
+    const refresh = () => this.refreshHelpers(signal);
+    await Promise.all([
+      this.silence.run(signal),
+      this.recovery.run(signal),
+      this.parts.clock.every(REFRESH_CHECK_INTERVAL_MS, signal, refresh),
+    ]);
   }
 
   /** Whether this host reaches no target directly. */
@@ -265,11 +283,18 @@
     return verdict;
   }
 
+  private async refreshHelpers(signal: AbortSignal): Promise<void> {
+    const {clock, directory} = this.parts;
+    if (!this.hasLost) return;
+    const isNew = clock.now() - this.lostMs < NEW_LOSS_MS;
+    await directory.refresh(signal, isNew ? NEW_LOSS_LIST_AGE_MS : undefined);
+  }
+
   private lose(targets: KnownTarget[], isSilent: boolean): void {
     const {clock, logger, paths} = this.parts;
     const newlyLost = targets.filter(target => !paths.of(target).isLost);
     if (newlyLost.length === 0) return;
-    const sinceMs = clock.now();
+    this.lostMs = clock.now();
     paths.lose(newlyLost);
     for (const target of newlyLost) target.health.forgive();
     logger.warn('target_paths_lost', {
@@ -281,20 +306,20 @@
     for (const listener of this.lostListeners) listener(newlyLost.length);
     this.logCutOff();
     if (!isSilent) return;
-    const silentSinceMs = this.suspectedMs;
-    clock.after(ABANDON_AFTER_MS, () => this.abandon(silentSinceMs, sinceMs));
+    this.abandonTimer ??= clock.after(ABANDON_AFTER_MS, () => this.abandon());
   }
 
   /** Gives up silent connections unless open ones live on. */
-  private abandon(silentSinceMs: number, lostMs: number): void {
+  private abandon(): void {
+    this.abandonTimer = undefined;
     const {abandonSilent, paths} = this.parts;
     const lost = paths.lost();
     const isAnyAlive = lost.some(
-      target => paths.of(target).receivedMs > lostMs,
+      target => paths.of(target).receivedMs > this.lostMs,
     );
     if (isAnyAlive) return;
     for (const target of lost) {
-      if (target.inFlight > 0) abandonSilent(target, silentSinceMs);
+      if (target.inFlight > 0) abandonSilent(target, this.suspectedMs);
     }
   }
 
