Report to the lease holder which hosts reach the targets

Hosts know each other through the holder only. A usage report says at most once a second, and at each change, whether the host reaches the targets and where it serves tunnels (optional, so that hosts of the previous release read it). The holder names no host as its successor that reaches none.

--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,6 +10,7 @@
   runsVersion,
 } from '../gateway/target_table.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
+import {PathReport} from '../paths/path_messages.js';
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
@@ -89,6 +90,10 @@
   /** Returns the tokens of each team used here in the last window, if known. */
   usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
+  /** Returns the state of this host's paths, if it helps other hosts. */
+  pathReport?: () => PathReport;
+  /** Receives the states of the paths of all hosts, if this is the holder. */
+  onPathReport?: (host: string, report: PathReport) => void;
 }
 
 /** {@link ModelFinder} of a gateway host. */
@@ -375,7 +380,8 @@
       registry.recordRefusal(from.host, body),
     );
     network.onNotification(HOST_USAGE, (body, from) => {
-      this.successors.record(from.host, body.successorRankMs);
+      const {path, successorRankMs} = body;
+      this.successors.record(from.host, successorRankMs, path?.isSound);
       this.handleReport(from, body);
       this.viewPublisher.sendFullView(from);
     });
@@ -419,9 +425,10 @@
   }
 
   private handleReport({host}: PeerIdentity, body: UsageBody): void {
-    const {lender, usage} = this.parts;
+    const {lender, onPathReport, usage} = this.parts;
     usage.report(host, body);
-    const {usedTokens} = body;
+    const {path, usedTokens} = body;
+    if (path !== undefined) onPathReport?.(host, path);
     if (usedTokens === undefined) return;
     lender.recordUsed(host, usedTokens, this.hostCount);
   }
--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 import {NOT_RUN} from '../gateway/target_port.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
+import {pathReportSchema} from '../paths/path_messages.js';
 import {PeerMethod} from '../peers/peer_network.js';
 import {workEntrySchema} from '../work/work_messages.js';
 
@@ -78,6 +79,8 @@
       }),
     )
     .optional(),
+  /** Unset if it was sent lately, and from older hosts. */
+  path: pathReportSchema.optional(),
 });
 
 /** Body of {@link HOST_USAGE}. */
--- a/packages/core/src/lib/residency/successor_tracker.ts
+++ b/packages/core/src/lib/residency/successor_tracker.ts
@@ -8,6 +8,8 @@
 interface Candidate {
   rankMs: number;
   heardMs: number;
+  /** Whether the host reaches the targets. */
+  isFit: boolean;
 }
 
 /** Keeps the successor ranks that hosts report. */
@@ -22,9 +24,16 @@
    *
    * @param host - host that reports.
    * @param rankMs - rank of the host in milliseconds; the lowest is best.
+   * @param reachesTargets - whether the host could send orders; as before if
+   *     undefined, and true by default.
    */
-  record(host: string, rankMs: number): void {
-    this.candidates.set(host, {rankMs, heardMs: this.clock.now()});
+  record(
+    host: string,
+    rankMs: number,
+    reachesTargets = this.candidates.get(host)?.isFit ?? true,
+  ): void {
+    const heardMs = this.clock.now();
+    this.candidates.set(host, {rankMs, heardMs, isFit: reachesTargets});
   }
 
   /**
@@ -40,7 +49,7 @@
     for (const host of hosts) {
       const candidate = this.candidates.get(host);
       if (candidate === undefined || candidate.heardMs < sinceMs) continue;
-      if (candidate.rankMs >= bestMs) continue;
+      if (!candidate.isFit || candidate.rankMs >= bestMs) continue;
       best = host;
       bestMs = candidate.rankMs;
     }
--- a/packages/core/src/lib/residency/usage_reporter.ts
+++ b/packages/core/src/lib/residency/usage_reporter.ts
@@ -1,6 +1,7 @@
 /** Reports this host's requests and demand to the lease holder. @packageDocumentation */
 
 import {TargetTable} from '../gateway/target_table.js';
+import {PathReport} from '../paths/path_messages.js';
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {Clock} from '../time/clock.js';
 import {WorkReports} from '../work/work_reports.js';
@@ -24,6 +25,9 @@
 /** Report intervals between two reports of the demand for models. */
 const DEMAND_INTERVALS = 5;
 
+/** Time between reports of unchanged paths. */
+const PATH_INTERVAL_MS = 1_000;
+
 /** Dependencies of {@link UsageReporter}. */
 export interface UsageReporterParts {
   clock: Clock;
@@ -34,6 +38,8 @@
   /** Returns the tokens of each team used here in the last window, if known. */
   usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
+  /** Returns the state of this host's paths, if it helps other hosts. */
+  pathReport?: () => PathReport;
   /** Handles a report of this host, if it is the holder itself. */
   handleReport: (from: PeerIdentity, report: UsageBody) => void;
 }
@@ -45,6 +51,8 @@
   private lastHolder = '';
   private demandSentMs = -Infinity;
   private lastDemandHolder = '';
+  private pathSentMs = -Infinity;
+  private lastPath: PathReport | undefined;
 
   private readonly workReports: WorkReports;
 
@@ -83,17 +91,25 @@
     const text = JSON.stringify(inFlight);
     const isChanged = text !== this.lastInFlightJson;
     const isNewHolder = leaseHolder.incarnation !== this.lastHolder;
-    const isDue = isChanged || nowMs - this.sentMs >= HEARTBEAT_MS;
+    const path = this.parts.pathReport?.();
+    const isPathChanged = !isSameStanding(path, this.lastPath);
+    const isDue =
+      isChanged || isPathChanged || nowMs - this.sentMs >= HEARTBEAT_MS;
     if (!isDue && !isNewHolder) return true;
     const shouldSendDemand =
       leaseHolder.incarnation !== this.lastDemandHolder ||
       nowMs - this.demandSentMs >= DEMAND_INTERVALS * this.intervalMs;
+    const isPathDue =
+      isNewHolder ||
+      isPathChanged ||
+      nowMs - this.pathSentMs >= PATH_INTERVAL_MS;
     const body: UsageBody = {
       usedTokens: isNewHolder ? usedTokens() : undefined,
       successorRankMs: lease.successorRankMs,
       inFlight,
       work: this.workReports.take(isNewHolder),
       demand: shouldSendDemand ? demand.rates() : undefined,
+      path: isPathDue ? path : undefined,
     };
     if (lease.isHeld) handleReport(network.self, body);
     else if (!network.notify(leaseHolder.host, HOST_USAGE, body)) {
@@ -103,6 +119,8 @@
     this.lastInFlightJson = text;
     this.sentMs = nowMs;
     this.lastHolder = leaseHolder.incarnation;
+    if (isPathDue) this.pathSentMs = nowMs;
+    this.lastPath = path;
     if (!shouldSendDemand) return true;
     this.demandSentMs = nowMs;
     this.lastDemandHolder = leaseHolder.incarnation;
@@ -119,3 +137,11 @@
     return all;
   }
 }
+
+/** Returns whether two reports differ in nothing but the load. */
+function isSameStanding(
+  a: PathReport | undefined,
+  b: PathReport | undefined,
+): boolean {
+  return a?.isSound === b?.isSound && a?.isStopping === b?.isStopping;
+}
