Pass the order lease on from a holder that reaches no target

Orders never go through tunnels, as they are judged by the machine that sends them: a holder without a path could neither load nor unload a model. It resigns as it does when it can't renew, and a host without a path claims 1.5 s after the others would. The gap between the orders of two holders is kept as before.

--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -46,6 +46,9 @@
 const AGE_DELAY_FACTOR = 0.015;
 const MAX_AGE_DELAY_MS = 400;
 
+/** Delay of a claim by a host that reaches no target, so that others come first. */
+const UNFIT_CLAIM_DELAY_MS = 1_500;
+
 /**
  * How long after the last message from the holder its peers assume, without a
  * read of the log, that it still holds the lease.
@@ -78,6 +81,11 @@
   hostCount: () => number;
   /** Delay of claims, so that other hosts claim first, in milliseconds. */
   claimDelayMs: number;
+  /**
+   * Whether this host can send orders, or no other host can either; by default it
+   * can.
+   */
+  isFitToHold?: () => boolean;
   /** Notifies the peers that this host resigned before its lease expired. */
   onResign: () => void;
 }
@@ -278,7 +286,19 @@
     );
   }
 
+  private get isFit(): boolean {
+    return this.parts.isFitToHold?.() ?? true;
+  }
+
   private async renew(signal: AbortSignal): Promise<void> {
+    if (!this.isFit) {
+      this.parts.logger.info('order_lease_resigned', {
+        fencing: this.fencing,
+        reason: 'no path to targets',
+      });
+      this.relinquish();
+      return;
+    }
     const isRenewed = await this.append(LEASE_EVENT.renew, signal);
     if (isRenewed || !this.isHeld) return;
     const leftMs = this.heldUntilMs - this.parts.clock.now();
@@ -303,13 +323,15 @@
     const isTailKnown = clock.now() - this.tailReadMs < TAIL_MAX_AGE_MS;
     if (!isTailKnown) await this.readTail(signal);
     if (!this.hasReadLog || clock.now() < this.claimableMs) return;
-    if (this.hasClaimPriority) {
+    if (this.hasClaimPriority && this.isFit) {
       await this.claim(MAX_CLAIM_ATTEMPTS, signal);
       return;
     }
     const {end} = this;
     const spreadMs = random.int(0, CLAIM_JITTER_MS);
-    await this.waitForRecord(spreadMs + this.parts.claimDelayMs, signal);
+    const unfitMs = this.isFit ? 0 : UNFIT_CLAIM_DELAY_MS;
+    const delayMs = spreadMs + this.parts.claimDelayMs + unfitMs;
+    await this.waitForRecord(delayMs, signal);
     if (this.end !== end || this.wakeController.signal.aborted) return;
     await this.claim(1, signal);
   }
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -27,6 +27,9 @@
   readonly shared = new SharedLog();
   private starts = 0;
 
+  /** Hosts that reach no target. */
+  readonly unfit = new Set<number>();
+
   constructor(
     count: number,
     private readonly claimDelayMs = 0,
@@ -73,6 +76,7 @@
       holderGapMs: HOLDER_GAP_MS,
       hostCount: () => this.hosts.length,
       claimDelayMs: this.claimDelayMs,
+      isFitToHold: () => !this.unfit.has(i),
       // A process that was killed sends nothing.
       onResign: () => {
         if (this.hosts[i]?.lease === lease) this.notifyResigned(i);
@@ -324,3 +328,26 @@
   faults.losesAnswers = false;
   faults.lateMs = 0;
 }
+
+describe('OrderLease: hosts that reach no target', () => {
+  it('pass the lease on to one that does', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(5_000);
+    const holder = world.hosts.findIndex(({lease}) => lease.isHeld);
+    world.unfit.add(holder);
+    await world.run(1_500);
+    expect(world.hosts[holder].lease.isHeld).to.equal(false);
+    const next = world.hosts.filter(({lease}) => lease.isHeld);
+    expect(next).to.have.lengthOf(1);
+    await world.run(5_000);
+    expect(next[0].lease.canOrder).to.equal(true);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
+  it('claim it after the others', async () => {
+    const world = new LeaseWorld(3);
+    world.unfit.add(0).add(1);
+    await world.run(5_000);
+    expect(world.hosts[2].lease.isHeld).to.equal(true);
+  });
+});
