--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** The metrics of a gateway host. @packageDocumentation */
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {PathMetrics} from './path_metrics.js';
 
 /**
  * Covers quick lookups up to the longest timeout of the users' routes, 25 s.
@@ -344,6 +345,9 @@
     registers: [this.registry],
   });
 
+  /** Paths to targets, and tunnels. */
+  readonly paths = new PathMetrics(this.registry);
+
   private readonly labeledTargets = new Set<string>();
 
   /**
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -49,6 +49,7 @@
   UnservedOutcome,
   refuse,
 } from '../../lib/requests/outcome.js';
+import {PathView} from '../../lib/paths/path_view.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
 import {OriginExchange} from '../../lib/continuation/origin_exchange.js';
 import {ServiceVersions} from '../../lib/continuation/service_versions.js';
@@ -426,6 +427,8 @@
   warming?: TargetWarming;
   /** Lends tokens of teams; without bounds by default. */
   loans?: TokenLoanClient;
+  /** Tells lost paths; by default none is checked. */
+  paths?: PathView;
 }
 
 const MAX_AGE_MS = 4_000;
@@ -479,6 +482,7 @@
     observer,
     tasks: new TaskSupervisor(clock, new SilentLogger()),
     zone: 'a',
+    paths: options.paths,
   });
   const run = async (caller: FakeCaller, limitMs = 60_000) => {
     let isDone = false;
