--- a/packages/core/src/lib/paths/path_monitor.ts
+++ b/packages/core/src/lib/paths/path_monitor.ts
@@ -20,6 +20,9 @@
 /** Time after which the set-up of a direct connection is suspicious. */
 const SLOW_CONNECT_MS = 250;
 
+/** The same over a helper, which itself waits 300 ms for the target. */
+const SLOW_TUNNEL_MS = 450;
+
 /** Error codes of connections, see {@link TargetPaths}. */
 const TUNNEL_FAILED = 'ERR_TUNNEL';
 const REFUSED = 'ECONNREFUSED';
@@ -37,6 +40,9 @@
  */
 const ABANDON_AFTER_MS = 500;
 
+/** Before any connection has received anything. */
+const BEFORE_ALL_MS = -Number.MAX_VALUE;
+
 /**
  * Interval of the checks whether the helpers are up to date, and the age up to
  * which they are soon after a loss: other hosts may have lost paths with this one.
@@ -69,7 +75,7 @@
   judge: PathJudge;
   /**
    * Resets direct connections to a target that have received nothing since a
-   * clock time, as nothing more will come.
+   * clock time, the set-up included. Requests that can't be repeated keep theirs.
    */
   abandonSilent: (target: KnownTarget, sinceMs: number) => void;
 }
@@ -138,10 +144,15 @@
   }
 
   override recordConnecting(target: KnownTarget, path: TargetPath): () => void {
-    if (path.type === 'tunnel') return () => {};
-    const timer = this.parts.clock.after(SLOW_CONNECT_MS, () =>
-      this.check(target, SUSPICION.slowConnect),
-    );
+    const {choice, clock} = this.parts;
+    const timer =
+      path.type === 'tunnel'
+        ? clock.after(SLOW_TUNNEL_MS, () =>
+            choice.recordFailure(path.host, false, SUSPICION.slowConnect),
+          )
+        : clock.after(SLOW_CONNECT_MS, () =>
+            this.check(target, SUSPICION.slowConnect),
+          );
     return () => timer.cancel();
   }
 
@@ -306,6 +317,10 @@
     for (const listener of this.lostListeners) listener(newlyLost.length);
     this.logCutOff();
     if (!isSilent) return;
+    // What is being set up has sent nothing and goes another way at once.
+    for (const target of newlyLost) {
+      if (target.inFlight > 0) this.parts.abandonSilent(target, BEFORE_ALL_MS);
+    }
     this.abandonTimer ??= clock.after(ABANDON_AFTER_MS, () => this.abandon());
   }
 
