--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -318,8 +318,8 @@
 
   private async startHost(): Promise<void> {
     const address = loopbackAddress(this.number, this.hosts.length);
-    const ports = await freePorts(address, 4);
-    const [callers, ready, peers, metrics] = ports.map(port => ({
+    const ports = await freePorts(address, 5);
+    const [callers, ready, peers, tunnels, metrics] = ports.map(port => ({
       address,
       port,
     }));
@@ -331,6 +331,7 @@
       callers,
       ready,
       peers,
+      tunnels,
       metrics,
       store: {address: url.hostname, port: Number(url.port)},
       cpuShare: 0.9,
