Pass connections to targets through other hosts

A host that has lost its way to the targets has nothing else. TunnelServer serves HTTP CONNECT to the addresses that a callback admits, and answers 200 only once the target has accepted the connection; a CheckedClient connects through it with connectThrough. Nothing serves or uses tunnels yet.

The operating system closes the connections of a killed process in order, so that a caller would get a cut answer without a length as a whole one. The target's bytes therefore come in frames, and the last one says that it has closed in order.

--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -1,11 +1,18 @@
 /** An HTTP client that tells a reset from the end of an answer. @packageDocumentation */
 
 import {Socket} from 'node:net';
+import {Duplex} from 'node:stream';
 import {Client, Dispatcher, buildConnector} from 'undici';
+import {openTunnel} from '../paths/tunnel_client.js';
+import {wasReset} from './reset_check.js';
+import {SocketAddress} from './socket_address.js';
 
 /** Code of the errors of connections that were closed early. */
 const SOCKET_ERROR_CODE = 'UND_ERR_SOCKET';
 
+/** A connection: a socket, or one through a helper host. */
+export type ClientSocket = Duplex & Pick<Socket, 'resetAndDestroy'>;
+
 /** Options of a {@link CheckedClient}. */
 export interface CheckedClientOptions extends Omit<
   Client.Options,
@@ -15,8 +22,17 @@
   connectTimeoutMs: number;
   /** Called when a connection ends because of bytes that no request waits for. */
   onSurplus?: () => void;
+  /**
+   * Where a helper host serves tunnels, through which to connect; by default the
+   * client connects itself.
+   */
+  connectThrough?: SocketAddress;
+  /** Called when the set-up of a connection begins. */
+  onConnecting?: () => void;
   /** Called with each connection before the client reads from it. */
-  onConnected?: (socket: Socket) => void;
+  onConnected?: (socket: ClientSocket) => void;
+  /** Called when the set-up of a connection has failed. */
+  onConnectFailed?: (error: NodeJS.ErrnoException) => void;
 }
 
 /** The request was not written, as it could not be sent any more. */
@@ -38,7 +54,7 @@
   resume: (() => void) | undefined;
 
   /** Follows a new connection; must be called before the client listens to it. */
-  follow(socket: Socket): void {
+  follow(socket: ClientSocket): void {
     this.hasFailed = false;
     this.resume = undefined;
     socket.on('error', (error: NodeJS.ErrnoException) => {
@@ -48,24 +64,14 @@
       if (error.code === 'ECONNRESET') error.code = SOCKET_ERROR_CODE;
     });
     socket.on('end', () => {
-      if (wasReset(socket)) this.hasFailed = true;
+      // A tunnel ends in order only, and fails otherwise.
+      if (socket instanceof Socket && wasReset(socket)) this.hasFailed = true;
       // A client that is paused throws at the end.
       this.resume?.();
     });
   }
 }
 
-/**
- * Returns whether a connection whose reading has ended was reset.
- *
- * Node reports a reset that it finds together with the last bytes as the end,
- * without an error. A connection that was closed in order still has a peer
- * then. The peer must not be read before, since Node remembers it.
- */
-function wasReset({remotePort}: Socket): boolean {
-  return remotePort === undefined;
-}
-
 /** Returns whether a connection ended because of bytes that it received. */
 function isSurplus({message, name}: Error): boolean {
   return name === 'HTTPParserError' || message === 'bad response';
@@ -114,6 +120,21 @@
   }
 }
 
+/** Returns a connector that connects through a helper host. */
+function tunnelConnector(
+  helper: SocketAddress,
+  timeoutMs: number,
+): buildConnector.connector {
+  return ({hostname, port}, callback) => {
+    const target = `${hostname}:${port}`;
+    void openTunnel({helper, target, timeoutMs}).then(opened => {
+      // The client needs no more of a socket than this stream offers.
+      if (opened.isOk()) callback(null, opened.value as unknown as Socket);
+      else callback(opened.error, null);
+    });
+  };
+}
+
 function brokenError(): Error {
   const error = new Error('the connection was reset during the answer');
   return Object.assign(error, {code: SOCKET_ERROR_CODE});
@@ -133,27 +154,36 @@
   constructor(
     origin: string | URL,
     {
+      connectThrough,
       connectTimeoutMs,
       onConnected,
+      onConnectFailed,
+      onConnecting,
       onSurplus,
       ...options
     }: CheckedClientOptions,
   ) {
-    const connect = buildConnector({timeout: connectTimeoutMs});
+    const connect =
+      connectThrough === undefined
+        ? buildConnector({timeout: connectTimeoutMs})
+        : tunnelConnector(connectThrough, connectTimeoutMs);
     const connectionEnd = new ConnectionEnd();
     super(origin, {
       ...options,
       pipelining: 1,
-      connect: (target, callback) =>
+      connect: (target, callback) => {
+        onConnecting?.();
         connect(target, (error, socket) => {
           if (error !== null) {
+            onConnectFailed?.(error);
             callback(error, null);
             return;
           }
           connectionEnd.follow(socket);
           onConnected?.(socket);
           callback(null, socket);
-        }),
+        });
+      },
     });
     this.connectionEnd = connectionEnd;
     this.on('disconnect', (unusedOrigin, unusedTargets, error) => {
