--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -50,6 +50,7 @@
 export * from './lib/paths/tunnel_log.js';
 export * from './lib/paths/tunnel_refusal.js';
 export * from './lib/paths/tunnel_server.js';
+export * from './lib/peers/peer_network.js';
 export * from './lib/peers/tcp_peer_network.js';
 export * from './lib/continuation/origin_archive.js';
 export * from './lib/continuation/origin_exchange.js';
--- a/packages/core/src/lib/paths/host_paths.ts
+++ b/packages/core/src/lib/paths/host_paths.ts
@@ -49,8 +49,7 @@
 
 /** Builds the knowledge of a host about its paths to targets. */
 export function createHostPaths(parts: HostPathsParts): HostPaths {
-  const {clock, isListening, logger, network, onCheck, random, targets, zone} =
-    parts;
+  const {clock, isListening, logger, onCheck, random, targets, zone} = parts;
   const paths = new PathTable(clock, targets);
   const checks = new DirectChecks(isListening, onCheck);
   const reported = new HelperTable(clock, random);
@@ -65,6 +64,6 @@
     directory,
     judge,
   });
-  new PathCheckService({network, random, targets, paths, checks}).start();
+  new PathCheckService({...parts, paths, checks}).start();
   return {paths, monitor, directory, reported};
 }
--- a/packages/core/src/lib/paths/path_check_service.ts
+++ b/packages/core/src/lib/paths/path_check_service.ts
@@ -1,14 +1,19 @@
 /** Lets other hosts compare their paths with those of this host. @packageDocumentation */
 
-import {TargetTable} from '../gateway/target_table.js';
+import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {PeerNetwork} from '../peers/peer_network.js';
+import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {DirectChecks} from './direct_checks.js';
 import {PATH_CHECK, PATH_REPLY, PathReply} from './path_messages.js';
 import {PathTable} from './path_table.js';
 
+/** Time for which a reply of a target shows that this host reaches targets. */
+const PROOF_LIFETIME_MS = 200;
+
 /** Dependencies of a {@link PathCheckService}. */
 export interface PathCheckServiceParts {
+  clock: Clock;
   network: PeerNetwork;
   random: Random;
   targets: TargetTable;
@@ -32,20 +37,23 @@
   }
 
   private async check(id: string): Promise<PathReply> {
-    const {checks, paths, random, targets} = this.parts;
+    const {checks, paths, targets} = this.parts;
     const target = targets.get(id);
     if (target === undefined || target.isEvacuated) return PATH_REPLY.unchecked;
     if (paths.isLost(target)) return PATH_REPLY.noPath;
-    const others = paths.reachable().filter(other => other !== target);
-    const checkOther = () =>
-      others.length === 0 ? undefined : checks.check(random.pick(others));
-    const own = checks.check(target);
-    const control = checkOther();
-    const reply = await own;
+    const control = this.reachesOther(target);
+    const reply = await checks.check(target);
     if (reply === PATH_REPLY.listening) return reply;
-    const controlReply = await control;
-    const isProven =
-      controlReply === undefined || controlReply === PATH_REPLY.listening;
-    return isProven ? reply : PATH_REPLY.unchecked;
+    return (await control) ? reply : PATH_REPLY.unchecked;
+  }
+
+  private async reachesOther(target: KnownTarget): Promise<boolean> {
+    const {checks, clock, paths, random} = this.parts;
+    if (paths.hasReachedOther(target, clock.now() - PROOF_LIFETIME_MS))
+      return true;
+    const others = paths.reachable().filter(other => other !== target);
+    if (others.length === 0) return true;
+    const reply = await checks.check(random.pick(others));
+    return reply === PATH_REPLY.listening;
   }
 }
--- a/packages/core/src/lib/paths/path_table.ts
+++ b/packages/core/src/lib/paths/path_table.ts
@@ -95,7 +95,19 @@
   get isSound(): boolean {
     if (!this.hasLost) return true;
     if (this.cutOffMs !== undefined) return false;
-    return this.lostCount <= this.states.size * MAX_LOST_SHARE;
+    return this.lostCount <= this.checkable().length * MAX_LOST_SHARE;
+  }
+
+  /**
+   * Returns whether this host has lately got something from another target than
+   * the given one.
+   */
+  hasReachedOther({registration: {id}}: KnownTarget, sinceMs: number): boolean {
+    for (const [other, {connectedMs, receivedMs}] of this.states) {
+      if (other !== id && Math.max(connectedMs, receivedMs) >= sinceMs)
+        return true;
+    }
+    return false;
   }
 
   /** Returns the targets whose paths are not lost and can be checked. */
--- a/packages/core/src/lib/paths/silence_watch.ts
+++ b/packages/core/src/lib/paths/silence_watch.ts
@@ -16,7 +16,7 @@
  * seconds, and each check is a connection.
  */
 const ALL_CHECK_INTERVAL_MS = 500;
-const MAX_ALL_CHECK_INTERVAL_MS = 2_000;
+const MAX_ALL_CHECK_INTERVAL_MS = 4_000;
 const TARGET_CHECK_INTERVAL_MS = 2_000;
 const MAX_TARGET_CHECK_INTERVAL_MS = 16_000;
 
@@ -67,7 +67,10 @@
         continue;
       }
       const state = paths.of(target);
-      state.waitingSinceMs ??= nowMs;
+      if (state.waitingSinceMs === undefined) {
+        state.waitingSinceMs = nowMs;
+        this.expectReply(nowMs);
+      }
       if (state.isLost || !isCheckable(target)) continue;
       const silentMs = nowMs - Math.max(state.waitingSinceMs, state.receivedMs);
       if (silentMs < ALL_SILENT_MS) areAllSilent = false;
@@ -92,6 +95,12 @@
     onSilent(longest);
   }
 
+  /** A new request makes silence telling again. */
+  private expectReply(nowMs: number): void {
+    this.allCheckIntervalMs = ALL_CHECK_INTERVAL_MS;
+    this.nextAllCheckMs = Math.min(this.nextAllCheckMs, nowMs + ALL_SILENT_MS);
+  }
+
   private postponeNext(target: KnownTarget, nowMs: number): void {
     const state = this.parts.paths.of(target);
     const doubled = TARGET_CHECK_INTERVAL_MS * 2 ** state.passedSilenceChecks;
