--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -20,6 +20,7 @@
 /** Reasons for which no byte of a request has reached a target. */
 const NOT_DELIVERED: ReadonlySet<NotRunReason> = new Set([
   NOT_RUN.unreachable,
+  NOT_RUN.noPath,
   NOT_RUN.noConnection,
   NOT_RUN.withdrawn,
 ]);
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -8,6 +8,8 @@
 export const NOT_RUN = {
   /** The target could not be reached; no byte was sent. */
   unreachable: 'unreachable',
+  /** The path to the target has failed, not the target; no byte was sent. */
+  noPath: 'no-path',
   /** This host has reached its limit of connections to the target. */
   noConnection: 'no-connection',
   /** This host cancelled the send before any byte was sent. */
@@ -33,7 +35,7 @@
   silent: 'silent',
   /** It answers. */
   responsive: 'responsive',
-  /** It was not checked, as its zone is evacuated. */
+  /** It was not checked: its zone is evacuated, or the path to it has failed. */
   unchecked: 'unchecked',
 } as const;
 
--- a/packages/core/src/lib/paths/target_paths.ts
+++ b/packages/core/src/lib/paths/target_paths.ts
@@ -45,11 +45,11 @@
 
   /**
    * Records that the set-up of a connection begins. It is followed by either
-   * {@link recordConnected} or {@link recordConnectFailure}, unless the set-up is
-   * abandoned.
+   * {@link recordConnected} or {@link recordConnectFailure}, also if nothing needs
+   * the connection any more.
    *
-   * @returns a function that is called once when the set-up has ended, however it
-   *     has ended, and before its result is recorded.
+   * @returns a function that is called once when the set-up has ended, before its
+   *     result is recorded.
    */
   abstract recordConnecting(target: KnownTarget, path: TargetPath): () => void;
 
--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -75,6 +75,13 @@
 /** Retry delay for callers if the lease holder named none. */
 const RETRY_AFTER_MS = 1_500;
 
+/** Reasons that have their cause on this host and say nothing about the target. */
+const HOST_REASONS: ReadonlySet<NotRunReason> = new Set([
+  NOT_RUN.noConnection,
+  NOT_RUN.noPath,
+  NOT_RUN.withdrawn,
+]);
+
 /** Dependencies of {@link ResidencyHost}. */
 export interface ResidencyHostParts {
   clock: Clock;
@@ -251,10 +258,7 @@
     if (reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent) {
       target.dropHeld({model, adapter});
     }
-    const saysLittle =
-      reason === NOT_RUN.noConnection || reason === NOT_RUN.withdrawn;
-    // Both have their cause on this host and say nothing about the target.
-    if (saysLittle) return;
+    if (HOST_REASONS.has(reason)) return;
     const {registry, controller, lease, network} = this.parts;
     const body = {target: target.registration.id, model, adapter, reason};
     if (controller.isActive) registry.recordRefusal(network.self.host, body);
