--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -35,7 +35,7 @@
   silent: 'silent',
   /** It answers. */
   responsive: 'responsive',
-  /** It was not checked, as its zone is evacuated. */
+  /** It was not checked: its zone is evacuated, or the path to it has failed. */
   unchecked: 'unchecked',
 } as const;
 
