Let a host that is asked for help notice that it is cut off itself

A host without requests of its own had no suspicion and went on to offer tunnels. Runs that end with a lost path no longer make their targets avoided.

Tested: paths/path_monitor_test 19 (the new one failed before: 1 of 3 cut hosts knew), relay_paths_test 6 passing.

--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -145,7 +145,8 @@
     target: KnownTarget,
     call: RelayCall<Req>,
   ): Promise<void> {
-    this.recordFailure(target);
+    // Where a helper host is between, the connection may have ended there.
+    if (!this.parts.paths.isLost(target)) this.recordFailure(target);
     if (TARGET_ENDS.has(call.endedBy)) await this.recordBrokenRun(target, call);
   }
 
--- a/packages/core/src/lib/paths/host_paths.ts
+++ b/packages/core/src/lib/paths/host_paths.ts
@@ -64,6 +64,7 @@
     directory,
     judge,
   });
-  new PathCheckService({...parts, paths, checks}).start();
+  const onUnreached = (target: KnownTarget) => monitor.checkLater(target);
+  new PathCheckService({...parts, paths, checks, onUnreached}).start();
   return {paths, monitor, directory, reported};
 }
--- a/packages/core/src/lib/paths/path_check_service.ts
+++ b/packages/core/src/lib/paths/path_check_service.ts
@@ -19,6 +19,8 @@
   targets: TargetTable;
   paths: PathTable;
   checks: DirectChecks;
+  /** Called with a target that this host should reach, but does not. */
+  onUnreached: (target: KnownTarget) => void;
 }
 
 /**
@@ -44,7 +46,10 @@
     const control = this.reachesOther(target);
     const reply = await checks.check(target);
     if (reply === PATH_REPLY.listening) return reply;
-    return (await control) ? reply : PATH_REPLY.unchecked;
+    if (await control) return reply;
+    // This host may have no requests that would have shown it.
+    this.parts.onUnreached(target);
+    return PATH_REPLY.unchecked;
   }
 
   private async reachesOther(target: KnownTarget): Promise<boolean> {
--- a/packages/core/src/lib/paths/path_monitor.ts
+++ b/packages/core/src/lib/paths/path_monitor.ts
@@ -196,6 +196,11 @@
     return this.suspect(target, SUSPICION.asked);
   }
 
+  /** Finds out in the background why this host does not reach a target. */
+  checkLater(target: KnownTarget): void {
+    this.check(target, SUSPICION.asked);
+  }
+
   async confirmEnded(target: KnownTarget): Promise<boolean> {
     const {choice, judge, logger} = this.parts;
     const reply = await judge.askHelpers(target);
--- a/packages/core/src/test/paths/path_monitor_test.ts
+++ b/packages/core/src/test/paths/path_monitor_test.ts
@@ -194,6 +194,18 @@
     expect(counts.size).to.be.above(2);
   });
 
+  it('learns that it is cut off when another host asks it for help', async () => {
+    world = await new PathWorld(['a', 'a', 'a', 'b']).start();
+    const cut = world.hosts.slice(0, 3);
+    for (const host of cut) host.cut('refuse');
+    void cut[0].connect('t3');
+    await world.run(2_000);
+    void cut[0].connect('t4');
+    await world.run(1_000);
+    expect(cut[0].send('t5')).to.be.within(1, 3);
+    expect(cut.filter(({monitor}) => monitor.isCutOff).length).to.be.above(1);
+  });
+
   it('replaces a helper that has failed', async () => {
     world = await new PathWorld(TWO_ZONES).start();
     const host = world.hosts[2];
--- a/packages/core/src/test/paths/relay_paths_test.ts
+++ b/packages/core/src/test/paths/relay_paths_test.ts
@@ -94,6 +94,22 @@
     expect(world.clock.now()).to.be.below(50);
   });
 
+  it('does not avoid a target for a run that was lost with its path', async () => {
+    const paths = new FakePaths();
+    const lost: TargetBehavior = () => {
+      paths.hasLost = true;
+      return {type: 'lost', reason: 'ECONNRESET'};
+    };
+    const behaviors = [lost, served];
+    const route = routeRule({maxTargets: 2});
+    const world = relayWorld({route, behaviors, paths});
+    const caller = new FakeCaller(world.clock);
+    await world.run(caller);
+    expect(caller.isEnded).to.equal(true);
+    for (const {health} of world.targets.all())
+      expect(health.isAvoided).to.equal(false);
+  });
+
   for (const isConfirmed of [false, true]) {
     it(`marks a target that refuses it as ended: ${isConfirmed}`, async () => {
       const paths = new FakePaths();
