--- a/packages/core/src/lib/paths/tunnel_sockets.ts
+++ b/packages/core/src/lib/paths/socket_setup.ts
@@ -1,4 +1,4 @@
-/** The sockets of both ends of a tunnel. @packageDocumentation */
+/** Sets up the sockets of tunnels. @packageDocumentation */
 
 import {Socket, TcpNetConnectOpts, connect} from 'node:net';
 import {SocketAddress} from '../net/socket_address.js';
--- a/packages/core/src/lib/paths/target_dial.ts
+++ b/packages/core/src/lib/paths/target_dial.ts
@@ -5,7 +5,7 @@
 import {SocketAddress} from '../net/socket_address.js';
 import {Clock} from '../time/clock.js';
 import {TUNNEL_REFUSAL, TunnelRefusal} from './tunnel_refusal.js';
-import {connectTunnelSocket} from './tunnel_sockets.js';
+import {connectTunnelSocket} from './socket_setup.js';
 
 /** Time limit for the connection to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
--- a/packages/core/src/lib/paths/tunnel_client.ts
+++ b/packages/core/src/lib/paths/tunnel_client.ts
@@ -11,7 +11,7 @@
   TunnelRefusal,
 } from './tunnel_refusal.js';
 import {TunnelSocket} from './tunnel_socket.js';
-import {connectTunnelSocket} from './tunnel_sockets.js';
+import {connectTunnelSocket} from './socket_setup.js';
 
 /** Code of {@link TunnelError}. */
 export const TUNNEL_ERROR_CODE = 'ERR_TUNNEL';
--- a/packages/core/src/lib/paths/tunnel_server.ts
+++ b/packages/core/src/lib/paths/tunnel_server.ts
@@ -16,7 +16,7 @@
   TUNNEL_REFUSAL,
   TunnelRefusal,
 } from './tunnel_refusal.js';
-import {TUNNEL_BUFFER_BYTES, prepareSocket} from './tunnel_sockets.js';
+import {TUNNEL_BUFFER_BYTES, prepareSocket} from './socket_setup.js';
 
 /** Most tunnels at a time; each takes two descriptors and up to 256 KiB. */
 const MAX_TUNNELS = 256;
--- a/packages/core/src/lib/paths/tunnel_socket.ts
+++ b/packages/core/src/lib/paths/tunnel_socket.ts
@@ -3,7 +3,7 @@
 import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {FrameDecoder} from './tunnel_frames.js';
-import {TUNNEL_BUFFER_BYTES} from './tunnel_sockets.js';
+import {TUNNEL_BUFFER_BYTES} from './socket_setup.js';
 
 /**
  * A connection to a target whose bytes a helper host passes on. It ends when the
