--- a/packages/core/src/test/residency/lease_world.ts
+++ b/packages/core/src/test/residency/lease_world.ts
@@ -45,6 +45,8 @@
   readonly shared = new SharedLog();
   /** Hosts that messages of holders do not reach; all by default. */
   readonly deaf = new Set<number>();
+  /** Hosts that reach no target. */
+  readonly unfit = new Set<number>();
   /** Hosts that have stopped and were not restarted. */
   readonly stopped = new Set<number>();
   private starts = 0;
@@ -124,6 +126,7 @@
       hostCount: () => this.hosts.length,
       claimDelayMs: this.claimDelayMs,
       isFirstStart,
+      isFitToHold: () => !this.unfit.has(i),
       // A process that was killed sends nothing.
       onResign: () => {
         if (this.hosts[i]?.lease === lease) this.notifyResigned(i);
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -219,3 +219,26 @@
     );
   });
 });
+
+describe('OrderLease: hosts that reach no target', () => {
+  it('pass the lease on to one that does', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(5_000);
+    const holder = world.hosts.findIndex(({lease}) => lease.isHeld);
+    world.unfit.add(holder);
+    await world.run(1_500);
+    expect(world.hosts[holder].lease.isHeld).to.equal(false);
+    const next = world.hosts.filter(({lease}) => lease.isHeld);
+    expect(next).to.have.lengthOf(1);
+    await world.run(5_000);
+    expect(next[0].lease.canOrder).to.equal(true);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
+  it('claim it after the others', async () => {
+    const world = new LeaseWorld(3);
+    world.unfit.add(0).add(1);
+    await world.run(5_000);
+    expect(world.hosts[2].lease.isHeld).to.equal(true);
+  });
+});
