--- a/packages/core/src/lib/gateway/target_prober.ts
+++ b/packages/core/src/lib/gateway/target_prober.ts
@@ -1,6 +1,6 @@
 /** Checks targets whose runs make no progress. @packageDocumentation */
 
-import {PATH_VERDICT, PathView, UncheckedPaths} from '../paths/path_view.js';
+import {PathView, UncheckedPaths} from '../paths/path_view.js';
 import {Clock} from '../time/clock.js';
 import {TARGET_STATE, TargetState} from './target_port.js';
 import {KnownTarget} from './target_table.js';
@@ -60,8 +60,9 @@
     const isReached =
       state === TARGET_STATE.responsive || state === TARGET_STATE.silent;
     if (!isReached && !isTunneled) {
-      const verdict = await this.paths.judge(target);
-      if (verdict === PATH_VERDICT.lost) return TARGET_STATE.unchecked;
+      // Not awaited: a run at a lost target has to go on elsewhere soon.
+      void this.paths.judge(target);
+      if (this.paths.isLost(target)) return TARGET_STATE.unchecked;
     }
     // A target that leaves stops listening before it has finished its runs.
     const mayFinish = target.isLeaving || target.isRemoved;
--- a/packages/core/src/lib/paths/path_monitor.ts
+++ b/packages/core/src/lib/paths/path_monitor.ts
@@ -278,11 +278,11 @@
     if (verdict === PATH_VERDICT.lost) {
       this.suspectedMs = startMs;
       this.lose([target], judged.isSilent);
-      void this.parts.tasks.run('path_survey', () => this.survey.run());
+      void this.parts.tasks.run('path_survey', () => this.survey.run(true));
     } else if (verdict === PATH_VERDICT.unknown) {
       // Without a helper, only the other targets tell.
       this.suspectedMs = startMs;
-      await this.survey.run();
+      await this.survey.run(this.hasLost);
       if (this.isCutOff) this.lose([target], judged.isSilent);
       if (state.isLost) verdict = PATH_VERDICT.lost;
     }
--- a/packages/core/src/lib/paths/path_survey.ts
+++ b/packages/core/src/lib/paths/path_survey.ts
@@ -35,24 +35,34 @@
 export class PathSurvey {
   private running: Promise<void> | undefined;
   private endedMs = -Infinity;
+  /** Whether the last survey looked for single paths as well. */
+  private coversAnyLost = false;
 
   /** @param parts - see {@link PathSurveyParts}. */
   constructor(private readonly parts: PathSurveyParts) {}
 
-  /** Checks all paths that are not lost; at most one survey is under way. */
-  run(): Promise<void> {
+  /**
+   * Checks all paths that are not lost; at most one survey is under way.
+   *
+   * @param isAnyLost - whether a path is known to be lost. Otherwise, single
+   *     targets that fail may have failed themselves.
+   */
+  run(isAnyLost: boolean): Promise<void> {
     const {clock} = this.parts;
-    if (this.running !== undefined) return this.running;
-    if (clock.now() - this.endedMs < SURVEY_INTERVAL_MS)
-      return Promise.resolve();
-    this.running = this.checkPaths().finally(() => {
+    const isCovered = this.coversAnyLost || !isAnyLost;
+    if (this.running !== undefined)
+      return isCovered ? this.running : this.running.then(() => this.run(true));
+    const isRecent = clock.now() - this.endedMs < SURVEY_INTERVAL_MS;
+    if (isRecent && isCovered) return Promise.resolve();
+    this.coversAnyLost = isAnyLost;
+    this.running = this.checkPaths(isAnyLost).finally(() => {
       this.running = undefined;
       this.endedMs = clock.now();
     });
     return this.running;
   }
 
-  private async checkPaths(): Promise<void> {
+  private async checkPaths(isAnyLost: boolean): Promise<void> {
     const {paths, random} = this.parts;
     const rest = paths.reachable();
     const sample: KnownTarget[] = [];
@@ -65,6 +75,7 @@
       this.reportLost([...failed.keys(), ...rest], failed);
       return;
     }
+    if (!isAnyLost) return;
     const further = await this.findFailed(rest, false);
     const confirmed = isCertain
       ? await this.findFailed([...failed.keys()], true)
--- a/packages/core/src/test/paths/path_monitor_test.ts
+++ b/packages/core/src/test/paths/path_monitor_test.ts
@@ -151,6 +151,16 @@
     });
   }
 
+  it('loses no path to a target that fails while no other host can tell', async () => {
+    world.stop.abort();
+    world = await new PathWorld(['a']).start();
+    [host] = world.hosts;
+    world.answers.set('t3', 'hang');
+    const judged = host.monitor.judge(host.target('t3'));
+    expect(await settle(world, judged)).to.equal(PATH_VERDICT.unknown);
+    expect(host.monitor.hasLost).to.equal(false);
+  });
+
   it('confirms the end of a target', async () => {
     world.answers.set('t3', 'refuse');
     const confirmed = host.monitor.confirmEnded(host.target('t3'));
