--- a/packages/core/src/lib/paths/helper_directory.ts
+++ b/packages/core/src/lib/paths/helper_directory.ts
@@ -17,6 +17,9 @@
 const CALM_INTERVAL_MS = 15_000;
 const CALM_MS_PER_HOST = 150;
 
+/** Pause between fetches as long as no helper is known. */
+const MISSING_INTERVAL_MS = 1_000;
+
 /** Pause before the next attempt after one that failed. */
 const RETRY_INTERVAL_MS = 300;
 
@@ -62,9 +65,11 @@
     const {clock, hostCount} = this.parts;
     while (!signal.aborted) {
       await this.fetch(signal);
-      const isMissing = this.fetchedMs === -Infinity;
-      const calmMs = Math.max(CALM_INTERVAL_MS, hostCount() * CALM_MS_PER_HOST);
-      await clock.sleep(isMissing ? REFRESH_INTERVAL_MS : calmMs, signal);
+      const hosts = hostCount();
+      const calmMs = Math.max(CALM_INTERVAL_MS, hosts * CALM_MS_PER_HOST);
+      // A holder that has just started has not yet heard of the others.
+      const isMissing = this.parts.choice.isEmpty && hosts > 1;
+      await clock.sleep(isMissing ? MISSING_INTERVAL_MS : calmMs, signal);
     }
   }
 
