--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -15,6 +15,7 @@
 export * from './lib/gateway/relay.js';
 export * from './lib/gateway/relay_observer.js';
 export * from './lib/gateway/retry_allowance.js';
+export * from './lib/gateway/store_refill.js';
 export * from './lib/gateway/target_port.js';
 export * from './lib/gateway/target_signals.js';
 export * from './lib/gateway/target_table.js';
--- /dev/null
+++ b/packages/local-cluster/src/test/platform/older_store_test.ts
@@ -0,0 +1,78 @@
+import {StoreCopy} from '@fuchsiacleat/standins';
+import {expect} from 'chai';
+import {
+  PlatformWorld,
+  ROUTE_PATH,
+  STORE_TOPIC,
+} from '../../lib/platform_world.js';
+
+const HOSTS = 2;
+
+/** Time within which targets and the operator have written again. */
+const WRITTEN_AGAIN_MS = 2_000;
+
+/** Time within which what is not written again has been dropped. */
+const DROPPED_MS = 5_000;
+
+const sleep = (ms: number) => new Promise(done => setTimeout(done, ms));
+
+describe('GatewayHosts and a store that came back from an older copy', () => {
+  let world: PlatformWorld;
+  /** Copy of the store before anything was written to it. */
+  let emptyCopy: StoreCopy;
+
+  beforeEach(async () => {
+    world = await PlatformWorld.start(HOSTS, 1, {
+      prepare: async ({store}) => {
+        emptyCopy = store.copy();
+      },
+    });
+    await world.until(() => world.hosts.some(host => host.canOrder));
+  });
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  /** Calls all hosts for a while; returns the statuses that callers got. */
+  async function callFor(ms: number): Promise<Set<number>> {
+    const statuses = new Set<number>();
+    const endMs = performance.now() + ms;
+    while (performance.now() < endMs) {
+      for (let host = 0; host < HOSTS; host++)
+        statuses.add((await world.call(ROUTE_PATH.repeatable, {host})).status);
+      await sleep(20);
+    }
+    return statuses;
+  }
+
+  it('serve callers while targets that it has lost register again', async () => {
+    world.store.restore(emptyCopy);
+    const before = await callFor(WRITTEN_AGAIN_MS);
+    world.registerTargets();
+    world.publish(['key-1']);
+    const after = await callFor(DROPPED_MS);
+    expect([...before, ...after]).to.deep.equal([200, 200]);
+  });
+
+  it('use no target that does not register again', async () => {
+    world.store.restore(emptyCopy);
+    world.publish(['key-1']);
+    await sleep(DROPPED_MS);
+    expect([...(await callFor(100))]).to.deep.equal([503]);
+  });
+
+  it('use no target that had ended before and is listed again', async () => {
+    const copy = world.store.copy();
+    world.store.put(STORE_TOPIC.targets, 'p2', undefined);
+    const isGone = (line: string) =>
+      line.includes('target_gone') && line.includes('target=p2');
+    await world.until(() => world.lines.some(isGone));
+    await callFor(200);
+    const {runs} = world.plain[1];
+    const before = runs.length;
+    world.store.restore(copy);
+    await callFor(WRITTEN_AGAIN_MS);
+    expect(runs.length).to.equal(before);
+  });
+});
