Keep evacuations that an older copy of the store lacks until they are written again

When the store came back from an older copy that lacked the record of an evacuation, hosts sent requests to the evacuated zone until the operator had written the record again.

The set of a whole read during the refill of the store is added to the zones that are evacuated here, and marked as provisional, also in the messages to other hosts. The whole read after the refill replaces it even if its revision is the same, as no record need follow; records that return a zone count at once.

--- a/packages/core/src/lib/evacuation/evacuation_messages.ts
+++ b/packages/core/src/lib/evacuation/evacuation_messages.ts
@@ -14,6 +14,8 @@
   /** Revision of the newest record that the set covers. */
   revision: z.number(),
   zones: z.array(z.string()),
+  /** Whether the store may not list all of them, or may have lost others. */
+  isProvisional: z.boolean().optional(),
   /** Evacuations that ended lately, and how many milliseconds ago. */
   ended: z
     .array(
@@ -35,7 +37,7 @@
   evacuations: ZoneEvacuations,
   nowMs: number,
 ): EvacuationSet {
-  const {revision, zones} = evacuations;
+  const {isProvisional, revision, zones} = evacuations;
   const ended = evacuations
     .endedSince(nowMs - ENDED_REPORT_MS)
     .map(({zone, revision: endRevision, endedMs}) => ({
@@ -46,6 +48,7 @@
   return {
     revision,
     zones: [...zones],
+    isProvisional: isProvisional || undefined,
     ended: ended.length > 0 ? ended : undefined,
   };
 }
@@ -62,9 +65,12 @@
   set: EvacuationSet,
   nowMs: number,
 ): void {
-  const isCurrent = set.revision >= evacuations.revision;
-  evacuations.replaceAll(set.zones, set.revision, EVACUATION_SOURCE.peer);
+  const {isProvisional, revision, zones} = set;
+  const isCurrent = revision >= evacuations.revision;
+  if (isProvisional)
+    evacuations.addAll(zones, revision, EVACUATION_SOURCE.peer);
+  else evacuations.replaceAll(zones, revision, EVACUATION_SOURCE.peer);
   if (!isCurrent) return;
-  for (const {zone, revision, agoMs} of set.ended ?? [])
-    evacuations.recordEnd({zone, revision, endedMs: nowMs - agoMs});
+  for (const {agoMs, ...end} of set.ended ?? [])
+    evacuations.recordEnd({...end, endedMs: nowMs - agoMs});
 }
--- a/packages/core/src/lib/evacuation/zone_evacuations.ts
+++ b/packages/core/src/lib/evacuation/zone_evacuations.ts
@@ -40,6 +40,7 @@
   private readonly endsByZone = new Map<string, EndedEvacuation>();
   private readonly listeners: Array<(change: ZoneChange) => void> = [];
   private currentRevision = NO_REVISION;
+  private hasUnlisted = false;
 
   /** @param clock - dates the ends of evacuations. */
   constructor(private readonly clock: Clock) {}
@@ -72,6 +73,14 @@
     return this.currentRevision;
   }
 
+  /**
+   * Whether zones may be evacuated here that the store does not list, as it may
+   * have lost their records; see {@link ZoneEvacuations.addAll}.
+   */
+  get isProvisional(): boolean {
+    return this.hasUnlisted;
+  }
+
   /**
    * Returns the evacuations that ended lately, for hosts that have missed them.
    *
@@ -103,8 +112,11 @@
     revision: number,
     source: EvacuationSource = EVACUATION_SOURCE.store,
   ): void {
-    if (revision <= this.currentRevision) return;
+    const isSame = revision === this.currentRevision;
+    const isNewer = revision > this.currentRevision;
+    if (!isNewer && !(isSame && this.hasUnlisted)) return;
     this.currentRevision = revision;
+    this.hasUnlisted = false;
     const listed = new Set(zones);
     const returned = this.zones.filter(zone => !listed.has(zone));
     const added = [...listed].filter(zone => !this.evacuated.has(zone));
@@ -115,6 +127,29 @@
     for (const zone of added) this.report(zone, source);
   }
 
+  /**
+   * Adds the set of a complete read that may lack evacuated zones. All zones
+   * stay evacuated until a set of the same revision, or of a later one, replaces
+   * them, or a record returns them.
+   *
+   * @param zones - evacuated zones.
+   * @param revision - revision of the newest record that the read covers. The
+   *     set changes nothing if a newer one was applied.
+   * @param source - where the set comes from.
+   */
+  addAll(
+    zones: Iterable<string>,
+    revision: number,
+    source: EvacuationSource = EVACUATION_SOURCE.store,
+  ): void {
+    if (revision < this.currentRevision) return;
+    this.currentRevision = revision;
+    this.hasUnlisted = true;
+    const added = [...zones].filter(zone => !this.evacuated.has(zone));
+    for (const zone of added) this.apply(zone, true);
+    for (const zone of added) this.report(zone, source);
+  }
+
   /**
    * Applies a single record.
    *
--- a/packages/core/src/test/evacuation/zone_evacuations_test.ts
+++ b/packages/core/src/test/evacuation/zone_evacuations_test.ts
@@ -37,6 +37,22 @@
     expect(changes).to.deep.equal(['b:out', 'a:out', 'a:in', 'c:out']);
   });
 
+  // Guards against a zone that stays evacuated for good, as no later record
+  // raises the revision.
+  it('drops what a provisional set kept with a complete set of the same revision', () => {
+    const {evacuations} = createEvacuations();
+    evacuations.set('a', true, 5);
+    evacuations.addAll(['b'], 7);
+    evacuations.set('c', true, 8);
+    expect(evacuations.zones).to.deep.equal(['a', 'b', 'c']);
+    expect(evacuations.isProvisional).to.equal(true);
+    evacuations.replaceAll(['b', 'c'], 8);
+    expect(evacuations.zones).to.deep.equal(['b', 'c']);
+    expect(evacuations.isProvisional).to.equal(false);
+    evacuations.replaceAll([], 8);
+    expect(evacuations.zones).to.deep.equal(['b', 'c']);
+  });
+
   // Guards against a part of a set that is passed on with the revision of the
   // whole set, so that the rest is taken for known.
   it('reports changes once the whole set is applied', () => {
