Do not take an older copy of the configuration for the newest one

A withdrawn API key could be used beyond the bound after the store came back from an older copy: a host that had not read the withdrawal took the next read for a confirmation that its configuration was the newest one, though the operator had yet to write the withdrawal again.

While the store is refilled, reads confirm nothing; configurations are applied as always.

--- a/packages/core/src/lib/gateway/store_refill.ts
+++ b/packages/core/src/lib/gateway/store_refill.ts
@@ -14,7 +14,7 @@
  */
 export class StoreRefill {
   private newestEra: number | undefined;
-  private startMs = -Infinity;
+  private endMs = -Infinity;
 
   /** @param clock - measures the time since the store came back. */
   constructor(private readonly clock: Clock) {}
@@ -26,7 +26,12 @@
 
   /** Whether the store may still lack what is written again. */
   get isUnderWay(): boolean {
-    return this.clock.now() - this.startMs < REFILL_MS;
+    return this.leftMs > 0;
+  }
+
+  /** Time for which it may, in milliseconds; 0 if it lacks nothing. */
+  get leftMs(): number {
+    return Math.max(0, this.endMs - this.clock.now());
   }
 
   /**
@@ -34,10 +39,13 @@
    * reason to assume that the store has just come back.
    *
    * @param era - how often it had come back from an older copy.
+   * @param leftMs - time for which the store may lack something, as another host
+   *     knows it.
    */
-  recordEra(era: number): void {
+  recordEra(era: number, leftMs = 0): void {
     const {newestEra = era} = this;
     this.newestEra = Math.max(newestEra, era);
-    if (era > newestEra) this.startMs = this.clock.now();
+    const knownMs = era > newestEra ? REFILL_MS : Math.min(leftMs, REFILL_MS);
+    this.endMs = Math.max(this.endMs, this.clock.now() + knownMs);
   }
 }
--- a/packages/local-cluster/src/test/platform/older_store_test.ts
+++ b/packages/local-cluster/src/test/platform/older_store_test.ts
@@ -14,6 +14,9 @@
 /** Time within which what is not written again has been dropped. */
 const DROPPED_MS = 5_000;
 
+/** Time after the withdrawal of a key from which it must not be used. */
+const REVOKE_MS = 5_000;
+
 const sleep = (ms: number) => new Promise(done => setTimeout(done, ms));
 
 describe('GatewayHosts and a store that came back from an older copy', () => {
@@ -75,4 +78,17 @@
     await callFor(WRITTEN_AGAIN_MS);
     expect(runs.length).to.equal(before);
   });
+
+  it('run no request of a key whose withdrawal it has lost', async () => {
+    const copy = world.store.copy();
+    world.publish(['other']);
+    // No host has read it.
+    world.store.restore(copy);
+    world.store.faults = {...world.store.faults, down: true};
+    await sleep(REVOKE_MS);
+    world.store.faults = {...world.store.faults, down: false};
+    const statuses = await callFor(WRITTEN_AGAIN_MS);
+    world.publish(['other']);
+    expect([...statuses]).to.deep.equal([503]);
+  });
 });
