Tell hosts that the store is refilled, as a started reader cannot know

A host that has started after the store came back from an older copy, and then becomes the reader, takes the copy for everything: the others removed the targets that it did not list, returned evacuated zones to service and took its configuration for the newest, until all was written again.

Hints and replies of the reader now name the era that it knows and for how long the store may lack records. A host that learns of a new era by them keeps what it knows and confirms nothing for that time, and asks for the whole list once more; a host that has started learns of the refill, and of evacuations, from a reader that saw it begin. Both fields are optional, as hosts of the release before send none.

The four tests of PeerUpdates failed before (t1 removed, no zone evacuated, confirmed 341 ms ago in place of over 800, no zone at the started host).

--- a/packages/core/src/lib/evacuation/evacuation_messages.ts
+++ b/packages/core/src/lib/evacuation/evacuation_messages.ts
@@ -59,17 +59,22 @@
  * @param evacuations - the zones that this host knows.
  * @param set - the message.
  * @param nowMs - clock time.
+ * @param isRefilling - whether the store that the sender reads may lack records.
  */
 export function applyEvacuationSet(
   evacuations: ZoneEvacuations,
   set: EvacuationSet,
   nowMs: number,
+  isRefilling: boolean,
 ): void {
   const {isProvisional, revision, zones} = set;
   const isCurrent = revision >= evacuations.revision;
-  if (isProvisional)
-    evacuations.addAll(zones, revision, EVACUATION_SOURCE.peer);
-  else evacuations.replaceAll(zones, revision, EVACUATION_SOURCE.peer);
+  const isNewer = revision > evacuations.revision;
+  const {peer} = EVACUATION_SOURCE;
+  // A provisional set that comes late must not undo a complete one.
+  if (isRefilling || (isProvisional && isNewer))
+    evacuations.addAll(zones, revision, peer);
+  else if (!isProvisional) evacuations.replaceAll(zones, revision, peer);
   if (!isCurrent) return;
   for (const {agoMs, ...end} of set.ended ?? [])
     evacuations.recordEnd({...end, endedMs: nowMs - agoMs});
--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -16,6 +16,7 @@
 import {RegistrationSummary} from './target_registration.js';
 import {Freshness} from './freshness.js';
 import {ProcessReports, processReport} from './process_reports.js';
+import {RefillState, StoreRefill, refillStateSchema} from './store_refill.js';
 import {TargetTable} from './target_table.js';
 
 /**
@@ -102,6 +103,7 @@
    * it and need not read the store.
    */
   source: z.string().optional(),
+  refill: refillStateSchema.optional(),
   /** Missing in the replies of readers of a release without evacuations. */
   evacuations: evacuationSetSchema.optional(),
 });
@@ -133,12 +135,13 @@
 
 /** Notifies hosts that the reader has updates. */
 const UPDATE_HINT: PeerMethod<
-  {revision: number; evacuations?: EvacuationSet},
+  {revision: number; refill?: RefillState; evacuations?: EvacuationSet},
   never
 > = {
   name: 'news-hint',
   body: z.object({
     revision: z.number(),
+    refill: refillStateSchema.optional(),
     evacuations: evacuationSetSchema.optional(),
   }),
   event: z.never(),
@@ -166,6 +169,8 @@
   freshness: Freshness;
   targets: TargetTable;
   evacuations: ZoneEvacuations;
+  /** Knows whether the store may lack records. */
+  refill: StoreRefill;
   /**
    * Age up to which data of the store need not be read again, counted from the
    * reader's own read.
@@ -218,6 +223,7 @@
       this.serveConfig(version, signal),
     );
     network.onNotification(UPDATE_HINT, hint => {
+      this.recordRefill(hint.refill);
       this.applyEvacuations(hint.evacuations);
       this.wake.abort();
     });
@@ -273,7 +279,7 @@
 
   /** Notifies the other hosts of updates, if this host is the reader. */
   broadcastHint(): void {
-    const {clock, evacuations, network, state, targets} = this.parts;
+    const {clock, evacuations, network, refill, state, targets} = this.parts;
     const version = state.current?.deployment.version ?? 0;
     const {revision} = targets;
     const hasNewEvacuations = evacuations.revision !== this.hintedEvacuations;
@@ -287,6 +293,7 @@
     this.hintedEvacuations = evacuations.revision;
     network.broadcast(UPDATE_HINT, {
       revision,
+      refill: refill.state,
       evacuations: hasNewEvacuations
         ? evacuationSetOf(evacuations, clock.now())
         : undefined,
@@ -318,7 +325,7 @@
     reader: StoreReader,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock, freshness, network, zone} = this.parts;
+    const {clock, freshness, network, refill, zone} = this.parts;
     if (this.lastReply.reader !== reader.incarnation) {
       this.lastReply = {reader: reader.incarnation, revision: 0};
     }
@@ -329,7 +336,8 @@
       signal,
     });
     if (reply.isErr()) return;
-    const {configAgeMs, source, targetsAgeMs, revision, version} = reply.value;
+    const {configAgeMs, source, targetsAgeMs, version} = reply.value;
+    this.recordRefill(reply.value.refill);
     this.hasReaderEvacuations = reply.value.evacuations !== undefined;
     this.applyEvacuations(reply.value.evacuations);
     this.readerVersion = version;
@@ -339,19 +347,25 @@
     // An older reply must not add a removed target again.
     if (targetsMs >= knownMs - AGE_TOLERANCE_MS) {
       this.applyTargets(reply.value);
-      this.lastReply = {reader: reader.incarnation, revision};
       this.targetsMs = targetsMs;
       this.parts.targets.recordListed(targetsMs);
     }
     if (source !== undefined) await this.fetchConfig(source, version, signal);
-    // The configuration in force here is as fresh as the reader's own.
-    if (this.hasFreshConfig) freshness.confirm(this.configMs);
+    // The configuration in force here is as fresh as the reader's own. A reader
+    // that has just started may not know that the store lacks records.
+    if (this.hasFreshConfig && !refill.isUnderWay)
+      freshness.confirm(this.configMs);
+  }
+
+  private recordRefill(state: RefillState | undefined): void {
+    if (state !== undefined)
+      this.parts.refill.recordEra(state.era, state.leftMs);
   }
 
   private applyEvacuations(set: EvacuationSet | undefined): void {
-    const {clock, evacuations} = this.parts;
+    const {clock, evacuations, refill} = this.parts;
     if (set === undefined) return;
-    applyEvacuationSet(evacuations, set, clock.now());
+    applyEvacuationSet(evacuations, set, clock.now(), refill.isUnderWay);
   }
 
   private async fetchConfig(
@@ -391,14 +405,26 @@
   }
 
   private applyTargets(reply: UpdateReply): void {
-    const {targets} = this.parts;
+    const {refill, targets} = this.parts;
+    // A first reply lists all targets, which may be those of an older copy. It
+    // is asked for again until they have registered again.
+    const isFirst = this.lastReply.revision === 0;
+    const isOlderCopy = isFirst && refill.isUnderWay && this.hasTargets;
     for (const {id, notice: registration} of reply.targets) {
+      if (isOlderCopy && targets.get(id) === undefined) continue;
       if (registration === undefined) targets.remove(id);
       // A reader of another release may pass on what it cannot connect to.
       else if (parseSocketAddress(registration.address) !== undefined)
         targets.putSummary(registration);
     }
-    if (this.lastReply.revision === 0) this.removeUnlisted(reply);
+    if (isOlderCopy) return;
+    if (isFirst) this.removeUnlisted(reply);
+    this.lastReply = {...this.lastReply, revision: reply.revision};
+  }
+
+  /** Whether this host has learned the targets, from the store or the reader. */
+  private get hasTargets(): boolean {
+    return Math.max(this.targetsMs, this.parts.targetsReadMs()) > -Infinity;
   }
 
   /** Removes the targets that are missing in a first reply, which lists all. */
@@ -411,7 +437,8 @@
   }
 
   private serveUpdate(request: UpdateRequest, from: PeerIdentity): UpdateReply {
-    const {clock, evacuations, freshness, network, state, targets} = this.parts;
+    const {clock, evacuations, freshness, network, refill, state, targets} =
+      this.parts;
     const version = state.current?.deployment.version ?? -1;
     const isOutdated = this.isReader && request.version < version;
     const isSameReader = request.reader === network.self.incarnation;
@@ -428,6 +455,7 @@
         ? clock.now() - this.parts.targetsReadMs()
         : unknownMs,
       revision: targets.revision,
+      refill: refill.state,
       evacuations: evacuationSetOf(evacuations, clock.now()),
       targets: targets
         .changesSince(isSameReader ? request.revision : 0)
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -3,10 +3,12 @@
 import {DeploymentState} from '../../lib/gateway/deployment_state.js';
 import {Freshness} from '../../lib/gateway/freshness.js';
 import {StoreReader, PeerUpdates} from '../../lib/gateway/peer_updates.js';
+import {StoreRefill} from '../../lib/gateway/store_refill.js';
 import {NO_SIGNALS} from '../../lib/gateway/target_signals.js';
 import {TargetTable} from '../../lib/gateway/target_table.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
 import {PeerNetwork} from '../../lib/peers/peer_network.js';
+import {revisionOf} from '../../lib/platform/log_position.js';
 import {DEFAULT_COLD_BOUNDS} from '../../lib/warming/cold_pace.js';
 import {TargetWarming} from '../../lib/warming/target_warming.js';
 import {Warming} from '../../lib/warming/warming.js';
@@ -25,6 +27,7 @@
   readonly targets: TargetTable;
   readonly evacuations: ZoneEvacuations;
   readonly updates: PeerUpdates;
+  readonly refill: StoreRefill;
   targetsReadMs = -Infinity;
   /** Versions of the configurations that came from another host. */
   readonly versionsFromPeers: number[] = [];
@@ -39,6 +42,7 @@
     this.freshness = new Freshness(clock, MAX_AGE_MS);
     this.evacuations = new ZoneEvacuations(clock);
     this.targets = new TargetTable(clock, this.evacuations, warming);
+    this.refill = new StoreRefill(clock);
     this.updates = new PeerUpdates({
       clock,
       network,
@@ -47,6 +51,7 @@
       freshness: this.freshness,
       targets: this.targets,
       evacuations: this.evacuations,
+      refill: this.refill,
       lifetimeMs: LIFETIME_MS,
       targetsReadMs: () => this.targetsReadMs,
       reader,
@@ -79,9 +84,11 @@
 ) {
   const clock = new ManualClock();
   const hub = new MemoryHub(clock, new Random(1));
-  const world = {isReaderHeard: true};
-  const currentReader = () =>
-    world.isReaderHeard ? {host: 'h0', incarnation: 'h0-1'} : undefined;
+  const world = {isReaderHeard: true, reader: 0};
+  const currentReader = () => {
+    const host = `h${world.reader}`;
+    return world.isReaderHeard ? {host, incarnation: `${host}-1`} : undefined;
+  };
   const disconnected = new Set<string>();
   hub.isPartitioned = (from, to) =>
     disconnected.has(from.host) || disconnected.has(to.host);
@@ -93,18 +100,26 @@
   });
   const run = async (ms: number, readVersion?: number) => {
     for (let at = 0; at < ms; at += STEP_MS) {
-      if (readVersion !== undefined) hosts[0].read(readVersion);
+      if (readVersion !== undefined) hosts[world.reader].read(readVersion);
       await clock.advance(STEP_MS);
     }
   };
   const cut = (i: number) => disconnected.add(`h${i}`);
+  const heal = (i: number) => disconnected.delete(`h${i}`);
   /** Removes what readers of an earlier release do not send. */
   const dropEvacuations = () => {
     hub.onMessage = (unused, body) => {
       delete (body as {evacuations?: unknown}).evacuations;
     };
   };
-  return Object.assign(world, {clock, hosts, run, cut, dropEvacuations});
+  return Object.assign(world, {
+    clock,
+    hosts,
+    run,
+    cut,
+    heal,
+    dropEvacuations,
+  });
 }
 
 function createTwoHosts(zone = 'z') {
@@ -388,3 +403,76 @@
     expect(other.freshness.isFresh).to.equal(false);
   });
 });
+
+/** Time by which targets and the operator have written again. */
+const REFILLED_MS = 4_000;
+
+/** Revision of the newest record in the older copy. */
+const COPY_REVISION = revisionOf({era: 2, offset: 3});
+
+describe('PeerUpdates after the store came back from an older copy', () => {
+  /** The first host, which reads, and another one know what the store has lost. */
+  async function createInformedHosts() {
+    const world = createHosts(['z', 'z', 'z']);
+    const [first, other, started] = world.hosts;
+    world.cut(world.hosts.indexOf(started));
+    for (const {evacuations, refill, state, targets} of [first, other]) {
+      refill.recordEra(1);
+      targets.put(targetRegistration({id: 't1'}), true);
+      evacuations.set('a', true, revisionOf({era: 1, offset: 5}));
+      state.applyIfNewer(deploymentOf([], [], 7));
+    }
+    await world.run(1_000, 7);
+    world.heal(world.hosts.indexOf(started));
+    return {world, first, other, started};
+  }
+
+  /** A host that has started since and knows only the copy becomes the reader. */
+  async function createReaderOfCopy() {
+    const {world, other, started} = await createInformedHosts();
+    started.refill.recordEra(2);
+    started.targets.put(targetRegistration({id: 't2'}), true);
+    started.evacuations.replaceAll([], COPY_REVISION);
+    world.reader = world.hosts.indexOf(started);
+    await world.run(1_000, 7);
+    return {world, other};
+  }
+
+  it('keeps the targets that a started reader has not found, until they had time to register', async () => {
+    const {world, other} = await createReaderOfCopy();
+    expect(other.targets.get('t1')).to.not.equal(undefined);
+    expect(other.targets.get('t2')).to.equal(undefined);
+    await world.run(REFILLED_MS, 7);
+    expect(other.targets.get('t1')).to.equal(undefined);
+    expect(other.targets.get('t2')).to.not.equal(undefined);
+  });
+
+  it('keeps the evacuations that a started reader has not found', async () => {
+    const {world, other} = await createReaderOfCopy();
+    expect(other.evacuations.zones).to.deep.equal(['a']);
+    await world.run(REFILLED_MS, 7);
+    expect(other.evacuations.zones).to.deep.equal([]);
+  });
+
+  it('does not take the configuration of a started reader for the newest', async () => {
+    const {world, other} = await createReaderOfCopy();
+    expect(other.freshness.ageMs).to.be.at.least(800);
+    await world.run(REFILLED_MS, 7);
+    expect(other.freshness.isFresh).to.equal(true);
+  });
+
+  // Its own first read shows no evacuation, and it cannot know of the return.
+  it('tells a started host of an evacuation that the store has lost', async () => {
+    const {world, first, started} = await createInformedHosts();
+    first.refill.recordEra(2);
+    first.evacuations.addAll([], COPY_REVISION);
+    started.refill.recordEra(2);
+    started.evacuations.replaceAll([], COPY_REVISION);
+    await world.run(1_000, 7);
+    expect(started.evacuations.zones).to.deep.equal(['a']);
+    expect(started.refill.isUnderWay).to.equal(true);
+    first.evacuations.replaceAll([], COPY_REVISION);
+    await world.run(REFILLED_MS, 7);
+    expect(started.evacuations.zones).to.deep.equal([]);
+  });
+});
