Date what a host has read of the quarantine by the era of the answer

The deciding host took what it had read of the quarantine for that of the newest era that any of its calls had seen by then. If the store came back from an older copy while the answer was on its way, the parts that it had lost stayed lost until the next read, up to 5 s later, and a host that started meanwhile did not know them.

An archive now says in which era its content was read, and ArchiveLoss compares that with the newest era that is known, before each write. A write that falls into a new era needs no more: the newest era is not lower than its own, so that the next check finds the loss and reads again.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -43,6 +43,7 @@
 export * from './lib/net/transfer_coding.js';
 export * from './lib/peers/tcp_peer_network.js';
 export * from './lib/platform/log_position.js';
+export * from './lib/archive/archive.js';
 export * from './lib/continuation/origin_archive.js';
 export * from './lib/continuation/origin_exchange.js';
 export * from './lib/continuation/origin_keeper.js';
--- a/packages/core/src/lib/quarantine/quarantine_keeper.ts
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the quarantine in an archive. @packageDocumentation */
 
+import {ArchiveLoss} from '../archive/archive_loss.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {PartLedger} from './part_ledger.js';
@@ -44,12 +45,14 @@
 export class QuarantineKeeper {
   /** Quarantines in the archive by part; undefined if not known. */
   private stored: Map<string, number> | undefined;
-  private storedEra: number | undefined;
+  private readonly loss: ArchiveLoss;
   private lastReadMs = -Infinity;
   private hasRead = false;
 
   /** @param parts - see {@link QuarantineKeeperParts}. */
-  constructor(private readonly parts: QuarantineKeeperParts) {}
+  constructor(private readonly parts: QuarantineKeeperParts) {
+    this.loss = new ArchiveLoss(parts.archive);
+  }
 
   /** Whether the host knows what was quarantined before it started. */
   get isInformed(): boolean {
@@ -71,14 +74,13 @@
 
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
-    const {archive, isDeciding, isGuided, ledger} = this.parts;
+    const {isDeciding, isGuided, ledger} = this.parts;
     if (!this.isInformed) return this.read(signal);
     if (isGuided()) {
       this.stored = undefined;
       return true;
     }
-    const hasForgotten = archive.era !== this.storedEra;
-    if (hasForgotten) this.stored = undefined;
+    if (this.loss.take()) this.stored = undefined;
     if (ledger.size === 0 && this.stored === undefined && !isDeciding())
       return true;
     const intervalMs = isDeciding()
@@ -96,7 +98,9 @@
     this.lastReadMs = clock.now();
     const archived = await archive.read(signal);
     if (archived.isErr()) return false;
-    const {lifted, states} = archived.value;
+    const {content, era} = archived.value;
+    const {lifted, states} = content;
+    this.loss.recordRead(era);
     this.stored = new Map(
       states.map(({part, quarantineCount}) => [part, quarantineCount]),
     );
@@ -104,7 +108,6 @@
       this.stored.set(part, LIFTED);
       ledger.clear(part, 'lifted by an operator');
     }
-    this.storedEra = archive.era;
     if (!this.hasRead) logger.info('quarantine_read', {parts: states.length});
     this.hasRead = true;
     ledger.mergeEvidence(states);
--- a/packages/core/src/test/quarantine/quarantine_keeper_test.ts
+++ b/packages/core/src/test/quarantine/quarantine_keeper_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {Result, err, ok} from 'neverthrow';
+import {ArchiveContent} from '../../lib/archive/archive.js';
 import {PartLedger} from '../../lib/quarantine/part_ledger.js';
 import {PartState, STANDING} from '../../lib/quarantine/part_record.js';
 import {
@@ -15,13 +16,21 @@
   override era = 1;
   isDown = false;
   calls = 0;
+  /** Called while the answer to a read is on its way. */
+  onRead = () => {};
   readonly states = new Map<string, PartState>();
   readonly lifted = new Set<string>();
 
-  override async read(): Promise<Result<ArchivedParts, 'unavailable'>> {
+  override async read(): Promise<
+    Result<ArchiveContent<ArchivedParts>, 'unavailable'>
+  > {
     this.calls += 1;
     if (this.isDown) return err('unavailable');
-    return ok({states: [...this.states.values()], lifted: [...this.lifted]});
+    const {era} = this;
+    const lifted = [...this.lifted];
+    const content = {states: [...this.states.values()], lifted};
+    this.onRead();
+    return ok({era, content});
   }
 
   override async write(
@@ -122,6 +131,16 @@
     expect([...archive.states.keys()]).to.deep.equal(['bad']);
   });
 
+  it('writes again at once what is lost while the answer to a read is on its way', async () => {
+    await decidingHost();
+    archive.onRead = () => {
+      archive.onRead = () => {};
+      archive.forget();
+    };
+    await clock.advance(5_000);
+    expect([...archive.states.keys()]).to.deep.equal(['bad']);
+  });
+
   it('writes once the archive is back, with few calls meanwhile', async () => {
     const host = new KeeperHost(clock, archive);
     host.isDeciding = true;
