Join no two software versions after the archive of versions lost one

A caller could get pieces of two software versions in one stream (rule ORDER): the deciding host wrote versions when they changed and took them for stored for good. Once the store had come back from an older copy without a version that had come and gone since, a host that became the deciding one after a start knew of a single version, and went on at it with streams that had begun at the other.

In a new era the deciding host writes all versions again, also of services whose present is as stored, as their past may be lost. Entries name the era that their writer knew. A host that does not know the past and reads entries of earlier eras alone finds an archive that nobody has written again: it records runs at an unknown version for each service, which ends with their lifetime, is archived and is passed on as any other version is. Entries of a release without eras count as old, once. An archive without entries counts as new: what is lost within half a second of the first start of a deployment is not noticed.

Both tests of VersionKeeper failed before: the past of the archive was empty, and an unknown stream went on at v1.

--- a/packages/core/src/lib/continuation/version_keeper.ts
+++ b/packages/core/src/lib/continuation/version_keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the software versions of services in an archive. @packageDocumentation */
 
+import {ArchiveLoss} from '../archive/archive_loss.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {ServiceVersions} from './service_versions.js';
@@ -23,14 +24,18 @@
 
 /**
  * Reads the archive when the host begins to decide for all, and writes to it
- * when a service begins or ceases to run a version.
+ * when a service begins or ceases to run a version. What the archive may have
+ * lost is written again.
  */
 export class VersionKeeper {
   /** What is stored of each service; undefined if that is not known. */
   private stored: Map<string, string> | undefined;
+  private readonly loss: ArchiveLoss;
 
   /** @param parts - see {@link VersionKeeperParts}. */
-  constructor(private readonly parts: VersionKeeperParts) {}
+  constructor(private readonly parts: VersionKeeperParts) {
+    this.loss = new ArchiveLoss(parts.archive);
+  }
 
   /**
    * Reads and writes the archive until the signal aborts.
@@ -53,6 +58,8 @@
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
     if (this.stored === undefined && !(await this.read(signal))) return false;
+    // The past may be lost even where the present is as stored.
+    if (this.loss.take()) this.stored?.clear();
     return this.write(signal);
   }
 
@@ -60,8 +67,12 @@
     const {archive, versions} = this.parts;
     const archived = await archive.read(signal);
     if (archived.isErr()) return false;
+    const {content, era} = archived.value;
+    this.loss.recordRead(era);
+    if (!versions.knowsPast && isOlderCopy(content, era))
+      this.recordUnknownRuns();
     this.stored = new Map();
-    for (const entry of archived.value) {
+    for (const entry of content) {
       this.stored.set(entry.service, summaryOf(entry));
       const running = versions.current(entry.service);
       // Nobody knows when the last target that ran it has ended.
@@ -75,6 +86,14 @@
     return true;
   }
 
+  /** Records that streams may have begun at versions that nobody knows. */
+  private recordUnknownRuns(): void {
+    const {logger, versions} = this.parts;
+    const services = [...versions.services()];
+    for (const service of services) versions.recordUnknownRun(service);
+    logger.warn('software_versions_lost', {services: services.join(',')});
+  }
+
   private async write(signal: AbortSignal): Promise<boolean> {
     const {archive, logger, versions} = this.parts;
     const past = versions.past();
@@ -82,6 +101,7 @@
     for (const service of versions.services()) {
       const entry = {
         service,
+        era: archive.era,
         current: [...versions.current(service)].sort(),
         past: past.filter(version => version.service === service),
       };
@@ -103,6 +123,17 @@
   }
 }
 
+/**
+ * Returns whether an archive came back from an older copy and was not written
+ * again since. Only the deciding host writes, and then all that it knows.
+ */
+function isOlderCopy(
+  content: readonly ArchivedVersions[],
+  era: number,
+): boolean {
+  return content.length > 0 && content.every(entry => entry.era !== era);
+}
+
 function summaryOf({current}: ArchivedVersions): string {
   return JSON.stringify([...current].sort());
 }
--- a/packages/core/src/test/continuation/version_keeper_test.ts
+++ b/packages/core/src/test/continuation/version_keeper_test.ts
@@ -1,25 +1,35 @@
 import {expect} from 'chai';
 import {Result, err, ok} from 'neverthrow';
+import {ArchiveContent} from '../../lib/archive/archive.js';
 import {
   ArchivedVersions,
   VersionArchive,
 } from '../../lib/continuation/version_archive.js';
 import {VersionKeeper} from '../../lib/continuation/version_keeper.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
-import {ContinuityHost, ContinuityWorld, SERVICE} from './continuity_world.js';
+import {
+  ContinuityHost,
+  ContinuityWorld,
+  SERVICE,
+  TIMEOUT_MS,
+} from './continuity_world.js';
 
 const SECOND_MS = 1_000;
 
 /** Keeps versions in memory, unless it is down. */
 class MemoryArchive extends VersionArchive {
-  readonly stored = new Map<string, ArchivedVersions>();
+  stored = new Map<string, ArchivedVersions>();
+  override era = 1;
   reads = 0;
   writes = 0;
   isDown = false;
 
-  override async read(): Promise<Result<ArchivedVersions[], 'unavailable'>> {
+  override async read(): Promise<
+    Result<ArchiveContent<ArchivedVersions[]>, 'unavailable'>
+  > {
     this.reads += 1;
-    return this.isDown ? err('unavailable') : ok([...this.stored.values()]);
+    if (this.isDown) return err('unavailable');
+    return ok({era: this.era, content: [...this.stored.values()]});
   }
 
   override async write(
@@ -30,6 +40,12 @@
     for (const entry of versions) this.stored.set(entry.service, entry);
     return ok(undefined);
   }
+
+  /** Comes back from an older copy. */
+  restore(stored: ReadonlyMap<string, ArchivedVersions>): void {
+    this.stored = new Map(stored);
+    this.era += 1;
+  }
 }
 
 describe('VersionKeeper', () => {
@@ -117,4 +133,36 @@
     await world.clock.advance(3 * SECOND_MS);
     expect(archive.stored.get(SERVICE)?.current).to.deep.equal(['v1', 'v2']);
   });
+
+  describe('and an archive that came back from a copy without a version that has come and gone', () => {
+    let copy: Map<string, ArchivedVersions>;
+
+    beforeEach(async () => {
+      copy = new Map(archive.stored);
+      host.setTarget('t1', 'v2');
+      await world.clock.advance(SECOND_MS);
+      host.setTarget('t1', 'v1');
+      await world.clock.advance(SECOND_MS);
+    });
+
+    it('writes the version again, for hosts that start', async () => {
+      archive.restore(copy);
+      await world.clock.advance(SECOND_MS);
+      const past = archive.stored.get(SERVICE)!.past;
+      expect(past.map(each => each.softwareVersion)).to.deep.equal(['v2']);
+      await restart('v1', 'v1');
+      expect(host.versionOf('unknown')).to.equal(undefined);
+    });
+
+    it('continues no unknown stream at once if no host is left that knows it', async () => {
+      shutdown.abort();
+      archive.restore(copy);
+      await restart('v1', 'v1');
+      expect(host.versionOf('unknown')).to.equal(undefined);
+      await restart('v1', 'v1');
+      expect(host.versionOf('unknown')).to.equal(undefined);
+      await world.clock.advance(TIMEOUT_MS + 5 * SECOND_MS);
+      expect(host.versionOf('unknown')).to.equal('v1');
+    });
+  });
 });
