Write the origins of streams again that an older copy has lost

Callers lost streams that could have gone on: the deciding host wrote each origin once. Once the store had come back from an older copy, a host that started and became the deciding one did not know where the streams of the last seconds had begun, and refused to continue them while several versions ran. No versions were joined by it, as unknown origins stay unknown while a service is mixed.

In a new era all known origins of services that run several versions are written again (ArchiveLoss, as for versions and the quarantine).

--- a/packages/core/src/lib/continuation/origin_exchange.ts
+++ b/packages/core/src/lib/continuation/origin_exchange.ts
@@ -77,8 +77,7 @@
     network.serveUnary(EXCHANGE_ORIGINS, knowledge => {
       // A rejected call makes the host ask again once it knows the new one.
       if (!this.isPassing) throw new Error('not the passing host');
-      const isMixed = (service: string) => this.isMixed(service);
-      const groups = knowledge.knowsStreams ? [] : origins.all(isMixed);
+      const groups = knowledge.knowsStreams ? [] : this.mixedStreams();
       const reply = this.knowledge(groups);
       if (knowledge.knowsPast && !versions.knowsPast)
         versions.addPast(knowledge.past);
@@ -103,6 +102,11 @@
     this.passListeners.push(listener);
   }
 
+  /** Returns all known streams of services that run several versions. */
+  mixedStreams(): OriginGroup[] {
+    return this.parts.origins.all(service => this.isMixed(service));
+  }
+
   /**
    * Adds streams that were archived, and passes them on.
    *
--- a/packages/core/src/lib/continuation/origin_keeper.ts
+++ b/packages/core/src/lib/continuation/origin_keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the origins of streams in an archive. @packageDocumentation */
 
+import {ArchiveLoss} from '../archive/archive_loss.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {OriginArchive} from './origin_archive.js';
@@ -33,14 +34,17 @@
 
 /**
  * Writes the streams that the deciding host passes on to the archive, and reads
- * them when a host begins to decide while a service runs several versions.
+ * them when a host begins to decide while a service runs several versions. What
+ * the archive may have lost is written again.
  */
 export class OriginKeeper {
   private unwritten: OriginGroup[] = [];
   private hasRead = false;
+  private readonly loss: ArchiveLoss;
 
   /** @param parts - see {@link OriginKeeperParts}. */
   constructor(private readonly parts: OriginKeeperParts) {
+    this.loss = new ArchiveLoss(parts.archive);
     parts.exchange.onPass(groups => this.add(groups));
   }
 
@@ -81,6 +85,8 @@
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
     if (!this.hasRead && !(await this.read(signal))) return false;
+    // What waits to be written is among these as well.
+    if (this.loss.take()) this.unwritten = this.parts.exchange.mixedStreams();
     return this.write(signal);
   }
 
@@ -89,11 +95,10 @@
     const archived = await archive.read(signal);
     if (archived.isErr()) return false;
     this.hasRead = true;
-    exchange.addArchived(archived.value);
-    const streams = archived.value.reduce(
-      (sum, {keys}) => sum + keys.length,
-      0,
-    );
+    const {content, era} = archived.value;
+    this.loss.recordRead(era);
+    exchange.addArchived(content);
+    const streams = content.reduce((sum, {keys}) => sum + keys.length, 0);
     logger.info('stream_origins_read', {streams});
     return true;
   }
--- a/packages/core/src/test/continuation/continuity_world.ts
+++ b/packages/core/src/test/continuation/continuity_world.ts
@@ -20,6 +20,7 @@
   readonly targets: TargetTable;
   readonly versions: ServiceVersions;
   readonly continuity: StreamContinuity;
+  readonly exchange: OriginExchange;
   /** Age of the host's list of targets. */
   listAgeMs = 0;
   private readonly shutdown = new AbortController();
@@ -37,7 +38,7 @@
       listAgeMs: () => this.listAgeMs,
     });
     const origins = new StreamOrigins(clock);
-    const exchange = new OriginExchange({
+    this.exchange = new OriginExchange({
       clock,
       network: hub.join({host: name, zone: 'z', incarnation}),
       origins,
@@ -45,7 +46,7 @@
       passingHost: () => world.passingHost,
       hostCount: () => world.hosts.length,
     });
-    const {versions} = this;
+    const {exchange, versions} = this;
     this.continuity = new StreamContinuity({origins, versions, exchange});
     void exchange.run(this.shutdown.signal);
   }
