Do not put back what targets said before an older copy of the store

A whole read of the store after it came back replaced what hosts knew of running targets by what these had written some seconds earlier: slots, the time for which they stay cold, models. A target could so be taken for warm that had said since that it is cold, until it wrote again.

Such a read, and the first list of a reader that has started meanwhile, now only tell of targets that leave or were started anew, which no older copy can have wrong.

--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -11,7 +11,7 @@
 } from '../evacuation/evacuation_messages.js';
 import {DeploymentState} from './deployment_state.js';
 import {ConfigSources} from './config_sources.js';
-import {RegistrationSummary} from './target_registration.js';
+import {RegistrationSummary, isNewsOf} from './target_registration.js';
 import {Freshness} from './freshness.js';
 import {ProcessReports} from './process_reports.js';
 import {RefillState, StoreRefill} from './store_refill.js';
@@ -323,8 +323,9 @@
     const isFirst = this.lastReply.revision === 0;
     const isOlderCopy = isFirst && refill.isUnderWay && this.hasTargets;
     for (const {id, notice: registration} of reply.targets) {
-      if (isOlderCopy && targets.get(id) === undefined) continue;
+      const known = targets.get(id)?.registration;
       if (registration === undefined) targets.remove(id);
+      else if (isOlderCopy && !isNewsOf(registration, known)) continue;
       // A reader of another release may pass on what it cannot connect to.
       else if (parseSocketAddress(registration.address) !== undefined)
         targets.putSummary(registration);
--- a/packages/core/src/lib/gateway/target_registration.ts
+++ b/packages/core/src/lib/gateway/target_registration.ts
@@ -55,3 +55,19 @@
 ): boolean {
   return a.id === b.id && a.startedMs === b.startedMs;
 }
+
+/**
+ * Returns whether a registration in an older copy of the store is news. The copy
+ * lists targets that have ended, and may tell less of a process than is known
+ * already; those that run register again.
+ *
+ * @param registration - the registration in the copy.
+ * @param known - what is known of the target, if it is known.
+ */
+export function isNewsOf(
+  {isLeaving, startedMs}: RegistrationSummary,
+  known: RegistrationSummary | undefined,
+): boolean {
+  if (known === undefined) return false;
+  return isLeaving || startedMs > known.startedMs;
+}
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -447,6 +447,19 @@
     expect(other.targets.get('t2')).to.not.equal(undefined);
   });
 
+  it('learns from a started reader that a target leaves, and not what it said before', async () => {
+    const {world, other, started} = await createInformedHosts();
+    other.targets.put(targetRegistration({id: 't2'}), true);
+    const {slots} = other.targets.get('t1')!.registration;
+    started.refill.recordEra(2);
+    started.targets.put(targetRegistration({id: 't1', slots: 1}), true);
+    started.targets.put(targetRegistration({id: 't2', isLeaving: true}), true);
+    world.reader = world.hosts.indexOf(started);
+    await world.run(1_000, 7);
+    expect(other.targets.get('t1')!.registration.slots).to.equal(slots);
+    expect(other.targets.get('t2')!.isLeaving).to.equal(true);
+  });
+
   it('keeps the evacuations that a started reader has not found', async () => {
     const {world, other} = await createReaderOfCopy();
     expect(other.evacuations.zones).to.deep.equal(['a']);
