--- a/packages/core/src/lib/platform/platform_log.ts
+++ b/packages/core/src/lib/platform/platform_log.ts
@@ -40,7 +40,15 @@
   signal: AbortSignal;
 }
 
-/** The platform's log service. */
+/**
+ * The platform's log service.
+ *
+ * It keeps each record that it has acknowledged until its retention is over, and
+ * gives no offset out twice. Readers rely on both: offsets decide races and serve
+ * as fencing numbers. A log that may come back from an older copy does not meet
+ * this; an implementation on top of one has to hide it, or to make a new log of
+ * each era.
+ */
 export abstract class PlatformLog {
   /**
    * Appends records to a stream atomically.
