Let a host that starts use the targets that the store has lost

A host that started after the store came back from an older copy, and read it, used only the targets of the copy until the others had registered again, even though the reader knew them: it took the reader's first list for that of an older copy.

A reader that knows of the refill has kept what the store lacks, so that its list adds targets; what it does not list stays until the refill is over, as before.

The test of PeerUpdates failed before: the target was not known.

--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -14,7 +14,7 @@
 import {RegistrationSummary, isNewsOf} from './target_registration.js';
 import {Freshness} from './freshness.js';
 import {ProcessReports} from './process_reports.js';
-import {RefillState, StoreRefill} from './store_refill.js';
+import {StoreRefill} from './store_refill.js';
 import {TargetTable} from './target_table.js';
 import {
   GET_CONFIG,
@@ -125,7 +125,7 @@
 
   /** @param parts - the dependencies, see {@link PeerUpdatesParts}. */
   constructor(private readonly parts: PeerUpdatesParts) {
-    const {evacuations, network, targets} = parts;
+    const {evacuations, network, refill, targets} = parts;
     this.hintedEvacuations = evacuations.revision;
     this.sources = new ConfigSources(network.self, parts.zone);
     network.serveUnary(GET_UPDATES, (request, {from}) =>
@@ -135,7 +135,7 @@
       this.serveConfig(version, signal),
     );
     network.onNotification(UPDATE_HINT, hint => {
-      this.recordRefill(hint.refill);
+      refill.recordState(hint.refill);
       this.applyEvacuations(hint.evacuations);
       this.wake.abort();
     });
@@ -249,7 +249,7 @@
     });
     if (reply.isErr()) return;
     const {configAgeMs, source, targetsAgeMs, version} = reply.value;
-    this.recordRefill(reply.value.refill);
+    refill.recordState(reply.value.refill);
     this.hasReaderEvacuations = reply.value.evacuations !== undefined;
     this.applyEvacuations(reply.value.evacuations);
     this.readerVersion = version;
@@ -269,11 +269,6 @@
       freshness.confirm(this.configMs);
   }
 
-  private recordRefill(state: RefillState | undefined): void {
-    if (state !== undefined)
-      this.parts.refill.recordEra(state.era, state.leftMs);
-  }
-
   private applyEvacuations(set: EvacuationSet | undefined): void {
     const {clock, evacuations, refill} = this.parts;
     if (set === undefined) return;
@@ -318,10 +313,12 @@
 
   private applyTargets(reply: UpdateReply): void {
     const {refill, targets} = this.parts;
-    // A first reply lists all targets, which may be those of an older copy. It
-    // is asked for again until they have registered again.
+    // A first reply lists all targets. It is asked for again until those that
+    // the store may lack have registered again.
     const isFirst = this.lastReply.revision === 0;
-    const isOlderCopy = isFirst && refill.isUnderWay && this.hasTargets;
+    const mayLack = isFirst && refill.isUnderWay && this.hasTargets;
+    // A reader that knows of the refill has kept what the store lacks.
+    const isOlderCopy = mayLack && !reply.refill?.leftMs;
     for (const {id, notice: registration} of reply.targets) {
       const known = targets.get(id)?.registration;
       if (registration === undefined) targets.remove(id);
@@ -330,7 +327,7 @@
       else if (parseSocketAddress(registration.address) !== undefined)
         targets.putSummary(registration);
     }
-    if (isOlderCopy) return;
+    if (mayLack) return;
     if (isFirst) this.removeUnlisted(reply);
     this.lastReply = {...this.lastReply, revision: reply.revision};
   }
--- a/packages/core/src/lib/gateway/store_refill.ts
+++ b/packages/core/src/lib/gateway/store_refill.ts
@@ -67,4 +67,9 @@
     if (knownMs > 0 && !this.isUnderWay) this.startCount += 1;
     this.endMs = Math.max(this.endMs, this.clock.now() + knownMs);
   }
+
+  /** Records what another host tells; undefined if it knows nothing. */
+  recordState(state: RefillState | undefined): void {
+    if (state !== undefined) this.recordEra(state.era, state.leftMs);
+  }
 }
--- a/packages/core/src/test/gateway/peer_updates_test.ts
+++ b/packages/core/src/test/gateway/peer_updates_test.ts
@@ -474,6 +474,15 @@
     expect(other.freshness.isFresh).to.equal(true);
   });
 
+  it('tells a started host of targets that the store has lost', async () => {
+    const {world, first, started} = await createInformedHosts();
+    first.refill.recordEra(2);
+    started.refill.recordEra(2);
+    started.read(7);
+    await world.run(500, 7);
+    expect(started.targets.get('t1')).to.not.equal(undefined);
+  });
+
   // Its own first read shows no evacuation, and it cannot know of the return.
   it('tells a started host of an evacuation that the store has lost', async () => {
     const {world, first, started} = await createInformedHosts();
