Failing tests: what a host that reads an older copy does not write again

A host that begins to decide after the store came back, or whose write failed while it was away, reads the copy. That read counts as up to date, so that past versions and origins that this host knows and the copy lacks stay lost.

--- a/packages/core/src/test/continuation/origin_keeper_test.ts
+++ b/packages/core/src/test/continuation/origin_keeper_test.ts
@@ -80,4 +80,14 @@
     const keys = archive.groups.flatMap(group => group.keys);
     expect(keys).to.have.lengthOf(1);
   });
+
+  it('writes the streams again that its host knows when it begins to decide after the copy', async () => {
+    shutdown.abort();
+    archive.forget();
+    shutdown = new AbortController();
+    startKeeper(world.hosts[0]);
+    await world.clock.advance(SECOND_MS);
+    const keys = archive.groups.flatMap(group => group.keys);
+    expect(keys).to.have.lengthOf(1);
+  });
 });
--- a/packages/core/src/test/continuation/version_keeper_test.ts
+++ b/packages/core/src/test/continuation/version_keeper_test.ts
@@ -7,6 +7,7 @@
 } from '../../lib/continuation/version_archive.js';
 import {VersionKeeper} from '../../lib/continuation/version_keeper.js';
 import {SilentLogger} from '../../lib/telemetry/logger.js';
+import {targetRegistration} from '../gateway/gateway_fixtures.js';
 import {
   ContinuityHost,
   ContinuityWorld,
@@ -164,5 +165,40 @@
       await world.clock.advance(TIMEOUT_MS + 5 * SECOND_MS);
       expect(host.versionOf('unknown')).to.equal('v1');
     });
+
+    it('writes the version again when its host begins to decide after the copy', async () => {
+      isDeciding = false;
+      await world.clock.advance(2 * SECOND_MS);
+      archive.restore(copy);
+      isDeciding = true;
+      await world.clock.advance(3 * SECOND_MS);
+      const past = archive.stored.get(SERVICE)!.past;
+      expect(past.map(each => each.softwareVersion)).to.deep.equal(['v2']);
+    });
+
+    it('writes the version again when a write failed while the store was away', async () => {
+      archive.isDown = true;
+      host.setTarget('t1', 'v3');
+      await world.clock.advance(SECOND_MS);
+      host.setTarget('t1', 'v1');
+      archive.restore(copy);
+      archive.isDown = false;
+      await world.clock.advance(3 * SECOND_MS);
+      const past = archive.stored.get(SERVICE)!.past;
+      expect(past.map(each => each.softwareVersion)).to.include('v2');
+    });
+
+    it('continues no unknown stream once only another service was written again', async () => {
+      isDeciding = false;
+      await world.clock.advance(2 * SECOND_MS);
+      archive.restore(copy);
+      isDeciding = true;
+      const startedMs = world.clock.now() + 1;
+      const other = {id: 'o1', startedMs, service: 'other', softwareVersion: 'v1'};
+      host.targets.put(targetRegistration(other), true);
+      await world.clock.advance(3 * SECOND_MS);
+      await restart('v1', 'v1');
+      expect(host.versionOf('unknown')).to.equal(undefined);
+    });
   });
 });
