Count entries as stored in one era of the archive only, and write the rest again

After the store had come back from an older copy, a host that started could join two software versions of one stream, and streams could not go on whose origins another host still knew.

ArchiveLoss took an archive for complete once it had been read in the new era. What is read then is the copy: a host that began to decide after it, or whose write had failed, wrote nothing again.

Streams beyond the bound of the queue were dropped during an outage; all known ones are written then. - Quarantine: the count of quarantines starts anew once a part is proven sound, so that a copy could hold an earlier quarantine with the same count, which was left there. The ends of quarantines are compared as well.

--- a/packages/core/src/lib/continuation/origin_keeper.ts
+++ b/packages/core/src/lib/continuation/origin_keeper.ts
@@ -1,6 +1,6 @@
 /** Keeps the origins of streams in an archive. @packageDocumentation */
 
-import {ArchiveLoss} from '../archive/archive_loss.js';
+import {StoredEntries} from '../archive/stored_entries.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {OriginArchive} from './origin_archive.js';
@@ -39,12 +39,11 @@
  */
 export class OriginKeeper {
   private unwritten: OriginGroup[] = [];
-  private hasRead = false;
-  private readonly loss: ArchiveLoss;
+  /** What was read, with software versions; undefined before that. */
+  private stored: StoredEntries<string> | undefined;
 
   /** @param parts - see {@link OriginKeeperParts}. */
   constructor(private readonly parts: OriginKeeperParts) {
-    this.loss = new ArchiveLoss(parts.archive);
     parts.exchange.onPass(groups => this.add(groups));
   }
 
@@ -68,14 +67,16 @@
   private add(groups: readonly OriginGroup[]): void {
     const merged = mergeGroups([...this.unwritten, ...groups]);
     const count = merged.reduce((sum, {keys}) => sum + keys.length, 0);
-    if (count <= MAX_UNWRITTEN) this.unwritten = merged;
+    // What waits to be written is among these as well, and they are bounded.
+    this.unwritten =
+      count <= MAX_UNWRITTEN ? merged : this.parts.exchange.mixedStreams();
   }
 
   /** Returns whether this host decides and any service is mixed. */
   private isNeeded(): boolean {
     const {isDeciding, versions} = this.parts;
     if (!isDeciding()) {
-      this.hasRead = false;
+      this.stored = undefined;
       this.unwritten = [];
       return false;
     }
@@ -84,9 +85,11 @@
 
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
-    if (!this.hasRead && !(await this.read(signal))) return false;
-    // What waits to be written is among these as well.
-    if (this.loss.take()) this.unwritten = this.parts.exchange.mixedStreams();
+    if (this.stored === undefined && !(await this.read(signal))) return false;
+    if (this.stored?.isCurrent === false) {
+      this.stored = new StoredEntries(this.parts.archive);
+      this.unwritten = this.parts.exchange.mixedStreams();
+    }
     return this.write(signal);
   }
 
@@ -94,10 +97,19 @@
     const {archive, exchange, logger} = this.parts;
     const archived = await archive.read(signal);
     if (archived.isErr()) return false;
-    this.hasRead = true;
     const {content, era} = archived.value;
-    this.loss.recordRead(era);
+    const stored = new StoredEntries<string>(archive, era);
+    for (const {keys, softwareVersion} of content)
+      for (const key of keys) stored.set(key, softwareVersion);
+    this.stored = stored;
     exchange.addArchived(content);
+    this.unwritten = exchange
+      .mixedStreams()
+      .map(({keys, ...origin}) => ({
+        ...origin,
+        keys: keys.filter(key => stored.get(key) === undefined),
+      }))
+      .filter(({keys}) => keys.length > 0);
     const streams = content.reduce((sum, {keys}) => sum + keys.length, 0);
     logger.info('stream_origins_read', {streams});
     return true;
--- a/packages/core/src/lib/quarantine/quarantine_keeper.ts
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -1,6 +1,6 @@
 /** Keeps the quarantine in an archive. @packageDocumentation */
 
-import {ArchiveLoss} from '../archive/archive_loss.js';
+import {StoredEntries} from '../archive/stored_entries.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {PartLedger} from './part_ledger.js';
@@ -20,8 +20,19 @@
 const LONE_READ_INTERVAL_MS = 1_000;
 const DECIDING_READ_INTERVAL_MS = 5_000;
 
-/** Number of quarantines that marks a part as lifted. */
-const LIFTED = -1;
+/** Ends of the same quarantine may differ by this: hosts date them by their clocks. */
+const END_TOLERANCE_MS = 1_000;
+
+/** A quarantine in the archive. */
+interface StoredQuarantine {
+  /** See {@link PartState}. */
+  count: number;
+  /** Clock time at which it ends. */
+  untilMs: number;
+}
+
+/** Stands for a part that an operator has lifted. */
+const LIFTED: StoredQuarantine = {count: -1, untilMs: -Infinity};
 
 /** Dependencies of a {@link QuarantineKeeper}. */
 export interface QuarantineKeeperParts {
@@ -44,15 +55,12 @@
  */
 export class QuarantineKeeper {
   /** Quarantines in the archive by part; undefined if not known. */
-  private stored: Map<string, number> | undefined;
-  private readonly loss: ArchiveLoss;
+  private stored: StoredEntries<StoredQuarantine> | undefined;
   private lastReadMs = -Infinity;
   private hasRead = false;
 
   /** @param parts - see {@link QuarantineKeeperParts}. */
-  constructor(private readonly parts: QuarantineKeeperParts) {
-    this.loss = new ArchiveLoss(parts.archive);
-  }
+  constructor(private readonly parts: QuarantineKeeperParts) {}
 
   /** Whether the host knows what was quarantined before it started. */
   get isInformed(): boolean {
@@ -80,7 +88,7 @@
       this.stored = undefined;
       return true;
     }
-    if (this.loss.take()) this.stored = undefined;
+    if (this.stored?.isCurrent === false) this.stored = undefined;
     if (ledger.size === 0 && this.stored === undefined && !isDeciding())
       return true;
     const intervalMs = isDeciding()
@@ -100,10 +108,8 @@
     if (archived.isErr()) return false;
     const {content, era} = archived.value;
     const {lifted, states} = content;
-    this.loss.recordRead(era);
-    this.stored = new Map(
-      states.map(({part, quarantineCount}) => [part, quarantineCount]),
-    );
+    this.stored = new StoredEntries(archive, era);
+    for (const state of states) this.stored.set(state.part, this.date(state));
     for (const part of lifted) {
       this.stored.set(part, LIFTED);
       ledger.clear(part, 'lifted by an operator');
@@ -123,23 +129,47 @@
     for (const state of ledger.states()) {
       if (state.quarantineCount === 0) continue;
       kept.add(state.part);
-      if (stored.get(state.part) !== state.quarantineCount) changed.push(state);
+      const known = this.date(state);
+      if (!isStored(known, stored.get(state.part))) changed.push(state);
     }
     for (const part of stored.keys()) {
       if (!kept.has(part)) changed.push(ledger.stateOf(part));
     }
     if (changed.length === 0) return true;
+    const dated = changed.map(state => this.date(state));
     const written = await archive.write(changed, signal);
     if (written.isErr()) {
       // The states may have been stored all the same.
       this.stored = undefined;
       return false;
     }
-    for (const {part, quarantineCount} of changed) {
+    for (const [i, {part, quarantineCount}] of changed.entries()) {
       if (quarantineCount === 0) stored.delete(part);
-      else stored.set(part, quarantineCount);
+      else stored.set(part, dated[i]);
     }
     logger.info('quarantine_stored', {parts: changed.length});
     return true;
   }
+
+  private date({
+    quarantineCount,
+    quarantineLeftMs,
+  }: PartState): StoredQuarantine {
+    const isOver = quarantineLeftMs === 0;
+    const endMs = this.parts.clock.now() + quarantineLeftMs;
+    const untilMs = isOver ? -Infinity : endMs;
+    return {count: quarantineCount, untilMs};
+  }
+}
+
+/**
+ * Returns whether an archive holds a quarantine. The count starts anew when a
+ * part is proven sound, so that two quarantines can share it.
+ */
+function isStored(
+  known: StoredQuarantine,
+  stored: StoredQuarantine | undefined,
+): boolean {
+  if (stored?.count !== known.count) return false;
+  return stored.untilMs >= known.untilMs - END_TOLERANCE_MS;
 }
--- a/packages/core/src/test/continuation/origin_keeper_test.ts
+++ b/packages/core/src/test/continuation/origin_keeper_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {Result, ok} from 'neverthrow';
+import {Result, err, ok} from 'neverthrow';
 import {ArchiveContent} from '../../lib/archive/archive.js';
 import {OriginArchive} from '../../lib/continuation/origin_archive.js';
 import {OriginKeeper} from '../../lib/continuation/origin_keeper.js';
@@ -13,6 +13,7 @@
 class MemoryArchive extends OriginArchive {
   groups: OriginGroup[] = [];
   override era = 1;
+  isDown = false;
 
   override async read(): Promise<
     Result<ArchiveContent<OriginGroup[]>, 'unavailable'>
@@ -23,6 +24,7 @@
   override async write(
     groups: readonly OriginGroup[],
   ): Promise<Result<void, 'unavailable'>> {
+    if (this.isDown) return err('unavailable');
     this.groups.push(...groups);
     return ok(undefined);
   }
@@ -90,4 +92,21 @@
     const keys = archive.groups.flatMap(group => group.keys);
     expect(keys).to.have.lengthOf(1);
   });
+
+  it('writes the newest streams once the archive is back from a long outage', async () => {
+    archive.isDown = true;
+    for (const count of [16_000, 1_000]) {
+      for (let i = 0; i < count; i += 1)
+        world.hosts[0].begin(`${count}-${i}`, 'v1');
+      await world.clock.advance(SECOND_MS);
+    }
+    archive.isDown = false;
+    await world.clock.advance(3 * SECOND_MS);
+    const host = world.startHost(0);
+    world.setTargets('v1', 'v2');
+    host.versions.addPast([]);
+    startKeeper(host);
+    await world.clock.advance(SECOND_MS);
+    expect(host.versionOf('1000-999')).to.equal('v1');
+  });
 });
--- a/packages/core/src/test/continuation/version_keeper_test.ts
+++ b/packages/core/src/test/continuation/version_keeper_test.ts
@@ -188,13 +188,43 @@
       expect(past.map(each => each.softwareVersion)).to.include('v2');
     });
 
+    it('writes the version again when it has come and gone anew while the store was away', async () => {
+      await world.clock.advance(100 * SECOND_MS);
+      const entry = archive.stored.get(SERVICE)!;
+      const aged = {...entry.past[0], agoMs: 100 * SECOND_MS};
+      archive.stored.set(SERVICE, {...entry, past: [aged]});
+      archive.isDown = true;
+      host.setTarget('t1', 'v2');
+      await world.clock.advance(SECOND_MS);
+      host.setTarget('t1', 'v1');
+      await world.clock.advance(SECOND_MS);
+      archive.isDown = false;
+      await world.clock.advance(3 * SECOND_MS);
+      const past = archive.stored.get(SERVICE)!.past;
+      expect(past[0].agoMs).to.be.below(10 * SECOND_MS);
+    });
+
+    it('continues no unknown stream of a service whose targets are listed late', async () => {
+      shutdown.abort();
+      archive.restore(copy);
+      await restart();
+      await world.clock.advance(SECOND_MS);
+      host.setTarget('t0', 'v1');
+      expect(host.versionOf('unknown')).to.equal(undefined);
+    });
+
     it('continues no unknown stream once only another service was written again', async () => {
       isDeciding = false;
       await world.clock.advance(2 * SECOND_MS);
       archive.restore(copy);
       isDeciding = true;
       const startedMs = world.clock.now() + 1;
-      const other = {id: 'o1', startedMs, service: 'other', softwareVersion: 'v1'};
+      const other = {
+        id: 'o1',
+        startedMs,
+        service: 'other',
+        softwareVersion: 'v1',
+      };
       host.targets.put(targetRegistration(other), true);
       await world.clock.advance(3 * SECOND_MS);
       await restart('v1', 'v1');
--- a/packages/core/src/test/quarantine/quarantine_keeper_test.ts
+++ b/packages/core/src/test/quarantine/quarantine_keeper_test.ts
@@ -141,6 +141,19 @@
     expect([...archive.states.keys()]).to.deep.equal(['bad']);
   });
 
+  it('writes a part again that a restored archive holds with an earlier quarantine', async () => {
+    const host = await decidingHost();
+    const earlier = {...archive.states.get('bad')!, quarantineLeftMs: 0};
+    host.ledger.recordAnswer('bad', 0, true);
+    await clock.advance(1_000);
+    host.ledger.setQuarantine('bad', 60_000);
+    await clock.advance(1_000);
+    archive.forget();
+    archive.states.set('bad', earlier);
+    await clock.advance(2_000);
+    expect(archive.states.get('bad')!.quarantineLeftMs).to.be.above(50_000);
+  });
+
   it('writes once the archive is back, with few calls meanwhile', async () => {
     const host = new KeeperHost(clock, archive);
     host.isDeciding = true;
--- a/packages/core/src/test/target_limits/limit_exchange_test.ts
+++ b/packages/core/src/test/target_limits/limit_exchange_test.ts
@@ -84,6 +84,18 @@
     expect(most).to.be.above(10);
   });
 
+  it('stays within the limit while the lending host goes on in new eras', async () => {
+    const world = await startWorld(9);
+    for (const host of world.hosts) host.hear(6);
+    for (let i = 0; i < 8; i++) {
+      world.fencing += 1;
+      await world.play(1_700, 150);
+    }
+    const most = mostInWindow(world.arrivalsMs);
+    expect(most).to.be.at.most(allowedInWindow(6));
+    expect(most).to.be.above(10);
+  });
+
   it('lets few hosts without a lending host use equal parts', async () => {
     const world = await startWorld(9);
     for (const host of world.hosts) host.hear(6);
