--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -381,8 +381,8 @@
     });
     network.onNotification(
       LEASE_RESIGNED,
-      ({fencing, leaseEnd, successor}, from) => {
-        lease.recordHolderContact(from.incarnation, leaseEnd);
+      ({fencing, leaseEnd: end, successor}, {incarnation}) => {
+        lease.recordHolderContact({incarnation, fencing, end});
         lease.handleResignation(fencing, successor === network.self.host);
       },
     );
@@ -394,7 +394,8 @@
   private handleView(body: ViewBody, incarnation: string): void {
     const {clock, controller, lease} = this.parts;
     if (controller.isActive) return;
-    lease.recordHolderContact(incarnation, body.leaseEnd);
+    const {fencing, leaseEnd: end} = body;
+    lease.recordHolderContact({incarnation, fencing, end});
     if (lease.holder?.incarnation !== incarnation) return;
     this.viewReceivedMs = clock.now();
     this.hostCounter.record(Math.max(1, body.hosts));
--- a/packages/core/src/lib/residency/residency_view_publisher.ts
+++ b/packages/core/src/lib/residency/residency_view_publisher.ts
@@ -137,6 +137,7 @@
     return {
       holder: network.self.incarnation,
       leaseEnd: lease.knownEnd,
+      fencing: lease.fencingNumber,
       targets,
       crowded,
       work,
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -1,99 +1,13 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {LEASE_TTL_MS, OrderLease} from '../../lib/residency/order_lease.js';
-import {SilentLogger} from '../../lib/telemetry/logger.js';
-import {ManualClock} from '../../lib/time/manual_clock.js';
-import {Random} from '../../lib/time/random.js';
-import {LOG_POLL_MS, SharedLog, FaultyLeaseLog} from './lease_log_fixtures.js';
-
-const HOLDER_GAP_MS = 3_000;
-const STEP_MS = LOG_POLL_MS;
-
-/** Longest time of a slow append, below the timeout of the lease. */
-const MAX_SLOW_MS = 900;
-
-interface LeaseHost {
-  lease: OrderLease;
-  log: FaultyLeaseLog;
-  stop: AbortController;
-}
-
-/** Hosts with one lease log, on one manual clock. */
-class LeaseWorld {
-  readonly clock = new ManualClock();
-  readonly hosts: LeaseHost[] = [];
-  /** Host and clock time of each step in which a host may order. */
-  readonly orders: Array<{host: number; ms: number}> = [];
-  readonly shared = new SharedLog();
-  private starts = 0;
-
-  constructor(
-    count: number,
-    private readonly claimDelayMs = 0,
-  ) {
-    for (let i = 0; i < count; i++) this.hosts.push(this.start(i));
-  }
-
-  /** Kills a host and restarts it without any state. */
-  restart(i: number): void {
-    this.hosts[i].stop.abort();
-    this.hosts[i] = this.start(i);
-  }
-
-  /** Advances the clock in steps and records which hosts may order. */
-  async run(durationMs: number): Promise<void> {
-    for (let ms = 0; ms < durationMs; ms += STEP_MS) {
-      await this.clock.advance(STEP_MS);
-      this.hosts.forEach(({lease}, host) => {
-        if (lease.canOrder) this.orders.push({host, ms: this.clock.now()});
-      });
-    }
-  }
-
-  /** Notifies the other hosts, and names the next one as the successor. */
-  private notifyResigned(holder: number): void {
-    const {fencingNumber} = this.hosts[holder].lease;
-    const successor = (holder + 1) % this.hosts.length;
-    this.hosts.forEach(({lease}, i) => {
-      if (i !== holder) lease.handleResignation(fencingNumber, i === successor);
-    });
-  }
-
-  private start(i: number): LeaseHost {
-    const log = new FaultyLeaseLog(this.clock, this.shared);
-    const incarnation = `${i}-${this.starts++}`;
-    const lease: OrderLease = new OrderLease({
-      clock: this.clock,
-      random: new Random(this.starts),
-      log,
-      logger: new SilentLogger(),
-      host: `host-${i}`,
-      owner: `host-${i}`,
-      incarnation,
-      holderGapMs: HOLDER_GAP_MS,
-      hostCount: () => this.hosts.length,
-      claimDelayMs: this.claimDelayMs,
-      // A process that was killed sends nothing.
-      onResign: () => {
-        if (this.hosts[i]?.lease === lease) this.notifyResigned(i);
-      },
-    });
-    const stop = new AbortController();
-    void lease.run(stop.signal);
-    return {lease, log, stop};
-  }
-}
-
-/** Returns the shortest time between orders of two hosts. */
-function shortestGap(orders: LeaseWorld['orders']): number {
-  let shortest = Infinity;
-  for (let i = 1; i < orders.length; i++) {
-    const [before, order] = [orders[i - 1], orders[i]];
-    if (before.host === order.host) continue;
-    shortest = Math.min(shortest, order.ms - before.ms);
-  }
-  return shortest;
-}
+import {LEASE_TTL_MS} from '../../lib/residency/order_lease.js';
+import {
+  HOLDER_GAP_MS,
+  LeaseWorld,
+  heal,
+  injectFault,
+  shortestGap,
+} from './lease_world.js';
 
 const faultKinds = fc.constantFrom(
   'cut',
@@ -105,6 +19,8 @@
   'pause',
   'slow',
   'stop',
+  'hear',
+  'deafen',
 );
 
 describe('OrderLease', () => {
@@ -153,7 +69,11 @@
       const hear = async (ms: number) => {
         for (let at = 0; at < ms; at += 250) {
           for (const {lease} of world.hosts) {
-            lease.recordHolderContact(incarnation, heard.knownEnd);
+            lease.recordHolderContact({
+              incarnation,
+              fencing: heard.fencingNumber,
+              end: heard.knownEnd,
+            });
           }
           await world.run(250);
         }
@@ -241,6 +161,24 @@
     }
   });
 
+  it('is not claimed beside a holder that resigned, claimed again and is heard', async () => {
+    const world = new LeaseWorld(3);
+    await world.run(2_000);
+    const first = world.hosts.findIndex(({lease}) => lease.canOrder);
+    for (const {log} of world.hosts) log.faults.isCut = true;
+    await world.run(LEASE_TTL_MS + HOLDER_GAP_MS);
+    heal(world.hosts[first].log);
+    await world.run(2_000);
+    expect(world.hosts[first].lease.canOrder).to.equal(true);
+    world.deaf.clear();
+    await world.run(300);
+    world.deaf.add(0).add(1).add(2);
+    for (const {log} of world.hosts) heal(log);
+    await world.run(2_000);
+    expect(world.sharedMs).to.deep.equal([]);
+    expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+  });
+
   it('is held by a new host, which can lend, before orders are allowed', async () => {
     const world = new LeaseWorld(2);
     await world.run(2_000);
@@ -266,6 +204,7 @@
     await fc.assert(
       fc.asyncProperty(steps, async plan => {
         const world = new LeaseWorld(3);
+        world.deaf.clear();
         await world.run(500);
         for (const {host, fault, ms} of plan) {
           await injectFault(world, host, fault, ms);
@@ -274,53 +213,9 @@
         for (const {log} of world.hosts) heal(log);
         await world.run(9_000);
         expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
+        expect(world.sharedMs).to.deep.equal([]);
       }),
       {numRuns: 60},
     );
   });
 });
-
-async function injectFault(
-  world: LeaseWorld,
-  host: number,
-  fault: string,
-  ms: number,
-): Promise<void> {
-  const {lease, log} = world.hosts[host];
-  switch (fault) {
-    case 'cut':
-      log.faults.isCut = true;
-      break;
-    case 'lost':
-      log.faults.losesAnswers = true;
-      break;
-    case 'late':
-      log.faults.lateMs = ms;
-      break;
-    case 'slow':
-      log.faults.slowMs = Math.min(ms, MAX_SLOW_MS);
-      break;
-    case 'stop':
-      void lease.release(new AbortController().signal);
-      break;
-    case 'restart':
-      world.restart(host);
-      break;
-    case 'release':
-      void lease.release(new AbortController().signal);
-      world.restart(host);
-      break;
-    case 'pause':
-      world.clock.pause(ms);
-      break;
-    default:
-      heal(log);
-  }
-}
-
-function heal({faults}: FaultyLeaseLog): void {
-  faults.slowMs = 0;
-  faults.isCut = false;
-  faults.losesAnswers = false;
-  faults.lateMs = 0;
-}
