--- a/packages/core/src/lib/quarantine/quarantine_keeper.ts
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -20,7 +20,7 @@
 const LONE_READ_INTERVAL_MS = 1_000;
 const DECIDING_READ_INTERVAL_MS = 5_000;
 
-/** Ends of the same quarantine may differ by this: hosts date them by their clocks. */
+/** Ends of a quarantine may differ by this: hosts date them by their clocks. */
 const END_TOLERANCE_MS = 1_000;
 
 /** A quarantine in the archive. */
