--- a/packages/core/src/lib/gateway/peer_updates.ts
+++ b/packages/core/src/lib/gateway/peer_updates.ts
@@ -1,22 +1,30 @@
 /** Updates of configuration and targets that one host distributes to the others. @packageDocumentation */
 
-import {z} from 'zod';
 import {parseSocketAddress} from '../net/socket_address.js';
-import {PeerIdentity, PeerMethod, PeerNetwork} from '../peers/peer_network.js';
+import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {ZoneEvacuations} from '../evacuation/zone_evacuations.js';
 import {Clock} from '../time/clock.js';
 import {
   EvacuationSet,
   applyEvacuationSet,
   evacuationSetOf,
-  evacuationSetSchema,
 } from '../evacuation/evacuation_messages.js';
 import {DeploymentState} from './deployment_state.js';
 import {ConfigSources} from './config_sources.js';
-import {RegistrationSummary} from './target_registration.js';
+import {RegistrationSummary, isNewsOf} from './target_registration.js';
 import {Freshness} from './freshness.js';
-import {ProcessReports, processReport} from './process_reports.js';
+import {ProcessReports} from './process_reports.js';
+import {StoreRefill} from './store_refill.js';
 import {TargetTable} from './target_table.js';
+import {
+  GET_CONFIG,
+  GET_UPDATES,
+  TARGET_ENDED,
+  TARGET_LEAVING,
+  UPDATE_HINT,
+  UpdateReply,
+  UpdateRequest,
+} from './update_messages.js';
 
 /**
  * Time between requests to the reader, as a fraction of the lifetime of a
@@ -51,99 +59,6 @@
 /** Time between checks whether there is a reader. */
 const NO_READER_POLL_MS = 100;
 
-const coldReportSchema = z.object({leftMs: z.number(), ageMs: z.number()});
-
-/**
- * The part of a registration that hosts need; only the reader needs the models.
- */
-const summarySchema = z.object({
-  id: z.string(),
-  startedMs: z.number(),
-  service: z.string(),
-  address: z.string(),
-  zone: z.string(),
-  softwareVersion: z.string().optional(),
-  slots: z.number(),
-  isLeaving: z.boolean(),
-  hasEnded: z.boolean().optional(),
-  cold: coldReportSchema.optional(),
-});
-
-/** Age in milliseconds; infinite if nothing was read yet. */
-const ageSchema = z.union([z.number(), z.literal(Infinity)]);
-
-/** Version of a configuration; -Infinity if none is in force yet. */
-const versionSchema = z.union([z.number(), z.literal(-Infinity)]);
-
-const updateRequestSchema = z.object({
-  /** Incarnation of the reader that sent the last reply. */
-  reader: z.string(),
-  /** Revision of the reader's targets in the last reply. */
-  revision: z.number(),
-  /** Version of the configuration in force on the requesting host. */
-  version: versionSchema,
-  /** Availability zone of the requesting host. */
-  zone: z.string(),
-});
-
-const updateReplySchema = z.object({
-  /** Version of the configuration in force on the reader. */
-  version: z.number(),
-  /** Time since the store last confirmed that version. */
-  configAgeMs: ageSchema,
-  /** Time since the targets were read from the store. */
-  targetsAgeMs: ageSchema,
-  revision: z.number(),
-  targets: z.array(
-    z.object({id: z.string(), notice: summarySchema.optional()}),
-  ),
-  /**
-   * Name of the host to fetch that version from, if the requesting host lacks
-   * it and need not read the store.
-   */
-  source: z.string().optional(),
-  /** Missing in the replies of readers of a release without evacuations. */
-  evacuations: evacuationSetSchema.optional(),
-});
-
-/** Request of a host to the reader. */
-export type UpdateRequest = z.output<typeof updateRequestSchema>;
-
-/** Reply of the reader. */
-export type UpdateReply = z.output<typeof updateReplySchema>;
-
-const GET_UPDATES: PeerMethod<UpdateRequest, UpdateReply> = {
-  name: 'news-ask',
-  body: updateRequestSchema,
-  event: updateReplySchema,
-};
-
-/** Fetches a configuration, in the encoding of the store, from another host. */
-const GET_CONFIG: PeerMethod<{version: number}, {text?: Uint8Array}> = {
-  name: 'config-ask',
-  body: z.object({version: z.number()}),
-  event: z.object({text: z.instanceof(Uint8Array).optional()}),
-};
-
-/** Reports that a process is leaving, which the reader may not know yet. */
-const TARGET_LEAVING = processReport('target-leaves');
-
-/** Reports that a process was seen to have ended. */
-const TARGET_ENDED = processReport('target-ended');
-
-/** Notifies hosts that the reader has updates. */
-const UPDATE_HINT: PeerMethod<
-  {revision: number; evacuations?: EvacuationSet},
-  never
-> = {
-  name: 'news-hint',
-  body: z.object({
-    revision: z.number(),
-    evacuations: evacuationSetSchema.optional(),
-  }),
-  event: z.never(),
-};
-
 /** The host that reads the store for the others. */
 export interface StoreReader {
   host: string;
@@ -166,6 +81,8 @@
   freshness: Freshness;
   targets: TargetTable;
   evacuations: ZoneEvacuations;
+  /** Knows whether the store may lack records. */
+  refill: StoreRefill;
   /**
    * Age up to which data of the store need not be read again, counted from the
    * reader's own read.
@@ -208,7 +125,7 @@
 
   /** @param parts - the dependencies, see {@link PeerUpdatesParts}. */
   constructor(private readonly parts: PeerUpdatesParts) {
-    const {evacuations, network, targets} = parts;
+    const {evacuations, network, refill, targets} = parts;
     this.hintedEvacuations = evacuations.revision;
     this.sources = new ConfigSources(network.self, parts.zone);
     network.serveUnary(GET_UPDATES, (request, {from}) =>
@@ -218,6 +135,7 @@
       this.serveConfig(version, signal),
     );
     network.onNotification(UPDATE_HINT, hint => {
+      refill.recordState(hint.refill);
       this.applyEvacuations(hint.evacuations);
       this.wake.abort();
     });
@@ -273,7 +191,7 @@
 
   /** Notifies the other hosts of updates, if this host is the reader. */
   broadcastHint(): void {
-    const {clock, evacuations, network, state, targets} = this.parts;
+    const {clock, evacuations, network, refill, state, targets} = this.parts;
     const version = state.current?.deployment.version ?? 0;
     const {revision} = targets;
     const hasNewEvacuations = evacuations.revision !== this.hintedEvacuations;
@@ -287,6 +205,7 @@
     this.hintedEvacuations = evacuations.revision;
     network.broadcast(UPDATE_HINT, {
       revision,
+      refill: refill.state,
       evacuations: hasNewEvacuations
         ? evacuationSetOf(evacuations, clock.now())
         : undefined,
@@ -318,7 +237,7 @@
     reader: StoreReader,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock, freshness, network, zone} = this.parts;
+    const {clock, freshness, network, refill, zone} = this.parts;
     if (this.lastReply.reader !== reader.incarnation) {
       this.lastReply = {reader: reader.incarnation, revision: 0};
     }
@@ -329,7 +248,8 @@
       signal,
     });
     if (reply.isErr()) return;
-    const {configAgeMs, source, targetsAgeMs, revision, version} = reply.value;
+    const {configAgeMs, source, targetsAgeMs, version} = reply.value;
+    refill.recordState(reply.value.refill);
     this.hasReaderEvacuations = reply.value.evacuations !== undefined;
     this.applyEvacuations(reply.value.evacuations);
     this.readerVersion = version;
@@ -339,19 +259,20 @@
     // An older reply must not add a removed target again.
     if (targetsMs >= knownMs - AGE_TOLERANCE_MS) {
       this.applyTargets(reply.value);
-      this.lastReply = {reader: reader.incarnation, revision};
       this.targetsMs = targetsMs;
       this.parts.targets.recordListed(targetsMs);
     }
     if (source !== undefined) await this.fetchConfig(source, version, signal);
-    // The configuration in force here is as fresh as the reader's own.
-    if (this.hasFreshConfig) freshness.confirm(this.configMs);
+    // The configuration in force here is as fresh as the reader's own. A reader
+    // that has just started may not know that the store lacks records.
+    if (this.hasFreshConfig && !refill.isUnderWay)
+      freshness.confirm(this.configMs);
   }
 
   private applyEvacuations(set: EvacuationSet | undefined): void {
-    const {clock, evacuations} = this.parts;
+    const {clock, evacuations, refill} = this.parts;
     if (set === undefined) return;
-    applyEvacuationSet(evacuations, set, clock.now());
+    applyEvacuationSet(evacuations, set, clock.now(), refill.isUnderWay);
   }
 
   private async fetchConfig(
@@ -391,14 +312,29 @@
   }
 
   private applyTargets(reply: UpdateReply): void {
-    const {targets} = this.parts;
+    const {refill, targets} = this.parts;
+    // A first reply lists all targets. It is asked for again until those that
+    // the store may lack have registered again.
+    const isFirst = this.lastReply.revision === 0;
+    const mayLack = isFirst && refill.isUnderWay && this.hasTargets;
+    // A reader that knows of the refill has kept what the store lacks.
+    const isOlderCopy = mayLack && !reply.refill?.leftMs;
     for (const {id, notice: registration} of reply.targets) {
+      const known = targets.get(id)?.registration;
       if (registration === undefined) targets.remove(id);
+      else if (isOlderCopy && !isNewsOf(registration, known)) continue;
       // A reader of another release may pass on what it cannot connect to.
       else if (parseSocketAddress(registration.address) !== undefined)
         targets.putSummary(registration);
     }
-    if (this.lastReply.revision === 0) this.removeUnlisted(reply);
+    if (mayLack) return;
+    if (isFirst) this.removeUnlisted(reply);
+    this.lastReply = {...this.lastReply, revision: reply.revision};
+  }
+
+  /** Whether this host has learned the targets, from the store or the reader. */
+  private get hasTargets(): boolean {
+    return Math.max(this.targetsMs, this.parts.targetsReadMs()) > -Infinity;
   }
 
   /** Removes the targets that are missing in a first reply, which lists all. */
@@ -411,7 +347,8 @@
   }
 
   private serveUpdate(request: UpdateRequest, from: PeerIdentity): UpdateReply {
-    const {clock, evacuations, freshness, network, state, targets} = this.parts;
+    const {clock, evacuations, freshness, network, refill, state, targets} =
+      this.parts;
     const version = state.current?.deployment.version ?? -1;
     const isOutdated = this.isReader && request.version < version;
     const isSameReader = request.reader === network.self.incarnation;
@@ -428,6 +365,7 @@
         ? clock.now() - this.parts.targetsReadMs()
         : unknownMs,
       revision: targets.revision,
+      refill: refill.state,
       evacuations: evacuationSetOf(evacuations, clock.now()),
       targets: targets
         .changesSince(isSameReader ? request.revision : 0)
