Soak: a store that comes back from older copies, and orders that show it

The soak checked orders by the gap only, and hardly had any: one in a run of 15 s.

The stand-in can't tell senders but by the name in the order: all hosts reach workers from one address. - checkOrderReturn: after a return no 15 s pass without an order while some host is undisturbed; a run ends with such a span.

Checks that hold for machines out of touch, too (keys withdrawn, runs once, limits), aren't narrowed.

--- a/packages/local-cluster/src/lib/platform_world.ts
+++ b/packages/local-cluster/src/lib/platform_world.ts
@@ -74,18 +74,22 @@
   resumableObjectiveMs: 500,
 };
 
+const DEFAULT_MODELS = ['m1', 'm2'];
+
 /**
  * Returns an operator's configuration with four routes and two services.
  *
  * @param version - version of the configuration.
  * @param teams - teams with their API keys.
  * @param options - see {@link RouteOptions}.
+ * @param models - models of the engines' service.
  * @returns the configuration.
  */
 export function platformConfig(
   version: number,
   teams: PlatformTeam[],
   options = DEFAULT_ROUTES,
+  models: readonly string[] = DEFAULT_MODELS,
 ): object {
   const {idleTimeoutMs: IdleTimeoutMs} = options;
   const route = (name: string, prefix: string, kind: string, to: string) => ({
@@ -134,7 +138,7 @@
         MaxConns: 100,
         Engine: {
           Slots: 8,
-          Models: ['m1', 'm2'].map(model),
+          Models: models.map(model),
           WeightsMb: 100,
           AdapterSlots: 2,
           LoadsPerS: 20,
--- a/packages/soak/src/lib/fault_series.ts
+++ b/packages/soak/src/lib/fault_series.ts
@@ -4,8 +4,10 @@
 import {IncomingHttpHeaders} from 'node:http';
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {COPY_TIME, NO_FAULTS, FAULTY_ANSWER} from '@fuchsiacleat/standins';
+import {FAULT, FaultName} from './fault_names.js';
 import {LINK_MODE, LinkMode} from './faulty_link.js';
 import {HostProcess} from './host_process.js';
+import {OlderStore} from './older_store.js';
 import {LARGE_BODY} from './soak_checks.js';
 import {LinkedWorker, ROUTE_RANGES, SoakWorld} from './soak_world.js';
 
@@ -78,69 +80,6 @@
   '',
 ];
 
-/** Kinds of faults. */
-export const FAULT = {
-  pause: 'pause',
-  kill: 'kill',
-  killAll: 'killAll',
-  term: 'term',
-  hup: 'hup',
-  storeLink: 'storeLink',
-  storeDown: 'storeDown',
-  storeLate: 'storeLate',
-  storeLoses: 'storeLoses',
-  workerLink: 'workerLink',
-  oddAnswers: 'oddAnswers',
-  withdraw: 'withdraw',
-  drain: 'drain',
-  silence: 'silence',
-  publish: 'publish',
-  changeVersion: 'changeVersion',
-  crashRequest: 'crashRequest',
-  secondCopies: 'secondCopies',
-  oddEntries: 'oddEntries',
-  breakLarge: 'breakLarge',
-  breakStreams: 'breakStreams',
-} as const;
-
-/** One of {@link FAULT}. */
-export type FaultName = (typeof FAULT)[keyof typeof FAULT];
-
-/** Kinds of faults that the first regression seeds chose from, in this order. */
-export const FIRST_FAULTS: readonly FaultName[] = [
-  FAULT.pause,
-  FAULT.kill,
-  FAULT.killAll,
-  FAULT.term,
-  FAULT.hup,
-  FAULT.storeLink,
-  FAULT.storeDown,
-  FAULT.storeLate,
-  FAULT.storeLoses,
-  FAULT.workerLink,
-  FAULT.oddAnswers,
-  FAULT.withdraw,
-  FAULT.drain,
-];
-
-/** Planned work, and what sound workers do: it excuses no lost request. */
-export const PLANNED_FAULTS: readonly FaultName[] = [
-  FAULT.term,
-  FAULT.hup,
-  FAULT.withdraw,
-  FAULT.drain,
-  FAULT.silence,
-  FAULT.silence,
-  FAULT.publish,
-  FAULT.publish,
-];
-
-/** Answers of which a part has been passed on when they break off. */
-export const BREAKS: readonly FaultName[] = [
-  FAULT.breakLarge,
-  FAULT.breakStreams,
-];
-
 /** Injects one fault, keeps it for a time and reverts it. */
 type Fault = (forMs: number) => Promise<void>;
 
@@ -151,6 +90,7 @@
   private readonly kinds: Record<FaultName, Fault>;
   private readonly running = new Set<Promise<void>>();
   private isWithdrawn = false;
+  private readonly olderStore: OlderStore;
   private readonly clock = new SystemClock();
 
   /**
@@ -166,6 +106,9 @@
     private readonly names: readonly FaultName[],
     private readonly signal: AbortSignal,
   ) {
+    this.olderStore = new OlderStore(world, random, signal, host =>
+      this.kill(host),
+    );
     this.kinds = {
       pause: forMs => this.pause(forMs),
       kill: () => this.kill(this.host()),
@@ -188,6 +131,7 @@
       oddEntries: forMs => this.oddEntries(forMs),
       breakLarge: forMs => this.breakLarge(forMs),
       breakStreams: forMs => this.breakStreams(forMs),
+      olderStore: () => this.olderStore.play(),
     };
   }
 
@@ -195,6 +139,8 @@
   async run(): Promise<void> {
     // Each fault under way waits on the signal, and any number may overlap.
     setMaxListeners(0, this.signal);
+    if (this.names.includes(FAULT.olderStore))
+      void this.olderStore.takeCopies();
     while (!this.signal.aborted) {
       const name = this.random.pick(this.names);
       const forMs = this.random.int(MIN_FAULT_MS, MAX_FAULT_MS);
@@ -268,37 +214,37 @@
 
   private async storeDown(forMs: number): Promise<void> {
     const {store} = this.world;
-    this.disturbAll(forMs);
+    this.world.disturbAll(forMs);
     store.faults = {...store.faults, down: true};
     await this.wait(forMs);
     store.faults = {...NO_FAULTS};
-    this.disturbAll(0);
+    this.world.disturbAll(0);
   }
 
   private async storeLate(forMs: number): Promise<void> {
     const {store} = this.world;
-    this.disturbAll(forMs);
+    this.world.disturbAll(forMs);
     store.appendDelayMs = LATE_APPEND_MS;
     await this.wait(forMs);
     store.appendDelayMs = 0;
-    this.disturbAll(0);
+    this.world.disturbAll(0);
   }
 
   private storeLoses(): void {
     const {store} = this.world;
-    this.disturbAll(0);
+    this.world.disturbAll(0);
     const loseAnswers = this.random.int(1, MAX_ODD_ANSWERS);
     store.faults = {...store.faults, loseAnswers};
   }
 
   private async breakWorkerLink(forMs: number): Promise<void> {
     const {link} = this.random.pick(this.world.workers);
-    this.disturbAll(forMs);
+    this.world.disturbAll(forMs);
     link.setMode(this.random.pick(BROKEN_MODES));
     await this.wait(forMs);
     link.setMode(LINK_MODE.open);
     this.recordResumption();
-    this.disturbAll(0);
+    this.world.disturbAll(0);
   }
 
   private oddAnswers(): void {
@@ -315,11 +261,11 @@
     const time = this.random.pick(Object.values(COPY_TIME));
     const every = this.random.int(1, MAX_COPY_INTERVAL);
     let responses = 0;
-    this.disturbAll(forMs);
+    this.world.disturbAll(forMs);
     standin.copyTime = () => (++responses % every === 0 ? time : undefined);
     await this.wait(forMs);
     standin.copyTime = () => undefined;
-    this.disturbAll(0);
+    this.world.disturbAll(0);
   }
 
   /** Puts entries of another writer into the list of targets. */
@@ -415,7 +361,7 @@
 
   private async changeVersion(): Promise<void> {
     const engines = this.world.workers.filter(({isEngine}) => isEngine);
-    this.disturbAll(0);
+    this.world.disturbAll(0);
     await this.world.changeVersion(this.random.pick(engines));
     this.recordResumption();
   }
@@ -432,10 +378,6 @@
     this.world.setCrashing(false);
   }
 
-  private disturbAll(forMs: number): void {
-    for (const host of this.world.hosts) this.world.disturb(host, forMs);
-  }
-
   private recordResumption(): void {
     this.world.resumptionsMs.push(performance.now());
   }
--- a/packages/soak/src/lib/planted_host.ts
+++ b/packages/soak/src/lib/planted_host.ts
@@ -11,10 +11,21 @@
 /** Its name as a host, and as the holder that sends its orders. */
 const PLANTED_NAME = 'planted';
 
+/** Fencing number of its first orders. */
+const PLANTED_FENCING = 1_000;
+
 const ORDER_INTERVAL_MS = 100;
 const ATTEMPT_ID_HEADER = 'x-fuchsiacleat-attempt-id';
 const STAMP_HEADER = 'x-fuchsiacleat-server-stamp';
 
+/** Promises that orders break. */
+const ORDER_FAULTS: readonly PromiseName[] = [
+  PROMISE.singleHolder,
+  PROMISE.risingNumber,
+  PROMISE.ownNumber,
+  PROMISE.memory,
+];
+
 /** Forwards requests to workers and breaks one chosen promise. */
 export class PlantedHost {
   private readonly server: Server;
@@ -47,9 +58,7 @@
       this.server.listen(0, '127.0.0.1', resolve),
     );
     if (this.fault === PROMISE.limit) await this.exceedLimit();
-    const sendsOrders =
-      this.fault === PROMISE.singleHolder || this.fault === PROMISE.memory;
-    if (!sendsOrders) return;
+    if (!ORDER_FAULTS.includes(this.fault)) return;
     this.timer = setInterval(() => void this.sendOrder(), ORDER_INTERVAL_MS);
   }
 
@@ -183,13 +192,16 @@
 
   private async sendOrder(): Promise<void> {
     const engine = this.world.workers.find(({isEngine}) => isEngine)!;
-    // For `singleHolder` two holders alternate; for `memory` one holder only loads.
-    const isOtherHolder =
-      this.fault === PROMISE.singleHolder && this.loads % 2 === 0;
+    const takesTurns =
+      this.fault === PROMISE.singleHolder || this.fault === PROMISE.ownNumber;
+    const isOtherHolder = takesTurns && this.loads % 2 === 0;
     const Holder = isOtherHolder ? `${PLANTED_NAME}-other` : PLANTED_NAME;
+    // For `memory` one holder only loads.
     const Op = this.fault === PROMISE.memory ? 'load' : 'unload';
     this.loads += 1;
-    const body = JSON.stringify({Op, Model: `m${this.loads}`, Holder});
+    const isFalling = this.fault === PROMISE.risingNumber;
+    const Fence = isFalling ? PLANTED_FENCING - this.loads : PLANTED_FENCING;
+    const body = JSON.stringify({Op, Model: `m${this.loads}`, Holder, Fence});
     const url = `http://127.0.0.1:${engine.standin.port}/order`;
     try {
       const res = await request(url, {method: 'POST', body});
--- a/packages/soak/src/lib/soak_callers.ts
+++ b/packages/soak/src/lib/soak_callers.ts
@@ -14,7 +14,6 @@
   'stream',
   'resumable',
 ];
-const MODELS = ['m1', 'm1', 'm1', 'm2'] as const;
 
 /** Fraction of the requests that use the key of the limited team. */
 const LIMITED_FRACTION = 0.3;
@@ -144,8 +143,11 @@
       'x-fuchsiacleat-key': request.key,
     };
     if (isStream(request.route)) {
+      const {requestedModels} = this.world;
       headers['x-fuchsiacleat-model'] =
-        request.resumed === undefined ? this.random.pick(MODELS) : 'm1';
+        request.resumed === undefined
+          ? this.random.pick(requestedModels)
+          : 'm1';
     }
     if (request.resumed !== undefined) {
       const {id, text} = request.resumed;
--- a/packages/soak/src/lib/soak_checks.ts
+++ b/packages/soak/src/lib/soak_checks.ts
@@ -1,6 +1,6 @@
 /** Checks the promises against the records of callers and workers. @packageDocumentation */
 
-import {AcceptedOrder, WorkerRun} from '@fuchsiacleat/standins';
+import {OrderCall, WorkerRun} from '@fuchsiacleat/standins';
 import {DisturbanceBook} from './disturbance_book.js';
 import {RequestLedger, isStream} from './request_ledger.js';
 import {versionsIn} from './stream_text.js';
@@ -18,6 +18,9 @@
   drain: 'drain',
   limit: 'limit',
   singleHolder: 'one-giver',
+  risingNumber: 'rising-number',
+  ownNumber: 'own-number',
+  ordersReturn: 'orders-return',
   memory: 'memory',
   recovery: 'recovery',
   staysUp: 'stays-up',
@@ -47,7 +50,7 @@
 export interface WorkerRecord {
   name: string;
   runs: readonly WorkerRun[];
-  orders: readonly AcceptedOrder[];
+  orders: readonly OrderCall[];
   /** Number of models that the worker can hold; undefined for a plain service. */
   modelCapacity: number | undefined;
   /** Number of models that the worker held at the start. */
@@ -75,6 +78,10 @@
   minOrderGapMs: number;
   /** Times at which hosts resumed or links recovered; delayed orders may follow. */
   resumptionsMs: readonly number[];
+  /** Times at which the store came back from an older copy. */
+  restoresMs: readonly number[];
+  /** Time at which the callers stopped. */
+  callersEndMs: number;
   disturbances: DisturbanceBook;
   /** Shortest time limit of requests in any configuration. */
   minTimeoutMs: number;
@@ -105,9 +112,6 @@
 /** Most runs of the request after that. */
 const MAX_LATE_CRASHES = 3;
 
-/** Time after a resumption in which earlier orders may still arrive. */
-const RESUMPTION_SLACK_MS = 300;
-
 /** @returns every violation that the records show. */
 export function checkRecords(record: SoakRecord): Violation[] {
   return [
@@ -116,7 +120,6 @@
     ...checkLimit(record),
     ...checkVersions(record),
     ...checkCrashes(record),
-    ...record.workers.flatMap(worker => checkOrders(worker, record)),
   ];
 }
 
@@ -212,34 +215,6 @@
   return [];
 }
 
-function checkOrders(
-  {initialModels, name, orders, modelCapacity}: WorkerRecord,
-  {minOrderGapMs, resumptionsMs}: SoakRecord,
-): Violation[] {
-  const found: Violation[] = [];
-  let held = initialModels;
-  let before: AcceptedOrder | undefined;
-  for (const order of orders) {
-    held += order.text.startsWith('load') ? 1 : -1;
-    if (modelCapacity !== undefined && held > modelCapacity) {
-      found.push(violation(PROMISE.memory, `${name} was to hold ${held}`));
-    }
-    const isLate = resumptionsMs.some(
-      ms => order.atMs >= ms && order.atMs < ms + RESUMPTION_SLACK_MS,
-    );
-    if (isLate) continue;
-    const gapMs = order.atMs - (before?.atMs ?? -Infinity);
-    if (before?.holder !== order.holder && gapMs < minOrderGapMs) {
-      const detail = `${name}: ${before?.holder}, then ${order.holder}`;
-      found.push(
-        violation(PROMISE.singleHolder, `${detail} ${gapMs} ms later`),
-      );
-    }
-    before = order;
-  }
-  return found;
-}
-
 /** @returns the runs of each request, by id. */
 export function runsById(
   workers: readonly WorkerRecord[],
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -3,7 +3,10 @@
 import {Random, SystemClock} from '@fuchsiacleat/core';
 import {checkAnswers} from './answer_check.js';
 import {checkAnswered} from './answered_check.js';
-import {FAULT, FaultName, FaultSeries} from './fault_series.js';
+import {FAULT, FaultName} from './fault_names.js';
+import {FaultSeries} from './fault_series.js';
+import {checkOrders} from './order_check.js';
+import {ORDER_RETURN_MS, checkOrderReturn} from './order_return_check.js';
 import {PlantedHost} from './planted_host.js';
 import {CallerTarget, SoakCaller} from './soak_callers.js';
 import {PROMISE, PromiseName, Violation, checkRecords} from './soak_checks.js';
@@ -21,6 +24,12 @@
 /** Time after the start before the first fault. */
 const FIRST_FAULT_DELAY_MS = 1_500;
 
+/** Time by which a lease from before a return of the store has expired. */
+const OLD_LEASE_MS = 3_000;
+
+/** Longest time after the faults in which they still excuse hosts. */
+const AFTER_FAULTS_MS = 5_000;
+
 /** Options of a soak run. */
 export interface SoakOptions {
   seed: number;
@@ -44,6 +53,10 @@
   statusCounts: Record<string, number>;
   /** Number of faults by kind. */
   faultCounts: Record<string, number>;
+  /** Number of orders that reached workers. */
+  orders: number;
+  /** Number of returns of the store from older copies. */
+  restores: number;
   /** Folder with the hosts' logs. */
   folder: string;
 }
@@ -82,6 +95,8 @@
   async play(): Promise<SoakResult> {
     const {durationMs, hasFaults = true} = this.options;
     const names = this.options.faults ?? Object.values(FAULT);
+    if (hasFaults && names.includes(FAULT.olderStore))
+      this.world.offerManyModels();
     await this.checkRecovery('after the start');
     const callersEnd = new AbortController();
     const callers = await this.startCallers(callersEnd.signal);
@@ -100,6 +115,8 @@
     await faults;
     await planted;
     await this.checkRecovery('after the faults');
+    if (FAULT.olderStore in series.counts) await this.waitForOrder();
+    this.world.callersEndMs = performance.now();
     callersEnd.abort();
     await Promise.race([
       Promise.all(callers),
@@ -109,6 +126,8 @@
     const record = this.world.createRecord();
     this.violations.push(
       ...checkRecords(record),
+      ...checkOrders(record),
+      ...checkOrderReturn(record),
       ...checkAnswers(record),
       ...checkAnswered(record),
     );
@@ -117,6 +136,8 @@
       requests: this.world.ledger.all().length,
       statusCounts: this.world.ledger.counts(),
       faultCounts: series.counts,
+      orders: record.workers.flatMap(({orders}) => orders).length,
+      restores: record.restoresMs.length,
       folder: this.world.folder,
     };
   }
@@ -160,11 +181,13 @@
   /** Plants the faults that a planted host cannot cause. */
   private async plantRunFault(): Promise<void> {
     const {plant, durationMs} = this.options;
-    const {hosts, workers} = this.world;
+    const {hosts, restoresMs, workers} = this.world;
     if (plant === PROMISE.staysUp) hosts[0].signal('SIGKILL');
     if (plant === PROMISE.recovery) hosts[0].signal('SIGSTOP');
     if (plant === PROMISE.withdrawnKey) this.world.setWithdrawn(true);
     if (plant === PROMISE.crashBudget) this.world.setCrashing(true);
+    if (plant === PROMISE.ordersReturn)
+      restoresMs.push(performance.now() - 2 * ORDER_RETURN_MS);
     if (plant === PROMISE.drain) this.world.setDraining(workers[0], true);
     await this.clock.sleep(durationMs);
   }
@@ -180,6 +203,18 @@
     this.violations.push({promise: PROMISE.recovery, detail});
   }
 
+  /** Gives {@link checkOrderReturn} a span without faults. */
+  private async waitForOrder(): Promise<void> {
+    const lastMs = this.world.restoresMs.at(-1);
+    if (lastMs === undefined) return;
+    const sinceMs = Math.max(performance.now(), lastMs + OLD_LEASE_MS);
+    const hasOrder = async () =>
+      this.world.workers.some(({standin}) =>
+        standin.orderCalls.some(({atMs}) => atMs > sinceMs),
+      );
+    await this.world.until(hasOrder, ORDER_RETURN_MS + AFTER_FAULTS_MS);
+  }
+
   private recordUnexpectedExits(): void {
     for (const {unexpectedExits} of this.world.hosts) {
       for (const end of unexpectedExits) {
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -27,9 +27,9 @@
   PIECE_OF,
   SoakRecord,
   TeamLimit,
-  WorkerRecord,
 } from './soak_checks.js';
 import {RequestLedger} from './request_ledger.js';
+import {crashesOf, toWorkerRecord} from './worker_record.js';
 
 /** Keys of the team without a limit and of the limited team. */
 export const SOAK_KEY = {free: 'key-free', limited: 'key-limited'} as const;
@@ -70,13 +70,16 @@
   idleTimeoutMs: [6_000, 15_000],
 } as const;
 
-/** Longest time from the start of a crashing request to the crash. */
-const CRASH_AFTER_MS = 200;
-
 const MS_PER_SECOND = 1_000;
 const PLAIN_COUNT = 4;
 const ENGINE_COUNT = 2;
-const ENGINE_MODEL_CAPACITY = 1;
+const FIRST_MODELS: readonly string[] = ['m1', 'm2'];
+
+/** Models that callers ask for at first, as often as they are listed. */
+const FIRST_REQUESTED: readonly string[] = ['m1', 'm1', 'm1', 'm2'];
+
+/** Models of which the engines cannot hold one each. */
+const MANY_MODELS: readonly string[] = ['m1', 'm2', 'm3', 'm4'];
 const ZONES = ['a', 'b'];
 const POLL_MS = 50;
 
@@ -102,6 +105,12 @@
   readonly withdrawn = new ForbiddenSpans();
   readonly drained = new ForbiddenSpans();
   readonly resumptionsMs: number[] = [];
+  /** Times at which the store came back from an older copy. */
+  readonly restoresMs: number[] = [];
+  /** Time at which the callers stopped. */
+  callersEndMs = Infinity;
+  /** Models that callers ask for, as often as they are listed. */
+  requestedModels = FIRST_REQUESTED;
   /** Whether callers send the request that crashes workers. */
   hasCrashingRequest = false;
   /** Whether callers send requests whose answers are large. */
@@ -114,6 +123,8 @@
   private version = 1;
   private isKeyValid = true;
   private routes = FIRST_ROUTES;
+  private models = FIRST_MODELS;
+  private config: object = {};
   private folderPath = '';
 
   private constructor(
@@ -177,8 +188,27 @@
       Burst: LIMIT.burst,
     };
     const free = {Name: 'team', ApiKeys: [SOAK_KEY.free]};
-    const config = platformConfig(this.version++, [free, limited], this.routes);
-    this.store.put(STORE_TOPIC.operator, 'config', config);
+    this.config = platformConfig(
+      this.version++,
+      [free, limited],
+      this.routes,
+      this.models,
+    );
+    this.store.put(STORE_TOPIC.operator, 'config', this.config);
+  }
+
+  /** Writes again what a store that came back from a copy may have lost. */
+  rewriteStore(): void {
+    this.store.put(STORE_TOPIC.operator, 'config', this.config);
+    for (const worker of this.workers) this.announce(worker, worker.state);
+    this.removeOddEntries();
+  }
+
+  /** Offers more models than fit, so that the lease holder always has orders. */
+  offerManyModels(): void {
+    this.models = MANY_MODELS;
+    this.requestedModels = MANY_MODELS;
+    this.publish();
   }
 
   /** Lets workers send whole streams at once, so that callers send more. */
@@ -240,6 +270,11 @@
     host.disturbedUntilMs = Math.max(host.disturbedUntilMs, untilMs);
   }
 
+  /** Marks all hosts as disturbed; see {@link disturb}. */
+  disturbAll(forMs: number): void {
+    for (const host of this.hosts) this.disturb(host, forMs);
+  }
+
   /** Waits until a condition holds; returns whether it did within the limit. */
   async until(
     condition: () => Promise<boolean>,
@@ -263,6 +298,8 @@
       limit: this.limit,
       minOrderGapMs: BOUNDS.LeaseMs,
       resumptionsMs: this.resumptionsMs,
+      restoresMs: this.restoresMs,
+      callersEndMs: this.callersEndMs,
       disturbances: this.disturbances,
       minTimeoutMs: ROUTE_RANGES.timeoutMs[0],
       streamEvents: STREAM.events,
@@ -351,25 +388,3 @@
     );
   }
 }
-
-/** @returns the times of the crashes of a worker under a crashing request. */
-function crashesOf({crashesMs, runs}: PlatformWorkerStandin): number[] {
-  const crashing = runs.filter(({body}) => body === CRASHING_BODY);
-  return crashesMs.filter(ms =>
-    crashing.some(
-      ({startedMs}) => startedMs <= ms && ms - startedMs < CRASH_AFTER_MS,
-    ),
-  );
-}
-
-function toWorkerRecord({isEngine, name, standin}: LinkedWorker): WorkerRecord {
-  const {orderLog: orders, runs} = standin;
-  const capacity = isEngine ? ENGINE_MODEL_CAPACITY : undefined;
-  return {
-    name,
-    runs,
-    orders,
-    modelCapacity: capacity,
-    initialModels: isEngine ? ENGINE_MODEL_CAPACITY : 0,
-  };
-}
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,7 +3,11 @@
 import {formatFields} from '@fuchsiacleat/core';
 import {Command} from 'commander';
 import {AnswersOptions, runAnswers} from './lib/answers_run.js';
-import {PLANNED_FAULTS} from './lib/fault_series.js';
+import {
+  FaultName,
+  OLDER_STORE_FAULTS,
+  PLANNED_FAULTS,
+} from './lib/fault_names.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
 import {runSoak} from './lib/soak_run.js';
 
@@ -21,6 +25,7 @@
   answers?: boolean;
   plant?: PromiseName;
   planned?: boolean;
+  olderStore?: boolean;
 }
 
 function out(line: string): void {
@@ -41,8 +46,17 @@
   return violations.length === 0 ? 0 : 1;
 }
 
+/** Returns the kinds of faults to choose from; undefined for all. */
+function chooseFaults({
+  olderStore,
+  planned,
+}: Options): readonly FaultName[] | undefined {
+  if (planned) return PLANNED_FAULTS;
+  return olderStore ? OLDER_STORE_FAULTS : undefined;
+}
+
 async function main(options: Options): Promise<number> {
-  const {minutes, planned, plant, seed} = options;
+  const {minutes, plant, seed} = options;
   const processes = Math.min(MAX_PROCESSES, options.processes);
   const durationMs = minutes * MS_PER_MINUTE;
   if (options.answers) return checkAnswers({seed, durationMs, processes});
@@ -51,12 +65,13 @@
     durationMs,
     processes,
     plant,
-    faults: planned ? PLANNED_FAULTS : undefined,
+    faults: chooseFaults(options),
   });
-  const {statusCounts, faultCounts, folder, requests, violations} = result;
+  const {folder, orders, requests, restores, violations} = result;
   out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
-  out(`ends: ${formatFields(statusCounts)}`);
-  out(`faults: ${formatFields(faultCounts)}`);
+  out(`ends: ${formatFields(result.statusCounts)}`);
+  out(`faults: ${formatFields(result.faultCounts)}`);
+  out(`${orders} orders, ${restores} older copies`);
   for (const {promise, detail} of violations.slice(0, MAX_SHOWN)) {
     out(`broken: ${promise}: ${detail}`);
   }
@@ -71,6 +86,10 @@
   .option('--processes <number>', 'hosts', Number, DEFAULT_PROCESSES)
   .option('--answers', 'only faulty answers, beside hosts that are held up')
   .option('--planned', 'only planned work and silences of sound workers')
+  .option(
+    '--older-store',
+    'only faults of the store, of hosts and of their links to it',
+  )
   .option('--plant <promise>', `one of ${Object.values(PROMISE).join(', ')}`)
   .action(async (options: Options) => process.exit(await main(options)))
   .parseAsync();
--- a/packages/soak/src/test/answer_check_test.ts
+++ b/packages/soak/src/test/answer_check_test.ts
@@ -59,6 +59,8 @@
     limit: {key: '', windowMs: 0, requests: 0},
     minOrderGapMs: 0,
     resumptionsMs: [],
+    restoresMs: [],
+    callersEndMs: 0,
     disturbances: new DisturbanceBook(0, 0),
     minTimeoutMs: 3_000,
     streamEvents: EVENTS,
--- a/packages/soak/src/test/soak_run_test.ts
+++ b/packages/soak/src/test/soak_run_test.ts
@@ -1,5 +1,10 @@
 import {expect} from 'chai';
-import {BREAKS, FIRST_FAULTS, PLANNED_FAULTS} from '../lib/fault_series.js';
+import {
+  BREAKS,
+  FIRST_FAULTS,
+  OLDER_STORE_FAULTS,
+  PLANNED_FAULTS,
+} from '../lib/fault_names.js';
 import {PROMISE, PromiseName} from '../lib/soak_checks.js';
 import {runSoak} from '../lib/soak_run.js';
 import {PLANNED_SEEDS, REGRESSION_SEEDS} from '../lib/regression_seeds.js';
@@ -16,6 +21,7 @@
 const SHORT_MS = 10_000;
 const REGRESSION_MS = 15_000;
 const PLANNED_MS = 12_000;
+const OLDER_STORE_MS = 20_000;
 
 async function findViolations(plant: PromiseName): Promise<Set<PromiseName>> {
   const durationMs = SLOW.includes(plant) ? SLOW_MS : QUICK_MS;
@@ -57,6 +63,15 @@
     expect(violations).to.deep.equal([]);
   });
 
+  it('finds no violation when the store comes back from older copies', async () => {
+    const options = {seed: 11, durationMs: OLDER_STORE_MS, processes: 4};
+    const {violations} = await runSoak({
+      ...options,
+      faults: OLDER_STORE_FAULTS,
+    });
+    expect(violations).to.deep.equal([]);
+  });
+
   it('finds no lost request beside planned work and silences', async () => {
     const options = {durationMs: PLANNED_MS, processes: 3};
     const faults = PLANNED_FAULTS;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,6 +10,7 @@
 export * from './lib/service_standin.js';
 export * from './lib/standin_server.js';
 export * from './lib/weight_store_standin.js';
+export * from './lib/platform/order_call.js';
 export * from './lib/platform/platform_store_standin.js';
 export * from './lib/platform/faulty_answers.js';
 export * from './lib/platform/platform_worker_standin.js';
--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -8,6 +8,7 @@
   FaultyAnswer,
   RETRY_AFTER_S,
 } from './faulty_answers.js';
+import {OrderCall, WorkerOrder, toOrderCall} from './order_call.js';
 import {CopyTime, SecondCopies} from './second_copies.js';
 import {
   AnswerProgress,
@@ -52,14 +53,6 @@
   progress: AnswerProgress;
 }
 
-/** Order that a worker accepted. */
-export interface AcceptedOrder {
-  text: string;
-  /** Lease holder that the order names as its sender. */
-  holder: string;
-  atMs: number;
-}
-
 /** Options of a {@link PlatformWorkerStandin}. */
 export interface WorkerOptions {
   id: string;
@@ -85,8 +78,8 @@
   readonly runs: WorkerRun[] = [];
   /** Accepted orders as "verb model". */
   readonly orders: string[] = [];
-  /** Accepted orders with their senders and times. */
-  readonly orderLog: AcceptedOrder[] = [];
+  /** Calls that brought an order, in the order of their arrival. */
+  readonly orderCalls: OrderCall[] = [];
   /** Faults of the next responses; each request uses up the first one. */
   readonly faultyAnswers: FaultyAnswer[] = [];
   /** Faults by request id; each arrival of a request uses up its first one. */
@@ -294,24 +287,20 @@
     res.writeHead(200).end();
   }
 
-  private executeOrder(
-    order: {Op: string; Model: string; Holder?: string; Precondition?: number},
-    res: ServerResponse,
-  ): void {
-    const isStale =
-      order.Precondition !== undefined &&
-      order.Precondition !== this.orderCount;
-    if (isStale) {
+  private executeOrder(order: WorkerOrder, res: ServerResponse): void {
+    const {Model, Op, Precondition} = order;
+    const isAccepted =
+      Precondition === undefined || Precondition === this.orderCount;
+    const call = toOrderCall(order, isAccepted);
+    this.orderCalls.push(call);
+    if (!isAccepted) {
       res.writeHead(409).end();
       return;
     }
     this.orderCount += 1;
-    const text = `${order.Op} ${order.Model}`;
-    this.orders.push(text);
-    const holder = order.Holder ?? '';
-    this.orderLog.push({text, holder, atMs: performance.now()});
-    if (order.Op === 'load') this.models.add(order.Model);
-    else this.models.delete(order.Model);
+    this.orders.push(call.text);
+    if (Op === 'load') this.models.add(Model);
+    else this.models.delete(Model);
     res.writeHead(202).end();
   }
 
