--- a/packages/core/src/lib/residency/residency_host.ts
+++ b/packages/core/src/lib/residency/residency_host.ts
@@ -10,6 +10,7 @@
   runsVersion,
 } from '../gateway/target_table.js';
 import {Loan, LoanRequest} from '../gateway/team_quotas.js';
+import {PathReport} from '../paths/path_messages.js';
 import {PeerIdentity, PeerNetwork} from '../peers/peer_network.js';
 import {REFUSAL, Refusal, refuse} from '../requests/outcome.js';
 import {Logger} from '../telemetry/logger.js';
@@ -75,6 +76,13 @@
 /** Retry delay for callers if the lease holder named none. */
 const RETRY_AFTER_MS = 1_500;
 
+/** Reasons that have their cause on this host and say nothing about the target. */
+const HOST_REASONS: ReadonlySet<NotRunReason> = new Set([
+  NOT_RUN.noConnection,
+  NOT_RUN.noPath,
+  NOT_RUN.withdrawn,
+]);
+
 /** Dependencies of {@link ResidencyHost}. */
 export interface ResidencyHostParts {
   clock: Clock;
@@ -89,6 +97,10 @@
   /** Returns the tokens of each team used here in the last window, if known. */
   usedTokens: () => Array<[string, number]> | undefined;
   network: PeerNetwork;
+  /** Returns the state of this host's paths, if it helps other hosts. */
+  pathReport?: () => PathReport;
+  /** Receives the states of the paths of all hosts, if this is the holder. */
+  onPathReport?: (host: string, report: PathReport) => void;
 }
 
 /** {@link ModelFinder} of a gateway host. */
@@ -251,10 +263,7 @@
     if (reason === NOT_RUN.refused || reason === NOT_RUN.modelAbsent) {
       target.dropHeld({model, adapter});
     }
-    const saysLittle =
-      reason === NOT_RUN.noConnection || reason === NOT_RUN.withdrawn;
-    // Both have their cause on this host and say nothing about the target.
-    if (saysLittle) return;
+    if (HOST_REASONS.has(reason)) return;
     const {registry, controller, lease, network} = this.parts;
     const body = {target: target.registration.id, model, adapter, reason};
     if (controller.isActive) registry.recordRefusal(network.self.host, body);
@@ -375,7 +384,8 @@
       registry.recordRefusal(from.host, body),
     );
     network.onNotification(HOST_USAGE, (body, from) => {
-      this.successors.record(from.host, body.successorRankMs);
+      const {path, successorRankMs} = body;
+      this.successors.record(from.host, successorRankMs, path?.isSound);
       this.handleReport(from, body);
       this.viewPublisher.sendFullView(from);
     });
@@ -419,9 +429,10 @@
   }
 
   private handleReport({host}: PeerIdentity, body: UsageBody): void {
-    const {lender, usage} = this.parts;
+    const {lender, onPathReport, usage} = this.parts;
     usage.report(host, body);
-    const {usedTokens} = body;
+    const {path, usedTokens} = body;
+    if (path !== undefined) onPathReport?.(host, path);
     if (usedTokens === undefined) return;
     lender.recordUsed(host, usedTokens, this.hostCount);
   }
