--- a/packages/core/src/lib/residency/residency_messages.ts
+++ b/packages/core/src/lib/residency/residency_messages.ts
@@ -107,6 +107,8 @@
   holder: z.string(),
   /** Offset after the newest record of its lease. */
   leaseEnd: z.number(),
+  /** Fencing number of the lease; missing in messages of an earlier release. */
+  fencing: z.number().optional(),
   targets: z.array(targetViewSchema),
   /** Targets that fill up, with their requests as a fraction of their slots. */
   crowded: z.array(z.tuple([z.string(), z.number()])),
