--- a/packages/local-cluster/src/test/platform/cut_host_test.ts
+++ b/packages/local-cluster/src/test/platform/cut_host_test.ts
@@ -241,11 +241,20 @@
     await cutWorld.stop();
   });
 
-  for (const how of Object.values(LINK_CUT)) {
-    it(`do not leave a model unloaded that no target holds (${how})`, async () => {
+  const CASES = Object.values(LINK_CUT).flatMap(how =>
+    [false, true].map(isCalled => ({
+      how,
+      isCalled,
+      title: isCalled ? `${how}, beside callers` : how,
+    })),
+  );
+  for (const {how, isCalled, title} of CASES) {
+    it(`do not leave a model unloaded that no target holds (${title})`, async () => {
       cutWorld = await CutWorld.start(3);
       const {links, world} = cutWorld;
       const holder = world.hosts.findIndex(({canOrder}) => canOrder);
+      const callers = new SteadyCallers(world, [holder]);
+      if (isCalled) void callers.run();
       await links[holder].cut(how);
       await sleep(TOUCH_MS);
       const endMs = performance.now() + LOAD_MS;
@@ -262,6 +271,7 @@
         );
         served.push(isServed(seen));
       }
+      await callers.stop();
       expect(served.at(-1), `${served.length} tries`).to.equal(true);
     });
   }
