--- a/packages/core/src/lib/gateway/target_search.ts
+++ b/packages/core/src/lib/gateway/target_search.ts
@@ -49,6 +49,12 @@
 const MAX_ROOM_WAIT_OBJECTIVES = 3.5;
 const MIN_ROOM_WAIT_MS = 1_800;
 
+/**
+ * How long a request that a target has begun to run waits for a path to another
+ * target: what it has cost is lost otherwise, and its caller may not repeat it.
+ */
+const MAX_PATH_WAIT_MS = 1_800;
+
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchParts {
   clock: Clock;
@@ -103,13 +109,21 @@
   ): Promise<Result<KnownTarget, Refusal>> {
     const {clock, models} = this.parts;
     const searchEndMs = req.arrivedMs + call.route.objectiveMs / 2;
+    const pathWaitEndMs = clock.now() + MAX_PATH_WAIT_MS;
     const engine = this.engineOf(call);
     for (;;) {
       if (!this.canContinue(call)) {
         const message = 'no target runs the software version of the stream';
         return err(noCapacityRefusal(message));
       }
-      if (this.isCutOff(call)) return err(cutOffRefusal());
+      if (this.isCutOff(call)) {
+        const canWait = call.possibleRuns > 0 && clock.now() < pathWaitEndMs;
+        if (!canWait) return err(cutOffRefusal());
+        await clock.sleep(NO_TARGET_POLL_MS, call.waitSignal);
+        if (call.waitSignal.aborted)
+          return err(noCapacityRefusal('the time is over'));
+        continue;
+      }
       const options = {
         zone: this.parts.zone,
         tried: call.tried,
--- a/packages/core/src/lib/paths/helper_choice.ts
+++ b/packages/core/src/lib/paths/helper_choice.ts
@@ -61,9 +61,14 @@
     });
   }
 
+  /** Number of known helpers, usable or not. */
+  get count(): number {
+    return this.helpers.length;
+  }
+
   /** Whether no helper is known, usable or not. */
   get isEmpty(): boolean {
-    return this.helpers.length === 0;
+    return this.count === 0;
   }
 
   /** Whether there is a helper that is not avoided. */
--- a/packages/core/src/lib/paths/helper_directory.ts
+++ b/packages/core/src/lib/paths/helper_directory.ts
@@ -6,8 +6,12 @@
 import {HelperTable} from './helper_table.js';
 import {HELPER_HOSTS} from './path_messages.js';
 
-/** Age from which the list is fetched again while tunnels are used. */
+/**
+ * Age from which the list is fetched again while tunnels are used, and if it
+ * names a single helper: others may have found their paths again.
+ */
 const REFRESH_INTERVAL_MS = 5_000;
+const SINGLE_HELPER_INTERVAL_MS = 1_000;
 
 /**
  * Pause between fetches when it is not needed, and the same for each host, which
@@ -78,15 +82,17 @@
    *
    * @param signal - cancels the fetch.
    * @param maxAgeMs - age up to which the list is recent; it is fetched sooner if
-   *     none of the helpers can be used.
+   *     there is but one helper, or none that can be used.
    */
   async refresh(
     signal: AbortSignal,
     maxAgeMs = REFRESH_INTERVAL_MS,
   ): Promise<void> {
     const nowMs = this.parts.clock.now();
-    const {hasUsable} = this.parts.choice;
-    const limitMs = hasUsable ? maxAgeMs : RETRY_INTERVAL_MS;
+    const {count, hasUsable} = this.parts.choice;
+    const listAgeMs =
+      count > 1 ? maxAgeMs : Math.min(maxAgeMs, SINGLE_HELPER_INTERVAL_MS);
+    const limitMs = hasUsable ? listAgeMs : RETRY_INTERVAL_MS;
     if (nowMs - this.fetchedMs < limitMs) return;
     if (nowMs - this.triedMs < RETRY_INTERVAL_MS) return this.fetching;
     await this.fetch(signal);
