--- a/packages/core/src/lib/evacuation/evacuation_messages.ts
+++ b/packages/core/src/lib/evacuation/evacuation_messages.ts
@@ -14,6 +14,8 @@
   /** Revision of the newest record that the set covers. */
   revision: z.number(),
   zones: z.array(z.string()),
+  /** Whether the store may not list all of them, or may have lost others. */
+  isProvisional: z.boolean().optional(),
   /** Evacuations that ended lately, and how many milliseconds ago. */
   ended: z
     .array(
@@ -35,7 +37,7 @@
   evacuations: ZoneEvacuations,
   nowMs: number,
 ): EvacuationSet {
-  const {revision, zones} = evacuations;
+  const {isProvisional, revision, zones} = evacuations;
   const ended = evacuations
     .endedSince(nowMs - ENDED_REPORT_MS)
     .map(({zone, revision: endRevision, endedMs}) => ({
@@ -46,6 +48,7 @@
   return {
     revision,
     zones: [...zones],
+    isProvisional: isProvisional || undefined,
     ended: ended.length > 0 ? ended : undefined,
   };
 }
@@ -56,15 +59,23 @@
  * @param evacuations - the zones that this host knows.
  * @param set - the message.
  * @param nowMs - clock time.
+ * @param isRefilling - whether the store that the sender reads may lack records.
  */
 export function applyEvacuationSet(
   evacuations: ZoneEvacuations,
   set: EvacuationSet,
   nowMs: number,
+  isRefilling: boolean,
 ): void {
-  const isCurrent = set.revision >= evacuations.revision;
-  evacuations.replaceAll(set.zones, set.revision, EVACUATION_SOURCE.peer);
+  const {isProvisional, revision, zones} = set;
+  const isCurrent = revision >= evacuations.revision;
+  const isNewer = revision > evacuations.revision;
+  const {peer} = EVACUATION_SOURCE;
+  // A provisional set that comes late must not undo a complete one.
+  if (isRefilling || (isProvisional && isNewer))
+    evacuations.addAll(zones, revision, peer);
+  else if (!isProvisional) evacuations.replaceAll(zones, revision, peer);
   if (!isCurrent) return;
-  for (const {zone, revision, agoMs} of set.ended ?? [])
-    evacuations.recordEnd({zone, revision, endedMs: nowMs - agoMs});
+  for (const {agoMs, ...end} of set.ended ?? [])
+    evacuations.recordEnd({...end, endedMs: nowMs - agoMs});
 }
--- a/packages/core/src/lib/quarantine/quarantine_keeper.ts
+++ b/packages/core/src/lib/quarantine/quarantine_keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the quarantine in an archive. @packageDocumentation */
 
+import {StoredEntries} from '../archive/stored_entries.js';
 import {Logger} from '../telemetry/logger.js';
 import {Clock} from '../time/clock.js';
 import {PartLedger} from './part_ledger.js';
@@ -19,8 +20,19 @@
 const LONE_READ_INTERVAL_MS = 1_000;
 const DECIDING_READ_INTERVAL_MS = 5_000;
 
-/** Number of quarantines that marks a part as lifted. */
-const LIFTED = -1;
+/** Ends of a quarantine may differ by this: hosts date them by their clocks. */
+const END_TOLERANCE_MS = 1_000;
+
+/** A quarantine in the archive. */
+interface StoredQuarantine {
+  /** See {@link PartState}. */
+  count: number;
+  /** Clock time at which it ends. */
+  untilMs: number;
+}
+
+/** Stands for a part that an operator has lifted. */
+const LIFTED: StoredQuarantine = {count: -1, untilMs: -Infinity};
 
 /** Dependencies of a {@link QuarantineKeeper}. */
 export interface QuarantineKeeperParts {
@@ -43,8 +55,7 @@
  */
 export class QuarantineKeeper {
   /** Quarantines in the archive by part; undefined if not known. */
-  private stored: Map<string, number> | undefined;
-  private storedEra: number | undefined;
+  private stored: StoredEntries<StoredQuarantine> | undefined;
   private lastReadMs = -Infinity;
   private hasRead = false;
 
@@ -71,14 +82,13 @@
 
   /** Makes the calls that are due; returns whether none failed. */
   private async update(signal: AbortSignal): Promise<boolean> {
-    const {archive, isDeciding, isGuided, ledger} = this.parts;
+    const {isDeciding, isGuided, ledger} = this.parts;
     if (!this.isInformed) return this.read(signal);
     if (isGuided()) {
       this.stored = undefined;
       return true;
     }
-    const hasForgotten = archive.era !== this.storedEra;
-    if (hasForgotten) this.stored = undefined;
+    if (this.stored?.isCurrent === false) this.stored = undefined;
     if (ledger.size === 0 && this.stored === undefined && !isDeciding())
       return true;
     const intervalMs = isDeciding()
@@ -96,15 +106,14 @@
     this.lastReadMs = clock.now();
     const archived = await archive.read(signal);
     if (archived.isErr()) return false;
-    const {lifted, states} = archived.value;
-    this.stored = new Map(
-      states.map(({part, quarantineCount}) => [part, quarantineCount]),
-    );
+    const {content, era} = archived.value;
+    const {lifted, states} = content;
+    this.stored = new StoredEntries(archive, era);
+    for (const state of states) this.stored.set(state.part, this.date(state));
     for (const part of lifted) {
       this.stored.set(part, LIFTED);
       ledger.clear(part, 'lifted by an operator');
     }
-    this.storedEra = archive.era;
     if (!this.hasRead) logger.info('quarantine_read', {parts: states.length});
     this.hasRead = true;
     ledger.mergeEvidence(states);
@@ -120,23 +129,47 @@
     for (const state of ledger.states()) {
       if (state.quarantineCount === 0) continue;
       kept.add(state.part);
-      if (stored.get(state.part) !== state.quarantineCount) changed.push(state);
+      const known = this.date(state);
+      if (!isStored(known, stored.get(state.part))) changed.push(state);
     }
     for (const part of stored.keys()) {
       if (!kept.has(part)) changed.push(ledger.stateOf(part));
     }
     if (changed.length === 0) return true;
+    const dated = changed.map(state => this.date(state));
     const written = await archive.write(changed, signal);
     if (written.isErr()) {
       // The states may have been stored all the same.
       this.stored = undefined;
       return false;
     }
-    for (const {part, quarantineCount} of changed) {
+    for (const [i, {part, quarantineCount}] of changed.entries()) {
       if (quarantineCount === 0) stored.delete(part);
-      else stored.set(part, quarantineCount);
+      else stored.set(part, dated[i]);
     }
     logger.info('quarantine_stored', {parts: changed.length});
     return true;
   }
+
+  private date({
+    quarantineCount,
+    quarantineLeftMs,
+  }: PartState): StoredQuarantine {
+    const isOver = quarantineLeftMs === 0;
+    const endMs = this.parts.clock.now() + quarantineLeftMs;
+    const untilMs = isOver ? -Infinity : endMs;
+    return {count: quarantineCount, untilMs};
+  }
+}
+
+/**
+ * Returns whether an archive holds a quarantine. The count starts anew when a
+ * part is proven sound, so that two quarantines can share it.
+ */
+function isStored(
+  known: StoredQuarantine,
+  stored: StoredQuarantine | undefined,
+): boolean {
+  if (stored?.count !== known.count) return false;
+  return stored.untilMs >= known.untilMs - END_TOLERANCE_MS;
 }
--- a/packages/core/src/test/quarantine/quarantine_keeper_test.ts
+++ b/packages/core/src/test/quarantine/quarantine_keeper_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {Result, err, ok} from 'neverthrow';
+import {ArchiveContent} from '../../lib/archive/archive.js';
 import {PartLedger} from '../../lib/quarantine/part_ledger.js';
 import {PartState, STANDING} from '../../lib/quarantine/part_record.js';
 import {
@@ -15,13 +16,21 @@
   override era = 1;
   isDown = false;
   calls = 0;
+  /** Called while the answer to a read is on its way. */
+  onRead = () => {};
   readonly states = new Map<string, PartState>();
   readonly lifted = new Set<string>();
 
-  override async read(): Promise<Result<ArchivedParts, 'unavailable'>> {
+  override async read(): Promise<
+    Result<ArchiveContent<ArchivedParts>, 'unavailable'>
+  > {
     this.calls += 1;
     if (this.isDown) return err('unavailable');
-    return ok({states: [...this.states.values()], lifted: [...this.lifted]});
+    const {era} = this;
+    const lifted = [...this.lifted];
+    const content = {states: [...this.states.values()], lifted};
+    this.onRead();
+    return ok({era, content});
   }
 
   override async write(
@@ -122,6 +131,29 @@
     expect([...archive.states.keys()]).to.deep.equal(['bad']);
   });
 
+  it('writes again at once what is lost while the answer to a read is on its way', async () => {
+    await decidingHost();
+    archive.onRead = () => {
+      archive.onRead = () => {};
+      archive.forget();
+    };
+    await clock.advance(5_000);
+    expect([...archive.states.keys()]).to.deep.equal(['bad']);
+  });
+
+  it('writes a part again that a restored archive holds with an earlier quarantine', async () => {
+    const host = await decidingHost();
+    const earlier = {...archive.states.get('bad')!, quarantineLeftMs: 0};
+    host.ledger.recordAnswer('bad', 0, true);
+    await clock.advance(1_000);
+    host.ledger.setQuarantine('bad', 60_000);
+    await clock.advance(1_000);
+    archive.forget();
+    archive.states.set('bad', earlier);
+    await clock.advance(2_000);
+    expect(archive.states.get('bad')!.quarantineLeftMs).to.be.above(50_000);
+  });
+
   it('writes once the archive is back, with few calls meanwhile', async () => {
     const host = new KeeperHost(clock, archive);
     host.isDeciding = true;
