--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -5,14 +5,8 @@
 import {Random} from '../time/random.js';
 import {SuspensionDetector} from '../time/suspension_detector.js';
 import {withTimeout} from '../time/timeout.js';
-import {LogPosition, revisionOf} from '../platform/log_position.js';
-import {
-  LEASE_EVENT,
-  LeaseEntry,
-  LeaseLog,
-  LeaseRecord,
-  LeaseTail,
-} from './lease_log.js';
+import {LEASE_EVENT, LeaseLog, LeaseRecord} from './lease_log.js';
+import {LeaseLogState, NO_CLAIM} from './lease_log_state.js';
 
 /** Lifetime of a lease record: a few renewals may be lost. */
 export const LEASE_TTL_MS = 1_600;
@@ -62,9 +56,6 @@
  */
 const HOLDER_TIMEOUT_MS = 750;
 
-/** Fencing number before any claim, lower than that of any. */
-const NO_CLAIM = -1;
-
 /** The lease holder, as far as this host knows. */
 export interface LeaseHolder {
   host: string;
@@ -118,6 +109,16 @@
   onResign: () => void;
 }
 
+/** A holder's message that it resigned, as a host has received it. */
+interface Resignation {
+  /** Fencing number of the lease that has ended. */
+  fencing: number;
+  /** Clock time of the message. */
+  ms: number;
+  /** Whether this host was named as the successor. */
+  isSuccessor: boolean;
+}
+
 /**
  * Lets one host at a time send orders, by conditional appends to a log.
  *
@@ -138,34 +139,23 @@
  * or answered in an earlier era grants nothing in the new one.
  */
 export class OrderLease {
-  /** Position after the newest record that this host knows. */
-  private end: LogPosition = {era: 0, offset: 0};
-  private seenMs = -Infinity;
-  /** The newest record that this host knows, and the era of its claim. */
-  private newest: LeaseRecord | undefined;
-  private newestEra = 0;
-  private fencing = NO_CLAIM;
-  /** Clock time until which a lease may hold whose record is not in the log. */
-  private unrecordedUntilMs = -Infinity;
   private heldUntilMs = -Infinity;
   private heldSinceMs = -Infinity;
   /** Fencing number with which this host began to hold the lease. */
   private firstFencing = NO_CLAIM;
   private ordersFromMs = -Infinity;
-  /** Offset of the claim that is renewed. */
-  private claimAt = 0;
   /** Fencing number of the claim that {@link ordersFromMs} belongs to. */
   private claimedFencing: number | undefined;
   private holderHeardMs = -Infinity;
-  private hasReadLog = false;
   /** Clock time of the last answer of the log. */
   private tailReadMs = -Infinity;
   private isStopping = false;
   private pendingAppend: Promise<unknown> = Promise.resolve();
   private isHolderSilent = false;
   private isLogReadable = true;
-  private resignation = {fencing: -1, ms: -Infinity, isSuccessor: false};
+  private resignation: Resignation | undefined;
   private wakeController = new AbortController();
+  private readonly known: LeaseLogState;
   private readonly suspensionWatch: SuspensionDetector;
   private readonly startedMs: number;
   private readonly listeners: Array<() => void> = [];
@@ -174,6 +164,11 @@
   constructor(private readonly parts: OrderLeaseParts) {
     this.suspensionWatch = new SuspensionDetector(parts.clock);
     this.startedMs = parts.clock.now();
+    this.known = new LeaseLogState({
+      ...parts,
+      leaseTtlMs: LEASE_TTL_MS,
+      onRestored: era => this.logRestored(era),
+    });
   }
 
   /** Whether this host may order now; check right before each order. */
@@ -189,7 +184,7 @@
 
   /** Fencing number of this host's orders. */
   get fencingNumber(): number {
-    return this.fencing;
+    return this.known.fencing;
   }
 
   /**
@@ -202,11 +197,11 @@
 
   /** The holder that this host knows of, possibly itself. */
   get holder(): LeaseHolder | undefined {
-    if (this.newest === undefined) return undefined;
-    if (this.newest.event === LEASE_EVENT.release) return undefined;
+    if (this.known.newest === undefined) return undefined;
+    if (this.known.newest.event === LEASE_EVENT.release) return undefined;
     if (this.isResigned) return undefined;
-    const {host, incarnation} = this.newest;
-    return {host, incarnation, fencing: this.fencing};
+    const {host, incarnation} = this.known.newest;
+    return {host, incarnation, fencing: this.known.fencing};
   }
 
   /**
@@ -220,12 +215,12 @@
 
   /** Hosts that reported to the newest holder; undefined without a holder. */
   get recordedHostCount(): number | undefined {
-    return this.newest?.hosts;
+    return this.known.newest?.hosts;
   }
 
   /** Offset after the newest record that this host knows. */
   get knownEnd(): number {
-    return this.end.offset;
+    return this.known.end.offset;
   }
 
   /**
@@ -234,16 +229,13 @@
    * @param contact - see {@link HolderContact}.
    */
   recordHolderContact({end, fencing, incarnation}: HolderContact): void {
-    if (this.newest?.incarnation !== incarnation) return;
+    const {known} = this;
+    if (known.newest?.incarnation !== incarnation) return;
     // The holder has claimed anew; this host has to read that claim.
-    if (fencing !== undefined && !this.isOfNewestClaim(fencing)) return;
-    const nowMs = this.parts.clock.now();
-    this.holderHeardMs = nowMs;
+    if (fencing !== undefined && !known.isOfNewestClaim(fencing)) return;
+    this.holderHeardMs = this.parts.clock.now();
     this.isHolderSilent = false;
-    if (!this.isNewestCurrent || end <= this.end.offset) return;
-    // A record that was appended by now binds this host from now on.
-    this.end = {era: this.end.era, offset: end};
-    this.seenMs = nowMs;
+    known.recordRenewedBefore(end);
   }
 
   /**
@@ -253,19 +245,11 @@
    * @param isSuccessor - whether this host was named as the successor.
    */
   handleResignation(fencing: number, isSuccessor: boolean): void {
-    if (!this.isOfNewestClaim(fencing) || this.isResigned) return;
+    if (!this.known.isOfNewestClaim(fencing) || this.isResigned) return;
     this.markResigned(isSuccessor);
     this.wakeController.abort();
   }
 
-  /** Returns whether a host means the newest claim by a fencing number. */
-  private isOfNewestClaim(fencing: number): boolean {
-    if (this.newest === undefined) return false;
-    // Hosts of an earlier release order with the offset of their claim.
-    const isEarlierRelease = this.newest.era === undefined;
-    return fencing === (isEarlierRelease ? this.claimAt : this.fencing);
-  }
-
   /** Rank of this host as a successor, in milliseconds; the lowest is best. */
   get successorRankMs(): number {
     const ageMs = this.parts.clock.now() - this.startedMs;
@@ -303,22 +287,9 @@
 
   /** Whether the newest record of this era names this process as the holder. */
   private get wroteNewest(): boolean {
-    if (!this.isNewestCurrent) return false;
-    if (this.newest?.incarnation !== this.parts.incarnation) return false;
-    return this.newest.event !== LEASE_EVENT.release;
-  }
-
-  /** Whether the newest record is surely of the current era of the log. */
-  private get isNewestOfThisEra(): boolean {
-    return this.newest?.era !== undefined && this.isNewestCurrent;
-  }
-
-  /**
-   * Whether the newest record is of a claim of the current era of the log. One of
-   * a host of an earlier release names no era, and counts as current.
-   */
-  private get isNewestCurrent(): boolean {
-    return this.newest !== undefined && this.newestEra === this.end.era;
+    if (!this.known.isNewestCurrent) return false;
+    if (this.known.newest?.incarnation !== this.parts.incarnation) return false;
+    return this.known.newest.event !== LEASE_EVENT.release;
   }
 
   private async waitForNextStep(signal: AbortSignal): Promise<void> {
@@ -349,10 +320,10 @@
   ): Promise<void> {
     const {clock} = this.parts;
     const untilMs = clock.now() + waitMs;
-    const {end} = this;
+    const {end} = this.known;
     // A named successor does not wait for the log.
     await this.readTail(this.wakeController.signal, waitMs);
-    if (this.end !== end || signal.aborted) return;
+    if (this.known.end !== end || signal.aborted) return;
     await clock.sleep(
       Math.max(0, untilMs - clock.now()),
       this.wakeController.signal,
@@ -367,7 +338,7 @@
   private async renew(signal: AbortSignal): Promise<void> {
     if (!this.isFit) {
       this.parts.logger.info('order_lease_resigned', {
-        fencing: this.fencing,
+        fencing: this.known.fencing,
         reason: 'no path to targets',
       });
       this.relinquish();
@@ -379,7 +350,7 @@
     const leftMs = this.heldUntilMs - this.parts.clock.now();
     if (leftMs >= RESIGN_THRESHOLD_MS) return;
     this.parts.logger.info('order_lease_resigned', {
-      fencing: this.fencing,
+      fencing: this.known.fencing,
       left_ms: Math.round(leftMs),
     });
     this.relinquish();
@@ -397,17 +368,17 @@
     const {clock, random} = this.parts;
     const isTailKnown = clock.now() - this.tailReadMs < TAIL_MAX_AGE_MS;
     if (!isTailKnown) await this.readTail(signal);
-    if (!this.hasReadLog || clock.now() < this.claimableMs) return;
+    if (!this.known.hasRead || clock.now() < this.claimableMs) return;
     if (this.hasClaimPriority && this.isFit) {
       await this.claim(MAX_CLAIM_ATTEMPTS, signal);
       return;
     }
-    const {end} = this;
+    const {end} = this.known;
     const spreadMs = random.int(0, CLAIM_JITTER_MS);
     const unfitMs = this.isFit ? 0 : UNFIT_CLAIM_DELAY_MS;
     const delayMs = spreadMs + this.parts.claimDelayMs + unfitMs;
     await this.waitForRecord(delayMs, signal);
-    if (this.end !== end || this.wakeController.signal.aborted) return;
+    if (this.known.end !== end || this.wakeController.signal.aborted) return;
     await this.claim(1, signal);
   }
 
@@ -420,20 +391,20 @@
   }
 
   private get isResigned(): boolean {
-    return this.resignation.fencing === this.fencing;
+    return this.resignation?.fencing === this.known.fencing;
   }
 
   private markResigned(isSuccessor: boolean): void {
     const ms = this.parts.clock.now();
-    this.resignation = {fencing: this.fencing, ms, isSuccessor};
+    this.resignation = {fencing: this.known.fencing, ms, isSuccessor};
     this.notifyListeners();
   }
 
   /** Whether a previous process of this machine wrote the newest record. */
   private get isPredecessorLocal(): boolean {
     const {incarnation, owner} = this.parts;
-    const {newest} = this;
-    if (!this.isNewestOfThisEra) return false;
+    const {newest} = this.known;
+    if (!this.known.isNewestOfThisEra) return false;
     return newest?.owner === owner && newest.incarnation !== incarnation;
   }
 
@@ -441,18 +412,20 @@
   private get hasClaimPriority(): boolean {
     if (this.isPredecessorLocal) return true;
     return (
-      this.isNewestCurrent && this.isResigned && this.resignation.isSuccessor
+      this.known.isNewestCurrent &&
+      this.isResigned &&
+      this.resignation?.isSuccessor === true
     );
   }
 
   /** Logs once that no message of the holder arrives any more. */
   private logHolderSilence(): void {
     const {clock, logger} = this.parts;
-    if (this.isHolderSilent || this.newest === undefined) return;
+    if (this.isHolderSilent || this.known.newest === undefined) return;
     // A holder that the log has just named has not had time to send a message.
-    if (clock.now() - this.seenMs < HOLDER_TIMEOUT_MS) return;
+    if (clock.now() - this.known.seenMs < HOLDER_TIMEOUT_MS) return;
     this.isHolderSilent = true;
-    const {host, incarnation} = this.newest;
+    const {host, incarnation} = this.known.newest;
     logger.info('order_lease_holder_silent', {holder: host, incarnation});
   }
 
@@ -464,22 +437,23 @@
 
   /** Clock time by which every earlier lease has certainly expired. */
   private get expiryMs(): number {
-    return Math.max(this.recordedUntilMs, this.unrecordedUntilMs);
+    return Math.max(this.recordedUntilMs, this.known.unrecordedUntilMs);
   }
 
   /** Clock time by which the newest recorded lease has certainly expired. */
   private get recordedUntilMs(): number {
-    if (this.newest === undefined || !this.isNewestCurrent) return -Infinity;
-    if (this.isResigned) return this.resignation.ms;
-    const isRelease = this.newest.event === LEASE_EVENT.release;
-    const endsAtOnce = isRelease && this.isNewestOfThisEra;
-    return this.seenMs + (endsAtOnce ? 0 : this.newest.ttlMs);
+    if (this.known.newest === undefined || !this.known.isNewestCurrent)
+      return -Infinity;
+    if (this.isResigned) return this.resignation!.ms;
+    const isRelease = this.known.newest.event === LEASE_EVENT.release;
+    const endsAtOnce = isRelease && this.known.isNewestOfThisEra;
+    return this.known.seenMs + (endsAtOnce ? 0 : this.known.newest.ttlMs);
   }
 
   /** Clock time from which this host may claim the lease. */
   private get claimableMs(): number {
     if (!this.isPredecessorLocal) return this.expiryMs;
-    return Math.max(this.seenMs, this.unrecordedUntilMs);
+    return Math.max(this.known.seenMs, this.known.unrecordedUntilMs);
   }
 
   /** Clock time from which orders keep the gap to another holder's orders. */
@@ -487,11 +461,11 @@
     const {holderGapMs, owner} = this.parts;
     // Nobody else has ordered since this host was allowed to.
     if (this.isHeld) return this.ordersFromMs;
-    if (!this.isNewestCurrent) return this.expiryMs + holderGapMs;
-    if (this.fencing === this.claimedFencing) return this.ordersFromMs;
-    if (this.newest?.owner === owner && this.isNewestOfThisEra) {
+    if (!this.known.isNewestCurrent) return this.expiryMs + holderGapMs;
+    if (this.known.fencing === this.claimedFencing) return this.ordersFromMs;
+    if (this.known.newest?.owner === owner && this.known.isNewestOfThisEra) {
       // Written by a previous process, or a claim whose answer was lost.
-      return this.seenMs + this.newest.ordersInMs;
+      return this.known.seenMs + this.known.newest.ordersInMs;
     }
     return this.expiryMs + holderGapMs;
   }
@@ -499,55 +473,33 @@
   private async readTail(signal: AbortSignal, waitMs = 0): Promise<void> {
     const limitMs = waitMs + LOG_CALL_TIMEOUT_MS;
     const tail = await withTimeout(limitMs, signal, limited =>
-      this.parts.log.read(this.end, waitMs, limited),
+      this.parts.log.read(this.known.end, waitMs, limited),
     );
     if (signal.aborted) return;
     this.logReadability(tail.isOk());
     if (tail.isErr()) return;
-    // An answer from before the copy.
-    if (this.hasReadLog && tail.value.era < this.end.era) return;
-    this.adoptTail(tail.value);
-    this.hasReadLog = true;
+    const {newest} = this.known;
+    if (!this.known.adoptTail(tail.value)) return;
     this.tailReadMs = this.parts.clock.now();
+    if (this.known.newest !== newest) this.recordNewest();
   }
 
-  private adoptTail({end, entries, era, isRestored}: LeaseTail): void {
-    const isNewEra = era !== this.end.era || isRestored;
-    const knownEnd = isNewEra ? 0 : this.end.offset;
-    if (isNewEra && this.hasReadLog) this.beginEra(era);
-    if (end > knownEnd || isNewEra) this.end = {era, offset: end};
-    for (const entry of entries) this.adoptRecord(entry);
-    if (entries.length > 0) this.notifyListeners();
-    const readEnd = (entries.at(-1)?.offset ?? knownEnd - 1) + 1;
-    // What can't be decoded, or is no longer retained, may be of a holder.
-    const hasUnread = end > knownEnd && readEnd !== end;
-    const {isFirstStart} = this.parts;
-    const isFirstUse = isFirstStart && !this.hasReadLog && end === 0;
-    const hasNoRecord = !this.isNewestCurrent && isNewEra && !isFirstUse;
-    if (hasUnread || hasNoRecord) this.awaitUnrecorded();
-  }
-
-  /** Makes this host wait until a lease that no record shows has expired. */
-  private awaitUnrecorded(): void {
-    this.unrecordedUntilMs = this.parts.clock.now() + LEASE_TTL_MS;
+  /** Handles a change of the newest record. */
+  private recordNewest(): void {
+    this.isHolderSilent = false;
+    if (this.known.newest?.incarnation !== this.parts.incarnation)
+      this.heldUntilMs = -Infinity;
+    this.notifyListeners();
   }
 
-  /** Begins anew at a log that came back from an older copy. */
-  private beginEra(era: number): void {
+  private logRestored(era: number): void {
     this.parts.logger.warn('order_lease_log_restored', {
       era,
-      before: this.end.era,
-      known_end: this.end.offset,
+      before: this.known.end.era,
+      known_end: this.known.end.offset,
       held: this.isHeld,
-      fencing: this.fencing,
+      fencing: this.known.fencing,
     });
-    // The log names no other era: the numbers of its records say nothing.
-    if (era === this.end.era) {
-      this.newest = undefined;
-      this.fencing = NO_CLAIM;
-      this.heldUntilMs = -Infinity;
-    }
-    this.awaitUnrecorded();
   }
 
   /** Logs each change of whether the log can be read. */
@@ -555,34 +507,10 @@
     if (isRead === this.isLogReadable) return;
     this.isLogReadable = isRead;
     const event = isRead ? 'order_lease_log_read' : 'order_lease_log_unread';
-    const {era, offset: end} = this.end;
+    const {era, offset: end} = this.known.end;
     this.parts.logger.info(event, {end, era});
   }
 
-  /** Adopts a record, unless it is of an older claim than the newest one. */
-  private adoptRecord({offset, record}: LeaseEntry): void {
-    const {claimOffset = offset, era = this.end.era} = record;
-    const fencing = revisionOf({era, offset: claimOffset});
-    if (claimOffset > offset) {
-      // A late renewal, whose claim the log has lost.
-      this.awaitUnrecorded();
-      return;
-    }
-    // A late append of an earlier era, or a record that only the copy has.
-    if (fencing < this.fencing) return;
-    this.newest = record;
-    this.newestEra = era;
-    // A claim of this era was made when nobody else could hold the lease.
-    if (record.era === this.end.era) this.unrecordedUntilMs = -Infinity;
-    this.seenMs = this.parts.clock.now();
-    this.isHolderSilent = false;
-    this.fencing = fencing;
-    this.claimAt = claimOffset;
-    if (record.incarnation !== this.parts.incarnation) {
-      this.heldUntilMs = -Infinity;
-    }
-  }
-
   /** Appends a record and returns whether that succeeded. */
   private append(
     event: LeaseRecord['event'],
@@ -598,8 +526,9 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const {clock, host, incarnation, log, logger, owner} = this.parts;
-    const {era, offset: expectedEnd} = this.end;
-    const claimOffset = event === LEASE_EVENT.claim ? undefined : this.claimAt;
+    const {era, offset: expectedEnd} = this.known.end;
+    const claimOffset =
+      event === LEASE_EVENT.claim ? undefined : this.known.claimOffset;
     const sentMs = clock.now();
     const ordersFromMs = this.nextOrdersMs();
     const continuesLease = this.isHeld;
@@ -628,26 +557,22 @@
       await this.readTail(signal);
       return false;
     }
-    const {offset} = appended.value;
-    // A read that overlapped may have shown a newer era meanwhile.
-    if (this.end.era !== era) return false;
-    this.end = {era, offset: Math.max(this.end.offset, offset + 1)};
-    this.adoptRecord({record, offset});
-    this.notifyListeners();
-    if (this.newest !== record) return false;
+    const isNewest = this.known.adoptAppended(record, appended.value);
+    if (isNewest) this.recordNewest();
+    if (!isNewest) return false;
     if (this.isStopping) return true;
     if (this.suspensionWatch.wasSuspendedSince(sentMs)) return true;
     if (event === LEASE_EVENT.claim) {
       this.ordersFromMs = ordersFromMs;
-      this.claimedFencing = this.fencing;
-      if (!continuesLease) this.firstFencing = this.fencing;
+      this.claimedFencing = this.known.fencing;
+      if (!continuesLease) this.firstFencing = this.known.fencing;
     }
     this.heldSinceMs = sentMs;
     this.heldUntilMs = sentMs + LEASE_TTL_MS;
     if (event === LEASE_EVENT.claim) {
       const ordersInMs = Math.max(0, Math.round(ordersFromMs - clock.now()));
       logger.info('order_lease_claimed', {
-        fencing: this.fencing,
+        fencing: this.known.fencing,
         orders_in_ms: ordersInMs,
       });
     }
