--- a/packages/core/src/test/residency/lease_world.ts
+++ b/packages/core/src/test/residency/lease_world.ts
@@ -16,6 +16,9 @@
 /** Longest time of a slow append, below the timeout of the lease. */
 const MAX_SLOW_MS = 900;
 
+/** Time before the first fault of a plan. */
+const START_MS = 500;
+
 /** Time between the messages of a holder to the other hosts. */
 const CONTACT_INTERVAL_MS = 250;
 
@@ -157,7 +160,7 @@
  * @param fault - name of the fault; any other name ends the host's faults.
  * @param ms - duration of the fault, or number of records that are lost.
  */
-export async function injectFault(
+async function injectFault(
   world: LeaseWorld,
   host: number,
   fault: string,
@@ -205,6 +208,31 @@
   }
 }
 
+/** A fault of a plan, after which the hosts run for a time. */
+export interface FaultStep {
+  host: number;
+  fault: string;
+  ms: number;
+}
+
+/**
+ * Plays faults one after the other, and ends those of the log.
+ *
+ * @param world - the hosts.
+ * @param plan - the faults.
+ */
+export async function playFaults(
+  world: LeaseWorld,
+  plan: readonly FaultStep[],
+): Promise<void> {
+  await world.run(START_MS);
+  for (const {host, fault, ms} of plan) {
+    await injectFault(world, host, fault, ms);
+    await world.run(ms);
+  }
+  for (const {log} of world.hosts) heal(log);
+}
+
 /** Ends the faults of a host's connection to the log. */
 export function heal({faults}: FaultyLeaseLog): void {
   faults.slowMs = 0;
--- a/packages/core/src/test/residency/order_lease_test.ts
+++ b/packages/core/src/test/residency/order_lease_test.ts
@@ -5,7 +5,7 @@
   HOLDER_GAP_MS,
   LeaseWorld,
   heal,
-  injectFault,
+  playFaults,
   shortestGap,
 } from './lease_world.js';
 
@@ -205,12 +205,7 @@
       fc.asyncProperty(steps, async plan => {
         const world = new LeaseWorld(3);
         world.deaf.clear();
-        await world.run(500);
-        for (const {host, fault, ms} of plan) {
-          await injectFault(world, host, fault, ms);
-          await world.run(ms);
-        }
-        for (const {log} of world.hosts) heal(log);
+        await playFaults(world, plan);
         await world.run(9_000);
         expect(shortestGap(world.orders)).to.be.at.least(HOLDER_GAP_MS);
         expect(world.sharedMs).to.deep.equal([]);
--- a/packages/core/src/test/residency/restored_lease_log_test.ts
+++ b/packages/core/src/test/residency/restored_lease_log_test.ts
@@ -7,7 +7,7 @@
   LeaseWorld,
   OrderMoment,
   heal,
-  injectFault,
+  playFaults,
   shortestGap,
 } from './lease_world.js';
 
@@ -152,12 +152,7 @@
       fc.asyncProperty(steps, async plan => {
         const world = new LeaseWorld(3);
         world.deaf.clear();
-        await world.run(500);
-        for (const {host, fault, ms} of plan) {
-          await injectFault(world, host, fault, ms);
-          await world.run(ms);
-        }
-        for (const {log} of world.hosts) heal(log);
+        await playFaults(world, plan);
         const healedMs = world.clock.now();
         world.restartStopped();
         await world.run(2 * MAX_PAUSE_MS);
