--- a/packages/local-cluster/src/test/platform/accept_errors_test.ts
+++ b/packages/local-cluster/src/test/platform/accept_errors_test.ts
@@ -3,8 +3,7 @@
 import {expect} from 'chai';
 import {PlatformWorld, ROUTE_PATH} from '../../lib/platform_world.js';
 
-/** Listeners of a host: peers, metrics, readiness and callers. */
-const LISTENER_COUNT = 4;
+const LISTENERS = ['peers', 'tunnels', 'metrics', 'ready', 'callers'];
 
 /** What Node is told about a connection that could not be accepted. */
 interface ListeningHandle {
@@ -45,14 +44,14 @@
   it('goes on after several connections that it could not accept', async () => {
     const {hostname} = new URL(world.callerUrl());
     const own = [...servers].filter(server => addressOf(server) === hostname);
-    expect(own).to.have.lengthOf(LISTENER_COUNT);
+    expect(own).to.have.lengthOf(LISTENERS.length);
     for (const server of own) {
       failToAccept(server);
       failToAccept(server);
     }
     const {status} = await world.call(ROUTE_PATH.once);
     expect(status).to.equal(200);
-    for (const listener of ['peers', 'metrics', 'ready', 'callers']) {
+    for (const listener of LISTENERS) {
       const line = `event=accept_failed .*listener=${listener} code=ENOBUFS`;
       expect(world.lines.join('\n')).to.match(new RegExp(line));
     }
