Log what makes an answer count as complete

Callers saw streams that ended as complete before their last event. The request line of a served request said answer=whole, and not why: the target's own word, a check of its process, or a check that was not made or had no result. 'request' now names what is known of the end of the target's answer (end=...), 'answer_ended' tells it for each answer that only its connection delimits, with the time since its last bytes, and a counter has the findings. No decision changes.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -6,6 +6,7 @@
 import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
+import {END_FINDING, EndFinding} from './end_evidence.js';
 import {EventBoundary} from './event_boundary.js';
 import {RelayCall} from './relay_call.js';
 import {StallHandler, StallMonitor} from './stall_monitor.js';
@@ -52,8 +53,14 @@
   onBegun: (call: RelayCall<Req>, answer: TargetAnswer<Head>) => void;
   /** Called before whole events of a resumable stream are passed on. */
   onEvents: (call: RelayCall<Req>) => void;
-  /** Returns whether the process of a target is known to have ended. */
-  hasEnded: (target: KnownTarget) => Promise<boolean>;
+  /** Called with what is known of the end of an answer without a length. */
+  onEnd: (
+    call: RelayCall<Req>,
+    answer: TargetAnswer<Head>,
+    finding: EndFinding,
+  ) => void;
+  /** Finds out whether the process of a target is known to have ended. */
+  findEnd: (target: KnownTarget) => Promise<EndFinding>;
 }
 
 /**
@@ -88,17 +95,31 @@
     const body = isStream
       ? await this.relayStream(call, answer, stalls)
       : await this.relayPlain(call, answer);
-    if (!isWhole(answer.head, call.answer.head, body))
-      return RELAY_RESULT.broken;
-    const isTold = answer.head.framing !== FRAMING.close;
-    // The operating system closes the connections of a killed process in order.
-    if (!isTold && (await this.parts.hasEnded(target)))
+    const finding = await this.findEnd(call, target, answer, body);
+    call.endFinding = finding;
+    if (answer.head.framing === FRAMING.close)
+      this.parts.onEnd(call, answer, finding);
+    if (finding === END_FINDING.brokenOff || finding === END_FINDING.ended)
       return RELAY_RESULT.broken;
     body.passRest();
     call.answer.end();
     return RELAY_RESULT.whole;
   }
 
+  private async findEnd(
+    call: RelayCall<Req>,
+    target: KnownTarget,
+    answer: TargetAnswer<Head>,
+    body: RelayedBody,
+  ): Promise<EndFinding> {
+    call.recordEndOfBody();
+    if (!isWhole(answer.head, call.answer.head, body))
+      return END_FINDING.brokenOff;
+    if (answer.head.framing !== FRAMING.close) return END_FINDING.told;
+    // The operating system closes the connections of a killed process in order.
+    return this.parts.findEnd(target);
+  }
+
   private async relayStream(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
--- a/packages/core/src/lib/gateway/gateway_metrics.ts
+++ b/packages/core/src/lib/gateway/gateway_metrics.ts
@@ -101,6 +101,14 @@
     registers: [this.registry],
   });
 
+  /** Number of answers that only their connections delimited, by finding. */
+  readonly untoldEnds = new Counter({
+    name: 'fuchsiacleat_gateway_untold_ends_total',
+    help: 'Answers of targets that only the end of their connection delimited, by what made them count as complete or not.',
+    labelNames: ['finding'],
+    registers: [this.registry],
+  });
+
   /** Number of connections that ended because of surplus bytes. */
   readonly surplusBytes = new Counter({
     name: 'fuchsiacleat_gateway_connection_surplus_total',
--- a/packages/core/src/lib/gateway/logging_observer.ts
+++ b/packages/core/src/lib/gateway/logging_observer.ts
@@ -9,6 +9,7 @@
 import {GatewayMetrics} from './gateway_metrics.js';
 import {
   BegunAnswer,
+  EndedAnswer,
   EndedSend,
   RelayObserver,
   RequestTrace,
@@ -116,6 +117,21 @@
     });
   }
 
+  override answerEnded(answer: EndedAnswer): void {
+    const {connection, finding, id, receivedBytes, tailMs, target} = answer;
+    this.metrics.untoldEnds.inc({finding});
+    if (!this.tryTakeLine(this.unusualBucket)) return;
+    this.logger.info('answer_ended', {
+      id,
+      target,
+      connection,
+      finding,
+      send_age_ms: answer.ageMs,
+      received_bytes: receivedBytes,
+      tail_ms: tailMs,
+    });
+  }
+
   override sendEnded(send: EndedSend): void {
     const {id, target, end, endedBy, detail, receivedBytes} = send;
     this.metrics.unansweredSends.inc({end, detail});
@@ -260,6 +276,7 @@
       framing: story.framing,
       caller_framing:
         story.callerFraming === story.framing ? undefined : story.callerFraming,
+      end: story.endFinding,
       body_bytes: story.framing === undefined ? undefined : story.bodyBytes,
       answer_sends: story.answerSends > 1 ? story.answerSends : undefined,
       connection: story.connection,
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -16,6 +16,7 @@
 import {Random} from '../time/random.js';
 import {Admission, Rejected} from './admission.js';
 import {ENDED_BY} from './answer_end.js';
+import {END_FINDING, EndFinding} from './end_evidence.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {StreamContinuity} from '../continuation/stream_continuity.js';
 import {digestParts} from '../quarantine/part_digest.js';
@@ -117,7 +118,9 @@
       tasks,
       onBegun: (call, answer) => this.runs.recordBegunAnswer(call, answer),
       onEvents: call => this.resumption.recordEvents(call),
-      hasEnded: target => this.hasEnded(target),
+      onEnd: (call, answer, finding) =>
+        this.runs.recordEnd(call, answer, finding),
+      findEnd: target => this.findEnd(target),
     });
     this.search = new TargetSearch({...parts, paths});
     this.runs = new RunRecorder({...parts, paths});
@@ -502,17 +505,19 @@
   }
 
   /**
-   * Returns whether the process of a target is known to have ended. One that
+   * Finds out whether the process of a target is known to have ended. One that
    * leaves stops listening before it has finished its answers.
    */
-  private async hasEnded(target: KnownTarget): Promise<boolean> {
-    if (!target.takesRequests) return false;
+  private async findEnd(target: KnownTarget): Promise<EndFinding> {
+    if (!target.takesRequests) return END_FINDING.unchecked;
     const {clock, port} = this.parts;
     const hasStopped = await hasStoppedListening(
       () => port.isListening(target),
       ms => clock.sleep(ms),
     );
-    return hasStopped && this.paths.confirmEnded(target);
+    if (!hasStopped) return END_FINDING.notRefused;
+    const isConfirmed = await this.paths.confirmEnded(target);
+    return isConfirmed ? END_FINDING.ended : END_FINDING.unconfirmed;
   }
 
   /**
--- a/packages/core/src/lib/gateway/relay_call.ts
+++ b/packages/core/src/lib/gateway/relay_call.ts
@@ -6,6 +6,7 @@
 import type {SendPermit} from '../target_limits/send_permit.js';
 import {ENDED_BY, EndedBy, connectionEndOf} from './answer_end.js';
 import {Framing} from './answer_framing.js';
+import {EndFinding} from './end_evidence.js';
 import {CallerRequest} from './caller_request.js';
 import {REQUEST_KIND, RouteRule, TeamConfig} from './deployment.js';
 import {EventSplitter} from './event_splitter.js';
@@ -105,6 +106,13 @@
   run: GuardedRun | undefined;
   /** Bytes of the body that the target of the current send has returned. */
   receivedBytes = 0;
+  /**
+   * Time from the last bytes of the current send's answer to its end, and from its
+   * head if it has no body; undefined before its end.
+   */
+  tailMs: number | undefined;
+  /** What is known of that end. */
+  endFinding: EndFinding | undefined;
   /** What ended the current send, once its end is known; see {@link ENDED_BY}. */
   endedBy: EndedBy = ENDED_BY.target;
   /** What the caller has of an answer. */
@@ -126,6 +134,7 @@
   private timer!: Timer;
   private target: KnownTarget | undefined;
   private sendStartMs = 0;
+  private receivedMs = 0;
   private currentAttempt: SendAttempt | undefined;
 
   /**
@@ -273,6 +282,8 @@
       this.softwareVersions.add(softwareVersion);
     this.sendStartMs = this.clock.now();
     this.receivedBytes = 0;
+    this.tailMs = undefined;
+    this.endFinding = undefined;
     this.endedBy = ENDED_BY.target;
     this.isAnswered = false;
   }
@@ -281,6 +292,7 @@
   recordAnswered({connection, head}: TargetAnswer): void {
     this.connection = connection;
     this.framing = head.framing;
+    this.receivedMs = this.clock.now();
     this.possibleRuns += 1;
     this.target?.recordHeard();
     this.isAnswered = true;
@@ -330,11 +342,17 @@
   /** Records bytes that the target of the current send has returned. */
   recordReceived(bytes: number): void {
     this.receivedBytes += bytes;
+    this.receivedMs = this.clock.now();
     this.target?.recordHeard();
     this.work?.recordChunk();
     this.run?.recordBytes();
   }
 
+  /** Records that the body of the current send's answer has ended. */
+  recordEndOfBody(): void {
+    this.tailMs = Math.round(this.clock.now() - this.receivedMs);
+  }
+
   /** Records that bytes of the answer were relayed. */
   recordBytes(): void {
     this.firstByteMs ??= this.elapsedMs();
--- a/packages/core/src/lib/gateway/relay_observer.ts
+++ b/packages/core/src/lib/gateway/relay_observer.ts
@@ -2,6 +2,7 @@
 
 import {Outcome} from '../requests/outcome.js';
 import {AnswerEnd, EndedBy} from './answer_end.js';
+import {EndFinding} from './end_evidence.js';
 import {CallerFraming, Framing} from './answer_framing.js';
 import {TargetState} from './target_port.js';
 import {SentWork} from '../work/sent_work.js';
@@ -41,6 +42,8 @@
   framing: Framing | undefined;
   /** How the caller was told the end of the answer. */
   callerFraming: CallerFraming | undefined;
+  /** What is known of the end of that answer; undefined if it has not ended. */
+  endFinding: EndFinding | undefined;
   /** Bytes of the body that were passed on, and how many sends they are from. */
   bodyBytes: number;
   answerSends: number;
@@ -117,6 +120,23 @@
   callerFraming: CallerFraming;
 }
 
+/** The end of an answer of a target that only its connection delimits. */
+export interface EndedAnswer {
+  /** Id of the request. */
+  id: string;
+  /** Id of the target. */
+  target: string;
+  connection: string;
+  /** What makes the answer count as complete, or does not. */
+  finding: EndFinding;
+  /** Time from the start of the send to the finding. */
+  ageMs: number;
+  /** Bytes of the body that the target has returned. */
+  receivedBytes: number;
+  /** Time from the last bytes to the end of the connection. */
+  tailMs: number;
+}
+
 /** Bytes on a connection to a target that no request was waiting for. */
 export interface SurplusBytes {
   /** Id of the target. */
@@ -137,6 +157,9 @@
    */
   abstract answerBegun(answer: BegunAnswer): void;
 
+  /** Called when an answer that only its connection delimits has ended. */
+  abstract answerEnded(answer: EndedAnswer): void;
+
   /** Called when a send has led to no complete answer. */
   abstract sendEnded(send: EndedSend): void;
 
--- a/packages/core/src/lib/gateway/relay_trace.ts
+++ b/packages/core/src/lib/gateway/relay_trace.ts
@@ -55,6 +55,7 @@
     connection: call?.connection,
     framing: call?.framing,
     callerFraming: call?.answer.framing,
+    endFinding: call?.endFinding,
     bodyBytes: call?.answer.bytes ?? 0,
     answerSends: call?.answer.sends ?? 0,
     outcome,
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -4,6 +4,7 @@
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
+import {EndFinding} from './end_evidence.js';
 import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {ModelFinder} from './model_finder.js';
@@ -128,6 +129,25 @@
     });
   }
 
+  /** Reports the end of an answer that only its connection delimits. */
+  recordEnd(
+    call: RelayCall<Req>,
+    {connection}: TargetAnswer<Head>,
+    finding: EndFinding,
+  ): void {
+    const {id, receivedBytes, sendAgeMs: ageMs, tailMs = 0} = call;
+    const target = call.sentTo.at(-1)!;
+    this.parts.observer.answerEnded({
+      id,
+      target,
+      connection,
+      finding,
+      ageMs,
+      receivedBytes,
+      tailMs,
+    });
+  }
+
   /** Records a run whose answer looks complete. */
   recordWholeRun(
     target: KnownTarget,
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {ANSWER_END, ENDED_BY} from '../../lib/gateway/answer_end.js';
 import {CALLER_FRAMING, FRAMING} from '../../lib/gateway/answer_framing.js';
+import {END_FINDING} from '../../lib/gateway/end_evidence.js';
 import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
 import {LoggingObserver} from '../../lib/gateway/logging_observer.js';
 import {RequestTrace} from '../../lib/gateway/relay_observer.js';
@@ -43,6 +44,7 @@
     connection: '1/1',
     framing: FRAMING.length,
     callerFraming: FRAMING.length,
+    endFinding: END_FINDING.told,
     bodyBytes: 100,
     answerSends: 1,
     outcome: {type},
@@ -94,6 +96,25 @@
     expect(logger.events).to.deep.equal(['answer_begun', 'answer_begun']);
   });
 
+  it('logs and counts what made an answer complete whose end only its connection tells', async () => {
+    const logger = new CountingLogger();
+    const metrics = new GatewayMetrics();
+    const observer = new LoggingObserver(new ManualClock(), logger, metrics);
+    const finding = END_FINDING.unchecked;
+    observer.answerEnded({
+      id: 'r',
+      target: 't1',
+      connection: '1/1',
+      finding,
+      ageMs: 900,
+      receivedBytes: 100,
+      tailMs: 12,
+    });
+    expect(logger.events).to.deep.equal(['answer_ended']);
+    const name = 'fuchsiacleat_gateway_untold_ends_total';
+    expect(await valueOf(metrics, name, {finding})).to.equal(1);
+  });
+
   it('limits served and unserved lines separately and logs the number omitted', async () => {
     const clock = new ManualClock();
     const logger = new CountingLogger();
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -19,6 +19,7 @@
 import {ModelFinder, ModelSearch} from '../../lib/gateway/model_finder.js';
 import {
   BegunAnswer,
+  EndedAnswer,
   EndedSend,
   RelayObserver,
   RequestTrace,
@@ -362,6 +363,7 @@
 class RecordingObserver extends RelayObserver {
   readonly traces: RequestTrace[] = [];
   readonly begun: BegunAnswer[] = [];
+  readonly endedAnswers: EndedAnswer[] = [];
   readonly ends: EndedSend[] = [];
   readonly stalls: StalledRun[] = [];
 
@@ -371,6 +373,10 @@
     this.begun.push(answer);
   }
 
+  override answerEnded(answer: EndedAnswer): void {
+    this.endedAnswers.push(answer);
+  }
+
   override sendEnded(send: EndedSend): void {
     this.ends.push(send);
   }
