Test answers without a length of worker processes that end

Red on this code: answers of all kinds (plain, stream, resumable) look complete early if the worker is killed while it is full, while it leaves, while its address replies no more or another process listens there, or if it closes their connections while it lives. Green: killed alone, started again at once, and the sound plays (goes on, is full and goes on, leaves and exits after its last answer).

--- /dev/null
+++ b/packages/local-cluster/src/test/platform/early_end_test.ts
@@ -0,0 +1,241 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+  PlatformWorld,
+  ROUTE_PATH,
+  STORE_TOPIC,
+} from '../../lib/platform_world.js';
+import {
+  ANSWER_END,
+  ReceivedAnswer,
+  StrictCaller,
+} from '../../lib/strict_caller.js';
+import {LINK_CUT, TargetLinks} from './target_links.js';
+import {
+  WORKER_COMMAND,
+  WorkerPlan,
+  WorkerProcess,
+} from '../../lib/worker_process.js';
+
+const EVENT_COUNT = 50;
+const EVENT_GAP_MS = 40;
+const PIECE = 'piece ';
+const HOST_COUNT = 2;
+const CALLER_COUNT = 6;
+
+/** Time from the requests to what happens to the first worker. */
+const BEFORE_END_MS = 300;
+
+/** Times in which hosts learn that a worker is full, and that it leaves. */
+const LEARN_FULL_MS = 200;
+const LEARN_LEAVING_MS = 900;
+
+type Kind = 'once' | 'stream' | 'resumable';
+const KINDS: readonly Kind[] = ['once', 'stream', 'resumable'];
+
+/** What happens to the first worker amid its answers. */
+type Play = (world: EndingWorld) => Promise<void>;
+
+/** Plays after which every answer has to be whole. */
+const SOUND: Readonly<Record<string, Play>> = {
+  'goes on': async () => {},
+  'is full and goes on': world => world.fill(),
+  'leaves, and exits after its last answer': async world => {
+    await world.registerLeaving();
+    world.first.tell(WORKER_COMMAND.leave);
+  },
+};
+
+/** Plays after which no answer of the first worker may look complete. */
+const ENDING: Readonly<Record<string, Play>> = {
+  'is killed': ({first}) => first.kill(),
+  'is killed and started again at its port': async world => {
+    await world.first.kill();
+    world.workers.push(await world.first.startAgain());
+  },
+  'is killed while it is full': async world => {
+    await world.fill();
+    await world.first.kill();
+  },
+  'is killed while it leaves': async world => {
+    await world.registerLeaving();
+    world.first.tell(WORKER_COMMAND.leave);
+    await sleep(EVENT_GAP_MS / 2);
+    await world.first.kill();
+  },
+  'is killed while its address replies no more': async world => {
+    await world.silenceFirst();
+    await world.first.kill();
+  },
+  'closes the connections of its answers in order': async ({first}) =>
+    first.tell(WORKER_COMMAND.closeAnswers),
+  'is killed while another process listens at its address': async world => {
+    world.redirectFirst();
+    await world.first.kill();
+  },
+};
+
+interface SeenEnd {
+  id: string;
+  worker: string;
+  answer: ReceivedAnswer;
+  isWhole: boolean;
+}
+
+/** Two hosts before two worker processes of each service. */
+class EndingWorld {
+  readonly workers: WorkerProcess[] = [];
+  /** Where the hosts connect to in place of a port. */
+  private readonly redirected = new Map<number, number>();
+  private silent: TargetLinks | undefined;
+  private world!: PlatformWorld;
+  private callCount = 0;
+
+  private constructor(private readonly kind: Kind) {}
+
+  static async start(
+    kind: Kind,
+    framing: WorkerPlan['framing'],
+  ): Promise<EndingWorld> {
+    const ending = new EndingWorld(kind);
+    const plan = {
+      framing,
+      eventCount: EVENT_COUNT,
+      eventGapMs: EVENT_GAP_MS,
+      piece: PIECE,
+      port: 0,
+    };
+    for (const id of ['w1', 'w2'])
+      ending.workers.push(await WorkerProcess.start({...plan, id}));
+    ending.world = await PlatformWorld.start(HOST_COUNT, 2, {
+      plainCount: 2,
+      prepare: async ({engines, plain}) => {
+        const standins = kind === 'once' ? plain : engines;
+        for (const [i, {port}] of ending.workers.entries())
+          standins[i].registeredPort = port;
+      },
+      dialAddress: () => target => ending.addressOf(target),
+    });
+    return ending;
+  }
+
+  get first(): WorkerProcess {
+    return this.workers[0];
+  }
+
+  async stop(): Promise<void> {
+    await this.world.stop();
+    for (const worker of this.workers) await worker.kill();
+    await this.silent?.close();
+  }
+
+  /** Sends requests, and returns what their callers have seen. */
+  async play(how: Play): Promise<SeenEnd[]> {
+    const seen = Array.from({length: CALLER_COUNT}, () => this.call());
+    await sleep(BEFORE_END_MS);
+    await how(this);
+    return Promise.all(seen);
+  }
+
+  /** Lets all hosts learn that the first worker is full. */
+  async fill(): Promise<void> {
+    this.first.tell(WORKER_COMMAND.beFull);
+    const calls = Array.from({length: 2 * HOST_COUNT}, () => this.call());
+    void Promise.all(calls);
+    await sleep(LEARN_FULL_MS);
+  }
+
+  async registerLeaving(): Promise<void> {
+    const isPlain = this.kind === 'once';
+    const standin = isPlain ? this.world.plain[0] : this.world.engine;
+    const id = isPlain ? 'p1' : 'e1';
+    const registration = standin.registration('draining');
+    this.world.store.put(STORE_TOPIC.targets, id, registration);
+    await sleep(LEARN_LEAVING_MS);
+  }
+
+  /** Leads new connections to a listener that accepts none. */
+  async silenceFirst(): Promise<void> {
+    const {port} = this.first;
+    this.silent = await TargetLinks.open([port]);
+    await this.silent.cut(LINK_CUT.hang);
+    this.redirected.set(port, this.silent.portTo(port));
+  }
+
+  /** Leads new connections to the second worker. */
+  redirectFirst(): void {
+    this.redirected.set(this.first.port, this.workers[1].port);
+  }
+
+  private addressOf(target: string): string {
+    const port = Number(target.slice(target.lastIndexOf(':') + 1));
+    const redirected = this.redirected.get(port);
+    return redirected === undefined ? target : `127.0.0.1:${redirected}`;
+  }
+
+  private async call(): Promise<SeenEnd> {
+    const host = this.callCount % HOST_COUNT;
+    const id = `${this.kind}-${this.callCount++}`;
+    const caller = await StrictCaller.open(this.world.callerUrl(host));
+    const model = this.kind === 'once' ? undefined : 'm1';
+    const answer = await caller.call({path: ROUTE_PATH[this.kind], id, model});
+    caller.destroy();
+    const [worker = ''] =
+      answer.headers.get('x-fuchsiacleat-server-stamp') ?? [];
+    const isWhole = answer.end === ANSWER_END.whole && answer.status === 200;
+    return {id, worker, answer, isWhole};
+  }
+}
+
+function wholeBody(kind: Kind): string {
+  const events = Array.from({length: EVENT_COUNT}, (unusedItem, i) =>
+    kind === 'once' ? PIECE : `id: ${i + 1}\ndata: ${PIECE}\n\n`,
+  );
+  return events.join('');
+}
+
+function describeEnds(seen: readonly SeenEnd[]): string[] {
+  return seen.map(
+    ({answer: {body, end, status}, id, worker}) =>
+      `${id} of ${worker}: ${status} ${end} after ${body.length} bytes`,
+  );
+}
+
+// The operating system closes the connections of a killed process in order.
+describe('GatewayHosts and a worker process whose answers have no length', () => {
+  let world: EndingWorld;
+
+  afterEach(async () => {
+    await world.stop();
+  });
+
+  for (const kind of KINDS) {
+    const whole = Buffer.from(wholeBody(kind));
+
+    for (const [name, play] of Object.entries(ENDING)) {
+      it(`do not end ${kind} answers as complete before their ends if it ${name}`, async () => {
+        world = await EndingWorld.start(kind, 'close');
+        const seen = await world.play(play);
+        const early = seen.filter(
+          ({answer: {body}, isWhole}) => isWhole && !body.equals(whole),
+        );
+        expect(describeEnds(early)).to.deep.equal([]);
+        const untouched = seen.filter(({worker}) => worker === 'w2');
+        expect(
+          describeEnds(untouched.filter(({isWhole}) => !isWhole)),
+        ).to.deep.equal([]);
+      });
+    }
+
+    for (const [name, play] of Object.entries(SOUND)) {
+      it(`pass on whole ${kind} answers if it ${name}`, async () => {
+        world = await EndingWorld.start(kind, 'close');
+        const seen = await world.play(play);
+        const bad = seen.filter(
+          ({answer: {body}, isWhole}) => !isWhole || !body.equals(whole),
+        );
+        expect(describeEnds(bad)).to.deep.equal([]);
+      });
+    }
+  }
+});
