Count an answer without a length as complete only on evidence

Cause: an answer that only the end of its connection delimits counted as complete unless its process was proved to have ended. That is a conclusion from the absence of evidence.

Now such an answer needs evidence that its process has outlived it. From its head on the host holds a second connection to the process, which the operating system closes with all others of a killed process. 50 ms after the end it asks for a reply there; a target that may not be asked has to leave the connection open. Other answers of the process that go on count as well. Everything else is a doubt: the request runs elsewhere if it may, within its attempts and the retry budget, and else its answer is cut.

'takes it for whole if its process lives, or leaves' asserted the fault for a leaving process that ends with the answer; its replacement asks for an answer that is cut there, and whole where the leaving process lives.

--- a/packages/core/src/gateway_index.ts
+++ b/packages/core/src/gateway_index.ts
@@ -39,6 +39,7 @@
 export * from './lib/net/http_status.js';
 export * from './lib/net/listener.js';
 export * from './lib/net/listening_check.js';
+export * from './lib/net/process_watch.js';
 export * from './lib/net/socket_address.js';
 export * from './lib/net/transfer_coding.js';
 export * from './lib/paths/host_paths.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -68,6 +68,7 @@
 export * from './lib/net/http_status.js';
 export * from './lib/net/listener.js';
 export * from './lib/net/listening_check.js';
+export * from './lib/net/process_watch.js';
 export * from './lib/peers/async_queue.js';
 export * from './lib/peers/frame.js';
 export * from './lib/peers/incoming_calls.js';
--- a/packages/core/src/lib/gateway/answer_completeness.ts
+++ b/packages/core/src/lib/gateway/answer_completeness.ts
@@ -1,7 +1,8 @@
-/** Decides whether an answer is whole. @packageDocumentation */
+/** Decides whether an answer may be whole. @packageDocumentation */
 
 import {FRAMING} from './answer_framing.js';
 import {AnswerHead} from './caller_request.js';
+import {END_DOUBT, EndDoubt} from './end_evidence.js';
 import {BODY_END, BodyEnd} from './target_port.js';
 
 /** The body of a send's answer once no more of it follows. */
@@ -15,23 +16,28 @@
 }
 
 /**
- * Decides whether the answer to a caller is whole once a send's answer has
- * ended. Where a target frames its answer by the end of the connection, HTTP
- * takes an end in order for the end of the answer, and a reset never.
+ * Returns why the answer to a caller can't be whole once a send's answer has
+ * ended. Where a target frames its answer by the end of the connection, a reset
+ * is never the end of the answer, and an end in order needs evidence.
  *
  * @param head - head of the send's answer.
  * @param passedHead - head that the caller has; undefined if it has none.
  * @param body - how the send's answer ended.
+ * @returns the reason; undefined if the answer may be whole.
  */
-export function isWhole(
+export function doubtOf(
   head: AnswerHead,
   passedHead: AnswerHead | undefined,
   body: EndedBody,
-): boolean {
-  if (body.end !== BODY_END.complete) return false;
-  if (head.isEventStream && body.isInsideEvent) return false;
-  if (head.framing !== FRAMING.close) return true;
-  if (head.isEventStream && body.bytes === 0 && !body.isResumed) return false;
-  // The target that began the answer would have told its end.
-  return passedHead === undefined || passedHead.framing === FRAMING.close;
+): EndDoubt | undefined {
+  const hasBrokenOff = body.end !== BODY_END.complete;
+  if (hasBrokenOff || (head.isEventStream && body.isInsideEvent))
+    return END_DOUBT.brokenOff;
+  if (head.framing !== FRAMING.close) return undefined;
+  // A target that goes on with a stream may have nothing left to send.
+  if (head.isEventStream && body.bytes === 0 && !body.isResumed)
+    return END_DOUBT.empty;
+  const isToldBefore =
+    passedHead !== undefined && passedHead.framing !== FRAMING.close;
+  return isToldBefore ? END_DOUBT.untold : undefined;
 }
--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -2,12 +2,13 @@
 
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
-import {EndedBody, isWhole} from './answer_completeness.js';
+import {EndedBody, doubtOf} from './answer_completeness.js';
 import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {REQUEST_KIND} from './deployment.js';
-import {END_FINDING, EndFinding} from './end_evidence.js';
+import {END_EVIDENCE, EndFinding, isComplete} from './end_evidence.js';
 import {EventBoundary} from './event_boundary.js';
+import {ProcessWatches, WatchedAnswer} from './process_watches.js';
 import {RelayCall} from './relay_call.js';
 import {StallHandler, StallMonitor} from './stall_monitor.js';
 import {TargetAnswer} from './target_port.js';
@@ -24,6 +25,12 @@
  */
 const MIN_STREAM_STALL_MS = 1_000;
 
+/**
+ * Time limits for a sign that a process has outlived its answer, in milliseconds.
+ * A request that may run again need not wait for long.
+ */
+const WATCH_TIMEOUT_MS = {again: 300, once: 1_000};
+
 /** How the relay of an answer ended. */
 export const RELAY_RESULT = {
   /** The caller received the complete answer. */
@@ -59,8 +66,8 @@
     answer: TargetAnswer<Head>,
     finding: EndFinding,
   ) => void;
-  /** Finds out whether the process of a target is known to have ended. */
-  findEnd: (target: KnownTarget) => Promise<EndFinding>;
+  /** Tell whether a process outlives an answer that has no length. */
+  watches: ProcessWatches;
 }
 
 /**
@@ -91,39 +98,45 @@
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
   ): Promise<RelayResult> {
-    const isStream = call.route.kind === REQUEST_KIND.stream;
-    const body = isStream
-      ? await this.relayStream(call, answer, stalls)
-      : await this.relayPlain(call, answer);
-    const finding = await this.findEnd(call, target, answer, body);
-    call.endFinding = finding;
-    if (answer.head.framing === FRAMING.close)
-      this.parts.onEnd(call, answer, finding);
-    if (finding === END_FINDING.brokenOff || finding === END_FINDING.ended)
-      return RELAY_RESULT.broken;
-    body.passRest();
-    call.answer.end();
-    return RELAY_RESULT.whole;
+    const isTold = answer.head.framing !== FRAMING.close;
+    const watched = isTold ? undefined : this.parts.watches.begin(target);
+    try {
+      const isStream = call.route.kind === REQUEST_KIND.stream;
+      const body = isStream
+        ? await this.relayStream(call, answer, stalls, watched)
+        : await this.relayPlain(call, answer, watched);
+      call.recordEndOfBody();
+      const finding =
+        doubtOf(answer.head, call.answer.head, body) ??
+        (await this.findEvidence(call, watched));
+      call.endFinding = finding;
+      if (!isTold) this.parts.onEnd(call, answer, finding);
+      if (!isComplete(finding)) return RELAY_RESULT.broken;
+      body.passRest();
+      call.answer.end();
+      return RELAY_RESULT.whole;
+    } finally {
+      watched?.dispose();
+    }
   }
 
-  private async findEnd(
+  /** Finds what shows that the target has ended its answer of itself. */
+  private async findEvidence(
     call: RelayCall<Req>,
-    target: KnownTarget,
-    answer: TargetAnswer<Head>,
-    body: RelayedBody,
+    watched: WatchedAnswer | undefined,
   ): Promise<EndFinding> {
-    call.recordEndOfBody();
-    if (!isWhole(answer.head, call.answer.head, body))
-      return END_FINDING.brokenOff;
-    if (answer.head.framing !== FRAMING.close) return END_FINDING.told;
-    // The operating system closes the connections of a killed process in order.
-    return this.parts.findEnd(target);
+    if (watched === undefined) return END_EVIDENCE.told;
+    const timeoutMs = call.canRunAgain
+      ? WATCH_TIMEOUT_MS.again
+      : Math.min(WATCH_TIMEOUT_MS.once, call.remainingMs);
+    return watched.check(timeoutMs);
   }
 
   private async relayStream(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
+    watched: WatchedAnswer | undefined,
   ): Promise<RelayedBody> {
     const {splitter} = call;
     splitter?.discardPartialEvent();
@@ -140,6 +153,7 @@
     this.open(call, answer);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
+      watched?.recordReceived();
       call.recordBytes();
       boundary.push(chunk);
       if (splitter === undefined) {
@@ -181,11 +195,13 @@
   private async relayPlain(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
+    watched: WatchedAnswer | undefined,
   ): Promise<RelayedBody> {
     const bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
+      watched?.recordReceived();
       if (call.isHeadSent) return call.answer.write(chunk);
       bufferedChunks.push(chunk);
       bufferedBytes += chunk.length;
--- a/packages/core/src/lib/gateway/end_evidence.ts
+++ b/packages/core/src/lib/gateway/end_evidence.ts
@@ -1,20 +1,48 @@
 /** What makes the end of an answer count. @packageDocumentation */
 
-/** What is known of the end of an answer. */
-export const END_FINDING = {
+import {WATCH_RESULT} from '../net/process_watch.js';
+
+/** Evidence that a target has ended an answer of itself. */
+export const END_EVIDENCE = {
   /** The target has told the end: by a length or by a last chunk. */
   told: 'told',
-  /** The body broke off, or can't be whole. */
+  /** The process of the target has replied after it, on an older connection. */
+  outlived: WATCH_RESULT.outlived,
+  /**
+   * An older connection to the process stands. Counts only for targets that may
+   * not be asked.
+   */
+  stands: WATCH_RESULT.stands,
+  /** The process has gone on with other answers. */
+  otherAnswers: 'other-answers',
+} as const;
+
+/** Why nothing shows that a target has ended an answer of itself. */
+export const END_DOUBT = {
+  /** The body broke off, or within an event. */
   brokenOff: 'broken-off',
-  /** The target does not take requests, and was not checked. */
-  unchecked: 'unchecked',
-  /** Its address does not refuse connections. */
-  notRefused: 'not-refused',
-  /** Its address refuses this host; no other host confirms that. */
-  unconfirmed: 'unconfirmed',
-  /** The process of the target has ended. */
-  ended: 'ended',
+  /** Its connection has ended before the first event. */
+  empty: 'empty',
+  /** The answer was begun by a target that would have told its end. */
+  untold: 'untold',
+  endedTogether: WATCH_RESULT.endedTogether,
+  unwatched: WATCH_RESULT.unwatched,
+  silent: WATCH_RESULT.silent,
+  otherProcess: WATCH_RESULT.otherProcess,
 } as const;
 
-/** One of {@link END_FINDING}. */
-export type EndFinding = (typeof END_FINDING)[keyof typeof END_FINDING];
+/** One of {@link END_EVIDENCE}. */
+export type EndEvidence = (typeof END_EVIDENCE)[keyof typeof END_EVIDENCE];
+
+/** One of {@link END_DOUBT}. */
+export type EndDoubt = (typeof END_DOUBT)[keyof typeof END_DOUBT];
+
+/** What is known of the end of an answer. */
+export type EndFinding = EndEvidence | EndDoubt;
+
+const EVIDENCE: ReadonlySet<EndFinding> = new Set(Object.values(END_EVIDENCE));
+
+/** Whether an answer is complete; what is not known to be, is not. */
+export function isComplete(finding: EndFinding): finding is EndEvidence {
+  return EVIDENCE.has(finding);
+}
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -9,14 +9,12 @@
   fail,
   refuse,
 } from '../requests/outcome.js';
-import {hasStoppedListening} from '../net/listening_check.js';
 import {PathView, UncheckedPaths} from '../paths/path_view.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {Admission, Rejected} from './admission.js';
 import {ENDED_BY} from './answer_end.js';
-import {END_FINDING, EndFinding} from './end_evidence.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {StreamContinuity} from '../continuation/stream_continuity.js';
 import {digestParts} from '../quarantine/part_digest.js';
@@ -26,6 +24,7 @@
 import {Freshness} from './freshness.js';
 import {HeadWait} from './head_wait.js';
 import {ModelFinder} from './model_finder.js';
+import {ProcessWatches} from './process_watches.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {RelayCall, SendAttempt} from './relay_call.js';
 import {RelayObserver, RequestTrace} from './relay_observer.js';
@@ -103,14 +102,12 @@
   private readonly runs: RunRecorder<Req, Head>;
   private readonly resumption: StreamResumption<Req>;
   private readonly stallParts: RunStallHandlerParts;
-  private readonly paths: PathView;
   private readonly calls = new Set<RelayCall<Req>>();
   private isClosing = false;
 
   /** @param parts - the dependencies, see {@link RelayParts}. */
   constructor(private readonly parts: RelayParts<Req, Head>) {
     const {paths = new UncheckedPaths()} = parts;
-    this.paths = paths;
     this.admission = new Admission(parts);
     const {clock, observer, port, retries, tasks} = parts;
     this.answers = new AnswerRelay({
@@ -120,7 +117,10 @@
       onEvents: call => this.resumption.recordEvents(call),
       onEnd: (call, answer, finding) =>
         this.runs.recordEnd(call, answer, finding),
-      findEnd: target => this.findEnd(target),
+      watches: new ProcessWatches({
+        clock,
+        open: target => port.watch(target),
+      }),
     });
     this.search = new TargetSearch({...parts, paths});
     this.runs = new RunRecorder({...parts, paths});
@@ -504,22 +504,6 @@
     return fail(FAILURE.targetLost, 'the target broke its answer off');
   }
 
-  /**
-   * Finds out whether the process of a target is known to have ended. One that
-   * leaves stops listening before it has finished its answers.
-   */
-  private async findEnd(target: KnownTarget): Promise<EndFinding> {
-    if (!target.takesRequests) return END_FINDING.unchecked;
-    const {clock, port} = this.parts;
-    const hasStopped = await hasStoppedListening(
-      () => port.isListening(target),
-      ms => clock.sleep(ms),
-    );
-    if (!hasStopped) return END_FINDING.notRefused;
-    const isConfirmed = await this.paths.confirmEnded(target);
-    return isConfirmed ? END_FINDING.ended : END_FINDING.unconfirmed;
-  }
-
   /**
    * Returns the outcome of a request whose caller disconnected or whose
    * deadline has passed.
--- a/packages/core/src/lib/gateway/target_port.ts
+++ b/packages/core/src/lib/gateway/target_port.ts
@@ -1,6 +1,7 @@
 /** Interface to send requests to targets. @packageDocumentation */
 
 import {AnswerHead, CallerRequest} from './caller_request.js';
+import {ProcessWatch} from '../net/process_watch.js';
 import {KnownTarget} from './target_table.js';
 import {AnswerSignals} from './target_signals.js';
 
@@ -146,6 +147,15 @@
    */
   abstract isListening(target: KnownTarget): Promise<boolean | undefined>;
 
+  /**
+   * Watches the process of a target, as long as it writes answers that have no
+   * length.
+   *
+   * @param target - the target.
+   * @returns the watch, which the caller has to close.
+   */
+  abstract watch(target: KnownTarget): ProcessWatch;
+
   /**
    * Checks over a new connection whether a target answers.
    *
--- a/packages/core/src/test/gateway/logging_observer_test.ts
+++ b/packages/core/src/test/gateway/logging_observer_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ANSWER_END, ENDED_BY} from '../../lib/gateway/answer_end.js';
 import {CALLER_FRAMING, FRAMING} from '../../lib/gateway/answer_framing.js';
-import {END_FINDING} from '../../lib/gateway/end_evidence.js';
+import {END_EVIDENCE} from '../../lib/gateway/end_evidence.js';
 import {GatewayMetrics} from '../../lib/gateway/gateway_metrics.js';
 import {LoggingObserver} from '../../lib/gateway/logging_observer.js';
 import {RequestTrace} from '../../lib/gateway/relay_observer.js';
@@ -44,7 +44,7 @@
     connection: '1/1',
     framing: FRAMING.length,
     callerFraming: FRAMING.length,
-    endFinding: END_FINDING.told,
+    endFinding: END_EVIDENCE.told,
     bodyBytes: 100,
     answerSends: 1,
     outcome: {type},
@@ -100,7 +100,7 @@
     const logger = new CountingLogger();
     const metrics = new GatewayMetrics();
     const observer = new LoggingObserver(new ManualClock(), logger, metrics);
-    const finding = END_FINDING.unchecked;
+    const finding = END_EVIDENCE.outlived;
     observer.answerEnded({
       id: 'r',
       target: 't1',
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -51,6 +51,12 @@
   refuse,
 } from '../../lib/requests/outcome.js';
 import {PathView} from '../../lib/paths/path_view.js';
+import {
+  CLOSE_TIME_MS,
+  ProcessWatch,
+  WATCH_RESULT,
+  WatchResult,
+} from '../../lib/net/process_watch.js';
 import {MemoryHub} from '../../lib/peers/memory_peer_network.js';
 import {OriginExchange} from '../../lib/continuation/origin_exchange.js';
 import {ServiceVersions} from '../../lib/continuation/service_versions.js';
@@ -205,6 +211,28 @@
   };
 }
 
+/** Watches a simulated target. */
+class FakeWatch extends ProcessWatch {
+  constructor(
+    private readonly port: FakePort,
+    private readonly clock: ManualClock,
+    private readonly id: string,
+  ) {
+    super();
+  }
+
+  override async check(): Promise<WatchResult> {
+    const {ended, ending, unwatched} = this.port;
+    if (ending.delete(this.id)) ended.add(this.id);
+    await this.clock.sleep(CLOSE_TIME_MS);
+    if (unwatched.has(this.id)) return WATCH_RESULT.unwatched;
+    const hasEnded = ended.has(this.id);
+    return hasEnded ? WATCH_RESULT.endedTogether : WATCH_RESULT.outlived;
+  }
+
+  override close(): void {}
+}
+
 /** Returns the given results one after the other and records the sends. */
 export class FakePort extends TargetPort<FakeCaller> {
   readonly sent: Array<{target: string; options: SendOptions}> = [];
@@ -212,6 +240,8 @@
   readonly ended = new Set<string>();
   /** Ids of the targets whose process ends after it has accepted a connection. */
   readonly ending = new Set<string>();
+  /** Ids of the targets whose process can't be watched. */
+  readonly unwatched = new Set<string>();
   /** What checks of targets that have not ended show. */
   state: TargetState = TARGET_STATE.silent;
 
@@ -242,6 +272,10 @@
     return true;
   }
 
+  override watch({registration}: KnownTarget): ProcessWatch {
+    return new FakeWatch(this, this.clock, registration.id);
+  }
+
   override async probe({registration}: KnownTarget): Promise<TargetState> {
     return this.ended.has(registration.id) ? TARGET_STATE.ended : this.state;
   }
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -441,9 +441,13 @@
       expect(caller.isEnded).to.equal(true);
     });
 
-    it('takes it for whole if its process lives, or leaves', async () => {
-      for (const isLeaving of [false, true]) {
-        const behaviors = isLeaving
+    it('takes it for whole if its process outlives it, and not if a leaving one ends', async () => {
+      for (const [isLeaving, hasEnded] of [
+        [false, false],
+        [true, false],
+        [true, true],
+      ]) {
+        const behaviors = hasEnded
           ? [endsWith(['whole'])]
           : [() => unframed(answer(200, ['whole']))];
         world = relayWorld({route: once, behaviors, targetCount: 1});
@@ -453,9 +457,30 @@
           world.targets.put({...registration, isLeaving}, true);
           return sent(options, clock);
         };
-        expect((await serve(world)).body).to.equal('whole');
+        const caller = await serve(world);
+        expect(caller.isEnded).to.equal(!hasEnded);
+        if (hasEnded) expect(caller.failure?.type).to.equal('failed');
+        else expect(caller.body).to.equal('whole');
       }
     });
+
+    for (const route of [once, repeatable, resumable]) {
+      it(`does not take it for whole if nothing shows that (${route.kind})`, async () => {
+        const isStream = route.kind === REQUEST_KIND.stream;
+        const part = isStream ? event(1) : 'part';
+        const rest = isStream ? event(2) : 'whole';
+        const unknown: TargetBehavior = () => {
+          world.port.unwatched.add(world.port.sent.at(-1)!.target);
+          return unframed(answer(200, [part]));
+        };
+        const behaviors = [unknown, () => answer(200, [rest])];
+        world = relayWorld({route, behaviors});
+        const caller = await serve(world);
+        const expected = isStream ? part + rest : rest;
+        expect(caller.isEnded).to.equal(route !== once);
+        if (route !== once) expect(caller.body).to.equal(expected);
+      });
+    }
   });
 
   // The caller was cut off again and again once it had all events.
