Confirm answers of plain services by the same evidence

HttpServiceClient took an answer without a length for complete if anything listened at the address of the service, and for broken off if nothing did. It now watches the process by a connection of its own, as the gateway does: 'OPTIONS *' has to be answered there after the end. Both new tests failed before: a service that is replaced by another process at its address was taken for one that has ended its answer, and one that stops listening and replies was not.

--- a/packages/core/src/lib/net/listening_check.ts
+++ b/packages/core/src/lib/net/listening_check.ts
@@ -5,13 +5,6 @@
 /** Time limit for the connection, in milliseconds. */
 const CHECK_TIMEOUT_MS = 150;
 
-/**
- * Time in which a killed process has closed all its sockets, in milliseconds. It
- * may have closed a connection and still accept others, as the operating system
- * closes them one after the other.
- */
-const CLOSE_TIME_MS = 50;
-
 /** Errors of a connection to a port without a listener. */
 const REFUSED_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -46,20 +39,3 @@
     );
   });
 }
-
-/**
- * Checks whether a process that has just closed a connection has ended.
- *
- * @param check - returns whether it accepts connections; undefined if it did not
- *     reply in time.
- * @param sleep - waits for a time in milliseconds.
- * @returns whether it is known to have ended.
- */
-export async function hasStoppedListening(
-  check: () => Promise<boolean | undefined>,
-  sleep: (ms: number) => Promise<unknown>,
-): Promise<boolean> {
-  if ((await check()) === false) return true;
-  await sleep(CLOSE_TIME_MS);
-  return (await check()) === false;
-}
--- a/packages/core/src/lib/targets/confirmed_body.ts
+++ b/packages/core/src/lib/targets/confirmed_body.ts
@@ -1,22 +1,28 @@
 /** Bodies of answers that only their connection ends. @packageDocumentation */
 
 import {Readable} from 'node:stream';
+import {ProcessWatch, WATCH_RESULT} from '../net/process_watch.js';
+
+/** Time limit for a sign that a process has outlived its answer. */
+const WATCH_TIMEOUT_MS = 1_000;
 
 /**
- * Returns a body that fails instead of ending if the process that sent it has
- * ended, as the operating system closes its connections in order.
+ * Returns a body that ends only if the process that sent it is known to have
+ * outlived the end, and else fails: the operating system closes the connections
+ * of a killed process in order.
  *
  * @param body - the body, up to the end of its connection.
- * @param hasEnded - returns whether the process is known to have ended.
+ * @param watch - a watch of the process that began before; it is closed with the
+ *     body.
  */
-export function confirmEnd(
-  body: Readable,
-  hasEnded: () => Promise<boolean>,
-): Readable {
-  const chunks = readToConfirmedEnd(body, hasEnded);
+export function confirmEnd(body: Readable, watch: ProcessWatch): Readable {
+  const chunks = readToConfirmedEnd(body, watch);
   const confirmed = Readable.from(chunks, {objectMode: false});
   // Also if the body was never read, which the generator does not notice.
-  confirmed.once('close', () => discard(body));
+  confirmed.once('close', () => {
+    discard(body);
+    watch.close();
+  });
   return confirmed;
 }
 
@@ -33,8 +39,10 @@
 
 async function* readToConfirmedEnd(
   body: Readable,
-  hasEnded: () => Promise<boolean>,
+  watch: ProcessWatch,
 ): AsyncGenerator<Buffer> {
   for await (const chunk of body) yield chunk as Buffer;
-  if (await hasEnded()) throw new Error('the process ended with its answer');
+  const result = await watch.check(WATCH_TIMEOUT_MS);
+  if (result !== WATCH_RESULT.outlived)
+    throw new Error(`nothing shows that the answer is complete: ${result}`);
 }
--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -1,11 +1,16 @@
 /** Client of a plain service over HTTP. @packageDocumentation */
 
-import {setTimeout as sleep} from 'node:timers/promises';
 import {Result, err, ok} from 'neverthrow';
 import {CheckedClient} from '../net/checked_client.js';
 import {isBodilessStatus, isFinalStatus} from '../net/http_status.js';
-import {hasStoppedListening, isListening} from '../net/listening_check.js';
+import {
+  ConnectionWatch,
+  ProcessWatch,
+  openConnection,
+  pingRequest,
+} from '../net/process_watch.js';
 import {endsWithChunks} from '../net/transfer_coding.js';
+import {SystemClock} from '../time/system_clock.js';
 import {confirmEnd, discard} from './confirmed_body.js';
 import {
   ServiceAnswer,
@@ -27,10 +32,18 @@
     super();
   }
 
-  private hasEnded(): Promise<boolean> {
-    const {hostname: host, port} = new URL(this.url);
-    const listener = {host, port: port === '' ? HTTP_PORT : Number(port)};
-    return hasStoppedListening(() => isListening(listener), sleep);
+  /** Begins to watch the process of the service. */
+  private watch(): ProcessWatch {
+    const {host, hostname, port} = new URL(this.url);
+    return new ConnectionWatch({
+      clock: new SystemClock(),
+      open: () =>
+        openConnection({
+          host: hostname,
+          port: port === '' ? HTTP_PORT : Number(port),
+        }),
+      ping: () => pingRequest('OPTIONS', '*', {host}),
+    });
   }
 
   override async call(
@@ -64,9 +77,7 @@
         return err({mayHaveBeenSent: true, message});
       }
       const isFramed = isEndTold(call.method, status, headers);
-      const body = isFramed
-        ? res.body
-        : confirmEnd(res.body, () => this.hasEnded());
+      const body = isFramed ? res.body : confirmEnd(res.body, this.watch());
       return ok({status, headers, body});
     } catch (error) {
       void client.destroy().catch(() => {});
--- a/packages/core/src/test/targets/http_service_client_test.ts
+++ b/packages/core/src/test/targets/http_service_client_test.ts
@@ -12,6 +12,9 @@
 /** Time that a caller takes for each part of the answer, in milliseconds. */
 const TAKE_MS = 5;
 
+/** Time in which a client watches the process of an answer, in milliseconds. */
+const WATCH_MS = 100;
+
 /** Ways to frame a body. */
 const FRAMINGS = {
   length: (body: Buffer) => ({
@@ -39,13 +42,16 @@
 
 describe('HttpServiceClient', () => {
   let server: Server;
-  let respond: (socket: Socket) => void;
+  let respond: (socket: Socket) => unknown;
+  let sockets: Set<Socket>;
   const {signal} = new AbortController();
 
   beforeEach(async () => {
+    sockets = new Set();
     server = createServer(socket => {
+      sockets.add(socket);
       socket.on('error', () => {});
-      socket.once('data', () => respond(socket));
+      socket.once('data', () => void respond(socket));
     });
     await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
   });
@@ -130,6 +136,29 @@
     }
   });
 
+  it('does not take an answer without a length for complete whose service another process replaces', async () => {
+    respond = async socket => {
+      socket.write(answerBytes('no length', Buffer.from('a part')));
+      await sleep(WATCH_MS);
+      for (const each of sockets) each.end();
+    };
+    expect(await call()).to.equal(undefined);
+  });
+
+  it('takes an answer without a length for complete whose service listens no more and replies', async () => {
+    respond = async socket => {
+      if (!server.listening) {
+        socket.end('HTTP/1.1 404 Not Found\r\n\r\n');
+        return;
+      }
+      socket.write(answerBytes('no length', Buffer.from('the body')));
+      await sleep(WATCH_MS);
+      server.close();
+      socket.end();
+    };
+    expect(await call()).to.equal('the body');
+  });
+
   it('closes the connection of an answer without a length that is not read', async () => {
     const {port} = server.address() as AddressInfo;
     const client = new HttpServiceClient(`http://127.0.0.1:${port}`);
