--- a/packages/benchmarks/src/lib/host_benchmark.ts
+++ b/packages/benchmarks/src/lib/host_benchmark.ts
@@ -47,7 +47,7 @@
     count: number,
     args: readonly string[],
   ): Promise<Metric[]> {
-    const world = await SoakWorld.start(count, args);
+    const world = await SoakWorld.start(count, {args});
     try {
       const areReady = async () => {
         const ready = await Promise.all(world.hosts.map(h => h.isReady()));
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -49,6 +49,8 @@
   readonly endsMs: number[] = [];
   /** Time until which the host counts as disturbed, on the monotonic clock. */
   disturbedUntilMs = 0;
+  /** Node.js arguments of the next start; see {@link HostOptions.args}. */
+  args: readonly string[] | undefined;
   private child: ChildProcess | undefined;
   private starting: Promise<void> | undefined;
   private isExitExpected = false;
@@ -56,7 +58,9 @@
   private log: WriteStream | undefined;
 
   /** @param options - see {@link HostOptions}. */
-  constructor(readonly options: HostOptions) {}
+  constructor(readonly options: HostOptions) {
+    this.args = options.args;
+  }
 
   /** URL for callers. */
   get url(): string {
@@ -107,7 +111,7 @@
     await writeFile(path, this.settingsText());
     this.log ??= createWriteStream(`${folder}/${name}.log`, {flags: 'a'});
     this.isExitExpected = false;
-    const args = this.options.args ?? [...(await readDeployedFlags()), PROGRAM];
+    const args = this.args ?? [...(await readDeployedFlags()), PROGRAM];
     const child = spawn(process.execPath, [...args, path], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/packages/soak/src/lib/soak_run.ts
+++ b/packages/soak/src/lib/soak_run.ts
@@ -5,6 +5,7 @@
 import {checkAnswered} from './answered_check.js';
 import {FAULT, FaultName} from './fault_names.js';
 import {FaultSeries} from './fault_series.js';
+import {HostRoll} from './host_roll.js';
 import {checkOrders} from './order_check.js';
 import {ORDER_RETURN_MS, checkOrderReturn} from './order_return_check.js';
 import {PlantedHost} from './planted_host.js';
@@ -43,6 +44,13 @@
   hasFaults?: boolean;
   /** Kinds of faults to choose from; all by default. */
   faults?: readonly FaultName[];
+  /** Shortest time between orders of two hosts to one worker, in milliseconds. */
+  leaseMs?: number;
+  /**
+   * Builds of which the second replaces the first on all hosts, as Node.js
+   * arguments; the faults last until it has.
+   */
+  upgrade?: {from: readonly string[]; to: readonly string[]};
 }
 
 /** Result of a soak run. */
@@ -57,6 +65,8 @@
   orders: number;
   /** Number of returns of the store from older copies. */
   restores: number;
+  /** Longest time without an order after a holder was killed in an upgrade. */
+  longestPauseMs: number | undefined;
   /** Folder with the hosts' logs. */
   folder: string;
 }
@@ -68,7 +78,10 @@
  * @returns the result, once all processes have ended.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const world = await SoakWorld.start(options.processes);
+  const world = await SoakWorld.start(options.processes, {
+    args: options.upgrade?.from,
+    leaseMs: options.leaseMs,
+  });
   // Planted violations of limits need as many requests as possible.
   if (options.plant !== undefined) world.sendStreamsAtOnce();
   const run = new SoakRun(world, options);
@@ -93,10 +106,10 @@
   }
 
   async play(): Promise<SoakResult> {
-    const {durationMs, hasFaults = true} = this.options;
+    const {durationMs, hasFaults = true, upgrade} = this.options;
     const names = this.options.faults ?? Object.values(FAULT);
-    if (hasFaults && names.includes(FAULT.olderStore))
-      this.world.offerManyModels();
+    const hasOlderStore = hasFaults && names.includes(FAULT.olderStore);
+    if (hasOlderStore || upgrade !== undefined) this.world.offerManyModels();
     await this.checkRecovery('after the start');
     const callersEnd = new AbortController();
     const callers = await this.startCallers(callersEnd.signal);
@@ -110,7 +123,8 @@
     await this.clock.sleep(FIRST_FAULT_DELAY_MS);
     const planted = this.plantRunFault();
     const faults = hasFaults ? series.run() : Promise.resolve();
-    await this.clock.sleep(durationMs);
+    const roll = upgrade && new HostRoll(this.world, upgrade.to);
+    await Promise.all([this.clock.sleep(durationMs), roll?.run()]);
     faultsEnd.abort();
     await faults;
     await planted;
@@ -125,6 +139,7 @@
     this.recordUnexpectedExits();
     const record = this.world.createRecord();
     this.violations.push(
+      ...(roll?.violations ?? []),
       ...checkRecords(record),
       ...checkOrders(record),
       ...checkOrderReturn(record),
@@ -138,6 +153,7 @@
       faultCounts: series.counts,
       orders: record.workers.flatMap(({orders}) => orders).length,
       restores: record.restoresMs.length,
+      longestPauseMs: roll?.longestPauseMs,
       folder: this.world.folder,
     };
   }
--- a/packages/soak/src/lib/soak_world.ts
+++ b/packages/soak/src/lib/soak_world.ts
@@ -47,7 +47,7 @@
   QuotaWindowS: 8,
   QuotaOverage: 0.1,
   QuotaSlack: 400,
-} as const;
+};
 
 /** Rate and burst of the limited team and cost of a request, in tokens. */
 const LIMIT = {perSecond: 1_000, burst: 1_000, request: 100} as const;
@@ -93,6 +93,14 @@
   state: string;
 }
 
+/** Options of a {@link SoakWorld}. */
+export interface WorldOptions {
+  /** Node.js arguments of the hosts; see `HostOptions.args`. */
+  args?: readonly string[];
+  /** Shortest time between orders of two hosts to one worker, in milliseconds. */
+  leaseMs?: number;
+}
+
 /** A deployment whose components can be disturbed. */
 export class SoakWorld {
   readonly ledger = new RequestLedger();
@@ -129,6 +137,7 @@
 
   private constructor(
     private readonly number: number,
+    private readonly bounds: typeof BOUNDS,
     private readonly args: readonly string[] | undefined,
   ) {}
 
@@ -136,14 +145,15 @@
    * Starts the stand-ins and the host processes.
    *
    * @param hostCount - number of host processes.
-   * @param args - Node.js arguments of the hosts; see `HostOptions.args`.
+   * @param options - see {@link WorldOptions}.
    * @returns a world whose host processes are started.
    */
   static async start(
     hostCount: number,
-    args?: readonly string[],
+    {args, leaseMs = BOUNDS.LeaseMs}: WorldOptions = {},
   ): Promise<SoakWorld> {
-    const world = new SoakWorld(nextDeployment(), args);
+    const bounds = {...BOUNDS, LeaseMs: leaseMs};
+    const world = new SoakWorld(nextDeployment(), bounds, args);
     world.folderPath = await mkdtemp(join(tmpdir(), 'fuchsiacleat-soak-'));
     await world.store.start();
     for (let i = 0; i < PLAIN_COUNT + ENGINE_COUNT; i++) {
@@ -296,7 +306,7 @@
       withdrawn: this.withdrawn.all,
       drained: this.drained.all,
       limit: this.limit,
-      minOrderGapMs: BOUNDS.LeaseMs,
+      minOrderGapMs: this.bounds.LeaseMs,
       resumptionsMs: this.resumptionsMs,
       restoresMs: this.restoresMs,
       callersEndMs: this.callersEndMs,
@@ -382,7 +392,7 @@
         address: loopbackAddress(this.number, i),
         storePort: link.port,
         folder: this.folderPath,
-        bounds: BOUNDS,
+        bounds: this.bounds,
         args: this.args,
       }),
     );
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,13 +3,15 @@
 import {formatFields} from '@fuchsiacleat/core';
 import {Command} from 'commander';
 import {AnswersOptions, runAnswers} from './lib/answers_run.js';
+import {buildDeployed} from './lib/deployed_program.js';
+import {buildEarlier} from './lib/earlier_build.js';
 import {
   FaultName,
   OLDER_STORE_FAULTS,
   PLANNED_FAULTS,
 } from './lib/fault_names.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
-import {runSoak} from './lib/soak_run.js';
+import {SoakOptions, runSoak} from './lib/soak_run.js';
 
 const DEFAULT_SEED = 1;
 const DEFAULT_MINUTES = 1;
@@ -23,9 +25,12 @@
   minutes: number;
   processes: number;
   answers?: boolean;
+  faults: boolean;
   plant?: PromiseName;
   planned?: boolean;
   olderStore?: boolean;
+  upgradeFrom?: string;
+  upgradeTo?: string;
 }
 
 function out(line: string): void {
@@ -55,6 +60,17 @@
   return olderStore ? OLDER_STORE_FAULTS : undefined;
 }
 
+/** Returns the builds to replace one by the other; undefined for none. */
+async function buildUpgrade({
+  upgradeFrom,
+  upgradeTo,
+}: Options): Promise<SoakOptions['upgrade']> {
+  if (upgradeFrom === undefined && upgradeTo === undefined) return undefined;
+  const build = (commit: string | undefined) =>
+    commit === undefined ? buildDeployed() : buildEarlier(commit);
+  return {from: await build(upgradeFrom), to: await build(upgradeTo)};
+}
+
 async function main(options: Options): Promise<number> {
   const {minutes, plant, seed} = options;
   const processes = Math.min(MAX_PROCESSES, options.processes);
@@ -66,12 +82,17 @@
     processes,
     plant,
     faults: chooseFaults(options),
+    hasFaults: options.faults,
+    upgrade: await buildUpgrade(options),
   });
-  const {folder, orders, requests, restores, violations} = result;
+  const {folder, longestPauseMs, orders, requests, restores, violations} =
+    result;
   out(`seed ${seed}, ${processes} hosts, ${requests} requests`);
   out(`ends: ${formatFields(result.statusCounts)}`);
   out(`faults: ${formatFields(result.faultCounts)}`);
   out(`${orders} orders, ${restores} older copies`);
+  if (longestPauseMs !== undefined)
+    out(`at most ${Math.round(longestPauseMs)} ms without an order`);
   for (const {promise, detail} of violations.slice(0, MAX_SHOWN)) {
     out(`broken: ${promise}: ${detail}`);
   }
@@ -90,6 +111,9 @@
     '--older-store',
     'only faults of the store, of hosts and of their links to it',
   )
+  .option('--no-faults', 'no faults but those of an upgrade')
+  .option('--upgrade-from <commit>', 'replace hosts of an earlier commit')
+  .option('--upgrade-to <commit>', 'replace hosts by those of a commit')
   .option('--plant <promise>', `one of ${Object.values(PROMISE).join(', ')}`)
   .action(async (options: Options) => process.exit(await main(options)))
   .parseAsync();
