Order with the offset of the claim in the first era, as hosts of earlier releases do

Cause: since the number of a claim is (era, offset) in one integer in every era, and hosts of earlier releases number the same claims by their offset alone.

In the first era of the store a claim has its offset as its number again, which rises as long as the store has not come back from a copy; from the second era on, era and offset, as before. Hosts of the releases between count the first era, too. Their claims are known by their records, and every later claim has the era in it. As a claim is appended only at the end that its host knows, it knows of all claims before it. Each record names the number of its claim, so that a host that has read only the newest record goes on above it; earlier releases skip the field. Which record is newer is still told by era and offset. Behind records that can't be decoded, numbers have the era.

Two builds side by side stay broken where no rule of this build can help: a host that knows no eras, behind a copy of the store or beside releases between.

--- a/packages/core/src/lib/residency/lease_log.ts
+++ b/packages/core/src/lib/residency/lease_log.ts
@@ -27,6 +27,11 @@
   hosts: number;
   /** Offset of the claim that is renewed or released; unset in a claim. */
   claimOffset?: number;
+  /**
+   * Fencing number of the claim. Unset in records of hosts of an earlier release,
+   * whose number is the revision of the claim, or its offset if they name no era.
+   */
+  fencing?: number;
   /**
    * Era of the log for which the record was written: a late append may take
    * effect in a newer one. Unset in records of hosts of an earlier release.
--- a/packages/core/src/lib/residency/lease_log_state.ts
+++ b/packages/core/src/lib/residency/lease_log_state.ts
@@ -4,6 +4,12 @@
 import {Clock} from '../time/clock.js';
 import {LeaseEntry, LeaseRecord, LeaseTail} from './lease_log.js';
 
+/** Era of a log that has never come back from an older copy, or a lower one. */
+const FIRST_ERA = 1;
+
+/** Lowest fencing number that has a part for an era above zero. */
+const FIRST_ERA_REVISION = revisionOf({era: FIRST_ERA, offset: 0});
+
 /** Fencing number before any claim, lower than that of any. */
 export const NO_CLAIM = -1;
 
@@ -26,7 +32,11 @@
   private knownEnd: LogPosition = {era: 0, offset: 0};
   private newestRecord: LeaseRecord | undefined;
   private newestEra = 0;
+  /** Revision of the claim of the newest record. */
+  private newestRevision = NO_CLAIM;
   private newestFencing = NO_CLAIM;
+  /** Whether a fencing number with an era may be in use. */
+  private hasEraNumber = false;
   private newestClaimOffset = 0;
   private newestSeenMs = -Infinity;
   private unrecordedMs = -Infinity;
@@ -53,6 +63,18 @@
     return this.newestFencing;
   }
 
+  /**
+   * Fencing number of a claim at the end that this host knows. In the first era
+   * it is the offset of the claim, as hosts of an earlier release order with that
+   * alone, unless a number with an era is in use, as other releases give them in
+   * the first era, too.
+   */
+  get nextFencing(): number {
+    const {era, offset} = this.knownEnd;
+    if (era <= FIRST_ERA && !this.hasEraNumber) return offset;
+    return revisionOf(this.knownEnd);
+  }
+
   /** Offset of that claim. */
   get claimOffset(): number {
     return this.newestClaimOffset;
@@ -90,13 +112,7 @@
 
   /** Returns whether a host means the newest claim by a fencing number. */
   isOfNewestClaim(fencing: number): boolean {
-    if (this.newestRecord === undefined) return false;
-    // Hosts of an earlier release order with the offset of their claim.
-    const isEarlierRelease = this.newestRecord.era === undefined;
-    return (
-      fencing ===
-      (isEarlierRelease ? this.newestClaimOffset : this.newestFencing)
-    );
+    return this.newestRecord !== undefined && fencing === this.newestFencing;
   }
 
   /**
@@ -128,6 +144,7 @@
     const isFirstUse = this.parts.isFirstStart && !this.hasReadLog && end === 0;
     const hasNoRecord = !this.isNewestCurrent && isNewEra && !isFirstUse;
     if (hasUnread || hasNoRecord) this.awaitUnrecorded();
+    if (hasUnread) this.hasEraNumber = true;
     this.hasReadLog = true;
     return true;
   }
@@ -148,17 +165,19 @@
 
   private adoptRecord({offset, record}: LeaseEntry): void {
     const {claimOffset = offset, era = this.knownEnd.era} = record;
-    const fencing = revisionOf({era, offset: claimOffset});
+    const revision = revisionOf({era, offset: claimOffset});
     if (claimOffset > offset) {
       // A late renewal, whose claim the log has lost.
       this.awaitUnrecorded();
       return;
     }
     // A late append of an earlier era, or a record that only the copy has.
-    if (fencing < this.newestFencing) return;
+    if (revision < this.newestRevision) return;
     this.newestRecord = record;
     this.newestEra = era;
-    this.newestFencing = fencing;
+    this.newestRevision = revision;
+    this.newestFencing = fencingOf(record, claimOffset);
+    if (this.newestFencing >= FIRST_ERA_REVISION) this.hasEraNumber = true;
     this.newestClaimOffset = claimOffset;
     this.newestSeenMs = this.parts.clock.now();
     // A claim of this era was made when nobody else could hold the lease.
@@ -171,6 +190,7 @@
     if (era === this.knownEnd.era) {
       // The log names no other era: the numbers of its records say nothing.
       this.newestRecord = undefined;
+      this.newestRevision = NO_CLAIM;
       this.newestFencing = NO_CLAIM;
     }
     this.awaitUnrecorded();
@@ -181,3 +201,11 @@
     this.unrecordedMs = this.parts.clock.now() + this.parts.leaseTtlMs;
   }
 }
+
+/** Returns the fencing number of the claim that a record is of. */
+function fencingOf({era, fencing}: LeaseRecord, claimOffset: number): number {
+  if (fencing !== undefined) return fencing;
+  return era === undefined
+    ? claimOffset
+    : revisionOf({era, offset: claimOffset});
+}
--- a/packages/core/src/lib/residency/order_lease.ts
+++ b/packages/core/src/lib/residency/order_lease.ts
@@ -60,7 +60,7 @@
 export interface LeaseHolder {
   host: string;
   incarnation: string;
-  /** Revision of the claim; increases with every claim, over all eras. */
+  /** Increases with every claim, over all eras. */
   fencing: number;
 }
 
@@ -527,8 +527,9 @@
   ): Promise<boolean> {
     const {clock, host, incarnation, log, logger, owner} = this.parts;
     const {era, offset: expectedEnd} = this.known.end;
-    const claimOffset =
-      event === LEASE_EVENT.claim ? undefined : this.known.claimOffset;
+    const isClaim = event === LEASE_EVENT.claim;
+    const claimOffset = isClaim ? undefined : this.known.claimOffset;
+    const fencing = isClaim ? this.known.nextFencing : this.known.fencing;
     const sentMs = clock.now();
     const ordersFromMs = this.nextOrdersMs();
     const continuesLease = this.isHeld;
@@ -541,6 +542,7 @@
       ordersInMs: Math.max(0, ordersFromMs - sentMs),
       hosts: this.parts.hostCount(),
       claimOffset,
+      fencing,
       era,
     };
     const appended = await withTimeout(LOG_CALL_TIMEOUT_MS, signal, limited =>
@@ -562,14 +564,14 @@
     if (!isNewest) return false;
     if (this.isStopping) return true;
     if (this.suspensionWatch.wasSuspendedSince(sentMs)) return true;
-    if (event === LEASE_EVENT.claim) {
+    if (isClaim) {
       this.ordersFromMs = ordersFromMs;
       this.claimedFencing = this.known.fencing;
       if (!continuesLease) this.firstFencing = this.known.fencing;
     }
     this.heldSinceMs = sentMs;
     this.heldUntilMs = sentMs + LEASE_TTL_MS;
-    if (event === LEASE_EVENT.claim) {
+    if (isClaim) {
       const ordersInMs = Math.max(0, Math.round(ordersFromMs - clock.now()));
       logger.info('order_lease_claimed', {
         fencing: this.known.fencing,
