--- a/packages/soak/src/lib/deployed_program.ts
+++ b/packages/soak/src/lib/deployed_program.ts
@@ -1,7 +1,7 @@
 /** Builds the program and its arguments as the users' platform does. @packageDocumentation */
 
 import {execFile} from 'node:child_process';
-import {readFile} from 'node:fs/promises';
+import {readFile, rename} from 'node:fs/promises';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
@@ -9,6 +9,9 @@
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const DEPLOYMENT_FILE = 'deploy/system.toml';
 
+/** Begins the part of the build command that writes the program. */
+const BUNDLER = 'npx esbuild ';
+
 /** @returns the Node.js flags with which the platform runs the program. */
 export async function readDeployedFlags(): Promise<string[]> {
   const [, ...args] = valueOf(await readDeployment(), 'run').split(' ');
@@ -16,16 +19,32 @@
 }
 
 /**
- * Builds the program as the platform does.
+ * Builds the program as the platform does, from the installed dependencies.
  *
- * @returns the Node.js arguments with which the platform runs it.
+ * @returns the Node.js arguments with which the platform runs it; rejects with
+ *     the messages of the bundler if it can't be built.
  */
 export async function buildDeployed(): Promise<string[]> {
   const text = await readDeployment();
-  const cwd = ROOT;
-  await promisify(execFile)('sh', ['-c', valueOf(text, 'build')], {cwd});
-  const program = valueOf(text, 'run').split(' ').at(-1)!;
-  return [...(await readDeployedFlags()), join(ROOT, program)];
+  const program = join(ROOT, valueOf(text, 'run').split(' ').at(-1)!);
+  // Other processes may build or start the program at the same time.
+  const output = `${program}.${process.pid}`;
+  const command = `${bundleCommand(text)} --outfile="${output}"`;
+  await promisify(execFile)('sh', ['-c', command], {cwd: ROOT});
+  await rename(output, program);
+  return [...(await readDeployedFlags()), program];
+}
+
+/**
+ * @returns the build command without the installation of the dependencies, which
+ *     would replace those that this process and others run from.
+ */
+function bundleCommand(text: string): string {
+  const build = valueOf(text, 'build');
+  const start = build.indexOf(BUNDLER);
+  if (start < 0)
+    throw new Error(`${DEPLOYMENT_FILE} does not build with ${BUNDLER}`);
+  return build.slice(start);
 }
 
 function readDeployment(): Promise<string> {
