End one tunnel, not the process, on an error in its handling

The cause of that error is mended; any other in such a listener would do the same, as Node ends the process on an error that a listener throws, and on a rejected promise that nobody awaits.

- openTunnel: an error in its listeners rejects with a TunnelFault.
The client of the connection takes it for a TunnelError and reports it (task_failed, task=connection, with the stack).
- TunnelServer: an error before a tunnel is open closes its connection, with the same line.
- PathMonitor, PathJudge, PathCheckService: the judgement of one target ends as 'unknown' and neither rejects where nobody awaits it nor fails those of other targets; what is started and then not needed is run by the TaskSupervisor.

Looked at and left as they are: timers, which the clock of a host supervises already; lasting tasks and answers to other hosts, likewise; listeners that close or count only (TunnelServer: request, clientError; dialTarget).

Only the refusals that hosts know are, else the status is the reason.

--- a/packages/core/src/lib/net/checked_client.ts
+++ b/packages/core/src/lib/net/checked_client.ts
@@ -3,7 +3,8 @@
 import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {Client, Dispatcher, buildConnector} from 'undici';
-import {openTunnel} from '../paths/tunnel_client.js';
+import {TunnelError, openTunnel} from '../paths/tunnel_client.js';
+import {TunnelFault} from '../paths/tunnel_socket.js';
 import {wasReset} from './reset_check.js';
 import {SocketAddress} from './socket_address.js';
 
@@ -33,6 +34,8 @@
   onConnected?: (socket: ClientSocket) => void;
   /** Called when the set-up of a connection has failed. */
   onConnectFailed?: (error: NodeJS.ErrnoException) => void;
+  /** Called with an unexpected error in the handling of a tunnel. */
+  onFault?: (fault: TunnelFault) => void;
 }
 
 /** The request was not written, as it could not be sent any more. */
@@ -53,12 +56,16 @@
   /** Lets the client read on; undefined before an answer. */
   resume: (() => void) | undefined;
 
+  /** @param onFault - see {@link CheckedClientOptions}. */
+  constructor(private readonly onFault: (fault: TunnelFault) => void) {}
+
   /** Follows a new connection; must be called before the client listens to it. */
   follow(socket: ClientSocket): void {
     this.hasFailed = false;
     this.resume = undefined;
     socket.on('error', (error: NodeJS.ErrnoException) => {
       this.hasFailed = true;
+      if (error instanceof TunnelFault) this.onFault(error);
       // The client takes a reset for the end of a close-delimited body, and
       // throws if it is paused.
       if (error.code === 'ECONNRESET') error.code = SOCKET_ERROR_CODE;
@@ -124,14 +131,21 @@
 function tunnelConnector(
   helper: SocketAddress,
   timeoutMs: number,
+  onFault: (fault: TunnelFault) => void,
 ): buildConnector.connector {
   return ({hostname, port}, callback) => {
     const target = `${hostname}:${port}`;
-    void openTunnel({helper, target, timeoutMs}).then(opened => {
-      // The client needs no more of a socket than this stream offers.
-      if (opened.isOk()) callback(null, opened.value as unknown as Socket);
-      else callback(opened.error, null);
-    });
+    void openTunnel({helper, target, timeoutMs}).then(
+      opened => {
+        // The client needs no more of a socket than this stream offers.
+        if (opened.isOk()) callback(null, opened.value as unknown as Socket);
+        else callback(opened.error, null);
+      },
+      (fault: TunnelFault) => {
+        onFault(fault);
+        callback(new TunnelError('fault'), null);
+      },
+    );
   };
 }
 
@@ -159,6 +173,7 @@
       onConnected,
       onConnectFailed,
       onConnecting,
+      onFault = () => {},
       onSurplus,
       ...options
     }: CheckedClientOptions,
@@ -166,8 +181,8 @@
     const connect =
       connectThrough === undefined
         ? buildConnector({timeout: connectTimeoutMs})
-        : tunnelConnector(connectThrough, connectTimeoutMs);
-    const connectionEnd = new ConnectionEnd();
+        : tunnelConnector(connectThrough, connectTimeoutMs, onFault);
+    const connectionEnd = new ConnectionEnd(onFault);
     super(origin, {
       ...options,
       pipelining: 1,
--- a/packages/core/src/lib/paths/path_check_service.ts
+++ b/packages/core/src/lib/paths/path_check_service.ts
@@ -2,6 +2,7 @@
 
 import {KnownTarget, TargetTable} from '../gateway/target_table.js';
 import {PeerNetwork} from '../peers/peer_network.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {Random} from '../time/random.js';
 import {DirectChecks} from './direct_checks.js';
@@ -13,6 +14,7 @@
 
 /** Dependencies of a {@link PathCheckService}. */
 export interface PathCheckServiceParts {
+  tasks: TaskSupervisor;
   clock: Clock;
   network: PeerNetwork;
   random: Random;
@@ -39,14 +41,18 @@
   }
 
   private async check(id: string): Promise<PathReply> {
-    const {checks, paths, targets} = this.parts;
+    const {checks, paths, targets, tasks} = this.parts;
     const target = targets.get(id);
     if (target === undefined || target.isEvacuated) return PATH_REPLY.unchecked;
     if (paths.isLost(target)) return PATH_REPLY.noPath;
-    const control = this.reachesOther(target);
+    let hasControl = false;
+    const controlled = tasks.run('path_control', async () => {
+      hasControl = await this.reachesOther(target);
+    });
     const reply = await checks.check(target);
     if (reply === PATH_REPLY.listening) return reply;
-    if (await control) return reply;
+    await controlled;
+    if (hasControl) return reply;
     // This host may have no requests that would have shown it.
     this.parts.onUnreached(target);
     return PATH_REPLY.unchecked;
--- a/packages/core/src/lib/paths/path_judge.ts
+++ b/packages/core/src/lib/paths/path_judge.ts
@@ -2,6 +2,7 @@
 
 import {KnownTarget} from '../gateway/target_table.js';
 import {PeerNetwork} from '../peers/peer_network.js';
+import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {DirectChecks} from './direct_checks.js';
 import {HelperChoice, KnownHelper} from './helper_choice.js';
 import {HelperDirectory} from './helper_directory.js';
@@ -27,6 +28,7 @@
 
 /** Dependencies of a {@link PathJudge}. */
 export interface PathJudgeParts {
+  tasks: TaskSupervisor;
   network: PeerNetwork;
   checks: DirectChecks;
   choice: HelperChoice;
@@ -54,8 +56,10 @@
     target: KnownTarget,
     hasConnected: () => boolean,
   ): Promise<Judgement> {
-    const {checks, choice, directory, signal} = this.parts;
-    const refreshed = directory.refresh(signal, MAX_LIST_AGE_MS);
+    const {checks, choice, directory, signal, tasks} = this.parts;
+    const refreshed = tasks.run('helper_refresh', () =>
+      directory.refresh(signal, MAX_LIST_AGE_MS),
+    );
     const first = await checks.check(target);
     if (first === PATH_REPLY.listening)
       return {verdict: PATH_VERDICT.sound, isSilent: false};
@@ -93,14 +97,15 @@
     helpers: readonly KnownHelper[],
     target: KnownTarget,
   ): Promise<PathReply> {
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
       const ask = async (helper: KnownHelper) => {
         const reply = await this.ask(helper, target);
         if (reply === PATH_REPLY.listening) resolve(reply);
         return reply;
       };
-      void Promise.all(helpers.map(ask)).then(replies =>
-        resolve(summaryOf(replies)),
+      Promise.all(helpers.map(ask)).then(
+        replies => resolve(summaryOf(replies)),
+        reject,
       );
     });
   }
--- a/packages/core/src/lib/paths/path_monitor.ts
+++ b/packages/core/src/lib/paths/path_monitor.ts
@@ -176,6 +176,16 @@
     }
   }
 
+  override recordFault(
+    {registration: {id}}: KnownTarget,
+    path: TargetPath,
+    fault: Error,
+  ): void {
+    const helper = path.type === 'tunnel' ? path.host : undefined;
+    const subject = {target: id, helper};
+    this.parts.tasks.recordFailure('connection', fault.cause, subject);
+  }
+
   override recordReceived(target: KnownTarget, path: TargetPath): void {
     if (path.type === 'direct') this.silence.recordReceived(target);
   }
@@ -245,10 +255,12 @@
     const known = this.recentVerdict(state);
     if (known !== undefined) return known;
     if (state.judging === undefined) {
-      const judging = this.investigate(target, state, cause).finally(() => {
-        state.judging = undefined;
-        this.judging.delete(judging);
-      });
+      const judging = this.investigateSafely(target, state, cause).finally(
+        () => {
+          state.judging = undefined;
+          this.judging.delete(judging);
+        },
+      );
       state.judging = judging;
       this.judging.add(judging);
     }
@@ -265,6 +277,21 @@
     return ageMs < lifetimeMs ? state.verdict : undefined;
   }
 
+  /** An error in the judgement of one target must not end that of others. */
+  private async investigateSafely(
+    target: KnownTarget,
+    state: PathState,
+    cause: Suspicion,
+  ): Promise<PathVerdict> {
+    let verdict: PathVerdict = PATH_VERDICT.unknown;
+    const work = async () => {
+      verdict = await this.investigate(target, state, cause);
+    };
+    const subject = {target: target.registration.id};
+    await this.parts.tasks.run('path_check', work, subject);
+    return verdict;
+  }
+
   private async investigate(
     target: KnownTarget,
     state: PathState,
--- a/packages/core/src/lib/paths/target_paths.ts
+++ b/packages/core/src/lib/paths/target_paths.ts
@@ -81,6 +81,16 @@
     code: string | undefined,
   ): void;
 
+  /**
+   * Records an unexpected error of this process in the handling of a connection,
+   * which it has ended.
+   */
+  abstract recordFault(
+    target: KnownTarget,
+    path: TargetPath,
+    fault: Error,
+  ): void;
+
   /** Records that bytes of a target were read. Called for each read. */
   abstract recordReceived(target: KnownTarget, path: TargetPath): void;
 }
@@ -116,6 +126,14 @@
     this.recorder?.recordConnectFailure(target, path, code);
   }
 
+  override recordFault(
+    target: KnownTarget,
+    path: TargetPath,
+    fault: Error,
+  ): void {
+    this.recorder?.recordFault(target, path, fault);
+  }
+
   override recordReceived(target: KnownTarget, path: TargetPath): void {
     this.recorder?.recordReceived(target, path);
   }
--- a/packages/core/src/lib/paths/tunnel.ts
+++ b/packages/core/src/lib/paths/tunnel.ts
@@ -2,6 +2,7 @@
 
 import {Socket} from 'node:net';
 import {wasReset} from '../net/reset_check.js';
+import {ListenerGuard, createGuard} from './listener_guard.js';
 import {END_FRAME, frameHeader} from './tunnel_frames.js';
 
 /** What has broken a tunnel. */
@@ -20,6 +21,8 @@
   side: TunnelSide;
   /** Error code; undefined if there was no error. */
   code: string | undefined;
+  /** The unexpected error of this process that has broken it, if any. */
+  fault?: unknown;
 }
 
 const EMPTY = Buffer.alloc(0);
@@ -53,6 +56,9 @@
    */
   start(head: Buffer): void {
     const {client, target} = this;
+    const guard = createGuard(fault =>
+      this.break({side: TUNNEL_SIDE.host, code: undefined, fault}),
+    );
     for (const socket of [client, target])
       socket.once('close', () => this.recordClosed());
     client.on('error', ({code}: NodeJS.ErrnoException) =>
@@ -63,11 +69,14 @@
       if (this.hasTargetEnded) discardInput(client);
       else this.break({side: TUNNEL_SIDE.target, code});
     });
-    client.on('end', () => this.recordEnd(TUNNEL_SIDE.client));
-    target.on('end', () => this.recordEnd(TUNNEL_SIDE.target));
+    const recordEnd = guard((side: 'client' | 'target') =>
+      this.recordEnd(side),
+    );
+    client.on('end', () => recordEnd(TUNNEL_SIDE.client));
+    target.on('end', () => recordEnd(TUNNEL_SIDE.target));
     if (head.length > 0) target.write(head);
-    passOn(client, target, bytes => target.write(bytes));
-    passOn(target, client, bytes => {
+    passOn(client, target, guard, bytes => target.write(bytes));
+    passOn(target, client, guard, bytes => {
       client.cork();
       client.write(frameHeader(bytes.length));
       const isRead = client.write(bytes);
@@ -113,13 +122,15 @@
 function passOn(
   from: Socket,
   to: Socket,
+  guard: ListenerGuard,
   write: (bytes: Buffer) => boolean,
 ): void {
-  from.on('data', (bytes: Buffer) => {
+  const pass = (bytes: Buffer) => {
     if (write(bytes)) return;
     from.pause();
     to.once('drain', () => from.resume());
-  });
+  };
+  from.on('data', guard(pass));
 }
 
 /** Reads to the end of a connection whose bytes nobody takes any more. */
--- a/packages/core/src/lib/paths/tunnel_client.ts
+++ b/packages/core/src/lib/paths/tunnel_client.ts
@@ -1,16 +1,13 @@
 /** Opens connections to targets through helper hosts. @packageDocumentation */
 
-import {request} from 'node:http';
+import {IncomingMessage, request} from 'node:http';
+import {Socket} from 'node:net';
 import {Result, err, ok} from 'neverthrow';
 import {errors} from 'undici';
 import {SocketAddress} from '../net/socket_address.js';
-import {
-  ESTABLISHED,
-  REFUSAL_STATUS,
-  TUNNEL_REFUSAL,
-  TunnelRefusal,
-} from './tunnel_refusal.js';
-import {TunnelSocket} from './tunnel_socket.js';
+import {createGuard} from './listener_guard.js';
+import {ESTABLISHED, REFUSAL_STATUS, TUNNEL_REFUSAL} from './tunnel_refusal.js';
+import {TunnelFault, TunnelSocket} from './tunnel_socket.js';
 import {connectTunnelSocket} from './socket_setup.js';
 
 /** Code of {@link TunnelError}. */
@@ -18,13 +15,15 @@
 
 const MAX_HEAD_BYTES = 2_048;
 
+const REFUSALS: ReadonlySet<string> = new Set(Object.values(TUNNEL_REFUSAL));
+
 /** The helper host provides no tunnel; nothing is known of the target. */
 export class TunnelError extends Error {
   readonly code = TUNNEL_ERROR_CODE;
 
   /**
-   * @param reason - why: one of {@link TunnelRefusal} if the helper host has
-   *     answered, else the code of the error or `timeout`.
+   * @param reason - why: one of {@link TUNNEL_REFUSAL} or the status if the helper
+   *     host has answered, else the code of the error, `timeout` or `fault`.
    */
   constructor(readonly reason: string) {
     super(`the helper host provides no tunnel: ${reason}`);
@@ -48,25 +47,43 @@
  * @returns the connection, or an error after which no byte has reached the
  *     target: {@link TunnelError} for a failure of the helper host; for one of the
  *     target the same codes as without a tunnel, `ECONNREFUSED` and
- *     `UND_ERR_CONNECT_TIMEOUT`.
+ *     `UND_ERR_CONNECT_TIMEOUT`. Rejects with a {@link TunnelFault} only.
  */
-export function openTunnel({
+export async function openTunnel(
+  options: TunnelOptions,
+): Promise<Result<TunnelSocket, NodeJS.ErrnoException>> {
+  try {
+    return await setUpTunnel(options);
+  } catch (fault) {
+    throw new TunnelFault(fault);
+  }
+}
+
+/** Rejects with any unexpected error. */
+function setUpTunnel({
   helper,
   target,
   timeoutMs,
 }: TunnelOptions): Promise<Result<TunnelSocket, NodeJS.ErrnoException>> {
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     const socket = connectTunnelSocket(helper);
-    const fail = (error: Error) => {
+    const stop = () => {
       clearTimeout(timer);
       socket.destroy();
+    };
+    const fail = (error: Error) => {
+      stop();
       resolve(err(error));
     };
+    const guard = createGuard(fault => {
+      stop();
+      reject(fault);
+    });
     const failWith = ({code, message}: NodeJS.ErrnoException) =>
       fail(new TunnelError(code ?? message));
     const timer = setTimeout(() => fail(new TunnelError('timeout')), timeoutMs);
     socket.on('error', failWith);
-    socket.once('connect', () => {
+    const openOver = () => {
       const req = request({
         createConnection: () => socket,
         method: 'CONNECT',
@@ -75,27 +92,28 @@
         maxHeaderSize: MAX_HEAD_BYTES,
       });
       req.on('error', failWith);
-      req.on('connect', ({statusCode, statusMessage}, unusedSocket, head) => {
-        if (statusCode !== ESTABLISHED) {
-          fail(refusalError(target, statusCode, statusMessage));
+      const finish = (res: IncomingMessage, unused: Socket, head: Buffer) => {
+        if (res.statusCode !== ESTABLISHED) {
+          fail(refusalError(target, res));
           return;
         }
         clearTimeout(timer);
         socket.off('error', failWith);
         resolve(ok(new TunnelSocket(socket, head)));
-      });
+      };
+      req.on('connect', guard(finish));
       req.end();
-    });
+    };
+    socket.once('connect', guard(openOver));
   });
 }
 
 /** Returns the error for a refusal of the helper host. */
 function refusalError(
   target: string,
-  status: number | undefined,
-  reason: string | undefined,
+  {statusCode, statusMessage = ''}: IncomingMessage,
 ): Error {
-  switch (status) {
+  switch (statusCode) {
     case REFUSAL_STATUS[TUNNEL_REFUSAL.targetRefused]: {
       const error = new Error(`connect ECONNREFUSED ${target} in a tunnel`);
       return Object.assign(error, {code: 'ECONNREFUSED'});
@@ -103,8 +121,8 @@
     case REFUSAL_STATUS[TUNNEL_REFUSAL.targetUnreachable]:
       return new errors.ConnectTimeoutError(`${target} in a tunnel`);
     default: {
-      const refusal = reason as TunnelRefusal | undefined;
-      return new TunnelError(refusal ?? `status ${status}`);
+      const isKnown = REFUSALS.has(statusMessage);
+      return new TunnelError(isKnown ? statusMessage : `status ${statusCode}`);
     }
   }
 }
--- a/packages/core/src/lib/paths/tunnel_log.ts
+++ b/packages/core/src/lib/paths/tunnel_log.ts
@@ -55,10 +55,17 @@
     this.write('tunnel_refused', reason, {...tunnel, reason});
   }
 
-  /** Records the end of a tunnel that has broken. */
-  recordBroken(tunnel: TunnelLabel, {code, side}: TunnelBreak): void {
+  /** Records the end of a tunnel that has broken, or of one being set up. */
+  recordBroken(tunnel: TunnelLabel, {code, fault, side}: TunnelBreak): void {
     this.counts.broken += 1;
-    this.write('tunnel_broken', side, {...tunnel, side, code});
+    const fields = {...tunnel, side, code};
+    if (fault === undefined) {
+      this.write('tunnel_broken', side, fields);
+      return;
+    }
+    const {message, stack} =
+      fault instanceof Error ? fault : new Error(String(fault));
+    this.write('tunnel_broken', 'fault', {...fields, message, stack});
   }
 
   /** Writes a line, unless one about the same event and cause was just written. */
--- a/packages/core/src/lib/paths/tunnel_server.ts
+++ b/packages/core/src/lib/paths/tunnel_server.ts
@@ -114,7 +114,7 @@
     server.on('connection', socket => this.keepWithoutTunnel(socket));
     server.on(
       'connect',
-      (req, socket: Socket, head) => void this.serve(req, socket, head),
+      (req, socket: Socket, head) => void this.serveOrEnd(req, socket, head),
     );
     server.on('request', (unusedReq, res) => {
       this.log.recordRefused(UNKNOWN, TUNNEL_REFUSAL.method);
@@ -139,13 +139,28 @@
     this.isStopping = true;
   }
 
-  private async serve(
+  /** Serves a request for a tunnel; an unexpected error ends this one only. */
+  private async serveOrEnd(
     req: IncomingMessage,
     client: Socket,
     head: Buffer,
   ): Promise<void> {
     this.withoutTunnel.delete(client);
     const label = {target: req.url ?? '', from: forwardedFor(req)};
+    try {
+      await this.serve(label, client, head);
+    } catch (fault) {
+      const side = TUNNEL_SIDE.host;
+      this.log.recordBroken(label, {side, code: undefined, fault});
+      client.destroy();
+    }
+  }
+
+  private async serve(
+    label: TunnelLabel,
+    client: Socket,
+    head: Buffer,
+  ): Promise<void> {
     const fail = ({code}: NodeJS.ErrnoException) =>
       this.log.recordBroken(label, {side: TUNNEL_SIDE.client, code});
     client.on('error', fail);
@@ -187,9 +202,11 @@
     const gone = new AbortController();
     client.once('close', () => gone.abort());
     this.dialing.add(client);
-    const dialed = await dialTarget(address, clock, gone.signal);
-    this.dialing.delete(client);
-    return dialed;
+    try {
+      return await dialTarget(address, clock, gone.signal);
+    } finally {
+      this.dialing.delete(client);
+    }
   }
 
   private open(client: Socket, target: Socket, label: TunnelLabel): Tunnel {
--- a/packages/core/src/lib/paths/tunnel_socket.ts
+++ b/packages/core/src/lib/paths/tunnel_socket.ts
@@ -2,13 +2,28 @@
 
 import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
+import {createGuard} from './listener_guard.js';
 import {FrameDecoder} from './tunnel_frames.js';
 import {TUNNEL_BUFFER_BYTES} from './socket_setup.js';
 
+/** Code of {@link TunnelFault}. */
+const TUNNEL_FAULT_CODE = 'ERR_TUNNEL_FAULT';
+
+/** An unexpected error of this process in the handling of a tunnel, which it ends. */
+export class TunnelFault extends Error {
+  readonly code = TUNNEL_FAULT_CODE;
+
+  /** @param cause - the error. */
+  constructor(cause: unknown) {
+    super('the handling of a tunnel has failed', {cause});
+  }
+}
+
 /**
  * A connection to a target whose bytes a helper host passes on. It ends when the
  * target has closed its connection in order, and fails with `ECONNRESET` after
- * any other end of the target's connection or of the helper host.
+ * any other end of the target's connection or of the helper host, or with a
+ * {@link TunnelFault}.
  */
 export class TunnelSocket extends Duplex {
   private readonly decoder = new FrameDecoder();
@@ -34,10 +49,13 @@
         callback(error);
       },
     });
-    socket.on('data', (bytes: Buffer) => this.receive(bytes));
+    const guard = createGuard(fault => this.destroy(new TunnelFault(fault)));
+    const receive = (bytes: Buffer) => this.receive(bytes);
+    const checkEnd = () => this.checkEnd();
+    socket.on('data', guard(receive));
     socket.on('error', error => this.destroy(error));
-    socket.on('end', () => this.checkEnd());
-    socket.on('close', () => this.checkEnd());
+    socket.on('end', guard(checkEnd));
+    socket.on('close', guard(checkEnd));
     if (head.length > 0) this.receive(head);
   }
 
--- a/packages/core/src/lib/tasks/task_supervisor.ts
+++ b/packages/core/src/lib/tasks/task_supervisor.ts
@@ -107,7 +107,14 @@
     }
   }
 
-  private recordFailure(task: string, error: unknown, subject: LogFields) {
+  /**
+   * Records that work which runs elsewhere has failed.
+   *
+   * @param task - constant name of the work in snake case.
+   * @param error - the error.
+   * @param subject - what the work is about.
+   */
+  recordFailure(task: string, error: unknown, subject: LogFields = {}): void {
     this.onFailure(task);
     const nowMs = this.clock.now();
     const lines = this.lines.get(task);
--- a/packages/core/src/test/paths/path_monitor_test.ts
+++ b/packages/core/src/test/paths/path_monitor_test.ts
@@ -45,6 +45,21 @@
     expect(host.abandoned).to.deep.equal(['t1']);
   });
 
+  it('judges on after an unexpected error in a judgement', async () => {
+    const target = host.target('t3');
+    host.network.call = () => {
+      throw new Error('planted');
+    };
+    await world.run(2_000);
+    const sound = host.monitor.judge(target);
+    await world.run(1_000);
+    expect(await sound).to.equal(PATH_VERDICT.sound);
+    host.cut('refuse', ['t3']);
+    const failed = host.monitor.judge(target);
+    await world.run(1_000);
+    expect(await failed).to.equal(PATH_VERDICT.unknown);
+  });
+
   it('leaves open connections alone that live on', async () => {
     const target = host.target('t1');
     target.beginRequest(undefined);
