Let the worker stand-in frame its responses as told and leave in order

Responses were framed by what their bodies allow, and only faults ended them without a length. A worker can now be told the framing of each response, sends plain responses in parts, listens at a chosen port, and stops listening while it ends its responses, as a worker does that leaves. What it reports of running requests moves to a module of its own.

--- a/packages/standins/src/lib/platform/platform_worker_standin.ts
+++ b/packages/standins/src/lib/platform/platform_worker_standin.ts
@@ -1,5 +1,6 @@
 /** Fake worker of the users' platform. @packageDocumentation */
 
+import {once} from 'node:events';
 import {AddressInfo, Socket} from 'node:net';
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {
@@ -9,12 +10,14 @@
   RETRY_AFTER_S,
 } from './faulty_answers.js';
 import {OrderCall, WorkerOrder, toOrderCall} from './order_call.js';
+import {RunningRequest, numberOf, toRunningRequest} from './running_request.js';
 import {CopyTime, SecondCopies} from './second_copies.js';
 import {
   AnswerProgress,
   PlannedSilence,
   WorkerAnswer,
   WorkerAnswers,
+  WorkerFraming,
 } from './worker_answers.js';
 import {WorkerOutput} from './worker_output.js';
 
@@ -23,9 +26,6 @@
 /** Number of events of a stream by default. */
 const EVENT_COUNT = 4;
 
-/** Priority of requests that name none. */
-const DEFAULT_PRIORITY = 5;
-
 /**
  * Size of a large answer, in bytes. Hosts have passed a part of it on where
  * {@link FAULTY_ANSWER.cut} breaks it off.
@@ -65,13 +65,6 @@
 /** Path that reports the health of a worker. */
 const HEALTH_PATH = '/healthz';
 
-/** Request that a worker works on, as it reports it. */
-interface RunningRequest {
-  answer: WorkerAnswer;
-  promptTokens: number;
-  priority: number;
-}
-
 /** Worker that is a plain service or a model engine that accepts orders. */
 export class PlatformWorkerStandin {
   /** Requests that were run, in order. */
@@ -97,9 +90,19 @@
   streamEvents = EVENT_COUNT;
   /** What each event of a stream holds. */
   piece = 'piece';
+  /** Chooses what each event of one stream holds; {@link piece} by default. */
+  pieceOf: (id: string) => string = () => this.piece;
+  /** Chooses how the end of a response is told; by default as its body allows. */
+  framingOf: (id: string) => WorkerFraming | undefined = () => undefined;
+  /** Number of parts in which each plain response is sent. */
+  plainParts = 1;
+  /** Called when a request begins to run, before its response. */
+  onRun: (run: WorkerRun) => void = () => {};
+  /** Called when the response of a request has ended or its connection is gone. */
+  onRunEnd: (run: WorkerRun) => void = () => {};
   /** Version of the software, as the worker registers it. */
   softwareVersion = 'v1';
-  /** Time between the events of a stream, in milliseconds; 0 for none. */
+  /** Time between events or parts of responses, in milliseconds; 0 for none. */
   eventGapMs = 0;
   /** Loopback port that the worker registers instead of its own. */
   registeredPort: number | undefined;
@@ -194,11 +197,19 @@
     return this.listenPort;
   }
 
-  /** Starts to listen on a free port. */
-  async start(): Promise<void> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, LOOPBACK, resolve),
-    );
+  /** Number of requests that run. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param port - loopback port; a free one by default.
+   */
+  async start(port = 0): Promise<void> {
+    this.server.listen(port, LOOPBACK);
+    await once(this.server, 'listening');
     this.listenPort = (this.server.address() as AddressInfo).port;
   }
 
@@ -220,6 +231,11 @@
     for (const socket of this.sockets) this.output.lose(socket);
   }
 
+  /** Accepts no connection any more, and ends the responses that it runs. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Stops immediately and closes every connection. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -344,16 +360,18 @@
       this.sendEndless(res.socket!, endlessAnswer, id);
       return;
     }
-    const {progress} = this.recordRun(req, id, body, fault);
+    const run = this.recordRun(req, id, body, fault);
     const isStream = model !== undefined;
     const answer: WorkerAnswer = {
       id,
       res,
       fault,
       silence: this.silences.get(id)?.shift(),
-      piece: this.piece,
-      progress,
+      framing: this.framingOf(id),
+      piece: this.pieceOf(id),
+      progress: run.progress,
       bodyBytes: body === this.largeBody ? LARGE_BYTES : undefined,
+      parts: this.plainParts,
       events: isStream ? this.streamEvents : undefined,
       gapMs: this.eventGapMs,
       afterEvent: isStream ? numberOf(req.headers['last-event-id'], 0) : 0,
@@ -361,7 +379,10 @@
     };
     const entry = toRunningRequest(req, answer);
     this.running.add(entry);
-    res.on('close', () => this.running.delete(entry));
+    res.on('close', () => {
+      this.running.delete(entry);
+      this.onRunEnd(run);
+    });
     setTimeout(() => {
       const isCrashing = this.isCrashingRequest(req, body);
       if (!isCrashing) void this.answers.send(answer);
@@ -388,6 +409,7 @@
       progress: {text: '', isEnded: false},
     };
     this.runs.push(run);
+    this.onRun(run);
     return run;
   }
 
@@ -430,23 +452,3 @@
 function toModelEntry(name: string): object {
   return {Name: name, Version: 1, Adapters: []};
 }
-
-function toRunningRequest(
-  {headers}: IncomingMessage,
-  answer: WorkerAnswer,
-): RunningRequest {
-  const tokens = String(headers[`${HEADER_PREFIX}token-count`] ?? '');
-  const promptTokens = numberOf(tokens.split(',', 1)[0], 0);
-  const rank = headers[`${HEADER_PREFIX}request-priority`];
-  const priority = numberOf(rank, DEFAULT_PRIORITY);
-  return {answer, promptTokens, priority};
-}
-
-/** @returns the number that a header holds, or the default. */
-function numberOf(
-  text: string | string[] | undefined,
-  defaultNumber: number,
-): number {
-  const number = Number(text ?? defaultNumber);
-  return Number.isFinite(number) ? number : defaultNumber;
-}
--- a/packages/standins/src/lib/platform/worker_answers.ts
+++ b/packages/standins/src/lib/platform/worker_answers.ts
@@ -2,6 +2,7 @@
 
 import {ServerResponse} from 'node:http';
 import {FAULTY_ANSWER, FaultyAnswer} from './faulty_answers.js';
+import {FRAMING} from './raw_answer.js';
 import {WorkerOutput} from './worker_output.js';
 
 const HEADER_PREFIX = 'x-fuchsiacleat-';
@@ -29,6 +30,10 @@
   FAULTY_ANSWER.unframedEvents,
 ]);
 
+/** How a worker tells the end of a response. */
+export type WorkerFraming =
+  typeof FRAMING.length | typeof FRAMING.chunks | typeof FRAMING.none;
+
 /** Places in a response at which a worker can fall silent. */
 export const SILENCE_PLACE = {
   /** Before the head. */
@@ -66,15 +71,22 @@
   id: string;
   res: ServerResponse;
   fault: FaultyAnswer | undefined;
+  /** How the end of the body is told; by default as the body allows. */
+  framing: WorkerFraming | undefined;
   silence: PlannedSilence | undefined;
   /** What each event of a stream holds. */
   piece: string;
   progress: AnswerProgress;
   /** Size of a large plain response; undefined for a short one. */
   bodyBytes: number | undefined;
+  /** Number of parts of a plain response, with {@link gapMs} between them. */
+  parts: number;
   /** Number of events; undefined for a plain response. */
   events: number | undefined;
-  /** Time between two events in milliseconds; 0 for a stream sent at once. */
+  /**
+   * Time between two events or parts in milliseconds; 0 for a stream that is
+   * sent at once.
+   */
   gapMs: number;
   /** Id of the last event that the caller has; 0 for none. */
   afterEvent: number;
@@ -120,15 +132,16 @@
     if (answer.events !== undefined)
       res.setHeader('content-type', 'text/event-stream');
     const text = bodyOf(answer);
-    if (fault !== undefined && UNFRAMED.has(fault)) {
+    const framing = framingOf(answer);
+    if (framing === FRAMING.none) {
       res.useChunkedEncodingByDefault = false;
       res.shouldKeepAlive = false;
-      res.writeHead(200);
-    } else if (answer.gapMs > 0 && answer.events !== undefined) {
-      res.writeHead(200).flushHeaders();
-    } else {
-      res.writeHead(200, {'content-length': Buffer.byteLength(text)});
     }
+    if (framing === FRAMING.length)
+      res.writeHead(200, {'content-length': Buffer.byteLength(text)});
+    else res.writeHead(200);
+    const isInParts = answer.events !== undefined || answer.parts > 1;
+    if (answer.gapMs > 0 && isInParts) res.flushHeaders();
     await this.writeBody(answer, text);
   }
 
@@ -209,6 +222,13 @@
   return lines.join('').slice(0, bytes);
 }
 
+function framingOf(answer: WorkerAnswer): WorkerFraming {
+  const {events, fault, framing, gapMs} = answer;
+  if (fault !== undefined && UNFRAMED.has(fault)) return FRAMING.none;
+  const isStream = gapMs > 0 && events !== undefined;
+  return framing ?? (isStream ? FRAMING.chunks : FRAMING.length);
+}
+
 function bodyOf(answer: WorkerAnswer): string {
   const {afterEvent, bodyBytes, events, id, piece} = answer;
   if (events === undefined) return plainBody(id, bodyBytes);
@@ -221,13 +241,21 @@
   return `id: ${id}\ndata: ${piece}\n\n`;
 }
 
+function plainPieces({gapMs, parts}: WorkerAnswer, text: string): BodyPiece[] {
+  const startOf = (i: number) => Math.floor((i * text.length) / parts);
+  return Array.from({length: parts}, (unusedItem, i) => ({
+    text: text.slice(startOf(i), startOf(i + 1)),
+    pauseMs: i === 0 ? 0 : gapMs,
+  }));
+}
+
 /** @returns the parts of a body, split where pauses are. */
 function piecesOf(answer: WorkerAnswer, text: string): BodyPiece[] {
   const {afterEvent, events, gapMs, piece, silence} = answer;
   const isSilentWithin =
     silence !== undefined && silence.place !== SILENCE_PLACE.head;
   if (events === undefined) {
-    if (!isSilentWithin) return [{text, pauseMs: 0}];
+    if (!isSilentWithin) return plainPieces(answer, text);
     const half = text.slice(0, text.length / 2);
     const rest = text.slice(half.length);
     return [
--- a/packages/standins/src/test/platform/platform_worker_standin_test.ts
+++ b/packages/standins/src/test/platform/platform_worker_standin_test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {PlatformWorkerStandin} from '../../lib/platform/platform_worker_standin.js';
+import {FRAMING} from '../../lib/platform/raw_answer.js';
 import {SILENCE_PLACE} from '../../lib/platform/worker_answers.js';
 
 const SILENCE_MS = 300;
@@ -66,6 +67,38 @@
     expect(peer.eventIds).to.deep.equal(['4', '5', '6']);
   });
 
+  for (const [framing, header] of [
+    [FRAMING.length, /\r\ncontent-length: \d+\r\n/i],
+    [FRAMING.chunks, /\r\ntransfer-encoding: chunked\r\n/i],
+    [FRAMING.none, undefined],
+  ] as const) {
+    it(`frames streams and plain responses as told: ${framing}`, async () => {
+      worker.framingOf = () => framing;
+      worker.plainParts = 3;
+      for (const headers of [STREAM, []]) {
+        const peer = await Peer.open(worker);
+        peer.send('/s', headers);
+        await sleep(500);
+        const [head] = peer.text.split('\r\n\r\n');
+        if (header !== undefined) expect(`${head}\r\n`).to.match(header);
+        else expect(head).not.to.match(/content-length|transfer-encoding/i);
+        expect(peer.arrivalsMs).to.have.lengthOf.above(2);
+      }
+    });
+  }
+
+  it('ends its responses once it has stopped listening', async () => {
+    const peer = await Peer.open(worker);
+    peer.send('/s', STREAM);
+    await sleep(120);
+    worker.stopListening();
+    expect(worker.runningCount).to.equal(1);
+    await new Promise<void>(resolve => (worker.onRunEnd = () => resolve()));
+    await sleep(TOLERANCE_MS);
+    expect(peer.eventIds).to.have.lengthOf(6);
+    expect(worker.runningCount).to.equal(0);
+  });
+
   it('reports the progress of running requests', async () => {
     const [peer, reader] = [await Peer.open(worker), await Peer.open(worker)];
     peer.send('/s', STREAM);
