Run workers as processes of their own in the soak

Callers were told that parts of answers were complete when a worker process was killed. The workers of the soak live in the process of the checks and reset their connections where a real process has them closed in order, so that no run could see it.

They answer plain requests and streams by a length, in chunks or up to the end of the connection, and are killed, stopped, full or leaving amid their answers, each also together; the next process listens at the same port at once or some time later. Bodies are derived from the requests, so that a caller knows what is whole. A run in which no answer without a length was amid a kill fails.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -10,6 +10,10 @@
 } from './lib/fault_names.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
 import {runSoak} from './lib/soak_run.js';
+import {
+  WorkerProcessRunOptions,
+  runWorkerProcesses,
+} from './lib/worker_process_run.js';
 
 const DEFAULT_SEED = 1;
 const DEFAULT_MINUTES = 1;
@@ -23,6 +27,7 @@
   minutes: number;
   processes: number;
   answers?: boolean;
+  workers?: boolean;
   plant?: PromiseName;
   planned?: boolean;
   olderStore?: boolean;
@@ -46,6 +51,20 @@
   return violations.length === 0 ? 0 : 1;
 }
 
+async function checkWorkers(options: WorkerProcessRunOptions): Promise<number> {
+  const {processes, seed} = options;
+  const result = await runWorkerProcesses(options);
+  const {complete, cutRuns, faults, folder, outcomes, violations} = result;
+  out(`seed ${seed}, ${processes} hosts, ${result.requests} requests`);
+  out(`outcomes: ${formatFields(outcomes)}`);
+  out(`complete by framing: ${formatFields(complete)}`);
+  out(`amid a kill by framing: ${formatFields(cutRuns)}`);
+  out(`faults: ${formatFields(faults)}; ${result.refusals} refusals`);
+  for (const violation of violations.slice(0, MAX_SHOWN)) out(violation);
+  out(`${violations.length} broken; logs in ${folder}`);
+  return violations.length === 0 ? 0 : 1;
+}
+
 /** Returns the kinds of faults to choose from; undefined for all. */
 function chooseFaults({
   olderStore,
@@ -60,6 +79,7 @@
   const processes = Math.min(MAX_PROCESSES, options.processes);
   const durationMs = minutes * MS_PER_MINUTE;
   if (options.answers) return checkAnswers({seed, durationMs, processes});
+  if (options.workers) return checkWorkers({seed, durationMs, processes});
   const result = await runSoak({
     seed,
     durationMs,
@@ -85,6 +105,7 @@
   .option('--minutes <number>', 'how long', Number, DEFAULT_MINUTES)
   .option('--processes <number>', 'hosts', Number, DEFAULT_PROCESSES)
   .option('--answers', 'only faulty answers, beside hosts that are held up')
+  .option('--workers', 'only workers that are processes, and their ends')
   .option('--planned', 'only planned work and silences of sound workers')
   .option(
     '--older-store',
