Run the hosts of the soak from the file that the platform builds

Hosts run that file by default now; each process builds it once, in a folder of its own, as several test files run at the same time. The part of the command that installs the dependencies is left out.

--- a/packages/soak/src/lib/deployed_program.ts
+++ b/packages/soak/src/lib/deployed_program.ts
@@ -1,7 +1,9 @@
 /** Builds the program and its arguments as the users' platform does. @packageDocumentation */
 
 import {execFile} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
 import {readFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
@@ -28,6 +30,31 @@
   return [...(await readDeployedFlags()), join(ROOT, program)];
 }
 
+let ownBuild: Promise<readonly string[]> | undefined;
+
+/**
+ * Builds the program once for this process, in a folder of its own, as several
+ * processes may build at the same time. The dependencies have to be installed.
+ *
+ * @returns the Node.js arguments with which the platform runs the program.
+ */
+export function ownDeployedArgs(): Promise<readonly string[]> {
+  ownBuild ??= buildOwn();
+  return ownBuild;
+}
+
+async function buildOwn(): Promise<readonly string[]> {
+  const text = await readDeployment();
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiacleat-program-'));
+  process.once('exit', () => rmSync(folder, {recursive: true}));
+  const program = valueOf(text, 'run').split(' ').at(-1)!;
+  const ownProgram = join(folder, 'program.mjs');
+  const bundling = valueOf(text, 'build').split('; ').at(-1)!;
+  const command = bundling.replace(program, ownProgram);
+  await promisify(execFile)('sh', ['-c', command], {cwd: ROOT});
+  return [...(await readDeployedFlags()), ownProgram];
+}
+
 function readDeployment(): Promise<string> {
   return readFile(join(ROOT, DEPLOYMENT_FILE), 'utf8');
 }
--- a/packages/soak/src/lib/host_process.ts
+++ b/packages/soak/src/lib/host_process.ts
@@ -3,14 +3,9 @@
 import {ChildProcess, spawn} from 'node:child_process';
 import {createWriteStream, WriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
-import {fileURLToPath} from 'node:url';
 import {withTimeout} from '@fuchsiacleat/core';
 import {request} from 'undici';
-import {readDeployedFlags} from './deployed_program.js';
-
-const PROGRAM = fileURLToPath(
-  import.meta.resolve('@fuchsiacleat/platform/main'),
-);
+import {ownDeployedArgs} from './deployed_program.js';
 
 const READY_TIMEOUT_MS = 1_000;
 const OK = 200;
@@ -37,7 +32,7 @@
   bounds: Record<string, number>;
   /** Settings that describe the machine, by their names without `Limits.`. */
   machine?: Record<string, number>;
-  /** Node.js arguments; by default the built program with its deployment's flags. */
+  /** Node.js arguments; by default those of {@link ownDeployedArgs}. */
   args?: readonly string[];
 }
 
@@ -107,7 +102,7 @@
     await writeFile(path, this.settingsText());
     this.log ??= createWriteStream(`${folder}/${name}.log`, {flags: 'a'});
     this.isExitExpected = false;
-    const args = this.options.args ?? [...(await readDeployedFlags()), PROGRAM];
+    const args = this.options.args ?? (await ownDeployedArgs());
     const child = spawn(process.execPath, [...args, path], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/packages/soak/src/lib/worker_process_run.ts
+++ b/packages/soak/src/lib/worker_process_run.ts
@@ -17,7 +17,6 @@
 } from '@fuchsiacleat/local-cluster';
 import {FRAMING, PlatformStoreStandin} from '@fuchsiacleat/standins';
 import {UNLIMITED_RETRIES} from './answers_run.js';
-import {buildDeployed} from './deployed_program.js';
 import {HostProcess} from './host_process.js';
 import {
   OUTCOME,
@@ -165,7 +164,6 @@
   store: PlatformStoreStandin,
 ): Promise<void> {
   const deployment = nextDeployment();
-  const args = await buildDeployed();
   for (let i = 0; i < count; i++) {
     const host = new HostProcess({
       name: `host-${i}`,
@@ -174,7 +172,6 @@
       storePort: Number(new URL(store.url).port),
       folder,
       bounds: UNLIMITED_RETRIES,
-      args,
     });
     hosts.push(host);
     await host.start();
