--- a/packages/soak/src/lib/deployed_program.ts
+++ b/packages/soak/src/lib/deployed_program.ts
@@ -40,6 +40,18 @@
   return [...(await readDeployedFlags(root)), program];
 }
 
+let ownBuild: Promise<readonly string[]> | undefined;
+
+/**
+ * Builds the program once for this process.
+ *
+ * @returns the Node.js arguments with which the platform runs the program.
+ */
+export function ownDeployedArgs(): Promise<readonly string[]> {
+  ownBuild ??= buildDeployed();
+  return ownBuild;
+}
+
 /**
  * @returns the build command without the installation of the dependencies, which
  *     would replace those that this process and others run from.
