Take only replies of the same process for evidence of an end

A reply counted whoever gave it, and whenever. Now only the head of a reply counts that comes after the request, names no other target and is no error of a proxy; targets that back off are asked, too, as that is no request of a caller.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -1,5 +1,6 @@
 /** Relays the answer of a target to the caller. @packageDocumentation */
 
+import {ProcessWatch} from '../net/process_watch.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Clock} from '../time/clock.js';
 import {EndedBody, doubtOf} from './answer_completeness.js';
@@ -8,7 +9,6 @@
 import {REQUEST_KIND} from './deployment.js';
 import {END_EVIDENCE, EndFinding, isComplete} from './end_evidence.js';
 import {EventBoundary} from './event_boundary.js';
-import {ProcessWatches, WatchedAnswer} from './process_watches.js';
 import {RelayCall} from './relay_call.js';
 import {StallHandler, StallMonitor} from './stall_monitor.js';
 import {TargetAnswer} from './target_port.js';
@@ -29,7 +29,7 @@
  * Time limits for a sign that a process has outlived its answer, in milliseconds.
  * A request that may run again need not wait for long.
  */
-const WATCH_TIMEOUT_MS = {again: 300, once: 1_000};
+const WATCH_TIMEOUT_MS = {again: 500, once: 3_000};
 
 /** How the relay of an answer ended. */
 export const RELAY_RESULT = {
@@ -66,8 +66,8 @@
     answer: TargetAnswer<Head>,
     finding: EndFinding,
   ) => void;
-  /** Tell whether a process outlives an answer that has no length. */
-  watches: ProcessWatches;
+  /** Begins to watch the process of a target. */
+  watch: (target: KnownTarget) => ProcessWatch;
 }
 
 /**
@@ -99,16 +99,16 @@
     stalls: StallHandler,
   ): Promise<RelayResult> {
     const isTold = answer.head.framing !== FRAMING.close;
-    const watched = isTold ? undefined : this.parts.watches.begin(target);
+    const watch = isTold ? undefined : this.parts.watch(target);
     try {
       const isStream = call.route.kind === REQUEST_KIND.stream;
       const body = isStream
-        ? await this.relayStream(call, answer, stalls, watched)
-        : await this.relayPlain(call, answer, watched);
+        ? await this.relayStream(call, answer, stalls, watch)
+        : await this.relayPlain(call, answer, watch);
       call.recordEndOfBody();
       const finding =
         doubtOf(answer.head, call.answer.head, body) ??
-        (await this.findEvidence(call, watched));
+        (await this.findEvidence(call, watch));
       call.endFinding = finding;
       if (!isTold) this.parts.onEnd(call, answer, finding);
       if (!isComplete(finding)) return RELAY_RESULT.broken;
@@ -116,27 +116,26 @@
       call.answer.end();
       return RELAY_RESULT.whole;
     } finally {
-      watched?.dispose();
+      watch?.close();
     }
   }
 
   /** Finds what shows that the target has ended its answer of itself. */
   private async findEvidence(
     call: RelayCall<Req>,
-    watched: WatchedAnswer | undefined,
+    watch: ProcessWatch | undefined,
   ): Promise<EndFinding> {
-    if (watched === undefined) return END_EVIDENCE.told;
-    const timeoutMs = call.canRunAgain
-      ? WATCH_TIMEOUT_MS.again
-      : Math.min(WATCH_TIMEOUT_MS.once, call.remainingMs);
-    return watched.check(timeoutMs);
+    if (watch === undefined) return END_EVIDENCE.told;
+    const {again, once} = WATCH_TIMEOUT_MS;
+    const timeoutMs = call.canRunAgain ? again : once;
+    return watch.check(Math.min(timeoutMs, call.remainingMs), call.signal);
   }
 
   private async relayStream(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
     stalls: StallHandler,
-    watched: WatchedAnswer | undefined,
+    watch: ProcessWatch | undefined,
   ): Promise<RelayedBody> {
     const {splitter} = call;
     splitter?.discardPartialEvent();
@@ -153,7 +152,7 @@
     this.open(call, answer);
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
-      watched?.recordReceived();
+      watch?.recordReceived();
       call.recordBytes();
       boundary.push(chunk);
       if (splitter === undefined) {
@@ -195,13 +194,13 @@
   private async relayPlain(
     call: RelayCall<Req>,
     answer: TargetAnswer<Head>,
-    watched: WatchedAnswer | undefined,
+    watch: ProcessWatch | undefined,
   ): Promise<RelayedBody> {
     const bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
     const end = await answer.read(chunk => {
       call.recordReceived(chunk.length);
-      watched?.recordReceived();
+      watch?.recordReceived();
       if (call.isHeadSent) return call.answer.write(chunk);
       bufferedChunks.push(chunk);
       bufferedBytes += chunk.length;
--- a/packages/core/src/lib/gateway/end_evidence.ts
+++ b/packages/core/src/lib/gateway/end_evidence.ts
@@ -8,13 +8,6 @@
   told: 'told',
   /** The process of the target has replied after it, on an older connection. */
   outlived: WATCH_RESULT.outlived,
-  /**
-   * An older connection to the process stands. Counts only for targets that may
-   * not be asked.
-   */
-  stands: WATCH_RESULT.stands,
-  /** The process has gone on with other answers. */
-  otherAnswers: 'other-answers',
 } as const;
 
 /** Why nothing shows that a target has ended an answer of itself. */
@@ -27,6 +20,7 @@
   untold: 'untold',
   endedTogether: WATCH_RESULT.endedTogether,
   unwatched: WATCH_RESULT.unwatched,
+  unasked: WATCH_RESULT.unasked,
   silent: WATCH_RESULT.silent,
   otherProcess: WATCH_RESULT.otherProcess,
 } as const;
@@ -40,9 +34,7 @@
 /** What is known of the end of an answer. */
 export type EndFinding = EndEvidence | EndDoubt;
 
-const EVIDENCE: ReadonlySet<EndFinding> = new Set(Object.values(END_EVIDENCE));
-
 /** Whether an answer is complete; what is not known to be, is not. */
 export function isComplete(finding: EndFinding): finding is EndEvidence {
-  return EVIDENCE.has(finding);
+  return finding === END_EVIDENCE.told || finding === END_EVIDENCE.outlived;
 }
--- a/packages/core/src/lib/gateway/relay.ts
+++ b/packages/core/src/lib/gateway/relay.ts
@@ -24,7 +24,6 @@
 import {Freshness} from './freshness.js';
 import {HeadWait} from './head_wait.js';
 import {ModelFinder} from './model_finder.js';
-import {ProcessWatches} from './process_watches.js';
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {RelayCall, SendAttempt} from './relay_call.js';
 import {RelayObserver, RequestTrace} from './relay_observer.js';
@@ -117,10 +116,7 @@
       onEvents: call => this.resumption.recordEvents(call),
       onEnd: (call, answer, finding) =>
         this.runs.recordEnd(call, answer, finding),
-      watches: new ProcessWatches({
-        clock,
-        open: target => port.watch(target),
-      }),
+      watch: target => port.watch(target),
     });
     this.search = new TargetSearch({...parts, paths});
     this.runs = new RunRecorder({...parts, paths});
--- a/packages/core/src/lib/net/process_watch.ts
+++ b/packages/core/src/lib/net/process_watch.ts
@@ -4,7 +4,6 @@
 import {Duplex} from 'node:stream';
 import {Clock} from '../time/clock.js';
 import {Listener} from './listening_check.js';
-import {wasReset} from './reset_check.js';
 
 /**
  * Time in which a killed process has closed all its sockets, in milliseconds.
@@ -12,22 +11,28 @@
  */
 export const CLOSE_TIME_MS = 50;
 
-/** Time for which the connection to a process that may not be asked has to stand. */
-const STANDING_TIME_MS = 250;
+/** Time limit for a connection, and pause before the next one is tried. */
+const CONNECT_TIMEOUT_MS = 700;
+const RECONNECT_PAUSE_MS = 250;
+
+/** Longest head of a reply. */
+const MAX_HEAD_LENGTH = 16_384;
+
+const HEAD_END = '\r\n\r\n';
 
 /** What a watch has found out. */
 export const WATCH_RESULT = {
-  /** The process has read a request after the answer, and has reacted. */
+  /** The process has replied to a request that was sent after the answer. */
   outlived: 'outlived',
-  /** The process may not be asked; its connection still stands. */
-  stands: 'stands',
-  /** The watched connection ended with the answer, or before. */
+  /** The watched connection ended with the answer. */
   endedTogether: 'ended-together',
-  /** No connection was established. */
+  /** No connection was established in time. */
   unwatched: 'unwatched',
+  /** The process may not be asked. */
+  unasked: 'unasked',
   /** The process did not reply in time. */
   silent: 'silent',
-  /** Another process has replied. */
+  /** The reply is not one of the process. */
   otherProcess: 'other-process',
 } as const;
 
@@ -41,12 +46,16 @@
  * order.
  */
 export abstract class ProcessWatch {
+  /** Records that the process has sent a part of the answer. */
+  abstract recordReceived(): void;
+
   /**
-   * Finds out whether the process outlives an answer that has just ended.
+   * Finds out whether the process outlives the answer, which has just ended.
    *
-   * @param timeoutMs - time limit for a reply of the process.
+   * @param timeoutMs - time limit.
+   * @param signal - ends the check early.
    */
-  abstract check(timeoutMs: number): Promise<WatchResult>;
+  abstract check(timeoutMs: number, signal: AbortSignal): Promise<WatchResult>;
 
   /** Ends the watch. */
   abstract close(): void;
@@ -68,98 +77,172 @@
  * Connects to a process.
  *
  * @param listener - where it listens.
+ * @param signal - gives the connection up.
  * @returns the connection; undefined if that fails.
  */
 export function openConnection(
   listener: Listener,
+  signal: AbortSignal,
 ): Promise<Socket | undefined> {
   const socket = connect(listener);
   return new Promise(resolve => {
-    socket.once('connect', () => resolve(socket));
-    socket.on('error', () => resolve(undefined));
+    const giveUp = () => {
+      socket.destroy();
+      resolve(undefined);
+    };
+    const timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS);
+    signal.addEventListener('abort', giveUp, {once: true});
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', giveUp);
+      resolve(socket);
+    });
+    socket.on('error', () => {
+      clearTimeout(timer);
+      resolve(undefined);
+    });
   });
 }
 
+/** A request that runs nothing, and what tells the replies to it. */
+export interface Ping {
+  /** The bytes of the request. */
+  request: string;
+  /** Returns whether a reply with a status and a head is one of the process. */
+  isReply: (status: number, head: string) => boolean;
+}
+
 /** Dependencies of a {@link ConnectionWatch}. */
 export interface ConnectionWatchParts {
   clock: Clock;
   /** Opens a connection; undefined if that fails. */
-  open: () => Promise<Duplex | undefined>;
-  /** Returns the request to send to the process; undefined if none may be sent. */
-  ping: () => string | undefined;
+  open: (signal: AbortSignal) => Promise<Duplex | undefined>;
+  /** Returns the request to the process; undefined if none may be sent. */
+  ping: () => Ping | undefined;
 }
 
-/** Status of a process for which a request was not meant. */
-const MISDIRECTED = /^HTTP\/1\.\d 421 /;
+const STATUS_LINE = /^HTTP\/1\.\d (\d{3})/;
+
+/** A connection to a watched process. */
+class WatchedConnection {
+  /** Whether the answer has received anything since it stands. */
+  isOlder: boolean;
+  hasEnded = false;
+  private received = '';
+  private readonly changed = new AbortController();
+
+  /**
+   * @param stream - the connection.
+   * @param isFirst - whether it was opened with the answer.
+   * @param onEnd - called when it ends.
+   */
+  constructor(
+    private readonly stream: Duplex,
+    isFirst: boolean,
+    onEnd: () => void,
+  ) {
+    this.isOlder = isFirst;
+    const end = () => {
+      if (this.hasEnded) return;
+      this.hasEnded = true;
+      this.changed.abort();
+      onEnd();
+    };
+    stream.on('error', end);
+    stream.on('end', end);
+    stream.on('close', end);
+    stream.on('data', (bytes: Buffer) => {
+      if (this.received.length < MAX_HEAD_LENGTH)
+        this.received += bytes.toString('latin1');
+      if (this.received.includes(HEAD_END)) this.changed.abort();
+    });
+  }
+
+  /** Sends a request, and waits for the head of the reply. */
+  async ask(
+    {request, isReply}: Ping,
+    sleep: (signal: AbortSignal) => Promise<void>,
+  ): Promise<WatchResult> {
+    // A process may say something before it closes an idle connection.
+    if (this.received !== '') return WATCH_RESULT.unwatched;
+    this.stream.write(request);
+    await sleep(this.changed.signal);
+    const headEnd = this.received.indexOf(HEAD_END);
+    if (headEnd < 0) return WATCH_RESULT.silent;
+    const head = this.received.slice(0, headEnd);
+    const status = Number(STATUS_LINE.exec(head)?.[1]);
+    const isOwn = isReply(status, head);
+    return isOwn ? WATCH_RESULT.outlived : WATCH_RESULT.otherProcess;
+  }
+
+  close(): void {
+    this.stream.destroy();
+  }
+}
 
 /**
  * Watches a process through a connection of its own, which the process has
- * accepted while it still wrote the answer. Only that process replies on it.
+ * accepted while it still wrote the answer. Only that process replies on it. A
+ * connection that a process closes, as it is idle, is replaced; the next one
+ * counts once the answer has received more.
  */
 export class ConnectionWatch extends ProcessWatch {
   private readonly closing = new AbortController();
-  private readonly shown = new AbortController();
-  private connection: Duplex | undefined;
-  private hasEnded = false;
-  /** Whether the connection was closed in order, with all that was sent read. */
-  private wasClosed = false;
-  private received = '';
+  private connection: WatchedConnection | undefined;
+  private isChecking = false;
 
   /** @param parts - see {@link ConnectionWatchParts}. */
   constructor(private readonly parts: ConnectionWatchParts) {
     super();
-    void this.connect();
+    void this.keepOpen();
   }
 
-  override async check(timeoutMs: number): Promise<WatchResult> {
+  override recordReceived(): void {
+    if (this.connection !== undefined) this.connection.isOlder = true;
+  }
+
+  override async check(
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<WatchResult> {
     const {clock, ping} = this.parts;
+    this.isChecking = true;
+    const limitMs = clock.now() + timeoutMs;
     // A short answer may end while the connection is set up.
-    await clock.sleep(CLOSE_TIME_MS, this.closing.signal);
-    if (this.connection === undefined) return WATCH_RESULT.unwatched;
-    if (this.hasEnded) return WATCH_RESULT.endedTogether;
+    await clock.sleep(Math.min(CLOSE_TIME_MS, timeoutMs), signal);
+    const {connection} = this;
+    if (connection?.isOlder !== true) return WATCH_RESULT.unwatched;
+    if (connection.hasEnded) return WATCH_RESULT.endedTogether;
     const request = ping();
-    if (request === undefined) return this.checkStanding();
-    this.connection.write(request);
-    await clock.sleep(timeoutMs, this.shown.signal);
-    if (MISDIRECTED.test(this.received)) return WATCH_RESULT.otherProcess;
-    // A process that ends without having read the request resets the connection.
-    const hasReacted = this.received !== '' || this.wasClosed;
-    return hasReacted ? WATCH_RESULT.outlived : WATCH_RESULT.silent;
+    if (request === undefined) return WATCH_RESULT.unasked;
+    return connection.ask(request, replied =>
+      clock.sleep(limitMs - clock.now(), AbortSignal.any([replied, signal])),
+    );
   }
 
   override close(): void {
     this.closing.abort();
-    this.connection?.destroy();
+    this.connection?.close();
   }
 
-  private async checkStanding(): Promise<WatchResult> {
-    const waitMs = STANDING_TIME_MS - CLOSE_TIME_MS;
-    await this.parts.clock.sleep(waitMs, this.shown.signal);
-    return this.hasEnded ? WATCH_RESULT.endedTogether : WATCH_RESULT.stands;
+  /** Opens connections one after the other until the answer ends. */
+  private async keepOpen(): Promise<void> {
+    const {clock, open} = this.parts;
+    const {signal} = this.closing;
+    let isFirst = true;
+    while (!signal.aborted && !this.isChecking) {
+      const stream = await open(signal);
+      if (signal.aborted) stream?.destroy();
+      else if (stream !== undefined) await this.follow(stream, isFirst);
+      isFirst = false;
+      if (!signal.aborted && !this.isChecking)
+        await clock.sleep(RECONNECT_PAUSE_MS, signal);
+    }
   }
 
-  private async connect(): Promise<void> {
-    const connection = await this.parts.open();
-    if (connection === undefined) return;
-    if (this.closing.signal.aborted) {
-      connection.destroy();
-      return;
-    }
-    this.connection = connection;
-    const end = () => {
-      this.hasEnded = true;
-      this.shown.abort();
-    };
-    connection.on('end', () => {
-      const isReset = connection instanceof Socket && wasReset(connection);
-      this.wasClosed = !isReset;
-      end();
-    });
-    connection.on('error', end);
-    connection.on('close', end);
-    connection.on('data', (bytes: Buffer) => {
-      this.received ||= bytes.toString('latin1');
-      this.shown.abort();
+  private follow(stream: Duplex, isFirst: boolean): Promise<void> {
+    return new Promise(resolve => {
+      this.connection = new WatchedConnection(stream, isFirst, resolve);
     });
   }
 }
--- a/packages/core/src/lib/targets/confirmed_body.ts
+++ b/packages/core/src/lib/targets/confirmed_body.ts
@@ -6,6 +6,8 @@
 /** Time limit for a sign that a process has outlived its answer. */
 const WATCH_TIMEOUT_MS = 1_000;
 
+const NEVER = new AbortController().signal;
+
 /**
  * Returns a body that ends only if the process that sent it is known to have
  * outlived the end, and else fails: the operating system closes the connections
@@ -41,8 +43,11 @@
   body: Readable,
   watch: ProcessWatch,
 ): AsyncGenerator<Buffer> {
-  for await (const chunk of body) yield chunk as Buffer;
-  const result = await watch.check(WATCH_TIMEOUT_MS);
+  for await (const chunk of body) {
+    watch.recordReceived();
+    yield chunk as Buffer;
+  }
+  const result = await watch.check(WATCH_TIMEOUT_MS, NEVER);
   if (result !== WATCH_RESULT.outlived)
     throw new Error(`nothing shows that the answer is complete: ${result}`);
 }
--- a/packages/core/src/lib/targets/http_service_client.ts
+++ b/packages/core/src/lib/targets/http_service_client.ts
@@ -22,6 +22,9 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_PORT = 80;
 
+/** Statuses of proxies whose service doesn't answer. */
+const GATEWAY_ERRORS: ReadonlySet<number> = new Set([502, 503, 504]);
+
 /**
  * A {@link ServiceClient} over HTTP. Opens a connection for each call, so that
  * no call is written to a connection that the service is about to close.
@@ -37,12 +40,16 @@
     const {host, hostname, port} = new URL(this.url);
     return new ConnectionWatch({
       clock: new SystemClock(),
-      open: () =>
-        openConnection({
-          host: hostname,
-          port: port === '' ? HTTP_PORT : Number(port),
-        }),
-      ping: () => pingRequest('OPTIONS', '*', {host}),
+      open: signal =>
+        openConnection(
+          {host: hostname, port: port === '' ? HTTP_PORT : Number(port)},
+          signal,
+        ),
+      ping: () => ({
+        request: pingRequest('OPTIONS', '*', {host}),
+        // Others in its place say that they can't reach it.
+        isReply: status => !GATEWAY_ERRORS.has(status),
+      }),
     });
   }
 
--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -230,6 +230,8 @@
     return hasEnded ? WATCH_RESULT.endedTogether : WATCH_RESULT.outlived;
   }
 
+  override recordReceived(): void {}
+
   override close(): void {}
 }
 
--- a/packages/local-cluster/src/lib/worker_process.ts
+++ b/packages/local-cluster/src/lib/worker_process.ts
@@ -7,8 +7,10 @@
 export const WORKER_COMMAND = {
   /** It refuses each further request, and names a time for which it does. */
   beFull: 'be-full',
-  /** It stops listening, and exits after its last answer. */
+  /** It stops listening, and exits once all its connections have ended. */
   leave: 'leave',
+  /** It stops listening, and exits as soon as its last answer has ended. */
+  leaveAtOnce: 'leave-at-once',
   /** It closes the connections of all its answers in order. */
   closeAnswers: 'close-answers',
 } as const;
@@ -19,7 +21,7 @@
 
 /** How a worker process answers. */
 export interface WorkerPlan {
-  /** Also the signature of its answers. */
+  /** Id under which it is registered, and the signature of its answers. */
   id: string;
   /** What delimits the bodies of its answers. */
   framing: 'close' | 'length' | 'chunks';
--- a/packages/local-cluster/src/lib/worker_program.ts
+++ b/packages/local-cluster/src/lib/worker_program.ts
@@ -6,6 +6,7 @@
 
 import {IncomingMessage, ServerResponse, createServer} from 'node:http';
 import {AddressInfo, Socket} from 'node:net';
+import {finished} from 'node:stream/promises';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {WORKER_COMMAND, WorkerCommand, WorkerPlan} from './worker_process.js';
 
@@ -19,6 +20,7 @@
 const bornMs = Date.now();
 const answering = new Set<Socket>();
 let isFull = false;
+let isLeavingAtOnce = false;
 
 const server = createServer((req, res) => {
   req.resume();
@@ -69,13 +71,17 @@
     res.removeHeader('transfer-encoding');
   }
   res.flushHeaders();
+  if (events.length === 0) res.end();
   for (const [i, event] of events.entries()) {
     if (i > 0) await sleep(eventGapMs);
     if (res.destroyed) return;
     if (i < events.length - 1) res.write(event);
     else res.end(event);
   }
+  // Its bytes have to be written before.
+  await finished(res);
   answering.delete(socket);
+  if (isLeavingAtOnce && answering.size === 0) process.exit(0);
 }
 
 process.on('message', (command: WorkerCommand) => {
@@ -86,6 +92,10 @@
     case WORKER_COMMAND.leave:
       server.close(() => process.exit(0));
       return;
+    case WORKER_COMMAND.leaveAtOnce:
+      server.close();
+      isLeavingAtOnce = true;
+      return;
     case WORKER_COMMAND.closeAnswers:
       for (const socket of answering) socket.end();
       return;
--- a/packages/local-cluster/src/test/platform/early_end_test.ts
+++ b/packages/local-cluster/src/test/platform/early_end_test.ts
@@ -30,6 +30,9 @@
 const LEARN_FULL_MS = 200;
 const LEARN_LEAVING_MS = 900;
 
+/** A retry budget that is not used up, although the hosts have just started. */
+const AMPLE_RETRIES = {retrySlack: 10_000, retryWindowMs: 200};
+
 type Kind = 'once' | 'stream' | 'resumable';
 const KINDS: readonly Kind[] = ['once', 'stream', 'resumable'];
 
@@ -44,6 +47,10 @@
     await world.registerLeaving();
     world.first.tell(WORKER_COMMAND.leave);
   },
+  'leaves, and exits with the end of its last answer': async world => {
+    await world.registerLeaving();
+    world.first.tell(WORKER_COMMAND.leaveAtOnce);
+  },
 };
 
 /** Plays after which no answer of the first worker may look complete. */
@@ -82,6 +89,11 @@
   isWhole: boolean;
 }
 
+/** Ids of the workers, as they are registered. */
+function workerIds(kind: Kind): readonly string[] {
+  return kind === 'once' ? ['p1', 'p2'] : ['e1', 'e2'];
+}
+
 /** Two hosts before two worker processes of each service. */
 class EndingWorld {
   readonly workers: WorkerProcess[] = [];
@@ -105,10 +117,11 @@
       piece: PIECE,
       port: 0,
     };
-    for (const id of ['w1', 'w2'])
+    for (const id of workerIds(kind))
       ending.workers.push(await WorkerProcess.start({...plan, id}));
     ending.world = await PlatformWorld.start(HOST_COUNT, 2, {
       plainCount: 2,
+      ...AMPLE_RETRIES,
       prepare: async ({engines, plain}) => {
         const standins = kind === 'once' ? plain : engines;
         for (const [i, {port}] of ending.workers.entries())
@@ -148,7 +161,7 @@
   async registerLeaving(): Promise<void> {
     const isPlain = this.kind === 'once';
     const standin = isPlain ? this.world.plain[0] : this.world.engine;
-    const id = isPlain ? 'p1' : 'e1';
+    const [id] = workerIds(this.kind);
     const registration = standin.registration('draining');
     this.world.store.put(STORE_TOPIC.targets, id, registration);
     await sleep(LEARN_LEAVING_MS);
@@ -220,7 +233,9 @@
           ({answer: {body}, isWhole}) => isWhole && !body.equals(whole),
         );
         expect(describeEnds(early)).to.deep.equal([]);
-        const untouched = seen.filter(({worker}) => worker === 'w2');
+        const untouched = seen.filter(
+          ({worker}) => worker === workerIds(kind)[1],
+        );
         expect(
           describeEnds(untouched.filter(({isWhole}) => !isWhole)),
         ).to.deep.equal([]);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -12,7 +12,6 @@
 } from './lib/fault_names.js';
 import {PROMISE, PromiseName} from './lib/soak_checks.js';
 import {SoakOptions, runSoak} from './lib/soak_run.js';
-import {runSoak} from './lib/soak_run.js';
 import {
   WorkerProcessRunOptions,
   runWorkerProcesses,
