Let the test of the built program notice errors that end no process

An error in the handling of a tunnel ends no process any more, so that a missing name would have passed unseen: the test now looks for task_failed in the logs of both hosts as well. Connections are reset every 250 ms of the fault, so that hosts need new tunnels all the time.

The listeners of openTunnel get names that say what they do.

--- a/packages/core/src/lib/paths/tunnel_client.ts
+++ b/packages/core/src/lib/paths/tunnel_client.ts
@@ -83,7 +83,7 @@
       fail(new TunnelError(code ?? message));
     const timer = setTimeout(() => fail(new TunnelError('timeout')), timeoutMs);
     socket.on('error', failWith);
-    const openOver = () => {
+    const requestTunnel = () => {
       const req = request({
         createConnection: () => socket,
         method: 'CONNECT',
@@ -92,7 +92,11 @@
         maxHeaderSize: MAX_HEAD_BYTES,
       });
       req.on('error', failWith);
-      const finish = (res: IncomingMessage, unused: Socket, head: Buffer) => {
+      const finish = (
+        res: IncomingMessage,
+        unusedSocket: Socket,
+        head: Buffer,
+      ) => {
         if (res.statusCode !== ESTABLISHED) {
           fail(refusalError(target, res));
           return;
@@ -104,7 +108,7 @@
       req.on('connect', guard(finish));
       req.end();
     };
-    socket.once('connect', guard(openOver));
+    socket.once('connect', guard(requestTunnel));
   });
 }
 
--- a/packages/soak/src/test/built_program_test.ts
+++ b/packages/soak/src/test/built_program_test.ts
@@ -16,6 +16,7 @@
 const FAULT_MS = 3_000;
 const CALLERS = 6;
 const CALL_GAP_MS = 20;
+const RESET_GAP_MS = 250;
 const OK = 200;
 
 /** A loopback port on which nothing listens. */
@@ -75,6 +76,10 @@
   let helper: HostProcess;
   let args: string[];
 
+  function readLog({options: {name}}: HostProcess): Promise<string> {
+    return readFile(`${world.folder}/${name}.log`, 'utf8');
+  }
+
   async function untilServed(): Promise<void> {
     const isServed = async () => (await call(cutOff)) === OK;
     expect(await world.until(isServed, READY_TIMEOUT_MS)).to.equal(true);
@@ -102,21 +107,27 @@
     it(`goes on while its helper ${name}`, async () => {
       begin(world, helper);
       const endMs = performance.now() + FAULT_MS;
-      // Resets all connections, so that hosts need new ones.
-      for (const {link} of world.workers) link.setMode(LINK_MODE.open);
       const callers = Array.from({length: CALLERS}, async () => {
         while (performance.now() < endMs) {
           await call(cutOff);
           await sleep(CALL_GAP_MS);
         }
       });
+      while (performance.now() < endMs) {
+        // Resets all connections, so that hosts need new ones.
+        for (const {link} of world.workers) link.setMode(LINK_MODE.open);
+        await sleep(RESET_GAP_MS);
+      }
       await Promise.all(callers);
       expect(cutOff.unexpectedExits).to.deep.equal([]);
-      const log = await readFile(`${world.folder}/host-1.log`, 'utf8');
-      expect(log).to.match(new RegExp(`event=tunnel_refused.*${reason}`));
       reroute(world, cutOff, undefined);
       await untilServed();
       expect(cutOff.unexpectedExits).to.deep.equal([]);
+      const [cutOffLog, helperLog] = await Promise.all(
+        world.hosts.map(readLog),
+      );
+      expect(helperLog).to.match(new RegExp(`event=tunnel_refused.*${reason}`));
+      expect(cutOffLog + helperLog).to.not.include('event=task_failed');
     });
   }
 });
