--- a/packages/core/src/lib/platform/log_position.ts
+++ b/packages/core/src/lib/platform/log_position.ts
@@ -3,6 +3,9 @@
 /** Offsets of an era lie below this number. */
 const OFFSETS_PER_ERA = 1e12;
 
+/** Highest era of a log that has never come back from an older copy. */
+export const FIRST_ERA = 1;
+
 /** Where a record of a log is. */
 export interface LogPosition {
   /**
--- a/packages/core/src/lib/residency/lease_log_state.ts
+++ b/packages/core/src/lib/residency/lease_log_state.ts
@@ -1,12 +1,9 @@
 /** What a host knows of the log of the order lease. @packageDocumentation */
 
-import {LogPosition, revisionOf} from '../platform/log_position.js';
+import {FIRST_ERA, LogPosition, revisionOf} from '../platform/log_position.js';
 import {Clock} from '../time/clock.js';
 import {LeaseEntry, LeaseRecord, LeaseTail} from './lease_log.js';
 
-/** Era of a log that has never come back from an older copy, or a lower one. */
-const FIRST_ERA = 1;
-
 /** Lowest fencing number that has a part for an era above zero. */
 const FIRST_ERA_REVISION = revisionOf({era: FIRST_ERA, offset: 0});
 
--- a/packages/soak/src/test/upgrade_test.ts
+++ b/packages/soak/src/test/upgrade_test.ts
@@ -1,3 +1,5 @@
+import {readFile, readdir} from 'node:fs/promises';
+import {join} from 'node:path';
 import {expect} from 'chai';
 import {buildDeployed} from '../lib/deployed_program.js';
 import {buildEarlier, hasCommit} from '../lib/earlier_build.js';
@@ -22,6 +24,26 @@
 
 const EARLIER = [OFFSET_NUMBERS, ERA_NUMBERS];
 
+/** Events of hosts that cannot read what others have sent or written. */
+const UNREAD_EVENTS = [
+  'configuration_unreadable',
+  'operator_record_ignored',
+  'software_versions_lost',
+  'task_failed',
+];
+
+/** Returns the lines of those events in the logs of a run. */
+async function findUnread(folder: string): Promise<string[]> {
+  const names = await readdir(folder);
+  const logs = names.filter(name => name.endsWith('.log'));
+  const texts = await Promise.all(
+    logs.map(name => readFile(join(folder, name), 'utf8')),
+  );
+  return texts
+    .flatMap(text => text.split('\n'))
+    .filter(line => UNREAD_EVENTS.some(event => line.includes(event)));
+}
+
 /** Builds of which the second replaces the first. */
 const ROLLS = [
   [OFFSET_NUMBERS, NEW],
@@ -61,5 +83,9 @@
       const {folder, violations} = results[i];
       expect(violations, `logs in ${folder}`).to.deep.equal([]);
     });
+
+    it(`read what the others wrote while ${to} replaces ${from}`, async () => {
+      expect(await findUnread(results[i].folder)).to.deep.equal([]);
+    });
   });
 });
