Log messages of peers that a host does not know or cannot decode

Notifications of another release that a host does not know or cannot decode were dropped without a line, and calls told only their sender. peer_message_unread names method, peer and reason, once for each method and peer, at most 100 in all. The handlers and their lookup move to a module of their own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -73,6 +73,7 @@
 export * from './lib/peers/incoming_calls.js';
 export * from './lib/peers/link_table.js';
 export * from './lib/peers/memory_peer_network.js';
+export * from './lib/peers/message_handlers.js';
 export * from './lib/peers/outgoing_calls.js';
 export * from './lib/peers/peer_link.js';
 export * from './lib/peers/peer_network.js';
--- a/packages/core/src/lib/peers/tcp_peer_network.ts
+++ b/packages/core/src/lib/peers/tcp_peer_network.ts
@@ -9,12 +9,11 @@
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {Logger} from '../telemetry/logger.js';
 import {encodeFrame} from './frame.js';
-import {LinkHandler} from './incoming_calls.js';
 import {LinkTable} from './link_table.js';
+import {MessageHandlers} from './message_handlers.js';
 import {PeerLink, TICK_INTERVAL_MS} from './peer_link.js';
 import {PeerAddress, PeerSockets} from './peer_sockets.js';
 import {
-  CallContext,
   NotificationHandler,
   PEER_ERROR,
   PeerError,
@@ -66,29 +65,14 @@
   isKeptAlive?: (peer: PeerIdentity) => boolean;
 }
 
-interface RegisteredMethod {
-  method: PeerMethod<unknown, unknown>;
-  handler: PeerHandler<unknown, unknown>;
-}
-
-interface RegisteredNotification {
-  method: PeerMethod<unknown, never>;
-  handler: NotificationHandler<unknown>;
-}
-
 /** A {@link PeerNetwork} that dials {@link PeerLink}s on demand. */
-export class TcpPeerNetwork extends PeerNetwork implements LinkHandler {
+export class TcpPeerNetwork extends PeerNetwork {
   private readonly table = new LinkTable();
   /** All open links, including retired ones and those in their handshake. */
   private readonly openLinks = new Set<PeerLink>();
   private readonly lastFailureMs = new Map<string, number>();
   private readonly dialling = new Map<string, Promise<PeerLink | undefined>>();
-  private readonly handlers = new Map<string, RegisteredMethod>();
-  private readonly unaryMethods = new Set<string>();
-  private readonly notificationHandlers = new Map<
-    string,
-    RegisteredNotification
-  >();
+  private readonly handlers: MessageHandlers;
   private readonly sockets: PeerSockets;
   /** Counts frames that have not arrived completely. */
   private readonly frames: MemoryAccount;
@@ -102,6 +86,7 @@
     const {clock, logger, tasks} = options;
     this.frames = new MemoryAccount(clock, FRAMES_LIMIT_BYTES);
     this.tasks = tasks ?? new TaskSupervisor(clock, logger);
+    this.handlers = new MessageHandlers(logger, this.tasks);
   }
 
   override get self(): PeerIdentity {
@@ -205,7 +190,7 @@
     method: PeerMethod<Body, Event>,
     handler: PeerHandler<Body, Event>,
   ): void {
-    this.handlers.set(method.name, {method, handler} as RegisteredMethod);
+    this.handlers.serve(method, handler);
   }
 
   override serveUnary<Body, Event>(
@@ -213,7 +198,7 @@
     handler: UnaryPeerHandler<Body, Event>,
   ): void {
     super.serveUnary(method, handler);
-    this.unaryMethods.add(method.name);
+    this.handlers.setUnary(method);
   }
 
   override notify<Body>(
@@ -237,41 +222,7 @@
     method: PeerMethod<Body, never>,
     handler: NotificationHandler<Body>,
   ): void {
-    this.notificationHandlers.set(method.name, {
-      method,
-      handler,
-    } as RegisteredNotification);
-  }
-
-  /** Implements {@link LinkHandler}. */
-  isUnary(name: string): boolean {
-    return this.unaryMethods.has(name);
-  }
-
-  /** Implements {@link LinkHandler}. */
-  async *dispatch(
-    name: string,
-    body: unknown,
-    context: CallContext,
-  ): AsyncGenerator<unknown, void> {
-    const registered = this.handlers.get(name);
-    if (registered === undefined) throw new Error(`no method ${name}`);
-    const parsed = registered.method.body.safeParse(body);
-    if (!parsed.success) throw new Error(`malformed body of ${name}`);
-    yield* registered.handler(parsed.data, context);
-  }
-
-  /** Implements {@link LinkHandler}. */
-  handleNotification(name: string, body: unknown, from: PeerIdentity): void {
-    const registered = this.notificationHandlers.get(name);
-    const parsed = registered?.method.body.safeParse(body);
-    if (!parsed?.success) return;
-    // The link carries other work; one message must not close it.
-    this.tasks.attempt(
-      'peer_message',
-      () => registered?.handler(parsed.data, from),
-      {method: name, peer: from.host},
-    );
+    this.handlers.onNotification(method, handler);
   }
 
   private isLinkAllowed(host: string): boolean {
@@ -353,7 +304,7 @@
       self,
       isDialler: dialled,
       clock,
-      handler: this,
+      handler: this.handlers,
       account: this.frames,
       isKeptAlive: isPeerKeptAlive,
     });
--- a/packages/soak/src/test/upgrade_test.ts
+++ b/packages/soak/src/test/upgrade_test.ts
@@ -28,6 +28,7 @@
 const UNREAD_EVENTS = [
   'configuration_unreadable',
   'operator_record_ignored',
+  'peer_message_unread',
   'software_versions_lost',
   'task_failed',
 ];
