--- a/packages/soak/src/lib/earlier_build.ts
+++ b/packages/soak/src/lib/earlier_build.ts
@@ -1,7 +1,14 @@
 /** Builds the program of an earlier commit. @packageDocumentation */
 
 import {execFile} from 'node:child_process';
-import {mkdir, mkdtemp, readdir, symlink, writeFile} from 'node:fs/promises';
+import {
+  mkdir,
+  mkdtemp,
+  readdir,
+  rm,
+  symlink,
+  writeFile,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {promisify} from 'node:util';
@@ -45,6 +52,7 @@
   const archive = `${folder}.tar`;
   await writeFile(archive, stdout);
   await run('tar', ['-xf', archive, '-C', folder]);
+  await rm(archive);
   await linkModules(folder);
   return buildDeployed(folder);
 }
