--- a/packages/soak/src/lib/process_answer_check.ts
+++ b/packages/soak/src/lib/process_answer_check.ts
@@ -1,7 +1,7 @@
 /** Checks answers of workers that are processes. @packageDocumentation */
 
 import {ANSWER_END, ReceivedAnswer} from '@fuchsiacleat/local-cluster';
-import {plainBody} from '@fuchsiacleat/standins';
+import {FRAMING, plainBody} from '@fuchsiacleat/standins';
 import {saysNotRun} from './strict_answer_check.js';
 import {wholeStream} from './stream_text.js';
 import {PROCESS_STREAM_EVENTS} from './worker_messages.js';
@@ -18,6 +18,9 @@
 /** Duration of requests from which a silence of any worker may have used it up. */
 const LONG_MS = 2_000;
 
+/** Time in which an exit after an answer is taken for a kill, in milliseconds. */
+const EXIT_MS = 50;
+
 /** Spans that cut sound answers, or hold them up. */
 const TROUBLES: readonly string[] = ['killed', 'silent'];
 
@@ -41,6 +44,8 @@
   refused: 'refused',
   /** As broken or refused, though only sound workers ran it. */
   soundCut: 'sound-cut',
+  /** The same, where {@link isEndUndecided} holds. */
+  undecidedCut: 'undecided-cut',
 } as const;
 
 /** One of {@link OUTCOME}. */
@@ -59,7 +64,10 @@
   const isComplete = isAnswer && end === ANSWER_END.whole;
   let outcome: Outcome = isAnswer ? OUTCOME.broken : OUTCOME.refused;
   if (isComplete) outcome = OUTCOME.complete;
-  else if (isSound(request, workers)) outcome = OUTCOME.soundCut;
+  else if (isSound(request, workers))
+    outcome = isEndUndecided(request, workers)
+      ? OUTCOME.undecidedCut
+      : OUTCOME.soundCut;
   const result = (violation?: string) => ({outcome, violation});
   if (end === ANSWER_END.malformed) return result('no answer');
   if (end === ANSWER_END.unfinished) return result('never ends');
@@ -100,3 +108,28 @@
     )
     .some(({spans}) => spans.some(overlaps));
 }
+
+/**
+ * Whether a cut answer is a case that docs/incidents/connection-delimited-answers.md
+ * names as undecided: an answer without a length of a process that exits right
+ * after it, or that can't be watched as it has stopped listening. A request that
+ * may run again has to do so, unless other workers have faults.
+ */
+function isEndUndecided(
+  {endedMs, isRepeatable, runs}: ProcessRequest,
+  workers: readonly WorkerProcess[],
+): boolean {
+  const {exitAfterMs = Infinity, framing, isLeaving, worker} = runs.at(-1)!;
+  const isNamed = exitAfterMs <= EXIT_MS || isLeaving;
+  if (framing !== FRAMING.none || !isNamed) return false;
+  if (!isRepeatable || runs.length > 1) return true;
+  const {service} = workers.find(({options}) => options.id === worker)!.options;
+  return workers
+    .filter(({options}) => options.service === service && options.id !== worker)
+    .some(({spans}) =>
+      spans.some(
+        ({fromMs, toMs}) =>
+          fromMs < endedMs + NEAR_MS && toMs > endedMs - NEAR_MS,
+      ),
+    );
+}
--- a/packages/soak/src/lib/worker_process_run.ts
+++ b/packages/soak/src/lib/worker_process_run.ts
@@ -263,8 +263,9 @@
   const {answer, endedMs, id, isRepeatable, isStream, runs, sentMs} = request;
   const after = (ms: number) => Math.round(ms - sentMs);
   const sends = runs.map(
-    ({afterEvent, framing, startedMs, worker}) =>
-      `${worker} by ${framing} at ${after(startedMs)} ms from event ${afterEvent + 1}`,
+    ({afterEvent, exitAfterMs, framing, isLeaving, startedMs, worker}) =>
+      `${worker}${isLeaving ? ' (leaving)' : ''} by ${framing} at ${after(startedMs)} ms` +
+      ` from event ${afterEvent + 1}, exits ${exitAfterMs ?? 'not'} ms after it`,
   );
   const spans = workers
     .filter(({options}) => runs.some(run => run.worker === options.id))
