--- a/packages/soak/src/lib/worker_messages.ts
+++ b/packages/soak/src/lib/worker_messages.ts
@@ -39,12 +39,23 @@
   port?: number;
 }
 
-/** What a worker process tells: that it listens, runs a request or refuses one. */
+/** What a worker process tells; times are Unix times of its own, in milliseconds. */
 export type WorkerEvent =
   | {event: 'listening'; port: number; ready: object; draining: object}
-  | {event: 'run'; id: string; framing: WorkerFraming; afterEvent: number}
-  | {event: 'run-end'; id: string}
-  | {event: 'refused'};
+  | RunEvent
+  | {event: 'run-end'; id: string; atMs: number}
+  | {event: 'refused'}
+  | {event: 'exiting'; atMs: number};
+
+/** A worker process runs a request. */
+export interface RunEvent {
+  event: 'run';
+  id: string;
+  framing: WorkerFraming;
+  afterEvent: number;
+  /** Whether the process has stopped listening. */
+  isLeaving: boolean;
+}
 
 const FRAMINGS: readonly WorkerFraming[] = [
   FRAMING.length,
--- a/packages/soak/src/lib/worker_process.ts
+++ b/packages/soak/src/lib/worker_process.ts
@@ -24,15 +24,22 @@
   worker: string;
   framing: WorkerFraming;
   afterEvent: number;
-  /** Times on the monotonic clock of the parent, in milliseconds. */
+  /** Whether the worker had stopped listening. */
+  isLeaving: boolean;
+  /** Start on the monotonic clock of the parent, in milliseconds. */
   startedMs: number;
-  /** Infinity if the process ended before its answer. */
-  endedMs: number;
+  /** End of the answer, a Unix time of the worker; undefined if it was cut. */
+  endedAtMs?: number;
+  /**
+   * Time from the end of the answer to that of the process, in milliseconds;
+   * undefined if the process did not exit in order.
+   */
+  exitAfterMs?: number;
 }
 
 /** A time in which a worker does what its answers may tell. */
 export interface WorkerSpan {
-  /** `killed`, `silent`, `full` or `leaving`. */
+  /** `killed`, `down`, `silent`, `full` or `leaving`. */
   kind: string;
   fromMs: number;
   /** Infinity while it lasts. */
@@ -56,8 +63,8 @@
   private spare: ChildProcess | undefined;
   private listening: Extract<WorkerEvent, {event: 'listening'}> | undefined;
   private isExitExpected = false;
-  /** Runs of the process that have not ended. */
-  private open = new Map<string, ProcessRun>();
+  /** Runs of the process, by the id of the request. */
+  private processRuns = new Map<string, ProcessRun>();
 
   /**
    * @param options - see {@link WorkerProcessOptions}.
@@ -79,16 +86,17 @@
     this.child = child;
     this.isExitExpected = false;
     // What the process told last may arrive after its exit.
-    const open = new Map<string, ProcessRun>();
-    this.open = open;
+    const runs = new Map<string, ProcessRun>();
+    this.processRuns = runs;
     const isListening = new Promise<void>(resolve => {
       child.on('message', (event: WorkerEvent) => {
-        this.handle(event, open);
+        this.handle(event, runs);
         if (event.event === 'listening') resolve();
       });
     });
     child.once('exit', (code, signal) => {
       this.child = undefined;
+      this.begin('down');
       if (this.isExitExpected) return;
       this.unexpectedExits.push(`${this.options.id} ${code ?? signal}`);
     });
@@ -96,6 +104,7 @@
     await isListening;
     this.port = this.listening!.port;
     this.register(WORKER_STATE.ready);
+    this.end('down');
     this.spare = this.fork();
   }
 
@@ -129,12 +138,13 @@
   async kill(): Promise<void> {
     if (this.child === undefined) return;
     this.isExitExpected = true;
-    for (const {framing} of this.open.values())
-      this.cutRuns[framing] = (this.cutRuns[framing] ?? 0) + 1;
+    for (const {endedAtMs, framing} of this.processRuns.values())
+      if (endedAtMs === undefined)
+        this.cutRuns[framing] = (this.cutRuns[framing] ?? 0) + 1;
     this.begin('killed');
     this.child.kill('SIGKILL');
     await this.exited();
-    for (const {kind} of this.spans) this.end(kind);
+    for (const kind of ['killed', 'silent', 'full', 'leaving']) this.end(kind);
   }
 
   /** Waits until the process has exited. */
@@ -171,22 +181,24 @@
     this.child?.send(command, () => {});
   }
 
-  private handle(event: WorkerEvent, open: Map<string, ProcessRun>): void {
+  private handle(event: WorkerEvent, runs: Map<string, ProcessRun>): void {
     if (event.event === 'listening') this.listening = event;
     if (event.event === 'refused') this.refusals += 1;
     if (event.event === 'run') {
-      const {afterEvent, framing, id} = event;
+      const {afterEvent, framing, id, isLeaving} = event;
       const startedMs = performance.now();
       const worker = this.options.id;
-      const times = {startedMs, endedMs: Infinity};
-      const run = {id, worker, framing, afterEvent, ...times};
+      const run = {id, worker, framing, afterEvent, isLeaving, startedMs};
       this.runs.push(run);
-      open.set(id, run);
+      runs.set(id, run);
     }
     if (event.event === 'run-end') {
-      const run = open.get(event.id);
-      if (run !== undefined) run.endedMs = performance.now();
-      open.delete(event.id);
+      const run = runs.get(event.id);
+      if (run !== undefined) run.endedAtMs = event.atMs;
     }
+    if (event.event !== 'exiting') return;
+    for (const run of runs.values())
+      if (run.endedAtMs !== undefined)
+        run.exitAfterMs = event.atMs - run.endedAtMs;
   }
 }
--- a/packages/soak/src/lib/worker_process_main.ts
+++ b/packages/soak/src/lib/worker_process_main.ts
@@ -34,9 +34,10 @@
       id: run.id,
       framing: chooseFraming(options, run.id),
       afterEvent: Number(run.headers['last-event-id'] ?? 0),
+      isLeaving,
     });
   worker.onRunEnd = ({id: request}) => {
-    tell({event: 'run-end', id: request});
+    tell({event: 'run-end', id: request, atMs: Date.now()});
     exitIfDone();
   };
   await worker.start(port);
@@ -49,7 +50,9 @@
 }
 
 function exitIfDone(): void {
-  if (isLeaving && worker!.runningCount === 0) process.exit(0);
+  if (!isLeaving || worker!.runningCount > 0) return;
+  tell({event: 'exiting', atMs: Date.now()});
+  process.exit(0);
 }
 
 function refuse(): typeof FAULTY_ANSWER.refuseFor {
