--- a/packages/soak/src/lib/earlier_build.ts
+++ b/packages/soak/src/lib/earlier_build.ts
@@ -19,6 +19,9 @@
 /** Folder of the modules that are the project's own packages. */
 const OWN_SCOPE = '@fuchsiacleat';
 
+/** What a build reads of the repository. */
+const SOURCES = ['deploy', 'package-lock.json', 'packages/core', 'platform'];
+
 const MAX_ARCHIVE_BYTES = 100_000_000;
 
 const run = promisify(execFile);
@@ -44,7 +47,7 @@
  */
 export async function buildEarlier(commit: string): Promise<string[]> {
   const folder = await mkdtemp(join(tmpdir(), `fuchsiacleat-${commit}-`));
-  const {stdout} = await run('git', ['archive', commit], {
+  const {stdout} = await run('git', ['archive', commit, ...SOURCES], {
     cwd: ROOT,
     encoding: 'buffer',
     maxBuffer: MAX_ARCHIVE_BYTES,
