--- a/packages/core/src/test/gateway/relay_fixtures.ts
+++ b/packages/core/src/test/gateway/relay_fixtures.ts
@@ -80,7 +80,7 @@
 
 /** A request that records its answer. */
 export class FakeCaller extends CallerRequest {
-  override readonly id = 'req-1';
+  override id = 'req-1';
   override readonly host = 'h.example';
   override path = '/x';
   override readonly content: RequestContent;
@@ -471,6 +471,8 @@
   loans?: TokenLoanClient;
   /** Tells lost paths; by default none is checked. */
   paths?: PathView;
+  /** Sends requests; by default as the behaviors say. */
+  port?: (clock: ManualClock) => FakePort;
 }
 
 const MAX_AGE_MS = 4_000;
@@ -488,7 +490,7 @@
   for (let i = 1; i <= (options.targetCount ?? 2); i++) {
     targets.put(targetRegistration({id: `t${i}`, zone: 'a'}), true);
   }
-  const port = new FakePort(clock, options.behaviors);
+  const port = options.port?.(clock) ?? new FakePort(clock, options.behaviors);
   const observer = new RecordingObserver();
   const quotas = new TeamQuotas(clock, options.loans ?? new UnlimitedSource(), {
     fraction: 0,
