Do not avoid a target whose process could not be watched

Callers' requests were kept from sound targets: each answer without a length whose end nothing showed counted as a failure of its target, also where the host could not watch it, or may not ask it. The new test failed before.

--- a/packages/core/src/lib/gateway/answer_relay.ts
+++ b/packages/core/src/lib/gateway/answer_relay.ts
@@ -145,8 +145,8 @@
       : undefined;
     const ended = new AbortController();
     if (monitor !== undefined) {
-      const watch = () => monitor.run(ended.signal);
-      void this.parts.tasks.run('stall_monitor', watch, {id: call.id});
+      const monitorStalls = () => monitor.run(ended.signal);
+      void this.parts.tasks.run('stall_monitor', monitorStalls, {id: call.id});
     }
     const boundary = new EventBoundary();
     this.open(call, answer);
--- a/packages/core/src/lib/gateway/end_evidence.ts
+++ b/packages/core/src/lib/gateway/end_evidence.ts
@@ -34,6 +34,17 @@
 /** What is known of the end of an answer. */
 export type EndFinding = EndEvidence | EndDoubt;
 
+/** Doubts that say nothing against the target. */
+const NEUTRAL_DOUBTS: ReadonlySet<EndFinding> = new Set([
+  END_DOUBT.unwatched,
+  END_DOUBT.unasked,
+]);
+
+/** Whether a finding says that a target has failed. */
+export function isFailure(finding: EndFinding): boolean {
+  return !isComplete(finding) && !NEUTRAL_DOUBTS.has(finding);
+}
+
 /** Whether an answer is complete; what is not known to be, is not. */
 export function isComplete(finding: EndFinding): finding is EndEvidence {
   return finding === END_EVIDENCE.told || finding === END_EVIDENCE.outlived;
--- a/packages/core/src/lib/gateway/run_recorder.ts
+++ b/packages/core/src/lib/gateway/run_recorder.ts
@@ -4,7 +4,7 @@
 import {PromptGuard} from '../quarantine/prompt_guard.js';
 import {TaskSupervisor} from '../tasks/task_supervisor.js';
 import {ENDED_BY, EndedBy} from './answer_end.js';
-import {EndFinding} from './end_evidence.js';
+import {END_DOUBT, EndFinding, isFailure} from './end_evidence.js';
 import {FRAMING} from './answer_framing.js';
 import {AnswerHead, CallerRequest} from './caller_request.js';
 import {ModelFinder} from './model_finder.js';
@@ -166,7 +166,9 @@
     call: RelayCall<Req>,
   ): Promise<void> {
     // Where a helper host is between, the connection may have ended there.
-    if (!this.parts.paths.isLost(target)) this.recordFailure(target);
+    const {endFinding = END_DOUBT.brokenOff} = call;
+    const mayHaveFailed = !this.parts.paths.isLost(target);
+    if (mayHaveFailed && isFailure(endFinding)) this.recordFailure(target);
     if (TARGET_ENDS.has(call.endedBy)) await this.recordBrokenRun(target, call);
   }
 
--- a/packages/core/src/test/gateway/relay_test.ts
+++ b/packages/core/src/test/gateway/relay_test.ts
@@ -464,6 +464,17 @@
       }
     });
 
+    it('does not avoid a target whose process it could not watch', async () => {
+      const unknown: TargetBehavior = () => {
+        world.port.unwatched.add(world.port.sent.at(-1)!.target);
+        return unframed(answer(200, ['part']));
+      };
+      world = relayWorld({route: once, behaviors: [unknown]});
+      await serve(world);
+      for (const {health} of world.targets.all())
+        expect(health.isAvoided).to.equal(false);
+    });
+
     for (const route of [once, repeatable, resumable]) {
       it(`does not take it for whole if nothing shows that (${route.kind})`, async () => {
         const isStream = route.kind === REQUEST_KIND.stream;
