--- a/packages/soak/src/lib/deployed_program.ts
+++ b/packages/soak/src/lib/deployed_program.ts
@@ -1,62 +1,71 @@
 /** Builds the program and its arguments as the users' platform does. @packageDocumentation */
 
 import {execFile} from 'node:child_process';
-import {mkdtempSync, rmSync} from 'node:fs';
-import {readFile} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
+import {readFile, rename} from 'node:fs/promises';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
 
-const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+/** Folder of this project. */
+export const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const DEPLOYMENT_FILE = 'deploy/system.toml';
 
-/** @returns the Node.js flags with which the platform runs the program. */
-export async function readDeployedFlags(): Promise<string[]> {
-  const [, ...args] = valueOf(await readDeployment(), 'run').split(' ');
+/** Begins the part of the build command that writes the program. */
+const BUNDLER = 'npx esbuild ';
+
+/**
+ * @param root - folder of the sources; this project's by default.
+ * @returns the Node.js flags with which the platform runs the program.
+ */
+export async function readDeployedFlags(root = ROOT): Promise<string[]> {
+  const [, ...args] = valueOf(await readDeployment(root), 'run').split(' ');
   return args.slice(0, -1);
 }
 
 /**
- * Builds the program as the platform does.
+ * Builds the program as the platform does, from the installed dependencies.
  *
- * @returns the Node.js arguments with which the platform runs it.
+ * @param root - folder of the sources; this project's by default.
+ * @returns the Node.js arguments with which the platform runs it; rejects with
+ *     the messages of the bundler if it can't be built.
  */
-export async function buildDeployed(): Promise<string[]> {
-  const text = await readDeployment();
-  const cwd = ROOT;
-  await promisify(execFile)('sh', ['-c', valueOf(text, 'build')], {cwd});
-  const program = valueOf(text, 'run').split(' ').at(-1)!;
-  return [...(await readDeployedFlags()), join(ROOT, program)];
+export async function buildDeployed(root = ROOT): Promise<string[]> {
+  const text = await readDeployment(root);
+  const program = join(root, valueOf(text, 'run').split(' ').at(-1)!);
+  // Other processes may build or start the program at the same time.
+  const output = `${program}.${process.pid}`;
+  const command = `${bundleCommand(text)} --outfile="${output}"`;
+  await promisify(execFile)('sh', ['-c', command], {cwd: root});
+  await rename(output, program);
+  return [...(await readDeployedFlags(root)), program];
 }
 
 let ownBuild: Promise<readonly string[]> | undefined;
 
 /**
- * Builds the program once for this process, in a folder of its own, as several
- * processes may build at the same time. The dependencies have to be installed.
+ * Builds the program once for this process.
  *
  * @returns the Node.js arguments with which the platform runs the program.
  */
 export function ownDeployedArgs(): Promise<readonly string[]> {
-  ownBuild ??= buildOwn();
+  ownBuild ??= buildDeployed();
   return ownBuild;
 }
 
-async function buildOwn(): Promise<readonly string[]> {
-  const text = await readDeployment();
-  const folder = mkdtempSync(join(tmpdir(), 'fuchsiacleat-program-'));
-  process.once('exit', () => rmSync(folder, {recursive: true}));
-  const program = valueOf(text, 'run').split(' ').at(-1)!;
-  const ownProgram = join(folder, 'program.mjs');
-  const bundling = valueOf(text, 'build').split('; ').at(-1)!;
-  const command = bundling.replace(program, ownProgram);
-  await promisify(execFile)('sh', ['-c', command], {cwd: ROOT});
-  return [...(await readDeployedFlags()), ownProgram];
+/**
+ * @returns the build command without the installation of the dependencies, which
+ *     would replace those that this process and others run from.
+ */
+function bundleCommand(text: string): string {
+  const build = valueOf(text, 'build');
+  const start = build.indexOf(BUNDLER);
+  if (start < 0)
+    throw new Error(`${DEPLOYMENT_FILE} does not build with ${BUNDLER}`);
+  return build.slice(start);
 }
 
-function readDeployment(): Promise<string> {
-  return readFile(join(ROOT, DEPLOYMENT_FILE), 'utf8');
+function readDeployment(root: string): Promise<string> {
+  return readFile(join(root, DEPLOYMENT_FILE), 'utf8');
 }
 
 /** @returns the string value of a key; its escapes are those of JSON. */
