Keep the ports of cut links from other connections of the machine

A cut closes the listener of a link, and any outgoing connection may get its port meanwhile, as it was one that the operating system hands out. Links listen at ports below that range.

--- a/packages/local-cluster/src/test/platform/target_links_thread.ts
+++ b/packages/local-cluster/src/test/platform/target_links_thread.ts
@@ -1,6 +1,7 @@
 /** Thread of a {@link TargetLinks}. @packageDocumentation */
 
-import {AddressInfo, Socket, connect, createServer} from 'node:net';
+import {randomInt} from 'node:crypto';
+import {Server, Socket, connect, createServer} from 'node:net';
 import {parentPort, workerData} from 'node:worker_threads';
 import {LINK_CUT, LinkState, LinkThreadData, SHARED} from './target_links.js';
 
@@ -9,6 +10,12 @@
 /** Length of the queue of connections that are not accepted yet. */
 const BACKLOG = 16;
 
+/**
+ * Ports of links, which the operating system gives to no other connection: a
+ * link has to find its port free again after a cut.
+ */
+const PORTS = {from: 20_000, to: 32_000};
+
 /** Only callers' requests have this header. */
 const REQUEST_ID_HEADER = 'x-fuchsiacleat-attempt-id';
 
@@ -51,13 +58,33 @@
   for (const link of links) {
     const {port, server} = link;
     if (server.listening) continue;
-    await new Promise<void>(resolve =>
-      server.listen({host: LOOPBACK, port, backlog: BACKLOG}, resolve),
-    );
-    link.port = (server.address() as AddressInfo).port;
+    if (port > 0) await listenAt(server, port);
+    else link.port = await listenAtFreePort(server);
+  }
+}
+
+async function listenAtFreePort(server: Server): Promise<number> {
+  for (;;) {
+    const port = randomInt(PORTS.from, PORTS.to);
+    try {
+      await listenAt(server, port);
+      return port;
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error;
+    }
   }
 }
 
+function listenAt(server: Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host: LOOPBACK, port, backlog: BACKLOG}, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
 async function setState(state: LinkState): Promise<void> {
   if (state === 'open') {
     await listen();
